Lay the frame: build, checks, wire frames, protocols of the outside systems

Cause: nothing existed; every later part needs the same types at its edges. Ruled out: an own frame format (msgpack's streaming unpacker already bounds and resumes) and one module for all outside systems (a new format must change one adapter only). Conclusion: the protocols in gypsumpier/platform and the frame in gypsumpier/wire are the edges that the stand-ins, the entry and the agent are built against.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Everything a developer or CI runs.  VENV may name a virtual environment that exists already.
+VENV ?= .venv
+PYTHON ?= python3
+PY = $(VENV)/bin/python
+STAMP = $(VENV)/.requirements-installed
+
+.PHONY: venv format lint test demo
+
+venv: $(STAMP)
+
+$(STAMP): requirements.txt
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $(STAMP)
+
+format: venv
+	$(PY) -m black --quiet gypsumpier misc
+	$(PY) -m ruff check --quiet --fix gypsumpier misc
+
+lint: venv
+	$(PY) -m black --check --quiet gypsumpier misc
+	$(PY) -m ruff check --quiet gypsumpier misc
+	$(PY) -m mypy
+
+test: venv
+	$(PY) -m misc.runtests
+
+demo: venv
+	$(PY) -m misc.demo
--- /dev/null
+++ b/gypsumpier/document/__init__.py
@@ -0,0 +1,1 @@
+"""Service teams' documents: their types, validation, revisions and spread."""
--- /dev/null
+++ b/gypsumpier/log.py
@@ -0,0 +1,55 @@
+"""Structured log lines: one for each routing or placement decision.
+
+Fields never hold a prompt, an answer or a credential.  ``configure`` chooses key=value or JSON.
+"""
+
+import json
+import logging
+import sys
+
+LOGGER = logging.getLogger("gypsumpier")
+
+
+def configure(level: str, as_json: bool) -> None:
+    """Send the package's log lines to standard error in the chosen format."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter() if as_json else KeyValueFormatter())
+    LOGGER.handlers = [handler]
+    LOGGER.setLevel(level)
+    LOGGER.propagate = False
+
+
+def decision(event: str, **fields: object) -> None:
+    """Log one decision with its fields, which include the reason."""
+    LOGGER.info(event, extra={"fields": fields})
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats a record as one line of key=value pairs."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        pairs = " ".join(f"{key}={quoted(value)}" for key, value in record_fields(record).items())
+        return f"{self.formatTime(record)} {record.levelname.lower()} {pairs}"
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        head = {"time": self.formatTime(record), "level": record.levelname.lower()}
+        return json.dumps(head | record_fields(record), default=str)
+
+
+def record_fields(record: logging.LogRecord) -> dict[str, object]:
+    """Return the event and the fields of the record."""
+    fields: dict[str, object] = {"event": record.getMessage()}
+    fields.update(getattr(record, "fields", {}))
+    if record.exc_info and record.exc_info[1] is not None:
+        fields["exception"] = repr(record.exc_info[1])
+    return fields
+
+
+def quoted(value: object) -> str:
+    """Return the value as text, in quotes where it holds white space."""
+    text = str(value)
+    return json.dumps(text) if any(char.isspace() or char == '"' for char in text) else text
--- /dev/null
+++ b/gypsumpier/options.py
@@ -0,0 +1,44 @@
+"""Settings of the daemon, as one object that is built at start and handed down whole."""
+
+from dataclasses import dataclass
+
+
+@dataclass
+class Options:
+    """Every setting.  Times are in seconds, sizes in bytes, rates in bytes a second."""
+
+    role: str = "entry"
+    name: str = ""
+    incarnation: str = ""
+    region: str = ""
+    zone: str = ""
+    service: str = ""
+    host: str = "127.0.0.1"
+    port: int = 0
+    bulk_port: int = 0
+    http_port: int = 0
+    administration_port: int = 0
+    configuration_url: str = ""
+    membership_url: str = ""
+    store_url: str = ""
+    origin_url: str = ""
+    upstream_url: str = ""
+    log_level: str = "INFO"
+    log_json: bool = False
+
+    heartbeat_s: float = 1.0
+    silence_s: float = 3.0
+    dial_timeout_s: float = 1.0
+    membership_interval_s: float = 1.0
+    watch_timeout_s: float = 30.0
+    watchers_per_zone: int = 2
+    engine_poll_s: float = 0.25
+    request_deadline_s: float = 30.0
+    body_limit_bytes: int = 1024 * 1024
+    drain_timeout_s: float = 30.0
+
+    chunk_bytes: int = 256 * 1024
+    weight_memory_bytes: int = 64 * 1024 * 1024
+    link_bytes_per_s: int = 125_000_000
+    region_link_bytes_per_s: int = 1_250_000
+    live_traffic_share: float = 0.2
--- /dev/null
+++ b/gypsumpier/platform/service.py
@@ -0,0 +1,34 @@
+"""A plain service: an upstream that answers ordinary HTTP calls."""
+
+from typing import NamedTuple, Protocol
+
+
+class ServiceCall(NamedTuple):
+    """One HTTP call for the service; ``path`` includes the query."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServiceAnswer(NamedTuple):
+    """The service's whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Service(Protocol):
+    """Calls one plain service.
+
+    Raises GypsumpierError with PLATFORM_UNREACHABLE where the call was certainly not sent, and
+    PLATFORM_BAD_ANSWER where it may have run.
+    """
+
+    async def call(self, call: ServiceCall, timeout_s: float) -> ServiceAnswer:
+        """Run the call once."""
+
+    async def healthy(self) -> bool:
+        """Tell whether the service answers."""
--- /dev/null
+++ b/gypsumpier/wire/frame.py
@@ -0,0 +1,66 @@
+"""One frame of our streams and its codec.
+
+``exchange`` names what the frame belongs to (a request's attempt, or empty for the connection
+itself) and ``sequence`` counts the frames of one exchange in one direction from 0, so that a late
+or crossed frame is recognised and a final frame can prove that nothing is missing.  ``sent_at_s``
+is the sender's monotonic clock: a receiver compares only differences of it.
+"""
+
+from typing import Any, Final, NamedTuple
+
+import msgpack
+
+from gypsumpier.codes.wire import BAD_FRAME, FRAME_TOO_LARGE
+from gypsumpier.errors import GypsumpierError
+
+MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+FRAME_FIELDS: Final = 5
+
+
+class Frame(NamedTuple):
+    """A typed message between two of our processes."""
+
+    kind: str
+    exchange: str
+    sequence: int
+    sent_at_s: float
+    payload: dict[str, Any]
+
+
+class Decoder:
+    """Turns received bytes into frames; raises GypsumpierError on a malformed one."""
+
+    def __init__(self) -> None:
+        self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=MAX_FRAME_BYTES)
+
+    def feed(self, content: bytes) -> list[Frame]:
+        """Return the frames completed by ``content``."""
+        try:
+            self.unpacker.feed(content)
+            return [checked(message) for message in self.unpacker]
+        except msgpack.BufferFull as error:
+            raise GypsumpierError(FRAME_TOO_LARGE, f"over {MAX_FRAME_BYTES} bytes") from error
+        except (ValueError, msgpack.UnpackException) as error:
+            raise GypsumpierError(BAD_FRAME, str(error)) from error
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the frame as bytes."""
+    packed: bytes = msgpack.packb(list(frame))
+    if len(packed) > MAX_FRAME_BYTES:
+        raise GypsumpierError(FRAME_TOO_LARGE, f"{frame.kind} of {len(packed)} bytes")
+    return packed
+
+
+def checked(message: object) -> Frame:
+    """Return the message as a frame; raise GypsumpierError where its shape is wrong."""
+    if not isinstance(message, list) or len(message) != FRAME_FIELDS:
+        raise GypsumpierError(BAD_FRAME, "a frame is an array of five fields")
+    kind, exchange, sequence, sent_at_s, payload = message
+    if not isinstance(kind, str) or not isinstance(exchange, str):
+        raise GypsumpierError(BAD_FRAME, "kind and exchange are strings")
+    if not isinstance(sequence, int) or not isinstance(sent_at_s, int | float):
+        raise GypsumpierError(BAD_FRAME, "sequence and sent_at_s are numbers")
+    if not isinstance(payload, dict):
+        raise GypsumpierError(BAD_FRAME, "the payload is a map")
+    return Frame(kind, exchange, sequence, float(sent_at_s), payload)
--- /dev/null
+++ b/gypsumpier/wire/tcp.py
@@ -0,0 +1,66 @@
+"""Streams over TCP by tornado."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Final
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+from tornado.util import TimeoutError as TornadoTimeoutError
+
+from gypsumpier.codes.wire import CONNECTION_CLOSED
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.wire.stream import Stream
+
+READ_BYTES: Final = 256 * 1024
+
+StreamHandler = Callable[[Stream], Awaitable[None]]
+
+
+class TcpStream:
+    """A Stream over one TCP connection."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
+        stream.set_nodelay(True)
+
+    async def read(self) -> bytes:
+        try:
+            return bytes(await self.stream.read_bytes(READ_BYTES, partial=True))
+        except StreamClosedError as error:
+            raise GypsumpierError(CONNECTION_CLOSED, "closed while reading") from error
+
+    async def write(self, content: bytes) -> None:
+        try:
+            await self.stream.write(content)
+        except StreamClosedError as error:
+            raise GypsumpierError(CONNECTION_CLOSED, "closed while writing") from error
+
+    def close(self) -> None:
+        self.stream.close()
+
+
+class TcpDialer:
+    """Opens TCP connections."""
+
+    def __init__(self) -> None:
+        self.client = TCPClient()
+
+    async def dial(self, host: str, port: int, timeout_s: float) -> Stream:
+        try:
+            stream = await self.client.connect(host, port, timeout=timedelta(seconds=timeout_s))
+        except (OSError, StreamClosedError, TornadoTimeoutError) as error:
+            raise GypsumpierError(CONNECTION_CLOSED, f"cannot dial {host}:{port}") from error
+        return TcpStream(stream)
+
+
+class TcpListener(TCPServer):
+    """Accepts TCP connections and runs the handler once for each."""
+
+    def __init__(self, handler: StreamHandler) -> None:
+        super().__init__()
+        self.handler = handler
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        await self.handler(TcpStream(stream))
