Describe published weights with their chunk digests

The publisher computes them while it writes a file; computing them in a reader would need a copy drawn from the origin before the first chunk could be passed on, and a chunk could not be verified before that.

--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -4,11 +4,19 @@
 
 
 class WeightFile(NamedTuple):
-    """One file of a version; ``digest`` is the BLAKE3 of its content in hexadecimal."""
+    """One file of a version as its publisher described it.
+
+    ``digest`` is the BLAKE3 of the whole content in hexadecimal.  The content is cut into chunks
+    of ``chunk_bytes``, the last of which may be shorter; ``chunk_digests`` holds the BLAKE3 of
+    each in order.  The publisher computes both while it writes the file, so that no reader has to
+    draw a copy only to learn the digests.
+    """
 
     path: str
     size_bytes: int
     digest: str
+    chunk_bytes: int
+    chunk_digests: tuple[str, ...]
 
 
 class Store(Protocol):
