--- /dev/null
+++ b/gypsumpier/weight/draw.py
@@ -0,0 +1,101 @@
+"""Draws chunks from the weight store, and from the origin where the store can't give them.
+
+A source that refuses by rate is left alone until the time it stated; one that fails or sends a
+corrupt chunk, for a while that doubles with each failure in a row.  The wait is jittered, so that
+agents which failed together don't come back together.
+"""
+
+from random import Random
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.codes.weight import CHUNK_CORRUPT, CHUNK_UNAVAILABLE
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.store import Store, WeightFile
+from gypsumpier.weight.manifest import Manifest
+from gypsumpier.weight.transfer import Transfer
+
+FIRST_BACKOFF_S: Final = 0.5
+MAX_BACKOFF_S: Final = 15.0
+
+
+class Source:
+    """One store with what is known of its health."""
+
+    def __init__(self, name: str, store: Store) -> None:
+        self.name = name
+        self.store = store
+        self.failures = 0
+        self.not_before_s = 0.0
+        self.drawn_bytes = 0
+        self.corrupt_chunks = 0
+
+
+class Draws:
+    """Draws from the store first and the origin second."""
+
+    def __init__(self, clock: Clock, random: Random, store: Store, origin: Store | None) -> None:
+        self.clock = clock
+        self.random = random
+        self.sources = [Source("store", store)]
+        if origin is not None:
+            self.sources.append(Source("origin", origin))
+
+    async def files(self, model: str, version: str) -> list[WeightFile]:
+        """Return the published file list; raise GypsumpierError where no source gives it."""
+        failure = GypsumpierError(CHUNK_UNAVAILABLE, "no source may be asked now")
+        for source in self.usable():
+            try:
+                files = await source.store.files(model, version)
+            except GypsumpierError as error:
+                self.note_failure(source, error)
+                failure = error
+            else:
+                source.failures = 0
+                return files
+        raise failure
+
+    async def chunk(self, transfer: Transfer, index: int) -> tuple[str, bytes]:
+        """Return the source's name and a verified chunk; raise GypsumpierError without one."""
+        failure = GypsumpierError(CHUNK_UNAVAILABLE, "no source may be asked now")
+        for source in self.usable():
+            try:
+                content = await self.read(source, transfer.manifest, index)
+                transfer.check(index, content)
+            except GypsumpierError as error:
+                self.note_failure(source, error)
+                failure = error
+            else:
+                source.failures = 0
+                return source.name, content
+        raise failure
+
+    async def read(self, source: Source, manifest: Manifest, index: int) -> bytes:
+        """Read one chunk's range and count its bytes."""
+        chunk = manifest.chunks[index]
+        content = await source.store.read(
+            manifest.model, manifest.version, chunk.path, chunk.offset, chunk.length
+        )
+        source.drawn_bytes += len(content)
+        return content
+
+    def usable(self) -> list[Source]:
+        """Return the sources that may be asked now, in order of preference."""
+        now_s = self.clock.monotonic()
+        return [source for source in self.sources if source.not_before_s <= now_s]
+
+    def wait_s(self) -> float:
+        """Return for how many seconds no source may be asked."""
+        first_s = min(source.not_before_s for source in self.sources)
+        return max(0.0, first_s - self.clock.monotonic())
+
+    def note_failure(self, source: Source, error: GypsumpierError) -> None:
+        """Leave the source alone for a while."""
+        if error.code == CHUNK_CORRUPT:
+            source.corrupt_chunks += 1
+        source.failures += 1
+        backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (source.failures - 1))
+        if error.retry_after_s is not None:
+            backoff_s = max(FIRST_BACKOFF_S, error.retry_after_s)
+        jitter = 1.0 + self.random.random() / 2
+        source.not_before_s = self.clock.monotonic() + backoff_s * jitter
--- /dev/null
+++ b/gypsumpier/weight/inputs.py
@@ -0,0 +1,25 @@
+"""What a rollout reads of the process around it."""
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from gypsumpier.document.service import Accepted
+from gypsumpier.platform.membership import Member
+
+
+class Documents(Protocol):
+    """The documents in force at this process."""
+
+    @property
+    def accepted(self) -> Mapping[str, Accepted]:
+        """The accepted documents by service, deletions included."""
+
+    def subscribe(self, callback: Callable[[Accepted], None]) -> None:
+        """Call back whenever a document has been accepted."""
+
+
+class Members(Protocol):
+    """The platform's member list as this process last read it."""
+
+    def agents(self, service: str) -> list[Member]:
+        """Return the agents of the service, leaving ones included."""
--- a/gypsumpier/weight/manifest.py
+++ b/gypsumpier/weight/manifest.py
@@ -63,6 +63,8 @@
         raise GypsumpierError(BAD_MANIFEST, f"{file.path}: number of chunk digests")
     if any(len(digest) != DIGEST_HEX_DIGITS for digest in (file.digest, *file.chunk_digests)):
         raise GypsumpierError(BAD_MANIFEST, f"{file.path}: length of a digest")
+    if file.size_bytes == 0 and file.digest != blake3(b"").hexdigest():
+        raise GypsumpierError(BAD_MANIFEST, f"{file.path}: digest of an empty file")
 
 
 def file_chunks(number: int, file: WeightFile) -> list[Chunk]:
--- /dev/null
+++ b/gypsumpier/weight/rollout.py
@@ -0,0 +1,153 @@
+"""The component of a model agent that brings the document's versions live at its engine.
+
+Each version that the document names has a task of its own (``VersionRollout``).  A version that
+is no longer named is unloaded only once the engine reports every named version live, so the old
+one serves until then.  What the engine reports is the only truth about what is live.
+"""
+
+import asyncio
+from random import Random
+
+from gypsumpier.clock import Clock
+from gypsumpier.document.service import Accepted, ServiceDocument
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.options import Options
+from gypsumpier.platform.engine import Engine, EngineStatus, LiveModel
+from gypsumpier.platform.store import Store
+from gypsumpier.weight.cache import ChunkCache
+from gypsumpier.weight.context import RolloutContext
+from gypsumpier.weight.decider import Decider
+from gypsumpier.weight.draw import Draws
+from gypsumpier.weight.inputs import Documents, Members
+from gypsumpier.weight.monitor import EngineMonitor
+from gypsumpier.weight.order import Orders
+from gypsumpier.weight.version import VersionRollout
+from gypsumpier.weight.view import TransferView
+from gypsumpier.wire.stream import Dialer
+
+Key = tuple[str, str]
+
+
+class Rollout:
+    """Follows the service's document; see the module."""
+
+    def __init__(
+        self,
+        options: Options,
+        clock: Clock,
+        documents: Documents,
+        members: Members,
+        engine: Engine,
+        store: Store,
+        origin: Store | None,
+        dialer: Dialer,
+        random: Random,
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.documents = documents
+        self.dialer = dialer
+        self.monitor = EngineMonitor(options, clock, engine)
+        self.orders = Orders(clock, engine)
+        self.decider = Decider(options, clock, documents, members)
+        self.context = RolloutContext(
+            options=options,
+            clock=clock,
+            random=random,
+            documents=documents,
+            members=members,
+            engine=engine,
+            monitor=self.monitor,
+            orders=self.orders,
+            draws=Draws(clock, random, store, origin),
+            cache=ChunkCache(options.weight_memory_bytes),
+        )
+        self.versions: dict[Key, VersionRollout] = {}
+        self.version_tasks: dict[Key, asyncio.Task[None]] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to follow the document."""
+        self.documents.subscribe(self.on_document)
+        self.tasks = [
+            asyncio.create_task(self.monitor.run()),
+            asyncio.create_task(self.decider.run()),
+            asyncio.create_task(self.unload_loop()),
+        ]
+        self.follow()
+
+    async def stop(self) -> None:
+        """Stop every task; the engine keeps what it serves."""
+        running = self.tasks + list(self.version_tasks.values())
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def transfers(self) -> list[TransferView]:
+        """Return the state of each version for the administration API."""
+        accepted = self.documents.accepted.get(self.options.service)
+        revision = accepted.revision if accepted is not None else 0
+        document = accepted.document if accepted is not None else None
+        live_by = document.live_by if document is not None else None
+        return [version.view(revision, live_by) for version in self.versions.values()]
+
+    def on_document(self, accepted: Accepted) -> None:
+        """Take up a new revision of the service's document."""
+        if accepted.name == self.options.service:
+            self.follow()
+
+    def follow(self) -> None:
+        """Have exactly one task for each version that the document names."""
+        wanted = self.wanted()
+        for key in [key for key in self.versions if key not in wanted]:
+            decision("version_dropped", model=key[0], version=key[1], reason="no longer named")
+            self.version_tasks.pop(key).cancel()
+            del self.versions[key]
+        for key in wanted:
+            if key not in self.versions:
+                decision("version_wanted", model=key[0], version=key[1], reason="named")
+                self.versions[key] = VersionRollout(self.context, self.decider, *key)
+                self.version_tasks[key] = asyncio.create_task(self.versions[key].run())
+
+    def wanted(self) -> set[Key]:
+        """Return the versions that the document in force names."""
+        document = self.document()
+        if document is None or document.kind != "model":
+            return set()
+        return {(document.model, share.version) for share in document.versions}
+
+    def document(self) -> ServiceDocument | None:
+        """Return the service's document in force."""
+        accepted = self.documents.accepted.get(self.options.service)
+        return accepted.document if accepted is not None else None
+
+    async def unload_loop(self) -> None:
+        """After each report of the engine, unload what the document has ceased to name."""
+        while True:
+            status = await self.monitor.next_report()
+            try:
+                await self.unload_unnamed(status)
+            except GypsumpierError as error:
+                decision("unload_failed", reason=str(error))
+
+    async def unload_unnamed(self, status: EngineStatus) -> None:
+        """Order superseded contents away once every named version is live."""
+        if self.options.service not in self.documents.accepted:
+            return
+        kept = self.named_and_live(status)
+        if kept is None:
+            return
+        for live in [live for live in status.live if live not in kept]:
+            made = self.decider.decide(f"{live.version} is no longer named or has changed")
+            await self.orders.unload(made, *live)
+
+    def named_and_live(self, status: EngineStatus) -> list[LiveModel] | None:
+        """Return the named contents that are live, or None while one of them isn't."""
+        kept = []
+        for version in self.versions.values():
+            live = version.live_content(status)
+            if live is None:
+                return None
+            kept.append(live)
+        return kept
--- /dev/null
+++ b/gypsumpier/weight/transfer.py
@@ -0,0 +1,148 @@
+"""One manifest's way into the engine.
+
+Invariants.  A chunk counts as held only after its content matched its digest and the engine took
+it under the manifest's digest.  ``verified`` is true only when every chunk is held and the BLAKE3
+of each whole file, computed over the chunks in file order, matched the published one.  Chunks
+that are held but not hashed yet are pinned in the cache, which bounds how far ahead of the
+hashing a chunk may be asked for (``window``).
+"""
+
+from blake3 import blake3
+
+from gypsumpier.codes.weight import CHUNK_CORRUPT, FILE_CORRUPT
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.engine import Engine
+from gypsumpier.weight.cache import ChunkCache
+from gypsumpier.weight.manifest import Manifest
+
+
+class Transfer:
+    """The chunks of one manifest that this agent has staged."""
+
+    def __init__(self, manifest: Manifest, engine: Engine, cache: ChunkCache) -> None:
+        self.manifest = manifest
+        self.engine = engine
+        self.cache = cache
+        self.by_digest: dict[str, list[int]] = {}
+        for index, chunk in enumerate(manifest.chunks):
+            self.by_digest.setdefault(chunk.digest, []).append(index)
+        self.held: set[int] = set()
+        self.missing = set(range(len(manifest.chunks)))
+        self.staging: set[int] = set()
+        self.hashed = 0
+        self.hasher = blake3()
+        self.epoch = 0
+
+    def reset(self) -> None:
+        """Start again, because the engine has lost what was staged."""
+        self.unpin()
+        self.held = set()
+        self.missing = set(range(len(self.manifest.chunks)))
+        self.staging = set()
+        self.hashed = 0
+        self.hasher = blake3()
+        self.epoch += 1
+
+    @property
+    def verified(self) -> bool:
+        """Whether every chunk is staged and every whole file has matched its digest."""
+        return self.hashed == len(self.manifest.chunks)
+
+    def window(self) -> int:
+        """Return the index below which chunks may be asked for now."""
+        if self.manifest.size_bytes <= self.cache.limit_bytes // 2:
+            return len(self.manifest.chunks)
+        largest = max(chunk.length for chunk in self.manifest.chunks)
+        return self.hashed + max(1, self.cache.limit_bytes // (4 * largest))
+
+    def check(self, index: int, content: bytes) -> None:
+        """Raise GypsumpierError with CHUNK_CORRUPT where the content isn't that chunk."""
+        if blake3(content).hexdigest() != self.manifest.chunks[index].digest:
+            raise GypsumpierError(CHUNK_CORRUPT, f"chunk {index} of {self.manifest.version}")
+
+    async def receive(self, index: int, content: bytes) -> bool:
+        """Verify a chunk, stage it everywhere it occurs and tell whether it was missing.
+
+        Raises GypsumpierError with CHUNK_CORRUPT, FILE_CORRUPT or what the engine raised.
+        """
+        self.check(index, content)
+        digest = self.manifest.chunks[index].digest
+        places = [at for at in self.by_digest[digest] if at in self.missing]
+        places = [at for at in places if at not in self.staging]
+        if not places:
+            return False
+        await self.stage(places, content)
+        return True
+
+    async def stage(self, places: list[int], content: bytes) -> None:
+        """Hand verified content to the engine for each place, then count it as held."""
+        epoch = self.epoch
+        self.staging.update(places)
+        try:
+            for at in places:
+                chunk = self.manifest.chunks[at]
+                await self.engine.stage(self.manifest.digest, chunk.path, chunk.offset, content)
+        finally:
+            if epoch == self.epoch:
+                self.staging.difference_update(places)
+        if epoch == self.epoch:
+            self.count(places, content)
+
+    def count(self, places: list[int], content: bytes) -> None:
+        """Note staged places and go on hashing as far as the chunks in order allow."""
+        for at in places:
+            self.missing.discard(at)
+            self.held.add(at)
+            self.cache.pin(self.manifest.chunks[at].digest)
+        digest = self.manifest.chunks[places[0]].digest
+        self.cache.put(digest, content)
+        self.hash_on(digest, content)
+
+    def hash_on(self, arrived_digest: str, arrived: bytes) -> None:
+        """Hash held chunks in order; raise GypsumpierError with FILE_CORRUPT on a mismatch."""
+        chunks = self.manifest.chunks
+        while self.hashed < len(chunks) and self.hashed in self.held:
+            chunk = chunks[self.hashed]
+            # The chunk that has just arrived is hashed even where the cache had no room for it.
+            content = arrived if chunk.digest == arrived_digest else self.cache.get(chunk.digest)
+            if content is None:
+                self.ask_again(self.hashed)
+                return
+            self.hasher.update(content)
+            self.cache.unpin(chunk.digest)
+            self.hashed += 1
+            if self.hashed == len(chunks) or chunks[self.hashed].file != chunk.file:
+                self.check_file(chunk.file)
+
+    def check_file(self, number: int) -> None:
+        """Compare a whole file's digest and begin the next file."""
+        file = self.manifest.files[number]
+        if self.hasher.hexdigest() != file.digest:
+            self.reset()
+            raise GypsumpierError(FILE_CORRUPT, f"{file.path} of {self.manifest.version}")
+        self.hasher = blake3()
+
+    def ask_again(self, index: int) -> None:
+        """Put a chunk back that found no room in the cache before it was hashed."""
+        self.held.discard(index)
+        self.missing.add(index)
+        self.cache.unpin(self.manifest.chunks[index].digest)
+
+    def unpin(self) -> None:
+        """Let the cache drop what this transfer hasn't hashed; called when it ends."""
+        for index in self.held:
+            if index >= self.hashed:
+                self.cache.unpin(self.manifest.chunks[index].digest)
+
+    async def begin(self) -> int:
+        """Stage empty files and what the cache holds from another version; return its bytes."""
+        for file in self.manifest.files:
+            if file.size_bytes == 0:
+                await self.engine.stage(self.manifest.digest, file.path, 0, b"")
+        reused = 0
+        for index in sorted(self.missing):
+            content = self.cache.get(self.manifest.chunks[index].digest)
+            if content is not None and index in self.missing:
+                await self.receive(index, content)
+                reused += len(content)
+        return reused
