--- /dev/null
+++ b/gypsumpier/platform/configuration_http.py
@@ -0,0 +1,50 @@
+"""The configuration service over HTTP.
+
+``GET /documents`` answers every document and ``GET /watch?after=N&timeout_s=S`` the changes after
+position N, both as ``{"position": N, "documents": [{"name", "revision", "body"}]}`` where ``body``
+is the document's text, or null where the revision deletes it.
+"""
+
+from typing import Any, Final
+
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.configuration import Changes, Revised
+from gypsumpier.platform.http import HttpCaller, json_object
+
+WATCH_MARGIN_S: Final = 5.0
+
+
+class HttpConfiguration:
+    """The Configuration protocol over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        self.caller = HttpCaller(url)
+
+    async def read_all(self) -> Changes:
+        return changes(await self.caller.call("GET", "/documents"))
+
+    async def watch(self, position: int, timeout_s: float) -> Changes:
+        path = f"/watch?after={position}&timeout_s={timeout_s:g}"
+        return changes(await self.caller.call("GET", path, timeout_s + WATCH_MARGIN_S))
+
+    def close(self) -> None:
+        """Close the client."""
+        self.caller.close()
+
+
+def changes(body: bytes) -> Changes:
+    """Return the answer as changes; raise GypsumpierError where its shape is wrong."""
+    answer = json_object(body)
+    try:
+        documents = [revised(entry) for entry in answer["documents"]]
+        return Changes(int(answer["position"]), documents)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad changes: {error!r}") from error
+
+
+def revised(entry: dict[str, Any]) -> Revised:
+    """Return one entry of the answer as a revised document."""
+    body = entry["body"]
+    content = None if body is None else body.encode("utf-8", "surrogateescape")
+    return Revised(str(entry["name"]), int(entry["revision"]), content)
--- /dev/null
+++ b/gypsumpier/platform/engine_http.py
@@ -0,0 +1,147 @@
+"""The model engine over HTTP.
+
+Orders are single calls.  Generations are streams of JSON lines, ``{"position", "text",
+"finish_reason", "version"}`` each.  A caller may stop iterating at any time; the engine goes on
+until ``cancel`` is called, and what still arrives is dropped.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+from tornado.httpclient import HTTPResponse
+
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.engine import (
+    CacheEvent,
+    Completion,
+    EngineEvent,
+    EngineStatus,
+    LiveModel,
+    LoadOrder,
+)
+from gypsumpier.platform.http import HttpCaller, json_object, raise_for_status
+from gypsumpier.platform.lines import LineQueue
+
+STATUS_TIMEOUT_S: Final = 2.0
+STREAM_TIMEOUT_S: Final = 600.0
+
+
+class HttpEngine:
+    """The Engine protocol over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        self.caller = HttpCaller(url)
+
+    async def status(self) -> EngineStatus:
+        answer = await self.caller.call_json("GET", "/status", STATUS_TIMEOUT_S)
+        try:
+            return engine_status(answer)
+        except (KeyError, TypeError, ValueError) as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad status: {error!r}") from error
+
+    async def stage(self, digest: str, path: str, offset: int, content: bytes) -> None:
+        query = urlencode({"digest": digest, "path": path, "offset": offset})
+        await self.caller.call("PUT", f"/stage?{query}", body=content)
+
+    async def load(self, order: LoadOrder) -> None:
+        await self.caller.call("POST", "/load", body=json.dumps(order._asdict()))
+
+    async def unload(self, order: LoadOrder) -> None:
+        await self.caller.call("POST", "/unload", body=json.dumps(order._asdict()))
+
+    async def complete(self, completion: Completion) -> AsyncIterator[EngineEvent]:
+        body = json.dumps(completion._asdict())
+        async for event in self.events("POST", "/completions", body=body):
+            yield event
+
+    async def resume(self, stream_id: str, next_position: int) -> AsyncIterator[EngineEvent]:
+        path = f"/streams/{quote(stream_id, safe='')}?next_position={next_position}"
+        async for event in self.events("GET", path):
+            yield event
+
+    async def cancel(self, stream_id: str) -> None:
+        await self.caller.call("DELETE", f"/streams/{quote(stream_id, safe='')}")
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        answer = await self.caller.call_json("GET", f"/cache-events?after={after}")
+        try:
+            return [
+                CacheEvent(int(entry["sequence"]), str(entry["prefix"]), bool(entry["cached"]))
+                for entry in answer["events"]
+            ]
+        except (KeyError, TypeError, ValueError) as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad cache events: {error!r}") from error
+
+    def close(self) -> None:
+        """Close the client."""
+        self.caller.close()
+
+    async def events(self, method: str, path: str, **fields: Any) -> AsyncIterator[EngineEvent]:
+        """Yield the events of one streamed answer; raise GypsumpierError where it is cut."""
+        lines = LineQueue()
+        request = self.caller.request(
+            method,
+            path,
+            STREAM_TIMEOUT_S,
+            header_callback=lines.header,
+            streaming_callback=lines.feed,
+            **fields,
+        )
+        fetch = asyncio.ensure_future(self.caller.fetch(request))
+        fetch.add_done_callback(lambda done: lines.end())
+        try:
+            async for line in lines.lines():
+                event = engine_event(line)
+                yield event
+                if event.finish_reason is not None:
+                    return
+            raise_for_end(await fetch)
+        finally:
+            lines.stop()
+            fetch.add_done_callback(ignore_result)
+
+
+def raise_for_end(response: HTTPResponse) -> None:
+    """Raise the error of a stream that ended without a final event."""
+    raise_for_status(response)
+    raise GypsumpierError(PLATFORM_BAD_ANSWER, "the stream ended without a final event")
+
+
+def ignore_result(fetch: "asyncio.Future[HTTPResponse]") -> None:
+    """Take the result of a fetch that nobody waits for any longer."""
+    if not fetch.cancelled():
+        fetch.exception()
+
+
+def engine_status(answer: dict[str, Any]) -> EngineStatus:
+    """Return the answer as the engine's status."""
+    live = [
+        LiveModel(str(entry["model"]), str(entry["version"]), str(entry["digest"]))
+        for entry in answer["live"]
+    ]
+    return EngineStatus(
+        live=live,
+        running=int(answer["running"]),
+        waiting=int(answer["waiting"]),
+        capacity=int(answer["capacity"]),
+        free_memory_bytes=int(answer["free_memory_bytes"]),
+    )
+
+
+def engine_event(line: bytes) -> EngineEvent:
+    """Return a line of the stream as an event; raise GypsumpierError where it isn't one."""
+    entry = json_object(line)
+    try:
+        reason = entry["finish_reason"]
+        return EngineEvent(
+            position=int(entry["position"]),
+            text=str(entry["text"]),
+            finish_reason=None if reason is None else str(reason),
+            version=str(entry["version"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad event: {error!r}") from error
--- /dev/null
+++ b/gypsumpier/platform/service_http.py
@@ -0,0 +1,60 @@
+"""A plain service over HTTP; it is healthy while ``GET /healthz`` answers with success.
+
+A call that may not be repeated depends on the difference between the two errors: only a refused
+connection, or a timeout before the connection stood, proves that the call was not sent.  Every
+other failure, a reset included, may come after the service has run the call.
+"""
+
+from typing import Final
+
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.http import HttpCaller, NotSentError
+from gypsumpier.platform.service import ServiceAnswer, ServiceCall
+
+HEALTH_TIMEOUT_S: Final = 2.0
+CONNECTION_HEADERS: Final = frozenset(
+    {"connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade"}
+)
+
+
+class HttpService:
+    """The Service protocol over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        self.caller = HttpCaller(url)
+
+    async def call(self, call: ServiceCall, timeout_s: float) -> ServiceAnswer:
+        request = self.caller.request(
+            call.method,
+            call.path,
+            timeout_s,
+            headers=forwarded(call.headers),
+            body=call.body or None,
+        )
+        try:
+            response = await self.caller.fetch(request)
+        except NotSentError:
+            raise
+        except GypsumpierError as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, error.detail) from error
+        return ServiceAnswer(response.code, forwarded(dict(response.headers)), response.body)
+
+    async def healthy(self) -> bool:
+        request = self.caller.request("GET", "/healthz", HEALTH_TIMEOUT_S)
+        try:
+            response = await self.caller.fetch(request)
+        except GypsumpierError:
+            return False
+        return 200 <= response.code < 300
+
+    def close(self) -> None:
+        """Close the client."""
+        self.caller.close()
+
+
+def forwarded(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers without those that belong to one connection only."""
+    return {
+        name: value for name, value in headers.items() if name.lower() not in CONNECTION_HEADERS
+    }
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -1,7 +1,10 @@
 """Sources of weights: the regional weight store and the origin."""
 
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from blake3 import blake3
+
 
 class WeightFile(NamedTuple):
     """One file of a version; ``digest`` is the BLAKE3 of its content in hexadecimal."""
@@ -23,3 +26,11 @@
 
     async def read(self, model: str, version: str, path: str, offset: int, length: int) -> bytes:
         """Return ``length`` bytes of the file from ``offset``."""
+
+
+def version_digest(files: Iterable[WeightFile]) -> str:
+    """Return the digest that stands for the whole version: BLAKE3 over its sorted file list."""
+    digest = blake3()
+    for file in sorted(files):
+        digest.update(f"{file.path}\0{file.size_bytes}\0{file.digest}\n".encode())
+    return str(digest.hexdigest())
--- /dev/null
+++ b/gypsumpier/test/standin/membership.py
@@ -0,0 +1,100 @@
+"""Stand-in of the member list.
+
+Control: ``POST /control/put`` with a member's fields, ``/control/remove {"name"}``,
+``/control/leaving {"name", "leaving"}``, ``/control/lag {"lag_s"}``, ``/control/empty {"on"}``,
+``/control/down {"on"}`` and ``GET /control/counts``.
+"""
+
+import asyncio
+import time
+from typing import Any
+
+import click
+from tornado.web import Application
+
+from gypsumpier.test.standin.server import DownControl, StandinHandler, serve
+
+
+class MembershipState:
+    """Each version of the list with the time since which it holds, and the faults."""
+
+    def __init__(self, lag_s: float = 0.0) -> None:
+        self.down = False
+        self.empty = False
+        self.lag_s = lag_s
+        self.calls = 0
+        self.versions: list[tuple[float, dict[str, Any]]] = [(float("-inf"), {})]
+
+    def change(self, name: str, member: dict[str, Any] | None) -> None:
+        """Put the member, or remove it where it is None."""
+        members = dict(self.versions[-1][1])
+        members.pop(name, None)
+        if member is not None:
+            members[name] = member
+        self.versions.append((time.monotonic(), members))
+        self.drop_old()
+
+    def drop_old(self) -> None:
+        """Forget the versions that no reader can see any longer."""
+        until_s = time.monotonic() - self.lag_s
+        while len(self.versions) > 1 and self.versions[1][0] <= until_s:
+            self.versions.pop(0)
+
+    def visible(self) -> list[dict[str, Any]]:
+        """Return the members that a reader sees now."""
+        self.drop_old()
+        return [] if self.empty else list(self.versions[0][1].values())
+
+
+class MembersHandler(StandinHandler):
+    """``GET /members``."""
+
+    def get(self) -> None:
+        self.state.calls += 1
+        self.finish({"members": self.state.visible()})
+
+
+class ControlHandler(StandinHandler):
+    """Changes the list and the faults."""
+
+    def post(self, action: str) -> None:
+        body = self.json_body()
+        if action == "put":
+            self.state.change(body["name"], {"leaving": False} | body)
+        elif action == "remove":
+            self.state.change(body["name"], None)
+        elif action == "leaving":
+            member = self.state.versions[-1][1][body["name"]]
+            self.state.change(body["name"], member | {"leaving": body.get("leaving", True)})
+        elif action == "lag":
+            self.state.lag_s = float(body["lag_s"])
+        elif action == "empty":
+            self.state.empty = bool(body["on"])
+        self.finish({})
+
+    def get(self, action: str) -> None:
+        self.finish({"calls": self.state.calls})
+
+
+def make_application(state: MembershipState) -> Application:
+    """Return the stand-in as an application."""
+    arguments = {"state": state}
+    return Application(
+        [
+            ("/members", MembersHandler, arguments),
+            ("/control/down", DownControl, arguments),
+            ("/control/(.*)", ControlHandler, arguments),
+        ]
+    )
+
+
+@click.command()
+@click.option("--port", default=0)
+@click.option("--lag-s", default=0.0)
+def main(port: int, lag_s: float) -> None:
+    """Serve the stand-in as a process."""
+    asyncio.run(serve(make_application(MembershipState(lag_s)), port))
+
+
+if __name__ == "__main__":
+    main()
