--- a/gypsumpier/weight/manifest.py
+++ b/gypsumpier/weight/manifest.py
@@ -1,7 +1,8 @@
 """A manifest: what one content of a version consists of.
 
-The manifest's digest covers every path, size, file digest and chunk digest, so it names exactly
-one content.  A version whose content changes under its name gets another manifest digest.
+``digest`` names the content, as the platform's version digest does, and is what the engine stages
+and reports.  A version whose content changes under its name gets another digest.  ``layout``
+covers the chunks as well: agents exchange chunks by index only within one layout.
 """
 
 from typing import Final, NamedTuple
@@ -10,7 +11,7 @@
 
 from gypsumpier.codes.weight import BAD_MANIFEST
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.store import WeightFile
+from gypsumpier.platform.store import WeightFile, version_digest
 
 MAX_CHUNK_BYTES: Final = 2 * 1024 * 1024
 DIGEST_HEX_DIGITS: Final = 64
@@ -32,6 +33,7 @@
     model: str
     version: str
     digest: str
+    layout: str
     files: tuple[WeightFile, ...]
     chunks: tuple[Chunk, ...]
 
@@ -52,7 +54,8 @@
     for number, file in enumerate(ordered):
         check_file(file)
         chunks += file_chunks(number, file)
-    return Manifest(model, version, manifest_digest(ordered), ordered, tuple(chunks))
+    digest = version_digest(ordered)
+    return Manifest(model, version, digest, layout_digest(ordered), ordered, tuple(chunks))
 
 
 def check_file(file: WeightFile) -> None:
@@ -77,7 +80,7 @@
     return chunks
 
 
-def manifest_digest(files: tuple[WeightFile, ...]) -> str:
+def layout_digest(files: tuple[WeightFile, ...]) -> str:
     """Return the digest over everything that the files' descriptions say."""
     hasher = blake3()
     for file in files:
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -79,7 +79,7 @@
     def transfer_of(self, manifest: Manifest) -> Transfer:
         """Return the transfer of the manifest, a new one where the content has changed."""
         if self.transfer is not None:
-            if self.transfer.manifest.digest == manifest.digest:
+            if self.transfer.manifest.layout == manifest.layout:
                 return self.transfer
             self.transfer.unpin()
         self.transfer = Transfer(manifest, self.context.engine, self.context.cache)
