Write the thin request path of entry and agent

Cause: a request must pass from caller to upstream before anything can be measured. Ruled out: entries calling upstreams directly (only the agent knows what is in flight there). Before: no process ran. After: not run yet; the parts wait for the tables and adapters.

--- /dev/null
+++ b/gypsumpier/agent/application.py
@@ -0,0 +1,111 @@
+"""The agent's application object: builds the parts, starts them in order, stops them gracefully."""
+
+import asyncio
+from random import Random
+from typing import Final
+
+from tornado.netutil import bind_sockets
+
+from gypsumpier.agent.gate import Gate
+from gypsumpier.agent.listener import Listener
+from gypsumpier.agent.monitor import Monitor
+from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
+from gypsumpier.clock import SystemClock
+from gypsumpier.document.keeper import DocumentKeeper
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.log import decision
+from gypsumpier.member.keeper import MemberKeeper
+from gypsumpier.member.table import MemberTable
+from gypsumpier.options import Options
+from gypsumpier.platform.configuration_http import HttpConfiguration
+from gypsumpier.platform.engine_http import HttpEngine
+from gypsumpier.platform.membership_http import HttpMembership
+from gypsumpier.platform.service_http import HttpService
+from gypsumpier.platform.store_http import HttpStore
+from gypsumpier.weight.rollout import Rollout
+from gypsumpier.wire.tcp import TcpDialer, TcpListener
+
+LEAVE_NOTICE_S: Final = 0.5
+
+
+class AgentApplication:
+    """One agent process.  A model agent has a rollout, one beside a plain service has none."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.clock = SystemClock()
+        self.random = Random()
+        self.documents = DocumentTable(self.clock)
+        self.members = MemberTable(self.clock)
+        self.document_keeper = DocumentKeeper(
+            options, self.clock, HttpConfiguration(options.configuration_url), self.documents
+        )
+        self.member_keeper = MemberKeeper(
+            options, self.clock, HttpMembership(options.membership_url), self.members
+        )
+        self.rollout: Rollout | None = None
+        self.upstream = self.build_upstream()
+        self.gate = Gate(options, self.clock, self.upstream)
+        self.listener = Listener(options, self.clock, self.gate)
+        self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
+        self.server = TcpListener(self.listener.serve)
+        self.stopping = False
+
+    def build_upstream(self) -> Upstream:
+        """Return the upstream of the kind that the settings name."""
+        if self.options.upstream_kind == "plain":
+            return ServiceUpstream(HttpService(self.options.upstream_url))
+        engine = HttpEngine(self.options.upstream_url)
+        self.rollout = Rollout(
+            self.options,
+            self.clock,
+            self.documents,
+            self.members,
+            engine,
+            HttpStore(self.options.store_url),
+            HttpStore(self.options.origin_url),
+            TcpDialer(),
+            self.random,
+        )
+        return EngineUpstream(engine)
+
+    async def start(self) -> None:
+        """Bind the ports and start every part."""
+        sockets = bind_sockets(self.options.port, self.options.host)
+        self.options.port = sockets[0].getsockname()[1]
+        self.server.add_sockets(sockets)
+        await self.member_keeper.start()
+        await self.document_keeper.start()
+        await self.monitor.start()
+        if self.rollout is not None:
+            await self.rollout.start()
+
+    async def stop(self) -> None:
+        """Refuse new work, tell the entries, let attempts in flight end, then close everything."""
+        self.stopping = True
+        self.gate.leaving = True
+        decision("drain", in_flight=len(self.gate.running), reason="stop asked for")
+        await self.clock.sleep(LEAVE_NOTICE_S)
+        try:
+            await asyncio.wait_for(self.gate.drain(), self.options.drain_timeout_s)
+        except TimeoutError:
+            decision("drain_cut", in_flight=len(self.gate.running), reason="drain timeout")
+        self.server.stop()
+        for connection in list(self.listener.connections):
+            connection.close()
+        if self.rollout is not None:
+            await self.rollout.stop()
+        await self.monitor.stop()
+        await self.document_keeper.stop()
+        await self.member_keeper.stop()
+
+    def inspect(self) -> dict[str, object]:
+        """Return what the administration API shows of this process."""
+        return {
+            "documents": list(self.documents.accepted.values()),
+            "members": list(self.members.members.values()),
+            "upstreams": [self.listener.state()],
+            "transfers": self.rollout.transfers() if self.rollout is not None else [],
+            "in_flight": len(self.gate.running),
+            "stopping": self.stopping,
+        }
--- /dev/null
+++ b/gypsumpier/agent/gate.py
@@ -0,0 +1,104 @@
+"""The gate in front of the upstream: admits, runs and answers attempts.
+
+Each attempt is one task.  Its frames carry consecutive sequence numbers; the final frame says
+``end`` with the count of parts, ``refused`` where the attempt certainly has not run, or ``failed``
+where it may have.
+"""
+
+import asyncio
+
+from gypsumpier.agent.order import AttemptOrder
+from gypsumpier.agent.upstream import Part, Upstream
+from gypsumpier.clock import Clock
+from gypsumpier.codes.request import (
+    DEADLINE_EXCEEDED,
+    NO_LIVE_UPSTREAM,
+    UPSTREAM_FAILED,
+    UPSTREAM_LEAVING,
+)
+from gypsumpier.codes.result import Outcome
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.options import Options
+from gypsumpier.wire.connection import Connection
+
+
+class Gate:
+    """Admission to one upstream."""
+
+    def __init__(self, options: Options, clock: Clock, upstream: Upstream) -> None:
+        self.options = options
+        self.clock = clock
+        self.upstream = upstream
+        self.running: dict[str, asyncio.Task[None]] = {}
+        self.leaving = False
+
+    def submit(self, order: AttemptOrder, connection: Connection) -> None:
+        """Start the attempt as a task that answers on the connection."""
+        task = asyncio.create_task(self.attempt(order, connection))
+        self.running[order.exchange] = task
+        task.add_done_callback(lambda done: self.running.pop(order.exchange, None))
+
+    async def attempt(self, order: AttemptOrder, connection: Connection) -> None:
+        """Run the attempt and send its frames."""
+        sequence = 0
+        try:
+            self.admit(order)
+            async with asyncio.timeout(order.remaining_s):
+                async for part in self.upstream.run(order):
+                    await connection.send(part.kind, part.payload, order.exchange, sequence)
+                    sequence += 1
+        except GypsumpierError as error:
+            await self.answer_error(order, connection, sequence, error)
+        except TimeoutError:
+            error = GypsumpierError(DEADLINE_EXCEEDED, "passed while running")
+            await self.answer_error(order, connection, sequence, error)
+            await self.cancel_upstream(order.exchange)
+
+    def admit(self, order: AttemptOrder) -> None:
+        """Raise where the attempt must not start."""
+        if self.leaving:
+            raise GypsumpierError(UPSTREAM_LEAVING, self.options.name, 1.0)
+        if order.remaining_s <= 0:
+            raise GypsumpierError(NO_LIVE_UPSTREAM, "deadline passed before the start")
+        decision("admit", exchange=order.exchange, upstream=self.options.name, reason="admitted")
+
+    async def answer_error(
+        self, order: AttemptOrder, connection: Connection, sequence: int, error: GypsumpierError
+    ) -> None:
+        """Send the final frame of an attempt without a whole answer."""
+        not_run = error.code.outcome is Outcome.NOT_RUN and sequence == 0
+        shown = error if not_run or sequence == 0 else GypsumpierError(UPSTREAM_FAILED, str(error))
+        part = Part(
+            "refused" if not_run else "failed",
+            {
+                "code": shown.code.number,
+                "detail": shown.detail,
+                "retry_after_s": error.retry_after_s,
+            },
+        )
+        decision(part.kind, exchange=order.exchange, upstream=self.options.name, reason=error)
+        try:
+            await connection.send(part.kind, part.payload, order.exchange, sequence)
+        except GypsumpierError as lost:
+            decision("answer_lost", exchange=order.exchange, reason=lost)
+
+    async def cancel(self, exchange: str) -> None:
+        """Stop an attempt that nobody waits for."""
+        task = self.running.get(exchange)
+        if task is None:
+            return
+        task.cancel()
+        await self.cancel_upstream(exchange)
+
+    async def cancel_upstream(self, exchange: str) -> None:
+        """Tell the upstream to stop; it may be gone."""
+        try:
+            await self.upstream.cancel(exchange)
+        except GypsumpierError as error:
+            decision("cancel_failed", exchange=exchange, reason=error)
+
+    async def drain(self) -> None:
+        """Wait for every running attempt to end."""
+        while self.running:
+            await asyncio.wait(list(self.running.values()))
--- /dev/null
+++ b/gypsumpier/agent/listener.py
@@ -0,0 +1,75 @@
+"""Accepts connections from entries: one task for each, and state reports on each."""
+
+import asyncio
+import contextlib
+from typing import Any, Final
+
+from gypsumpier.agent.gate import Gate
+from gypsumpier.agent.order import parse_order
+from gypsumpier.clock import Clock
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.options import Options
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.stream import Stream
+
+STATE_INTERVAL_S: Final = 0.25
+
+
+class Listener:
+    """The agent's side of the links."""
+
+    def __init__(self, options: Options, clock: Clock, gate: Gate) -> None:
+        self.options = options
+        self.clock = clock
+        self.gate = gate
+        self.healthy = False
+        self.connections: set[Connection] = set()
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve one connection until it closes."""
+        connection = Connection(
+            stream, self.clock, self.options.heartbeat_s, self.options.silence_s
+        )
+        self.connections.add(connection)
+        tasks = [
+            asyncio.create_task(connection.keep_alive()),
+            asyncio.create_task(self.report(connection)),
+        ]
+        try:
+            async for frame in connection.frames():
+                await self.take(frame, connection)
+        except GypsumpierError as error:
+            decision("connection_lost", reason=error)
+        finally:
+            self.connections.discard(connection)
+            for task in tasks:
+                task.cancel()
+
+    async def take(self, frame: Frame, connection: Connection) -> None:
+        """Handle one frame from an entry."""
+        if frame.kind == "request":
+            self.gate.submit(parse_order(frame, connection.buffered_s(frame)), connection)
+        elif frame.kind == "cancel":
+            await self.gate.cancel(frame.exchange)
+
+    async def report(self, connection: Connection) -> None:
+        """Send the upstream's state when it changes."""
+        last: dict[str, Any] | None = None
+        while not connection.closed:
+            state = self.state()
+            if state != last:
+                last = state
+                with contextlib.suppress(GypsumpierError):
+                    await connection.send("state", state)
+            await self.clock.sleep(STATE_INTERVAL_S)
+
+    def state(self) -> dict[str, Any]:
+        """Return what entries need to know of the upstream."""
+        return {
+            "live": [list(live) for live in self.gate.upstream.live()],
+            "leaving": self.gate.leaving,
+            "healthy": self.healthy,
+            "in_flight": len(self.gate.running),
+        }
--- /dev/null
+++ b/gypsumpier/agent/monitor.py
@@ -0,0 +1,44 @@
+"""Reads the upstream's own report at an interval and keeps the listener's view of its health."""
+
+import asyncio
+import contextlib
+
+from gypsumpier.agent.listener import Listener
+from gypsumpier.agent.upstream import Upstream
+from gypsumpier.clock import Clock
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.options import Options
+
+
+class Monitor:
+    """Component that polls the upstream every ``engine_poll_s`` seconds."""
+
+    def __init__(
+        self, options: Options, clock: Clock, upstream: Upstream, listener: Listener
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.upstream = upstream
+        self.listener = listener
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to poll."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Stop to poll."""
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            try:
+                await self.upstream.refresh()
+                self.listener.healthy = True
+            except GypsumpierError:
+                self.listener.healthy = False
+            await self.clock.sleep(self.options.engine_poll_s)
--- /dev/null
+++ b/gypsumpier/agent/order.py
@@ -0,0 +1,36 @@
+"""A request as it arrives from an entry."""
+
+from typing import Any, NamedTuple
+
+from gypsumpier.codes.wire import BAD_FRAME
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.wire.frame import Frame
+
+
+class AttemptOrder(NamedTuple):
+    """What the agent is to run; ``remaining_s`` is the time left when the frame was read."""
+
+    exchange: str
+    service: str
+    workspace: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    key: str
+    streamed: bool
+    idempotent: bool
+    priority: int
+    remaining_s: float
+    model: str
+    version: str
+
+
+def parse_order(frame: Frame, buffered_s: float) -> AttemptOrder:
+    """Return the order in a request frame, less the time it spent in buffers."""
+    fields: dict[str, Any] = dict(frame.payload)
+    try:
+        order = AttemptOrder(exchange=frame.exchange, **fields)
+        return order._replace(remaining_s=order.remaining_s - buffered_s)
+    except TypeError as error:
+        raise GypsumpierError(BAD_FRAME, f"request: {error}") from error
--- /dev/null
+++ b/gypsumpier/agent/upstream.py
@@ -0,0 +1,105 @@
+"""The two kinds of upstream behind one protocol: a model engine and a plain service."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple, Protocol
+
+from gypsumpier.agent.order import AttemptOrder
+from gypsumpier.codes.request import BAD_REQUEST, WRONG_VERSION
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.engine import Completion, Engine, LiveModel
+from gypsumpier.platform.service import Service, ServiceCall
+
+
+class Part(NamedTuple):
+    """One part of an answer, to be sent as one frame."""
+
+    kind: str
+    payload: dict[str, Any]
+
+
+class Upstream(Protocol):
+    """What the gate needs of the upstream beside it."""
+
+    def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
+        """Run the order and yield the parts of its answer, the end included."""
+
+    async def cancel(self, exchange: str) -> None:
+        """Stop a run that nobody waits for any more."""
+
+    async def refresh(self) -> None:
+        """Read the upstream's own report; raise GypsumpierError where it gives none."""
+
+    def live(self) -> list[LiveModel]:
+        """Return what the upstream last reported live; empty for a plain service."""
+
+
+class EngineUpstream:
+    """A model engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.reported: list[LiveModel] = []
+
+    async def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
+        if not self.serves(order):
+            raise GypsumpierError(WRONG_VERSION, f"{order.version} is not live here", 1.0)
+        async for event in self.engine.complete(completion_of(order)):
+            if event.version != order.version:
+                raise GypsumpierError(WRONG_VERSION, f"the engine answered as {event.version}")
+            if event.finish_reason is None:
+                yield Part("token", {"text": event.text, "version": event.version})
+                continue
+            end = {
+                "count": event.position,
+                "finish_reason": event.finish_reason,
+                "version": event.version,
+            }
+            yield Part("end", end)
+
+    async def cancel(self, exchange: str) -> None:
+        await self.engine.cancel(exchange)
+
+    async def refresh(self) -> None:
+        self.reported = (await self.engine.status()).live
+
+    def live(self) -> list[LiveModel]:
+        return self.reported
+
+    def serves(self, order: AttemptOrder) -> bool:
+        """Tell whether the ordered version is live."""
+        return any(
+            live.model == order.model and live.version == order.version for live in self.reported
+        )
+
+
+class ServiceUpstream:
+    """A plain service."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+
+    async def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
+        call = ServiceCall(order.method, order.path, order.headers, order.body)
+        answer = await self.service.call(call, order.remaining_s)
+        yield Part("head", {"status": answer.status, "headers": answer.headers})
+        yield Part("data", {"content": answer.body})
+        yield Part("end", {"count": 1})
+
+    async def cancel(self, exchange: str) -> None:
+        """A plain call can't be taken back."""
+
+    async def refresh(self) -> None:
+        await self.service.healthy()
+
+    def live(self) -> list[LiveModel]:
+        return []
+
+
+def completion_of(order: AttemptOrder) -> Completion:
+    """Return the order as a completion for the engine."""
+    try:
+        body = json.loads(order.body)
+    except ValueError as error:
+        raise GypsumpierError(BAD_REQUEST, "the body is not JSON") from error
+    return Completion(order.exchange, order.model, order.version, order.priority, body)
--- /dev/null
+++ b/gypsumpier/entry/application.py
@@ -0,0 +1,99 @@
+"""The entry's application object: builds the parts, starts them in order, stops them gracefully."""
+
+from random import Random
+from typing import Final
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from gypsumpier.clock import SystemClock
+from gypsumpier.document.keeper import DocumentKeeper
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.entry.caller import ChatHandler, ServiceHandler
+from gypsumpier.entry.links import Links
+from gypsumpier.entry.relay import Relay
+from gypsumpier.log import decision
+from gypsumpier.member.keeper import MemberKeeper
+from gypsumpier.member.table import MemberTable
+from gypsumpier.options import Options
+from gypsumpier.platform.configuration_http import HttpConfiguration
+from gypsumpier.platform.membership_http import HttpMembership
+from gypsumpier.wire.tcp import TcpDialer
+
+DRAIN_POLL_S: Final = 0.05
+
+
+class EntryApplication:
+    """One entry process."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.clock = SystemClock()
+        self.random = Random()
+        self.documents = DocumentTable(self.clock)
+        self.members = MemberTable(self.clock)
+        self.document_keeper = DocumentKeeper(
+            options, self.clock, HttpConfiguration(options.configuration_url), self.documents
+        )
+        self.member_keeper = MemberKeeper(
+            options, self.clock, HttpMembership(options.membership_url), self.members
+        )
+        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members)
+        self.relay = Relay(options, self.clock, self.links, self.random)
+        self.in_flight = 0
+        self.stopping = False
+        self.server = HTTPServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
+
+    def routes(self) -> Application:
+        """Return the caller-facing HTTP application."""
+        arguments = {"entry": self}
+        return Application(
+            [
+                (r"/v1/chat/completions", ChatHandler, arguments),
+                (r"/services/([^/]+)/(.*)", ServiceHandler, arguments),
+            ],
+            log_function=lambda handler: None,
+        )
+
+    async def start(self) -> None:
+        """Bind the ports and start every part."""
+        await self.member_keeper.start()
+        await self.document_keeper.start()
+        await self.links.start()
+        sockets = bind_sockets(self.options.http_port, self.options.host)
+        self.options.http_port = sockets[0].getsockname()[1]
+        self.server.add_sockets(sockets)
+
+    async def stop(self) -> None:
+        """Refuse new connections, let requests in flight end, then close everything."""
+        self.stopping = True
+        decision("drain", in_flight=self.in_flight, reason="stop asked for")
+        self.server.stop()
+        deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
+        while self.in_flight and self.clock.monotonic() < deadline_s:
+            await self.clock.sleep(DRAIN_POLL_S)
+        await self.server.close_all_connections()
+        await self.links.stop()
+        await self.document_keeper.stop()
+        await self.member_keeper.stop()
+
+    def inspect(self) -> dict[str, object]:
+        """Return what the administration API shows of this process."""
+        return {
+            "documents": list(self.documents.accepted.values()),
+            "members": list(self.members.members.values()),
+            "upstreams": [
+                {
+                    "name": link.member.name,
+                    "connected": link.connection is not None,
+                    "healthy": link.healthy,
+                    "leaving": link.leaving,
+                    "live": [live._asdict() for live in link.live],
+                    "in_flight": len(link.attempts),
+                }
+                for link in self.links.links.values()
+            ],
+            "in_flight": self.in_flight,
+            "stopping": self.stopping,
+        }
--- /dev/null
+++ b/gypsumpier/entry/caller.py
@@ -0,0 +1,189 @@
+"""HTTP handlers for callers, on tornado.
+
+A streamed answer that can't be finished gets an explicit error event, and its connection is closed
+without the final chunk, so that it never looks whole.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any, Final
+
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from gypsumpier.codes.request import ANSWER_CUT, DEADLINE_EXCEEDED
+from gypsumpier.document.service import ServiceDocument
+from gypsumpier.entry.answer import error_body, error_headers
+from gypsumpier.entry.intake import chat_request, plain_request
+from gypsumpier.entry.request import CallerRequest
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.wire.frame import Frame
+
+if TYPE_CHECKING:
+    from gypsumpier.entry.application import EntryApplication
+
+STREAM_END: Final = b"data: [DONE]\n\n"
+
+
+class CallerHandler(RequestHandler):
+    """What the handlers of both kinds of calls share."""
+
+    entry: "EntryApplication"
+
+    def initialize(self, entry: "EntryApplication") -> None:
+        self.entry = entry
+        self.request_id = ""
+
+    def fail(self, error: GypsumpierError) -> None:
+        """Answer with a coded error, or cut a stream that has begun."""
+        if self._headers_written:
+            self.cut(error)
+            return
+        self.set_status(error.code.http_status)
+        for name, value in error_headers(error).items():
+            self.set_header(name, value)
+        self.write(error_body(error, self.request_id))
+
+    def cut(self, error: GypsumpierError) -> None:
+        """Send the error as an event and close without ending the body."""
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        event = b"event: error\ndata: " + error_body(error, self.request_id) + b"\n\n"
+        self.write(event)
+        self.flush()
+        stream.close()
+
+    async def answer(self, request: CallerRequest, document: ServiceDocument) -> None:
+        """Relay the answer of the request to the caller."""
+        raise NotImplementedError
+
+    async def serve(self, request: CallerRequest, document: ServiceDocument) -> None:
+        """Answer the request or tell its coded error."""
+        self.request_id = request.request_id
+        self.set_header("Gypsumpier-Request", request.request_id)
+        self.entry.in_flight += 1
+        try:
+            await self.answer(request, document)
+        except GypsumpierError as error:
+            self.fail(error)
+        except TimeoutError:
+            self.fail(GypsumpierError(DEADLINE_EXCEEDED, "the caller's deadline has passed"))
+        except StreamClosedError:
+            return
+        finally:
+            self.entry.in_flight -= 1
+
+    def frames(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
+        """Return the frames of the answer."""
+        return self.entry.relay.run(request, document)
+
+
+class ChatHandler(CallerHandler):
+    """Chat completions, streamed as server-sent events or answered whole."""
+
+    async def post(self) -> None:
+        try:
+            request, document = chat_request(
+                self.request, self.entry.documents, self.entry.clock.monotonic()
+            )
+        except GypsumpierError as error:
+            self.fail(error)
+            return
+        await self.serve(request, document)
+
+    async def answer(self, request: CallerRequest, document: ServiceDocument) -> None:
+        if request.streamed:
+            await self.answer_streamed(request, document)
+        else:
+            await self.answer_whole(request, document)
+
+    async def answer_streamed(self, request: CallerRequest, document: ServiceDocument) -> None:
+        """Write an event for each token; the end proves the count."""
+        count = 0
+        async for frame in self.frames(request, document):
+            if frame.kind == "token":
+                self.set_header("Content-Type", "text/event-stream")
+                self.write(event_of(self.chunk(document, frame, None)))
+                count += 1
+                await self.flush()
+            elif frame.kind == "end":
+                check_count(frame, count)
+                self.write(event_of(self.chunk(document, frame, frame.payload["finish_reason"])))
+                self.write(STREAM_END)
+
+    async def answer_whole(self, request: CallerRequest, document: ServiceDocument) -> None:
+        """Collect the tokens and answer once."""
+        texts: list[str] = []
+        async for frame in self.frames(request, document):
+            if frame.kind == "token":
+                texts.append(frame.payload["text"])
+            elif frame.kind == "end":
+                check_count(frame, len(texts))
+                self.write(self.completion(document, frame, "".join(texts)))
+
+    def chunk(
+        self, document: ServiceDocument, frame: Frame, finish_reason: str | None
+    ) -> dict[str, Any]:
+        """Return the JSON of one event."""
+        delta = {"content": frame.payload["text"]} if frame.kind == "token" else {}
+        return {
+            "id": self.request_id,
+            "object": "chat.completion.chunk",
+            "model": document.model,
+            "version": frame.payload["version"],
+            "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
+        }
+
+    def completion(self, document: ServiceDocument, frame: Frame, text: str) -> dict[str, Any]:
+        """Return the JSON of a whole completion."""
+        message = {"role": "assistant", "content": text}
+        reason = frame.payload["finish_reason"]
+        return {
+            "id": self.request_id,
+            "object": "chat.completion",
+            "model": document.model,
+            "version": frame.payload["version"],
+            "choices": [{"index": 0, "message": message, "finish_reason": reason}],
+            "usage": {"completion_tokens": frame.payload["count"]},
+        }
+
+
+class ServiceHandler(CallerHandler):
+    """Calls of plain services."""
+
+    async def handle(self, service: str, path: str) -> None:
+        """Check and serve a call of any method."""
+        try:
+            request, document = plain_request(
+                self.request, service, path, self.entry.documents, self.entry.clock.monotonic()
+            )
+        except GypsumpierError as error:
+            self.fail(error)
+            return
+        await self.serve(request, document)
+
+    get = post = put = delete = patch = handle
+
+    async def answer(self, request: CallerRequest, document: ServiceDocument) -> None:
+        parts: list[bytes] = []
+        async for frame in self.frames(request, document):
+            if frame.kind == "head":
+                self.set_status(frame.payload["status"])
+                for name, value in frame.payload["headers"].items():
+                    self.set_header(name, value)
+            elif frame.kind == "data":
+                parts.append(frame.payload["content"])
+            elif frame.kind == "end":
+                check_count(frame, len(parts))
+        self.set_header("Gypsumpier-Outcome", "done")
+        self.write(b"".join(parts))
+
+
+def check_count(frame: Frame, count: int) -> None:
+    """Raise where fewer parts have come than the final frame counts."""
+    if frame.payload["count"] != count:
+        raise GypsumpierError(ANSWER_CUT, f"{count} of {frame.payload['count']} parts arrived")
+
+
+def event_of(chunk: dict[str, Any]) -> bytes:
+    """Return the chunk as one server-sent event."""
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
--- /dev/null
+++ b/gypsumpier/entry/intake.py
@@ -0,0 +1,137 @@
+"""Checks callers' HTTP requests and turns them into CallerRequest.
+
+A chat completion names its service, or the model of a service, in the body's ``model``; a plain
+call names it in the path, ``/services/NAME/...``.  The document decides whether a request is
+idempotent, by the route with the longest matching prefix.
+"""
+
+import json
+import uuid
+from typing import Any, Final
+
+from tornado.httputil import HTTPServerRequest
+
+from gypsumpier.codes.request import BAD_REQUEST, BODY_TOO_LARGE, UNKNOWN_SERVICE
+from gypsumpier.document.service import Route, ServiceDocument
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.entry.request import CallerRequest
+from gypsumpier.errors import GypsumpierError
+
+WORKSPACE_HEADER: Final = "Workspace"
+KEY_HEADER: Final = "Idempotency-Key"
+TIMEOUT_HEADER: Final = "Request-Timeout"
+DEFAULT_WORKSPACE: Final = "default"
+KEY_BYTES_MAX: Final = 255
+SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
+FORWARDED_HEADERS: Final = ("Content-Type", "Accept", "Accept-Language", KEY_HEADER)
+
+
+def chat_request(
+    http: HTTPServerRequest, documents: DocumentTable, now_s: float
+) -> tuple[CallerRequest, ServiceDocument]:
+    """Return the checked chat completion and its document."""
+    body = json_object(http.body)
+    name = body.get("model")
+    if not isinstance(name, str):
+        raise GypsumpierError(BAD_REQUEST, "model must be a string")
+    if not isinstance(body.get("messages"), list):
+        raise GypsumpierError(BAD_REQUEST, "messages must be an array")
+    streamed = body.get("stream", False)
+    if not isinstance(streamed, bool):
+        raise GypsumpierError(BAD_REQUEST, "stream must be true or false")
+    document = document_for_model(documents, name)
+    return build(http, document, http.path, streamed, now_s), document
+
+
+def plain_request(
+    http: HTTPServerRequest, service: str, path: str, documents: DocumentTable, now_s: float
+) -> tuple[CallerRequest, ServiceDocument]:
+    """Return the checked plain call and its document."""
+    document = documents.document(service)
+    if document is None:
+        raise GypsumpierError(UNKNOWN_SERVICE, service)
+    query = f"?{http.query}" if http.query else ""
+    return build(http, document, f"/{path}{query}", False, now_s), document
+
+
+def build(
+    http: HTTPServerRequest, document: ServiceDocument, path: str, streamed: bool, now_s: float
+) -> CallerRequest:
+    """Return the request with what headers and document say of it."""
+    if len(http.body) > document.limits.body_bytes:
+        raise GypsumpierError(BODY_TOO_LARGE, f"over {document.limits.body_bytes} bytes")
+    key = http.headers.get(KEY_HEADER, "")
+    if len(key.encode()) > KEY_BYTES_MAX:
+        raise GypsumpierError(BAD_REQUEST, f"{KEY_HEADER} is over {KEY_BYTES_MAX} bytes")
+    method = http.method or "GET"
+    route = route_of(document, method, path)
+    headers = {name: http.headers[name] for name in FORWARDED_HEADERS if name in http.headers}
+    return CallerRequest(
+        request_id=str(uuid.uuid4()),
+        service=document.service,
+        workspace=http.headers.get(WORKSPACE_HEADER, DEFAULT_WORKSPACE),
+        method=method,
+        path=path,
+        headers=headers,
+        body=http.body,
+        key=key,
+        streamed=streamed,
+        received_at_s=now_s,
+        remaining_s=timeout_of(http, document),
+        idempotent=is_idempotent(document, route, method),
+        priority=route.priority if route else 0,
+    )
+
+
+def document_for_model(documents: DocumentTable, name: str) -> ServiceDocument:
+    """Return the document whose service or model has that name."""
+    found = documents.document(name)
+    if found is not None and found.kind == "model":
+        return found
+    for accepted in documents.accepted.values():
+        document = accepted.document
+        if document is not None and document.kind == "model" and document.model == name:
+            return document
+    raise GypsumpierError(UNKNOWN_SERVICE, name)
+
+
+def json_object(body: bytes) -> dict[str, Any]:
+    """Return the body as a JSON object."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise GypsumpierError(BAD_REQUEST, "the body is not JSON") from error
+    if not isinstance(value, dict):
+        raise GypsumpierError(BAD_REQUEST, "the body is not a JSON object")
+    return value
+
+
+def timeout_of(http: HTTPServerRequest, document: ServiceDocument) -> float:
+    """Return the caller's timeout in seconds, never over the document's deadline."""
+    text = http.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return document.limits.deadline_s
+    try:
+        timeout_s = float(text)
+    except ValueError as error:
+        raise GypsumpierError(BAD_REQUEST, f"{TIMEOUT_HEADER} is not a number") from error
+    if not 0 < timeout_s < float("inf"):
+        raise GypsumpierError(BAD_REQUEST, f"{TIMEOUT_HEADER} must be positive")
+    return min(timeout_s, document.limits.deadline_s)
+
+
+def route_of(document: ServiceDocument, method: str, path: str) -> Route | None:
+    """Return the route with the longest prefix that matches."""
+    matching = [
+        route
+        for route in document.routes
+        if path.startswith(route.prefix) and (not route.methods or method in route.methods)
+    ]
+    return max(matching, key=lambda route: len(route.prefix), default=None)
+
+
+def is_idempotent(document: ServiceDocument, route: Route | None, method: str) -> bool:
+    """Tell whether the request may run more than once."""
+    if route is not None:
+        return route.idempotent
+    return document.kind == "model" or method in SAFE_METHODS
--- /dev/null
+++ b/gypsumpier/entry/link.py
@@ -0,0 +1,143 @@
+"""The entry's link to one agent: one task that dials, reads and dials again.
+
+A link outlives its connections.  A connection that went silent is closed and the link dials anew;
+what was in flight on it fails with its code, and the agent is judged by the new connection.
+"""
+
+import asyncio
+import contextlib
+from random import Random
+from typing import Any, Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.codes.request import OUTCOME_UNKNOWN
+from gypsumpier.codes.wire import CONNECTION_CLOSED
+from gypsumpier.entry.attempt import Attempt
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.options import Options
+from gypsumpier.platform.engine import LiveModel
+from gypsumpier.platform.membership import Member
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.stream import Dialer
+
+REDIAL_MIN_S: Final = 0.1
+REDIAL_MAX_S: Final = 2.0
+
+
+class Link:
+    """State of one agent as this entry sees it."""
+
+    def __init__(
+        self, options: Options, clock: Clock, dialer: Dialer, random: Random, member: Member
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.dialer = dialer
+        self.random = random
+        self.member = member
+        self.connection: Connection | None = None
+        self.attempts: dict[str, Attempt] = {}
+        self.live: list[LiveModel] = []
+        self.leaving = member.leaving
+        self.healthy = False
+        self.reported_in_flight = 0
+        self.reported_at_s = 0.0
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start the task of the link."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Close the connection and end the task."""
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+
+    async def run(self) -> None:
+        """Keep one connection open, with full jitter between dials."""
+        wait_s = REDIAL_MIN_S
+        while True:
+            try:
+                await self.serve_one_connection()
+                wait_s = REDIAL_MIN_S
+            except GypsumpierError as error:
+                decision("link_lost", upstream=self.member.name, reason=error)
+            await self.clock.sleep(self.random.uniform(0, wait_s))
+            wait_s = min(REDIAL_MAX_S, 2 * wait_s)
+
+    async def serve_one_connection(self) -> None:
+        """Dial and read frames until the connection closes."""
+        member = self.member
+        stream = await self.dialer.dial(member.host, member.port, self.options.dial_timeout_s)
+        connection = Connection(
+            stream, self.clock, self.options.heartbeat_s, self.options.silence_s
+        )
+        keep_alive = asyncio.create_task(connection.keep_alive())
+        try:
+            await connection.send("hello", self.hello())
+            self.connection = connection
+            async for frame in connection.frames():
+                self.take(frame)
+        finally:
+            keep_alive.cancel()
+            connection.close()
+            self.lose(connection)
+
+    def hello(self) -> dict[str, Any]:
+        """Return what the entry says of itself first."""
+        return {"name": self.options.name, "incarnation": self.options.incarnation}
+
+    def take(self, frame: Frame) -> None:
+        """Handle one frame from the agent."""
+        if frame.kind == "state":
+            self.take_state(frame.payload)
+            return
+        attempt = self.attempts.get(frame.exchange)
+        if attempt is not None:
+            attempt.deliver(frame)
+
+    def take_state(self, payload: dict[str, Any]) -> None:
+        """Keep what the agent reports of its upstream."""
+        self.live = [LiveModel(*fields) for fields in payload["live"]]
+        self.leaving = payload["leaving"]
+        self.healthy = payload["healthy"]
+        self.reported_in_flight = payload["in_flight"]
+        self.reported_at_s = self.clock.monotonic()
+
+    def lose(self, connection: Connection) -> None:
+        """Fail what was in flight on a closed connection."""
+        self.connection = None
+        self.healthy = False
+        for attempt in self.attempts.values():
+            code = OUTCOME_UNKNOWN if attempt.sent else connection.close_reason
+            attempt.fail(code, f"connection to {self.member.name} was lost")
+
+    def is_usable(self) -> bool:
+        """Tell whether new work may be sent."""
+        return self.connection is not None and self.healthy and not self.leaving
+
+    def serves(self, model: str, version: str) -> bool:
+        """Tell whether the engine reports exactly that version live."""
+        return any(live.model == model and live.version == version for live in self.live)
+
+    async def send(self, attempt: Attempt, payload: dict[str, Any]) -> None:
+        """Send the request of an attempt; after this call it may have run."""
+        if self.connection is None:
+            raise GypsumpierError(CONNECTION_CLOSED, f"no connection to {self.member.name}")
+        self.attempts[attempt.exchange] = attempt
+        attempt.sent = True
+        await self.connection.send("request", payload, attempt.exchange)
+
+    async def cancel(self, attempt: Attempt) -> None:
+        """Tell the agent that nobody waits for the attempt any more."""
+        if self.connection is not None:
+            with contextlib.suppress(GypsumpierError):
+                await self.connection.send("cancel", {}, attempt.exchange)
+
+    def forget(self, attempt: Attempt) -> None:
+        """Drop an ended attempt; late frames of it are dropped from now on."""
+        self.attempts.pop(attempt.exchange, None)
--- /dev/null
+++ b/gypsumpier/entry/links.py
@@ -0,0 +1,78 @@
+"""The set of links of an entry, kept in step with the member list."""
+
+import asyncio
+import contextlib
+from random import Random
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.entry.link import Link
+from gypsumpier.member.table import MemberTable
+from gypsumpier.options import Options
+from gypsumpier.platform.membership import Member
+from gypsumpier.wire.stream import Dialer
+
+REFRESH_INTERVAL_S: Final = 0.25
+
+
+class Links:
+    """One link for each agent in the member table."""
+
+    def __init__(
+        self, options: Options, clock: Clock, dialer: Dialer, random: Random, members: MemberTable
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.dialer = dialer
+        self.random = random
+        self.members = members
+        self.links: dict[str, Link] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to follow the member table."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Close every link."""
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+        for link in self.links.values():
+            await link.stop()
+
+    async def run(self) -> None:
+        """Bring the links in step with the member table, again and again."""
+        while True:
+            await self.refresh()
+            await self.clock.sleep(REFRESH_INTERVAL_S)
+
+    async def refresh(self) -> None:
+        """Open, replace and close links where the member table has changed."""
+        agents = {
+            name: member for name, member in self.members.members.items() if member.role == "agent"
+        }
+        for name in list(self.links):
+            if name not in agents or differs(self.links[name].member, agents[name]):
+                await self.links.pop(name).stop()
+        for name, member in agents.items():
+            if name not in self.links:
+                self.open(member)
+            elif member.leaving:
+                self.links[name].leaving = True
+
+    def open(self, member: Member) -> None:
+        """Add and start the link to a new member."""
+        link = Link(self.options, self.clock, self.dialer, self.random, member)
+        self.links[member.name] = link
+        link.start()
+
+    def of_service(self, service: str) -> list[Link]:
+        """Return the links to the agents of a service."""
+        return [link for link in self.links.values() if link.member.service == service]
+
+
+def differs(old: Member, new: Member) -> bool:
+    """Tell whether another process fills the member's place."""
+    return (old.incarnation, old.host, old.port) != (new.incarnation, new.host, new.port)
--- /dev/null
+++ b/gypsumpier/entry/router.py
@@ -0,0 +1,77 @@
+"""The choice of version and upstream for one request.
+
+A version is picked by a stable hash of the workspace and the request's key, so that the same
+request keeps its version while the split stands.  Only upstreams whose engine reports exactly that
+version live are candidates; the entry's own availability zone goes first.
+"""
+
+from random import Random
+from typing import NamedTuple
+
+from blake3 import blake3
+
+from gypsumpier.document.service import ServiceDocument, VersionShare
+from gypsumpier.entry.link import Link
+from gypsumpier.entry.request import CallerRequest
+
+PERCENT = 100
+
+
+class Choice(NamedTuple):
+    """An upstream and the version that it is to answer with; empty for a plain service."""
+
+    link: Link
+    version: str
+    reason: str
+
+
+def choose(
+    request: CallerRequest,
+    document: ServiceDocument,
+    links: list[Link],
+    zone: str,
+    random: Random,
+) -> Choice | None:
+    """Return the choice for the request, or None where no upstream can take it."""
+    usable = [link for link in links if link.is_usable()]
+    version = ""
+    if document.kind == "model":
+        version = pick_version(request, document, usable)
+        usable = [link for link in usable if link.serves(document.model, version)]
+    if not usable:
+        return None
+    near = [link for link in usable if link.member.zone == zone]
+    candidates = near or usable
+    pair = random.sample(candidates, min(2, len(candidates)))
+    link = min(pair, key=lambda candidate: len(candidate.attempts))
+    return Choice(link, version, "own zone" if near else "no upstream in own zone")
+
+
+def pick_version(request: CallerRequest, document: ServiceDocument, links: list[Link]) -> str:
+    """Return the version by the document's split, among the versions live anywhere.
+
+    While a new version is not live yet, an older one that still is keeps the service answering.
+    """
+    live = [share for share in document.versions if is_live(document.model, share, links)]
+    if live:
+        return by_share(live, request)
+    other = [model for link in links for model in link.live if model.model == document.model]
+    return max((model.version for model in other), default=document.versions[0].version)
+
+
+def is_live(model: str, share: VersionShare, links: list[Link]) -> bool:
+    """Tell whether any upstream reports the version live."""
+    return share.share_percent > 0 and any(link.serves(model, share.version) for link in links)
+
+
+def by_share(shares: list[VersionShare], request: CallerRequest) -> str:
+    """Return the version on which the request's hash falls."""
+    total = sum(share.share_percent for share in shares)
+    text = f"{request.workspace}\0{request.key or request.request_id}"
+    digest = blake3(text.encode()).digest(length=8)
+    point = int.from_bytes(digest) % total
+    for share in shares:
+        point -= share.share_percent
+        if point < 0:
+            return share.version
+    return shares[-1].version
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -23,6 +23,7 @@
     store_url: str = ""
     origin_url: str = ""
     upstream_url: str = ""
+    upstream_kind: str = "model"
     log_level: str = "INFO"
     log_json: bool = False
 
