--- /dev/null
+++ b/gypsumpier/administration/handler.py
@@ -0,0 +1,92 @@
+"""What every page of the administration API shares: JSON answers and numbered errors."""
+
+import json
+from typing import Any
+
+from tornado.web import HTTPError, RequestHandler
+
+from gypsumpier.administration.state import ProcessState
+from gypsumpier.administration.view import ErrorView
+from gypsumpier.codes.result import ResultCode
+from gypsumpier.codes.setting import (
+    ADMINISTRATION_FAILED,
+    ADMINISTRATION_METHOD_REFUSED,
+    ADMINISTRATION_PATH_UNKNOWN,
+    ADMINISTRATION_QUERY_INVALID,
+)
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.metrics import ADMINISTRATION_CALLS
+
+CODES_BY_STATUS = {
+    400: ADMINISTRATION_QUERY_INVALID,
+    404: ADMINISTRATION_PATH_UNKNOWN,
+    405: ADMINISTRATION_METHOD_REFUSED,
+}
+
+
+class AdministrationHandler(RequestHandler):
+    """A page that answers JSON; an error answers its numbered code."""
+
+    def initialize(self, state: ProcessState) -> None:
+        self.state = state
+
+    def set_default_headers(self) -> None:
+        self.clear_header("Server")
+
+    def answer(self, view: object) -> None:
+        """Finish with the view as JSON."""
+        self.set_header("Content-Type", "application/json; charset=UTF-8")
+        self.finish(json.dumps(view, default=str))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer with the numbered code of the exception that ended the call."""
+        error = kwargs["exc_info"][1] if "exc_info" in kwargs else None
+        if isinstance(error, GypsumpierError):
+            self.set_status(error.code.http_status)
+            self.answer(error_view(error.code, error.detail))
+            return
+        code = CODES_BY_STATUS.get(status_code, ADMINISTRATION_FAILED)
+        detail = error.log_message if isinstance(error, HTTPError) else None
+        self.answer(error_view(code, detail or f"{self.request.method} {self.request.path}"))
+
+    def log_exception(self, *arguments: Any) -> None:
+        """Log only what is no refusal of the caller's input."""
+        if not isinstance(arguments[1], GypsumpierError | HTTPError):
+            super().log_exception(*arguments)
+
+    def on_finish(self) -> None:
+        """Count the call.  An unknown path shares one label, because callers choose it."""
+        known = not isinstance(self, UnknownPathHandler)
+        path = self.request.path if known else "unknown"
+        ADMINISTRATION_CALLS.labels(path, str(self.get_status())).inc()
+
+    def integer_argument(self, name: str, default: int, lowest: int) -> int:
+        """Return an argument of the query as an integer."""
+        text = self.get_query_argument(name, str(default))
+        try:
+            value = int(text)
+        except ValueError:
+            raise GypsumpierError(
+                ADMINISTRATION_QUERY_INVALID, f"{name}: {text!r} is no integer"
+            ) from None
+        if value < lowest:
+            raise GypsumpierError(ADMINISTRATION_QUERY_INVALID, f"{name}: below {lowest}")
+        return value
+
+
+class UnknownPathHandler(AdministrationHandler):
+    """Answers every path that is not part of the API."""
+
+    def prepare(self) -> None:
+        raise HTTPError(404)
+
+
+def error_view(code: ResultCode, detail: str) -> ErrorView:
+    """Return the JSON of an error."""
+    return ErrorView(
+        code=code.number,
+        name=code.name,
+        detail=detail,
+        outcome=code.outcome.value,
+        advice=code.advice,
+    )
--- /dev/null
+++ b/gypsumpier/administration/history.py
@@ -0,0 +1,54 @@
+"""The most recent decisions, kept in a ring of bounded length for the administration API."""
+
+import logging
+from collections import deque
+from typing import Final
+
+from gypsumpier import log
+from gypsumpier.administration.view import DecisionView
+from gypsumpier.metrics import DECISIONS
+
+RING_LENGTH: Final = 2000
+
+
+class DecisionHistory(logging.Handler):
+    """Keeps what ``log.decision`` logs; the oldest decision makes room for a new one."""
+
+    def __init__(self, length: int = RING_LENGTH) -> None:
+        super().__init__(logging.INFO)
+        self.ring: deque[DecisionView] = deque(maxlen=length)
+        self.sequence = 0
+
+    def attach(self) -> None:
+        """Begin to receive decisions."""
+        log.LOGGER.addHandler(self)
+
+    def detach(self) -> None:
+        """Stop receiving decisions."""
+        log.LOGGER.removeHandler(self)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep one decision; log lines without fields are no decisions."""
+        found = getattr(record, "fields", None)
+        if not isinstance(found, dict):
+            return
+        event = record.getMessage()
+        DECISIONS.labels(event).inc()
+        self.ring.append(DecisionView(
+            sequence=self.sequence, wall_s=record.created, event=event, fields=found
+        ))
+        self.sequence += 1
+
+    def matching(self, wanted: dict[str, str], after: int, limit: int) -> list[DecisionView]:
+        """Return the newest ``limit`` decisions past ``after`` that match, oldest first.
+
+        Each item of ``wanted`` is a field, or ``event``, with the text of its value.
+        """
+        found = [view for view in self.ring if view["sequence"] > after and matches(view, wanted)]
+        return found[-limit:]
+
+
+def matches(view: DecisionView, wanted: dict[str, str]) -> bool:
+    """Tell whether the decision has every wanted value."""
+    values = {**view["fields"], "event": view["event"]}
+    return all(name in values and str(values[name]) == text for name, text in wanted.items())
--- /dev/null
+++ b/gypsumpier/application.py
@@ -0,0 +1,22 @@
+"""What the daemon runs: an application with life-cycle hooks, one type for each role."""
+
+from typing import Protocol
+
+
+class Application(Protocol):
+    """Owns the components of one process: starts them in order and stops them in reverse.
+
+    After ``start`` every port in the options is the one that is really bound.
+    """
+
+    async def start(self) -> None:
+        """Bind the ports and start every component; raise GypsumpierError or OSError."""
+
+    async def stop(self) -> None:
+        """Stop gracefully: take no new work, finish what runs, then release everything."""
+
+    def inspect(self) -> dict[str, object]:
+        """Return what the administration API shows.
+
+        The keys are those of ``gypsumpier.administration.view.Inspection``.
+        """
--- /dev/null
+++ b/gypsumpier/daemon.py
@@ -0,0 +1,96 @@
+"""The daemon's command line: reads the settings, runs one process, ends with its exit status.
+
+Standard output carries one line, ``listening`` with the bound ports as JSON, once the process is
+ready.  Everything else goes to the log on standard error.
+"""
+
+import asyncio
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import fields
+from typing import Any, Final, TypeVar
+
+import click
+
+from gypsumpier import log
+from gypsumpier.codes.setting import SETTING_UNKNOWN
+from gypsumpier.options import Options
+from gypsumpier.process import Process
+from gypsumpier.settinghelp import SETTING_HELP
+from gypsumpier.settings import Problem, SettingsError, build, flag_name, variable_name
+
+EXIT_SETTINGS: Final = 2
+
+Command = TypeVar("Command", bound=Callable[..., Any])
+
+
+def setting_flags(command: Command) -> Command:
+    """Add a flag for each setting.  All are text here, so that one check finds every error."""
+    for field in reversed(fields(Options)):
+        is_switch = isinstance(field.default, bool)
+        default = str(field.default).lower() if is_switch else str(field.default)
+        command = click.option(
+            flag_name(field.name),
+            field.name,
+            envvar=variable_name(field.name),
+            show_envvar=True,
+            metavar=metavar(field.default),
+            is_flag=False,
+            flag_value="true" if is_switch else None,
+            help=help_text(field.name, default),
+        )(command)
+    return command
+
+
+def metavar(default: object) -> str:
+    """Return what stands for the value in the help text."""
+    return {bool: "[true|false]", int: "INTEGER", float: "NUMBER"}.get(type(default), "TEXT")
+
+
+def help_text(name: str, default: str) -> str:
+    """Return the help text of a setting with its default."""
+    text = SETTING_HELP.get(name, "")
+    return f"{text}  [default: {default}]" if default else text
+
+
+@click.command(context_settings={"max_content_width": 100})
+@setting_flags
+def gypsumpierd(**texts: str | None) -> Options:
+    """Run one process of gypsumpier: an entry or an agent.
+
+    Each flag may be given by its environment variable instead; the flag wins.  Times are in
+    seconds, sizes in bytes.  SIGTERM and SIGINT stop the process gracefully.
+
+    Exit status: 0 after a graceful stop, 2 where a setting is wrong, 3 where the start failed.
+    """
+    return build({name: text for name, text in texts.items() if text is not None})
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon; return its exit status."""
+    try:
+        options = gypsumpierd.main(arguments, prog_name="gypsumpierd", standalone_mode=False)
+    except SettingsError as error:
+        return report(error.problems)
+    except click.UsageError as error:
+        return report([Problem(SETTING_UNKNOWN, "arguments", error.format_message())])
+    if not isinstance(options, Options):
+        return 0
+    log.configure(options.log_level, options.log_json)
+    return asyncio.run(Process(options).run())
+
+
+def report(problems: list[Problem]) -> int:
+    """Print every problem with its numbered code; return the exit status."""
+    for problem in problems:
+        flag = flag_name(problem.setting) if problem.setting in SETTING_HELP else problem.setting
+        click.echo(
+            f"{problem.code.number} {problem.code.name} {flag}: {problem.detail}. "
+            f"{problem.code.advice}",
+            err=True,
+        )
+    return EXIT_SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gypsumpier/settings.py
@@ -0,0 +1,234 @@
+"""Builds the options from the text of flags and environment variables, and checks them.
+
+Every setting is checked before anything is reported, so that an operator sees all errors at once.
+The type and the range of a setting follow from its field in the options: the type is that of the
+default, and the range that of the unit at the end of its name.
+"""
+
+import re
+import uuid
+from dataclasses import fields
+from ipaddress import ip_address
+from typing import Final, NamedTuple
+from urllib.parse import urlsplit
+
+from gypsumpier.codes.result import ResultCode
+from gypsumpier.codes.setting import (
+    SETTING_MALFORMED,
+    SETTING_MISSING,
+    SETTING_OUT_OF_RANGE,
+    SETTINGS_CONFLICT,
+)
+from gypsumpier.options import Options
+
+ROLES: Final = ("entry", "agent")
+LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
+PLACE_NAME: Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
+MAX_PORT: Final = 65535
+MAX_TIME_S: Final = 86400.0
+MAX_COUNT: Final = 2**48
+BOOLEANS: Final = {"true": True, "1": True, "yes": True, "false": False, "0": False, "no": False}
+REQUIRED_BY_ROLE: Final[dict[str, tuple[str, ...]]] = {
+    "entry": ("region", "zone", "configuration_url", "membership_url"),
+    "agent": ("region", "zone", "service", "configuration_url", "membership_url", "upstream_url"),
+}
+
+
+class Problem(NamedTuple):
+    """One wrong setting."""
+
+    code: ResultCode
+    setting: str
+    detail: str
+
+
+class SettingsError(Exception):
+    """All the problems that were found in the settings."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(f"{problem.setting}: {problem.detail}" for problem in problems))
+        self.problems = problems
+
+
+class Range(NamedTuple):
+    """The values that a number may take, both ends included."""
+
+    lowest: float
+    highest: float
+
+
+def flag_name(setting: str) -> str:
+    """Return the flag of a setting."""
+    return "--" + setting.replace("_", "-")
+
+
+def variable_name(setting: str) -> str:
+    """Return the environment variable of a setting."""
+    return "GYPSUMPIER_" + setting.upper()
+
+
+def build(texts: dict[str, str]) -> Options:
+    """Return checked options; raise SettingsError with every problem.
+
+    ``texts`` holds the text of each setting that was given; the others keep their default.
+    """
+    problems: list[Problem] = []
+    values: dict[str, object] = {}
+    for field in fields(Options):
+        if field.name in texts:
+            values[field.name] = parsed(field.name, texts[field.name], field.default, problems)
+    options = Options(**{name: value for name, value in values.items() if value is not None})  # type: ignore[arg-type]
+    malformed = {problem.setting for problem in problems}
+    problems += [found for found in checked(options) if found.setting not in malformed]
+    if problems:
+        raise SettingsError(problems)
+    options.name = options.name or default_name(options)
+    options.incarnation = options.incarnation or uuid.uuid4().hex
+    return options
+
+
+def parsed(name: str, text: str, default: object, problems: list[Problem]) -> object:
+    """Return the text as a value of the default's type; None where there is a problem."""
+    try:
+        if isinstance(default, bool):
+            return BOOLEANS[text.lower()]
+        if isinstance(default, int):
+            return in_range(name, int(text), problems)
+        if isinstance(default, float):
+            return in_range(name, float(text), problems)
+    except (KeyError, ValueError):
+        kind = {bool: "true or false", int: "a whole number", float: "a number"}[type(default)]
+        problems.append(Problem(SETTING_MALFORMED, name, f"{text!r} is not {kind}"))
+        return None
+    return text
+
+
+def in_range(name: str, value: float, problems: list[Problem]) -> float | None:
+    """Return the value; None with a problem where it is out of range."""
+    allowed = range_of(name)
+    if allowed.lowest <= value <= allowed.highest:
+        return value
+    detail = f"{value} is not from {allowed.lowest:g} to {allowed.highest:g}"
+    problems.append(Problem(SETTING_OUT_OF_RANGE, name, detail))
+    return None
+
+
+def range_of(name: str) -> Range:
+    """Return the range of a number, by the unit at the end of its name."""
+    if name.endswith("port"):
+        return Range(0, MAX_PORT)
+    if name.endswith("_share"):
+        return Range(0, 1)
+    if name.endswith("_s") and not name.endswith("_per_s"):
+        return Range(0.001, MAX_TIME_S)
+    return Range(1, MAX_COUNT)
+
+
+def checked(options: Options) -> list[Problem]:
+    """Return the problems of values whose type is right."""
+    return [
+        *role_problems(options),
+        *place_problems(options),
+        *address_problems(options),
+        *name_problems(options),
+        *relation_problems(options),
+    ]
+
+
+def role_problems(options: Options) -> list[Problem]:
+    """Return the problems of the role, of what it requires and of the log level."""
+    problems = []
+    if options.role not in ROLES:
+        detail = f"{options.role!r} is not one of {', '.join(ROLES)}"
+        problems.append(Problem(SETTING_MALFORMED, "role", detail))
+    if options.log_level not in LOG_LEVELS:
+        detail = f"{options.log_level!r} is not one of {', '.join(LOG_LEVELS)}"
+        problems.append(Problem(SETTING_MALFORMED, "log_level", detail))
+    for name in REQUIRED_BY_ROLE.get(options.role, ()):
+        if not getattr(options, name):
+            detail = f"required for the role {options.role}"
+            problems.append(Problem(SETTING_MISSING, name, detail))
+    if options.role == "entry" and options.service:
+        problems.append(Problem(SETTINGS_CONFLICT, "service", "an entry has no service"))
+    return problems
+
+
+def place_problems(options: Options) -> list[Problem]:
+    """Return the problems of the names of region, zone and service."""
+    problems = []
+    for name in ("region", "zone", "service"):
+        value = getattr(options, name)
+        if value and not PLACE_NAME.fullmatch(value):
+            detail = f"{value!r} is not 1 to 64 of a-z, 0-9 and inner hyphens"
+            problems.append(Problem(SETTING_MALFORMED, name, detail))
+    return problems
+
+
+def address_problems(options: Options) -> list[Problem]:
+    """Return the problems of the IP number and of the URLs."""
+    problems = []
+    if not is_ip_number(options.host):
+        problems.append(Problem(SETTING_MALFORMED, "host", f"{options.host!r} is no IP number"))
+    for field in fields(Options):
+        value = getattr(options, field.name)
+        if field.name.endswith("_url") and value and not is_http_url(value):
+            detail = f"{value!r} is not http://HOST:PORT"
+            problems.append(Problem(SETTING_MALFORMED, field.name, detail))
+    return problems
+
+
+def name_problems(options: Options) -> list[Problem]:
+    """Return the problems of the name, which repeats the service and the zone."""
+    if not options.name:
+        return []
+    head = options.service or "entry"
+    parts = options.name.split("/")
+    if len(parts) != 3 or not parts[2].isdecimal():
+        detail = f"{options.name!r} is not {head}/ZONE/NUMBER"
+        return [Problem(SETTING_MALFORMED, "name", detail)]
+    if parts[0] != head or parts[1] != options.zone:
+        detail = f"{options.name!r} does not begin with {head}/{options.zone}/"
+        return [Problem(SETTINGS_CONFLICT, "name", detail)]
+    return []
+
+
+def relation_problems(options: Options) -> list[Problem]:
+    """Return the problems between two settings."""
+    problems = []
+    if options.silence_s <= options.heartbeat_s:
+        detail = f"{options.silence_s:g} is not above the heartbeat of {options.heartbeat_s:g}"
+        problems.append(Problem(SETTINGS_CONFLICT, "silence_s", detail))
+    if options.weight_memory_bytes < options.chunk_bytes:
+        detail = f"{options.weight_memory_bytes} is below one chunk of {options.chunk_bytes}"
+        problems.append(Problem(SETTINGS_CONFLICT, "weight_memory_bytes", detail))
+    return problems
+
+
+def default_name(options: Options) -> str:
+    """Return the name of the first instance of the role in the zone."""
+    return f"{options.service or 'entry'}/{options.zone}/0"
+
+
+def is_ip_number(text: str) -> bool:
+    """Tell whether the text is an IP number."""
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def is_http_url(text: str) -> bool:
+    """Tell whether the text is an HTTP URL with a host and no query."""
+    try:
+        parts = urlsplit(text)
+        port = parts.port
+    except ValueError:
+        return False
+    return (
+        parts.scheme in ("http", "https")
+        and bool(parts.hostname)
+        and not parts.query
+        and not parts.fragment
+        and port != 0
+    )
