--- a/gypsumpier/administration/history.py
+++ b/gypsumpier/administration/history.py
@@ -34,9 +34,9 @@
             return
         event = record.getMessage()
         DECISIONS.labels(event).inc()
-        self.ring.append(DecisionView(
-            sequence=self.sequence, wall_s=record.created, event=event, fields=found
-        ))
+        self.ring.append(
+            DecisionView(sequence=self.sequence, wall_s=record.created, event=event, fields=found)
+        )
         self.sequence += 1
 
     def matching(self, wanted: dict[str, str], after: int, limit: int) -> list[DecisionView]:
--- a/gypsumpier/administration/listing.py
+++ b/gypsumpier/administration/listing.py
@@ -25,7 +25,7 @@
 
     def get(self) -> None:
         """Answer the list under its name, empty where the role has none."""
-        self.answer({self.name: self.state.inspection().get(self.name, [])})
+        self.answer({self.name: self.state.listing(self.name)})
 
 
 class DecisionsHandler(AdministrationHandler):
--- a/gypsumpier/administration/server.py
+++ b/gypsumpier/administration/server.py
@@ -10,7 +10,7 @@
 from gypsumpier.administration.health import HealthHandler, ReadinessHandler
 from gypsumpier.administration.listing import DecisionsHandler, ListingHandler, StatusHandler
 from gypsumpier.administration.metricspage import MetricsHandler
-from gypsumpier.administration.state import ProcessState
+from gypsumpier.administration.state import LISTINGS, ProcessState
 from gypsumpier.administration.validation import ValidationHandler
 from gypsumpier.options import Options
 
@@ -42,8 +42,7 @@
     """Return the pages of the API."""
     arguments = {"state": state}
     listings = [
-        (f"/v1/{name}", ListingHandler, {"state": state, "name": name})
-        for name in ("documents", "members", "upstreams", "transfers")
+        (f"/v1/{name}", ListingHandler, {"state": state, "name": name}) for name in LISTINGS
     ]
     return Application(
         [
--- a/gypsumpier/administration/state.py
+++ b/gypsumpier/administration/state.py
@@ -1,14 +1,16 @@
 """What the administration API can show of one process."""
 
 import time
-from typing import Final, cast
+from typing import Final
 
+from gypsumpier.administration.documents import document_views
 from gypsumpier.administration.history import DecisionHistory
-from gypsumpier.administration.view import Inspection, StatusView
+from gypsumpier.administration.view import StatusView
 from gypsumpier.application import Application
 from gypsumpier.options import Options
 
 PROGRAM_VERSION: Final = "0.1.0"
+LISTINGS: Final = ("documents", "members", "upstreams", "transfers")
 PORT_SETTINGS: Final = ("port", "bulk_port", "http_port", "administration_port")
 
 
@@ -24,9 +26,14 @@
         self.phase = "starting"
         self.started_at_s = time.monotonic()
 
-    def inspection(self) -> Inspection:
-        """Return the application's view of itself, as of now."""
-        return cast(Inspection, self.application.inspect())
+    def listing(self, name: str) -> list[object]:
+        """Return one list: documents, members, or one that the application shows of itself."""
+        if name == "documents":
+            return list(document_views(self.application.documents))
+        if name == "members":
+            return [member._asdict() for member in self.application.members.members.values()]
+        found = self.application.inspect().get(name, [])
+        return list(found) if isinstance(found, list | tuple) else []
 
     def ports(self) -> dict[str, int]:
         """Return the bound ports; a port that the role does not have is 0."""
@@ -35,7 +42,7 @@
     def status(self) -> StatusView:
         """Return the view of the process."""
         options = self.options
-        lists = self.application.inspect().items()
+        details = self.application.inspect()
         return StatusView(
             program_version=PROGRAM_VERSION,
             role=options.role,
@@ -45,7 +52,8 @@
             zone=options.zone,
             service=options.service,
             state=self.phase,
-            uptime_s=time.monotonic() - self.started_at_s,
+            uptime_s=round(time.monotonic() - self.started_at_s, 3),
             ports=self.ports(),
-            counts={name: len(value) for name, value in lists if isinstance(value, list)},
+            counts={name: len(self.listing(name)) for name in LISTINGS},
+            details={name: value for name, value in details.items() if name not in LISTINGS},
         )
--- a/gypsumpier/administration/validation.py
+++ b/gypsumpier/administration/validation.py
@@ -3,7 +3,7 @@
 from gypsumpier.administration.handler import AdministrationHandler
 from gypsumpier.administration.view import RefusalView, ValidationView
 from gypsumpier.document import validator
-from gypsumpier.errors import GypsumpierError
+from gypsumpier.document.errors import DocumentError
 
 
 class ValidationHandler(AdministrationHandler):
@@ -13,12 +13,14 @@
         """Answer a ValidationView; a refused document is still a successful validation."""
         try:
             validator.parse(self.request.body)
-        except GypsumpierError as error:
+        except DocumentError as error:
             self.answer(ValidationView(accepted=False, refusal=refusal(error)))
             return
         self.answer(ValidationView(accepted=True, refusal=None))
 
 
-def refusal(error: GypsumpierError) -> RefusalView:
+def refusal(error: DocumentError) -> RefusalView:
     """Return the JSON of a refusal."""
-    return RefusalView(code=error.code.number, name=error.code.name, detail=error.detail)
+    return RefusalView(
+        code=error.code.number, name=error.code.name, field=error.path, detail=error.detail
+    )
--- a/gypsumpier/administration/view.py
+++ b/gypsumpier/administration/view.py
@@ -18,7 +18,10 @@
 
 
 class DocumentView(TypedDict, total=False):
-    """A document in force; ``refusal`` is that of a later revision which was not accepted."""
+    """A document in force; ``refusal`` is that of a later revision which was not accepted.
+
+    A name of which no revision was ever accepted has the revision -1.
+    """
 
     name: str
     revision: int
@@ -26,26 +29,11 @@
     kind: str
     model: str
     versions: dict[str, int]
+    source: str
     accepted_at_s: float
     refusal: RefusalView | None
 
 
-class MemberView(TypedDict, total=False):
-    """An instance of the system as this process sees it."""
-
-    name: str
-    incarnation: str
-    role: str
-    service: str
-    region: str
-    zone: str
-    host: str
-    port: int
-    bulk_port: int
-    leaving: bool
-    connected: bool
-
-
 class LiveView(TypedDict):
     """One model that an engine reports live."""
 
@@ -62,6 +50,7 @@
     zone: str
     state: str
     connected: bool
+    healthy: bool
     leaving: bool
     live: list[LiveView]
     in_flight: int
@@ -90,17 +79,8 @@
     fields: dict[str, object]
 
 
-class Inspection(TypedDict, total=False):
-    """What an application shows of itself."""
-
-    documents: list[DocumentView]
-    members: list[MemberView]
-    upstreams: list[UpstreamView]
-    transfers: list[TransferView]
-
-
 class StatusView(TypedDict):
-    """The process itself and how many entries each of its lists has."""
+    """The process itself; ``counts`` are the lengths of its lists, ``details`` its other state."""
 
     program_version: str
     role: str
@@ -113,6 +93,7 @@
     uptime_s: float
     ports: dict[str, int]
     counts: dict[str, int]
+    details: dict[str, object]
 
 
 class ValidationView(TypedDict):
--- a/gypsumpier/application.py
+++ b/gypsumpier/application.py
@@ -2,6 +2,9 @@
 
 from typing import Protocol
 
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.member.table import MemberTable
+
 
 class Application(Protocol):
     """Owns the components of one process: starts them in order and stops them in reverse.
@@ -9,6 +12,9 @@
     After ``start`` every port in the options is the one that is really bound.
     """
 
+    documents: DocumentTable
+    members: MemberTable
+
     async def start(self) -> None:
         """Bind the ports and start every component; raise GypsumpierError or OSError."""
 
@@ -16,7 +22,8 @@
         """Stop gracefully: take no new work, finish what runs, then release everything."""
 
     def inspect(self) -> dict[str, object]:
-        """Return what the administration API shows.
+        """Return what only the role knows of itself.
 
-        The keys are those of ``gypsumpier.administration.view.Inspection``.
+        ``upstreams`` is a list of ``UpstreamView`` and ``transfers`` one of ``TransferView``, of
+        ``gypsumpier.administration.view``.  Other keys are shown as they are.
         """
--- a/gypsumpier/codes/table.py
+++ b/gypsumpier/codes/table.py
@@ -1,49 +1,28 @@
-"""The whole table of result codes, gathered from the modules of this package."""
+"""The table of all result codes, gathered from the modules of the areas."""
 
 import importlib
 import pkgutil
+from functools import cache
 
-import gypsumpier.codes
+from gypsumpier import codes
 from gypsumpier.codes.result import ResultCode
-
-
-def all_codes() -> list[ResultCode]:
-    """Return every code in the order of its number."""
-    found: list[ResultCode] = []
-    for module in pkgutil.iter_modules(gypsumpier.codes.__path__):
-        content = vars(importlib.import_module(f"gypsumpier.codes.{module.name}"))
-        found += [value for value in content.values() if isinstance(value, ResultCode)]
-    return sorted(found, key=lambda code: code.number)
-
-
-def markdown() -> str:
-    """Return the table as a page for docs/result-codes.md."""
-    rows = [table_row(code) for code in all_codes()]
-    return "\n".join([HEADING, *rows, ""])
-
-
-def table_row(code: ResultCode) -> str:
-    """Return one row of the page."""
-    return (
-        f"| {code.number} | `{code.name}` | {code.http_status} "
-        f"| {code.outcome.value} | {code.advice} |"
-    )
-
-
-HEADING = """\
-# Result codes
-
-Every refusal, failure and degraded answer carries one of these codes.  A number is never given
-to another meaning.  *HTTP* is the status that a caller sees where the code ends an HTTP call.
-*Run?* tells whether the request may have run: `done` it ran, `not_run` it certainly did not and
-will not, `unknown` it may have.
-
-Print this page with `python -m gypsumpier.codes.table`; a test holds it in agreement with the
-code.
-
-| code | name | HTTP | run? | what to do |
-|---|---|---|---|---|"""
-
-
-if __name__ == "__main__":
-    print(markdown(), end="")
+from gypsumpier.codes.wire import BAD_FRAME
+
+
+@cache
+def all_codes() -> dict[int, ResultCode]:
+    """Return every code by its number."""
+    table: dict[int, ResultCode] = {}
+    for module_info in pkgutil.iter_modules(codes.__path__):
+        if module_info.name == "table":
+            continue
+        module = importlib.import_module(f"{codes.__name__}.{module_info.name}")
+        for value in vars(module).values():
+            if isinstance(value, ResultCode):
+                table[value.number] = value
+    return table
+
+
+def code_by_number(number: int) -> ResultCode:
+    """Return the code of that number; BAD_FRAME for a number that this version does not know."""
+    return all_codes().get(number, BAD_FRAME)
--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -19,6 +19,7 @@
     "store_url": "URL of the regional weight store.",
     "origin_url": "URL of the origin of weights.",
     "upstream_url": "URL of the model engine or plain service; required for an agent.",
+    "upstream_kind": "Kind of the upstream: model (an engine) or plain (a service).",
     "log_level": "Lowest level that is logged: DEBUG, INFO, WARNING or ERROR.",
     "log_json": "Log JSON objects instead of key=value pairs.",
     "heartbeat_s": "Seconds without sending after which a connection sends a heartbeat.",
--- a/gypsumpier/settings.py
+++ b/gypsumpier/settings.py
@@ -21,9 +21,12 @@
 )
 from gypsumpier.options import Options
 
-ROLES: Final = ("entry", "agent")
-LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
-PLACE_NAME: Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
+CHOICES: Final[dict[str, tuple[str, ...]]] = {
+    "role": ("entry", "agent"),
+    "upstream_kind": ("model", "plain"),
+    "log_level": ("DEBUG", "INFO", "WARNING", "ERROR"),
+}
+PLACE_NAME: Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 MAX_PORT: Final = 65535
 MAX_TIME_S: Final = 86400.0
 MAX_COUNT: Final = 2**48
@@ -127,6 +130,7 @@
 def checked(options: Options) -> list[Problem]:
     """Return the problems of values whose type is right."""
     return [
+        *choice_problems(options),
         *role_problems(options),
         *place_problems(options),
         *address_problems(options),
@@ -135,15 +139,20 @@
     ]
 
 
+def choice_problems(options: Options) -> list[Problem]:
+    """Return the problems of settings that take one of a few words."""
+    problems = []
+    for name, words in CHOICES.items():
+        value = getattr(options, name)
+        if value not in words:
+            detail = f"{value!r} is not one of {', '.join(words)}"
+            problems.append(Problem(SETTING_MALFORMED, name, detail))
+    return problems
+
+
 def role_problems(options: Options) -> list[Problem]:
-    """Return the problems of the role, of what it requires and of the log level."""
+    """Return the problems of what the role requires and excludes."""
     problems = []
-    if options.role not in ROLES:
-        detail = f"{options.role!r} is not one of {', '.join(ROLES)}"
-        problems.append(Problem(SETTING_MALFORMED, "role", detail))
-    if options.log_level not in LOG_LEVELS:
-        detail = f"{options.log_level!r} is not one of {', '.join(LOG_LEVELS)}"
-        problems.append(Problem(SETTING_MALFORMED, "log_level", detail))
     for name in REQUIRED_BY_ROLE.get(options.role, ()):
         if not getattr(options, name):
             detail = f"required for the role {options.role}"
@@ -159,7 +168,7 @@
     for name in ("region", "zone", "service"):
         value = getattr(options, name)
         if value and not PLACE_NAME.fullmatch(value):
-            detail = f"{value!r} is not 1 to 64 of a-z, 0-9 and inner hyphens"
+            detail = f"{value!r} is not 1 to 63 of a-z, 0-9 and inner hyphens"
             problems.append(Problem(SETTING_MALFORMED, name, detail))
     return problems
 
