--- a/gypsumpier/administration/history.py
+++ b/gypsumpier/administration/history.py
@@ -9,6 +9,7 @@
 from gypsumpier.metrics import DECISIONS
 
 RING_LENGTH: Final = 2000
+PLAIN: Final = (str, int, float, bool, type(None))
 
 
 class DecisionHistory(logging.Handler):
@@ -35,7 +36,9 @@
         event = record.getMessage()
         DECISIONS.labels(event).inc()
         self.ring.append(
-            DecisionView(sequence=self.sequence, wall_s=record.created, event=event, fields=found)
+            DecisionView(
+                sequence=self.sequence, wall_s=record.created, event=event, fields=plain(found)
+            )
         )
         self.sequence += 1
 
@@ -48,6 +51,13 @@
         return found[-limit:]
 
 
+def plain(found: dict[str, object]) -> dict[str, object]:
+    """Return the fields as plain values, so that the ring holds no exception with its frames."""
+    return {
+        name: value if isinstance(value, PLAIN) else str(value) for name, value in found.items()
+    }
+
+
 def matches(view: DecisionView, wanted: dict[str, str]) -> bool:
     """Tell whether the decision has every wanted value."""
     values = {**view["fields"], "event": view["event"]}
--- /dev/null
+++ b/gypsumpier/client/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool: reads the administration API of one or several processes."""
--- /dev/null
+++ b/gypsumpier/client/page.py
@@ -0,0 +1,125 @@
+"""The tables that the commands print, each from the answers of all processes."""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+from gypsumpier.client.answer import Answer
+from gypsumpier.client.table import cell, rendered
+
+Page = Callable[[Sequence[Answer]], str]
+
+STATUS_COLUMNS: Final = ("name", "role", "region", "zone", "service", "state", "uptime_s")
+UPSTREAM_COLUMNS: Final = ("name", "connected", "healthy", "leaving", "in_flight")
+TRANSFER_COLUMNS: Final = ("service", "model", "version", "state")
+MEBIBYTE: Final = 1024 * 1024
+
+
+def status_page(answers: Sequence[Answer]) -> str:
+    """Return one row for each process, with the number of what it knows."""
+    columns = ("administration", *STATUS_COLUMNS, "knows")
+    rows = [
+        [answer.url, *picked(answer.content, STATUS_COLUMNS), answer.content.get("counts")]
+        for answer in reached(answers)
+    ]
+    return rendered(columns, rows)
+
+
+def documents_page(answers: Sequence[Answer]) -> str:
+    """Return one row for each document and revision, with the number of processes that hold it."""
+    holders: Counter[tuple[str, ...]] = Counter()
+    for answer in reached(answers):
+        holders.update(document_row(view) for view in answer.rows("documents"))
+    columns = ("document", "revision", "kind", "model", "versions", "refused", "in force on")
+    total = len(reached(answers))
+    return rendered(
+        columns, [[*row, f"{count} of {total}"] for row, count in sorted(holders.items())]
+    )
+
+
+def document_row(view: dict[str, Any]) -> tuple[str, ...]:
+    """Return the cells of one document on one process."""
+    kind = "deleted" if view.get("deleted") else view.get("kind")
+    found = (view.get("name"), view.get("revision"), kind, view.get("model"), view.get("versions"))
+    return (*(cell(value) for value in found), refusal_text(view.get("refusal")))
+
+
+def refusal_text(refusal: dict[str, Any] | None) -> str:
+    """Return a refusal as one cell."""
+    if not refusal:
+        return ""
+    return f"revision {refusal.get('revision')}: {refusal.get('code')} {refusal.get('detail')}"
+
+
+def upstreams_page(answers: Sequence[Answer]) -> str:
+    """Return one row for each upstream as each process sees it."""
+    columns = ("administration", *UPSTREAM_COLUMNS, "live")
+    rows = [
+        [answer.url, *picked(view, UPSTREAM_COLUMNS), live_text(view.get("live"))]
+        for answer in reached(answers)
+        for view in answer.rows("upstreams")
+    ]
+    return rendered(columns, rows)
+
+
+def live_text(live: Any) -> str:
+    """Return the live models of an upstream as one cell."""
+    if not isinstance(live, list):
+        return ""
+    return ",".join(live_model(model) for model in live)
+
+
+def live_model(model: Any) -> str:
+    """Return one live model with the beginning of its digest."""
+    if not isinstance(model, dict):
+        return cell(model)
+    return f"{model.get('model')}:{model.get('version')}@{str(model.get('digest'))[:12]}"
+
+
+def transfers_page(answers: Sequence[Answer]) -> str:
+    """Return one row for each transfer on each process."""
+    columns = ("administration", *TRANSFER_COLUMNS, "MiB", "done")
+    rows = [
+        [answer.url, *picked(view, TRANSFER_COLUMNS), *progress(view)]
+        for answer in reached(answers)
+        for view in answer.rows("transfers")
+    ]
+    return rendered(columns, rows)
+
+
+def progress(view: dict[str, Any]) -> list[object]:
+    """Return the size in MiB and the share that has come."""
+    total = int(view.get("bytes_total") or 0)
+    done = int(view.get("bytes_done") or 0)
+    if not total:
+        return [None, None]
+    return [total / MEBIBYTE, f"{100 * done // total}%"]
+
+
+def decisions_page(answers: Sequence[Answer]) -> str:
+    """Return one row for each decision, in the order of time over all processes."""
+    found = [
+        (view.get("wall_s", 0.0), answer.url, view)
+        for answer in reached(answers)
+        for view in answer.rows("decisions")
+    ]
+    found.sort(key=lambda item: (item[0], item[1]))
+    columns = ("time", "administration", "event", "reason", "fields")
+    return rendered(columns, [decision_row(url, view) for _, url, view in found])
+
+
+def decision_row(url: str, view: dict[str, Any]) -> list[object]:
+    """Return the cells of one decision."""
+    fields = dict(view.get("fields") or {})
+    reason = fields.pop("reason", None)
+    return [f"{view.get('wall_s', 0.0):.3f}", url, view.get("event"), reason, fields]
+
+
+def reached(answers: Sequence[Answer]) -> list[Answer]:
+    """Return the answers of the processes that answered."""
+    return [answer for answer in answers if answer.error is None]
+
+
+def picked(view: dict[str, Any], columns: Sequence[str]) -> list[object]:
+    """Return the cells of the columns, None where the view lacks one."""
+    return [view.get(column) for column in columns]
--- /dev/null
+++ b/gypsumpier/client/reader.py
@@ -0,0 +1,67 @@
+"""Calls the administration API of several processes at once, by tornado's HTTP client."""
+
+import asyncio
+import json
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from gypsumpier.client.answer import Answer
+from gypsumpier.codes.setting import (
+    ADMINISTRATION_BAD_ANSWER,
+    ADMINISTRATION_UNREACHABLE,
+)
+from gypsumpier.errors import GypsumpierError
+
+
+class Reader:
+    """Reads from every process whose administration URL was given."""
+
+    def __init__(self, urls: Sequence[str], timeout_s: float) -> None:
+        self.urls = [url.rstrip("/") for url in urls]
+        self.timeout_s = timeout_s
+
+    async def read(self, path: str, query: dict[str, str] | None = None) -> list[Answer]:
+        """Return the answer of each process to a GET, in the order of the URLs."""
+        target = f"{path}?{urlencode(query)}" if query else path
+        return list(await asyncio.gather(*(self.call(url, target, None) for url in self.urls)))
+
+    async def send(self, path: str, body: bytes) -> Answer:
+        """Return the answer of the first process to a POST."""
+        return await self.call(self.urls[0], path, body)
+
+    async def call(self, url: str, target: str, body: bytes | None) -> Answer:
+        """Return the answer of one process; a failure is part of the answer."""
+        request = HTTPRequest(
+            url + target,
+            method="GET" if body is None else "POST",
+            body=body,
+            connect_timeout=self.timeout_s,
+            request_timeout=self.timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await AsyncHTTPClient().fetch(request, raise_error=False)
+            return Answer(url, parsed(response))
+        except GypsumpierError as error:
+            return Answer(url, {}, error)
+        except (OSError, ValueError, HTTPClientError) as error:
+            return Answer(url, {}, GypsumpierError(ADMINISTRATION_UNREACHABLE, str(error)))
+
+
+def parsed(response: HTTPResponse) -> dict[str, Any]:
+    """Return the JSON object of a response; raise GypsumpierError where there is none."""
+    if response.code == 599:
+        raise GypsumpierError(ADMINISTRATION_UNREACHABLE, str(response.error))
+    try:
+        content = json.loads(response.body)
+    except ValueError as error:
+        raise GypsumpierError(ADMINISTRATION_BAD_ANSWER, "the answer is no JSON") from error
+    if not isinstance(content, dict):
+        raise GypsumpierError(ADMINISTRATION_BAD_ANSWER, "the answer is no JSON object")
+    if response.code != 200:
+        detail = f"{response.code} {content.get('name', '')} {content.get('detail', '')}"
+        raise GypsumpierError(ADMINISTRATION_BAD_ANSWER, detail.strip())
+    return content
--- a/gypsumpier/log.py
+++ b/gypsumpier/log.py
@@ -14,8 +14,10 @@
     """Send the package's log lines to standard error in the chosen format."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter() if as_json else KeyValueFormatter())
+    handler.setLevel(level)
     LOGGER.handlers = [handler]
-    LOGGER.setLevel(level)
+    # Decisions are logged at INFO and reach the administration API whatever is printed.
+    LOGGER.setLevel(min(logging.getLevelName(level), logging.INFO))
     LOGGER.propagate = False
 
 
--- a/gypsumpier/settings.py
+++ b/gypsumpier/settings.py
@@ -76,11 +76,13 @@
     ``texts`` holds the text of each setting that was given; the others keep their default.
     """
     problems: list[Problem] = []
-    values: dict[str, object] = {}
+    options = Options()
     for field in fields(Options):
-        if field.name in texts:
-            values[field.name] = parsed(field.name, texts[field.name], field.default, problems)
-    options = Options(**{name: value for name, value in values.items() if value is not None})  # type: ignore[arg-type]
+        if field.name not in texts:
+            continue
+        value = parsed(field.name, texts[field.name], field.default, problems)
+        if value is not None:
+            setattr(options, field.name, value)
     malformed = {problem.setting for problem in problems}
     problems += [found for found in checked(options) if found.setting not in malformed]
     if problems:
