Accept documents by highest revision and keep a member list

A revision is parsed strictly and purely; each refusal has a code of 5000 to 5099 and the path of the field. The table keeps for each name the maximum of the valid contents offered and, where it is higher, the refused one, so neither order nor repetition nor source matters; a property test compares it with a naive maximum over all offers. The digest decides only between two contents of one revision, without which two instances could differ for good.

Both keepers read and watch for themselves for now; the spread over our own streams follows.

--- /dev/null
+++ b/gypsumpier/document/rules.py
@@ -0,0 +1,79 @@
+"""Rules between the fields of a document, checked after each field's own shape."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from gypsumpier.codes.document import (
+    BAD_SPLIT,
+    DANGLING_REFERENCE,
+    DUPLICATE_ITEM,
+    KIND_CONFLICT,
+    MISSING_FIELD,
+)
+from gypsumpier.document.errors import DocumentError
+from gypsumpier.document.service import Route, ServiceDocument
+
+WHOLE_PERCENT: Final = 100
+
+
+def check(document: ServiceDocument) -> None:
+    """Raise DocumentError at the first rule the document breaks."""
+    check_kind(document)
+    check_split(document)
+    unique("versions", "version", [share.version for share in document.versions])
+    unique("zones", "zone", [zone.zone for zone in document.zones])
+    unique("workspaces", "name", [workspace.name for workspace in document.workspaces])
+    check_routes(document.routes)
+    check_homes(document)
+
+
+def check_kind(document: ServiceDocument) -> None:
+    """A model service names a model and versions; a plain one names neither."""
+    if document.kind == "model":
+        if not document.model:
+            raise DocumentError(MISSING_FIELD, "model", "required where kind is model")
+        if not document.versions:
+            raise DocumentError(MISSING_FIELD, "versions", "required where kind is model")
+        return
+    if document.model:
+        raise DocumentError(KIND_CONFLICT, "model", "not allowed where kind is plain")
+    if document.versions:
+        raise DocumentError(KIND_CONFLICT, "versions", "not allowed where kind is plain")
+    if document.live_by is not None:
+        raise DocumentError(KIND_CONFLICT, "live_by", "not allowed where kind is plain")
+
+
+def check_split(document: ServiceDocument) -> None:
+    """The shares of a model's versions make up the whole."""
+    total = sum(share.share_percent for share in document.versions)
+    if document.versions and total != WHOLE_PERCENT:
+        raise DocumentError(BAD_SPLIT, "versions", f"shares sum to {total}, not {WHOLE_PERCENT}")
+
+
+def check_routes(routes: tuple[Route, ...]) -> None:
+    """No method of a prefix is treated in two ways."""
+    seen: set[tuple[str, str]] = set()
+    for index, route in enumerate(routes):
+        for place, method in enumerate(route.methods):
+            if (route.prefix, method) in seen:
+                path = f"routes[{index}].methods[{place}]"
+                raise DocumentError(DUPLICATE_ITEM, path, "method of this prefix named before")
+            seen.add((route.prefix, method))
+
+
+def check_homes(document: ServiceDocument) -> None:
+    """A workspace's home is one of the zones the service runs in."""
+    zones = {zone.zone for zone in document.zones if zone.replicas > 0}
+    for index, workspace in enumerate(document.workspaces):
+        if workspace.home_zone not in zones:
+            path = f"workspaces[{index}].home_zone"
+            raise DocumentError(DANGLING_REFERENCE, path, "no zone with replicas has this name")
+
+
+def unique(path: str, key: str, values: Iterable[str]) -> None:
+    """Raise DocumentError where a value stands twice."""
+    seen: set[str] = set()
+    for index, value in enumerate(values):
+        if value in seen:
+            raise DocumentError(DUPLICATE_ITEM, f"{path}[{index}].{key}", "named before")
+        seen.add(value)
--- /dev/null
+++ b/gypsumpier/document/schema.py
@@ -0,0 +1,62 @@
+"""The JSON schema of a document, for editors and other tools, made from the same shapes.
+
+``python -m gypsumpier.document.schema`` writes schema.json; a test keeps the file in agreement.
+The validator is stricter: it also checks the rules between fields and refuses 1.0 as an integer.
+"""
+
+import json
+from pathlib import Path
+from typing import Any, Final
+
+from gypsumpier.document.fields import DOCUMENT
+from gypsumpier.document.shape import Choice, Fields, Flag, Items, Shape, Text
+
+SCHEMA_PATH: Final = Path(__file__).with_name("schema.json")
+
+
+def main() -> None:
+    """Write the file."""
+    SCHEMA_PATH.write_text(rendered())
+
+
+def rendered() -> str:
+    """Return the schema's file as text."""
+    head = {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "Service document"}
+    return json.dumps(head | described(DOCUMENT), indent=2) + "\n"
+
+
+def described(shape: Shape) -> dict[str, Any]:
+    """Return the schema of a shape."""
+    if isinstance(shape, Fields):
+        return described_fields(shape)
+    if isinstance(shape, Items):
+        bounds = {"minItems": shape.min_items, "maxItems": shape.max_items}
+        return {"type": "array", "items": described(shape.item)} | bounds
+    if isinstance(shape, Text):
+        return {"type": "string", "pattern": shape.pattern, "maxLength": shape.max_length}
+    if isinstance(shape, Choice):
+        return {"type": "string", "enum": list(shape.values)}
+    if isinstance(shape, Flag):
+        return {"type": "boolean"}
+    word = "integer" if isinstance(shape.minimum, int) else "number"
+    return {"type": word, "minimum": shape.minimum, "maximum": shape.maximum}
+
+
+def described_fields(shape: Fields) -> dict[str, Any]:
+    """Return the schema of an object."""
+    properties: dict[str, Any] = {}
+    for field in shape.fields:
+        properties[field.name] = described(field.shape)
+        if not field.required and field.default is not None:
+            properties[field.name]["default"] = field.default
+    required = [field.name for field in shape.fields if field.required]
+    return {
+        "type": "object",
+        "properties": properties,
+        "required": required,
+        "additionalProperties": False,
+    }
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/gypsumpier/document/shape.py
@@ -0,0 +1,164 @@
+"""Shapes of JSON values, from which both the validator and the JSON schema are made.
+
+A shape says which values a field may take on its own; rules between fields are in ``rules``.
+``checked`` returns the value with the defaults of absent fields filled in, or raises
+DocumentError with the path of the first field at fault.  It depends on nothing but its arguments,
+so every instance accepts or refuses alike.
+"""
+
+import math
+import re
+from typing import Any, Final, NamedTuple
+
+from gypsumpier.codes.document import (
+    BAD_FORMAT,
+    MISSING_FIELD,
+    OUT_OF_RANGE,
+    TOO_MANY_ITEMS,
+    UNKNOWN_FIELD,
+    WRONG_TYPE,
+)
+from gypsumpier.document.errors import DocumentError
+
+DETAIL_LIMIT: Final = 80
+
+
+class Text(NamedTuple):
+    """A string that matches the pattern as a whole."""
+
+    pattern: str
+    max_length: int
+
+
+class Choice(NamedTuple):
+    """One of a few strings."""
+
+    values: tuple[str, ...]
+
+
+class Whole(NamedTuple):
+    """An integer between two bounds, both included; 1.0 and true are not integers."""
+
+    minimum: int
+    maximum: int
+
+
+class Real(NamedTuple):
+    """A finite number between two bounds, both included."""
+
+    minimum: float
+    maximum: float
+
+
+class Flag(NamedTuple):
+    """True or false."""
+
+
+class Items(NamedTuple):
+    """An array of equal shapes."""
+
+    item: "Shape"
+    min_items: int
+    max_items: int
+
+
+class Field(NamedTuple):
+    """A field of an object; an absent one that is not required takes the default."""
+
+    name: str
+    shape: "Shape"
+    required: bool = True
+    default: Any = None
+
+
+class Fields(NamedTuple):
+    """An object with these fields and no others."""
+
+    fields: tuple[Field, ...]
+
+
+Shape = Text | Choice | Whole | Real | Flag | Items | Fields
+
+
+def checked(shape: Shape, value: Any, path: str) -> Any:
+    """Return the value as the shape wants it; raise DocumentError where it differs."""
+    if isinstance(shape, Fields):
+        return checked_fields(shape, value, path)
+    if isinstance(shape, Items):
+        return checked_items(shape, value, path)
+    if isinstance(shape, Flag):
+        expect(isinstance(value, bool), path, "a boolean", value)
+        return value
+    if isinstance(shape, Text | Choice):
+        return checked_text(shape, value, path)
+    return checked_number(shape, value, path)
+
+
+def checked_fields(shape: Fields, value: Any, path: str) -> dict[str, Any]:
+    """Check an object: first for unknown fields, then each field in the shape's order."""
+    expect(isinstance(value, dict), path, "an object", value)
+    known = {field.name for field in shape.fields}
+    for name in sorted(value):
+        if name not in known:
+            raise DocumentError(UNKNOWN_FIELD, joined(path, name), "no such field")
+    return {field.name: checked_field(field, value, path) for field in shape.fields}
+
+
+def checked_field(field: Field, value: dict[str, Any], path: str) -> Any:
+    """Check one field of an object, or return its default."""
+    if field.name in value:
+        return checked(field.shape, value[field.name], joined(path, field.name))
+    if field.required:
+        raise DocumentError(MISSING_FIELD, joined(path, field.name), "required")
+    return field.default
+
+
+def checked_items(shape: Items, value: Any, path: str) -> list[Any]:
+    """Check an array and each of its items."""
+    expect(isinstance(value, list), path, "an array", value)
+    if not shape.min_items <= len(value) <= shape.max_items:
+        detail = f"{len(value)} items; {shape.min_items} to {shape.max_items} are allowed"
+        raise DocumentError(TOO_MANY_ITEMS, path, detail)
+    return [checked(shape.item, item, f"{path}[{index}]") for index, item in enumerate(value)]
+
+
+def checked_text(shape: Text | Choice, value: Any, path: str) -> str:
+    """Check a string."""
+    expect(isinstance(value, str), path, "a string", value)
+    text = str(value)
+    if isinstance(shape, Choice):
+        if text not in shape.values:
+            raise DocumentError(BAD_FORMAT, path, f"must be one of {', '.join(shape.values)}")
+        return text
+    if len(text) > shape.max_length:
+        raise DocumentError(OUT_OF_RANGE, path, f"longer than {shape.max_length} characters")
+    if not re.fullmatch(shape.pattern, text):
+        raise DocumentError(BAD_FORMAT, path, f"must match {shape.pattern}")
+    return text
+
+
+def checked_number(shape: Whole | Real, value: Any, path: str) -> int | float:
+    """Check an integer or a finite number."""
+    allowed = (int,) if isinstance(shape, Whole) else (int, float)
+    word = "an integer" if isinstance(shape, Whole) else "a number"
+    expect(isinstance(value, allowed) and not isinstance(value, bool), path, word, value)
+    number: int | float = value
+    # An integer too large for a float is out of range, and comparing it is exact.
+    if isinstance(number, float) and not math.isfinite(number):
+        raise DocumentError(OUT_OF_RANGE, path, "must be finite")
+    if not shape.minimum <= number <= shape.maximum:
+        detail = f"must be from {shape.minimum} to {shape.maximum}"
+        raise DocumentError(OUT_OF_RANGE, path, detail)
+    return number
+
+
+def expect(holds: bool, path: str, word: str, value: Any) -> None:
+    """Raise DocumentError with WRONG_TYPE unless the condition holds."""
+    if not holds:
+        raise DocumentError(WRONG_TYPE, path, f"must be {word}, not {type(value).__name__}")
+
+
+def joined(path: str, name: str) -> str:
+    """Return the path of a field, with an overlong or unprintable name made safe to show."""
+    shown = name if name.isidentifier() else repr(name)
+    return f"{path}.{shown[:DETAIL_LIMIT]}" if path else shown[:DETAIL_LIMIT]
--- /dev/null
+++ b/gypsumpier/document/table.py
@@ -0,0 +1,169 @@
+"""The documents in force in this process.
+
+For each name the table keeps the valid content of the highest rank it has ever been offered, and
+beside it the refused content of the highest rank where that is higher still.  Both are maxima, so
+the result does not depend on the order, the number or the source of the offers: a stale service,
+a delayed peer or a process that was paused can't lower what is in force, and two tables that were
+offered the same contents are equal.
+
+The table is bounded by names and bytes.  A name that no longer fits is refused with
+DOCUMENT_TABLE_FULL and may be offered again; what is in force is never dropped to make room.  A
+deletion keeps its name for ever, because without it a stale source could bring the document back.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.codes.document import CONFLICTING_REVISION, DOCUMENT_TABLE_FULL, NAME_MISMATCH
+from gypsumpier.document.errors import DocumentError
+from gypsumpier.document.record import Record, Refusal, clipped, rank_of, size_bytes
+from gypsumpier.document.service import Accepted, ServiceDocument
+from gypsumpier.document.validator import parse
+from gypsumpier.log import decision
+from gypsumpier.platform.configuration import Revised
+
+NAMES_LIMIT: Final = 4096
+TABLE_LIMIT_BYTES: Final = 16 * 1024 * 1024
+NAME_LIMIT_CHARACTERS: Final = 255
+
+Subscriber = Callable[[Accepted], None]
+
+
+class DocumentTable:
+    """The accepted and the refused revisions by name."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.accepted: dict[str, Accepted] = {}
+        self.records: dict[str, Record] = {}
+        self.refused: dict[str, Refusal] = {}
+        self.subscribers: list[Subscriber] = []
+        self.refusal_subscribers: list[Callable[[Refusal], None]] = []
+        self.held_bytes = 0
+        self.full_refusals = 0
+
+    def document(self, name: str) -> ServiceDocument | None:
+        """Return the document in force, or None where there is none or it was deleted."""
+        accepted = self.accepted.get(name)
+        return accepted.document if accepted else None
+
+    def subscribe(self, callback: Subscriber) -> None:
+        """Call back with each revision that comes into force from now on."""
+        self.subscribers.append(callback)
+
+    def offer(self, revised: Revised, source: str) -> bool:
+        """Take a revision from any source; return True where it came into force."""
+        revised = clipped(revised)
+        if not self.is_news(revised):
+            return False
+        if not self.has_room(revised):
+            self.full_refusals += 1
+            log_refusal(revised, source, DOCUMENT_TABLE_FULL.number, "", "table is full")
+            return False
+        try:
+            document = validated(revised)
+        except DocumentError as error:
+            self.refuse(revised, error, source)
+            return False
+        self.put_in_force(revised, document, source)
+        return True
+
+    def is_news(self, revised: Revised) -> bool:
+        """Tell whether the revision ranks above all that is known of its name."""
+        rank = rank_of(revised)
+        record = self.records.get(revised.name)
+        if record and rank <= record.rank:
+            return False
+        if record and rank.revision == record.rank.revision:
+            log_refusal(revised, record.source, CONFLICTING_REVISION.number, "", "two contents")
+        refusal = self.refused.get(revised.name)
+        return refusal is None or rank != refusal.rank
+
+    def has_room(self, revised: Revised) -> bool:
+        """Tell whether the revision fits into the table."""
+        if len(revised.name) > NAME_LIMIT_CHARACTERS:
+            return False
+        known = revised.name in self.records or revised.name in self.refused
+        if not known and len(self.records.keys() | self.refused.keys()) >= NAMES_LIMIT:
+            return False
+        record = self.records.get(revised.name)
+        replaced_bytes = size_bytes(record.revised) if record else 0
+        return self.held_bytes - replaced_bytes + size_bytes(revised) <= TABLE_LIMIT_BYTES
+
+    def put_in_force(self, revised: Revised, document: ServiceDocument | None, source: str) -> None:
+        """Replace the accepted revision and tell the subscribers."""
+        name = revised.name
+        rank = rank_of(revised)
+        earlier = self.records.get(name)
+        if earlier:
+            self.held_bytes -= size_bytes(earlier.revised)
+        refusal = self.refused.get(name)
+        if refusal and refusal.rank < rank:
+            self.drop_refusal(name)
+        self.held_bytes += size_bytes(revised)
+        self.records[name] = Record(revised, rank, document, source, self.clock.wall())
+        accepted = Accepted(name, revised.revision, document)
+        self.accepted[name] = accepted
+        decision("document_accepted", document=name, revision=revised.revision, source=source)
+        for subscriber in self.subscribers:
+            notify(subscriber, accepted)
+
+    def refuse(self, revised: Revised, error: DocumentError, source: str) -> None:
+        """Remember the refusal where it is the highest of its name."""
+        rank = rank_of(revised)
+        earlier = self.refused.get(revised.name)
+        if earlier and rank < earlier.rank:
+            return
+        if earlier:
+            self.drop_refusal(revised.name)
+        self.held_bytes += size_bytes(revised)
+        refusal = Refusal(
+            revised,
+            rank,
+            error.code.number,
+            error.code.name,
+            error.path,
+            error.detail,
+            source,
+        )
+        self.refused[revised.name] = refusal
+        log_refusal(revised, source, error.code.number, error.path, error.detail)
+        for subscriber in self.refusal_subscribers:
+            subscriber(refusal)
+
+    def drop_refusal(self, name: str) -> None:
+        """Forget a refusal that is no longer the highest of its name."""
+        self.held_bytes -= size_bytes(self.refused.pop(name).revised)
+
+
+def validated(revised: Revised) -> ServiceDocument | None:
+    """Return the document of the revision, or None for a deletion."""
+    if revised.body is None:
+        return None
+    document = parse(revised.body)
+    if document.service != revised.name:
+        raise DocumentError(NAME_MISMATCH, "service", f"differs from the name {revised.name!r}")
+    return document
+
+
+def log_refusal(revised: Revised, source: str, code: int, path: str, reason: str) -> None:
+    """Log one refusal; the body stays out of the log."""
+    decision(
+        "document_refused",
+        document=revised.name,
+        revision=revised.revision,
+        source=source,
+        code=code,
+        path=path,
+        reason=reason,
+    )
+
+
+def notify(subscriber: Subscriber, accepted: Accepted) -> None:
+    """Call a subscriber; its failure must not keep the others from hearing of the change."""
+    try:
+        subscriber(accepted)
+    except Exception:
+        logging.getLogger("gypsumpier").exception("document_subscriber_failed")
--- /dev/null
+++ b/gypsumpier/member/__init__.py
@@ -0,0 +1,1 @@
+"""The instances of the system, from the platform's list and our own heartbeats."""
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -31,6 +31,8 @@
     dial_timeout_s: float = 1.0
     membership_interval_s: float = 1.0
     watch_timeout_s: float = 30.0
+    platform_backoff_s: float = 8.0
+    missing_s: float = 5.0
     watchers_per_zone: int = 2
     engine_poll_s: float = 0.25
     request_deadline_s: float = 30.0
