--- a/gypsumpier/document/keeper.py
+++ b/gypsumpier/document/keeper.py
@@ -14,7 +14,6 @@
 from gypsumpier.clock import Clock
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.configuration import Changes, Configuration
 
@@ -30,15 +29,13 @@
         clock: Clock,
         configuration: Configuration,
         table: DocumentTable,
-        members: MemberTable,
-        randomness: random.Random,
+        randomness: random.Random | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.configuration = configuration
         self.table = table
-        self.members = members
-        self.backoff = Backoff(randomness, options.platform_backoff_s)
+        self.backoff = Backoff(randomness or random.Random(), options.platform_backoff_s)
         self.position: int | None = None
         self.task: asyncio.Task[None] | None = None
 
--- a/gypsumpier/member/keeper.py
+++ b/gypsumpier/member/keeper.py
@@ -21,13 +21,13 @@
         clock: Clock,
         membership: Membership,
         table: MemberTable,
-        randomness: random.Random,
+        randomness: random.Random | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.membership = membership
         self.table = table
-        self.backoff = Backoff(randomness, options.platform_backoff_s)
+        self.backoff = Backoff(randomness or random.Random(), options.platform_backoff_s)
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
