Serve chunk digests from the store and name a version's content by one digest

Cause: the manifest hashed its chunk digests, so an engine could never report the same digest for what it was handed. Ruled out: two digests for each version. Before: two digests of one content differed. After: one function, version_digest, for both.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -36,7 +36,7 @@
         self.clock = SystemClock()
         self.random = Random()
         self.documents = DocumentTable(self.clock)
-        self.members = MemberTable(self.clock)
+        self.members = MemberTable(options, self.clock)
         self.document_keeper = DocumentKeeper(
             options, self.clock, HttpConfiguration(options.configuration_url), self.documents
         )
--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -51,8 +51,8 @@
         except GypsumpierError as error:
             await self.answer_error(order, connection, sequence, error)
         except TimeoutError:
-            error = GypsumpierError(DEADLINE_EXCEEDED, "passed while running")
-            await self.answer_error(order, connection, sequence, error)
+            late = GypsumpierError(DEADLINE_EXCEEDED, "passed while running")
+            await self.answer_error(order, connection, sequence, late)
             await self.cancel_upstream(order.exchange)
 
     def admit(self, order: AttemptOrder) -> None:
--- a/gypsumpier/platform/store_http.py
+++ b/gypsumpier/platform/store_http.py
@@ -1,10 +1,11 @@
 """A source of weights over HTTP.
 
-``GET /models/M/versions/V/files`` answers ``{"files": [{"path", "size_bytes", "digest"}]}`` and
-``GET /models/M/versions/V/content/PATH`` with a Range header the bytes of one range.
+``GET /models/M/versions/V/files`` answers ``{"files": [{"path", "size_bytes", "digest",
+"chunk_bytes", "chunk_digests"}]}`` and ``GET /models/M/versions/V/content/PATH`` with a Range
+header the bytes of one range.
 """
 
-from typing import Final
+from typing import Any, Final
 from urllib.parse import quote
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
@@ -24,10 +25,7 @@
     async def files(self, model: str, version: str) -> list[WeightFile]:
         answer = await self.caller.call_json("GET", f"{version_path(model, version)}/files")
         try:
-            return [
-                WeightFile(str(entry["path"]), int(entry["size_bytes"]), str(entry["digest"]))
-                for entry in answer["files"]
-            ]
+            return [weight_file(entry) for entry in answer["files"]]
         except (KeyError, TypeError, ValueError) as error:
             raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad file list: {error!r}") from error
 
@@ -47,6 +45,17 @@
         self.caller.close()
 
 
+def weight_file(entry: dict[str, Any]) -> WeightFile:
+    """Return one entry of the file list; raise KeyError, TypeError or ValueError on nonsense."""
+    return WeightFile(
+        str(entry["path"]),
+        int(entry["size_bytes"]),
+        str(entry["digest"]),
+        int(entry["chunk_bytes"]),
+        tuple(str(digest) for digest in entry["chunk_digests"]),
+    )
+
+
 def version_path(model: str, version: str) -> str:
     """Return the path of a version."""
     return f"/models/{quote(model, safe='')}/versions/{quote(version, safe='')}"
--- a/gypsumpier/weight/manifest.py
+++ b/gypsumpier/weight/manifest.py
@@ -1,16 +1,15 @@
 """A manifest: what one content of a version consists of.
 
-The manifest's digest covers every path, size, file digest and chunk digest, so it names exactly
-one content.  A version whose content changes under its name gets another manifest digest.
+The manifest's digest covers every path, size and file digest, so it names exactly one content; an
+engine can compute the same digest from what it was handed.  A version whose content changes under
+its name gets another manifest digest.
 """
 
 from typing import Final, NamedTuple
 
-from blake3 import blake3
-
 from gypsumpier.codes.weight import BAD_MANIFEST
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.store import WeightFile
+from gypsumpier.platform.store import WeightFile, version_digest
 
 MAX_CHUNK_BYTES: Final = 2 * 1024 * 1024
 DIGEST_HEX_DIGITS: Final = 64
@@ -52,7 +51,7 @@
     for number, file in enumerate(ordered):
         check_file(file)
         chunks += file_chunks(number, file)
-    return Manifest(model, version, manifest_digest(ordered), ordered, tuple(chunks))
+    return Manifest(model, version, version_digest(ordered), ordered, tuple(chunks))
 
 
 def check_file(file: WeightFile) -> None:
@@ -73,12 +72,3 @@
         length = min(file.chunk_bytes, file.size_bytes - offset)
         chunks.append(Chunk(digest, number, file.path, offset, length))
     return chunks
-
-
-def manifest_digest(files: tuple[WeightFile, ...]) -> str:
-    """Return the digest over everything that the files' descriptions say."""
-    hasher = blake3()
-    for file in files:
-        fields = [file.path, file.size_bytes, file.digest, file.chunk_bytes, *file.chunk_digests]
-        hasher.update("\0".join(str(field) for field in fields).encode() + b"\n")
-    return hasher.hexdigest()
