--- /dev/null
+++ b/misc/fleet.py
@@ -0,0 +1,108 @@
+"""Starts processes for demonstrations, tests and measurements, and stops every one of them.
+
+::
+
+    async with Fleet(directory) as fleet:
+        store = await fleet.start_standin("store", "store", directory="weights")
+        entry = await fleet.start_daemon("entry/bac-a/0", role="entry", zone="bac-a", ...)
+
+Leaving the block stops all processes by their ids, also after an error: first by SIGTERM, then
+those that remain by SIGKILL.
+"""
+
+import asyncio
+import signal
+from pathlib import Path
+from types import TracebackType
+from typing import Final
+
+from misc.child import Child, start_child
+
+STOP_TIMEOUT_S: Final = 10.0
+STANDIN_PACKAGE: Final = "gypsumpier.test.standin"
+DAEMON_MODULE: Final = "gypsumpier.daemon"
+
+Flag = str | int | float | bool | Path
+
+
+class Fleet:
+    """The processes of one run, by name."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.children: dict[str, Child] = {}
+
+    async def __aenter__(self) -> "Fleet":
+        self.directory.mkdir(parents=True, exist_ok=True)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await asyncio.shield(self.stop_all())
+
+    async def start_standin(self, kind: str, name: str, **flags: Flag) -> Child:
+        """Start a stand-in and wait until it listens."""
+        return await self.start(name, f"{STANDIN_PACKAGE}.{kind}", flag_texts(flags))
+
+    async def start_daemon(self, name: str, **settings: Flag) -> Child:
+        """Start an entry or an agent and wait until it listens; settings by the options' names."""
+        return await self.start(name, DAEMON_MODULE, flag_texts({"name": name, **settings}))
+
+    async def start(self, name: str, module: str, arguments: list[str]) -> Child:
+        """Start any module of the repository; a name may be used again once its process ended."""
+        earlier = self.children.get(name)
+        assert earlier is None or not earlier.running, f"{name} still runs"
+        child = await start_child(name, module, arguments, self.directory)
+        self.children[name] = child
+        await child.wait_ready()
+        return child
+
+    async def stop(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
+        """Ask a process for a graceful stop; return its exit status, None if it still runs."""
+        child = self.children[name]
+        child.send(signal.SIGTERM)
+        return await child.wait(timeout_s)
+
+    async def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        child = self.children[name]
+        child.send(signal.SIGKILL)
+        await child.process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process."""
+        self.children[name].send(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.children[name].send(signal.SIGCONT)
+
+    async def stop_all(self) -> list[str]:
+        """Stop every process; return the names of those that had to be killed."""
+        running = [child for child in self.children.values() if child.running]
+        for child in running:
+            child.send(signal.SIGTERM)
+            child.send(signal.SIGCONT)
+        ended = await asyncio.gather(*(child.wait(STOP_TIMEOUT_S) for child in running))
+        killed = [child for child, status in zip(running, ended, strict=True) if status is None]
+        for child in killed:
+            child.send(signal.SIGKILL)
+        await asyncio.gather(*(child.process.wait() for child in killed))
+        await asyncio.gather(*(child.reader for child in self.children.values()))
+        return [child.name for child in killed]
+
+
+def flag_texts(flags: dict[str, Flag]) -> list[str]:
+    """Return keyword arguments as flags; True is a flag without a value, False is left out."""
+    texts: list[str] = []
+    for name, value in flags.items():
+        flag = "--" + name.replace("_", "-")
+        if value is True:
+            texts.append(flag)
+        elif value is not False:
+            texts += [flag, str(value)]
+    return texts
--- /dev/null
+++ b/misc/http.py
@@ -0,0 +1,24 @@
+"""Small HTTP calls of drivers: to the stand-ins' control paths and to the administration API."""
+
+import json
+from typing import Any, Final
+
+from tornado.httpclient import AsyncHTTPClient
+
+MAX_CALLS: Final = 512
+
+AsyncHTTPClient.configure(None, max_clients=MAX_CALLS)
+
+
+async def get_json(url: str) -> dict[str, Any]:
+    """Return the JSON object at the URL."""
+    response = await AsyncHTTPClient().fetch(url)
+    found: dict[str, Any] = json.loads(response.body)
+    return found
+
+
+async def post_json(url: str, body: dict[str, Any]) -> dict[str, Any]:
+    """Send a JSON object; return the one that is answered."""
+    response = await AsyncHTTPClient().fetch(url, method="POST", body=json.dumps(body))
+    found: dict[str, Any] = json.loads(response.body or b"{}")
+    return found
