Assemble entry and agent; the weights join when their part is there

Cause: the agent named a part that is not written yet, so nothing could start. Ruled out: holding the whole path back for it. Before: type check red. After: 12 tests pass, lint clean. Conclusion: weights are wired in by the change that brings them.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -21,9 +21,7 @@
 from gypsumpier.platform.engine_http import HttpEngine
 from gypsumpier.platform.membership_http import HttpMembership
 from gypsumpier.platform.service_http import HttpService
-from gypsumpier.platform.store_http import HttpStore
-from gypsumpier.weight.rollout import Rollout
-from gypsumpier.wire.tcp import TcpDialer, TcpListener
+from gypsumpier.wire.tcp import TcpListener
 
 LEAVE_NOTICE_S: Final = 0.5
 
@@ -43,7 +41,6 @@
         self.member_keeper = MemberKeeper(
             options, self.clock, HttpMembership(options.membership_url), self.members
         )
-        self.rollout: Rollout | None = None
         self.upstream = self.build_upstream()
         self.gate = Gate(options, self.clock, self.upstream)
         self.listener = Listener(options, self.clock, self.gate)
@@ -55,19 +52,7 @@
         """Return the upstream of the kind that the settings name."""
         if self.options.upstream_kind == "plain":
             return ServiceUpstream(HttpService(self.options.upstream_url))
-        engine = HttpEngine(self.options.upstream_url)
-        self.rollout = Rollout(
-            self.options,
-            self.clock,
-            self.documents,
-            self.members,
-            engine,
-            HttpStore(self.options.store_url),
-            HttpStore(self.options.origin_url),
-            TcpDialer(),
-            self.random,
-        )
-        return EngineUpstream(engine)
+        return EngineUpstream(HttpEngine(self.options.upstream_url))
 
     async def start(self) -> None:
         """Bind the ports and start every part."""
@@ -77,8 +62,6 @@
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.monitor.start()
-        if self.rollout is not None:
-            await self.rollout.start()
 
     async def stop(self) -> None:
         """Refuse new work, tell the entries, let attempts in flight end, then close everything."""
@@ -93,8 +76,6 @@
         self.server.stop()
         for connection in list(self.listener.connections):
             connection.close()
-        if self.rollout is not None:
-            await self.rollout.stop()
         await self.monitor.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
@@ -105,7 +86,7 @@
             "documents": list(self.documents.accepted.values()),
             "members": list(self.members.members.values()),
             "upstreams": [self.listener.state()],
-            "transfers": self.rollout.transfers() if self.rollout is not None else [],
+            "transfers": [],
             "in_flight": len(self.gate.running),
             "stopping": self.stopping,
         }
