--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -21,7 +21,9 @@
 from gypsumpier.platform.engine_http import HttpEngine
 from gypsumpier.platform.membership_http import HttpMembership
 from gypsumpier.platform.service_http import HttpService
-from gypsumpier.wire.tcp import TcpListener
+from gypsumpier.platform.store_http import HttpStore
+from gypsumpier.weight.rollout import Rollout
+from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 LEAVE_NOTICE_S: Final = 0.5
 
@@ -45,6 +47,7 @@
         self.gate = Gate(options, self.clock, self.upstream)
         self.listener = Listener(options, self.clock, self.gate)
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
+        self.rollout = self.build_rollout()
         self.server = TcpListener(self.listener.serve)
         self.stopping = False
 
@@ -54,6 +57,23 @@
             return ServiceUpstream(HttpService(self.options.upstream_url))
         return EngineUpstream(HttpEngine(self.options.upstream_url))
 
+    def build_rollout(self) -> Rollout | None:
+        """Return the part that brings versions live; None beside a plain service."""
+        if self.options.upstream_kind == "plain" or not self.options.store_url:
+            return None
+        origin = HttpStore(self.options.origin_url) if self.options.origin_url else None
+        return Rollout(
+            self.options,
+            self.clock,
+            self.documents,
+            self.members,
+            HttpEngine(self.options.upstream_url),
+            HttpStore(self.options.store_url),
+            origin,
+            TcpDialer(),
+            self.random,
+        )
+
     async def start(self) -> None:
         """Bind the ports and start every part."""
         sockets = bind_sockets(self.options.port, self.options.host)
@@ -62,6 +82,8 @@
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.monitor.start()
+        if self.rollout is not None:
+            await self.rollout.start()
 
     async def stop(self) -> None:
         """Refuse new work, tell the entries, let attempts in flight end, then close everything."""
@@ -76,6 +98,8 @@
         self.server.stop()
         for connection in list(self.listener.connections):
             connection.close()
+        if self.rollout is not None:
+            await self.rollout.stop()
         await self.monitor.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
@@ -86,7 +110,7 @@
             "documents": list(self.documents.accepted.values()),
             "members": list(self.members.members.values()),
             "upstreams": [self.listener.state()],
-            "transfers": [],
+            "transfers": self.rollout.transfers() if self.rollout is not None else [],
             "in_flight": len(self.gate.running),
             "stopping": self.stopping,
         }
