Exchange chunks between agents; take versions' file lists from peers

One importer for each chunk and region by rendezvous rank, with takeover when its slot makes no progress; rarest first within the region; each region's incoming links carry different chunks; pacing by token buckets; agents whose engines can't hold two versions take turns in their zone.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -49,6 +49,7 @@
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
         self.rollout = self.build_rollout()
         self.server = TcpListener(self.listener.serve)
+        self.bulk_server = TcpListener(self.rollout.serve) if self.rollout is not None else None
         self.stopping = False
 
     def build_upstream(self) -> Upstream:
@@ -79,12 +80,20 @@
         sockets = bind_sockets(self.options.port, self.options.host)
         self.options.port = sockets[0].getsockname()[1]
         self.server.add_sockets(sockets)
+        self.bind_bulk()
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.monitor.start()
         if self.rollout is not None:
             await self.rollout.start()
 
+    def bind_bulk(self) -> None:
+        """Bind the port of the weights' streams."""
+        if self.bulk_server is not None:
+            sockets = bind_sockets(self.options.bulk_port, self.options.host)
+            self.options.bulk_port = sockets[0].getsockname()[1]
+            self.bulk_server.add_sockets(sockets)
+
     async def stop(self) -> None:
         """Refuse new work, tell the entries, let attempts in flight end, then close everything."""
         self.stopping = True
@@ -96,6 +105,8 @@
         except TimeoutError:
             decision("drain_cut", in_flight=len(self.gate.running), reason="drain timeout")
         self.server.stop()
+        if self.bulk_server is not None:
+            self.bulk_server.stop()
         for connection in list(self.listener.connections):
             connection.close()
         if self.rollout is not None:
--- a/gypsumpier/codes/weight.py
+++ b/gypsumpier/codes/weight.py
@@ -22,6 +22,13 @@
 DECISION_TOO_OLD: Final = ResultCode(
     6506, "decision_too_old", 409, Outcome.NOT_RUN, "The agent decides again before it orders."
 )
+ENGINE_FULL: Final = ResultCode(
+    6508,
+    "engine_full",
+    503,
+    Outcome.NOT_RUN,
+    "Name fewer versions or give the engines more memory.",
+)
 AGENT_SUPERSEDED: Final = ResultCode(
     6507, "agent_superseded", 409, Outcome.NOT_RUN, "A newer agent fills this place; stop this one."
 )
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -40,8 +40,13 @@
     body_limit_bytes: int = 1024 * 1024
     drain_timeout_s: float = 30.0
 
-    chunk_bytes: int = 256 * 1024
     weight_memory_bytes: int = 64 * 1024 * 1024
     link_bytes_per_s: int = 125_000_000
     region_link_bytes_per_s: int = 1_250_000
     live_traffic_share: float = 0.2
+    store_region: str = ""
+    importers: int = 8
+    link_importers: int = 1
+    weight_neighbours: int = 8
+    transfer_stall_s: float = 3.0
+    manifest_interval_s: float = 10.0
--- a/gypsumpier/settings.py
+++ b/gypsumpier/settings.py
@@ -20,6 +20,7 @@
     SETTINGS_CONFLICT,
 )
 from gypsumpier.options import Options
+from gypsumpier.weight.manifest import MAX_CHUNK_BYTES
 
 CHOICES: Final[dict[str, tuple[str, ...]]] = {
     "role": ("entry", "agent"),
@@ -30,6 +31,7 @@
 MAX_PORT: Final = 65535
 MAX_TIME_S: Final = 86400.0
 MAX_COUNT: Final = 2**48
+MIN_CHUNKS: Final = 8
 BOOLEANS: Final = {"true": True, "1": True, "yes": True, "false": False, "0": False, "no": False}
 REQUIRED_BY_ROLE: Final[dict[str, tuple[str, ...]]] = {
     "entry": ("region", "zone", "configuration_url", "membership_url"),
@@ -209,8 +211,8 @@
     if options.silence_s <= options.heartbeat_s:
         detail = f"{options.silence_s:g} is not above the heartbeat of {options.heartbeat_s:g}"
         problems.append(Problem(SETTINGS_CONFLICT, "silence_s", detail))
-    if options.weight_memory_bytes < options.chunk_bytes:
-        detail = f"{options.weight_memory_bytes} is below one chunk of {options.chunk_bytes}"
+    if options.weight_memory_bytes < MIN_CHUNKS * MAX_CHUNK_BYTES:
+        detail = f"{options.weight_memory_bytes} is below {MIN_CHUNKS} chunks of {MAX_CHUNK_BYTES}"
         problems.append(Problem(SETTINGS_CONFLICT, "weight_memory_bytes", detail))
     return problems
 
--- /dev/null
+++ b/gypsumpier/weight/availability.py
@@ -0,0 +1,63 @@
+"""What is known of one layout's chunks in this agent's region.
+
+A chunk is *seen* once this agent or a peer of the region holds it.  Each slot of an import source
+remembers when one of its chunks was last seen for the first time; a slot without progress is one
+whose importer may have died or stalled.
+"""
+
+from gypsumpier.clock import Clock
+from gypsumpier.weight.plan import ImportPlan
+
+Slot = tuple[str, int]
+
+
+class Availability:
+    """Counts of holders among the region's peers, claims, and the progress of the slots."""
+
+    def __init__(self, clock: Clock, chunks: int, stall_s: float) -> None:
+        self.clock = clock
+        self.stall_s = stall_s
+        self.counts = [0] * chunks
+        self.seen: set[int] = set()
+        self.claimed_until_s: dict[int, float] = {}
+        self.began_at_s = clock.monotonic()
+        self.progress_at_s: dict[Slot, float] = {}
+
+    def add(self, indexes: set[int], plan: ImportPlan) -> None:
+        """Count one more holder of the chunks."""
+        for index in indexes:
+            self.counts[index] += 1
+        self.note_seen(indexes, plan)
+
+    def remove(self, indexes: set[int]) -> None:
+        """Count one holder less; a chunk that nobody holds any more may be imported again."""
+        for index in indexes:
+            self.counts[index] -= 1
+            if self.counts[index] == 0:
+                self.seen.discard(index)
+
+    def note_seen(self, indexes: set[int], plan: ImportPlan) -> None:
+        """Note the progress of the slots of chunks that were not seen before."""
+        new = indexes - self.seen
+        self.seen |= new
+        for index in new:
+            source = plan.source(index)
+            self.progress_at_s[(source, plan.slot(index, source))] = self.clock.monotonic()
+
+    def claim(self, index: int) -> None:
+        """Note that an agent of the region is importing the chunk."""
+        self.claimed_until_s[index] = self.clock.monotonic() + self.stall_s
+
+    def is_claimed(self, index: int) -> bool:
+        """Tell whether an agent of the region was importing the chunk lately."""
+        return self.claimed_until_s.get(index, 0.0) > self.clock.monotonic()
+
+    def last_progress_s(self) -> float:
+        """Return when any slot made progress last."""
+        return max([self.began_at_s, *self.progress_at_s.values()])
+
+    def stalled_s(self, index: int, plan: ImportPlan) -> float:
+        """Return for how many seconds the chunk's slot has made no progress."""
+        source = plan.source(index)
+        key = (source, plan.slot(index, source))
+        return self.clock.monotonic() - self.progress_at_s.get(key, self.began_at_s)
--- /dev/null
+++ b/gypsumpier/weight/catalogue.py
@@ -0,0 +1,178 @@
+"""The published file lists of the versions that this agent follows.
+
+Two agents of the store's region and one of each other region read a version's list from the store
+and read it again at an interval; the others are told by their peers, and read for themselves only
+where nobody tells them.  So a burst asks the store for a few lists, not for one an agent, and a
+version that changes under its name is noticed everywhere.  The list that was read last wins.
+"""
+
+import asyncio
+from contextlib import suppress
+from typing import Final, NamedTuple
+
+from gypsumpier.codes.wire import BAD_FRAME
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.platform.store import WeightFile
+from gypsumpier.weight.context import RolloutContext
+from gypsumpier.weight.manifest import Manifest, build_manifest
+from gypsumpier.weight.message import AskFiles, Files
+from gypsumpier.weight.peer import Peer
+from gypsumpier.weight.peers import Peers
+from gypsumpier.weight.rank import ranked
+
+READERS: Final = 2
+FILES_WAIT_S: Final = 3.0
+ASK_INTERVAL_S: Final = 0.5
+OUTSIDE_INTERVAL_FACTOR: Final = 6
+DOUBT_INTERVAL_S: Final = 1.0
+
+Key = tuple[str, str]
+
+
+class Published(NamedTuple):
+    """A version's manifest and when its list was read from the store."""
+
+    manifest: Manifest
+    read_at_s: float
+
+
+class Catalogue:
+    """The newest known manifest of each followed version."""
+
+    def __init__(self, context: RolloutContext, peers: Peers) -> None:
+        self.context = context
+        self.clock = context.clock
+        self.options = context.options
+        self.peers = peers
+        self.known: dict[Key, Published] = {}
+        self.followed: set[Key] = set()
+        self.changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Read the lists again at an interval until cancelled."""
+        while True:
+            await self.clock.sleep(self.interval_s())
+            for key in list(self.followed):
+                if self.is_reader(key):
+                    await self.try_read(key)
+
+    def interval_s(self) -> float:
+        """Return the jittered interval between two reads."""
+        factor = 1 if self.is_near_store() else OUTSIDE_INTERVAL_FACTOR
+        jitter = 0.75 + self.context.random.random() / 2
+        return self.options.manifest_interval_s * factor * jitter
+
+    def is_near_store(self) -> bool:
+        """Tell whether reading from the store doesn't cross a link between regions."""
+        return self.options.store_region in ("", self.options.region)
+
+    def is_reader(self, key: Key) -> bool:
+        """Tell whether this agent is one of its region's readers of the list."""
+        agents = self.context.members.agents(self.options.service)
+        names = {agent.name for agent in agents if agent.region == self.options.region}
+        order = ranked(f"files/{key[0]}/{key[1]}", names | {self.options.name})
+        return order.index(self.options.name) < (READERS if self.is_near_store() else 1)
+
+    async def manifest(self, key: Key) -> Manifest:
+        """Return the newest manifest; raise GypsumpierError where no source gives it."""
+        self.followed.add(key)
+        if key not in self.known and not self.is_reader(key):
+            await self.ask_peers(key)
+        if key not in self.known:
+            await self.read(key)
+        return self.known[key].manifest
+
+    async def ask_peers(self, key: Key) -> None:
+        """Ask peers for the list until one tells it or the wait has been long enough."""
+        jitter = 1 + self.context.random.random()
+        until_s = self.clock.monotonic() + FILES_WAIT_S * jitter
+        while key not in self.known and self.clock.monotonic() < until_s:
+            for peer in self.peers.by_name.values():
+                peer.post(AskFiles(*key))
+            await self.wait_change(ASK_INTERVAL_S)
+
+    async def wait_change(self, timeout_s: float) -> None:
+        """Wait for any list to change, at most that long."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.changed.wait()
+
+    async def read(self, key: Key) -> None:
+        """Read the list from the store."""
+        read_at_s = self.clock.monotonic()
+        files = await self.context.draws.files(*key)
+        self.take(key, files, read_at_s)
+
+    async def try_read(self, key: Key) -> None:
+        """Read the list again; a failure leaves the known one in place."""
+        try:
+            await self.read(key)
+        except GypsumpierError as error:
+            decision("file_list_unread", model=key[0], version=key[1], reason=str(error))
+
+    async def doubt(self, key: Key) -> None:
+        """Read the list at once, because the store's content no longer matches it."""
+        known = self.known.get(key)
+        if known is None or self.clock.monotonic() - known.read_at_s > DOUBT_INTERVAL_S:
+            await self.try_read(key)
+
+    def has_changed(self, manifest: Manifest) -> bool:
+        """Tell whether a later list of the manifest's version describes another content."""
+        known = self.known.get((manifest.model, manifest.version))
+        return known is not None and known.manifest.layout != manifest.layout
+
+    def take(self, key: Key, files: list[WeightFile], read_at_s: float) -> bool:
+        """Take a list that was read later than the known one; tell whether it changed."""
+        known = self.known.get(key)
+        if known is not None and known.read_at_s >= read_at_s:
+            return False
+        manifest = build_manifest(*key, files)
+        self.known[key] = Published(manifest, read_at_s)
+        if known is not None and known.manifest.layout == manifest.layout:
+            return False
+        decision(
+            "file_list_read",
+            model=key[0],
+            version=key[1],
+            digest=manifest.digest,
+            reason="first" if known is None else "changed under its name",
+        )
+        self.peers.post(self.files_message(key))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return True
+
+    def drop(self, key: Key) -> None:
+        """Follow a version no longer."""
+        self.followed.discard(key)
+        self.known.pop(key, None)
+
+    def files_message(self, key: Key) -> Files:
+        """Return the message that tells the list."""
+        manifest, read_at_s = self.known[key]
+        age_s = self.clock.monotonic() - read_at_s
+        return Files(*key, float(age_s), [list(file) for file in manifest.files])
+
+    def greet(self, peer: Peer) -> None:
+        """Tell a new peer the followed lists, which may have changed while it was cut off."""
+        for key in self.known:
+            peer.post(self.files_message(key))
+
+    def on_ask(self, peer: Peer, message: AskFiles) -> None:
+        """Answer a peer that asks for a list."""
+        key = (message.model, message.version)
+        if key in self.known:
+            peer.post(self.files_message(key))
+
+    def on_files(self, peer: Peer, message: Files) -> None:
+        """Take a list from a peer."""
+        key = (message.model, message.version)
+        if key not in self.followed:
+            return
+        read_at_s = self.clock.monotonic() - message.age_s
+        try:
+            files = [WeightFile._make([*fields[:4], tuple(fields[4])]) for fields in message.files]
+            self.take(key, files, read_at_s)
+        except (TypeError, IndexError) as error:
+            raise GypsumpierError(BAD_FRAME, f"file list of {peer.name}") from error
--- a/gypsumpier/weight/context.py
+++ b/gypsumpier/weight/context.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from gypsumpier.clock import Clock
+from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.options import Options
 from gypsumpier.platform.engine import Engine
 from gypsumpier.weight.cache import ChunkCache
@@ -12,6 +13,8 @@
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 
+VersionKey = tuple[str, str]
+
 
 @dataclass
 class RolloutContext:
@@ -27,3 +30,21 @@
     orders: Orders
     draws: Draws
     cache: ChunkCache
+    draining: bool = False
+    """Whether the engine is about to be taken out of service; no new work may go to it."""
+
+    def accepted(self) -> Accepted | None:
+        """Return the service's document as accepted, or None where none has come yet."""
+        return self.documents.accepted.get(self.options.service)
+
+    def document(self) -> ServiceDocument | None:
+        """Return the service's document in force."""
+        accepted = self.accepted()
+        return accepted.document if accepted is not None else None
+
+    def named(self) -> set[VersionKey]:
+        """Return the (model, version) pairs that the document in force names."""
+        document = self.document()
+        if document is None or document.kind != "model":
+            return set()
+        return {(document.model, share.version) for share in document.versions}
--- a/gypsumpier/weight/draw.py
+++ b/gypsumpier/weight/draw.py
@@ -5,18 +5,22 @@
 agents which failed together don't come back together.
 """
 
+import asyncio
 from random import Random
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.codes.weight import CHUNK_CORRUPT, CHUNK_UNAVAILABLE
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.platform.store import Store, WeightFile
 from gypsumpier.weight.manifest import Manifest
+from gypsumpier.weight.tally import Tally
 from gypsumpier.weight.transfer import Transfer
 
 FIRST_BACKOFF_S: Final = 0.5
 MAX_BACKOFF_S: Final = 15.0
+DRAW_TIMEOUT_S: Final = 20.0
 
 
 class Source:
@@ -27,8 +31,6 @@
         self.store = store
         self.failures = 0
         self.not_before_s = 0.0
-        self.drawn_bytes = 0
-        self.corrupt_chunks = 0
 
 
 class Draws:
@@ -55,8 +57,11 @@
                 return files
         raise failure
 
-    async def chunk(self, transfer: Transfer, index: int) -> tuple[str, bytes]:
-        """Return the source's name and a verified chunk; raise GypsumpierError without one."""
+    async def chunk(self, transfer: Transfer, index: int, tally: Tally) -> tuple[str, bytes]:
+        """Return the source's name and a verified chunk; raise GypsumpierError without one.
+
+        Corrupt content is counted here, verified content by whoever stages it.
+        """
         failure = GypsumpierError(CHUNK_UNAVAILABLE, "no source may be asked now")
         for source in self.usable():
             try:
@@ -64,6 +69,8 @@
                 transfer.check(index, content)
             except GypsumpierError as error:
                 self.note_failure(source, error)
+                if error.code == CHUNK_CORRUPT:
+                    tally.add_corrupt(source.name, transfer.manifest.chunks[index].length)
                 failure = error
             else:
                 source.failures = 0
@@ -71,13 +78,15 @@
         raise failure
 
     async def read(self, source: Source, manifest: Manifest, index: int) -> bytes:
-        """Read one chunk's range and count its bytes."""
+        """Read one chunk's range; a read that stalls counts as a failure of the source."""
         chunk = manifest.chunks[index]
-        content = await source.store.read(
-            manifest.model, manifest.version, chunk.path, chunk.offset, chunk.length
-        )
-        source.drawn_bytes += len(content)
-        return content
+        try:
+            async with asyncio.timeout(DRAW_TIMEOUT_S):
+                return await source.store.read(
+                    manifest.model, manifest.version, chunk.path, chunk.offset, chunk.length
+                )
+        except TimeoutError as error:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, f"{source.name} stalled") from error
 
     def usable(self) -> list[Source]:
         """Return the sources that may be asked now, in order of preference."""
@@ -91,8 +100,6 @@
 
     def note_failure(self, source: Source, error: GypsumpierError) -> None:
         """Leave the source alone for a while."""
-        if error.code == CHUNK_CORRUPT:
-            source.corrupt_chunks += 1
         source.failures += 1
         backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (source.failures - 1))
         if error.retry_after_s is not None:
--- /dev/null
+++ b/gypsumpier/weight/fetch.py
@@ -0,0 +1,186 @@
+"""The state of fetching one transfer: what is asked of whom, and what has come.
+
+The tasks beside this state (``RegionRequests``, ``Imports``, ``StoreDraws``) choose what to ask
+for; the swarm hands in what peers send.  A chunk is asked for once at a time, except at the end,
+when a slow answer may be raced by a second request.  Requests that wait too long are taken back.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import suppress
+from typing import Final
+
+from gypsumpier.codes.weight import CHUNK_CORRUPT
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.weight.availability import Availability
+from gypsumpier.weight.context import RolloutContext
+from gypsumpier.weight.message import Unwant, Want
+from gypsumpier.weight.peer import Peer
+from gypsumpier.weight.plan import ImportPlan
+from gypsumpier.weight.tally import OTHER_REGION, REGION, Tally
+from gypsumpier.weight.transfer import Transfer
+
+STALL_FACTOR: Final = 6.0
+NOT_SENT_S: Final = float("inf")
+
+
+class Fetch:
+    """The requests and the progress of one transfer."""
+
+    def __init__(
+        self, context: RolloutContext, transfer: Transfer, tally: Tally, plan: ImportPlan
+    ) -> None:
+        self.context = context
+        self.transfer = transfer
+        self.layout = transfer.manifest.layout
+        self.tally = tally
+        self.plan = plan
+        self.availability = Availability(
+            context.clock, len(transfer.manifest.chunks), context.options.transfer_stall_s
+        )
+        self.asks: dict[int, list[Peer]] = {}
+        self.drawing: set[int] = set()
+        self.fresh: set[int] = set()
+        self.freshened = asyncio.Event()
+        self.failure: GypsumpierError | None = None
+        self.doubt = False
+        self.changed = asyncio.Event()
+        self.began_at_s = context.clock.monotonic()
+
+    def wanted(self) -> set[int]:
+        """Return the chunks that may be asked for and haven't been."""
+        wanted = self.transfer.missing - self.transfer.staging - self.asks.keys() - self.drawing
+        window = self.transfer.window()
+        if window < len(self.transfer.manifest.chunks):
+            wanted = {index for index in wanted if index < window}
+        return wanted
+
+    def length(self, index: int) -> int:
+        """Return a chunk's length."""
+        return self.transfer.manifest.chunks[index].length
+
+    async def wait_change(self, timeout_s: float) -> None:
+        """Wait for news, at most that many seconds."""
+        self.changed.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.changed.wait()
+
+    def begin_ask(self, index: int, peer: Peer) -> None:
+        """Note that the peer is going to be asked."""
+        self.asks.setdefault(index, []).append(peer)
+        peer.asked[(self.layout, index)] = NOT_SENT_S
+
+    def send_ask(self, index: int, peer: Peer) -> None:
+        """Ask the peer, unless the chunk has come meanwhile."""
+        if index not in self.transfer.missing or peer.connection.closed:
+            self.end_ask(index, peer)
+            return
+        peer.asked[(self.layout, index)] = self.context.clock.monotonic()
+        peer.post(Want(self.layout, index))
+
+    def end_ask(self, index: int, peer: Peer) -> None:
+        """Forget a request."""
+        peer.asked.pop((self.layout, index), None)
+        askers = self.asks.get(index, [])
+        if peer in askers:
+            askers.remove(peer)
+        if not askers:
+            self.asks.pop(index, None)
+        self.changed.set()
+
+    def take_back(self, index: int) -> None:
+        """Take back what is still asked for a chunk that has come."""
+        for peer in list(self.asks.get(index, [])):
+            peer.post(Unwant(self.layout, index))
+            self.end_ask(index, peer)
+
+    async def on_content(self, peer: Peer, index: int, content: bytes) -> None:
+        """Take a chunk that a peer has sent."""
+        peer.note_response(self.layout, index)
+        self.end_ask(index, peer)
+        source = REGION if peer.region == self.context.options.region else OTHER_REGION
+        try:
+            await self.receive(source, index, content)
+        except GypsumpierError as error:
+            if error.code == CHUNK_CORRUPT:
+                peer.note_fault()
+                decision("chunk_corrupt", peer=peer.name, index=index, reason=str(error))
+            else:
+                self.fail(error)
+
+    async def receive(self, source: str, index: int, content: bytes) -> None:
+        """Verify, stage and count a chunk; raise GypsumpierError where that fails."""
+        try:
+            used = await self.transfer.receive(index, content)
+        except GypsumpierError as error:
+            if error.code == CHUNK_CORRUPT:
+                self.tally.add_corrupt(source, len(content))
+            raise
+        self.tally.add(source, len(content), used)
+        places = self.transfer.by_digest[self.transfer.manifest.chunks[index].digest]
+        for place in places:
+            self.take_back(place)
+        self.note_fresh(set(places))
+        self.availability.note_seen(set(places), self.plan)
+        self.changed.set()
+
+    def note_fresh(self, indexes: set[int]) -> None:
+        """Have the peers told of chunks that can be served from now on."""
+        cache = self.context.cache
+        chunks = self.transfer.manifest.chunks
+        self.fresh |= {index for index in indexes if cache.get(chunks[index].digest) is not None}
+        self.freshened.set()
+
+    def fail(self, error: GypsumpierError) -> None:
+        """End the fetch with an error."""
+        self.failure = error
+        self.changed.set()
+
+    def on_refusal(self, peer: Peer, index: int, held: bool) -> None:
+        """Note that a peer doesn't send a chunk now, or doesn't hold it any more."""
+        self.end_ask(index, peer)
+        if not held and index in peer.holds.get(self.layout, set()):
+            peer.holds[self.layout].discard(index)
+            if peer.region == self.context.options.region:
+                self.availability.remove({index})
+
+    def on_holds(self, peer: Peer, indexes: set[int]) -> None:
+        """Note what a peer has come to hold."""
+        if peer.region == self.context.options.region:
+            self.availability.add(self.chunks_of(indexes), self.plan)
+        self.changed.set()
+
+    def chunks_of(self, indexes: set[int]) -> set[int]:
+        """Return those indexes that are chunks of the transfer."""
+        return {index for index in indexes if self.is_chunk(index)}
+
+    def is_chunk(self, index: int) -> bool:
+        """Tell whether the index is one of the transfer's chunks."""
+        return 0 <= index < len(self.transfer.manifest.chunks)
+
+    def on_peer_lost(self, peer: Peer) -> None:
+        """Forget what was asked of a peer and what it held."""
+        for index in [index for index, askers in self.asks.items() if peer in askers]:
+            self.end_ask(index, peer)
+        if peer.region == self.context.options.region:
+            self.availability.remove(self.chunks_of(peer.holds.get(self.layout, set())))
+
+    def expire(self, peers: Iterable[Peer]) -> None:
+        """Take back requests that a peer has left unanswered for too long."""
+        now_s = self.context.clock.monotonic()
+        for peer in peers:
+            limit_s = self.context.options.transfer_stall_s
+            limit_s = max(limit_s, STALL_FACTOR * (peer.response_s or 0.0))
+            late = [
+                index
+                for (layout, index), asked_at_s in peer.asked.items()
+                if layout == self.layout and now_s - asked_at_s > limit_s
+            ]
+            for index in late:
+                peer.post(Unwant(self.layout, index))
+                self.end_ask(index, peer)
+            if late:
+                peer.note_fault()
+                decision("peer_stalled", peer=peer.name, chunks=len(late), reason="no answer")
--- /dev/null
+++ b/gypsumpier/weight/inbox.py
@@ -0,0 +1,85 @@
+"""Hands each message of a peer to the part that it concerns."""
+
+from gypsumpier.weight.catalogue import Catalogue
+from gypsumpier.weight.fetch import Fetch
+from gypsumpier.weight.message import (
+    AskFiles,
+    Claim,
+    Content,
+    Files,
+    Got,
+    Have,
+    Message,
+    Refusal,
+    Standing,
+    Unwant,
+    Want,
+    indexes_of,
+)
+from gypsumpier.weight.peer import Peer
+from gypsumpier.weight.standings import Standings
+from gypsumpier.weight.uploads import Uploads
+
+
+class Inbox:
+    """The receiver of every message after the hello."""
+
+    def __init__(
+        self,
+        uploads: Uploads,
+        catalogue: Catalogue,
+        standings: Standings,
+        fetches: dict[str, Fetch],
+    ) -> None:
+        self.uploads = uploads
+        self.catalogue = catalogue
+        self.standings = standings
+        self.fetches = fetches
+
+    async def take(self, peer: Peer, message: Message) -> None:
+        """Handle one message."""
+        match message:
+            case Content():
+                await self.take_content(peer, message)
+            case Want():
+                self.uploads.take(peer, message)
+            case Unwant():
+                peer.dequeue(message.layout, message.chunk)
+            case Have():
+                self.take_holds(peer, message.layout, indexes_of(message.bits))
+            case Got():
+                indexes = {index for index in message.indexes if isinstance(index, int)}
+                self.take_holds(peer, message.layout, indexes)
+            case Claim() | Refusal():
+                self.take_notice(peer, message)
+            case AskFiles():
+                self.catalogue.on_ask(peer, message)
+            case Files():
+                self.catalogue.on_files(peer, message)
+            case Standing():
+                self.standings.on_standing(peer, message)
+            case _:
+                return
+
+    async def take_content(self, peer: Peer, message: Content) -> None:
+        """Hand a chunk to its fetch; after the fetch it is dropped."""
+        fetch = self.fetches.get(message.layout)
+        if fetch is not None and fetch.is_chunk(message.chunk):
+            await fetch.on_content(peer, message.chunk, message.content)
+
+    def take_holds(self, peer: Peer, layout: str, indexes: set[int]) -> None:
+        """Note what a peer holds, also of layouts that this agent doesn't know yet."""
+        new = peer.note_holds(layout, indexes)
+        fetch = self.fetches.get(layout)
+        if fetch is not None and new:
+            fetch.on_holds(peer, new)
+
+    def take_notice(self, peer: Peer, message: Claim | Refusal) -> None:
+        """Hand a claim or a refusal to its fetch."""
+        fetch = self.fetches.get(message.layout)
+        if fetch is None or not fetch.is_chunk(message.chunk):
+            return
+        if isinstance(message, Claim):
+            fetch.availability.claim(message.chunk)
+        else:
+            fetch.on_refusal(peer, message.chunk, message.held)
--- /dev/null
+++ b/gypsumpier/weight/pacing.py
@@ -0,0 +1,60 @@
+"""The shares of the links that weights may use.
+
+Each agent paces what it sends and what it asks for to its own link, and both again for each other
+region, because a pair of regions shares one thin link.  ``live_traffic_share`` of every link stays
+free for requests.  A region's imports over one link go through ``link_importers`` agents, which
+divide the link's share; the exporting side keeps the whole share as a second bound.
+"""
+
+from gypsumpier.clock import Clock
+from gypsumpier.options import Options
+from gypsumpier.weight.bucket import TokenBucket
+
+
+class Pacing:
+    """The token buckets of one agent."""
+
+    def __init__(self, options: Options, clock: Clock) -> None:
+        self.options = options
+        self.clock = clock
+        self.uplink = TokenBucket(clock, self.share_of(options.link_bytes_per_s))
+        self.downlink = TokenBucket(clock, self.share_of(options.link_bytes_per_s))
+        self.exports: dict[str, TokenBucket] = {}
+        self.imports: dict[str, TokenBucket] = {}
+
+    def share_of(self, link_bytes_per_s: float) -> float:
+        """Return the part of a link's rate that weights may use."""
+        return link_bytes_per_s * (1.0 - self.options.live_traffic_share)
+
+    async def send(self, region: str, length: int) -> None:
+        """Wait until that many bytes may be sent to an agent of the region."""
+        if region != self.options.region:
+            await self.export_to(region).acquire(length)
+        await self.uplink.acquire(length)
+
+    async def ask(self, region: str, length: int) -> None:
+        """Wait until that many bytes may be asked for from the region."""
+        if region != self.options.region:
+            await self.import_from(region).acquire(length)
+        await self.downlink.acquire(length)
+
+    async def draw(self, length: int) -> None:
+        """Wait until that many bytes may be drawn from the store."""
+        if self.options.store_region not in ("", self.options.region):
+            await self.import_from(self.options.store_region).acquire(length)
+        await self.downlink.acquire(length)
+
+    def export_to(self, region: str) -> TokenBucket:
+        """Return the bucket for sending to another region."""
+        if region not in self.exports:
+            rate = self.share_of(self.options.region_link_bytes_per_s)
+            self.exports[region] = TokenBucket(self.clock, rate)
+        return self.exports[region]
+
+    def import_from(self, region: str) -> TokenBucket:
+        """Return the bucket for asking from another region."""
+        if region not in self.imports:
+            rate = self.share_of(self.options.region_link_bytes_per_s)
+            rate /= max(1, self.options.link_importers)
+            self.imports[region] = TokenBucket(self.clock, rate)
+        return self.imports[region]
--- /dev/null
+++ b/gypsumpier/weight/peer.py
@@ -0,0 +1,129 @@
+"""One connection to another agent: what it holds, what was asked of it, what it asks for.
+
+Short messages wait in an outbox and chunks that the peer asks for in a queue of their own, each
+with one task that sends from it, so nobody who posts a message waits for a slow peer.  Both are
+bounded: a request beyond the bound is refused, and a peer that lets its outbox fill up loses the
+connection.
+"""
+
+import asyncio
+from collections import deque
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.options import Options
+from gypsumpier.weight.message import Hello, Message, Want, kind_of
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.stream import Stream
+
+QUEUE_CHUNKS: Final = 8
+OUTBOX_MESSAGES: Final = 4096
+LAYOUTS_LIMIT: Final = 16
+FIRST_AVOID_S: Final = 1.0
+MAX_AVOID_S: Final = 30.0
+RESPONSE_WEIGHT: Final = 0.2
+
+
+class Peer:
+    """Another agent, connected."""
+
+    def __init__(self, options: Options, clock: Clock, stream: Stream, dialled: bool) -> None:
+        self.clock = clock
+        self.connection = Connection(stream, clock, options.heartbeat_s, options.silence_s)
+        self.dialled = dialled
+        self.hello: Hello | None = None
+        self.holds: dict[str, set[int]] = {}
+        self.outbox: deque[Message] = deque()
+        self.posted = asyncio.Event()
+        self.queue: deque[Want] = deque()
+        self.queued = asyncio.Event()
+        self.asked: dict[tuple[str, int], float] = {}
+        self.avoid_until_s = 0.0
+        self.faults = 0
+        self.response_s: float | None = None
+
+    @property
+    def name(self) -> str:
+        """The peer's stable name, once it has said hello."""
+        return self.hello.name if self.hello is not None else ""
+
+    @property
+    def region(self) -> str:
+        """The peer's region, once it has said hello."""
+        return self.hello.region if self.hello is not None else ""
+
+    @property
+    def usable(self) -> bool:
+        """Whether the peer may be asked now."""
+        return not self.connection.closed and self.avoid_until_s <= self.clock.monotonic()
+
+    def post(self, message: Message) -> None:
+        """Have a short message sent in its turn."""
+        if len(self.outbox) >= OUTBOX_MESSAGES:
+            self.connection.close()
+            return
+        self.outbox.append(message)
+        self.posted.set()
+
+    async def send_posted(self) -> None:
+        """Send the posted messages in order until the connection closes."""
+        while not self.connection.closed:
+            while self.outbox:
+                await self.send(self.outbox.popleft())
+            self.posted.clear()
+            await self.posted.wait()
+
+    async def send(self, message: Message) -> None:
+        """Send a message; a peer that can't be reached loses its connection."""
+        try:
+            await self.connection.send(kind_of(message), message._asdict())
+        except GypsumpierError:
+            self.connection.close()
+
+    def note_holds(self, layout: str, indexes: set[int]) -> set[int]:
+        """Add to what the peer holds; return the indexes that are new."""
+        if layout not in self.holds and len(self.holds) >= LAYOUTS_LIMIT:
+            del self.holds[next(iter(self.holds))]
+        known = self.holds.setdefault(layout, set())
+        new = indexes - known
+        known |= new
+        return new
+
+    def enqueue(self, want: Want) -> bool:
+        """Queue a request of the peer; tell whether there was room."""
+        if len(self.queue) >= QUEUE_CHUNKS:
+            return False
+        self.queue.append(want)
+        self.queued.set()
+        return True
+
+    def dequeue(self, layout: str, index: int) -> None:
+        """Drop a request that the peer has taken back."""
+        want = Want(layout, index)
+        if want in self.queue:
+            self.queue.remove(want)
+
+    async def next_want(self) -> Want:
+        """Wait for the peer's next request."""
+        while not self.queue:
+            self.queued.clear()
+            await self.queued.wait()
+        return self.queue.popleft()
+
+    def note_response(self, layout: str, index: int) -> None:
+        """Take a request that was answered with content off the list and time it."""
+        asked_at_s = self.asked.pop((layout, index), None)
+        if asked_at_s is None:
+            return
+        took_s = self.clock.monotonic() - asked_at_s
+        if self.response_s is None:
+            self.response_s = took_s
+        self.response_s += RESPONSE_WEIGHT * (took_s - self.response_s)
+        self.faults = 0
+
+    def note_fault(self) -> None:
+        """Ask the peer nothing for a while that doubles with each fault in a row."""
+        self.faults += 1
+        avoid_s = min(MAX_AVOID_S, FIRST_AVOID_S * 2.0 ** (self.faults - 1))
+        self.avoid_until_s = self.clock.monotonic() + avoid_s
--- /dev/null
+++ b/gypsumpier/weight/peers.py
@@ -0,0 +1,88 @@
+"""The connected peers of an agent and the ones it wants to be connected to."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from gypsumpier.options import Options
+from gypsumpier.platform.membership import Member
+from gypsumpier.weight.message import Message
+from gypsumpier.weight.peer import Peer
+from gypsumpier.weight.rank import score
+
+ZONE_PART: Final = 0.75
+
+
+class Peers:
+    """Connected peers by name."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.by_name: dict[str, Peer] = {}
+        self.neighbours: list[str] = []
+
+    def add(self, peer: Peer) -> bool:
+        """Add a peer that has said hello; return False where its connection is a spare one.
+
+        Where two agents have dialled each other, both keep the connection of the lower name.  A
+        new incarnation replaces what its predecessor has left.
+        """
+        known = self.by_name.get(peer.name)
+        if known is not None and not known.connection.closed and known.hello == peer.hello:
+            if not self.is_preferred(peer):
+                return False
+            known.connection.close()
+        self.by_name[peer.name] = peer
+        return True
+
+    def is_preferred(self, peer: Peer) -> bool:
+        """Tell whether the connection was dialled by the agent of the lower name."""
+        return peer.dialled == (self.options.name < peer.name)
+
+    def remove(self, peer: Peer) -> None:
+        """Forget a peer whose connection has ended."""
+        if self.by_name.get(peer.name) is peer:
+            del self.by_name[peer.name]
+
+    def in_region(self, region: str) -> list[Peer]:
+        """Return the connected peers of the region."""
+        return [peer for peer in self.by_name.values() if peer.region == region]
+
+    def post(self, message: Message) -> None:
+        """Post a message to every peer."""
+        for peer in self.by_name.values():
+            peer.post(message)
+
+    def post_in_region(self, message: Message) -> None:
+        """Post a message to the peers of this agent's region."""
+        for peer in self.in_region(self.options.region):
+            peer.post(message)
+
+    def settled(self) -> bool:
+        """Tell whether every wanted neighbour is connected."""
+        return all(name in self.by_name for name in self.neighbours)
+
+
+def pick_neighbours(options: Options, agents: Iterable[Member]) -> list[str]:
+    """Return the names of the region's agents to connect to, zone first.
+
+    The score of a pair is the same at both its ends, so that pairs choose each other; the graph is
+    random, and its agents have about ``weight_neighbours`` neighbours each.
+    """
+    others = [agent for agent in agents if is_candidate(options, agent)]
+    others.sort(key=lambda agent: pair_score(options.name, agent.name))
+    near = [agent.name for agent in others if agent.zone == options.zone]
+    far = [agent.name for agent in others if agent.zone != options.zone]
+    near_count = round(options.weight_neighbours * ZONE_PART)
+    near_count = max(near_count, options.weight_neighbours - len(far))
+    chosen = near[:near_count]
+    return chosen + far[: options.weight_neighbours - len(chosen)]
+
+
+def is_candidate(options: Options, agent: Member) -> bool:
+    """Tell whether the agent may be a neighbour."""
+    return agent.region == options.region and agent.name != options.name and not agent.leaving
+
+
+def pair_score(one: str, other: str) -> bytes:
+    """Return the score of a pair of agents, alike at both ends."""
+    return score(min(one, other), max(one, other))
--- a/gypsumpier/weight/rollout.py
+++ b/gypsumpier/weight/rollout.py
@@ -9,24 +9,23 @@
 from random import Random
 
 from gypsumpier.clock import Clock
-from gypsumpier.document.service import Accepted, ServiceDocument
+from gypsumpier.document.service import Accepted
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.platform.engine import Engine, EngineStatus, LiveModel
 from gypsumpier.platform.store import Store
 from gypsumpier.weight.cache import ChunkCache
-from gypsumpier.weight.context import RolloutContext
+from gypsumpier.weight.context import RolloutContext, VersionKey
 from gypsumpier.weight.decider import Decider
 from gypsumpier.weight.draw import Draws
 from gypsumpier.weight.inputs import Documents, Members
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
+from gypsumpier.weight.swarm import Swarm
 from gypsumpier.weight.version import VersionRollout
 from gypsumpier.weight.view import TransferView
-from gypsumpier.wire.stream import Dialer
-
-Key = tuple[str, str]
+from gypsumpier.wire.stream import Dialer, Stream
 
 
 class Rollout:
@@ -47,7 +46,6 @@
         self.options = options
         self.clock = clock
         self.documents = documents
-        self.dialer = dialer
         self.monitor = EngineMonitor(options, clock, engine)
         self.orders = Orders(clock, engine)
         self.decider = Decider(options, clock, documents, members)
@@ -63,8 +61,9 @@
             draws=Draws(clock, random, store, origin),
             cache=ChunkCache(options.weight_memory_bytes),
         )
-        self.versions: dict[Key, VersionRollout] = {}
-        self.version_tasks: dict[Key, asyncio.Task[None]] = {}
+        self.swarm = Swarm(self.context, dialer)
+        self.versions: dict[VersionKey, VersionRollout] = {}
+        self.version_tasks: dict[VersionKey, asyncio.Task[None]] = {}
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -74,9 +73,21 @@
             asyncio.create_task(self.monitor.run()),
             asyncio.create_task(self.decider.run()),
             asyncio.create_task(self.unload_loop()),
+            asyncio.create_task(self.swarm.run()),
+            asyncio.create_task(self.swarm.catalogue.run()),
+            asyncio.create_task(self.swarm.standings.run()),
         ]
         self.follow()
 
+    async def serve(self, stream: Stream) -> None:
+        """Work with an agent that has dialled ``bulk_port``."""
+        await self.swarm.serve(stream)
+
+    @property
+    def draining(self) -> bool:
+        """Whether no new work may go to the engine, because it is about to change versions."""
+        return self.context.draining
+
     async def stop(self) -> None:
         """Stop every task; the engine keeps what it serves."""
         running = self.tasks + list(self.version_tasks.values())
@@ -86,9 +97,9 @@
 
     def transfers(self) -> list[TransferView]:
         """Return the state of each version for the administration API."""
-        accepted = self.documents.accepted.get(self.options.service)
+        accepted = self.context.accepted()
         revision = accepted.revision if accepted is not None else 0
-        document = accepted.document if accepted is not None else None
+        document = self.context.document()
         live_by = document.live_by if document is not None else None
         return [version.view(revision, live_by) for version in self.versions.values()]
 
@@ -99,7 +110,7 @@
 
     def follow(self) -> None:
         """Have exactly one task for each version that the document names."""
-        wanted = self.wanted()
+        wanted = self.context.named()
         for key in [key for key in self.versions if key not in wanted]:
             decision("version_dropped", model=key[0], version=key[1], reason="no longer named")
             self.version_tasks.pop(key).cancel()
@@ -107,21 +118,9 @@
         for key in wanted:
             if key not in self.versions:
                 decision("version_wanted", model=key[0], version=key[1], reason="named")
-                self.versions[key] = VersionRollout(self.context, self.decider, *key)
+                self.versions[key] = VersionRollout(self.context, self.decider, self.swarm, key)
                 self.version_tasks[key] = asyncio.create_task(self.versions[key].run())
 
-    def wanted(self) -> set[Key]:
-        """Return the versions that the document in force names."""
-        document = self.document()
-        if document is None or document.kind != "model":
-            return set()
-        return {(document.model, share.version) for share in document.versions}
-
-    def document(self) -> ServiceDocument | None:
-        """Return the service's document in force."""
-        accepted = self.documents.accepted.get(self.options.service)
-        return accepted.document if accepted is not None else None
-
     async def unload_loop(self) -> None:
         """After each report of the engine, unload what the document has ceased to name."""
         while True:
@@ -133,7 +132,7 @@
 
     async def unload_unnamed(self, status: EngineStatus) -> None:
         """Order superseded contents away once every named version is live."""
-        if self.options.service not in self.documents.accepted:
+        if self.context.accepted() is None:
             return
         kept = self.named_and_live(status)
         if kept is None:
--- /dev/null
+++ b/gypsumpier/weight/room.py
@@ -0,0 +1,95 @@
+"""Makes room at an engine that can't hold the old and the new content together.
+
+The agent waits for its turn in the zone, says that it goes out of service, waits until the others
+may have heard that and looks again, so that two agents which decided at once don't both go.  Then
+it lets the engine finish what it runs, and unloads what the document no longer names.
+"""
+
+from typing import Final
+
+from gypsumpier.codes.weight import ENGINE_FULL
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.platform.engine import LiveModel
+from gypsumpier.weight.context import RolloutContext
+from gypsumpier.weight.decider import Decider
+from gypsumpier.weight.manifest import Manifest
+from gypsumpier.weight.standings import Standings
+from gypsumpier.weight.transfer import Transfer
+
+SPREAD_S: Final = 1.0
+POLL_S: Final = 0.5
+
+
+class Room:
+    """Room for one transfer at the engine."""
+
+    def __init__(
+        self, context: RolloutContext, decider: Decider, standings: Standings, transfer: Transfer
+    ) -> None:
+        self.context = context
+        self.decider = decider
+        self.standings = standings
+        self.transfer = transfer
+
+    @property
+    def manifest(self) -> Manifest:
+        """The manifest that needs room."""
+        return self.transfer.manifest
+
+    def is_short(self) -> bool:
+        """Tell whether the engine hasn't memory for what is still to be staged."""
+        status = self.context.monitor.status
+        chunks = self.manifest.chunks
+        needed = sum(chunks[index].length for index in self.transfer.missing)
+        return status is None or status.free_memory_bytes < needed
+
+    def replaceable(self) -> list[LiveModel]:
+        """Return live contents that the document no longer names or that have changed."""
+        named = self.context.named()
+        key = (self.manifest.model, self.manifest.version)
+        return [
+            live
+            for live in self.context.monitor.live()
+            if (live.model, live.version) not in named or (live.model, live.version) == key
+        ]
+
+    async def wait_turn(self) -> None:
+        """Wait until this agent may take its engine out of service."""
+        if not self.replaceable():
+            raise GypsumpierError(ENGINE_FULL, f"{self.manifest.size_bytes} bytes don't fit")
+        while True:
+            while not self.may_go_out():
+                await self.context.clock.sleep(POLL_S)
+            self.standings.out = True
+            self.standings.post()
+            await self.context.clock.sleep(SPREAD_S)
+            if self.may_go_out():
+                return
+            self.standings.out = False
+            await self.context.clock.sleep(POLL_S * self.context.random.random())
+
+    def may_go_out(self) -> bool:
+        """Tell whether the zone can spare this agent's engine."""
+        document = self.context.document()
+        bound = document.max_unavailable if document is not None else 0
+        return self.standings.may_go_out(self.manifest.digest, bound)
+
+    async def drain(self) -> None:
+        """Let no new work in and wait until the engine runs nothing, within the drain timeout."""
+        self.context.draining = True
+        started_at_s = self.context.clock.monotonic()
+        decision("engine_drain", version=self.manifest.version, reason="no room for both versions")
+        status = await self.context.monitor.next_report()
+        while status.running + status.waiting > 0:
+            if self.context.clock.monotonic() - started_at_s > self.context.options.drain_timeout_s:
+                return
+            status = await self.context.monitor.next_report()
+
+    async def unload(self) -> None:
+        """Unload what may go and wait until the engine reports room."""
+        for live in self.replaceable():
+            made = self.decider.decide(f"{self.manifest.version} needs the room")
+            await self.context.orders.unload(made, *live)
+        while self.is_short() and self.replaceable():
+            await self.context.monitor.next_report()
--- a/gypsumpier/weight/tally.py
+++ b/gypsumpier/weight/tally.py
@@ -26,3 +26,8 @@
         setattr(self, field, getattr(self, field) + length)
         if not used:
             self.wasted_bytes += length
+
+    def add_corrupt(self, source: str, length: int) -> None:
+        """Count one chunk whose content didn't match its digest."""
+        self.add(source, length, used=False)
+        self.corrupt_chunks += 1
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -15,9 +15,12 @@
 from gypsumpier.log import decision
 from gypsumpier.platform.engine import EngineStatus, LiveModel
 from gypsumpier.weight import phase
-from gypsumpier.weight.context import RolloutContext
+from gypsumpier.weight.context import RolloutContext, VersionKey
 from gypsumpier.weight.decider import Decider
-from gypsumpier.weight.manifest import Manifest, build_manifest
+from gypsumpier.weight.fetchrun import FetchRun
+from gypsumpier.weight.manifest import Manifest
+from gypsumpier.weight.room import Room
+from gypsumpier.weight.swarm import Swarm
 from gypsumpier.weight.tally import Tally
 from gypsumpier.weight.transfer import Transfer
 from gypsumpier.weight.view import TransferView
@@ -30,11 +33,14 @@
 class VersionRollout:
     """The task of one (model, version) at one agent."""
 
-    def __init__(self, context: RolloutContext, decider: Decider, model: str, version: str) -> None:
+    def __init__(
+        self, context: RolloutContext, decider: Decider, swarm: Swarm, key: VersionKey
+    ) -> None:
         self.context = context
         self.decider = decider
-        self.model = model
-        self.version = version
+        self.swarm = swarm
+        self.key = key
+        self.model, self.version = key
         self.phase = phase.MANIFEST
         self.manifest: Manifest | None = None
         self.transfer: Transfer | None = None
@@ -49,8 +55,9 @@
             while True:
                 await self.guarded_round()
         finally:
-            if self.transfer is not None:
-                self.transfer.unpin()
+            self.drop_transfer()
+            self.swarm.catalogue.drop(self.key)
+            self.return_to_service()
 
     async def guarded_round(self) -> None:
         """Run one round; on a failure wait a little, with jitter."""
@@ -64,36 +71,50 @@
     async def round(self) -> None:
         """Bring the version live and return once it has to be done again."""
         self.phase = phase.MANIFEST
-        manifest = await self.read_manifest()
+        manifest = await self.swarm.catalogue.manifest(self.key)
+        self.manifest = manifest
+        if self.context.monitor.status is None:
+            await self.context.monitor.next_report()
         if not self.is_live(manifest):
-            await self.fetch(self.transfer_of(manifest))
+            transfer = self.transfer_of(manifest)
+            await self.make_room(transfer)
+            self.phase = phase.TRANSFER
+            await FetchRun(self.swarm, transfer, self.tally).run()
             await self.load(manifest)
+        self.return_to_service()
         await self.stay_live(manifest)
 
-    async def read_manifest(self) -> Manifest:
-        """Return the manifest as published now."""
-        files = await self.context.draws.files(self.model, self.version)
-        self.manifest = build_manifest(self.model, self.version, files)
-        return self.manifest
-
     def transfer_of(self, manifest: Manifest) -> Transfer:
         """Return the transfer of the manifest, a new one where the content has changed."""
         if self.transfer is not None:
             if self.transfer.manifest.layout == manifest.layout:
                 return self.transfer
-            self.transfer.unpin()
+            self.drop_transfer()
         self.transfer = Transfer(manifest, self.context.engine, self.context.cache)
         return self.transfer
 
-    async def fetch(self, transfer: Transfer) -> None:
-        """Draw and stage every chunk that is missing."""
-        self.phase = phase.TRANSFER
-        await transfer.begin()
-        while not transfer.verified:
-            index = min(transfer.missing)
-            source, content = await self.context.draws.chunk(transfer, index)
-            used = await transfer.receive(index, content)
-            self.tally.add(source, len(content), used)
+    def drop_transfer(self) -> None:
+        """Let go of the transfer; its chunks stay in the cache as long as there is room."""
+        if self.transfer is not None:
+            self.transfer.unpin()
+            self.swarm.uploads.remove(self.transfer)
+            self.transfer = None
+
+    async def make_room(self, transfer: Transfer) -> None:
+        """Where old and new don't fit together, take the engine out of service in turn."""
+        room = Room(self.context, self.decider, self.swarm.standings, transfer)
+        if not room.is_short():
+            return
+        self.phase = phase.TURN
+        await room.wait_turn()
+        self.phase = phase.DRAIN
+        await room.drain()
+        await room.unload()
+
+    def return_to_service(self) -> None:
+        """End what ``make_room`` began."""
+        self.swarm.standings.out = False
+        self.context.draining = False
 
     async def load(self, manifest: Manifest) -> None:
         """Order the load until the engine reports the version live."""
@@ -136,6 +157,8 @@
         seen_at_s = self.context.clock.monotonic()
         while self.context.clock.monotonic() - seen_at_s <= LOST_AFTER_S:
             await self.context.monitor.next_report()
+            if self.swarm.catalogue.has_changed(manifest):
+                return
             if self.is_live(manifest):
                 seen_at_s = self.context.clock.monotonic()
         self.reason = "the engine no longer reports the version live"
@@ -173,7 +196,7 @@
             from_other_regions_bytes=self.tally.other_region_bytes,
             wasted_bytes=self.tally.wasted_bytes,
             corrupt_chunks=self.tally.corrupt_chunks,
-            peers=0,
+            peers=len(self.swarm.peers.by_name),
             started_wall_s=self.started_wall_s,
             live_wall_s=self.live_wall_s,
             live_by_wall_s=live_by_wall_s,
