--- a/gypsumpier/test/standin/server.py
+++ b/gypsumpier/test/standin/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import signal
 from typing import Any, Final, Protocol
 
@@ -59,6 +60,8 @@
 
 def listen(application: Application, port: int = 0) -> tuple[HTTPServer, int]:
     """Serve on the loopback address; return the server and its port."""
+    # Refusals are what tests ask for; their access log would hide the tests' own output.
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     server = HTTPServer(application, max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES)
     sockets = bind_sockets(port, "127.0.0.1")
     server.add_sockets(sockets)
