--- /dev/null
+++ b/gypsumpier/administration/state.py
@@ -0,0 +1,59 @@
+"""What the administration API can show of one process."""
+
+import time
+from typing import Final
+
+from gypsumpier.administration.documents import document_views
+from gypsumpier.administration.history import DecisionHistory
+from gypsumpier.administration.view import StatusView
+from gypsumpier.application import Application
+from gypsumpier.options import Options
+
+PROGRAM_VERSION: Final = "0.1.0"
+LISTINGS: Final = ("documents", "members", "upstreams", "transfers")
+PORT_SETTINGS: Final = ("port", "bulk_port", "http_port", "administration_port")
+
+
+class ProcessState:
+    """The options, the application and the phase: starting, ready or stopping."""
+
+    def __init__(
+        self, options: Options, application: Application, history: DecisionHistory
+    ) -> None:
+        self.options = options
+        self.application = application
+        self.history = history
+        self.phase = "starting"
+        self.started_at_s = time.monotonic()
+
+    def listing(self, name: str) -> list[object]:
+        """Return one list: documents, members, or one that the application shows of itself."""
+        if name == "documents":
+            return list(document_views(self.application.documents))
+        if name == "members":
+            return [member._asdict() for member in self.application.members.members.values()]
+        found = self.application.inspect().get(name, [])
+        return list(found) if isinstance(found, list | tuple) else []
+
+    def ports(self) -> dict[str, int]:
+        """Return the bound ports; a port that the role does not have is 0."""
+        return {name: int(getattr(self.options, name)) for name in PORT_SETTINGS}
+
+    def status(self) -> StatusView:
+        """Return the view of the process."""
+        options = self.options
+        details = self.application.inspect()
+        return StatusView(
+            program_version=PROGRAM_VERSION,
+            role=options.role,
+            name=options.name,
+            incarnation=options.incarnation,
+            region=options.region,
+            zone=options.zone,
+            service=options.service,
+            state=self.phase,
+            uptime_s=round(time.monotonic() - self.started_at_s, 3),
+            ports=self.ports(),
+            counts={name: len(self.listing(name)) for name in LISTINGS},
+            details={name: value for name, value in details.items() if name not in LISTINGS},
+        )
