--- /dev/null
+++ b/misc/demo.py
@@ -0,0 +1,179 @@
+"""Runs one of the two deployments at real size and moves it to new weights under load.
+
+``python -m misc.demo [--deployment rung-lab|relojera] [--weights DIRECTORY]`` publishes two
+versions of the weights, starts every process, waits until version 1 is live, calls through every
+entry, moves the documents to version 2 while calls go on, and checks every answer.  The last line
+is one JSON object; the exit status is 0 where every answer was whole and right.
+"""
+
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, Final
+
+import click
+
+from misc.caller import Verdict, call, chat
+from misc.deployment import Deployment, load_deployment, with_version
+from misc.fleet import Fleet
+from misc.http import get_json
+from misc.progress import agents_live, entries_see, wait_until
+from misc.samples import make_weights, take_weights
+from misc.stage import Stage
+
+SEED: Final = 1
+LIVE_TIMEOUT_S: Final = 45.0
+ROUNDS_PER_ENTRY: Final = 3
+CALL_PAUSE_S: Final = 0.1
+AFTER_MOVE_S: Final = 2.0
+
+
+class Demo:
+    """One run."""
+
+    def __init__(self, stage: Stage) -> None:
+        self.stage = stage
+        self.deployment = stage.deployment
+        self.verdicts: list[Verdict] = []
+        self.moved = asyncio.Event()
+        self.times_s: dict[str, float] = {}
+        self.started_at_s = time.monotonic()
+
+    async def run(self) -> dict[str, Any]:
+        """Run every step; return the report."""
+        self.say(f"starting {self.deployment.name}")
+        await self.stage.start()
+        self.say(f"{len(self.stage.fleet.children)} processes run")
+        await self.move_to("1")
+        await self.call_every_entry()
+        callers = [asyncio.create_task(self.keep_calling(url)) for url in self.stage.entry_urls()]
+        await self.move_to("2")
+        await asyncio.sleep(AFTER_MOVE_S)
+        self.moved.set()
+        await asyncio.gather(*callers)
+        await self.call_every_entry()
+        return await self.report()
+
+    async def move_to(self, version: str) -> None:
+        """Publish the documents with the version; wait until it serves everywhere."""
+        self.say(f"documents name version {version}")
+        begun_s = time.monotonic()
+        for document in self.deployment.documents.values():
+            wanted = with_version(document, version) if document["kind"] == "model" else document
+            await self.stage.publish(wanted)
+        await wait_until(lambda: agents_live(self.stage, version), LIVE_TIMEOUT_S, self.say)
+        self.times_s[f"version_{version}_live_s"] = round(time.monotonic() - begun_s, 2)
+        await wait_until(lambda: entries_see(self.stage, version), LIVE_TIMEOUT_S, self.say)
+        self.say(f"version {version} is live on every engine and known to every entry")
+
+    async def call_every_entry(self) -> None:
+        """Run calls of every service through every entry."""
+        for number in range(ROUNDS_PER_ENTRY):
+            urls = self.stage.entry_urls()
+            await asyncio.gather(*(self.call_once(url, number) for url in urls))
+        self.say(f"{len(self.verdicts)} answers so far, {len(self.problems())} not whole")
+
+    async def keep_calling(self, url: str) -> None:
+        """Call through one entry until the move is over."""
+        number = 0
+        while not self.moved.is_set():
+            await self.call_once(url, number)
+            await asyncio.sleep(CALL_PAUSE_S)
+            number += 1
+
+    async def call_once(self, url: str, number: int) -> None:
+        """Run one call of every service through one entry."""
+        label = f"{url.rpartition(':')[2]}-{len(self.verdicts)}-{number}"
+        for name, document in self.deployment.documents.items():
+            workspaces = document["workspaces"]
+            workspace = workspaces[number % len(workspaces)]["name"]
+            if document["kind"] == "model":
+                verdict = await chat(url, document["model"], f"{label} {name}", workspace)
+            else:
+                route = document["routes"][number % len(document["routes"])]
+                method = route["methods"][0]
+                key = f"{label}-{name}" if method == "POST" else ""
+                verdict = await call(url, name, f"{route['prefix']}/{label}", method, key)
+            self.verdicts.append(verdict)
+
+    async def report(self) -> dict[str, Any]:
+        """Return the report and print it for people."""
+        kinds = Counter(verdict.kind for verdict in self.verdicts)
+        versions = Counter(verdict.version for verdict in self.verdicts if verdict.version)
+        problems = Counter(f"{v.problem} {v.code}" for v in self.problems())
+        counts = [await get_json(f"{self.stage.urls[n]}/control/counts") for n in SOURCES]
+        for name, seconds in self.times_s.items():
+            self.say(f"{name} {seconds}")
+        self.say(f"answers by version {dict(versions)}; problems {dict(problems)}")
+        return {
+            "deployment": self.deployment.name,
+            "processes": len(self.stage.fleet.children),
+            "entries": len(self.stage.entries),
+            "agents": len(self.stage.agents),
+            "chats": kinds["chat"],
+            "calls": kinds["call"],
+            "answers_by_version": dict(versions),
+            "cut": sum(verdict.problem == "cut" for verdict in self.verdicts),
+            "problems": dict(problems),
+            **self.times_s,
+            "weight_bytes_read": sum(count["total_bytes"] for count in counts),
+            "seconds": round(time.monotonic() - self.started_at_s, 1),
+        }
+
+    def problems(self) -> list[Verdict]:
+        """Return the verdicts on answers that were not whole and right."""
+        return [verdict for verdict in self.verdicts if verdict.problem]
+
+    def say(self, text: str) -> None:
+        """Print one line of progress."""
+        print(f"{time.monotonic() - self.started_at_s:6.1f} s  {text}", flush=True)
+
+
+SOURCES: Final = ("store_url", "origin_url")
+
+
+def prepare_weights(deployment: Deployment, source: Path | None, directory: Path) -> None:
+    """Write the weights of every model service below the directory."""
+    for service in deployment.model_services():
+        model = deployment.documents[service]["model"]
+        if source is None:
+            make_weights(directory, model, SEED)
+        else:
+            take_weights(source, directory, model)
+
+
+async def run_demo(deployment: Deployment, source: Path | None, directory: Path) -> int:
+    """Run the demonstration below the directory; return the exit status."""
+    weights = directory / "weights"
+    prepare_weights(deployment, source, weights)
+    async with Fleet(directory / "logs") as fleet:
+        demo = Demo(Stage(fleet, deployment, weights))
+        report = await demo.run()
+        names = list(fleet.children)
+    killed = [name for name in names if fleet.children[name].process.returncode != 0]
+    report["ungraceful_stops"] = killed
+    whole = not report["problems"] and not killed
+    print(json.dumps(report))
+    return 0 if whole else 1
+
+
+@click.command()
+@click.option("--deployment", default="rung-lab", show_default=True, help="rung-lab or relojera.")
+@click.option(
+    "--weights",
+    type=click.Path(path_type=Path, exists=True, file_okay=False),
+    help="Directory of weight files; made up by default.",
+)
+def main(deployment: str, weights: Path | None) -> None:
+    """Run the demonstration."""
+    with tempfile.TemporaryDirectory(prefix="gypsumpier-demo-") as directory:
+        status = asyncio.run(run_demo(load_deployment(deployment), weights, Path(directory)))
+    sys.exit(status)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/misc/progress.py
@@ -0,0 +1,76 @@
+"""Conditions on a running deployment, read from the administration API, and waiting for them."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from misc.child import Child
+from misc.http import get_json
+from misc.stage import Stage, administration_url
+
+POLL_S: Final = 0.25
+TOLD_EVERY_S: Final = 5.0
+
+
+class NotReachedError(Exception):
+    """A condition did not come true in time; the text tells what was still missing."""
+
+
+async def wait_until(
+    missing: Callable[[], Awaitable[list[str]]], timeout_s: float, say: Callable[[str], None]
+) -> None:
+    """Wait until nothing is missing; tell now and then what still is."""
+    deadline_s = time.monotonic() + timeout_s
+    told_at_s = time.monotonic()
+    while names := await missing():
+        now_s = time.monotonic()
+        if now_s > deadline_s:
+            raise NotReachedError(f"after {timeout_s:g} s: {', '.join(names)}")
+        if now_s - told_at_s > TOLD_EVERY_S:
+            told_at_s = now_s
+            say(f"waiting for {len(names)}: {', '.join(names[:4])}")
+        await asyncio.sleep(POLL_S)
+
+
+async def agents_live(stage: Stage, version: str) -> list[str]:
+    """Return the model agents whose engine does not yet serve exactly this version."""
+    models = {slot.name for slot in stage.deployment.slots() if slot.kind == "model"}
+    children = [child for name, child in stage.agents.items() if name in models]
+    found = await asyncio.gather(*(upstreams_of(child) for child in children))
+    return [
+        child.name
+        for child, views in zip(children, found, strict=True)
+        if any(live_versions(view) != {version} for view in views)
+    ]
+
+
+async def entries_see(stage: Stage, version: str) -> list[str]:
+    """Return the entries that do not yet see every upstream ready, the models at the version."""
+    slots = stage.deployment.slots()
+    children = list(stage.entries.values())
+    found = await asyncio.gather(*(upstreams_of(child) for child in children))
+    wanted = {slot.name: {version} if slot.kind == "model" else set() for slot in slots}
+    return [
+        child.name
+        for child, views in zip(children, found, strict=True)
+        if ready_versions(views) != wanted
+    ]
+
+
+def ready_versions(views: list[dict[str, Any]]) -> dict[str, set[str]]:
+    """Return the live versions of each healthy upstream."""
+    return {view["name"]: live_versions(view) for view in views if view["healthy"]}
+
+
+def live_versions(view: dict[str, Any]) -> set[str]:
+    """Return the versions that an upstream reports live."""
+    return {model["version"] if isinstance(model, dict) else model[1] for model in view["live"]}
+
+
+async def upstreams_of(child: Child) -> list[dict[str, Any]]:
+    """Return the upstreams as one process sees them."""
+    found: list[dict[str, Any]] = (await get_json(f"{administration_url(child)}/v1/upstreams"))[
+        "upstreams"
+    ]
+    return found
