--- a/gypsumpier/administration/server.py
+++ b/gypsumpier/administration/server.py
@@ -14,7 +14,8 @@
 from gypsumpier.administration.validation import ValidationHandler
 from gypsumpier.options import Options
 
-DOCUMENT_LIMIT_BYTES: Final = 1024 * 1024
+IDLE_TIMEOUT_S: Final = 60.0
+BODY_TIMEOUT_S: Final = 30.0
 
 
 class AdministrationServer:
@@ -23,7 +24,7 @@
     def __init__(self, options: Options, state: ProcessState) -> None:
         self.options = options
         self.server = HTTPServer(
-            build_pages(state), max_body_size=DOCUMENT_LIMIT_BYTES, idle_connection_timeout=60
+            build_pages(state), idle_connection_timeout=IDLE_TIMEOUT_S, body_timeout=BODY_TIMEOUT_S
         )
 
     async def start(self) -> None:
--- a/gypsumpier/administration/validation.py
+++ b/gypsumpier/administration/validation.py
@@ -1,18 +1,28 @@
 """The page that validates a document without keeping it."""
 
+from typing import Final
+
 from gypsumpier.administration.handler import AdministrationHandler
 from gypsumpier.administration.view import RefusalView, ValidationView
+from gypsumpier.boundedbody import BoundedBody
+from gypsumpier.codes.setting import ADMINISTRATION_BODY_TOO_LARGE
 from gypsumpier.document import validator
 from gypsumpier.document.errors import DocumentError
 
+DOCUMENT_LIMIT_BYTES: Final = 1024 * 1024
+
 
-class ValidationHandler(AdministrationHandler):
+class ValidationHandler(BoundedBody, AdministrationHandler):
     """Validates the document in the body, by the same function that accepts documents."""
 
+    def prepare(self) -> None:
+        """Bound the body before it is read."""
+        self.bound_body(DOCUMENT_LIMIT_BYTES, ADMINISTRATION_BODY_TOO_LARGE)
+
     def post(self) -> None:
         """Answer a ValidationView; a refused document is still a successful validation."""
         try:
-            validator.parse(self.request.body)
+            validator.parse(self.whole_body())
         except DocumentError as error:
             self.answer(ValidationView(accepted=False, refusal=refusal(error)))
             return
--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -85,7 +85,7 @@
         return {
             "documents": list(self.documents.accepted.values()),
             "members": list(self.members.members.values()),
-            "upstreams": [self.listener.state()],
+            "upstreams": [{"name": self.options.name, **self.listener.state()}],
             "transfers": [],
             "in_flight": len(self.gate.running),
             "stopping": self.stopping,
--- /dev/null
+++ b/gypsumpier/boundedbody.py
@@ -0,0 +1,45 @@
+"""Reading an HTTP body up to a limit, so that a larger one is refused by its numbered code.
+
+tornado alone answers a body over its own limit with a bare 400.  Here the rest of such a body is
+read and dropped, so that the caller, who may still be sending, gets to read the refusal.  The
+server's ``body_timeout`` bounds how long that lasts.
+"""
+
+from typing import Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.web import RequestHandler, stream_request_body
+
+from gypsumpier.codes.result import ResultCode
+from gypsumpier.errors import GypsumpierError
+
+DROPPED_LIMIT_BYTES: Final = 1024 * 1024 * 1024
+
+
+@stream_request_body
+class BoundedBody(RequestHandler):
+    """A handler that calls ``bound_body`` in ``prepare`` and ``whole_body`` in its method."""
+
+    def bound_body(self, limit_bytes: int, code: ResultCode) -> None:
+        """Set the limit and the code of the refusal."""
+        self.limit_bytes = limit_bytes
+        self.too_large = code
+        self.received_bytes = 0
+        self.parts: list[bytes] = []
+        if isinstance(self.request.connection, HTTP1Connection):
+            self.request.connection.set_max_body_size(DROPPED_LIMIT_BYTES)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body, or drop it where the limit is passed."""
+        self.received_bytes += len(chunk)
+        if self.received_bytes <= self.limit_bytes:
+            self.parts.append(chunk)
+        else:
+            self.parts.clear()
+
+    def whole_body(self) -> bytes:
+        """Return the body; raise GypsumpierError where it was over the limit."""
+        if self.received_bytes > self.limit_bytes:
+            detail = f"{self.received_bytes} of {self.limit_bytes} bytes"
+            raise GypsumpierError(self.too_large, detail)
+        return b"".join(self.parts)
--- a/gypsumpier/client/page.py
+++ b/gypsumpier/client/page.py
@@ -12,6 +12,8 @@
 STATUS_COLUMNS: Final = ("name", "role", "region", "zone", "service", "state", "uptime_s")
 UPSTREAM_COLUMNS: Final = ("name", "connected", "healthy", "leaving", "in_flight")
 TRANSFER_COLUMNS: Final = ("service", "model", "version", "state")
+LIVE_FIELDS: Final = ("model", "version", "digest")
+DIGEST_CHARACTERS: Final = 12
 MEBIBYTE: Final = 1024 * 1024
 
 
@@ -71,9 +73,11 @@
 
 def live_model(model: Any) -> str:
     """Return one live model with the beginning of its digest."""
-    if not isinstance(model, dict):
+    found = list(model.values()) if isinstance(model, dict) else model
+    if not isinstance(found, list) or len(found) != len(LIVE_FIELDS):
         return cell(model)
-    return f"{model.get('model')}:{model.get('version')}@{str(model.get('digest'))[:12]}"
+    name, version, digest = found
+    return f"{name}:{version}@{str(digest)[:DIGEST_CHARACTERS]}"
 
 
 def transfers_page(answers: Sequence[Answer]) -> str:
--- a/gypsumpier/client/reader.py
+++ b/gypsumpier/client/reader.py
@@ -26,13 +26,19 @@
     async def read(self, path: str, query: dict[str, str] | None = None) -> list[Answer]:
         """Return the answer of each process to a GET, in the order of the URLs."""
         target = f"{path}?{urlencode(query)}" if query else path
-        return list(await asyncio.gather(*(self.call(url, target, None) for url in self.urls)))
+        client = AsyncHTTPClient(force_instance=True, max_clients=len(self.urls))
+        calls = [self.call(client, url, target, None) for url in self.urls]
+        answers = await asyncio.gather(*calls)
+        client.close()
+        return list(answers)
 
     async def send(self, path: str, body: bytes) -> Answer:
         """Return the answer of the first process to a POST."""
-        return await self.call(self.urls[0], path, body)
+        return await self.call(AsyncHTTPClient(), self.urls[0], path, body)
 
-    async def call(self, url: str, target: str, body: bytes | None) -> Answer:
+    async def call(
+        self, client: AsyncHTTPClient, url: str, target: str, body: bytes | None
+    ) -> Answer:
         """Return the answer of one process; a failure is part of the answer."""
         request = HTTPRequest(
             url + target,
@@ -43,7 +49,7 @@
             follow_redirects=False,
         )
         try:
-            response = await AsyncHTTPClient().fetch(request, raise_error=False)
+            response = await client.fetch(request, raise_error=False)
             return Answer(url, parsed(response))
         except GypsumpierError as error:
             return Answer(url, {}, error)
