--- /dev/null
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -0,0 +1,96 @@
+"""The keys that one entry has sent to homes, kept until no caller resends them.
+
+An entry notes a key before it sends it, so that what it reports to a new home is never less than
+what it has sent.  A send that no home has answered for counts as *may have run*.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+from typing import NamedTuple
+
+from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.record import KeyState
+
+
+@dataclass
+class SentKey:
+    """One key; ``state`` is REFUSED while every send was answered with *not run*."""
+
+    service: str
+    fingerprint: str
+    state: KeyState
+    unsettled: int
+    changed_at_s: float
+
+
+class ReportedKey(NamedTuple):
+    """One key in an entry's report to a new home."""
+
+    key_id: KeyId
+    fingerprint: str
+    state: KeyState
+    age_s: float
+
+
+class SentKeys:
+    """Remembers sent keys, bounded in number and time."""
+
+    def __init__(self, limit: int, retention_s: float) -> None:
+        self.limit = limit
+        self.retention_s = retention_s
+        self.keys: OrderedDict[tuple[str, KeyId], SentKey] = OrderedDict()
+
+    def note(self, service: str, key_id: KeyId, fingerprint: str, now_s: float) -> bool:
+        """Note a key before it is sent; False means that it must not be sent."""
+        self.forget_old(now_s)
+        known = self.keys.get((service, key_id))
+        if known is None:
+            if len(self.keys) >= self.limit:
+                return False
+            known = SentKey(service, fingerprint, KeyState.REFUSED, 0, now_s)
+            self.keys[(service, key_id)] = known
+        known.unsettled += 1
+        self.touch(service, key_id, now_s)
+        return True
+
+    def settle(self, service: str, key_id: KeyId, state: KeyState, now_s: float) -> None:
+        """Note what the home said of one send; it may say DONE, UNKNOWN or REFUSED."""
+        known = self.keys[(service, key_id)]
+        known.unsettled -= 1
+        self.touch(service, key_id, now_s)
+        if known.state is not KeyState.DONE and state is not KeyState.REFUSED:
+            known.state = state
+
+    def report(self, service: str, now_s: float) -> list[ReportedKey]:
+        """Return every key of the service that may have run."""
+        self.forget_old(now_s)
+        sent = ((key_id, key) for (name, key_id), key in self.keys.items() if name == service)
+        return [
+            ReportedKey(key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s)
+            for key_id, key in sent
+            if reported_state(key) is not KeyState.REFUSED
+        ]
+
+    def touch(self, service: str, key_id: KeyId, now_s: float) -> None:
+        """Restart the key's retention."""
+        self.keys[(service, key_id)].changed_at_s = now_s
+        self.keys.move_to_end((service, key_id))
+
+    def forget_old(self, now_s: float) -> None:
+        """Forget keys beyond the retention; one with an unsettled send stays."""
+        while self.keys:
+            name, key = next(iter(self.keys.items()))
+            if now_s - key.changed_at_s <= self.retention_s:
+                return
+            if key.unsettled > 0:
+                self.keys[name] = replace(key, changed_at_s=now_s)
+                self.keys.move_to_end(name)
+                continue
+            del self.keys[name]
+
+
+def reported_state(key: SentKey) -> KeyState:
+    """Return the state that a new home must assume."""
+    if key.state is KeyState.DONE:
+        return KeyState.DONE
+    return KeyState.UNKNOWN if key.unsettled > 0 else key.state
--- /dev/null
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -0,0 +1,260 @@
+"""State machine: at most once over entries, homes, replacements and documents that move homes."""
+
+import unittest
+from dataclasses import dataclass, field
+
+from hypothesis import assume, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.ledger import Ledger
+from gypsumpier.idempotency.record import KeptAnswer, KeyRecord, KeyState, Verdict
+from gypsumpier.idempotency.sent_keys import SentKeys
+from gypsumpier.idempotency.succession import EntryId, Succession, SuccessionLimits
+
+LIMITS = SuccessionLimits(horizon_s=100.0, settle_s=3.0, clock_skew_s=1.0)
+SERVICE = "table-ops"
+KEYS = [KeyId("w", name) for name in ("a", "b", "c")]
+ANSWER = KeptAnswer(200, {}, b"done")
+
+
+@dataclass
+class EntryFake:
+    """An entry with its memory, its revision and the youngest agent it knows of each slot."""
+
+    id: EntryId
+    started_at_s: float
+    revision: int
+    sent: SentKeys = field(default_factory=lambda: SentKeys(100, LIMITS.horizon_s * 2))
+    holders: dict[int, int] = field(default_factory=dict)
+    lost: dict[EntryId, float] = field(default_factory=dict)
+    died_at_s: float | None = None
+
+
+@dataclass
+class AgentFake:
+    """One incarnation in a slot."""
+
+    number: int
+    slot: int
+    revision: int
+    succession: Succession
+    ledger: Ledger = field(default_factory=lambda: Ledger(10**6, 10**6, LIMITS.horizon_s * 2))
+    alive: bool = True
+
+
+@dataclass
+class Copy:
+    """One copy of a request on its way to an agent."""
+
+    entry: EntryFake
+    agent: AgentFake
+    key_id: KeyId
+    received_at_s: float
+
+
+class AtMostOnceMachine(RuleBasedStateMachine):
+    """Interleaves everything that may happen; the naive model is a count of runs for each key."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now_s = 1000.0
+        self.revision = 0
+        self.entries: list[EntryFake] = []
+        self.agents: list[AgentFake] = []
+        self.copies: list[Copy] = []
+        self.running: list[Copy] = []
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.sent_at_s: dict[KeyId, float] = {}
+        self.refused_at_s: dict[KeyId, float] = {}
+        for slot in (0, 1):
+            self.start_agent(slot)
+        for _ in range(2):
+            self.start_entry()
+        self.now_s += LIMITS.settle_s + 0.1
+        self.read_lists()
+        for entry in self.entries:
+            self.greet(entry, 0)
+            self.greet(entry, 1)
+
+    @rule(slot=st.integers(0, 1))
+    def start_agent(self, slot: int) -> None:
+        succession = Succession(LIMITS, self.now_s)
+        succession.begin(self.revision, self.now_s)
+        self.agents.append(AgentFake(len(self.agents), slot, self.revision, succession))
+
+    @rule()
+    def start_entry(self) -> None:
+        entry_id = EntryId("entry", str(len(self.entries)))
+        self.entries.append(EntryFake(entry_id, self.now_s, self.revision))
+
+    @rule(data=st.data())
+    def kill_entry(self, data: st.DataObject) -> None:
+        # One entry always lives: all entries replaced within the horizon is an open window.
+        living = [entry for entry in self.entries[1:] if entry.died_at_s is None]
+        assume(living)
+        data.draw(st.sampled_from(living)).died_at_s = self.now_s
+
+    @rule(data=st.data())
+    def kill_agent(self, data: st.DataObject) -> None:
+        living = [agent for agent in self.agents if agent.alive]
+        assume(living)
+        data.draw(st.sampled_from(living)).alive = False
+
+    @rule(step_s=st.sampled_from([0.5, 4.0, 30.0]))
+    def advance(self, step_s: float) -> None:
+        self.now_s += step_s
+        self.read_lists()
+
+    @rule()
+    def publish(self) -> None:
+        self.revision += 1
+
+    @rule(data=st.data())
+    def adopt_at_entry(self, data: st.DataObject) -> None:
+        entry = data.draw(st.sampled_from(self.entries))
+        entry.revision = self.revision
+
+    @rule(data=st.data())
+    def adopt_at_agent(self, data: st.DataObject) -> None:
+        agent = data.draw(st.sampled_from(self.agents))
+        assume(agent.revision < self.revision)
+        agent.revision += 1
+        agent.succession.begin(agent.revision, self.now_s)
+
+    @rule(data=st.data(), slot=st.integers(0, 1))
+    def greet_some(self, data: st.DataObject, slot: int) -> None:
+        self.greet(data.draw(st.sampled_from(self.entries)), slot)
+
+    @rule(data=st.data(), key_id=st.sampled_from(KEYS))
+    def send(self, data: st.DataObject, key_id: KeyId) -> None:
+        entry = data.draw(st.sampled_from(self.entries))
+        listed = self.now_s >= entry.started_at_s + LIMITS.settle_s
+        holder = entry.holders.get(entry.revision % 2)
+        assume(entry.died_at_s is None and listed and holder is not None)
+        assert holder is not None
+        last_s = self.sent_at_s.get(key_id, self.now_s)
+        assume(self.now_s - last_s < LIMITS.horizon_s)
+        self.sent_at_s[key_id] = self.now_s
+        self.assume_noted(entry, key_id)
+        self.copies.append(Copy(entry, self.agents[holder], key_id, self.now_s))
+
+    @precondition(lambda self: self.copies)
+    @rule(data=st.data(), refused=st.booleans())
+    def deliver(self, data: st.DataObject, refused: bool) -> None:
+        copy = data.draw(st.sampled_from(self.copies))
+        self.copies.remove(copy)
+        if self.now_s - copy.received_at_s > LIMITS.horizon_s or not self.accepts(copy):
+            self.settle(copy, KeyState.UNKNOWN)
+            return
+        ledger = copy.agent.ledger
+        claim = ledger.claim(copy.key_id, "f", copy.received_at_s, self.now_s)
+        if claim.verdict is Verdict.RUN and refused:
+            assert ledger.refuse(copy.key_id, "f", self.now_s)
+            self.tell_not_run(copy)
+        elif claim.verdict is Verdict.RUN:
+            self.run(copy)
+        elif claim.verdict is Verdict.REFUSED:
+            self.tell_not_run(copy)
+        elif claim.verdict in (Verdict.DONE, Verdict.ANSWER_GONE):
+            assert self.runs[copy.key_id] == 1, "told done, but it was not run"
+            self.settle(copy, KeyState.DONE)
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), fails=st.booleans())
+    def finish(self, data: st.DataObject, fails: bool) -> None:
+        copy = data.draw(st.sampled_from(self.running))
+        self.running.remove(copy)
+        if not copy.agent.alive:
+            return
+        if fails:
+            copy.agent.ledger.fail(copy.key_id, self.now_s)
+        else:
+            copy.agent.ledger.finish(copy.key_id, ANSWER, self.now_s)
+        self.settle(copy, KeyState.UNKNOWN if fails else KeyState.DONE)
+
+    def greet(self, entry: EntryFake, slot: int) -> None:
+        """Connect to the youngest living agent of the slot and report to it."""
+        living = [agent for agent in self.agents if agent.slot == slot and agent.alive]
+        if not living or entry.died_at_s is not None:
+            return
+        agent = living[-1]
+        if agent.number < entry.holders.get(slot, -1):
+            return
+        entry.holders[slot] = agent.number
+        for reported in entry.sent.report(SERVICE, self.now_s):
+            changed_at_s = self.now_s - reported.age_s
+            learnt = KeyRecord(reported.fingerprint, reported.state, changed_at_s)
+            agent.ledger.learn(reported.key_id, learnt)
+        for lost, lost_at_s in entry.lost.items():
+            agent.succession.note_lost(lost, lost_at_s)
+        agent.succession.note_report(entry.id, entry.revision)
+
+    def accepts(self, copy: Copy) -> bool:
+        """Tell whether the agent decides about the copy at all."""
+        agent = copy.agent
+        if not agent.alive or agent.revision % 2 != agent.slot:
+            return False
+        if agent.ledger.query(copy.key_id, self.now_s) is not None:
+            return True
+        return agent.succession.wait_s(copy.key_id.key, self.now_s, self.now_s) == 0.0
+
+    def run(self, copy: Copy) -> None:
+        """Run the request upstream and check the promises."""
+        self.runs[copy.key_id] += 1
+        self.running.append(copy)
+        assert self.runs[copy.key_id] == 1, "a key ran twice"
+        refused_at_s = self.refused_at_s.get(copy.key_id, -1.0)
+        assert copy.received_at_s > refused_at_s, "ran after it was called not run"
+
+    def tell_not_run(self, copy: Copy) -> None:
+        """Tell the caller that the request was not run."""
+        assert self.runs[copy.key_id] == 0, "told not run, but it has run"
+        self.refused_at_s[copy.key_id] = self.now_s
+        self.settle(copy, KeyState.REFUSED)
+
+    def settle(self, copy: Copy, state: KeyState) -> None:
+        """Let the entry know, if it lives."""
+        if copy.entry.died_at_s is None:
+            copy.entry.sent.settle(SERVICE, copy.key_id, state, self.now_s)
+
+    def assume_noted(self, entry: EntryFake, key_id: KeyId) -> None:
+        """Note the key in the entry's memory."""
+        assert entry.sent.note(SERVICE, key_id, "f", self.now_s)
+
+    def read_lists(self) -> None:
+        """Let every living process read the member list, which lags by the settling time."""
+        before_s = self.now_s - LIMITS.settle_s
+        listed = frozenset(
+            entry.id
+            for entry in self.entries
+            if entry.started_at_s <= before_s
+            and (entry.died_at_s is None or entry.died_at_s > before_s)
+        )
+        for agent in self.agents:
+            if agent.alive:
+                agent.succession.note_list(listed, self.now_s)
+        for entry in self.entries:
+            if entry.died_at_s is None:
+                self.note_losses(entry, listed)
+
+    def note_losses(self, entry: EntryFake, listed: frozenset[EntryId]) -> None:
+        """Let an entry note which entries disappeared."""
+        for other in self.entries:
+            was_listed = other.started_at_s + LIMITS.settle_s <= self.now_s
+            died_at_s = other.died_at_s
+            if died_at_s is None or died_at_s + LIMITS.settle_s < entry.started_at_s:
+                continue
+            if was_listed and other.id not in listed:
+                entry.lost.setdefault(other.id, self.now_s)
+
+
+class LedgerMachineTest(AtMostOnceMachine.TestCase):  # type: ignore[misc]
+    settings = settings(
+        derandomize=True, deadline=None, max_examples=250, stateful_step_count=40
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
