Let make demo take a deployment and a directory of weights

Cause: the target passed neither setting on. Before: DEPLOYMENT and WEIGHTS were ignored. After: make demo DEPLOYMENT=relojera WEIGHTS=dir runs that deployment with the given files.

--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,4 @@
 	$(PY) -m misc.runtests
 
 demo: venv
-	$(PY) -m misc.demo
+	$(PY) -m misc.demo $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT)) $(if $(WEIGHTS),--weights $(WEIGHTS))
