--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -73,6 +73,7 @@
             origin,
             TcpDialer(),
             self.random,
+            self.gate,
         )
 
     async def start(self) -> None:
@@ -120,7 +121,7 @@
         return {
             "documents": list(self.documents.accepted.values()),
             "members": list(self.members.members.values()),
-            "upstreams": [self.listener.state()],
+            "upstreams": [{"name": self.options.name, **self.listener.state()}],
             "transfers": self.rollout.transfers() if self.rollout is not None else [],
             "in_flight": len(self.gate.running),
             "stopping": self.stopping,
--- a/gypsumpier/weight/context.py
+++ b/gypsumpier/weight/context.py
@@ -9,7 +9,7 @@
 from gypsumpier.platform.engine import Engine
 from gypsumpier.weight.cache import ChunkCache
 from gypsumpier.weight.draw import Draws
-from gypsumpier.weight.inputs import Documents, Members
+from gypsumpier.weight.inputs import Documents, Members, Retirement
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 
@@ -30,8 +30,7 @@
     orders: Orders
     draws: Draws
     cache: ChunkCache
-    draining: bool = False
-    """Whether the engine is about to be taken out of service; no new work may go to it."""
+    retirement: Retirement
 
     def accepted(self) -> Accepted | None:
         """Return the service's document as accepted, or None where none has come yet."""
--- a/gypsumpier/weight/rollout.py
+++ b/gypsumpier/weight/rollout.py
@@ -19,7 +19,7 @@
 from gypsumpier.weight.context import RolloutContext, VersionKey
 from gypsumpier.weight.decider import Decider
 from gypsumpier.weight.draw import Draws
-from gypsumpier.weight.inputs import Documents, Members
+from gypsumpier.weight.inputs import Documents, Members, NoRetirement, Retirement
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 from gypsumpier.weight.swarm import Swarm
@@ -42,6 +42,7 @@
         origin: Store | None,
         dialer: Dialer,
         random: Random,
+        retirement: Retirement | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
@@ -60,6 +61,7 @@
             orders=self.orders,
             draws=Draws(clock, random, store, origin),
             cache=ChunkCache(options.weight_memory_bytes),
+            retirement=retirement or NoRetirement(),
         )
         self.swarm = Swarm(self.context, dialer)
         self.versions: dict[VersionKey, VersionRollout] = {}
@@ -83,11 +85,6 @@
         """Work with an agent that has dialled ``bulk_port``."""
         await self.swarm.serve(stream)
 
-    @property
-    def draining(self) -> bool:
-        """Whether no new work may go to the engine, because it is about to change versions."""
-        return self.context.draining
-
     async def stop(self) -> None:
         """Stop every task; the engine keeps what it serves."""
         running = self.tasks + list(self.version_tasks.values())
@@ -138,8 +135,23 @@
         if kept is None:
             return
         for live in [live for live in status.live if live not in kept]:
+            await self.unload(live)
+
+    async def unload(self, live: LiveModel) -> None:
+        """Retire a content and order it away, unless it is named again by then."""
+        retirement = self.context.retirement
+        await retirement.retire(live)
+        kept = self.named_and_live(await self.monitor.next_report())
+        if kept is None or live in kept:
+            decision("unload_dropped", version=live.version, reason="needed after all")
+            retirement.restore(live)
+            return
+        try:
             made = self.decider.decide(f"{live.version} is no longer named or has changed")
             await self.orders.unload(made, *live)
+        except GypsumpierError:
+            retirement.restore(live)
+            raise
 
     def named_and_live(self, status: EngineStatus) -> list[LiveModel] | None:
         """Return the named contents that are live, or None while one of them isn't."""
--- a/gypsumpier/weight/room.py
+++ b/gypsumpier/weight/room.py
@@ -2,14 +2,13 @@
 
 The agent waits for its turn in the zone, says that it goes out of service, waits until the others
 may have heard that and looks again, so that two agents which decided at once don't both go.  Then
-it lets the engine finish what it runs, and unloads what the document no longer names.
+it retires what the document no longer names, which lets running requests finish, and unloads it.
 """
 
 from typing import Final
 
 from gypsumpier.codes.weight import ENGINE_FULL
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.log import decision
 from gypsumpier.platform.engine import LiveModel
 from gypsumpier.weight.context import RolloutContext
 from gypsumpier.weight.decider import Decider
@@ -75,21 +74,22 @@
         bound = document.max_unavailable if document is not None else 0
         return self.standings.may_go_out(self.manifest.digest, bound)
 
-    async def drain(self) -> None:
-        """Let no new work in and wait until the engine runs nothing, within the drain timeout."""
-        self.context.draining = True
-        started_at_s = self.context.clock.monotonic()
-        decision("engine_drain", version=self.manifest.version, reason="no room for both versions")
-        status = await self.context.monitor.next_report()
-        while status.running + status.waiting > 0:
-            if self.context.clock.monotonic() - started_at_s > self.context.options.drain_timeout_s:
-                return
-            status = await self.context.monitor.next_report()
+    async def clear(self) -> None:
+        """Retire what may go, unload it and wait until the engine reports room."""
+        retired = self.replaceable()
+        try:
+            for live in retired:
+                await self.context.retirement.retire(live)
+            for live in self.replaceable():
+                made = self.decider.decide(f"{self.manifest.version} needs the room")
+                await self.context.orders.unload(made, *live)
+            while self.is_short() and self.replaceable():
+                await self.context.monitor.next_report()
+        finally:
+            self.restore(retired)
 
-    async def unload(self) -> None:
-        """Unload what may go and wait until the engine reports room."""
-        for live in self.replaceable():
-            made = self.decider.decide(f"{self.manifest.version} needs the room")
-            await self.context.orders.unload(made, *live)
-        while self.is_short() and self.replaceable():
-            await self.context.monitor.next_report()
+    def restore(self, retired: list[LiveModel]) -> None:
+        """Offer again what is still live, because the way was cut short."""
+        for live in retired:
+            if live in self.context.monitor.live():
+                self.context.retirement.restore(live)
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -108,13 +108,11 @@
         self.phase = phase.TURN
         await room.wait_turn()
         self.phase = phase.DRAIN
-        await room.drain()
-        await room.unload()
+        await room.clear()
 
     def return_to_service(self) -> None:
         """End what ``make_room`` began."""
         self.swarm.standings.out = False
-        self.context.draining = False
 
     async def load(self, manifest: Manifest) -> None:
         """Order the load until the engine reports the version live."""
