--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -45,7 +45,7 @@
     region_link_bytes_per_s: int = 1_250_000
     live_traffic_share: float = 0.2
     store_region: str = ""
-    importers: int = 8
+    importers: int = 16
     link_importers: int = 1
     weight_neighbours: int = 8
     transfer_stall_s: float = 3.0
--- /dev/null
+++ b/gypsumpier/test/fakes_weight.py
@@ -0,0 +1,185 @@
+"""Fakes at the interfaces of the weights: a store, an engine, documents and members."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from blake3 import blake3
+
+from gypsumpier.codes.platform import ORDER_FENCED, PLATFORM_REFUSED, PLATFORM_UNREACHABLE
+from gypsumpier.document.service import Accepted
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.platform.engine import EngineStatus, LiveModel, LoadOrder
+from gypsumpier.platform.membership import Member
+from gypsumpier.platform.store import WeightFile, version_digest
+from gypsumpier.weight.publication import published_file
+
+UNLIMITED: Final = float("inf")
+
+
+class FakeStore:
+    """A store whose readers share one link; ``reads`` counts the draws of each range."""
+
+    def __init__(self, chunk_bytes: int, bytes_per_s: float = UNLIMITED) -> None:
+        self.chunk_bytes = chunk_bytes
+        self.bytes_per_s = bytes_per_s
+        self.contents: dict[tuple[str, str], dict[str, bytes]] = {}
+        self.reads: dict[tuple[str, str, int], int] = {}
+        self.drawn_bytes = 0
+        self.file_lists = 0
+        self.free_at_s = 0.0
+        self.down = False
+        self.stalled = False
+        self.refuse_s = 0.0
+        self.corrupt_reads = 0
+
+    async def files(self, model: str, version: str) -> list[WeightFile]:
+        self.raise_if_down()
+        self.file_lists += 1
+        content = self.contents.get((model, version), {})
+        return [published_file(path, body, self.chunk_bytes) for path, body in content.items()]
+
+    async def read(self, model: str, version: str, path: str, offset: int, length: int) -> bytes:
+        self.raise_if_down()
+        if self.stalled:
+            await asyncio.sleep(3600)
+        await self.pass_link(length)
+        self.raise_if_down()
+        key = (version, path, offset)
+        self.reads[key] = self.reads.get(key, 0) + 1
+        self.drawn_bytes += length
+        content = self.contents[(model, version)][path][offset : offset + length]
+        if self.corrupt_reads > 0:
+            self.corrupt_reads -= 1
+            return bytes([content[0] ^ 1]) + content[1:]
+        return content
+
+    async def pass_link(self, length: int) -> None:
+        """Wait for the bytes to pass the link after those of earlier readers."""
+        now_s = asyncio.get_running_loop().time()
+        self.free_at_s = max(now_s, self.free_at_s) + length / self.bytes_per_s
+        await asyncio.sleep(self.free_at_s - now_s)
+
+    def raise_if_down(self) -> None:
+        """Raise what a store raises that is down or refuses by rate."""
+        if self.down:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "store down")
+        if self.refuse_s > 0:
+            raise GypsumpierError(PLATFORM_REFUSED, "rate", retry_after_s=self.refuse_s)
+
+
+class FakeEngine:
+    """An engine that loads whatever was staged; what it reports is the digest of the real bytes.
+
+    ``bad_loads`` counts loads of anything but the whole content that was ordered.
+    """
+
+    def __init__(self, memory_bytes: int = 1 << 40, fencing: bool = True) -> None:
+        self.memory_bytes = memory_bytes
+        self.fencing = fencing
+        self.load_s = 0.2
+        self.staged: dict[str, dict[str, bytearray]] = {}
+        self.live: list[LiveModel] = []
+        self.highest_fence = 0
+        self.stale_orders = 0
+        self.orders: list[tuple[str, LoadOrder]] = []
+        self.bad_loads = 0
+        self.down = False
+        self.stage_error: GypsumpierError | None = None
+        self.staged_bytes = 0
+
+    async def status(self) -> EngineStatus:
+        if self.down:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "engine down")
+        return EngineStatus(list(self.live), 0, 0, 8, self.free_bytes())
+
+    def free_bytes(self) -> int:
+        """Return the memory that is left."""
+        parts = [part for files in self.staged.values() for part in files.values()]
+        return self.memory_bytes - sum(len(part) for part in parts)
+
+    async def stage(self, digest: str, path: str, offset: int, content: bytes) -> None:
+        if self.down:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "engine down")
+        if self.stage_error is not None:
+            raise self.stage_error
+        if len(content) > self.free_bytes():
+            raise GypsumpierError(PLATFORM_REFUSED, "memory")
+        part = self.staged.setdefault(digest, {}).setdefault(path, bytearray())
+        part.extend(bytes(max(0, offset - len(part))))
+        part[offset : offset + len(content)] = content
+        self.staged_bytes += len(content)
+
+    async def load(self, order: LoadOrder) -> None:
+        self.take("load", order)
+        await asyncio.sleep(self.load_s)
+        actual = content_digest(self.staged.get(order.digest, {}))
+        self.bad_loads += actual != order.digest
+        self.remove(order)
+        self.live.append(LiveModel(order.model, order.version, actual))
+
+    async def unload(self, order: LoadOrder) -> None:
+        self.take("unload", order)
+        named = LiveModel(order.model, order.version, order.digest)
+        self.live = [live for live in self.live if live != named]
+        self.staged.pop(order.digest, None)
+
+    def take(self, act: str, order: LoadOrder) -> None:
+        """Refuse an old order where the engine honours fencing, and record it otherwise."""
+        if self.down:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "engine down")
+        if order.fence < self.highest_fence:
+            self.stale_orders += 1
+            if self.fencing:
+                raise GypsumpierError(ORDER_FENCED, "a newer order has been taken")
+        self.highest_fence = max(self.highest_fence, order.fence)
+        self.orders.append((act, order))
+
+    def remove(self, order: LoadOrder) -> None:
+        """Take the version out of service."""
+        key = (order.model, order.version)
+        self.live = [live for live in self.live if (live.model, live.version) != key]
+
+    def restart(self) -> None:
+        """Lose everything, as a restarted engine does."""
+        self.staged.clear()
+        self.live.clear()
+
+    def versions(self) -> list[str]:
+        """Return the names of the live versions."""
+        return [live.version for live in self.live]
+
+
+class FakeDocuments:
+    """Documents that a test sets."""
+
+    def __init__(self) -> None:
+        self.accepted: dict[str, Accepted] = {}
+        self.callbacks: list[Callable[[Accepted], None]] = []
+
+    def subscribe(self, callback: Callable[[Accepted], None]) -> None:
+        self.callbacks.append(callback)
+
+    def put(self, accepted: Accepted) -> None:
+        """Accept a document."""
+        self.accepted[accepted.name] = accepted
+        for callback in self.callbacks:
+            callback(accepted)
+
+
+class FakeMembers:
+    """A member list that a test sets."""
+
+    def __init__(self) -> None:
+        self.listed: list[Member] = []
+
+    def agents(self, service: str) -> list[Member]:
+        return [member for member in self.listed if member.service == service]
+
+
+def content_digest(files: dict[str, bytearray]) -> str:
+    """Return the version digest of staged files."""
+    listed = [
+        WeightFile(path, len(body), blake3(body).hexdigest(), 1, ()) for path, body in files.items()
+    ]
+    return version_digest(listed)
--- a/gypsumpier/weight/context.py
+++ b/gypsumpier/weight/context.py
@@ -6,10 +6,9 @@
 from gypsumpier.clock import Clock
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import Engine
 from gypsumpier.weight.cache import ChunkCache
 from gypsumpier.weight.draw import Draws
-from gypsumpier.weight.inputs import Documents, Members, Retirement
+from gypsumpier.weight.inputs import Documents, Members, Retirement, WeightEngine
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 
@@ -25,7 +24,7 @@
     random: Random
     documents: Documents
     members: Members
-    engine: Engine
+    engine: WeightEngine
     monitor: EngineMonitor
     orders: Orders
     draws: Draws
--- a/gypsumpier/weight/fetch.py
+++ b/gypsumpier/weight/fetch.py
@@ -13,11 +13,11 @@
 from gypsumpier.codes.weight import CHUNK_CORRUPT
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
-from gypsumpier.weight.availability import Availability
+from gypsumpier.weight.availability import Availability, Slot
 from gypsumpier.weight.context import RolloutContext
 from gypsumpier.weight.message import Unwant, Want
 from gypsumpier.weight.peer import Peer
-from gypsumpier.weight.plan import ImportPlan
+from gypsumpier.weight.plan import ImportPlan, takeover_s
 from gypsumpier.weight.tally import OTHER_REGION, REGION, Tally
 from gypsumpier.weight.transfer import Transfer
 
@@ -47,6 +47,8 @@
         self.doubt = False
         self.changed = asyncio.Event()
         self.began_at_s = context.clock.monotonic()
+        self.received_at_s = self.began_at_s
+        self.taken_over: set[Slot] = set()
 
     def wanted(self) -> set[int]:
         """Return the chunks that may be asked for and haven't been."""
@@ -119,6 +121,7 @@
                 self.tally.add_corrupt(source, len(content))
             raise
         self.tally.add(source, len(content), used)
+        self.received_at_s = self.context.clock.monotonic()
         places = self.transfer.by_digest[self.transfer.manifest.chunks[index].digest]
         for place in places:
             self.take_back(place)
@@ -126,6 +129,23 @@
         self.availability.note_seen(set(places), self.plan)
         self.changed.set()
 
+    def may_take_over(self, index: int, source: str, rank: int) -> bool:
+        """Tell whether this agent may import a chunk that is another agent's to import.
+
+        It may once the chunk's slot has made no progress, and this agent has received nothing, for
+        as long as the rank asks.  It then keeps the slot.
+        """
+        slot = (source, self.plan.slot(index, source))
+        if slot in self.taken_over:
+            return True
+        idle_s = self.context.clock.monotonic() - self.received_at_s
+        stalled_s = min(idle_s, self.availability.stalled_s(index, self.plan))
+        if stalled_s < takeover_s(rank, self.context.options.transfer_stall_s):
+            return False
+        self.taken_over.add(slot)
+        decision("import_taken_over", source=source, rank=rank, reason="no progress")
+        return True
+
     def note_fresh(self, indexes: set[int]) -> None:
         """Have the peers told of chunks that can be served from now on."""
         cache = self.context.cache
--- a/gypsumpier/weight/imports.py
+++ b/gypsumpier/weight/imports.py
@@ -12,7 +12,6 @@
 from gypsumpier.weight.pacing import Pacing
 from gypsumpier.weight.peer import Peer
 from gypsumpier.weight.peers import Peers
-from gypsumpier.weight.plan import takeover_s
 
 LINK_REQUESTS: Final = 3
 IDLE_S: Final = 0.1
@@ -57,7 +56,7 @@
         own = [index for index in offered if self.rank(index) == 0]
         if own:
             return min(own)
-        taken_over = sorted(index for index in offered if self.may_take_over(index))
+        taken_over = sorted(index for index in offered if self.may_import(index))
         return self.fetch.context.random.choice(taken_over) if taken_over else None
 
     def rank(self, index: int) -> int:
@@ -66,8 +65,6 @@
         detour = 0 if plan.source(index) == self.source else 1
         return plan.rank(index, self.source) + detour
 
-    def may_take_over(self, index: int) -> bool:
-        """Tell whether the chunk's slot has stalled for as long as this agent's rank asks."""
-        stall_s = self.fetch.context.options.transfer_stall_s
-        stalled_s = self.fetch.availability.stalled_s(index, self.fetch.plan)
-        return stalled_s >= takeover_s(self.rank(index), stall_s)
+    def may_import(self, index: int) -> bool:
+        """Tell whether this agent may import a chunk that another should."""
+        return self.fetch.may_take_over(index, self.source, self.rank(index))
--- a/gypsumpier/weight/inputs.py
+++ b/gypsumpier/weight/inputs.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from gypsumpier.document.service import Accepted
-from gypsumpier.platform.engine import LiveModel
+from gypsumpier.platform.engine import EngineStatus, LiveModel, LoadOrder
 from gypsumpier.platform.membership import Member
 
 
@@ -26,6 +26,22 @@
         """Return the agents of the service, leaving ones included."""
 
 
+class WeightEngine(Protocol):
+    """The part of an engine that takes weights; see gypsumpier.platform.engine.Engine."""
+
+    async def status(self) -> EngineStatus:
+        """Return the engine's last report."""
+
+    async def stage(self, digest: str, path: str, offset: int, content: bytes) -> None:
+        """Hand over a part of a file of the weights known by ``digest``."""
+
+    async def load(self, order: LoadOrder) -> None:
+        """Order the staged weights live."""
+
+    async def unload(self, order: LoadOrder) -> None:
+        """Order the weights away."""
+
+
 class Retirement(Protocol):
     """What keeps requests away from a content that is about to be unloaded."""
 
--- a/gypsumpier/weight/monitor.py
+++ b/gypsumpier/weight/monitor.py
@@ -5,13 +5,14 @@
 from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import Engine, EngineStatus, LiveModel
+from gypsumpier.platform.engine import EngineStatus, LiveModel
+from gypsumpier.weight.inputs import WeightEngine
 
 
 class EngineMonitor:
     """Polls the engine's status; ``status`` is None until the first report."""
 
-    def __init__(self, options: Options, clock: Clock, engine: Engine) -> None:
+    def __init__(self, options: Options, clock: Clock, engine: WeightEngine) -> None:
         self.options = options
         self.clock = clock
         self.engine = engine
--- a/gypsumpier/weight/order.py
+++ b/gypsumpier/weight/order.py
@@ -14,7 +14,8 @@
 from gypsumpier.codes.weight import DECISION_TOO_OLD
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
-from gypsumpier.platform.engine import Engine, LoadOrder
+from gypsumpier.platform.engine import LoadOrder
+from gypsumpier.weight.inputs import WeightEngine
 
 DECISION_AGE_S: Final = 2.0
 START_BITS: Final = 32
@@ -36,7 +37,7 @@
 class Orders:
     """Gives one engine its orders."""
 
-    def __init__(self, clock: Clock, engine: Engine) -> None:
+    def __init__(self, clock: Clock, engine: WeightEngine) -> None:
         self.clock = clock
         self.engine = engine
         self.started_wall_s = clock.wall()
--- a/gypsumpier/weight/regionrequests.py
+++ b/gypsumpier/weight/regionrequests.py
@@ -8,8 +8,8 @@
 from gypsumpier.weight.peer import Peer
 from gypsumpier.weight.peers import Peers
 
-PEER_REQUESTS: Final = 3
-ALL_REQUESTS: Final = 12
+PEER_REQUESTS: Final = 4
+ALL_REQUESTS: Final = 24
 RACE_FACTOR: Final = 2.0
 RACE_REQUESTS: Final = 2
 IDLE_S: Final = 0.25
--- a/gypsumpier/weight/rollout.py
+++ b/gypsumpier/weight/rollout.py
@@ -13,13 +13,13 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import Engine, EngineStatus, LiveModel
+from gypsumpier.platform.engine import EngineStatus, LiveModel
 from gypsumpier.platform.store import Store
 from gypsumpier.weight.cache import ChunkCache
 from gypsumpier.weight.context import RolloutContext, VersionKey
 from gypsumpier.weight.decider import Decider
 from gypsumpier.weight.draw import Draws
-from gypsumpier.weight.inputs import Documents, Members, NoRetirement, Retirement
+from gypsumpier.weight.inputs import Documents, Members, NoRetirement, Retirement, WeightEngine
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 from gypsumpier.weight.swarm import Swarm
@@ -37,7 +37,7 @@
         clock: Clock,
         documents: Documents,
         members: Members,
-        engine: Engine,
+        engine: WeightEngine,
         store: Store,
         origin: Store | None,
         dialer: Dialer,
--- a/gypsumpier/weight/storedraws.py
+++ b/gypsumpier/weight/storedraws.py
@@ -14,7 +14,7 @@
 from gypsumpier.weight.message import Claim
 from gypsumpier.weight.pacing import Pacing
 from gypsumpier.weight.peers import Peers
-from gypsumpier.weight.plan import STORE, takeover_s
+from gypsumpier.weight.plan import STORE
 
 IDLE_S: Final = 0.1
 SETTLE_S: Final = 1.0
@@ -81,7 +81,7 @@
             rank = ranks[self.fetch.plan.slot(index, STORE)] + late
             if rank == 0:
                 return index
-            if self.has_stalled(index, rank):
+            if self.fetch.may_take_over(index, STORE, rank):
                 taken_over.append(index)
         return self.fetch.context.random.choice(taken_over) if taken_over else None
 
@@ -89,12 +89,6 @@
         """Tell whether another agent of the region is importing the chunk."""
         return self.fetch.availability.is_claimed(index)
 
-    def has_stalled(self, index: int, rank: int) -> bool:
-        """Tell whether the chunk's slot has stalled for as long as the rank asks."""
-        stall_s = self.fetch.context.options.transfer_stall_s
-        stalled_s = self.fetch.availability.stalled_s(index, self.fetch.plan)
-        return stalled_s >= takeover_s(rank, stall_s)
-
     def late_ranks(self) -> int:
         """Return by how much this agent's ranks are worse than the plan's."""
         if self.fetch.plan.root != self.fetch.context.options.region:
--- a/gypsumpier/weight/transfer.py
+++ b/gypsumpier/weight/transfer.py
@@ -11,15 +11,15 @@
 
 from gypsumpier.codes.weight import CHUNK_CORRUPT, FILE_CORRUPT
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.engine import Engine
 from gypsumpier.weight.cache import ChunkCache
+from gypsumpier.weight.inputs import WeightEngine
 from gypsumpier.weight.manifest import Manifest
 
 
 class Transfer:
     """The chunks of one manifest that this agent has staged."""
 
-    def __init__(self, manifest: Manifest, engine: Engine, cache: ChunkCache) -> None:
+    def __init__(self, manifest: Manifest, engine: WeightEngine, cache: ChunkCache) -> None:
         self.manifest = manifest
         self.engine = engine
         self.cache = cache
