--- a/gypsumpier/test/virtual.py
+++ b/gypsumpier/test/virtual.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
-from typing import Any, Final, TypeVar
+from collections.abc import Callable, Coroutine
+from functools import wraps
+from typing import Any, Final, ParamSpec, TypeVar
 
+P = ParamSpec("P")
 T = TypeVar("T")
 
 CLOCK_RESOLUTION_S: Final = 1e-9
@@ -74,3 +76,13 @@
     """Run the coroutine in a new virtual loop; cancel the tasks that it leaves behind."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(coroutine)
+
+
+def virtual(test: Callable[P, Coroutine[Any, Any, None]]) -> Callable[P, None]:
+    """Let a test that is a coroutine run in a new virtual loop."""
+
+    @wraps(test)
+    def run_test(*args: P.args, **kwargs: P.kwargs) -> None:
+        run(test(*args, **kwargs))
+
+    return run_test
