--- a/gypsumpier/codes/weight.py
+++ b/gypsumpier/codes/weight.py
@@ -29,6 +29,9 @@
     Outcome.NOT_RUN,
     "Name fewer versions or give the engines more memory.",
 )
+WRONG_CONTENT: Final = ResultCode(
+    6509, "wrong_content", 502, Outcome.NOT_RUN, "The content is unloaded and staged again."
+)
 AGENT_SUPERSEDED: Final = ResultCode(
     6507, "agent_superseded", 409, Outcome.NOT_RUN, "A newer agent fills this place; stop this one."
 )
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -13,13 +13,18 @@
 
 
 class EngineStatus(NamedTuple):
-    """The engine's own report, which lags by up to a second or so."""
+    """The engine's own report, which lags by up to a second or so.
+
+    ``incarnation`` differs for each run of the engine, which loses what was staged when it ends; it
+    is empty where the engine doesn't tell.
+    """
 
     live: list[LiveModel]
     running: int
     waiting: int
     capacity: int
     free_memory_bytes: int
+    incarnation: str = ""
 
 
 class LoadOrder(NamedTuple):
--- a/gypsumpier/platform/engine_http.py
+++ b/gypsumpier/platform/engine_http.py
@@ -129,6 +129,7 @@
         waiting=int(answer["waiting"]),
         capacity=int(answer["capacity"]),
         free_memory_bytes=int(answer["free_memory_bytes"]),
+        incarnation=str(answer.get("incarnation", "")),
     )
 
 
--- a/gypsumpier/test/standin/engine.py
+++ b/gypsumpier/test/standin/engine.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import time
+import uuid
 from typing import Any, Final
 
 import click
@@ -43,6 +44,7 @@
         self.batch = Batch(batch)
         self.weights = weights
         self.status_lag_s = status_lag_s
+        self.incarnation = uuid.uuid4().hex
         self.streams: dict[str, Stream] = {}
         self.arrivals = 0
         self.report: dict[str, Any] = {}
@@ -74,6 +76,7 @@
                 "waiting": len(self.batch.waiting),
                 "capacity": self.batch.options.capacity,
                 "free_memory_bytes": self.weights.free_bytes,
+                "incarnation": self.incarnation,
             }
         return self.report
 
--- a/gypsumpier/weight/fetch.py
+++ b/gypsumpier/weight/fetch.py
@@ -22,6 +22,7 @@
 from gypsumpier.weight.transfer import Transfer
 
 STALL_FACTOR: Final = 6.0
+FAULTS_LIMIT: Final = 2
 NOT_SENT_S: Final = float("inf")
 
 
@@ -108,6 +109,7 @@
         except GypsumpierError as error:
             if error.code == CHUNK_CORRUPT:
                 peer.note_fault()
+                self.on_refusal(peer, index, held=False)
                 decision("chunk_corrupt", peer=peer.name, index=index, reason=str(error))
             else:
                 self.fail(error)
@@ -198,9 +200,11 @@
                 for (layout, index), asked_at_s in peer.asked.items()
                 if layout == self.layout and now_s - asked_at_s > limit_s
             ]
+            if late:
+                peer.note_fault()
             for index in late:
                 peer.post(Unwant(self.layout, index))
-                self.end_ask(index, peer)
+                # A chunk that only a stalled peer holds must become open to import again.
+                self.on_refusal(peer, index, held=peer.faults < FAULTS_LIMIT)
             if late:
-                peer.note_fault()
                 decision("peer_stalled", peer=peer.name, chunks=len(late), reason="no answer")
--- a/gypsumpier/weight/fetchrun.py
+++ b/gypsumpier/weight/fetchrun.py
@@ -51,6 +51,7 @@
         await self.transfer.begin()
         swarm.fetches[self.layout] = self.fetch
         swarm.uploads.add(self.transfer)
+        swarm.woken.set()
         for peer in swarm.peers.by_name.values():
             self.fetch.on_holds(peer, peer.holds.get(self.layout, set()))
             swarm.uploads.announce(peer, self.transfer)
--- a/gypsumpier/weight/imports.py
+++ b/gypsumpier/weight/imports.py
@@ -32,7 +32,7 @@
             peer = self.exporter()
             index = self.next_index(peer) if peer is not None else None
             if peer is None or index is None:
-                await self.fetch.context.clock.sleep(IDLE_S)
+                await self.fetch.wait_change(IDLE_S)
                 continue
             self.fetch.begin_ask(index, peer)
             self.peers.post_in_region(Claim(self.fetch.layout, index))
--- a/gypsumpier/weight/message.py
+++ b/gypsumpier/weight/message.py
@@ -91,7 +91,8 @@
     """What an agent's engine serves; passed on within a zone.
 
     ``live`` holds the digests that the engine reports, ``out`` whether the agent takes its engine
-    out of service to change versions.  A higher ``sequence`` is newer.
+    out of service to change versions.  A higher ``sequence`` is newer; it begins at the wall-clock
+    time in milliseconds, so that the standing of a replaced agent is older than its successor's.
     """
 
     name: str
--- a/gypsumpier/weight/monitor.py
+++ b/gypsumpier/weight/monitor.py
@@ -1,4 +1,9 @@
-"""Keeps the engine's last report."""
+"""Keeps the engine's last report and notices that the engine may have lost what was staged.
+
+Another incarnation in the report is a restart.  Not every engine tells it, so a poll that fails
+and free memory that grows count as well; to take one for a restart that wasn't costs only that the
+chunks are staged again.
+"""
 
 import asyncio
 
@@ -18,6 +23,8 @@
         self.engine = engine
         self.status: EngineStatus | None = None
         self.reports = 0
+        self.restarts = 0
+        self.unreachable = False
         self.reported = asyncio.Event()
 
     async def run(self) -> None:
@@ -29,13 +36,25 @@
     async def poll(self) -> None:
         """Ask for one report and wake those who wait for it."""
         try:
-            self.status = await self.engine.status()
+            status = await self.engine.status()
         except GypsumpierError:
+            self.unreachable = True
             return
+        if self.unreachable or self.shows_restart(status):
+            self.restarts += 1
+        self.unreachable = False
+        self.status = status
         self.reports += 1
         self.reported.set()
         self.reported = asyncio.Event()
 
+    def shows_restart(self, status: EngineStatus) -> bool:
+        """Tell whether the engine may have been restarted since the last report."""
+        if self.status is None:
+            return False
+        grown = status.free_memory_bytes > self.status.free_memory_bytes
+        return grown or status.incarnation != self.status.incarnation
+
     async def next_report(self) -> EngineStatus:
         """Wait for the next report and return it."""
         await self.reported.wait()
--- a/gypsumpier/weight/swarm.py
+++ b/gypsumpier/weight/swarm.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from typing import Final
 
 from gypsumpier.errors import GypsumpierError
@@ -48,6 +49,7 @@
         self.fetches: dict[str, Fetch] = {}
         self.inbox = Inbox(self.uploads, self.catalogue, self.standings, self.fetches)
         self.agents: list[Member] = []
+        self.woken = asyncio.Event()
         self.failures: dict[str, int] = {}
         self.dial_after_s: dict[str, float] = {}
         self.dialling: dict[str, asyncio.Task[None]] = {}
@@ -59,10 +61,17 @@
                 self.note_members()
                 for name in self.wanted_names():
                     self.begin_dial(name)
-                await self.clock.sleep(DIAL_INTERVAL_S)
+                await self.wait_wake(DIAL_INTERVAL_S)
         finally:
             self.close()
 
+    async def wait_wake(self, timeout_s: float) -> None:
+        """Wait until a new fetch may want other connections, at most that long."""
+        self.woken.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.woken.wait()
+
     def close(self) -> None:
         """Close every connection."""
         for task in list(self.dialling.values()):
--- a/gypsumpier/weight/transfer.py
+++ b/gypsumpier/weight/transfer.py
@@ -32,6 +32,7 @@
         self.hashed = 0
         self.hasher = blake3()
         self.epoch = 0
+        self.restarts = 0
 
     def reset(self) -> None:
         """Start again, because the engine has lost what was staged."""
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from gypsumpier.codes.platform import PLATFORM_REFUSED
-from gypsumpier.codes.weight import DECISION_TOO_OLD
+from gypsumpier.codes.weight import DECISION_TOO_OLD, WRONG_CONTENT
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.platform.engine import EngineStatus, LiveModel
@@ -78,8 +78,7 @@
         if not self.is_live(manifest):
             transfer = self.transfer_of(manifest)
             await self.make_room(transfer)
-            self.phase = phase.TRANSFER
-            await FetchRun(self.swarm, transfer, self.tally).run()
+            await self.fetch(transfer)
             await self.load(manifest)
         self.return_to_service()
         await self.stay_live(manifest)
@@ -91,8 +90,20 @@
                 return self.transfer
             self.drop_transfer()
         self.transfer = Transfer(manifest, self.context.engine, self.context.cache)
+        self.transfer.restarts = self.context.monitor.restarts
         return self.transfer
 
+    async def fetch(self, transfer: Transfer) -> None:
+        """Fetch and stage everything; again where the engine may have lost some of it."""
+        self.phase = phase.TRANSFER
+        while not transfer.verified or transfer.restarts != self.context.monitor.restarts:
+            if transfer.restarts != self.context.monitor.restarts:
+                transfer.reset()
+                transfer.restarts = self.context.monitor.restarts
+            await FetchRun(self.swarm, transfer, self.tally).run()
+            # The report after the last chunk shows whether the engine has kept them all.
+            await self.context.monitor.next_report()
+
     def drop_transfer(self) -> None:
         """Let go of the transfer; its chunks stay in the cache as long as there is room."""
         if self.transfer is not None:
@@ -143,11 +154,24 @@
     async def wait_live(self, manifest: Manifest) -> None:
         """Wait until the engine reports the version live or the load has taken too long."""
         ordered_at_s = self.context.clock.monotonic()
+        before = set(self.context.monitor.live())
         while not self.is_live(manifest):
-            await self.context.monitor.next_report()
+            status = await self.context.monitor.next_report()
+            await self.unload_wrong(manifest, [one for one in status.live if one not in before])
             if self.context.clock.monotonic() - ordered_at_s > LOAD_TIMEOUT_S:
                 return
 
+    async def unload_wrong(self, manifest: Manifest, loaded: list[LiveModel]) -> None:
+        """Order away what the engine has loaded in place of the content that was ordered."""
+        for live in loaded:
+            if (live.model, live.version) != self.key or live.digest == manifest.digest:
+                continue
+            made = self.decider.decide("the engine reports another content than was ordered")
+            await self.context.orders.unload(made, *live)
+            if self.transfer is not None:
+                self.transfer.reset()
+            raise GypsumpierError(WRONG_CONTENT, f"the engine has loaded {live.digest}")
+
     async def stay_live(self, manifest: Manifest) -> None:
         """Return when the engine has lost the version or the content has changed."""
         self.phase = phase.LIVE
