Test settings, administration API, command-line tool and process driver

Decisions were missing from the API where nothing had configured the log, because the logger's own level hid them; the history now lowers the logger's level while it is attached, and the handler that prints keeps the level of the settings.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.requirements-installed
 
-.PHONY: venv format lint test demo
+.PHONY: venv format lint test demo pages
 
 venv: $(STAMP)
 
@@ -25,5 +25,11 @@
 test: venv
 	$(PY) -m misc.runtests
 
+# Starts a deployment of examples/ at real size; WEIGHTS may name a directory of weight files.
+DEPLOYMENT ?= rung-lab
 demo: venv
-	$(PY) -m misc.demo
+	$(PY) -m misc.demo --deployment $(DEPLOYMENT) $(if $(WEIGHTS),--weights $(WEIGHTS))
+
+# Writes the pages of docs/ that are made from the code.
+pages: venv
+	$(PY) -m misc.pages
--- a/gypsumpier/administration/history.py
+++ b/gypsumpier/administration/history.py
@@ -19,14 +19,18 @@
         super().__init__(logging.INFO)
         self.ring: deque[DecisionView] = deque(maxlen=length)
         self.sequence = 0
+        self.earlier_level = logging.NOTSET
 
     def attach(self) -> None:
-        """Begin to receive decisions."""
+        """Begin to receive decisions, also where the level of the log hides them."""
+        self.earlier_level = log.LOGGER.level
+        log.LOGGER.setLevel(min(log.LOGGER.getEffectiveLevel(), logging.INFO))
         log.LOGGER.addHandler(self)
 
     def detach(self) -> None:
         """Stop receiving decisions."""
         log.LOGGER.removeHandler(self)
+        log.LOGGER.setLevel(self.earlier_level)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Keep one decision; log lines without fields are no decisions."""
--- a/gypsumpier/codes/page.py
+++ b/gypsumpier/codes/page.py
@@ -1,6 +1,6 @@
 """The table of result codes as the page docs/result-codes.md.
 
-``python -m gypsumpier.codes.page`` prints the page; a test keeps the file in agreement.
+``make pages`` writes the page; a test keeps the file in agreement.
 """
 
 from typing import Final
@@ -16,18 +16,12 @@
 *Run?* tells whether the request may have run: `done` it ran, `not_run` it certainly did not and
 will not, `unknown` it may have.
 
-Print this page with `python -m gypsumpier.codes.page`; a test holds it in agreement with the
-code.
+Write this page anew by `make pages`; a test holds it in agreement with the code.
 
 | code | name | HTTP | run? | what to do |
 |---|---|---|---|---|"""
 
 
-def main() -> None:
-    """Print the page."""
-    print(rendered(), end="")
-
-
 def rendered() -> str:
     """Return the page."""
     rows = [row(code) for _, code in sorted(all_codes().items())]
@@ -40,7 +34,3 @@
         f"| {code.number} | `{code.name}` | {code.http_status} "
         f"| {code.outcome.value} | {code.advice} |"
     )
-
-
-if __name__ == "__main__":
-    main()
--- a/gypsumpier/log.py
+++ b/gypsumpier/log.py
@@ -16,8 +16,7 @@
     handler.setFormatter(JsonFormatter() if as_json else KeyValueFormatter())
     handler.setLevel(level)
     LOGGER.handlers = [handler]
-    # Decisions are logged at INFO and reach the administration API whatever is printed.
-    LOGGER.setLevel(min(logging.getLevelName(level), logging.INFO))
+    LOGGER.setLevel(level)
     LOGGER.propagate = False
 
 
--- /dev/null
+++ b/gypsumpier/test/builders_frame.py
@@ -0,0 +1,72 @@
+"""Builders of settings and of an administration server for tests."""
+
+from typing import Final
+
+from gypsumpier.administration.history import DecisionHistory
+from gypsumpier.administration.server import AdministrationServer
+from gypsumpier.administration.state import ProcessState
+from gypsumpier.clock import SystemClock
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.member.table import MemberTable
+from gypsumpier.options import Options
+
+ENTRY_TEXTS: Final[dict[str, str]] = {
+    "role": "entry",
+    "region": "bac",
+    "zone": "bac-a",
+    "configuration_url": "http://127.0.0.1:1001",
+    "membership_url": "http://127.0.0.1:1002",
+}
+AGENT_TEXTS: Final[dict[str, str]] = {
+    **ENTRY_TEXTS,
+    "role": "agent",
+    "service": "table-ops",
+    "upstream_kind": "plain",
+    "upstream_url": "http://127.0.0.1:1003",
+}
+
+
+class FakeApplication:
+    """An application with empty tables and the given lists."""
+
+    def __init__(self, options: Options) -> None:
+        clock = SystemClock()
+        self.documents = DocumentTable(clock)
+        self.members = MemberTable(options, clock)
+        self.shown: dict[str, object] = {"upstreams": [], "transfers": [], "in_flight": 0}
+
+    async def start(self) -> None:
+        """Start nothing."""
+
+    async def stop(self) -> None:
+        """Stop nothing."""
+
+    def inspect(self) -> dict[str, object]:
+        return self.shown
+
+
+class ServedProcess:
+    """An administration server over a fake application, with its own decision history."""
+
+    def __init__(self, name: str = "entry/bac-a/0") -> None:
+        self.options = Options(name=name, region="bac", zone="bac-a")
+        self.application = FakeApplication(self.options)
+        self.history = DecisionHistory()
+        self.state = ProcessState(self.options, self.application, self.history)
+        self.server = AdministrationServer(self.options, self.state)
+
+    async def start(self) -> None:
+        """Serve on a free port."""
+        await self.server.start()
+        self.state.phase = "ready"
+        self.history.attach()
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        self.history.detach()
+        await self.server.stop()
+
+    @property
+    def url(self) -> str:
+        """The URL of the server."""
+        return f"http://127.0.0.1:{self.options.administration_port}"
