Show transfers by the fields of their own view

The transfers came as arrays in JSON, because a named tuple is one. The administration API now shows every named tuple as a map.

--- a/gypsumpier/administration/state.py
+++ b/gypsumpier/administration/state.py
@@ -31,9 +31,9 @@
         if name == "documents":
             return list(document_views(self.application.documents))
         if name == "members":
-            return [member._asdict() for member in self.application.members.members.values()]
+            return [shown(member) for member in self.application.members.members.values()]
         found = self.application.inspect().get(name, [])
-        return list(found) if isinstance(found, list | tuple) else []
+        return [shown(item) for item in found] if isinstance(found, list) else []
 
     def ports(self) -> dict[str, int]:
         """Return the bound ports; a port that the role does not have is 0."""
@@ -57,3 +57,9 @@
             counts={name: len(self.listing(name)) for name in LISTINGS},
             details={name: value for name, value in details.items() if name not in LISTINGS},
         )
+
+
+def shown(item: object) -> object:
+    """Return a named tuple as a map, so that its fields keep their names in JSON."""
+    fields = getattr(item, "_asdict", None)
+    return fields() if fields is not None else item
--- a/gypsumpier/administration/view.py
+++ b/gypsumpier/administration/view.py
@@ -57,19 +57,6 @@
     capacity: int
 
 
-class TransferView(TypedDict, total=False):
-    """The transfer of one version's weights to this instance."""
-
-    service: str
-    model: str
-    version: str
-    digest: str
-    state: str
-    bytes_done: int
-    bytes_total: int
-    sources: dict[str, int]
-
-
 class DecisionView(TypedDict):
     """One routing or placement decision, as it was logged."""
 
--- a/gypsumpier/application.py
+++ b/gypsumpier/application.py
@@ -24,6 +24,7 @@
     def inspect(self) -> dict[str, object]:
         """Return what only the role knows of itself.
 
-        ``upstreams`` is a list of ``UpstreamView`` and ``transfers`` one of ``TransferView``, of
-        ``gypsumpier.administration.view``.  Other keys are shown as they are.
+        ``upstreams`` is a list of ``gypsumpier.administration.view.UpstreamView`` and
+        ``transfers`` one of ``gypsumpier.weight.view.TransferView``.  Other keys are shown as
+        details of the process.
         """
--- a/gypsumpier/client/page.py
+++ b/gypsumpier/client/page.py
@@ -11,7 +11,8 @@
 
 STATUS_COLUMNS: Final = ("name", "role", "region", "zone", "service", "state", "uptime_s")
 UPSTREAM_COLUMNS: Final = ("name", "connected", "healthy", "leaving", "in_flight")
-TRANSFER_COLUMNS: Final = ("service", "model", "version", "state")
+TRANSFER_COLUMNS: Final = ("model", "version", "phase")
+TRANSFER_SOURCES: Final = ("store", "origin", "region", "other_regions")
 LIVE_FIELDS: Final = ("model", "version", "digest")
 DIGEST_CHARACTERS: Final = 12
 MEBIBYTE: Final = 1024 * 1024
@@ -81,23 +82,26 @@
 
 
 def transfers_page(answers: Sequence[Answer]) -> str:
-    """Return one row for each transfer on each process."""
-    columns = ("administration", *TRANSFER_COLUMNS, "MiB", "done")
+    """Return one row for each transfer on each process; the sources are in MiB."""
+    columns = ("administration", *TRANSFER_COLUMNS, "chunks", "MiB", *TRANSFER_SOURCES, "reason")
     rows = [
-        [answer.url, *picked(view, TRANSFER_COLUMNS), *progress(view)]
+        [answer.url, *picked(view, TRANSFER_COLUMNS), *amounts(view), view.get("reason")]
         for answer in reached(answers)
         for view in answer.rows("transfers")
     ]
     return rendered(columns, rows)
 
 
-def progress(view: dict[str, Any]) -> list[object]:
-    """Return the size in MiB and the share that has come."""
-    total = int(view.get("bytes_total") or 0)
-    done = int(view.get("bytes_done") or 0)
-    if not total:
-        return [None, None]
-    return [total / MEBIBYTE, f"{100 * done // total}%"]
+def amounts(view: dict[str, Any]) -> list[object]:
+    """Return the chunks held, the size and what each kind of source gave."""
+    chunks = f"{view.get('chunks_held', 0)}/{view.get('chunks', 0)}"
+    sources = [mebibytes(view.get(f"from_{source}_bytes")) for source in TRANSFER_SOURCES]
+    return [chunks, mebibytes(view.get("size_bytes")), *sources]
+
+
+def mebibytes(size_bytes: int | None) -> float | None:
+    """Return a number of bytes in MiB."""
+    return None if size_bytes is None else size_bytes / MEBIBYTE
 
 
 def decisions_page(answers: Sequence[Answer]) -> str:
