--- a/gypsumpier/client/reader.py
+++ b/gypsumpier/client/reader.py
@@ -59,8 +59,6 @@
 
 def parsed(response: HTTPResponse) -> dict[str, Any]:
     """Return the JSON object of a response; raise GypsumpierError where there is none."""
-    if response.code == 599:
-        raise GypsumpierError(ADMINISTRATION_UNREACHABLE, str(response.error))
     try:
         content = json.loads(response.body)
     except ValueError as error:
--- a/misc/demo.py
+++ b/misc/demo.py
@@ -4,6 +4,9 @@
 versions of the weights, starts every process, waits until version 1 is live, calls through every
 entry, moves the documents to version 2 while calls go on, and checks every answer.  The last line
 is one JSON object; the exit status is 0 where every answer was whole and right.
+
+``--kill KIND`` kills one process of that kind during the move.  Then an answer may also be an
+error with a numbered code, and a connection of the killed entry may end without either.
 """
 
 import asyncio
@@ -17,15 +20,17 @@
 
 import click
 
-from misc.caller import Verdict, call, chat
+from misc.caller import CUT, REFUSED, Verdict, call, chat
 from misc.deployment import Deployment, load_deployment, with_version
 from misc.fleet import Fleet
 from misc.http import get_json
+from misc.kill import KINDS, kill_one
 from misc.progress import agents_live, entries_see, wait_until
 from misc.samples import make_weights, take_weights
 from misc.stage import Stage
 
 SEED: Final = 1
+SOURCES: Final = ("store", "origin")
 LIVE_TIMEOUT_S: Final = 45.0
 ROUNDS_PER_ENTRY: Final = 3
 CALL_PAUSE_S: Final = 0.1
@@ -35,8 +40,10 @@
 class Demo:
     """One run."""
 
-    def __init__(self, stage: Stage) -> None:
+    def __init__(self, stage: Stage, kill: str | None = None) -> None:
         self.stage = stage
+        self.kill = kill
+        self.killed = ""
         self.deployment = stage.deployment
         self.verdicts: list[Verdict] = []
         self.moved = asyncio.Event()
@@ -65,6 +72,9 @@
         for document in self.deployment.documents.values():
             wanted = with_version(document, version) if document["kind"] == "model" else document
             await self.stage.publish(wanted)
+        if self.kill and version == "2":
+            self.killed = await kill_one(self.stage, self.kill)
+            self.say(f"killed {self.killed}")
         await wait_until(lambda: agents_live(self.stage, version), LIVE_TIMEOUT_S, self.say)
         self.times_s[f"version_{version}_live_s"] = round(time.monotonic() - begun_s, 2)
         await wait_until(lambda: entries_see(self.stage, version), LIVE_TIMEOUT_S, self.say)
@@ -105,7 +115,8 @@
         kinds = Counter(verdict.kind for verdict in self.verdicts)
         versions = Counter(verdict.version for verdict in self.verdicts if verdict.version)
         problems = Counter(f"{v.problem} {v.code}" for v in self.problems())
-        counts = [await get_json(f"{self.stage.urls[n]}/control/counts") for n in SOURCES]
+        sources = [name for name in SOURCES if self.stage.fleet.children[name].running]
+        counts = [await get_json(f"{self.stage.standin_url(n)}/control/counts") for n in sources]
         for name, seconds in self.times_s.items():
             self.say(f"{name} {seconds}")
         self.say(f"answers by version {dict(versions)}; problems {dict(problems)}")
@@ -117,7 +128,10 @@
             "chats": kinds["chat"],
             "calls": kinds["call"],
             "answers_by_version": dict(versions),
-            "cut": sum(verdict.problem == "cut" for verdict in self.verdicts),
+            "cut": len(self.cut()),
+            "killed": self.killed,
+            "coded_errors": sum(verdict.problem == REFUSED for verdict in self.verdicts),
+            "wrong_or_partial": len(self.wrong()),
             "problems": dict(problems),
             **self.times_s,
             "weight_bytes_read": sum(count["total_bytes"] for count in counts),
@@ -128,14 +142,26 @@
         """Return the verdicts on answers that were not whole and right."""
         return [verdict for verdict in self.verdicts if verdict.problem]
 
+    def cut(self) -> list[Verdict]:
+        """Return the answers whose connection ended without an answer."""
+        return [verdict for verdict in self.verdicts if verdict.problem == CUT]
+
+    def wrong(self) -> list[Verdict]:
+        """Return the answers that were neither whole and right nor an error with a code."""
+        return [verdict for verdict in self.problems() if verdict.problem not in (CUT, REFUSED)]
+
+    def succeeded(self) -> bool:
+        """Tell whether every answer was as it must be."""
+        if not self.killed:
+            return not self.problems()
+        cuts_allowed = self.killed in self.stage.entries
+        return not self.wrong() and (cuts_allowed or not self.cut())
+
     def say(self, text: str) -> None:
         """Print one line of progress."""
         print(f"{time.monotonic() - self.started_at_s:6.1f} s  {text}", flush=True)
 
 
-SOURCES: Final = ("store_url", "origin_url")
-
-
 def prepare_weights(deployment: Deployment, source: Path | None, directory: Path) -> None:
     """Write the weights of every model service below the directory."""
     for service in deployment.model_services():
@@ -146,19 +172,21 @@
             take_weights(source, directory, model)
 
 
-async def run_demo(deployment: Deployment, source: Path | None, directory: Path) -> int:
+async def run_demo(
+    deployment: Deployment, source: Path | None, directory: Path, kill: str | None = None
+) -> int:
     """Run the demonstration below the directory; return the exit status."""
     weights = directory / "weights"
     prepare_weights(deployment, source, weights)
     async with Fleet(directory / "logs") as fleet:
-        demo = Demo(Stage(fleet, deployment, weights))
+        demo = Demo(Stage(fleet, deployment, weights), kill)
         report = await demo.run()
         names = list(fleet.children)
-    killed = [name for name in names if fleet.children[name].process.returncode != 0]
-    report["ungraceful_stops"] = killed
-    whole = not report["problems"] and not killed
+    ended = {name: fleet.children[name].process.returncode for name in names}
+    failed = [name for name, status in ended.items() if status and name != demo.killed]
+    report["ungraceful_stops"] = failed
     print(json.dumps(report))
-    return 0 if whole else 1
+    return 0 if demo.succeeded() and not failed else 1
 
 
 @click.command()
@@ -168,10 +196,12 @@
     type=click.Path(path_type=Path, exists=True, file_okay=False),
     help="Directory of weight files; made up by default.",
 )
-def main(deployment: str, weights: Path | None) -> None:
+@click.option("--kill", type=click.Choice(KINDS), help="Kind of process to kill during the move.")
+def main(deployment: str, weights: Path | None, kill: str | None) -> None:
     """Run the demonstration."""
     with tempfile.TemporaryDirectory(prefix="gypsumpier-demo-") as directory:
-        status = asyncio.run(run_demo(load_deployment(deployment), weights, Path(directory)))
+        chosen = load_deployment(deployment)
+        status = asyncio.run(run_demo(chosen, weights, Path(directory), kill))
     sys.exit(status)
 
 
--- a/misc/http.py
+++ b/misc/http.py
@@ -7,18 +7,21 @@
 
 MAX_CALLS: Final = 512
 
-AsyncHTTPClient.configure(None, max_clients=MAX_CALLS)
+
+def client() -> AsyncHTTPClient:
+    """Return the event loop's client, which runs many calls at once."""
+    return AsyncHTTPClient(max_clients=MAX_CALLS)
 
 
 async def get_json(url: str) -> dict[str, Any]:
     """Return the JSON object at the URL."""
-    response = await AsyncHTTPClient().fetch(url)
+    response = await client().fetch(url)
     found: dict[str, Any] = json.loads(response.body)
     return found
 
 
 async def post_json(url: str, body: dict[str, Any]) -> dict[str, Any]:
     """Send a JSON object; return the one that is answered."""
-    response = await AsyncHTTPClient().fetch(url, method="POST", body=json.dumps(body))
+    response = await client().fetch(url, method="POST", body=json.dumps(body))
     found: dict[str, Any] = json.loads(response.body or b"{}")
     return found
--- a/misc/stage.py
+++ b/misc/stage.py
@@ -69,12 +69,14 @@
         await self.start_agent(slot)
 
     async def start_upstream(self, slot: Slot) -> None:
-        """Start the engine or the plain service of a slot."""
+        """Start the engine or the plain service of a slot, on its earlier port if it had one."""
         name = f"upstream/{slot.name}"
+        earlier = self.upstreams.get(slot.name)
+        flags: dict[str, Flag] = {"port": earlier.port if earlier else 0}
         if slot.kind == "model":
-            child = await self.fleet.start_standin("engine", name, **self.engine_flags)
+            child = await self.fleet.start_standin("engine", name, **flags, **self.engine_flags)
         else:
-            child = await self.fleet.start_standin("service", name)
+            child = await self.fleet.start_standin("service", name, **flags)
         self.upstreams[slot.name] = child
 
     async def start_agent(self, slot: Slot) -> None:
@@ -132,6 +134,10 @@
         url = f"{self.urls['configuration_url']}/control/put"
         return int((await post_json(url, body))["revision"])
 
+    def standin_url(self, name: str) -> str:
+        """Return the URL of a stand-in of the platform, by the name of its process."""
+        return local_url(self.fleet.children[name].port)
+
     def entry_urls(self) -> list[str]:
         """Return the URL of each entry for callers."""
         return [local_url(child.ports["http_port"]) for child in self.entries.values()]
