--- a/gypsumpier/test/test_adapters.py
+++ b/gypsumpier/test/test_adapters.py
@@ -237,4 +237,4 @@
 
 def store_file(path: str, content: bytes) -> WeightFile:
     """Return the entry of a file list for the content."""
-    return WeightFile(path, len(content), blake3(content).hexdigest())
+    return WeightFile(path, len(content), blake3(content).hexdigest(), len(content), ())
