--- a/gypsumpier/weight/manifest.py
+++ b/gypsumpier/weight/manifest.py
@@ -1,12 +1,14 @@
 """A manifest: what one content of a version consists of.
 
-The manifest's digest covers every path, size and file digest, so it names exactly one content; an
-engine can compute the same digest from what it was handed.  A version whose content changes under
-its name gets another manifest digest.
+``digest`` names the content, as the platform's version digest does, and is what the engine stages
+and reports.  A version whose content changes under its name gets another digest.  ``layout``
+covers the chunks as well: agents exchange chunks by index only within one layout.
 """
 
 from typing import Final, NamedTuple
 
+from blake3 import blake3
+
 from gypsumpier.codes.weight import BAD_MANIFEST
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.platform.store import WeightFile, version_digest
@@ -31,6 +33,7 @@
     model: str
     version: str
     digest: str
+    layout: str
     files: tuple[WeightFile, ...]
     chunks: tuple[Chunk, ...]
 
@@ -51,7 +54,8 @@
     for number, file in enumerate(ordered):
         check_file(file)
         chunks += file_chunks(number, file)
-    return Manifest(model, version, version_digest(ordered), ordered, tuple(chunks))
+    digest = version_digest(ordered)
+    return Manifest(model, version, digest, layout_digest(ordered), ordered, tuple(chunks))
 
 
 def check_file(file: WeightFile) -> None:
@@ -62,6 +66,8 @@
         raise GypsumpierError(BAD_MANIFEST, f"{file.path}: number of chunk digests")
     if any(len(digest) != DIGEST_HEX_DIGITS for digest in (file.digest, *file.chunk_digests)):
         raise GypsumpierError(BAD_MANIFEST, f"{file.path}: length of a digest")
+    if file.size_bytes == 0 and file.digest != blake3(b"").hexdigest():
+        raise GypsumpierError(BAD_MANIFEST, f"{file.path}: digest of an empty file")
 
 
 def file_chunks(number: int, file: WeightFile) -> list[Chunk]:
@@ -72,3 +78,12 @@
         length = min(file.chunk_bytes, file.size_bytes - offset)
         chunks.append(Chunk(digest, number, file.path, offset, length))
     return chunks
+
+
+def layout_digest(files: tuple[WeightFile, ...]) -> str:
+    """Return the digest over everything that the files' descriptions say."""
+    hasher = blake3()
+    for file in files:
+        fields = [file.path, file.size_bytes, file.digest, file.chunk_bytes, *file.chunk_digests]
+        hasher.update("\0".join(str(field) for field in fields).encode() + b"\n")
+    return hasher.hexdigest()
