--- a/gypsumpier/test/standin/membership.py
+++ b/gypsumpier/test/standin/membership.py
@@ -1,19 +1,22 @@
 """Stand-in of the member list.
 
-Control: ``POST /control/put`` with a member's fields, ``/control/remove {"name"}``,
+Control: ``POST /control/put`` with a member's fields or with ``{"members": [...]}`` for many,
+``/control/remove {"name"}``,
 ``/control/leaving {"name", "leaving"}``, ``/control/lag {"lag_s"}``, ``/control/empty {"on"}``,
 ``/control/down {"on"}`` and ``GET /control/counts``.
 """
 
 import asyncio
 import time
-from typing import Any
+from typing import Any, Final
 
 import click
 from tornado.web import Application
 
 from gypsumpier.test.standin.server import DownControl, StandinHandler, serve
 
+NOT_MODIFIED: Final = 304
+
 
 class MembershipState:
     """Each version of the list with the time since which it holds, and the faults."""
@@ -23,6 +26,7 @@
         self.empty = False
         self.lag_s = lag_s
         self.calls = 0
+        self.bytes_sent = 0
         self.versions: list[tuple[float, dict[str, Any]]] = [(float("-inf"), {})]
 
     def change(self, name: str, member: dict[str, Any] | None) -> None:
@@ -31,6 +35,15 @@
         members.pop(name, None)
         if member is not None:
             members[name] = member
+        self.replace(members)
+
+    def put_all(self, listed: list[dict[str, Any]]) -> None:
+        """Put many members in one change."""
+        added = {member["name"]: {"leaving": False} | member for member in listed}
+        self.replace(self.versions[-1][1] | added)
+
+    def replace(self, members: dict[str, Any]) -> None:
+        """Let the list be this from now on."""
         self.versions.append((time.monotonic(), members))
         self.drop_old()
 
@@ -53,13 +66,20 @@
         self.state.calls += 1
         self.finish({"members": self.state.visible()})
 
+    def on_finish(self) -> None:
+        # A conditional read of an unchanged list is answered without its content.
+        changed = self.get_status() != NOT_MODIFIED
+        self.state.bytes_sent += int(self._headers["Content-Length"]) if changed else 0
+
 
 class ControlHandler(StandinHandler):
     """Changes the list and the faults."""
 
     def post(self, action: str) -> None:
         body = self.json_body()
-        if action == "put":
+        if action == "put" and "members" in body:
+            self.state.put_all(body["members"])
+        elif action == "put":
             self.state.change(body["name"], {"leaving": False} | body)
         elif action == "remove":
             self.state.change(body["name"], None)
@@ -73,7 +93,7 @@
         self.finish({})
 
     def get(self, action: str) -> None:
-        self.finish({"calls": self.state.calls})
+        self.finish({"calls": self.state.calls, "bytes_sent": self.state.bytes_sent})
 
 
 def make_application(state: MembershipState) -> Application:
--- /dev/null
+++ b/misc/capacity/links.py
@@ -0,0 +1,89 @@
+"""Cost of the links between entries and agents while no request runs: heartbeats and reports."""
+
+import asyncio
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from misc.capacity import target
+from misc.capacity.bench import RARELY_S, ZONE, Bench, url_of
+from misc.capacity.slope import Point, Slope
+from misc.capacity.usage import SETTLE_S, WINDOW_S, Usage, measure_usage
+from misc.child import Child
+from misc.fleet import Fleet
+from misc.http import get_json
+
+AGENT_COUNTS: Final = (32, 64, 128, 256)
+ENTRY_COUNTS: Final = (16, 32, 64, 128)
+
+
+class LinkCost(NamedTuple):
+    """What one process spends on so many links."""
+
+    links: int
+    usage: Usage
+    wire_bytes_per_s: float
+
+
+async def measure_links(directory: Path) -> list[Slope]:
+    """Measure an entry against its agents and an agent against its entries."""
+    by_agents = [await entry_cost(directory, count) for count in AGENT_COUNTS]
+    by_entries = [await agent_cost(directory, count) for count in ENTRY_COUNTS]
+    return [
+        *slopes_of("entry_links", "agents", by_agents, target.WORKERS_PER_ZONE),
+        *slopes_of("agent_links", "entries", by_entries, target.ENTRIES_PER_ZONE),
+    ]
+
+
+async def entry_cost(directory: Path, count: int) -> LinkCost:
+    """Measure one entry that has links to so many agents."""
+    async with Fleet(directory) as fleet:
+        bench = Bench(fleet)
+        await bench.start()
+        swarm = await bench.start_swarm("agent", count)
+        entry = await bench.start_entry(f"entry/{ZONE}/0", membership_interval_s=RARELY_S)
+        return await cost(entry, swarm, count)
+
+
+async def agent_cost(directory: Path, count: int) -> LinkCost:
+    """Measure one agent that has links from so many entries."""
+    async with Fleet(directory) as fleet:
+        bench = Bench(fleet)
+        await bench.start()
+        agent = await bench.start_agent("plain/zone-a/0", membership_interval_s=RARELY_S)
+        member = {
+            "name": "plain/zone-a/0",
+            "incarnation": "1",
+            "role": "agent",
+            "service": "plain",
+            "region": "region-a",
+            "zone": ZONE,
+            "host": "127.0.0.1",
+            "port": agent.ports["port"],
+            "bulk_port": 0,
+        }
+        await bench.list_members([member])
+        swarm = await bench.start_swarm("entry", count, agent.ports["port"])
+        return await cost(agent, swarm, count)
+
+
+async def cost(measured: Child, swarm: Child, count: int) -> LinkCost:
+    """Wait until all links stand, then measure for a window."""
+    while (await get_json(f"{url_of(swarm)}/wire"))["connections"] < count:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(SETTLE_S)
+    before = await get_json(f"{url_of(swarm)}/wire")
+    usage = await measure_usage(measured.pid)
+    after = await get_json(f"{url_of(swarm)}/wire")
+    return LinkCost(count, usage, (after["wire_bytes"] - before["wire_bytes"]) / WINDOW_S)
+
+
+def slopes_of(name: str, size_unit: str, costs: list[LinkCost], target_size: float) -> list[Slope]:
+    """Return the three slopes of one side."""
+    cores = [Point(one.links, one.usage.core_share) for one in costs]
+    memory = [Point(one.links, one.usage.resident_bytes) for one in costs]
+    wire = [Point(one.links, one.wire_bytes_per_s) for one in costs]
+    return [
+        Slope(f"{name}_cpu", "core", size_unit, cores, target_size, target.CONTROL_CORE_SHARE),
+        Slope(f"{name}_memory", "B", size_unit, memory, target_size, target.CONTROL_MEMORY_BYTES),
+        Slope(f"{name}_wire", "B/s", size_unit, wire, target_size, target.CONTROL_BYTES_PER_S),
+    ]
--- /dev/null
+++ b/misc/capacity/probemember.py
@@ -0,0 +1,68 @@
+"""Cost of one poll of the member list and of the member table."""
+
+import os
+import time
+from typing import Any, Final
+
+from gypsumpier.clock import SystemClock
+from gypsumpier.member.table import MemberTable
+from gypsumpier.options import Options
+from gypsumpier.platform.membership_http import HttpMembership
+from misc.capacity import target
+from misc.capacity.usage import resident_bytes
+from misc.http import get_json, post_json
+
+POLLS: Final = 8
+
+
+async def probe_members(size: int, url: str) -> dict[str, float]:
+    """Poll a list of so many members, unchanged and changed by one member each time."""
+    members = [member(number) for number in range(size)]
+    await post_json(f"{url}/control/put", {"members": members})
+    bytes_before = (await get_json(f"{url}/control/counts"))["bytes_sent"]
+    empty_bytes = resident_bytes(os.getpid())
+    membership = HttpMembership(url)
+    table = MemberTable(Options(), SystemClock())
+    table.take_list(await membership.members())
+    held_bytes = resident_bytes(os.getpid()) - empty_bytes
+    first_bytes = (await get_json(f"{url}/control/counts"))["bytes_sent"] - bytes_before
+    unchanged_s, changed_s = 0.0, 0.0
+    for poll in range(POLLS):
+        unchanged_s += await poll_once(membership, table)
+        await post_json(f"{url}/control/put", member(0) | {"incarnation": f"again-{poll}"})
+        changed_s += await poll_once(membership, table)
+    total_bytes = (await get_json(f"{url}/control/counts"))["bytes_sent"] - bytes_before
+    assert len(table.members) == size
+    unchanged_bytes = (total_bytes - first_bytes) / POLLS - first_bytes
+    return {
+        "unchanged_s": unchanged_s / POLLS,
+        "changed_s": changed_s / POLLS,
+        "unchanged_bytes": unchanged_bytes,
+        "changed_bytes": first_bytes,
+        "held_bytes": held_bytes,
+    }
+
+
+async def poll_once(membership: HttpMembership, table: MemberTable) -> float:
+    """Poll and join the list; return the processor time."""
+    before_s = time.process_time()
+    table.take_list(await membership.members())
+    return time.process_time() - before_s
+
+
+def member(number: int) -> dict[str, Any]:
+    """Return one member of a fleet of the target's shape."""
+    role = "entry" if number % (target.MEMBERS // target.ENTRIES) == 0 else "agent"
+    zone = f"zone-{number % target.ZONES}"
+    return {
+        "name": f"service-{number % 100}/{zone}/{number}",
+        "incarnation": f"{number:032x}",
+        "role": role,
+        "service": "" if role == "entry" else f"service-{number % 100}",
+        "region": f"region-{number % target.ZONES % target.REGIONS}",
+        "zone": zone,
+        "host": f"10.{number // 65536}.{number // 256 % 256}.{number % 256}",
+        "port": 7000,
+        "bulk_port": 7001,
+        "leaving": False,
+    }
--- /dev/null
+++ b/misc/capacity/usage.py
@@ -0,0 +1,43 @@
+"""Processor time and memory of one process over a window."""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Final, NamedTuple
+
+import psutil
+
+WINDOW_S: Final = 6.0
+SETTLE_S: Final = 3.0
+NS_PER_S: Final = 1_000_000_000
+
+
+class Usage(NamedTuple):
+    """Share of one core over the window and resident memory at its end."""
+
+    core_share: float
+    resident_bytes: int
+
+
+async def measure_usage(pid: int, window_s: float = WINDOW_S) -> Usage:
+    """Watch the process for the window."""
+    before_s = core_seconds(pid)
+    started_s = time.monotonic()
+    await asyncio.sleep(window_s)
+    elapsed_s = time.monotonic() - started_s
+    share = (core_seconds(pid) - before_s) / elapsed_s
+    return Usage(share, resident_bytes(pid))
+
+
+def core_seconds(pid: int) -> float:
+    """Return the processor time of all threads so far.
+
+    The scheduler counts nanoseconds; the clock ticks of other sources are too coarse here.
+    """
+    threads = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((thread / "schedstat").read_text().split()[0]) for thread in threads) / NS_PER_S
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory."""
+    return int(psutil.Process(pid).memory_info().rss)
--- /dev/null
+++ b/misc/measure_capacity.py
@@ -0,0 +1,67 @@
+"""Measures the slopes of docs/CAPACITY.md.
+
+Writes ``build/capacity/slopes.json`` and a plot of each slope.  The last line is one JSON object
+with all slopes.  Absolute times vary with the machine and from run to run.
+"""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, Final
+
+import click
+
+from misc.capacity.links import measure_links
+from misc.capacity.plot import plot_slope
+from misc.capacity.slope import Slope
+from misc.capacity.tables import measure_tables
+
+Measurement = Callable[[Path], Awaitable[list[Slope]]]
+
+MEASUREMENTS: Final[dict[str, Measurement]] = {
+    "tables": measure_tables,
+    "links": measure_links,
+}
+
+
+@click.command()
+@click.option("--only", multiple=True, type=click.Choice(list(MEASUREMENTS)))
+@click.option("--output", default="build/capacity", type=click.Path(path_type=Path))
+def main(only: tuple[str, ...], output: Path) -> None:
+    """Measure all slopes, or only the named groups."""
+    output.mkdir(parents=True, exist_ok=True)
+    slopes = asyncio.run(measure(only or tuple(MEASUREMENTS), output))
+    summary = {"slopes": [slope.summary() for slope in slopes]}
+    (output / "slopes.json").write_text(json.dumps(summary, indent=1))
+    for slope in slopes:
+        plot_slope(slope, output)
+    print(json.dumps(summary))
+
+
+async def measure(names: tuple[str, ...], output: Path) -> list[Slope]:
+    """Run the groups one after the other."""
+    slopes: list[Slope] = []
+    for name in names:
+        started_s = time.monotonic()
+        found = await MEASUREMENTS[name](output / "logs")
+        slopes += found
+        print(f"{name} took {time.monotonic() - started_s:.0f} s", flush=True)
+        for slope in found:
+            print(describe(slope.summary()), flush=True)
+    return slopes
+
+
+def describe(summary: dict[str, Any]) -> str:
+    """Return one slope as a line of text."""
+    points = " ".join(f"{size:g}:{cost:.4g}" for size, cost in summary["points"])
+    return (
+        f"  {summary['name']}: {points} {summary['unit']}; {summary['slope']:.4g} for each of "
+        f"{summary['size_unit']}, r2 {summary['fit_r2']:.3f}; {summary['at_target']:.4g} at "
+        f"{summary['target_size']:g}, limit {summary['limit']}, holds {summary['holds']}"
+    )
+
+
+if __name__ == "__main__":
+    main()
