Pass documents and members on over our own streams

A few entries of each zone read the platform; announcements, asks and contents on every session do the rest, so a content crosses to each instance once. An instance reads for itself only when no peer has had a way to the platform for a while. Not yet proved or measured; tests follow.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -22,6 +22,7 @@
 from gypsumpier.platform.membership_http import HttpMembership
 from gypsumpier.platform.service_http import HttpService
 from gypsumpier.platform.store_http import HttpStore
+from gypsumpier.spread.spread import Spread
 from gypsumpier.weight.rollout import Rollout
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
@@ -37,15 +38,24 @@
         self.random = Random()
         self.documents = DocumentTable(self.clock)
         self.members = MemberTable(options, self.clock)
+        self.spread = Spread(options, self.clock, self.random, self.documents, self.members)
         self.document_keeper = DocumentKeeper(
-            options, self.clock, HttpConfiguration(options.configuration_url), self.documents
+            options,
+            self.clock,
+            HttpConfiguration(options.configuration_url),
+            self.documents,
+            self.spread,
         )
         self.member_keeper = MemberKeeper(
-            options, self.clock, HttpMembership(options.membership_url), self.members
+            options,
+            self.clock,
+            HttpMembership(options.membership_url),
+            self.members,
+            self.spread,
         )
         self.upstream = self.build_upstream()
         self.gate = Gate(options, self.clock, self.upstream)
-        self.listener = Listener(options, self.clock, self.gate)
+        self.listener = Listener(options, self.clock, self.gate, self.spread)
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
         self.rollout = self.build_rollout()
         self.server = TcpListener(self.listener.serve)
@@ -79,6 +89,7 @@
         sockets = bind_sockets(self.options.port, self.options.host)
         self.options.port = sockets[0].getsockname()[1]
         self.server.add_sockets(sockets)
+        await self.spread.start()
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.monitor.start()
@@ -89,6 +100,7 @@
         """Refuse new work, tell the entries, let attempts in flight end, then close everything."""
         self.stopping = True
         self.gate.leaving = True
+        self.spread.announce_leaving()
         decision("drain", in_flight=len(self.gate.running), reason="stop asked for")
         await self.clock.sleep(LEAVE_NOTICE_S)
         try:
@@ -103,12 +115,14 @@
         await self.monitor.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
+        await self.spread.stop()
 
     def inspect(self) -> dict[str, object]:
         """Return what the administration API shows of this process."""
         return {
             "documents": list(self.documents.accepted.values()),
             "members": list(self.members.members.values()),
+            "spread": self.spread.inspect(),
             "upstreams": [{"name": self.options.name, **self.listener.state()}],
             "transfers": self.rollout.transfers() if self.rollout is not None else [],
             "in_flight": len(self.gate.running),
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -10,6 +10,9 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.options import Options
+from gypsumpier.spread.identity import Identity
+from gypsumpier.spread.message import is_control
+from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.stream import Stream
@@ -20,10 +23,13 @@
 class Listener:
     """The agent's side of the links."""
 
-    def __init__(self, options: Options, clock: Clock, gate: Gate) -> None:
+    def __init__(
+        self, options: Options, clock: Clock, gate: Gate, spread: Spread | None = None
+    ) -> None:
         self.options = options
         self.clock = clock
         self.gate = gate
+        self.spread = spread
         self.healthy = False
         self.connections: set[Connection] = set()
 
@@ -33,12 +39,19 @@
             stream, self.clock, self.options.heartbeat_s, self.options.silence_s
         )
         self.connections.add(connection)
+        session = None
+        if self.spread is not None:
+            session = self.spread.attach(connection, Identity("", "entry"))
         tasks = [
             asyncio.create_task(connection.keep_alive()),
             asyncio.create_task(self.report(connection)),
         ]
         try:
             async for frame in connection.frames():
+                if is_control(frame.kind):
+                    if session is not None:
+                        session.take(frame)
+                    continue
                 await self.take(frame, connection)
         except GypsumpierError as error:
             decision("connection_lost", reason=error)
@@ -46,6 +59,8 @@
             self.connections.discard(connection)
             for task in tasks:
                 task.cancel()
+            if self.spread is not None and session is not None:
+                await self.spread.detach(session)
 
     async def take(self, frame: Frame, connection: Connection) -> None:
         """Handle one frame from an entry."""
--- a/gypsumpier/document/keeper.py
+++ b/gypsumpier/document/keeper.py
@@ -1,8 +1,11 @@
-"""Keeps the document table up to date from the configuration service.
+"""Reads documents from the configuration service when it is this process's duty.
 
-One task reads all documents and then watches for changes.  Nothing read can lower what is in
-force, because the table keeps only the highest revision of each name; so an answer from a stale
-service is harmless and a failed one leaves everything as it is.
+Nothing read can lower what is in force, because the table keeps only the highest revision of each
+name; so an answer from a stale service is harmless and a failed one leaves everything as it is.
+
+A process that starts asks its peers as well, and holds back what the service answered until the
+first peer has told all it has, or ``start_wait_s`` has passed: a stale service must not put into
+force here, even for a moment, what other instances have long replaced.
 """
 
 import asyncio
@@ -12,16 +15,20 @@
 
 from gypsumpier.backoff import Backoff
 from gypsumpier.clock import Clock
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.document.spread import wanted_names
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.options import Options
 from gypsumpier.platform.configuration import Changes, Configuration
+from gypsumpier.spread.spread import Spread
 
 SOURCE: Final = "configuration"
+ANSWER_MARGIN_S: Final = 1.0
 
 
 class DocumentKeeper:
-    """Component that fills a DocumentTable."""
+    """Component that fills a DocumentTable from the configuration service."""
 
     def __init__(
         self,
@@ -29,14 +36,18 @@
         clock: Clock,
         configuration: Configuration,
         table: DocumentTable,
+        spread: Spread | None = None,
         randomness: random.Random | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.configuration = configuration
         self.table = table
+        self.spread = spread
+        self.wants = wanted_names(options)
         self.backoff = Backoff(randomness or random.Random(), options.platform_backoff_s)
         self.position: int | None = None
+        self.calls = 0
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -52,23 +63,40 @@
             await self.task
 
     async def run(self) -> None:
-        """Read and watch for ever."""
+        """Read and watch for ever, while it is this process's duty."""
+        is_first = True
         while True:
+            if self.spread is not None:
+                await self.spread.document_duty.wait_for_turn()
             try:
-                self.take(await self.changes())
-                self.backoff.reset()
+                changes = await self.read()
             except GypsumpierError as error:
                 self.position = None
                 await self.clock.sleep(self.backoff.next_wait_s(error.retry_after_s))
+                continue
+            if is_first and self.spread is not None:
+                await self.spread.wait_for_peers()
+            is_first = False
+            self.take(changes)
+            await self.clock.sleep(self.options.watch_pause_s)
 
-    async def changes(self) -> Changes:
+    async def read(self) -> Changes:
         """Return all documents at first, and what has changed after that."""
-        if self.position is None:
-            return await self.configuration.read_all()
-        return await self.configuration.watch(self.position, self.options.watch_timeout_s)
+        self.calls += 1
+        try:
+            async with asyncio.timeout(self.options.watch_timeout_s + ANSWER_MARGIN_S):
+                if self.position is None:
+                    return await self.configuration.read_all()
+                return await self.configuration.watch(self.position, self.options.watch_timeout_s)
+        except TimeoutError as error:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "no answer in time") from error
 
     def take(self, changes: Changes) -> None:
         """Offer what was read to the table."""
         self.position = changes.position
+        self.backoff.reset()
+        if self.spread is not None:
+            self.spread.documents.freshness.note_read()
         for revised in changes.documents:
-            self.table.offer(revised, SOURCE)
+            if self.wants is None or revised.name in self.wants:
+                self.table.offer(revised, SOURCE)
--- /dev/null
+++ b/gypsumpier/document/sender.py
@@ -0,0 +1,83 @@
+"""Writes what a DocumentExchange has to say to its connection."""
+
+from gypsumpier.document.exchange import DocumentExchange, chunks
+from gypsumpier.document.spread import DocumentSpread
+from gypsumpier.spread import message
+from gypsumpier.spread.message import Holding
+from gypsumpier.wire.connection import Connection
+
+
+async def send_documents(
+    spread: DocumentSpread, exchange: DocumentExchange, connection: Connection
+) -> None:
+    """Send all that is due; raise GypsumpierError with CONNECTION_CLOSED on a lost connection."""
+    if not exchange.introduced:
+        exchange.introduced = True
+        names = None if spread.wants is None else sorted(spread.wants)
+        await connection.send(message.DOCUMENT_WANT, {"names": names})
+    await send_distance(spread, exchange, connection)
+    if exchange.whole_due:
+        exchange.whole_due = False
+        await send_whole(spread, exchange, connection)
+    await send_announcements(spread, exchange, connection)
+    await send_asks(exchange, connection)
+    await send_bodies(spread, exchange, connection)
+    digest = spread.due_digest(exchange)
+    if digest is not None:
+        await connection.send(message.DOCUMENT_DIGEST, {"digest": digest})
+
+
+async def send_distance(
+    spread: DocumentSpread, exchange: DocumentExchange, connection: Connection
+) -> None:
+    """Tell the distance to the configuration service where it has changed."""
+    distance = spread.freshness.distance()
+    if distance != exchange.distance_sent:
+        exchange.distance_sent = distance
+        await connection.send(message.DOCUMENT_DISTANCE, {"distance": distance})
+
+
+async def send_whole(
+    spread: DocumentSpread, exchange: DocumentExchange, connection: Connection
+) -> None:
+    """Announce everything that the peer wants."""
+    pieces = list(chunks(spread.holdings(exchange.wants), message.NAMES_PER_FRAME))
+    for index, piece in enumerate(pieces):
+        payload = message.packed_have(piece, index == len(pieces) - 1)
+        await connection.send(message.DOCUMENT_HAVE, payload)
+
+
+async def send_announcements(
+    spread: DocumentSpread, exchange: DocumentExchange, connection: Connection
+) -> None:
+    """Announce what has changed and the peer is not known to hold."""
+    names, exchange.to_announce = exchange.to_announce, set()
+    holdings = [
+        holding for holding in spread.holdings(frozenset(names)) if not exchange.knows(holding)
+    ]
+    for holding in holdings:
+        exchange.note_known(holding)
+    if not holdings:
+        return
+    for piece in chunks(holdings, message.NAMES_PER_FRAME):
+        await connection.send(message.DOCUMENT_HAVE, message.packed_have(piece, False))
+
+
+async def send_asks(exchange: DocumentExchange, connection: Connection) -> None:
+    """Ask for what is lacked."""
+    asked, exchange.to_ask = exchange.to_ask, {}
+    if not asked:
+        return
+    holdings = [Holding(name, rank) for name, rank in asked.items()]
+    for piece in chunks(holdings, message.NAMES_PER_FRAME):
+        await connection.send(message.DOCUMENT_ASK, message.packed_have(piece, False))
+
+
+async def send_bodies(
+    spread: DocumentSpread, exchange: DocumentExchange, connection: Connection
+) -> None:
+    """Send the contents that were asked for, as they are now."""
+    names, exchange.to_send = exchange.to_send, set()
+    for name in sorted(names):
+        for revised in spread.table.contents(name):
+            await connection.send(message.DOCUMENT_BODY, message.packed_body(revised))
--- a/gypsumpier/document/table.py
+++ b/gypsumpier/document/table.py
@@ -12,13 +12,15 @@
 """
 
 import logging
+import re
 from collections.abc import Callable
 from typing import Final
 
 from gypsumpier.clock import Clock
 from gypsumpier.codes.document import CONFLICTING_REVISION, DOCUMENT_TABLE_FULL, NAME_MISMATCH
 from gypsumpier.document.errors import DocumentError
-from gypsumpier.document.record import Record, Refusal, clipped, rank_of, size_bytes
+from gypsumpier.document.fields import NAME
+from gypsumpier.document.record import Rank, Record, Refusal, clipped, rank_of, size_bytes
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.document.validator import parse
 from gypsumpier.log import decision
@@ -26,7 +28,7 @@
 
 NAMES_LIMIT: Final = 4096
 TABLE_LIMIT_BYTES: Final = 16 * 1024 * 1024
-NAME_LIMIT_CHARACTERS: Final = 255
+REVISION_LIMIT: Final = 2**63
 
 Subscriber = Callable[[Accepted], None]
 
@@ -56,6 +58,9 @@
     def offer(self, revised: Revised, source: str) -> bool:
         """Take a revision from any source; return True where it came into force."""
         revised = clipped(revised)
+        if not is_well_named(revised):
+            log_refusal(revised, source, NAME_MISMATCH.number, "", "no name of a service")
+            return False
         if not self.is_news(revised):
             return False
         if not self.has_room(revised):
@@ -71,20 +76,37 @@
         return True
 
     def is_news(self, revised: Revised) -> bool:
-        """Tell whether the revision ranks above all that is known of its name."""
+        """Tell whether the revision may change the table."""
         rank = rank_of(revised)
         record = self.records.get(revised.name)
+        if record and rank.revision == record.rank.revision and rank != record.rank:
+            log_refusal(revised, record.source, CONFLICTING_REVISION.number, "", "two contents")
+        return self.lacks(revised.name, rank)
+
+    def lacks(self, name: str, rank: Rank) -> bool:
+        """Tell whether a content of this rank may change the table."""
+        record = self.records.get(name)
         if record and rank <= record.rank:
             return False
-        if record and rank.revision == record.rank.revision:
-            log_refusal(revised, record.source, CONFLICTING_REVISION.number, "", "two contents")
-        refusal = self.refused.get(revised.name)
+        refusal = self.refused.get(name)
         return refusal is None or rank != refusal.rank
 
+    def ranks(self, name: str) -> list[Rank]:
+        """Return the ranks held of the name: the accepted one and a higher refused one."""
+        held = [self.records.get(name), self.refused.get(name)]
+        return [one.rank for one in held if one is not None]
+
+    def contents(self, name: str) -> list[Revised]:
+        """Return what is held of the name, as it came."""
+        held = [self.records.get(name), self.refused.get(name)]
+        return [one.revised for one in held if one is not None]
+
+    def names(self) -> list[str]:
+        """Return every name of which something is held, in order."""
+        return sorted(self.records.keys() | self.refused.keys())
+
     def has_room(self, revised: Revised) -> bool:
         """Tell whether the revision fits into the table."""
-        if len(revised.name) > NAME_LIMIT_CHARACTERS:
-            return False
         known = revised.name in self.records or revised.name in self.refused
         if not known and len(self.records.keys() | self.refused.keys()) >= NAMES_LIMIT:
             return False
@@ -138,6 +160,17 @@
         self.held_bytes -= size_bytes(self.refused.pop(name).revised)
 
 
+def is_well_named(revised: Revised) -> bool:
+    """Tell whether the name could be that of a service and the revision can be passed on."""
+    in_range = 0 <= revised.revision < REVISION_LIMIT
+    return in_range and len(revised.name) <= NAME.max_length and is_name(revised.name)
+
+
+def is_name(text: str) -> bool:
+    """Tell whether the text has the form of a service's name."""
+    return re.fullmatch(NAME.pattern, text) is not None
+
+
 def validated(revised: Revised) -> ServiceDocument | None:
     """Return the document of the revision, or None for a deletion."""
     if revised.body is None:
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -19,7 +19,9 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.configuration_http import HttpConfiguration
 from gypsumpier.platform.membership_http import HttpMembership
-from gypsumpier.wire.tcp import TcpDialer
+from gypsumpier.spread.spread import Spread
+from gypsumpier.spread.streams import SpreadStreams
+from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 DRAIN_POLL_S: Final = 0.05
 
@@ -33,13 +35,26 @@
         self.random = Random()
         self.documents = DocumentTable(self.clock)
         self.members = MemberTable(options, self.clock)
+        self.spread = Spread(options, self.clock, self.random, self.documents, self.members)
+        self.streams = SpreadStreams(
+            options, self.clock, TcpDialer(), self.random, self.members, self.spread
+        )
+        self.listener = TcpListener(self.streams.accept)
         self.document_keeper = DocumentKeeper(
-            options, self.clock, HttpConfiguration(options.configuration_url), self.documents
+            options,
+            self.clock,
+            HttpConfiguration(options.configuration_url),
+            self.documents,
+            self.spread,
         )
         self.member_keeper = MemberKeeper(
-            options, self.clock, HttpMembership(options.membership_url), self.members
+            options,
+            self.clock,
+            HttpMembership(options.membership_url),
+            self.members,
+            self.spread,
         )
-        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members)
+        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members, self.spread)
         self.relay = Relay(options, self.clock, self.links, self.random)
         self.in_flight = 0
         self.stopping = False
@@ -58,6 +73,11 @@
 
     async def start(self) -> None:
         """Bind the ports and start every part."""
+        stream_sockets = bind_sockets(self.options.port, self.options.host)
+        self.options.port = stream_sockets[0].getsockname()[1]
+        self.listener.add_sockets(stream_sockets)
+        await self.spread.start()
+        await self.streams.start()
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.links.start()
@@ -68,6 +88,7 @@
     async def stop(self) -> None:
         """Refuse new connections, let requests in flight end, then close everything."""
         self.stopping = True
+        self.spread.announce_leaving()
         decision("drain", in_flight=self.in_flight, reason="stop asked for")
         self.server.stop()
         deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
@@ -77,11 +98,15 @@
         await self.links.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
+        self.listener.stop()
+        await self.streams.stop()
+        await self.spread.stop()
 
     def inspect(self) -> dict[str, object]:
         """Return what the administration API shows of this process."""
         return {
             "documents": list(self.documents.accepted.values()),
+            "spread": self.spread.inspect(),
             "members": list(self.members.members.values()),
             "upstreams": [
                 {
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -18,6 +18,10 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.engine import LiveModel
 from gypsumpier.platform.membership import Member
+from gypsumpier.spread.identity import Identity
+from gypsumpier.spread.message import is_control
+from gypsumpier.spread.session import Session
+from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.stream import Dialer
@@ -30,13 +34,21 @@
     """State of one agent as this entry sees it."""
 
     def __init__(
-        self, options: Options, clock: Clock, dialer: Dialer, random: Random, member: Member
+        self,
+        options: Options,
+        clock: Clock,
+        dialer: Dialer,
+        random: Random,
+        member: Member,
+        spread: Spread | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.dialer = dialer
         self.random = random
         self.member = member
+        self.spread = spread
+        self.session: Session | None = None
         self.connection: Connection | None = None
         self.attempts: dict[str, Attempt] = {}
         self.live: list[LiveModel] = []
@@ -80,12 +92,21 @@
         try:
             await connection.send("hello", self.hello())
             self.connection = connection
+            if self.spread is not None:
+                self.session = self.spread.attach(connection, Identity(member.name, member.role))
             async for frame in connection.frames():
                 self.take(frame)
         finally:
             keep_alive.cancel()
             connection.close()
             self.lose(connection)
+            await self.end_session()
+
+    async def end_session(self) -> None:
+        """End the exchange of control state on the closed connection."""
+        session, self.session = self.session, None
+        if self.spread is not None and session is not None:
+            await self.spread.detach(session)
 
     def hello(self) -> dict[str, Any]:
         """Return what the entry says of itself first."""
@@ -93,6 +114,10 @@
 
     def take(self, frame: Frame) -> None:
         """Handle one frame from the agent."""
+        if is_control(frame.kind):
+            if self.session is not None:
+                self.session.take(frame)
+            return
         if frame.kind == "state":
             self.take_state(frame.payload)
             return
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -10,6 +10,7 @@
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
+from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.stream import Dialer
 
 REFRESH_INTERVAL_S: Final = 0.25
@@ -19,13 +20,20 @@
     """One link for each agent in the member table."""
 
     def __init__(
-        self, options: Options, clock: Clock, dialer: Dialer, random: Random, members: MemberTable
+        self,
+        options: Options,
+        clock: Clock,
+        dialer: Dialer,
+        random: Random,
+        members: MemberTable,
+        spread: Spread | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.dialer = dialer
         self.random = random
         self.members = members
+        self.spread = spread
         self.links: dict[str, Link] = {}
         self.task: asyncio.Task[None] | None = None
 
@@ -64,7 +72,7 @@
 
     def open(self, member: Member) -> None:
         """Add and start the link to a new member."""
-        link = Link(self.options, self.clock, self.dialer, self.random, member)
+        link = Link(self.options, self.clock, self.dialer, self.random, member, self.spread)
         self.links[member.name] = link
         link.start()
 
--- a/gypsumpier/member/keeper.py
+++ b/gypsumpier/member/keeper.py
@@ -1,4 +1,4 @@
-"""Keeps the member table up to date from the platform's list."""
+"""Polls the platform's member list when it is this process's duty."""
 
 import asyncio
 import contextlib
@@ -6,14 +6,16 @@
 
 from gypsumpier.backoff import Backoff
 from gypsumpier.clock import Clock
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Membership
+from gypsumpier.platform.membership import Member, Membership
+from gypsumpier.spread.spread import Spread
 
 
 class MemberKeeper:
-    """Component that polls the member list."""
+    """Component that fills a MemberTable from the platform's list."""
 
     def __init__(
         self,
@@ -21,13 +23,16 @@
         clock: Clock,
         membership: Membership,
         table: MemberTable,
+        spread: Spread | None = None,
         randomness: random.Random | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.membership = membership
         self.table = table
+        self.spread = spread
         self.backoff = Backoff(randomness or random.Random(), options.platform_backoff_s)
+        self.calls = 0
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -43,11 +48,36 @@
             await self.task
 
     async def run(self) -> None:
-        """Poll for ever; a failed poll leaves the table as it is."""
+        """Poll for ever, while it is this process's duty.
+
+        A failed poll leaves the table as it is.  An entry that starts polls at once, because it
+        can't know its peers before.
+        """
         while True:
+            if self.spread is not None and not self.is_starting_entry():
+                await self.spread.member_duty.wait_for_turn()
             try:
-                self.table.take_list(await self.membership.members())
-                self.backoff.reset()
+                self.take(await self.poll())
                 await self.clock.sleep(self.options.membership_interval_s)
             except GypsumpierError as error:
                 await self.clock.sleep(self.backoff.next_wait_s(error.retry_after_s))
+
+    def is_starting_entry(self) -> bool:
+        """Tell whether this is an entry that has read no list yet."""
+        return self.options.role == "entry" and not self.table.members
+
+    async def poll(self) -> list[Member]:
+        """Return the platform's list."""
+        self.calls += 1
+        try:
+            async with asyncio.timeout(self.options.watch_timeout_s):
+                return await self.membership.members()
+        except TimeoutError as error:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "no answer in time") from error
+
+    def take(self, listed: list[Member]) -> None:
+        """Join what was read into the table."""
+        self.backoff.reset()
+        self.table.take_list(listed)
+        if self.spread is not None and listed:
+            self.spread.members.freshness.note_read()
--- a/gypsumpier/member/table.py
+++ b/gypsumpier/member/table.py
@@ -1,23 +1,39 @@
 """The instances this process knows of.
 
-The platform's list lags, and it may be empty or contradict what is heard.  A list therefore never
-removes at once: a member that it no longer names is kept while it is heard from, and for
-``missing_s`` after that.  The last members of a service stay for ``LAST_KEPT_S`` even then, so a
-missing or partial list does not empty a service; whether they answer is for their connections to
-tell.  A member of the same name with another incarnation replaces the earlier one at once.
+Three sources are joined.  The platform's list, read here or passed on by a peer, lags and may be
+empty or contradictory.  An instance introduces itself on each connection, and a living connection
+tells that its incarnation is there.  The rules:
+
+- A list never removes at once.  A member that it does not name stays while it is heard from and
+  for ``missing_s`` after that.  Where the list names no member at all of a service, or of a zone's
+  entries, the known ones stay for LAST_KEPT_S: whether they answer is for their connections to
+  tell.
+- An empty list is ignored.
+- Another incarnation of a name replaces the earlier one, except that a list does not replace an
+  incarnation that is heard from now: the list is then older than the connection.
+- A member that said itself that it is leaving is leaving, whatever a list says.
+
+An agent's table holds the agents of its own service, and the entries that have introduced
+themselves; an entry's holds all.
 """
 
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
-from gypsumpier.codes.member import MEMBER_LIST_EMPTY, MEMBER_TABLE_FULL
+from gypsumpier.codes.member import (
+    MEMBER_LIST_CONTRADICTORY,
+    MEMBER_LIST_EMPTY,
+    MEMBER_TABLE_FULL,
+)
 from gypsumpier.log import decision
+from gypsumpier.member.journal import Journal
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
 
 MEMBERS_LIMIT: Final = 16_384
 LAST_KEPT_S: Final = 3600.0
+HEARD_S: Final = 2.0
 
 
 class Group(NamedTuple):
@@ -34,8 +50,10 @@
         self.options = options
         self.clock = clock
         self.members: dict[str, Member] = {}
+        self.journal = Journal()
         self.missing_since_s: dict[str, float] = {}
-        self.heard_at_s: dict[tuple[str, str], float] = {}
+        self.heard_at_s: dict[str, float] = {}
+        self.left_incarnations: dict[str, str] = {}
         self.subscribers: list[Callable[[], None]] = []
 
     def agents(self, service: str) -> list[Member]:
@@ -60,73 +78,124 @@
         """Note that a connection to this incarnation is alive now."""
         member = self.members.get(name)
         if member and member.incarnation == incarnation:
-            self.heard_at_s[(name, incarnation)] = self.clock.monotonic()
+            self.heard_at_s[name] = self.clock.monotonic()
+
+    def introduce(self, member: Member) -> None:
+        """Take what an instance says of itself on a connection to it."""
+        if member.leaving:
+            self.left_incarnations[member.name] = member.incarnation
+        known = member.name in self.members
+        changed = self.put(member)
+        if not known:
+            self.missing_since_s[member.name] = self.clock.monotonic()
+        self.heard(member.name, member.incarnation)
+        if changed:
+            self.notify()
 
     def take_list(self, listed: list[Member]) -> None:
-        """Join a list of the platform into the table."""
+        """Join a whole list of the platform into the table."""
         if not listed:
             if self.members:
                 decision("member_list_ignored", code=MEMBER_LIST_EMPTY.number, reason="empty list")
             return
-        changed = False
-        for member in listed:
-            changed |= self.put(member)
         names = {member.name for member in listed}
-        changed |= self.drop_missing(name for name in self.members if name not in names)
-        if changed:
+        concerned = [name for name, member in self.members.items() if self.concerns(member)]
+        self.take_changes(listed, [name for name in concerned if name not in names])
+
+    def take_changes(self, put: list[Member], gone: Iterable[str]) -> None:
+        """Join changes of a list into the table."""
+        changed = False
+        for member in put:
+            if self.concerns(member):
+                changed |= self.put_listed(member)
+        now_s = self.clock.monotonic()
+        for name in gone:
+            if name in self.members:
+                self.missing_since_s.setdefault(name, now_s)
+        if changed | self.drop_missing():
             self.notify()
 
-    def put(self, member: Member) -> bool:
-        """Add or replace one listed member; return True where that changed the table."""
+    def concerns(self, member: Member) -> bool:
+        """Tell whether lists are to say anything about the member."""
+        return self.options.role != "agent" or member.service == self.options.service
+
+    def put_listed(self, member: Member) -> bool:
+        """Join one listed member; return True where that changed the table."""
         self.missing_since_s.pop(member.name, None)
         earlier = self.members.get(member.name)
+        if earlier and earlier.incarnation != member.incarnation and self.is_heard(member.name):
+            decision(
+                "member_list_contradicted",
+                member=member.name,
+                code=MEMBER_LIST_CONTRADICTORY.number,
+                reason="another incarnation is heard from",
+            )
+            return False
+        if self.left_incarnations.get(member.name) == member.incarnation:
+            member = member._replace(leaving=True)
+        return self.put(member)
+
+    def put(self, member: Member) -> bool:
+        """Add or replace one member; return True where that changed the table."""
+        earlier = self.members.get(member.name)
         if earlier == member:
             return False
         if earlier is None and len(self.members) >= MEMBERS_LIMIT:
             decision("member_refused", member=member.name, code=MEMBER_TABLE_FULL.number)
             return False
         if earlier and earlier.incarnation != member.incarnation:
-            self.heard_at_s.pop((earlier.name, earlier.incarnation), None)
+            self.heard_at_s.pop(member.name, None)
+        if self.left_incarnations.get(member.name, member.incarnation) != member.incarnation:
+            del self.left_incarnations[member.name]
         self.members[member.name] = member
+        self.journal.note_change(member.name)
         return True
 
-    def drop_missing(self, names: Iterable[str]) -> bool:
+    def is_heard(self, name: str) -> bool:
+        """Tell whether a connection to the member's incarnation is alive."""
+        heard_s = self.heard_at_s.get(name, float("-inf"))
+        return self.clock.monotonic() - heard_s < HEARD_S
+
+    def sweep(self) -> None:
+        """Drop the members whose time has run out; called now and then."""
+        if self.drop_missing():
+            self.notify()
+
+    def drop_missing(self) -> bool:
         """Drop those members that have been missing and silent for long enough."""
+        if not self.missing_since_s:
+            return False
         now_s = self.clock.monotonic()
-        for name in list(names):
-            self.missing_since_s.setdefault(name, now_s)
-        sizes = self.group_sizes()
+        listed = self.listed_groups()
         dropped = False
         for name in sorted(self.missing_since_s):
-            group = group_of(self.members[name])
-            limit_s = self.options.missing_s if sizes[group] > 1 else LAST_KEPT_S
-            if self.silent_since(name, now_s) < limit_s:
-                continue
-            self.drop(name)
-            sizes[group] -= 1
-            dropped = True
+            is_listed = group_of(self.members[name]) in listed
+            limit_s = self.options.missing_s if is_listed else LAST_KEPT_S
+            if now_s - self.last_sign_s(name) >= limit_s:
+                self.drop(name)
+                dropped = True
         return dropped
 
-    def silent_since(self, name: str, now_s: float) -> float:
-        """Return for how many seconds the member has been both unlisted and unheard."""
-        member = self.members[name]
-        heard_s = self.heard_at_s.get((name, member.incarnation), float("-inf"))
-        return now_s - max(heard_s, self.missing_since_s[name])
+    def last_sign_s(self, name: str) -> float:
+        """Return when the member was last listed or heard."""
+        return max(self.heard_at_s.get(name, float("-inf")), self.missing_since_s[name])
 
     def drop(self, name: str) -> None:
         """Remove a member and what is kept about it."""
-        member = self.members.pop(name)
-        self.missing_since_s.pop(name, None)
-        self.heard_at_s.pop((name, member.incarnation), None)
+        del self.members[name]
+        del self.missing_since_s[name]
+        self.heard_at_s.pop(name, None)
+        self.left_incarnations.pop(name, None)
+        self.journal.note_drop(name)
         decision("member_dropped", member=name, reason="neither listed nor heard")
 
-    def group_sizes(self) -> dict[Group, int]:
-        """Count the members of each group."""
-        sizes: dict[Group, int] = {}
-        for member in self.members.values():
-            group = group_of(member)
-            sizes[group] = sizes.get(group, 0) + 1
-        return sizes
+    def listed_groups(self) -> set[Group]:
+        """Return the groups of which the list names a member."""
+        return {
+            group_of(member)
+            for name, member in self.members.items()
+            if name not in self.missing_since_s
+        }
 
     def notify(self) -> None:
         """Call the subscribers."""
--- /dev/null
+++ b/gypsumpier/spread/asks.py
@@ -0,0 +1,79 @@
+"""Contents that this process lacks and has asked a peer for.
+
+Each content is asked of one peer at a time, however many announce it.  When the answer is late or
+the peer is lost, the next peer that announced it is asked.  The number of open asks is bounded;
+what does not fit is found again by the digests.
+"""
+
+from collections.abc import Hashable
+from typing import Final, NamedTuple
+
+from gypsumpier.clock import Clock
+from gypsumpier.spread.message import Holding
+
+OVERDUE_S: Final = 1.0
+ASKS_LIMIT: Final = 8192
+SOURCES_LIMIT: Final = 8
+
+
+class Ask(NamedTuple):
+    """An open ask: who was asked, when, and who else has announced the content."""
+
+    peer: Hashable
+    asked_at_s: float
+    others: list[Hashable]
+
+
+class Asks:
+    """All open asks of the process."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.open: dict[Holding, Ask] = {}
+
+    def announced(self, peer: Hashable, holding: Holding) -> bool:
+        """Note that the peer holds a lacked content; return True where it should be asked now."""
+        ask = self.open.get(holding)
+        if ask is None:
+            if len(self.open) >= ASKS_LIMIT:
+                return False
+            self.open[holding] = Ask(peer, self.clock.monotonic(), [])
+            return True
+        if peer != ask.peer and peer not in ask.others and len(ask.others) < SOURCES_LIMIT:
+            ask.others.append(peer)
+        return False
+
+    def settled(self, name: str) -> list[Holding]:
+        """Return the open asks for the name; the caller closes those that are settled."""
+        return [holding for holding in self.open if holding.name == name]
+
+    def close(self, holding: Holding) -> None:
+        """Forget an ask."""
+        self.open.pop(holding, None)
+
+    def is_waiting_for(self, peer: Hashable) -> bool:
+        """Tell whether an answer of the peer is awaited."""
+        return any(ask.peer == peer for ask in self.open.values())
+
+    def lost(self, peer: Hashable) -> list[tuple[Hashable, Holding]]:
+        """Forget a lost peer; return whom to ask in its place, and for what."""
+        for ask in self.open.values():
+            if peer in ask.others:
+                ask.others.remove(peer)
+        return self.move([holding for holding, ask in self.open.items() if ask.peer == peer])
+
+    def overdue(self) -> list[tuple[Hashable, Holding]]:
+        """Return whom to ask in place of peers that have not answered in time."""
+        limit_s = self.clock.monotonic() - OVERDUE_S
+        return self.move([key for key, ask in self.open.items() if ask.asked_at_s <= limit_s])
+
+    def move(self, holdings: list[Holding]) -> list[tuple[Hashable, Holding]]:
+        """Ask the next peer for each content, or give up where there is none."""
+        moved: list[tuple[Hashable, Holding]] = []
+        for holding in holdings:
+            others = self.open.pop(holding).others
+            if others:
+                peer = others.pop(0)
+                self.open[holding] = Ask(peer, self.clock.monotonic(), others)
+                moved.append((peer, holding))
+        return moved
--- /dev/null
+++ b/gypsumpier/spread/session.py
@@ -0,0 +1,98 @@
+"""Control state on one connection, whichever side dialled it.
+
+The connection's owner hands over each frame whose kind ``message.is_control`` tells, and closes
+the session when the connection is closed.  One task writes what is due.
+"""
+
+import asyncio
+import contextlib
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.document.sender import send_documents
+from gypsumpier.document.spread import DocumentSpread
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.member.spread import MemberSpread, send_members
+from gypsumpier.spread.identity import Identity
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
+
+COALESCE_S: Final = 0.02
+HEARD_WITHIN_S: Final = 1.5
+
+
+class Session:
+    """Exchanges documents and members with one peer."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        connection: Connection,
+        peer: Identity,
+        documents: DocumentSpread,
+        members: MemberSpread,
+    ) -> None:
+        self.clock = clock
+        self.connection = connection
+        self.documents = documents
+        self.members = members
+        self.woken = asyncio.Event()
+        self.document_exchange = documents.attach(peer, self.wake)
+        self.member_exchange = members.attach(peer)
+        self.task = asyncio.create_task(self.run())
+
+    @property
+    def peer(self) -> Identity:
+        """Return who is at the other end, as far as is known."""
+        return self.member_exchange.peer
+
+    def take(self, frame: Frame) -> None:
+        """Handle one control frame; raise GypsumpierError with BAD_FRAME on a malformed one."""
+        if frame.kind.startswith("member."):
+            self.members.take(self.member_exchange, frame.kind, frame.payload)
+            self.document_exchange.peer = self.member_exchange.peer
+        else:
+            self.documents.take(self.document_exchange, frame.kind, frame.payload)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the task look for something to send."""
+        self.woken.set()
+
+    def is_due(self) -> bool:
+        """Tell whether time alone has made something due."""
+        documents, members = self.document_exchange, self.member_exchange
+        return (
+            documents.distance_sent != self.documents.freshness.distance()
+            or members.distance_sent != self.members.freshness.distance()
+            or members.asked != self.members.is_source(members)
+            or documents.digest_due_at_s <= self.clock.monotonic()
+        )
+
+    async def run(self) -> None:
+        """Send what is due, a little coalesced, until the connection closes."""
+        while not self.connection.closed:
+            self.woken.clear()
+            try:
+                await send_members(self.members, self.member_exchange, self.connection)
+                await send_documents(self.documents, self.document_exchange, self.connection)
+            except GypsumpierError:
+                self.connection.close()
+                return
+            await self.woken.wait()
+            await self.clock.sleep(COALESCE_S)
+
+    def note_heard(self) -> None:
+        """Tell the member table that the peer is alive where that is so."""
+        silent_s = self.clock.monotonic() - self.connection.received_at_s
+        if silent_s < HEARD_WITHIN_S and not self.connection.closed:
+            exchange = self.member_exchange
+            self.members.table.heard(exchange.peer.name, exchange.incarnation)
+
+    async def close(self) -> None:
+        """End the session."""
+        self.documents.detach(self.document_exchange)
+        self.members.detach(self.member_exchange)
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
--- /dev/null
+++ b/gypsumpier/spread/spread.py
@@ -0,0 +1,127 @@
+"""The component that holds all sessions of the process.
+
+``is_watcher`` is set by whoever knows the topology; an agent never watches.
+"""
+
+import asyncio
+import contextlib
+import random
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.document.spread import DocumentSpread
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.member.spread import MemberSpread
+from gypsumpier.member.table import MemberTable
+from gypsumpier.options import Options
+from gypsumpier.spread.duty import Duty
+from gypsumpier.spread.freshness import Freshness
+from gypsumpier.spread.identity import Identity
+from gypsumpier.spread.session import Session
+from gypsumpier.wire.connection import Connection
+
+TICK_S: Final = 0.25
+PEERS_POLL_S: Final = 0.05
+
+
+class Spread:
+    """All sessions of the process, and its duties towards the platform."""
+
+    def __init__(
+        self,
+        options: Options,
+        clock: Clock,
+        randomness: random.Random,
+        documents: DocumentTable,
+        members: MemberTable,
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.is_watcher = not options.spread
+        self.documents = DocumentSpread(options, clock, randomness, documents)
+        self.members = MemberSpread(options, clock, members)
+        self.sessions: set[Session] = set()
+        self.document_duty = self.duty(randomness, self.documents.freshness)
+        self.member_duty = self.duty(randomness, self.members.freshness)
+        self.task: asyncio.Task[None] | None = None
+
+    def duty(self, randomness: random.Random, freshness: Freshness) -> Duty:
+        """Return the duty towards the service of which the freshness tells."""
+        members = self.members.table.members
+        return Duty(
+            self.options,
+            self.clock,
+            randomness,
+            freshness,
+            lambda: self.is_watcher,
+            lambda: len(members),
+        )
+
+    async def start(self) -> None:
+        """Start the work that depends on time."""
+        self.members.table.subscribe(self.wake_all)
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End all sessions."""
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+        for session in list(self.sessions):
+            await self.detach(session)
+
+    def attach(self, connection: Connection, peer: Identity) -> Session:
+        """Begin a session on a connection that has just opened."""
+        session = Session(self.clock, connection, peer, self.documents, self.members)
+        self.sessions.add(session)
+        return session
+
+    async def detach(self, session: Session) -> None:
+        """End a session whose connection has closed."""
+        self.sessions.discard(session)
+        await session.close()
+
+    def announce_leaving(self) -> None:
+        """Tell every peer that this instance takes no new work."""
+        self.members.leaving = True
+        self.wake_all()
+
+    def wake_all(self) -> None:
+        """Let every session look for something to send."""
+        for session in self.sessions:
+            session.wake()
+
+    async def run(self) -> None:
+        """Do what time makes due."""
+        while True:
+            await self.clock.sleep(TICK_S)
+            self.documents.tick()
+            self.members.table.sweep()
+            for session in self.sessions:
+                session.note_heard()
+                if session.is_due():
+                    session.wake()
+
+    async def wait_for_peers(self) -> None:
+        """Return when a first entry has told all it holds, or nobody is likely to."""
+        until_s = self.clock.monotonic() + self.options.start_wait_s
+        while self.clock.monotonic() < until_s and not self.documents.synced.is_set():
+            if self.is_alone():
+                return
+            await self.clock.sleep(PEERS_POLL_S)
+
+    def is_alone(self) -> bool:
+        """Tell whether the platform's list names no other entry."""
+        names = {member.name for member in self.members.table.entries()}
+        return bool(names) and names <= {self.options.name}
+
+    def inspect(self) -> dict[str, object]:
+        """Return what the administration API shows of the spread."""
+        return {
+            "is_watcher": self.is_watcher,
+            "document_distance": self.documents.freshness.distance(),
+            "member_distance": self.members.freshness.distance(),
+            "open_asks": len(self.documents.asks.open),
+            "sessions": sorted(session.peer.name for session in self.sessions),
+        }
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -251,9 +251,7 @@
 
 
 class LedgerMachineTest(AtMostOnceMachine.TestCase):  # type: ignore[misc]
-    settings = settings(
-        derandomize=True, deadline=None, max_examples=250, stateful_step_count=40
-    )
+    settings = settings(derandomize=True, deadline=None, max_examples=250, stateful_step_count=40)
 
 
 if __name__ == "__main__":
