--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -27,8 +27,6 @@
     "dial_timeout_s": "Seconds allowed for opening a connection.",
     "membership_interval_s": "Seconds between two reads of the member list.",
     "watch_timeout_s": "Seconds that one watch of the configuration service waits.",
-    "platform_backoff_s": "Longest time in seconds between two tries after the platform failed.",
-    "missing_s": "Seconds that a member stays in use after it left the list and fell silent.",
     "watchers_per_zone": "Number of entries in a zone that watch the configuration service.",
     "platform_backoff_s": "Longest wait in seconds between failed calls of a platform service.",
     "missing_s": "Seconds for which an instance stays known that is neither listed nor heard from.",
--- a/misc/demo.py
+++ b/misc/demo.py
@@ -57,7 +57,7 @@
         self.say(f"{len(self.stage.fleet.children)} processes run")
         await self.move_to("1")
         await self.call_every_entry()
-        callers = [asyncio.create_task(self.keep_calling(url)) for url in self.stage.entry_urls()]
+        callers = [asyncio.create_task(self.keep_calling(name)) for name in self.stage.entries]
         await self.move_to("2")
         await asyncio.sleep(AFTER_MOVE_S)
         self.moved.set()
@@ -87,11 +87,11 @@
             await asyncio.gather(*(self.call_once(url, number) for url in urls))
         self.say(f"{len(self.verdicts)} answers so far, {len(self.problems())} not whole")
 
-    async def keep_calling(self, url: str) -> None:
-        """Call through one entry until the move is over."""
+    async def keep_calling(self, name: str) -> None:
+        """Call through one entry until the move is over, through another while it is away."""
         number = 0
         while not self.moved.is_set():
-            await self.call_once(url, number)
+            await self.call_once(self.stage.balanced_url(name), number)
             await asyncio.sleep(CALL_PAUSE_S)
             number += 1
 
--- a/misc/stage.py
+++ b/misc/stage.py
@@ -138,6 +138,13 @@
         """Return the URL of a stand-in of the platform, by the name of its process."""
         return local_url(self.fleet.children[name].port)
 
+    def balanced_url(self, name: str) -> str:
+        """Return the URL of the entry, or of the next running one, as a balancer would choose."""
+        names = list(self.entries)
+        first = names.index(name)
+        running = [n for n in names[first:] + names[:first] if self.entries[n].running]
+        return local_url(self.entries[running[0]].ports["http_port"])
+
     def entry_urls(self) -> list[str]:
         """Return the URL of each entry for callers."""
         return [local_url(child.ports["http_port"]) for child in self.entries.values()]
