Make an entry ready only once it knows documents, members and upstreams

Cause: an entry that replaced a killed one took calls as soon as its port was bound, and answered 2001 unknown_service (404) to calls of services that exist, because no document had reached it. Ruled out: documents lost on the way, since the same entry knew them a moment later.

A call that comes before any document is known is refused with 2007 entry_starting (503, not run, Retry-After).

--- a/gypsumpier/administration/health.py
+++ b/gypsumpier/administration/health.py
@@ -8,7 +8,7 @@
 
     def get(self) -> None:
         """Tell that the process is alive."""
-        self.answer({"state": self.state.phase})
+        self.answer({"state": self.state.shown_phase})
 
 
 class ReadinessHandler(AdministrationHandler):
@@ -16,6 +16,7 @@
 
     def get(self) -> None:
         """Tell whether the process takes new work."""
-        if self.state.phase != "ready":
+        phase = self.state.shown_phase
+        if phase != "ready":
             self.set_status(503)
-        self.answer({"state": self.state.phase})
+        self.answer({"state": phase})
--- a/gypsumpier/administration/state.py
+++ b/gypsumpier/administration/state.py
@@ -1,21 +1,28 @@
 """What the administration API can show of one process."""
 
-import time
 from typing import Final
 
 from gypsumpier.administration.documents import document_views
 from gypsumpier.administration.history import DecisionHistory
+from gypsumpier.administration.readiness import Readiness
 from gypsumpier.administration.view import StatusView
 from gypsumpier.application import Application
+from gypsumpier.clock import SystemClock
 from gypsumpier.options import Options
 
 PROGRAM_VERSION: Final = "0.1.0"
+STARTING: Final = "starting"
+RUNNING: Final = "running"
+STOPPING: Final = "stopping"
 LISTINGS: Final = ("documents", "members", "upstreams", "transfers")
 PORT_SETTINGS: Final = ("port", "bulk_port", "http_port", "administration_port")
 
 
 class ProcessState:
-    """The options, the application and the phase: starting, ready or stopping."""
+    """The options, the application and the phase.
+
+    ``phase`` is starting, running or stopping; a running process is shown as ready once it is.
+    """
 
     def __init__(
         self, options: Options, application: Application, history: DecisionHistory
@@ -23,8 +30,17 @@
         self.options = options
         self.application = application
         self.history = history
-        self.phase = "starting"
-        self.started_at_s = time.monotonic()
+        self.phase = STARTING
+        self.clock = SystemClock()
+        self.readiness = Readiness(options, application, self.clock)
+        self.started_at_s = self.clock.monotonic()
+
+    @property
+    def shown_phase(self) -> str:
+        """The phase that is shown: starting, ready or stopping."""
+        if self.phase != RUNNING:
+            return self.phase
+        return "ready" if self.readiness.check() else STARTING
 
     def listing(self, name: str) -> list[object]:
         """Return one list: documents, members, or one that the application shows of itself."""
@@ -51,8 +67,8 @@
             region=options.region,
             zone=options.zone,
             service=options.service,
-            state=self.phase,
-            uptime_s=round(time.monotonic() - self.started_at_s, 3),
+            state=self.shown_phase,
+            uptime_s=round(self.clock.monotonic() - self.started_at_s, 3),
             ports=self.ports(),
             counts={name: len(self.listing(name)) for name in LISTINGS},
             details={name: value for name, value in details.items() if name not in LISTINGS},
--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -16,6 +16,9 @@
 WRONG_VERSION: Final = ResultCode(
     2004, "wrong_version", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
 )
+ENTRY_STARTING: Final = ResultCode(
+    2007, "entry_starting", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
 BAD_REQUEST: Final = ResultCode(
     2010, "bad_request", 400, Outcome.NOT_RUN, "Correct the request before sending it again."
 )
--- a/gypsumpier/entry/intake.py
+++ b/gypsumpier/entry/intake.py
@@ -11,7 +11,7 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from gypsumpier.codes.request import BAD_REQUEST, BODY_TOO_LARGE, UNKNOWN_SERVICE
+from gypsumpier.codes.request import BAD_REQUEST, BODY_TOO_LARGE, ENTRY_STARTING, UNKNOWN_SERVICE
 from gypsumpier.document.service import Route, ServiceDocument
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.request import CallerRequest
@@ -21,6 +21,7 @@
 KEY_HEADER: Final = "Idempotency-Key"
 TIMEOUT_HEADER: Final = "Request-Timeout"
 DEFAULT_WORKSPACE: Final = "default"
+STARTING_RETRY_S: Final = 1.0
 KEY_BYTES_MAX: Final = 255
 SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
 FORWARDED_HEADERS: Final = ("Content-Type", "Accept", "Accept-Language", KEY_HEADER)
@@ -49,7 +50,7 @@
     """Return the checked plain call and its document."""
     document = documents.document(service)
     if document is None:
-        raise GypsumpierError(UNKNOWN_SERVICE, service)
+        raise unknown(documents, service)
     query = f"?{http.query}" if http.query else ""
     return build(http, document, f"/{path}{query}", False, now_s), document
 
@@ -92,7 +93,17 @@
         document = accepted.document
         if document is not None and document.kind == "model" and document.model == name:
             return document
-    raise GypsumpierError(UNKNOWN_SERVICE, name)
+    raise unknown(documents, name)
+
+
+def unknown(documents: DocumentTable, name: str) -> GypsumpierError:
+    """Return the refusal of a service without a document.
+
+    An entry that knows no document at all has just started, so the service may well exist.
+    """
+    if not documents.accepted:
+        return GypsumpierError(ENTRY_STARTING, "no document is known yet", STARTING_RETRY_S)
+    return GypsumpierError(UNKNOWN_SERVICE, name)
 
 
 def json_object(body: bytes) -> dict[str, Any]:
--- a/gypsumpier/process.py
+++ b/gypsumpier/process.py
@@ -12,7 +12,7 @@
 from gypsumpier import log
 from gypsumpier.administration.history import DecisionHistory
 from gypsumpier.administration.server import AdministrationServer
-from gypsumpier.administration.state import ProcessState
+from gypsumpier.administration.state import RUNNING, STOPPING, ProcessState
 from gypsumpier.agent.application import AgentApplication
 from gypsumpier.application import Application
 from gypsumpier.codes.setting import START_FAILED
@@ -52,14 +52,14 @@
         """Start everything, then tell the ports on standard output."""
         await self.administration.start()
         await self.application.start()
-        self.state.phase = "ready"
+        self.state.phase = RUNNING
         ports = self.state.ports()
         log.decision("started", name=self.options.name, role=self.options.role, **ports)
         print("listening", json.dumps(ports), flush=True)
 
     async def stop(self) -> None:
         """Stop gracefully."""
-        self.state.phase = "stopping"
+        self.state.phase = STOPPING
         log.decision("stopping", name=self.options.name, reason="a signal asked for it")
         await self.application.stop()
         await self.administration.stop()
--- a/gypsumpier/test/builders_frame.py
+++ b/gypsumpier/test/builders_frame.py
@@ -4,11 +4,12 @@
 
 from gypsumpier.administration.history import DecisionHistory
 from gypsumpier.administration.server import AdministrationServer
-from gypsumpier.administration.state import ProcessState
+from gypsumpier.administration.state import RUNNING, ProcessState
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
+from gypsumpier.platform.membership import Member
 
 ENTRY_TEXTS: Final[dict[str, str]] = {
     "role": "entry",
@@ -17,6 +18,23 @@
     "configuration_url": "http://127.0.0.1:1001",
     "membership_url": "http://127.0.0.1:1002",
 }
+DOCUMENT: Final[dict[str, object]] = {
+    "service": "table-ops",
+    "kind": "plain",
+    "zones": [{"zone": "bac-a", "replicas": 1}],
+}
+UPSTREAM: Final = Member(
+    name="table-ops/bac-a/0",
+    incarnation="one",
+    role="agent",
+    service="table-ops",
+    region="bac",
+    zone="bac-a",
+    host="127.0.0.1",
+    port=1,
+    bulk_port=2,
+    leaving=False,
+)
 AGENT_TEXTS: Final[dict[str, str]] = {
     **ENTRY_TEXTS,
     "role": "agent",
@@ -26,6 +44,15 @@
 }
 
 
+class SettableClock(SystemClock):
+    """A clock whose monotonic time a test sets."""
+
+    now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
 class FakeApplication:
     """An application with empty tables and the given lists."""
 
@@ -58,7 +85,7 @@
     async def start(self) -> None:
         """Serve on a free port."""
         await self.server.start()
-        self.state.phase = "ready"
+        self.state.phase = RUNNING
         self.history.attach()
 
     async def stop(self) -> None:
--- a/gypsumpier/test/test_administration.py
+++ b/gypsumpier/test/test_administration.py
@@ -9,15 +9,17 @@
 
 from gypsumpier import log
 from gypsumpier.administration.history import DecisionHistory
+from gypsumpier.administration.readiness import UPSTREAM_WAIT_S, Readiness
 from gypsumpier.administration.validation import DOCUMENT_LIMIT_BYTES
+from gypsumpier.options import Options
 from gypsumpier.platform.configuration import Revised
-from gypsumpier.test.builders_frame import ServedProcess
-
-DOCUMENT = {
-    "service": "table-ops",
-    "kind": "plain",
-    "zones": [{"zone": "bac-a", "replicas": 1}],
-}
+from gypsumpier.test.builders_frame import (
+    DOCUMENT,
+    UPSTREAM,
+    FakeApplication,
+    ServedProcess,
+    SettableClock,
+)
 
 
 class AdministrationTest(unittest.IsolatedAsyncioTestCase):
@@ -63,7 +65,7 @@
                 response = await self.call(path, method, body)
                 self.assertEqual(status, response.code)
                 self.assertEqual(number, json.loads(response.body)["code"])
-                self.assertEqual({"state": "ready"}, await self.read("/healthz"))
+                self.assertEqual({"state": "starting"}, await self.read("/healthz"))
 
     async def test_bad_documents_are_refused_by_code_and_field(self) -> None:
         cases: list[tuple[bytes, int, str]] = [
@@ -102,14 +104,29 @@
                 writer.write_eof()
                 await reader.read()
                 writer.close()
-                self.assertEqual({"state": "ready"}, await self.read("/healthz"))
+                self.assertEqual({"state": "starting"}, await self.read("/healthz"))
 
     async def test_readiness_follows_the_phase_and_health_does_not(self) -> None:
-        for phase, status in (("starting", 503), ("ready", 200), ("stopping", 503)):
+        self.process.state.readiness.ready = True
+        for phase, status in (("starting", 503), ("running", 200), ("stopping", 503)):
             self.process.state.phase = phase
             self.assertEqual(status, (await self.call("/readyz")).code)
             self.assertEqual(200, (await self.call("/healthz")).code)
 
+    async def test_an_entry_is_ready_once_it_knows_what_it_needs(self) -> None:
+        application = self.process.application
+        self.assertEqual(503, (await self.call("/readyz")).code)
+        body = json.dumps(DOCUMENT).encode()
+        application.documents.offer(Revised("table-ops", 1, body), "test")
+        self.assertEqual(503, (await self.call("/readyz")).code)
+        application.members.take_list([UPSTREAM])
+        application.shown["upstreams"] = [{"name": UPSTREAM.name, "healthy": False}]
+        self.assertEqual(503, (await self.call("/readyz")).code)
+        application.shown["upstreams"] = [{"name": UPSTREAM.name, "healthy": True}]
+        self.assertEqual(200, (await self.call("/readyz")).code)
+        application.shown["upstreams"] = []
+        self.assertEqual(200, (await self.call("/readyz")).code)
+
     async def test_documents_show_what_is_in_force_and_what_was_refused(self) -> None:
         table = self.process.application.documents
         table.offer(Revised("table-ops", 1, json.dumps(DOCUMENT).encode()), "test")
@@ -128,7 +145,7 @@
         self.assertEqual(
             {"documents": 0, "members": 0, "upstreams": 1, "transfers": 0}, found["counts"]
         )
-        self.assertEqual(("entry/bac-a/0", "ready"), (found["name"], found["state"]))
+        self.assertEqual(("entry/bac-a/0", "starting"), (found["name"], found["state"]))
         self.assertEqual({"in_flight": 0}, found["details"])
         self.assertEqual(
             [{"name": "table-ops/bac-a/0"}], (await self.read("/v1/upstreams"))["upstreams"]
@@ -164,3 +181,17 @@
             log.decision("event", number=number)
         found = [view["fields"]["number"] for view in history.matching({}, -1, 100)]
         self.assertEqual([7, 8, 9], found)
+
+
+class ReadinessTest(unittest.TestCase):
+    def test_upstreams_are_waited_for_only_so_long(self) -> None:
+        clock = SettableClock()
+        application = FakeApplication(Options())
+        readiness = Readiness(Options(role="entry"), application, clock)
+        application.documents.offer(Revised("table-ops", 1, json.dumps(DOCUMENT).encode()), "test")
+        application.members.take_list([UPSTREAM])
+        self.assertFalse(readiness.check())
+        clock.now_s += UPSTREAM_WAIT_S - 0.01
+        self.assertFalse(readiness.check())
+        clock.now_s += 0.02
+        self.assertTrue(readiness.check())
--- a/gypsumpier/test/test_client.py
+++ b/gypsumpier/test/test_client.py
@@ -11,8 +11,7 @@
 from gypsumpier import log
 from gypsumpier.client.command import main
 from gypsumpier.platform.configuration import Revised
-from gypsumpier.test.builders_frame import ServedProcess
-from gypsumpier.test.test_administration import DOCUMENT
+from gypsumpier.test.builders_frame import DOCUMENT, ServedProcess
 
 CLOSED_URL = "http://127.0.0.1:1"
 
--- a/gypsumpier/test/test_process.py
+++ b/gypsumpier/test/test_process.py
@@ -41,7 +41,7 @@
         for number, name in enumerate(("entry/bac-a/0", "entry/bac-a/1")):
             child = await self.start_entry(name)
             status = await get_json(f"{administration_url(child)}/v1/status")
-            self.assertEqual((name, "ready"), (status["name"], status["state"]))
+            self.assertEqual((name, "starting"), (status["name"], status["state"]))
             self.assertEqual(child.ports, status["ports"])
             child.send((signal.SIGTERM, signal.SIGINT)[number])
             self.assertEqual(0, await child.process.wait())
--- a/misc/http.py
+++ b/misc/http.py
@@ -20,6 +20,11 @@
     return found
 
 
+async def get_status(url: str) -> int:
+    """Return the HTTP status of the URL."""
+    return (await client().fetch(url, raise_error=False)).code
+
+
 async def post_json(url: str, body: dict[str, Any]) -> dict[str, Any]:
     """Send a JSON object; return the one that is answered."""
     response = await client().fetch(url, method="POST", body=json.dumps(body))
--- a/misc/kill.py
+++ b/misc/kill.py
@@ -19,7 +19,7 @@
         name = next(iter(stage.entries))
         await stage.fleet.kill(name)
         await asyncio.sleep(REPLACED_AFTER_S)
-        await stage.start_entry(name)
+        await stage.replace_entry(name)
         return name
     slot = next(slot for slot in stage.deployment.slots() if slot.kind == "model")
     name = slot.name if kind == "agent" else f"upstream/{slot.name}"
--- a/misc/stage.py
+++ b/misc/stage.py
@@ -7,12 +7,14 @@
 import asyncio
 import json
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 from misc.child import Child
 from misc.deployment import Deployment, Slot
 from misc.fleet import Flag, Fleet
-from misc.http import get_json, post_json
+from misc.http import get_json, get_status, post_json
+
+READY_POLL_S: Final = 0.1
 
 
 class Stage:
@@ -98,8 +100,19 @@
 
     async def start_entry(self, name: str) -> None:
         """Start an entry and put it on the member list."""
+        self.entries[name] = await self.new_entry(name)
+
+    async def replace_entry(self, name: str) -> None:
+        """Start an entry again; callers come to it only once it is ready."""
+        child = await self.new_entry(name)
+        while await get_status(f"{administration_url(child)}/readyz") != 200:
+            await asyncio.sleep(READY_POLL_S)
+        self.entries[name] = child
+
+    async def new_entry(self, name: str) -> Child:
+        """Start an entry's process and put it on the member list."""
         place = self.deployment.place(name.split("/")[1])
-        self.entries[name] = child = await self.fleet.start_daemon(
+        child = await self.fleet.start_daemon(
             name,
             role="entry",
             region=place.region,
@@ -110,6 +123,7 @@
             **self.settings,
         )
         await self.list_member(child, "", place.region, place.zone)
+        return child
 
     async def list_member(self, child: Child, service: str, region: str, zone: str) -> None:
         """Put a process on the member list."""
