--- a/misc/demo.py
+++ b/misc/demo.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
 
@@ -37,10 +38,21 @@
 AFTER_MOVE_S: Final = 2.0
 
 
+def print_now(text: str) -> None:
+    """Print a line at once, also where standard output is a pipe."""
+    print(text, flush=True)
+
+
 class Demo:
     """One run."""
 
-    def __init__(self, stage: Stage, kill: str | None = None) -> None:
+    def __init__(
+        self,
+        stage: Stage,
+        kill: str | None = None,
+        say: Callable[[str], None] = print_now,
+    ) -> None:
+        self.print_line = say
         self.stage = stage
         self.kill = kill
         self.killed = ""
@@ -159,7 +171,7 @@
 
     def say(self, text: str) -> None:
         """Print one line of progress."""
-        print(f"{time.monotonic() - self.started_at_s:6.1f} s  {text}", flush=True)
+        self.print_line(f"{time.monotonic() - self.started_at_s:6.1f} s  {text}")
 
 
 def prepare_weights(deployment: Deployment, source: Path | None, directory: Path) -> None:
