--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -28,6 +28,8 @@
     "membership_interval_s": "Seconds between two reads of the member list.",
     "watch_timeout_s": "Seconds that one watch of the configuration service waits.",
     "watchers_per_zone": "Number of entries in a zone that watch the configuration service.",
+    "platform_backoff_s": "Longest time in seconds between two tries after the platform failed.",
+    "missing_s": "Seconds that a member stays in use after it left the list and fell silent.",
     "spread": "Pass documents and members on between instances; else each reads them itself.",
     "watch_pause_s": "Seconds between two watches of the configuration service.",
     "fresh_s": "Seconds for which a process counts as reading the platform after an answer.",
