Let idle connections share one budget of heartbeats

Cause: an entry with links to the 333 agents of its availability zone at the two-year size spent 83 KB/s on heartbeats and load reports, against a limit of 11 KB/s. Change: a process announces the pace it wants, an idle connection takes the slower pace of both ends, an end that answers an exchange keeps the short interval and an end that waits for an answer keeps the short limit of silence. A change of load alone is reported at the entry's pace. Before: 83 KB/s at 333 agents, 256 B/s for each. Conclusion: heartbeats are within 24 a second whatever the number of peers (test_connection).

--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -44,10 +44,12 @@
         task = asyncio.create_task(self.attempt(order, connection))
         self.running[order.exchange] = task
         self.orders[order.exchange] = order
-        task.add_done_callback(lambda done: self.forget(order.exchange))
+        connection.begin_answering()
+        task.add_done_callback(lambda done: self.forget(order.exchange, connection))
 
-    def forget(self, exchange: str) -> None:
+    def forget(self, exchange: str, connection: Connection) -> None:
         """Drop an attempt that has ended."""
+        connection.end_answering()
         self.running.pop(exchange, None)
         self.orders.pop(exchange, None)
 
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -15,6 +15,7 @@
 from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Stream
 
 STATE_INTERVAL_S: Final = 0.25
@@ -30,13 +31,14 @@
         self.clock = clock
         self.gate = gate
         self.spread = spread
+        self.pace = Pace(options)
         self.healthy = False
         self.connections: set[Connection] = set()
 
     async def serve(self, stream: Stream) -> None:
         """Serve one connection until it closes."""
         connection = Connection(
-            stream, self.clock, self.options.heartbeat_s, self.options.silence_s
+            stream, self.clock, self.options.heartbeat_s, self.options.silence_s, self.pace
         )
         self.connections.add(connection)
         session = None
@@ -70,12 +72,19 @@
             await self.gate.cancel(frame.exchange)
 
     async def report(self, connection: Connection) -> None:
-        """Send the upstream's state when it changes."""
-        last: dict[str, Any] | None = None
+        """Send the upstream's state when it changes.
+
+        A change of load alone waits for the entry's own interval: an entry with many links would
+        otherwise get more reports than it may spend on control.
+        """
+        last: dict[str, Any] = {}
+        reported_at_s = self.clock.monotonic()
         while not connection.closed:
             state = self.state()
-            if state != last:
-                last = state
+            now_s = self.clock.monotonic()
+            is_due = now_s - reported_at_s >= connection.peer_interval_s
+            if is_urgent(last, state) or (is_due and state != last):
+                last, reported_at_s = state, now_s
                 with contextlib.suppress(GypsumpierError):
                     await connection.send("state", state)
             await self.clock.sleep(STATE_INTERVAL_S)
@@ -88,3 +97,8 @@
             "healthy": self.healthy,
             "in_flight": len(self.gate.running),
         }
+
+
+def is_urgent(last: dict[str, Any], state: dict[str, Any]) -> bool:
+    """Tell whether more than the load has changed since the last report."""
+    return any(last.get(name) != value for name, value in state.items() if name != "in_flight")
--- a/gypsumpier/entry/attempt.py
+++ b/gypsumpier/entry/attempt.py
@@ -11,6 +11,7 @@
 from gypsumpier.codes.request import ANSWER_CUT
 from gypsumpier.codes.result import ResultCode
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 
 END: Final = "end"
@@ -25,6 +26,7 @@
         self.exchange = exchange
         self.upstream = upstream
         self.sent = False
+        self.connection: Connection | None = None
         self.expected_sequence = 0
         self.queue: asyncio.Queue[Frame | GypsumpierError] = asyncio.Queue()
 
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -24,6 +24,7 @@
 from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
 
 REDIAL_MIN_S: Final = 0.1
@@ -41,6 +42,7 @@
         random: Random,
         member: Member,
         spread: Spread | None = None,
+        pace: Pace | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
@@ -48,6 +50,7 @@
         self.random = random
         self.member = member
         self.spread = spread
+        self.pace = pace
         self.session: Session | None = None
         self.connection: Connection | None = None
         self.attempts: dict[str, Attempt] = {}
@@ -86,7 +89,7 @@
         member = self.member
         stream = await self.dialer.dial(member.host, member.port, self.options.dial_timeout_s)
         connection = Connection(
-            stream, self.clock, self.options.heartbeat_s, self.options.silence_s
+            stream, self.clock, self.options.heartbeat_s, self.options.silence_s, self.pace
         )
         keep_alive = asyncio.create_task(connection.keep_alive())
         try:
@@ -155,6 +158,8 @@
             raise GypsumpierError(CONNECTION_CLOSED, f"no connection to {self.member.name}")
         self.attempts[attempt.exchange] = attempt
         attempt.sent = True
+        attempt.connection = self.connection
+        self.connection.begin_waiting()
         await self.connection.send("request", payload, attempt.exchange)
 
     async def cancel(self, attempt: Attempt) -> None:
@@ -166,3 +171,6 @@
     def forget(self, attempt: Attempt) -> None:
         """Drop an ended attempt; late frames of it are dropped from now on."""
         self.attempts.pop(attempt.exchange, None)
+        if attempt.connection is not None:
+            attempt.connection.end_waiting()
+            attempt.connection = None
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -11,6 +11,7 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
 from gypsumpier.spread.spread import Spread
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
 
 REFRESH_INTERVAL_S: Final = 0.25
@@ -34,6 +35,7 @@
         self.random = random
         self.members = members
         self.spread = spread
+        self.pace = Pace(options)
         self.links: dict[str, Link] = {}
         self.task: asyncio.Task[None] | None = None
 
@@ -72,7 +74,9 @@
 
     def open(self, member: Member) -> None:
         """Add and start the link to a new member."""
-        link = Link(self.options, self.clock, self.dialer, self.random, member, self.spread)
+        link = Link(
+            self.options, self.clock, self.dialer, self.random, member, self.spread, self.pace
+        )
         self.links[member.name] = link
         link.start()
 
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -29,6 +29,7 @@
 
     heartbeat_s: float = 1.0
     silence_s: float = 3.0
+    idle_heartbeats_per_s: float = 24.0
     dial_timeout_s: float = 1.0
     membership_interval_s: float = 1.0
     watch_timeout_s: float = 2.0
--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -23,6 +23,7 @@
     "log_level": "Lowest level that is logged: DEBUG, INFO, WARNING or ERROR.",
     "log_json": "Log JSON objects instead of key=value pairs.",
     "heartbeat_s": "Seconds without sending after which a connection sends a heartbeat.",
+    "idle_heartbeats_per_s": "Heartbeats a second that all idle connections share.",
     "silence_s": "Seconds without receiving after which a connection is replaced.",
     "dial_timeout_s": "Seconds allowed for opening a connection.",
     "membership_interval_s": "Seconds between two reads of the member list.",
--- a/gypsumpier/spread/session.py
+++ b/gypsumpier/spread/session.py
@@ -18,7 +18,6 @@
 from gypsumpier.wire.frame import Frame
 
 COALESCE_S: Final = 0.02
-HEARD_WITHIN_S: Final = 1.5
 
 
 class Session:
@@ -84,8 +83,7 @@
 
     def note_heard(self) -> None:
         """Tell the member table that the peer is alive where that is so."""
-        silent_s = self.clock.monotonic() - self.connection.received_at_s
-        if silent_s < HEARD_WITHIN_S and not self.connection.closed:
+        if self.connection.is_heard():
             exchange = self.member_exchange
             self.members.table.heard(exchange.peer.name, exchange.incarnation)
 
--- a/gypsumpier/test/test_connection.py
+++ b/gypsumpier/test/test_connection.py
@@ -1,20 +1,29 @@
 """Tests of what a connection makes of the two ends' clocks."""
 
+import asyncio
+import contextlib
 import unittest
-from typing import Final
+from typing import Any, Final
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gypsumpier.test.network import Link
+from gypsumpier.codes.wire import CONNECTION_SILENT
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.options import Options
+from gypsumpier.test.network import Link, MemoryStream
 from gypsumpier.test.virtual import VirtualClock, run
-from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.connection import IDLE_CHECK_INTERVAL_S, Connection
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 
 DAY_S: Final = 86_400.0
 CRYSTAL_DRIFT: Final = 100e-6
 TOLERANCE_S: Final = 0.02
 HEARTBEAT_S: Final = 1.0
+PEERS: Final = 333
+SETTLE_S: Final = 60.0
+MINUTE_S: Final = 60.0
 
 
 def receiving_end() -> Connection:
@@ -53,3 +62,80 @@
             return note(connection, 100 + offset_s, 100 + paused_s)
 
         self.assertAlmostEqual(paused_s, run(scenario()), delta=TOLERANCE_S)
+
+
+class PaceTest(unittest.TestCase):
+    def test_many_idle_connections_share_one_budget(self) -> None:
+        async def scenario() -> int:
+            pairs = [await open_pair(pace) for _ in range(PEERS)]
+            await asyncio.sleep(SETTLE_S)
+            before = [sum(ends[side].sent_frames for ends in pairs) for side in (0, 1)]
+            await asyncio.sleep(MINUTE_S)
+            self.assertFalse(any(end.closed for pair in pairs for end in pair))
+            after = [sum(ends[side].sent_frames for ends in pairs) for side in (0, 1)]
+            return max(after[0] - before[0], after[1] - before[1])
+
+        options = Options()
+        pace = Pace(options)
+        budget = options.idle_heartbeats_per_s * MINUTE_S
+        self.assertLessEqual(run(scenario()), 1.1 * budget)
+
+    def test_a_request_into_a_dead_connection_is_noticed_as_fast_as_ever(self) -> None:
+        async def scenario() -> float:
+            pace = Pace(Options())
+            pairs = [await open_pair(pace) for _ in range(PEERS)]
+            await asyncio.sleep(SETTLE_S)
+            near = pairs[0][0]
+            near.link.silent = True
+            near.begin_waiting()
+            began_at_s = near.clock.monotonic()
+            await near.wait_closed()
+            return near.clock.monotonic() - began_at_s
+
+        options = Options()
+        self.assertLessEqual(run(scenario()), options.silence_s + IDLE_CHECK_INTERVAL_S)
+
+    def test_an_idle_connection_that_is_dead_is_closed_in_the_end(self) -> None:
+        async def scenario() -> None:
+            pace = Pace(Options())
+            pairs = [await open_pair(pace) for _ in range(PEERS)]
+            await asyncio.sleep(SETTLE_S)
+            near, far = pairs[0]
+            near.link.silent = True
+            await asyncio.wait_for(near.wait_closed(), MINUTE_S)
+            self.assertIn(CONNECTION_SILENT, (near.close_reason, far.close_reason))
+
+        run(scenario())
+
+
+class CountingConnection(Connection):
+    """A connection that counts the frames it sends and can be waited for."""
+
+    def __init__(self, link: Link, stream: MemoryStream, pace: Pace) -> None:
+        super().__init__(stream, VirtualClock(), HEARTBEAT_S, 3.0, pace)
+        self.link = link
+        self.sent_frames = 0
+        self.tasks = [asyncio.create_task(self.keep_alive()), asyncio.create_task(self.drain())]
+
+    async def send(
+        self, kind: str, payload: dict[str, Any], exchange: str = "", sequence: int = 0
+    ) -> None:
+        self.sent_frames += 1
+        await super().send(kind, payload, exchange, sequence)
+
+    async def drain(self) -> None:
+        """Read frames until the connection closes."""
+        with contextlib.suppress(GypsumpierError):
+            async for _ in self.frames():
+                pass
+
+    async def wait_closed(self) -> None:
+        """Wait until the connection is closed."""
+        await asyncio.wait(self.tasks)
+
+
+async def open_pair(pace: Pace) -> tuple[CountingConnection, CountingConnection]:
+    """Return both ends of a connection; the far end has a pace of its own."""
+    link = Link("one", "other", delay_s=0.001)
+    near = CountingConnection(link, link.dialled, pace)
+    return near, CountingConnection(link, link.accepted, Pace(Options()))
--- /dev/null
+++ b/gypsumpier/wire/pace.py
@@ -0,0 +1,22 @@
+"""The pace of heartbeats over all connections of one process.
+
+A process with few connections sends a heartbeat on each every ``heartbeat_s``.  With many, the
+idle ones share a budget of ``idle_heartbeats_per_s``, so that what liveness costs a process does
+not grow with the number of its peers.  An end that answers an exchange is not idle: it
+always has the short interval, as a caller waits on it.
+"""
+
+from gypsumpier.options import Options
+
+
+class Pace:
+    """Counts the open connections of a process and derives the idle interval."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.connections = 0
+
+    def idle_interval_s(self) -> float:
+        """Return the seconds between two heartbeats on an idle connection."""
+        shared_s = self.connections / self.options.idle_heartbeats_per_s
+        return max(self.options.heartbeat_s, shared_s)
