--- a/gypsumpier/spread/asks.py
+++ b/gypsumpier/spread/asks.py
@@ -52,8 +52,8 @@
         self.open.pop(holding, None)
 
     def is_waiting_for(self, peer: Hashable) -> bool:
-        """Tell whether an answer of the peer is awaited."""
-        return any(ask.peer == peer for ask in self.open.values())
+        """Tell whether a content that the peer announced has not arrived from anyone."""
+        return any(peer == ask.peer or peer in ask.others for ask in self.open.values())
 
     def lost(self, peer: Hashable) -> list[tuple[Hashable, Holding]]:
         """Forget a lost peer; return whom to ask in its place, and for what."""
--- /dev/null
+++ b/gypsumpier/test/test_document_machine.py
@@ -0,0 +1,184 @@
+"""A state machine over whole control planes, compared with a naive model.
+
+Hypothesis draws edits, cuts, pauses, replacements and faults of the platform in any order.  The
+model is only the list of what was published: no instance may ever put a lower revision in force,
+and some seconds after the last fault has ended all hold the same revision of each name, the
+last one where that is valid.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from gypsumpier.document.service import Accepted
+from gypsumpier.platform.configuration import Revised
+from gypsumpier.test.builders_document import refused_revision, revised
+from gypsumpier.test.builders_spread import Fleet, Instance
+from gypsumpier.test.virtual import VirtualLoop
+
+NAMES: Final = ("gypsum-llm", "table-ops")
+ZONES: Final = ("bac-a", "nam-a", "trung-a")
+ENTRIES_PER_ZONE: Final = 2
+QUIET_S: Final = 4.0
+START_S: Final = 3.0
+EXAMPLES: Final = 12
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Two services and three zones of two entries and one agent each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=VirtualLoop)
+        self.fleet = Fleet()
+        self.published: list[Revised] = []
+        self.highest: dict[tuple[str, str], int] = {}
+        self.reverted: list[str] = []
+
+    def run(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run one step in the virtual loop."""
+        self.runner.run(coroutine)
+
+    @initialize()
+    def begin(self) -> None:
+        """Start the fleet."""
+        self.run(self.start())
+
+    async def start(self) -> None:
+        """Start all instances and give them time to find each other."""
+        entries = dict.fromkeys(ZONES, ENTRIES_PER_ZONE)
+        await self.fleet.start(entries, dict.fromkeys(ZONES, 1), NAMES[0])
+        for instance in self.fleet.instances.values():
+            self.follow(instance)
+        await asyncio.sleep(START_S)
+
+    def follow(self, instance: Instance) -> None:
+        """Note each revision that comes into force at the instance."""
+        incarnation = instance.options.incarnation
+
+        def note(accepted: Accepted) -> None:
+            key = (incarnation, accepted.name)
+            if accepted.revision <= self.highest.get(key, 0):
+                self.reverted.append(f"{instance.options.name} {accepted}")
+            self.highest[key] = accepted.revision
+
+        instance.documents.subscribe(note)
+
+    @rule(name=st.sampled_from(NAMES), kind=st.sampled_from(["valid", "refused", "deleted"]))
+    def edit(self, name: str, kind: str) -> None:
+        """Publish the next revision."""
+        number = len(self.published) + 1
+        edited = Revised(name, number, None)
+        if kind == "valid":
+            edited = revised(name, number, max_unavailable=number)
+        elif kind == "refused":
+            edited = refused_revision(name, number)
+        self.published.append(edited)
+        self.fleet.platform.put(edited)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 2.0, 3.2, 8.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.run(asyncio.sleep(seconds))
+
+    @rule(zone=st.sampled_from(ZONES), from_platform=st.booleans())
+    def cut(self, zone: str, from_platform: bool) -> None:
+        """Cut a zone off."""
+        self.fleet.cut_zone(zone, from_platform)
+
+    @rule(zone=st.sampled_from(ZONES))
+    def heal(self, zone: str) -> None:
+        """End a cut."""
+        self.fleet.heal_zone(zone)
+
+    @rule(is_down=st.booleans(), lag=st.sampled_from([None, 1, 3]))
+    def disturb(self, is_down: bool, lag: int | None) -> None:
+        """Let the configuration service be down or stale, or neither."""
+        position = len(self.published)
+        self.fleet.platform.is_down = is_down
+        self.fleet.platform.stale_position = None if lag is None else max(0, position - lag)
+
+    @rule(index=st.integers(0, 8))
+    def silence(self, index: int) -> None:
+        """Let the present connections of an instance go silent for good."""
+        instance = list(self.fleet.instances.values())[index]
+        for link in self.fleet.network.links:
+            if instance.options.host in (link.source, link.target):
+                link.silent = True
+
+    @rule(index=st.integers(0, 8))
+    def replace(self, index: int) -> None:
+        """Kill an instance and start another one in its place."""
+        self.run(self.restart(list(self.fleet.instances.values())[index]))
+
+    async def restart(self, old: Instance) -> None:
+        """Replace an instance."""
+        await old.stop()
+        options = old.options
+        number = int(options.name.rsplit("/", 1)[1])
+        instance = self.fleet.add(options.role, options.zone, number, options.service)
+        self.follow(instance)
+        await instance.start()
+
+    @invariant()
+    def never_lower(self) -> None:
+        """No instance has put a lower revision in force."""
+        assert not self.reverted, self.reverted
+
+    def teardown(self) -> None:
+        """End all faults; after some quiet all instances agree with the model."""
+        try:
+            self.run(self.end())
+        finally:
+            self.runner.close()
+
+    async def end(self) -> None:
+        """Check the agreement and stop."""
+        for zone in ZONES:
+            self.fleet.heal_zone(zone)
+        self.fleet.platform.is_down = False
+        self.fleet.platform.stale_position = None
+        await asyncio.sleep(QUIET_S)
+        for name in NAMES:
+            self.check_equal(name)
+        assert not self.reverted, self.reverted
+        await self.fleet.stop()
+
+    def check_equal(self, name: str) -> None:
+        """Check that all hold the same revision of the name, the last published if it is valid.
+
+        Where the last one is refused, the one before may have been replaced at the platform before
+        anyone read it; then only the agreement is checked.
+        """
+        held: dict[str, Revised | None] = {}
+        for instance in self.fleet.instances.values():
+            if instance.options.role == "entry" or name == instance.options.service:
+                record = instance.documents.records.get(name)
+                held[instance.options.name] = record.revised if record else None
+        assert len(set(held.values())) == 1, held
+        last = [one for one in self.published if one.name == name][-1:]
+        if last and not is_refused(last[0]):
+            assert set(held.values()) == set(last), (held, last)
+
+
+def is_refused(published: Revised) -> bool:
+    """Tell whether ``refused_revision`` made it."""
+    return published.body is not None and b'"share_percent": 99' in published.body
+
+
+class SpreadMachineTest(unittest.TestCase):
+    def test_any_history_ends_alike_and_never_goes_back(self) -> None:
+        machine = SpreadMachine.TestCase()
+        machine.settings = settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=EXAMPLES,
+            stateful_step_count=12,
+            phases=(Phase.generate,),
+        )
+        machine.runTest()
