--- a/gypsumpier/test/test_document_machine.py
+++ b/gypsumpier/test/test_document_machine.py
@@ -26,7 +26,7 @@
 ENTRIES_PER_ZONE: Final = 2
 QUIET_S: Final = 4.0
 START_S: Final = 3.0
-EXAMPLES: Final = 12
+EXAMPLES: Final = 60
 
 
 class SpreadMachine(RuleBasedStateMachine):
