--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -82,6 +82,7 @@
             origin,
             TcpDialer(),
             self.random,
+            self.gate,
         )
 
     async def start(self) -> None:
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -250,7 +250,7 @@
                 entry.lost.setdefault(other.id, self.now_s)
 
 
-class LedgerMachineTest(AtMostOnceMachine.TestCase):  # type: ignore[misc]
+class LedgerMachineTest(AtMostOnceMachine.TestCase):  # type: ignore[misc, valid-type]
     settings = settings(derandomize=True, deadline=None, max_examples=250, stateful_step_count=40)
 
 
