--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.requirements-installed
 
-.PHONY: venv format lint test demo pages
+.PHONY: venv format lint test demo pages measure-documents
 
 venv: $(STAMP)
 
@@ -33,3 +33,8 @@
 # Writes the pages of docs/ that are made from the code.
 pages: venv
 	$(PY) -m misc.pages
+
+# Measures how soon edits are in force everywhere; takes about three minutes.
+SEED ?= 1
+measure-documents: venv
+	$(PY) -m misc.measure_documents --seed $(SEED)
--- a/gypsumpier/wire/tcp.py
+++ b/gypsumpier/wire/tcp.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Final
 
+from prometheus_client import Counter
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
@@ -11,10 +12,20 @@
 
 from gypsumpier.codes.wire import CONNECTION_CLOSED
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.metrics import REGISTRY
 from gypsumpier.wire.stream import Stream
 
 READ_BYTES: Final = 256 * 1024
 
+STREAM_BYTES: Final = Counter(
+    "gypsumpier_stream_bytes",
+    "Bytes of our own streams, without the headers of TCP, by direction.",
+    ["direction"],
+    registry=REGISTRY,
+)
+RECEIVED_BYTES: Final = STREAM_BYTES.labels("received")
+SENT_BYTES: Final = STREAM_BYTES.labels("sent")
+
 StreamHandler = Callable[[Stream], Awaitable[None]]
 
 
@@ -27,11 +38,14 @@
 
     async def read(self) -> bytes:
         try:
-            return bytes(await self.stream.read_bytes(READ_BYTES, partial=True))
+            content = bytes(await self.stream.read_bytes(READ_BYTES, partial=True))
         except StreamClosedError as error:
             raise GypsumpierError(CONNECTION_CLOSED, "closed while reading") from error
+        RECEIVED_BYTES.inc(len(content))
+        return content
 
     async def write(self, content: bytes) -> None:
+        SENT_BYTES.inc(len(content))
         try:
             await self.stream.write(content)
         except StreamClosedError as error:
--- /dev/null
+++ b/misc/documents/field.py
@@ -0,0 +1,110 @@
+"""A deployment's processes and further ones, with a document for each service."""
+
+import asyncio
+from pathlib import Path
+from typing import Any, Final
+
+from misc.child import Child
+from misc.deployment import Place, Slot, load_deployment
+from misc.fleet import Flag, Fleet
+from misc.http import get_json
+from misc.samples import make_weights
+from misc.stage import Stage, administration_url
+
+DEPLOYMENT: Final = "rung-lab"
+EXTRA_SERVICES: Final = 6
+SEED: Final = 1
+
+
+class Field:
+    """The running processes and the documents that are edited."""
+
+    def __init__(self, fleet: Fleet, entries: int, agents: int, settings: dict[str, Flag]) -> None:
+        deployment = load_deployment(DEPLOYMENT)
+        weights = fleet.directory / "weights"
+        for service in deployment.model_services():
+            make_weights(weights, deployment.documents[service]["model"], SEED)
+        self.fleet = fleet
+        self.stage = Stage(fleet, deployment, weights, {"log_json": True, **settings})
+        self.extra_entries = entries
+        self.extra_agents = agents
+        self.documents: dict[str, dict[str, Any]] = dict(deployment.documents)
+        self.slots: dict[str, Slot] = {slot.name: slot for slot in deployment.slots()}
+
+    async def start(self) -> None:
+        """Start the deployment, then the further processes, then publish every document."""
+        await self.stage.start()
+        shared = await self.fleet.start_standin("service", "upstream/shared")
+        for number in range(self.extra_agents):
+            slot = self.extra_slot(number)
+            self.slots[slot.name] = slot
+            self.stage.upstreams[slot.name] = shared
+            self.documents[slot.service] = plain_document(slot.service, self.places())
+        extra = [slot for slot in self.slots.values() if slot.service.startswith("extra-")]
+        await asyncio.gather(*(self.stage.start_agent(slot) for slot in extra))
+        await asyncio.gather(*(self.stage.start_entry(name) for name in self.extra_names()))
+        for document in self.documents.values():
+            await self.stage.publish(document)
+
+    def places(self) -> tuple[Place, ...]:
+        """Return the places of the deployment."""
+        return self.stage.deployment.places
+
+    def extra_slot(self, number: int) -> Slot:
+        """Return the slot of a further agent."""
+        place = self.places()[number % len(self.places())]
+        service = f"extra-{number % EXTRA_SERVICES}"
+        return Slot(f"{service}/{place.zone}/{number}", service, "plain", place)
+
+    def extra_names(self) -> list[str]:
+        """Return the names of the further entries."""
+        zones = [place.zone for place in self.places()]
+        return [f"entry/{zones[n % len(zones)]}/{100 + n}" for n in range(self.extra_entries)]
+
+    def daemons(self) -> dict[str, Child]:
+        """Return the entries and agents by name."""
+        return {**self.stage.entries, **self.stage.agents}
+
+    def concerned(self, name: str, document: str) -> bool:
+        """Tell whether the instance keeps that document."""
+        return name in self.stage.entries or self.slots[name].service == document
+
+    async def watchers(self, zone: str) -> list[str]:
+        """Return the entries of the zone that watch the configuration service now."""
+        found: list[str] = []
+        for name, child in sorted(self.stage.entries.items()):
+            if name.split("/")[1] == zone and child.running:
+                status = await get_json(f"{administration_url(child)}/v1/status")
+                if status["details"]["spread"]["is_watcher"]:
+                    found.append(name)
+        return found
+
+    async def restart(self, name: str) -> None:
+        """Start another process in the place of a killed one."""
+        if name in self.slots:
+            await self.stage.start_agent(self.slots[name])
+        else:
+            await self.stage.start_entry(name)
+
+    def log_paths(self) -> dict[str, Path]:
+        """Return the log of each instance."""
+        return {name: child.log_path for name, child in self.daemons().items()}
+
+
+def plain_document(service: str, places: tuple[Place, ...]) -> dict[str, Any]:
+    """Return the document of a further service."""
+    zones = [{"zone": place.zone, "replicas": 1} for place in places]
+    workspaces = [
+        {"name": f"team-{n}", "weight": 1, "home_zone": zones[0]["zone"]} for n in range(10)
+    ]
+    routes = [
+        {"prefix": f"/v1/{word}", "methods": ["GET", "POST"], "idempotent": True, "priority": 5}
+        for word in ("orders", "bookings", "faces", "runs")
+    ]
+    return {
+        "service": service,
+        "kind": "plain",
+        "zones": zones,
+        "routes": routes,
+        "workspaces": workspaces,
+    }
--- a/misc/http.py
+++ b/misc/http.py
@@ -22,3 +22,9 @@
     response = await AsyncHTTPClient().fetch(url, method="POST", body=json.dumps(body))
     found: dict[str, Any] = json.loads(response.body or b"{}")
     return found
+
+
+async def get_text(url: str) -> str:
+    """Return the text at the URL."""
+    response = await AsyncHTTPClient().fetch(url)
+    return response.body.decode()
