--- a/misc/capacity/bench.py
+++ b/misc/capacity/bench.py
@@ -76,6 +76,21 @@
         await self.list_members(listed["members"])
         return swarm
 
+    def member(self, child: Child, role: str, service: str) -> dict[str, Any]:
+        """Return a process of the bench as the member list names it."""
+        return {
+            "name": child.name,
+            "incarnation": "1",
+            "role": role,
+            "service": service,
+            "region": REGION,
+            "zone": ZONE,
+            "host": "127.0.0.1",
+            "port": child.ports["port"],
+            "bulk_port": child.ports["bulk_port"],
+            "leaving": False,
+        }
+
     async def list_members(self, members: list[dict[str, Any]]) -> None:
         """Put members on the member list."""
         await post_json(f"{self.membership_url}/control/put", {"members": members})
--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -50,18 +50,7 @@
         bench = Bench(fleet)
         await bench.start()
         agent = await bench.start_agent("plain/zone-a/0", membership_interval_s=RARELY_S)
-        member = {
-            "name": "plain/zone-a/0",
-            "incarnation": "1",
-            "role": "agent",
-            "service": "plain",
-            "region": "region-a",
-            "zone": ZONE,
-            "host": "127.0.0.1",
-            "port": agent.ports["port"],
-            "bulk_port": 0,
-        }
-        await bench.list_members([member])
+        await bench.list_members([bench.member(agent, "agent", "plain")])
         swarm = await bench.start_swarm("entry", count, agent.ports["port"])
         return await cost(agent, swarm, count)
 
--- a/misc/fleet.py
+++ b/misc/fleet.py
@@ -61,6 +61,12 @@
         await child.wait_ready()
         return child
 
+    async def run_to_end(self, name: str, module: str, arguments: list[str]) -> int:
+        """Run a module that tells no port; return its exit status."""
+        child = await start_child(name, module, arguments, self.directory)
+        self.children[name] = child
+        return await child.process.wait()
+
     async def stop(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
         """Ask a process for a graceful stop; return its exit status, None if it still runs."""
         child = self.children[name]
--- a/misc/measure_capacity.py
+++ b/misc/measure_capacity.py
@@ -15,6 +15,7 @@
 
 from misc.capacity.links import measure_links
 from misc.capacity.plot import plot_slope
+from misc.capacity.relay import measure_relay
 from misc.capacity.slope import Slope
 from misc.capacity.tables import measure_tables
 
@@ -23,6 +24,7 @@
 MEASUREMENTS: Final[dict[str, Measurement]] = {
     "tables": measure_tables,
     "links": measure_links,
+    "relay": measure_relay,
 }
 
 
