--- a/misc/capacity/bench.py
+++ b/misc/capacity/bench.py
@@ -22,6 +22,7 @@
         self.membership_url = ""
         self.configuration_url = ""
         self.service_url = ""
+        self.platform_ports: frozenset[int] = frozenset()
 
     async def start(self) -> None:
         """Start the stand-ins and publish one document."""
@@ -31,6 +32,7 @@
         self.configuration_url = url_of(configuration)
         self.membership_url = url_of(membership)
         self.service_url = url_of(service)
+        self.platform_ports = frozenset((configuration.port, membership.port, service.port))
         self.settings = {
             "region": REGION,
             "zone": ZONE,
@@ -55,7 +57,7 @@
             **settings,
         )
 
-    async def start_swarm(self, role: str, count: int, wire_port: int = 0) -> Child:
+    async def start_swarm(self, role: str, count: int) -> Child:
         """Start many peers in one process and put them on the member list.
 
         The peers read the platform rarely, because their own cost is not what is measured.
@@ -69,8 +71,6 @@
                 "membership_interval_s": RARELY_S,
             }
         arguments = ["--count", str(count), "--settings", json.dumps(settings)]
-        if wire_port:
-            arguments += ["--wire-port", str(wire_port)]
         swarm = await self.fleet.start("swarm", "misc.capacity.swarm", arguments)
         listed = await get_json(f"{url_of(swarm)}/members")
         await self.list_members(listed["members"])
--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -5,15 +5,16 @@
 from typing import Final, NamedTuple
 
 from misc.capacity import target
-from misc.capacity.bench import RARELY_S, ZONE, Bench, url_of
+from misc.capacity.bench import RARELY_S, ZONE, Bench
 from misc.capacity.slope import Point, Slope
-from misc.capacity.usage import SETTLE_S, WINDOW_S, Usage, measure_usage
+from misc.capacity.usage import SETTLE_S, Usage, measure_usage
+from misc.capacity.wire import count_wire
 from misc.child import Child
 from misc.fleet import Fleet
-from misc.http import get_json
 
 AGENT_COUNTS: Final = (32, 64, 128, 256)
 ENTRY_COUNTS: Final = (16, 32, 64, 128)
+LINKS_POLL_S: Final = 0.2
 
 
 class LinkCost(NamedTuple):
@@ -21,7 +22,6 @@
 
     links: int
     usage: Usage
-    wire_bytes_per_s: float
 
 
 async def measure_links(directory: Path) -> list[Slope]:
@@ -39,9 +39,9 @@
     async with Fleet(directory) as fleet:
         bench = Bench(fleet)
         await bench.start()
-        swarm = await bench.start_swarm("agent", count)
+        await bench.start_swarm("agent", count)
         entry = await bench.start_entry(f"entry/{ZONE}/0", membership_interval_s=RARELY_S)
-        return await cost(entry, swarm, count)
+        return await cost(bench, entry, count)
 
 
 async def agent_cost(directory: Path, count: int) -> LinkCost:
@@ -49,30 +49,29 @@
     async with Fleet(directory) as fleet:
         bench = Bench(fleet)
         await bench.start()
-        agent = await bench.start_agent("plain/zone-a/0", membership_interval_s=RARELY_S)
+        agent = await bench.start_agent(f"plain/{ZONE}/0", membership_interval_s=RARELY_S)
         await bench.list_members([bench.member(agent, "agent", "plain")])
-        swarm = await bench.start_swarm("entry", count, agent.ports["port"])
-        return await cost(agent, swarm, count)
+        await bench.start_swarm("entry", count)
+        return await cost(bench, agent, count)
 
 
-async def cost(measured: Child, swarm: Child, count: int) -> LinkCost:
+async def cost(bench: Bench, measured: Child, count: int) -> LinkCost:
     """Wait until all links stand, then measure for a window."""
-    while (await get_json(f"{url_of(swarm)}/wire"))["connections"] < count:
-        await asyncio.sleep(0.1)
+    while count_wire(measured.pid, bench.platform_ports).connections < count:
+        await asyncio.sleep(LINKS_POLL_S)
     await asyncio.sleep(SETTLE_S)
-    before = await get_json(f"{url_of(swarm)}/wire")
-    usage = await measure_usage(measured.pid)
-    after = await get_json(f"{url_of(swarm)}/wire")
-    return LinkCost(count, usage, (after["wire_bytes"] - before["wire_bytes"]) / WINDOW_S)
+    usage = await measure_usage(measured.pid, without_ports=bench.platform_ports)
+    return LinkCost(count, usage)
 
 
 def slopes_of(name: str, size_unit: str, costs: list[LinkCost], target_size: float) -> list[Slope]:
     """Return the three slopes of one side."""
     cores = [Point(one.links, one.usage.core_share) for one in costs]
     memory = [Point(one.links, one.usage.resident_bytes) for one in costs]
-    wire = [Point(one.links, one.wire_bytes_per_s) for one in costs]
+    wire = [Point(one.links, one.usage.wire_bytes_per_s) for one in costs]
+    held = target.CONTROL_MEMORY_BYTES
     return [
         Slope(f"{name}_cpu", "core", size_unit, cores, target_size, target.CONTROL_CORE_SHARE),
-        Slope(f"{name}_memory", "B", size_unit, memory, target_size, target.CONTROL_MEMORY_BYTES),
+        Slope(f"{name}_memory", "B", size_unit, memory, target_size, held),
         Slope(f"{name}_wire", "B/s", size_unit, wire, target_size, target.CONTROL_BYTES_PER_S),
     ]
--- a/misc/capacity/swarm.py
+++ b/misc/capacity/swarm.py
@@ -1,7 +1,7 @@
 """Many entries or agents of the system in one process, as the peers of the measured one.
 
-They are the package's own applications, so that the frames are the real ones.  ``GET /wire``
-answers what the kernel counted on their connections with each other's side.
+They are the package's own applications, so that the frames are the real ones.  ``GET /members``
+answers them as the member list names them.
 """
 
 import asyncio
@@ -16,45 +16,18 @@
 from gypsumpier.log import LOGGER
 from gypsumpier.options import Options
 from gypsumpier.test.standin.server import serve
-from misc.capacity.wire import count_wire
 
 Peer = AgentApplication | EntryApplication
 
 
-class Swarm:
-    """The applications of the process."""
+class MembersHandler(RequestHandler):
+    """``GET /members``."""
 
-    def __init__(self, options: list[Options], wire_port: int) -> None:
-        self.peers: list[Peer] = [build(one) for one in options]
-        self.wire_port = wire_port
+    def initialize(self, peers: list[Peer]) -> None:
+        self.peers = peers
 
-    async def start(self) -> None:
-        """Start every application."""
-        for peer in self.peers:
-            await peer.start()
-
-    def members(self) -> list[dict[str, Any]]:
-        """Return the applications as members."""
-        return [member_of(peer.options) for peer in self.peers]
-
-    def wire(self) -> dict[str, int]:
-        """Return the counts of the connections between the swarm and the measured process."""
-        ports = {self.wire_port} if self.wire_port else {p.options.port for p in self.peers}
-        count = count_wire(ports)
-        return count._asdict() | {"wire_bytes": count.wire_bytes}
-
-
-class SwarmHandler(RequestHandler):
-    """``GET /members`` and ``GET /wire``."""
-
-    def initialize(self, swarm: Swarm) -> None:
-        self.swarm = swarm
-
-    def get(self, what: str) -> None:
-        if what == "wire":
-            self.finish(self.swarm.wire())
-        else:
-            self.finish({"members": self.swarm.members()})
+    def get(self) -> None:
+        self.finish({"members": [member_of(peer.options) for peer in self.peers]})
 
 
 def build(options: Options) -> Peer:
@@ -66,7 +39,7 @@
     """Return the application as the member list names it."""
     return {
         "name": options.name,
-        "incarnation": "1",
+        "incarnation": options.incarnation,
         "role": options.role,
         "service": options.service,
         "region": options.region,
@@ -78,24 +51,26 @@
     }
 
 
-async def run(settings: list[dict[str, Any]], wire_port: int) -> None:
-    """Start the swarm and serve its counts."""
+async def run(settings: list[dict[str, Any]]) -> None:
+    """Start the applications and serve their list."""
     LOGGER.disabled = True
-    swarm = Swarm([Options(**one) for one in settings], wire_port)
-    await swarm.start()
-    await serve(Application([("/(wire|members)", SwarmHandler, {"swarm": swarm})]), 0)
+    peers = [build(Options(**one)) for one in settings]
+    for peer in peers:
+        await peer.start()
+    await serve(Application([("/members", MembersHandler, {"peers": peers})]), 0)
 
 
 @click.command()
 @click.option("--count", default=1)
 @click.option("--settings", required=True, help="Settings of each application as JSON.")
-@click.option("--wire-port", default=0, help="Port of the measured process, if it listens.")
-def main(count: int, settings: str, wire_port: int) -> None:
+def main(count: int, settings: str) -> None:
     """Run the swarm as a process."""
     common: dict[str, Any] = json.loads(settings)
-    service = common.get("service") or common["role"]
-    names = [f"{service}/{common['zone']}/{number}" for number in range(count)]
-    asyncio.run(run([common | {"name": name} for name in names], wire_port))
+    kind = common.get("service") or common["role"]
+    places = [
+        {"name": f"{kind}/{common['zone']}/{n + 1}", "incarnation": "1"} for n in range(count)
+    ]
+    asyncio.run(run([common | place for place in places]))
 
 
 if __name__ == "__main__":
--- a/misc/capacity/usage.py
+++ b/misc/capacity/usage.py
@@ -1,4 +1,4 @@
-"""Processor time and memory of one process over a window."""
+"""Processor time, memory and bytes on the wire of one process over a window."""
 
 import asyncio
 import time
@@ -7,26 +7,33 @@
 
 import psutil
 
+from misc.capacity.wire import count_wire
+
 WINDOW_S: Final = 6.0
 SETTLE_S: Final = 3.0
 NS_PER_S: Final = 1_000_000_000
 
 
 class Usage(NamedTuple):
-    """Share of one core over the window and resident memory at its end."""
+    """Share of one core and bytes a second over the window; resident memory at its end."""
 
     core_share: float
     resident_bytes: int
+    wire_bytes_per_s: float
 
 
-async def measure_usage(pid: int, window_s: float = WINDOW_S) -> Usage:
-    """Watch the process for the window."""
+async def measure_usage(
+    pid: int, window_s: float = WINDOW_S, without_ports: frozenset[int] = frozenset()
+) -> Usage:
+    """Watch the process for the window; connections with one of the ports do not count."""
+    wire_before = count_wire(pid, without_ports)
     before_s = core_seconds(pid)
     started_s = time.monotonic()
     await asyncio.sleep(window_s)
     elapsed_s = time.monotonic() - started_s
     share = (core_seconds(pid) - before_s) / elapsed_s
-    return Usage(share, resident_bytes(pid))
+    wire_bytes = count_wire(pid, without_ports).wire_bytes - wire_before.wire_bytes
+    return Usage(share, resident_bytes(pid), wire_bytes / elapsed_s)
 
 
 def core_seconds(pid: int) -> float:
