--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -15,7 +15,9 @@
 
 LIMITS = SuccessionLimits(horizon_s=100.0, settle_s=3.0, clock_skew_s=1.0)
 SERVICE = "table-ops"
-KEYS = [KeyId("w", name) for name in ("a", "b", "c")]
+KEYS = [KeyId("w", "a")]
+ENTRIES_MAX = 4
+AGENTS_MAX = 6
 ANSWER = KeptAnswer(200, {}, b"done")
 
 
@@ -78,30 +80,35 @@
             self.greet(entry, 0)
             self.greet(entry, 1)
 
-    @rule(slot=st.integers(0, 1))
+    @rule(settled=st.booleans())
+    def replace_agent(self, settled: bool) -> None:
+        assume(len(self.agents) < AGENTS_MAX)
+        self.start_agent(self.revision % 2)
+        if settled:
+            self.advance(4.0)
+
     def start_agent(self, slot: int) -> None:
+        """Start a new process in the slot; the one before it may go on."""
         succession = Succession(LIMITS, self.now_s)
         succession.begin(self.revision, self.now_s)
         self.agents.append(AgentFake(len(self.agents), slot, self.revision, succession))
 
     @rule()
     def start_entry(self) -> None:
+        assume(len(self.entries) < ENTRIES_MAX)
         entry_id = EntryId("entry", str(len(self.entries)))
         self.entries.append(EntryFake(entry_id, self.now_s, self.revision))
 
-    @rule(data=st.data())
-    def kill_entry(self, data: st.DataObject) -> None:
+    @rule(data=st.data(), agents=st.booleans())
+    def kill(self, data: st.DataObject, agents: bool) -> None:
+        if agents:
+            data.draw(st.sampled_from(self.agents)).alive = False
+            return
         # One entry always lives: all entries replaced within the horizon is an open window.
         living = [entry for entry in self.entries[1:] if entry.died_at_s is None]
         assume(living)
         data.draw(st.sampled_from(living)).died_at_s = self.now_s
 
-    @rule(data=st.data())
-    def kill_agent(self, data: st.DataObject) -> None:
-        living = [agent for agent in self.agents if agent.alive]
-        assume(living)
-        data.draw(st.sampled_from(living)).alive = False
-
     @rule(step_s=st.sampled_from([0.5, 4.0, 30.0]))
     def advance(self, step_s: float) -> None:
         self.now_s += step_s
@@ -111,25 +118,36 @@
     def publish(self) -> None:
         self.revision += 1
 
-    @rule(data=st.data())
-    def adopt_at_entry(self, data: st.DataObject) -> None:
-        entry = data.draw(st.sampled_from(self.entries))
-        entry.revision = self.revision
+    @precondition(lambda self: any(agent.revision < self.revision for agent in self.agents))
+    @rule(data=st.data(), agents=st.booleans())
+    def adopt(self, data: st.DataObject, agents: bool) -> None:
+        if agents:
+            behind = [agent for agent in self.agents if agent.revision < self.revision]
+            agent = data.draw(st.sampled_from(behind))
+            agent.revision += 1
+            agent.succession.begin(agent.revision, self.now_s)
+        else:
+            data.draw(st.sampled_from(self.entries)).revision = self.revision
 
-    @rule(data=st.data())
-    def adopt_at_agent(self, data: st.DataObject) -> None:
-        agent = data.draw(st.sampled_from(self.agents))
-        assume(agent.revision < self.revision)
-        agent.revision += 1
-        agent.succession.begin(agent.revision, self.now_s)
+    @rule(data=st.data(), all_slots=st.booleans())
+    def greet_some(self, data: st.DataObject, all_slots: bool) -> None:
+        entry = data.draw(st.sampled_from(self.entries))
+        for slot in (0, 1) if all_slots else (entry.revision % 2,):
+            self.greet(entry, slot)
 
-    @rule(data=st.data(), slot=st.integers(0, 1))
-    def greet_some(self, data: st.DataObject, slot: int) -> None:
-        self.greet(data.draw(st.sampled_from(self.entries)), slot)
+    @rule(data=st.data(), key_id=st.sampled_from(KEYS), greets=st.booleans())
+    def send_and_deliver(self, data: st.DataObject, key_id: KeyId, greets: bool) -> None:
+        entry = data.draw(st.sampled_from(self.entries))
+        if greets:
+            self.greet(entry, entry.revision % 2)
+        self.submit(entry, key_id, True)
 
     @rule(data=st.data(), key_id=st.sampled_from(KEYS))
     def send(self, data: st.DataObject, key_id: KeyId) -> None:
-        entry = data.draw(st.sampled_from(self.entries))
+        self.submit(data.draw(st.sampled_from(self.entries)), key_id, False)
+
+    def submit(self, entry: EntryFake, key_id: KeyId, at_once: bool) -> None:
+        """Let an entry send a copy, which arrives at once or later."""
         listed = self.now_s >= entry.started_at_s + LIMITS.settle_s
         holder = entry.holders.get(entry.revision % 2)
         assume(entry.died_at_s is None and listed and holder is not None)
@@ -137,14 +155,22 @@
         last_s = self.sent_at_s.get(key_id, self.now_s)
         assume(self.now_s - last_s < LIMITS.horizon_s)
         self.sent_at_s[key_id] = self.now_s
-        self.assume_noted(entry, key_id)
-        self.copies.append(Copy(entry, self.agents[holder], key_id, self.now_s))
+        assert entry.sent.note(SERVICE, key_id, "f", self.now_s)
+        copy = Copy(entry, self.agents[holder], key_id, self.now_s)
+        if at_once:
+            self.receive(copy, False)
+        else:
+            self.copies.append(copy)
 
     @precondition(lambda self: self.copies)
     @rule(data=st.data(), refused=st.booleans())
     def deliver(self, data: st.DataObject, refused: bool) -> None:
         copy = data.draw(st.sampled_from(self.copies))
         self.copies.remove(copy)
+        self.receive(copy, refused)
+
+    def receive(self, copy: Copy, refused: bool) -> None:
+        """Let the agent decide about the copy."""
         if self.now_s - copy.received_at_s > LIMITS.horizon_s or not self.accepts(copy):
             self.settle(copy, KeyState.UNKNOWN)
             return
@@ -219,10 +245,6 @@
         if copy.entry.died_at_s is None:
             copy.entry.sent.settle(SERVICE, copy.key_id, state, self.now_s)
 
-    def assume_noted(self, entry: EntryFake, key_id: KeyId) -> None:
-        """Note the key in the entry's memory."""
-        assert entry.sent.note(SERVICE, key_id, "f", self.now_s)
-
     def read_lists(self) -> None:
         """Let every living process read the member list, which lags by the settling time."""
         before_s = self.now_s - LIMITS.settle_s
@@ -252,7 +274,7 @@
 
 class LedgerMachineTest(AtMostOnceMachine.TestCase):  # type: ignore[misc]
     settings = settings(
-        derandomize=True, deadline=None, max_examples=250, stateful_step_count=40
+        derandomize=True, deadline=None, max_examples=1000, stateful_step_count=30
     )
 
 
