--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -7,6 +7,7 @@
 from tornado.netutil import bind_sockets
 
 from gypsumpier.agent.gate import Gate
+from gypsumpier.agent.home import Home
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.monitor import Monitor
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
@@ -42,7 +43,8 @@
             options, self.clock, HttpMembership(options.membership_url), self.members
         )
         self.upstream = self.build_upstream()
-        self.gate = Gate(options, self.clock, self.upstream)
+        self.home = Home(options, self.clock, self.documents, self.members, self.upstream)
+        self.gate = Gate(options, self.clock, self.upstream, self.home)
         self.listener = Listener(options, self.clock, self.gate)
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
         self.server = TcpListener(self.listener.serve)
--- /dev/null
+++ b/gypsumpier/agent/exchange.py
@@ -0,0 +1,57 @@
+"""One attempt on the agent's side: its parts so far, and their delivery.
+
+The parts stay for a while after the end.  When a connection is lost, the entry asks after the
+attempt over the next one and names the first part that it misses; delivery goes on from there.
+"""
+
+import asyncio
+from typing import Final
+
+from gypsumpier.agent.upstream import Part
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.wire.connection import Connection
+
+FINAL_KINDS: Final = frozenset({"end", "refused", "failed"})
+
+
+class Exchange:
+    """The parts of one attempt's answer."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.parts: list[Part] = []
+        self.ended = False
+        self.delivered = False
+        self.changed = asyncio.Event()
+        self.delivery: asyncio.Task[None] | None = None
+
+    def add(self, part: Part) -> None:
+        """Add the next part; nothing follows a final one."""
+        if self.ended:
+            return
+        self.parts.append(part)
+        self.ended = part.kind in FINAL_KINDS
+        self.changed.set()
+
+    def attach(self, connection: Connection, next_sequence: int) -> None:
+        """Deliver from that part on over the connection, in place of an earlier one."""
+        if self.delivery is not None:
+            self.delivery.cancel()
+        self.delivery = asyncio.create_task(self.deliver(connection, next_sequence))
+
+    async def deliver(self, connection: Connection, next_sequence: int) -> None:
+        """Send the parts as they come, until the final one is sent or the connection is lost."""
+        try:
+            while True:
+                self.changed.clear()
+                while next_sequence < len(self.parts):
+                    part = self.parts[next_sequence]
+                    await connection.send(part.kind, part.payload, self.name, next_sequence)
+                    next_sequence += 1
+                if self.ended:
+                    self.delivered = True
+                    return
+                await self.changed.wait()
+        except GypsumpierError as error:
+            decision("delivery_lost", exchange=self.name, reason=error)
--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -1,104 +1,167 @@
 """The gate in front of the upstream: admits, runs and answers attempts.
 
-Each attempt is one task.  Its frames carry consecutive sequence numbers; the final frame says
-``end`` with the count of parts, ``refused`` where the attempt certainly has not run, or ``failed``
-where it may have.
+Each attempt is one task, which adds the parts of its answer to the attempt's exchange.  The final
+part says ``end`` with the count of parts, ``refused`` where the attempt certainly has not run, or
+``failed`` where it may have.
 """
 
 import asyncio
+from typing import Final
 
+from gypsumpier.agent.exchange import Exchange
+from gypsumpier.agent.exchanges import Exchanges
+from gypsumpier.agent.home import Home
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.agent.upstream import Part, Upstream
 from gypsumpier.clock import Clock
-from gypsumpier.codes.request import (
-    DEADLINE_EXCEEDED,
-    NO_LIVE_UPSTREAM,
-    UPSTREAM_FAILED,
-    UPSTREAM_LEAVING,
-)
+from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.wire.connection import Connection
 
+RETRY_AFTER_S: Final = 1.0
+DELIVERY_WAIT_S: Final = 5.0
+DELIVERY_POLL_S: Final = 0.05
+
 
 class Gate:
     """Admission to one upstream."""
 
-    def __init__(self, options: Options, clock: Clock, upstream: Upstream) -> None:
+    def __init__(self, options: Options, clock: Clock, upstream: Upstream, home: Home) -> None:
         self.options = options
         self.clock = clock
         self.upstream = upstream
+        self.home = home
+        self.exchanges = Exchanges()
         self.running: dict[str, asyncio.Task[None]] = {}
+        self.idempotent: set[str] = set()
         self.leaving = False
 
     def submit(self, order: AttemptOrder, connection: Connection) -> None:
-        """Start the attempt as a task that answers on the connection."""
-        task = asyncio.create_task(self.attempt(order, connection))
+        """Start the attempt; a second copy of it only goes on with the first one's answer."""
+        known = self.exchanges.known.get(order.exchange)
+        if known is not None:
+            known.attach(connection, 0)
+            return
+        late = order.exchange in self.exchanges.refused
+        exchange = self.exchanges.begin(order.exchange)
+        exchange.attach(connection, 0)
+        if order.idempotent:
+            self.idempotent.add(order.exchange)
+        task = asyncio.create_task(self.attempt(order, exchange, late))
         self.running[order.exchange] = task
-        task.add_done_callback(lambda done: self.running.pop(order.exchange, None))
+        task.add_done_callback(lambda done: self.close(exchange))
+
+    def resume(
+        self, name: str, next_sequence: int, age_s: float, connection: Connection
+    ) -> GypsumpierError | None:
+        """Go on with a known attempt; return what to say of one that isn't known."""
+        exchange = self.exchanges.known.get(name)
+        if exchange is not None:
+            exchange.attach(connection, next_sequence)
+            return None
+        if self.exchanges.refuse(name, age_s, self.clock.monotonic()):
+            return GypsumpierError(codes.UPSTREAM_UNREACHABLE, "never arrived", RETRY_AFTER_S)
+        return GypsumpierError(codes.OUTCOME_UNKNOWN, "no longer known")
+
+    def close(self, exchange: Exchange) -> None:
+        """Note the end of an attempt."""
+        if not exchange.ended:
+            exchange.add(error_part(GypsumpierError(codes.OUTCOME_UNKNOWN, "stopped"), False))
+        self.running.pop(exchange.name, None)
+        self.idempotent.discard(exchange.name)
+        self.exchanges.end(exchange.name, self.clock.monotonic())
 
-    async def attempt(self, order: AttemptOrder, connection: Connection) -> None:
-        """Run the attempt and send its frames."""
-        sequence = 0
+    async def attempt(self, order: AttemptOrder, exchange: Exchange, late: bool) -> None:
+        """Run the attempt and add its parts."""
         try:
-            self.admit(order)
-            async with asyncio.timeout(order.remaining_s):
-                async for part in self.upstream.run(order):
-                    await connection.send(part.kind, part.payload, order.exchange, sequence)
-                    sequence += 1
+            refusal = self.refusal(late, order)
+            if order.has_home():
+                for part in await self.home.answer(order, refusal):
+                    exchange.add(part)
+                return
+            if refusal is not None:
+                raise refusal
+            await self.run(order, exchange)
         except GypsumpierError as error:
-            await self.answer_error(order, connection, sequence, error)
+            self.fail(order, exchange, error)
         except TimeoutError:
-            late = GypsumpierError(DEADLINE_EXCEEDED, "passed while running")
-            await self.answer_error(order, connection, sequence, late)
+            late_error = GypsumpierError(codes.DEADLINE_EXCEEDED, "passed while running")
+            self.fail(order, exchange, late_error)
             await self.cancel_upstream(order.exchange)
 
-    def admit(self, order: AttemptOrder) -> None:
-        """Raise where the attempt must not start."""
+    async def run(self, order: AttemptOrder, exchange: Exchange) -> None:
+        """Run an attempt that needs no home."""
+        decision("admit", exchange=order.exchange, upstream=self.options.name, reason="admitted")
+        async with asyncio.timeout(order.remaining_s):
+            async for part in self.upstream.run(order):
+                exchange.add(part)
+
+    def refusal(self, late: bool, order: AttemptOrder) -> GypsumpierError | None:
+        """Return why the attempt must not start, if so."""
+        if late:
+            return GypsumpierError(codes.UPSTREAM_UNREACHABLE, "arrived late", RETRY_AFTER_S)
         if self.leaving:
-            raise GypsumpierError(UPSTREAM_LEAVING, self.options.name, 1.0)
+            return GypsumpierError(codes.UPSTREAM_LEAVING, self.options.name, RETRY_AFTER_S)
         if order.remaining_s <= 0:
-            raise GypsumpierError(NO_LIVE_UPSTREAM, "deadline passed before the start")
-        decision("admit", exchange=order.exchange, upstream=self.options.name, reason="admitted")
+            return GypsumpierError(codes.DEADLINE_BEFORE_START, "passed before the start")
+        return None
 
-    async def answer_error(
-        self, order: AttemptOrder, connection: Connection, sequence: int, error: GypsumpierError
-    ) -> None:
-        """Send the final frame of an attempt without a whole answer."""
-        not_run = error.code.outcome is Outcome.NOT_RUN and sequence == 0
-        shown = error if not_run or sequence == 0 else GypsumpierError(UPSTREAM_FAILED, str(error))
-        part = Part(
-            "refused" if not_run else "failed",
-            {
-                "code": shown.code.number,
-                "detail": shown.detail,
-                "retry_after_s": error.retry_after_s,
-            },
-        )
+    def fail(self, order: AttemptOrder, exchange: Exchange, error: GypsumpierError) -> None:
+        """Add the final part of an attempt without a whole answer."""
+        not_run = error.code.outcome is Outcome.NOT_RUN and not exchange.parts
+        if exchange.parts and error.code.outcome is Outcome.NOT_RUN:
+            error = GypsumpierError(codes.UPSTREAM_FAILED, str(error))
+        part = error_part(error, not_run)
         decision(part.kind, exchange=order.exchange, upstream=self.options.name, reason=error)
+        exchange.add(part)
+
+    def outcome(self, workspace: str, key: str) -> list[Part]:
+        """Return the parts that tell a key's outcome; nothing is run."""
         try:
-            await connection.send(part.kind, part.payload, order.exchange, sequence)
-        except GypsumpierError as lost:
-            decision("answer_lost", exchange=order.exchange, reason=lost)
-
-    async def cancel(self, exchange: str) -> None:
-        """Stop an attempt that nobody waits for."""
-        task = self.running.get(exchange)
-        if task is None:
+            return self.home.outcome(KeyId(workspace, key))
+        except GypsumpierError as error:
+            return [error_part(error, error.code.outcome is Outcome.NOT_RUN)]
+
+    async def cancel(self, name: str) -> None:
+        """Stop an attempt that nobody waits for, unless it may not run again."""
+        task = self.running.get(name)
+        if task is None or name not in self.idempotent:
             return
         task.cancel()
-        await self.cancel_upstream(exchange)
+        await self.cancel_upstream(name)
 
-    async def cancel_upstream(self, exchange: str) -> None:
+    async def cancel_upstream(self, name: str) -> None:
         """Tell the upstream to stop; it may be gone."""
         try:
-            await self.upstream.cancel(exchange)
+            await self.upstream.cancel(name)
         except GypsumpierError as error:
-            decision("cancel_failed", exchange=exchange, reason=error)
+            decision("cancel_failed", exchange=name, reason=error)
 
     async def drain(self) -> None:
-        """Wait for every running attempt to end."""
-        while self.running:
-            await asyncio.wait(list(self.running.values()))
+        """Wait for every running attempt to end and for its answer to be delivered."""
+        while self.running or self.home.running:
+            await asyncio.wait([*self.running.values(), *self.home.running.values()])
+        until_s = self.clock.monotonic() + DELIVERY_WAIT_S
+        while self.clock.monotonic() < until_s and self.undelivered():
+            await self.clock.sleep(DELIVERY_POLL_S)
+
+    def undelivered(self) -> bool:
+        """Tell whether an answer is on its way still."""
+        return any(
+            exchange.delivery is not None and not exchange.delivery.done()
+            for exchange in self.exchanges.known.values()
+        )
+
+
+def error_part(error: GypsumpierError, not_run: bool) -> Part:
+    """Return the final part that tells the error."""
+    payload = {
+        "code": error.code.number,
+        "detail": error.detail,
+        "retry_after_s": error.retry_after_s,
+    }
+    return Part("refused" if not_run else "failed", payload)
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -4,10 +4,16 @@
 import contextlib
 from typing import Any, Final
 
-from gypsumpier.agent.gate import Gate
+from gypsumpier.agent.gate import Gate, error_part
 from gypsumpier.agent.order import parse_order
+from gypsumpier.agent.upstream import Part
 from gypsumpier.clock import Clock
+from gypsumpier.codes.result import Outcome
+from gypsumpier.codes.wire import BAD_FRAME
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.record import KeyRecord, KeyState
+from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.wire.connection import Connection
@@ -25,6 +31,7 @@
         self.clock = clock
         self.gate = gate
         self.healthy = False
+        self.started_at_s = clock.monotonic()
         self.connections: set[Connection] = set()
 
     async def serve(self, stream: Stream) -> None:
@@ -44,6 +51,7 @@
             decision("connection_lost", reason=error)
         finally:
             self.connections.discard(connection)
+            connection.close()
             for task in tasks:
                 task.cancel()
 
@@ -51,19 +59,60 @@
         """Handle one frame from an entry."""
         if frame.kind == "request":
             self.gate.submit(parse_order(frame, connection.buffered_s(frame)), connection)
+        elif frame.kind == "resume":
+            await self.take_resume(frame, connection)
         elif frame.kind == "cancel":
             await self.gate.cancel(frame.exchange)
+        elif frame.kind == "outcome":
+            payload = frame.payload
+            parts = self.gate.outcome(payload["workspace"], payload["key"])
+            await send_parts(connection, frame.exchange, parts, 0)
+        elif frame.kind == "keys":
+            self.take_keys(frame.payload)
+
+    async def take_resume(self, frame: Frame, connection: Connection) -> None:
+        """Go on with an attempt whose connection was lost."""
+        sequence = frame.payload["next_sequence"]
+        age_s = frame.payload["age_s"] + connection.buffered_s(frame)
+        error = self.gate.resume(frame.exchange, sequence, age_s, connection)
+        if error is not None:
+            part = error_part(error, error.code.outcome is Outcome.NOT_RUN)
+            await send_parts(connection, frame.exchange, [part], sequence)
+
+    def take_keys(self, payload: dict[str, Any]) -> None:
+        """Learn the keys that an entry has sent, and which entries it saw disappear."""
+        home = self.gate.home
+        now_s = self.clock.monotonic()
+        try:
+            for workspace, key, printed, state, age_s in payload["keys"]:
+                record = KeyRecord(printed, KeyState(state), now_s - age_s)
+                home.ledger.learn(KeyId(workspace, key), record)
+            for name, incarnation, age_s in payload["lost"]:
+                home.succession.note_lost(EntryId(name, incarnation), now_s - age_s)
+            if payload["complete"]:
+                entry = EntryId(payload["name"], payload["incarnation"])
+                home.succession.note_report(entry, payload["revision"])
+        except (KeyError, ValueError, TypeError) as error:
+            raise GypsumpierError(BAD_FRAME, f"keys: {error!r}") from error
 
     async def report(self, connection: Connection) -> None:
-        """Send the upstream's state when it changes."""
+        """Introduce this process, then send the upstream's state when it changes."""
         last: dict[str, Any] | None = None
-        while not connection.closed:
-            state = self.state()
-            if state != last:
-                last = state
-                with contextlib.suppress(GypsumpierError):
+        with contextlib.suppress(GypsumpierError):
+            await connection.send("welcome", self.welcome())
+            while not connection.closed:
+                state = self.state()
+                if state != last:
+                    last = state
                     await connection.send("state", state)
-            await self.clock.sleep(STATE_INTERVAL_S)
+                await self.clock.sleep(STATE_INTERVAL_S)
+
+    def welcome(self) -> dict[str, Any]:
+        """Return which process this is, and for how long it has run."""
+        return {
+            "incarnation": self.options.incarnation,
+            "uptime_s": self.clock.monotonic() - self.started_at_s,
+        }
 
     def state(self) -> dict[str, Any]:
         """Return what entries need to know of the upstream."""
@@ -73,3 +122,11 @@
             "healthy": self.healthy,
             "in_flight": len(self.gate.running),
         }
+
+
+async def send_parts(
+    connection: Connection, exchange: str, parts: list[Part], sequence: int
+) -> None:
+    """Send parts that belong to no running attempt."""
+    for offset, part in enumerate(parts):
+        await connection.send(part.kind, part.payload, exchange, sequence + offset)
--- a/gypsumpier/agent/order.py
+++ b/gypsumpier/agent/order.py
@@ -8,7 +8,11 @@
 
 
 class AttemptOrder(NamedTuple):
-    """What the agent is to run; ``remaining_s`` is the time left when the frame was read."""
+    """What the agent is to run.
+
+    ``remaining_s`` is the time left to the caller's deadline and ``age_s`` the time since the
+    entry received the request, both when the frame was read.
+    """
 
     exchange: str
     service: str
@@ -22,15 +26,22 @@
     idempotent: bool
     priority: int
     remaining_s: float
+    age_s: float
     model: str
     version: str
 
+    def has_home(self) -> bool:
+        """Tell whether the request runs only at the home of its key."""
+        return bool(self.key) and not self.idempotent
+
 
 def parse_order(frame: Frame, buffered_s: float) -> AttemptOrder:
-    """Return the order in a request frame, less the time it spent in buffers."""
+    """Return the order in a request frame; the time it spent in buffers counts."""
     fields: dict[str, Any] = dict(frame.payload)
     try:
         order = AttemptOrder(exchange=frame.exchange, **fields)
-        return order._replace(remaining_s=order.remaining_s - buffered_s)
+        return order._replace(
+            remaining_s=order.remaining_s - buffered_s, age_s=order.age_s + buffered_s
+        )
     except TypeError as error:
         raise GypsumpierError(BAD_FRAME, f"request: {error}") from error
--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -16,25 +16,38 @@
 WRONG_VERSION: Final = ResultCode(
     2004, "wrong_version", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
 )
+UPSTREAM_UNREACHABLE: Final = ResultCode(
+    2005, "upstream_unreachable", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
+UPSTREAM_FULL: Final = ResultCode(
+    2006, "upstream_full", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
 BAD_REQUEST: Final = ResultCode(
     2010, "bad_request", 400, Outcome.NOT_RUN, "Correct the request before sending it again."
 )
 BODY_TOO_LARGE: Final = ResultCode(
     2011, "body_too_large", 413, Outcome.NOT_RUN, "Send a smaller body."
 )
+KEY_REUSED: Final = ResultCode(
+    2012,
+    "key_reused",
+    422,
+    Outcome.NOT_RUN,
+    "The Idempotency-Key belongs to another request; use a new key for this one.",
+)
 DEADLINE_EXCEEDED: Final = ResultCode(
     2020,
     "deadline_exceeded",
     504,
     Outcome.UNKNOWN,
-    "Ask for the outcome, or send an idempotent" " request again.",
+    "Ask for the outcome, or send an idempotent request again.",
 )
 OUTCOME_UNKNOWN: Final = ResultCode(
     2021,
     "outcome_unknown",
     502,
     Outcome.UNKNOWN,
-    "The request may have run. Ask for the outcome" " with the same Idempotency-Key.",
+    "The request may have run. Ask for the outcome with the same Idempotency-Key.",
 )
 ANSWER_CUT: Final = ResultCode(
     2022, "answer_cut", 502, Outcome.UNKNOWN, "The answer is not whole. Discard what has arrived."
@@ -42,3 +55,76 @@
 UPSTREAM_FAILED: Final = ResultCode(
     2023, "upstream_failed", 502, Outcome.UNKNOWN, "The upstream failed while it ran the request."
 )
+DEADLINE_BEFORE_START: Final = ResultCode(
+    2024,
+    "deadline_before_start",
+    504,
+    Outcome.NOT_RUN,
+    "The deadline passed before the request was started; allow more time.",
+)
+OUTCOME_UNKNOWN_WITHOUT_KEY: Final = ResultCode(
+    2025,
+    "outcome_unknown_without_key",
+    502,
+    Outcome.UNKNOWN,
+    "The request may have run and can't be sent again safely; use an Idempotency-Key.",
+)
+HOME_UNREACHABLE: Final = ResultCode(
+    2030,
+    "home_unreachable",
+    503,
+    Outcome.UNKNOWN,
+    "This copy was not sent; an earlier copy may have run. Send the same key after Retry-After.",
+)
+HOME_RECOVERING: Final = ResultCode(
+    2031,
+    "home_recovering",
+    503,
+    Outcome.UNKNOWN,
+    "This copy was not run; an earlier copy may have run. Send the same key after Retry-After.",
+)
+NOT_HOME: Final = ResultCode(
+    2032,
+    "not_home",
+    503,
+    Outcome.UNKNOWN,
+    "A document has moved the key; send the same key after Retry-After.",
+)
+ANSWER_GONE: Final = ResultCode(
+    2033,
+    "answer_gone",
+    410,
+    Outcome.DONE,
+    "The request was run once and won't run again; its answer is no longer kept.",
+)
+KEY_OUTCOME_UNKNOWN: Final = ResultCode(
+    2034,
+    "key_outcome_unknown",
+    502,
+    Outcome.UNKNOWN,
+    "The request under this key may have run and won't run again; find out at the service.",
+)
+KEY_REFUSED: Final = ResultCode(
+    2035,
+    "key_refused",
+    503,
+    Outcome.NOT_RUN,
+    "The request under this key was refused; send the same key after Retry-After.",
+)
+KEYS_FULL: Final = ResultCode(
+    2036,
+    "keys_full",
+    503,
+    Outcome.UNKNOWN,
+    "This copy was not run; an earlier copy may have run. Send the same key after Retry-After.",
+)
+KEY_RUNNING: Final = ResultCode(
+    2037, "key_running", 409, Outcome.UNKNOWN, "The request still runs; ask again."
+)
+KEY_NOT_SEEN: Final = ResultCode(
+    2038,
+    "key_not_seen",
+    404,
+    Outcome.UNKNOWN,
+    "The home has not seen the key; a copy may still be on its way. Send the same key.",
+)
--- a/gypsumpier/idempotency/ledger.py
+++ b/gypsumpier/idempotency/ledger.py
@@ -16,7 +16,6 @@
 from gypsumpier.idempotency.record import Claim, KeptAnswer, KeyRecord, KeyState, Verdict
 
 RECORD_OVERHEAD_BYTES: Final = 400
-HEADER_OVERHEAD_BYTES: Final = 100
 
 # Knowledge from another instance replaces what is known here only by something more certain.
 CERTAINTY: Final = {
@@ -92,6 +91,8 @@
         elif CERTAINTY[learnt.state] > CERTAINTY[known.state]:
             known.state = learnt.state
             known.fingerprint = learnt.fingerprint or known.fingerprint
+        elif learnt.state is known.state is KeyState.REFUSED:
+            known.changed_at_s = max(known.changed_at_s, learnt.changed_at_s)
         record = self.records[key_id]
         if learnt.answer is not None and record.answer is None:
             self.keep_answer(key_id, record, learnt.answer)
@@ -151,7 +152,4 @@
 
 def answer_size_bytes(answer: KeptAnswer) -> int:
     """Return the memory that the answer takes, about."""
-    headers = sum(
-        len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in answer.headers.items()
-    )
-    return len(answer.body) + headers + RECORD_OVERHEAD_BYTES
+    return len(answer.content) + RECORD_OVERHEAD_BYTES
--- a/gypsumpier/idempotency/record.py
+++ b/gypsumpier/idempotency/record.py
@@ -15,11 +15,9 @@
 
 
 class KeptAnswer(NamedTuple):
-    """The upstream's whole answer."""
+    """The upstream's whole answer, as it is relayed."""
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
+    content: bytes
 
 
 @dataclass
--- a/gypsumpier/idempotency/sent_keys.py
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -62,13 +62,12 @@
             known.state = state
 
     def report(self, service: str, now_s: float) -> list[ReportedKey]:
-        """Return every key of the service that may have run."""
+        """Return every key of the service, with when each refused one was refused."""
         self.forget_old(now_s)
-        sent = ((key_id, key) for (name, key_id), key in self.keys.items() if name == service)
         return [
             ReportedKey(key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s)
-            for key_id, key in sent
-            if reported_state(key) is not KeyState.REFUSED
+            for (name, key_id), key in self.keys.items()
+            if name == service
         ]
 
     def touch(self, service: str, key_id: KeyId, now_s: float) -> None:
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -39,6 +39,14 @@
     request_deadline_s: float = 30.0
     body_limit_bytes: int = 1024 * 1024
     drain_timeout_s: float = 30.0
+    resend_horizon_s: float = 600.0
+    key_retention_s: float = 3600.0
+    key_settle_s: float = 3.0
+    key_clock_skew_s: float = 5.0
+    key_memory_bytes: int = 8 * 1024 * 1024
+    answer_memory_bytes: int = 16 * 1024 * 1024
+    run_timeout_s: float = 60.0
+    ask_timeout_s: float = 4.0
 
     chunk_bytes: int = 256 * 1024
     weight_memory_bytes: int = 64 * 1024 * 1024
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -18,7 +18,7 @@
 KEYS = [KeyId("w", "a")]
 ENTRIES_MAX = 4
 AGENTS_MAX = 6
-ANSWER = KeptAnswer(200, {}, b"done")
+ANSWER = KeptAnswer(b"done")
 
 
 @dataclass
