--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -20,11 +20,14 @@
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.log import decision
 from gypsumpier.options import Options
+from gypsumpier.platform.engine import LiveModel
 from gypsumpier.wire.connection import Connection
 
 RETRY_AFTER_S: Final = 1.0
 DELIVERY_WAIT_S: Final = 5.0
 DELIVERY_POLL_S: Final = 0.05
+RETIRE_NOTICE_S: Final = 1.0
+RETIRE_POLL_S: Final = 0.1
 
 
 class Gate:
@@ -37,7 +40,7 @@
         self.home = home
         self.exchanges = Exchanges()
         self.running: dict[str, asyncio.Task[None]] = {}
-        self.idempotent: set[str] = set()
+        self.orders: dict[str, AttemptOrder] = {}
         self.leaving = False
 
     def submit(self, order: AttemptOrder, connection: Connection) -> None:
@@ -49,8 +52,7 @@
         late = order.exchange in self.exchanges.refused
         exchange = self.exchanges.begin(order.exchange)
         exchange.attach(connection, 0)
-        if order.idempotent:
-            self.idempotent.add(order.exchange)
+        self.orders[order.exchange] = order
         task = asyncio.create_task(self.attempt(order, exchange, late))
         self.running[order.exchange] = task
         task.add_done_callback(lambda done: self.close(exchange))
@@ -72,7 +74,7 @@
         if not exchange.ended:
             exchange.add(error_part(GypsumpierError(codes.OUTCOME_UNKNOWN, "stopped"), False))
         self.running.pop(exchange.name, None)
-        self.idempotent.discard(exchange.name)
+        self.orders.pop(exchange.name, None)
         self.exchanges.end(exchange.name, self.clock.monotonic())
 
     async def attempt(self, order: AttemptOrder, exchange: Exchange, late: bool) -> None:
@@ -129,7 +131,7 @@
     async def cancel(self, name: str) -> None:
         """Stop an attempt that nobody waits for, unless it may not run again."""
         task = self.running.get(name)
-        if task is None or name not in self.idempotent:
+        if task is None or not self.orders[name].idempotent:
             return
         task.cancel()
         await self.cancel_upstream(name)
@@ -156,6 +158,33 @@
             for exchange in self.exchanges.known.values()
         )
 
+    async def retire(self, live: LiveModel) -> None:
+        """Refuse new attempts of a content and wait for those that run on it.
+
+        Entries hear first that it is live no longer, so that few attempts are refused.  The wait
+        is bounded by ``drain_timeout_s``.
+        """
+        self.upstream.retire(live)
+        await self.clock.sleep(RETIRE_NOTICE_S)
+        self.upstream.refuse(live)
+        decision("retire", upstream=self.options.name, version=live.version, reason="unload")
+        deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
+        while self.clock.monotonic() < deadline_s:
+            await self.clock.sleep(RETIRE_POLL_S)
+            if not self.runs_on(live):
+                return
+
+    def runs_on(self, live: LiveModel) -> bool:
+        """Tell whether an attempt runs on that content."""
+        replaced = any(
+            other.model == live.model and other.version == live.version
+            for other in self.upstream.live()
+        )
+        orders = self.orders.values()
+        return not replaced and any(
+            order.model == live.model and order.version == live.version for order in orders
+        )
+
 
 def error_part(error: GypsumpierError, not_run: bool) -> Part:
     """Return the final part that tells the error."""
