Run keys at their home, ask after attempts on lost connections, keep retries in a budget

A keyed request of a non-idempotent route goes to the home of its key only. An attempt whose connection is lost is asked after on the next one by its name. Before, such an attempt was unknown at once, replaced links cut what ran on them, a wrong version in an answer was told as not run, and an unhealthy plain service counted as healthy.

--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -28,6 +28,9 @@
 
 RETRY_AFTER_S: Final = 1.0
 
+# A copy that reaches another entry just before the caller hears of a refusal is refused as well.
+CROSSING_S: Final = 0.25
+
 VERDICT_CODES: Final[dict[Verdict, ResultCode]] = {
     Verdict.ANSWER_GONE: codes.ANSWER_GONE,
     Verdict.UNKNOWN: codes.KEY_OUTCOME_UNKNOWN,
@@ -98,7 +101,7 @@
         decision("claim", exchange=order.exchange, reason=claim.verdict.value)
         if claim.verdict is Verdict.RUN:
             if refusal is not None:
-                self.ledger.refuse(key_id, printed, now_s)
+                self.ledger.refuse(key_id, printed, now_s + CROSSING_S)
                 raise refusal
             self.running[key_id] = asyncio.create_task(self.run(order, key_id, printed))
         elif claim.verdict in VERDICT_CODES:
@@ -114,7 +117,8 @@
 
     def check_succession(self, key_id: KeyId, now_s: float) -> None:
         """Raise while an earlier home may have run a key that is not known here."""
-        if self.ledger.query(key_id, now_s) is not None:
+        known = self.ledger.query(key_id, now_s)
+        if known is not None and known.state is not KeyState.REFUSED:
             return
         self.take_members()
         wait_s = self.succession.wait_s(key_id.key, now_s, self.clock.wall())
@@ -166,7 +170,7 @@
         """Keep whether the failed run certainly never began."""
         decision("run_failed", key_workspace=key_id.workspace, reason=error.code.name)
         if error.code.outcome is Outcome.NOT_RUN:
-            self.ledger.refuse(key_id, printed, self.clock.monotonic())
+            self.ledger.refuse(key_id, printed, self.clock.monotonic() + CROSSING_S)
 
     def close(self, key_id: KeyId) -> None:
         """End the run; one without an outcome may have run."""
--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -2,14 +2,22 @@
 
 import json
 from collections.abc import AsyncIterator
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
 from gypsumpier.agent.order import AttemptOrder
-from gypsumpier.codes.request import BAD_REQUEST, WRONG_VERSION
+from gypsumpier.codes.request import (
+    BAD_REQUEST,
+    UPSTREAM_FAILED,
+    UPSTREAM_UNREACHABLE,
+    WRONG_VERSION,
+)
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.platform.engine import Completion, Engine, LiveModel
+from gypsumpier.platform.http import NotSentError
 from gypsumpier.platform.service import Service, ServiceCall
 
+RETRY_AFTER_S: Final = 1.0
+
 
 class Part(NamedTuple):
     """One part of an answer, to be sent as one frame."""
@@ -54,7 +62,7 @@
             raise GypsumpierError(WRONG_VERSION, f"{order.version} is not live here", 1.0)
         async for event in self.engine.complete(completion_of(order)):
             if event.version != order.version:
-                raise GypsumpierError(WRONG_VERSION, f"the engine answered as {event.version}")
+                raise GypsumpierError(UPSTREAM_FAILED, f"the engine answered as {event.version}")
             if event.finish_reason is None:
                 yield Part("token", {"text": event.text, "version": event.version})
                 continue
@@ -99,7 +107,10 @@
 
     async def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
         call = ServiceCall(order.method, order.path, order.headers, order.body)
-        answer = await self.service.call(call, order.remaining_s)
+        try:
+            answer = await self.service.call(call, order.remaining_s)
+        except NotSentError as error:
+            raise GypsumpierError(UPSTREAM_UNREACHABLE, error.detail, RETRY_AFTER_S) from error
         yield Part("head", {"status": answer.status, "headers": answer.headers})
         yield Part("data", {"content": answer.body})
         yield Part("end", {"count": 1})
@@ -108,7 +119,8 @@
         """A plain call can't be taken back."""
 
     async def refresh(self) -> None:
-        await self.service.healthy()
+        if not await self.service.healthy():
+            raise GypsumpierError(UPSTREAM_UNREACHABLE, "not healthy")
 
     def live(self) -> list[LiveModel]:
         return []
--- a/gypsumpier/entry/attempt.py
+++ b/gypsumpier/entry/attempt.py
@@ -18,13 +18,17 @@
 FAILED: Final = "failed"
 
 
+class LostConnectionError(GypsumpierError):
+    """The connection of an attempt was lost while the attempt was in flight."""
+
+
 class Attempt:
     """The entry's side of one exchange; the link's task delivers its frames."""
 
     def __init__(self, exchange: str, upstream: str) -> None:
         self.exchange = exchange
         self.upstream = upstream
-        self.sent = False
+        self.incarnation = ""
         self.expected_sequence = 0
         self.queue: asyncio.Queue[Frame | GypsumpierError] = asyncio.Queue()
 
@@ -42,6 +46,10 @@
         """End the attempt with an error."""
         self.queue.put_nowait(GypsumpierError(code, detail))
 
+    def lose(self, reason: ResultCode) -> None:
+        """Note that the connection was lost; the attempt may be asked after on the next one."""
+        self.queue.put_nowait(LostConnectionError(reason, self.upstream))
+
     async def frames(self) -> AsyncIterator[Frame]:
         """Yield the frames in sequence, the final one included; raise on a failed attempt."""
         while True:
--- /dev/null
+++ b/gypsumpier/entry/budget.py
@@ -0,0 +1,28 @@
+"""The retry budget of an entry: retries are a bounded share of requests.
+
+Each request earns a part of a retry.  When upstreams fail at large, the budget is soon spent, and
+each request makes one attempt only.
+"""
+
+from typing import Final
+
+EARNED_PER_REQUEST: Final = 0.1
+SAVED_MAX: Final = 10.0
+
+
+class RetryBudget:
+    """Counts what may be spent on retries."""
+
+    def __init__(self) -> None:
+        self.saved = SAVED_MAX
+
+    def earn(self) -> None:
+        """Note a request."""
+        self.saved = min(SAVED_MAX, self.saved + EARNED_PER_REQUEST)
+
+    def spend(self) -> bool:
+        """Take one retry from the budget; False where there is none."""
+        if self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        return True
--- /dev/null
+++ b/gypsumpier/entry/delivery.py
@@ -0,0 +1,90 @@
+"""One attempt over its link, across lost connections.
+
+When the connection of an attempt is lost, the attempt is asked after on the next connection to the
+same process, and its answer goes on from the first frame that is missing.  Where another process
+answers there, or none in time, the outcome is unknown.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.codes import request as codes
+from gypsumpier.codes.table import code_by_number
+from gypsumpier.entry.attempt import FAILED, REFUSED, Attempt, LostConnectionError
+from gypsumpier.entry.link import Link
+from gypsumpier.entry.request import CallerRequest
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.options import Options
+from gypsumpier.wire.frame import Frame
+
+ASK_POLL_S: Final = 0.05
+
+
+class Delivery:
+    """Delivers the frames of one attempt."""
+
+    def __init__(
+        self, options: Options, clock: Clock, link: Link, request: CallerRequest, attempt: Attempt
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.link = link
+        self.request = request
+        self.attempt = attempt
+        self.sent_at_s = clock.monotonic()
+        self.ended = False
+
+    async def frames(self, payload: dict[str, object]) -> AsyncIterator[Frame]:
+        """Send the request and yield the frames of its answer."""
+        try:
+            await self.link.send(self.attempt, payload)
+            while not self.ended:
+                try:
+                    async for frame in self.attempt.frames():
+                        self.check(frame)
+                        yield frame
+                except LostConnectionError as error:
+                    await self.ask_again(error)
+        finally:
+            self.link.forget(self.attempt)
+            if not self.ended:
+                await self.link.cancel(self.attempt)
+
+    def check(self, frame: Frame) -> None:
+        """Note the final frame; raise the error that a refused or failed attempt carries."""
+        if frame.kind in (REFUSED, FAILED):
+            self.ended = True
+            raise error_of(frame)
+        self.ended = frame.kind == "end"
+
+    async def ask_again(self, lost: LostConnectionError) -> None:
+        """Ask after the attempt over the next connection; raise where that is in vain."""
+        decision("ask_again", exchange=self.attempt.exchange, reason=lost)
+        if self.request.idempotent and self.attempt.expected_sequence == 0:
+            raise GypsumpierError(codes.OUTCOME_UNKNOWN, lost.detail)
+        until_s = self.clock.monotonic() + self.options.ask_timeout_s
+        while self.clock.monotonic() < until_s:
+            if self.link.connection is not None:
+                await self.resume(lost)
+                return
+            await self.clock.sleep(ASK_POLL_S)
+        raise GypsumpierError(codes.OUTCOME_UNKNOWN, lost.detail)
+
+    async def resume(self, lost: LostConnectionError) -> None:
+        """Go on with the attempt at the process that it was sent to."""
+        if self.link.incarnation != self.attempt.incarnation:
+            raise GypsumpierError(codes.OUTCOME_UNKNOWN, "another process fills the slot")
+        try:
+            await self.link.resume(self.attempt, self.clock.monotonic() - self.sent_at_s)
+        except GypsumpierError:
+            # This connection was lost as well.
+            self.attempt.lose(lost.code)
+
+
+def error_of(frame: Frame) -> GypsumpierError:
+    """Return the error that a refused or failed attempt carries."""
+    payload = frame.payload
+    code = code_by_number(payload["code"])
+    return GypsumpierError(code, payload["detail"], payload.get("retry_after_s"))
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from random import Random
 from typing import Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.entry.link import Link
+from gypsumpier.entry.link import Link, ignore
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
+from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.stream import Dialer
 
 REFRESH_INTERVAL_S: Final = 0.25
@@ -19,14 +21,23 @@
     """One link for each agent in the member table."""
 
     def __init__(
-        self, options: Options, clock: Clock, dialer: Dialer, random: Random, members: MemberTable
+        self,
+        options: Options,
+        clock: Clock,
+        dialer: Dialer,
+        random: Random,
+        members: MemberTable,
+        spread: Spread | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.dialer = dialer
         self.random = random
         self.members = members
+        self.spread = spread
         self.links: dict[str, Link] = {}
+        self.replaced: list[Link] = []
+        self.welcomed: Callable[[Link], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -39,7 +50,7 @@
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.replaced]:
             await link.stop()
 
     async def run(self) -> None:
@@ -55,16 +66,24 @@
         }
         for name in list(self.links):
             if name not in agents or differs(self.links[name].member, agents[name]):
-                await self.links.pop(name).stop()
+                self.replaced.append(self.links.pop(name))
+        await self.stop_replaced()
         for name, member in agents.items():
             if name not in self.links:
                 self.open(member)
             elif member.leaving:
                 self.links[name].leaving = True
 
+    async def stop_replaced(self) -> None:
+        """Close links to processes that are gone from the table, once nothing runs on them."""
+        for link in [link for link in self.replaced if not link.attempts]:
+            self.replaced.remove(link)
+            await link.stop()
+
     def open(self, member: Member) -> None:
         """Add and start the link to a new member."""
-        link = Link(self.options, self.clock, self.dialer, self.random, member)
+        link = Link(self.options, self.clock, self.dialer, self.random, member, self.spread)
+        link.welcomed = self.welcomed
         self.links[member.name] = link
         link.start()
 
--- a/gypsumpier/entry/request.py
+++ b/gypsumpier/entry/request.py
@@ -27,3 +27,7 @@
     def remaining_at(self, now_s: float) -> float:
         """Return the seconds left to the deadline at that reading of the clock."""
         return self.remaining_s - (now_s - self.received_at_s)
+
+    def has_home(self) -> bool:
+        """Tell whether the request runs only at the home of its key."""
+        return bool(self.key) and not self.idempotent
--- a/gypsumpier/idempotency/ledger.py
+++ b/gypsumpier/idempotency/ledger.py
@@ -43,6 +43,8 @@
         record = self.records.get(key_id)
         if record is not None:
             verdict = verdict_for(record, fingerprint, received_at_s)
+            if verdict is Verdict.REFUSED:
+                record.changed_at_s = max(record.changed_at_s, now_s)
             if verdict is not Verdict.RUN:
                 return Claim(verdict, record)
         elif len(self.records) >= self.record_limit:
--- a/gypsumpier/idempotency/sent_keys.py
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -61,6 +61,11 @@
         if known.state is not KeyState.DONE and state is not KeyState.REFUSED:
             known.state = state
 
+    def withdraw(self, service: str, key_id: KeyId, now_s: float) -> None:
+        """Note that one send has not run, nor will; the key may have run before."""
+        self.keys[(service, key_id)].unsettled -= 1
+        self.touch(service, key_id, now_s)
+
     def report(self, service: str, now_s: float) -> list[ReportedKey]:
         """Return every key of the service, with when each refused one was refused."""
         self.forget_old(now_s)
