--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.requirements-installed
 
-.PHONY: venv format lint test demo pages
+.PHONY: venv format lint test demo faults pages
 
 venv: $(STAMP)
 
@@ -33,3 +33,9 @@
 # Writes the pages of docs/ that are made from the code.
 pages: venv
 	$(PY) -m misc.pages
+
+# Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
+SEED ?= 1
+
+faults: venv
+	$(PY) -m misc.faults --seed $(SEED)
--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -62,6 +62,7 @@
         self.rollout = self.build_rollout()
         self.server = TcpListener(self.listener.serve)
         self.stopping = False
+        self.members.subscribe(self.note_leaving)
 
     def build_upstream(self) -> Upstream:
         """Return the upstream of the kind that the settings name."""
@@ -87,6 +88,15 @@
             self.gate,
         )
 
+    def note_leaving(self) -> None:
+        """Take no new work once the member list says that this process leaves."""
+        member = self.members.members.get(self.options.name)
+        if member is None or member.incarnation != self.options.incarnation or not member.leaving:
+            return
+        if not self.gate.leaving:
+            decision("leaving", upstream=self.options.name, reason="member list")
+        self.gate.leaving = True
+
     async def start(self) -> None:
         """Bind the ports and start every part."""
         sockets = bind_sockets(self.options.port, self.options.host)
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -25,6 +25,8 @@
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 DRAIN_POLL_S: Final = 0.05
+LEAVE_NOTICE_S: Final = 0.5
+IDLE_S: Final = 0.25
 
 
 class EntryApplication:
@@ -88,13 +90,20 @@
         self.server.add_sockets(sockets)
 
     async def stop(self) -> None:
-        """Refuse new connections, let requests in flight end, then close everything."""
+        """Refuse new connections, let requests in flight end, then close everything.
+
+        Requests that still arrive on open connections are served, and the answer closes their
+        connection.
+        """
         self.stopping = True
-        self.spread.announce_leaving()
         decision("drain", in_flight=self.in_flight, reason="stop asked for")
+        await self.clock.sleep(LEAVE_NOTICE_S)
         self.server.stop()
         deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
-        while self.in_flight and self.clock.monotonic() < deadline_s:
+        idle_since_s = self.clock.monotonic()
+        while self.clock.monotonic() < min(deadline_s, idle_since_s + IDLE_S):
+            if self.in_flight:
+                idle_since_s = self.clock.monotonic()
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
         await self.links.stop()
--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -36,6 +36,16 @@
         self.entry = entry
         self.request_id = ""
 
+    def set_default_headers(self) -> None:
+        """Close the connection after an answer while the entry stops."""
+        # Tornado calls this once before ``initialize``.
+        if getattr(self, "entry", None) is not None and self.entry.stopping:
+            self.set_header("Connection", "close")
+
+    def prepare(self) -> None:
+        """Set the headers that every answer has."""
+        self.set_default_headers()
+
     async def fail(self, error: GypsumpierError) -> None:
         """Answer with a coded error, or cut a stream that has begun."""
         if self._headers_written:
--- /dev/null
+++ b/misc/faulting/actions.py
@@ -0,0 +1,181 @@
+"""The faults, each applied and taken back by one coroutine."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+from misc.faulting.faultstage import FaultStage
+from misc.http import get_json
+from misc.stage import local_url
+
+LIST_DELAY_S: Final = 0.5
+LEAVING_LIMIT_S: Final = 3.0
+WATCHED_AFTER_S: Final = 2.0
+
+
+@dataclass
+class Window:
+    """When a fault was in effect; ``graceful`` faults may cut nothing."""
+
+    name: str
+    target: str
+    graceful: bool
+    began_at_s: float
+    ended_at_s: float = float("inf")
+
+
+class Faults:
+    """Applies faults to the deployment."""
+
+    def __init__(self, stage: FaultStage, rng: random.Random) -> None:
+        self.stage = stage
+        self.rng = rng
+        self.windows: list[Window] = []
+        self.work_after_leaving = 0
+        self.busy: set[str] = set()
+
+    def abrupt(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults that may leave outcomes unknown."""
+        return [
+            self.kill_agent,
+            self.kill_agent,
+            self.kill_entry,
+            self.kill_engine,
+            self.pause_agent,
+            self.pause_entry,
+            self.pause_upstream,
+            self.cut_cable,
+            self.silence_cable,
+            self.silence_cable,
+            self.empty_list,
+            self.stale_list,
+            self.lose_platform,
+        ]
+
+    def graceful(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the planned stops."""
+        return [self.stop_agent, self.stop_entry, self.leave]
+
+    async def kill_agent(self) -> None:
+        async with Fault(self, "kill_agent", self.an_agent()) as name:
+            await self.stage.fleet.kill(name)
+            await asyncio.sleep(self.rng.choice([0.2, 2.0]))
+            await self.stage.replace_agent(name)
+            await asyncio.sleep(LIST_DELAY_S)
+
+    async def kill_entry(self) -> None:
+        async with Fault(self, "kill_entry", self.an_entry()) as name:
+            await self.stage.fleet.kill(name)
+            await asyncio.sleep(self.rng.choice([0.2, 2.0]))
+            await self.stage.replace_entry(name)
+
+    async def kill_engine(self) -> None:
+        engines = [slot.name for slot in self.stage.slots.values() if slot.kind == "model"]
+        async with Fault(self, "kill_engine", self.rng.choice(engines)) as name:
+            await self.stage.fleet.kill(f"upstream/{name}")
+            await asyncio.sleep(0.5)
+            await self.stage.replace_engine(self.stage.slots[name])
+
+    async def pause_agent(self) -> None:
+        async with Fault(self, "pause_agent", self.an_agent()) as name:
+            await self.pause(name)
+
+    async def pause_entry(self) -> None:
+        async with Fault(self, "pause_entry", self.an_entry()) as name:
+            await self.pause(name)
+
+    async def pause_upstream(self) -> None:
+        async with Fault(self, "pause_upstream", self.an_agent()) as name:
+            await self.pause(f"upstream/{name}")
+
+    async def pause(self, name: str) -> None:
+        self.stage.fleet.freeze(name)
+        await asyncio.sleep(self.rng.choice([0.5, 2.0, 5.0]))
+        self.stage.fleet.thaw(name)
+
+    async def cut_cable(self) -> None:
+        async with Fault(self, "cut_cable", self.an_agent()) as name:
+            self.stage.cables[name].cut()
+            await asyncio.sleep(LIST_DELAY_S)
+
+    async def silence_cable(self) -> None:
+        async with Fault(self, "silence_cable", self.an_agent()) as name:
+            self.stage.cables[name].silence()
+            await asyncio.sleep(4.0)
+
+    async def empty_list(self) -> None:
+        async with Fault(self, "empty_list", "membership"):
+            await self.stage.control("membership", "empty", on=True)
+            await asyncio.sleep(4.0)
+            await self.stage.control("membership", "empty", on=False)
+
+    async def stale_list(self) -> None:
+        async with Fault(self, "stale_list", "membership"):
+            await self.stage.control("membership", "lag", lag_s=6.0)
+            await asyncio.sleep(5.0)
+            await self.stage.control("membership", "lag", lag_s=0.0)
+
+    async def lose_platform(self) -> None:
+        async with Fault(self, "lose_platform", "membership"):
+            for platform in ("membership", "configuration"):
+                await self.stage.control(platform, "down", on=True)
+            await asyncio.sleep(4.0)
+            for platform in ("membership", "configuration"):
+                await self.stage.control(platform, "down", on=False)
+
+    async def stop_agent(self) -> None:
+        async with Fault(self, "stop_agent", self.an_agent(), graceful=True) as name:
+            await self.stage.fleet.stop(name, 30.0)
+            await self.stage.replace_agent(name)
+
+    async def stop_entry(self) -> None:
+        async with Fault(self, "stop_entry", self.an_entry(), graceful=True) as name:
+            await self.stage.fleet.stop(name, 30.0)
+            await self.stage.replace_entry(name)
+
+    async def leave(self) -> None:
+        """List an agent as leaving, watch that no work comes, then stop and replace it."""
+        async with Fault(self, "leave", self.an_agent(), graceful=True) as name:
+            await self.stage.control("membership", "leaving", name=name, leaving=True)
+            await asyncio.sleep(LEAVING_LIMIT_S)
+            before = await self.work_of(name)
+            await asyncio.sleep(WATCHED_AFTER_S)
+            self.work_after_leaving += await self.work_of(name) - before
+            await self.stage.fleet.stop(name, 30.0)
+            await self.stage.replace_agent(name)
+
+    async def work_of(self, name: str) -> int:
+        """Return how many requests the upstream has been given."""
+        counts = await get_json(f"{local_url(self.stage.upstreams[name].port)}/control/counts")
+        return int(counts["runs"] if "runs" in counts else counts["arrivals"])
+
+    def an_agent(self) -> str:
+        """Return an agent that no fault holds; those of plain services come more often."""
+        agents = [name for name in sorted(self.stage.slots) if name not in self.busy]
+        plain = [name for name in agents if self.stage.slots[name].kind == "plain"]
+        return self.rng.choice(plain if plain and self.rng.random() < 0.6 else agents)
+
+    def an_entry(self) -> str:
+        """Return an entry that no fault holds."""
+        return self.rng.choice(sorted(set(self.stage.entries) - self.busy))
+
+
+class Fault:
+    """Holds the target of a fault and keeps its window."""
+
+    def __init__(self, faults: Faults, name: str, target: str, graceful: bool = False) -> None:
+        self.faults = faults
+        self.window = Window(name, target, graceful, time.monotonic())
+
+    async def __aenter__(self) -> str:
+        self.faults.busy.add(self.window.target)
+        self.window.began_at_s = time.monotonic()
+        self.faults.windows.append(self.window)
+        return self.window.target
+
+    async def __aexit__(self, *exception: object) -> None:
+        self.faults.busy.discard(self.window.target)
+        self.window.ended_at_s = time.monotonic()
--- /dev/null
+++ b/misc/faulting/checker.py
@@ -0,0 +1,107 @@
+"""Compares what callers were told with what the upstreams counted."""
+
+from collections import Counter, defaultdict
+from typing import Final, TypedDict
+
+from misc.faulting.actions import Window
+from misc.faulting.sending import CUT, DONE, NOT_RUN, REFUSED_CONNECTION, UNKNOWN, Copy
+
+MARGIN_S: Final = 3.0
+
+
+class Counts(TypedDict):
+    """How often each key and each body was run, over all upstreams."""
+
+    keys: dict[str, int]
+    bodies: dict[str, int]
+
+
+class Report(TypedDict):
+    """The result of a run; the five fields from ``ran_twice`` on must be 0."""
+
+    seed: int
+    requests: int
+    done: int
+    not_run: int
+    unknown: int
+    ran_twice: int
+    false_not_run: int
+    wrong_or_partial_answers: int
+    cut_by_graceful_stop: int
+    work_after_leaving: int
+    errors_by_code: dict[str, int]
+
+
+def check(
+    seed: int, copies: list[Copy], counts: Counts, windows: list[Window], work_after_leaving: int
+) -> Report:
+    """Return the report of a run."""
+    copies = [copy for copy in copies if copy.told != REFUSED_CONNECTION]
+    by_request = group(copies)
+    told = Counter(UNKNOWN if copy.told == CUT else copy.told for copy in copies)
+    codes = Counter(copy.code for copy in copies if copy.code)
+    return Report(
+        seed=seed,
+        requests=len(copies),
+        done=told[DONE],
+        not_run=told[NOT_RUN],
+        unknown=told[UNKNOWN],
+        ran_twice=sum(runs_of(group, counts) > 1 for group in by_request.values()),
+        false_not_run=sum(is_false(group, counts) for group in by_request.values()),
+        wrong_or_partial_answers=sum(is_wrong(copy, counts) for copy in copies),
+        cut_by_graceful_stop=len(cut_copies(copies, windows)),
+        work_after_leaving=work_after_leaving,
+        errors_by_code=dict(sorted(codes.items())),
+    )
+
+
+def group(copies: list[Copy]) -> dict[str, list[Copy]]:
+    """Return the copies of each request that may not run twice."""
+    groups: dict[str, list[Copy]] = defaultdict(list)
+    for copy in copies:
+        if copy.kind != "chat":
+            groups[copy.key or copy.body_digest].append(copy)
+    return groups
+
+
+def runs_of(copies: list[Copy], counts: Counts) -> int:
+    """Return how often the request of the copies was run."""
+    copy = copies[0]
+    if copy.key:
+        return counts["keys"].get(copy.key, 0)
+    return counts["bodies"].get(copy.body_digest, 0)
+
+
+def is_false(copies: list[Copy], counts: Counts) -> bool:
+    """Tell whether a caller was told *not run* of a request that ran by a copy sent before that."""
+    refused = [copy for copy in copies if copy.told == NOT_RUN]
+    if not refused or not runs_of(copies, counts):
+        return False
+    last_refused_s = max(copy.ended_at_s for copy in refused)
+    return not any(copy.sent_at_s >= last_refused_s for copy in copies)
+
+
+def is_wrong(copy: Copy, counts: Counts) -> bool:
+    """Tell whether an answer was foreign, short or of a request that never ran."""
+    if copy.told != DONE:
+        return False
+    return bool(copy.wrong) or (copy.kind != "chat" and not runs_of([copy], counts))
+
+
+def cut_copies(copies: list[Copy], windows: list[Window]) -> list[Copy]:
+    """Return copies in progress during a planned stop, and no other fault, without an answer."""
+    abrupt = [window for window in windows if not window.graceful]
+    graceful = [window for window in windows if window.graceful]
+    return [
+        copy
+        for copy in copies
+        if copy.told in (CUT, UNKNOWN)
+        and copy.code not in ("caller_timeout", "home_recovering", "home_unreachable")
+        and any(overlaps(copy, window, 0.0) for window in graceful)
+        and not any(overlaps(copy, window, MARGIN_S) for window in abrupt)
+    ]
+
+
+def overlaps(copy: Copy, window: Window, margin_s: float) -> bool:
+    """Tell whether the copy was in progress in the window, or shortly after it."""
+    return copy.sent_at_s < window.ended_at_s + margin_s and copy.ended_at_s > window.began_at_s
--- /dev/null
+++ b/misc/faulting/faultstage.py
@@ -0,0 +1,55 @@
+"""A deployment whose entries reach each agent through a cable."""
+
+import asyncio
+from pathlib import Path
+
+from misc.child import Child
+from misc.deployment import Deployment, Slot
+from misc.faulting.cable import Cable
+from misc.fleet import Flag, Fleet
+from misc.http import post_json
+from misc.stage import Stage, local_url
+
+
+class FaultStage(Stage):
+    """Adds cables, and the replacement of processes under their stable names."""
+
+    def __init__(
+        self, fleet: Fleet, deployment: Deployment, weights: Path, settings: dict[str, Flag]
+    ) -> None:
+        super().__init__(fleet, deployment, weights, settings)
+        self.cables: dict[str, Cable] = {}
+        self.slots = {slot.name: slot for slot in deployment.slots()}
+
+    async def list_member(self, child: Child, service: str, region: str, zone: str) -> None:
+        """Put a process on the list; an agent is listed at the port of its cable."""
+        if service:
+            cable = Cable(child.ports["port"])
+            await cable.start()
+            self.cables[child.name] = cable
+            child.ports["port"] = cable.port
+        await super().list_member(child, service, region, zone)
+
+    async def control(self, platform: str, action: str, **body: object) -> None:
+        """Set a fault of the member list or of the configuration service."""
+        await post_json(f"{self.urls[platform + '_url']}/control/{action}", dict(body))
+
+    async def replace_agent(self, name: str) -> None:
+        """Start a new agent in the slot; the one before it has ended."""
+        await self.start_agent(self.slots[name])
+
+    async def replace_entry(self, name: str) -> None:
+        """Start a new entry under the name."""
+        await self.start_entry(name)
+
+    async def replace_engine(self, slot: Slot) -> None:
+        """Start a dead engine again on its port."""
+        port = self.upstreams[slot.name].port
+        name = f"upstream/{slot.name}"
+        self.upstreams[slot.name] = await self.fleet.start_standin("engine", name, port=port)
+
+    async def delay_services(self, delay_s: float) -> None:
+        """Let each plain call take that long."""
+        names = [slot.name for slot in self.slots.values() if slot.kind == "plain"]
+        urls = [f"{local_url(self.upstreams[name].port)}/control/delay" for name in names]
+        await asyncio.gather(*(post_json(url, {"delay_s": delay_s}) for url in urls))
--- /dev/null
+++ b/misc/faults.py
@@ -0,0 +1,134 @@
+"""Checks the promises to callers on the real processes of one deployment, under seeded faults.
+
+``python -m misc.faults --seed N`` runs mixed load for a minute while processes are killed, paused
+and stopped, connections are cut or go silent, and lists are stale or empty.  Then it compares what
+callers were told with what the upstreams counted.  The last line is one JSON object; the exit
+status is 1 where a promise was broken.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+
+import click
+
+from misc.deployment import load_deployment, with_version
+from misc.faulting.actions import Faults
+from misc.faulting.checker import Counts, Report, check, cut_copies
+from misc.faulting.faultstage import FaultStage
+from misc.faulting.load import MixedLoad
+from misc.faulting.schedule import run_schedule
+from misc.faulting.sending import Copy
+from misc.fleet import Fleet
+from misc.http import get_json
+from misc.progress import agents_live, entries_see, wait_until
+from misc.samples import make_weights
+from misc.stage import local_url
+
+LIVE_TIMEOUT_S: Final = 45.0
+SETTLE_S: Final = 4.0
+CALL_DELAY_S: Final = 0.1
+WEIGHTS_SEED: Final = 1
+MUST_BE_ZERO: Final = (
+    "ran_twice",
+    "false_not_run",
+    "wrong_or_partial_answers",
+    "cut_by_graceful_stop",
+    "work_after_leaving",
+)
+
+
+async def run(
+    stage: FaultStage, seed: int, seconds: float, rate_per_s: float, logs: Path | None
+) -> Report:
+    """Run load and faults on a deployment that has been started; return the report."""
+    rng = random.Random(seed)
+    faults = Faults(stage, random.Random(rng.random()))
+    load = MixedLoad(stage, random.Random(rng.random()), rate_per_s)
+    await asyncio.gather(
+        load.run(seconds), run_schedule(faults, random.Random(rng.random()), seconds - SETTLE_S)
+    )
+    copies = load.sender.copies
+    report = check(seed, copies, await counts(stage), faults.windows, faults.work_after_leaving)
+    for window in faults.windows:
+        click.echo(f"{window.name} {window.target} {window.ended_at_s - window.began_at_s:.1f} s")
+    if logs is not None:
+        write_copies(logs / "copies.jsonl", copies)
+    for copy in cut_copies(copies, faults.windows):
+        click.echo(f"cut: {copy.kind} {copy.entry} {copy.told} {copy.code}")
+    return report
+
+
+def write_copies(path: Path, copies: list[Copy]) -> None:
+    """Write what each copy was told, one JSON object a line, without bodies."""
+    with path.open("w") as output:
+        for copy in copies:
+            output.write(json.dumps({**vars(copy), "body": copy.body_digest}) + "\n")
+
+
+async def counts(stage: FaultStage) -> Counts:
+    """Return what the plain services have counted, summed up."""
+    total = Counts(keys={}, bodies={})
+    for slot in stage.slots.values():
+        if slot.kind == "plain":
+            url = f"{local_url(stage.upstreams[slot.name].port)}/control/counts"
+            found = await get_json(url)
+            add(total["keys"], found["keys"])
+            add(total["bodies"], found["bodies"])
+    return total
+
+
+def add(total: dict[str, int], found: dict[str, int]) -> None:
+    """Add counts to the total."""
+    for name, count in found.items():
+        total[name] = total.get(name, 0) + count
+
+
+async def start(stage: FaultStage) -> None:
+    """Start the deployment and wait until everything is live and known."""
+    await stage.start()
+    for document in stage.deployment.documents.values():
+        wanted = with_version(document, "1") if document["kind"] == "model" else document
+        await stage.publish(wanted)
+    await wait_until(lambda: agents_live(stage, "1"), LIVE_TIMEOUT_S, click.echo)
+    await wait_until(lambda: entries_see(stage, "1"), LIVE_TIMEOUT_S, click.echo)
+    await stage.delay_services(CALL_DELAY_S)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def main_async(
+    deployment: str, seed: int, seconds: float, rate: float, logs: Path | None
+) -> Report:
+    """Run everything in a directory of its own."""
+    with tempfile.TemporaryDirectory() as text:
+        directory = Path(text)
+        weights = directory / "weights"
+        stage_deployment = load_deployment(deployment)
+        for service in stage_deployment.model_services():
+            make_weights(weights, stage_deployment.documents[service]["model"], WEIGHTS_SEED)
+        async with Fleet(logs or directory / "logs") as fleet:
+            stage = FaultStage(fleet, stage_deployment, weights, {})
+            await start(stage)
+            return await run(stage, seed, seconds, rate, logs)
+
+
+@click.command()
+@click.option("--seed", default=1)
+@click.option("--deployment", default="rung-lab")
+@click.option("--seconds", default=60.0, help="Seconds in which requests start.")
+@click.option("--rate", default=40.0, help="Requests a second.")
+@click.option("--logs", type=click.Path(path_type=Path), help="Directory that keeps the logs.")
+def main(seed: int, deployment: str, seconds: float, rate: float, logs: Path | None) -> None:
+    """Run the faults of one seed."""
+    report = asyncio.run(main_async(deployment, seed, seconds, rate, logs))
+    print(json.dumps(report))
+    broken = sum(report[name] for name in MUST_BE_ZERO)  # type: ignore[literal-required]
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
