--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from random import Random
 from typing import Any, Final
 
 from gypsumpier.agent.gate import Gate, error_part
@@ -9,10 +10,9 @@
 from gypsumpier.agent.upstream import Part
 from gypsumpier.clock import Clock
 from gypsumpier.codes.result import Outcome
-from gypsumpier.codes.wire import BAD_FRAME
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.idempotency.key import KeyId
-from gypsumpier.idempotency.record import KeyRecord, KeyState
+from gypsumpier.idempotency.record import KeyRecord
+from gypsumpier.idempotency.reported import unpack_keys
 from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.log import decision
 from gypsumpier.options import Options
@@ -24,6 +24,7 @@
 from gypsumpier.wire.stream import Stream
 
 STATE_INTERVAL_S: Final = 0.25
+INHERITORS: Final = 3
 
 
 class Listener:
@@ -37,6 +38,7 @@
         self.gate = gate
         self.spread = spread
         self.healthy = False
+        self.random = Random()
         self.started_at_s = clock.monotonic()
         self.connections: set[Connection] = set()
 
@@ -84,6 +86,8 @@
             await send_parts(connection, frame.exchange, parts, 0)
         elif frame.kind == "keys":
             self.take_keys(frame.payload)
+        elif frame.kind == "farewell":
+            await self.pass_on(frame, connection)
 
     async def take_resume(self, frame: Frame, connection: Connection) -> None:
         """Go on with an attempt whose connection was lost."""
@@ -98,17 +102,23 @@
         """Learn the keys that an entry has sent, and which entries it saw disappear."""
         home = self.gate.home
         now_s = self.clock.monotonic()
-        try:
-            for workspace, key, printed, state, age_s in payload["keys"]:
-                record = KeyRecord(printed, KeyState(state), now_s - age_s)
-                home.ledger.learn(KeyId(workspace, key), record)
-            for name, incarnation, age_s in payload["lost"]:
-                home.succession.note_lost(EntryId(name, incarnation), now_s - age_s)
-            if payload["complete"]:
-                entry = EntryId(payload["name"], payload["incarnation"])
-                home.succession.note_report(entry, payload["revision"])
-        except (KeyError, ValueError, TypeError) as error:
-            raise GypsumpierError(BAD_FRAME, f"keys: {error!r}") from error
+        for key in unpack_keys(payload["keys"]):
+            changed_at_s = now_s - key.age_s
+            record = KeyRecord(key.fingerprint, key.state, changed_at_s, key.answer)
+            home.ledger.learn(key.key_id, record)
+        for name, incarnation, age_s in payload["lost"]:
+            home.succession.note_lost(EntryId(name, incarnation), now_s - age_s)
+        if payload["complete"]:
+            entry = EntryId(payload["name"], payload["incarnation"])
+            for reporter in [entry, *(EntryId(*fields) for fields in payload["inherited"])]:
+                home.succession.note_report(reporter, payload["revision"])
+
+    async def pass_on(self, frame: Frame, sender: Connection) -> None:
+        """Pass the keys of a stopping entry on to a few others."""
+        others = [connection for connection in self.connections if connection is not sender]
+        for connection in self.random.sample(others, min(INHERITORS, len(others))):
+            with contextlib.suppress(GypsumpierError):
+                await connection.send("inherited", frame.payload)
 
     async def report(self, connection: Connection) -> None:
         """Introduce this process, then send the upstream's state when it changes."""
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -58,7 +58,9 @@
             self.spread,
         )
         self.links = Links(options, self.clock, TcpDialer(), self.random, self.members, self.spread)
-        self.keys = EntryKeys(options, self.clock, self.documents, self.members, self.links)
+        self.keys = EntryKeys(
+            options, self.clock, self.documents, self.members, self.links, self.random
+        )
         self.relay = Relay(options, self.clock, self.links, self.keys, self.random)
         self.in_flight = 0
         self.stopping = False
@@ -106,6 +108,7 @@
                 idle_since_s = self.clock.monotonic()
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
+        await self.keys.hand_over()
         await self.links.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
-from typing import Final, NamedTuple
+import contextlib
+from random import Random
+from typing import Any, Final, NamedTuple
 
 from gypsumpier.clock import Clock
 from gypsumpier.codes.request import HOME_UNREACHABLE
@@ -18,14 +20,16 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.homes import home_slot
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.reported import pack_keys, unpack_keys
 from gypsumpier.idempotency.sent_keys import SentKeys
 from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.log import decision
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
+from gypsumpier.wire.frame import Frame
 
 KEY_BYTES: Final = 200
-KEYS_PER_FRAME: Final = 4000
+FAREWELLS: Final = 2
 RETRY_AFTER_S: Final = 1.0
 
 
@@ -46,20 +50,28 @@
         documents: DocumentTable,
         members: MemberTable,
         links: Links,
+        random: Random,
     ) -> None:
         self.options = options
         self.clock = clock
         self.documents = documents
         self.members = members
         self.links = links
-        self.sent = SentKeys(options.key_memory_bytes // KEY_BYTES, options.resend_horizon_s)
+        self.random = random
+        self.sent = SentKeys(
+            options.key_memory_bytes // KEY_BYTES,
+            options.resend_horizon_s,
+            options.answer_memory_bytes,
+        )
         self.holders: dict[str, Holder] = {}
         self.listed: frozenset[EntryId] = frozenset()
         self.lost_at_s: dict[EntryId, float] = {}
+        self.inherited: set[tuple[str, EntryId]] = set()
         self.reports: set[asyncio.Task[None]] = set()
         documents.subscribe(self.take_document)
         members.subscribe(self.take_members)
         links.welcomed = self.take_welcome
+        links.told = self.take_told
 
     def take_members(self) -> None:
         """Note which entries have disappeared from the member table."""
@@ -74,6 +86,8 @@
         self.lost_at_s = {
             entry: at_s for entry, at_s in self.lost_at_s.items() if now_s - at_s <= kept_s
         }
+        known = self.listed | self.lost_at_s.keys()
+        self.inherited = {(name, entry) for name, entry in self.inherited if entry in known}
 
     def take_welcome(self, link: Link) -> None:
         """Take a younger process as the slot's holder and report to it."""
@@ -99,27 +113,58 @@
 
     async def report(self, link: Link) -> None:
         """Send the keys of the service in frames; the last one makes the promise."""
+        service = link.member.service
         now_s = self.clock.monotonic()
-        keys = [
-            [*reported.key_id, reported.fingerprint, reported.state.value, reported.age_s]
-            for reported in self.sent.report(link.member.service, now_s)
-        ]
-        accepted = self.documents.accepted.get(link.member.service)
+        accepted = self.documents.accepted.get(service)
         payload = {
             "name": self.options.name,
             "incarnation": self.options.incarnation,
             "revision": accepted.revision if accepted else 0,
             "lost": [[*entry, now_s - at_s] for entry, at_s in self.lost_at_s.items()],
+            "inherited": [list(entry) for name, entry in self.inherited if name == service],
         }
-        frames = [keys[at : at + KEYS_PER_FRAME] for at in range(0, len(keys), KEYS_PER_FRAME)]
-        frames = frames or [[]]
+        parts = list(pack_keys(self.sent.report(service, now_s)))
         try:
-            for number, part in enumerate(frames):
-                complete = number == len(frames) - 1
+            for number, part in enumerate(parts, 1):
+                complete = number == len(parts)
                 await link.tell("keys", payload | {"keys": part, "complete": complete})
         except GypsumpierError as error:
             decision("keys_not_reported", upstream=link.member.name, reason=error)
 
+    def take_told(self, link: Link, frame: Frame) -> None:
+        """Take over the keys of a stopping agent or entry, and let the homes know."""
+        payload = frame.payload
+        service = payload.get("service", link.member.service)
+        now_s = self.clock.monotonic()
+        for key in unpack_keys(payload["keys"]):
+            self.sent.inherit(service, key, now_s)
+        if payload.get("complete"):
+            self.inherited.add((service, EntryId(payload["name"], payload["incarnation"])))
+        for other in self.links.of_service(service):
+            if other is not link and other.connection is not None and self.is_holder(other):
+                self.report_to(other)
+
+    async def hand_over(self) -> None:
+        """Leave the keys of each service to other entries, before this one stops."""
+        now_s = self.clock.monotonic()
+        for service in {link.member.service for link in self.links.links.values()}:
+            links = [link for link in self.links.of_service(service) if link.connection]
+            parts = list(pack_keys(self.sent.report(service, now_s)))
+            for link in self.random.sample(links, min(FAREWELLS, len(links))):
+                await self.say_farewell(link, parts)
+
+    async def say_farewell(self, link: Link, parts: list[list[list[Any]]]) -> None:
+        """Send the keys of one service to an agent, which passes them on."""
+        payload = {
+            "name": self.options.name,
+            "incarnation": self.options.incarnation,
+            "service": link.member.service,
+        }
+        with contextlib.suppress(GypsumpierError):
+            for number, part in enumerate(parts, 1):
+                complete = number == len(parts)
+                await link.tell("farewell", payload | {"keys": part, "complete": complete})
+
     def home(self, request: CallerRequest, document: ServiceDocument) -> Link:
         """Return the link to the home of the request's key; raise where there is none."""
         slot = home_slot(document, KeyId(request.workspace, request.key))
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -30,6 +30,7 @@
 REDIAL_MIN_S: Final = 0.1
 REDIAL_MAX_S: Final = 2.0
 RETRY_AFTER_S: Final = 1.0
+KEY_KINDS: Final = frozenset({"records", "inherited"})
 
 
 class Link:
@@ -62,6 +63,7 @@
         self.incarnation = ""
         self.started_at_s = 0.0
         self.welcomed: Callable[[Link], None] = ignore
+        self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -130,6 +132,9 @@
         if frame.kind == "state":
             self.take_state(frame.payload)
             return
+        if frame.kind in KEY_KINDS:
+            self.told(self, frame)
+            return
         attempt = self.attempts.get(frame.exchange)
         if attempt is not None:
             attempt.deliver(frame)
@@ -198,5 +203,5 @@
         self.attempts.pop(attempt.exchange, None)
 
 
-def ignore(link: Link) -> None:
-    """Do nothing about a welcome."""
+def ignore(*told: object) -> None:
+    """Do nothing about what a link tells."""
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -12,6 +12,7 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
 from gypsumpier.spread.spread import Spread
+from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.stream import Dialer
 
 REFRESH_INTERVAL_S: Final = 0.25
@@ -38,6 +39,7 @@
         self.links: dict[str, Link] = {}
         self.replaced: list[Link] = []
         self.welcomed: Callable[[Link], None] = ignore
+        self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -75,8 +77,9 @@
                 self.links[name].leaving = True
 
     async def stop_replaced(self) -> None:
-        """Close links to processes that are gone from the table, once nothing runs on them."""
-        for link in [link for link in self.replaced if not link.attempts]:
+        """End links to processes that are gone from the table, once they have hung up."""
+        ended = [link for link in self.replaced if not link.attempts and link.opened is None]
+        for link in ended:
             self.replaced.remove(link)
             await link.stop()
 
@@ -84,6 +87,7 @@
         """Add and start the link to a new member."""
         link = Link(self.options, self.clock, self.dialer, self.random, member, self.spread)
         link.welcomed = self.welcomed
+        link.told = self.told
         self.links[member.name] = link
         link.start()
 
--- a/gypsumpier/idempotency/sent_keys.py
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -6,37 +6,33 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, replace
-from typing import NamedTuple
 
 from gypsumpier.idempotency.key import KeyId
-from gypsumpier.idempotency.record import KeyState
+from gypsumpier.idempotency.record import KeptAnswer, KeyState
+from gypsumpier.idempotency.reported import ReportedKey
 
 
 @dataclass
 class SentKey:
-    """One key; ``state`` is REFUSED while every send was answered with *not run*."""
+    """One key; ``state`` is REFUSED while every send was answered with *not run*.
+
+    ``answer`` is kept for a home that stopped as planned, until the next one asks.
+    """
 
     service: str
     fingerprint: str
     state: KeyState
     unsettled: int
     changed_at_s: float
-
-
-class ReportedKey(NamedTuple):
-    """One key in an entry's report to a new home."""
-
-    key_id: KeyId
-    fingerprint: str
-    state: KeyState
-    age_s: float
+    answer: KeptAnswer | None = None
 
 
 class SentKeys:
     """Remembers sent keys, bounded in number and time."""
 
-    def __init__(self, limit: int, retention_s: float) -> None:
+    def __init__(self, limit: int, retention_s: float, answer_bytes: int = 0) -> None:
         self.limit = limit
+        self.answer_bytes_left = answer_bytes
         self.retention_s = retention_s
         self.keys: OrderedDict[tuple[str, KeyId], SentKey] = OrderedDict()
 
@@ -66,11 +62,33 @@
         self.keys[(service, key_id)].unsettled -= 1
         self.touch(service, key_id, now_s)
 
+    def inherit(self, service: str, reported: ReportedKey, now_s: float) -> None:
+        """Take in what a stopping instance knows of a key; certain knowledge wins."""
+        known = self.keys.get((service, reported.key_id))
+        if known is None:
+            if len(self.keys) >= self.limit:
+                return
+            known = SentKey(service, reported.fingerprint, reported.state, 0, now_s)
+            known.changed_at_s = now_s - reported.age_s
+            self.keys[(service, reported.key_id)] = known
+        elif reported.state is KeyState.DONE or known.state is KeyState.REFUSED:
+            known.state = reported.state
+        if reported.answer is not None and known.answer is None:
+            self.keep_answer(known, reported.answer)
+
+    def keep_answer(self, key: SentKey, answer: KeptAnswer) -> None:
+        """Keep an answer while there is memory for it."""
+        if len(answer.content) <= self.answer_bytes_left:
+            self.answer_bytes_left -= len(answer.content)
+            key.answer = answer
+
     def report(self, service: str, now_s: float) -> list[ReportedKey]:
         """Return every key of the service, with when each refused one was refused."""
         self.forget_old(now_s)
         return [
-            ReportedKey(key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s)
+            ReportedKey(
+                key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s, key.answer
+            )
             for (name, key_id), key in self.keys.items()
             if name == service
         ]
@@ -90,6 +108,7 @@
                 self.keys[name] = replace(key, changed_at_s=now_s)
                 self.keys.move_to_end(name)
                 continue
+            self.answer_bytes_left += len(key.answer.content) if key.answer is not None else 0
             del self.keys[name]
 
 
