Test the request path under lost connections, replaced agents and resends

The network in memory gave contents that were due at one moment in any order, which showed as answer_cut on crossed copies; each content now has its own moment.

--- a/gypsumpier/test/network.py
+++ b/gypsumpier/test/network.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from typing import Final
 
@@ -55,7 +56,9 @@
         """Let the content arrive after the link's delay, in order."""
         loop = asyncio.get_running_loop()
         self.peer.unread_bytes += len(content)
-        self.due_at_s = max(self.due_at_s, loop.time() + self.link.delay_s)
+        # Timers that are due at the same moment have no order, so each content gets its own.
+        earliest_s = math.nextafter(self.due_at_s, math.inf)
+        self.due_at_s = max(earliest_s, loop.time() + self.link.delay_s)
         loop.call_at(self.due_at_s, self.peer.arrive, content)
 
     def arrive(self, content: bytes) -> None:
--- /dev/null
+++ b/gypsumpier/test/test_request_paths.py
@@ -0,0 +1,191 @@
+"""Requests from entry to upstream under lost connections, replaced agents and resends."""
+
+import asyncio
+import unittest
+
+from gypsumpier.agent.handover import hand_over
+from gypsumpier.codes import request as codes
+from gypsumpier.entry.relay import Failure
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.test.builders_request import (
+    MODEL_SERVICE,
+    TOKENS,
+    AgentParts,
+    EntryParts,
+    World,
+    chat_call,
+    outcome,
+    plain_call,
+)
+from gypsumpier.test.virtual import run
+
+SETTLED_S = 5.0
+WHOLE = "".join(f"{number} " for number in range(TOKENS))
+
+
+async def settled(world: World, service: str = "table-ops") -> tuple[AgentParts, EntryParts]:
+    """Return an agent and an entry that have met, with the home complete."""
+    agent, entry = world.agent(service), await world.entry()
+    await asyncio.sleep(SETTLED_S)
+    return agent, entry
+
+
+class LostConnectionTest(unittest.TestCase):
+    def test_an_answer_on_a_silent_connection_is_asked_for_on_the_next(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            call = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.2)
+            for link in world.network.links:
+                link.silent = True
+            self.assertEqual("go", await call)
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+
+        run(scenario())
+
+    def test_a_request_lost_on_the_way_is_not_run_and_its_late_copy_is_refused(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            for link in world.network.links:
+                link.silent = True
+            call = plain_call(world)
+            self.assertEqual("upstream_unreachable", await outcome(world, entry, call))
+            self.assertIn(f"{call.request_id}/0", agent.gate.exchanges.refused)
+            self.assertFalse(agent.upstream.runs)
+
+        run(scenario())
+
+    def test_a_stream_goes_on_where_it_was_cut(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world, MODEL_SERVICE)
+            call = asyncio.create_task(outcome(world, entry, chat_call(world)))
+            await asyncio.sleep(2.2)
+            for link in list(world.network.links):
+                link.cut()
+            self.assertEqual(WHOLE, await call)
+            self.assertEqual(1, agent.upstream.runs.total())
+
+        run(scenario())
+
+    def test_a_stream_whose_agent_died_is_never_short(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world, MODEL_SERVICE)
+            call = asyncio.create_task(outcome(world, entry, chat_call(world)))
+            await asyncio.sleep(2.2)
+            world.replace(agent, "two")
+            self.assertEqual("outcome_unknown", await call)
+
+        run(scenario())
+
+
+class KeyTest(unittest.TestCase):
+    def test_copies_at_once_through_two_entries_run_once(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            answers = await asyncio.gather(
+                outcome(world, entry, plain_call(world, "k")),
+                outcome(world, other, plain_call(world, "k")),
+            )
+            self.assertEqual(["go", "go"], answers)
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+            again = await outcome(world, other, plain_call(world, "k", b"stop"))
+            self.assertEqual("key_reused", again)
+
+        run(scenario())
+
+    def test_a_killed_home_leaves_its_keys_unknown_and_runs_others(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            call = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.2)
+            successor = world.replace(agent, "two")
+            self.assertEqual("outcome_unknown", await call)
+            again = await outcome(world, other, plain_call(world, "k"))
+            self.assertEqual("key_outcome_unknown", again)
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "new")))
+            self.assertEqual({"new": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_an_answer_outlives_a_planned_stop(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            agent.gate.leaving = True
+            refused = await outcome(world, entry, plain_call(world, "late"))
+            self.assertEqual("upstream_leaving", refused)
+            connections = list(agent.listener.connections)
+            await hand_over(agent.home.ledger, connections, world.clock, entry.relay.random)
+            await asyncio.sleep(0.1)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "late")))
+            self.assertEqual({"late": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_keys_of_an_entry_that_stopped_as_planned_stay_known(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            await entry.keys.hand_over()
+            await asyncio.sleep(0.1)
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
+            world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("answer_gone", await outcome(world, other, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "opaque")))
+
+        run(scenario())
+
+    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("home_recovering", await outcome(world, other, plain_call(world, "k")))
+            self.assertFalse(successor.upstream.runs)
+
+        run(scenario())
+
+
+class FailureTest(unittest.TestCase):
+    def test_not_run_is_never_told_after_an_attempt_that_may_have_run(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            _, entry = await settled(world)
+            link = next(iter(entry.links.links.values()))
+            failure = Failure(chat_call(world))
+            failure.note(GypsumpierError(codes.OUTCOME_UNKNOWN, ""), link)
+            failure.note(GypsumpierError(codes.UPSTREAM_LEAVING, ""), link)
+            self.assertEqual(codes.OUTCOME_UNKNOWN, failure.told().code)
+
+        run(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
