--- a/gypsumpier/agent/exchange.py
+++ b/gypsumpier/agent/exchange.py
@@ -42,6 +42,7 @@
 
     async def deliver(self, connection: Connection, next_sequence: int) -> None:
         """Send the parts as they come, until the final one is sent or the connection is lost."""
+        connection.begin_answering()
         try:
             while True:
                 self.changed.clear()
@@ -55,3 +56,5 @@
                 await self.changed.wait()
         except GypsumpierError as error:
             decision("delivery_lost", exchange=self.name, reason=error)
+        finally:
+            connection.end_answering()
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -21,6 +21,7 @@
 from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Stream
 
 STATE_INTERVAL_S: Final = 0.25
@@ -37,6 +38,7 @@
         self.clock = clock
         self.gate = gate
         self.spread = spread
+        self.pace = Pace(options)
         self.healthy = False
         self.random = Random()
         self.started_at_s = clock.monotonic()
@@ -45,7 +47,7 @@
     async def serve(self, stream: Stream) -> None:
         """Serve one connection until it closes."""
         connection = Connection(
-            stream, self.clock, self.options.heartbeat_s, self.options.silence_s
+            stream, self.clock, self.options.heartbeat_s, self.options.silence_s, self.pace
         )
         self.connections.add(connection)
         session = None
@@ -121,14 +123,21 @@
                 await connection.send("inherited", frame.payload)
 
     async def report(self, connection: Connection) -> None:
-        """Introduce this process, then send the upstream's state when it changes."""
-        last: dict[str, Any] | None = None
+        """Introduce this process, then send the upstream's state when it changes.
+
+        A change of load alone waits for the entry's own interval: an entry with many links would
+        otherwise get more reports than it may spend on control.
+        """
+        last: dict[str, Any] = {}
+        reported_at_s = self.clock.monotonic()
         with contextlib.suppress(GypsumpierError):
             await connection.send("welcome", self.welcome())
             while not connection.closed:
                 state = self.state()
-                if state != last:
-                    last = state
+                now_s = self.clock.monotonic()
+                is_due = now_s - reported_at_s >= connection.peer_interval_s
+                if is_urgent(last, state) or (is_due and state != last):
+                    last, reported_at_s = state, now_s
                     await connection.send("state", state)
                 await self.clock.sleep(STATE_INTERVAL_S)
 
@@ -155,3 +164,8 @@
     """Send parts that belong to no running attempt."""
     for offset, part in enumerate(parts):
         await connection.send(part.kind, part.payload, exchange, sequence + offset)
+
+
+def is_urgent(last: dict[str, Any], state: dict[str, Any]) -> bool:
+    """Tell whether more than the load has changed since the last report."""
+    return any(last.get(name) != value for name, value in state.items() if name != "in_flight")
--- a/gypsumpier/entry/attempt.py
+++ b/gypsumpier/entry/attempt.py
@@ -11,6 +11,7 @@
 from gypsumpier.codes.request import ANSWER_CUT
 from gypsumpier.codes.result import ResultCode
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 
 END: Final = "end"
@@ -29,9 +30,18 @@
         self.exchange = exchange
         self.upstream = upstream
         self.incarnation = ""
+        self.connection: Connection | None = None
         self.expected_sequence = 0
         self.queue: asyncio.Queue[Frame | GypsumpierError] = asyncio.Queue()
 
+    def wait_on(self, connection: Connection | None) -> None:
+        """Note on which connection the answer is awaited now, if on any."""
+        if self.connection is not None:
+            self.connection.end_waiting()
+        self.connection = connection
+        if connection is not None:
+            connection.begin_waiting()
+
     def deliver(self, frame: Frame) -> None:
         """Take a frame of this exchange; one that was seen already is dropped."""
         if frame.sequence < self.expected_sequence:
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -25,6 +25,7 @@
 from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
 
 REDIAL_MIN_S: Final = 0.1
@@ -44,6 +45,7 @@
         random: Random,
         member: Member,
         spread: Spread | None = None,
+        pace: Pace | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
@@ -51,6 +53,7 @@
         self.random = random
         self.member = member
         self.spread = spread
+        self.pace = pace
         self.session: Session | None = None
         self.opened: Connection | None = None
         self.connection: Connection | None = None
@@ -94,7 +97,7 @@
         member = self.member
         stream = await self.dialer.dial(member.host, member.port, self.options.dial_timeout_s)
         connection = Connection(
-            stream, self.clock, self.options.heartbeat_s, self.options.silence_s
+            stream, self.clock, self.options.heartbeat_s, self.options.silence_s, self.pace
         )
         keep_alive = asyncio.create_task(connection.keep_alive())
         try:
@@ -177,12 +180,14 @@
             raise GypsumpierError(UPSTREAM_UNREACHABLE, self.member.name, RETRY_AFTER_S)
         self.attempts[attempt.exchange] = attempt
         attempt.incarnation = self.incarnation
+        attempt.wait_on(connection)
         with contextlib.suppress(GypsumpierError):
             # A write that fails may have sent the frame; the reader notices the lost connection.
             await connection.send("request", payload, attempt.exchange)
 
     async def resume(self, attempt: Attempt, age_s: float) -> None:
         """Ask after an attempt whose connection was lost."""
+        attempt.wait_on(self.connection)
         payload = {"next_sequence": attempt.expected_sequence, "age_s": age_s}
         await self.tell("resume", payload, attempt.exchange)
 
@@ -201,6 +206,7 @@
     def forget(self, attempt: Attempt) -> None:
         """Drop an ended attempt; late frames of it are dropped from now on."""
         self.attempts.pop(attempt.exchange, None)
+        attempt.wait_on(None)
 
 
 def ignore(*told: object) -> None:
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -13,6 +13,7 @@
 from gypsumpier.platform.membership import Member
 from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
 
 REFRESH_INTERVAL_S: Final = 0.25
@@ -36,6 +37,7 @@
         self.random = random
         self.members = members
         self.spread = spread
+        self.pace = Pace(options)
         self.links: dict[str, Link] = {}
         self.replaced: list[Link] = []
         self.welcomed: Callable[[Link], None] = ignore
@@ -85,7 +87,9 @@
 
     def open(self, member: Member) -> None:
         """Add and start the link to a new member."""
-        link = Link(self.options, self.clock, self.dialer, self.random, member, self.spread)
+        link = Link(
+            self.options, self.clock, self.dialer, self.random, member, self.spread, self.pace
+        )
         link.welcomed = self.welcomed
         link.told = self.told
         self.links[member.name] = link
