Test when a new home may run a key, and the ledger's bounds

The state machine finds missing reports, unsettled sends, missing begins and missing refusals of old copies; it does not find missing settling and ignored losses, which these tests do.

--- /dev/null
+++ b/gypsumpier/test/test_ledger.py
@@ -0,0 +1,115 @@
+"""The ledger's bounds, and when a new home may run a key that it doesn't know."""
+
+import unittest
+import uuid
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumpier.idempotency.key import KeyId, made_at_s
+from gypsumpier.idempotency.ledger import RECORD_OVERHEAD_BYTES, Ledger
+from gypsumpier.idempotency.record import KeptAnswer, Verdict
+from gypsumpier.idempotency.succession import EntryId, Succession, SuccessionLimits
+
+LIMITS = SuccessionLimits(horizon_s=100.0, settle_s=3.0, clock_skew_s=1.0)
+ONE, OTHER = EntryId("entry/a/0", "1"), EntryId("entry/a/1", "1")
+WALL_S = 1_700_000_000.0
+
+
+def key_made_at(wall_s: float) -> str:
+    """Return a time-ordered UUID of that time."""
+    return str(uuid.UUID(int=(int(wall_s * 1000) << 80) | (7 << 76) | (2 << 62)))
+
+
+def reported(began_at_s: float = 0.0) -> Succession:
+    """Return a succession in which both entries are listed after settling and have reported."""
+    succession = Succession(LIMITS, began_at_s)
+    succession.note_list(frozenset([ONE, OTHER]), began_at_s + LIMITS.settle_s)
+    succession.note_report(ONE, 0)
+    succession.note_report(OTHER, 0)
+    return succession
+
+
+class SuccessionTest(unittest.TestCase):
+    def test_a_list_from_before_the_settling_time_proves_nothing(self) -> None:
+        succession = Succession(LIMITS, 0.0)
+        succession.note_list(frozenset([ONE]), 1.0)
+        succession.note_report(ONE, 0)
+        self.assertGreater(succession.wait_s("opaque", 4.0, WALL_S), 0)
+        succession.note_list(frozenset([ONE, OTHER]), 4.0)
+        self.assertGreater(succession.wait_s("opaque", 4.0, WALL_S), 0)
+        succession.note_report(OTHER, 0)
+        self.assertEqual(0, succession.wait_s("opaque", 4.0, WALL_S))
+
+    def test_a_report_for_earlier_homes_does_not_count(self) -> None:
+        succession = reported()
+        succession.begin(7, 10.0)
+        succession.note_list(frozenset([ONE, OTHER]), 14.0)
+        succession.note_report(ONE, 7)
+        self.assertGreater(succession.wait_s("opaque", 14.0, WALL_S), 0)
+        succession.note_report(OTHER, 7)
+        self.assertEqual(0, succession.wait_s("opaque", 14.0, WALL_S))
+
+    def test_after_a_loss_only_keys_that_prove_to_be_younger_run(self) -> None:
+        succession = reported()
+        succession.note_lost(EntryId("entry/a/2", "1"), 2.0)
+        wall_s = WALL_S + 20.0
+        self.assertGreater(succession.wait_s("opaque", 20.0, wall_s), 0)
+        self.assertGreater(succession.wait_s(key_made_at(WALL_S + 5.0), 20.0, wall_s), 0)
+        self.assertEqual(0, succession.wait_s(key_made_at(WALL_S + 7.0), 20.0, wall_s))
+        self.assertGreater(succession.wait_s(key_made_at(WALL_S + 60.0), 20.0, wall_s), 0)
+        self.assertEqual(0, succession.wait_s("opaque", 102.0, wall_s + 82.0))
+
+    def test_an_empty_list_loses_nobody(self) -> None:
+        succession = reported()
+        succession.note_list(frozenset(), 5.0)
+        self.assertEqual(0, succession.wait_s("opaque", 6.0, WALL_S))
+
+    @given(st.uuids(version=4))
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    def test_only_time_ordered_keys_prove_their_age(self, other: uuid.UUID) -> None:
+        self.assertIsNone(made_at_s(str(other)))
+        self.assertAlmostEqual(WALL_S, made_at_s(key_made_at(WALL_S)) or 0.0, delta=0.01)
+
+
+class LedgerTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 3000)), max_size=60))
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    def test_memory_is_bounded_and_no_key_in_retention_runs_again(
+        self, calls: list[tuple[int, int]]
+    ) -> None:
+        ledger = Ledger(20 * RECORD_OVERHEAD_BYTES, 8000, 100.0)
+        ran: set[int] = set()
+        for number, size in calls:
+            key_id = KeyId("lab", str(number))
+            verdict = ledger.claim(key_id, "f", 1.0, 1.0).verdict
+            if verdict is Verdict.RUN:
+                self.assertNotIn(number, ran)
+                ran.add(number)
+                ledger.finish(key_id, KeptAnswer(b"x" * size), 1.0)
+            elif number in ran:
+                self.assertIn(verdict, (Verdict.DONE, Verdict.ANSWER_GONE))
+            else:
+                self.assertIs(Verdict.FULL, verdict)
+            self.assertLessEqual(len(ledger.records), 20)
+            self.assertLessEqual(ledger.answer_bytes, 8000)
+        kept = [record.answer for record in ledger.records.values() if record.answer]
+        self.assertEqual(len(kept), len(ledger.answers))
+
+    def test_a_running_key_outlives_its_retention(self) -> None:
+        ledger = Ledger(10_000, 10_000, 10.0)
+        key_id = KeyId("lab", "k")
+        ledger.claim(key_id, "f", 0.0, 0.0)
+        self.assertIs(Verdict.JOIN, ledger.claim(key_id, "f", 50.0, 50.0).verdict)
+
+    def test_what_may_have_run_is_never_refused(self) -> None:
+        ledger = Ledger(10_000, 10_000, 100.0)
+        key_id = KeyId("lab", "k")
+        ledger.claim(key_id, "f", 0.0, 0.0)
+        ledger.fail(key_id, 1.0)
+        self.assertFalse(ledger.refuse(key_id, "f", 2.0))
+        self.assertIs(Verdict.UNKNOWN, ledger.claim(key_id, "f", 3.0, 3.0).verdict)
+
+
+if __name__ == "__main__":
+    unittest.main()
