--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -4,6 +4,8 @@
 without the final chunk, so that it never looks whole.
 """
 
+import asyncio
+import contextlib
 import json
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any, Final
@@ -34,23 +36,36 @@
         self.entry = entry
         self.request_id = ""
 
-    def fail(self, error: GypsumpierError) -> None:
+    def set_default_headers(self) -> None:
+        """Close the connection after an answer while the entry stops."""
+        # Tornado calls this once before ``initialize``.
+        if getattr(self, "entry", None) is not None and self.entry.stopping:
+            self.set_header("Connection", "close")
+
+    def prepare(self) -> None:
+        """Set the headers that every answer has."""
+        self.set_default_headers()
+
+    async def fail(self, error: GypsumpierError) -> None:
         """Answer with a coded error, or cut a stream that has begun."""
         if self._headers_written:
-            self.cut(error)
+            await self.cut(error)
             return
+        self.clear()
+        if self.request_id:
+            self.set_header("Gypsumpier-Request", self.request_id)
         self.set_status(error.code.http_status)
         for name, value in error_headers(error).items():
             self.set_header(name, value)
         self.write(error_body(error, self.request_id))
 
-    def cut(self, error: GypsumpierError) -> None:
+    async def cut(self, error: GypsumpierError) -> None:
         """Send the error as an event and close without ending the body."""
-        stream = self.request.connection.stream  # type: ignore[union-attr]
-        event = b"event: error\ndata: " + error_body(error, self.request_id) + b"\n\n"
-        self.write(event)
-        self.flush()
-        stream.close()
+        self._auto_finish = False
+        self.write(b"event: error\ndata: " + error_body(error, self.request_id) + b"\n\n")
+        with contextlib.suppress(StreamClosedError):
+            await self.flush()
+        self.request.connection.stream.close()  # type: ignore[union-attr]
 
     async def answer(self, request: CallerRequest, document: ServiceDocument) -> None:
         """Relay the answer of the request to the caller."""
@@ -62,11 +77,13 @@
         self.set_header("Gypsumpier-Request", request.request_id)
         self.entry.in_flight += 1
         try:
-            await self.answer(request, document)
+            now_s = self.entry.clock.monotonic()
+            async with asyncio.timeout(request.remaining_at(now_s)):
+                await self.answer(request, document)
         except GypsumpierError as error:
-            self.fail(error)
+            await self.fail(error)
         except TimeoutError:
-            self.fail(GypsumpierError(DEADLINE_EXCEEDED, "the caller's deadline has passed"))
+            await self.fail(GypsumpierError(DEADLINE_EXCEEDED, "the caller's deadline has passed"))
         except StreamClosedError:
             return
         finally:
@@ -86,7 +103,7 @@
                 self.request, self.entry.documents, self.entry.clock.monotonic()
             )
         except GypsumpierError as error:
-            self.fail(error)
+            await self.fail(error)
             return
         await self.serve(request, document)
 
@@ -157,7 +174,7 @@
                 self.request, service, path, self.entry.documents, self.entry.clock.monotonic()
             )
         except GypsumpierError as error:
-            self.fail(error)
+            await self.fail(error)
             return
         await self.serve(request, document)
 
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from random import Random
 from typing import Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.entry.link import Link
+from gypsumpier.entry.link import Link, ignore
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
 from gypsumpier.spread.spread import Spread
+from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
 
@@ -37,6 +39,9 @@
         self.spread = spread
         self.pace = Pace(options)
         self.links: dict[str, Link] = {}
+        self.replaced: list[Link] = []
+        self.welcomed: Callable[[Link], None] = ignore
+        self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -49,7 +54,7 @@
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.replaced]:
             await link.stop()
 
     async def run(self) -> None:
@@ -65,18 +70,28 @@
         }
         for name in list(self.links):
             if name not in agents or differs(self.links[name].member, agents[name]):
-                await self.links.pop(name).stop()
+                self.replaced.append(self.links.pop(name))
+        await self.stop_replaced()
         for name, member in agents.items():
             if name not in self.links:
                 self.open(member)
             elif member.leaving:
                 self.links[name].leaving = True
 
+    async def stop_replaced(self) -> None:
+        """End links to processes that are gone from the table, once they have hung up."""
+        ended = [link for link in self.replaced if not link.attempts and link.opened is None]
+        for link in ended:
+            self.replaced.remove(link)
+            await link.stop()
+
     def open(self, member: Member) -> None:
         """Add and start the link to a new member."""
         link = Link(
             self.options, self.clock, self.dialer, self.random, member, self.spread, self.pace
         )
+        link.welcomed = self.welcomed
+        link.told = self.told
         self.links[member.name] = link
         link.start()
 
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -1,7 +1,8 @@
 """Runs one request: attempts it, retries where that is safe, and yields the answer's frames.
 
 A request is sent again only where it certainly has not run, or where it is idempotent and nothing
-of an answer has reached the caller.
+of an answer has reached the caller; and only within the retry budget and the caller's deadline.  A
+request under a key that may not run again goes to the key's home and nowhere else.
 """
 
 from collections.abc import AsyncIterator
@@ -11,60 +12,120 @@
 from gypsumpier.clock import Clock
 from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
-from gypsumpier.codes.table import code_by_number
 from gypsumpier.document.service import ServiceDocument
-from gypsumpier.entry.attempt import FAILED, REFUSED, Attempt
+from gypsumpier.entry.attempt import Attempt
+from gypsumpier.entry.budget import RetryBudget
+from gypsumpier.entry.delivery import Delivery
+from gypsumpier.entry.keys import EntryKeys
+from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId, fingerprint
+from gypsumpier.idempotency.record import KeyState
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.wire.frame import Frame
 
 ATTEMPTS_MAX: Final = 3
 RETRY_AFTER_S: Final = 1.0
+BACKOFF_S: Final = 0.05
+HOME_WAIT_S: Final = 6.0
+HOME_POLL_S: Final = 0.1
+
+# The copy was not run by its home, although the key may have run before.
+WITHDRAWN: Final = frozenset({codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL})
 
 
 class Relay:
     """Relays requests to upstreams through the links."""
 
-    def __init__(self, options: Options, clock: Clock, links: Links, random: Random) -> None:
+    def __init__(
+        self, options: Options, clock: Clock, links: Links, keys: EntryKeys, random: Random
+    ) -> None:
         self.options = options
         self.clock = clock
         self.links = links
+        self.keys = keys
         self.random = random
+        self.budget = RetryBudget()
 
     async def run(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
-        last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
-        tried: set[str] = set()
+        self.budget.earn()
+        frames = self.attempts(request, document)
+        if request.streamed:
+            async for frame in frames:
+                yield frame
+            return
+        # Nothing reaches the caller before the answer is whole, so an attempt may be repeated.
+        whole = [frame async for frame in frames]
+        for frame in whole:
+            yield frame
+
+    async def attempts(
+        self, request: CallerRequest, document: ServiceDocument
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of the attempt that succeeds."""
+        failure = Failure(request)
         for number in range(ATTEMPTS_MAX):
-            choice = self.choose(request, document, tried)
-            if choice is None:
-                raise last
-            tried.add(choice.link.member.name)
-            attempt = Attempt(f"{request.request_id}/{number}", choice.link.member.name)
+            link, version = await self.target(request, document, failure)
+            attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
             try:
-                async for frame in self.frames_of(request, document, choice, attempt):
-                    started = True
+                payload = self.payload(request, document, version)
+                async for frame in self.deliver(request, link, attempt, payload):
+                    started = started or request.streamed
                     yield frame
                 return
             except GypsumpierError as error:
-                last = error
-                if started or not may_retry(request, error):
-                    raise
-        raise last
+                failure.note(error, link)
+                if started or not self.may_retry(request, error):
+                    raise failure.told() from error
+            wait_s = failure.last.retry_after_s if request.has_home() else None
+            await self.clock.sleep(wait_s or self.random.uniform(0, BACKOFF_S * 2**number))
+        raise failure.told()
+
+    async def target(
+        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+    ) -> tuple[Link, str]:
+        """Return where the next attempt goes, and the version; raise where it can't go."""
+        if request.has_home():
+            return await self.home(request, document, failure), ""
+        choice = self.choose(request, document, failure)
+        if choice is None:
+            raise failure.told()
+        return choice.link, choice.version
+
+    async def home(
+        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+    ) -> Link:
+        """Return the link to the key's home; a home that is being replaced is waited for."""
+        until_s = self.clock.monotonic() + self.home_wait_s(request)
+        while True:
+            try:
+                return self.keys.home(request, document)
+            except GypsumpierError as error:
+                if self.clock.monotonic() + HOME_POLL_S > until_s:
+                    failure.note(error, None)
+                    raise failure.told() from error
+            await self.clock.sleep(HOME_POLL_S)
+            document = self.keys.documents.document(request.service) or document
+
+    def home_wait_s(self, request: CallerRequest) -> float:
+        """Return how long the request may wait for its home, from now on."""
+        now_s = self.clock.monotonic()
+        left_s = HOME_WAIT_S - (now_s - request.received_at_s)
+        return max(0.0, min(left_s, request.remaining_at(now_s) / 2))
 
     def choose(
-        self, request: CallerRequest, document: ServiceDocument, tried: set[str]
+        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
     ) -> Choice | None:
-        """Choose an upstream, preferably one not tried yet, and log the decision."""
+        """Choose an upstream and log the decision."""
         links = self.links.of_service(request.service)
-        untried = [link for link in links if link.member.name not in tried]
-        links = untried or links
-        choice = choose(request, document, links, self.options.zone, self.random)
+        untried = [link for link in links if link.member.name not in failure.tried]
+        choice = choose(request, document, untried, self.options.zone, self.random)
         decision(
             "route",
             request=request.request_id,
@@ -76,32 +137,54 @@
         )
         return choice
 
-    async def frames_of(
-        self,
-        request: CallerRequest,
-        document: ServiceDocument,
-        choice: Choice,
-        attempt: Attempt,
+    async def deliver(
+        self, request: CallerRequest, link: Link, attempt: Attempt, payload: dict[str, Any]
     ) -> AsyncIterator[Frame]:
-        """Yield the frames of one attempt."""
-        ended = False
+        """Yield the frames of one attempt; a key is noted before it is sent."""
+        delivery = Delivery(self.options, self.clock, link, request, attempt)
+        if not request.has_home():
+            async for frame in delivery.frames(payload):
+                yield frame
+            return
+        key_id = KeyId(request.workspace, request.key)
+        printed = fingerprint(request.method, request.path, request.body)
+        now_s = self.clock.monotonic()
+        if not self.keys.sent.note(request.service, key_id, printed, now_s):
+            raise GypsumpierError(codes.KEYS_FULL, "this entry keeps too many keys", RETRY_AFTER_S)
+        state: KeyState | None = KeyState.UNKNOWN
         try:
-            await choice.link.send(attempt, self.payload(request, document, choice))
-            async for frame in attempt.frames():
-                if frame.kind in (REFUSED, FAILED):
-                    ended = True
-                    raise error_of(frame)
-                ended = frame.kind == "end"
+            async for frame in delivery.frames(payload):
+                state = KeyState.DONE if frame.kind == "end" else state
                 yield frame
+        except GypsumpierError as error:
+            state = settled_state(error)
+            raise
         finally:
-            choice.link.forget(attempt)
-            if not ended:
-                await choice.link.cancel(attempt)
+            self.settle(request.service, key_id, state)
+
+    def settle(self, service: str, key_id: KeyId, state: KeyState | None) -> None:
+        """Note what became of one send; None where the home has not run this copy."""
+        now_s = self.clock.monotonic()
+        if state is None:
+            self.keys.sent.withdraw(service, key_id, now_s)
+        else:
+            self.keys.sent.settle(service, key_id, state, now_s)
+
+    def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
+        """Tell whether another attempt is safe and allowed after this error."""
+        if request.has_home():
+            wait_s = error.retry_after_s or 0.0
+            return error.code in WITHDRAWN and wait_s <= self.home_wait_s(request)
+        not_run = error.code.outcome is Outcome.NOT_RUN
+        if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
+            return False
+        return self.budget.spend()
 
     def payload(
-        self, request: CallerRequest, document: ServiceDocument, choice: Choice
+        self, request: CallerRequest, document: ServiceDocument, version: str
     ) -> dict[str, Any]:
         """Return what the agent needs to run the request."""
+        now_s = self.clock.monotonic()
         return {
             "service": request.service,
             "workspace": request.workspace,
@@ -113,19 +196,44 @@
             "streamed": request.streamed,
             "idempotent": request.idempotent,
             "priority": request.priority,
-            "remaining_s": request.remaining_at(self.clock.monotonic()),
+            "remaining_s": request.remaining_at(now_s),
+            "age_s": now_s - request.received_at_s,
             "model": document.model,
-            "version": choice.version,
+            "version": version,
         }
 
 
-def may_retry(request: CallerRequest, error: GypsumpierError) -> bool:
-    """Tell whether another attempt is safe after this error."""
-    return error.code.outcome is Outcome.NOT_RUN or request.idempotent
+class Failure:
+    """What the attempts of one request have come to so far."""
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.request = request
+        self.tried: set[str] = set()
+        self.may_have_run = False
+        self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
+
+    def note(self, error: GypsumpierError, link: Link | None) -> None:
+        """Take in how an attempt failed."""
+        self.last = error
+        if link is not None:
+            self.tried.add(link.member.name)
+            self.may_have_run |= error.code.outcome is not Outcome.NOT_RUN
+
+    def told(self) -> GypsumpierError:
+        """Return the error for the caller: never *not run* after an attempt that may have run."""
+        last = self.last
+        if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
+            return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
+        without_key = not self.request.idempotent and not self.request.key
+        if without_key and last.code.outcome is Outcome.UNKNOWN:
+            return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
+        return last
 
 
-def error_of(frame: Frame) -> GypsumpierError:
-    """Return the error that a refused or failed attempt carries."""
-    payload = frame.payload
-    code = code_by_number(payload["code"])
-    return GypsumpierError(code, payload["detail"], payload.get("retry_after_s"))
+def settled_state(error: GypsumpierError) -> KeyState | None:
+    """Return what an error says of a key that was sent."""
+    if error.code in WITHDRAWN:
+        return None
+    if error.code.outcome is Outcome.NOT_RUN:
+        return KeyState.REFUSED
+    return KeyState.DONE if error.code.outcome is Outcome.DONE else KeyState.UNKNOWN
