Admit fairly within a window, choose by prefix and load, quarantine crashing requests

An entry queues each service's requests by start-time fair queueing among workspaces and refuses at once what would miss its deadline; agents refuse beyond the document's in-flight limit. Prompts with one beginning go to one upstream while its load allows. Not measured yet.

--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -8,6 +8,7 @@
 import asyncio
 from typing import Final
 
+from gypsumpier.agent.crashes import Crashes
 from gypsumpier.agent.exchange import Exchange
 from gypsumpier.agent.exchanges import Exchanges
 from gypsumpier.agent.home import Home
@@ -15,6 +16,7 @@
 from gypsumpier.agent.upstream import Part, Upstream
 from gypsumpier.clock import Clock
 from gypsumpier.codes import request as codes
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER, PLATFORM_UNREACHABLE
 from gypsumpier.codes.result import Outcome
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
@@ -26,6 +28,7 @@
 RETRY_AFTER_S: Final = 1.0
 DELIVERY_WAIT_S: Final = 5.0
 DELIVERY_POLL_S: Final = 0.05
+CRASH_CODES: Final = frozenset({PLATFORM_UNREACHABLE, PLATFORM_BAD_ANSWER})
 RETIRE_NOTICE_S: Final = 1.0
 RETIRE_POLL_S: Final = 0.1
 
@@ -41,6 +44,8 @@
         self.exchanges = Exchanges()
         self.running: dict[str, asyncio.Task[None]] = {}
         self.orders: dict[str, AttemptOrder] = {}
+        self.crashes = Crashes(f"{options.name}/{options.incarnation}")
+        self.suspects = asyncio.Lock()
         self.leaving = False
 
     def submit(self, order: AttemptOrder, connection: Connection) -> None:
@@ -99,8 +104,16 @@
         """Run an attempt that needs no home."""
         decision("admit", exchange=order.exchange, upstream=self.options.name, reason="admitted")
         async with asyncio.timeout(order.remaining_s):
-            async for part in self.upstream.run(order):
-                exchange.add(part)
+            if not order.suspect:
+                await self.relay(order, exchange)
+                return
+            async with self.suspects:
+                await self.relay(order, exchange)
+
+    async def relay(self, order: AttemptOrder, exchange: Exchange) -> None:
+        """Add the parts of the upstream's answer."""
+        async for part in self.upstream.run(order):
+            exchange.add(part)
 
     def refusal(self, late: bool, order: AttemptOrder) -> GypsumpierError | None:
         """Return why the attempt must not start, if so."""
@@ -108,6 +121,9 @@
             return GypsumpierError(codes.UPSTREAM_UNREACHABLE, "arrived late", RETRY_AFTER_S)
         if self.leaving:
             return GypsumpierError(codes.UPSTREAM_LEAVING, self.options.name, RETRY_AFTER_S)
+        document = self.home.document()
+        if document is not None and len(self.running) > document.limits.in_flight_per_upstream:
+            return GypsumpierError(codes.UPSTREAM_FULL, self.options.name, RETRY_AFTER_S)
         if order.remaining_s <= 0:
             return GypsumpierError(codes.DEADLINE_BEFORE_START, "passed before the start")
         return None
@@ -118,6 +134,9 @@
         if exchange.parts and error.code.outcome is Outcome.NOT_RUN:
             error = GypsumpierError(codes.UPSTREAM_FAILED, str(error))
         part = error_part(error, not_run)
+        if error.code in CRASH_CODES:
+            running = [other.fingerprint for other in self.orders.values()]
+            part.payload["crash"] = self.crashes.note(running, self.clock.monotonic())
         decision(part.kind, exchange=order.exchange, upstream=self.options.name, reason=error)
         exchange.add(part)
 
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -155,6 +155,7 @@
             "leaving": self.gate.leaving,
             "healthy": self.healthy,
             "in_flight": len(self.gate.running),
+            "suspects": self.gate.crashes.recent(self.clock.monotonic()),
         }
 
 
--- a/gypsumpier/agent/order.py
+++ b/gypsumpier/agent/order.py
@@ -11,7 +11,8 @@
     """What the agent is to run.
 
     ``remaining_s`` is the time left to the caller's deadline and ``age_s`` the time since the
-    entry received the request, both when the frame was read.
+    entry received the request, both when the frame was read.  A ``suspect`` was running when an
+    upstream crashed.
     """
 
     exchange: str
@@ -29,6 +30,8 @@
     age_s: float
     model: str
     version: str
+    fingerprint: str
+    suspect: bool
 
     def has_home(self) -> bool:
         """Tell whether the request runs only at the home of its key."""
--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -128,3 +128,13 @@
     Outcome.UNKNOWN,
     "The home has not seen the key; a copy may still be on its way. Send the same key.",
 )
+OVERLOADED: Final = ResultCode(
+    2040, "overloaded", 429, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
+QUARANTINED: Final = ResultCode(
+    2050,
+    "quarantined",
+    422,
+    Outcome.UNKNOWN,
+    "The request was running when two upstreams crashed; this copy was not run. Change it.",
+)
--- a/gypsumpier/entry/delivery.py
+++ b/gypsumpier/entry/delivery.py
@@ -10,6 +10,7 @@
 
 from gypsumpier.clock import Clock
 from gypsumpier.codes import request as codes
+from gypsumpier.codes.result import ResultCode
 from gypsumpier.codes.table import code_by_number
 from gypsumpier.entry.attempt import FAILED, REFUSED, Attempt, LostConnectionError
 from gypsumpier.entry.link import Link
@@ -22,6 +23,14 @@
 ASK_POLL_S: Final = 0.05
 
 
+class CrashError(GypsumpierError):
+    """The upstream failed while it ran the attempt; ``crash`` names the incident."""
+
+    def __init__(self, code: ResultCode, detail: str, crash: str) -> None:
+        super().__init__(code, detail)
+        self.crash = crash
+
+
 class Delivery:
     """Delivers the frames of one attempt."""
 
@@ -87,4 +96,6 @@
     """Return the error that a refused or failed attempt carries."""
     payload = frame.payload
     code = code_by_number(payload["code"])
+    if "crash" in payload:
+        return CrashError(code, payload["detail"], payload["crash"])
     return GypsumpierError(code, payload["detail"], payload.get("retry_after_s"))
--- /dev/null
+++ b/gypsumpier/entry/fairqueue.py
@@ -0,0 +1,74 @@
+"""Start-time fair queueing among workspaces, below priorities.
+
+Each waiting request has a start tag: the virtual time at which its workspace would be served next,
+had each workspace its weighted share.  The highest priority goes first, then the smallest tag.  So
+a workspace that floods the queue only delays itself, and a small one is served at once.
+"""
+
+from dataclasses import dataclass, field
+from typing import Final, Generic, TypeVar
+
+T = TypeVar("T")
+
+IDLE_WORKSPACES_MAX: Final = 1024
+
+
+@dataclass(order=True)
+class Waiting(Generic[T]):
+    """One waiting request, ordered as it will be served."""
+
+    rank: int
+    start: float
+    arrival: int
+    item: T = field(compare=False)
+
+
+class FairQueue(Generic[T]):
+    """Waiting requests in the order of service."""
+
+    def __init__(self) -> None:
+        self.waiting: list[Waiting[T]] = []
+        self.finish: dict[str, float] = {}
+        self.virtual_s = 0.0
+        self.arrivals = 0
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def tag(self, workspace: str, weight: int, priority: int, item: T) -> Waiting[T]:
+        """Return the request with its place in the order; it does not wait yet."""
+        start = max(self.virtual_s, self.finish.get(workspace, 0.0))
+        self.arrivals += 1
+        return Waiting(-priority, start, self.arrivals, item)
+
+    def ahead_of(self, waiting: Waiting[T]) -> int:
+        """Return how many requests would be served before this one."""
+        return sum(other < waiting for other in self.waiting)
+
+    def push(self, workspace: str, weight: int, waiting: Waiting[T]) -> None:
+        """Let the request wait."""
+        self.note(workspace, weight, waiting)
+        self.waiting.append(waiting)
+
+    def note(self, workspace: str, weight: int, waiting: Waiting[T]) -> None:
+        """Charge the workspace for a request."""
+        self.finish[workspace] = waiting.start + 1.0 / max(1, weight)
+        if len(self.finish) > IDLE_WORKSPACES_MAX:
+            self.finish = {
+                name: finish for name, finish in self.finish.items() if finish > self.virtual_s
+            }
+
+    def pop(self) -> Waiting[T]:
+        """Return the next request."""
+        first = min(self.waiting)
+        self.waiting.remove(first)
+        self.virtual_s = max(self.virtual_s, first.start)
+        return first
+
+    def last(self) -> Waiting[T]:
+        """Return the request that would be served last."""
+        return max(self.waiting)
+
+    def remove(self, waiting: Waiting[T]) -> None:
+        """Take a request out."""
+        self.waiting = [other for other in self.waiting if other is not waiting]
--- a/gypsumpier/entry/intake.py
+++ b/gypsumpier/entry/intake.py
@@ -16,11 +16,14 @@
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import fingerprint
+from gypsumpier.platform.prefix import PREFIX_BLOCK_CHARS, prefix_ids
 
 WORKSPACE_HEADER: Final = "Workspace"
 KEY_HEADER: Final = "Idempotency-Key"
 TIMEOUT_HEADER: Final = "Request-Timeout"
 DEFAULT_WORKSPACE: Final = "default"
+AFFINITY_BLOCKS: Final = 3
 KEY_BYTES_MAX: Final = 255
 SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
 FORWARDED_HEADERS: Final = ("Content-Type", "Accept", "Accept-Language", KEY_HEADER)
@@ -40,7 +43,8 @@
     if not isinstance(streamed, bool):
         raise GypsumpierError(BAD_REQUEST, "stream must be true or false")
     document = document_for_model(documents, name)
-    return build(http, document, http.path, streamed, now_s), document
+    request = build(http, document, http.path, streamed, now_s)
+    return request._replace(prefix=prefix_of(body["messages"])), document
 
 
 def plain_request(
@@ -80,6 +84,8 @@
         remaining_s=timeout_of(http, document),
         idempotent=is_idempotent(document, route, method),
         priority=route.priority if route else 0,
+        prefix="",
+        fingerprint=fingerprint(method, path, http.body),
     )
 
 
@@ -95,6 +101,14 @@
     raise GypsumpierError(UNKNOWN_SERVICE, name)
 
 
+def prefix_of(messages: list[Any]) -> str:
+    """Return the name of the prompt's beginning, or an empty string for a short prompt."""
+    texts = [message.get("content", "") for message in messages if isinstance(message, dict)]
+    prompt = "\n".join(str(text) for text in texts)
+    names = prefix_ids(prompt[: AFFINITY_BLOCKS * PREFIX_BLOCK_CHARS])
+    return names[-1] if names else ""
+
+
 def json_object(body: bytes) -> dict[str, Any]:
     """Return the body as a JSON object."""
     try:
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -31,6 +32,7 @@
 REDIAL_MIN_S: Final = 0.1
 REDIAL_MAX_S: Final = 2.0
 RETRY_AFTER_S: Final = 1.0
+REPORT_HALF_LIFE_S: Final = 1.0
 KEY_KINDS: Final = frozenset({"records", "inherited"})
 
 
@@ -66,6 +68,8 @@
         self.incarnation = ""
         self.started_at_s = 0.0
         self.welcomed: Callable[[Link], None] = ignore
+        self.own_at_report = 0
+        self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
@@ -156,6 +160,8 @@
         self.healthy = payload["healthy"]
         self.reported_in_flight = payload["in_flight"]
         self.reported_at_s = self.clock.monotonic()
+        self.own_at_report = len(self.attempts)
+        self.suspected(payload["suspects"])
 
     def lose(self, connection: Connection) -> None:
         """Let the attempts in flight on a closed connection know."""
@@ -169,6 +175,12 @@
         """Tell whether new work may be sent."""
         return self.connection is not None and self.healthy and not self.leaving
 
+    def load(self) -> float:
+        """Return the requests in flight: the entry's own, and others' by an ageing report."""
+        others = max(0, self.reported_in_flight - self.own_at_report)
+        age_s = self.clock.monotonic() - self.reported_at_s
+        return len(self.attempts) + others * math.exp2(-age_s / REPORT_HALF_LIFE_S)
+
     def serves(self, model: str, version: str) -> bool:
         """Tell whether the engine reports exactly that version live."""
         return any(live.model == model and live.version == version for live in self.live)
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -41,6 +41,7 @@
         self.links: dict[str, Link] = {}
         self.replaced: list[Link] = []
         self.welcomed: Callable[[Link], None] = ignore
+        self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
@@ -92,6 +93,7 @@
         )
         link.welcomed = self.welcomed
         link.told = self.told
+        link.suspected = self.suspected
         self.links[member.name] = link
         link.start()
 
--- /dev/null
+++ b/gypsumpier/entry/quarantine.py
@@ -0,0 +1,72 @@
+"""Requests that may have crashed an upstream, by fingerprint.
+
+Each crash has an id and names the requests that were running on the upstream.  A request named by
+one crash is a suspect: it runs only while no other suspect runs on its upstream.  One named by two
+crashes is refused for a while.  A request that finishes is cleared of the crashes known by then, so
+one that merely ran beside the culprit is served.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Final
+
+CRASHES_TO_REFUSE: Final = 2
+SUSPECTS_MAX: Final = 4096
+
+
+@dataclass
+class Suspect:
+    """The crashes that name one request, and those that it has been cleared of."""
+
+    crashes: set[str] = field(default_factory=set)
+    cleared: set[str] = field(default_factory=set)
+    named_at_s: float = 0.0
+
+
+class Quarantine:
+    """Suspects, bounded in number and time.  Times are monotonic seconds."""
+
+    def __init__(self, kept_s: float) -> None:
+        self.kept_s = kept_s
+        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+
+    def note_crash(self, fingerprint: str, crash: str, now_s: float) -> None:
+        """Note that the request was running when an upstream crashed."""
+        suspect = self.suspects.setdefault(fingerprint, Suspect())
+        if crash in suspect.crashes or crash in suspect.cleared:
+            return
+        suspect.crashes.add(crash)
+        suspect.named_at_s = now_s
+        self.suspects.move_to_end(fingerprint)
+        self.forget_old(now_s)
+
+    def note_finished(self, fingerprint: str) -> None:
+        """Clear a request that was answered."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.cleared |= suspect.crashes
+            suspect.crashes = set()
+
+    def is_suspect(self, fingerprint: str, now_s: float) -> bool:
+        """Tell whether the request must run apart from other suspects."""
+        return self.count(fingerprint, now_s) > 0
+
+    def refused_for_s(self, fingerprint: str, now_s: float) -> float:
+        """Return for how many seconds the request is refused; 0 where it is not."""
+        if self.count(fingerprint, now_s) < CRASHES_TO_REFUSE:
+            return 0.0
+        return self.suspects[fingerprint].named_at_s + self.kept_s - now_s
+
+    def count(self, fingerprint: str, now_s: float) -> int:
+        """Return how many crashes name the request."""
+        self.forget_old(now_s)
+        suspect = self.suspects.get(fingerprint)
+        return len(suspect.crashes) if suspect is not None else 0
+
+    def forget_old(self, now_s: float) -> None:
+        """Forget suspects that were named long ago, and the oldest beyond the bound."""
+        while self.suspects:
+            suspect = next(iter(self.suspects.values()))
+            if now_s - suspect.named_at_s < self.kept_s and len(self.suspects) <= SUSPECTS_MAX:
+                return
+            self.suspects.popitem(last=False)
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -13,12 +13,14 @@
 from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
 from gypsumpier.document.service import ServiceDocument
+from gypsumpier.entry.admission import Admission
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.entry.budget import RetryBudget
-from gypsumpier.entry.delivery import Delivery
+from gypsumpier.entry.delivery import CrashError, Delivery
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
+from gypsumpier.entry.quarantine import Quarantine
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
 from gypsumpier.errors import GypsumpierError
@@ -50,10 +52,30 @@
         self.keys = keys
         self.random = random
         self.budget = RetryBudget()
+        self.admissions: dict[str, Admission] = {}
+        self.quarantine = Quarantine(options.quarantine_s)
+        links.suspected = self.take_suspects
 
     async def run(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
         self.budget.earn()
+        self.check_quarantine(request)
+        admission = self.admission(request.service, document)
+        await admission.enter(request, document)
+        entered_at_s = self.clock.monotonic()
+        took_s: float | None = None
+        try:
+            async for frame in self.answered(request, document):
+                yield frame
+            took_s = self.clock.monotonic() - entered_at_s
+            self.quarantine.note_finished(request.fingerprint)
+        finally:
+            admission.leave(took_s)
+
+    async def answered(
+        self, request: CallerRequest, document: ServiceDocument
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of an admitted request; a whole answer only when it is complete."""
         frames = self.attempts(request, document)
         if request.streamed:
             async for frame in frames:
@@ -64,6 +86,29 @@
         for frame in whole:
             yield frame
 
+    def admission(self, service: str, document: ServiceDocument) -> Admission:
+        """Return the admission of the service, for the upstreams that are usable now."""
+        admission = self.admissions.get(service)
+        if admission is None:
+            admission = self.admissions[service] = Admission(self.clock)
+        usable = sum(link.is_usable() for link in self.links.of_service(service))
+        admission.set_limit(max(1, usable) * document.limits.in_flight_per_upstream)
+        return admission
+
+    def check_quarantine(self, request: CallerRequest) -> None:
+        """Raise for a request that was running in two crashes."""
+        now_s = self.clock.monotonic()
+        refused_s = self.quarantine.refused_for_s(request.fingerprint, now_s)
+        if refused_s > 0:
+            decision("quarantine", request=request.request_id, reason="named by two crashes")
+            raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
+
+    def take_suspects(self, suspects: list[list[str]]) -> None:
+        """Note the requests that an agent names after a crash."""
+        now_s = self.clock.monotonic()
+        for named, crash in suspects:
+            self.quarantine.note_crash(named, crash, now_s)
+
     async def attempts(
         self, request: CallerRequest, document: ServiceDocument
     ) -> AsyncIterator[Frame]:
@@ -81,12 +126,21 @@
                 return
             except GypsumpierError as error:
                 failure.note(error, link)
+                self.note_failed_attempt(request, error)
                 if started or not self.may_retry(request, error):
                     raise failure.told() from error
             wait_s = failure.last.retry_after_s if request.has_home() else None
             await self.clock.sleep(wait_s or self.random.uniform(0, BACKOFF_S * 2**number))
         raise failure.told()
 
+    def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
+        """Learn of a full or a crashed upstream."""
+        if error.code is codes.UPSTREAM_FULL:
+            self.admissions[request.service].shrink()
+        if isinstance(error, CrashError):
+            self.take_suspects([[request.fingerprint, error.crash]])
+            self.check_quarantine(request)
+
     async def target(
         self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
     ) -> tuple[Link, str]:
@@ -200,6 +254,8 @@
             "age_s": now_s - request.received_at_s,
             "model": document.model,
             "version": version,
+            "fingerprint": request.fingerprint,
+            "suspect": self.quarantine.is_suspect(request.fingerprint, now_s),
         }
 
 
--- a/gypsumpier/entry/request.py
+++ b/gypsumpier/entry/request.py
@@ -8,6 +8,7 @@
 
     ``remaining_s`` is the time left to the caller's deadline at ``received_at_s``, which is a
     reading of the entry's monotonic clock.  ``key`` is the caller's Idempotency-Key or empty.
+    ``prefix`` names the beginning of a prompt, and ``fingerprint`` all that is asked.
     """
 
     request_id: str
@@ -23,6 +24,8 @@
     remaining_s: float
     idempotent: bool
     priority: int
+    prefix: str
+    fingerprint: str
 
     def remaining_at(self, now_s: float) -> float:
         """Return the seconds left to the deadline at that reading of the clock."""
--- a/gypsumpier/entry/router.py
+++ b/gypsumpier/entry/router.py
@@ -11,6 +11,7 @@
 from blake3 import blake3
 
 from gypsumpier.document.service import ServiceDocument, VersionShare
+from gypsumpier.entry.affinity import choose_by_load, choose_by_prefix
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.request import CallerRequest
 
@@ -40,11 +41,26 @@
         usable = [link for link in usable if link.serves(document.model, version)]
     if not usable:
         return None
-    near = [link for link in usable if link.member.zone == zone]
-    candidates = near or usable
-    pair = random.sample(candidates, min(2, len(candidates)))
-    link = min(pair, key=lambda candidate: len(candidate.attempts))
-    return Choice(link, version, "own zone" if near else "no upstream in own zone")
+    candidates, reason = by_zone(usable, zone, document.limits.in_flight_per_upstream)
+    if request.prefix:
+        link = choose_by_prefix(candidates, name_of, Link.load, request.prefix)
+        return Choice(link, version, f"prefix, {reason}")
+    return Choice(choose_by_load(candidates, Link.load, random), version, f"load, {reason}")
+
+
+def by_zone(links: list[Link], zone: str, limit: int) -> tuple[list[Link], str]:
+    """Return the upstreams of the own zone that have room, else those of any zone, else all."""
+    near = [link for link in links if link.member.zone == zone]
+    free = [link for link in near if link.load() < limit]
+    if free:
+        return free, "own zone"
+    spill = [link for link in links if link.load() < limit]
+    return spill or near or links, "own zone is full" if near else "no upstream in own zone"
+
+
+def name_of(link: Link) -> str:
+    """Return the name that ranks an upstream."""
+    return link.member.name
 
 
 def pick_version(request: CallerRequest, document: ServiceDocument, links: list[Link]) -> str:
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -55,6 +55,7 @@
     answer_memory_bytes: int = 16 * 1024 * 1024
     run_timeout_s: float = 60.0
     ask_timeout_s: float = 4.0
+    quarantine_s: float = 300.0
 
     chunk_bytes: int = 256 * 1024
     weight_memory_bytes: int = 64 * 1024 * 1024
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -180,6 +180,8 @@
         remaining_s=deadline_s,
         idempotent=False,
         priority=1,
+        prefix="",
+        fingerprint=body.decode(),
     )
 
 
