--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -12,6 +12,7 @@
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.agent.upstream import Part
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
@@ -40,12 +41,15 @@
         self.model = model
         self.delay_s = delay_s
         self.runs: Counter[str] = Counter()
-        self.failure: GypsumpierError | None = None
+        self.crash_body = b""
+        self.crashes = 0
 
     async def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
-        if self.failure is not None:
-            raise self.failure
         self.runs[order.key or order.exchange] += 1
+        crashes = self.crashes
+        if self.crash_body and order.body == self.crash_body:
+            await asyncio.sleep(self.delay_s)
+            self.crashes += 1
         if not self.model:
             await asyncio.sleep(self.delay_s)
             yield Part("head", {"status": 200, "headers": {}})
@@ -53,6 +57,8 @@
             yield Part("end", {"count": 1})
             return
         for number in range(TOKENS):
+            if self.crashes != crashes:
+                raise GypsumpierError(PLATFORM_BAD_ANSWER, "the engine died")
             await asyncio.sleep(self.delay_s)
             yield Part("token", {"text": f"{number} ", "version": "v1"})
         yield Part("end", {"count": TOKENS, "finish_reason": "stop", "version": "v1"})
@@ -185,9 +191,9 @@
     )
 
 
-def chat_call(world: World, streamed: bool = True) -> CallerRequest:
+def chat_call(world: World, streamed: bool = True, body: bytes = b"{}") -> CallerRequest:
     """Return a chat completion."""
-    call = plain_call(world)
+    call = plain_call(world, body=body)
     return call._replace(
         service=MODEL_SERVICE, path="/v1/chat/completions", streamed=streamed, idempotent=True
     )
