--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.requirements-installed
 
-.PHONY: venv format lint test demo faults pages
+.PHONY: venv format lint test demo faults pages measure-documents measure-requests
 
 venv: $(STAMP)
 
@@ -34,8 +34,16 @@
 pages: venv
 	$(PY) -m misc.pages
 
-# Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
 SEED ?= 1
 
+# Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
 faults: venv
 	$(PY) -m misc.faults --seed $(SEED)
+
+# Measures goodput, fairness, prefix hits and what entry and agent add to an answer.
+measure-requests: venv
+	$(PY) -m misc.measure_requests --seed $(SEED)
+
+# Measures how soon edits are in force everywhere; takes about three minutes.
+measure-documents: venv
+	$(PY) -m misc.measure_documents --seed $(SEED)
--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -22,6 +22,9 @@
 UPSTREAM_FULL: Final = ResultCode(
     2006, "upstream_full", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
 )
+ENTRY_STARTING: Final = ResultCode(
+    2007, "entry_starting", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
 BAD_REQUEST: Final = ResultCode(
     2010, "bad_request", 400, Outcome.NOT_RUN, "Correct the request before sending it again."
 )
@@ -128,6 +131,13 @@
     Outcome.UNKNOWN,
     "The home has not seen the key; a copy may still be on its way. Send the same key.",
 )
+COPY_REFUSED: Final = ResultCode(
+    2039,
+    "copy_refused",
+    503,
+    Outcome.UNKNOWN,
+    "This copy was not run; an earlier copy may have run. Send the same key after Retry-After.",
+)
 OVERLOADED: Final = ResultCode(
     2040, "overloaded", 429, Outcome.NOT_RUN, "Send the request again after Retry-After."
 )
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -21,6 +21,7 @@
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.quarantine import Quarantine
+from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
 from gypsumpier.errors import GypsumpierError
@@ -61,7 +62,10 @@
         self.budget.earn()
         self.check_quarantine(request)
         admission = self.admission(request.service, document)
-        await admission.enter(request, document)
+        try:
+            await admission.enter(request, document)
+        except GypsumpierError as error:
+            raise refusal_of_copy(error, request.has_home()) from error
         entered_at_s = self.clock.monotonic()
         took_s: float | None = None
         try:
