--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -16,7 +16,8 @@
 from gypsumpier.codes.request import ANSWER_CUT, DEADLINE_EXCEEDED
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.entry.answer import error_body, error_headers
-from gypsumpier.entry.intake import chat_request, plain_request
+from gypsumpier.entry.intake import KEY_HEADER, chat_request, plain_request
+from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.wire.frame import Frame
@@ -103,7 +104,7 @@
                 self.request, self.entry.documents, self.entry.clock.monotonic()
             )
         except GypsumpierError as error:
-            await self.fail(error)
+            await self.fail(refusal_of_copy(error, KEY_HEADER in self.request.headers))
             return
         await self.serve(request, document)
 
@@ -174,7 +175,7 @@
                 self.request, service, path, self.entry.documents, self.entry.clock.monotonic()
             )
         except GypsumpierError as error:
-            await self.fail(error)
+            await self.fail(refusal_of_copy(error, KEY_HEADER in self.request.headers))
             return
         await self.serve(request, document)
 
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -174,6 +174,21 @@
 
 
 class FailureTest(unittest.TestCase):
+    def test_an_entry_that_is_full_does_not_call_a_key_not_run(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            agent.upstream.delay_s = 3.0
+            first = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.1)
+            admission = entry.relay.admissions["table-ops"]
+            admission.in_flight, admission.time_s = 1000, 1000.0
+            self.assertEqual("copy_refused", await outcome(world, entry, plain_call(world, "k")))
+            self.assertEqual("overloaded", await outcome(world, entry, plain_call(world)))
+            self.assertEqual("go", await first)
+
+        run(scenario())
+
     def test_not_run_is_never_told_after_an_attempt_that_may_have_run(self) -> None:
         async def scenario() -> None:
             world = World()
