--- /dev/null
+++ b/gypsumpier/test/test_document_exchange.py
@@ -0,0 +1,100 @@
+"""Tests of parts of the spread of documents: asks, digests, duty and bounds."""
+
+import asyncio
+import random
+import unittest
+
+from gypsumpier.document.record import Rank
+from gypsumpier.document.spread import DocumentSpread
+from gypsumpier.document.table import DocumentTable
+from gypsumpier.spread import message
+from gypsumpier.spread.asks import ASKS_LIMIT, OVERDUE_S, Asks
+from gypsumpier.spread.identity import Identity
+from gypsumpier.spread.message import Holding
+from gypsumpier.test.builders_document import revised
+from gypsumpier.test.builders_member import entry_options
+from gypsumpier.test.builders_spread import Fleet
+from gypsumpier.test.test_member_table import HandClock
+from gypsumpier.test.virtual import run
+
+HOLDING = Holding("gypsum-llm", Rank(1, b"digest"))
+
+
+class AsksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = HandClock()
+        self.asks = Asks(self.clock)
+
+    def test_a_content_is_asked_of_one_peer_at_a_time(self) -> None:
+        self.assertTrue(self.asks.announced("one", HOLDING))
+        self.assertFalse(self.asks.announced("other", HOLDING))
+        self.assertEqual([], self.asks.overdue())
+
+    def test_a_late_answer_or_a_lost_peer_moves_the_ask(self) -> None:
+        for peer in ("one", "two", "three"):
+            self.asks.announced(peer, HOLDING)
+        self.clock.now_s += OVERDUE_S
+        self.assertEqual([("two", HOLDING)], self.asks.overdue())
+        self.assertEqual([("three", HOLDING)], self.asks.lost("two"))
+        self.assertEqual([], self.asks.lost("three"))
+        self.assertEqual({}, self.asks.open)
+
+    def test_open_asks_are_bounded(self) -> None:
+        for number in range(ASKS_LIMIT):
+            self.assertTrue(self.asks.announced("one", Holding("name", Rank(number, b""))))
+        self.assertFalse(self.asks.announced("one", HOLDING))
+
+
+class DigestTest(unittest.TestCase):
+    def test_a_lost_announcement_is_found_by_the_digests(self) -> None:
+        one, other = spread_of("entry/bac-a/0"), spread_of("entry/bac-a/1")
+        to_other = one.attach(Identity("entry/bac-a/1", "entry"), lambda: None)
+        to_one = other.attach(Identity("entry/bac-a/0", "entry"), lambda: None)
+        to_other.wants = to_one.wants = None
+        one.table.offer(revised(revision=1), "test")
+        to_other.note_known(Holding("gypsum-llm", one.table.ranks("gypsum-llm")[0]))
+        to_other.to_announce.clear()
+        to_one.listed = to_other.listed = True
+        to_one.digest_due_at_s = to_other.digest_due_at_s = 0.0
+        other.take(to_one, message.DOCUMENT_DIGEST, {"digest": one.due_digest(to_other)})
+        one.take(to_other, message.DOCUMENT_DIGEST, {"digest": other.due_digest(to_one)})
+        self.assertEqual({"gypsum-llm"}, to_other.to_announce)
+        self.assertIsNone(one.due_digest(to_other))
+        self.assertFalse(to_other.knows(Holding("gypsum-llm", Rank(0, b""))))
+
+    def test_equal_tables_have_equal_digests_and_announce_nothing(self) -> None:
+        one, other = spread_of("entry/bac-a/0"), spread_of("entry/bac-a/1")
+        to_one = other.attach(Identity("entry/bac-a/0", "entry"), lambda: None)
+        to_one.wants = None
+        for spread in (one, other):
+            spread.table.offer(revised(revision=1), "test")
+        to_one.to_announce.clear()
+        other.take(to_one, message.DOCUMENT_DIGEST, {"digest": one.digest(None)})
+        self.assertEqual(set(), to_one.to_announce)
+
+
+class DutyTest(unittest.TestCase):
+    def test_agents_read_for_themselves_only_without_any_entry(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start({"bac-a": 2}, {"bac-a": 3}, "gypsum-llm")
+            fleet.platform.put(revised(revision=1))
+            await fleet.settle("gypsum-llm", 1, 6.0)
+            agents = [one for one in fleet.instances.values() if one.options.role == "agent"]
+            self.assertEqual([0, 0, 0], [one.document_keeper.calls for one in agents])
+            for name in ("entry/bac-a/0", "entry/bac-a/1"):
+                await fleet.instances.pop(name).stop()
+            fleet.platform.put(revised(revision=2))
+            await fleet.settle("gypsum-llm", 2, 4.0)
+            await asyncio.sleep(20.0)
+            # Each takes its turn of one to three seconds; none holds a watch in between.
+            self.assertTrue(all(one.document_keeper.calls <= 20 for one in agents))
+            await fleet.stop()
+
+        run(scenario())
+
+
+def spread_of(name: str) -> DocumentSpread:
+    """Return the documents' side of an entry without any session."""
+    clock = HandClock()
+    return DocumentSpread(entry_options(name), clock, random.Random(1), DocumentTable(clock))
--- /dev/null
+++ b/gypsumpier/test/test_member_spread.py
@@ -0,0 +1,82 @@
+"""Tests of how the member list is passed on."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumpier.member.journal import DROPS_LIMIT, Journal
+from gypsumpier.member.spread import MemberExchange, MemberSpread
+from gypsumpier.member.table import MemberTable
+from gypsumpier.platform.membership import Member
+from gypsumpier.spread.freshness import FARTHEST, Freshness
+from gypsumpier.spread.identity import Identity
+from gypsumpier.spread.message import packed_changes, unpacked_changes
+from gypsumpier.test.builders_member import agent, entry_options
+from gypsumpier.test.test_member_table import HandClock
+
+steps = st.lists(
+    st.tuples(st.sampled_from(["put", "drop", "pull"]), st.integers(0, 4), st.integers(1, 3)),
+    max_size=30,
+)
+
+
+class MemberSpreadTest(unittest.TestCase):
+    @given(steps)
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    def test_changes_lead_to_the_same_list_as_copying_it(
+        self, drawn: list[tuple[str, int, int]]
+    ) -> None:
+        clock = HandClock()
+        table = MemberTable(entry_options(), clock)
+        spread = MemberSpread(entry_options(), clock, table)
+        exchange = MemberExchange(Identity("entry/bac-a/1", "entry"))
+        exchange.wants = True
+        copy: dict[str, Member] = {}
+        for step, number, run in [*drawn, ("pull", 0, 0)]:
+            member = agent(number, run)
+            if step == "put":
+                table.put(member)
+            elif step == "drop" and member.name in table.members:
+                table.missing_since_s[member.name] = clock.now_s
+                table.drop(member.name)
+            elif step == "pull":
+                apply(spread, exchange, copy)
+        self.assertEqual(table.members, copy)
+
+    def test_a_peer_that_is_far_behind_gets_the_whole_list(self) -> None:
+        journal = Journal()
+        for number in range(DROPS_LIMIT + 5):
+            journal.note_change(f"name-{number}")
+            journal.note_drop(f"name-{number}")
+        self.assertTrue(journal.needs_whole(1))
+        self.assertFalse(journal.needs_whole(journal.number - 2))
+        self.assertEqual(DROPS_LIMIT, len(journal.dropped_at))
+
+    def test_distances_count_up_when_the_way_to_the_platform_is_lost(self) -> None:
+        clock = HandClock()
+        near, far = Freshness(clock, 5.0), Freshness(clock, 5.0)
+        near.note_read()
+        for _ in range(3):
+            far.offered("near", near.distance())
+            near.offered("far", far.distance())
+        self.assertEqual((0, 1), (near.distance(), far.distance()))
+        clock.now_s += 5.0
+        for _ in range(FARTHEST):
+            far.offered("near", near.distance())
+            near.offered("far", far.distance())
+        self.assertEqual((FARTHEST, FARTHEST), (near.distance(), far.distance()))
+        self.assertFalse(near.is_fed() or far.is_fed())
+
+
+def apply(spread: MemberSpread, exchange: MemberExchange, copy: dict[str, Member]) -> None:
+    """Bring the copy up to date by what is due, through its codec."""
+    due = spread.due_changes(exchange)
+    if due is None:
+        return
+    changes = unpacked_changes(packed_changes(due))
+    if changes.whole:
+        copy.clear()
+    copy.update({member.name: member for member in changes.put})
+    for name in changes.gone:
+        copy.pop(name, None)
