--- a/gypsumpier/codes/document.py
+++ b/gypsumpier/codes/document.py
@@ -33,3 +33,9 @@
 CONFLICTING_REVISION: Final = refusal(
     5051, "conflicting_revision", "One revision has two contents; publish a new revision."
 )
+OPEN_ASKS_FULL: Final = ResultCode(
+    5052, "open_asks_full", 503, Outcome.NOT_RUN, "Asked again after the next comparison."
+)
+STREAMS_FULL: Final = ResultCode(
+    5053, "streams_full", 503, Outcome.NOT_RUN, "The entry that dials tries others, then again."
+)
--- a/gypsumpier/document/exchange.py
+++ b/gypsumpier/document/exchange.py
@@ -13,6 +13,7 @@
 from gypsumpier.spread.message import Holding
 
 DIGEST_REPEAT_S: Final = 30.0
+KNOWN_LIMIT: Final = 8192
 
 Payload = dict[str, Any]
 
@@ -43,6 +44,9 @@
     def note_known(self, holding: Holding) -> None:
         """Keep the highest rank that the peer is known to hold of a name."""
         known = self.known.get(holding.name)
+        if known is None and len(self.known) >= KNOWN_LIMIT:
+            # What is forgotten may be announced once more, which does no harm.
+            self.known.clear()
         if known is None or known < holding.rank:
             self.known[holding.name] = holding.rank
 
--- a/gypsumpier/document/spread.py
+++ b/gypsumpier/document/spread.py
@@ -12,7 +12,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Hashable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from gypsumpier.clock import Clock
 from gypsumpier.document.exchange import DIGEST_REPEAT_S, DocumentExchange, bucket_count, scope
@@ -27,6 +27,8 @@
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.message import Have, Holding
 
+DIGESTS_LIMIT: Final = 1024
+
 
 class KnownDigest(NamedTuple):
     """A digest and the generation of the table it was computed at."""
@@ -98,7 +100,8 @@
             self.take_have(exchange, message.unpacked_have(payload))
         elif kind == message.DOCUMENT_ASK:
             asked = message.unpacked_have(payload).holdings
-            exchange.to_send.update(holding.name for holding in asked)
+            held = (one.name for one in asked if self.table.contents(one.name))
+            exchange.to_send.update(held)
         elif kind == message.DOCUMENT_BODY:
             self.take_body(exchange, payload)
         elif kind == message.DOCUMENT_DIGEST:
@@ -164,6 +167,8 @@
         known = self.digests.get(names)
         if known is None or known.generation != self.generation:
             value = digest_of(self.holdings(names), bucket_count(names))
+            if known is None and len(self.digests) >= DIGESTS_LIMIT:
+                self.digests.clear()
             known = self.digests[names] = KnownDigest(self.generation, value)
         return known.value
 
--- a/gypsumpier/member/table.py
+++ b/gypsumpier/member/table.py
@@ -82,10 +82,12 @@
 
     def introduce(self, member: Member) -> None:
         """Take what an instance says of itself on a connection to it."""
-        if member.leaving:
-            self.left_incarnations[member.name] = member.incarnation
         known = member.name in self.members
         changed = self.put(member)
+        if member.name not in self.members:
+            return
+        if member.leaving:
+            self.left_incarnations[member.name] = member.incarnation
         if not known:
             self.missing_since_s[member.name] = self.clock.monotonic()
         self.heard(member.name, member.incarnation)
--- a/gypsumpier/spread/asks.py
+++ b/gypsumpier/spread/asks.py
@@ -9,6 +9,8 @@
 from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
+from gypsumpier.codes.document import OPEN_ASKS_FULL
+from gypsumpier.log import decision
 from gypsumpier.spread.message import Holding
 
 OVERDUE_S: Final = 1.0
@@ -30,12 +32,14 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.open: dict[Holding, Ask] = {}
+        self.is_full_logged = False
 
     def announced(self, peer: Hashable, holding: Holding) -> bool:
         """Note that the peer holds a lacked content; return True where it should be asked now."""
         ask = self.open.get(holding)
         if ask is None:
             if len(self.open) >= ASKS_LIMIT:
+                self.note_full()
                 return False
             self.open[holding] = Ask(peer, self.clock.monotonic(), [])
             return True
@@ -43,6 +47,12 @@
             ask.others.append(peer)
         return False
 
+    def note_full(self) -> None:
+        """Log that the limit is reached, once until an ask is closed."""
+        if not self.is_full_logged:
+            self.is_full_logged = True
+            decision("asks_full", code=OPEN_ASKS_FULL.number, reason=f"{ASKS_LIMIT} are open")
+
     def settled(self, name: str) -> list[Holding]:
         """Return the open asks for the name; the caller closes those that are settled."""
         return [holding for holding in self.open if holding.name == name]
@@ -50,6 +60,7 @@
     def close(self, holding: Holding) -> None:
         """Forget an ask."""
         self.open.pop(holding, None)
+        self.is_full_logged = False
 
     def is_waiting_for(self, peer: Hashable) -> bool:
         """Tell whether a content that the peer announced has not arrived from anyone."""
--- a/gypsumpier/spread/streams.py
+++ b/gypsumpier/spread/streams.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.codes.document import STREAMS_FULL
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.member.table import MemberTable
@@ -70,7 +71,8 @@
     async def accept(self, stream: Stream) -> None:
         """Serve a stream that another entry has dialled."""
         if len(self.accepted) >= ACCEPTED_LIMIT:
-            decision("spread_stream_refused", reason=f"{ACCEPTED_LIMIT} streams are open")
+            reason = f"{ACCEPTED_LIMIT} streams are open"
+            decision("spread_stream_refused", code=STREAMS_FULL.number, reason=reason)
             stream.close()
             return
         options = self.options
