--- a/misc/capacity/bench.py
+++ b/misc/capacity/bench.py
@@ -22,6 +22,7 @@
         self.membership_url = ""
         self.configuration_url = ""
         self.service_url = ""
+        self.platform_ports: frozenset[int] = frozenset()
 
     async def start(self) -> None:
         """Start the stand-ins and publish one document."""
@@ -31,6 +32,7 @@
         self.configuration_url = url_of(configuration)
         self.membership_url = url_of(membership)
         self.service_url = url_of(service)
+        self.platform_ports = frozenset((configuration.port, membership.port, service.port))
         self.settings = {
             "region": REGION,
             "zone": ZONE,
@@ -55,7 +57,7 @@
             **settings,
         )
 
-    async def start_swarm(self, role: str, count: int, wire_port: int = 0) -> Child:
+    async def start_swarm(self, role: str, count: int) -> Child:
         """Start many peers in one process and put them on the member list.
 
         The peers read the platform rarely, because their own cost is not what is measured.
@@ -69,13 +71,26 @@
                 "membership_interval_s": RARELY_S,
             }
         arguments = ["--count", str(count), "--settings", json.dumps(settings)]
-        if wire_port:
-            arguments += ["--wire-port", str(wire_port)]
         swarm = await self.fleet.start("swarm", "misc.capacity.swarm", arguments)
         listed = await get_json(f"{url_of(swarm)}/members")
         await self.list_members(listed["members"])
         return swarm
 
+    def member(self, child: Child, role: str, service: str) -> dict[str, Any]:
+        """Return a process of the bench as the member list names it."""
+        return {
+            "name": child.name,
+            "incarnation": "1",
+            "role": role,
+            "service": service,
+            "region": REGION,
+            "zone": ZONE,
+            "host": "127.0.0.1",
+            "port": child.ports["port"],
+            "bulk_port": child.ports["bulk_port"],
+            "leaving": False,
+        }
+
     async def list_members(self, members: list[dict[str, Any]]) -> None:
         """Put members on the member list."""
         await post_json(f"{self.membership_url}/control/put", {"members": members})
