--- a/gypsumpier/test/test_document_process.py
+++ b/gypsumpier/test/test_document_process.py
@@ -52,9 +52,10 @@
             **settings,
         )
         self.daemons[name] = child
+        status = await get_json(f"{administration_url(child)}/v1/status")
         member = {
             "name": name,
-            "incarnation": f"{child.pid}",
+            "incarnation": status["incarnation"],
             "role": settings["role"],
             "service": settings.get("service", ""),
             "region": zone[:3],
