--- a/misc/capacity/bench.py
+++ b/misc/capacity/bench.py
@@ -43,7 +43,7 @@
 
     async def start_entry(self, name: str, **settings: Any) -> Child:
         """Start one entry as a process."""
-        return await self.fleet.start_daemon(name, role="entry", **self.settings, **settings)
+        return await self.fleet.start_daemon(name, role="entry", **(self.settings | settings))
 
     async def start_agent(self, name: str, **settings: Any) -> Child:
         """Start one agent beside the plain service as a process."""
--- a/misc/measure_capacity.py
+++ b/misc/measure_capacity.py
@@ -17,6 +17,7 @@
 from misc.capacity.plot import plot_slope
 from misc.capacity.relay import measure_relay
 from misc.capacity.slope import Slope
+from misc.capacity.spread import measure_spread
 from misc.capacity.tables import measure_tables
 
 Measurement = Callable[[Path], Awaitable[list[Slope]]]
@@ -24,6 +25,7 @@
 MEASUREMENTS: Final[dict[str, Measurement]] = {
     "tables": measure_tables,
     "links": measure_links,
+    "spread": measure_spread,
     "relay": measure_relay,
 }
 
