--- a/misc/stage.py
+++ b/misc/stage.py
@@ -7,12 +7,14 @@
 import asyncio
 import json
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 from misc.child import Child
 from misc.deployment import Deployment, Slot
 from misc.fleet import Flag, Fleet
-from misc.http import get_json, post_json
+from misc.http import get_json, get_status, post_json
+
+READY_POLL_S: Final = 0.1
 
 
 class Stage:
@@ -69,12 +71,14 @@
         await self.start_agent(slot)
 
     async def start_upstream(self, slot: Slot) -> None:
-        """Start the engine or the plain service of a slot."""
+        """Start the engine or the plain service of a slot, on its earlier port if it had one."""
         name = f"upstream/{slot.name}"
+        earlier = self.upstreams.get(slot.name)
+        flags: dict[str, Flag] = {"port": earlier.port if earlier else 0}
         if slot.kind == "model":
-            child = await self.fleet.start_standin("engine", name, **self.engine_flags)
+            child = await self.fleet.start_standin("engine", name, **flags, **self.engine_flags)
         else:
-            child = await self.fleet.start_standin("service", name)
+            child = await self.fleet.start_standin("service", name, **flags)
         self.upstreams[slot.name] = child
 
     async def start_agent(self, slot: Slot) -> None:
@@ -96,8 +100,19 @@
 
     async def start_entry(self, name: str) -> None:
         """Start an entry and put it on the member list."""
+        self.entries[name] = await self.new_entry(name)
+
+    async def replace_entry(self, name: str) -> None:
+        """Start an entry again; callers come to it only once it is ready."""
+        child = await self.new_entry(name)
+        while await get_status(f"{administration_url(child)}/readyz") != 200:
+            await asyncio.sleep(READY_POLL_S)
+        self.entries[name] = child
+
+    async def new_entry(self, name: str) -> Child:
+        """Start an entry's process and put it on the member list."""
         place = self.deployment.place(name.split("/")[1])
-        self.entries[name] = child = await self.fleet.start_daemon(
+        child = await self.fleet.start_daemon(
             name,
             role="entry",
             region=place.region,
@@ -108,6 +123,7 @@
             **self.settings,
         )
         await self.list_member(child, "", place.region, place.zone)
+        return child
 
     async def list_member(self, child: Child, service: str, region: str, zone: str) -> None:
         """Put a process on the member list."""
@@ -132,6 +148,17 @@
         url = f"{self.urls['configuration_url']}/control/put"
         return int((await post_json(url, body))["revision"])
 
+    def standin_url(self, name: str) -> str:
+        """Return the URL of a stand-in of the platform, by the name of its process."""
+        return local_url(self.fleet.children[name].port)
+
+    def balanced_url(self, name: str) -> str:
+        """Return the URL of the entry, or of the next running one, as a balancer would choose."""
+        names = list(self.entries)
+        first = names.index(name)
+        running = [n for n in names[first:] + names[:first] if self.entries[n].running]
+        return local_url(self.entries[running[0]].ports["http_port"])
+
     def entry_urls(self) -> list[str]:
         """Return the URL of each entry for callers."""
         return [local_url(child.ports["http_port"]) for child in self.entries.values()]
