--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -1,20 +1,31 @@
-"""Cost of the links between entries and agents while no request runs: heartbeats and reports."""
+"""Cost of the links between entries and agents: heartbeats and state reports.
+
+The idle links are measured from both ends.  The busy ones are those of an agent whose requests all
+come through one more entry, so that the others' links carry nothing but what tells of its load.
+"""
 
 import asyncio
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from gypsumpier.test import builders
 from misc.capacity import target
-from misc.capacity.bench import RARELY_S, ZONE, Bench
+from misc.capacity.bench import RARELY_S, SERVICE, ZONE, Bench
 from misc.capacity.slope import Point, Slope
 from misc.capacity.usage import SETTLE_S, Usage, measure_usage
 from misc.capacity.wire import count_wire
 from misc.child import Child
 from misc.fleet import Fleet
+from misc.load import run_load
+from misc.load_arrivals import Profile
+from misc.load_call import Target
 
 AGENT_COUNTS: Final = (32, 64, 128, 256)
-ENTRY_COUNTS: Final = (16, 32, 64, 128)
+ENTRY_COUNTS: Final = (8, 16, 32, 64)
 LINKS_POLL_S: Final = 0.2
+REQUESTS_PER_WORKER_S: Final = target.REQUESTS_PER_S / target.WORKERS
+BUSY_S: Final = 15.0
+ONE_REPLICA: Final = {"zone": ZONE, "replicas": 1}
 
 
 class LinkCost(NamedTuple):
@@ -28,7 +39,11 @@
     """Measure an entry against its agents and an agent against its entries."""
     by_agents = [await entry_cost(directory, count) for count in AGENT_COUNTS]
     by_entries = [await agent_cost(directory, count) for count in ENTRY_COUNTS]
+    busy = [await busy_cost(directory, count) for count in ENTRY_COUNTS]
+    wire = [Point(one.links, one.usage.wire_bytes_per_s) for one in busy]
+    per_zone, limit = target.WORKERS_PER_ZONE, target.CONTROL_BYTES_PER_S
     return [
+        Slope("busy_links_wire", "B/s", "links", wire, per_zone, limit),
         *slopes_of("entry_links", "agents", by_agents, target.WORKERS_PER_ZONE),
         *slopes_of("agent_links", "entries", by_entries, target.ENTRIES_PER_ZONE),
     ]
@@ -55,6 +70,25 @@
         return await cost(bench, agent, count)
 
 
+async def busy_cost(directory: Path, count: int) -> LinkCost:
+    """Measure one agent with so many idle links while it runs its share of the requests."""
+    async with Fleet(directory) as fleet:
+        bench = Bench(fleet)
+        await bench.start()
+        await bench.publish(builders.plain_document(service=SERVICE, zones=[ONE_REPLICA]))
+        agent = await bench.start_agent(f"{SERVICE}/{ZONE}/0", membership_interval_s=RARELY_S)
+        await bench.list_members([bench.member(agent, "agent", SERVICE)])
+        entry = await bench.start_entry(f"entry/{ZONE}/0")
+        await bench.start_swarm("entry", count)
+        url = f"http://127.0.0.1:{entry.ports['http_port']}"
+        profile = Profile(rate_per_s=REQUESTS_PER_WORKER_S, duration_s=BUSY_S)
+        load = asyncio.create_task(run_load(profile, Target((url,), SERVICE, "/", "GET")))
+        found = await cost(bench, agent, count + 1)
+        result = await load
+        assert result.outcomes.get("done"), result.outcomes
+        return found
+
+
 async def cost(bench: Bench, measured: Child, count: int) -> LinkCost:
     """Wait until all links stand, then measure for a window."""
     while count_wire(measured.pid, bench.platform_ports).connections < count:
--- a/misc/capacity/probe.py
+++ b/misc/capacity/probe.py
@@ -13,6 +13,7 @@
 from misc.capacity.probedigest import probe_digest
 from misc.capacity.probedocument import probe_documents
 from misc.capacity.probeframe import probe_frames
+from misc.capacity.probekey import probe_keys
 from misc.capacity.probemember import probe_members
 
 Probe = Callable[[int, str], Coroutine[Any, Any, dict[str, float]]]
@@ -22,6 +23,7 @@
     "documents": probe_documents,
     "digest": probe_digest,
     "frames": probe_frames,
+    "keys": probe_keys,
 }
 
 
--- /dev/null
+++ b/misc/capacity/probekey.py
@@ -0,0 +1,29 @@
+"""Cost of the keys that a home remembers: memory for each and processor time for each claim."""
+
+import os
+import time
+import uuid
+from typing import Final
+
+from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.ledger import Ledger
+from gypsumpier.idempotency.record import KeptAnswer
+from misc.capacity.usage import resident_bytes
+
+UNBOUNDED_BYTES: Final = 1 << 40
+RETENTION_S: Final = 1e9
+
+
+async def probe_keys(size: int, url: str) -> dict[str, float]:
+    """Claim and finish so many keys with a small answer each."""
+    ledger = Ledger(UNBOUNDED_BYTES, UNBOUNDED_BYTES, RETENTION_S)
+    keys = [KeyId("workspace", str(uuid.UUID(int=number))) for number in range(size)]
+    empty_bytes = resident_bytes(os.getpid())
+    before_s = time.process_time()
+    for number, key in enumerate(keys):
+        ledger.claim(key, f"{number:064x}", float(number), float(number))
+        headers = {"Content-Type": "application/json"}
+        ledger.finish(key, KeptAnswer(200, headers, b"%200d" % number), float(number))
+    claim_s = (time.process_time() - before_s) / size
+    held_bytes = resident_bytes(os.getpid()) - empty_bytes
+    return {"held_bytes": held_bytes, "claim_s": claim_s}
--- a/misc/capacity/tables.py
+++ b/misc/capacity/tables.py
@@ -13,6 +13,9 @@
 DOCUMENT_COUNTS: Final = (128, 256, 512, 1024)
 DIGEST_SIZES_MB: Final = (8, 16, 32, 64)
 FRAME_COUNTS: Final = (10_000, 20_000, 40_000, 80_000)
+KEY_COUNTS: Final = (4_000, 8_000, 16_000, 32_000)
+# Keys of one home, if every request had one and each were kept for an hour.
+KEYS: Final = target.REQUESTS_PER_S / target.WORKERS * 3600
 # Documents of the whole fleet: one service for about thirty workers.
 DOCUMENTS: Final = 400
 # A version's size in the burst, for the digests' share of a rollout.
@@ -27,17 +30,12 @@
     documents = {n: await run_probe("documents", n) for n in DOCUMENT_COUNTS}
     digests = {n: await run_probe("digest", n) for n in DIGEST_SIZES_MB}
     frames = {n: await run_probe("frames", n) for n in FRAME_COUNTS}
+    keys = {n: await run_probe("keys", n) for n in KEY_COUNTS}
+    held = target.CONTROL_MEMORY_BYTES
     return [
         *member_slopes(members),
-        slope(
-            "document_memory",
-            "B",
-            "documents",
-            documents,
-            "held_bytes",
-            DOCUMENTS,
-            target.CONTROL_MEMORY_BYTES,
-        ),
+        slope("key_memory", "B", "keys", keys, "held_bytes", KEYS, held),
+        slope("document_memory", "B", "documents", documents, "held_bytes", DOCUMENTS, held),
         slope("document_change_cpu", "s", "documents", documents, "change_s", DOCUMENTS, None),
         slope("digest_cpu", "s", "MB", digests, "digest_s", VERSION_MB, target.ROLLOUT_S),
         slope(
--- a/misc/capacity/usage.py
+++ b/misc/capacity/usage.py
@@ -9,8 +9,8 @@
 
 from misc.capacity.wire import count_wire
 
-WINDOW_S: Final = 6.0
-SETTLE_S: Final = 3.0
+WINDOW_S: Final = 5.0
+SETTLE_S: Final = 2.0
 NS_PER_S: Final = 1_000_000_000
 
 
