--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -41,11 +41,16 @@
     by_entries = [await agent_cost(directory, count) for count in ENTRY_COUNTS]
     busy = [await busy_cost(directory, count) for count in ENTRY_COUNTS]
     wire = [Point(one.links, one.usage.wire_bytes_per_s) for one in busy]
-    per_zone, limit = target.WORKERS_PER_ZONE, target.CONTROL_BYTES_PER_S
+    limit = target.CONTROL_BYTES_PER_S
+    # An entry has links to every agent of the list; the slopes named by the zone tell what links
+    # to the agents of its own zone alone would cost.
     return [
-        Slope("busy_links_wire", "B/s", "links", wire, per_zone, limit),
-        *slopes_of("entry_links", "agents", by_agents, target.WORKERS_PER_ZONE),
-        *slopes_of("agent_links", "entries", by_entries, target.ENTRIES_PER_ZONE),
+        *slopes_of("entry_links", "agents", by_agents, target.WORKERS),
+        *slopes_of("entry_zone_links", "agents", by_agents, target.WORKERS_PER_ZONE),
+        *slopes_of("agent_links", "entries", by_entries, target.ENTRIES),
+        *slopes_of("agent_zone_links", "entries", by_entries, target.ENTRIES_PER_ZONE),
+        Slope("busy_links_wire", "B/s", "links", wire, target.ENTRIES, limit),
+        Slope("busy_zone_links_wire", "B/s", "links", wire, target.WORKERS_PER_ZONE, limit),
     ]
 
 
