--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.requirements-installed
 
-.PHONY: venv format lint test demo pages measure-documents measure-capacity
+.PHONY: venv format lint test demo pages
 
 venv: $(STAMP)
 
@@ -34,12 +34,20 @@
 pages: venv
 	$(PY) -m misc.pages
 
-# Measures how soon edits are in force everywhere; takes about three minutes.
 SEED ?= 1
+
+# Measures how soon edits are in force everywhere; takes about three minutes.
+.PHONY: measure-documents
 measure-documents: venv
 	$(PY) -m misc.measure_documents --seed $(SEED)
 
 # Measures how costs grow with the fleet, for docs/CAPACITY.md; takes about six minutes.
 GROUPS ?= tables links spread relay rollout
+.PHONY: measure-capacity
 measure-capacity: venv
 	$(PY) -m misc.measure_capacity $(foreach group,$(GROUPS),--only $(group))
+
+# Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
+.PHONY: faults
+faults: venv
+	$(PY) -m misc.faults --seed $(SEED)
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -6,11 +6,12 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from random import Random
 from typing import Any, Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.codes.request import OUTCOME_UNKNOWN
+from gypsumpier.codes.request import UPSTREAM_UNREACHABLE
 from gypsumpier.codes.wire import CONNECTION_CLOSED
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.errors import GypsumpierError
@@ -29,6 +30,8 @@
 
 REDIAL_MIN_S: Final = 0.1
 REDIAL_MAX_S: Final = 2.0
+RETRY_AFTER_S: Final = 1.0
+KEY_KINDS: Final = frozenset({"records", "inherited"})
 
 
 class Link:
@@ -52,6 +55,7 @@
         self.spread = spread
         self.pace = pace
         self.session: Session | None = None
+        self.opened: Connection | None = None
         self.connection: Connection | None = None
         self.attempts: dict[str, Attempt] = {}
         self.live: list[LiveModel] = []
@@ -59,6 +63,10 @@
         self.healthy = False
         self.reported_in_flight = 0
         self.reported_at_s = 0.0
+        self.incarnation = ""
+        self.started_at_s = 0.0
+        self.welcomed: Callable[[Link], None] = ignore
+        self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -94,7 +102,7 @@
         keep_alive = asyncio.create_task(connection.keep_alive())
         try:
             await connection.send("hello", self.hello())
-            self.connection = connection
+            self.opened = connection
             if self.spread is not None:
                 self.session = self.spread.attach(connection, Identity(member.name, member.role))
             async for frame in connection.frames():
@@ -121,13 +129,26 @@
             if self.session is not None:
                 self.session.take(frame)
             return
+        if frame.kind == "welcome":
+            self.take_welcome(frame.payload)
+            return
         if frame.kind == "state":
             self.take_state(frame.payload)
             return
+        if frame.kind in KEY_KINDS:
+            self.told(self, frame)
+            return
         attempt = self.attempts.get(frame.exchange)
         if attempt is not None:
             attempt.deliver(frame)
 
+    def take_welcome(self, payload: dict[str, Any]) -> None:
+        """Keep which process answers on this connection; requests may be sent from now on."""
+        self.incarnation = payload["incarnation"]
+        self.started_at_s = self.clock.monotonic() - payload["uptime_s"]
+        self.connection = self.opened
+        self.welcomed(self)
+
     def take_state(self, payload: dict[str, Any]) -> None:
         """Keep what the agent reports of its upstream."""
         self.live = [LiveModel(*fields) for fields in payload["live"]]
@@ -137,12 +158,12 @@
         self.reported_at_s = self.clock.monotonic()
 
     def lose(self, connection: Connection) -> None:
-        """Fail what was in flight on a closed connection."""
+        """Let the attempts in flight on a closed connection know."""
+        self.opened = None
         self.connection = None
         self.healthy = False
         for attempt in self.attempts.values():
-            code = OUTCOME_UNKNOWN if attempt.sent else connection.close_reason
-            attempt.fail(code, f"connection to {self.member.name} was lost")
+            attempt.lose(connection.close_reason)
 
     def is_usable(self) -> bool:
         """Tell whether new work may be sent."""
@@ -153,14 +174,28 @@
         return any(live.model == model and live.version == version for live in self.live)
 
     async def send(self, attempt: Attempt, payload: dict[str, Any]) -> None:
-        """Send the request of an attempt; after this call it may have run."""
+        """Send the request of an attempt; raise GypsumpierError where it certainly was not sent."""
+        connection = self.connection
+        if connection is None or connection.closed:
+            raise GypsumpierError(UPSTREAM_UNREACHABLE, self.member.name, RETRY_AFTER_S)
+        self.attempts[attempt.exchange] = attempt
+        attempt.incarnation = self.incarnation
+        attempt.wait_on(connection)
+        with contextlib.suppress(GypsumpierError):
+            # A write that fails may have sent the frame; the reader notices the lost connection.
+            await connection.send("request", payload, attempt.exchange)
+
+    async def resume(self, attempt: Attempt, age_s: float) -> None:
+        """Ask after an attempt whose connection was lost."""
+        attempt.wait_on(self.connection)
+        payload = {"next_sequence": attempt.expected_sequence, "age_s": age_s}
+        await self.tell("resume", payload, attempt.exchange)
+
+    async def tell(self, kind: str, payload: dict[str, Any], exchange: str = "") -> None:
+        """Send a frame that runs nothing."""
         if self.connection is None:
             raise GypsumpierError(CONNECTION_CLOSED, f"no connection to {self.member.name}")
-        self.attempts[attempt.exchange] = attempt
-        attempt.sent = True
-        attempt.connection = self.connection
-        self.connection.begin_waiting()
-        await self.connection.send("request", payload, attempt.exchange)
+        await self.connection.send(kind, payload, exchange)
 
     async def cancel(self, attempt: Attempt) -> None:
         """Tell the agent that nobody waits for the attempt any more."""
@@ -171,6 +206,8 @@
     def forget(self, attempt: Attempt) -> None:
         """Drop an ended attempt; late frames of it are dropped from now on."""
         self.attempts.pop(attempt.exchange, None)
-        if attempt.connection is not None:
-            attempt.connection.end_waiting()
-            attempt.connection = None
+        attempt.wait_on(None)
+
+
+def ignore(*told: object) -> None:
+    """Do nothing about what a link tells."""
--- a/misc/capacity/probekey.py
+++ b/misc/capacity/probekey.py
@@ -22,8 +22,7 @@
     before_s = time.process_time()
     for number, key in enumerate(keys):
         ledger.claim(key, f"{number:064x}", float(number), float(number))
-        headers = {"Content-Type": "application/json"}
-        ledger.finish(key, KeptAnswer(200, headers, b"%200d" % number), float(number))
+        ledger.finish(key, KeptAnswer(b"%400d" % number), float(number))
     claim_s = (time.process_time() - before_s) / size
     held_bytes = resident_bytes(os.getpid()) - empty_bytes
     return {"held_bytes": held_bytes, "claim_s": claim_s}
