--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,12 @@
 measure-documents: venv
 	$(PY) -m misc.measure_documents --seed $(SEED)
 
+# Measures how costs grow with the fleet, for docs/CAPACITY.md; takes about six minutes.
+GROUPS ?= tables links spread relay rollout
+.PHONY: measure-capacity
+measure-capacity: venv
+	$(PY) -m misc.measure_capacity $(foreach group,$(GROUPS),--only $(group))
+
 # Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
 .PHONY: faults
 faults: venv
