--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,8 @@
 .PHONY: faults
 faults: venv
 	$(PY) -m misc.faults --seed $(SEED)
+
+# Measures goodput, fairness, prefix hits and what entry and agent add to an answer.
+.PHONY: measure-requests
+measure-requests: venv
+	$(PY) -m misc.measure_requests --seed $(SEED)
