Leave a home's own keys out of the reports to it; send a lost copy of a key again

A copy that was lost with its connection was reported to the same home as one that may have run elsewhere, so its resend was key_outcome_unknown.

--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -30,6 +30,7 @@
 
 KEY_BYTES: Final = 200
 FAREWELLS: Final = 2
+NO_HOME: Final = "none"
 RETRY_AFTER_S: Final = 1.0
 
 
@@ -123,7 +124,7 @@
             "lost": [[*entry, now_s - at_s] for entry, at_s in self.lost_at_s.items()],
             "inherited": [list(entry) for name, entry in self.inherited if name == service],
         }
-        parts = list(pack_keys(self.sent.report(service, now_s)))
+        parts = list(pack_keys(self.sent.report(service, link.incarnation, now_s)))
         try:
             for number, part in enumerate(parts, 1):
                 complete = number == len(parts)
@@ -149,7 +150,7 @@
         now_s = self.clock.monotonic()
         for service in {link.member.service for link in self.links.links.values()}:
             links = [link for link in self.links.of_service(service) if link.connection]
-            parts = list(pack_keys(self.sent.report(service, now_s)))
+            parts = list(pack_keys(self.sent.report(service, NO_HOME, now_s)))
             for link in self.random.sample(links, min(FAREWELLS, len(links))):
                 await self.say_farewell(link, parts)
 
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -38,7 +38,9 @@
 HOME_POLL_S: Final = 0.1
 
 # The copy was not run by its home, although the key may have run before.
-WITHDRAWN: Final = frozenset({codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL})
+WITHDRAWN: Final = frozenset(
+    {codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL, codes.UPSTREAM_UNREACHABLE}
+)
 
 
 class Relay:
@@ -207,7 +209,8 @@
         key_id = KeyId(request.workspace, request.key)
         printed = fingerprint(request.method, request.path, request.body)
         now_s = self.clock.monotonic()
-        if not self.keys.sent.note(request.service, key_id, printed, now_s):
+        home = link.incarnation
+        if not self.keys.sent.note(request.service, key_id, printed, home, now_s):
             raise GypsumpierError(codes.KEYS_FULL, "this entry keeps too many keys", RETRY_AFTER_S)
         state: KeyState | None = KeyState.UNKNOWN
         try:
@@ -284,6 +287,9 @@
         last = self.last
         if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
             return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
+        if last.code is codes.UPSTREAM_UNREACHABLE and self.request.has_home():
+            # This copy never reached the home; another one may have.
+            return GypsumpierError(codes.HOME_UNREACHABLE, last.detail, last.retry_after_s)
         without_key = not self.request.idempotent and not self.request.key
         if without_key and last.code.outcome is Outcome.UNKNOWN:
             return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
--- a/gypsumpier/idempotency/sent_keys.py
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.idempotency.record import KeptAnswer, KeyState
@@ -16,6 +16,7 @@
 class SentKey:
     """One key; ``state`` is REFUSED while every send was answered with *not run*.
 
+    ``homes`` are the processes that it was sent to; an empty name stands for unknown ones.
     ``answer`` is kept for a home that stopped as planned, until the next one asks.
     """
 
@@ -25,6 +26,7 @@
     unsettled: int
     changed_at_s: float
     answer: KeptAnswer | None = None
+    homes: set[str] = field(default_factory=set)
 
 
 class SentKeys:
@@ -36,8 +38,8 @@
         self.retention_s = retention_s
         self.keys: OrderedDict[tuple[str, KeyId], SentKey] = OrderedDict()
 
-    def note(self, service: str, key_id: KeyId, fingerprint: str, now_s: float) -> bool:
-        """Note a key before it is sent; False means that it must not be sent."""
+    def note(self, service: str, key_id: KeyId, fingerprint: str, home: str, now_s: float) -> bool:
+        """Note a key before it is sent to a process; False means that it must not be sent."""
         self.forget_old(now_s)
         known = self.keys.get((service, key_id))
         if known is None:
@@ -46,6 +48,7 @@
             known = SentKey(service, fingerprint, KeyState.REFUSED, 0, now_s)
             self.keys[(service, key_id)] = known
         known.unsettled += 1
+        known.homes.add(home)
         self.touch(service, key_id, now_s)
         return True
 
@@ -73,6 +76,7 @@
             self.keys[(service, reported.key_id)] = known
         elif reported.state is KeyState.DONE or known.state is KeyState.REFUSED:
             known.state = reported.state
+        known.homes.add("")
         if reported.answer is not None and known.answer is None:
             self.keep_answer(known, reported.answer)
 
@@ -82,15 +86,18 @@
             self.answer_bytes_left -= len(answer.content)
             key.answer = answer
 
-    def report(self, service: str, now_s: float) -> list[ReportedKey]:
-        """Return every key of the service, with when each refused one was refused."""
+    def report(self, service: str, home: str, now_s: float) -> list[ReportedKey]:
+        """Return every key of the service, with when each refused one was refused.
+
+        Keys that were sent to this ``home`` alone are left out: it knows more of them.
+        """
         self.forget_old(now_s)
         return [
             ReportedKey(
                 key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s, key.answer
             )
             for (name, key_id), key in self.keys.items()
-            if name == service
+            if name == service and key.homes != {home}
         ]
 
     def touch(self, service: str, key_id: KeyId, now_s: float) -> None:
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -155,7 +155,7 @@
         last_s = self.sent_at_s.get(key_id, self.now_s)
         assume(self.now_s - last_s < LIMITS.horizon_s)
         self.sent_at_s[key_id] = self.now_s
-        assert entry.sent.note(SERVICE, key_id, "f", self.now_s)
+        assert entry.sent.note(SERVICE, key_id, "f", str(holder), self.now_s)
         copy = Copy(entry, self.agents[holder], key_id, self.now_s)
         if at_once:
             self.receive(copy, False)
@@ -213,7 +213,7 @@
         if agent.number < entry.holders.get(slot, -1):
             return
         entry.holders[slot] = agent.number
-        for reported in entry.sent.report(SERVICE, self.now_s):
+        for reported in entry.sent.report(SERVICE, str(agent.number), self.now_s):
             changed_at_s = self.now_s - reported.age_s
             learnt = KeyRecord(reported.fingerprint, reported.state, changed_at_s)
             agent.ledger.learn(reported.key_id, learnt)
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -57,6 +57,28 @@
 
         run(scenario())
 
+    def test_a_key_lost_on_the_way_is_sent_again_to_its_home(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            for link in world.network.links:
+                link.silent = True
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+
+        run(scenario())
+
+    def test_a_key_whose_home_is_out_of_reach_is_not_called_not_run(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            world.network.partition(agent.member.host, entry.member.host)
+            call = plain_call(world, "k")
+            self.assertEqual("outcome_unknown", await outcome(world, entry, call))
+            self.assertEqual("home_unreachable", await outcome(world, entry, call))
+
+        run(scenario())
+
     def test_a_stream_goes_on_where_it_was_cut(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -198,6 +220,9 @@
             failure.note(GypsumpierError(codes.OUTCOME_UNKNOWN, ""), link)
             failure.note(GypsumpierError(codes.UPSTREAM_LEAVING, ""), link)
             self.assertEqual(codes.OUTCOME_UNKNOWN, failure.told().code)
+            failure = Failure(plain_call(world, "k"))
+            failure.note(GypsumpierError(codes.UPSTREAM_UNREACHABLE, ""), link)
+            self.assertEqual(codes.HOME_UNREACHABLE, failure.told().code)
 
         run(scenario())
 
