Keep to the youngest process of a slot while the member list goes back and forth

Entries opened a link for each change between an old and a new process in the list and never closed it: 353 connections at one agent.

--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -169,7 +169,7 @@
     def home(self, request: CallerRequest, document: ServiceDocument) -> Link:
         """Return the link to the home of the request's key; raise where there is none."""
         slot = home_slot(document, KeyId(request.workspace, request.key))
-        link = self.links.links.get(slot)
+        link = self.links.best(slot) if slot in self.links.links else None
         if link is None or link.connection is None or not self.is_holder(link):
             raise GypsumpierError(HOME_UNREACHABLE, slot, RETRY_AFTER_S)
         if EntryId(self.options.name, self.options.incarnation) not in self.listed:
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -87,7 +87,12 @@
             await link.stop()
 
     def open(self, member: Member) -> None:
-        """Add and start the link to a new member."""
+        """Add and start the link to a new member, or take back the one that still stands."""
+        for link in self.replaced:
+            if link.member.name == member.name and not differs(link.member, member):
+                self.replaced.remove(link)
+                self.links[member.name] = link
+                return
         link = Link(
             self.options, self.clock, self.dialer, self.random, member, self.spread, self.pace
         )
@@ -98,8 +103,19 @@
         link.start()
 
     def of_service(self, service: str) -> list[Link]:
-        """Return the links to the agents of a service."""
-        return [link for link in self.links.values() if link.member.service == service]
+        """Return the best link to each agent of a service."""
+        return [
+            self.best(name) for name, link in self.links.items() if link.member.service == service
+        ]
+
+    def best(self, name: str) -> Link:
+        """Return the connected link to the youngest process in a slot.
+
+        A stale member list may name a process that has been replaced already.
+        """
+        links = [link for link in self.replaced if link.member.name == name]
+        connected = [link for link in [self.links[name], *links] if link.connection is not None]
+        return max(connected, key=lambda link: link.started_at_s, default=self.links[name])
 
 
 def differs(old: Member, new: Member) -> bool:
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -195,6 +195,27 @@
         run(scenario())
 
 
+class StaleListTest(unittest.TestCase):
+    def test_a_list_that_names_a_replaced_process_changes_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            for _ in range(5):
+                for member in (agent.member, successor.member):
+                    world.members.put(member)
+                    await asyncio.sleep(1.0)
+                    self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertLessEqual(len(entry.links.replaced), 1)
+            self.assertEqual(1, len(successor.listener.connections))
+            world.members.put(agent.member)
+            await asyncio.sleep(1.0)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+
+        run(scenario())
+
+
 class FailureTest(unittest.TestCase):
     def test_an_entry_that_is_full_does_not_call_a_key_not_run(self) -> None:
         async def scenario() -> None:
