Let entries tell a new home which entries are listed

An agent's own table holds only the entries that have introduced themselves since lists are passed on by service, so a new home could miss an entry that never reached it. The home now asks the entries, and waits for each one that any of them finds listed.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -56,7 +56,7 @@
             self.spread,
         )
         self.upstream = self.build_upstream()
-        self.home = Home(options, self.clock, self.documents, self.members, self.upstream)
+        self.home = Home(options, self.clock, self.documents, self.upstream)
         self.gate = Gate(options, self.clock, self.upstream, self.home)
         self.listener = Listener(options, self.clock, self.gate, self.spread)
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import msgpack
@@ -21,15 +22,15 @@
 from gypsumpier.idempotency.key import KeyId, fingerprint
 from gypsumpier.idempotency.ledger import Ledger
 from gypsumpier.idempotency.record import KeptAnswer, KeyRecord, KeyState, Verdict
-from gypsumpier.idempotency.succession import EntryId, Succession, SuccessionLimits
+from gypsumpier.idempotency.succession import Succession, SuccessionLimits
 from gypsumpier.log import decision
-from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 
 RETRY_AFTER_S: Final = 1.0
 
 # A copy that reaches another entry just before the caller hears of a refusal is refused as well.
 CROSSING_S: Final = 0.25
+ASK_INTERVAL_S: Final = 0.25
 
 VERDICT_CODES: Final[dict[Verdict, ResultCode]] = {
     Verdict.ANSWER_GONE: codes.ANSWER_GONE,
@@ -48,13 +49,11 @@
         options: Options,
         clock: Clock,
         documents: DocumentTable,
-        members: MemberTable,
         upstream: Upstream,
     ) -> None:
         self.options = options
         self.clock = clock
         self.documents = documents
-        self.members = members
         self.upstream = upstream
         self.ledger = Ledger(
             options.key_memory_bytes, options.answer_memory_bytes, options.key_retention_s
@@ -64,6 +63,8 @@
         )
         self.succession = Succession(limits, clock.monotonic())
         self.signature = ""
+        self.asked_at_s = float("-inf")
+        self.ask: Callable[[], None] = ask_nobody
         self.running: dict[KeyId, asyncio.Task[None]] = {}
         documents.subscribe(self.take_document)
 
@@ -80,13 +81,6 @@
         self.signature = signature
         self.succession.revision = accepted.revision
 
-    def take_members(self) -> None:
-        """Tell the succession which entries are listed now."""
-        listed = frozenset(
-            EntryId(member.name, member.incarnation) for member in self.members.entries()
-        )
-        self.succession.note_list(listed, self.clock.monotonic())
-
     async def answer(self, order: AttemptOrder, refusal: GypsumpierError | None) -> list[Part]:
         """Return the parts of the one answer under the order's key.
 
@@ -120,11 +114,17 @@
         known = self.ledger.query(key_id, now_s)
         if known is not None and known.state is not KeyState.REFUSED:
             return
-        self.take_members()
         wait_s = self.succession.wait_s(key_id.key, now_s, self.clock.wall())
         if wait_s > 0:
+            self.ask_entries(now_s)
             raise GypsumpierError(codes.HOME_RECOVERING, self.options.name, wait_s)
 
+    def ask_entries(self, now_s: float) -> None:
+        """Ask the connected entries which entries they find on the member list."""
+        if now_s - self.asked_at_s >= ASK_INTERVAL_S:
+            self.asked_at_s = now_s
+            self.ask()
+
     async def wait(self, key_id: KeyId, timeout_s: float) -> None:
         """Wait for the run under the key; raise where the caller's deadline passes first."""
         task = self.running.get(key_id)
@@ -183,6 +183,10 @@
         return self.documents.document(self.options.service)
 
 
+def ask_nobody() -> None:
+    """Ask nobody: nothing listens yet."""
+
+
 def verdict_of(record: KeyRecord) -> Verdict:
     """Return what to tell about an ended key without a kept answer."""
     if record.state is KeyState.DONE:
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -41,6 +41,8 @@
         self.pace = Pace(options)
         self.healthy = False
         self.random = Random()
+        self.asking: set[asyncio.Task[None]] = set()
+        gate.home.ask = self.ask_entries
         self.started_at_s = clock.monotonic()
         self.connections: set[Connection] = set()
 
@@ -88,6 +90,8 @@
             await send_parts(connection, frame.exchange, parts, 0)
         elif frame.kind == "keys":
             self.take_keys(frame.payload)
+        elif frame.kind == "entries":
+            self.take_entries(frame.payload)
         elif frame.kind == "farewell":
             await self.pass_on(frame, connection)
 
@@ -101,20 +105,35 @@
             await send_parts(connection, frame.exchange, [part], sequence)
 
     def take_keys(self, payload: dict[str, Any]) -> None:
-        """Learn the keys that an entry has sent, and which entries it saw disappear."""
+        """Learn the keys that an entry has sent."""
         home = self.gate.home
         now_s = self.clock.monotonic()
         for key in unpack_keys(payload["keys"]):
             changed_at_s = now_s - key.age_s
             record = KeyRecord(key.fingerprint, key.state, changed_at_s, key.answer)
             home.ledger.learn(key.key_id, record)
-        for name, incarnation, age_s in payload["lost"]:
-            home.succession.note_lost(EntryId(name, incarnation), now_s - age_s)
         if payload["complete"]:
             entry = EntryId(payload["name"], payload["incarnation"])
             for reporter in [entry, *(EntryId(*fields) for fields in payload["inherited"])]:
                 home.succession.note_report(reporter, payload["revision"])
 
+    def take_entries(self, payload: dict[str, Any]) -> None:
+        """Learn which entries an entry finds listed, and which it saw disappear."""
+        succession = self.gate.home.succession
+        now_s = self.clock.monotonic()
+        for name, incarnation, age_s in payload["lost"]:
+            succession.note_lost(EntryId(name, incarnation), now_s - age_s)
+        reporter = EntryId(payload["name"], payload["incarnation"])
+        listed = frozenset(EntryId(*fields) for fields in payload["listed"])
+        succession.note_list(reporter, listed, now_s)
+
+    def ask_entries(self) -> None:
+        """Ask every connected entry for the entries it finds listed."""
+        for connection in self.connections:
+            task = asyncio.create_task(ask(connection))
+            self.asking.add(task)
+            task.add_done_callback(self.asking.discard)
+
     async def pass_on(self, frame: Frame, sender: Connection) -> None:
         """Pass the keys of a stopping entry on to a few others."""
         others = [connection for connection in self.connections if connection is not sender]
@@ -159,6 +178,12 @@
         }
 
 
+async def ask(connection: Connection) -> None:
+    """Ask one entry for the entries it finds listed."""
+    with contextlib.suppress(GypsumpierError):
+        await connection.send("entries_wanted", {})
+
+
 async def send_parts(
     connection: Connection, exchange: str, parts: list[Part], sequence: int
 ) -> None:
--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Coroutine
 from random import Random
 from typing import Any, Final, NamedTuple
 
@@ -108,10 +109,29 @@
 
     def report_to(self, link: Link) -> None:
         """Start to report to the agent of the link."""
-        task = asyncio.create_task(self.report(link))
+        self.spawn(self.report(link))
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine beside the caller."""
+        task = asyncio.create_task(coroutine)
         self.reports.add(task)
         task.add_done_callback(self.reports.discard)
 
+    def entries_payload(self) -> dict[str, Any]:
+        """Return which entries are listed and which disappeared, as this entry sees it."""
+        now_s = self.clock.monotonic()
+        return {
+            "name": self.options.name,
+            "incarnation": self.options.incarnation,
+            "listed": [list(entry) for entry in self.listed],
+            "lost": [[*entry, now_s - at_s] for entry, at_s in self.lost_at_s.items()],
+        }
+
+    async def tell_entries(self, link: Link) -> None:
+        """Tell an agent that asks which entries are listed."""
+        with contextlib.suppress(GypsumpierError):
+            await link.tell("entries", self.entries_payload())
+
     async def report(self, link: Link) -> None:
         """Send the keys of the service in frames; the last one makes the promise."""
         service = link.member.service
@@ -121,7 +141,6 @@
             "name": self.options.name,
             "incarnation": self.options.incarnation,
             "revision": accepted.revision if accepted else 0,
-            "lost": [[*entry, now_s - at_s] for entry, at_s in self.lost_at_s.items()],
             "inherited": [list(entry) for name, entry in self.inherited if name == service],
         }
         parts = list(pack_keys(self.sent.report(service, link.incarnation, now_s)))
@@ -129,11 +148,15 @@
             for number, part in enumerate(parts, 1):
                 complete = number == len(parts)
                 await link.tell("keys", payload | {"keys": part, "complete": complete})
+            await link.tell("entries", self.entries_payload())
         except GypsumpierError as error:
             decision("keys_not_reported", upstream=link.member.name, reason=error)
 
     def take_told(self, link: Link, frame: Frame) -> None:
-        """Take over the keys of a stopping agent or entry, and let the homes know."""
+        """Take over the keys of a stopping agent or entry and let the homes know; or answer."""
+        if frame.kind == "entries_wanted":
+            self.spawn(self.tell_entries(link))
+            return
         payload = frame.payload
         service = payload.get("service", link.member.service)
         now_s = self.clock.monotonic()
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -33,7 +33,7 @@
 REDIAL_MAX_S: Final = 2.0
 RETRY_AFTER_S: Final = 1.0
 REPORT_HALF_LIFE_S: Final = 1.0
-KEY_KINDS: Final = frozenset({"records", "inherited"})
+KEY_KINDS: Final = frozenset({"records", "inherited", "entries_wanted"})
 
 
 class Link:
--- a/gypsumpier/idempotency/succession.py
+++ b/gypsumpier/idempotency/succession.py
@@ -10,10 +10,12 @@
 time-ordered UUID that it is younger may run.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from gypsumpier.idempotency.key import made_at_s
 
+ASK_AGAIN_S: Final = 0.5
+
 
 class EntryId(NamedTuple):
     """One entry process."""
@@ -22,6 +24,13 @@
     incarnation: str
 
 
+class ReportedList(NamedTuple):
+    """The entries on the member list, as one entry reported them at ``at_s``."""
+
+    entries: frozenset[EntryId]
+    at_s: float
+
+
 class SuccessionLimits(NamedTuple):
     """Times of a succession, in seconds.
 
@@ -42,8 +51,7 @@
         self.began_at_s = now_s
         self.revision = 0
         self.reports: dict[EntryId, int] = {}
-        self.listed: frozenset[EntryId] = frozenset()
-        self.listed_at_s: float | None = None
+        self.lists: dict[EntryId, ReportedList] = {}
         self.lost_at_s: dict[EntryId, float] = {}
 
     def begin(self, revision: int, now_s: float) -> None:
@@ -51,15 +59,10 @@
         self.revision = revision
         self.began_at_s = now_s
 
-    def note_list(self, entries: frozenset[EntryId], now_s: float) -> None:
-        """Take in the entries of the member list; an empty list tells nothing."""
-        if not entries:
-            return
+    def note_list(self, reporter: EntryId, entries: frozenset[EntryId], now_s: float) -> None:
+        """Take in the entries that an entry finds on the member list now."""
         self.forget_old(now_s)
-        for entry in self.listed - entries:
-            self.note_lost(entry, now_s)
-        self.listed = entries
-        self.listed_at_s = now_s
+        self.lists[reporter] = ReportedList(entries, now_s)
 
     def note_lost(self, entry: EntryId, lost_at_s: float) -> None:
         """Note that an entry disappeared, as the list or another entry's report tells."""
@@ -78,7 +81,7 @@
         if now_s < self.began_at_s + limits.settle_s:
             return self.began_at_s + limits.settle_s - now_s
         if not self.all_reported():
-            return min(limits.settle_s, until_horizon_s)
+            return min(ASK_AGAIN_S, until_horizon_s)
         lost_at_s = self.last_loss_s()
         if lost_at_s is None or lost_at_s + limits.horizon_s <= now_s:
             return 0.0
@@ -87,11 +90,15 @@
         return lost_at_s + limits.horizon_s - now_s
 
     def all_reported(self) -> bool:
-        """Tell whether every entry of a list that was read after settling has reported."""
+        """Tell whether every entry has reported that any list read after settling names."""
         settled_at_s = self.began_at_s + self.limits.settle_s
-        if self.listed_at_s is None or self.listed_at_s < settled_at_s or not self.listed:
-            return False
-        return all(self.has_reported(entry) for entry in self.listed)
+        fresh = [
+            reported.entries
+            for reporter, reported in self.lists.items()
+            if reported.at_s >= settled_at_s and reporter not in self.lost_at_s
+        ]
+        listed = frozenset[EntryId]().union(*fresh) - self.lost_at_s.keys()
+        return bool(listed) and all(self.has_reported(entry) for entry in listed)
 
     def forget_old(self, now_s: float) -> None:
         """Forget entries that disappeared longer ago than any caller resends."""
@@ -100,6 +107,7 @@
             if now_s - lost_at_s > kept_s:
                 del self.lost_at_s[entry]
                 self.reports.pop(entry, None)
+                self.lists.pop(entry, None)
 
     def has_reported(self, entry: EntryId) -> bool:
         """Tell whether the entry's report is for the homes in force."""
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -92,7 +92,7 @@
         )
         self.member = member
         self.upstream = upstream
-        self.home = Home(options, world.clock, world.documents, world.members, upstream)
+        self.home = Home(options, world.clock, world.documents, upstream)
         for accepted in world.documents.accepted.values():
             self.home.take_document(accepted)
         self.gate = Gate(options, world.clock, upstream, self.home)
--- a/gypsumpier/test/test_ledger.py
+++ b/gypsumpier/test/test_ledger.py
@@ -24,7 +24,7 @@
 def reported(began_at_s: float = 0.0) -> Succession:
     """Return a succession in which both entries are listed after settling and have reported."""
     succession = Succession(LIMITS, began_at_s)
-    succession.note_list(frozenset([ONE, OTHER]), began_at_s + LIMITS.settle_s)
+    succession.note_list(ONE, frozenset([ONE, OTHER]), began_at_s + LIMITS.settle_s)
     succession.note_report(ONE, 0)
     succession.note_report(OTHER, 0)
     return succession
@@ -33,10 +33,10 @@
 class SuccessionTest(unittest.TestCase):
     def test_a_list_from_before_the_settling_time_proves_nothing(self) -> None:
         succession = Succession(LIMITS, 0.0)
-        succession.note_list(frozenset([ONE]), 1.0)
+        succession.note_list(ONE, frozenset([ONE]), 1.0)
         succession.note_report(ONE, 0)
         self.assertGreater(succession.wait_s("opaque", 4.0, WALL_S), 0)
-        succession.note_list(frozenset([ONE, OTHER]), 4.0)
+        succession.note_list(ONE, frozenset([ONE, OTHER]), 4.0)
         self.assertGreater(succession.wait_s("opaque", 4.0, WALL_S), 0)
         succession.note_report(OTHER, 0)
         self.assertEqual(0, succession.wait_s("opaque", 4.0, WALL_S))
@@ -44,7 +44,7 @@
     def test_a_report_for_earlier_homes_does_not_count(self) -> None:
         succession = reported()
         succession.begin(7, 10.0)
-        succession.note_list(frozenset([ONE, OTHER]), 14.0)
+        succession.note_list(ONE, frozenset([ONE, OTHER]), 14.0)
         succession.note_report(ONE, 7)
         self.assertGreater(succession.wait_s("opaque", 14.0, WALL_S), 0)
         succession.note_report(OTHER, 7)
@@ -60,10 +60,15 @@
         self.assertGreater(succession.wait_s(key_made_at(WALL_S + 60.0), 20.0, wall_s), 0)
         self.assertEqual(0, succession.wait_s("opaque", 102.0, wall_s + 82.0))
 
-    def test_an_empty_list_loses_nobody(self) -> None:
+    def test_no_list_at_all_proves_nothing(self) -> None:
+        succession = Succession(LIMITS, 0.0)
+        succession.note_report(ONE, 0)
+        self.assertGreater(succession.wait_s("opaque", 6.0, WALL_S), 0)
+
+    def test_an_entry_that_only_one_other_lists_is_waited_for(self) -> None:
         succession = reported()
-        succession.note_list(frozenset(), 5.0)
-        self.assertEqual(0, succession.wait_s("opaque", 6.0, WALL_S))
+        succession.note_list(OTHER, frozenset([ONE, OTHER, EntryId("entry/a/2", "1")]), 5.0)
+        self.assertGreater(succession.wait_s("opaque", 6.0, WALL_S), 0)
 
     @given(st.uuids(version=4))
     @settings(derandomize=True, deadline=None, max_examples=50)
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -259,12 +259,14 @@
             if entry.started_at_s <= before_s
             and (entry.died_at_s is None or entry.died_at_s > before_s)
         )
-        for agent in self.agents:
-            if agent.alive:
-                agent.succession.note_list(listed, self.now_s)
         for entry in self.entries:
             if entry.died_at_s is None:
                 self.note_losses(entry, listed)
+        for agent in self.agents:
+            if agent.alive:
+                agent.succession.note_list(self.entries[0].id, listed, self.now_s)
+                for lost, lost_at_s in self.entries[0].lost.items():
+                    agent.succession.note_lost(lost, lost_at_s)
 
     def note_losses(self, entry: EntryFake, listed: frozenset[EntryId]) -> None:
         """Let an entry note which entries disappeared."""
