--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -10,7 +10,7 @@
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
-from gypsumpier.entry.caller import ChatHandler, ServiceHandler
+from gypsumpier.entry.caller import ChatHandler, OutcomeHandler, ServiceHandler
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
@@ -73,6 +73,7 @@
             [
                 (r"/v1/chat/completions", ChatHandler, arguments),
                 (r"/services/([^/]+)/(.*)", ServiceHandler, arguments),
+                (r"/outcomes/([^/]+)", OutcomeHandler, arguments),
             ],
             log_function=lambda handler: None,
         )
--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -13,18 +13,27 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
-from gypsumpier.codes.request import ANSWER_CUT, DEADLINE_EXCEEDED
+from gypsumpier.codes.request import ANSWER_CUT, DEADLINE_EXCEEDED, HOME_UNREACHABLE
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.entry.answer import error_body, error_headers
-from gypsumpier.entry.intake import KEY_HEADER, chat_request, plain_request
+from gypsumpier.entry.inquiry import ask_outcome
+from gypsumpier.entry.intake import (
+    DEFAULT_WORKSPACE,
+    KEY_HEADER,
+    WORKSPACE_HEADER,
+    chat_request,
+    plain_request,
+)
 from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId
 from gypsumpier.wire.frame import Frame
 
 if TYPE_CHECKING:
     from gypsumpier.entry.application import EntryApplication
 
+OUTCOME_TIMEOUT_S: Final = 5.0
 STREAM_END: Final = b"data: [DONE]\n\n"
 
 
@@ -90,6 +99,21 @@
         finally:
             self.entry.in_flight -= 1
 
+    async def write_plain(self, frames: AsyncIterator[Frame]) -> None:
+        """Write the answer of a plain service once it is whole."""
+        parts: list[bytes] = []
+        async for frame in frames:
+            if frame.kind == "head":
+                self.set_status(frame.payload["status"])
+                for name, value in frame.payload["headers"].items():
+                    self.set_header(name, value)
+            elif frame.kind == "data":
+                parts.append(frame.payload["content"])
+            elif frame.kind == "end":
+                check_count(frame, len(parts))
+        self.set_header("Gypsumpier-Outcome", "done")
+        self.write(b"".join(parts))
+
     def frames(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
         """Return the frames of the answer."""
         return self.entry.relay.run(request, document)
@@ -182,18 +206,23 @@
     get = post = put = delete = patch = handle
 
     async def answer(self, request: CallerRequest, document: ServiceDocument) -> None:
-        parts: list[bytes] = []
-        async for frame in self.frames(request, document):
-            if frame.kind == "head":
-                self.set_status(frame.payload["status"])
-                for name, value in frame.payload["headers"].items():
-                    self.set_header(name, value)
-            elif frame.kind == "data":
-                parts.append(frame.payload["content"])
-            elif frame.kind == "end":
-                check_count(frame, len(parts))
-        self.set_header("Gypsumpier-Outcome", "done")
-        self.write(b"".join(parts))
+        await self.write_plain(self.frames(request, document))
+
+
+class OutcomeHandler(CallerHandler):
+    """The outcome of a key: its kept answer, or the code of what is known."""
+
+    async def get(self, service: str) -> None:
+        headers = self.request.headers
+        workspace = headers.get(WORKSPACE_HEADER, DEFAULT_WORKSPACE)
+        key_id = KeyId(workspace, headers.get(KEY_HEADER, ""))
+        try:
+            async with asyncio.timeout(OUTCOME_TIMEOUT_S):
+                await self.write_plain(ask_outcome(self.entry.keys, service, key_id))
+        except GypsumpierError as error:
+            await self.fail(refusal_of_copy(error, True))
+        except TimeoutError:
+            await self.fail(GypsumpierError(HOME_UNREACHABLE, "no answer in time"))
 
 
 def check_count(frame: Frame, count: int) -> None:
--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -190,13 +190,18 @@
                 await link.tell("farewell", payload | {"keys": part, "complete": complete})
 
     def home(self, request: CallerRequest, document: ServiceDocument) -> Link:
-        """Return the link to the home of the request's key; raise where there is none."""
-        slot = home_slot(document, KeyId(request.workspace, request.key))
+        """Return the link on which the request's key may be sent; raise where there is none."""
+        link = self.home_of(KeyId(request.workspace, request.key), document)
+        if EntryId(self.options.name, self.options.incarnation) not in self.listed:
+            raise GypsumpierError(HOME_UNREACHABLE, "entry is not on the list", RETRY_AFTER_S)
+        return link
+
+    def home_of(self, key_id: KeyId, document: ServiceDocument) -> Link:
+        """Return the link to the home of a key; raise where there is none."""
+        slot = home_slot(document, key_id)
         link = self.links.best(slot) if slot in self.links.links else None
         if link is None or link.connection is None or not self.is_holder(link):
             raise GypsumpierError(HOME_UNREACHABLE, slot, RETRY_AFTER_S)
-        if EntryId(self.options.name, self.options.incarnation) not in self.listed:
-            raise GypsumpierError(HOME_UNREACHABLE, "entry is not on the list", RETRY_AFTER_S)
         return link
 
     def is_holder(self, link: Link) -> bool:
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -185,6 +185,8 @@
         """Choose an upstream and log the decision."""
         links = self.links.of_service(request.service)
         untried = [link for link in links if link.member.name not in failure.tried]
+        if not self.options.prefix_affinity:
+            request = request._replace(prefix="")
         choice = choose(request, document, untried, self.options.zone, self.random)
         decision(
             "route",
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -56,6 +56,7 @@
     run_timeout_s: float = 60.0
     ask_timeout_s: float = 4.0
     quarantine_s: float = 300.0
+    prefix_affinity: bool = True
 
     chunk_bytes: int = 256 * 1024
     weight_memory_bytes: int = 64 * 1024 * 1024
--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -49,6 +49,7 @@
     "key_memory_bytes": "Memory for remembered keys, without their answers.",
     "answer_memory_bytes": "Memory for kept answers of keys.",
     "run_timeout_s": "Seconds that an upstream gets for a request that may not run again.",
+    "prefix_affinity": "Send prompts with one beginning to one upstream; else choose by load only.",
     "quarantine_s": "Seconds for which a request named by two crashes is refused.",
     "ask_timeout_s": "Seconds that an entry tries to ask after an attempt on a lost connection.",
     "chunk_bytes": "Bytes of one chunk of weights.",
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -5,8 +5,10 @@
 
 from gypsumpier.agent.handover import hand_over
 from gypsumpier.codes import request as codes
+from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     TOKENS,
@@ -30,6 +32,15 @@
     return agent, entry
 
 
+async def asked(entry: EntryParts, key: str) -> str:
+    """Return what the home says of a key."""
+    try:
+        frames = [frame async for frame in ask_outcome(entry.keys, "table-ops", KeyId("lab", key))]
+    except GypsumpierError as error:
+        return error.code.name
+    return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
+
+
 class LostConnectionTest(unittest.TestCase):
     def test_an_answer_on_a_silent_connection_is_asked_for_on_the_next(self) -> None:
         async def scenario() -> None:
@@ -122,6 +133,20 @@
 
         run(scenario())
 
+    def test_asking_for_an_outcome_runs_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            self.assertEqual("key_not_seen", await asked(entry, "k"))
+            call = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.2)
+            self.assertEqual("key_running", await asked(entry, "k"))
+            await call
+            self.assertEqual("go", await asked(entry, "k"))
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+
+        run(scenario())
+
     def test_a_killed_home_leaves_its_keys_unknown_and_runs_others(self) -> None:
         async def scenario() -> None:
             world = World()
--- /dev/null
+++ b/misc/measure_requests.py
@@ -0,0 +1,182 @@
+"""Measures goodput, fairness, prefix hits and the time that entry and agent add.
+
+Starts the Rung Lab deployment with engines of a known capacity, offers load at that capacity and at
+three times it, then kills all engines under load.  A second start routes by load alone, for the
+baseline of prefix hits.  Times vary with the machine.  The last line is one JSON object.
+"""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+from typing import Any, Final
+
+import click
+
+from misc.deployment import Deployment, load_deployment, with_version
+from misc.fleet import Fleet
+from misc.load import run_load
+from misc.load_arrivals import Profile
+from misc.load_call import Target
+from misc.load_result import LoadResult
+from misc.progress import agents_live, entries_see, wait_until
+from misc.requesting.added import measure_added
+from misc.requesting.counters import attempts_logged, cache_counts, entry_cpu_s, model_engines
+from misc.samples import make_weights
+from misc.stage import Stage, local_url
+
+SERVICE: Final = "gypsum-llm"
+LIVE_TIMEOUT_S: Final = 45.0
+ENGINE_CAPACITY: Final = 8
+STEP_S: Final = 0.02
+STREAM_STEP_S: Final = 0.0002
+TOKENS: Final = 24
+DEADLINE_S: Final = 4.0
+RUN_S: Final = 12.0
+OVERLOAD: Final = 3.0
+SMALL_RATE_PER_S: Final = 3.0
+OUTAGE_RATE_PER_S: Final = 40.0
+OUTAGE_S: Final = 8.0
+LARGE: Final = ("ha-noi-structures", "sai-gon-towers")
+SMALL: Final = "small-workspace"
+
+
+def capacity_per_s(engines: int) -> float:
+    """Return the requests a second that the engines can answer with full batches."""
+    step_s = STEP_S + ENGINE_CAPACITY * STREAM_STEP_S
+    return engines * ENGINE_CAPACITY / (step_s * (TOKENS + 1))
+
+
+class Measurement:
+    """The measurements on one started stage."""
+
+    def __init__(self, stage: Stage, seed: int) -> None:
+        self.stage = stage
+        self.seed = seed
+        self.capacity_per_s = capacity_per_s(len(model_engines(stage)))
+
+    async def start(self) -> None:
+        """Start everything and wait until the model is live and known."""
+        await self.stage.start()
+        for document in self.stage.deployment.documents.values():
+            wanted = with_version(document, "1") if document["kind"] == "model" else document
+            if document["service"] == SERVICE:
+                limits = {
+                    "in_flight_per_upstream": ENGINE_CAPACITY,
+                    "body_bytes": 65536,
+                    "deadline_s": DEADLINE_S,
+                }
+                wanted = wanted | {"limits": limits}
+            await self.stage.publish(wanted)
+        await wait_until(lambda: agents_live(self.stage, "1"), LIVE_TIMEOUT_S, click.echo)
+        await wait_until(lambda: entries_see(self.stage, "1"), LIVE_TIMEOUT_S, click.echo)
+
+    async def load(
+        self, rate_per_s: float, workspaces: tuple[str, ...], seconds: float = RUN_S
+    ) -> LoadResult:
+        """Offer load through all entries."""
+        profile = Profile(rate_per_s, seconds, self.seed, 1.0, workspaces)
+        urls = tuple(self.stage.entry_urls())
+        target = Target(urls, SERVICE, max_tokens=TOKENS, timeout_s=2 * DEADLINE_S)
+        return await run_load(profile, target)
+
+    async def at_capacity(self) -> dict[str, Any]:
+        """Measure at the engines' capacity."""
+        cpu_s, cache = entry_cpu_s(self.stage), await cache_counts(self.stage)
+        result = await self.load(self.capacity_per_s, LARGE)
+        show("at capacity", result)
+        return {
+            "goodput_at_capacity": goodput_per_s(result),
+            "tokens_per_s_per_entry_core": result.tokens / (entry_cpu_s(self.stage) - cpu_s),
+            "prefix_hit_ratio": (await cache_counts(self.stage)).ratio_since(cache),
+        }
+
+    async def overloaded(self) -> dict[str, Any]:
+        """Measure at three times the capacity, beside a small workspace."""
+        large, small = await asyncio.gather(
+            self.load(OVERLOAD * self.capacity_per_s, LARGE),
+            self.load(SMALL_RATE_PER_S, (SMALL,)),
+        )
+        show("at 3 times the capacity", large)
+        show("the small workspace beside it", small)
+        return {
+            "goodput_at_3x": goodput_per_s(large) + goodput_per_s(small),
+            "fairness_small_workspace": done_share(small),
+        }
+
+    async def added(self) -> dict[str, Any]:
+        """Measure what the relaying adds to the first token, one call at a time."""
+        engine = self.stage.upstreams[model_engines(self.stage)[0]]
+        document = self.stage.deployment.documents[SERVICE]
+        entry_url = self.stage.entry_urls()[0]
+        return dict(await measure_added(local_url(engine.port), entry_url, document["model"], "1"))
+
+    async def outage(self) -> dict[str, Any]:
+        """Kill every engine under load and count the attempts for each request."""
+        before = attempts_logged(self.stage)
+        load = asyncio.create_task(self.load(OUTAGE_RATE_PER_S, LARGE, OUTAGE_S))
+        for name in model_engines(self.stage):
+            await self.stage.fleet.kill(f"upstream/{name}")
+        result = await load
+        show("in the outage", result)
+        requests = sum(result.outcomes.values())
+        attempts = attempts_logged(self.stage) - before
+        return {"attempts_per_request_in_outage": attempts / requests}
+
+
+def goodput_per_s(result: LoadResult) -> float:
+    """Return the whole answers in time, for each second in which requests started."""
+    return result.outcomes.get("done", 0) / RUN_S
+
+
+def done_share(result: LoadResult) -> float:
+    """Return the share of the requests that were answered."""
+    return result.outcomes.get("done", 0) / max(1, sum(result.outcomes.values()))
+
+
+def show(name: str, result: LoadResult) -> None:
+    """Print one result in short."""
+    first, between = result.first_token, result.between_tokens
+    click.echo(
+        f"{name}: {dict(sorted(result.outcomes.items()))}, "
+        f"first token p50 {first.percentile_s(50):.3f} s p95 {first.percentile_s(95):.3f} s, "
+        f"between tokens p95 {between.percentile_s(95) * 1000:.1f} ms, "
+        f"late starts p99 {result.start_delay.percentile_s(99) * 1000:.1f} ms"
+    )
+
+
+async def measure(deployment: Deployment, seed: int, directory: Path) -> dict[str, Any]:
+    """Measure everything with affinity, then the prefix hits without it."""
+    weights = directory / "weights"
+    make_weights(weights, deployment.documents[SERVICE]["model"], seed)
+    flags = {"capacity": ENGINE_CAPACITY, "step_s": STEP_S}
+    found: dict[str, Any] = {}
+    async with Fleet(directory / "with") as fleet:
+        measurement = Measurement(Stage(fleet, deployment, weights, {}, dict(flags)), seed)
+        await measurement.start()
+        found |= await measurement.added()
+        found |= await measurement.at_capacity()
+        found |= await measurement.overloaded()
+        found |= await measurement.outage()
+    async with Fleet(directory / "without") as fleet:
+        settings = {"prefix_affinity": "false"}
+        measurement = Measurement(
+            Stage(fleet, deployment, weights, dict(settings), dict(flags)), seed
+        )
+        await measurement.start()
+        baseline = await measurement.at_capacity()
+    found["prefix_hit_ratio_random"] = baseline["prefix_hit_ratio"]
+    return found
+
+
+@click.command()
+@click.option("--seed", default=1)
+def main(seed: int) -> None:
+    """Run the measurement."""
+    with tempfile.TemporaryDirectory() as text:
+        found = asyncio.run(measure(load_deployment("rung-lab"), seed, Path(text)))
+    print(json.dumps({name: round(value, 4) for name, value in found.items()}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/misc/requesting/counters.py
@@ -0,0 +1,59 @@
+"""Counters read from the processes of a stage."""
+
+from pathlib import Path
+from typing import Final, NamedTuple
+
+import psutil
+
+from misc.http import get_json
+from misc.stage import Stage, local_url
+
+ROUTE: Final = "event=route "
+NOWHERE: Final = "upstream= version="
+
+
+class CacheCounts(NamedTuple):
+    """Blocks of prompts that engines found cached, and those they did not."""
+
+    hits: int
+    misses: int
+
+    def ratio_since(self, earlier: "CacheCounts") -> float:
+        """Return the share of hits since the earlier counts."""
+        hits, misses = self.hits - earlier.hits, self.misses - earlier.misses
+        return hits / max(1, hits + misses)
+
+
+def model_engines(stage: Stage) -> list[str]:
+    """Return the slots of model engines."""
+    return [slot.name for slot in stage.deployment.slots() if slot.kind == "model"]
+
+
+async def cache_counts(stage: Stage) -> CacheCounts:
+    """Return the engines' counts, summed up."""
+    hits = misses = 0
+    for name in model_engines(stage):
+        counts = await get_json(f"{local_url(stage.upstreams[name].port)}/control/counts")
+        hits += counts["cache_hits"]
+        misses += counts["cache_misses"]
+    return CacheCounts(hits, misses)
+
+
+def entry_cpu_s(stage: Stage) -> float:
+    """Return the processor seconds that all entries have used."""
+    total = 0.0
+    for child in stage.entries.values():
+        times = psutil.Process(child.pid).cpu_times()
+        total += times.user + times.system
+    return total
+
+
+def attempts_logged(stage: Stage) -> int:
+    """Return how many attempts the entries have sent to an upstream, by their decisions."""
+    return sum(attempts_in(child.log_path) for child in stage.entries.values())
+
+
+def attempts_in(path: Path) -> int:
+    """Return the routing decisions in a log that found an upstream."""
+    with path.open() as lines:
+        return sum(ROUTE in line and NOWHERE not in line for line in lines)
