--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -31,6 +31,7 @@
 # A copy that reaches another entry just before the caller hears of a refusal is refused as well.
 CROSSING_S: Final = 0.25
 ASK_INTERVAL_S: Final = 0.25
+ASK_INTERVAL_MAX_S: Final = 10.0
 
 VERDICT_CODES: Final[dict[Verdict, ResultCode]] = {
     Verdict.ANSWER_GONE: codes.ANSWER_GONE,
@@ -64,6 +65,7 @@
         self.succession = Succession(limits, clock.monotonic())
         self.signature = ""
         self.asked_at_s = float("-inf")
+        self.ask_interval_s = ASK_INTERVAL_S
         self.ask: Callable[[], None] = ask_nobody
         self.running: dict[KeyId, asyncio.Task[None]] = {}
         documents.subscribe(self.take_document)
@@ -78,6 +80,7 @@
         if self.signature:
             decision("homes_moved", revision=accepted.revision, reason="document moves homes")
             self.succession.begin(accepted.revision, self.clock.monotonic())
+            self.ask_interval_s = ASK_INTERVAL_S
         self.signature = signature
         self.succession.revision = accepted.revision
 
@@ -120,11 +123,18 @@
             raise GypsumpierError(codes.HOME_RECOVERING, self.options.name, wait_s)
 
     def ask_entries(self, now_s: float) -> None:
-        """Ask the connected entries which entries they find on the member list."""
-        if now_s - self.asked_at_s >= ASK_INTERVAL_S:
+        """Ask the connected entries which entries they find listed, less and less often."""
+        if now_s - self.asked_at_s >= self.ask_interval_s:
             self.asked_at_s = now_s
+            self.ask_interval_s = min(ASK_INTERVAL_MAX_S, 2 * self.ask_interval_s)
             self.ask()
 
+    def prepare(self) -> None:
+        """Ask the entries before the first key comes, once the member list has settled."""
+        now_s = self.clock.monotonic()
+        if self.succession.is_due(now_s):
+            self.ask_entries(now_s)
+
     async def wait(self, key_id: KeyId, timeout_s: float) -> None:
         """Wait for the run under the key; raise where the caller's deadline passes first."""
         task = self.running.get(key_id)
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -152,6 +152,7 @@
         with contextlib.suppress(GypsumpierError):
             await connection.send("welcome", self.welcome())
             while not connection.closed:
+                self.gate.home.prepare()
                 state = self.state()
                 now_s = self.clock.monotonic()
                 is_due = now_s - reported_at_s >= connection.peer_interval_s
--- a/gypsumpier/idempotency/succession.py
+++ b/gypsumpier/idempotency/succession.py
@@ -89,6 +89,12 @@
             return 0.0
         return lost_at_s + limits.horizon_s - now_s
 
+    def is_due(self, now_s: float) -> bool:
+        """Tell whether lists that are read now would help."""
+        settled_at_s = self.began_at_s + self.limits.settle_s
+        is_open = now_s < settled_at_s + self.limits.horizon_s
+        return is_open and now_s >= settled_at_s and not self.all_reported()
+
     def all_reported(self) -> bool:
         """Tell whether every entry has reported that any list read after settling names."""
         settled_at_s = self.began_at_s + self.limits.settle_s
