--- a/gypsumpier/agent/exchange.py
+++ b/gypsumpier/agent/exchange.py
@@ -22,6 +22,7 @@
         self.name = name
         self.parts: list[Part] = []
         self.ended = False
+        self.gone = False
         self.delivered = False
         self.changed = asyncio.Event()
         self.delivery: asyncio.Task[None] | None = None
@@ -34,6 +35,11 @@
         self.ended = part.kind in FINAL_KINDS
         self.changed.set()
 
+    def forget_parts(self) -> None:
+        """Free the memory of an answer that nobody has asked after for long."""
+        self.parts = []
+        self.gone = True
+
     def attach(self, connection: Connection, next_sequence: int) -> None:
         """Deliver from that part on over the connection, in place of an earlier one."""
         if self.delivery is not None:
--- a/gypsumpier/agent/exchanges.py
+++ b/gypsumpier/agent/exchanges.py
@@ -1,11 +1,12 @@
 """The attempts that an agent knows, so that it can say whether one was run.
 
 An attempt that is asked after and not known is noted as refused, and a late copy of it is refused
-from then on.  Only then may the entry call it *not run*.  Ended attempts are forgotten after
+from then on.  Only then may the entry call it *not run*.  The parts of an ended attempt are freed
+after ``PARTS_KEPT_S``.  Ended attempts are forgotten after
 ``KEPT_S``; a question about an attempt that may be older than that gets no such promise.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from typing import Final, NamedTuple
 
 from gypsumpier.agent.exchange import Exchange
@@ -28,6 +29,7 @@
     def __init__(self) -> None:
         self.known: dict[str, Exchange] = {}
         self.ended: OrderedDict[str, float] = OrderedDict()
+        self.with_parts: deque[Ended] = deque()
         self.refused: OrderedDict[str, float] = OrderedDict()
         self.forgotten_at_s = float("-inf")
 
@@ -39,6 +41,7 @@
     def end(self, name: str, now_s: float) -> None:
         """Note that the attempt has ended."""
         self.ended[name] = now_s
+        self.with_parts.append(Ended(name, now_s))
         self.forget_old(now_s)
 
     def refuse(self, name: str, age_s: float, now_s: float) -> bool:
@@ -51,6 +54,10 @@
 
     def forget_old(self, now_s: float) -> None:
         """Forget attempts that ended long ago, and refusals of copies that are too late anyway."""
+        while self.with_parts and now_s - self.with_parts[0].at_s > PARTS_KEPT_S:
+            exchange = self.known.get(self.with_parts.popleft().name)
+            if exchange is not None:
+                exchange.forget_parts()
         while self.ended:
             name, ended_at_s = next(iter(self.ended.items()))
             if now_s - ended_at_s <= KEPT_S and len(self.ended) <= EXCHANGES_MAX:
--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -49,10 +49,10 @@
         self.leaving = False
 
     def submit(self, order: AttemptOrder, connection: Connection) -> None:
-        """Start the attempt; a second copy of it only goes on with the first one's answer."""
+        """Start the attempt; a second copy of the frame is dropped."""
         known = self.exchanges.known.get(order.exchange)
         if known is not None:
-            known.attach(connection, 0)
+            # The frame is a copy of one that was taken before; its answer is on its way.
             return
         late = order.exchange in self.exchanges.refused
         exchange = self.exchanges.begin(order.exchange)
@@ -67,6 +67,8 @@
     ) -> GypsumpierError | None:
         """Go on with a known attempt; return what to say of one that isn't known."""
         exchange = self.exchanges.known.get(name)
+        if exchange is not None and exchange.gone:
+            return GypsumpierError(codes.OUTCOME_UNKNOWN, "its answer is no longer kept")
         if exchange is not None:
             exchange.attach(connection, next_sequence)
             return None
