Keep the frame decoders of long connections small

Cause: a decoder began with the library's buffer of a megabyte, which small frames write to from end to end, so every connection grew to a megabyte after its first megabyte received; an idle or young connection did not show it. Ruled out: a leak, as it stops at 1,044,520 B for each decoder. Shown failing first: test_a_decoder_stays_small_however_much_it_has_received read 1,090,160 bytes where 65,536 are allowed.

--- a/gypsumpier/test/test_frame.py
+++ b/gypsumpier/test/test_frame.py
@@ -1,5 +1,6 @@
 """Tests of the frame codec."""
 
+import tracemalloc
 import unittest
 
 from hypothesis import given, settings
@@ -38,3 +39,17 @@
             Decoder().feed(content)
         except GypsumpierError as error:
             self.assertIn(error.code.number, (7001, 7002))
+
+
+class DecoderMemoryTest(unittest.TestCase):
+    def test_a_decoder_stays_small_however_much_it_has_received(self) -> None:
+        content = encode(Frame("token", "exchange", 1, 1.5, {"text": "word "}))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        decoder = Decoder()
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        for _ in range(2 * 1024 * 1024 // len(content)):
+            decoder.feed(content)
+        after_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(after_bytes - before_bytes, 64 * 1024)
+        self.assertLess(before_bytes, 64 * 1024)
--- a/gypsumpier/wire/frame.py
+++ b/gypsumpier/wire/frame.py
@@ -14,6 +14,9 @@
 from gypsumpier.errors import GypsumpierError
 
 MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+# The buffer that a decoder begins with.  It grows for a larger frame only; the library's own size,
+# a megabyte, would be written to in full by and by on each of a process's many connections.
+BUFFER_BYTES: Final = 16 * 1024
 FRAME_FIELDS: Final = 5
 
 
@@ -31,7 +34,9 @@
     """Turns received bytes into frames; raises GypsumpierError on a malformed one."""
 
     def __init__(self) -> None:
-        self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=MAX_FRAME_BYTES)
+        self.unpacker = msgpack.Unpacker(
+            raw=False, max_buffer_size=MAX_FRAME_BYTES, read_size=BUFFER_BYTES
+        )
 
     def feed(self, content: bytes) -> list[Frame]:
         """Return the frames completed by ``content``."""
--- a/misc/capacity/probe.py
+++ b/misc/capacity/probe.py
@@ -10,6 +10,7 @@
 from typing import Any, Final
 
 from gypsumpier.log import LOGGER
+from misc.capacity.probedecoder import probe_decoders
 from misc.capacity.probedigest import probe_digest
 from misc.capacity.probedocument import probe_documents
 from misc.capacity.probeframe import probe_frames
@@ -24,6 +25,7 @@
     "digest": probe_digest,
     "frames": probe_frames,
     "keys": probe_keys,
+    "decoders": probe_decoders,
 }
 
 
--- a/misc/capacity/tables.py
+++ b/misc/capacity/tables.py
@@ -13,6 +13,7 @@
 DOCUMENT_COUNTS: Final = (128, 256, 512, 1024)
 DIGEST_SIZES_MB: Final = (8, 16, 32, 64)
 FRAME_COUNTS: Final = (10_000, 20_000, 40_000, 80_000)
+DECODER_COUNTS: Final = (16, 32, 64, 128)
 KEY_COUNTS: Final = (4_000, 8_000, 16_000, 32_000)
 # Keys of one home, if every request had one and each were kept for an hour.
 KEYS: Final = target.REQUESTS_PER_S / target.WORKERS * 3600
@@ -31,9 +32,11 @@
     digests = {n: await run_probe("digest", n) for n in DIGEST_SIZES_MB}
     frames = {n: await run_probe("frames", n) for n in FRAME_COUNTS}
     keys = {n: await run_probe("keys", n) for n in KEY_COUNTS}
-    held = target.CONTROL_MEMORY_BYTES
+    decoders = {n: await run_probe("decoders", n) for n in DECODER_COUNTS}
+    held, links = target.CONTROL_MEMORY_BYTES, target.WORKERS_PER_ZONE
     return [
         *member_slopes(members),
+        slope("decoder_memory", "B", "links", decoders, "held_bytes", links, held),
         slope("key_memory", "B", "keys", keys, "held_bytes", KEYS, held),
         slope("document_memory", "B", "documents", documents, "held_bytes", DOCUMENTS, held),
         slope("document_change_cpu", "s", "documents", documents, "change_s", DOCUMENTS, None),
