--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -7,6 +7,8 @@
 from tornado.netutil import bind_sockets
 
 from gypsumpier.agent.gate import Gate
+from gypsumpier.agent.handover import hand_over
+from gypsumpier.agent.home import Home
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.monitor import Monitor
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
@@ -22,6 +24,7 @@
 from gypsumpier.platform.membership_http import HttpMembership
 from gypsumpier.platform.service_http import HttpService
 from gypsumpier.platform.store_http import HttpStore
+from gypsumpier.spread.spread import Spread
 from gypsumpier.weight.rollout import Rollout
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
@@ -37,20 +40,31 @@
         self.random = Random()
         self.documents = DocumentTable(self.clock)
         self.members = MemberTable(options, self.clock)
+        self.spread = Spread(options, self.clock, self.random, self.documents, self.members)
         self.document_keeper = DocumentKeeper(
-            options, self.clock, HttpConfiguration(options.configuration_url), self.documents
+            options,
+            self.clock,
+            HttpConfiguration(options.configuration_url),
+            self.documents,
+            self.spread,
         )
         self.member_keeper = MemberKeeper(
-            options, self.clock, HttpMembership(options.membership_url), self.members
+            options,
+            self.clock,
+            HttpMembership(options.membership_url),
+            self.members,
+            self.spread,
         )
         self.upstream = self.build_upstream()
-        self.gate = Gate(options, self.clock, self.upstream)
-        self.listener = Listener(options, self.clock, self.gate)
+        self.home = Home(options, self.clock, self.documents, self.upstream)
+        self.gate = Gate(options, self.clock, self.upstream, self.home)
+        self.listener = Listener(options, self.clock, self.gate, self.spread)
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
         self.rollout = self.build_rollout()
         self.server = TcpListener(self.listener.serve)
         self.bulk_server = TcpListener(self.rollout.serve) if self.rollout is not None else None
         self.stopping = False
+        self.members.subscribe(self.note_leaving)
 
     def build_upstream(self) -> Upstream:
         """Return the upstream of the kind that the settings name."""
@@ -76,12 +90,22 @@
             self.gate,
         )
 
+    def note_leaving(self) -> None:
+        """Take no new work once the member list says that this process leaves."""
+        member = self.members.members.get(self.options.name)
+        if member is None or member.incarnation != self.options.incarnation or not member.leaving:
+            return
+        if not self.gate.leaving:
+            decision("leaving", upstream=self.options.name, reason="member list")
+        self.gate.leaving = True
+
     async def start(self) -> None:
         """Bind the ports and start every part."""
         sockets = bind_sockets(self.options.port, self.options.host)
         self.options.port = sockets[0].getsockname()[1]
         self.server.add_sockets(sockets)
         self.bind_bulk()
+        await self.spread.start()
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.monitor.start()
@@ -99,12 +123,15 @@
         """Refuse new work, tell the entries, let attempts in flight end, then close everything."""
         self.stopping = True
         self.gate.leaving = True
+        self.spread.announce_leaving()
         decision("drain", in_flight=len(self.gate.running), reason="stop asked for")
         await self.clock.sleep(LEAVE_NOTICE_S)
         try:
             await asyncio.wait_for(self.gate.drain(), self.options.drain_timeout_s)
         except TimeoutError:
             decision("drain_cut", in_flight=len(self.gate.running), reason="drain timeout")
+        connections = list(self.listener.connections)
+        await hand_over(self.home.ledger, connections, self.clock, self.random)
         self.server.stop()
         if self.bulk_server is not None:
             self.bulk_server.stop()
@@ -115,12 +142,14 @@
         await self.monitor.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
+        await self.spread.stop()
 
     def inspect(self) -> dict[str, object]:
         """Return what the administration API shows of this process."""
         return {
             "documents": list(self.documents.accepted.values()),
             "members": list(self.members.members.values()),
+            "spread": self.spread.inspect(),
             "upstreams": [{"name": self.options.name, **self.listener.state()}],
             "transfers": self.rollout.transfers() if self.rollout is not None else [],
             "in_flight": len(self.gate.running),
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -10,7 +10,8 @@
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
-from gypsumpier.entry.caller import ChatHandler, ServiceHandler
+from gypsumpier.entry.caller import ChatHandler, OutcomeHandler, ServiceHandler
+from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
 from gypsumpier.log import decision
@@ -19,9 +20,13 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.configuration_http import HttpConfiguration
 from gypsumpier.platform.membership_http import HttpMembership
-from gypsumpier.wire.tcp import TcpDialer
+from gypsumpier.spread.spread import Spread
+from gypsumpier.spread.streams import SpreadStreams
+from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 DRAIN_POLL_S: Final = 0.05
+LEAVE_NOTICE_S: Final = 0.5
+IDLE_S: Final = 0.25
 
 
 class EntryApplication:
@@ -33,14 +38,30 @@
         self.random = Random()
         self.documents = DocumentTable(self.clock)
         self.members = MemberTable(options, self.clock)
+        self.spread = Spread(options, self.clock, self.random, self.documents, self.members)
+        self.streams = SpreadStreams(
+            options, self.clock, TcpDialer(), self.random, self.members, self.spread
+        )
+        self.listener = TcpListener(self.streams.accept)
         self.document_keeper = DocumentKeeper(
-            options, self.clock, HttpConfiguration(options.configuration_url), self.documents
+            options,
+            self.clock,
+            HttpConfiguration(options.configuration_url),
+            self.documents,
+            self.spread,
         )
         self.member_keeper = MemberKeeper(
-            options, self.clock, HttpMembership(options.membership_url), self.members
+            options,
+            self.clock,
+            HttpMembership(options.membership_url),
+            self.members,
+            self.spread,
+        )
+        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members, self.spread)
+        self.keys = EntryKeys(
+            options, self.clock, self.documents, self.members, self.links, self.random
         )
-        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members)
-        self.relay = Relay(options, self.clock, self.links, self.random)
+        self.relay = Relay(options, self.clock, self.links, self.keys, self.random)
         self.in_flight = 0
         self.stopping = False
         self.server = HTTPServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
@@ -52,12 +73,18 @@
             [
                 (r"/v1/chat/completions", ChatHandler, arguments),
                 (r"/services/([^/]+)/(.*)", ServiceHandler, arguments),
+                (r"/outcomes/([^/]+)", OutcomeHandler, arguments),
             ],
             log_function=lambda handler: None,
         )
 
     async def start(self) -> None:
         """Bind the ports and start every part."""
+        stream_sockets = bind_sockets(self.options.port, self.options.host)
+        self.options.port = stream_sockets[0].getsockname()[1]
+        self.listener.add_sockets(stream_sockets)
+        await self.spread.start()
+        await self.streams.start()
         await self.member_keeper.start()
         await self.document_keeper.start()
         await self.links.start()
@@ -66,22 +93,35 @@
         self.server.add_sockets(sockets)
 
     async def stop(self) -> None:
-        """Refuse new connections, let requests in flight end, then close everything."""
+        """Refuse new connections, let requests in flight end, then close everything.
+
+        Requests that still arrive on open connections are served, and the answer closes their
+        connection.
+        """
         self.stopping = True
         decision("drain", in_flight=self.in_flight, reason="stop asked for")
+        await self.clock.sleep(LEAVE_NOTICE_S)
         self.server.stop()
         deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
-        while self.in_flight and self.clock.monotonic() < deadline_s:
+        idle_since_s = self.clock.monotonic()
+        while self.clock.monotonic() < min(deadline_s, idle_since_s + IDLE_S):
+            if self.in_flight:
+                idle_since_s = self.clock.monotonic()
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
+        await self.keys.hand_over()
         await self.links.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
+        self.listener.stop()
+        await self.streams.stop()
+        await self.spread.stop()
 
     def inspect(self) -> dict[str, object]:
         """Return what the administration API shows of this process."""
         return {
             "documents": list(self.documents.accepted.values()),
+            "spread": self.spread.inspect(),
             "members": list(self.members.members.values()),
             "upstreams": [
                 {
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from random import Random
 from typing import Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.entry.link import Link
+from gypsumpier.entry.link import Link, ignore
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
+from gypsumpier.spread.spread import Spread
+from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
 
 REFRESH_INTERVAL_S: Final = 0.25
@@ -19,14 +23,26 @@
     """One link for each agent in the member table."""
 
     def __init__(
-        self, options: Options, clock: Clock, dialer: Dialer, random: Random, members: MemberTable
+        self,
+        options: Options,
+        clock: Clock,
+        dialer: Dialer,
+        random: Random,
+        members: MemberTable,
+        spread: Spread | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
         self.dialer = dialer
         self.random = random
         self.members = members
+        self.spread = spread
+        self.pace = Pace(options)
         self.links: dict[str, Link] = {}
+        self.replaced: list[Link] = []
+        self.welcomed: Callable[[Link], None] = ignore
+        self.suspected: Callable[[list[list[str]]], None] = ignore
+        self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -39,7 +55,7 @@
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.replaced]:
             await link.stop()
 
     async def run(self) -> None:
@@ -55,22 +71,51 @@
         }
         for name in list(self.links):
             if name not in agents or differs(self.links[name].member, agents[name]):
-                await self.links.pop(name).stop()
+                self.replaced.append(self.links.pop(name))
+        await self.stop_replaced()
         for name, member in agents.items():
             if name not in self.links:
                 self.open(member)
             elif member.leaving:
                 self.links[name].leaving = True
 
+    async def stop_replaced(self) -> None:
+        """End links to processes that are gone from the table, once they have hung up."""
+        ended = [link for link in self.replaced if not link.attempts and link.opened is None]
+        for link in ended:
+            self.replaced.remove(link)
+            await link.stop()
+
     def open(self, member: Member) -> None:
-        """Add and start the link to a new member."""
-        link = Link(self.options, self.clock, self.dialer, self.random, member)
+        """Add and start the link to a new member, or take back the one that still stands."""
+        for link in self.replaced:
+            if link.member.name == member.name and not differs(link.member, member):
+                self.replaced.remove(link)
+                self.links[member.name] = link
+                return
+        link = Link(
+            self.options, self.clock, self.dialer, self.random, member, self.spread, self.pace
+        )
+        link.welcomed = self.welcomed
+        link.told = self.told
+        link.suspected = self.suspected
         self.links[member.name] = link
         link.start()
 
     def of_service(self, service: str) -> list[Link]:
-        """Return the links to the agents of a service."""
-        return [link for link in self.links.values() if link.member.service == service]
+        """Return the best link to each agent of a service."""
+        return [
+            self.best(name) for name, link in self.links.items() if link.member.service == service
+        ]
+
+    def best(self, name: str) -> Link:
+        """Return the connected link to the youngest process in a slot.
+
+        A stale member list may name a process that has been replaced already.
+        """
+        links = [link for link in self.replaced if link.member.name == name]
+        connected = [link for link in [self.links[name], *links] if link.connection is not None]
+        return max(connected, key=lambda link: link.started_at_s, default=self.links[name])
 
 
 def differs(old: Member, new: Member) -> bool:
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -78,8 +78,10 @@
         if not self.is_live(manifest):
             transfer = self.transfer_of(manifest)
             await self.make_room(transfer)
-            await self.fetch(transfer)
-            await self.load(manifest)
+            while not self.is_live(manifest):
+                await self.fetch(transfer)
+                await self.load(manifest)
+        self.note_live(manifest)
         self.return_to_service()
         await self.stay_live(manifest)
 
@@ -126,11 +128,13 @@
         self.swarm.standings.out = False
 
     async def load(self, manifest: Manifest) -> None:
-        """Order the load until the engine reports the version live."""
+        """Order the load once and wait for the engine to report the version live."""
         self.phase = phase.LOAD
-        while not self.is_live(manifest):
-            await self.order_load(manifest)
-            await self.wait_live(manifest)
+        await self.order_load(manifest)
+        await self.wait_live(manifest)
+
+    def note_live(self, manifest: Manifest) -> None:
+        """Note that the engine reports the version live."""
         self.live_wall_s = self.context.clock.wall()
         decision(
             "version_live",
@@ -152,7 +156,8 @@
                 raise
 
     async def wait_live(self, manifest: Manifest) -> None:
-        """Wait until the engine reports the version live or the load has taken too long."""
+        """Wait until the version is live, the load has taken too long or the engine is new."""
+        restarts = self.context.monitor.restarts
         ordered_at_s = self.context.clock.monotonic()
         before = set(self.context.monitor.live())
         while not self.is_live(manifest):
@@ -160,6 +165,8 @@
             await self.unload_wrong(manifest, [one for one in status.live if one not in before])
             if self.context.clock.monotonic() - ordered_at_s > LOAD_TIMEOUT_S:
                 return
+            if self.context.monitor.restarts != restarts:
+                return
 
     async def unload_wrong(self, manifest: Manifest, loaded: list[LiveModel]) -> None:
         """Order away what the engine has loaded in place of the content that was ordered."""
