--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,10 @@
 .PHONY: measure-requests
 measure-requests: venv
 	$(PY) -m misc.measure_requests --seed $(SEED)
+
+# Measures a rollout of weights; DEPLOYMENT is rung-lab, relojera or burst.  FAULTS=1 adds faults.
+REPLICAS ?= 100
+.PHONY: measure-weights
+measure-weights: venv
+	$(PY) -m misc.measure_weights --deployment $(DEPLOYMENT) --seed $(SEED) \
+		--replicas $(REPLICAS) $(if $(FAULTS),--faults)
--- a/misc/stage.py
+++ b/misc/stage.py
@@ -91,13 +91,17 @@
             zone=place.zone,
             service=slot.service,
             upstream_kind=slot.kind,
-            upstream_url=local_url(self.upstreams[slot.name].port),
+            upstream_url=self.upstream_url(slot),
             region_link_bytes_per_s=self.deployment.region_link_bytes_per_s,
             **self.urls,
             **self.settings,
         )
         await self.list_member(child, slot.service, place.region, place.zone)
 
+    def upstream_url(self, slot: Slot) -> str:
+        """Return the URL of the slot's upstream."""
+        return local_url(self.upstreams[slot.name].port)
+
     async def start_entry(self, name: str) -> None:
         """Start an entry and put it on the member list."""
         self.entries[name] = await self.new_entry(name)
--- /dev/null
+++ b/misc/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the measurement of weights."""
