--- a/gypsumpier/weight/fetchrun.py
+++ b/gypsumpier/weight/fetchrun.py
@@ -18,6 +18,7 @@
 CHECK_S: Final = 0.25
 ANNOUNCE_S: Final = 0.03
 STORE_TASKS: Final = 2
+LINK_TASKS: Final = 2
 
 
 class FetchRun:
@@ -67,11 +68,12 @@
         self.tasks.append(asyncio.create_task(part.run()))
 
     def start_imports(self) -> None:
-        """Have one task for each other region."""
+        """Have tasks for each other region, so that one pays for a link while another does."""
         own = self.swarm.options.region
         for region in set(self.fetch.plan.regions) - self.import_regions - {own}:
             self.import_regions.add(region)
-            self.start(Imports(self.fetch, self.swarm.peers, self.swarm.pacing, region))
+            for _ in range(LINK_TASKS):
+                self.start(Imports(self.fetch, self.swarm.peers, self.swarm.pacing, region))
 
     async def announce(self) -> None:
         """Tell the peers of new chunks, in small batches, until cancelled."""
--- a/gypsumpier/weight/imports.py
+++ b/gypsumpier/weight/imports.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from gypsumpier.weight.choice import Choice
 from gypsumpier.weight.fetch import Fetch
 from gypsumpier.weight.message import Claim
 from gypsumpier.weight.pacing import Pacing
@@ -29,25 +30,30 @@
     async def run(self) -> None:
         """Import until cancelled."""
         while True:
-            peer = self.exporter()
-            index = self.next_index(peer) if peer is not None else None
-            if peer is None or index is None:
+            choice = self.next_choice()
+            if choice is None:
                 await self.fetch.wait_change(IDLE_S)
                 continue
-            self.fetch.begin_ask(index, peer)
-            self.peers.post_in_region(Claim(self.fetch.layout, index))
-            await self.pacing.ask(self.source, self.fetch.length(index))
-            self.fetch.send_ask(index, peer)
+            peer = self.peers.by_name[choice.peer]
+            self.fetch.begin_ask(choice.chunk, peer)
+            self.peers.post_in_region(Claim(self.fetch.layout, choice.chunk))
+            await self.pacing.ask(self.source, self.fetch.length(choice.chunk))
+            self.fetch.send_ask(choice.chunk, peer)
 
-    def exporter(self) -> Peer | None:
-        """Return the first usable peer of the region in its rank order, while it has room."""
-        by_name = self.peers.by_name
-        for name in self.fetch.plan.exporters(self.source):
-            peer = by_name.get(name)
-            if peer is not None and peer.usable and peer.holds.get(self.fetch.layout):
-                return peer if len(peer.asked) < LINK_REQUESTS else None
+    def next_choice(self) -> Choice | None:
+        """Return the next chunk and the exporter to ask, the least busy one that has any."""
+        for peer in sorted(self.exporters(), key=lambda peer: len(peer.asked)):
+            index = self.next_index(peer)
+            if index is not None:
+                return Choice(index, peer.name)
         return None
 
+    def exporters(self) -> list[Peer]:
+        """Return the usable peers of the region that have room, in their rank order."""
+        by_name = self.peers.by_name
+        ranked = [by_name[n] for n in self.fetch.plan.exporters(self.source) if n in by_name]
+        return [peer for peer in ranked if peer.usable and len(peer.asked) < LINK_REQUESTS]
+
     def next_index(self, peer: Peer) -> int | None:
         """Return the next chunk to import from the peer."""
         offered = peer.holds.get(self.fetch.layout, set()) & self.fetch.wanted()
--- a/gypsumpier/weight/pacing.py
+++ b/gypsumpier/weight/pacing.py
@@ -3,7 +3,8 @@
 Each agent paces what it sends and what it asks for to its own link, and both again for each other
 region, because a pair of regions shares one thin link.  ``live_traffic_share`` of every link stays
 free for requests.  A region's imports over one link go through ``link_importers`` agents, which
-divide the link's share; the exporting side keeps the whole share as a second bound.
+divide the link's share; the exporting side keeps the whole share as a second bound.  The thin link
+is paid last, so that what is granted for it moves at once and never in a heap.
 """
 
 from gypsumpier.clock import Clock
@@ -28,21 +29,21 @@
 
     async def send(self, region: str, length: int) -> None:
         """Wait until that many bytes may be sent to an agent of the region."""
+        await self.uplink.acquire(length)
         if region != self.options.region:
             await self.export_to(region).acquire(length)
-        await self.uplink.acquire(length)
 
     async def ask(self, region: str, length: int) -> None:
         """Wait until that many bytes may be asked for from the region."""
+        await self.downlink.acquire(length)
         if region != self.options.region:
             await self.import_from(region).acquire(length)
-        await self.downlink.acquire(length)
 
     async def draw(self, length: int) -> None:
         """Wait until that many bytes may be drawn from the store."""
+        await self.downlink.acquire(length)
         if self.options.store_region not in ("", self.options.region):
             await self.import_from(self.options.store_region).acquire(length)
-        await self.downlink.acquire(length)
 
     def export_to(self, region: str) -> TokenBucket:
         """Return the bucket for sending to another region."""
--- a/gypsumpier/weight/plan.py
+++ b/gypsumpier/weight/plan.py
@@ -68,12 +68,26 @@
 
     def slot_importers(self, source: str) -> list[list[str]]:
         """Return the region's agents in rank order for each slot of a source."""
-        if source not in self.ranks:
-            key = f"{self.layout}/{source}>{self.options.region}"
-            names = self.names[self.options.region]
-            self.ranks[source] = slot_ranks(key, names, self.slots(source))
+        if not self.ranks:
+            self.ranks = self.rank_all()
         return self.ranks[source]
 
+    def rank_all(self) -> dict[str, list[list[str]]]:
+        """Return the rank order of each slot of every source.
+
+        The slots of all links are ranked together, so that different agents import over different
+        links as long as there are enough.
+        """
+        key = f"{self.layout}>{self.options.region}"
+        names = self.names[self.options.region]
+        ranks = {STORE: slot_ranks(key, names, self.slots(STORE))}
+        links = [region for region in self.regions if region != self.options.region]
+        count = max(1, self.options.link_importers)
+        link_ranks = slot_ranks(f"{key}/links", names, count * len(links))
+        for number, region in enumerate(links):
+            ranks[region] = link_ranks[number * count : (number + 1) * count]
+        return ranks
+
     def rank(self, index: int, source: str) -> int:
         """Return this agent's rank as the importer of the chunk from the source."""
         return self.own_ranks(source)[self.slot(index, source)]
--- a/gypsumpier/weight/swarm.py
+++ b/gypsumpier/weight/swarm.py
@@ -30,6 +30,7 @@
 MAX_DIAL_BACKOFF_S: Final = 15.0
 PEERS_LIMIT: Final = 64
 EXPORTERS: Final = 2
+UPLOAD_TASKS: Final = 2
 PREPARED_RANKS: Final = 2
 
 
@@ -156,7 +157,7 @@
         tasks = [
             asyncio.create_task(peer.connection.keep_alive()),
             asyncio.create_task(peer.send_posted()),
-            asyncio.create_task(self.uploads.send_to(peer)),
+            *(asyncio.create_task(self.uploads.send_to(peer)) for _ in range(UPLOAD_TASKS)),
         ]
         peer.post(self.hello())
         try:
