--- a/gypsumpier/weight/draw.py
+++ b/gypsumpier/weight/draw.py
@@ -31,6 +31,7 @@
         self.store = store
         self.failures = 0
         self.not_before_s = 0.0
+        self.lists_not_before_s = 0.0
 
 
 class Draws:
@@ -46,7 +47,7 @@
     async def files(self, model: str, version: str) -> list[WeightFile]:
         """Return the published file list; raise GypsumpierError where no source gives it."""
         failure = GypsumpierError(CHUNK_UNAVAILABLE, "no source may be asked now")
-        for source in self.usable():
+        for source in self.readable():
             try:
                 files = await source.store.files(model, version)
             except GypsumpierError as error:
@@ -93,6 +94,14 @@
         now_s = self.clock.monotonic()
         return [source for source in self.sources if source.not_before_s <= now_s]
 
+    def readable(self) -> list[Source]:
+        """Return the sources whose file lists may be read now.
+
+        Corrupt chunks don't count here: a changed version looks like them until its list is read.
+        """
+        now_s = self.clock.monotonic()
+        return [source for source in self.sources if source.lists_not_before_s <= now_s]
+
     def wait_s(self) -> float:
         """Return for how many seconds no source may be asked."""
         first_s = min(source.not_before_s for source in self.sources)
@@ -106,3 +115,5 @@
             backoff_s = max(FIRST_BACKOFF_S, error.retry_after_s)
         jitter = 1.0 + self.random.random() / 2
         source.not_before_s = self.clock.monotonic() + backoff_s * jitter
+        if error.code != CHUNK_CORRUPT:
+            source.lists_not_before_s = source.not_before_s
