Report to a home only what others may have run; keep to the only upstream after a lost connection

A key whose copy had been withdrawn at a home, and that another entry's farewell also named, was reported to the same home as one that may have run.

--- a/gypsumpier/entry/delivery.py
+++ b/gypsumpier/entry/delivery.py
@@ -5,7 +5,7 @@
 answers there, or none in time, the outcome is unknown.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from gypsumpier.clock import Clock
@@ -35,13 +35,20 @@
     """Delivers the frames of one attempt."""
 
     def __init__(
-        self, options: Options, clock: Clock, link: Link, request: CallerRequest, attempt: Attempt
+        self,
+        options: Options,
+        clock: Clock,
+        link: Link,
+        request: CallerRequest,
+        attempt: Attempt,
+        has_other: Callable[[], bool],
     ) -> None:
         self.options = options
         self.clock = clock
         self.link = link
         self.request = request
         self.attempt = attempt
+        self.has_other = has_other
         self.sent_at_s = clock.monotonic()
         self.ended = False
 
@@ -71,7 +78,8 @@
     async def ask_again(self, lost: LostConnectionError) -> None:
         """Ask after the attempt over the next connection; raise where that is in vain."""
         decision("ask_again", exchange=self.attempt.exchange, reason=lost)
-        if self.request.idempotent and self.attempt.expected_sequence == 0:
+        is_movable = self.request.idempotent and self.attempt.expected_sequence == 0
+        if is_movable and self.has_other():
             raise GypsumpierError(codes.OUTCOME_UNKNOWN, lost.detail)
         until_s = self.clock.monotonic() + self.options.ask_timeout_s
         while self.clock.monotonic() < until_s:
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -203,7 +203,9 @@
         self, request: CallerRequest, link: Link, attempt: Attempt, payload: dict[str, Any]
     ) -> AsyncIterator[Frame]:
         """Yield the frames of one attempt; a key is noted before it is sent."""
-        delivery = Delivery(self.options, self.clock, link, request, attempt)
+        delivery = Delivery(
+            self.options, self.clock, link, request, attempt, lambda: self.has_other(request, link)
+        )
         if not request.has_home():
             async for frame in delivery.frames(payload):
                 yield frame
@@ -223,15 +225,20 @@
             state = settled_state(error)
             raise
         finally:
-            self.settle(request.service, key_id, state)
+            self.settle(request.service, key_id, home, state)
+
+    def has_other(self, request: CallerRequest, link: Link) -> bool:
+        """Tell whether another upstream of the service may be tried."""
+        links = self.links.of_service(request.service)
+        return any(other is not link and other.is_usable() for other in links)
 
-    def settle(self, service: str, key_id: KeyId, state: KeyState | None) -> None:
+    def settle(self, service: str, key_id: KeyId, home: str, state: KeyState | None) -> None:
         """Note what became of one send; None where the home has not run this copy."""
         now_s = self.clock.monotonic()
         if state is None:
-            self.keys.sent.withdraw(service, key_id, now_s)
+            self.keys.sent.withdraw(service, key_id, home, now_s)
         else:
-            self.keys.sent.settle(service, key_id, state, now_s)
+            self.keys.sent.settle(service, key_id, home, state, now_s)
 
     def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
         """Tell whether another attempt is safe and allowed after this error."""
--- a/gypsumpier/idempotency/sent_keys.py
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -1,10 +1,10 @@
 """The keys that one entry has sent to homes, kept until no caller resends them.
 
 An entry notes a key before it sends it, so that what it reports to a new home is never less than
-what it has sent.  A send that no home has answered for counts as *may have run*.
+what it has sent.  A send that no home has answered for counts as *may have run* elsewhere.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field, replace
 
 from gypsumpier.idempotency.key import KeyId
@@ -14,19 +14,22 @@
 
 @dataclass
 class SentKey:
-    """One key; ``state`` is REFUSED while every send was answered with *not run*.
+    """One key.
 
-    ``homes`` are the processes that it was sent to; an empty name stands for unknown ones.
-    ``answer`` is kept for a home that stopped as planned, until the next one asks.
+    ``outcome`` is DONE or UNKNOWN once a home, or an instance that stopped, has said so.
+    ``refused_at_s`` is when the key was last told as not run.  ``unsettled`` counts the sends that
+    are not answered for, by the process that they went to.  ``homes`` are all those processes; an
+    empty name stands for unknown ones.  ``answer`` is kept for a home that stopped as planned.
     """
 
     service: str
     fingerprint: str
-    state: KeyState
-    unsettled: int
     changed_at_s: float
-    answer: KeptAnswer | None = None
+    outcome: KeyState | None = None
+    refused_at_s: float | None = None
+    unsettled: Counter[str] = field(default_factory=Counter)
     homes: set[str] = field(default_factory=set)
+    answer: KeptAnswer | None = None
 
 
 class SentKeys:
@@ -45,40 +48,44 @@
         if known is None:
             if len(self.keys) >= self.limit:
                 return False
-            known = SentKey(service, fingerprint, KeyState.REFUSED, 0, now_s)
-            self.keys[(service, key_id)] = known
-        known.unsettled += 1
+            known = self.keys[(service, key_id)] = SentKey(service, fingerprint, now_s)
+        known.unsettled[home] += 1
         known.homes.add(home)
         self.touch(service, key_id, now_s)
         return True
 
-    def settle(self, service: str, key_id: KeyId, state: KeyState, now_s: float) -> None:
+    def settle(self, service: str, key_id: KeyId, home: str, state: KeyState, now_s: float) -> None:
         """Note what the home said of one send; it may say DONE, UNKNOWN or REFUSED."""
+        self.withdraw(service, key_id, home, now_s)
         known = self.keys[(service, key_id)]
-        known.unsettled -= 1
-        self.touch(service, key_id, now_s)
-        if known.state is not KeyState.DONE and state is not KeyState.REFUSED:
-            known.state = state
+        if state is KeyState.REFUSED:
+            known.refused_at_s = now_s
+        elif known.outcome is not KeyState.DONE:
+            known.outcome = state
 
-    def withdraw(self, service: str, key_id: KeyId, now_s: float) -> None:
+    def withdraw(self, service: str, key_id: KeyId, home: str, now_s: float) -> None:
         """Note that one send has not run, nor will; the key may have run before."""
-        self.keys[(service, key_id)].unsettled -= 1
+        known = self.keys[(service, key_id)]
+        known.unsettled -= Counter([home])
         self.touch(service, key_id, now_s)
 
-    def inherit(self, service: str, reported: ReportedKey, now_s: float) -> None:
-        """Take in what a stopping instance knows of a key; certain knowledge wins."""
+    def inherit(self, service: str, reported: ReportedKey, now_s: float) -> bool:
+        """Take in what another instance knows of a key; False where there is no room."""
         known = self.keys.get((service, reported.key_id))
+        at_s = now_s - reported.age_s
         if known is None:
             if len(self.keys) >= self.limit:
-                return
-            known = SentKey(service, reported.fingerprint, reported.state, 0, now_s)
-            known.changed_at_s = now_s - reported.age_s
+                return False
+            known = SentKey(service, reported.fingerprint, at_s)
             self.keys[(service, reported.key_id)] = known
-        elif reported.state is KeyState.DONE or known.state is KeyState.REFUSED:
-            known.state = reported.state
         known.homes.add("")
+        if reported.state is KeyState.REFUSED:
+            known.refused_at_s = max(at_s, known.refused_at_s or at_s)
+        elif known.outcome is not KeyState.DONE:
+            known.outcome = KeyState.DONE if reported.state is KeyState.DONE else KeyState.UNKNOWN
         if reported.answer is not None and known.answer is None:
             self.keep_answer(known, reported.answer)
+        return True
 
     def keep_answer(self, key: SentKey, answer: KeptAnswer) -> None:
         """Keep an answer while there is memory for it."""
@@ -87,18 +94,20 @@
             key.answer = answer
 
     def report(self, service: str, home: str, now_s: float) -> list[ReportedKey]:
-        """Return every key of the service, with when each refused one was refused.
+        """Return what the process ``home`` must know of the service's keys.
 
-        Keys that were sent to this ``home`` alone are left out: it knows more of them.
+        Of what was sent to that process alone it knows more itself.
         """
         self.forget_old(now_s)
-        return [
-            ReportedKey(
-                key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s, key.answer
-            )
-            for (name, key_id), key in self.keys.items()
-            if name == service and key.homes != {home}
-        ]
+        reported: list[ReportedKey] = []
+        for (name, key_id), key in self.keys.items():
+            state = state_for(key, home)
+            if name != service or state is None:
+                continue
+            at_s = key.refused_at_s if state is KeyState.REFUSED else key.changed_at_s
+            age_s = now_s - (at_s if at_s is not None else key.changed_at_s)
+            reported.append(ReportedKey(key_id, key.fingerprint, state, age_s, key.answer))
+        return reported
 
     def touch(self, service: str, key_id: KeyId, now_s: float) -> None:
         """Restart the key's retention."""
@@ -111,7 +120,7 @@
             name, key = next(iter(self.keys.items()))
             if now_s - key.changed_at_s <= self.retention_s:
                 return
-            if key.unsettled > 0:
+            if key.unsettled:
                 self.keys[name] = replace(key, changed_at_s=now_s)
                 self.keys.move_to_end(name)
                 continue
@@ -119,8 +128,12 @@
             del self.keys[name]
 
 
-def reported_state(key: SentKey) -> KeyState:
-    """Return the state that a new home must assume."""
-    if key.state is KeyState.DONE:
+def state_for(key: SentKey, home: str) -> KeyState | None:
+    """Return the state that the process must assume, or None where it knows more itself."""
+    if key.homes == {home}:
+        return None
+    if key.outcome is KeyState.DONE:
         return KeyState.DONE
-    return KeyState.UNKNOWN if key.unsettled > 0 else key.state
+    if key.outcome is KeyState.UNKNOWN or any(other != home for other in key.unsettled):
+        return KeyState.UNKNOWN
+    return KeyState.REFUSED if key.refused_at_s is not None else None
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -174,7 +174,7 @@
         withdrawn = copy.agent.alive
         if self.now_s - copy.received_at_s > LIMITS.horizon_s or not self.accepts(copy):
             if copy.entry.died_at_s is None and withdrawn:
-                copy.entry.sent.withdraw(SERVICE, copy.key_id, self.now_s)
+                copy.entry.sent.withdraw(SERVICE, copy.key_id, str(copy.agent.number), self.now_s)
             else:
                 self.settle(copy, KeyState.UNKNOWN)
             return
@@ -248,7 +248,8 @@
     def settle(self, copy: Copy, state: KeyState) -> None:
         """Let the entry know, if it lives."""
         if copy.entry.died_at_s is None:
-            copy.entry.sent.settle(SERVICE, copy.key_id, state, self.now_s)
+            home = str(copy.agent.number)
+            copy.entry.sent.settle(SERVICE, copy.key_id, home, state, self.now_s)
 
     def read_lists(self) -> None:
         """Let every living process read the member list, which lags by the settling time."""
--- a/misc/faulting/load.py
+++ b/misc/faulting/load.py
@@ -38,7 +38,7 @@
         ]
         self.workspaces: list[str] = [
             workspace["name"] for workspace in next(iter(documents))["workspaces"]
-        ]
+        ] or ["default"]
 
     async def run(self, seconds: float) -> None:
         """Start requests for that long, then wait for the last answer."""
--- a/misc/faults.py
+++ b/misc/faults.py
@@ -16,7 +16,7 @@
 
 import click
 
-from misc.deployment import load_deployment, with_version
+from misc.deployment import Deployment, load_deployment, with_version
 from misc.faulting.actions import Faults
 from misc.faulting.checker import Counts, Report, check, cut_copies
 from misc.faulting.faultstage import FaultStage
@@ -33,6 +33,7 @@
 SETTLE_S: Final = 4.0
 CALL_DELAY_S: Final = 0.1
 WEIGHTS_SEED: Final = 1
+SMALL_SERVICES: Final = ("table-ops", "gypsum-llm")
 MUST_BE_ZERO: Final = (
     "ran_twice",
     "false_not_run",
@@ -88,6 +89,17 @@
         total[name] = total.get(name, 0) + count
 
 
+def small(deployment: Deployment) -> Deployment:
+    """Return the deployment cut down to one zone, two entries and three upstreams."""
+    zone = deployment.documents[SMALL_SERVICES[0]]["zones"][0]["zone"]
+    documents = {
+        service: deployment.documents[service]
+        | {"zones": [{"zone": zone, "replicas": replicas}], "workspaces": []}
+        for service, replicas in zip(SMALL_SERVICES, (2, 1), strict=True)
+    }
+    return deployment._replace(entries={zone: 2}, documents=documents)
+
+
 async def start(stage: FaultStage) -> None:
     """Start the deployment and wait until everything is live and known."""
     await stage.start()
@@ -101,17 +113,16 @@
 
 
 async def main_async(
-    deployment: str, seed: int, seconds: float, rate: float, logs: Path | None
+    deployment: Deployment, seed: int, seconds: float, rate: float, logs: Path | None
 ) -> Report:
     """Run everything in a directory of its own."""
     with tempfile.TemporaryDirectory() as text:
         directory = Path(text)
         weights = directory / "weights"
-        stage_deployment = load_deployment(deployment)
-        for service in stage_deployment.model_services():
-            make_weights(weights, stage_deployment.documents[service]["model"], WEIGHTS_SEED)
+        for service in deployment.model_services():
+            make_weights(weights, deployment.documents[service]["model"], WEIGHTS_SEED)
         async with Fleet(logs or directory / "logs") as fleet:
-            stage = FaultStage(fleet, stage_deployment, weights, {})
+            stage = FaultStage(fleet, deployment, weights, {})
             await start(stage)
             return await run(stage, seed, seconds, rate, logs)
 
@@ -119,12 +130,17 @@
 @click.command()
 @click.option("--seed", default=1)
 @click.option("--deployment", default="rung-lab")
+@click.option("--small", "is_small", is_flag=True, help="One zone of rung-lab, 12 processes.")
 @click.option("--seconds", default=60.0, help="Seconds in which requests start.")
 @click.option("--rate", default=40.0, help="Requests a second.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Directory that keeps the logs.")
-def main(seed: int, deployment: str, seconds: float, rate: float, logs: Path | None) -> None:
+def main(
+    seed: int, deployment: str, is_small: bool, seconds: float, rate: float, logs: Path | None
+) -> None:
     """Run the faults of one seed."""
-    report = asyncio.run(main_async(deployment, seed, seconds, rate, logs))
+    chosen = load_deployment(deployment)
+    chosen = small(chosen) if is_small else chosen
+    report = asyncio.run(main_async(chosen, seed, seconds, rate, logs))
     print(json.dumps(report))
     broken = sum(report[name] for name in MUST_BE_ZERO)  # type: ignore[literal-required]
     sys.exit(1 if broken else 0)
