--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -7,7 +7,6 @@
 from tornado.netutil import bind_sockets
 
 from gypsumpier.agent.gate import Gate
-from gypsumpier.agent.handover import hand_over
 from gypsumpier.agent.home import Home
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.monitor import Monitor
@@ -121,8 +120,7 @@
             await asyncio.wait_for(self.gate.drain(), self.options.drain_timeout_s)
         except TimeoutError:
             decision("drain_cut", in_flight=len(self.gate.running), reason="drain timeout")
-        connections = list(self.listener.connections)
-        await hand_over(self.home.ledger, connections, self.clock, self.random)
+        await self.listener.hand_over()
         self.server.stop()
         for connection in list(self.listener.connections):
             connection.close()
--- a/gypsumpier/agent/handover.py
+++ b/gypsumpier/agent/handover.py
@@ -1,11 +1,12 @@
-"""Hands the keys of a home over when its agent stops as planned.
+"""Hands the keys of a home over to the connected entries.
 
-Every connected entry gets the outcomes, and a few also get the kept answers.  They pass them on in
-their reports to the next agent in the slot, so that a resend still finds the answer.
+It does so when its agent stops as planned, and when an entry has disappeared whose keys it knows.
+With the records it vouches for such entries: it knows every key that they have sent to this slot.
+Some entries also get the kept answers of a stopping home.  All pass on what they got in their
+reports to the next agent in the slot.
 """
 
 import contextlib
-from random import Random
 from typing import Final
 
 from gypsumpier.clock import Clock
@@ -13,29 +14,32 @@
 from gypsumpier.idempotency.ledger import Ledger
 from gypsumpier.idempotency.record import KeyState
 from gypsumpier.idempotency.reported import ReportedKey, pack_keys
+from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.log import decision
 from gypsumpier.wire.connection import Connection
 
-ANSWER_HOLDERS: Final = 2
 ANSWER_BYTES_MAX: Final = 256 * 1024
 
 
 async def hand_over(
-    ledger: Ledger, connections: list[Connection], clock: Clock, random: Random
+    ledger: Ledger,
+    connections: list[Connection],
+    clock: Clock,
+    answer_holders: list[Connection],
+    vouched: list[EntryId],
 ) -> None:
-    """Send the records to the connected entries."""
+    """Send the records to the connected entries; RUNNING ones count as may have run."""
     now_s = clock.monotonic()
-    keys = [key for key in reported_keys(ledger, now_s) if key.state is not KeyState.RUNNING]
-    if not keys:
-        return
-    holders = random.sample(connections, min(ANSWER_HOLDERS, len(connections)))
-    decision("hand_over", keys=len(keys), entries=len(connections), reason="planned stop")
+    keys = reported_keys(ledger, now_s)
+    decision("hand_over", keys=len(keys), entries=len(connections), vouched=len(vouched))
     without_answers = [key._replace(answer=None) for key in keys]
     for connection in connections:
-        sent = keys if connection in holders else without_answers
+        sent = keys if connection in answer_holders else without_answers
         with contextlib.suppress(GypsumpierError):
-            for part in pack_keys(sent):
-                await connection.send("records", {"keys": part})
+            parts = list(pack_keys(sent))
+            for number, part in enumerate(parts, 1):
+                names = [list(entry) for entry in vouched] if number == len(parts) else []
+                await connection.send("records", {"keys": part, "vouched": names})
 
 
 def reported_keys(ledger: Ledger, now_s: float) -> list[ReportedKey]:
@@ -44,7 +48,7 @@
         ReportedKey(
             key_id,
             record.fingerprint,
-            record.state,
+            KeyState.UNKNOWN if record.state is KeyState.RUNNING else record.state,
             now_s - record.changed_at_s,
             (
                 record.answer
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextlib
+from collections.abc import Coroutine
 from random import Random
 from typing import Any, Final
 
 from gypsumpier.agent.gate import Gate, error_part
+from gypsumpier.agent.handover import hand_over
 from gypsumpier.agent.order import parse_order
 from gypsumpier.agent.upstream import Part
 from gypsumpier.clock import Clock
+from gypsumpier.codes.request import HOME_UNREACHABLE
 from gypsumpier.codes.result import Outcome
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.record import KeyRecord
@@ -26,6 +29,7 @@
 
 STATE_INTERVAL_S: Final = 0.25
 INHERITORS: Final = 3
+ANSWER_HOLDERS: Final = 2
 
 
 class Listener:
@@ -41,10 +45,12 @@
         self.pace = Pace(options)
         self.healthy = False
         self.random = Random()
-        self.asking: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
         gate.home.ask = self.ask_entries
         self.started_at_s = clock.monotonic()
         self.connections: set[Connection] = set()
+        self.entries: dict[Connection, EntryId] = {}
+        self.vouched: set[EntryId] = set()
 
     async def serve(self, stream: Stream) -> None:
         """Serve one connection until it closes."""
@@ -70,6 +76,7 @@
             decision("connection_lost", reason=error)
         finally:
             self.connections.discard(connection)
+            self.entries.pop(connection, None)
             connection.close()
             for task in tasks:
                 task.cancel()
@@ -78,8 +85,11 @@
 
     async def take(self, frame: Frame, connection: Connection) -> None:
         """Handle one frame from an entry."""
-        if frame.kind == "request":
-            self.gate.submit(parse_order(frame, connection.buffered_s(frame)), connection)
+        if frame.kind == "hello":
+            payload = frame.payload
+            self.entries[connection] = EntryId(payload["name"], payload["incarnation"])
+        elif frame.kind == "request":
+            await self.take_request(frame, connection)
         elif frame.kind == "resume":
             await self.take_resume(frame, connection)
         elif frame.kind == "cancel":
@@ -95,6 +105,15 @@
         elif frame.kind == "farewell":
             await self.pass_on(frame, connection)
 
+    async def take_request(self, frame: Frame, connection: Connection) -> None:
+        """Submit a request; an entry that was vouched for may send no keys any more."""
+        order = parse_order(frame, connection.buffered_s(frame))
+        if order.has_home() and self.entries.get(connection) in self.vouched:
+            error = GypsumpierError(HOME_UNREACHABLE, "the entry was taken for lost")
+            await send_parts(connection, frame.exchange, [error_part(error, False)], 0)
+            return
+        self.gate.submit(order, connection)
+
     async def take_resume(self, frame: Frame, connection: Connection) -> None:
         """Go on with an attempt whose connection was lost."""
         sequence = frame.payload["next_sequence"]
@@ -126,13 +145,45 @@
         reporter = EntryId(payload["name"], payload["incarnation"])
         listed = frozenset(EntryId(*fields) for fields in payload["listed"])
         succession.note_list(reporter, listed, now_s)
+        lost = [EntryId(name, incarnation) for name, incarnation, _ in payload["lost"]]
+        self.vouch(lost)
+
+    def vouch(self, lost: list[EntryId]) -> None:
+        """Pass the records on, once for each lost entry whose keys this home knows."""
+        new = [entry for entry in self.vouchable() if entry in lost and entry not in self.vouched]
+        if new:
+            self.vouched.update(new)
+            connections = list(self.connections)
+            ledger = self.gate.home.ledger
+            self.spawn(hand_over(ledger, connections, self.clock, [], new))
+
+    def vouchable(self) -> list[EntryId]:
+        """Return the entries that have reported and from which nothing more will come."""
+        succession = self.gate.home.succession
+        connected = set(self.entries.values())
+        return [
+            entry
+            for entry in succession.reports
+            if succession.has_reported(entry) and entry not in connected
+        ]
+
+    async def hand_over(self) -> None:
+        """Leave the records to the entries before this agent stops."""
+        connections = list(self.connections)
+        holders = self.random.sample(connections, min(ANSWER_HOLDERS, len(connections)))
+        ledger = self.gate.home.ledger
+        await hand_over(ledger, connections, self.clock, holders, self.vouchable())
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine beside the caller."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     def ask_entries(self) -> None:
         """Ask every connected entry for the entries it finds listed."""
         for connection in self.connections:
-            task = asyncio.create_task(ask(connection))
-            self.asking.add(task)
-            task.add_done_callback(self.asking.discard)
+            self.spawn(ask(connection))
 
     async def pass_on(self, frame: Frame, sender: Connection) -> None:
         """Pass the keys of a stopping entry on to a few others."""
--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -31,6 +31,7 @@
 
 KEY_BYTES: Final = 200
 FAREWELLS: Final = 2
+OVERFLOW_S: Final = 60.0
 NO_HOME: Final = "none"
 RETRY_AFTER_S: Final = 1.0
 
@@ -42,6 +43,18 @@
     started_at_s: float
 
 
+class Inherited(NamedTuple):
+    """A lost entry whose keys this entry holds.
+
+    The ``scope`` is a service, for all keys of it, or a slot, for the keys that were sent to that
+    slot while the document of the ``revision`` was in force.
+    """
+
+    scope: str
+    entry: EntryId
+    revision: int | None
+
+
 class EntryKeys:
     """Sent keys, the holders of slots, and entries that disappeared."""
 
@@ -68,7 +81,8 @@
         self.holders: dict[str, Holder] = {}
         self.listed: frozenset[EntryId] = frozenset()
         self.lost_at_s: dict[EntryId, float] = {}
-        self.inherited: set[tuple[str, EntryId]] = set()
+        self.inherited: set[Inherited] = set()
+        self.overflowed_at_s = float("-inf")
         self.reports: set[asyncio.Task[None]] = set()
         documents.subscribe(self.take_document)
         members.subscribe(self.take_members)
@@ -81,15 +95,18 @@
         listed = frozenset(
             EntryId(member.name, member.incarnation) for member in self.members.entries()
         )
-        for entry in self.listed - listed:
-            self.lost_at_s[entry] = now_s
+        lost = self.listed - listed
+        self.lost_at_s |= dict.fromkeys(lost, now_s)
         self.listed = listed
         kept_s = self.options.resend_horizon_s + self.options.key_settle_s
         self.lost_at_s = {
             entry: at_s for entry, at_s in self.lost_at_s.items() if now_s - at_s <= kept_s
         }
         known = self.listed | self.lost_at_s.keys()
-        self.inherited = {(name, entry) for name, entry in self.inherited if entry in known}
+        if lost:
+            for link in self.links.links.values():
+                self.spawn(self.tell_entries(link))
+        self.inherited = {one for one in self.inherited if one.entry in known}
 
     def take_welcome(self, link: Link) -> None:
         """Take a younger process as the slot's holder and report to it."""
@@ -136,12 +153,11 @@
         """Send the keys of the service in frames; the last one makes the promise."""
         service = link.member.service
         now_s = self.clock.monotonic()
-        accepted = self.documents.accepted.get(service)
         payload = {
             "name": self.options.name,
             "incarnation": self.options.incarnation,
-            "revision": accepted.revision if accepted else 0,
-            "inherited": [list(entry) for name, entry in self.inherited if name == service],
+            "revision": self.revision(service),
+            "inherited": [list(entry) for entry in self.inherited_for(link)],
         }
         parts = list(pack_keys(self.sent.report(service, link.incarnation, now_s)))
         try:
@@ -161,13 +177,37 @@
         service = payload.get("service", link.member.service)
         now_s = self.clock.monotonic()
         for key in unpack_keys(payload["keys"]):
-            self.sent.inherit(service, key, now_s)
-        if payload.get("complete"):
-            self.inherited.add((service, EntryId(payload["name"], payload["incarnation"])))
+            if not self.sent.inherit(service, key, now_s):
+                self.overflowed_at_s = now_s
+        if frame.kind == "inherited" and payload["complete"]:
+            self.note_inherited(service, EntryId(payload["name"], payload["incarnation"]), None)
+        for fields in payload.get("vouched", []):
+            revision = self.revision(service)
+            self.note_inherited(link.member.name, EntryId(*fields), revision)
         for other in self.links.of_service(service):
             if other is not link and other.connection is not None and self.is_holder(other):
                 self.report_to(other)
 
+    def note_inherited(self, scope: str, entry: EntryId, revision: int | None) -> None:
+        """Note whose keys are held here, unless some had no room a while ago."""
+        if self.clock.monotonic() - self.overflowed_at_s > OVERFLOW_S:
+            self.inherited.add(Inherited(scope, entry, revision))
+
+    def inherited_for(self, link: Link) -> set[EntryId]:
+        """Return the lost entries whose keys a report on this link includes."""
+        service = link.member.service
+        revision = self.revision(service)
+        return {
+            one.entry
+            for one in self.inherited
+            if one.scope == service or (one.scope, one.revision) == (link.member.name, revision)
+        }
+
+    def revision(self, service: str) -> int:
+        """Return the revision of the service's document in force; 0 without one."""
+        accepted = self.documents.accepted.get(service)
+        return accepted.revision if accepted else 0
+
     async def hand_over(self) -> None:
         """Leave the keys of each service to other entries, before this one stops."""
         now_s = self.clock.monotonic()
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -3,7 +3,6 @@
 import asyncio
 import unittest
 
-from gypsumpier.agent.handover import hand_over
 from gypsumpier.codes import request as codes
 from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.entry.relay import Failure
@@ -172,8 +171,7 @@
             agent.gate.leaving = True
             refused = await outcome(world, entry, plain_call(world, "late"))
             self.assertEqual("upstream_leaving", refused)
-            connections = list(agent.listener.connections)
-            await hand_over(agent.home.ledger, connections, world.clock, entry.relay.random)
+            await agent.listener.hand_over()
             await asyncio.sleep(0.1)
             successor = world.replace(agent, "two")
             await asyncio.sleep(SETTLED_S)
@@ -202,7 +200,7 @@
 
         run(scenario())
 
-    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+    def test_a_home_vouches_for_an_entry_that_vanished_before_it(self) -> None:
         async def scenario() -> None:
             world = World()
             agent, entry = await settled(world)
@@ -212,8 +210,27 @@
             await entry.links.stop()
             del world.members.members[entry.member.name]
             world.members.notify()
+            await asyncio.sleep(1.0)
             successor = world.replace(agent, "two")
             await asyncio.sleep(SETTLED_S)
+            self.assertEqual("answer_gone", await outcome(world, other, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "opaque")))
+            self.assertEqual({"opaque": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            successor = world.replace(agent, "two")
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
+            await asyncio.sleep(SETTLED_S)
             self.assertEqual("home_recovering", await outcome(world, other, plain_call(world, "k")))
             self.assertFalse(successor.upstream.runs)
 
