--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -37,17 +37,23 @@
 
 
 class Holder(NamedTuple):
-    """The youngest process met in a slot; ``started_at_s`` is on this entry's clock."""
+    """The youngest process met in a slot; ``started_at_s`` is on this entry's clock.
+
+    ``previous`` is the incarnation that was met before it, or empty.
+    """
 
     incarnation: str
     started_at_s: float
+    previous: str
 
 
 class Inherited(NamedTuple):
     """A lost entry whose keys this entry holds.
 
-    The ``scope`` is a service, for all keys of it, or a slot, for the keys that were sent to that
-    slot while the document of the ``revision`` was in force.
+    The ``scope`` is a service, for all keys of it, which the entry left itself.  Or it is an
+    incarnation of an agent, which vouches for the keys sent to its slot, while the document
+    of the ``revision`` was in force.  That holds for the next process in the slot only, because the
+    lost entry may have sent keys to that one as well.
     """
 
     scope: str
@@ -115,7 +121,8 @@
         if holder is None or holder.incarnation != link.incarnation:
             if holder is not None and holder.started_at_s >= link.started_at_s:
                 return
-            self.holders[slot] = Holder(link.incarnation, link.started_at_s)
+            previous = holder.incarnation if holder is not None else ""
+            self.holders[slot] = Holder(link.incarnation, link.started_at_s, previous)
         self.report_to(link)
 
     def take_document(self, accepted: Accepted) -> None:
@@ -181,9 +188,8 @@
                 self.overflowed_at_s = now_s
         if frame.kind == "inherited" and payload["complete"]:
             self.note_inherited(service, EntryId(payload["name"], payload["incarnation"]), None)
-        for fields in payload.get("vouched", []):
-            revision = self.revision(service)
-            self.note_inherited(link.member.name, EntryId(*fields), revision)
+        for fields in payload.get("vouched", []) if self.is_holder(link) else []:
+            self.note_inherited(link.incarnation, EntryId(*fields), self.revision(service))
         for other in self.links.of_service(service):
             if other is not link and other.connection is not None and self.is_holder(other):
                 self.report_to(other)
@@ -196,11 +202,12 @@
     def inherited_for(self, link: Link) -> set[EntryId]:
         """Return the lost entries whose keys a report on this link includes."""
         service = link.member.service
-        revision = self.revision(service)
+        holder = self.holders.get(link.member.name)
+        voucher = (holder.previous if holder is not None else "", self.revision(service))
         return {
             one.entry
             for one in self.inherited
-            if one.scope == service or (one.scope, one.revision) == (link.member.name, revision)
+            if one.scope == service or (one.scope, one.revision) == voucher
         }
 
     def revision(self, service: str) -> int:
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from gypsumpier.agent.handover import reported_keys
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.idempotency.ledger import Ledger
 from gypsumpier.idempotency.record import KeptAnswer, KeyRecord, KeyState, Verdict
@@ -31,6 +32,8 @@
     sent: SentKeys = field(default_factory=lambda: SentKeys(100, LIMITS.horizon_s * 2))
     holders: dict[int, int] = field(default_factory=dict)
     lost: dict[EntryId, float] = field(default_factory=dict)
+    inherited: set[tuple[int, EntryId, int]] = field(default_factory=set)
+    previous: dict[int, int] = field(default_factory=dict)
     died_at_s: float | None = None
 
 
@@ -162,6 +165,32 @@
         else:
             self.copies.append(copy)
 
+    @precondition(lambda self: any(entry.died_at_s is not None for entry in self.entries))
+    @rule(data=st.data())
+    def vouch(self, data: st.DataObject) -> None:
+        """Let a home pass its records on for an entry that it has heard and that is gone."""
+        living = [agent for agent in self.agents if agent.alive]
+        assume(living)
+        agent = data.draw(st.sampled_from(living))
+        gone = [
+            entry.id
+            for entry in self.entries
+            if entry.died_at_s is not None and agent.succession.has_reported(entry.id)
+        ]
+        # What a dead entry had sent is read before its connection is found closed, or is lost.
+        self.copies = [
+            copy for copy in self.copies if copy.entry.died_at_s is None or copy.agent is not agent
+        ]
+        for entry in self.entries:
+            if entry.died_at_s is None and entry.holders.get(agent.slot) == agent.number:
+                self.hand_over(agent, entry, gone)
+
+    def hand_over(self, agent: AgentFake, entry: EntryFake, vouched: list[EntryId]) -> None:
+        """Give an agent's records to an entry."""
+        for key in reported_keys(agent.ledger, self.now_s):
+            entry.sent.inherit(SERVICE, key, self.now_s)
+        entry.inherited |= {(agent.number, lost, entry.revision) for lost in vouched}
+
     @precondition(lambda self: self.copies)
     @rule(data=st.data(), refused=st.booleans())
     def deliver(self, data: st.DataObject, refused: bool) -> None:
@@ -212,6 +241,8 @@
         agent = living[-1]
         if agent.number < entry.holders.get(slot, -1):
             return
+        if entry.holders.get(slot) != agent.number:
+            entry.previous[slot] = entry.holders.get(slot, -1)
         entry.holders[slot] = agent.number
         for reported in entry.sent.report(SERVICE, str(agent.number), self.now_s):
             changed_at_s = self.now_s - reported.age_s
@@ -220,6 +251,9 @@
         for lost, lost_at_s in entry.lost.items():
             agent.succession.note_lost(lost, lost_at_s)
         agent.succession.note_report(entry.id, entry.revision)
+        for voucher, lost, revision in entry.inherited:
+            if (voucher, revision) == (entry.previous[slot], entry.revision):
+                agent.succession.note_report(lost, entry.revision)
 
     def accepts(self, copy: Copy) -> bool:
         """Tell whether the agent decides about the copy at all."""
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -8,6 +8,7 @@
 from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     TOKENS,
@@ -102,6 +103,18 @@
 
         run(scenario())
 
+    def test_a_chat_lost_on_its_only_upstream_is_sent_there_again(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            _, entry = await settled(world, MODEL_SERVICE)
+            call = asyncio.create_task(outcome(world, entry, chat_call(world)))
+            await asyncio.sleep(0.2)
+            for link in list(world.network.links):
+                link.silent = True
+            self.assertEqual(WHOLE, await call)
+
+        run(scenario())
+
     def test_a_stream_whose_agent_died_is_never_short(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -219,6 +232,19 @@
 
         run(scenario())
 
+    def test_an_entry_that_was_vouched_for_sends_no_keys_any_more(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            agent.listener.vouched.add(EntryId(entry.member.name, "one"))
+            self.assertEqual(
+                "home_unreachable", await outcome(world, entry, plain_call(world, "k"))
+            )
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertFalse(agent.upstream.runs["k"])
+
+        run(scenario())
+
     def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
         async def scenario() -> None:
             world = World()
