--- /dev/null
+++ b/gypsumpier/entry/failure.py
@@ -0,0 +1,41 @@
+"""What the attempts of one request have come to, and what the caller is told of it."""
+
+from typing import Final
+
+from gypsumpier.codes import request as codes
+from gypsumpier.codes.result import Outcome
+from gypsumpier.entry.link import Link
+from gypsumpier.entry.request import CallerRequest
+from gypsumpier.errors import GypsumpierError
+
+RETRY_AFTER_S: Final = 1.0
+
+
+class Failure:
+    """What the attempts of one request have come to so far."""
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.request = request
+        self.tried: set[str] = set()
+        self.may_have_run = False
+        self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
+
+    def note(self, error: GypsumpierError, link: Link | None) -> None:
+        """Take in how an attempt failed."""
+        self.last = error
+        if link is not None:
+            self.tried.add(link.member.name)
+            self.may_have_run |= error.code.outcome is not Outcome.NOT_RUN
+
+    def told(self) -> GypsumpierError:
+        """Return the error for the caller: never *not run* after an attempt that may have run."""
+        last = self.last
+        if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
+            return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
+        if last.code is codes.UPSTREAM_UNREACHABLE and self.request.has_home():
+            # This copy never reached the home; another one may have.
+            return GypsumpierError(codes.HOME_UNREACHABLE, last.detail, last.retry_after_s)
+        without_key = not self.request.idempotent and not self.request.key
+        if without_key and last.code.outcome is Outcome.UNKNOWN:
+            return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
+        return last
--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -9,12 +9,14 @@
 import contextlib
 from collections.abc import Coroutine
 from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from gypsumpier.clock import Clock
 from gypsumpier.codes.request import HOME_UNREACHABLE
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.document.table import DocumentTable
+from gypsumpier.entry.holder import Holder
+from gypsumpier.entry.inherited import Inherited
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.request import CallerRequest
@@ -36,31 +38,6 @@
 RETRY_AFTER_S: Final = 1.0
 
 
-class Holder(NamedTuple):
-    """The youngest process met in a slot; ``started_at_s`` is on this entry's clock.
-
-    ``previous`` is the incarnation that was met before it, or empty.
-    """
-
-    incarnation: str
-    started_at_s: float
-    previous: str
-
-
-class Inherited(NamedTuple):
-    """A lost entry whose keys this entry holds.
-
-    The ``scope`` is a service, for all keys of it, which the entry left itself.  Or it is an
-    incarnation of an agent, which vouches for the keys sent to its slot, while the document
-    of the ``revision`` was in force.  That holds for the next process in the slot only, because the
-    lost entry may have sent keys to that one as well.
-    """
-
-    scope: str
-    entry: EntryId
-    revision: int | None
-
-
 class EntryKeys:
     """Sent keys, the holders of slots, and entries that disappeared."""
 
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -16,7 +16,8 @@
 from gypsumpier.entry.admission import Admission
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.entry.budget import RetryBudget
-from gypsumpier.entry.delivery import CrashError, Delivery
+from gypsumpier.entry.delivery import CrashError
+from gypsumpier.entry.failure import Failure
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
@@ -24,9 +25,8 @@
 from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
+from gypsumpier.entry.sender import WITHDRAWN, Sender
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.idempotency.key import KeyId, fingerprint
-from gypsumpier.idempotency.record import KeyState
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.wire.frame import Frame
@@ -37,11 +37,6 @@
 HOME_WAIT_S: Final = 6.0
 HOME_POLL_S: Final = 0.1
 
-# The copy was not run by its home, although the key may have run before.
-WITHDRAWN: Final = frozenset(
-    {codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL, codes.UPSTREAM_UNREACHABLE}
-)
-
 
 class Relay:
     """Relays requests to upstreams through the links."""
@@ -54,6 +49,7 @@
         self.links = links
         self.keys = keys
         self.random = random
+        self.sender = Sender(options, clock, links, keys)
         self.budget = RetryBudget()
         self.admissions: dict[str, Admission] = {}
         self.quarantine = Quarantine(options.quarantine_s)
@@ -126,7 +122,7 @@
             started = False
             try:
                 payload = self.payload(request, document, version)
-                async for frame in self.deliver(request, link, attempt, payload):
+                async for frame in self.sender.deliver(request, link, attempt, payload):
                     started = started or request.streamed
                     yield frame
                 return
@@ -148,7 +144,7 @@
             self.check_quarantine(request)
 
     async def target(
-        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> tuple[Link, str]:
         """Return where the next attempt goes, and the version; raise where it can't go."""
         if request.has_home():
@@ -159,7 +155,7 @@
         return choice.link, choice.version
 
     async def home(
-        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> Link:
         """Return the link to the key's home; a home that is being replaced is waited for."""
         until_s = self.clock.monotonic() + self.home_wait_s(request)
@@ -180,7 +176,7 @@
         return max(0.0, min(left_s, request.remaining_at(now_s) / 2))
 
     def choose(
-        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> Choice | None:
         """Choose an upstream and log the decision."""
         links = self.links.of_service(request.service)
@@ -199,47 +195,6 @@
         )
         return choice
 
-    async def deliver(
-        self, request: CallerRequest, link: Link, attempt: Attempt, payload: dict[str, Any]
-    ) -> AsyncIterator[Frame]:
-        """Yield the frames of one attempt; a key is noted before it is sent."""
-        delivery = Delivery(
-            self.options, self.clock, link, request, attempt, lambda: self.has_other(request, link)
-        )
-        if not request.has_home():
-            async for frame in delivery.frames(payload):
-                yield frame
-            return
-        key_id = KeyId(request.workspace, request.key)
-        printed = fingerprint(request.method, request.path, request.body)
-        now_s = self.clock.monotonic()
-        home = link.incarnation
-        if not self.keys.sent.note(request.service, key_id, printed, home, now_s):
-            raise GypsumpierError(codes.KEYS_FULL, "this entry keeps too many keys", RETRY_AFTER_S)
-        state: KeyState | None = KeyState.UNKNOWN
-        try:
-            async for frame in delivery.frames(payload):
-                state = KeyState.DONE if frame.kind == "end" else state
-                yield frame
-        except GypsumpierError as error:
-            state = settled_state(error)
-            raise
-        finally:
-            self.settle(request.service, key_id, home, state)
-
-    def has_other(self, request: CallerRequest, link: Link) -> bool:
-        """Tell whether another upstream of the service may be tried."""
-        links = self.links.of_service(request.service)
-        return any(other is not link and other.is_usable() for other in links)
-
-    def settle(self, service: str, key_id: KeyId, home: str, state: KeyState | None) -> None:
-        """Note what became of one send; None where the home has not run this copy."""
-        now_s = self.clock.monotonic()
-        if state is None:
-            self.keys.sent.withdraw(service, key_id, home, now_s)
-        else:
-            self.keys.sent.settle(service, key_id, home, state, now_s)
-
     def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
         """Tell whether another attempt is safe and allowed after this error."""
         if request.has_home():
@@ -273,42 +228,3 @@
             "fingerprint": request.fingerprint,
             "suspect": self.quarantine.is_suspect(request.fingerprint, now_s),
         }
-
-
-class Failure:
-    """What the attempts of one request have come to so far."""
-
-    def __init__(self, request: CallerRequest) -> None:
-        self.request = request
-        self.tried: set[str] = set()
-        self.may_have_run = False
-        self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
-
-    def note(self, error: GypsumpierError, link: Link | None) -> None:
-        """Take in how an attempt failed."""
-        self.last = error
-        if link is not None:
-            self.tried.add(link.member.name)
-            self.may_have_run |= error.code.outcome is not Outcome.NOT_RUN
-
-    def told(self) -> GypsumpierError:
-        """Return the error for the caller: never *not run* after an attempt that may have run."""
-        last = self.last
-        if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
-            return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
-        if last.code is codes.UPSTREAM_UNREACHABLE and self.request.has_home():
-            # This copy never reached the home; another one may have.
-            return GypsumpierError(codes.HOME_UNREACHABLE, last.detail, last.retry_after_s)
-        without_key = not self.request.idempotent and not self.request.key
-        if without_key and last.code.outcome is Outcome.UNKNOWN:
-            return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
-        return last
-
-
-def settled_state(error: GypsumpierError) -> KeyState | None:
-    """Return what an error says of a key that was sent."""
-    if error.code in WITHDRAWN:
-        return None
-    if error.code.outcome is Outcome.NOT_RUN:
-        return KeyState.REFUSED
-    return KeyState.DONE if error.code.outcome is Outcome.DONE else KeyState.UNKNOWN
--- /dev/null
+++ b/gypsumpier/entry/sender.py
@@ -0,0 +1,86 @@
+"""Sends one attempt and, for a request with a home, keeps the account of its key."""
+
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.codes import request as codes
+from gypsumpier.codes.result import Outcome
+from gypsumpier.entry.attempt import Attempt
+from gypsumpier.entry.delivery import Delivery
+from gypsumpier.entry.keys import EntryKeys
+from gypsumpier.entry.link import Link
+from gypsumpier.entry.links import Links
+from gypsumpier.entry.request import CallerRequest
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId, fingerprint
+from gypsumpier.idempotency.record import KeyState
+from gypsumpier.options import Options
+from gypsumpier.wire.frame import Frame
+
+RETRY_AFTER_S: Final = 1.0
+
+# The copy was not run by its home, although the key may have run before.
+WITHDRAWN: Final = frozenset(
+    {codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL, codes.UPSTREAM_UNREACHABLE}
+)
+
+
+class Sender:
+    """Sends attempts over the links."""
+
+    def __init__(self, options: Options, clock: Clock, links: Links, keys: EntryKeys) -> None:
+        self.options = options
+        self.clock = clock
+        self.links = links
+        self.keys = keys
+
+    async def deliver(
+        self, request: CallerRequest, link: Link, attempt: Attempt, payload: dict[str, Any]
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of one attempt; a key is noted before it is sent."""
+        delivery = Delivery(
+            self.options, self.clock, link, request, attempt, lambda: self.has_other(request, link)
+        )
+        if not request.has_home():
+            async for frame in delivery.frames(payload):
+                yield frame
+            return
+        key_id = KeyId(request.workspace, request.key)
+        printed = fingerprint(request.method, request.path, request.body)
+        now_s = self.clock.monotonic()
+        home = link.incarnation
+        if not self.keys.sent.note(request.service, key_id, printed, home, now_s):
+            raise GypsumpierError(codes.KEYS_FULL, "this entry keeps too many keys", RETRY_AFTER_S)
+        state: KeyState | None = KeyState.UNKNOWN
+        try:
+            async for frame in delivery.frames(payload):
+                state = KeyState.DONE if frame.kind == "end" else state
+                yield frame
+        except GypsumpierError as error:
+            state = settled_state(error)
+            raise
+        finally:
+            self.settle(request.service, key_id, home, state)
+
+    def has_other(self, request: CallerRequest, link: Link) -> bool:
+        """Tell whether another upstream of the service may be tried."""
+        links = self.links.of_service(request.service)
+        return any(other is not link and other.is_usable() for other in links)
+
+    def settle(self, service: str, key_id: KeyId, home: str, state: KeyState | None) -> None:
+        """Note what became of one send; None where the home has not run this copy."""
+        now_s = self.clock.monotonic()
+        if state is None:
+            self.keys.sent.withdraw(service, key_id, home, now_s)
+        else:
+            self.keys.sent.settle(service, key_id, home, state, now_s)
+
+
+def settled_state(error: GypsumpierError) -> KeyState | None:
+    """Return what an error says of a key that was sent."""
+    if error.code in WITHDRAWN:
+        return None
+    if error.code.outcome is Outcome.NOT_RUN:
+        return KeyState.REFUSED
+    return KeyState.DONE if error.code.outcome is Outcome.DONE else KeyState.UNKNOWN
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -4,8 +4,8 @@
 import unittest
 
 from gypsumpier.codes import request as codes
+from gypsumpier.entry.failure import Failure
 from gypsumpier.entry.inquiry import ask_outcome
-from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.idempotency.succession import EntryId
