--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -4,10 +4,10 @@
 from collections.abc import AsyncIterator
 from typing import Any, Final, NamedTuple, Protocol
 
+from gypsumpier.agent.generation import generate
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.codes.request import (
     BAD_REQUEST,
-    UPSTREAM_FAILED,
     UPSTREAM_UNREACHABLE,
     WRONG_VERSION,
 )
@@ -60,9 +60,7 @@
     async def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
         if not self.serves(order):
             raise GypsumpierError(WRONG_VERSION, f"{order.version} is not live here", 1.0)
-        async for event in self.engine.complete(completion_of(order)):
-            if event.version != order.version:
-                raise GypsumpierError(UPSTREAM_FAILED, f"the engine answered as {event.version}")
+        async for event in generate(self.engine, completion_of(order)):
             if event.finish_reason is None:
                 yield Part("token", {"text": event.text, "version": event.version})
                 continue
