--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -10,6 +10,11 @@
 
 RETRY_AFTER_S: Final = 1.0
 
+# The copy was not run by its home, although the key may have run before.
+WITHDRAWN: Final = frozenset(
+    {codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL, codes.UPSTREAM_UNREACHABLE}
+)
+
 
 class Failure:
     """What the attempts of one request have come to so far."""
@@ -25,7 +30,8 @@
         self.last = error
         if link is not None:
             self.tried.add(link.member.name)
-            self.may_have_run |= error.code.outcome is not Outcome.NOT_RUN
+            certain = error.code.outcome is Outcome.NOT_RUN or error.code in WITHDRAWN
+            self.may_have_run = self.may_have_run or not certain
 
     def told(self) -> GypsumpierError:
         """Return the error for the caller: never *not run* after an attempt that may have run."""
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -17,7 +17,7 @@
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.entry.budget import RetryBudget
 from gypsumpier.entry.delivery import CrashError
-from gypsumpier.entry.failure import Failure
+from gypsumpier.entry.failure import WITHDRAWN, Failure
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
@@ -25,7 +25,7 @@
 from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
-from gypsumpier.entry.sender import WITHDRAWN, Sender
+from gypsumpier.entry.sender import Sender
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.options import Options
@@ -132,7 +132,7 @@
                 if started or not self.may_retry(request, error):
                     raise failure.told() from error
             wait_s = failure.last.retry_after_s if request.has_home() else None
-            await self.clock.sleep(wait_s or self.random.uniform(0, BACKOFF_S * 2**number))
+            await self.clock.sleep((wait_s or 0.0) + self.random.uniform(0, BACKOFF_S * 2**number))
         raise failure.told()
 
     def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
--- a/gypsumpier/entry/sender.py
+++ b/gypsumpier/entry/sender.py
@@ -8,6 +8,7 @@
 from gypsumpier.codes.result import Outcome
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.entry.delivery import Delivery
+from gypsumpier.entry.failure import WITHDRAWN
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
@@ -20,11 +21,6 @@
 
 RETRY_AFTER_S: Final = 1.0
 
-# The copy was not run by its home, although the key may have run before.
-WITHDRAWN: Final = frozenset(
-    {codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL, codes.UPSTREAM_UNREACHABLE}
-)
-
 
 class Sender:
     """Sends attempts over the links."""
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -310,6 +310,10 @@
             failure.note(GypsumpierError(codes.UPSTREAM_LEAVING, ""), link)
             self.assertEqual(codes.OUTCOME_UNKNOWN, failure.told().code)
             failure = Failure(plain_call(world, "k"))
+            failure.note(GypsumpierError(codes.HOME_RECOVERING, ""), link)
+            failure.note(GypsumpierError(codes.KEY_REFUSED, ""), link)
+            self.assertEqual(codes.KEY_REFUSED, failure.told().code)
+            failure = Failure(plain_call(world, "k"))
             failure.note(GypsumpierError(codes.UPSTREAM_UNREACHABLE, ""), link)
             self.assertEqual(codes.HOME_UNREACHABLE, failure.told().code)
 
