--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -36,6 +36,7 @@
 BACKOFF_S: Final = 0.05
 HOME_WAIT_S: Final = 6.0
 HOME_POLL_S: Final = 0.1
+HOME_SPREAD_S: Final = 0.5
 
 
 class Relay:
@@ -88,6 +89,15 @@
         for frame in whole:
             yield frame
 
+    def pause_s(self, request: CallerRequest, failure: Failure, number: int) -> float:
+        """Return how long to wait before the next attempt.
+
+        Copies that wait for one home are spread out, so that they don't fill it all at once.
+        """
+        if not request.has_home():
+            return self.random.uniform(0, BACKOFF_S * 2**number)
+        return (failure.last.retry_after_s or 0.0) + self.random.uniform(0, HOME_SPREAD_S)
+
     def admission(self, service: str, document: ServiceDocument) -> Admission:
         """Return the admission of the service, for the upstreams that are usable now."""
         admission = self.admissions.get(service)
@@ -131,8 +141,7 @@
                 self.note_failed_attempt(request, error)
                 if started or not self.may_retry(request, error):
                     raise failure.told() from error
-            wait_s = failure.last.retry_after_s if request.has_home() else None
-            await self.clock.sleep((wait_s or 0.0) + self.random.uniform(0, BACKOFF_S * 2**number))
+            await self.clock.sleep(self.pause_s(request, failure, number))
         raise failure.told()
 
     def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
