--- /dev/null
+++ b/gypsumpier/test/test_request_processes.py
@@ -0,0 +1,69 @@
+"""At most once and true answers over real processes, under silence, pauses, kills and stops."""
+
+import asyncio
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Final
+
+from misc.deployment import load_deployment
+from misc.faulting.actions import Faults
+from misc.faulting.checker import Report, check
+from misc.faulting.faultstage import FaultStage
+from misc.faulting.load import MixedLoad
+from misc.faults import WEIGHTS_SEED, counts, small, start
+from misc.fleet import Fleet
+from misc.samples import make_weights
+
+SEED: Final = 1
+RATE_PER_S: Final = 25.0
+LOAD_S: Final = 7.0
+RESENDS: Final = 2
+CHECKED: Final = ("ran_twice", "false_not_run", "wrong_or_partial_answers")
+PAUSE_S: Final = 1.0
+HOME: Final = "table-ops/bac-a/0"
+OTHER_HOME: Final = "table-ops/bac-a/1"
+ENTRY: Final = "entry/bac-a/0"
+
+
+async def faults_of_all_kinds(stage: FaultStage, faults: Faults) -> None:
+    """Apply one fault after the other."""
+    await asyncio.sleep(1.0)
+    stage.cables[HOME].silence()
+    stage.fleet.freeze(ENTRY)
+    await asyncio.sleep(PAUSE_S)
+    stage.fleet.thaw(ENTRY)
+    await stage.fleet.kill(OTHER_HOME)
+    await stage.replace_agent(OTHER_HOME)
+    stage.cables[OTHER_HOME].cut()
+    await stage.fleet.stop(ENTRY)
+    await stage.replace_entry(ENTRY)
+
+
+async def run_load(directory: Path) -> Report:
+    """Run load and faults on a small deployment; return the report."""
+    deployment = small(load_deployment("rung-lab"))
+    weights = directory / "weights"
+    for service in deployment.model_services():
+        make_weights(weights, deployment.documents[service]["model"], WEIGHTS_SEED)
+    async with Fleet(directory / "logs") as fleet:
+        stage = FaultStage(fleet, deployment, weights, {})
+        await start(stage)
+        faults = Faults(stage, random.Random(SEED))
+        load = MixedLoad(stage, random.Random(SEED), RATE_PER_S, RESENDS)
+        await asyncio.gather(load.run(LOAD_S), faults_of_all_kinds(stage, faults))
+        return check(SEED, load.sender.copies, await counts(stage), [], 0)
+
+
+class ProcessTest(unittest.TestCase):
+    def test_nothing_runs_twice_and_nobody_is_told_wrong(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            report = asyncio.run(run_load(Path(directory)))
+        broken = [name for name in CHECKED if report[name]]  # type: ignore[literal-required]
+        self.assertFalse(broken, report)
+        self.assertGreater(report["done"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/misc/faulting/load.py
+++ b/misc/faulting/load.py
@@ -20,10 +20,17 @@
 class MixedLoad:
     """Sends requests at a steady rate until stopped; each request is one task."""
 
-    def __init__(self, stage: FaultStage, rng: random.Random, rate_per_s: float) -> None:
+    def __init__(
+        self,
+        stage: FaultStage,
+        rng: random.Random,
+        rate_per_s: float,
+        resends: int = RESENDS_MAX,
+    ) -> None:
         self.stage = stage
         self.rng = rng
         self.rate_per_s = rate_per_s
+        self.resends = resends
         self.sender = Sender()
         self.number = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -97,7 +104,7 @@
         key, route, workspace = self.key(number), self.rng.choice(self.routes), self.workspace()
         impatient = self.rng.random() < 0.3
         timeout_s = IMPATIENT_S if impatient else CALLER_TIMEOUT_S
-        for attempt in range(RESENDS_MAX):
+        for attempt in range(self.resends):
             copy = await self.send("keyed", number, key, route, workspace, timeout_s)
             again = copy.told in (UNKNOWN, NOT_RUN, CUT) or self.rng.random() < 0.15
             if not again:
