Start each entry's window at an even share; repeat a full refusal without the budget

A trial of measure_requests with two engines told upstream_full to 26 of 329 requests at capacity: both entries began with windows for all upstreams and spent the retry budget.

--- a/gypsumpier/entry/admission.py
+++ b/gypsumpier/entry/admission.py
@@ -43,10 +43,11 @@
         self.shrunk_at_s = float("-inf")
         self.time_s = FIRST_TIME_S
 
-    def set_limit(self, limit: int) -> None:
-        """Set what all upstreams together take; the window starts there and stays below."""
-        if self.limit == 0 or self.window > limit:
-            self.window = max(WINDOW_MIN, float(limit))
+    def set_limit(self, limit: int, entries: int) -> None:
+        """Set what all upstreams together take; the window starts at an even share of it."""
+        if self.limit == 0:
+            self.window = limit / max(1, entries)
+        self.window = max(WINDOW_MIN, min(self.window, float(limit)))
         self.limit = limit
 
     async def enter(self, request: CallerRequest, document: ServiceDocument) -> None:
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -104,7 +104,8 @@
         if admission is None:
             admission = self.admissions[service] = Admission(self.clock)
         usable = sum(link.is_usable() for link in self.links.of_service(service))
-        admission.set_limit(max(1, usable) * document.limits.in_flight_per_upstream)
+        limit = max(1, usable) * document.limits.in_flight_per_upstream
+        admission.set_limit(limit, len(self.keys.listed))
         return admission
 
     def check_quarantine(self, request: CallerRequest) -> None:
@@ -212,7 +213,8 @@
         not_run = error.code.outcome is Outcome.NOT_RUN
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
-        return self.budget.spend()
+        # A full upstream refuses before any work, and the window has just been made smaller.
+        return error.code is codes.UPSTREAM_FULL or self.budget.spend()
 
     def payload(
         self, request: CallerRequest, document: ServiceDocument, version: str
--- a/gypsumpier/test/test_request_overload.py
+++ b/gypsumpier/test/test_request_overload.py
@@ -74,7 +74,7 @@
     def __init__(self) -> None:
         self.world = World()
         self.admission = Admission(self.world.clock)
-        self.admission.set_limit(SLOTS)
+        self.admission.set_limit(SLOTS, 1)
         self.done: Counter[str] = Counter()
         self.late = 0
         self.refused_after_s: list[float] = []
@@ -124,7 +124,7 @@
         async def scenario() -> None:
             world = World()
             admission = Admission(world.clock)
-            admission.set_limit(1)
+            admission.set_limit(1, 1)
             document = world.documents.document("table-ops")
             assert document is not None
             await admission.enter(plain_call(world), document)
