Admit each attempt, not each request; let a replaced link end

A session's end took the cancellation of its link for its own, so the link went on, whoever stopped it waited for ever, and the entry opened no links any more. Keyed requests that waited for the home held all slots of the service meanwhile. Links are also no longer replaced when only the address of the same process changes. Shown failing: the link's end, waiting inside the window, the bound on the wait in the queue.

--- a/gypsumpier/entry/admission.py
+++ b/gypsumpier/entry/admission.py
@@ -26,6 +26,7 @@
 TIME_WEIGHT: Final = 0.1
 FIRST_TIME_S: Final = 0.1
 WAIT_SHARE: Final = 0.5
+LONGEST_WAIT_SHARE: Final = 0.75
 DEFAULT_WEIGHT: Final = 1
 
 Slot = asyncio.Future[None]
@@ -63,10 +64,18 @@
         self.queue.push(request.workspace, weight, waiting)
         self.drop_last()
         try:
-            await slot
+            await asyncio.wait([slot], timeout=self.longest_wait_s(request))
         except asyncio.CancelledError:
             self.give_up(waiting)
             raise
+        if not slot.done():
+            self.give_up(waiting)
+            raise GypsumpierError(OVERLOADED, "the queue moves too slowly", 1.0)
+        slot.result()
+
+    def longest_wait_s(self, request: CallerRequest) -> float:
+        """Return after how long a request leaves the queue that moves slower than expected."""
+        return max(0.0, request.remaining_at(self.clock.monotonic()) * LONGEST_WAIT_SHARE)
 
     def check_wait(self, request: CallerRequest, waiting: Waiting[Slot]) -> None:
         """Raise where the expected wait leaves too little time to answer."""
@@ -93,20 +102,23 @@
             last.item.set_exception(GypsumpierError(OVERLOADED, "the queue is full", wait_s))
 
     def give_up(self, waiting: Waiting[Slot]) -> None:
-        """Take back a request whose caller no longer waits."""
-        if waiting.item.done() and not waiting.item.cancelled():
-            self.leave(None)
+        """Take back a request that no longer waits; its slot may have been granted just now."""
+        slot = waiting.item
+        if slot.done() and slot.exception() is None:
+            self.in_flight -= 1
+            self.admit_next()
+        slot.cancel()
         self.queue.remove(waiting)
 
     def expected_wait_s(self, place: int) -> float:
         """Return the seconds until the request at that place of the queue goes on."""
         return place * self.time_s / max(WINDOW_MIN, self.window)
 
-    def leave(self, took_s: float | None) -> None:
-        """Note that a request has ended, after that many seconds where it was answered."""
+    def leave(self, took_s: float, answered: bool) -> None:
+        """Note that a request has ended after that many seconds."""
         self.in_flight -= 1
-        if took_s is not None:
-            self.time_s += TIME_WEIGHT * (took_s - self.time_s)
+        self.time_s += TIME_WEIGHT * (took_s - self.time_s)
+        if answered:
             self.window = min(float(max(1, self.limit)), self.window + 1.0 / self.window)
         self.admit_next()
 
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -71,6 +71,7 @@
         self.own_at_report = 0
         self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
+        self.stopping = False
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -78,7 +79,11 @@
         self.task = asyncio.create_task(self.run())
 
     async def stop(self) -> None:
-        """Close the connection and end the task."""
+        """Close the connection and end the task.
+
+        The end of a session may take a cancellation for its own, so the task looks at ``stopping``.
+        """
+        self.stopping = True
         if self.task is not None:
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -87,7 +92,7 @@
     async def run(self) -> None:
         """Keep one connection open, with full jitter between dials."""
         wait_s = REDIAL_MIN_S
-        while True:
+        while not self.stopping:
             try:
                 await self.serve_one_connection()
                 wait_s = REDIAL_MIN_S
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -120,4 +120,4 @@
 
 def differs(old: Member, new: Member) -> bool:
     """Tell whether another process fills the member's place."""
-    return (old.incarnation, old.host, old.port) != (new.incarnation, new.host, new.port)
+    return old.incarnation != new.incarnation
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -14,7 +14,7 @@
 from gypsumpier.codes.result import Outcome
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.entry.admission import Admission
-from gypsumpier.entry.attempt import Attempt
+from gypsumpier.entry.attempt import END, Attempt
 from gypsumpier.entry.budget import RetryBudget
 from gypsumpier.entry.delivery import CrashError
 from gypsumpier.entry.failure import WITHDRAWN, Failure
@@ -60,25 +60,6 @@
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
         self.budget.earn()
         self.check_quarantine(request)
-        admission = self.admission(request.service, document)
-        try:
-            await admission.enter(request, document)
-        except GypsumpierError as error:
-            raise refusal_of_copy(error, request.has_home()) from error
-        entered_at_s = self.clock.monotonic()
-        took_s: float | None = None
-        try:
-            async for frame in self.answered(request, document):
-                yield frame
-            took_s = self.clock.monotonic() - entered_at_s
-            self.quarantine.note_finished(request.fingerprint)
-        finally:
-            admission.leave(took_s)
-
-    async def answered(
-        self, request: CallerRequest, document: ServiceDocument
-    ) -> AsyncIterator[Frame]:
-        """Yield the frames of an admitted request; a whole answer only when it is complete."""
         frames = self.attempts(request, document)
         if request.streamed:
             async for frame in frames:
@@ -89,6 +70,31 @@
         for frame in whole:
             yield frame
 
+    async def admitted(
+        self,
+        request: CallerRequest,
+        document: ServiceDocument,
+        link: Link,
+        attempt: Attempt,
+        version: str,
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of one attempt, within the window of the service."""
+        admission = self.admission(request.service, document)
+        try:
+            await admission.enter(request, document)
+        except GypsumpierError as error:
+            raise refusal_of_copy(error, request.has_home()) from error
+        entered_at_s = self.clock.monotonic()
+        answered = False
+        try:
+            payload = self.payload(request, document, version)
+            async for frame in self.sender.deliver(request, link, attempt, payload):
+                answered = frame.kind == END
+                yield frame
+        finally:
+            admission.leave(self.clock.monotonic() - entered_at_s, answered)
+        self.quarantine.note_finished(request.fingerprint)
+
     def pause_s(self, request: CallerRequest, failure: Failure, number: int) -> float:
         """Return how long to wait before the next attempt.
 
@@ -132,8 +138,7 @@
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
             try:
-                payload = self.payload(request, document, version)
-                async for frame in self.sender.deliver(request, link, attempt, payload):
+                async for frame in self.admitted(request, document, link, attempt, version):
                     started = started or request.streamed
                     yield frame
                 return
--- a/gypsumpier/test/test_request_overload.py
+++ b/gypsumpier/test/test_request_overload.py
@@ -99,7 +99,7 @@
             self.refused_after_s.append(self.world.clock.monotonic() - request.received_at_s)
             return
         await asyncio.sleep(SERVICE_S)
-        self.admission.leave(SERVICE_S)
+        self.admission.leave(SERVICE_S, True)
         self.done[workspace] += 1
         self.late += request.remaining_at(self.world.clock.monotonic()) < 0
 
@@ -135,13 +135,29 @@
             self.assertEqual(0, len(admission.queue))
             granted = asyncio.create_task(admission.enter(plain_call(world), document))
             await asyncio.sleep(0)
-            admission.leave(1.0)
+            admission.leave(1.0, True)
             granted.cancel()
             await asyncio.gather(granted, return_exceptions=True)
             self.assertEqual((0, 0), (admission.in_flight, len(admission.queue)))
 
         run(scenario())
 
+    def test_a_queue_that_stands_still_refuses_before_the_deadline(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            admission = Admission(world.clock)
+            admission.set_limit(1, 1)
+            document = world.documents.document("table-ops")
+            assert document is not None
+            await admission.enter(plain_call(world), document)
+            with self.assertRaises(GypsumpierError) as raised:
+                await admission.enter(plain_call(world, deadline_s=4.0), document)
+            self.assertEqual("overloaded", raised.exception.code.name)
+            self.assertEqual(3.0, world.clock.monotonic())
+            self.assertEqual((1, 0), (admission.in_flight, len(admission.queue)))
+
+        run(scenario())
+
     @given(st.integers(100, 2000))
     @settings(derandomize=True, deadline=None, max_examples=20)
     def test_retries_stay_a_small_share_in_an_outage(self, requests: int) -> None:
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -1,6 +1,7 @@
 """Requests from entry to upstream under lost connections, replaced agents and resends."""
 
 import asyncio
+import contextlib
 import unittest
 
 from gypsumpier.codes import request as codes
@@ -9,6 +10,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.idempotency.succession import EntryId
+from gypsumpier.test.builders import ZONE, plain_document
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     TOKENS,
@@ -264,6 +266,45 @@
 
 
 class StaleListTest(unittest.TestCase):
+    def test_a_link_stops_although_the_end_of_a_session_takes_its_cancellation(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            _, entry = await settled(world)
+            link = next(iter(entry.links.links.values()))
+            ending = asyncio.Event()
+
+            async def end_session() -> None:
+                ending.set()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(60.0)
+
+            link.end_session = end_session  # type: ignore[method-assign]
+            for wire in list(world.network.links):
+                wire.cut()
+            await ending.wait()
+            began_s = world.clock.monotonic()
+            await asyncio.wait_for(link.stop(), 10.0)
+            self.assertLess(world.clock.monotonic() - began_s, 9.0)
+
+        run(scenario())
+
+    def test_requests_that_wait_for_a_home_hold_up_no_others(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            away = [f"k{number}" for number in range(200)]
+            calls = [plain_call(world, key) for key in away]
+            waiting = [asyncio.create_task(outcome(world, entry, call)) for call in calls]
+            await asyncio.sleep(1.0)
+            began_s = world.clock.monotonic()
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertLess(world.clock.monotonic() - began_s, 1.0)
+            await asyncio.gather(*waiting)
+            self.assertTrue(agent.upstream.runs)
+
+        run(scenario())
+
     def test_a_list_that_names_a_replaced_process_changes_nothing(self) -> None:
         async def scenario() -> None:
             world = World()
