--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -140,5 +140,6 @@
             "upstreams": [{"name": self.options.name, **self.listener.state()}],
             "transfers": self.rollout.transfers() if self.rollout is not None else [],
             "in_flight": len(self.gate.running),
+            "home": self.home.inspect(),
             "stopping": self.stopping,
         }
--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -188,6 +188,17 @@
         if self.ledger.records[key_id].state is KeyState.RUNNING:
             self.ledger.fail(key_id, self.clock.monotonic())
 
+    def inspect(self) -> dict[str, object]:
+        """Return what is kept, and which entries are waited for where keys are held back."""
+        succession = self.succession
+        return {
+            "keys": len(self.ledger.records),
+            "answer_bytes": self.ledger.answer_bytes,
+            "running": len(self.running),
+            "waits_for": sorted(entry.name for entry in succession.missing()),
+            "lost_entries": sorted(entry.name for entry in succession.lost_at_s),
+        }
+
     def document(self) -> ServiceDocument | None:
         """Return the service's document in force."""
         return self.documents.document(self.options.service)
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -135,5 +135,6 @@
                 for link in self.links.links.values()
             ],
             "in_flight": self.in_flight,
+            "requests": self.relay.inspect(),
             "stopping": self.stopping,
         }
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -122,6 +122,22 @@
             decision("quarantine", request=request.request_id, reason="named by two crashes")
             raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
 
+    def inspect(self) -> dict[str, object]:
+        """Return the windows and queues by service, the retry budget and the quarantine."""
+        return {
+            "windows": {
+                service: {
+                    "window": round(admission.window, 1),
+                    "in_flight": admission.in_flight,
+                    "queued": len(admission.queue),
+                }
+                for service, admission in self.admissions.items()
+            },
+            "retries_left": round(self.budget.saved, 1),
+            "suspects": len(self.quarantine.suspects),
+            "keys": len(self.keys.sent.keys),
+        }
+
     def take_suspects(self, suspects: list[list[str]]) -> None:
         """Note the requests that an agent names after a crash."""
         now_s = self.clock.monotonic()
--- a/gypsumpier/idempotency/succession.py
+++ b/gypsumpier/idempotency/succession.py
@@ -97,14 +97,21 @@
 
     def all_reported(self) -> bool:
         """Tell whether every entry has reported that any list read after settling names."""
+        return bool(self.listed()) and not self.missing()
+
+    def missing(self) -> frozenset[EntryId]:
+        """Return the listed entries that have not reported."""
+        return frozenset(entry for entry in self.listed() if not self.has_reported(entry))
+
+    def listed(self) -> frozenset[EntryId]:
+        """Return the entries that any list read after settling names, but for lost ones."""
         settled_at_s = self.began_at_s + self.limits.settle_s
         fresh = [
             reported.entries
             for reporter, reported in self.lists.items()
             if reported.at_s >= settled_at_s and reporter not in self.lost_at_s
         ]
-        listed = frozenset[EntryId]().union(*fresh) - self.lost_at_s.keys()
-        return bool(listed) and all(self.has_reported(entry) for entry in listed)
+        return frozenset[EntryId]().union(*fresh) - self.lost_at_s.keys()
 
     def forget_old(self, now_s: float) -> None:
         """Forget entries that disappeared longer ago than any caller resends."""
