--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	$(PY) -m misc.measure_documents --seed $(SEED)
 
 # Measures how costs grow with the fleet, for docs/CAPACITY.md; takes about six minutes.
-GROUPS ?= tables links spread relay rollout
+GROUPS ?= tables links busy spread relay rollout
 .PHONY: measure-capacity
 measure-capacity: venv
 	$(PY) -m misc.measure_capacity $(foreach group,$(GROUPS),--only $(group))
--- a/gypsumpier/test/builders.py
+++ b/gypsumpier/test/builders.py
@@ -39,13 +39,13 @@
     document = model_document(
         service="table-ops",
         kind="plain",
-        model="",
-        versions=[],
         routes=[
             {"prefix": "/", "methods": ["GET"], "idempotent": True, "priority": 1},
             {"prefix": "/commands", "methods": ["POST"], "idempotent": False, "priority": 2},
         ],
     )
+    for model_field in ("model", "versions", "engines_honour_fencing"):
+        del document[model_field]
     return document | fields
 
 
--- a/misc/capacity/bench.py
+++ b/misc/capacity/bench.py
@@ -10,6 +10,7 @@
 ZONE: Final = "zone-a"
 REGION: Final = "region-a"
 SERVICE: Final = "plain"
+INCARNATION: Final = "1"
 RARELY_S: Final = 3600.0
 
 
@@ -34,6 +35,7 @@
         self.service_url = url_of(service)
         self.platform_ports = frozenset((configuration.port, membership.port, service.port))
         self.settings = {
+            "incarnation": INCARNATION,
             "region": REGION,
             "zone": ZONE,
             "configuration_url": self.configuration_url,
@@ -42,8 +44,12 @@
         }
 
     async def start_entry(self, name: str, **settings: Any) -> Child:
-        """Start one entry as a process."""
-        return await self.fleet.start_daemon(name, role="entry", **(self.settings | settings))
+        """Start one entry as a process and put it on the member list."""
+        settings = self.settings | settings
+        child = await self.fleet.start_daemon(name, role="entry", **settings)
+        place = {"region": settings["region"], "zone": settings["zone"]}
+        await self.list_members([self.member(child, "entry", "") | place])
+        return child
 
     async def start_agent(self, name: str, **settings: Any) -> Child:
         """Start one agent beside the plain service as a process."""
@@ -80,7 +86,7 @@
         """Return a process of the bench as the member list names it."""
         return {
             "name": child.name,
-            "incarnation": "1",
+            "incarnation": INCARNATION,
             "role": role,
             "service": service,
             "region": REGION,
--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from pathlib import Path
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from gypsumpier.test import builders
 from misc.capacity import target
@@ -25,7 +25,6 @@
 LINKS_POLL_S: Final = 0.2
 REQUESTS_PER_WORKER_S: Final = target.REQUESTS_PER_S / target.WORKERS
 BUSY_S: Final = 15.0
-ONE_REPLICA: Final = {"zone": ZONE, "replicas": 1}
 
 
 class LinkCost(NamedTuple):
@@ -39,9 +38,6 @@
     """Measure an entry against its agents and an agent against its entries."""
     by_agents = [await entry_cost(directory, count) for count in AGENT_COUNTS]
     by_entries = [await agent_cost(directory, count) for count in ENTRY_COUNTS]
-    busy = [await busy_cost(directory, count) for count in ENTRY_COUNTS]
-    wire = [Point(one.links, one.usage.wire_bytes_per_s) for one in busy]
-    limit = target.CONTROL_BYTES_PER_S
     # An entry has links to every agent of the list; the slopes named by the zone tell what links
     # to the agents of its own zone alone would cost.
     return [
@@ -49,6 +45,15 @@
         *slopes_of("entry_zone_links", "agents", by_agents, target.WORKERS_PER_ZONE),
         *slopes_of("agent_links", "entries", by_entries, target.ENTRIES),
         *slopes_of("agent_zone_links", "entries", by_entries, target.ENTRIES_PER_ZONE),
+    ]
+
+
+async def measure_busy_links(directory: Path) -> list[Slope]:
+    """Measure an agent that runs requests of one entry, against its links to others."""
+    costs = [await busy_cost(directory, count) for count in ENTRY_COUNTS]
+    wire = [Point(one.links, one.usage.wire_bytes_per_s) for one in costs]
+    limit = target.CONTROL_BYTES_PER_S
+    return [
         Slope("busy_links_wire", "B/s", "links", wire, target.ENTRIES, limit),
         Slope("busy_zone_links_wire", "B/s", "links", wire, target.WORKERS_PER_ZONE, limit),
     ]
@@ -80,13 +85,13 @@
     async with Fleet(directory) as fleet:
         bench = Bench(fleet)
         await bench.start()
-        await bench.publish(builders.plain_document(service=SERVICE, zones=[ONE_REPLICA]))
+        await bench.publish(document())
         agent = await bench.start_agent(f"{SERVICE}/{ZONE}/0", membership_interval_s=RARELY_S)
         await bench.list_members([bench.member(agent, "agent", SERVICE)])
         entry = await bench.start_entry(f"entry/{ZONE}/0")
         await bench.start_swarm("entry", count)
         url = f"http://127.0.0.1:{entry.ports['http_port']}"
-        profile = Profile(rate_per_s=REQUESTS_PER_WORKER_S, duration_s=BUSY_S)
+        profile = Profile(REQUESTS_PER_WORKER_S, BUSY_S)
         load = asyncio.create_task(run_load(profile, Target((url,), SERVICE, "/", "GET")))
         found = await cost(bench, agent, count + 1)
         result = await load
@@ -94,6 +99,13 @@
         return found
 
 
+def document() -> dict[str, Any]:
+    """Return the document of the plain service."""
+    zones = [{"zone": ZONE, "replicas": 1}]
+    workspaces = [builders.workspace("lab", 1, ZONE)]
+    return builders.plain_document(service=SERVICE, zones=zones, workspaces=workspaces)
+
+
 async def cost(bench: Bench, measured: Child, count: int) -> LinkCost:
     """Wait until all links stand, then measure for a window."""
     while count_wire(measured.pid, bench.platform_ports).connections < count:
--- a/misc/capacity/spread.py
+++ b/misc/capacity/spread.py
@@ -90,21 +90,14 @@
 
 
 async def start_entries(bench: Bench, zones: int) -> list[Child]:
-    """Start the entries of all zones and put them on the member list."""
+    """Start the entries of all zones."""
     names = [
         (f"zone-{zone}", f"entry/zone-{zone}/{number}")
         for zone in range(zones)
         for number in range(ENTRIES_OF_ZONE)
     ]
-    entries = await asyncio.gather(
-        *(bench.start_entry(name, zone=zone, region=zone) for zone, name in names)
-    )
-    members = [
-        bench.member(entry, "entry", "") | {"zone": zone, "region": zone}
-        for entry, (zone, _) in zip(entries, names, strict=True)
-    ]
-    await bench.list_members(members)
-    return list(entries)
+    starts = [bench.start_entry(name, zone=zone, region=zone) for zone, name in names]
+    return list(await asyncio.gather(*starts))
 
 
 async def change(bench: Bench, number: int) -> float:
--- a/misc/load_call.py
+++ b/misc/load_call.py
@@ -14,13 +14,14 @@
 CHAT_PATH: Final = "/v1/chat/completions"
 STREAM_END: Final = "[DONE]"
 MAX_CLIENTS: Final = 4000
+SAFE_METHODS: Final = frozenset({"GET", "HEAD"})
 
 
 class Target(NamedTuple):
     """Where the load goes.
 
     Without ``path`` it is the chat completions of the model ``service``; with it, plain calls of
-    ``method`` below the service, each with a key of its own.
+    ``method`` below the service, each with a key of its own where the method is not a safe one.
     """
 
     urls: tuple[str, ...]
@@ -128,10 +129,11 @@
         """Run a plain call; return its outcome."""
         target = self.target
         path = f"/services/{target.service}{target.path}"
-        body = arrival.prompt if target.method in ("POST", "PUT", "PATCH") else None
-        request = self.request(arrival, path, target.method, body)
-        key = f"load-{self.seed}-{arrival.number}"
-        request.headers["Idempotency-Key"] = key
+        is_safe = target.method in SAFE_METHODS
+        request = self.request(arrival, path, target.method, None if is_safe else arrival.prompt)
+        key = "" if is_safe else f"load-{self.seed}-{arrival.number}"
+        if key:
+            request.headers["Idempotency-Key"] = key
         response = await self.fetch(request)
         if isinstance(response, str):
             return response
--- a/misc/measure_capacity.py
+++ b/misc/measure_capacity.py
@@ -14,7 +14,7 @@
 
 import click
 
-from misc.capacity.links import measure_links
+from misc.capacity.links import measure_busy_links, measure_links
 from misc.capacity.plot import plot_slope
 from misc.capacity.relay import measure_relay
 from misc.capacity.rollout import measure_rollout
@@ -29,6 +29,7 @@
 MEASUREMENTS: Final[dict[str, Measurement]] = {
     "tables": measure_tables,
     "links": measure_links,
+    "busy": measure_busy_links,
     "spread": measure_spread,
     "relay": measure_relay,
     "rollout": measure_rollout,
