--- a/gypsumpier/entry/keys.py
+++ b/gypsumpier/entry/keys.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Coroutine
 from random import Random
 from typing import Any, Final, NamedTuple
 
@@ -30,6 +31,7 @@
 
 KEY_BYTES: Final = 200
 FAREWELLS: Final = 2
+NO_HOME: Final = "none"
 RETRY_AFTER_S: Final = 1.0
 
 
@@ -107,10 +109,29 @@
 
     def report_to(self, link: Link) -> None:
         """Start to report to the agent of the link."""
-        task = asyncio.create_task(self.report(link))
+        self.spawn(self.report(link))
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine beside the caller."""
+        task = asyncio.create_task(coroutine)
         self.reports.add(task)
         task.add_done_callback(self.reports.discard)
 
+    def entries_payload(self) -> dict[str, Any]:
+        """Return which entries are listed and which disappeared, as this entry sees it."""
+        now_s = self.clock.monotonic()
+        return {
+            "name": self.options.name,
+            "incarnation": self.options.incarnation,
+            "listed": [list(entry) for entry in self.listed],
+            "lost": [[*entry, now_s - at_s] for entry, at_s in self.lost_at_s.items()],
+        }
+
+    async def tell_entries(self, link: Link) -> None:
+        """Tell an agent that asks which entries are listed."""
+        with contextlib.suppress(GypsumpierError):
+            await link.tell("entries", self.entries_payload())
+
     async def report(self, link: Link) -> None:
         """Send the keys of the service in frames; the last one makes the promise."""
         service = link.member.service
@@ -120,19 +141,22 @@
             "name": self.options.name,
             "incarnation": self.options.incarnation,
             "revision": accepted.revision if accepted else 0,
-            "lost": [[*entry, now_s - at_s] for entry, at_s in self.lost_at_s.items()],
             "inherited": [list(entry) for name, entry in self.inherited if name == service],
         }
-        parts = list(pack_keys(self.sent.report(service, now_s)))
+        parts = list(pack_keys(self.sent.report(service, link.incarnation, now_s)))
         try:
             for number, part in enumerate(parts, 1):
                 complete = number == len(parts)
                 await link.tell("keys", payload | {"keys": part, "complete": complete})
+            await link.tell("entries", self.entries_payload())
         except GypsumpierError as error:
             decision("keys_not_reported", upstream=link.member.name, reason=error)
 
     def take_told(self, link: Link, frame: Frame) -> None:
-        """Take over the keys of a stopping agent or entry, and let the homes know."""
+        """Take over the keys of a stopping agent or entry and let the homes know; or answer."""
+        if frame.kind == "entries_wanted":
+            self.spawn(self.tell_entries(link))
+            return
         payload = frame.payload
         service = payload.get("service", link.member.service)
         now_s = self.clock.monotonic()
@@ -149,7 +173,7 @@
         now_s = self.clock.monotonic()
         for service in {link.member.service for link in self.links.links.values()}:
             links = [link for link in self.links.of_service(service) if link.connection]
-            parts = list(pack_keys(self.sent.report(service, now_s)))
+            parts = list(pack_keys(self.sent.report(service, NO_HOME, now_s)))
             for link in self.random.sample(links, min(FAREWELLS, len(links))):
                 await self.say_farewell(link, parts)
 
@@ -166,15 +190,20 @@
                 await link.tell("farewell", payload | {"keys": part, "complete": complete})
 
     def home(self, request: CallerRequest, document: ServiceDocument) -> Link:
-        """Return the link to the home of the request's key; raise where there is none."""
-        slot = home_slot(document, KeyId(request.workspace, request.key))
-        link = self.links.links.get(slot)
-        if link is None or link.connection is None or not self.is_holder(link):
-            raise GypsumpierError(HOME_UNREACHABLE, slot, RETRY_AFTER_S)
+        """Return the link on which the request's key may be sent; raise where there is none."""
+        link = self.home_of(KeyId(request.workspace, request.key), document)
         if EntryId(self.options.name, self.options.incarnation) not in self.listed:
             raise GypsumpierError(HOME_UNREACHABLE, "entry is not on the list", RETRY_AFTER_S)
         return link
 
+    def home_of(self, key_id: KeyId, document: ServiceDocument) -> Link:
+        """Return the link to the home of a key; raise where there is none."""
+        slot = home_slot(document, key_id)
+        link = self.links.best(slot) if slot in self.links.links else None
+        if link is None or link.connection is None or not self.is_holder(link):
+            raise GypsumpierError(HOME_UNREACHABLE, slot, RETRY_AFTER_S)
+        return link
+
     def is_holder(self, link: Link) -> bool:
         """Tell whether the link leads to the youngest process met in its slot."""
         holder = self.holders.get(link.member.name)
--- a/gypsumpier/test/test_ledger_machine.py
+++ b/gypsumpier/test/test_ledger_machine.py
@@ -155,7 +155,7 @@
         last_s = self.sent_at_s.get(key_id, self.now_s)
         assume(self.now_s - last_s < LIMITS.horizon_s)
         self.sent_at_s[key_id] = self.now_s
-        assert entry.sent.note(SERVICE, key_id, "f", self.now_s)
+        assert entry.sent.note(SERVICE, key_id, "f", str(holder), self.now_s)
         copy = Copy(entry, self.agents[holder], key_id, self.now_s)
         if at_once:
             self.receive(copy, False)
@@ -213,7 +213,7 @@
         if agent.number < entry.holders.get(slot, -1):
             return
         entry.holders[slot] = agent.number
-        for reported in entry.sent.report(SERVICE, self.now_s):
+        for reported in entry.sent.report(SERVICE, str(agent.number), self.now_s):
             changed_at_s = self.now_s - reported.age_s
             learnt = KeyRecord(reported.fingerprint, reported.state, changed_at_s)
             agent.ledger.learn(reported.key_id, learnt)
@@ -259,12 +259,14 @@
             if entry.started_at_s <= before_s
             and (entry.died_at_s is None or entry.died_at_s > before_s)
         )
-        for agent in self.agents:
-            if agent.alive:
-                agent.succession.note_list(listed, self.now_s)
         for entry in self.entries:
             if entry.died_at_s is None:
                 self.note_losses(entry, listed)
+        for agent in self.agents:
+            if agent.alive:
+                agent.succession.note_list(self.entries[0].id, listed, self.now_s)
+                for lost, lost_at_s in self.entries[0].lost.items():
+                    agent.succession.note_lost(lost, lost_at_s)
 
     def note_losses(self, entry: EntryFake, listed: frozenset[EntryId]) -> None:
         """Let an entry note which entries disappeared."""
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -5,8 +5,10 @@
 
 from gypsumpier.agent.handover import hand_over
 from gypsumpier.codes import request as codes
+from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.key import KeyId
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     TOKENS,
@@ -30,6 +32,15 @@
     return agent, entry
 
 
+async def asked(entry: EntryParts, key: str) -> str:
+    """Return what the home says of a key."""
+    try:
+        frames = [frame async for frame in ask_outcome(entry.keys, "table-ops", KeyId("lab", key))]
+    except GypsumpierError as error:
+        return error.code.name
+    return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
+
+
 class LostConnectionTest(unittest.TestCase):
     def test_an_answer_on_a_silent_connection_is_asked_for_on_the_next(self) -> None:
         async def scenario() -> None:
@@ -57,6 +68,28 @@
 
         run(scenario())
 
+    def test_a_key_lost_on_the_way_is_sent_again_to_its_home(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            for link in world.network.links:
+                link.silent = True
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+
+        run(scenario())
+
+    def test_a_key_whose_home_is_out_of_reach_is_not_called_not_run(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            world.network.partition(agent.member.host, entry.member.host)
+            call = plain_call(world, "k")
+            self.assertEqual("outcome_unknown", await outcome(world, entry, call))
+            self.assertEqual("home_unreachable", await outcome(world, entry, call))
+
+        run(scenario())
+
     def test_a_stream_goes_on_where_it_was_cut(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -100,6 +133,20 @@
 
         run(scenario())
 
+    def test_asking_for_an_outcome_runs_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            self.assertEqual("key_not_seen", await asked(entry, "k"))
+            call = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.2)
+            self.assertEqual("key_running", await asked(entry, "k"))
+            await call
+            self.assertEqual("go", await asked(entry, "k"))
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+
+        run(scenario())
+
     def test_a_killed_home_leaves_its_keys_unknown_and_runs_others(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -173,6 +220,27 @@
         run(scenario())
 
 
+class StaleListTest(unittest.TestCase):
+    def test_a_list_that_names_a_replaced_process_changes_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            for _ in range(5):
+                for member in (agent.member, successor.member):
+                    world.members.put(member)
+                    await asyncio.sleep(1.0)
+                    self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertLessEqual(len(entry.links.replaced), 1)
+            self.assertEqual(1, len(successor.listener.connections))
+            world.members.put(agent.member)
+            await asyncio.sleep(1.0)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+
+        run(scenario())
+
+
 class FailureTest(unittest.TestCase):
     def test_an_entry_that_is_full_does_not_call_a_key_not_run(self) -> None:
         async def scenario() -> None:
@@ -198,6 +266,9 @@
             failure.note(GypsumpierError(codes.OUTCOME_UNKNOWN, ""), link)
             failure.note(GypsumpierError(codes.UPSTREAM_LEAVING, ""), link)
             self.assertEqual(codes.OUTCOME_UNKNOWN, failure.told().code)
+            failure = Failure(plain_call(world, "k"))
+            failure.note(GypsumpierError(codes.UPSTREAM_UNREACHABLE, ""), link)
+            self.assertEqual(codes.HOME_UNREACHABLE, failure.told().code)
 
         run(scenario())
 
