Link an entry to a planned share of the agents

Cause: an entry linked to every agent of the member list; at the two-year size that is 12,000 links for each of 380 entries, where 24 heartbeats a second are to serve them all, and the table of members was walked four times a second. Ruled out: a random share for each entry (with 10 entries of 64 links each, one agent in ten of a zone of 333 would have none) and a link on demand (a first token would wait for a dial). Change: the agents of a zone rank its entries by rendezvous hashing; other zones get 4 links for each service; services whose requests may not run twice are linked whole. The plan is made anew only when members or documents have changed. Conclusion: links no longer grow with the fleet but with a zone's share of it.

--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -57,7 +57,15 @@
             self.members,
             self.spread,
         )
-        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members, self.spread)
+        self.links = Links(
+            options,
+            self.clock,
+            TcpDialer(),
+            self.random,
+            self.members,
+            self.spread,
+            self.documents,
+        )
         self.keys = EntryKeys(
             options, self.clock, self.documents, self.members, self.links, self.random
         )
--- /dev/null
+++ b/gypsumpier/entry/linkplan.py
@@ -0,0 +1,82 @@
+"""To which agents an entry keeps a link.
+
+A link to every agent of a large fleet would cost each entry more than it may spend on control.  A
+model request may run on any upstream, so an entry needs a share of them only:
+
+- In its own availability zone the agents of a service are shared out among the zone's entries.
+  Each agent is linked to the entries that rank first for it by rendezvous hashing, so every agent
+  has the same number of entries whatever the others hold, and an entry that comes or goes moves
+  few links.
+- In every other zone an entry links to a few agents of each service, for requests that spill.
+
+A service with requests that may not run twice is linked whole, because the home of a key is one
+certain agent.  A small service is linked whole as well.  Entries with different member lists may
+choose differently: then an agent has an entry more or less, and nothing worse.
+"""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from gypsumpier.document.service import ServiceDocument
+from gypsumpier.options import Options
+from gypsumpier.platform.membership import Member
+from gypsumpier.spread.topology import score
+
+HOLDERS_MIN: Final = 2
+"""Entries of its zone that every agent is linked to at least, where there are as many."""
+
+
+class Group(NamedTuple):
+    """The agents of one service in one availability zone."""
+
+    service: str
+    zone: str
+
+
+def planned(
+    options: Options, members: Iterable[Member], documents: dict[str, ServiceDocument]
+) -> set[str]:
+    """Return the names of the agents to link to."""
+    groups: dict[Group, list[Member]] = {}
+    entries = {options.name}
+    for member in members:
+        if member.role == "agent":
+            groups.setdefault(Group(member.service, member.zone), []).append(member)
+        elif member.zone == options.zone and not member.leaving:
+            entries.add(member.name)
+    names: set[str] = set()
+    for group, agents in groups.items():
+        if needs_all(documents.get(group.service)):
+            names.update(agent.name for agent in agents)
+        elif group.zone == options.zone:
+            names |= own_zone_share(options, agents, entries)
+        else:
+            names |= other_zone_share(options, agents)
+    return names
+
+
+def needs_all(document: ServiceDocument | None) -> bool:
+    """Tell whether any agent of the service may be the home of a key."""
+    if document is None or document.kind != "model":
+        return True
+    return any(not route.idempotent for route in document.routes)
+
+
+def own_zone_share(options: Options, agents: list[Member], entries: set[str]) -> set[str]:
+    """Return the agents for which this entry ranks among the first of its zone."""
+    if len(agents) <= options.zone_links:
+        return {agent.name for agent in agents}
+    holders = max(HOLDERS_MIN, options.zone_links * len(entries) // len(agents))
+    return {agent.name for agent in agents if rank(options.name, agent, entries) < holders}
+
+
+def other_zone_share(options: Options, agents: list[Member]) -> set[str]:
+    """Return a few agents of another zone, others for each entry."""
+    ordered = sorted(agents, key=lambda agent: (score(options.name, agent.name), agent.name))
+    return {agent.name for agent in ordered[: options.other_zone_links]}
+
+
+def rank(own: str, agent: Member, entries: set[str]) -> int:
+    """Return how many entries rank before this one for the agent."""
+    own_score = (score(agent.name, own), own)
+    return sum((score(agent.name, entry), entry) < own_score for entry in entries if entry != own)
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -1,4 +1,4 @@
-"""The set of links of an entry, kept in step with the member list."""
+"""The set of links of an entry, kept in step with the member list and the documents."""
 
 import asyncio
 import contextlib
@@ -7,7 +7,9 @@
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.link import Link, ignore
+from gypsumpier.entry.linkplan import planned
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
@@ -20,7 +22,7 @@
 
 
 class Links:
-    """One link for each agent in the member table."""
+    """One link for each agent that ``linkplan`` names; for every agent without ``documents``."""
 
     def __init__(
         self,
@@ -30,6 +32,7 @@
         random: Random,
         members: MemberTable,
         spread: Spread | None = None,
+        documents: DocumentTable | None = None,
     ) -> None:
         self.options = options
         self.clock = clock
@@ -37,9 +40,15 @@
         self.random = random
         self.members = members
         self.spread = spread
+        self.documents = documents
         self.pace = Pace(options)
+        self.is_stale = True
+        members.subscribe(self.note_change)
+        if documents is not None:
+            documents.subscribe(lambda accepted: self.note_change())
         self.links: dict[str, Link] = {}
         self.replaced: list[Link] = []
+        self.surplus: list[Link] = []
         self.welcomed: Callable[[Link], None] = ignore
         self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
@@ -55,7 +64,7 @@
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
-        for link in [*self.links.values(), *self.replaced]:
+        for link in [*self.links.values(), *self.replaced, *self.surplus]:
             await link.stop()
 
     async def run(self) -> None:
@@ -66,19 +75,41 @@
 
     async def refresh(self) -> None:
         """Open, replace and close links where the member table has changed."""
-        agents = {
-            name: member for name, member in self.members.members.items() if member.role == "agent"
-        }
+        await self.stop_replaced()
+        await self.stop_surplus()
+        if not self.is_stale:
+            return
+        self.is_stale = False
+        agents = self.wanted()
         for name in list(self.links):
-            if name not in agents or differs(self.links[name].member, agents[name]):
+            if name not in agents and name in self.members.members:
+                self.surplus.append(self.links.pop(name))
+            elif name not in agents or differs(self.links[name].member, agents[name]):
                 self.replaced.append(self.links.pop(name))
-        await self.stop_replaced()
         for name, member in agents.items():
             if name not in self.links:
                 self.open(member)
             elif member.leaving:
                 self.links[name].leaving = True
 
+    def note_change(self) -> None:
+        """Let the next refresh look at members and documents again."""
+        self.is_stale = True
+
+    def wanted(self) -> dict[str, Member]:
+        """Return the agents to link to, by name."""
+        members = self.members.members
+        agents = {name: member for name, member in members.items() if member.role == "agent"}
+        if self.documents is None:
+            return agents
+        documents = {
+            name: accepted.document
+            for name, accepted in self.documents.accepted.items()
+            if accepted.document is not None
+        }
+        names = planned(self.options, members.values(), documents)
+        return {name: agents[name] for name in names}
+
     async def stop_replaced(self) -> None:
         """End links to processes that are gone from the table, once they have hung up."""
         ended = [link for link in self.replaced if not link.attempts and link.opened is None]
@@ -86,6 +117,12 @@
             self.replaced.remove(link)
             await link.stop()
 
+    async def stop_surplus(self) -> None:
+        """End links that the plan has given up, once nothing is in flight on them."""
+        for link in [link for link in self.surplus if not link.attempts]:
+            self.surplus.remove(link)
+            await link.stop()
+
     def open(self, member: Member) -> None:
         """Add and start the link to a new member, or take back the one that still stands."""
         for link in self.replaced:
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -30,6 +30,8 @@
     heartbeat_s: float = 1.0
     silence_s: float = 3.0
     idle_heartbeats_per_s: float = 24.0
+    zone_links: int = 64
+    other_zone_links: int = 4
     dial_timeout_s: float = 1.0
     membership_interval_s: float = 1.0
     member_list_bytes_per_s: float = 2500.0
