Let a stop pass through the end of a session

The end of a session suppressed CancelledError around the wait for its own task; a link that was stopped at that moment lost the cancellation and dialled on for ever. The end of a task is now waited for without suppressing anything.

--- a/gypsumpier/document/keeper.py
+++ b/gypsumpier/document/keeper.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
@@ -22,6 +21,7 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.configuration import Changes, Configuration
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 
 SOURCE: Final = "configuration"
 ANSWER_MARGIN_S: Final = 1.0
@@ -56,11 +56,7 @@
 
     async def stop(self) -> None:
         """Stop reading."""
-        if self.task is None:
-            return
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Read and watch for ever, while it is this process's duty."""
--- a/gypsumpier/member/keeper.py
+++ b/gypsumpier/member/keeper.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
@@ -18,6 +17,7 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member, Membership
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 
 LISTED_BYTES: Final = 40
 """Bytes that one member takes in a compressed list."""
@@ -51,11 +51,7 @@
 
     async def stop(self) -> None:
         """Stop polling."""
-        if self.task is None:
-            return
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Poll for ever, while it is this process's duty.
--- a/gypsumpier/spread/link.py
+++ b/gypsumpier/spread/link.py
@@ -1,7 +1,6 @@
 """A stream that this entry dials to another entry: one task that dials, reads and dials again."""
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
@@ -13,6 +12,7 @@
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.serving import serve
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.stream import Dialer
 
@@ -48,9 +48,7 @@
 
     async def stop(self) -> None:
         """Close the connection and end the task."""
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Keep one connection open, with jitter between dials."""
--- a/gypsumpier/spread/session.py
+++ b/gypsumpier/spread/session.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Hashable
 from typing import Final, NamedTuple
 
@@ -15,6 +14,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.member.spread import MemberSpread, send_members
 from gypsumpier.spread.identity import Identity
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 
@@ -101,6 +101,4 @@
         """End the session."""
         self.documents.detach(self.document_exchange)
         self.members.detach(self.member_exchange)
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
--- a/gypsumpier/spread/spread.py
+++ b/gypsumpier/spread/spread.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
@@ -18,6 +17,7 @@
 from gypsumpier.spread.freshness import Freshness
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.session import Session, Standing
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 
 TICK_S: Final = 0.25
@@ -64,10 +64,7 @@
 
     async def stop(self) -> None:
         """End all sessions."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
         for session in list(self.sessions):
             await self.detach(session)
 
--- a/gypsumpier/spread/streams.py
+++ b/gypsumpier/spread/streams.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
@@ -24,6 +23,7 @@
 from gypsumpier.spread.link import SpreadLink
 from gypsumpier.spread.serving import serve
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.stream import Dialer, Stream
 
@@ -59,10 +59,7 @@
 
     async def stop(self) -> None:
         """Close all streams."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
         for link in self.links.values():
             await link.stop()
         for connection in list(self.accepted):
