--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -3,12 +3,12 @@
 import asyncio
 import unittest
 
-from gypsumpier.agent.handover import hand_over
 from gypsumpier.codes import request as codes
 from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     TOKENS,
@@ -103,6 +103,18 @@
 
         run(scenario())
 
+    def test_a_chat_lost_on_its_only_upstream_is_sent_there_again(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            _, entry = await settled(world, MODEL_SERVICE)
+            call = asyncio.create_task(outcome(world, entry, chat_call(world)))
+            await asyncio.sleep(0.2)
+            for link in list(world.network.links):
+                link.silent = True
+            self.assertEqual(WHOLE, await call)
+
+        run(scenario())
+
     def test_a_stream_whose_agent_died_is_never_short(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -172,8 +184,7 @@
             agent.gate.leaving = True
             refused = await outcome(world, entry, plain_call(world, "late"))
             self.assertEqual("upstream_leaving", refused)
-            connections = list(agent.listener.connections)
-            await hand_over(agent.home.ledger, connections, world.clock, entry.relay.random)
+            await agent.listener.hand_over()
             await asyncio.sleep(0.1)
             successor = world.replace(agent, "two")
             await asyncio.sleep(SETTLED_S)
@@ -202,7 +213,7 @@
 
         run(scenario())
 
-    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+    def test_a_home_vouches_for_an_entry_that_vanished_before_it(self) -> None:
         async def scenario() -> None:
             world = World()
             agent, entry = await settled(world)
@@ -212,7 +223,39 @@
             await entry.links.stop()
             del world.members.members[entry.member.name]
             world.members.notify()
+            await asyncio.sleep(1.0)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("answer_gone", await outcome(world, other, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "opaque")))
+            self.assertEqual({"opaque": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_an_entry_that_was_vouched_for_sends_no_keys_any_more(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            agent.listener.vouched.add(EntryId(entry.member.name, "one"))
+            self.assertEqual(
+                "home_unreachable", await outcome(world, entry, plain_call(world, "k"))
+            )
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertFalse(agent.upstream.runs["k"])
+
+        run(scenario())
+
+    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
             successor = world.replace(agent, "two")
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
             await asyncio.sleep(SETTLED_S)
             self.assertEqual("home_recovering", await outcome(world, other, plain_call(world, "k")))
             self.assertFalse(successor.upstream.runs)
