--- a/gypsumpier/agent/monitor.py
+++ b/gypsumpier/agent/monitor.py
@@ -1,13 +1,13 @@
 """Reads the upstream's own report at an interval and keeps the listener's view of its health."""
 
 import asyncio
-import contextlib
 
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.upstream import Upstream
 from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.options import Options
+from gypsumpier.tasks import end_task
 
 
 class Monitor:
@@ -28,10 +28,7 @@
 
     async def stop(self) -> None:
         """Stop to poll."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Poll until cancelled."""
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -24,6 +24,7 @@
 from gypsumpier.spread.message import is_control
 from gypsumpier.spread.session import Session
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
@@ -79,10 +80,7 @@
 
     async def stop(self) -> None:
         """Close the connection and end the task."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Keep one connection open, with full jitter between dials."""
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -1,7 +1,6 @@
 """The set of links of an entry, kept in step with the member list."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -12,6 +11,7 @@
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer
@@ -51,10 +51,7 @@
 
     async def stop(self) -> None:
         """Close every link."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
         for link in [*self.links.values(), *self.replaced]:
             await link.stop()
 
