--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -195,6 +195,10 @@
             if not self.runs_on(live):
                 return
 
+    def restore(self, live: LiveModel) -> None:
+        """Offer a retired content again, because it isn't unloaded after all."""
+        self.upstream.restore(live)
+
     def runs_on(self, live: LiveModel) -> bool:
         """Tell whether an attempt runs on that content."""
         replaced = any(
--- a/gypsumpier/weight/context.py
+++ b/gypsumpier/weight/context.py
@@ -4,14 +4,16 @@
 from random import Random
 
 from gypsumpier.clock import Clock
+from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import Engine
 from gypsumpier.weight.cache import ChunkCache
 from gypsumpier.weight.draw import Draws
-from gypsumpier.weight.inputs import Documents, Members
+from gypsumpier.weight.inputs import Documents, Members, Retirement, WeightEngine
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 
+VersionKey = tuple[str, str]
+
 
 @dataclass
 class RolloutContext:
@@ -22,8 +24,25 @@
     random: Random
     documents: Documents
     members: Members
-    engine: Engine
+    engine: WeightEngine
     monitor: EngineMonitor
     orders: Orders
     draws: Draws
     cache: ChunkCache
+    retirement: Retirement
+
+    def accepted(self) -> Accepted | None:
+        """Return the service's document as accepted, or None where none has come yet."""
+        return self.documents.accepted.get(self.options.service)
+
+    def document(self) -> ServiceDocument | None:
+        """Return the service's document in force."""
+        accepted = self.accepted()
+        return accepted.document if accepted is not None else None
+
+    def named(self) -> set[VersionKey]:
+        """Return the (model, version) pairs that the document in force names."""
+        document = self.document()
+        if document is None or document.kind != "model":
+            return set()
+        return {(document.model, share.version) for share in document.versions}
