--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -123,13 +123,25 @@
             return GypsumpierError(codes.UPSTREAM_UNREACHABLE, "arrived late", RETRY_AFTER_S)
         if self.leaving:
             return GypsumpierError(codes.UPSTREAM_LEAVING, self.options.name, RETRY_AFTER_S)
-        document = self.home.document()
-        if document is not None and len(self.running) > document.limits.in_flight_per_upstream:
+        if self.is_full(order):
             return GypsumpierError(codes.UPSTREAM_FULL, self.options.name, RETRY_AFTER_S)
         if order.remaining_s <= 0:
             return GypsumpierError(codes.DEADLINE_BEFORE_START, "passed before the start")
         return None
 
+    def is_full(self, order: AttemptOrder) -> bool:
+        """Tell whether the upstream has as much to do as the document allows.
+
+        Copies that only wait for the outcome of a key are no work.
+        """
+        document = self.home.document()
+        if document is None:
+            return False
+        # An order without a home is among the running ones already, one with a home is not.
+        direct = sum(not other.has_home() for other in self.orders.values())
+        ahead = len(self.home.running) + direct - (not order.has_home())
+        return ahead >= document.limits.in_flight_per_upstream
+
     def fail(self, order: AttemptOrder, exchange: Exchange, error: GypsumpierError) -> None:
         """Add the final part of an attempt without a whole answer."""
         not_run = error.code.outcome is Outcome.NOT_RUN and not exchange.parts
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -147,6 +147,24 @@
 
         run(scenario())
 
+    def test_copies_that_wait_for_a_key_fill_no_slots(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            limits = {"in_flight_per_upstream": 2, "body_bytes": 65536, "deadline_s": 30.0}
+            zones = [{"zone": ZONE, "replicas": 1}]
+            world.offer(2, plain_document(zones=zones, limits=limits))
+            agent, _ = await settled(world)
+            entries = [await world.entry(number) for number in range(1, 7)]
+            await asyncio.sleep(SETTLED_S)
+            calls = [(entry, key) for key in ("k", "other") for entry in entries]
+            answers = await asyncio.gather(
+                *(outcome(world, entry, plain_call(world, key)) for entry, key in calls)
+            )
+            self.assertEqual(["go"] * len(calls), answers)
+            self.assertEqual({"k": 1, "other": 1}, agent.upstream.runs)
+
+        run(scenario())
+
     def test_asking_for_an_outcome_runs_nothing(self) -> None:
         async def scenario() -> None:
             world = World()
