Hand over only the keys whose home is the slot

Homes also learn from reports what entries have sent to other homes, and handed that on as may have run; the right home then took it from the reports. The test fails with all keys handed over.

--- a/gypsumpier/agent/handover.py
+++ b/gypsumpier/agent/handover.py
@@ -9,7 +9,6 @@
 import contextlib
 from typing import Final
 
-from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.ledger import Ledger
 from gypsumpier.idempotency.record import KeyState
@@ -22,15 +21,12 @@
 
 
 async def hand_over(
-    ledger: Ledger,
+    keys: list[ReportedKey],
     connections: list[Connection],
-    clock: Clock,
     answer_holders: list[Connection],
     vouched: list[EntryId],
 ) -> None:
-    """Send the records to the connected entries; RUNNING ones count as may have run."""
-    now_s = clock.monotonic()
-    keys = reported_keys(ledger, now_s)
+    """Send the records to the connected entries."""
     decision("hand_over", keys=len(keys), entries=len(connections), vouched=len(vouched))
     without_answers = [key._replace(answer=None) for key in keys]
     for connection in connections:
@@ -43,7 +39,7 @@
 
 
 def reported_keys(ledger: Ledger, now_s: float) -> list[ReportedKey]:
-    """Return every key of the ledger; large answers stay behind."""
+    """Return every key of the ledger; running ones may have run, large answers stay behind."""
     return [
         ReportedKey(
             key_id,
--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -10,6 +10,7 @@
 
 import msgpack
 
+from gypsumpier.agent.handover import reported_keys
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.agent.upstream import Part, Upstream
 from gypsumpier.clock import Clock
@@ -23,6 +24,7 @@
 from gypsumpier.idempotency.key import KeyId, fingerprint
 from gypsumpier.idempotency.ledger import Ledger
 from gypsumpier.idempotency.record import KeptAnswer, KeyRecord, KeyState, Verdict
+from gypsumpier.idempotency.reported import ReportedKey
 from gypsumpier.idempotency.succession import Succession, SuccessionLimits
 from gypsumpier.log import decision
 from gypsumpier.options import Options
@@ -192,6 +194,17 @@
         if self.ledger.records[key_id].state is KeyState.RUNNING:
             self.ledger.fail(key_id, self.clock.monotonic())
 
+    def own_keys(self) -> list[ReportedKey]:
+        """Return what is known of the keys whose home is this slot.
+
+        The ledger also holds what entries have sent to other homes; of that they know more.
+        """
+        document = self.document()
+        keys = reported_keys(self.ledger, self.clock.monotonic())
+        if document is None:
+            return keys
+        return [key for key in keys if home_slot(document, key.key_id) == self.options.name]
+
     def inspect(self) -> dict[str, object]:
         """Return what is kept, and which entries are waited for where keys are held back."""
         succession = self.succession
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -154,8 +154,7 @@
         if new:
             self.vouched.update(new)
             connections = list(self.connections)
-            ledger = self.gate.home.ledger
-            self.spawn(hand_over(ledger, connections, self.clock, [], new))
+            self.spawn(hand_over(self.gate.home.own_keys(), connections, [], new))
 
     def vouchable(self) -> list[EntryId]:
         """Return the entries that have reported and from which nothing more will come."""
@@ -171,8 +170,8 @@
         """Leave the records to the entries before this agent stops."""
         connections = list(self.connections)
         holders = self.random.sample(connections, min(ANSWER_HOLDERS, len(connections)))
-        ledger = self.gate.home.ledger
-        await hand_over(ledger, connections, self.clock, holders, self.vouchable())
+        keys = self.gate.home.own_keys()
+        await hand_over(keys, connections, holders, self.vouchable())
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine beside the caller."""
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -5,10 +5,13 @@
 import unittest
 
 from gypsumpier.codes import request as codes
+from gypsumpier.document.service import ServiceDocument, ZoneReplicas
 from gypsumpier.entry.failure import Failure
 from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.homes import home_slot
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.record import KeyRecord, KeyState
 from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.test.builders import ZONE, plain_document
 from gypsumpier.test.builders_request import (
@@ -43,6 +46,13 @@
     return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
 
 
+def two_slots(world: World) -> ServiceDocument:
+    """Return the plain service's document with two slots."""
+    document = world.documents.document("table-ops")
+    assert document is not None
+    return document._replace(zones=(ZoneReplicas(ZONE, 2),))
+
+
 class LostConnectionTest(unittest.TestCase):
     def test_an_answer_on_a_silent_connection_is_asked_for_on_the_next(self) -> None:
         async def scenario() -> None:
@@ -252,6 +262,27 @@
 
         run(scenario())
 
+    def test_a_home_hands_over_only_its_own_keys(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            foreign, own = KeyId("lab", "x"), KeyId("lab", "own")
+            for key_id in (foreign, own):
+                agent.home.ledger.learn(key_id, KeyRecord("f", KeyState.UNKNOWN, 1.0))
+            slots = [home_slot(two_slots(world), key_id) for key_id in (foreign, own)]
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            await agent.listener.hand_over()
+            await asyncio.sleep(0.1)
+            expected = [
+                ("table-ops", key_id)
+                for key_id, slot in zip((foreign, own), slots, strict=True)
+                if slot == agent.member.name
+            ]
+            self.assertEqual(expected, list(entry.keys.sent.keys))
+            self.assertEqual(1, len(expected))
+
+        run(scenario())
+
     def test_an_entry_that_was_vouched_for_sends_no_keys_any_more(self) -> None:
         async def scenario() -> None:
             world = World()
