--- a/misc/measure_requests.py
+++ b/misc/measure_requests.py
@@ -80,6 +80,10 @@
         target = Target(urls, SERVICE, max_tokens=TOKENS, timeout_s=2 * DEADLINE_S)
         return await run_load(profile, target)
 
+    async def below_capacity(self) -> None:
+        """Show first tokens and the time between tokens at half of the capacity."""
+        show("at half of the capacity", await self.load(self.capacity_per_s / 2, LARGE))
+
     async def at_capacity(self) -> dict[str, Any]:
         """Measure at the engines' capacity."""
         cpu_s, cache = entry_cpu_s(self.stage), await cache_counts(self.stage)
@@ -155,6 +159,7 @@
         measurement = Measurement(Stage(fleet, deployment, weights, {}, dict(flags)), seed)
         await measurement.start()
         found |= await measurement.added()
+        await measurement.below_capacity()
         found |= await measurement.at_capacity()
         found |= await measurement.overloaded()
         found |= await measurement.outage()
