--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -17,6 +17,7 @@
 from gypsumpier.codes.result import Outcome, ResultCode
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.document.table import DocumentTable
+from gypsumpier.entry.linkplan import needs_all
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.homes import home_slot, homes_signature
 from gypsumpier.idempotency.key import KeyId, fingerprint
@@ -131,6 +132,9 @@
 
     def prepare(self) -> None:
         """Ask the entries before the first key comes, once the member list has settled."""
+        document = self.document()
+        if document is None or not needs_all(document):
+            return
         now_s = self.clock.monotonic()
         if self.succession.is_due(now_s):
             self.ask_entries(now_s)
@@ -188,6 +192,17 @@
         if self.ledger.records[key_id].state is KeyState.RUNNING:
             self.ledger.fail(key_id, self.clock.monotonic())
 
+    def inspect(self) -> dict[str, object]:
+        """Return what is kept, and which entries are waited for where keys are held back."""
+        succession = self.succession
+        return {
+            "keys": len(self.ledger.records),
+            "answer_bytes": self.ledger.answer_bytes,
+            "running": len(self.running),
+            "waits_for": sorted(entry.name for entry in succession.missing()),
+            "lost_entries": sorted(entry.name for entry in succession.lost_at_s),
+        }
+
     def document(self) -> ServiceDocument | None:
         """Return the service's document in force."""
         return self.documents.document(self.options.service)
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -72,6 +72,7 @@
         self.own_at_report = 0
         self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
+        self.stopping = False
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -79,13 +80,17 @@
         self.task = asyncio.create_task(self.run())
 
     async def stop(self) -> None:
-        """Close the connection and end the task."""
+        """Close the connection and end the task.
+
+        The end of a session may take a cancellation for its own, so the task looks at ``stopping``.
+        """
+        self.stopping = True
         await end_task(self.task)
 
     async def run(self) -> None:
         """Keep one connection open, with full jitter between dials."""
         wait_s = REDIAL_MIN_S
-        while True:
+        while not self.stopping:
             try:
                 await self.serve_one_connection()
                 wait_s = REDIAL_MIN_S
