--- a/misc/documents/timing.py
+++ b/misc/documents/timing.py
@@ -7,6 +7,7 @@
 from misc.documents.faults import EVERY_PLACE, Window
 
 CLOCK_TICK_S: Final = 0.002
+IN_FLIGHT_S: Final = 0.5
 
 
 class Timing(NamedTuple):
@@ -50,24 +51,33 @@
 
 
 def counted_from_s(at_s: float, windows: list[Window]) -> float:
-    """Return the end of the faults that cover the time, one after the other."""
+    """Return the end of the faults that cover the time, one after the other.
+
+    A fault that begins within IN_FLIGHT_S after the publication covers it too: the edit was on its
+    way when the instance was hit.
+    """
     for window in sorted(windows, key=lambda one: one.begin_s):
-        if window.begin_s <= at_s < window.end_s:
+        if window.begin_s - IN_FLIGHT_S <= at_s < window.end_s:
             at_s = window.end_s
     return at_s
 
 
-def starter_seconds(published: list[Published], logs: dict[str, InstanceLog]) -> list[float]:
+def starter_seconds(
+    published: list[Published], logs: dict[str, InstanceLog], windows: list[Window]
+) -> list[float]:
     """Return for each replaced process how long after its start its documents were all newest.
 
-    The newest is what had been published when it started.
+    The newest is what had been published when it started, without edits that the service showed to
+    nobody yet because it was down or stale.
     """
+    everywhere = [window for window in windows if window.place == EVERY_PLACE]
+    shown = [one._replace(at_s=counted_from_s(one.at_s, everywhere)) for one in published]
     found: list[float] = []
     for log in logs.values():
         for start in log.starts[1:]:
             arrivals = [one for one in log.arrivals if one.run == start.run]
             for document in {one.document for one in arrivals}:
-                newest = newest_revision(published, document, start.at_s)
+                newest = newest_revision(shown, document, start.at_s - IN_FLIGHT_S)
                 times = [
                     one.at_s
                     for one in arrivals
--- a/misc/measure_documents.py
+++ b/misc/measure_documents.py
@@ -89,7 +89,7 @@
         await asyncio.sleep(LAST_EDITS_S)
         figures = self.report(self.editor.published[first:], self.faults.windows)
         logs = {name: read_log(path) for name, path in self.field.log_paths().items()}
-        starters = starter_seconds(self.editor.published, logs)
+        starters = starter_seconds(self.editor.published, logs, self.faults.windows)
         faults = sorted({window.fault.split(" ")[0] for window in self.faults.windows})
         return {**figures, "starter_in_force_max_s": round(max(starters), 3), "kinds": faults}
 
@@ -105,7 +105,8 @@
         found = timings(published, logs, concerned, windows)
         arrived = [one.seconds for one in found if one.seconds is not None]
         slowest = max(found, key=lambda one: one.seconds or 0.0)
-        print(f"slowest: {slowest}", file=sys.stderr)
+        hit = [window for window in windows if window.place in ("", slowest.instance)]
+        print(f"slowest: {slowest}, faults there: {hit}", file=sys.stderr)
         return {
             "changes": len(published),
             "in_force_p50_s": round(percentile(arrived, 0.5), 3),
