--- a/gypsumpier/document/keeper.py
+++ b/gypsumpier/document/keeper.py
@@ -15,6 +15,7 @@
 from gypsumpier.backoff import Backoff
 from gypsumpier.clock import Clock
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.document.metrics import count_read
 from gypsumpier.document.spread import wanted_names
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.errors import GypsumpierError
@@ -67,6 +68,7 @@
             try:
                 changes = await self.read()
             except GypsumpierError as error:
+                count_read(SOURCE, answered=False)
                 self.position = None
                 await self.clock.sleep(self.backoff.next_wait_s(error.retry_after_s))
                 continue
@@ -89,6 +91,7 @@
 
     def take(self, changes: Changes) -> None:
         """Offer what was read to the table."""
+        count_read(SOURCE, answered=True)
         self.position = changes.position
         self.backoff.reset()
         if self.spread is not None:
--- a/gypsumpier/document/table.py
+++ b/gypsumpier/document/table.py
@@ -20,6 +20,7 @@
 from gypsumpier.codes.document import CONFLICTING_REVISION, DOCUMENT_TABLE_FULL, NAME_MISMATCH
 from gypsumpier.document.errors import DocumentError
 from gypsumpier.document.fields import NAME
+from gypsumpier.document.metrics import DOCUMENTS_ACCEPTED, DOCUMENTS_REFUSED
 from gypsumpier.document.record import Rank, Record, Refusal, clipped, rank_of, size_bytes
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.document.validator import parse
@@ -128,6 +129,7 @@
         self.records[name] = Record(revised, rank, document, source, self.clock.wall())
         accepted = Accepted(name, revised.revision, document)
         self.accepted[name] = accepted
+        DOCUMENTS_ACCEPTED.inc()
         decision("document_accepted", document=name, revision=revised.revision, source=source)
         for subscriber in self.subscribers:
             notify(subscriber, accepted)
@@ -182,7 +184,8 @@
 
 
 def log_refusal(revised: Revised, source: str, code: int, path: str, reason: str) -> None:
-    """Log one refusal; the body stays out of the log."""
+    """Log and count one refusal; the body stays out of the log."""
+    DOCUMENTS_REFUSED.labels(str(code)).inc()
     decision(
         "document_refused",
         document=revised.name,
--- a/gypsumpier/member/keeper.py
+++ b/gypsumpier/member/keeper.py
@@ -12,6 +12,7 @@
 from gypsumpier.backoff import Backoff
 from gypsumpier.clock import Clock
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.document.metrics import count_read
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
@@ -19,6 +20,7 @@
 from gypsumpier.spread.spread import Spread
 from gypsumpier.tasks import end_task
 
+SOURCE: Final = "membership"
 LISTED_BYTES: Final = 40
 """Bytes that one member takes in a compressed list."""
 
@@ -68,6 +70,7 @@
                 self.take(listed)
                 await self.clock.sleep(wait_s)
             except GypsumpierError as error:
+                count_read(SOURCE, answered=False)
                 await self.clock.sleep(self.backoff.next_wait_s(error.retry_after_s))
 
     def is_starting_entry(self) -> bool:
@@ -92,6 +95,7 @@
 
     def take(self, listed: list[Member]) -> None:
         """Join what was read into the table."""
+        count_read(SOURCE, answered=True)
         self.backoff.reset()
         self.last_listed = listed
         self.table.take_list(listed)
--- a/gypsumpier/spread/spread.py
+++ b/gypsumpier/spread/spread.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.document.metrics import DOCUMENT_DISTANCE
 from gypsumpier.document.spread import DocumentSpread
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.member.spread import MemberSpread
@@ -96,6 +97,7 @@
             self.documents.tick()
             self.members.table.sweep()
             standing = self.standing()
+            DOCUMENT_DISTANCE.set(standing.document_distance)
             for session in self.sessions:
                 session.note_heard()
                 if session.is_due(standing):
