--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -4,8 +4,8 @@
 import unittest
 
 from gypsumpier.codes import request as codes
+from gypsumpier.entry.failure import Failure
 from gypsumpier.entry.inquiry import ask_outcome
-from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.idempotency.succession import EntryId
@@ -310,6 +310,10 @@
             failure.note(GypsumpierError(codes.UPSTREAM_LEAVING, ""), link)
             self.assertEqual(codes.OUTCOME_UNKNOWN, failure.told().code)
             failure = Failure(plain_call(world, "k"))
+            failure.note(GypsumpierError(codes.HOME_RECOVERING, ""), link)
+            failure.note(GypsumpierError(codes.KEY_REFUSED, ""), link)
+            self.assertEqual(codes.KEY_REFUSED, failure.told().code)
+            failure = Failure(plain_call(world, "k"))
             failure.note(GypsumpierError(codes.UPSTREAM_UNREACHABLE, ""), link)
             self.assertEqual(codes.HOME_UNREACHABLE, failure.told().code)
 
