--- a/gypsumpier/codes/member.py
+++ b/gypsumpier/codes/member.py
@@ -13,3 +13,6 @@
 MEMBER_LIST_CONTRADICTORY: Final = ResultCode(
     5502, "member_list_contradictory", 503, Outcome.NOT_RUN, "Members still heard from are kept."
 )
+MEMBER_MALFORMED: Final = ResultCode(
+    5503, "member_malformed", 502, Outcome.NOT_RUN, "Correct the entry of the member list."
+)
--- a/gypsumpier/member/table.py
+++ b/gypsumpier/member/table.py
@@ -24,6 +24,7 @@
 from gypsumpier.codes.member import (
     MEMBER_LIST_CONTRADICTORY,
     MEMBER_LIST_EMPTY,
+    MEMBER_MALFORMED,
     MEMBER_TABLE_FULL,
 )
 from gypsumpier.log import decision
@@ -34,6 +35,8 @@
 MEMBERS_LIMIT: Final = 16_384
 LAST_KEPT_S: Final = 3600.0
 HEARD_S: Final = 2.0
+TEXT_LIMIT_CHARACTERS: Final = 255
+PORT_MAX: Final = 65_535
 
 
 class Group(NamedTuple):
@@ -142,6 +145,9 @@
         earlier = self.members.get(member.name)
         if earlier == member:
             return False
+        if not is_well_formed(member):
+            decision("member_refused", member=ascii(member.name), code=MEMBER_MALFORMED.number)
+            return False
         if earlier is None and len(self.members) >= MEMBERS_LIMIT:
             decision("member_refused", member=member.name, code=MEMBER_TABLE_FULL.number)
             return False
@@ -205,6 +211,14 @@
             subscriber()
 
 
+def is_well_formed(member: Member) -> bool:
+    """Tell whether the member can be shown, passed on and dialled."""
+    texts = [value for value in member if isinstance(value, str)]
+    ports = (member.port, member.bulk_port)
+    is_short = all(len(text) <= TEXT_LIMIT_CHARACTERS and text.isprintable() for text in texts)
+    return is_short and all(0 <= port <= PORT_MAX for port in ports)
+
+
 def group_of(member: Member) -> Group:
     """Return the group whose last members are kept."""
     return Group(member.role, member.service or member.zone)
--- a/gypsumpier/spread/session.py
+++ b/gypsumpier/spread/session.py
@@ -12,6 +12,7 @@
 from gypsumpier.document.sender import send_documents
 from gypsumpier.document.spread import DocumentSpread
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
 from gypsumpier.member.spread import MemberSpread, send_members
 from gypsumpier.spread.identity import Identity
 from gypsumpier.tasks import end_task
@@ -79,17 +80,21 @@
         )
 
     async def run(self) -> None:
-        """Send what is due, a little coalesced, until the connection closes."""
-        while not self.connection.closed:
-            self.woken.clear()
-            try:
+        """Send what is due, a little coalesced, until the connection closes.
+
+        However the task ends, the connection does not stay open without it.
+        """
+        try:
+            while not self.connection.closed:
+                self.woken.clear()
                 await send_members(self.members, self.member_exchange, self.connection)
                 await send_documents(self.documents, self.document_exchange, self.connection)
-            except GypsumpierError:
-                self.connection.close()
-                return
-            await self.woken.wait()
-            await self.clock.sleep(COALESCE_S)
+                await self.woken.wait()
+                await self.clock.sleep(COALESCE_S)
+        except GypsumpierError as error:
+            decision("session_ended", peer=self.peer.name, code=error.code.number, reason=error)
+        finally:
+            self.connection.close()
 
     def note_heard(self) -> None:
         """Tell the member table that the peer is alive where that is so."""
--- a/gypsumpier/test/test_member_table.py
+++ b/gypsumpier/test/test_member_table.py
@@ -84,6 +84,11 @@
         self.table.take_list([agent(0, run=2), agent(1)])
         self.assertFalse(self.table.members[agent(0).name].leaving)
 
+    def test_a_member_that_could_not_be_passed_on_is_refused(self) -> None:
+        odd = [agent(2)._replace(host="\ud800"), agent(3)._replace(port=65_536)]
+        self.table.take_list([agent(0), agent(1), *odd])
+        self.assertEqual([agent(0), agent(1)], self.table.agents("gypsum-llm"))
+
     def test_an_agent_keeps_only_its_own_service(self) -> None:
         options = Options(role="agent", service="gypsum-llm")
         table = MemberTable(options, self.clock)
