Let agents take turns at the platform by the size of the whole fleet

An agent knows only the agents of its own service, so it took turns of 1 s where 2,003 instances need 4 s at 500 calls a second; 12,000 agents without any entry would have made 6,000 calls a second or more. Entries now tell the number of members beside their distance. The new test failed before with a turn of 1.0 s.

--- a/gypsumpier/member/spread.py
+++ b/gypsumpier/member/spread.py
@@ -6,10 +6,10 @@
 """
 
 from collections.abc import Hashable
-from typing import Any
+from typing import Any, Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.member.table import MemberTable
+from gypsumpier.member.table import MEMBERS_LIMIT, MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member
 from gypsumpier.spread import message
@@ -18,6 +18,9 @@
 from gypsumpier.spread.message import MemberChanges
 from gypsumpier.wire.connection import Connection
 
+COUNT_GROWTH: Final = 1.25
+"""The growth of the number of members at which peers are told it again."""
+
 
 class MemberExchange:
     """The members' side of one session; compared by identity."""
@@ -31,6 +34,7 @@
         self.wanted_service: str | None = None
         self.sent_number: int | None = None
         self.distance_sent: int | None = None
+        self.count_sent = 0
 
 
 class MemberSpread:
@@ -41,6 +45,11 @@
         self.table = table
         self.freshness = Freshness(clock, options.fresh_s)
         self.leaving = False
+        self.told_count = 0
+
+    def member_count(self) -> int:
+        """Return about how many instances there are; an agent's own table holds few of them."""
+        return max(len(self.table.members), self.told_count)
 
     def attach(self, peer: Identity) -> MemberExchange:
         """Begin with a peer."""
@@ -56,8 +65,10 @@
             self.take_introduction(exchange, payload)
         elif kind == message.MEMBER_DISTANCE:
             distance = message.whole_number(payload, "distance")
+            count = message.whole_number(payload, "members")
             if exchange.peer.role == "entry":
                 self.freshness.offered(exchange, distance)
+                self.told_count = min(count, MEMBERS_LIMIT)
         elif kind == message.MEMBER_WANT:
             service = payload.get("service")
             exchange.wants = bool(payload.get("on"))
@@ -120,10 +131,7 @@
         exchange.introduced = own
         changes = MemberChanges(False, [own], [])
         await connection.send(message.MEMBER_SELF, message.packed_changes(changes))
-    distance = spread.freshness.distance()
-    if distance != exchange.distance_sent:
-        exchange.distance_sent = distance
-        await connection.send(message.MEMBER_DISTANCE, {"distance": distance})
+    await send_distance(spread, exchange, connection)
     is_source = spread.is_source(exchange)
     if is_source != exchange.asked:
         exchange.asked = is_source
@@ -132,3 +140,14 @@
     changes_due = spread.due_changes(exchange)
     if changes_due is not None:
         await connection.send(message.MEMBER_LIST, message.packed_changes(changes_due))
+
+
+async def send_distance(
+    spread: MemberSpread, exchange: MemberExchange, connection: Connection
+) -> None:
+    """Tell the distance to the member list and how many members there are, on a change."""
+    distance, count = spread.freshness.distance(), spread.member_count()
+    if distance == exchange.distance_sent and count <= COUNT_GROWTH * exchange.count_sent:
+        return
+    exchange.distance_sent, exchange.count_sent = distance, count
+    await connection.send(message.MEMBER_DISTANCE, {"distance": distance, "members": count})
--- a/gypsumpier/spread/spread.py
+++ b/gypsumpier/spread/spread.py
@@ -48,14 +48,13 @@
 
     def duty(self, randomness: random.Random, freshness: Freshness) -> Duty:
         """Return the duty towards the service of which the freshness tells."""
-        members = self.members.table.members
         return Duty(
             self.options,
             self.clock,
             randomness,
             freshness,
             lambda: self.is_watcher,
-            lambda: len(members),
+            self.members.member_count,
         )
 
     async def start(self) -> None:
--- a/gypsumpier/test/test_document_exchange.py
+++ b/gypsumpier/test/test_document_exchange.py
@@ -12,7 +12,7 @@
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.message import Holding
 from gypsumpier.test.builders_document import revised
-from gypsumpier.test.builders_member import entry_options
+from gypsumpier.test.builders_member import agent, entry_options
 from gypsumpier.test.builders_spread import Fleet
 from gypsumpier.test.test_member_table import HandClock
 from gypsumpier.test.virtual import run
@@ -74,6 +74,20 @@
 
 
 class DutyTest(unittest.TestCase):
+    def test_agents_take_turns_by_the_size_of_the_whole_fleet(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start({"bac-a": 2}, {"bac-a": 1}, "gypsum-llm")
+            for number in range(2000):
+                member = agent(number, service="table-ops")._replace(zone="nam-a")
+                fleet.platform.members[member.name] = member
+            await asyncio.sleep(5.0)
+            duty = fleet.instances["gypsum-llm/bac-a/0"].spread.document_duty
+            self.assertAlmostEqual(2003 / 500, duty.turn_s(), delta=0.1)
+            await fleet.stop()
+
+        run(scenario())
+
     def test_agents_read_for_themselves_only_without_any_entry(self) -> None:
         async def scenario() -> None:
             fleet = Fleet()
