--- a/gypsumpier/spread/spread.py
+++ b/gypsumpier/spread/spread.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.document.metrics import DOCUMENT_DISTANCE
 from gypsumpier.document.spread import DocumentSpread
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.member.spread import MemberSpread
@@ -47,14 +48,13 @@
 
     def duty(self, randomness: random.Random, freshness: Freshness) -> Duty:
         """Return the duty towards the service of which the freshness tells."""
-        members = self.members.table.members
         return Duty(
             self.options,
             self.clock,
             randomness,
             freshness,
             lambda: self.is_watcher,
-            lambda: len(members),
+            self.members.member_count,
         )
 
     async def start(self) -> None:
@@ -96,6 +96,7 @@
             self.documents.tick()
             self.members.table.sweep()
             standing = self.standing()
+            DOCUMENT_DISTANCE.set(standing.document_distance)
             for session in self.sessions:
                 session.note_heard()
                 if session.is_due(standing):
