Bound an entry's links to other zones for each service, not for each zone

Cause: four links for each service in every other zone grow with zones times services. Change: four links for each service in all other zones together, from different zones first. Ruled out: one other zone only, as a cut could take all four links at once.

--- a/gypsumpier/entry/linkplan.py
+++ b/gypsumpier/entry/linkplan.py
@@ -7,13 +7,15 @@
   Each agent is linked to the entries that rank first for it by rendezvous hashing, so every agent
   has the same number of entries whatever the others hold, and an entry that comes or goes moves
   few links.
-- In every other zone an entry links to a few agents of each service, for requests that spill.
+- In all other zones together an entry links to a few agents of each service, for requests that
+  spill.  Other entries have others, so what a whole zone spills is spread over many agents.
 
 A service with requests that may not run twice is linked whole, because the home of a key is one
 certain agent.  A small service is linked whole as well.  Entries with different member lists may
 choose differently: then an agent has an entry more or less, and nothing worse.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -45,13 +47,16 @@
         elif member.zone == options.zone and not member.leaving:
             entries.add(member.name)
     names: set[str] = set()
+    others: dict[str, list[Member]] = {}
     for group, agents in groups.items():
         if needs_all(documents.get(group.service)):
             names.update(agent.name for agent in agents)
         elif group.zone == options.zone:
             names |= own_zone_share(options, agents, entries)
         else:
-            names |= other_zone_share(options, agents)
+            others.setdefault(group.service, []).extend(agents)
+    for agents in others.values():
+        names |= other_zone_share(options, agents)
     return names
 
 
@@ -71,8 +76,17 @@
 
 
 def other_zone_share(options: Options, agents: list[Member]) -> set[str]:
-    """Return a few agents of another zone, others for each entry."""
+    """Return a few of a service's agents in other zones, others for each entry.
+
+    They are from different zones as far as possible, so that no cut takes all of them.
+    """
     ordered = sorted(agents, key=lambda agent: (score(options.name, agent.name), agent.name))
+    earlier: Counter[str] = Counter()
+    places: dict[str, int] = {}
+    for agent in ordered:
+        places[agent.name] = earlier[agent.zone]
+        earlier[agent.zone] += 1
+    ordered.sort(key=lambda agent: places[agent.name])
     return {agent.name for agent in ordered[: options.other_zone_links]}
 
 
--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -26,7 +26,7 @@
     "idle_heartbeats_per_s": "Heartbeats a second that all idle connections share.",
     "silence_s": "Seconds without receiving after which a connection is replaced.",
     "zone_links": "Agents of a service in its own zone that an entry links to about at most.",
-    "other_zone_links": "Agents of a service in each other zone that an entry links to.",
+    "other_zone_links": "Agents of a service in all other zones that an entry links to.",
     "dial_timeout_s": "Seconds allowed for opening a connection.",
     "membership_interval_s": "Seconds between two reads of the member list.",
     "member_list_bytes_per_s": "Bytes a second that reads of a changing member list may take.",
--- a/misc/capacity/probe.py
+++ b/misc/capacity/probe.py
@@ -16,6 +16,7 @@
 from misc.capacity.probeframe import probe_frames
 from misc.capacity.probekey import probe_keys
 from misc.capacity.probemember import probe_members
+from misc.capacity.probeplan import probe_plan
 
 Probe = Callable[[int, str], Coroutine[Any, Any, dict[str, float]]]
 
@@ -26,6 +27,7 @@
     "frames": probe_frames,
     "keys": probe_keys,
     "decoders": probe_decoders,
+    "plan": probe_plan,
 }
 
 
--- /dev/null
+++ b/misc/capacity/probeplan.py
@@ -0,0 +1,34 @@
+"""How many links an entry plans in a fleet of the target's size, against the number of services."""
+
+from typing import Final
+
+from gypsumpier.document.validator import parse
+from gypsumpier.entry.linkplan import planned
+from gypsumpier.options import Options
+from gypsumpier.platform.membership import Member
+from gypsumpier.test.builders_document import document_body
+from misc.capacity import target
+
+ENTRIES_OF_ZONE: Final = round(target.ENTRIES_PER_ZONE)
+
+
+async def probe_plan(size: int, url: str) -> dict[str, float]:
+    """Spread so many services evenly over all workers and zones; return the entry's links."""
+    services = [f"service-{number}" for number in range(size)]
+    zones = [f"zone-{number}" for number in range(target.ZONES)]
+    members = [
+        member(f"entry/{zone}/{number}", "entry", zone, "")
+        for zone in zones
+        for number in range(ENTRIES_OF_ZONE)
+    ]
+    for number in range(target.WORKERS):
+        zone, service = zones[number % len(zones)], services[number // len(zones) % size]
+        members.append(member(f"{service}/{zone}/{number}", "agent", zone, service))
+    documents = {service: parse(document_body(service=service)) for service in services}
+    options = Options(name=f"entry/{zones[0]}/0", zone=zones[0])
+    return {"links": len(planned(options, members, documents))}
+
+
+def member(name: str, role: str, zone: str, service: str) -> Member:
+    """Return one member."""
+    return Member(name, "1", role, service, "region", zone, "10.0.0.1", 1, 2, False)
