--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -47,6 +47,9 @@
     def refuse(self, live: LiveModel) -> None:
         """Refuse new runs on a retired content."""
 
+    def restore(self, live: LiveModel) -> None:
+        """Report and run a retired content again."""
+
 
 class EngineUpstream:
     """A model engine."""
@@ -88,6 +91,10 @@
     def refuse(self, live: LiveModel) -> None:
         self.refused.add(live)
 
+    def restore(self, live: LiveModel) -> None:
+        self.retired.discard(live)
+        self.refused.discard(live)
+
     def serves(self, order: AttemptOrder) -> bool:
         """Tell whether the ordered version is live."""
         return any(
@@ -129,6 +136,9 @@
     def refuse(self, live: LiveModel) -> None:
         """A plain service has no contents."""
 
+    def restore(self, live: LiveModel) -> None:
+        """A plain service has no contents."""
+
 
 def completion_of(order: AttemptOrder) -> Completion:
     """Return the order as a completion for the engine."""
