--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -12,7 +12,7 @@
 from misc.capacity import target
 from misc.capacity.bench import RARELY_S, SERVICE, ZONE, Bench
 from misc.capacity.slope import Point, Slope
-from misc.capacity.usage import SETTLE_S, Usage, measure_usage
+from misc.capacity.usage import Usage, measure_usage
 from misc.capacity.wire import count_wire
 from misc.child import Child
 from misc.fleet import Fleet
@@ -23,8 +23,12 @@
 AGENT_COUNTS: Final = (32, 64, 128, 256)
 ENTRY_COUNTS: Final = (8, 16, 32, 64)
 LINKS_POLL_S: Final = 0.2
+# Time in which lists have been passed on, and then both ends have taken up the pace of heartbeats,
+# which slows down with the number of links.
+SETTLE_S: Final = 6.0
+SETTLE_OF_LINK_S: Final = 0.06
 REQUESTS_PER_WORKER_S: Final = target.REQUESTS_PER_S / target.WORKERS
-BUSY_S: Final = 15.0
+BUSY_S: Final = 18.0
 
 
 class LinkCost(NamedTuple):
@@ -110,7 +114,7 @@
     """Wait until all links stand, then measure for a window."""
     while count_wire(measured.pid, bench.platform_ports).connections < count:
         await asyncio.sleep(LINKS_POLL_S)
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(SETTLE_S + SETTLE_OF_LINK_S * count)
     usage = await measure_usage(measured.pid, without_ports=bench.platform_ports)
     return LinkCost(count, usage)
 
--- a/misc/capacity/rollout.py
+++ b/misc/capacity/rollout.py
@@ -20,8 +20,8 @@
 from misc.http import get_json
 
 INSTANCE_COUNTS: Final = (4, 8, 16, 32)
-VERSION_BYTES: Final = 8_000_000
-COPY_S: Final = 2.0
+VERSION_BYTES: Final = 4_000_000
+COPY_S: Final = 1.0
 LIVE_TIMEOUT_S: Final = 100.0
 POLL_S: Final = 0.1
 COPIES_LIMIT: Final = 4.0
