Let signals end the demonstration cleanly

Cause: SIGTERM ended the driver at once, which left the directory of weights behind and the end of the processes to the kernel. Started, signalled after 4 s, counted 1 s later, 33 processes each: SIGINT and SIGTERM exit with 130 and leave no process and no directory; after SIGKILL of the driver all 33 are dead (not yet reaped by init) and the directory stays.

--- a/misc/demo.py
+++ b/misc/demo.py
@@ -25,6 +25,7 @@
 from misc.deployment import Deployment, load_deployment, with_version
 from misc.fleet import Fleet
 from misc.http import get_json
+from misc.interrupt import run_interruptible
 from misc.kill import KINDS, kill_one
 from misc.progress import agents_live, entries_see, wait_until
 from misc.samples import make_weights, take_weights
@@ -213,7 +214,7 @@
     """Run the demonstration."""
     with tempfile.TemporaryDirectory(prefix="gypsumpier-demo-") as directory:
         chosen = load_deployment(deployment)
-        status = asyncio.run(run_demo(chosen, weights, Path(directory), kill))
+        status = run_interruptible(run_demo(chosen, weights, Path(directory), kill))
     sys.exit(status)
 
 
