--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,26 @@
 # Writes the pages of docs/ that are made from the code.
 pages: venv
 	$(PY) -m misc.pages
+
+SEED ?= 1
+
+# Measures how soon edits are in force everywhere; takes about three minutes.
+.PHONY: measure-documents
+measure-documents: venv
+	$(PY) -m misc.measure_documents --seed $(SEED)
+
+# Measures how costs grow with the fleet, for docs/CAPACITY.md; takes about six minutes.
+GROUPS ?= tables links busy spread relay rollout
+.PHONY: measure-capacity
+measure-capacity: venv
+	$(PY) -m misc.measure_capacity $(foreach group,$(GROUPS),--only $(group))
+
+# Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
+.PHONY: faults
+faults: venv
+	$(PY) -m misc.faults --seed $(SEED)
+
+# Measures goodput, fairness, prefix hits and what entry and agent add to an answer.
+.PHONY: measure-requests
+measure-requests: venv
+	$(PY) -m misc.measure_requests --seed $(SEED)
--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -7,6 +7,7 @@
 from tornado.netutil import bind_sockets
 
 from gypsumpier.agent.gate import Gate
+from gypsumpier.agent.home import Home
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.monitor import Monitor
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
@@ -54,12 +55,14 @@
             self.spread,
         )
         self.upstream = self.build_upstream()
-        self.gate = Gate(options, self.clock, self.upstream)
+        self.home = Home(options, self.clock, self.documents, self.upstream)
+        self.gate = Gate(options, self.clock, self.upstream, self.home)
         self.listener = Listener(options, self.clock, self.gate, self.spread)
         self.monitor = Monitor(options, self.clock, self.upstream, self.listener)
         self.rollout = self.build_rollout()
         self.server = TcpListener(self.listener.serve)
         self.stopping = False
+        self.members.subscribe(self.note_leaving)
 
     def build_upstream(self) -> Upstream:
         """Return the upstream of the kind that the settings name."""
@@ -85,6 +88,15 @@
             self.gate,
         )
 
+    def note_leaving(self) -> None:
+        """Take no new work once the member list says that this process leaves."""
+        member = self.members.members.get(self.options.name)
+        if member is None or member.incarnation != self.options.incarnation or not member.leaving:
+            return
+        if not self.gate.leaving:
+            decision("leaving", upstream=self.options.name, reason="member list")
+        self.gate.leaving = True
+
     async def start(self) -> None:
         """Bind the ports and start every part."""
         sockets = bind_sockets(self.options.port, self.options.host)
@@ -108,6 +120,7 @@
             await asyncio.wait_for(self.gate.drain(), self.options.drain_timeout_s)
         except TimeoutError:
             decision("drain_cut", in_flight=len(self.gate.running), reason="drain timeout")
+        await self.listener.hand_over()
         self.server.stop()
         for connection in list(self.listener.connections):
             connection.close()
--- /dev/null
+++ b/gypsumpier/agent/handover.py
@@ -0,0 +1,60 @@
+"""Hands the keys of a home over to the connected entries.
+
+It does so when its agent stops as planned, and when an entry has disappeared whose keys it knows.
+With the records it vouches for such entries: it knows every key that they have sent to this slot.
+Some entries also get the kept answers of a stopping home.  All pass on what they got in their
+reports to the next agent in the slot.
+"""
+
+import contextlib
+from typing import Final
+
+from gypsumpier.clock import Clock
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.ledger import Ledger
+from gypsumpier.idempotency.record import KeyState
+from gypsumpier.idempotency.reported import ReportedKey, pack_keys
+from gypsumpier.idempotency.succession import EntryId
+from gypsumpier.log import decision
+from gypsumpier.wire.connection import Connection
+
+ANSWER_BYTES_MAX: Final = 256 * 1024
+
+
+async def hand_over(
+    ledger: Ledger,
+    connections: list[Connection],
+    clock: Clock,
+    answer_holders: list[Connection],
+    vouched: list[EntryId],
+) -> None:
+    """Send the records to the connected entries; RUNNING ones count as may have run."""
+    now_s = clock.monotonic()
+    keys = reported_keys(ledger, now_s)
+    decision("hand_over", keys=len(keys), entries=len(connections), vouched=len(vouched))
+    without_answers = [key._replace(answer=None) for key in keys]
+    for connection in connections:
+        sent = keys if connection in answer_holders else without_answers
+        with contextlib.suppress(GypsumpierError):
+            parts = list(pack_keys(sent))
+            for number, part in enumerate(parts, 1):
+                names = [list(entry) for entry in vouched] if number == len(parts) else []
+                await connection.send("records", {"keys": part, "vouched": names})
+
+
+def reported_keys(ledger: Ledger, now_s: float) -> list[ReportedKey]:
+    """Return every key of the ledger; large answers stay behind."""
+    return [
+        ReportedKey(
+            key_id,
+            record.fingerprint,
+            KeyState.UNKNOWN if record.state is KeyState.RUNNING else record.state,
+            now_s - record.changed_at_s,
+            (
+                record.answer
+                if record.answer is not None and len(record.answer.content) <= ANSWER_BYTES_MAX
+                else None
+            ),
+        )
+        for key_id, record in ledger.records.items()
+    ]
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -10,7 +10,8 @@
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
-from gypsumpier.entry.caller import ChatHandler, ServiceHandler
+from gypsumpier.entry.caller import ChatHandler, OutcomeHandler, ServiceHandler
+from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
 from gypsumpier.log import decision
@@ -24,6 +25,8 @@
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 DRAIN_POLL_S: Final = 0.05
+LEAVE_NOTICE_S: Final = 0.5
+IDLE_S: Final = 0.25
 
 
 class EntryApplication:
@@ -54,8 +57,19 @@
             self.members,
             self.spread,
         )
-        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members, self.spread)
-        self.relay = Relay(options, self.clock, self.links, self.random)
+        self.links = Links(
+            options,
+            self.clock,
+            TcpDialer(),
+            self.random,
+            self.members,
+            self.spread,
+            self.documents,
+        )
+        self.keys = EntryKeys(
+            options, self.clock, self.documents, self.members, self.links, self.random
+        )
+        self.relay = Relay(options, self.clock, self.links, self.keys, self.random)
         self.in_flight = 0
         self.stopping = False
         self.server = HTTPServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
@@ -67,6 +81,7 @@
             [
                 (r"/v1/chat/completions", ChatHandler, arguments),
                 (r"/services/([^/]+)/(.*)", ServiceHandler, arguments),
+                (r"/outcomes/([^/]+)", OutcomeHandler, arguments),
             ],
             log_function=lambda handler: None,
         )
@@ -86,15 +101,23 @@
         self.server.add_sockets(sockets)
 
     async def stop(self) -> None:
-        """Refuse new connections, let requests in flight end, then close everything."""
+        """Refuse new connections, let requests in flight end, then close everything.
+
+        Requests that still arrive on open connections are served, and the answer closes their
+        connection.
+        """
         self.stopping = True
-        self.spread.announce_leaving()
         decision("drain", in_flight=self.in_flight, reason="stop asked for")
+        await self.clock.sleep(LEAVE_NOTICE_S)
         self.server.stop()
         deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
-        while self.in_flight and self.clock.monotonic() < deadline_s:
+        idle_since_s = self.clock.monotonic()
+        while self.clock.monotonic() < min(deadline_s, idle_since_s + IDLE_S):
+            if self.in_flight:
+                idle_since_s = self.clock.monotonic()
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
+        await self.keys.hand_over()
         await self.links.stop()
         await self.document_keeper.stop()
         await self.member_keeper.stop()
--- a/gypsumpier/entry/attempt.py
+++ b/gypsumpier/entry/attempt.py
@@ -19,17 +19,29 @@
 FAILED: Final = "failed"
 
 
+class LostConnectionError(GypsumpierError):
+    """The connection of an attempt was lost while the attempt was in flight."""
+
+
 class Attempt:
     """The entry's side of one exchange; the link's task delivers its frames."""
 
     def __init__(self, exchange: str, upstream: str) -> None:
         self.exchange = exchange
         self.upstream = upstream
-        self.sent = False
+        self.incarnation = ""
         self.connection: Connection | None = None
         self.expected_sequence = 0
         self.queue: asyncio.Queue[Frame | GypsumpierError] = asyncio.Queue()
 
+    def wait_on(self, connection: Connection | None) -> None:
+        """Note on which connection the answer is awaited now, if on any."""
+        if self.connection is not None:
+            self.connection.end_waiting()
+        self.connection = connection
+        if connection is not None:
+            connection.begin_waiting()
+
     def deliver(self, frame: Frame) -> None:
         """Take a frame of this exchange; one that was seen already is dropped."""
         if frame.sequence < self.expected_sequence:
@@ -44,6 +56,10 @@
         """End the attempt with an error."""
         self.queue.put_nowait(GypsumpierError(code, detail))
 
+    def lose(self, reason: ResultCode) -> None:
+        """Note that the connection was lost; the attempt may be asked after on the next one."""
+        self.queue.put_nowait(LostConnectionError(reason, self.upstream))
+
     async def frames(self) -> AsyncIterator[Frame]:
         """Yield the frames in sequence, the final one included; raise on a failed attempt."""
         while True:
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import contextlib
+import math
+from collections.abc import Callable
 from random import Random
 from typing import Any, Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.codes.request import OUTCOME_UNKNOWN
+from gypsumpier.codes.request import UPSTREAM_UNREACHABLE
 from gypsumpier.codes.wire import CONNECTION_CLOSED
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.errors import GypsumpierError
@@ -22,6 +24,7 @@
 from gypsumpier.spread.message import is_control
 from gypsumpier.spread.session import Session
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
@@ -29,6 +32,9 @@
 
 REDIAL_MIN_S: Final = 0.1
 REDIAL_MAX_S: Final = 2.0
+RETRY_AFTER_S: Final = 1.0
+REPORT_HALF_LIFE_S: Final = 1.0
+KEY_KINDS: Final = frozenset({"records", "inherited", "entries_wanted"})
 
 
 class Link:
@@ -52,6 +58,7 @@
         self.spread = spread
         self.pace = pace
         self.session: Session | None = None
+        self.opened: Connection | None = None
         self.connection: Connection | None = None
         self.attempts: dict[str, Attempt] = {}
         self.live: list[LiveModel] = []
@@ -59,6 +66,12 @@
         self.healthy = False
         self.reported_in_flight = 0
         self.reported_at_s = 0.0
+        self.incarnation = ""
+        self.started_at_s = 0.0
+        self.welcomed: Callable[[Link], None] = ignore
+        self.own_at_report = 0
+        self.suspected: Callable[[list[list[str]]], None] = ignore
+        self.told: Callable[[Link, Frame], None] = ignore
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -67,10 +80,7 @@
 
     async def stop(self) -> None:
         """Close the connection and end the task."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Keep one connection open, with full jitter between dials."""
@@ -94,7 +104,7 @@
         keep_alive = asyncio.create_task(connection.keep_alive())
         try:
             await connection.send("hello", self.hello())
-            self.connection = connection
+            self.opened = connection
             if self.spread is not None:
                 self.session = self.spread.attach(connection, Identity(member.name, member.role))
             async for frame in connection.frames():
@@ -121,13 +131,26 @@
             if self.session is not None:
                 self.session.take(frame)
             return
+        if frame.kind == "welcome":
+            self.take_welcome(frame.payload)
+            return
         if frame.kind == "state":
             self.take_state(frame.payload)
             return
+        if frame.kind in KEY_KINDS:
+            self.told(self, frame)
+            return
         attempt = self.attempts.get(frame.exchange)
         if attempt is not None:
             attempt.deliver(frame)
 
+    def take_welcome(self, payload: dict[str, Any]) -> None:
+        """Keep which process answers on this connection; requests may be sent from now on."""
+        self.incarnation = payload["incarnation"]
+        self.started_at_s = self.clock.monotonic() - payload["uptime_s"]
+        self.connection = self.opened
+        self.welcomed(self)
+
     def take_state(self, payload: dict[str, Any]) -> None:
         """Keep what the agent reports of its upstream."""
         self.live = [LiveModel(*fields) for fields in payload["live"]]
@@ -135,32 +158,54 @@
         self.healthy = payload["healthy"]
         self.reported_in_flight = payload["in_flight"]
         self.reported_at_s = self.clock.monotonic()
+        self.own_at_report = len(self.attempts)
+        self.suspected(payload["suspects"])
 
     def lose(self, connection: Connection) -> None:
-        """Fail what was in flight on a closed connection."""
+        """Let the attempts in flight on a closed connection know."""
+        self.opened = None
         self.connection = None
         self.healthy = False
         for attempt in self.attempts.values():
-            code = OUTCOME_UNKNOWN if attempt.sent else connection.close_reason
-            attempt.fail(code, f"connection to {self.member.name} was lost")
+            attempt.lose(connection.close_reason)
 
     def is_usable(self) -> bool:
         """Tell whether new work may be sent."""
         return self.connection is not None and self.healthy and not self.leaving
 
+    def load(self) -> float:
+        """Return the requests in flight: the entry's own, and others' by an ageing report."""
+        others = max(0, self.reported_in_flight - self.own_at_report)
+        age_s = self.clock.monotonic() - self.reported_at_s
+        return len(self.attempts) + others * math.exp2(-age_s / REPORT_HALF_LIFE_S)
+
     def serves(self, model: str, version: str) -> bool:
         """Tell whether the engine reports exactly that version live."""
         return any(live.model == model and live.version == version for live in self.live)
 
     async def send(self, attempt: Attempt, payload: dict[str, Any]) -> None:
-        """Send the request of an attempt; after this call it may have run."""
+        """Send the request of an attempt; raise GypsumpierError where it certainly was not sent."""
+        connection = self.connection
+        if connection is None or connection.closed:
+            raise GypsumpierError(UPSTREAM_UNREACHABLE, self.member.name, RETRY_AFTER_S)
+        self.attempts[attempt.exchange] = attempt
+        attempt.incarnation = self.incarnation
+        attempt.wait_on(connection)
+        with contextlib.suppress(GypsumpierError):
+            # A write that fails may have sent the frame; the reader notices the lost connection.
+            await connection.send("request", payload, attempt.exchange)
+
+    async def resume(self, attempt: Attempt, age_s: float) -> None:
+        """Ask after an attempt whose connection was lost."""
+        attempt.wait_on(self.connection)
+        payload = {"next_sequence": attempt.expected_sequence, "age_s": age_s}
+        await self.tell("resume", payload, attempt.exchange)
+
+    async def tell(self, kind: str, payload: dict[str, Any], exchange: str = "") -> None:
+        """Send a frame that runs nothing."""
         if self.connection is None:
             raise GypsumpierError(CONNECTION_CLOSED, f"no connection to {self.member.name}")
-        self.attempts[attempt.exchange] = attempt
-        attempt.sent = True
-        attempt.connection = self.connection
-        self.connection.begin_waiting()
-        await self.connection.send("request", payload, attempt.exchange)
+        await self.connection.send(kind, payload, exchange)
 
     async def cancel(self, attempt: Attempt) -> None:
         """Tell the agent that nobody waits for the attempt any more."""
@@ -171,6 +216,8 @@
     def forget(self, attempt: Attempt) -> None:
         """Drop an ended attempt; late frames of it are dropped from now on."""
         self.attempts.pop(attempt.exchange, None)
-        if attempt.connection is not None:
-            attempt.connection.end_waiting()
-            attempt.connection = None
+        attempt.wait_on(None)
+
+
+def ignore(*told: object) -> None:
+    """Do nothing about what a link tells."""
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -1,7 +1,8 @@
 """Runs one request: attempts it, retries where that is safe, and yields the answer's frames.
 
 A request is sent again only where it certainly has not run, or where it is idempotent and nothing
-of an answer has reached the caller.
+of an answer has reached the caller; and only within the retry budget and the caller's deadline.  A
+request under a key that may not run again goes to the key's home and nowhere else.
 """
 
 from collections.abc import AsyncIterator
@@ -11,12 +12,20 @@
 from gypsumpier.clock import Clock
 from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
-from gypsumpier.codes.table import code_by_number
 from gypsumpier.document.service import ServiceDocument
-from gypsumpier.entry.attempt import FAILED, REFUSED, Attempt
+from gypsumpier.entry.admission import Admission
+from gypsumpier.entry.attempt import Attempt
+from gypsumpier.entry.budget import RetryBudget
+from gypsumpier.entry.delivery import CrashError
+from gypsumpier.entry.failure import WITHDRAWN, Failure
+from gypsumpier.entry.keys import EntryKeys
+from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
+from gypsumpier.entry.quarantine import Quarantine
+from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
+from gypsumpier.entry.sender import Sender
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.options import Options
@@ -24,47 +33,166 @@
 
 ATTEMPTS_MAX: Final = 3
 RETRY_AFTER_S: Final = 1.0
+BACKOFF_S: Final = 0.05
+HOME_WAIT_S: Final = 6.0
+HOME_POLL_S: Final = 0.1
+HOME_SPREAD_S: Final = 0.5
 
 
 class Relay:
     """Relays requests to upstreams through the links."""
 
-    def __init__(self, options: Options, clock: Clock, links: Links, random: Random) -> None:
+    def __init__(
+        self, options: Options, clock: Clock, links: Links, keys: EntryKeys, random: Random
+    ) -> None:
         self.options = options
         self.clock = clock
         self.links = links
+        self.keys = keys
         self.random = random
+        self.sender = Sender(options, clock, links, keys)
+        self.budget = RetryBudget()
+        self.admissions: dict[str, Admission] = {}
+        self.quarantine = Quarantine(options.quarantine_s)
+        links.suspected = self.take_suspects
 
     async def run(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
-        last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
-        tried: set[str] = set()
+        self.budget.earn()
+        self.check_quarantine(request)
+        admission = self.admission(request.service, document)
+        try:
+            await admission.enter(request, document)
+        except GypsumpierError as error:
+            raise refusal_of_copy(error, request.has_home()) from error
+        entered_at_s = self.clock.monotonic()
+        took_s: float | None = None
+        try:
+            async for frame in self.answered(request, document):
+                yield frame
+            took_s = self.clock.monotonic() - entered_at_s
+            self.quarantine.note_finished(request.fingerprint)
+        finally:
+            admission.leave(took_s)
+
+    async def answered(
+        self, request: CallerRequest, document: ServiceDocument
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of an admitted request; a whole answer only when it is complete."""
+        frames = self.attempts(request, document)
+        if request.streamed:
+            async for frame in frames:
+                yield frame
+            return
+        # Nothing reaches the caller before the answer is whole, so an attempt may be repeated.
+        whole = [frame async for frame in frames]
+        for frame in whole:
+            yield frame
+
+    def pause_s(self, request: CallerRequest, failure: Failure, number: int) -> float:
+        """Return how long to wait before the next attempt.
+
+        Copies that wait for one home are spread out, so that they don't fill it all at once.
+        """
+        if not request.has_home():
+            return self.random.uniform(0, BACKOFF_S * 2**number)
+        return (failure.last.retry_after_s or 0.0) + self.random.uniform(0, HOME_SPREAD_S)
+
+    def admission(self, service: str, document: ServiceDocument) -> Admission:
+        """Return the admission of the service, for the upstreams that are usable now."""
+        admission = self.admissions.get(service)
+        if admission is None:
+            admission = self.admissions[service] = Admission(self.clock)
+        usable = sum(link.is_usable() for link in self.links.of_service(service))
+        admission.set_limit(max(1, usable) * document.limits.in_flight_per_upstream)
+        return admission
+
+    def check_quarantine(self, request: CallerRequest) -> None:
+        """Raise for a request that was running in two crashes."""
+        now_s = self.clock.monotonic()
+        refused_s = self.quarantine.refused_for_s(request.fingerprint, now_s)
+        if refused_s > 0:
+            decision("quarantine", request=request.request_id, reason="named by two crashes")
+            raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
+
+    def take_suspects(self, suspects: list[list[str]]) -> None:
+        """Note the requests that an agent names after a crash."""
+        now_s = self.clock.monotonic()
+        for named, crash in suspects:
+            self.quarantine.note_crash(named, crash, now_s)
+
+    async def attempts(
+        self, request: CallerRequest, document: ServiceDocument
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of the attempt that succeeds."""
+        failure = Failure(request)
         for number in range(ATTEMPTS_MAX):
-            choice = self.choose(request, document, tried)
-            if choice is None:
-                raise last
-            tried.add(choice.link.member.name)
-            attempt = Attempt(f"{request.request_id}/{number}", choice.link.member.name)
+            link, version = await self.target(request, document, failure)
+            attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
             try:
-                async for frame in self.frames_of(request, document, choice, attempt):
-                    started = True
+                payload = self.payload(request, document, version)
+                async for frame in self.sender.deliver(request, link, attempt, payload):
+                    started = started or request.streamed
                     yield frame
                 return
             except GypsumpierError as error:
-                last = error
-                if started or not may_retry(request, error):
-                    raise
-        raise last
+                failure.note(error, link)
+                self.note_failed_attempt(request, error)
+                if started or not self.may_retry(request, error):
+                    raise failure.told() from error
+            await self.clock.sleep(self.pause_s(request, failure, number))
+        raise failure.told()
+
+    def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
+        """Learn of a full or a crashed upstream."""
+        if error.code is codes.UPSTREAM_FULL:
+            self.admissions[request.service].shrink()
+        if isinstance(error, CrashError):
+            self.take_suspects([[request.fingerprint, error.crash]])
+            self.check_quarantine(request)
+
+    async def target(
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
+    ) -> tuple[Link, str]:
+        """Return where the next attempt goes, and the version; raise where it can't go."""
+        if request.has_home():
+            return await self.home(request, document, failure), ""
+        choice = self.choose(request, document, failure)
+        if choice is None:
+            raise failure.told()
+        return choice.link, choice.version
+
+    async def home(
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
+    ) -> Link:
+        """Return the link to the key's home; a home that is being replaced is waited for."""
+        until_s = self.clock.monotonic() + self.home_wait_s(request)
+        while True:
+            try:
+                return self.keys.home(request, document)
+            except GypsumpierError as error:
+                if self.clock.monotonic() + HOME_POLL_S > until_s:
+                    failure.note(error, None)
+                    raise failure.told() from error
+            await self.clock.sleep(HOME_POLL_S)
+            document = self.keys.documents.document(request.service) or document
+
+    def home_wait_s(self, request: CallerRequest) -> float:
+        """Return how long the request may wait for its home, from now on."""
+        now_s = self.clock.monotonic()
+        left_s = HOME_WAIT_S - (now_s - request.received_at_s)
+        return max(0.0, min(left_s, request.remaining_at(now_s) / 2))
 
     def choose(
-        self, request: CallerRequest, document: ServiceDocument, tried: set[str]
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> Choice | None:
-        """Choose an upstream, preferably one not tried yet, and log the decision."""
+        """Choose an upstream and log the decision."""
         links = self.links.of_service(request.service)
-        untried = [link for link in links if link.member.name not in tried]
-        links = untried or links
-        choice = choose(request, document, links, self.options.zone, self.random)
+        untried = [link for link in links if link.member.name not in failure.tried]
+        if not self.options.prefix_affinity:
+            request = request._replace(prefix="")
+        choice = choose(request, document, untried, self.options.zone, self.random)
         decision(
             "route",
             request=request.request_id,
@@ -76,32 +204,21 @@
         )
         return choice
 
-    async def frames_of(
-        self,
-        request: CallerRequest,
-        document: ServiceDocument,
-        choice: Choice,
-        attempt: Attempt,
-    ) -> AsyncIterator[Frame]:
-        """Yield the frames of one attempt."""
-        ended = False
-        try:
-            await choice.link.send(attempt, self.payload(request, document, choice))
-            async for frame in attempt.frames():
-                if frame.kind in (REFUSED, FAILED):
-                    ended = True
-                    raise error_of(frame)
-                ended = frame.kind == "end"
-                yield frame
-        finally:
-            choice.link.forget(attempt)
-            if not ended:
-                await choice.link.cancel(attempt)
+    def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
+        """Tell whether another attempt is safe and allowed after this error."""
+        if request.has_home():
+            wait_s = error.retry_after_s or 0.0
+            return error.code in WITHDRAWN and wait_s <= self.home_wait_s(request)
+        not_run = error.code.outcome is Outcome.NOT_RUN
+        if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
+            return False
+        return self.budget.spend()
 
     def payload(
-        self, request: CallerRequest, document: ServiceDocument, choice: Choice
+        self, request: CallerRequest, document: ServiceDocument, version: str
     ) -> dict[str, Any]:
         """Return what the agent needs to run the request."""
+        now_s = self.clock.monotonic()
         return {
             "service": request.service,
             "workspace": request.workspace,
@@ -113,19 +230,10 @@
             "streamed": request.streamed,
             "idempotent": request.idempotent,
             "priority": request.priority,
-            "remaining_s": request.remaining_at(self.clock.monotonic()),
+            "remaining_s": request.remaining_at(now_s),
+            "age_s": now_s - request.received_at_s,
             "model": document.model,
-            "version": choice.version,
+            "version": version,
+            "fingerprint": request.fingerprint,
+            "suspect": self.quarantine.is_suspect(request.fingerprint, now_s),
         }
-
-
-def may_retry(request: CallerRequest, error: GypsumpierError) -> bool:
-    """Tell whether another attempt is safe after this error."""
-    return error.code.outcome is Outcome.NOT_RUN or request.idempotent
-
-
-def error_of(frame: Frame) -> GypsumpierError:
-    """Return the error that a refused or failed attempt carries."""
-    payload = frame.payload
-    code = code_by_number(payload["code"])
-    return GypsumpierError(code, payload["detail"], payload.get("retry_after_s"))
--- a/gypsumpier/idempotency/sent_keys.py
+++ b/gypsumpier/idempotency/sent_keys.py
@@ -1,75 +1,113 @@
 """The keys that one entry has sent to homes, kept until no caller resends them.
 
 An entry notes a key before it sends it, so that what it reports to a new home is never less than
-what it has sent.  A send that no home has answered for counts as *may have run*.
+what it has sent.  A send that no home has answered for counts as *may have run* elsewhere.
 """
 
-from collections import OrderedDict
-from dataclasses import dataclass, replace
-from typing import NamedTuple
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field, replace
 
 from gypsumpier.idempotency.key import KeyId
-from gypsumpier.idempotency.record import KeyState
+from gypsumpier.idempotency.record import KeptAnswer, KeyState
+from gypsumpier.idempotency.reported import ReportedKey
 
 
 @dataclass
 class SentKey:
-    """One key; ``state`` is REFUSED while every send was answered with *not run*."""
+    """One key.
+
+    ``outcome`` is DONE or UNKNOWN once a home, or an instance that stopped, has said so.
+    ``refused_at_s`` is when the key was last told as not run.  ``unsettled`` counts the sends that
+    are not answered for, by the process that they went to.  ``homes`` are all those processes; an
+    empty name stands for unknown ones.  ``answer`` is kept for a home that stopped as planned.
+    """
 
     service: str
     fingerprint: str
-    state: KeyState
-    unsettled: int
     changed_at_s: float
-
-
-class ReportedKey(NamedTuple):
-    """One key in an entry's report to a new home."""
-
-    key_id: KeyId
-    fingerprint: str
-    state: KeyState
-    age_s: float
+    outcome: KeyState | None = None
+    refused_at_s: float | None = None
+    unsettled: Counter[str] = field(default_factory=Counter)
+    homes: set[str] = field(default_factory=set)
+    answer: KeptAnswer | None = None
 
 
 class SentKeys:
     """Remembers sent keys, bounded in number and time."""
 
-    def __init__(self, limit: int, retention_s: float) -> None:
+    def __init__(self, limit: int, retention_s: float, answer_bytes: int = 0) -> None:
         self.limit = limit
+        self.answer_bytes_left = answer_bytes
         self.retention_s = retention_s
         self.keys: OrderedDict[tuple[str, KeyId], SentKey] = OrderedDict()
 
-    def note(self, service: str, key_id: KeyId, fingerprint: str, now_s: float) -> bool:
-        """Note a key before it is sent; False means that it must not be sent."""
+    def note(self, service: str, key_id: KeyId, fingerprint: str, home: str, now_s: float) -> bool:
+        """Note a key before it is sent to a process; False means that it must not be sent."""
         self.forget_old(now_s)
         known = self.keys.get((service, key_id))
         if known is None:
             if len(self.keys) >= self.limit:
                 return False
-            known = SentKey(service, fingerprint, KeyState.REFUSED, 0, now_s)
-            self.keys[(service, key_id)] = known
-        known.unsettled += 1
+            known = self.keys[(service, key_id)] = SentKey(service, fingerprint, now_s)
+        known.unsettled[home] += 1
+        known.homes.add(home)
         self.touch(service, key_id, now_s)
         return True
 
-    def settle(self, service: str, key_id: KeyId, state: KeyState, now_s: float) -> None:
+    def settle(self, service: str, key_id: KeyId, home: str, state: KeyState, now_s: float) -> None:
         """Note what the home said of one send; it may say DONE, UNKNOWN or REFUSED."""
+        self.withdraw(service, key_id, home, now_s)
+        known = self.keys[(service, key_id)]
+        if state is KeyState.REFUSED:
+            known.refused_at_s = now_s
+        elif known.outcome is not KeyState.DONE:
+            known.outcome = state
+
+    def withdraw(self, service: str, key_id: KeyId, home: str, now_s: float) -> None:
+        """Note that one send has not run, nor will; the key may have run before."""
         known = self.keys[(service, key_id)]
-        known.unsettled -= 1
+        known.unsettled -= Counter([home])
         self.touch(service, key_id, now_s)
-        if known.state is not KeyState.DONE and state is not KeyState.REFUSED:
-            known.state = state
 
-    def report(self, service: str, now_s: float) -> list[ReportedKey]:
-        """Return every key of the service that may have run."""
+    def inherit(self, service: str, reported: ReportedKey, now_s: float) -> bool:
+        """Take in what another instance knows of a key; False where there is no room."""
+        known = self.keys.get((service, reported.key_id))
+        at_s = now_s - reported.age_s
+        if known is None:
+            if len(self.keys) >= self.limit:
+                return False
+            known = SentKey(service, reported.fingerprint, at_s)
+            self.keys[(service, reported.key_id)] = known
+        known.homes.add("")
+        if reported.state is KeyState.REFUSED:
+            known.refused_at_s = max(at_s, known.refused_at_s or at_s)
+        elif known.outcome is not KeyState.DONE:
+            known.outcome = KeyState.DONE if reported.state is KeyState.DONE else KeyState.UNKNOWN
+        if reported.answer is not None and known.answer is None:
+            self.keep_answer(known, reported.answer)
+        return True
+
+    def keep_answer(self, key: SentKey, answer: KeptAnswer) -> None:
+        """Keep an answer while there is memory for it."""
+        if len(answer.content) <= self.answer_bytes_left:
+            self.answer_bytes_left -= len(answer.content)
+            key.answer = answer
+
+    def report(self, service: str, home: str, now_s: float) -> list[ReportedKey]:
+        """Return what the process ``home`` must know of the service's keys.
+
+        Of what was sent to that process alone it knows more itself.
+        """
         self.forget_old(now_s)
-        sent = ((key_id, key) for (name, key_id), key in self.keys.items() if name == service)
-        return [
-            ReportedKey(key_id, key.fingerprint, reported_state(key), now_s - key.changed_at_s)
-            for key_id, key in sent
-            if reported_state(key) is not KeyState.REFUSED
-        ]
+        reported: list[ReportedKey] = []
+        for (name, key_id), key in self.keys.items():
+            state = state_for(key, home)
+            if name != service or state is None:
+                continue
+            at_s = key.refused_at_s if state is KeyState.REFUSED else key.changed_at_s
+            age_s = now_s - (at_s if at_s is not None else key.changed_at_s)
+            reported.append(ReportedKey(key_id, key.fingerprint, state, age_s, key.answer))
+        return reported
 
     def touch(self, service: str, key_id: KeyId, now_s: float) -> None:
         """Restart the key's retention."""
@@ -82,15 +120,20 @@
             name, key = next(iter(self.keys.items()))
             if now_s - key.changed_at_s <= self.retention_s:
                 return
-            if key.unsettled > 0:
+            if key.unsettled:
                 self.keys[name] = replace(key, changed_at_s=now_s)
                 self.keys.move_to_end(name)
                 continue
+            self.answer_bytes_left += len(key.answer.content) if key.answer is not None else 0
             del self.keys[name]
 
 
-def reported_state(key: SentKey) -> KeyState:
-    """Return the state that a new home must assume."""
-    if key.state is KeyState.DONE:
+def state_for(key: SentKey, home: str) -> KeyState | None:
+    """Return the state that the process must assume, or None where it knows more itself."""
+    if key.homes == {home}:
+        return None
+    if key.outcome is KeyState.DONE:
         return KeyState.DONE
-    return KeyState.UNKNOWN if key.unsettled > 0 else key.state
+    if key.outcome is KeyState.UNKNOWN or any(other != home for other in key.unsettled):
+        return KeyState.UNKNOWN
+    return KeyState.REFUSED if key.refused_at_s is not None else None
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -30,8 +30,11 @@
     heartbeat_s: float = 1.0
     silence_s: float = 3.0
     idle_heartbeats_per_s: float = 24.0
+    zone_links: int = 64
+    other_zone_links: int = 4
     dial_timeout_s: float = 1.0
     membership_interval_s: float = 1.0
+    member_list_bytes_per_s: float = 2500.0
     watch_timeout_s: float = 2.0
     platform_backoff_s: float = 2.0
     missing_s: float = 5.0
@@ -47,6 +50,16 @@
     request_deadline_s: float = 30.0
     body_limit_bytes: int = 1024 * 1024
     drain_timeout_s: float = 30.0
+    resend_horizon_s: float = 600.0
+    key_retention_s: float = 3600.0
+    key_settle_s: float = 3.0
+    key_clock_skew_s: float = 5.0
+    key_memory_bytes: int = 8 * 1024 * 1024
+    answer_memory_bytes: int = 16 * 1024 * 1024
+    run_timeout_s: float = 60.0
+    ask_timeout_s: float = 4.0
+    quarantine_s: float = 300.0
+    prefix_affinity: bool = True
 
     chunk_bytes: int = 256 * 1024
     weight_memory_bytes: int = 64 * 1024 * 1024
--- a/gypsumpier/spread/streams.py
+++ b/gypsumpier/spread/streams.py
@@ -8,11 +8,11 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.codes.document import STREAMS_FULL
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.member.table import MemberTable
@@ -23,6 +23,7 @@
 from gypsumpier.spread.link import SpreadLink
 from gypsumpier.spread.serving import serve
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.stream import Dialer, Stream
 
@@ -58,10 +59,7 @@
 
     async def stop(self) -> None:
         """Close all streams."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
         for link in self.links.values():
             await link.stop()
         for connection in list(self.accepted):
@@ -70,7 +68,8 @@
     async def accept(self, stream: Stream) -> None:
         """Serve a stream that another entry has dialled."""
         if len(self.accepted) >= ACCEPTED_LIMIT:
-            decision("spread_stream_refused", reason=f"{ACCEPTED_LIMIT} streams are open")
+            reason = f"{ACCEPTED_LIMIT} streams are open"
+            decision("spread_stream_refused", code=STREAMS_FULL.number, reason=reason)
             stream.close()
             return
         options = self.options
