Close a connection by code where a frame's payload is malformed

Cause: a missing or mistyped field raised KeyError or TypeError in the task of a connection. At an entry that ended the link's task for good, so the agent was never dialled again; at an agent the connection ended without a code. A request with a mistyped field was taken and failed later.

The errors become BAD_FRAME, the connection is closed and dialled again, and parse_order checks the type of every field.

--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -25,6 +25,7 @@
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
+from gypsumpier.wire.payload import bad_frame_on_error
 from gypsumpier.wire.stream import Stream
 
 STATE_INTERVAL_S: Final = 0.25
@@ -67,11 +68,11 @@
         ]
         try:
             async for frame in connection.frames():
-                if is_control(frame.kind):
-                    if session is not None:
+                with bad_frame_on_error(frame):
+                    if not is_control(frame.kind):
+                        await self.take(frame, connection)
+                    elif session is not None:
                         session.take(frame)
-                    continue
-                await self.take(frame, connection)
         except GypsumpierError as error:
             decision("connection_lost", reason=error)
         finally:
--- a/gypsumpier/agent/order.py
+++ b/gypsumpier/agent/order.py
@@ -1,6 +1,6 @@
 """A request as it arrives from an entry."""
 
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from gypsumpier.codes.wire import BAD_FRAME
 from gypsumpier.errors import GypsumpierError
@@ -38,13 +38,51 @@
         return bool(self.key) and not self.idempotent
 
 
+TEXT: Final = (str,)
+FLAG: Final = (bool,)
+NUMBER: Final = (int, float)
+FIELD_TYPES: Final[dict[str, tuple[type, ...]]] = {
+    "service": TEXT,
+    "workspace": TEXT,
+    "method": TEXT,
+    "path": TEXT,
+    "headers": (dict,),
+    "body": (bytes,),
+    "key": TEXT,
+    "streamed": FLAG,
+    "idempotent": FLAG,
+    "priority": (int,),
+    "remaining_s": NUMBER,
+    "age_s": NUMBER,
+    "model": TEXT,
+    "version": TEXT,
+    "fingerprint": TEXT,
+    "suspect": FLAG,
+}
+
+
 def parse_order(frame: Frame, buffered_s: float) -> AttemptOrder:
-    """Return the order in a request frame; the time it spent in buffers counts."""
+    """Return the order in a request frame; the time it spent in buffers counts.
+
+    Raises GypsumpierError with BAD_FRAME where a field is missing, unknown or of a wrong type.
+    """
     fields: dict[str, Any] = dict(frame.payload)
     try:
         order = AttemptOrder(exchange=frame.exchange, **fields)
-        return order._replace(
-            remaining_s=order.remaining_s - buffered_s, age_s=order.age_s + buffered_s
-        )
     except TypeError as error:
         raise GypsumpierError(BAD_FRAME, f"request: {error}") from error
+    check_types(order)
+    return order._replace(
+        remaining_s=order.remaining_s - buffered_s, age_s=order.age_s + buffered_s
+    )
+
+
+def check_types(order: AttemptOrder) -> None:
+    """Raise GypsumpierError with BAD_FRAME where a field is of a wrong type."""
+    for name, kinds in FIELD_TYPES.items():
+        value = getattr(order, name)
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise GypsumpierError(BAD_FRAME, f"request: {name} is a {type(value).__name__}")
+    for pair in order.headers.items():
+        if not all(isinstance(text, str) for text in pair):
+            raise GypsumpierError(BAD_FRAME, "request: headers are not texts")
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -28,6 +28,7 @@
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
+from gypsumpier.wire.payload import bad_frame_on_error
 from gypsumpier.wire.stream import Dialer
 
 REDIAL_MIN_S: Final = 0.1
@@ -108,7 +109,8 @@
             if self.spread is not None:
                 self.session = self.spread.attach(connection, Identity(member.name, member.role))
             async for frame in connection.frames():
-                self.take(frame)
+                with bad_frame_on_error(frame):
+                    self.take(frame)
         finally:
             keep_alive.cancel()
             connection.close()
