--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -78,6 +78,9 @@
     def refuse(self, live: LiveModel) -> None:
         """Never refused."""
 
+    def restore(self, live: LiveModel) -> None:
+        """Never retired."""
+
 
 class AgentParts:
     """The parts of one agent that requests need."""
