Let a request wait out full upstreams; split windows and quarantine off the relay

A full upstream refuses before any work, so it no longer counts as an attempt; up to five more tries are spread out.

--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -22,6 +22,7 @@
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
         self.tried: set[str] = set()
+        self.counted = 0
         self.may_have_run = False
         self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
 
@@ -29,10 +30,16 @@
         """Take in how an attempt failed."""
         self.last = error
         if link is not None:
-            self.tried.add(link.member.name)
+            self.note_tried(error, link)
             certain = error.code.outcome is Outcome.NOT_RUN or error.code in WITHDRAWN
             self.may_have_run = self.may_have_run or not certain
 
+    def note_tried(self, error: GypsumpierError, link: Link) -> None:
+        """Count the attempt, unless the upstream was only full; that one may be tried again."""
+        if error.code is not codes.UPSTREAM_FULL:
+            self.counted += 1
+            self.tried.add(link.member.name)
+
     def told(self) -> GypsumpierError:
         """Return the error for the caller: never *not run* after an attempt that may have run."""
         last = self.last
--- /dev/null
+++ b/gypsumpier/entry/guard.py
@@ -0,0 +1,72 @@
+"""What stands before an attempt: the windows of the services and the quarantine."""
+
+from gypsumpier.clock import Clock
+from gypsumpier.codes import request as codes
+from gypsumpier.document.service import ServiceDocument
+from gypsumpier.entry.admission import Admission
+from gypsumpier.entry.delivery import CrashError
+from gypsumpier.entry.keys import EntryKeys
+from gypsumpier.entry.links import Links
+from gypsumpier.entry.quarantine import Quarantine
+from gypsumpier.entry.request import CallerRequest
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.options import Options
+
+
+class Guard:
+    """Admissions by service, and the quarantine, which agents' reports feed."""
+
+    def __init__(self, options: Options, clock: Clock, links: Links, keys: EntryKeys) -> None:
+        self.clock = clock
+        self.links = links
+        self.keys = keys
+        self.admissions: dict[str, Admission] = {}
+        self.quarantine = Quarantine(options.quarantine_s)
+        links.suspected = self.take_suspects
+
+    def admission(self, service: str, document: ServiceDocument) -> Admission:
+        """Return the admission of the service, for the upstreams that are usable now."""
+        admission = self.admissions.get(service)
+        if admission is None:
+            admission = self.admissions[service] = Admission(self.clock)
+        usable = sum(link.is_usable() for link in self.links.of_service(service))
+        limit = max(1, usable) * document.limits.in_flight_per_upstream
+        admission.set_limit(limit, len(self.keys.listed))
+        return admission
+
+    def check_quarantine(self, request: CallerRequest) -> None:
+        """Raise for a request that was running in two crashes."""
+        now_s = self.clock.monotonic()
+        refused_s = self.quarantine.refused_for_s(request.fingerprint, now_s)
+        if refused_s > 0:
+            decision("quarantine", request=request.request_id, reason="named by two crashes")
+            raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
+
+    def take_suspects(self, suspects: list[list[str]]) -> None:
+        """Note the requests that an agent names after a crash."""
+        now_s = self.clock.monotonic()
+        for named, crash in suspects:
+            self.quarantine.note_crash(named, crash, now_s)
+
+    def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
+        """Learn of a full or a crashed upstream."""
+        if error.code is codes.UPSTREAM_FULL:
+            self.admissions[request.service].shrink()
+        if isinstance(error, CrashError):
+            self.take_suspects([[request.fingerprint, error.crash]])
+            self.check_quarantine(request)
+
+    def inspect(self) -> dict[str, object]:
+        """Return the windows and queues by service, and the number of suspects."""
+        return {
+            "windows": {
+                service: {
+                    "window": round(admission.window, 1),
+                    "in_flight": admission.in_flight,
+                    "queued": len(admission.queue),
+                }
+                for service, admission in self.admissions.items()
+            },
+            "suspects": len(self.quarantine.suspects),
+        }
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -13,15 +13,13 @@
 from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
 from gypsumpier.document.service import ServiceDocument
-from gypsumpier.entry.admission import Admission
 from gypsumpier.entry.attempt import END, Attempt
 from gypsumpier.entry.budget import RetryBudget
-from gypsumpier.entry.delivery import CrashError
 from gypsumpier.entry.failure import WITHDRAWN, Failure
+from gypsumpier.entry.guard import Guard
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
-from gypsumpier.entry.quarantine import Quarantine
 from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
@@ -32,8 +30,10 @@
 from gypsumpier.wire.frame import Frame
 
 ATTEMPTS_MAX: Final = 3
+FULL_ATTEMPTS_MAX: Final = 5
 RETRY_AFTER_S: Final = 1.0
 BACKOFF_S: Final = 0.05
+BACKOFF_MAX_S: Final = 0.4
 HOME_WAIT_S: Final = 6.0
 HOME_POLL_S: Final = 0.1
 HOME_SPREAD_S: Final = 0.5
@@ -52,14 +52,12 @@
         self.random = random
         self.sender = Sender(options, clock, links, keys)
         self.budget = RetryBudget()
-        self.admissions: dict[str, Admission] = {}
-        self.quarantine = Quarantine(options.quarantine_s)
-        links.suspected = self.take_suspects
+        self.guard = Guard(options, clock, links, keys)
 
     async def run(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
         self.budget.earn()
-        self.check_quarantine(request)
+        self.guard.check_quarantine(request)
         frames = self.attempts(request, document)
         if request.streamed:
             async for frame in frames:
@@ -79,7 +77,7 @@
         version: str,
     ) -> AsyncIterator[Frame]:
         """Yield the frames of one attempt, within the window of the service."""
-        admission = self.admission(request.service, document)
+        admission = self.guard.admission(request.service, document)
         try:
             await admission.enter(request, document)
         except GypsumpierError as error:
@@ -93,7 +91,7 @@
                 yield frame
         finally:
             admission.leave(self.clock.monotonic() - entered_at_s, answered)
-        self.quarantine.note_finished(request.fingerprint)
+        self.guard.quarantine.note_finished(request.fingerprint)
 
     def pause_s(self, request: CallerRequest, failure: Failure, number: int) -> float:
         """Return how long to wait before the next attempt.
@@ -101,55 +99,23 @@
         Copies that wait for one home are spread out, so that they don't fill it all at once.
         """
         if not request.has_home():
-            return self.random.uniform(0, BACKOFF_S * 2**number)
+            return self.random.uniform(0, min(BACKOFF_MAX_S, BACKOFF_S * 2**number))
         return (failure.last.retry_after_s or 0.0) + self.random.uniform(0, HOME_SPREAD_S)
 
-    def admission(self, service: str, document: ServiceDocument) -> Admission:
-        """Return the admission of the service, for the upstreams that are usable now."""
-        admission = self.admissions.get(service)
-        if admission is None:
-            admission = self.admissions[service] = Admission(self.clock)
-        usable = sum(link.is_usable() for link in self.links.of_service(service))
-        limit = max(1, usable) * document.limits.in_flight_per_upstream
-        admission.set_limit(limit, len(self.keys.listed))
-        return admission
-
-    def check_quarantine(self, request: CallerRequest) -> None:
-        """Raise for a request that was running in two crashes."""
-        now_s = self.clock.monotonic()
-        refused_s = self.quarantine.refused_for_s(request.fingerprint, now_s)
-        if refused_s > 0:
-            decision("quarantine", request=request.request_id, reason="named by two crashes")
-            raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
-
     def inspect(self) -> dict[str, object]:
-        """Return the windows and queues by service, the retry budget and the quarantine."""
+        """Return what the administration API shows of requests."""
         return {
-            "windows": {
-                service: {
-                    "window": round(admission.window, 1),
-                    "in_flight": admission.in_flight,
-                    "queued": len(admission.queue),
-                }
-                for service, admission in self.admissions.items()
-            },
+            **self.guard.inspect(),
             "retries_left": round(self.budget.saved, 1),
-            "suspects": len(self.quarantine.suspects),
             "keys": len(self.keys.sent.keys),
         }
 
-    def take_suspects(self, suspects: list[list[str]]) -> None:
-        """Note the requests that an agent names after a crash."""
-        now_s = self.clock.monotonic()
-        for named, crash in suspects:
-            self.quarantine.note_crash(named, crash, now_s)
-
     async def attempts(
         self, request: CallerRequest, document: ServiceDocument
     ) -> AsyncIterator[Frame]:
         """Yield the frames of the attempt that succeeds."""
         failure = Failure(request)
-        for number in range(ATTEMPTS_MAX):
+        for number in range(ATTEMPTS_MAX + FULL_ATTEMPTS_MAX):
             link, version = await self.target(request, document, failure)
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
@@ -160,20 +126,12 @@
                 return
             except GypsumpierError as error:
                 failure.note(error, link)
-                self.note_failed_attempt(request, error)
-                if started or not self.may_retry(request, error):
+                self.guard.note_failed_attempt(request, error)
+                if started or not self.may_retry(request, error, failure):
                     raise failure.told() from error
             await self.clock.sleep(self.pause_s(request, failure, number))
         raise failure.told()
 
-    def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
-        """Learn of a full or a crashed upstream."""
-        if error.code is codes.UPSTREAM_FULL:
-            self.admissions[request.service].shrink()
-        if isinstance(error, CrashError):
-            self.take_suspects([[request.fingerprint, error.crash]])
-            self.check_quarantine(request)
-
     async def target(
         self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> tuple[Link, str]:
@@ -226,7 +184,7 @@
         )
         return choice
 
-    def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
+    def may_retry(self, request: CallerRequest, error: GypsumpierError, failure: Failure) -> bool:
         """Tell whether another attempt is safe and allowed after this error."""
         if request.has_home():
             wait_s = error.retry_after_s or 0.0
@@ -235,7 +193,9 @@
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
         # A full upstream refuses before any work, and the window has just been made smaller.
-        return error.code is codes.UPSTREAM_FULL or self.budget.spend()
+        if error.code is codes.UPSTREAM_FULL:
+            return True
+        return failure.counted < ATTEMPTS_MAX and self.budget.spend()
 
     def payload(
         self, request: CallerRequest, document: ServiceDocument, version: str
@@ -258,5 +218,5 @@
             "model": document.model,
             "version": version,
             "fingerprint": request.fingerprint,
-            "suspect": self.quarantine.is_suspect(request.fingerprint, now_s),
+            "suspect": self.guard.quarantine.is_suspect(request.fingerprint, now_s),
         }
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -382,7 +382,7 @@
             agent.upstream.delay_s = 3.0
             first = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
             await asyncio.sleep(0.1)
-            admission = entry.relay.admissions["table-ops"]
+            admission = entry.relay.guard.admissions["table-ops"]
             admission.in_flight, admission.time_s = 1000, 1000.0
             self.assertEqual("copy_refused", await outcome(world, entry, plain_call(world, "k")))
             self.assertEqual("overloaded", await outcome(world, entry, plain_call(world)))
