--- a/gypsumpier/member/spread.py
+++ b/gypsumpier/member/spread.py
@@ -65,7 +65,8 @@
             self.take_introduction(exchange, payload)
         elif kind == message.MEMBER_DISTANCE:
             distance = message.whole_number(payload, "distance")
-            count = message.whole_number(payload, "members")
+            # A peer of an earlier release does not tell it.
+            count = message.whole_number({"members": 0} | payload, "members")
             if exchange.peer.role == "entry":
                 self.freshness.offered(exchange, distance)
                 self.told_count = min(count, MEMBERS_LIMIT)
