--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 measure-documents: venv
 	$(PY) -m misc.measure_documents --seed $(SEED)
 
-# Measures how costs grow with the fleet, for docs/CAPACITY.md; takes about six minutes.
+# Measures how costs grow with the fleet, for docs/CAPACITY.md; takes about eight minutes.
 GROUPS ?= tables links busy spread relay rollout
 .PHONY: measure-capacity
 measure-capacity: venv
--- a/misc/measure_capacity.py
+++ b/misc/measure_capacity.py
@@ -1,8 +1,8 @@
 """Measures the slopes of docs/CAPACITY.md.
 
-Writes ``build/capacity/slopes.json`` and a plot of each slope.  The last line is one JSON object
-with all slopes, those of earlier runs of other groups included.  Absolute times vary with the
-machine and from run to run.
+Writes ``build/capacity/slopes.json``, the table ``slopes.md`` and a plot of each slope.  The last
+line is one JSON object with all slopes, those of earlier runs of other groups included.  Absolute
+times vary with the machine and from run to run.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 import click
 
 from misc.capacity.links import measure_busy_links, measure_links
+from misc.capacity.page import table
 from misc.capacity.plot import plot_slope
 from misc.capacity.relay import measure_relay
 from misc.capacity.rollout import measure_rollout
@@ -23,6 +24,7 @@
 from misc.capacity.tables import measure_tables
 
 RESULT_NAME: Final = "slopes.json"
+TABLE_NAME: Final = "slopes.md"
 
 Measurement = Callable[[Path], Awaitable[list[Slope]]]
 
@@ -43,9 +45,11 @@
     """Measure all slopes, or only the named groups."""
     output.mkdir(parents=True, exist_ok=True)
     slopes = asyncio.run(measure(only or tuple(MEASUREMENTS), output))
-    summary = {"slopes": joined(output / RESULT_NAME, [slope.summary() for slope in slopes])}
+    measured = [slope.summary() | {"group": group} for group, slope in slopes]
+    summary = {"slopes": joined(output / RESULT_NAME, measured)}
     (output / RESULT_NAME).write_text(json.dumps(summary, indent=1))
-    for slope in slopes:
+    (output / TABLE_NAME).write_text(table(summary["slopes"]))
+    for _, slope in slopes:
         plot_slope(slope, output)
     print(json.dumps(summary))
 
@@ -57,13 +61,13 @@
     return [slope for slope in earlier if slope["name"] not in names] + measured
 
 
-async def measure(names: tuple[str, ...], output: Path) -> list[Slope]:
-    """Run the groups one after the other."""
-    slopes: list[Slope] = []
+async def measure(names: tuple[str, ...], output: Path) -> list[tuple[str, Slope]]:
+    """Run the groups one after the other; return the slopes with their groups."""
+    slopes: list[tuple[str, Slope]] = []
     for name in names:
         started_s = time.monotonic()
         found = await MEASUREMENTS[name](output / "logs")
-        slopes += found
+        slopes += [(name, slope) for slope in found]
         print(f"{name} took {time.monotonic() - started_s:.0f} s", flush=True)
         for slope in found:
             print(describe(slope.summary()), flush=True)
