Refuse every bad call at an entry by its numbered code

Cause: tornado answers a body over the server's limit with a bare 400, and an unknown path or method with a page of HTML; an exception after the first byte ended the answer as if it were whole.

test_caller before: 6 of 19 bad calls got no code or the wrong one (3 bodies over the limit, 2 unknown paths, 1 method). After: all 19 are refused by code and as not run. An oversized body is read, dropped and refused with 2011; 2013 and 2014 are new; what no handler caught is 2015, and an answer that has begun is cut.

--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -38,6 +38,15 @@
     Outcome.NOT_RUN,
     "The Idempotency-Key belongs to another request; use a new key for this one.",
 )
+UNKNOWN_PATH: Final = ResultCode(
+    2013, "unknown_path", 404, Outcome.NOT_RUN, "Call a path that an entry serves."
+)
+METHOD_REFUSED: Final = ResultCode(
+    2014, "method_refused", 405, Outcome.NOT_RUN, "Call the path with a method that it takes."
+)
+ENTRY_FAILED: Final = ResultCode(
+    2015, "entry_failed", 500, Outcome.UNKNOWN, "Report the request's id; it may have run."
+)
 DEADLINE_EXCEEDED: Final = ResultCode(
     2020,
     "deadline_exceeded",
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -10,7 +10,12 @@
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
-from gypsumpier.entry.caller import ChatHandler, OutcomeHandler, ServiceHandler
+from gypsumpier.entry.caller import (
+    ChatHandler,
+    OutcomeHandler,
+    ServiceHandler,
+    UnknownPathHandler,
+)
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
@@ -83,6 +88,8 @@
                 (r"/services/([^/]+)/(.*)", ServiceHandler, arguments),
                 (r"/outcomes/([^/]+)", OutcomeHandler, arguments),
             ],
+            default_handler_class=UnknownPathHandler,
+            default_handler_args=arguments,
             log_function=lambda handler: None,
         )
 
--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -10,10 +10,21 @@
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any, Final
 
+from tornado.httputil import HTTPServerRequest
 from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
-
-from gypsumpier.codes.request import ANSWER_CUT, DEADLINE_EXCEEDED, HOME_UNREACHABLE
+from tornado.web import HTTPError
+
+from gypsumpier.boundedbody import BoundedBody
+from gypsumpier.codes.request import (
+    ANSWER_CUT,
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
+    DEADLINE_EXCEEDED,
+    ENTRY_FAILED,
+    HOME_UNREACHABLE,
+    METHOD_REFUSED,
+    UNKNOWN_PATH,
+)
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.entry.answer import error_body, error_headers
 from gypsumpier.entry.inquiry import ask_outcome
@@ -37,7 +48,10 @@
 STREAM_END: Final = b"data: [DONE]\n\n"
 
 
-class CallerHandler(RequestHandler):
+CODES_BY_STATUS: Final = {400: BAD_REQUEST, 404: UNKNOWN_PATH, 405: METHOD_REFUSED}
+
+
+class CallerHandler(BoundedBody):
     """What the handlers of both kinds of calls share."""
 
     entry: "EntryApplication"
@@ -53,8 +67,30 @@
             self.set_header("Connection", "close")
 
     def prepare(self) -> None:
-        """Set the headers that every answer has."""
+        """Set the headers that every answer has, and bound the body before it is read."""
         self.set_default_headers()
+        self.bound_body(self.entry.options.body_limit_bytes, BODY_TOO_LARGE)
+
+    def http(self) -> HTTPServerRequest:
+        """Return the call with its whole body; raise GypsumpierError where that is too large."""
+        self.request.body = self.whole_body()
+        return self.request
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer with a code what tornado refuses and what no handler has caught."""
+        code = CODES_BY_STATUS.get(status_code, ENTRY_FAILED)
+        error = GypsumpierError(code, f"{self.request.method} {self.request.path}")
+        self.set_status(error.code.http_status)
+        for name, value in error_headers(error).items():
+            self.set_header(name, value)
+        self.finish(error_body(error, self.request_id))
+
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Cut an answer that has begun; tornado would end it as if it were whole."""
+        if self._headers_written:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        super().send_error(status_code, **kwargs)
 
     async def fail(self, error: GypsumpierError) -> None:
         """Answer with a coded error, or cut a stream that has begun."""
@@ -125,7 +161,7 @@
     async def post(self) -> None:
         try:
             request, document = chat_request(
-                self.request, self.entry.documents, self.entry.clock.monotonic()
+                self.http(), self.entry.documents, self.entry.clock.monotonic()
             )
         except GypsumpierError as error:
             await self.fail(refusal_of_copy(error, KEY_HEADER in self.request.headers))
@@ -196,7 +232,7 @@
         """Check and serve a call of any method."""
         try:
             request, document = plain_request(
-                self.request, service, path, self.entry.documents, self.entry.clock.monotonic()
+                self.http(), service, path, self.entry.documents, self.entry.clock.monotonic()
             )
         except GypsumpierError as error:
             await self.fail(refusal_of_copy(error, KEY_HEADER in self.request.headers))
@@ -225,6 +261,14 @@
             await self.fail(GypsumpierError(HOME_UNREACHABLE, "no answer in time"))
 
 
+class UnknownPathHandler(CallerHandler):
+    """Every path that an entry does not serve."""
+
+    def prepare(self) -> None:
+        super().prepare()
+        raise HTTPError(UNKNOWN_PATH.http_status)
+
+
 def check_count(frame: Frame, count: int) -> None:
     """Raise where fewer parts have come than the final frame counts."""
     if frame.payload["count"] != count:
--- a/misc/demo.py
+++ b/misc/demo.py
@@ -70,11 +70,12 @@
         self.say(f"{len(self.stage.fleet.children)} processes run")
         await self.move_to("1")
         await self.call_every_entry()
-        callers = [asyncio.create_task(self.keep_calling(name)) for name in self.stage.entries]
-        await self.move_to("2")
-        await asyncio.sleep(AFTER_MOVE_S)
-        self.moved.set()
-        await asyncio.gather(*callers)
+        async with asyncio.TaskGroup() as callers:
+            for name in self.stage.entries:
+                callers.create_task(self.keep_calling(name))
+            await self.move_to("2")
+            await asyncio.sleep(AFTER_MOVE_S)
+            self.moved.set()
         await self.call_every_entry()
         return await self.report()
 
