--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -14,7 +14,7 @@
 from gypsumpier.codes.result import Outcome
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.entry.admission import Admission
-from gypsumpier.entry.attempt import Attempt
+from gypsumpier.entry.attempt import END, Attempt
 from gypsumpier.entry.budget import RetryBudget
 from gypsumpier.entry.delivery import CrashError
 from gypsumpier.entry.failure import WITHDRAWN, Failure
@@ -60,25 +60,6 @@
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
         self.budget.earn()
         self.check_quarantine(request)
-        admission = self.admission(request.service, document)
-        try:
-            await admission.enter(request, document)
-        except GypsumpierError as error:
-            raise refusal_of_copy(error, request.has_home()) from error
-        entered_at_s = self.clock.monotonic()
-        took_s: float | None = None
-        try:
-            async for frame in self.answered(request, document):
-                yield frame
-            took_s = self.clock.monotonic() - entered_at_s
-            self.quarantine.note_finished(request.fingerprint)
-        finally:
-            admission.leave(took_s)
-
-    async def answered(
-        self, request: CallerRequest, document: ServiceDocument
-    ) -> AsyncIterator[Frame]:
-        """Yield the frames of an admitted request; a whole answer only when it is complete."""
         frames = self.attempts(request, document)
         if request.streamed:
             async for frame in frames:
@@ -89,6 +70,31 @@
         for frame in whole:
             yield frame
 
+    async def admitted(
+        self,
+        request: CallerRequest,
+        document: ServiceDocument,
+        link: Link,
+        attempt: Attempt,
+        version: str,
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of one attempt, within the window of the service."""
+        admission = self.admission(request.service, document)
+        try:
+            await admission.enter(request, document)
+        except GypsumpierError as error:
+            raise refusal_of_copy(error, request.has_home()) from error
+        entered_at_s = self.clock.monotonic()
+        answered = False
+        try:
+            payload = self.payload(request, document, version)
+            async for frame in self.sender.deliver(request, link, attempt, payload):
+                answered = frame.kind == END
+                yield frame
+        finally:
+            admission.leave(self.clock.monotonic() - entered_at_s, answered)
+        self.quarantine.note_finished(request.fingerprint)
+
     def pause_s(self, request: CallerRequest, failure: Failure, number: int) -> float:
         """Return how long to wait before the next attempt.
 
@@ -104,7 +110,8 @@
         if admission is None:
             admission = self.admissions[service] = Admission(self.clock)
         usable = sum(link.is_usable() for link in self.links.of_service(service))
-        admission.set_limit(max(1, usable) * document.limits.in_flight_per_upstream)
+        limit = max(1, usable) * document.limits.in_flight_per_upstream
+        admission.set_limit(limit, len(self.keys.listed))
         return admission
 
     def check_quarantine(self, request: CallerRequest) -> None:
@@ -115,6 +122,22 @@
             decision("quarantine", request=request.request_id, reason="named by two crashes")
             raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
 
+    def inspect(self) -> dict[str, object]:
+        """Return the windows and queues by service, the retry budget and the quarantine."""
+        return {
+            "windows": {
+                service: {
+                    "window": round(admission.window, 1),
+                    "in_flight": admission.in_flight,
+                    "queued": len(admission.queue),
+                }
+                for service, admission in self.admissions.items()
+            },
+            "retries_left": round(self.budget.saved, 1),
+            "suspects": len(self.quarantine.suspects),
+            "keys": len(self.keys.sent.keys),
+        }
+
     def take_suspects(self, suspects: list[list[str]]) -> None:
         """Note the requests that an agent names after a crash."""
         now_s = self.clock.monotonic()
@@ -131,8 +154,7 @@
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
             try:
-                payload = self.payload(request, document, version)
-                async for frame in self.sender.deliver(request, link, attempt, payload):
+                async for frame in self.admitted(request, document, link, attempt, version):
                     started = started or request.streamed
                     yield frame
                 return
@@ -212,7 +234,8 @@
         not_run = error.code.outcome is Outcome.NOT_RUN
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
-        return self.budget.spend()
+        # A full upstream refuses before any work, and the window has just been made smaller.
+        return error.code is codes.UPSTREAM_FULL or self.budget.spend()
 
     def payload(
         self, request: CallerRequest, document: ServiceDocument, version: str
