--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -10,6 +10,7 @@
 
 import msgpack
 
+from gypsumpier.agent.handover import reported_keys
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.agent.upstream import Part, Upstream
 from gypsumpier.clock import Clock
@@ -17,11 +18,13 @@
 from gypsumpier.codes.result import Outcome, ResultCode
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.document.table import DocumentTable
+from gypsumpier.entry.linkplan import needs_all
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.homes import home_slot, homes_signature
 from gypsumpier.idempotency.key import KeyId, fingerprint
 from gypsumpier.idempotency.ledger import Ledger
 from gypsumpier.idempotency.record import KeptAnswer, KeyRecord, KeyState, Verdict
+from gypsumpier.idempotency.reported import ReportedKey
 from gypsumpier.idempotency.succession import Succession, SuccessionLimits
 from gypsumpier.log import decision
 from gypsumpier.options import Options
@@ -131,6 +134,9 @@
 
     def prepare(self) -> None:
         """Ask the entries before the first key comes, once the member list has settled."""
+        document = self.document()
+        if document is None or not needs_all(document):
+            return
         now_s = self.clock.monotonic()
         if self.succession.is_due(now_s):
             self.ask_entries(now_s)
@@ -188,6 +194,28 @@
         if self.ledger.records[key_id].state is KeyState.RUNNING:
             self.ledger.fail(key_id, self.clock.monotonic())
 
+    def own_keys(self) -> list[ReportedKey]:
+        """Return what is known of the keys whose home is this slot.
+
+        The ledger also holds what entries have sent to other homes; of that they know more.
+        """
+        document = self.document()
+        keys = reported_keys(self.ledger, self.clock.monotonic())
+        if document is None:
+            return keys
+        return [key for key in keys if home_slot(document, key.key_id) == self.options.name]
+
+    def inspect(self) -> dict[str, object]:
+        """Return what is kept, and which entries are waited for where keys are held back."""
+        succession = self.succession
+        return {
+            "keys": len(self.ledger.records),
+            "answer_bytes": self.ledger.answer_bytes,
+            "running": len(self.running),
+            "waits_for": sorted(entry.name for entry in succession.missing()),
+            "lost_entries": sorted(entry.name for entry in succession.lost_at_s),
+        }
+
     def document(self) -> ServiceDocument | None:
         """Return the service's document in force."""
         return self.documents.document(self.options.service)
--- a/gypsumpier/document/keeper.py
+++ b/gypsumpier/document/keeper.py
@@ -9,19 +9,20 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
 from gypsumpier.backoff import Backoff
 from gypsumpier.clock import Clock
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.document.metrics import count_read
 from gypsumpier.document.spread import wanted_names
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.options import Options
 from gypsumpier.platform.configuration import Changes, Configuration
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 
 SOURCE: Final = "configuration"
 ANSWER_MARGIN_S: Final = 1.0
@@ -56,11 +57,7 @@
 
     async def stop(self) -> None:
         """Stop reading."""
-        if self.task is None:
-            return
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Read and watch for ever, while it is this process's duty."""
@@ -71,6 +68,7 @@
             try:
                 changes = await self.read()
             except GypsumpierError as error:
+                count_read(SOURCE, answered=False)
                 self.position = None
                 await self.clock.sleep(self.backoff.next_wait_s(error.retry_after_s))
                 continue
@@ -93,6 +91,7 @@
 
     def take(self, changes: Changes) -> None:
         """Offer what was read to the table."""
+        count_read(SOURCE, answered=True)
         self.position = changes.position
         self.backoff.reset()
         if self.spread is not None:
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -10,7 +10,12 @@
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
-from gypsumpier.entry.caller import ChatHandler, OutcomeHandler, ServiceHandler
+from gypsumpier.entry.caller import (
+    ChatHandler,
+    OutcomeHandler,
+    ServiceHandler,
+    UnknownPathHandler,
+)
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
@@ -57,7 +62,15 @@
             self.members,
             self.spread,
         )
-        self.links = Links(options, self.clock, TcpDialer(), self.random, self.members, self.spread)
+        self.links = Links(
+            options,
+            self.clock,
+            TcpDialer(),
+            self.random,
+            self.members,
+            self.spread,
+            self.documents,
+        )
         self.keys = EntryKeys(
             options, self.clock, self.documents, self.members, self.links, self.random
         )
@@ -75,6 +88,8 @@
                 (r"/services/([^/]+)/(.*)", ServiceHandler, arguments),
                 (r"/outcomes/([^/]+)", OutcomeHandler, arguments),
             ],
+            default_handler_class=UnknownPathHandler,
+            default_handler_args=arguments,
             log_function=lambda handler: None,
         )
 
@@ -135,5 +150,6 @@
                 for link in self.links.links.values()
             ],
             "in_flight": self.in_flight,
+            "requests": self.relay.inspect(),
             "stopping": self.stopping,
         }
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -24,9 +24,11 @@
 from gypsumpier.spread.message import is_control
 from gypsumpier.spread.session import Session
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 from gypsumpier.wire.pace import Pace
+from gypsumpier.wire.payload import bad_frame_on_error
 from gypsumpier.wire.stream import Dialer
 
 REDIAL_MIN_S: Final = 0.1
@@ -71,6 +73,7 @@
         self.own_at_report = 0
         self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
+        self.stopping = False
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -78,16 +81,17 @@
         self.task = asyncio.create_task(self.run())
 
     async def stop(self) -> None:
-        """Close the connection and end the task."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        """Close the connection and end the task.
+
+        The end of a session may take a cancellation for its own, so the task looks at ``stopping``.
+        """
+        self.stopping = True
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Keep one connection open, with full jitter between dials."""
         wait_s = REDIAL_MIN_S
-        while True:
+        while not self.stopping:
             try:
                 await self.serve_one_connection()
                 wait_s = REDIAL_MIN_S
@@ -110,7 +114,8 @@
             if self.spread is not None:
                 self.session = self.spread.attach(connection, Identity(member.name, member.role))
             async for frame in connection.frames():
-                self.take(frame)
+                with bad_frame_on_error(frame):
+                    self.take(frame)
         finally:
             keep_alive.cancel()
             connection.close()
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -13,34 +13,30 @@
 from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
 from gypsumpier.document.service import ServiceDocument
-from gypsumpier.entry.admission import Admission
-from gypsumpier.entry.attempt import Attempt
+from gypsumpier.entry.attempt import END, Attempt
 from gypsumpier.entry.budget import RetryBudget
-from gypsumpier.entry.delivery import CrashError, Delivery
+from gypsumpier.entry.failure import WITHDRAWN, Failure
+from gypsumpier.entry.guard import Guard
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
-from gypsumpier.entry.quarantine import Quarantine
 from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import Choice, choose
+from gypsumpier.entry.sender import Sender
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.idempotency.key import KeyId, fingerprint
-from gypsumpier.idempotency.record import KeyState
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.wire.frame import Frame
 
 ATTEMPTS_MAX: Final = 3
+FULL_ATTEMPTS_MAX: Final = 5
 RETRY_AFTER_S: Final = 1.0
 BACKOFF_S: Final = 0.05
+BACKOFF_MAX_S: Final = 0.4
 HOME_WAIT_S: Final = 6.0
 HOME_POLL_S: Final = 0.1
-
-# The copy was not run by its home, although the key may have run before.
-WITHDRAWN: Final = frozenset(
-    {codes.HOME_RECOVERING, codes.NOT_HOME, codes.KEYS_FULL, codes.UPSTREAM_UNREACHABLE}
-)
+HOME_SPREAD_S: Final = 0.5
 
 
 class Relay:
@@ -54,34 +50,14 @@
         self.links = links
         self.keys = keys
         self.random = random
+        self.sender = Sender(options, clock, links, keys)
         self.budget = RetryBudget()
-        self.admissions: dict[str, Admission] = {}
-        self.quarantine = Quarantine(options.quarantine_s)
-        links.suspected = self.take_suspects
+        self.guard = Guard(options, clock, links, keys)
 
     async def run(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
         """Yield the frames of a whole answer; raise GypsumpierError where there is none."""
         self.budget.earn()
-        self.check_quarantine(request)
-        admission = self.admission(request.service, document)
-        try:
-            await admission.enter(request, document)
-        except GypsumpierError as error:
-            raise refusal_of_copy(error, request.has_home()) from error
-        entered_at_s = self.clock.monotonic()
-        took_s: float | None = None
-        try:
-            async for frame in self.answered(request, document):
-                yield frame
-            took_s = self.clock.monotonic() - entered_at_s
-            self.quarantine.note_finished(request.fingerprint)
-        finally:
-            admission.leave(took_s)
-
-    async def answered(
-        self, request: CallerRequest, document: ServiceDocument
-    ) -> AsyncIterator[Frame]:
-        """Yield the frames of an admitted request; a whole answer only when it is complete."""
+        self.guard.check_quarantine(request)
         frames = self.attempts(request, document)
         if request.streamed:
             async for frame in frames:
@@ -92,63 +68,72 @@
         for frame in whole:
             yield frame
 
-    def admission(self, service: str, document: ServiceDocument) -> Admission:
-        """Return the admission of the service, for the upstreams that are usable now."""
-        admission = self.admissions.get(service)
-        if admission is None:
-            admission = self.admissions[service] = Admission(self.clock)
-        usable = sum(link.is_usable() for link in self.links.of_service(service))
-        admission.set_limit(max(1, usable) * document.limits.in_flight_per_upstream)
-        return admission
+    async def admitted(
+        self,
+        request: CallerRequest,
+        document: ServiceDocument,
+        link: Link,
+        attempt: Attempt,
+        version: str,
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of one attempt, within the window of the service."""
+        admission = self.guard.admission(request.service, document)
+        try:
+            await admission.enter(request, document)
+        except GypsumpierError as error:
+            raise refusal_of_copy(error, request.has_home()) from error
+        entered_at_s = self.clock.monotonic()
+        answered = False
+        try:
+            payload = self.payload(request, document, version)
+            async for frame in self.sender.deliver(request, link, attempt, payload):
+                answered = frame.kind == END
+                yield frame
+        finally:
+            admission.leave(self.clock.monotonic() - entered_at_s, answered)
+        self.guard.quarantine.note_finished(request.fingerprint)
 
-    def check_quarantine(self, request: CallerRequest) -> None:
-        """Raise for a request that was running in two crashes."""
-        now_s = self.clock.monotonic()
-        refused_s = self.quarantine.refused_for_s(request.fingerprint, now_s)
-        if refused_s > 0:
-            decision("quarantine", request=request.request_id, reason="named by two crashes")
-            raise GypsumpierError(codes.QUARANTINED, "named by two crashes", refused_s)
+    def pause_s(self, request: CallerRequest, failure: Failure, number: int) -> float:
+        """Return how long to wait before the next attempt.
 
-    def take_suspects(self, suspects: list[list[str]]) -> None:
-        """Note the requests that an agent names after a crash."""
-        now_s = self.clock.monotonic()
-        for named, crash in suspects:
-            self.quarantine.note_crash(named, crash, now_s)
+        Copies that wait for one home are spread out, so that they don't fill it all at once.
+        """
+        if not request.has_home():
+            return self.random.uniform(0, min(BACKOFF_MAX_S, BACKOFF_S * 2**number))
+        return (failure.last.retry_after_s or 0.0) + self.random.uniform(0, HOME_SPREAD_S)
+
+    def inspect(self) -> dict[str, object]:
+        """Return what the administration API shows of requests."""
+        return {
+            **self.guard.inspect(),
+            "retries_left": round(self.budget.saved, 1),
+            "keys": len(self.keys.sent.keys),
+        }
 
     async def attempts(
         self, request: CallerRequest, document: ServiceDocument
     ) -> AsyncIterator[Frame]:
         """Yield the frames of the attempt that succeeds."""
         failure = Failure(request)
-        for number in range(ATTEMPTS_MAX):
+        for number in range(ATTEMPTS_MAX + FULL_ATTEMPTS_MAX):
             link, version = await self.target(request, document, failure)
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
             try:
-                payload = self.payload(request, document, version)
-                async for frame in self.deliver(request, link, attempt, payload):
+                async for frame in self.admitted(request, document, link, attempt, version):
                     started = started or request.streamed
                     yield frame
                 return
             except GypsumpierError as error:
                 failure.note(error, link)
-                self.note_failed_attempt(request, error)
-                if started or not self.may_retry(request, error):
+                self.guard.note_failed_attempt(request, error)
+                if started or not self.may_retry(request, error, failure):
                     raise failure.told() from error
-            wait_s = failure.last.retry_after_s if request.has_home() else None
-            await self.clock.sleep(wait_s or self.random.uniform(0, BACKOFF_S * 2**number))
+            await self.clock.sleep(self.pause_s(request, failure, number))
         raise failure.told()
 
-    def note_failed_attempt(self, request: CallerRequest, error: GypsumpierError) -> None:
-        """Learn of a full or a crashed upstream."""
-        if error.code is codes.UPSTREAM_FULL:
-            self.admissions[request.service].shrink()
-        if isinstance(error, CrashError):
-            self.take_suspects([[request.fingerprint, error.crash]])
-            self.check_quarantine(request)
-
     async def target(
-        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> tuple[Link, str]:
         """Return where the next attempt goes, and the version; raise where it can't go."""
         if request.has_home():
@@ -159,7 +144,7 @@
         return choice.link, choice.version
 
     async def home(
-        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> Link:
         """Return the link to the key's home; a home that is being replaced is waited for."""
         until_s = self.clock.monotonic() + self.home_wait_s(request)
@@ -180,7 +165,7 @@
         return max(0.0, min(left_s, request.remaining_at(now_s) / 2))
 
     def choose(
-        self, request: CallerRequest, document: ServiceDocument, failure: "Failure"
+        self, request: CallerRequest, document: ServiceDocument, failure: Failure
     ) -> Choice | None:
         """Choose an upstream and log the decision."""
         links = self.links.of_service(request.service)
@@ -199,41 +184,7 @@
         )
         return choice
 
-    async def deliver(
-        self, request: CallerRequest, link: Link, attempt: Attempt, payload: dict[str, Any]
-    ) -> AsyncIterator[Frame]:
-        """Yield the frames of one attempt; a key is noted before it is sent."""
-        delivery = Delivery(self.options, self.clock, link, request, attempt)
-        if not request.has_home():
-            async for frame in delivery.frames(payload):
-                yield frame
-            return
-        key_id = KeyId(request.workspace, request.key)
-        printed = fingerprint(request.method, request.path, request.body)
-        now_s = self.clock.monotonic()
-        home = link.incarnation
-        if not self.keys.sent.note(request.service, key_id, printed, home, now_s):
-            raise GypsumpierError(codes.KEYS_FULL, "this entry keeps too many keys", RETRY_AFTER_S)
-        state: KeyState | None = KeyState.UNKNOWN
-        try:
-            async for frame in delivery.frames(payload):
-                state = KeyState.DONE if frame.kind == "end" else state
-                yield frame
-        except GypsumpierError as error:
-            state = settled_state(error)
-            raise
-        finally:
-            self.settle(request.service, key_id, state)
-
-    def settle(self, service: str, key_id: KeyId, state: KeyState | None) -> None:
-        """Note what became of one send; None where the home has not run this copy."""
-        now_s = self.clock.monotonic()
-        if state is None:
-            self.keys.sent.withdraw(service, key_id, now_s)
-        else:
-            self.keys.sent.settle(service, key_id, state, now_s)
-
-    def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
+    def may_retry(self, request: CallerRequest, error: GypsumpierError, failure: Failure) -> bool:
         """Tell whether another attempt is safe and allowed after this error."""
         if request.has_home():
             wait_s = error.retry_after_s or 0.0
@@ -241,7 +192,10 @@
         not_run = error.code.outcome is Outcome.NOT_RUN
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
-        return self.budget.spend()
+        # A full upstream refuses before any work, and the window has just been made smaller.
+        if error.code is codes.UPSTREAM_FULL:
+            return True
+        return failure.counted < ATTEMPTS_MAX and self.budget.spend()
 
     def payload(
         self, request: CallerRequest, document: ServiceDocument, version: str
@@ -264,44 +218,5 @@
             "model": document.model,
             "version": version,
             "fingerprint": request.fingerprint,
-            "suspect": self.quarantine.is_suspect(request.fingerprint, now_s),
+            "suspect": self.guard.quarantine.is_suspect(request.fingerprint, now_s),
         }
-
-
-class Failure:
-    """What the attempts of one request have come to so far."""
-
-    def __init__(self, request: CallerRequest) -> None:
-        self.request = request
-        self.tried: set[str] = set()
-        self.may_have_run = False
-        self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
-
-    def note(self, error: GypsumpierError, link: Link | None) -> None:
-        """Take in how an attempt failed."""
-        self.last = error
-        if link is not None:
-            self.tried.add(link.member.name)
-            self.may_have_run |= error.code.outcome is not Outcome.NOT_RUN
-
-    def told(self) -> GypsumpierError:
-        """Return the error for the caller: never *not run* after an attempt that may have run."""
-        last = self.last
-        if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
-            return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
-        if last.code is codes.UPSTREAM_UNREACHABLE and self.request.has_home():
-            # This copy never reached the home; another one may have.
-            return GypsumpierError(codes.HOME_UNREACHABLE, last.detail, last.retry_after_s)
-        without_key = not self.request.idempotent and not self.request.key
-        if without_key and last.code.outcome is Outcome.UNKNOWN:
-            return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
-        return last
-
-
-def settled_state(error: GypsumpierError) -> KeyState | None:
-    """Return what an error says of a key that was sent."""
-    if error.code in WITHDRAWN:
-        return None
-    if error.code.outcome is Outcome.NOT_RUN:
-        return KeyState.REFUSED
-    return KeyState.DONE if error.code.outcome is Outcome.DONE else KeyState.UNKNOWN
--- a/gypsumpier/member/keeper.py
+++ b/gypsumpier/member/keeper.py
@@ -6,19 +6,21 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
 from gypsumpier.backoff import Backoff
 from gypsumpier.clock import Clock
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.document.metrics import count_read
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
 from gypsumpier.platform.membership import Member, Membership
 from gypsumpier.spread.spread import Spread
+from gypsumpier.tasks import end_task
 
+SOURCE: Final = "membership"
 LISTED_BYTES: Final = 40
 """Bytes that one member takes in a compressed list."""
 
@@ -51,11 +53,7 @@
 
     async def stop(self) -> None:
         """Stop polling."""
-        if self.task is None:
-            return
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
 
     async def run(self) -> None:
         """Poll for ever, while it is this process's duty.
@@ -72,6 +70,7 @@
                 self.take(listed)
                 await self.clock.sleep(wait_s)
             except GypsumpierError as error:
+                count_read(SOURCE, answered=False)
                 await self.clock.sleep(self.backoff.next_wait_s(error.retry_after_s))
 
     def is_starting_entry(self) -> bool:
@@ -96,6 +95,7 @@
 
     def take(self, listed: list[Member]) -> None:
         """Join what was read into the table."""
+        count_read(SOURCE, answered=True)
         self.backoff.reset()
         self.last_listed = listed
         self.table.take_list(listed)
--- a/gypsumpier/spread/session.py
+++ b/gypsumpier/spread/session.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Hashable
 from typing import Final, NamedTuple
 
@@ -13,8 +12,10 @@
 from gypsumpier.document.sender import send_documents
 from gypsumpier.document.spread import DocumentSpread
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
 from gypsumpier.member.spread import MemberSpread, send_members
 from gypsumpier.spread.identity import Identity
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 
@@ -79,17 +80,21 @@
         )
 
     async def run(self) -> None:
-        """Send what is due, a little coalesced, until the connection closes."""
-        while not self.connection.closed:
-            self.woken.clear()
-            try:
+        """Send what is due, a little coalesced, until the connection closes.
+
+        However the task ends, the connection does not stay open without it.
+        """
+        try:
+            while not self.connection.closed:
+                self.woken.clear()
                 await send_members(self.members, self.member_exchange, self.connection)
                 await send_documents(self.documents, self.document_exchange, self.connection)
-            except GypsumpierError:
-                self.connection.close()
-                return
-            await self.woken.wait()
-            await self.clock.sleep(COALESCE_S)
+                await self.woken.wait()
+                await self.clock.sleep(COALESCE_S)
+        except GypsumpierError as error:
+            decision("session_ended", peer=self.peer.name, code=error.code.number, reason=error)
+        finally:
+            self.connection.close()
 
     def note_heard(self) -> None:
         """Tell the member table that the peer is alive where that is so."""
@@ -101,6 +106,4 @@
         """End the session."""
         self.documents.detach(self.document_exchange)
         self.members.detach(self.member_exchange)
-        self.task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.task
+        await end_task(self.task)
--- a/gypsumpier/spread/spread.py
+++ b/gypsumpier/spread/spread.py
@@ -4,11 +4,11 @@
 """
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.document.metrics import DOCUMENT_DISTANCE
 from gypsumpier.document.spread import DocumentSpread
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.member.spread import MemberSpread
@@ -18,6 +18,7 @@
 from gypsumpier.spread.freshness import Freshness
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.session import Session, Standing
+from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
 
 TICK_S: Final = 0.25
@@ -47,14 +48,13 @@
 
     def duty(self, randomness: random.Random, freshness: Freshness) -> Duty:
         """Return the duty towards the service of which the freshness tells."""
-        members = self.members.table.members
         return Duty(
             self.options,
             self.clock,
             randomness,
             freshness,
             lambda: self.is_watcher,
-            lambda: len(members),
+            self.members.member_count,
         )
 
     async def start(self) -> None:
@@ -64,10 +64,7 @@
 
     async def stop(self) -> None:
         """End all sessions."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await end_task(self.task)
         for session in list(self.sessions):
             await self.detach(session)
 
@@ -99,6 +96,7 @@
             self.documents.tick()
             self.members.table.sweep()
             standing = self.standing()
+            DOCUMENT_DISTANCE.set(standing.document_distance)
             for session in self.sessions:
                 session.note_heard()
                 if session.is_due(standing):
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -1,14 +1,19 @@
 """Requests from entry to upstream under lost connections, replaced agents and resends."""
 
 import asyncio
+import contextlib
 import unittest
 
-from gypsumpier.agent.handover import hand_over
 from gypsumpier.codes import request as codes
+from gypsumpier.document.service import ServiceDocument, ZoneReplicas
+from gypsumpier.entry.failure import Failure
 from gypsumpier.entry.inquiry import ask_outcome
-from gypsumpier.entry.relay import Failure
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.homes import home_slot
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.record import KeyRecord, KeyState
+from gypsumpier.idempotency.succession import EntryId
+from gypsumpier.test.builders import ZONE, plain_document
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     TOKENS,
@@ -41,6 +46,13 @@
     return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
 
 
+def two_slots(world: World) -> ServiceDocument:
+    """Return the plain service's document with two slots."""
+    document = world.documents.document("table-ops")
+    assert document is not None
+    return document._replace(zones=(ZoneReplicas(ZONE, 2),))
+
+
 class LostConnectionTest(unittest.TestCase):
     def test_an_answer_on_a_silent_connection_is_asked_for_on_the_next(self) -> None:
         async def scenario() -> None:
@@ -103,6 +115,18 @@
 
         run(scenario())
 
+    def test_a_chat_lost_on_its_only_upstream_is_sent_there_again(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            _, entry = await settled(world, MODEL_SERVICE)
+            call = asyncio.create_task(outcome(world, entry, chat_call(world)))
+            await asyncio.sleep(0.2)
+            for link in list(world.network.links):
+                link.silent = True
+            self.assertEqual(WHOLE, await call)
+
+        run(scenario())
+
     def test_a_stream_whose_agent_died_is_never_short(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -133,6 +157,24 @@
 
         run(scenario())
 
+    def test_copies_that_wait_for_a_key_fill_no_slots(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            limits = {"in_flight_per_upstream": 2, "body_bytes": 65536, "deadline_s": 30.0}
+            zones = [{"zone": ZONE, "replicas": 1}]
+            world.offer(2, plain_document(zones=zones, limits=limits))
+            agent, _ = await settled(world)
+            entries = [await world.entry(number) for number in range(1, 7)]
+            await asyncio.sleep(SETTLED_S)
+            calls = [(entry, key) for key in ("k", "other") for entry in entries]
+            answers = await asyncio.gather(
+                *(outcome(world, entry, plain_call(world, key)) for entry, key in calls)
+            )
+            self.assertEqual(["go"] * len(calls), answers)
+            self.assertEqual({"k": 1, "other": 1}, agent.upstream.runs)
+
+        run(scenario())
+
     def test_asking_for_an_outcome_runs_nothing(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -172,8 +214,7 @@
             agent.gate.leaving = True
             refused = await outcome(world, entry, plain_call(world, "late"))
             self.assertEqual("upstream_leaving", refused)
-            connections = list(agent.listener.connections)
-            await hand_over(agent.home.ledger, connections, world.clock, entry.relay.random)
+            await agent.listener.hand_over()
             await asyncio.sleep(0.1)
             successor = world.replace(agent, "two")
             await asyncio.sleep(SETTLED_S)
@@ -202,7 +243,7 @@
 
         run(scenario())
 
-    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+    def test_a_home_vouches_for_an_entry_that_vanished_before_it(self) -> None:
         async def scenario() -> None:
             world = World()
             agent, entry = await settled(world)
@@ -212,7 +253,60 @@
             await entry.links.stop()
             del world.members.members[entry.member.name]
             world.members.notify()
+            await asyncio.sleep(1.0)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("answer_gone", await outcome(world, other, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "opaque")))
+            self.assertEqual({"opaque": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_a_home_hands_over_only_its_own_keys(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            foreign, own = KeyId("lab", "x"), KeyId("lab", "own")
+            for key_id in (foreign, own):
+                agent.home.ledger.learn(key_id, KeyRecord("f", KeyState.UNKNOWN, 1.0))
+            slots = [home_slot(two_slots(world), key_id) for key_id in (foreign, own)]
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            await agent.listener.hand_over()
+            await asyncio.sleep(0.1)
+            expected = [
+                ("table-ops", key_id)
+                for key_id, slot in zip((foreign, own), slots, strict=True)
+                if slot == agent.member.name
+            ]
+            self.assertEqual(expected, list(entry.keys.sent.keys))
+            self.assertEqual(1, len(expected))
+
+        run(scenario())
+
+    def test_an_entry_that_was_vouched_for_sends_no_keys_any_more(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            agent.listener.vouched.add(EntryId(entry.member.name, "one"))
+            self.assertEqual(
+                "home_unreachable", await outcome(world, entry, plain_call(world, "k"))
+            )
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertFalse(agent.upstream.runs["k"])
+
+        run(scenario())
+
+    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
             successor = world.replace(agent, "two")
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
             await asyncio.sleep(SETTLED_S)
             self.assertEqual("home_recovering", await outcome(world, other, plain_call(world, "k")))
             self.assertFalse(successor.upstream.runs)
@@ -221,6 +315,45 @@
 
 
 class StaleListTest(unittest.TestCase):
+    def test_a_link_stops_although_the_end_of_a_session_takes_its_cancellation(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            _, entry = await settled(world)
+            link = next(iter(entry.links.links.values()))
+            ending = asyncio.Event()
+
+            async def end_session() -> None:
+                ending.set()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(60.0)
+
+            link.end_session = end_session  # type: ignore[method-assign]
+            for wire in list(world.network.links):
+                wire.cut()
+            await ending.wait()
+            began_s = world.clock.monotonic()
+            await asyncio.wait_for(link.stop(), 10.0)
+            self.assertLess(world.clock.monotonic() - began_s, 9.0)
+
+        run(scenario())
+
+    def test_requests_that_wait_for_a_home_hold_up_no_others(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            away = [f"k{number}" for number in range(200)]
+            calls = [plain_call(world, key) for key in away]
+            waiting = [asyncio.create_task(outcome(world, entry, call)) for call in calls]
+            await asyncio.sleep(1.0)
+            began_s = world.clock.monotonic()
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertLess(world.clock.monotonic() - began_s, 1.0)
+            await asyncio.gather(*waiting)
+            self.assertTrue(agent.upstream.runs)
+
+        run(scenario())
+
     def test_a_list_that_names_a_replaced_process_changes_nothing(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -249,7 +382,7 @@
             agent.upstream.delay_s = 3.0
             first = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
             await asyncio.sleep(0.1)
-            admission = entry.relay.admissions["table-ops"]
+            admission = entry.relay.guard.admissions["table-ops"]
             admission.in_flight, admission.time_s = 1000, 1000.0
             self.assertEqual("copy_refused", await outcome(world, entry, plain_call(world, "k")))
             self.assertEqual("overloaded", await outcome(world, entry, plain_call(world)))
@@ -267,6 +400,10 @@
             failure.note(GypsumpierError(codes.UPSTREAM_LEAVING, ""), link)
             self.assertEqual(codes.OUTCOME_UNKNOWN, failure.told().code)
             failure = Failure(plain_call(world, "k"))
+            failure.note(GypsumpierError(codes.HOME_RECOVERING, ""), link)
+            failure.note(GypsumpierError(codes.KEY_REFUSED, ""), link)
+            self.assertEqual(codes.KEY_REFUSED, failure.told().code)
+            failure = Failure(plain_call(world, "k"))
             failure.note(GypsumpierError(codes.UPSTREAM_UNREACHABLE, ""), link)
             self.assertEqual(codes.HOME_UNREACHABLE, failure.told().code)
 
