Wait until entries have said that nothing more follows before an agent closes

A request that was on its way when a stopping agent closed its connections was lost unread and became unknown. The test fails when the agent doesn't wait.

--- /dev/null
+++ b/gypsumpier/agent/closing.py
@@ -0,0 +1,26 @@
+"""The last exchange on the connections of a stopping agent.
+
+A frame that is on its way when a process closes its connections would be lost unread.  So the agent
+asks each entry to send nothing more, and waits until the entry has said that nothing more follows.
+"""
+
+import contextlib
+from typing import Final
+
+from gypsumpier.agent.listener import Listener
+from gypsumpier.errors import GypsumpierError
+
+CLOSING_WAIT_S: Final = 1.0
+CLOSING_POLL_S: Final = 0.02
+
+
+async def say_closing(listener: Listener) -> None:
+    """Return when what the entries had sent is answered; a silent entry is not waited for."""
+    listener.unclosed = set(listener.connections)
+    for connection in list(listener.unclosed):
+        with contextlib.suppress(GypsumpierError):
+            await connection.send("closing", {})
+    until_s = listener.clock.monotonic() + CLOSING_WAIT_S
+    while listener.unclosed & listener.connections and listener.clock.monotonic() < until_s:
+        await listener.clock.sleep(CLOSING_POLL_S)
+    await listener.gate.drain()
--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -52,6 +52,7 @@
         self.connections: set[Connection] = set()
         self.entries: dict[Connection, EntryId] = {}
         self.vouched: set[EntryId] = set()
+        self.unclosed: set[Connection] = set()
 
     async def serve(self, stream: Stream) -> None:
         """Serve one connection until it closes."""
@@ -103,6 +104,8 @@
             self.take_keys(frame.payload)
         elif frame.kind == "entries":
             self.take_entries(frame.payload)
+        elif frame.kind == "closed":
+            self.unclosed.discard(connection)
         elif frame.kind == "farewell":
             await self.pass_on(frame, connection)
 
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -74,6 +74,8 @@
         self.suspected: Callable[[list[list[str]]], None] = ignore
         self.told: Callable[[Link, Frame], None] = ignore
         self.stopping = False
+        self.closing = False
+        self.answering: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -138,6 +140,9 @@
             if self.session is not None:
                 self.session.take(frame)
             return
+        if frame.kind == "closing":
+            self.take_closing()
+            return
         if frame.kind == "welcome":
             self.take_welcome(frame.payload)
             return
@@ -151,11 +156,22 @@
         if attempt is not None:
             attempt.deliver(frame)
 
+    def take_closing(self) -> None:
+        """Send no more requests on this connection, and say so after what was sent."""
+        self.closing = True
+        self.answering = asyncio.create_task(self.say_closed())
+
+    async def say_closed(self) -> None:
+        """Answer that nothing more follows."""
+        with contextlib.suppress(GypsumpierError):
+            await self.tell("closed", {})
+
     def take_welcome(self, payload: dict[str, Any]) -> None:
         """Keep which process answers on this connection; requests may be sent from now on."""
         self.incarnation = payload["incarnation"]
         self.started_at_s = self.clock.monotonic() - payload["uptime_s"]
         self.connection = self.opened
+        self.closing = False
         self.welcomed(self)
 
     def take_state(self, payload: dict[str, Any]) -> None:
@@ -178,7 +194,7 @@
 
     def is_usable(self) -> bool:
         """Tell whether new work may be sent."""
-        return self.connection is not None and self.healthy and not self.leaving
+        return self.connection is not None and self.healthy and not (self.leaving or self.closing)
 
     def load(self) -> float:
         """Return the requests in flight: the entry's own, and others' by an ageing report."""
@@ -193,7 +209,7 @@
     async def send(self, attempt: Attempt, payload: dict[str, Any]) -> None:
         """Send the request of an attempt; raise GypsumpierError where it certainly was not sent."""
         connection = self.connection
-        if connection is None or connection.closed:
+        if connection is None or connection.closed or self.closing:
             raise GypsumpierError(UPSTREAM_UNREACHABLE, self.member.name, RETRY_AFTER_S)
         self.attempts[attempt.exchange] = attempt
         attempt.incarnation = self.incarnation
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -4,6 +4,7 @@
 import contextlib
 import unittest
 
+from gypsumpier.agent.closing import say_closing
 from gypsumpier.codes import request as codes
 from gypsumpier.document.service import ServiceDocument, ZoneReplicas
 from gypsumpier.entry.failure import Failure
@@ -224,6 +225,24 @@
 
         run(scenario())
 
+    def test_nothing_is_lost_on_its_way_to_a_stopping_agent(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            for link in world.network.links:
+                link.delay_s = 0.2
+            agent.gate.leaving = True
+            closing = asyncio.create_task(say_closing(agent.listener))
+            await asyncio.sleep(0.1)
+            late = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await closing
+            self.assertTrue(agent.gate.exchanges.known)
+            await asyncio.sleep(0.3)
+            world.replace(agent, "two")
+            self.assertEqual("upstream_leaving", await late)
+
+        run(scenario())
+
     def test_keys_of_an_entry_that_stopped_as_planned_stay_known(self) -> None:
         async def scenario() -> None:
             world = World()
