--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -22,7 +22,6 @@
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
         self.tried: set[str] = set()
-        self.counted = 0
         self.may_have_run = False
         self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
 
@@ -30,16 +29,10 @@
         """Take in how an attempt failed."""
         self.last = error
         if link is not None:
-            self.note_tried(error, link)
+            self.tried.add(link.member.name)
             certain = error.code.outcome is Outcome.NOT_RUN or error.code in WITHDRAWN
             self.may_have_run = self.may_have_run or not certain
 
-    def note_tried(self, error: GypsumpierError, link: Link) -> None:
-        """Count the attempt, unless the upstream was only full; that one may be tried again."""
-        if error.code is not codes.UPSTREAM_FULL:
-            self.counted += 1
-            self.tried.add(link.member.name)
-
     def told(self) -> GypsumpierError:
         """Return the error for the caller: never *not run* after an attempt that may have run."""
         last = self.last
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -30,10 +30,8 @@
 from gypsumpier.wire.frame import Frame
 
 ATTEMPTS_MAX: Final = 3
-FULL_ATTEMPTS_MAX: Final = 5
 RETRY_AFTER_S: Final = 1.0
 BACKOFF_S: Final = 0.05
-BACKOFF_MAX_S: Final = 0.4
 HOME_WAIT_S: Final = 6.0
 HOME_POLL_S: Final = 0.1
 HOME_SPREAD_S: Final = 0.5
@@ -99,7 +97,7 @@
         Copies that wait for one home are spread out, so that they don't fill it all at once.
         """
         if not request.has_home():
-            return self.random.uniform(0, min(BACKOFF_MAX_S, BACKOFF_S * 2**number))
+            return self.random.uniform(0, BACKOFF_S * 2**number)
         return (failure.last.retry_after_s or 0.0) + self.random.uniform(0, HOME_SPREAD_S)
 
     def inspect(self) -> dict[str, object]:
@@ -115,7 +113,7 @@
     ) -> AsyncIterator[Frame]:
         """Yield the frames of the attempt that succeeds."""
         failure = Failure(request)
-        for number in range(ATTEMPTS_MAX + FULL_ATTEMPTS_MAX):
+        for number in range(ATTEMPTS_MAX):
             link, version = await self.target(request, document, failure)
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
@@ -127,7 +125,7 @@
             except GypsumpierError as error:
                 failure.note(error, link)
                 self.guard.note_failed_attempt(request, error)
-                if started or not self.may_retry(request, error, failure):
+                if started or not self.may_retry(request, error):
                     raise failure.told() from error
             await self.clock.sleep(self.pause_s(request, failure, number))
         raise failure.told()
@@ -184,7 +182,7 @@
         )
         return choice
 
-    def may_retry(self, request: CallerRequest, error: GypsumpierError, failure: Failure) -> bool:
+    def may_retry(self, request: CallerRequest, error: GypsumpierError) -> bool:
         """Tell whether another attempt is safe and allowed after this error."""
         if request.has_home():
             wait_s = error.retry_after_s or 0.0
@@ -193,9 +191,7 @@
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
         # A full upstream refuses before any work, and the window has just been made smaller.
-        if error.code is codes.UPSTREAM_FULL:
-            return True
-        return failure.counted < ATTEMPTS_MAX and self.budget.spend()
+        return error.code is codes.UPSTREAM_FULL or self.budget.spend()
 
     def payload(
         self, request: CallerRequest, document: ServiceDocument, version: str
--- a/misc/measure_requests.py
+++ b/misc/measure_requests.py
@@ -159,8 +159,9 @@
         measurement = Measurement(Stage(fleet, deployment, weights, {}, dict(flags)), seed)
         await measurement.start()
         found |= await measurement.added()
-        await measurement.below_capacity()
+        # The prefix hits are measured on cold caches, here as for the baseline.
         found |= await measurement.at_capacity()
+        await measurement.below_capacity()
         found |= await measurement.overloaded()
         found |= await measurement.outage()
     async with Fleet(directory / "without") as fleet:
