--- a/misc/capacity/page.py
+++ b/misc/capacity/page.py
@@ -18,7 +18,7 @@
     sizes = [size for size, _ in summary["points"]]
     cells = [
         f"`{summary['name']}`",
-        f"`{summary['group']}`",
+        f"`{summary.get('group', '')}`",
         f"{min(sizes):,.4g} to {max(sizes):,.4g} {summary['size_unit']}",
         f"{summary['slope']:.3g} {summary['unit']}",
         f"{summary['fit_r2']:.3f}",
