--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -5,10 +5,13 @@
 import unittest
 
 from gypsumpier.codes import request as codes
+from gypsumpier.document.service import ServiceDocument, ZoneReplicas
 from gypsumpier.entry.failure import Failure
 from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.homes import home_slot
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.record import KeyRecord, KeyState
 from gypsumpier.idempotency.succession import EntryId
 from gypsumpier.test.builders import ZONE, plain_document
 from gypsumpier.test.builders_request import (
@@ -43,6 +46,13 @@
     return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
 
 
+def two_slots(world: World) -> ServiceDocument:
+    """Return the plain service's document with two slots."""
+    document = world.documents.document("table-ops")
+    assert document is not None
+    return document._replace(zones=(ZoneReplicas(ZONE, 2),))
+
+
 class LostConnectionTest(unittest.TestCase):
     def test_an_answer_on_a_silent_connection_is_asked_for_on_the_next(self) -> None:
         async def scenario() -> None:
@@ -147,6 +157,24 @@
 
         run(scenario())
 
+    def test_copies_that_wait_for_a_key_fill_no_slots(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            limits = {"in_flight_per_upstream": 2, "body_bytes": 65536, "deadline_s": 30.0}
+            zones = [{"zone": ZONE, "replicas": 1}]
+            world.offer(2, plain_document(zones=zones, limits=limits))
+            agent, _ = await settled(world)
+            entries = [await world.entry(number) for number in range(1, 7)]
+            await asyncio.sleep(SETTLED_S)
+            calls = [(entry, key) for key in ("k", "other") for entry in entries]
+            answers = await asyncio.gather(
+                *(outcome(world, entry, plain_call(world, key)) for entry, key in calls)
+            )
+            self.assertEqual(["go"] * len(calls), answers)
+            self.assertEqual({"k": 1, "other": 1}, agent.upstream.runs)
+
+        run(scenario())
+
     def test_asking_for_an_outcome_runs_nothing(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -234,6 +262,27 @@
 
         run(scenario())
 
+    def test_a_home_hands_over_only_its_own_keys(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            foreign, own = KeyId("lab", "x"), KeyId("lab", "own")
+            for key_id in (foreign, own):
+                agent.home.ledger.learn(key_id, KeyRecord("f", KeyState.UNKNOWN, 1.0))
+            slots = [home_slot(two_slots(world), key_id) for key_id in (foreign, own)]
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            await agent.listener.hand_over()
+            await asyncio.sleep(0.1)
+            expected = [
+                ("table-ops", key_id)
+                for key_id, slot in zip((foreign, own), slots, strict=True)
+                if slot == agent.member.name
+            ]
+            self.assertEqual(expected, list(entry.keys.sent.keys))
+            self.assertEqual(1, len(expected))
+
+        run(scenario())
+
     def test_an_entry_that_was_vouched_for_sends_no_keys_any_more(self) -> None:
         async def scenario() -> None:
             world = World()
@@ -333,7 +382,7 @@
             agent.upstream.delay_s = 3.0
             first = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
             await asyncio.sleep(0.1)
-            admission = entry.relay.admissions["table-ops"]
+            admission = entry.relay.guard.admissions["table-ops"]
             admission.in_flight, admission.time_s = 1000, 1000.0
             self.assertEqual("copy_refused", await outcome(world, entry, plain_call(world, "k")))
             self.assertEqual("overloaded", await outcome(world, entry, plain_call(world)))
