--- a/misc/capacity/tables.py
+++ b/misc/capacity/tables.py
@@ -15,8 +15,6 @@
 FRAME_COUNTS: Final = (10_000, 20_000, 40_000, 80_000)
 DECODER_COUNTS: Final = (16, 32, 64, 128)
 SERVICE_COUNTS: Final = (2, 4, 8, 16)
-# As many services as leave ten workers of each in every zone.
-SERVICES: Final = target.WORKERS_PER_ZONE / 10
 KEY_COUNTS: Final = (4_000, 8_000, 16_000, 32_000)
 # Keys of one home, if every request had one and each were kept for an hour.
 KEYS: Final = target.REQUESTS_PER_S / target.WORKERS * 3600
@@ -37,10 +35,10 @@
     keys = {n: await run_probe("keys", n) for n in KEY_COUNTS}
     plans = {n: await run_probe("plan", n) for n in SERVICE_COUNTS}
     decoders = {n: await run_probe("decoders", n) for n in DECODER_COUNTS}
-    held, links = target.CONTROL_MEMORY_BYTES, target.WORKERS_PER_ZONE
+    held, links = target.CONTROL_MEMORY_BYTES, target.ENTRY_LINKS
     return [
         *member_slopes(members),
-        slope("planned_links", "links", "services", plans, "links", SERVICES, None),
+        slope("planned_links", "links", "services", plans, "links", target.SERVICES, None),
         slope("decoder_memory", "B", "links", decoders, "held_bytes", links, held),
         slope("key_memory", "B", "keys", keys, "held_bytes", KEYS, held),
         slope("document_memory", "B", "documents", documents, "held_bytes", DOCUMENTS, held),
--- a/misc/capacity/target.py
+++ b/misc/capacity/target.py
@@ -24,6 +24,12 @@
 TOKENS_PER_ENTRY_S: Final = TOKENS_PER_S / ENTRIES
 TOKENS_PER_WORKER_S: Final = TOKENS_PER_S / WORKERS
 
+# The link plan: every agent of the own zone, which each service has too few of to share out, and
+# four agents of each service in other zones, at ten workers of a service in each zone.
+SERVICES: Final = WORKERS_PER_ZONE / 10
+ENTRY_LINKS: Final = WORKERS_PER_ZONE + 4 * SERVICES
+AGENT_LINKS: Final = ENTRY_LINKS * ENTRIES / WORKERS
+
 CONTROL_CORE_SHARE: Final = 0.039
 CONTROL_MEMORY_BYTES: Final = 128_000_000
 CONTROL_BYTES_PER_S: Final = 11_000.0
