--- a/misc/capacity/links.py
+++ b/misc/capacity/links.py
@@ -42,13 +42,9 @@
     """Measure an entry against its agents and an agent against its entries."""
     by_agents = [await entry_cost(directory, count) for count in AGENT_COUNTS]
     by_entries = [await agent_cost(directory, count) for count in ENTRY_COUNTS]
-    # An entry has links to every agent of the list; the slopes named by the zone tell what links
-    # to the agents of its own zone alone would cost.
     return [
-        *slopes_of("entry_links", "agents", by_agents, target.WORKERS),
-        *slopes_of("entry_zone_links", "agents", by_agents, target.WORKERS_PER_ZONE),
-        *slopes_of("agent_links", "entries", by_entries, target.ENTRIES),
-        *slopes_of("agent_zone_links", "entries", by_entries, target.ENTRIES_PER_ZONE),
+        *slopes_of("entry_links", "agents", by_agents, target.ENTRY_LINKS),
+        *slopes_of("agent_links", "entries", by_entries, target.AGENT_LINKS),
     ]
 
 
@@ -57,10 +53,7 @@
     costs = [await busy_cost(directory, count) for count in ENTRY_COUNTS]
     wire = [Point(one.links, one.usage.wire_bytes_per_s) for one in costs]
     limit = target.CONTROL_BYTES_PER_S
-    return [
-        Slope("busy_links_wire", "B/s", "links", wire, target.ENTRIES, limit),
-        Slope("busy_zone_links_wire", "B/s", "links", wire, target.WORKERS_PER_ZONE, limit),
-    ]
+    return [Slope("busy_agent_links_wire", "B/s", "links", wire, target.AGENT_LINKS, limit)]
 
 
 async def entry_cost(directory: Path, count: int) -> LinkCost:
