--- a/misc/capacity/tables.py
+++ b/misc/capacity/tables.py
@@ -14,7 +14,7 @@
 DIGEST_SIZES_MB: Final = (8, 16, 32, 64)
 FRAME_COUNTS: Final = (10_000, 20_000, 40_000, 80_000)
 DECODER_COUNTS: Final = (16, 32, 64, 128)
-SERVICE_COUNTS: Final = (2, 4, 8, 16)
+SERVICE_COUNTS: Final = (8, 16, 32, 64)
 KEY_COUNTS: Final = (4_000, 8_000, 16_000, 32_000)
 # Keys of one home, if every request had one and each were kept for an hour.
 KEYS: Final = target.REQUESTS_PER_S / target.WORKERS * 3600
