--- a/gypsumpier/test/test_weight_switch.py
+++ b/gypsumpier/test/test_weight_switch.py
@@ -32,6 +32,7 @@
     @virtual
     async def test_the_old_version_serves_until_the_new_one_is_reported_live(self) -> None:
         fleet = await live_fleet(4)
+        fleet.store.bytes_per_s = SIZE / 4
         fleet.name("v2")
         while not all(one.is_live("v2") for one in fleet.agents):
             self.assertTrue(all(one.engine.versions() for one in fleet.agents))
