--- a/gypsumpier/test/test_document_process.py
+++ b/gypsumpier/test/test_document_process.py
@@ -13,7 +13,7 @@
 from misc.child import Child
 from misc.fleet import Fleet
 from misc.http import get_json, post_json
-from misc.stage import administration_url, local_url
+from misc.testbed import administration_url, local_url
 
 NAME = "lab-portal"
 ZONES = ("bac-a", "nam-a")
--- a/gypsumpier/test/test_process.py
+++ b/gypsumpier/test/test_process.py
@@ -10,7 +10,7 @@
 from misc.child import Child, ChildError
 from misc.fleet import Fleet
 from misc.http import get_json
-from misc.stage import administration_url, local_url
+from misc.testbed import administration_url, local_url
 
 START_FAILED_STATUS = 3
 
--- a/gypsumpier/test/test_request_processes.py
+++ b/gypsumpier/test/test_request_processes.py
@@ -10,7 +10,7 @@
 from misc.deployment import load_deployment
 from misc.faulting.actions import Faults
 from misc.faulting.checker import Report, check
-from misc.faulting.faultstage import FaultStage
+from misc.faulting.faulttestbed import FaultTestbed
 from misc.faulting.load import MixedLoad
 from misc.faults import WEIGHTS_SEED, counts, small, start
 from misc.fleet import Fleet
@@ -27,18 +27,18 @@
 ENTRY: Final = "entry/bac-a/0"
 
 
-async def faults_of_all_kinds(stage: FaultStage, faults: Faults) -> None:
+async def faults_of_all_kinds(testbed: FaultTestbed, faults: Faults) -> None:
     """Apply one fault after the other."""
     await asyncio.sleep(1.0)
-    stage.cables[HOME].silence()
-    stage.fleet.freeze(ENTRY)
+    testbed.cables[HOME].silence()
+    testbed.fleet.freeze(ENTRY)
     await asyncio.sleep(PAUSE_S)
-    stage.fleet.thaw(ENTRY)
-    await stage.fleet.kill(OTHER_HOME)
-    await stage.replace_agent(OTHER_HOME)
-    stage.cables[OTHER_HOME].cut()
-    await stage.fleet.stop(ENTRY)
-    await stage.replace_entry(ENTRY)
+    testbed.fleet.thaw(ENTRY)
+    await testbed.fleet.kill(OTHER_HOME)
+    await testbed.replace_agent(OTHER_HOME)
+    testbed.cables[OTHER_HOME].cut()
+    await testbed.fleet.stop(ENTRY)
+    await testbed.replace_entry(ENTRY)
 
 
 async def run_load(directory: Path) -> Report:
@@ -48,12 +48,12 @@
     for service in deployment.model_services():
         make_weights(weights, deployment.documents[service]["model"], WEIGHTS_SEED)
     async with Fleet(directory / "logs") as fleet:
-        stage = FaultStage(fleet, deployment, weights, {})
-        await start(stage)
-        faults = Faults(stage, random.Random(SEED))
-        load = MixedLoad(stage, random.Random(SEED), RATE_PER_S, RESENDS)
-        await asyncio.gather(load.run(LOAD_S), faults_of_all_kinds(stage, faults))
-        return check(SEED, load.sender.copies, await counts(stage), [], 0)
+        testbed = FaultTestbed(fleet, deployment, weights, {})
+        await start(testbed)
+        faults = Faults(testbed, random.Random(SEED))
+        load = MixedLoad(testbed, random.Random(SEED), RATE_PER_S, RESENDS)
+        await asyncio.gather(load.run(LOAD_S), faults_of_all_kinds(testbed, faults))
+        return check(SEED, load.sender.copies, await counts(testbed), [], 0)
 
 
 class ProcessTest(unittest.TestCase):
--- a/gypsumpier/test/test_whole_path.py
+++ b/gypsumpier/test/test_whole_path.py
@@ -13,7 +13,7 @@
 from misc.deployment import Deployment, Place
 from misc.fleet import Fleet
 from misc.samples import make_weights
-from misc.stage import Stage
+from misc.testbed import Testbed
 
 MODEL_DOCUMENT: dict[str, Any] = {
     "service": "small-llm",
@@ -54,7 +54,9 @@
             weights = Path(directory, "weights")
             make_weights(weights, "small", seed=1)
             async with Fleet(Path(directory, "logs")) as fleet:
-                demo = Demo(Stage(fleet, small_deployment(), weights), kill, say=lambda text: None)
+                demo = Demo(
+                    Testbed(fleet, small_deployment(), weights), kill, say=lambda text: None
+                )
                 report = await demo.run()
             ended = {name: child.process.returncode for name, child in fleet.children.items()}
         return demo, report, [name for name, status in ended.items() if status]
--- a/misc/demo.py
+++ b/misc/demo.py
@@ -29,7 +29,7 @@
 from misc.kill import KINDS, kill_one
 from misc.progress import agents_live, entries_see, wait_until
 from misc.samples import make_weights, take_weights
-from misc.stage import Stage
+from misc.testbed import Testbed
 
 SEED: Final = 1
 SOURCES: Final = ("store", "origin")
@@ -49,15 +49,15 @@
 
     def __init__(
         self,
-        stage: Stage,
+        testbed: Testbed,
         kill: str | None = None,
         say: Callable[[str], None] = print_now,
     ) -> None:
         self.print_line = say
-        self.stage = stage
+        self.testbed = testbed
         self.kill = kill
         self.killed = ""
-        self.deployment = stage.deployment
+        self.deployment = testbed.deployment
         self.verdicts: list[Verdict] = []
         self.moved = asyncio.Event()
         self.times_s: dict[str, float] = {}
@@ -66,12 +66,12 @@
     async def run(self) -> dict[str, Any]:
         """Run every step; return the report."""
         self.say(f"starting {self.deployment.name}")
-        await self.stage.start()
-        self.say(f"{len(self.stage.fleet.children)} processes run")
+        await self.testbed.start()
+        self.say(f"{len(self.testbed.fleet.children)} processes run")
         await self.move_to("1")
         await self.call_every_entry()
         async with asyncio.TaskGroup() as callers:
-            for name in self.stage.entries:
+            for name in self.testbed.entries:
                 callers.create_task(self.keep_calling(name))
             await self.move_to("2")
             await asyncio.sleep(AFTER_MOVE_S)
@@ -85,19 +85,19 @@
         begun_s = time.monotonic()
         for document in self.deployment.documents.values():
             wanted = with_version(document, version) if document["kind"] == "model" else document
-            await self.stage.publish(wanted)
+            await self.testbed.publish(wanted)
         if self.kill and version == "2":
-            self.killed = await kill_one(self.stage, self.kill)
+            self.killed = await kill_one(self.testbed, self.kill)
             self.say(f"killed {self.killed}")
-        await wait_until(lambda: agents_live(self.stage, version), LIVE_TIMEOUT_S, self.say)
+        await wait_until(lambda: agents_live(self.testbed, version), LIVE_TIMEOUT_S, self.say)
         self.times_s[f"version_{version}_live_s"] = round(time.monotonic() - begun_s, 2)
-        await wait_until(lambda: entries_see(self.stage, version), LIVE_TIMEOUT_S, self.say)
+        await wait_until(lambda: entries_see(self.testbed, version), LIVE_TIMEOUT_S, self.say)
         self.say(f"version {version} is live on every engine and known to every entry")
 
     async def call_every_entry(self) -> None:
         """Run calls of every service through every entry."""
         for number in range(ROUNDS_PER_ENTRY):
-            urls = self.stage.entry_urls()
+            urls = self.testbed.entry_urls()
             await asyncio.gather(*(self.call_once(url, number) for url in urls))
         self.say(f"{len(self.verdicts)} answers so far, {len(self.problems())} not whole")
 
@@ -105,7 +105,7 @@
         """Call through one entry until the move is over, through another while it is away."""
         number = 0
         while not self.moved.is_set():
-            await self.call_once(self.stage.balanced_url(name), number)
+            await self.call_once(self.testbed.balanced_url(name), number)
             await asyncio.sleep(CALL_PAUSE_S)
             number += 1
 
@@ -129,16 +129,16 @@
         kinds = Counter(verdict.kind for verdict in self.verdicts)
         versions = Counter(verdict.version for verdict in self.verdicts if verdict.version)
         problems = Counter(f"{v.problem} {v.code}" for v in self.problems())
-        sources = [name for name in SOURCES if self.stage.fleet.children[name].running]
-        counts = [await get_json(f"{self.stage.standin_url(n)}/control/counts") for n in sources]
+        sources = [name for name in SOURCES if self.testbed.fleet.children[name].running]
+        counts = [await get_json(f"{self.testbed.standin_url(n)}/control/counts") for n in sources]
         for name, seconds in self.times_s.items():
             self.say(f"{name} {seconds}")
         self.say(f"answers by version {dict(versions)}; problems {dict(problems)}")
         return {
             "deployment": self.deployment.name,
-            "processes": len(self.stage.fleet.children),
-            "entries": len(self.stage.entries),
-            "agents": len(self.stage.agents),
+            "processes": len(self.testbed.fleet.children),
+            "entries": len(self.testbed.entries),
+            "agents": len(self.testbed.agents),
             "chats": kinds["chat"],
             "calls": kinds["call"],
             "answers_by_version": dict(versions),
@@ -168,7 +168,7 @@
         """Tell whether every answer was as it must be."""
         if not self.killed:
             return not self.problems()
-        cuts_allowed = self.killed in self.stage.entries
+        cuts_allowed = self.killed in self.testbed.entries
         return not self.wrong() and (cuts_allowed or not self.cut())
 
     def say(self, text: str) -> None:
@@ -193,7 +193,7 @@
     weights = directory / "weights"
     prepare_weights(deployment, source, weights)
     async with Fleet(directory / "logs") as fleet:
-        demo = Demo(Stage(fleet, deployment, weights), kill)
+        demo = Demo(Testbed(fleet, deployment, weights), kill)
         report = await demo.run()
         names = list(fleet.children)
     ended = {name: fleet.children[name].process.returncode for name in names}
--- a/misc/documents/cost.py
+++ b/misc/documents/cost.py
@@ -7,7 +7,7 @@
 from misc.child import Child
 from misc.documents.field import Field
 from misc.http import get_json, get_text
-from misc.stage import administration_url
+from misc.testbed import administration_url
 
 
 class Reading(NamedTuple):
@@ -35,8 +35,8 @@
 async def read(field: Field) -> Reading:
     """Read all totals."""
     daemons = {name: child for name, child in field.daemons().items() if child.running}
-    url = field.stage.urls["configuration_url"]
-    listed = await get_json(f"{field.stage.urls['membership_url']}/control/counts")
+    url = field.testbed.urls["configuration_url"]
+    listed = await get_json(f"{field.testbed.urls['membership_url']}/control/counts")
     counts: dict[str, Any] = await get_json(f"{url}/control/counts")
     return Reading(
         time.monotonic(),
--- a/misc/documents/editor.py
+++ b/misc/documents/editor.py
@@ -32,7 +32,7 @@
         limits = {"in_flight_per_upstream": 1 + self.number % 64}
         document = {**self.field.documents[name], "limits": limits}
         at_s = time.time()
-        revision = await self.field.stage.publish(document)
+        revision = await self.field.testbed.publish(document)
         self.published.append(Published(name, revision, at_s))
 
     async def run(self, edits_per_s: float, seconds: float) -> None:
--- a/misc/documents/faults.py
+++ b/misc/documents/faults.py
@@ -45,7 +45,7 @@
 
     async def control(self, action: str, body: dict[str, object]) -> None:
         """Set a fault of the configuration service."""
-        url = self.field.stage.urls["configuration_url"]
+        url = self.field.testbed.urls["configuration_url"]
         await post_json(f"{url}/control/{action}", body)
 
     async def service_down(self) -> None:
--- a/misc/documents/field.py
+++ b/misc/documents/field.py
@@ -9,7 +9,7 @@
 from misc.fleet import Flag, Fleet
 from misc.http import get_json
 from misc.samples import make_weights
-from misc.stage import Stage, administration_url
+from misc.testbed import Testbed, administration_url
 
 DEPLOYMENT: Final = "rung-lab"
 EXTRA_SERVICES: Final = 6
@@ -25,7 +25,7 @@
         for service in deployment.model_services():
             make_weights(weights, deployment.documents[service]["model"], SEED)
         self.fleet = fleet
-        self.stage = Stage(fleet, deployment, weights, {"log_json": True, **settings})
+        self.testbed = Testbed(fleet, deployment, weights, {"log_json": True, **settings})
         self.extra_entries = entries
         self.extra_agents = agents
         self.documents: dict[str, dict[str, Any]] = dict(deployment.documents)
@@ -33,22 +33,22 @@
 
     async def start(self) -> None:
         """Start the deployment, then the further processes, then publish every document."""
-        await self.stage.start()
+        await self.testbed.start()
         shared = await self.fleet.start_standin("service", "upstream/shared")
         for number in range(self.extra_agents):
             slot = self.extra_slot(number)
             self.slots[slot.name] = slot
-            self.stage.upstreams[slot.name] = shared
+            self.testbed.upstreams[slot.name] = shared
             self.documents[slot.service] = plain_document(slot.service, self.places())
         extra = [slot for slot in self.slots.values() if slot.service.startswith("extra-")]
-        await asyncio.gather(*(self.stage.start_agent(slot) for slot in extra))
-        await asyncio.gather(*(self.stage.start_entry(name) for name in self.extra_names()))
+        await asyncio.gather(*(self.testbed.start_agent(slot) for slot in extra))
+        await asyncio.gather(*(self.testbed.start_entry(name) for name in self.extra_names()))
         for document in self.documents.values():
-            await self.stage.publish(document)
+            await self.testbed.publish(document)
 
     def places(self) -> tuple[Place, ...]:
         """Return the places of the deployment."""
-        return self.stage.deployment.places
+        return self.testbed.deployment.places
 
     def extra_slot(self, number: int) -> Slot:
         """Return the slot of a further agent."""
@@ -63,16 +63,16 @@
 
     def daemons(self) -> dict[str, Child]:
         """Return the entries and agents by name."""
-        return {**self.stage.entries, **self.stage.agents}
+        return {**self.testbed.entries, **self.testbed.agents}
 
     def concerned(self, name: str, document: str) -> bool:
         """Tell whether the instance keeps that document."""
-        return name in self.stage.entries or self.slots[name].service == document
+        return name in self.testbed.entries or self.slots[name].service == document
 
     async def watchers(self, zone: str) -> list[str]:
         """Return the entries of the zone that watch the configuration service now."""
         found: list[str] = []
-        for name, child in sorted(self.stage.entries.items()):
+        for name, child in sorted(self.testbed.entries.items()):
             if name.split("/")[1] == zone and child.running:
                 status = await get_json(f"{administration_url(child)}/v1/status")
                 if status["details"]["spread"]["is_watcher"]:
@@ -82,9 +82,9 @@
     async def restart(self, name: str) -> None:
         """Start another process in the place of a killed one."""
         if name in self.slots:
-            await self.stage.start_agent(self.slots[name])
+            await self.testbed.start_agent(self.slots[name])
         else:
-            await self.stage.start_entry(name)
+            await self.testbed.start_entry(name)
 
     def log_paths(self) -> dict[str, Path]:
         """Return the log of each instance."""
--- a/misc/faulting/actions.py
+++ b/misc/faulting/actions.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from misc.faulting.faultstage import FaultStage
+from misc.faulting.faulttestbed import FaultTestbed
 from misc.http import get_json
-from misc.stage import local_url
+from misc.testbed import local_url
 
 LIST_DELAY_S: Final = 0.5
 LEAVING_LIMIT_S: Final = 3.0
@@ -30,8 +30,8 @@
 class Faults:
     """Applies faults to the deployment."""
 
-    def __init__(self, stage: FaultStage, rng: random.Random) -> None:
-        self.stage = stage
+    def __init__(self, testbed: FaultTestbed, rng: random.Random) -> None:
+        self.testbed = testbed
         self.rng = rng
         self.windows: list[Window] = []
         self.work_after_leaving = 0
@@ -61,23 +61,23 @@
 
     async def kill_agent(self) -> None:
         async with Fault(self, "kill_agent", self.an_agent()) as name:
-            await self.stage.fleet.kill(name)
+            await self.testbed.fleet.kill(name)
             await asyncio.sleep(self.rng.choice([0.2, 2.0]))
-            await self.stage.replace_agent(name)
+            await self.testbed.replace_agent(name)
             await asyncio.sleep(LIST_DELAY_S)
 
     async def kill_entry(self) -> None:
         async with Fault(self, "kill_entry", self.an_entry()) as name:
-            await self.stage.fleet.kill(name)
+            await self.testbed.fleet.kill(name)
             await asyncio.sleep(self.rng.choice([0.2, 2.0]))
-            await self.stage.replace_entry(name)
+            await self.testbed.replace_entry(name)
 
     async def kill_engine(self) -> None:
-        engines = [slot.name for slot in self.stage.slots.values() if slot.kind == "model"]
+        engines = [slot.name for slot in self.testbed.slots.values() if slot.kind == "model"]
         async with Fault(self, "kill_engine", self.rng.choice(engines)) as name:
-            await self.stage.fleet.kill(f"upstream/{name}")
+            await self.testbed.fleet.kill(f"upstream/{name}")
             await asyncio.sleep(0.5)
-            await self.stage.replace_engine(self.stage.slots[name])
+            await self.testbed.replace_engine(self.testbed.slots[name])
 
     async def pause_agent(self) -> None:
         async with Fault(self, "pause_agent", self.an_agent()) as name:
@@ -92,75 +92,75 @@
             await self.pause(f"upstream/{name}")
 
     async def pause(self, name: str) -> None:
-        self.stage.fleet.freeze(name)
+        self.testbed.fleet.freeze(name)
         await asyncio.sleep(self.rng.choice([0.5, 2.0, 5.0]))
-        self.stage.fleet.thaw(name)
+        self.testbed.fleet.thaw(name)
 
     async def cut_cable(self) -> None:
         async with Fault(self, "cut_cable", self.an_agent()) as name:
-            self.stage.cables[name].cut()
+            self.testbed.cables[name].cut()
             await asyncio.sleep(LIST_DELAY_S)
 
     async def silence_cable(self) -> None:
         async with Fault(self, "silence_cable", self.an_agent()) as name:
-            self.stage.cables[name].silence()
+            self.testbed.cables[name].silence()
             await asyncio.sleep(4.0)
 
     async def empty_list(self) -> None:
         async with Fault(self, "empty_list", "membership"):
-            await self.stage.control("membership", "empty", on=True)
+            await self.testbed.control("membership", "empty", on=True)
             await asyncio.sleep(4.0)
-            await self.stage.control("membership", "empty", on=False)
+            await self.testbed.control("membership", "empty", on=False)
 
     async def stale_list(self) -> None:
         async with Fault(self, "stale_list", "membership"):
-            await self.stage.control("membership", "lag", lag_s=6.0)
+            await self.testbed.control("membership", "lag", lag_s=6.0)
             await asyncio.sleep(5.0)
-            await self.stage.control("membership", "lag", lag_s=0.0)
+            await self.testbed.control("membership", "lag", lag_s=0.0)
 
     async def lose_platform(self) -> None:
         async with Fault(self, "lose_platform", "membership"):
             for platform in ("membership", "configuration"):
-                await self.stage.control(platform, "down", on=True)
+                await self.testbed.control(platform, "down", on=True)
             await asyncio.sleep(4.0)
             for platform in ("membership", "configuration"):
-                await self.stage.control(platform, "down", on=False)
+                await self.testbed.control(platform, "down", on=False)
 
     async def stop_agent(self) -> None:
         async with Fault(self, "stop_agent", self.an_agent(), graceful=True) as name:
-            await self.stage.fleet.stop(name, 30.0)
-            await self.stage.replace_agent(name)
+            await self.testbed.fleet.stop(name, 30.0)
+            await self.testbed.replace_agent(name)
 
     async def stop_entry(self) -> None:
         async with Fault(self, "stop_entry", self.an_entry(), graceful=True) as name:
-            await self.stage.fleet.stop(name, 30.0)
-            await self.stage.replace_entry(name)
+            await self.testbed.fleet.stop(name, 30.0)
+            await self.testbed.replace_entry(name)
 
     async def leave(self) -> None:
         """List an agent as leaving, watch that no work comes, then stop and replace it."""
         async with Fault(self, "leave", self.an_agent(), graceful=True) as name:
-            await self.stage.control("membership", "leaving", name=name, leaving=True)
+            await self.testbed.control("membership", "leaving", name=name, leaving=True)
             await asyncio.sleep(LEAVING_LIMIT_S)
             before = await self.work_of(name)
             await asyncio.sleep(WATCHED_AFTER_S)
             self.work_after_leaving += await self.work_of(name) - before
-            await self.stage.fleet.stop(name, 30.0)
-            await self.stage.replace_agent(name)
+            await self.testbed.fleet.stop(name, 30.0)
+            await self.testbed.replace_agent(name)
 
     async def work_of(self, name: str) -> int:
         """Return how many requests the upstream has been given."""
-        counts = await get_json(f"{local_url(self.stage.upstreams[name].port)}/control/counts")
+        counts = await get_json(f"{local_url(self.testbed.upstreams[name].port)}/control/counts")
         return int(counts["runs"] if "runs" in counts else counts["arrivals"])
 
     def an_agent(self) -> str:
         """Return an agent that no fault holds; those of plain services come more often."""
-        agents = [name for name in sorted(self.stage.slots) if name not in self.busy]
-        plain = [name for name in agents if self.stage.slots[name].kind == "plain"]
+        agents = [name for name in sorted(self.testbed.slots) if name not in self.busy]
+        plain = [name for name in agents if self.testbed.slots[name].kind == "plain"]
         return self.rng.choice(plain if plain and self.rng.random() < 0.6 else agents)
 
     def an_entry(self) -> str:
         """Return an entry that no fault holds."""
-        return self.rng.choice(sorted(set(self.stage.entries) - self.busy))
+        return self.rng.choice(sorted(set(self.testbed.entries) - self.busy))
 
 
 class Fault:
--- a/misc/faulting/faultstage.py
+++ b/misc/faulting/faulttestbed.py
@@ -8,10 +8,10 @@
 from misc.faulting.cable import Cable
 from misc.fleet import Flag, Fleet
 from misc.http import post_json
-from misc.stage import Stage, local_url
+from misc.testbed import Testbed, local_url
 
 
-class FaultStage(Stage):
+class FaultTestbed(Testbed):
     """Adds cables, and the replacement of processes under their stable names."""
 
     def __init__(
--- a/misc/faulting/load.py
+++ b/misc/faulting/load.py
@@ -7,9 +7,9 @@
 import time
 from typing import Final
 
-from misc.faulting.faultstage import FaultStage
+from misc.faulting.faulttestbed import FaultTestbed
 from misc.faulting.sending import CUT, NOT_RUN, REFUSED_CONNECTION, UNKNOWN, Copy, Sender
-from misc.stage import local_url
+from misc.testbed import local_url
 
 CALLER_TIMEOUT_S: Final = 15.0
 IMPATIENT_S: Final = 0.15
@@ -22,19 +22,19 @@
 
     def __init__(
         self,
-        stage: FaultStage,
+        testbed: FaultTestbed,
         rng: random.Random,
         rate_per_s: float,
         resends: int = RESENDS_MAX,
     ) -> None:
-        self.stage = stage
+        self.testbed = testbed
         self.rng = rng
         self.rate_per_s = rate_per_s
         self.resends = resends
         self.sender = Sender()
         self.number = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        documents = stage.deployment.documents.values()
+        documents = testbed.deployment.documents.values()
         self.models = [body["service"] for body in documents if body["kind"] == "model"]
         # Only routes that are declared not idempotent matter here.
         self.routes = [
@@ -135,11 +135,11 @@
 
     def entry(self) -> str:
         """Return an entry, as the platform's balancer would choose it."""
-        return self.rng.choice(sorted(self.stage.entries))
+        return self.rng.choice(sorted(self.testbed.entries))
 
     def url(self, entry: str) -> str:
         """Return the entry's URL for callers."""
-        return local_url(self.stage.entries[entry].ports["http_port"])
+        return local_url(self.testbed.entries[entry].ports["http_port"])
 
     def workspace(self) -> str:
         """Return a workspace."""
--- a/misc/faults.py
+++ b/misc/faults.py
@@ -19,7 +19,7 @@
 from misc.deployment import Deployment, load_deployment, with_version
 from misc.faulting.actions import Faults
 from misc.faulting.checker import Counts, Report, check, cut_copies
-from misc.faulting.faultstage import FaultStage
+from misc.faulting.faulttestbed import FaultTestbed
 from misc.faulting.load import MixedLoad
 from misc.faulting.schedule import run_schedule
 from misc.faulting.sending import Copy
@@ -27,7 +27,7 @@
 from misc.http import get_json
 from misc.progress import agents_live, entries_see, wait_until
 from misc.samples import make_weights
-from misc.stage import local_url
+from misc.testbed import local_url
 
 LIVE_TIMEOUT_S: Final = 45.0
 SETTLE_S: Final = 4.0
@@ -44,17 +44,17 @@
 
 
 async def run(
-    stage: FaultStage, seed: int, seconds: float, rate_per_s: float, logs: Path | None
+    testbed: FaultTestbed, seed: int, seconds: float, rate_per_s: float, logs: Path | None
 ) -> Report:
     """Run load and faults on a deployment that has been started; return the report."""
     rng = random.Random(seed)
-    faults = Faults(stage, random.Random(rng.random()))
-    load = MixedLoad(stage, random.Random(rng.random()), rate_per_s)
+    faults = Faults(testbed, random.Random(rng.random()))
+    load = MixedLoad(testbed, random.Random(rng.random()), rate_per_s)
     await asyncio.gather(
         load.run(seconds), run_schedule(faults, random.Random(rng.random()), seconds - SETTLE_S)
     )
     copies = load.sender.copies
-    report = check(seed, copies, await counts(stage), faults.windows, faults.work_after_leaving)
+    report = check(seed, copies, await counts(testbed), faults.windows, faults.work_after_leaving)
     for window in faults.windows:
         click.echo(f"{window.name} {window.target} {window.ended_at_s - window.began_at_s:.1f} s")
     if logs is not None:
@@ -71,12 +71,12 @@
             output.write(json.dumps({**vars(copy), "body": copy.body_digest}) + "\n")
 
 
-async def counts(stage: FaultStage) -> Counts:
+async def counts(testbed: FaultTestbed) -> Counts:
     """Return what the plain services have counted, summed up."""
     total = Counts(keys={}, bodies={})
-    for slot in stage.slots.values():
+    for slot in testbed.slots.values():
         if slot.kind == "plain":
-            url = f"{local_url(stage.upstreams[slot.name].port)}/control/counts"
+            url = f"{local_url(testbed.upstreams[slot.name].port)}/control/counts"
             found = await get_json(url)
             add(total["keys"], found["keys"])
             add(total["bodies"], found["bodies"])
@@ -100,15 +100,15 @@
     return deployment._replace(entries={zone: 2}, documents=documents)
 
 
-async def start(stage: FaultStage) -> None:
+async def start(testbed: FaultTestbed) -> None:
     """Start the deployment and wait until everything is live and known."""
-    await stage.start()
-    for document in stage.deployment.documents.values():
+    await testbed.start()
+    for document in testbed.deployment.documents.values():
         wanted = with_version(document, "1") if document["kind"] == "model" else document
-        await stage.publish(wanted)
-    await wait_until(lambda: agents_live(stage, "1"), LIVE_TIMEOUT_S, click.echo)
-    await wait_until(lambda: entries_see(stage, "1"), LIVE_TIMEOUT_S, click.echo)
-    await stage.delay_services(CALL_DELAY_S)
+        await testbed.publish(wanted)
+    await wait_until(lambda: agents_live(testbed, "1"), LIVE_TIMEOUT_S, click.echo)
+    await wait_until(lambda: entries_see(testbed, "1"), LIVE_TIMEOUT_S, click.echo)
+    await testbed.delay_services(CALL_DELAY_S)
     await asyncio.sleep(SETTLE_S)
 
 
@@ -122,9 +122,9 @@
         for service in deployment.model_services():
             make_weights(weights, deployment.documents[service]["model"], WEIGHTS_SEED)
         async with Fleet(logs or directory / "logs") as fleet:
-            stage = FaultStage(fleet, deployment, weights, {})
-            await start(stage)
-            return await run(stage, seed, seconds, rate, logs)
+            testbed = FaultTestbed(fleet, deployment, weights, {})
+            await start(testbed)
+            return await run(testbed, seed, seconds, rate, logs)
 
 
 @click.command()
--- a/misc/kill.py
+++ b/misc/kill.py
@@ -3,30 +3,30 @@
 import asyncio
 from typing import Final
 
-from misc.stage import Stage
+from misc.testbed import Testbed
 
 REPLACED_AFTER_S: Final = 1.0
 PLATFORM: Final = ("configuration", "membership", "store", "origin")
 KINDS: Final = ("entry", "agent", "upstream", *PLATFORM)
 
 
-async def kill_one(stage: Stage, kind: str) -> str:
+async def kill_one(testbed: Testbed, kind: str) -> str:
     """Kill one process of that kind; return its name.  A service of the platform stays away."""
     if kind in PLATFORM:
-        await stage.fleet.kill(kind)
+        await testbed.fleet.kill(kind)
         return kind
     if kind == "entry":
-        name = next(iter(stage.entries))
-        await stage.fleet.kill(name)
+        name = next(iter(testbed.entries))
+        await testbed.fleet.kill(name)
         await asyncio.sleep(REPLACED_AFTER_S)
-        await stage.replace_entry(name)
+        await testbed.replace_entry(name)
         return name
-    slot = next(slot for slot in stage.deployment.slots() if slot.kind == "model")
+    slot = next(slot for slot in testbed.deployment.slots() if slot.kind == "model")
     name = slot.name if kind == "agent" else f"upstream/{slot.name}"
-    await stage.fleet.kill(name)
+    await testbed.fleet.kill(name)
     await asyncio.sleep(REPLACED_AFTER_S)
     if kind == "agent":
-        await stage.start_agent(slot)
+        await testbed.start_agent(slot)
     else:
-        await stage.start_upstream(slot)
+        await testbed.start_upstream(slot)
     return name
--- a/misc/measure_requests.py
+++ b/misc/measure_requests.py
@@ -23,7 +23,7 @@
 from misc.requesting.added import measure_added
 from misc.requesting.counters import attempts_logged, cache_counts, entry_cpu_s, model_engines
 from misc.samples import make_weights
-from misc.stage import Stage, local_url
+from misc.testbed import Testbed, local_url
 
 SERVICE: Final = "gypsum-llm"
 LIVE_TIMEOUT_S: Final = 45.0
@@ -48,17 +48,17 @@
 
 
 class Measurement:
-    """The measurements on one started stage."""
+    """The measurements on one started testbed."""
 
-    def __init__(self, stage: Stage, seed: int) -> None:
-        self.stage = stage
+    def __init__(self, testbed: Testbed, seed: int) -> None:
+        self.testbed = testbed
         self.seed = seed
-        self.capacity_per_s = capacity_per_s(len(model_engines(stage)))
+        self.capacity_per_s = capacity_per_s(len(model_engines(testbed)))
 
     async def start(self) -> None:
         """Start everything and wait until the model is live and known."""
-        await self.stage.start()
-        for document in self.stage.deployment.documents.values():
+        await self.testbed.start()
+        for document in self.testbed.deployment.documents.values():
             wanted = with_version(document, "1") if document["kind"] == "model" else document
             if document["service"] == SERVICE:
                 limits = {
@@ -67,16 +67,16 @@
                     "deadline_s": DEADLINE_S,
                 }
                 wanted = wanted | {"limits": limits}
-            await self.stage.publish(wanted)
-        await wait_until(lambda: agents_live(self.stage, "1"), LIVE_TIMEOUT_S, click.echo)
-        await wait_until(lambda: entries_see(self.stage, "1"), LIVE_TIMEOUT_S, click.echo)
+            await self.testbed.publish(wanted)
+        await wait_until(lambda: agents_live(self.testbed, "1"), LIVE_TIMEOUT_S, click.echo)
+        await wait_until(lambda: entries_see(self.testbed, "1"), LIVE_TIMEOUT_S, click.echo)
 
     async def load(
         self, rate_per_s: float, workspaces: tuple[str, ...], seconds: float = RUN_S
     ) -> LoadResult:
         """Offer load through all entries."""
         profile = Profile(rate_per_s, seconds, self.seed, 1.0, workspaces)
-        urls = tuple(self.stage.entry_urls())
+        urls = tuple(self.testbed.entry_urls())
         target = Target(urls, SERVICE, max_tokens=TOKENS, timeout_s=2 * DEADLINE_S)
         return await run_load(profile, target)
 
@@ -86,13 +86,13 @@
 
     async def at_capacity(self) -> dict[str, Any]:
         """Measure at the engines' capacity."""
-        cpu_s, cache = entry_cpu_s(self.stage), await cache_counts(self.stage)
+        cpu_s, cache = entry_cpu_s(self.testbed), await cache_counts(self.testbed)
         result = await self.load(self.capacity_per_s, LARGE)
         show("at capacity", result)
         return {
             "goodput_at_capacity": goodput_per_s(result),
-            "tokens_per_s_per_entry_core": result.tokens / (entry_cpu_s(self.stage) - cpu_s),
-            "prefix_hit_ratio": (await cache_counts(self.stage)).ratio_since(cache),
+            "tokens_per_s_per_entry_core": result.tokens / (entry_cpu_s(self.testbed) - cpu_s),
+            "prefix_hit_ratio": (await cache_counts(self.testbed)).ratio_since(cache),
         }
 
     async def overloaded(self) -> dict[str, Any]:
@@ -110,21 +110,21 @@
 
     async def added(self) -> dict[str, Any]:
         """Measure what the relaying adds to the first token, one call at a time."""
-        engine = self.stage.upstreams[model_engines(self.stage)[0]]
-        document = self.stage.deployment.documents[SERVICE]
-        entry_url = self.stage.entry_urls()[0]
+        engine = self.testbed.upstreams[model_engines(self.testbed)[0]]
+        document = self.testbed.deployment.documents[SERVICE]
+        entry_url = self.testbed.entry_urls()[0]
         return dict(await measure_added(local_url(engine.port), entry_url, document["model"], "1"))
 
     async def outage(self) -> dict[str, Any]:
         """Kill every engine under load and count the attempts for each request."""
-        before = attempts_logged(self.stage)
+        before = attempts_logged(self.testbed)
         load = asyncio.create_task(self.load(OUTAGE_RATE_PER_S, LARGE, OUTAGE_S))
-        for name in model_engines(self.stage):
-            await self.stage.fleet.kill(f"upstream/{name}")
+        for name in model_engines(self.testbed):
+            await self.testbed.fleet.kill(f"upstream/{name}")
         result = await load
         show("in the outage", result)
         requests = sum(result.outcomes.values())
-        attempts = attempts_logged(self.stage) - before
+        attempts = attempts_logged(self.testbed) - before
         return {"attempts_per_request_in_outage": attempts / requests}
 
 
@@ -156,7 +156,7 @@
     flags = {"capacity": ENGINE_CAPACITY, "step_s": STEP_S}
     found: dict[str, Any] = {}
     async with Fleet(directory / "with") as fleet:
-        measurement = Measurement(Stage(fleet, deployment, weights, {}, dict(flags)), seed)
+        measurement = Measurement(Testbed(fleet, deployment, weights, {}, dict(flags)), seed)
         await measurement.start()
         found |= await measurement.added()
         # The prefix hits are measured on cold caches, here as for the baseline.
@@ -167,7 +167,7 @@
     async with Fleet(directory / "without") as fleet:
         settings = {"prefix_affinity": "false"}
         measurement = Measurement(
-            Stage(fleet, deployment, weights, dict(settings), dict(flags)), seed
+            Testbed(fleet, deployment, weights, dict(settings), dict(flags)), seed
         )
         await measurement.start()
         baseline = await measurement.at_capacity()
--- a/misc/measure_weights.py
+++ b/misc/measure_weights.py
@@ -25,9 +25,9 @@
 from misc.load_call import Target
 from misc.load_result import LoadResult
 from misc.progress import agents_live, entries_see, wait_until
-from misc.stage import Stage, administration_url
+from misc.testbed import Testbed, administration_url
 from misc.weights.baseline import all_from_origin, chain
-from misc.weights.burst import BurstStage
+from misc.weights.burst import BurstTestbed
 from misc.weights.disturbance import disturb
 from misc.weights.scale import BURST_SCALE, DEPLOYMENT_SCALE, LIVE_SHARE, Scale
 
@@ -41,32 +41,32 @@
 
 
 class Measurement:
-    """One started stage and the rollout measured on it."""
+    """One started testbed and the rollout measured on it."""
 
-    def __init__(self, stage: Stage, scale: Scale, seed: int) -> None:
-        self.stage = stage
+    def __init__(self, testbed: Testbed, scale: Scale, seed: int) -> None:
+        self.testbed = testbed
         self.scale = scale
         self.seed = seed
-        self.service = stage.deployment.model_services()[0]
-        self.document = stage.deployment.documents[self.service]
-        self.agents = [s.name for s in stage.deployment.slots() if s.service == self.service]
+        self.service = testbed.deployment.model_services()[0]
+        self.document = testbed.deployment.documents[self.service]
+        self.agents = [s.name for s in testbed.deployment.slots() if s.service == self.service]
         self.published_wall_s = 0.0
 
     async def start(self) -> None:
         """Start everything with the small first version live."""
-        await self.stage.start()
-        for document in self.stage.deployment.documents.values():
+        await self.testbed.start()
+        for document in self.testbed.deployment.documents.values():
             wanted = with_version(document, "1") if document["kind"] == "model" else document
-            await self.stage.publish(wanted)
-        await wait_until(lambda: agents_live(self.stage, "1"), LIVE_TIMEOUT_S, click.echo)
-        await wait_until(lambda: entries_see(self.stage, "1"), LIVE_TIMEOUT_S, click.echo)
+            await self.testbed.publish(wanted)
+        await wait_until(lambda: agents_live(self.testbed, "1"), LIVE_TIMEOUT_S, click.echo)
+        await wait_until(lambda: entries_see(self.testbed, "1"), LIVE_TIMEOUT_S, click.echo)
 
     async def load(self, seconds: float) -> LoadResult:
         """Offer live requests for that long."""
         workspaces = tuple(item["name"] for item in self.document["workspaces"])
         profile = Profile(LOAD_PER_S, seconds, self.seed, 1.0, workspaces)
         target = Target(
-            tuple(self.stage.entry_urls()), self.service, max_tokens=TOKENS, timeout_s=TIMEOUT_S
+            tuple(self.testbed.entry_urls()), self.service, max_tokens=TOKENS, timeout_s=TIMEOUT_S
         )
         return await run_load(profile, target)
 
@@ -76,11 +76,11 @@
         drawn_before = await self.drawn_bytes()
         during_task = asyncio.create_task(self.load(0.9 * self.scale.floor_s()))
         self.published_wall_s = time.time()
-        await self.stage.publish(with_version(self.document, "2"))
+        await self.testbed.publish(with_version(self.document, "2"))
         done: list[str] = []
         if with_faults:
-            done = await disturb(self.stage, self.service, self.seed, self.scale.floor_s())
-        await wait_until(lambda: agents_live(self.stage, "2"), LIVE_TIMEOUT_S, click.echo)
+            done = await disturb(self.testbed, self.service, self.seed, self.scale.floor_s())
+        await wait_until(lambda: agents_live(self.testbed, "2"), LIVE_TIMEOUT_S, click.echo)
         during = await during_task
         views = await self.views()
         drawn = await self.drawn_bytes() - drawn_before
@@ -93,7 +93,7 @@
 
     async def views(self) -> list[dict[str, Any]]:
         """Return the transfer of the large version at every agent."""
-        children = [self.stage.agents[name] for name in self.agents]
+        children = [self.testbed.agents[name] for name in self.agents]
         urls = [f"{administration_url(child)}/v1/transfers" for child in children]
         answers = await asyncio.gather(*(get_json(url) for url in urls))
         return [
@@ -118,7 +118,7 @@
         """Return what was drawn, what entered the regions and what was wasted."""
         entered: dict[str, int] = {}
         for name, view in zip(self.agents, views, strict=False):
-            region = self.stage.deployment.place(name.split("/")[1]).region
+            region = self.testbed.deployment.place(name.split("/")[1]).region
             entered[region] = entered.get(region, 0) + view["from_other_regions_bytes"]
         received = sum(
             view["from_store_bytes"]
@@ -136,20 +136,20 @@
 
     async def drawn_bytes(self) -> int:
         """Return the bytes drawn from the store and the origin so far."""
-        urls = [f"{self.stage.standin_url(name)}/control/counts" for name in ("store", "origin")]
+        urls = [f"{self.testbed.standin_url(name)}/control/counts" for name in ("store", "origin")]
         return sum([int((await get_json(url))["total_bytes"]) for url in urls])
 
     async def bad_loads(self) -> int:
         """Return how many loads at any engine were of a partial or mixed content."""
-        slots = [slot for slot in self.stage.deployment.slots() if slot.service == self.service]
-        urls = [f"{self.stage.upstream_url(slot)}/control/counts" for slot in slots]
+        slots = [slot for slot in self.testbed.deployment.slots() if slot.service == self.service]
+        urls = [f"{self.testbed.upstream_url(slot)}/control/counts" for slot in slots]
         counts = await asyncio.gather(*(get_json(url) for url in urls))
         return sum(int(count["partial_or_mixed_loads"]) for count in counts)
 
     async def baselines(self) -> dict[str, Any]:
         """Return the figures of the two other ways."""
         replicas = len(self.agents)
-        url = self.stage.urls["origin_url"]
+        url = self.testbed.urls["origin_url"]
         drawn = await all_from_origin(url, self.document["model"], "2", replicas, self.scale)
         return {
             "baseline_seconds": round(drawn.seconds, 2),
@@ -179,8 +179,8 @@
         write_weights(directory, model, "2", scale.size_bytes, seed=2)
 
 
-def make_stage(fleet: Fleet, name: str, replicas: int, weights: Path) -> tuple[Stage, Scale]:
-    """Return the stage of a deployment, or of a burst, with its scale."""
+def make_testbed(fleet: Fleet, name: str, replicas: int, weights: Path) -> tuple[Testbed, Scale]:
+    """Return the testbed of a deployment, or of a burst, with its scale."""
     scale = BURST_SCALE if name == "burst" else DEPLOYMENT_SCALE
     store_flags = {"rate": scale.origin_bytes_per_s, "chunk_bytes": scale.chunk_bytes}
     settings = {
@@ -189,23 +189,23 @@
         "weight_memory_bytes": 3 * scale.size_bytes,
     }
     if name == "burst":
-        stage: Stage = BurstStage(
+        testbed: Testbed = BurstTestbed(
             fleet, replicas, weights, settings=settings, store_flags=store_flags
         )
     else:
         deployment = load_deployment(EXAMPLES[name])
-        stage = Stage(fleet, deployment, weights, dict(settings), None, dict(store_flags))
-    stage.settings["store_region"] = stage.deployment.store_region
-    publish_weights(weights, stage.deployment, scale)
-    return stage, scale
+        testbed = Testbed(fleet, deployment, weights, dict(settings), None, dict(store_flags))
+    testbed.settings["store_region"] = testbed.deployment.store_region
+    publish_weights(weights, testbed.deployment, scale)
+    return testbed, scale
 
 
 async def measure(name: str, seed: int, replicas: int, with_faults: bool) -> dict[str, Any]:
     """Run one measurement."""
     with tempfile.TemporaryDirectory() as folder:
         async with Fleet(Path(folder) / "logs") as fleet:
-            stage, scale = make_stage(fleet, name, replicas, Path(folder) / "weights")
-            measurement = Measurement(stage, scale, seed)
+            testbed, scale = make_testbed(fleet, name, replicas, Path(folder) / "weights")
+            measurement = Measurement(testbed, scale, seed)
             await measurement.start()
             click.echo(f"{len(measurement.agents)} agents serve version 1")
             figures = await measurement.roll_out(with_faults)
--- a/misc/progress.py
+++ b/misc/progress.py
@@ -7,7 +7,7 @@
 
 from misc.child import Child
 from misc.http import get_json
-from misc.stage import Stage, administration_url
+from misc.testbed import Testbed, administration_url
 
 POLL_S: Final = 0.25
 TOLD_EVERY_S: Final = 5.0
@@ -33,10 +33,10 @@
         await asyncio.sleep(POLL_S)
 
 
-async def agents_live(stage: Stage, version: str) -> list[str]:
+async def agents_live(testbed: Testbed, version: str) -> list[str]:
     """Return the model agents whose engine does not yet serve exactly this version."""
-    models = {slot.name for slot in stage.deployment.slots() if slot.kind == "model"}
-    children = [child for name, child in stage.agents.items() if name in models]
+    models = {slot.name for slot in testbed.deployment.slots() if slot.kind == "model"}
+    children = [child for name, child in testbed.agents.items() if name in models]
     found = await asyncio.gather(*(upstreams_of(child) for child in children))
     return [
         child.name
@@ -45,10 +45,10 @@
     ]
 
 
-async def entries_see(stage: Stage, version: str) -> list[str]:
+async def entries_see(testbed: Testbed, version: str) -> list[str]:
     """Return the entries that do not yet see every upstream ready, the models at the version."""
-    slots = stage.deployment.slots()
-    children = list(stage.entries.values())
+    slots = testbed.deployment.slots()
+    children = list(testbed.entries.values())
     found = await asyncio.gather(*(upstreams_of(child) for child in children))
     wanted = {slot.name: {version} if slot.kind == "model" else set() for slot in slots}
     return [
--- a/misc/requesting/counters.py
+++ b/misc/requesting/counters.py
@@ -1,4 +1,4 @@
-"""Counters read from the processes of a stage."""
+"""Counters read from the processes of a testbed."""
 
 from pathlib import Path
 from typing import Final, NamedTuple
@@ -6,7 +6,7 @@
 import psutil
 
 from misc.http import get_json
-from misc.stage import Stage, local_url
+from misc.testbed import Testbed, local_url
 
 ROUTE: Final = "event=route "
 NOWHERE: Final = "upstream= version="
@@ -24,33 +24,33 @@
         return hits / max(1, hits + misses)
 
 
-def model_engines(stage: Stage) -> list[str]:
+def model_engines(testbed: Testbed) -> list[str]:
     """Return the slots of model engines."""
-    return [slot.name for slot in stage.deployment.slots() if slot.kind == "model"]
+    return [slot.name for slot in testbed.deployment.slots() if slot.kind == "model"]
 
 
-async def cache_counts(stage: Stage) -> CacheCounts:
+async def cache_counts(testbed: Testbed) -> CacheCounts:
     """Return the engines' counts, summed up."""
     hits = misses = 0
-    for name in model_engines(stage):
-        counts = await get_json(f"{local_url(stage.upstreams[name].port)}/control/counts")
+    for name in model_engines(testbed):
+        counts = await get_json(f"{local_url(testbed.upstreams[name].port)}/control/counts")
         hits += counts["cache_hits"]
         misses += counts["cache_misses"]
     return CacheCounts(hits, misses)
 
 
-def entry_cpu_s(stage: Stage) -> float:
+def entry_cpu_s(testbed: Testbed) -> float:
     """Return the processor seconds that all entries have used."""
     total = 0.0
-    for child in stage.entries.values():
+    for child in testbed.entries.values():
         times = psutil.Process(child.pid).cpu_times()
         total += times.user + times.system
     return total
 
 
-def attempts_logged(stage: Stage) -> int:
+def attempts_logged(testbed: Testbed) -> int:
     """Return how many attempts the entries have sent to an upstream, by their decisions."""
-    return sum(attempts_in(child.log_path) for child in stage.entries.values())
+    return sum(attempts_in(child.log_path) for child in testbed.entries.values())
 
 
 def attempts_in(path: Path) -> int:
--- a/misc/stage.py
+++ b/misc/testbed.py
@@ -17,7 +17,7 @@
 READY_POLL_S: Final = 0.1
 
 
-class Stage:
+class Testbed:
     """A deployment whose processes run in a fleet.
 
     ``settings`` go to every daemon and ``engine_flags`` to every engine.
--- a/misc/weights/burst.py
+++ b/misc/weights/burst.py
@@ -7,7 +7,7 @@
 from misc.child import Child
 from misc.deployment import Deployment, Place, Slot, load_deployment
 from misc.fleet import Fleet
-from misc.stage import Stage, local_url
+from misc.testbed import Testbed, local_url
 
 ENGINES_PER_PROCESS: Final = 10
 STARTS_AT_ONCE: Final = 10
@@ -31,8 +31,8 @@
     )
 
 
-class BurstStage(Stage):
-    """A stage whose engines are several to a process."""
+class BurstTestbed(Testbed):
+    """A testbed whose engines are several to a process."""
 
     def __init__(self, fleet: Fleet, replicas: int, weights: Path, **flags: dict[str, Any]) -> None:
         super().__init__(fleet, burst_deployment(replicas), weights, **flags)
--- a/misc/weights/disturbance.py
+++ b/misc/weights/disturbance.py
@@ -5,27 +5,27 @@
 from typing import Final
 
 from misc.http import post_json
-from misc.stage import Stage
+from misc.testbed import Testbed
 
 CORRUPT_READS: Final = 20
 KILLED_SHARE: Final = 0.1
 FROZEN_S: Final = 6.0
 
 
-async def disturb(stage: Stage, service: str, seed: int, floor_s: float) -> list[str]:
+async def disturb(testbed: Testbed, service: str, seed: int, floor_s: float) -> list[str]:
     """Let the faults happen while a transfer runs; return what was done."""
     random = Random(seed)
-    slots = [slot for slot in stage.deployment.slots() if slot.service == service]
+    slots = [slot for slot in testbed.deployment.slots() if slot.service == service]
     await asyncio.sleep(0.2 * floor_s)
-    await post_json(f"{stage.standin_url('store')}/control/corrupt", {"reads": CORRUPT_READS})
+    await post_json(f"{testbed.standin_url('store')}/control/corrupt", {"reads": CORRUPT_READS})
     chosen = random.sample(slots, max(2, round(KILLED_SHARE * len(slots)) + 1))
     frozen, killed = chosen[0], chosen[1:]
-    stage.fleet.freeze(frozen.name)
+    testbed.fleet.freeze(frozen.name)
     for slot in killed:
-        await stage.fleet.kill(slot.name)
+        await testbed.fleet.kill(slot.name)
     await asyncio.sleep(FROZEN_S)
-    stage.fleet.thaw(frozen.name)
+    testbed.fleet.thaw(frozen.name)
     for slot in killed:
-        await stage.start_agent(slot)
+        await testbed.start_agent(slot)
     names = ", ".join(slot.name for slot in killed)
     return [f"{CORRUPT_READS} corrupt reads", f"froze {frozen.name}", f"replaced {names}"]
