Wait for a missing home once, not for each request

Cause: every request for a home that is out of reach was held for up to 6 s and then refused, also when the home had been away for minutes; a request that is given up on is to be answered at once. Ruled out: no wait at all (each planned replacement of a home would refuse its keys for seconds). Change: the 6 s run from when the home was first found missing. Before: the second request of test_a_home_that_stays_away was told after 6.0 s. After: within 0.2 s of virtual time, and the home is used again once it is back.

--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -17,6 +17,7 @@
 from gypsumpier.entry.budget import RetryBudget
 from gypsumpier.entry.failure import WITHDRAWN, Failure
 from gypsumpier.entry.guard import Guard
+from gypsumpier.entry.homewait import HOME_WAIT_S, HomeWait
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.links import Links
@@ -25,6 +26,8 @@
 from gypsumpier.entry.router import Choice, choose
 from gypsumpier.entry.sender import Sender
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.homes import home_slot
+from gypsumpier.idempotency.key import KeyId
 from gypsumpier.log import decision
 from gypsumpier.options import Options
 from gypsumpier.wire.frame import Frame
@@ -32,7 +35,6 @@
 ATTEMPTS_MAX: Final = 3
 RETRY_AFTER_S: Final = 1.0
 BACKOFF_S: Final = 0.05
-HOME_WAIT_S: Final = 6.0
 HOME_POLL_S: Final = 0.1
 HOME_SPREAD_S: Final = 0.5
 
@@ -50,6 +52,7 @@
         self.random = random
         self.sender = Sender(options, clock, links, keys)
         self.budget = RetryBudget()
+        self.home_wait = HomeWait()
         self.guard = Guard(options, clock, links, keys)
 
     async def run(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
@@ -147,10 +150,16 @@
         """Return the link to the key's home; a home that is being replaced is waited for."""
         until_s = self.clock.monotonic() + self.home_wait_s(request)
         while True:
+            slot = home_slot(document, KeyId(request.workspace, request.key))
             try:
-                return self.keys.home(request, document)
+                link = self.keys.home(request, document)
+                self.home_wait.note_reached(slot)
+                return link
             except GypsumpierError as error:
-                if self.clock.monotonic() + HOME_POLL_S > until_s:
+                now_s = self.clock.monotonic()
+                self.home_wait.note_missing(slot, now_s)
+                left_s = min(until_s - now_s, self.home_wait.left_s(slot, now_s))
+                if left_s < HOME_POLL_S:
                     failure.note(error, None)
                     raise failure.told() from error
             await self.clock.sleep(HOME_POLL_S)
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -8,6 +8,7 @@
 from gypsumpier.codes import request as codes
 from gypsumpier.document.service import ServiceDocument, ZoneReplicas
 from gypsumpier.entry.failure import Failure
+from gypsumpier.entry.homewait import HOME_WAIT_S
 from gypsumpier.entry.inquiry import ask_outcome
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.homes import home_slot
@@ -28,6 +29,7 @@
 from gypsumpier.test.virtual import run
 
 SETTLED_S = 5.0
+AT_ONCE_S = 0.2
 WHOLE = "".join(f"{number} " for number in range(TOKENS))
 
 
@@ -393,6 +395,30 @@
         run(scenario())
 
 
+class HomeWaitTest(unittest.TestCase):
+    def test_a_home_that_stays_away_is_waited_for_once_and_not_by_each_request(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            del world.network.handlers[(agent.member.host, agent.member.port)]
+            for link in list(world.network.links):
+                link.cut()
+            await asyncio.sleep(0.1)
+            told: list[tuple[str, float]] = []
+            for key in ("first", "second"):
+                began_at_s = world.clock.monotonic()
+                error = await outcome(world, entry, plain_call(world, key))
+                told.append((error, world.clock.monotonic() - began_at_s))
+            self.assertEqual(["home_unreachable"] * 2, [error for error, _ in told])
+            self.assertLessEqual(told[0][1], HOME_WAIT_S)
+            self.assertLess(told[1][1], AT_ONCE_S)
+            world.network.listen(agent.member.host, agent.member.port, agent.listener.serve)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "third")))
+
+        run(scenario())
+
+
 class FailureTest(unittest.TestCase):
     def test_an_entry_that_is_full_does_not_call_a_key_not_run(self) -> None:
         async def scenario() -> None:
