--- a/gypsumpier/weight/tally.py
+++ b/gypsumpier/weight/tally.py
@@ -1,6 +1,6 @@
 """Counts what a transfer received, by source."""
 
-from dataclasses import dataclass
+from collections import Counter
 from typing import Final
 
 STORE: Final = "store"
@@ -9,21 +9,17 @@
 OTHER_REGION: Final = "other_region"
 
 
-@dataclass
 class Tally:
     """Bytes received since a transfer began; ``wasted_bytes`` came twice or corrupt."""
 
-    store_bytes: int = 0
-    origin_bytes: int = 0
-    region_bytes: int = 0
-    other_region_bytes: int = 0
-    wasted_bytes: int = 0
-    corrupt_chunks: int = 0
+    def __init__(self) -> None:
+        self.bytes_by_source: Counter[str] = Counter()
+        self.wasted_bytes = 0
+        self.corrupt_chunks = 0
 
     def add(self, source: str, length: int, used: bool) -> None:
         """Count one chunk from a source."""
-        field = f"{source}_bytes"
-        setattr(self, field, getattr(self, field) + length)
+        self.bytes_by_source[source] += length
         if not used:
             self.wasted_bytes += length
 
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -21,7 +21,7 @@
 from gypsumpier.weight.manifest import Manifest
 from gypsumpier.weight.room import Room
 from gypsumpier.weight.swarm import Swarm
-from gypsumpier.weight.tally import Tally
+from gypsumpier.weight.tally import ORIGIN, OTHER_REGION, REGION, STORE, Tally
 from gypsumpier.weight.transfer import Transfer
 from gypsumpier.weight.view import TransferView
 
@@ -219,10 +219,10 @@
             chunks=len(manifest.chunks) if manifest is not None else 0,
             chunks_held=len(self.transfer.held) if self.transfer is not None else 0,
             size_bytes=manifest.size_bytes if manifest is not None else 0,
-            from_store_bytes=self.tally.store_bytes,
-            from_origin_bytes=self.tally.origin_bytes,
-            from_region_bytes=self.tally.region_bytes,
-            from_other_regions_bytes=self.tally.other_region_bytes,
+            from_store_bytes=self.tally.bytes_by_source[STORE],
+            from_origin_bytes=self.tally.bytes_by_source[ORIGIN],
+            from_region_bytes=self.tally.bytes_by_source[REGION],
+            from_other_regions_bytes=self.tally.bytes_by_source[OTHER_REGION],
             wasted_bytes=self.tally.wasted_bytes,
             corrupt_chunks=self.tally.corrupt_chunks,
             peers=len(self.swarm.peers.by_name),
