--- a/gypsumpier/test/standin/engine.py
+++ b/gypsumpier/test/standin/engine.py
@@ -160,6 +160,7 @@
 @click.option("--status-lag-s", default=0.2)
 @click.option("--capacity", default=BatchOptions().capacity)
 @click.option("--step-s", default=BatchOptions().step_s)
+@click.option("--cache-blocks", default=BatchOptions().cache_blocks)
 def main(
     port: int,
     fencing: bool,
@@ -168,9 +169,10 @@
     status_lag_s: float,
     capacity: int,
     step_s: float,
+    cache_blocks: int,
 ) -> None:
     """Serve the stand-in as a process."""
-    batch = BatchOptions(capacity=capacity, step_s=step_s)
+    batch = BatchOptions(capacity=capacity, step_s=step_s, cache_blocks=cache_blocks)
     weights = Weights(memory_bytes, load_s, fencing)
     asyncio.run(run(port, batch, weights, status_lag_s))
 
--- a/gypsumpier/test/test_connection.py
+++ b/gypsumpier/test/test_connection.py
@@ -80,6 +80,21 @@
         budget = options.idle_heartbeats_per_s * MINUTE_S
         self.assertLessEqual(run(scenario()), 1.1 * budget)
 
+    def test_the_pace_of_both_ends_is_known_after_it_changed(self) -> None:
+        async def scenario() -> None:
+            pace = Pace(Options())
+            pairs = [await open_pair(pace) for _ in range(PEERS)]
+            await asyncio.sleep(SETTLE_S)
+            for near, _ in pairs[1:]:
+                near.close()
+            await asyncio.sleep(SETTLE_S)
+            near, far = pairs[0]
+            self.assertEqual(HEARTBEAT_S, far.peer_interval_s)
+            self.assertEqual(HEARTBEAT_S, far.peer_pace_s)
+            self.assertFalse(near.closed)
+
+        run(scenario())
+
     def test_a_request_into_a_dead_connection_is_noticed_as_fast_as_ever(self) -> None:
         async def scenario() -> float:
             pace = Pace(Options())
--- a/gypsumpier/wire/connection.py
+++ b/gypsumpier/wire/connection.py
@@ -62,6 +62,7 @@
         self.received_at_s = clock.monotonic()
         self.sent_at_s = clock.monotonic()
         self.announced_interval_s = heartbeat_s
+        self.announced_pace_s = heartbeat_s
         self.peer_interval_s = heartbeat_s
         self.peer_pace_s = heartbeat_s
         self.smallest_difference_s: float | None = None
@@ -182,12 +183,15 @@
 
     async def send_heartbeat(self) -> None:
         """Send a heartbeat.  A full window must not hold up the check for silence."""
-        wanted_s = self.wanted_interval_s()
+        wanted_s, pace_s = self.wanted_interval_s(), self.own_pace_s()
         try:
-            payload = {"interval_s": wanted_s, "pace_s": self.own_pace_s()}
+            payload = {"interval_s": wanted_s, "pace_s": pace_s}
+            # Most heartbeats are of idle connections, whose announcement has not changed.
+            if (wanted_s, pace_s) == (self.announced_interval_s, self.announced_pace_s):
+                payload = {}
             async with asyncio.timeout(self.heartbeat_s):
                 await self.send(HEARTBEAT, payload)
-            self.announced_interval_s = wanted_s
+            self.announced_interval_s, self.announced_pace_s = wanted_s, pace_s
         except TimeoutError:
             return
         except GypsumpierError:
@@ -196,8 +200,11 @@
     def note_interval(self, frame: Frame) -> None:
         """Keep the interval and the pace that the peer announces.
 
-        Its silence is judged by the interval; ``pace_s`` is what it would like to receive.
+        Its silence is judged by the interval; ``pace_s`` is what it would like to receive.  An
+        empty heartbeat repeats what was announced last.
         """
+        if not frame.payload:
+            return
         self.peer_interval_s = max(self.heartbeat_s, checked_interval(frame, "interval_s"))
         self.peer_pace_s = max(self.heartbeat_s, checked_interval(frame, "pace_s"))
 
--- a/misc/measure_requests.py
+++ b/misc/measure_requests.py
@@ -29,6 +29,8 @@
 LIVE_TIMEOUT_S: Final = 45.0
 ENGINE_CAPACITY: Final = 8
 STEP_S: Final = 0.02
+CACHE_BLOCKS: Final = 64
+"""Blocks that an engine caches: as many as all shared prompts of the load have together."""
 STREAM_STEP_S: Final = 0.0002
 TOKENS: Final = 24
 DEADLINE_S: Final = 4.0
@@ -153,7 +155,7 @@
     """Measure everything with affinity, then the prefix hits without it."""
     weights = directory / "weights"
     make_weights(weights, deployment.documents[SERVICE]["model"], seed)
-    flags = {"capacity": ENGINE_CAPACITY, "step_s": STEP_S}
+    flags = {"capacity": ENGINE_CAPACITY, "step_s": STEP_S, "cache_blocks": CACHE_BLOCKS}
     found: dict[str, Any] = {}
     async with Fleet(directory / "with") as fleet:
         measurement = Measurement(Testbed(fleet, deployment, weights, {}, dict(flags)), seed)
