--- a/gypsumpier/weight/fetchrun.py
+++ b/gypsumpier/weight/fetchrun.py
@@ -68,7 +68,7 @@
         self.tasks.append(asyncio.create_task(part.run()))
 
     def start_imports(self) -> None:
-        """Have tasks for each other region, so that one pays for a link while another does."""
+        """Have tasks for each other region, so that their waits for a link's budget overlap."""
         own = self.swarm.options.region
         for region in set(self.fetch.plan.regions) - self.import_regions - {own}:
             self.import_regions.add(region)
