--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -29,6 +29,7 @@
 from gypsumpier.test.virtual import VirtualClock
 from gypsumpier.wire.frame import Frame
 
+SETTLED_S = 5.0
 MODEL_SERVICE = "gypsum-llm"
 PLAIN_SERVICE = "table-ops"
 TOKENS = 10
@@ -220,3 +221,10 @@
         for frame in frames
         if frame.kind in ("token", "data")
     )
+
+
+async def settled(world: World, service: str = "table-ops") -> tuple[AgentParts, EntryParts]:
+    """Return an agent and an entry that have met, with the home complete."""
+    agent, entry = world.agent(service), await world.entry()
+    await asyncio.sleep(SETTLED_S)
+    return agent, entry
--- /dev/null
+++ b/gypsumpier/test/test_request_keys.py
@@ -0,0 +1,263 @@
+"""Requests under a key: crossed copies, replaced and stopped homes, homes that stay away."""
+
+import asyncio
+import unittest
+
+from gypsumpier.agent.closing import say_closing
+from gypsumpier.document.service import ServiceDocument, ZoneReplicas
+from gypsumpier.entry.homewait import HOME_WAIT_S
+from gypsumpier.entry.inquiry import ask_outcome
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.idempotency.homes import home_slot
+from gypsumpier.idempotency.key import KeyId
+from gypsumpier.idempotency.record import KeyRecord, KeyState
+from gypsumpier.idempotency.succession import EntryId
+from gypsumpier.test.builders import ZONE, plain_document
+from gypsumpier.test.builders_request import (
+    SETTLED_S,
+    EntryParts,
+    World,
+    outcome,
+    plain_call,
+    settled,
+)
+from gypsumpier.test.virtual import run
+
+AT_ONCE_S = 0.2
+
+
+async def asked(entry: EntryParts, key: str) -> str:
+    """Return what the home says of a key."""
+    try:
+        frames = [frame async for frame in ask_outcome(entry.keys, "table-ops", KeyId("lab", key))]
+    except GypsumpierError as error:
+        return error.code.name
+    return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
+
+
+def two_slots(world: World) -> ServiceDocument:
+    """Return the plain service's document with two slots."""
+    document = world.documents.document("table-ops")
+    assert document is not None
+    return document._replace(zones=(ZoneReplicas(ZONE, 2),))
+
+
+class KeyTest(unittest.TestCase):
+    def test_copies_at_once_through_two_entries_run_once(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            answers = await asyncio.gather(
+                outcome(world, entry, plain_call(world, "k")),
+                outcome(world, other, plain_call(world, "k")),
+            )
+            self.assertEqual(["go", "go"], answers)
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+            again = await outcome(world, other, plain_call(world, "k", b"stop"))
+            self.assertEqual("key_reused", again)
+
+        run(scenario())
+
+    def test_copies_that_wait_for_a_key_fill_no_slots(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            limits = {"in_flight_per_upstream": 2, "body_bytes": 65536, "deadline_s": 30.0}
+            zones = [{"zone": ZONE, "replicas": 1}]
+            world.offer(2, plain_document(zones=zones, limits=limits))
+            agent, _ = await settled(world)
+            entries = [await world.entry(number) for number in range(1, 7)]
+            await asyncio.sleep(SETTLED_S)
+            calls = [(entry, key) for key in ("k", "other") for entry in entries]
+            answers = await asyncio.gather(
+                *(outcome(world, entry, plain_call(world, key)) for entry, key in calls)
+            )
+            self.assertEqual(["go"] * len(calls), answers)
+            self.assertEqual({"k": 1, "other": 1}, agent.upstream.runs)
+
+        run(scenario())
+
+    def test_asking_for_an_outcome_runs_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            self.assertEqual("key_not_seen", await asked(entry, "k"))
+            call = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.2)
+            self.assertEqual("key_running", await asked(entry, "k"))
+            await call
+            self.assertEqual("go", await asked(entry, "k"))
+            self.assertEqual({"k": 1}, agent.upstream.runs)
+
+        run(scenario())
+
+    def test_a_killed_home_leaves_its_keys_unknown_and_runs_others(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            call = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.2)
+            successor = world.replace(agent, "two")
+            self.assertEqual("outcome_unknown", await call)
+            again = await outcome(world, other, plain_call(world, "k"))
+            self.assertEqual("key_outcome_unknown", again)
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "new")))
+            self.assertEqual({"new": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_an_answer_outlives_a_planned_stop(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            agent.gate.leaving = True
+            refused = await outcome(world, entry, plain_call(world, "late"))
+            self.assertEqual("upstream_leaving", refused)
+            await agent.listener.hand_over()
+            await asyncio.sleep(0.1)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "late")))
+            self.assertEqual({"late": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_nothing_is_lost_on_its_way_to_a_stopping_agent(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            for link in world.network.links:
+                link.delay_s = 0.2
+            agent.gate.leaving = True
+            closing = asyncio.create_task(say_closing(agent.listener))
+            await asyncio.sleep(0.1)
+            late = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await closing
+            self.assertTrue(agent.gate.exchanges.known)
+            await asyncio.sleep(0.3)
+            world.replace(agent, "two")
+            self.assertEqual("upstream_leaving", await late)
+
+        run(scenario())
+
+    def test_keys_of_an_entry_that_stopped_as_planned_stay_known(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            await entry.keys.hand_over()
+            await asyncio.sleep(0.1)
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
+            world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("answer_gone", await outcome(world, other, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "opaque")))
+
+        run(scenario())
+
+    def test_a_home_vouches_for_an_entry_that_vanished_before_it(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
+            await asyncio.sleep(1.0)
+            successor = world.replace(agent, "two")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("answer_gone", await outcome(world, other, plain_call(world, "k")))
+            self.assertEqual("go", await outcome(world, other, plain_call(world, "opaque")))
+            self.assertEqual({"opaque": 1}, successor.upstream.runs)
+
+        run(scenario())
+
+    def test_a_home_hands_over_only_its_own_keys(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            foreign, own = KeyId("lab", "x"), KeyId("lab", "own")
+            for key_id in (foreign, own):
+                agent.home.ledger.learn(key_id, KeyRecord("f", KeyState.UNKNOWN, 1.0))
+            slots = [home_slot(two_slots(world), key_id) for key_id in (foreign, own)]
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            await agent.listener.hand_over()
+            await asyncio.sleep(0.1)
+            expected = [
+                ("table-ops", key_id)
+                for key_id, slot in zip((foreign, own), slots, strict=True)
+                if slot == agent.member.name
+            ]
+            self.assertEqual(expected, list(entry.keys.sent.keys))
+            self.assertEqual(1, len(expected))
+
+        run(scenario())
+
+    def test_an_entry_that_was_vouched_for_sends_no_keys_any_more(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            agent.listener.vouched.add(EntryId(entry.member.name, "one"))
+            self.assertEqual(
+                "home_unreachable", await outcome(world, entry, plain_call(world, "k"))
+            )
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            self.assertFalse(agent.upstream.runs["k"])
+
+        run(scenario())
+
+    def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "k")))
+            successor = world.replace(agent, "two")
+            await entry.links.stop()
+            del world.members.members[entry.member.name]
+            world.members.notify()
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("home_recovering", await outcome(world, other, plain_call(world, "k")))
+            self.assertFalse(successor.upstream.runs)
+
+        run(scenario())
+
+
+class HomeWaitTest(unittest.TestCase):
+    def test_a_home_that_stays_away_is_waited_for_once_and_not_by_each_request(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await settled(world)
+            del world.network.handlers[(agent.member.host, agent.member.port)]
+            for link in list(world.network.links):
+                link.cut()
+            await asyncio.sleep(0.1)
+            told: list[tuple[str, float]] = []
+            for key in ("first", "second"):
+                began_at_s = world.clock.monotonic()
+                error = await outcome(world, entry, plain_call(world, key))
+                told.append((error, world.clock.monotonic() - began_at_s))
+            self.assertEqual(["home_unreachable"] * 2, [error for error, _ in told])
+            self.assertLessEqual(told[0][1], HOME_WAIT_S)
+            self.assertLess(told[1][1], AT_ONCE_S)
+            world.network.listen(agent.member.host, agent.member.port, agent.listener.serve)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world, "third")))
+
+        run(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
