--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 venv: $(STAMP)
 
-$(STAMP): requirements.txt
+$(STAMP): requirements.txt requirements-runtime.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
 	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
 	touch $(STAMP)
--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -15,15 +15,15 @@
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
+from gypsumpier.external.configuration_http import HttpConfiguration
+from gypsumpier.external.engine_http import HttpEngine
+from gypsumpier.external.membership_http import HttpMembership
+from gypsumpier.external.service_http import HttpService
+from gypsumpier.external.store_http import HttpStore
 from gypsumpier.log import decision
 from gypsumpier.member.keeper import MemberKeeper
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.configuration_http import HttpConfiguration
-from gypsumpier.platform.engine_http import HttpEngine
-from gypsumpier.platform.membership_http import HttpMembership
-from gypsumpier.platform.service_http import HttpService
-from gypsumpier.platform.store_http import HttpStore
 from gypsumpier.spread.spread import Spread
 from gypsumpier.weight.rollout import Rollout
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -19,10 +19,10 @@
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER, PLATFORM_UNREACHABLE
 from gypsumpier.codes.result import Outcome
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import LiveModel
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.log import decision
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import LiveModel
 from gypsumpier.wire.connection import Connection
 
 RETRY_AFTER_S: Final = 1.0
--- a/gypsumpier/agent/generation.py
+++ b/gypsumpier/agent/generation.py
@@ -11,8 +11,8 @@
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER, PLATFORM_UNREACHABLE
 from gypsumpier.codes.request import UPSTREAM_FAILED
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import Completion, Engine, EngineEvent
 from gypsumpier.log import decision
-from gypsumpier.platform.engine import Completion, Engine, EngineEvent
 
 RESUMES_MAX: Final = 3
 CUT_CODES: Final = frozenset({PLATFORM_BAD_ANSWER, PLATFORM_UNREACHABLE})
--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -12,9 +12,9 @@
     WRONG_VERSION,
 )
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.engine import Completion, Engine, LiveModel
-from gypsumpier.platform.http import NotSentError
-from gypsumpier.platform.service import Service, ServiceCall
+from gypsumpier.external.engine import Completion, Engine, LiveModel
+from gypsumpier.external.http import NotSentError
+from gypsumpier.external.service import Service, ServiceCall
 
 RETRY_AFTER_S: Final = 1.0
 
--- a/gypsumpier/codes/platform.py
+++ b/gypsumpier/codes/platform.py
@@ -16,3 +16,6 @@
 ORDER_FENCED: Final = ResultCode(
     6004, "order_fenced", 409, Outcome.NOT_RUN, "A newer order has been taken; decide again."
 )
+HISTORY_GONE: Final = ResultCode(
+    6005, "history_gone", 410, Outcome.NOT_RUN, "Everything is read anew."
+)
--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -157,3 +157,47 @@
     Outcome.UNKNOWN,
     "The request was running when two upstreams crashed; this copy was not run. Change it.",
 )
+NO_ROUTE: Final = ResultCode(
+    2060, "no_route", 404, Outcome.NOT_RUN, "Call a host and path that a route takes."
+)
+KEY_UNKNOWN: Final = ResultCode(
+    2061, "key_unknown", 401, Outcome.NOT_RUN, "Send a key that a workspace holds."
+)
+ENTRY_UNINFORMED: Final = ResultCode(
+    2062, "entry_uninformed", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
+STALE_CONFIGURATION: Final = ResultCode(
+    2063,
+    "stale_configuration",
+    503,
+    Outcome.NOT_RUN,
+    "The entry can't tell whether the key still holds; another entry may. Send it again.",
+)
+NO_UPSTREAM: Final = ResultCode(
+    2064, "no_upstream", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
+QUEUE_TOO_LONG: Final = ResultCode(
+    2065, "queue_too_long", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
+SUSPECTED_OF_CRASHES: Final = ResultCode(
+    2066,
+    "suspected_of_crashes",
+    503,
+    Outcome.NOT_RUN,
+    "Earlier copies were running when upstreams crashed; this copy was not run. Change it.",
+)
+TIME_LIMIT_REACHED: Final = ResultCode(
+    2067, "time_limit_reached", 504, Outcome.UNKNOWN, "The request may have run; allow more time."
+)
+TIME_LIMIT_BEFORE_START: Final = ResultCode(
+    2068, "time_limit_before_start", 503, Outcome.NOT_RUN, "Allow more time."
+)
+ANSWER_LOST: Final = ResultCode(
+    2069, "answer_lost", 502, Outcome.UNKNOWN, "The request may have run; find out at the service."
+)
+EVERY_TRY_REFUSED: Final = ResultCode(
+    2070, "every_try_refused", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
+GATEWAY_FAILED: Final = ResultCode(
+    2071, "gateway_failed", 502, Outcome.UNKNOWN, "Report the request's id; it may have run."
+)
--- a/gypsumpier/codes/wire.py
+++ b/gypsumpier/codes/wire.py
@@ -16,3 +16,6 @@
 CONNECTION_SILENT: Final = ResultCode(
     7004, "connection_silent", 502, Outcome.UNKNOWN, "The connection is opened again."
 )
+PEER_FAILED: Final = ResultCode(
+    7005, "peer_failed", 502, Outcome.UNKNOWN, "Another peer is asked, or the same one later."
+)
--- a/gypsumpier/daemon.py
+++ b/gypsumpier/daemon.py
@@ -15,7 +15,6 @@
 from gypsumpier import log
 from gypsumpier.codes.setting import SETTING_UNKNOWN
 from gypsumpier.options import Options
-from gypsumpier.process import Process
 from gypsumpier.settinghelp import SETTING_HELP
 from gypsumpier.settings import Problem, SettingsError, build, flag_name, variable_name
 
@@ -76,10 +75,30 @@
         return report([Problem(SETTING_UNKNOWN, "arguments", error.format_message())])
     if not isinstance(options, Options):
         return 0
+    if options.node_file:
+        return run_on_platform(options)
+    return run_process(options)
+
+
+def run_process(options: Options) -> int:
+    """Run one process on the product's own interfaces; return its exit status."""
+    # Imported here, as either way of running needs only its own part of the program in memory.
+    from gypsumpier.process import Process
+
     log.configure(options.log_level, options.log_json)
     return asyncio.run(Process(options).run())
 
 
+def run_on_platform(options: Options) -> int:
+    """Run one process on the Rung Lab platform; return its exit status."""
+    from gypsumpier.node import NodeProcess
+
+    try:
+        return asyncio.run(NodeProcess(options).run())
+    except SettingsError as error:
+        return report(error.problems)
+
+
 def report(problems: list[Problem]) -> int:
     """Print every problem with its numbered code; return the exit status."""
     for problem in problems:
--- a/gypsumpier/document/keeper.py
+++ b/gypsumpier/document/keeper.py
@@ -19,8 +19,8 @@
 from gypsumpier.document.spread import wanted_names
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.configuration import Changes, Configuration
 from gypsumpier.options import Options
-from gypsumpier.platform.configuration import Changes, Configuration
 from gypsumpier.spread.spread import Spread
 from gypsumpier.tasks import end_task
 
--- a/gypsumpier/document/record.py
+++ b/gypsumpier/document/record.py
@@ -5,7 +5,7 @@
 
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.document.validator import BODY_LIMIT_BYTES
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 
 DIGEST_BYTES: Final = 8
 
--- a/gypsumpier/document/table.py
+++ b/gypsumpier/document/table.py
@@ -24,8 +24,8 @@
 from gypsumpier.document.record import Rank, Record, Refusal, clipped, rank_of, size_bytes
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.document.validator import parse
+from gypsumpier.external.configuration import Revised
 from gypsumpier.log import decision
-from gypsumpier.platform.configuration import Revised
 
 NAMES_LIMIT: Final = 4096
 TABLE_LIMIT_BYTES: Final = 16 * 1024 * 1024
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -19,12 +19,12 @@
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
+from gypsumpier.external.configuration_http import HttpConfiguration
+from gypsumpier.external.membership_http import HttpMembership
 from gypsumpier.log import decision
 from gypsumpier.member.keeper import MemberKeeper
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.configuration_http import HttpConfiguration
-from gypsumpier.platform.membership_http import HttpMembership
 from gypsumpier.spread.spread import Spread
 from gypsumpier.spread.streams import SpreadStreams
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
--- a/gypsumpier/entry/intake.py
+++ b/gypsumpier/entry/intake.py
@@ -16,8 +16,8 @@
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.prefix import PREFIX_BLOCK_CHARS, prefix_ids
 from gypsumpier.idempotency.key import fingerprint
-from gypsumpier.platform.prefix import PREFIX_BLOCK_CHARS, prefix_ids
 
 WORKSPACE_HEADER: Final = "Workspace"
 KEY_HEADER: Final = "Idempotency-Key"
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -16,10 +16,10 @@
 from gypsumpier.codes.wire import CONNECTION_CLOSED
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import LiveModel
+from gypsumpier.external.membership import Member
 from gypsumpier.log import decision
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import LiveModel
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.message import is_control
 from gypsumpier.spread.session import Session
--- a/gypsumpier/entry/linkplan.py
+++ b/gypsumpier/entry/linkplan.py
@@ -20,8 +20,8 @@
 from typing import Final, NamedTuple
 
 from gypsumpier.document.service import ServiceDocument
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread.topology import score
 
 HOLDERS_MIN: Final = 2
--- a/gypsumpier/entry/links.py
+++ b/gypsumpier/entry/links.py
@@ -9,9 +9,9 @@
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.link import Link, ignore
 from gypsumpier.entry.linkplan import planned
+from gypsumpier.external.membership import Member
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread.spread import Spread
 from gypsumpier.tasks import end_task
 from gypsumpier.wire.frame import Frame
--- a/gypsumpier/platform/configuration_http.py
+++ b/gypsumpier/external/configuration_http.py
@@ -9,8 +9,8 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.configuration import Changes, Revised
-from gypsumpier.platform.http import HttpCaller, json_object
+from gypsumpier.external.configuration import Changes, Revised
+from gypsumpier.external.http import HttpCaller, json_object
 
 WATCH_MARGIN_S: Final = 5.0
 
--- a/gypsumpier/platform/engine_http.py
+++ b/gypsumpier/external/engine_http.py
@@ -15,7 +15,7 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.engine import (
+from gypsumpier.external.engine import (
     CacheEvent,
     Completion,
     EngineEvent,
@@ -23,8 +23,8 @@
     LiveModel,
     LoadOrder,
 )
-from gypsumpier.platform.http import HttpCaller, json_object, raise_for_status
-from gypsumpier.platform.lines import LineQueue
+from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
+from gypsumpier.external.lines import LineQueue
 
 STATUS_TIMEOUT_S: Final = 2.0
 STREAM_TIMEOUT_S: Final = 600.0
--- a/gypsumpier/platform/http.py
+++ b/gypsumpier/external/http.py
@@ -18,6 +18,7 @@
     PLATFORM_UNREACHABLE,
 )
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.numericresolver import NumericResolver
 
 MAX_CLIENTS: Final = 2000
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -42,6 +43,7 @@
             max_clients=MAX_CLIENTS,
             max_body_size=max_body_bytes,
             max_buffer_size=max_body_bytes,
+            resolver=NumericResolver(),
         )
 
     def request(
--- a/gypsumpier/platform/membership_http.py
+++ b/gypsumpier/external/membership_http.py
@@ -9,8 +9,8 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.http import HttpCaller, json_object, raise_for_status
-from gypsumpier.platform.membership import Member
+from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
+from gypsumpier.external.membership import Member
 
 NOT_MODIFIED: Final = 304
 
--- a/gypsumpier/platform/service_http.py
+++ b/gypsumpier/external/service_http.py
@@ -9,8 +9,8 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.http import HttpCaller, NotSentError
-from gypsumpier.platform.service import ServiceAnswer, ServiceCall
+from gypsumpier.external.http import HttpCaller, NotSentError
+from gypsumpier.external.service import ServiceAnswer, ServiceCall
 
 HEALTH_TIMEOUT_S: Final = 2.0
 CONNECTION_HEADERS: Final = frozenset(
--- a/gypsumpier/platform/store_http.py
+++ b/gypsumpier/external/store_http.py
@@ -10,8 +10,8 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.http import HttpCaller
-from gypsumpier.platform.store import WeightFile
+from gypsumpier.external.http import HttpCaller
+from gypsumpier.external.store import WeightFile
 
 READ_TIMEOUT_S: Final = 60.0
 
--- /dev/null
+++ b/gypsumpier/fleet/beliefs.py
@@ -0,0 +1,179 @@
+"""What one process believes of the deployment, with the revision and the age of each belief.
+
+A proof is the moment at which this process certainly knew everything that the store had
+acknowledged.  It comes from an answer of the store, or from a peer together with its age, which
+travels as a duration, so that clocks are never compared.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from gypsumpier.fleet.change import (
+    Batch,
+    ConfigurationChange,
+    FleetChange,
+    FleetSource,
+    UpstreamChange,
+    VersionChange,
+)
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.configuration import FleetConfiguration
+from gypsumpier.fleet.record import Record
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.log import decision
+
+LAPSE_GRACE_S: Final = 2.0
+"""Seconds after an outage of the store within which a lapsed upstream's record may come back."""
+OUTAGE_S: Final = 1.0
+"""Seconds without any proof after which records may have lapsed because of an outage."""
+
+
+class WantedVersion(NamedTuple):
+    """The version that a model's engines are to serve, and when this process learned of it."""
+
+    version: int
+    learned_at_s: float
+
+
+class Beliefs:
+    """Configuration, upstreams and wanted versions.  Times are those of ``boot_time_s``."""
+
+    def __init__(self, source: FleetSource) -> None:
+        self.source = source
+        self.records: dict[str, Record] = {}
+        self.revision = 0
+        self.proven_at_s = float("-inf")
+        self.outage_ended_at_s = float("-inf")
+        self.configuration: FleetConfiguration | None = None
+        self.upstreams: dict[str, UpstreamRecord] = {}
+        self.lapsed: dict[str, float] = {}
+        self.versions: dict[str, WantedVersion] = {}
+        self.listeners: list[Callable[[], None]] = []
+
+    def proof_age_s(self) -> float:
+        """Return the seconds since this process certainly knew everything."""
+        return boot_time_s() - self.proven_at_s
+
+    def prove(self, at_s: float) -> None:
+        """Note that nothing newer than ``revision`` existed at that time."""
+        if at_s <= self.proven_at_s:
+            return
+        if self.proven_at_s > 0 and at_s - self.proven_at_s > OUTAGE_S:
+            self.outage_ended_at_s = boot_time_s()
+        self.proven_at_s = at_s
+
+    def apply(self, batch: Batch, proven_at_s: float, origin: str) -> None:
+        """Take the records of a batch that follows on what is known; older ones are ignored."""
+        if batch.revision < self.revision:
+            return
+        self.prove(proven_at_s)
+        changed = [record for record in batch.records if self.is_news(record)]
+        if batch.is_snapshot:
+            listed = {record.key for record in batch.records}
+            changed += [
+                Record(key, None, batch.revision)
+                for key, record in self.records.items()
+                if key not in listed and record.value is not None
+            ]
+        for record in sorted(changed, key=lambda found: found.revision):
+            self.take(record, origin)
+        self.revision = batch.revision
+        if changed:
+            for listener in self.listeners:
+                listener()
+
+    def is_news(self, record: Record) -> bool:
+        """Tell whether the record is newer than what is known under its key."""
+        known = self.records.get(record.key)
+        return known is None or record.revision > known.revision
+
+    def take(self, record: Record, origin: str) -> None:
+        """Take one record."""
+        if record.value is None:
+            self.records.pop(record.key, None)
+        else:
+            self.records[record.key] = record
+        change = self.source.decode(record)
+        if change is not None:
+            self.note(change, record, origin)
+
+    def note(self, change: FleetChange, record: Record, origin: str) -> None:
+        """Change the belief that the record is about, and log it."""
+        if isinstance(change, ConfigurationChange):
+            self.note_configuration(change.configuration, record, origin)
+        elif isinstance(change, VersionChange):
+            self.note_version(change, record, origin)
+        else:
+            self.note_upstream(change, record, origin)
+
+    def note_configuration(
+        self, configuration: FleetConfiguration, record: Record, origin: str
+    ) -> None:
+        """Put a configuration in force; an older version never replaces a newer one."""
+        if self.configuration is not None and configuration.version <= self.configuration.version:
+            return
+        self.configuration = configuration
+        decision(
+            "configuration_in_force",
+            version=configuration.version,
+            revision=record.revision,
+            routes=len(configuration.routes),
+            source=origin,
+        )
+
+    def note_version(self, change: VersionChange, record: Record, origin: str) -> None:
+        """Note the version that engines are to serve."""
+        known = self.versions.get(change.model)
+        if known is not None and change.version <= known.version:
+            return
+        self.versions[change.model] = WantedVersion(change.version, boot_time_s())
+        decision(
+            "version_wanted",
+            model=change.model,
+            version=change.version,
+            revision=record.revision,
+            source=origin,
+        )
+
+    def note_upstream(self, change: UpstreamChange, record: Record, origin: str) -> None:
+        """Note an upstream, or that it is gone.
+
+        One that disappears because of an outage of the store may live; it stays for a while.
+        """
+        known = self.upstreams.get(change.id)
+        if change.record is not None:
+            self.lapsed.pop(change.id, None)
+            self.upstreams[change.id] = change.record
+        elif known is not None and not known.is_leaving and self.is_after_outage():
+            self.lapsed[change.id] = self.outage_ended_at_s + LAPSE_GRACE_S
+        else:
+            self.upstreams.pop(change.id, None)
+        found = change.record
+        decision(
+            "upstream_record",
+            upstream=change.id,
+            service=found.service if found else "",
+            address=f"{found.host}:{found.port}" if found else "",
+            state="gone" if found is None else "leaving" if found.is_leaving else "ready",
+            layers=[tuple(part) for part in found.layers] if found else [],
+            revision=record.revision,
+            source=origin,
+        )
+
+    def is_after_outage(self) -> bool:
+        """Tell whether records may have lapsed because the store was away."""
+        return boot_time_s() - self.outage_ended_at_s < LAPSE_GRACE_S
+
+    def drop_lapsed(self) -> None:
+        """Take upstreams as gone whose records have not come back in time."""
+        now_s = boot_time_s()
+        for upstream in [name for name, until_s in self.lapsed.items() if until_s <= now_s]:
+            del self.lapsed[upstream]
+            self.upstreams.pop(upstream, None)
+            decision("upstream_gone", upstream=upstream, reason="its record did not come back")
+            for listener in self.listeners:
+                listener()
+
+    def snapshot(self) -> Batch:
+        """Return everything that is known, for a peer."""
+        return Batch(0, self.revision, list(self.records.values()), True, 0.0)
--- /dev/null
+++ b/gypsumpier/fleet/route.py
@@ -0,0 +1,32 @@
+"""One route: which requests it takes and what may be done with them."""
+
+from typing import NamedTuple
+
+
+class RouteTarget(NamedTuple):
+    """A service that takes a share of a route's requests, by relative weight."""
+
+    service: str
+    weight: int
+
+
+class Route(NamedTuple):
+    """Requests of one host below one path prefix.  Times are in seconds.
+
+    ``max_attempts`` bounds the upstreams that one request may be sent to.  ``is_repeatable`` tells
+    that a request may run more than once; for a stream, that it may be resumed on another
+    upstream.  ``is_public`` routes take requests without a key.  A lower ``priority`` goes first.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    is_streamed: bool
+    is_repeatable: bool
+    is_public: bool
+    timeout_s: float
+    goal_s: float
+    event_gap_goal_s: float
+    priority: int
+    max_attempts: int
+    targets: tuple[RouteTarget, ...]
--- /dev/null
+++ b/gypsumpier/fleet/upstream.py
@@ -0,0 +1,44 @@
+"""What the platform publishes of one upstream."""
+
+from typing import NamedTuple
+
+
+class LoadedLayers(NamedTuple):
+    """A range of a model's layers, ``end`` excluded, that an engine holds at one version."""
+
+    model: str
+    version: int
+    start: int
+    end: int
+
+
+class UpstreamRecord(NamedTuple):
+    """One upstream instance.  ``started_ms`` tells two runs under one id apart.
+
+    ``is_leaving`` upstreams finish what they have and take nothing new.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    is_leaving: bool
+    started_ms: int
+    layers: tuple[LoadedLayers, ...]
+
+    def run_key(self) -> tuple[str, int]:
+        """Return what names one run of one upstream."""
+        return self.id, self.started_ms
+
+
+def whole_version(layers: tuple[LoadedLayers, ...], layer_count: int) -> int:
+    """Return the one version at which every layer is held; 0 where there is none."""
+    versions = {loaded.version for loaded in layers}
+    if len(versions) != 1 or not layer_count:
+        return 0
+    held = {
+        number for loaded in layers for number in range(loaded.start, min(loaded.end, layer_count))
+    }
+    return versions.pop() if len(held) == layer_count else 0
--- /dev/null
+++ b/gypsumpier/fleet/watcher.py
@@ -0,0 +1,119 @@
+"""Reads and watches the platform's store while it is this process's duty.
+
+A few processes of a zone watch and pass on what they learn; the others take over where no proof
+reaches them for ``takeover_s``.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import Counter
+
+from gypsumpier.backoff import Backoff
+from gypsumpier.codes.platform import HISTORY_GONE
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.change import Batch, FleetSource
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.log import decision
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.tasks import end_task
+
+WATCH_WAIT_S: Final = 1.0
+"""Seconds that a watch waits; with a lost answer the proof is still well within its bound."""
+BACKOFF_LIMIT_S: Final = 0.5
+"""Longest wait in seconds between two tries; a key's revocation must be learned within seconds."""
+IDLE_CHECK_S: Final = 0.1
+"""Seconds between two looks at whether watching has become this process's duty."""
+
+STORE_CALLS: Final = Counter(
+    "gypsumpier_store_calls",
+    "Calls to the platform's store by kind and outcome.",
+    ["kind", "outcome"],
+    registry=REGISTRY,
+)
+
+
+class StoreWatcher:
+    """Keeps beliefs up to date from the store."""
+
+    def __init__(
+        self,
+        source: FleetSource,
+        beliefs: Beliefs,
+        has_duty: Callable[[], bool],
+        on_batch: Callable[[Batch], None],
+    ) -> None:
+        self.source = source
+        self.beliefs = beliefs
+        self.has_duty = has_duty
+        self.on_batch = on_batch
+        self.backoff = Backoff(random.Random(), BACKOFF_LIMIT_S)
+        self.in_touch = True
+        self.needs_snapshot = True
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End reading."""
+        await end_task(self.task)
+        self.source.close()
+
+    async def run(self) -> None:
+        """Read and watch while it is this process's duty."""
+        while True:
+            self.beliefs.drop_lapsed()
+            if not self.has_duty():
+                await asyncio.sleep(IDLE_CHECK_S)
+                continue
+            try:
+                await self.read()
+                self.note_answer()
+            except GypsumpierError as error:
+                await self.note_failure(error)
+
+    async def read(self) -> None:
+        """Make one call; raise GypsumpierError where it fails."""
+        kind = "snapshot" if self.needs_snapshot or not self.beliefs.revision else "watch"
+        sent_at_s = boot_time_s()
+        try:
+            if kind == "snapshot":
+                batch = await self.source.snapshot()
+                self.needs_snapshot = False
+            else:
+                batch = await self.source.watch(self.beliefs.revision, WATCH_WAIT_S)
+        except GypsumpierError as error:
+            STORE_CALLS.labels(kind, error.code.name).inc()
+            raise
+        STORE_CALLS.labels(kind, "ok").inc()
+        self.beliefs.apply(batch, sent_at_s + batch.proven_after_s, "store")
+        self.on_batch(batch)
+
+    def note_answer(self) -> None:
+        """Note that the store answers."""
+        self.backoff.reset()
+        if not self.in_touch:
+            self.in_touch = True
+            decision("dependency_regained", dependency="store", revision=self.beliefs.revision)
+
+    async def note_failure(self, error: GypsumpierError) -> None:
+        """Log the failure and wait before the next try."""
+        if error.code is HISTORY_GONE:
+            self.needs_snapshot = True
+            decision("store_history_gone", revision=self.beliefs.revision)
+            return
+        if self.in_touch:
+            self.in_touch = False
+            decision(
+                "dependency_lost",
+                dependency="store",
+                code=error.code.number,
+                reason=error.detail,
+                proof_age_s=round(self.beliefs.proof_age_s(), 3),
+            )
+        await asyncio.sleep(self.backoff.next_wait_s(error.retry_after_s))
--- /dev/null
+++ b/gypsumpier/gateway/admission.py
@@ -0,0 +1,184 @@
+"""Decides when a request goes to which upstream, and which requests are refused at once."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import Counter, Gauge, Histogram
+
+from gypsumpier.codes.request import NO_UPSTREAM, QUEUE_TOO_LONG, TIME_LIMIT_BEFORE_START
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.line import Waiting, WaitingLine
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.upstream.board import UpstreamBoard
+
+PATIENCE_LEAST_S: Final = 2.0
+"""Seconds after which a caller gives up a stream without an event, at least."""
+PATIENCE_GOALS: Final = 4.0
+"""Multiple of the goal for the first event that a caller waits, where that is longer."""
+PATIENCE_GAPS: Final = 8.0
+"""Multiple of the goal for a pause that a caller waits, where that is longer."""
+FIRST_EVENT_S: Final = 0.25
+"""Seconds from a place at an engine to the first event, of a long prompt beside others."""
+PLAIN_WORK_S: Final = 0.1
+"""Seconds that a plain service takes, above its mean."""
+NO_UPSTREAM_WAIT_S: Final = 0.5
+"""Seconds to wait for an upstream where none can serve at the moment."""
+RETRY_SPREAD: Final = 0.25
+"""Share by which Retry-After is spread, so that refused callers don't come back together."""
+RETRY_SHARE_MAX: Final = 1 / 3
+"""Share of the time left beyond which a caller does not honour Retry-After."""
+PUMP_INTERVAL_S: Final = 0.05
+"""Seconds between two looks at requests whose time has run out."""
+
+QUEUED: Final = Gauge(
+    "gypsumpier_queued_requests", "Requests that wait for a place.", ["service"], registry=REGISTRY
+)
+QUEUE_WAIT: Final = Histogram(
+    "gypsumpier_queue_wait_seconds",
+    "Time that requests waited for a place.",
+    registry=REGISTRY,
+)
+REFUSED: Final = Counter(
+    "gypsumpier_refused_requests", "Requests refused, by code.", ["code"], registry=REGISTRY
+)
+
+
+class Admission:
+    """Places for requests at upstreams."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        board: UpstreamBoard,
+        least_version: Callable[[str], int],
+    ) -> None:
+        self.beliefs = beliefs
+        self.board = board
+        self.least_version = least_version
+        self.random = random.Random()
+        self.lines: dict[str, WaitingLine] = {}
+
+    def line(self, service: str) -> WaitingLine:
+        """Return the waiting line of a service."""
+        return self.lines.setdefault(service, WaitingLine())
+
+    async def enter(self, request: GatewayRequest) -> UpstreamRecord:
+        """Return the upstream to send the request to; raise Refusal where there is none.
+
+        The place counts as taken until ``leave``.
+        """
+        began_s = time.monotonic()
+        line = self.line(request.service)
+        record = None if line.waiting else self.place(request)
+        if record is not None:
+            line.note_granted()
+        else:
+            record = await self.wait(request, line)
+        QUEUE_WAIT.observe(time.monotonic() - began_s)
+        return record
+
+    def leave(self, record: UpstreamRecord) -> None:
+        """Give the place back."""
+        self.board.end(record)
+        self.pump(record.service)
+
+    def place(self, request: GatewayRequest) -> UpstreamRecord | None:
+        """Take a place that is free now."""
+        version = self.least_version(request.service)
+        records = self.board.candidates(request.service, version)
+        record = self.board.choose(records, request.tried)
+        if record is not None:
+            self.board.begin(record)
+        return record
+
+    async def wait(self, request: GatewayRequest, line: WaitingLine) -> UpstreamRecord:
+        """Wait for a place; raise Refusal where the wait would be too long."""
+        latest_s, goal_s = self.latest_s(request), self.goal_s(request)
+        waiting = line.add(request, self.least_version(request.service), latest_s, goal_s)
+        self.pump(request.service)
+        try:
+            place = await waiting.place
+        except asyncio.CancelledError:
+            self.abandon(waiting, line)
+            raise
+        if isinstance(place, UpstreamRecord):
+            return place
+        raise self.refusal(request, place)
+
+    def abandon(self, waiting: Waiting, line: WaitingLine) -> None:
+        """Give up a wait; a place that was just granted is given back."""
+        if waiting in line.waiting:
+            line.waiting.remove(waiting)
+        elif waiting.place.done() and not waiting.place.cancelled():
+            place = waiting.place.result()
+            if isinstance(place, UpstreamRecord):
+                self.leave(place)
+
+    def pump(self, service: str) -> None:
+        """Give free places to waiting requests and refuse those that would wait too long."""
+        line = self.line(service)
+        if not line.waiting:
+            return
+        for waiting in line.ordered():
+            if waiting.place.done():
+                line.waiting.remove(waiting)
+                continue
+            record = self.place(waiting.request)
+            if record is not None:
+                line.grant(waiting, record)
+            elif not waiting.request.tried:
+                break
+        line.refuse_hopeless()
+        QUEUED.labels(service).set(len(line.waiting))
+
+    def pump_all(self) -> None:
+        """Look at every service."""
+        for service in self.lines:
+            self.pump(service)
+
+    async def run(self) -> None:
+        """Look at every service regularly, as estimates and pauses run out with time."""
+        while True:
+            await asyncio.sleep(PUMP_INTERVAL_S)
+            self.board.forget_old()
+            self.pump_all()
+
+    def latest_s(self, request: GatewayRequest) -> float:
+        """Return when the request must have its place for the caller to wait for its answer."""
+        route = request.route
+        if not route.is_streamed:
+            latest_s = request.ends_at_s - PLAIN_WORK_S
+        else:
+            patience_s = max(
+                PATIENCE_LEAST_S,
+                PATIENCE_GOALS * route.goal_s,
+                PATIENCE_GAPS * route.event_gap_goal_s,
+            )
+            patient_until_s = request.received_at_s + patience_s
+            latest_s = min(request.ends_at_s, patient_until_s) - FIRST_EVENT_S
+        if not self.board.candidates(request.service):
+            latest_s = min(latest_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
+        return latest_s
+
+    def goal_s(self, request: GatewayRequest) -> float:
+        """Return when the request must have its place for its answer to be on time."""
+        needed_s = FIRST_EVENT_S if request.route.is_streamed else PLAIN_WORK_S
+        return request.received_at_s + request.route.goal_s - needed_s
+
+    def refusal(self, request: GatewayRequest, wait_s: float) -> Refusal:
+        """Return the refusal of a request whose wait would be too long."""
+        left_s = request.left_s()
+        if left_s <= 0:
+            return Refusal(TIME_LIMIT_BEFORE_START, 503, "the time limit passed in the queue")
+        spread = 1.0 + self.random.uniform(0.0, RETRY_SPREAD)
+        retry_after_s = min(max(wait_s, NO_UPSTREAM_WAIT_S) * spread, left_s * RETRY_SHARE_MAX)
+        code = QUEUE_TOO_LONG if self.board.candidates(request.service) else NO_UPSTREAM
+        waiting = len(self.line(request.service).waiting)
+        detail = f"{waiting} requests wait for {request.service}, about {wait_s:.2f} s"
+        return Refusal(code, 503, detail, retry_after_s)
--- /dev/null
+++ b/gypsumpier/gateway/application.py
@@ -0,0 +1,156 @@
+"""The application of an entry on the platform."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import Final
+
+from tornado.netutil import bind_sockets
+
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.change import FleetSource
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.node import Address, NodeSettings
+from gypsumpier.fleet.watcher import StoreWatcher
+from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.crashes import CrashBoard
+from gypsumpier.gateway.front import Front
+from gypsumpier.gateway.frontserver import FrontServer
+from gypsumpier.gateway.intake import Intake
+from gypsumpier.gateway.loadshare import LoadShare
+from gypsumpier.gateway.relay import Relay
+from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.status import StatusServer
+from gypsumpier.log import decision
+from gypsumpier.mesh.feed import BeliefFeed
+from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.piece.cache import PieceCache
+from gypsumpier.piece.engine import PieceOrigin
+from gypsumpier.tasks import end_task
+from gypsumpier.upstream.board import UpstreamBoard
+from gypsumpier.upstream.pool import UpstreamPool
+from gypsumpier.wire.tcp import TcpDialer, TcpListener
+
+VERSION_MARGIN_S: Final = 1.2
+"""Seconds before a wanted version must be in force from which older weights are refused."""
+LEAVE_ROTATION_S: Final = 2.6
+"""Seconds until the balancer has missed two answers, asked once a second, and sends nobody."""
+STOP_MARGIN_S: Final = 0.7
+"""Seconds before the platform kills the process by which it ends by itself."""
+DRAIN_POLL_S: Final = 0.05
+HOUSEKEEPING_S: Final = 0.5
+"""Seconds between two rounds of closing idle connections."""
+
+
+class GatewayApplication:
+    """One entry process on the platform."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        run: str,
+        source: FleetSource,
+        dial_origin: Callable[[str, int], PieceOrigin],
+    ) -> None:
+        assert settings.stream_address is not None
+        self.settings = settings
+        place = settings.stream_address
+        own = Peer(
+            settings.name, ENTRY, settings.zone, settings.region, place.host, place.port, run
+        )
+        self.beliefs = Beliefs(source)
+        self.mesh = Mesh(own, settings.seeds, TcpDialer())
+        self.listener = TcpListener(self.mesh.accept)
+        self.feed = BeliefFeed(self.mesh, self.beliefs)
+        self.watcher = StoreWatcher(source, self.beliefs, self.feed.has_duty, self.feed.share)
+        self.board = UpstreamBoard(self.beliefs, settings.zone)
+        self.admission = Admission(self.beliefs, self.board, self.least_version)
+        self.loads = LoadShare(self.mesh, self.board)
+        self.loads.on_news.append(self.admission.pump_all)
+        self.beliefs.listeners.append(self.admission.pump_all)
+        self.pool = UpstreamPool()
+        self.retries = RetryBudget(settings.bounds)
+        self.crashes = CrashBoard(self.mesh)
+        self.intake = Intake(settings, self.beliefs)
+        self.relay = Relay(self.admission, self.board, self.pool, self.retries, self.crashes)
+        self.front = Front(self.intake, self.relay)
+        self.server = FrontServer(self.front)
+        self.pieces = PieceCache(self.mesh, self.beliefs, dial_origin)
+        self.status = StatusServer(self.is_ready)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Bind the ports and start every part; raise OSError where a port can't be bound."""
+        settings = self.settings
+        assert settings.stream_address is not None
+        self.listener.add_sockets(bind(settings.stream_address))
+        if settings.readiness_address is not None:
+            self.status.listen_readiness(settings.readiness_address)
+        self.status.listen_metrics(Address(settings.host, settings.last_port))
+        if settings.caller_address is not None:
+            self.server.add_sockets(bind(settings.caller_address))
+        self.mesh.start()
+        self.watcher.start()
+        for work in (self.admission.run(), self.loads.run(), self.housekeeping()):
+            self.tasks.append(asyncio.create_task(work))
+
+    async def stop(self) -> None:
+        """Leave the rotation, serve what still comes, then close what is idle and end."""
+        self.front.stopping = True
+        began_s = time.monotonic()
+        ends_s = began_s + self.settings.bounds.stop_s - STOP_MARGIN_S
+        decision("drain", in_flight=len(self.front.active), seconds=round(ends_s - began_s, 1))
+        while time.monotonic() < began_s + LEAVE_ROTATION_S:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.server.stop()
+        while time.monotonic() < ends_s:
+            self.front.close_idle()
+            if not self.front.active and not self.front.connections:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        decision("drained", in_flight=len(self.front.active))
+        for task in self.tasks:
+            await end_task(task)
+        await self.watcher.stop()
+        self.listener.stop()
+        await self.mesh.stop()
+        self.pool.close()
+        self.pieces.close()
+        await self.status.stop()
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take changed seeds and bounds; addresses stay as they were bound at the start."""
+        self.settings = settings
+        self.mesh.seeds = settings.seeds
+
+    def is_ready(self) -> bool:
+        """Tell whether this entry takes callers: it is informed and knows an upstream."""
+        if self.front.stopping or self.beliefs.configuration is None:
+            return False
+        return self.intake.is_fresh() and bool(self.beliefs.upstreams)
+
+    def least_version(self, service: str) -> int:
+        """Return the version below which the service's engines may start nothing any more."""
+        configuration = self.beliefs.configuration
+        found = configuration.services.get(service) if configuration else None
+        if found is None or found.model is None:
+            return 0
+        due_s = self.settings.bounds.version_in_force_s - VERSION_MARGIN_S
+        now_s = boot_time_s()
+        wanted = [self.beliefs.versions.get(model) for model in found.model.models]
+        due = [it.version for it in wanted if it is not None and now_s - it.learned_at_s > due_s]
+        return max(due, default=0)
+
+    async def housekeeping(self) -> None:
+        """Close idle connections and count the entries that share the retry budget."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.pool.close_idle()
+            self.retries.entries = 1 + len(self.mesh.peers(ENTRY))
+
+
+def bind(address: Address) -> list[socket.socket]:
+    """Return bound sockets; raise OSError where the address can't be bound."""
+    return bind_sockets(address.port, address.host)
--- /dev/null
+++ b/gypsumpier/gateway/front.py
@@ -0,0 +1,174 @@
+"""The callers' side of an entry: one delegate for each request, on tornado's HTTP server."""
+
+import asyncio
+import time
+from typing import Final
+
+from prometheus_client import Counter, Histogram
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from gypsumpier.codes.request import GATEWAY_FAILED, TIME_LIMIT_BEFORE_START, TIME_LIMIT_REACHED
+from gypsumpier.gateway.intake import Intake
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.relay import Relay
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.gateway.writer import AnswerWriter
+from gypsumpier.log import decision
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.platform.headers import caller_head
+from gypsumpier.upstream.head import CallerHead
+
+REQUESTS: Final = Counter(
+    "gypsumpier_requests", "Requests by service and outcome.", ["service", "outcome"],
+    registry=REGISTRY,
+)  # fmt: skip
+REQUEST_TIME: Final = Histogram(
+    "gypsumpier_request_seconds", "Time from a request's arrival to its end.", registry=REGISTRY
+)
+
+
+class Front(HTTPServerConnectionDelegate):
+    """Serves callers.  ``stopping`` makes every answer announce the end of its connection."""
+
+    def __init__(self, intake: Intake, relay: Relay) -> None:
+        self.intake = intake
+        self.relay = relay
+        self.stopping = False
+        self.active: set[CallerExchange] = set()
+        self.connections: dict[object, HTTP1Connection] = {}
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the delegate of the next request on a connection."""
+        assert isinstance(request_conn, HTTP1Connection)
+        self.connections[server_conn] = request_conn
+        return CallerExchange(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that is closed."""
+        self.connections.pop(server_conn, None)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request under way."""
+        busy = {id(exchange.connection.stream) for exchange in self.active}
+        for connection in list(self.connections.values()):
+            if id(connection.stream) not in busy:
+                connection.stream.close()
+
+
+class CallerExchange(HTTPMessageDelegate):
+    """One request of a caller, from its first byte to the end of its answer."""
+
+    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+        self.front = front
+        self.connection = connection
+        self.head: CallerHead | None = None
+        self.parts: list[bytes] = []
+        self.received_at_s = 0.0
+        self.request: GatewayRequest | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the head of the request."""
+        assert isinstance(start_line, RequestStartLine)
+        self.received_at_s = time.monotonic()
+        self.head = caller_head(start_line, headers)
+        self.front.active.add(self)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self.parts.append(chunk)
+
+    def finish(self) -> None:
+        """Serve the request, which has arrived whole."""
+        self.connection.set_close_callback(self.on_connection_close)
+        self.task = asyncio.create_task(self.serve())
+
+    def on_connection_close(self) -> None:
+        """Cancel the request: its caller is gone."""
+        self.front.active.discard(self)
+        if self.task is not None:
+            self.task.cancel()
+
+    async def serve(self) -> None:
+        """Answer the request and log how it ended."""
+        assert self.head is not None
+        writer = AnswerWriter(self.connection, self.head.request_id, self.front.stopping)
+        outcome = "answered"
+        detail = ""
+        try:
+            await self.answer(self.head, writer)
+        except Refusal as refusal:
+            outcome, detail = refusal.code.name, refusal.detail
+            await self.refuse(refusal, writer)
+        except StreamClosedError:
+            outcome = "caller_gone"
+        except asyncio.CancelledError:
+            outcome = "caller_gone"
+        except Exception as error:
+            # The last resort of a request: logged with its cause, and never told as not run.
+            outcome, detail = GATEWAY_FAILED.name, repr(error)
+            await self.refuse(Refusal(GATEWAY_FAILED, 502, repr(error)), writer)
+        finally:
+            self.front.active.discard(self)
+            self.log_end(self.head, writer, outcome, detail)
+
+    async def answer(self, head: CallerHead, writer: AnswerWriter) -> None:
+        """Relay the request within its time limit; raise Refusal where that fails."""
+        body = b"".join(self.parts)
+        self.request = self.front.intake.request(head, body, self.received_at_s)
+        try:
+            async with asyncio.timeout(max(0.0, self.request.left_s())):
+                await self.front.relay.run(self.request, writer)
+        except TimeoutError:
+            if self.request.sent_first_at_s:
+                raise Refusal(TIME_LIMIT_REACHED, 504, "the answer took too long") from None
+            raise Refusal(TIME_LIMIT_BEFORE_START, 503, "no upstream took it in time") from None
+
+    async def refuse(self, refusal: Refusal, writer: AnswerWriter) -> None:
+        """Tell the refusal, or cut an answer that has begun."""
+        if writer.ended:
+            return
+        if writer.status:
+            writer.cut()
+            return
+        try:
+            await writer.refuse(refusal)
+        except StreamClosedError:
+            # The end of the request is logged with the refusal; nobody reads it any more.
+            return
+
+    def log_end(self, head: CallerHead, writer: AnswerWriter, outcome: str, detail: str) -> None:
+        """Log and count the end of the request."""
+        request = self.request
+        beliefs = self.front.intake.beliefs
+        took_s = time.monotonic() - self.received_at_s
+        service = request.service if request else ""
+        REQUESTS.labels(service, outcome).inc()
+        REQUEST_TIME.observe(took_s)
+        decision(
+            "request_end",
+            request=head.request_id,
+            route=request.route.name if request else "",
+            service=service,
+            workspace=request.workspace_name if request else "",
+            status=writer.status,
+            outcome=outcome,
+            detail=detail,
+            took_s=round(took_s, 4),
+            attempts=request.attempts if request else 0,
+            configuration=beliefs.configuration.version if beliefs.configuration else 0,
+            proof_age_s=round(min(beliefs.proof_age_s(), 1e6), 3),
+        )
--- /dev/null
+++ b/gypsumpier/gateway/line.py
@@ -0,0 +1,114 @@
+"""The requests of one service that wait for a place at an upstream.
+
+Requests that can still be on time go before those that can't, then a lower priority number, then
+fair shares of the workspaces, then the order of arrival.  One whose wait is estimated to outlast
+its caller is refused at once, with the time after which it is expected to be served.
+"""
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Final
+
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.request import GatewayRequest
+
+RATE_WINDOW_S: Final = 2.0
+"""Seconds over which the rate of places that become free is measured."""
+RATE_LEAST_PER_S: Final = 0.5
+"""Lowest rate that is assumed, so that an estimate stays finite."""
+IDLE_WORKSPACES_MAX: Final = 1024
+
+
+@dataclass(eq=False)
+class Waiting:
+    """A waiting request; ``latest_s`` and ``goal_s`` are monotonic seconds by which it must begin.
+
+    ``place`` is set to the upstream that it gets, or to the seconds after which to come back.
+    """
+
+    request: GatewayRequest
+    least_version: int
+    start_tag: float
+    arrival: int
+    latest_s: float
+    goal_s: float
+    place: "asyncio.Future[UpstreamRecord | float]" = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+    def rank(self, now_s: float) -> tuple[bool, int, float, int]:
+        """Return the place in the order; the smallest goes first."""
+        return now_s > self.goal_s, self.request.priority, self.start_tag, self.arrival
+
+
+class WaitingLine:
+    """Waiting requests of one service, and how fast places become free."""
+
+    def __init__(self) -> None:
+        self.waiting: list[Waiting] = []
+        self.finish_tags: dict[str, float] = {}
+        self.virtual = 0.0
+        self.arrivals = 0
+        self.granted_at_s: deque[float] = deque()
+
+    def add(
+        self, request: GatewayRequest, least_version: int, latest_s: float, goal_s: float
+    ) -> Waiting:
+        """Let a request wait."""
+        workspace = request.workspace_name
+        start = max(self.virtual, self.finish_tags.get(workspace, 0.0))
+        self.finish_tags[workspace] = start + 1.0
+        if len(self.finish_tags) > IDLE_WORKSPACES_MAX:
+            self.finish_tags = {
+                name: tag for name, tag in self.finish_tags.items() if tag > self.virtual
+            }
+        self.arrivals += 1
+        waiting = Waiting(request, least_version, start, self.arrivals, latest_s, goal_s)
+        self.waiting.append(waiting)
+        return waiting
+
+    def ordered(self) -> list[Waiting]:
+        """Return the waiting requests in the order in which they are served."""
+        now_s = time.monotonic()
+        return sorted(self.waiting, key=lambda waiting: waiting.rank(now_s))
+
+    def grant(self, waiting: Waiting, record: UpstreamRecord) -> None:
+        """Give a request its place."""
+        self.waiting.remove(waiting)
+        self.virtual = max(self.virtual, waiting.start_tag)
+        self.note_granted()
+        if not waiting.place.done():
+            waiting.place.set_result(record)
+
+    def refuse(self, waiting: Waiting, retry_after_s: float) -> None:
+        """Tell a request when to come back."""
+        self.waiting.remove(waiting)
+        if not waiting.place.done():
+            waiting.place.set_result(retry_after_s)
+
+    def note_granted(self) -> None:
+        """Count a place towards the rate."""
+        self.granted_at_s.append(time.monotonic())
+
+    def rate_per_s(self) -> float:
+        """Return how many requests a second got a place lately."""
+        oldest_s = time.monotonic() - RATE_WINDOW_S
+        while self.granted_at_s and self.granted_at_s[0] < oldest_s:
+            self.granted_at_s.popleft()
+        return max(RATE_LEAST_PER_S, len(self.granted_at_s) / RATE_WINDOW_S)
+
+    def refuse_hopeless(self) -> None:
+        """Refuse the requests whose turn is estimated to come too late.
+
+        Only those behind the hopeless one gain from its leaving, so the order is kept.
+        """
+        now_s, rate = time.monotonic(), self.rate_per_s()
+        position = 0
+        for waiting in self.ordered():
+            wait_s = position / rate
+            if now_s + wait_s > waiting.latest_s:
+                self.refuse(waiting, wait_s)
+            else:
+                position += 1
--- /dev/null
+++ b/gypsumpier/gateway/loadshare.py
@@ -0,0 +1,79 @@
+"""Tells the other entries how many requests this one has in flight, and what its sidecars say."""
+
+import asyncio
+import time
+from typing import Any, Final
+
+from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.upstream.board import UpstreamBoard
+from gypsumpier.upstream.enginestate import EngineState, engine_state_from
+
+LOAD: Final = "load"
+ENGINE: Final = "engine"
+NEAR_INTERVAL_S: Final = 0.05
+"""Seconds between two messages of changed counts within an availability zone."""
+FAR_ROUNDS: Final = 4
+"""Rounds of the zone for each message to other zones, whose links are narrow."""
+REPEAT_S: Final = 0.8
+"""Seconds after which unchanged counts are told again, before a peer drops them."""
+
+
+class LoadShare:
+    """Sends and takes load messages."""
+
+    def __init__(self, mesh: Mesh, board: UpstreamBoard) -> None:
+        self.mesh = mesh
+        self.board = board
+        self.told_near: tuple[dict[str, int], float] = ({}, 0.0)
+        self.told_far: tuple[dict[str, int], float] = ({}, 0.0)
+        self.news: dict[str, EngineState] = {}
+        self.on_news: list[Any] = []
+        mesh.listeners[LOAD] = self.take
+        mesh.listeners[ENGINE] = self.take_engine
+
+    async def run(self) -> None:
+        """Send the counts whenever they have changed."""
+        rounds = 0
+        while True:
+            await asyncio.sleep(NEAR_INTERVAL_S)
+            rounds += 1
+            own_zone = self.mesh.own.zone
+            peers = self.mesh.peers(ENTRY)
+            near = [peer for peer in peers if peer.zone == own_zone]
+            self.told_near = self.tell(near, self.told_near, [])
+            if rounds % FAR_ROUNDS == 0 or self.news:
+                far = [peer for peer in peers if peer.zone != own_zone]
+                states = [state.as_list() for state in self.news.values()]
+                self.told_far = self.tell(far, self.told_far, states)
+                self.news.clear()
+
+    def tell(
+        self, peers: list[Peer], told: tuple[dict[str, int], float], engines: list[list[Any]]
+    ) -> tuple[dict[str, int], float]:
+        """Send the counts where they differ from what was told; return what is told now."""
+        counts, at_s = told
+        now_s = time.monotonic()
+        if self.board.own == counts and now_s - at_s < REPEAT_S and not engines:
+            return told
+        self.mesh.post_all(peers, LOAD, {"counts": dict(self.board.own), "engines": engines})
+        return dict(self.board.own), now_s
+
+    def take(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Take the counts of another entry."""
+        counts = {str(name): int(count) for name, count in payload["counts"].items()}
+        self.board.note_peer(peer.name, counts)
+        for found in payload["engines"]:
+            self.board.note_engine(engine_state_from(found))
+        for listener in self.on_news:
+            listener()
+
+    def take_engine(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Take what a sidecar tells, and pass on to other zones what matters there."""
+        state = engine_state_from(payload["state"])
+        if not self.board.note_engine(state):
+            return
+        if peer.zone == self.mesh.own.zone:
+            self.news[state.address] = state
+        for listener in self.on_news:
+            listener()
--- /dev/null
+++ b/gypsumpier/gateway/relay.py
@@ -0,0 +1,239 @@
+"""Relays a request to an upstream and its answer to the caller.
+
+A request is sent once.  It is sent again only where the upstream promised that it has not run,
+where it never left, or where its route allows a repeat; a stream then goes on behind the last event
+that the caller got.  What may have run is never called not run.
+"""
+
+import time
+from typing import Final
+
+from tornado.httputil import RequestStartLine
+
+from gypsumpier.codes.request import (
+    ANSWER_LOST,
+    EVERY_TRY_REFUSED,
+    SUSPECTED_OF_CRASHES,
+)
+from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.crashes import CrashBoard
+from gypsumpier.gateway.events import EventSplitter
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.writer import AnswerWriter
+from gypsumpier.log import decision
+from gypsumpier.platform.headers import upstream_headers
+from gypsumpier.upstream.board import UpstreamBoard
+from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
+from gypsumpier.upstream.exchange import Exchange
+from gypsumpier.upstream.head import AnswerHead, UpstreamHead
+from gypsumpier.upstream.pool import UpstreamCall, UpstreamPool
+
+STREAM_SILENCE_S: Final = 1.0
+"""Seconds without an event after which a stream is better begun or resumed elsewhere."""
+PLAIN_SILENCE_S: Final = 0.35
+"""Seconds without an answer after which a repeatable plain request is better sent elsewhere."""
+RETRY_AFTER_S: Final = 0.2
+"""Seconds after which a request that every upstream refused is worth another try."""
+SERVER_ERROR: Final = 500
+URGENCY_MAX: Final = 9
+
+
+class Relay:
+    """Relays requests through the places that the admission gives."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        board: UpstreamBoard,
+        pool: UpstreamPool,
+        retries: RetryBudget,
+        crashes: CrashBoard,
+    ) -> None:
+        self.admission = admission
+        self.board = board
+        self.pool = pool
+        self.retries = retries
+        self.crashes = crashes
+
+    async def run(self, request: GatewayRequest, writer: AnswerWriter) -> None:
+        """Answer the request; raise Refusal where no upstream's answer reaches the caller."""
+        self.retries.note_request(request.service)
+        refused_s = self.crashes.refused_for_s(request)
+        if refused_s > 0:
+            raise Refusal(SUSPECTED_OF_CRASHES, 503, "it ran when upstreams crashed", refused_s)
+        while True:
+            record = await self.admission.enter(request)
+            try:
+                await self.attempt(request, record, writer)
+                return
+            except NotRunError as error:
+                self.note_not_run(request, record, error)
+            except OutcomeUnknownError as error:
+                self.note_unknown(request, record, error)
+            finally:
+                self.admission.leave(record)
+
+    def note_not_run(
+        self, request: GatewayRequest, record: UpstreamRecord, error: NotRunError
+    ) -> None:
+        """Go on to another upstream; raise Refusal where the budget is spent."""
+        if error.is_promised:
+            self.board.health.note_full(record.run_key())
+        else:
+            self.board.health.note_failure(record.run_key())
+        request.tried.add(record.run_key())
+        self.log_attempt(request, record, error.reason, "not_run")
+        # A request that never left is no arrival at any service.
+        if error.is_promised and not self.retries.spend(request.service):
+            raise self.failure(request, "every upstream refused and the retry budget is spent")
+
+    def note_unknown(
+        self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
+    ) -> None:
+        """Go on to another upstream where that is allowed; raise Refusal otherwise."""
+        request.attempts += 1
+        request.tried.add(record.run_key())
+        self.board.health.note_failure(record.run_key())
+        self.crashes.note_crash(request, record)
+        self.log_attempt(request, record, error.reason, "unknown")
+        if not self.may_repeat(request) or not self.retries.spend(request.service):
+            raise Refusal(ANSWER_LOST, 502, error.reason)
+
+    def may_repeat(self, request: GatewayRequest) -> bool:
+        """Tell whether the route allows the request to run once more."""
+        return request.route.is_repeatable and request.attempts < request.route.max_attempts
+
+    def failure(self, request: GatewayRequest, detail: str) -> Refusal:
+        """Return the end of a request that no upstream took."""
+        if request.attempts:
+            return Refusal(ANSWER_LOST, 502, detail)
+        return Refusal(EVERY_TRY_REFUSED, 503, detail, RETRY_AFTER_S)
+
+    def log_attempt(
+        self, request: GatewayRequest, record: UpstreamRecord, reason: str, outcome: str
+    ) -> None:
+        """Log a try that failed."""
+        decision(
+            "attempt_failed",
+            request=request.head.request_id,
+            upstream=record.id,
+            address=f"{record.host}:{record.port}",
+            attempts=request.attempts,
+            age_s=round(request.age_s(), 3),
+            outcome=outcome,
+            reason=reason,
+        )
+
+    async def attempt(
+        self, request: GatewayRequest, record: UpstreamRecord, writer: AnswerWriter
+    ) -> None:
+        """Send the request to the upstream and pass on its answer."""
+        decision(
+            "route",
+            request=request.head.request_id,
+            workspace=request.workspace_name,
+            service=request.service,
+            upstream=record.id,
+            zone=record.zone,
+            load=self.board.load(record),
+            slots=record.slots,
+            waited_s=round(request.age_s(), 3),
+            attempts=request.attempts,
+        )
+        request.sent_first_at_s = request.sent_first_at_s or time.monotonic()
+        address = Address(record.host, record.port)
+
+        def may_leave() -> bool:
+            return self.may_leave(request, record)
+
+        async with self.pool.exchange(address, self.call(request, record), may_leave) as exchange:
+            head = await exchange.answer(request.head.request_id)
+            if head.is_not_run:
+                reason = f"refused with status {head.status}"
+                raise NotRunError(reason, is_promised=True, status=head.status)
+            if head.is_success and (not head.seal or head.is_encoded):
+                raise OutcomeUnknownError("the answer is not the upstream's own")
+            if request.route.is_streamed and head.is_success:
+                await self.relay_stream(request, exchange, head, writer)
+            else:
+                await self.relay_whole(request, exchange, head, writer)
+        self.board.health.note_success(record.run_key())
+        self.crashes.note_finished(request)
+
+    def call(self, request: GatewayRequest, record: UpstreamRecord) -> UpstreamCall:
+        """Return the request as it is sent to the upstream."""
+        is_late = request.age_s() > request.route.goal_s
+        urgency = 0 if request.last_event_id else 1 + 2 * request.priority + is_late
+        own = UpstreamHead(
+            upstream=record.id,
+            workspace=request.workspace_name,
+            time_limit_s=request.left_s(),
+            urgency=min(URGENCY_MAX, urgency),
+            expected_version=self.admission.least_version(request.service),
+            last_event_id=request.last_event_id,
+            body_bytes=len(request.body),
+        )
+        return UpstreamCall(
+            RequestStartLine(request.head.method, request.head.target, "HTTP/1.1"),
+            upstream_headers(request.head, own),
+            request.body,
+            request.route.is_repeatable,
+            STREAM_SILENCE_S if request.route.is_streamed else PLAIN_SILENCE_S,
+        )
+
+    def may_leave(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
+        """Tell whether a silent upstream is better left for another one."""
+        request.attempts += 1
+        is_allowed = self.may_repeat(request)
+        request.attempts -= 1
+        if not is_allowed:
+            return False
+        records = self.board.candidates(request.service)
+        return self.board.choose(records, request.tried | {record.run_key()}) is not None
+
+    async def relay_whole(
+        self,
+        request: GatewayRequest,
+        exchange: Exchange,
+        head: AnswerHead,
+        writer: AnswerWriter,
+    ) -> None:
+        """Pass on an answer once it is whole; a failure is tried elsewhere where allowed."""
+        body = b"".join([content async for content in exchange.body()])
+        if writer.status:
+            # A stream that was to be resumed: its head has been sent already.
+            raise OutcomeUnknownError(f"status {head.status} for the rest of a stream")
+        request.attempts += 1
+        is_failure = head.status >= SERVER_ERROR
+        if is_failure and self.may_repeat(request) and self.retries.spend(request.service):
+            request.attempts -= 1
+            raise OutcomeUnknownError(f"status {head.status}")
+        await writer.answer(head, body)
+
+    async def relay_stream(
+        self,
+        request: GatewayRequest,
+        exchange: Exchange,
+        head: AnswerHead,
+        writer: AnswerWriter,
+    ) -> None:
+        """Pass on whole events as they arrive."""
+        splitter = EventSplitter()
+        async for content in exchange.body():
+            events = splitter.feed(content)
+            if not events.content:
+                continue
+            if not writer.status:
+                writer.begin(head, None)
+            await writer.write(events.content)
+            if events.ids:
+                request.last_event_id = events.ids[-1]
+        if splitter.rest:
+            raise OutcomeUnknownError("the stream ended within an event")
+        if not writer.status:
+            writer.begin(head, None)
+        writer.finish()
--- /dev/null
+++ b/gypsumpier/gateway/request.py
@@ -0,0 +1,50 @@
+"""One caller's request on its way through an entry."""
+
+import time
+from dataclasses import dataclass, field
+
+from gypsumpier.fleet.configuration import Workspace
+from gypsumpier.fleet.route import Route
+from gypsumpier.upstream.head import CallerHead
+
+
+@dataclass
+class GatewayRequest:
+    """A request with everything that is decided of it.  Times are monotonic seconds.
+
+    ``attempts`` counts the upstreams that may have run it; ``tried`` names those that are not
+    asked again.  ``last_event_id`` is that of the last event passed on to the caller.
+    """
+
+    head: CallerHead
+    body: bytes
+    route: Route
+    service: str
+    workspace: Workspace | None
+    received_at_s: float
+    ends_at_s: float
+    fingerprint: str
+    attempts: int = 0
+    tried: set[tuple[str, int]] = field(default_factory=set)
+    last_event_id: str = ""
+    sent_first_at_s: float = 0.0
+
+    @property
+    def priority(self) -> int:
+        """The rank; a lower one goes first."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    @property
+    def workspace_name(self) -> str:
+        """The name of the workspace; empty for a route without keys."""
+        return self.workspace.name if self.workspace else ""
+
+    def left_s(self) -> float:
+        """Return the seconds until the caller or the route gives up."""
+        return self.ends_at_s - time.monotonic()
+
+    def age_s(self) -> float:
+        """Return the seconds since the request arrived."""
+        return time.monotonic() - self.received_at_s
--- /dev/null
+++ b/gypsumpier/gateway/status.py
@@ -0,0 +1,61 @@
+"""Answers whether a process is ready, and its metrics."""
+
+from collections.abc import Callable
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from gypsumpier.fleet.node import Address
+from gypsumpier.metrics import REGISTRY
+
+READY = 200
+NOT_READY = 503
+
+
+class StatusServer:
+    """Serves readiness on one address and metrics on another; either may be absent."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self.is_ready = is_ready
+        self.servers: list[HTTPServer] = []
+
+    def listen_readiness(self, address: Address) -> None:
+        """Answer 200 while ready, else 503, whatever the path."""
+        self.listen(address, self.answer_readiness)
+
+    def listen_metrics(self, address: Address) -> None:
+        """Answer every metric of the process."""
+        self.listen(address, answer_metrics)
+
+    def listen(self, address: Address, answer: Callable[[HTTPServerRequest], None]) -> None:
+        """Bind an address; raise OSError where it can't be bound."""
+        server = HTTPServer(answer)
+        server.add_sockets(bind_sockets(address.port, address.host))
+        self.servers.append(server)
+
+    def answer_readiness(self, request: HTTPServerRequest) -> None:
+        """Answer whether the process takes callers."""
+        respond(request, READY if self.is_ready() else NOT_READY, b"", "text/plain")
+
+    async def stop(self) -> None:
+        """Close the ports."""
+        for server in self.servers:
+            server.stop()
+            await server.close_all_connections()
+
+
+def answer_metrics(request: HTTPServerRequest) -> None:
+    """Answer every metric of the registry."""
+    respond(request, READY, generate_latest(REGISTRY), CONTENT_TYPE_LATEST)
+
+
+def respond(request: HTTPServerRequest, status: int, body: bytes, content_type: str) -> None:
+    """Send a short answer."""
+    connection = request.connection
+    assert connection is not None
+    headers = HTTPHeaders({"Content-Type": content_type, "Content-Length": str(len(body))})
+    reason = "OK" if status == READY else "Service Unavailable"
+    connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers, body)
+    connection.finish()
--- /dev/null
+++ b/gypsumpier/gateway/writer.py
@@ -0,0 +1,86 @@
+"""Writes one answer to a caller."""
+
+import json
+from typing import Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.platform.headers import refusal_headers
+from gypsumpier.upstream.head import AnswerHead
+
+REASONS: Final = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class AnswerWriter:
+    """The caller's side of one request.  ``status`` is 0 until an answer has begun."""
+
+    def __init__(self, connection: HTTP1Connection, request_id: str, closes: bool) -> None:
+        self.connection = connection
+        self.request_id = request_id
+        self.closes = closes
+        self.status = 0
+        self.ended = False
+
+    def begin(self, head: AnswerHead, body_bytes: int | None) -> None:
+        """Pass on the head of an upstream's answer; without a length the body is a stream."""
+        headers = HTTPHeaders(head.passed_on)
+        if body_bytes is not None:
+            headers["Content-Length"] = str(body_bytes)
+        self.write_head(head.status, head.reason, headers)
+
+    def write_head(self, status: int, reason: str, headers: HTTPHeaders) -> None:
+        """Send the status and the headers."""
+        if self.closes:
+            headers["Connection"] = "close"
+        self.status = status
+        # Small events must not wait for the acknowledgement of earlier ones.
+        self.connection.stream.set_nodelay(True)
+        self.connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers)
+
+    async def write(self, content: bytes) -> None:
+        """Send a part of the body; raise StreamClosedError where the caller is gone."""
+        await self.connection.write(content)
+
+    def finish(self) -> None:
+        """End a whole answer."""
+        self.ended = True
+        self.connection.finish()
+
+    async def answer(self, head: AnswerHead, body: bytes) -> None:
+        """Send a whole answer of an upstream."""
+        self.begin(head, len(body))
+        if body:
+            await self.write(body)
+        self.finish()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send an answer of the entry's own."""
+        body = json.dumps(
+            {
+                "code": refusal.code.number,
+                "name": refusal.code.name,
+                "detail": refusal.detail,
+                "request": self.request_id,
+                "outcome": refusal.code.outcome.value,
+            }
+        ).encode()
+        headers = refusal_headers(self.request_id, len(body), refusal.retry_after_s)
+        reason = REASONS.get(refusal.status, "Error")
+        self.write_head(refusal.status, reason, headers)
+        await self.write(body)
+        self.finish()
+
+    def cut(self) -> None:
+        """Close the connection, so that an answer that has begun never looks whole."""
+        self.ended = True
+        self.connection.stream.close()
--- a/gypsumpier/log.py
+++ b/gypsumpier/log.py
@@ -20,6 +20,15 @@
     LOGGER.propagate = False
 
 
+def configure_output(level: str, handler: logging.Handler) -> None:
+    """Send the package's log lines as JSON objects to the handler."""
+    handler.setFormatter(JsonFormatter())
+    handler.setLevel(level)
+    LOGGER.handlers = [handler]
+    LOGGER.setLevel(level)
+    LOGGER.propagate = False
+
+
 def decision(event: str, **fields: object) -> None:
     """Log one decision with its fields, which include the reason."""
     LOGGER.info(event, extra={"fields": fields})
--- a/gypsumpier/member/keeper.py
+++ b/gypsumpier/member/keeper.py
@@ -14,9 +14,9 @@
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.document.metrics import count_read
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.membership import Member, Membership
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member, Membership
 from gypsumpier.spread.spread import Spread
 from gypsumpier.tasks import end_task
 
--- a/gypsumpier/member/spread.py
+++ b/gypsumpier/member/spread.py
@@ -9,9 +9,9 @@
 from typing import Any, Final
 
 from gypsumpier.clock import Clock
+from gypsumpier.external.membership import Member
 from gypsumpier.member.table import MEMBERS_LIMIT, MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread import message
 from gypsumpier.spread.freshness import Freshness
 from gypsumpier.spread.identity import Identity, own_member
--- a/gypsumpier/member/table.py
+++ b/gypsumpier/member/table.py
@@ -27,10 +27,10 @@
     MEMBER_MALFORMED,
     MEMBER_TABLE_FULL,
 )
+from gypsumpier.external.membership import Member
 from gypsumpier.log import decision
 from gypsumpier.member.journal import Journal
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 
 MEMBERS_LIMIT: Final = 16_384
 LAST_KEPT_S: Final = 3600.0
--- /dev/null
+++ b/gypsumpier/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The streams between processes on the platform: discovery, messages and questions."""
--- /dev/null
+++ b/gypsumpier/mesh/feed.py
@@ -0,0 +1,110 @@
+"""Passes on what watchers of the store learn, with the age of its proof.
+
+A watcher sends every batch to the processes of its zone.  Other zones, which watch for themselves,
+get only its revision: who does not hear of that revision from its own zone reads the store.
+"""
+
+import time
+from typing import Any, Final
+
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.change import Batch
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.record import Record
+from gypsumpier.mesh.link import MeshLink
+from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
+from gypsumpier.mesh.peer import Peer
+
+FEED: Final = "feed"
+NOTICE: Final = "notice"
+FEED_ASK: Final = "feed_ask"
+WATCHERS_PER_ZONE: Final = 2
+"""Entries of a zone that watch the store, so that one may fail without delay for the others."""
+TAKEOVER_S: Final = 2.2
+"""Seconds without a proof after which an entry reads for itself; a watch waits for less."""
+SIDECAR_TAKEOVER_S: Final = 4.0
+"""The same for a sidecar, whose entries come first."""
+BEHIND_S: Final = 0.15
+"""Seconds that a newer revision may be known of without its records."""
+
+
+class BeliefFeed:
+    """Gives and takes beliefs between processes."""
+
+    def __init__(self, mesh: Mesh, beliefs: Beliefs) -> None:
+        self.mesh = mesh
+        self.beliefs = beliefs
+        self.heard_revision = 0
+        self.behind_since_s = 0.0
+        mesh.listeners[FEED] = self.take
+        mesh.listeners[NOTICE] = self.note_revision
+        mesh.listeners[FEED_ASK] = self.give_everything
+        mesh.on_peer.append(self.greet)
+
+    def has_duty(self) -> bool:
+        """Tell whether this process is to read the store."""
+        own = self.mesh.own
+        if self.is_behind():
+            return True
+        if own.role == SIDECAR:
+            return self.beliefs.proof_age_s() > SIDECAR_TAKEOVER_S
+        names = sorted(peer.name for peer in self.mesh.peers(ENTRY, own.zone))
+        before_own = sum(name < own.name for name in names)
+        return before_own < WATCHERS_PER_ZONE or self.beliefs.proof_age_s() > TAKEOVER_S
+
+    def is_behind(self) -> bool:
+        """Tell whether a newer revision is known of for longer than its records may take."""
+        if self.heard_revision <= self.beliefs.revision:
+            return False
+        return time.monotonic() - self.behind_since_s > BEHIND_S
+
+    def share(self, batch: Batch) -> None:
+        """Pass on a batch that the store has just answered."""
+        own = self.mesh.own
+        feed = self.message(batch)
+        near = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
+        self.mesh.post_all(near, FEED, feed)
+        if batch.records:
+            far = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
+            self.mesh.post_all(far, NOTICE, {"revision": batch.revision})
+
+    def message(self, batch: Batch) -> dict[str, Any]:
+        """Return a batch as it travels, with the age of this process's proof."""
+        return {
+            "after": batch.after,
+            "revision": batch.revision,
+            "records": [list(record) for record in batch.records],
+            "whole": batch.is_snapshot,
+            "age_s": self.beliefs.proof_age_s(),
+        }
+
+    def take(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Apply a batch from a peer, or ask for everything where one is missing."""
+        records = [
+            Record(str(key), value, int(revision)) for key, value, revision in payload["records"]
+        ]
+        batch = Batch(
+            int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
+        )
+        if not batch.is_snapshot and batch.after > self.beliefs.revision:
+            self.mesh.post(peer.name, FEED_ASK, {})
+            return
+        proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
+        self.beliefs.apply(batch, proven_at_s, peer.name)
+
+    def note_revision(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Note that a newer revision exists."""
+        revision = int(payload["revision"])
+        if revision > max(self.heard_revision, self.beliefs.revision):
+            self.heard_revision = revision
+            self.behind_since_s = time.monotonic()
+
+    def give_everything(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Send everything that is known."""
+        if self.beliefs.revision:
+            self.mesh.post(peer.name, FEED, self.message(self.beliefs.snapshot()))
+
+    def greet(self, link: MeshLink) -> None:
+        """Tell a peer of the zone that has just connected everything that is known."""
+        if link.peer.zone == self.mesh.own.zone and self.mesh.own.role == ENTRY:
+            self.give_everything(link.peer, {})
--- /dev/null
+++ b/gypsumpier/mesh/link.py
@@ -0,0 +1,71 @@
+"""One open connection to a peer, in whichever direction it was opened."""
+
+import asyncio
+import itertools
+from typing import Any, Final
+
+from gypsumpier.codes.wire import CONNECTION_CLOSED, PEER_FAILED
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.wire.connection import Connection
+
+ANSWER: Final = "answer"
+FAILED: Final = "failed"
+"""Field of an answer that tells why there is none."""
+SEND_QUEUE_MAX: Final = 256
+"""Messages that may wait for a slow peer before its connection is closed."""
+
+
+class MeshLink:
+    """Sends messages and questions to one peer.
+
+    Messages wait in a bounded queue, so that a peer that does not read holds up nobody.
+    """
+
+    def __init__(self, peer: Peer, connection: Connection) -> None:
+        self.peer = peer
+        self.connection = connection
+        self.queue: asyncio.Queue[tuple[str, dict[str, Any], str]] = asyncio.Queue(SEND_QUEUE_MAX)
+        self.questions: dict[str, asyncio.Future[dict[str, Any]]] = {}
+        self.numbers = itertools.count()
+
+    def post(self, kind: str, payload: dict[str, Any], exchange: str = "") -> None:
+        """Queue a message; a peer that has not read the earlier ones is disconnected."""
+        try:
+            self.queue.put_nowait((kind, payload, exchange))
+        except asyncio.QueueFull:
+            self.connection.close()
+
+    async def write(self) -> None:
+        """Send what is queued until the connection closes."""
+        while not self.connection.closed:
+            kind, payload, exchange = await self.queue.get()
+            await self.connection.send(kind, payload, exchange)
+
+    async def ask(self, kind: str, payload: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+        """Return the answer; raise GypsumpierError or TimeoutError where there is none."""
+        exchange = str(next(self.numbers))
+        answer: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
+        self.questions[exchange] = answer
+        try:
+            self.post(kind, payload, exchange)
+            async with asyncio.timeout(timeout_s):
+                payload = await answer
+        finally:
+            self.questions.pop(exchange, None)
+        if FAILED in payload:
+            raise GypsumpierError(PEER_FAILED, str(payload[FAILED]))
+        return payload
+
+    def note_answer(self, exchange: str, payload: dict[str, Any]) -> None:
+        """Give the answer to whoever asked; one that comes too late is dropped."""
+        waiting = self.questions.get(exchange)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(payload)
+
+    def end(self) -> None:
+        """Fail the open questions."""
+        self.connection.close()
+        for waiting in self.questions.values():
+            if not waiting.done():
+                waiting.set_exception(GypsumpierError(CONNECTION_CLOSED, "the peer is gone"))
--- /dev/null
+++ b/gypsumpier/mesh/mesh.py
@@ -0,0 +1,252 @@
+"""Finds the other processes and keeps connections to them.
+
+A process dials the seeds and every entry that it hears of; entries accept.  Whoever dials says
+first who it is, and is told which entries the other knows.  Any process may send over any
+connection, whichever side opened it.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from gypsumpier.clock import SystemClock
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.node import Address
+from gypsumpier.log import decision
+from gypsumpier.mesh.link import ANSWER, FAILED, MeshLink
+from gypsumpier.mesh.peer import Peer, peer_from
+from gypsumpier.tasks import end_task
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.stream import Dialer, Stream
+
+HELLO: Final = "hello"
+WELCOME: Final = "welcome"
+ENTRY: Final = "entry"
+SIDECAR: Final = "sidecar"
+DIAL_INTERVAL_S: Final = 0.5
+"""Seconds between two rounds of dialling what is not connected."""
+DIAL_TIMEOUT_S: Final = 1.0
+"""Seconds for opening a connection; the farthest region is milliseconds away."""
+HEARTBEAT_S: Final = 0.5
+"""Seconds without sending after which a heartbeat is sent."""
+SILENCE_S: Final = 2.0
+"""Seconds without receiving after which a peer is dialled anew."""
+FORGET_S: Final = 30.0
+"""Seconds after which an entry that can't be reached is no longer dialled."""
+HELLO_TIMEOUT_S: Final = 2.0
+"""Seconds for a peer to say who it is."""
+
+Listener = Callable[[Peer, dict[str, Any]], None]
+Answerer = Callable[[Peer, dict[str, Any]], Awaitable[dict[str, Any]]]
+
+
+class Mesh:
+    """Connections to the other processes."""
+
+    def __init__(self, own: Peer, seeds: tuple[Address, ...], dialer: Dialer) -> None:
+        self.own = own
+        self.seeds = seeds
+        self.dialer = dialer
+        self.clock = SystemClock()
+        self.listeners: dict[str, Listener] = {}
+        self.answerers: dict[str, Answerer] = {}
+        self.known: dict[Address, Peer] = {}
+        self.reached_at_s: dict[Address, float] = {}
+        self.dialled: dict[Address, asyncio.Task[None]] = {}
+        self.links: dict[str, list[MeshLink]] = {}
+        self.on_peer: list[Callable[[MeshLink], None]] = []
+        self.answers: set[asyncio.Task[None]] = set()
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to dial."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        await end_task(self.task)
+        for dialling in list(self.dialled.values()):
+            await end_task(dialling)
+        for links in list(self.links.values()):
+            for link in list(links):
+                link.end()
+
+    def peers(self, role: str = ENTRY, zone: str = "") -> list[Peer]:
+        """Return the connected peers of a role, in one zone or in all, by name."""
+        found = {links[0].peer for links in self.links.values() if links}
+        return sorted(
+            peer for peer in found if peer.role == role and (not zone or peer.zone == zone)
+        )
+
+    def link(self, name: str) -> MeshLink | None:
+        """Return an open connection to the peer of that name."""
+        return next(iter(self.links.get(name, ())), None)
+
+    def post(self, name: str, kind: str, payload: dict[str, Any]) -> None:
+        """Send a message where the peer is connected."""
+        link = self.link(name)
+        if link is not None:
+            link.post(kind, payload)
+
+    def post_all(self, peers: list[Peer], kind: str, payload: dict[str, Any]) -> None:
+        """Send a message to each of the peers."""
+        for peer in peers:
+            self.post(peer.name, kind, payload)
+
+    async def run(self) -> None:
+        """Dial what is not connected, for ever."""
+        while True:
+            for address in self.wanted():
+                self.dialled[address] = asyncio.create_task(self.dial(address))
+            await asyncio.sleep(DIAL_INTERVAL_S)
+
+    def wanted(self) -> list[Address]:
+        """Return the addresses to dial now."""
+        now_s = self.clock.monotonic()
+        for address in [it for it, at_s in self.reached_at_s.items() if now_s - at_s > FORGET_S]:
+            if address not in self.dialled:
+                self.known.pop(address, None)
+                del self.reached_at_s[address]
+        own = Address(self.own.host, self.own.port)
+        every = {*self.seeds, *self.known}
+        return [address for address in every if address != own and address not in self.dialled]
+
+    async def dial(self, address: Address) -> None:
+        """Connect to an entry and serve the connection until it closes."""
+        try:
+            stream = await self.dialer.dial(address.host, address.port, DIAL_TIMEOUT_S)
+            await self.serve_dialled(stream, address)
+        except GypsumpierError:
+            # The loss of a connected peer is logged; a dead address is dialled in every round.
+            return
+        finally:
+            self.dialled.pop(address, None)
+
+    async def serve_dialled(self, stream: Stream, address: Address) -> None:
+        """Serve a connection that this process has opened."""
+        connection = Connection(stream, self.clock, HEARTBEAT_S, SILENCE_S)
+        try:
+            await connection.send(HELLO, {"peer": self.own.as_list()})
+            await self.serve(connection, WELCOME, address)
+        except GypsumpierError as error:
+            decision("mesh_connection_failed", address=str(address), reason=error.detail)
+        finally:
+            connection.close()
+
+    async def accept(self, stream: Stream) -> None:
+        """Serve a connection that a peer has opened."""
+        connection = Connection(stream, self.clock, HEARTBEAT_S, SILENCE_S)
+        try:
+            await self.serve(connection, HELLO, None)
+        except GypsumpierError as error:
+            decision("mesh_connection_failed", address="accepted", reason=error.detail)
+        finally:
+            connection.close()
+
+    async def serve(self, connection: Connection, first: str, address: Address | None) -> None:
+        """Read the peer's first message, then every other until the connection closes."""
+        keep_alive = asyncio.create_task(connection.keep_alive())
+        link: MeshLink | None = None
+        writer: asyncio.Task[None] | None = None
+        try:
+            async for frame in connection.frames():
+                if link is not None:
+                    self.receive(link, frame)
+                    continue
+                if frame.kind != first:
+                    return
+                peer = peer_from(frame, frame.payload.get("peer"))
+                if first == HELLO:
+                    await connection.send(WELCOME, self.welcome())
+                self.learn(frame, peer, address)
+                link = MeshLink(peer, connection)
+                writer = asyncio.create_task(self.write(link))
+                self.add(link)
+        finally:
+            if link is not None:
+                self.remove(link)
+            await end_task(writer)
+            await end_task(keep_alive)
+
+    async def write(self, link: MeshLink) -> None:
+        """Send the link's messages; a failure closes its connection."""
+        try:
+            await link.write()
+        except GypsumpierError:
+            # The reading side of the connection logs its end.
+            link.connection.close()
+
+    def welcome(self) -> dict[str, Any]:
+        """Return who this process is and which entries it knows."""
+        return {
+            "peer": self.own.as_list(),
+            "known": [peer.as_list() for peer in self.known.values()],
+        }
+
+    def learn(self, frame: Frame, peer: Peer, address: Address | None) -> None:
+        """Note the peer and the entries that it knows."""
+        now_s = self.clock.monotonic()
+        if peer.port:
+            self.known[Address(peer.host, peer.port)] = peer
+            self.reached_at_s[Address(peer.host, peer.port)] = now_s
+        if address is not None:
+            self.reached_at_s[address] = now_s
+        for found in frame.payload.get("known", []):
+            other = peer_from(frame, found)
+            place = Address(other.host, other.port)
+            if other.port and place not in self.known and other.name != self.own.name:
+                self.known[place] = other
+                self.reached_at_s[place] = now_s
+
+    def add(self, link: MeshLink) -> None:
+        """Use the link."""
+        links = self.links.setdefault(link.peer.name, [])
+        is_new = not links
+        links.insert(0, link)
+        if is_new:
+            decision("peer_connected", peer=link.peer.name, role=link.peer.role, run=link.peer.run)
+        for listener in self.on_peer:
+            listener(link)
+
+    def remove(self, link: MeshLink) -> None:
+        """Stop using the link."""
+        link.end()
+        links = self.links.get(link.peer.name, [])
+        if link in links:
+            links.remove(link)
+        if not links:
+            self.links.pop(link.peer.name, None)
+            decision("peer_lost", peer=link.peer.name, reason=link.connection.close_reason.name)
+        place = Address(link.peer.host, link.peer.port)
+        if place in self.known:
+            self.reached_at_s[place] = self.clock.monotonic()
+
+    def receive(self, link: MeshLink, frame: Frame) -> None:
+        """Hand a frame to whoever waits for it or handles its kind."""
+        if frame.kind == ANSWER:
+            link.note_answer(frame.exchange, frame.payload)
+            return
+        if frame.kind in self.listeners:
+            try:
+                self.listeners[frame.kind](link.peer, frame.payload)
+            except (KeyError, TypeError, ValueError) as error:
+                log_bad_message(link, frame, error)
+        elif frame.kind in self.answerers:
+            task = asyncio.create_task(self.answer(link, frame))
+            self.answers.add(task)
+            task.add_done_callback(self.answers.discard)
+
+    async def answer(self, link: MeshLink, frame: Frame) -> None:
+        """Send the answer to a question."""
+        try:
+            answer = await self.answerers[frame.kind](link.peer, frame.payload)
+        except (GypsumpierError, KeyError, TypeError, ValueError, TimeoutError) as error:
+            log_bad_message(link, frame, error)
+            answer = {FAILED: repr(error)}
+        link.post(ANSWER, answer, frame.exchange)
+
+
+def log_bad_message(link: MeshLink, frame: Frame, error: Exception) -> None:
+    """Log a message that could not be handled."""
+    decision("mesh_message_failed", peer=link.peer.name, kind=frame.kind, reason=repr(error))
--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -8,6 +8,7 @@
     """Every setting.  Times are in seconds, sizes in bytes, rates in bytes a second."""
 
     role: str = "entry"
+    node_file: str = ""
     name: str = ""
     incarnation: str = ""
     region: str = ""
--- /dev/null
+++ b/gypsumpier/piece/cache.py
@@ -0,0 +1,201 @@
+"""Pieces of weights on an entry: asked for by sidecars, drawn once and passed on.
+
+The first entry of each availability zone asks the first entry of the origin's zone, which draws
+from the origin; the others of a zone ask its first one.  Rank decides, nobody is elected: who does
+not answer in time is passed over.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from typing import Any, Final, TypeGuard
+
+from prometheus_client import Counter
+
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.codes.weight import CHUNK_CORRUPT
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.log import decision
+from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.piece.engine import PieceList, PieceOrigin
+
+PIECE: Final = "piece"
+PIECE_LIST: Final = "piece_list"
+ASK_TIMEOUT_S: Final = 1.5
+"""Seconds for a peer to answer; the origin needs about 0.2 s for the pieces asked for at once."""
+ORIGIN_DRAWS: Final = 4
+"""Pieces drawn from the origin at once; its link is full with fewer."""
+ORIGIN_TRIES: Final = 6
+"""Tries at the origin for one piece, whose answers may be cut or corrupt."""
+ORIGIN_PAUSE_S: Final = 0.1
+"""Seconds between two tries at the origin."""
+KEPT_VERSIONS: Final = 2
+"""Versions of a model that are kept: the one that is replaced and its successor."""
+
+DRAWN_BYTES: Final = Counter(
+    "gypsumpier_piece_bytes", "Bytes of pieces taken, by source.", ["source"], registry=REGISTRY
+)
+
+PieceKey = tuple[str, int, int]
+
+
+class PieceCache:
+    """Pieces by model, version and number."""
+
+    def __init__(
+        self, mesh: Mesh, beliefs: Beliefs, dial_origin: Callable[[str, int], PieceOrigin]
+    ) -> None:
+        self.mesh = mesh
+        self.beliefs = beliefs
+        self.dial_origin = dial_origin
+        self.origins: dict[tuple[str, int], PieceOrigin] = {}
+        self.lists: dict[tuple[str, int], PieceList] = {}
+        self.pieces: dict[PieceKey, bytes] = {}
+        self.running: dict[tuple[str, int, int], asyncio.Task[Any]] = {}
+        self.draws = asyncio.Semaphore(ORIGIN_DRAWS)
+        mesh.answerers[PIECE] = self.answer_piece
+        mesh.answerers[PIECE_LIST] = self.answer_list
+
+    async def answer_list(self, peer: Peer, payload: dict[str, Any]) -> dict[str, Any]:
+        """Answer a peer's question for the digests of a version."""
+        found = await self.piece_list(str(payload["model"]), int(payload["version"]))
+        return {"digests": list(found.digests)}
+
+    async def answer_piece(self, peer: Peer, payload: dict[str, Any]) -> dict[str, Any]:
+        """Answer a peer's question for a piece."""
+        key = str(payload["model"]), int(payload["version"]), int(payload["number"])
+        return {"content": await self.piece(*key)}
+
+    async def piece_list(self, model: str, version: int) -> PieceList:
+        """Return the digests of a version; raise GypsumpierError where nobody has them."""
+        if (model, version) not in self.lists:
+            found: PieceList = await self.shared(
+                (model, version, -1), self.find_list(model, version)
+            )
+            self.lists[model, version] = found
+            self.forget_old(model)
+        return self.lists[model, version]
+
+    async def piece(self, model: str, version: int, number: int) -> bytes:
+        """Return one verified piece; raise GypsumpierError where nobody has it."""
+        key = model, version, number
+        if key not in self.pieces:
+            found: bytes = await self.shared(key, self.find_piece(model, version, number))
+            self.pieces[key] = found
+        return self.pieces[key]
+
+    async def shared(self, key: PieceKey, work: Any) -> Any:
+        """Run the work once for everyone who asks meanwhile."""
+        task = self.running.get(key)
+        if task is None:
+            task = asyncio.create_task(work)
+            self.running[key] = task
+            task.add_done_callback(lambda _: self.running.pop(key, None))
+        else:
+            work.close()
+        return await asyncio.shield(task)
+
+    async def find_list(self, model: str, version: int) -> PieceList:
+        """Ask the other entries by rank, then the origin."""
+        for peer in self.sources():
+            answer = await self.ask(peer, PIECE_LIST, {"model": model, "version": version})
+            if answer is not None:
+                digests = tuple(str(digest) for digest in answer["digests"])
+                return PieceList(model, version, digests)
+        found: PieceList = await self.from_origin(lambda origin: origin.piece_list(model, version))
+        return found
+
+    async def find_piece(self, model: str, version: int, number: int) -> bytes:
+        """Ask the other entries by rank, then the origin; check the digest."""
+        digests = (await self.piece_list(model, version)).digests
+        if not 0 <= number < len(digests):
+            raise GypsumpierError(CHUNK_CORRUPT, f"no piece {number} of {model} {version}")
+        payload = {"model": model, "version": version, "number": number}
+        for peer in self.sources():
+            answer = await self.ask(peer, PIECE, payload)
+            if answer is not None and is_intact(answer.get("content"), digests[number]):
+                content: bytes = answer["content"]
+                DRAWN_BYTES.labels("peer").inc(len(content))
+                return content
+
+        async def draw(origin: PieceOrigin) -> bytes:
+            content = await origin.piece(model, version, number)
+            DRAWN_BYTES.labels("origin").inc(len(content))
+            if not is_intact(content, digests[number]):
+                raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from the origin")
+            return content
+
+        drawn: bytes = await self.from_origin(draw)
+        return drawn
+
+    async def ask(self, peer: Peer, kind: str, payload: dict[str, Any]) -> dict[str, Any] | None:
+        """Return a peer's answer; None, with a log line, where there is none."""
+        link = self.mesh.link(peer.name)
+        if link is None:
+            return None
+        try:
+            return await link.ask(kind, payload, ASK_TIMEOUT_S)
+        except (GypsumpierError, TimeoutError) as error:
+            decision("piece_source_failed", peer=peer.name, kind=kind, reason=repr(error))
+            return None
+
+    async def from_origin(self, call: Callable[[PieceOrigin], Any]) -> Any:
+        """Return what the call returns; raise GypsumpierError after several failed tries."""
+        for number in range(ORIGIN_TRIES):
+            try:
+                async with self.draws:
+                    return await call(self.origin())
+            except GypsumpierError as error:
+                decision(
+                    "origin_failed", number=number, code=error.code.number, reason=error.detail
+                )
+            await asyncio.sleep(ORIGIN_PAUSE_S)
+        raise GypsumpierError(PLATFORM_UNREACHABLE, "the origin of weights does not answer")
+
+    def origin(self) -> PieceOrigin:
+        """Return the client of the origin; raise GypsumpierError where none is configured."""
+        configuration = self.beliefs.configuration
+        place = configuration.origin() if configuration else None
+        if place is None:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "no origin is configured")
+        address = place.host, place.port
+        if address not in self.origins:
+            self.origins[address] = self.dial_origin(*address)
+        return self.origins[address]
+
+    def sources(self) -> list[Peer]:
+        """Return the entries to ask before the origin, by rank."""
+        own = self.mesh.own
+        configuration = self.beliefs.configuration
+        place = configuration.origin() if configuration else None
+        entries = sorted([own, *self.mesh.peers(ENTRY)])
+        near = [peer for peer in entries if peer.zone == own.zone]
+        at_origin = [peer for peer in entries if place and peer.zone == place.zone] or entries
+        if own == at_origin[0]:
+            return []
+        if own == near[0]:
+            return [peer for peer in at_origin[:2] if peer != own]
+        return [peer for peer in (near[0], at_origin[0]) if peer != own]
+
+    def forget_old(self, model: str) -> None:
+        """Keep the newest versions only."""
+        versions = sorted(version for name, version in self.lists if name == model)
+        for version in versions[:-KEPT_VERSIONS]:
+            del self.lists[model, version]
+            for key in [key for key in self.pieces if key[:2] == (model, version)]:
+                del self.pieces[key]
+
+    def close(self) -> None:
+        """Release the clients."""
+        for task in list(self.running.values()):
+            task.cancel()
+        for origin in self.origins.values():
+            origin.close()
+
+
+def is_intact(content: object, digest: str) -> TypeGuard[bytes]:
+    """Tell whether the content is bytes of that SHA-256 digest."""
+    return isinstance(content, bytes) and hashlib.sha256(content).hexdigest() == digest.lower()
--- a/gypsumpier/platform/__init__.py
+++ b/gypsumpier/platform/__init__.py
@@ -1,4 +1,7 @@
-"""Outside systems: a protocol for each, and beside it the one module that adapts HTTP to it.
+"""Adapter of the Rung Lab platform: decodes its names, formats and calls into the product's types.
 
-A different format of an outside system changes its ``*_http`` module and nothing else.
+It decides nothing.  ``settings`` reads the file that the platform writes for each process,
+``store`` reads and watches its store, ``records`` decodes what is stored, ``headers`` translates
+the HTTP headers of requests and answers, and ``engine`` and ``origin`` call model engines and the
+origin of weights.
 """
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -1,98 +1,76 @@
-"""The model engine beside an agent."""
-
-from collections.abc import AsyncIterator
-from typing import NamedTuple, Protocol
-
-
-class LiveModel(NamedTuple):
-    """What the engine reports that it serves; ``digest`` is that of the staged weights."""
-
-    model: str
-    version: str
-    digest: str
-
-
-class EngineStatus(NamedTuple):
-    """The engine's own report, which lags by up to a second or so.
-
-    ``incarnation`` differs for each run of the engine, which loses what was staged when it ends; it
-    is empty where the engine doesn't tell.
-    """
-
-    live: list[LiveModel]
-    running: int
-    waiting: int
-    capacity: int
-    free_memory_bytes: int
-    incarnation: str = ""
-
-
-class LoadOrder(NamedTuple):
-    """An order to the engine.  Engines that honour fencing refuse a lower ``fence``."""
-
-    model: str
-    version: str
-    digest: str
-    fence: int
-
-
-class Completion(NamedTuple):
-    """One streamed generation; ``stream_id`` names it for cancel and resume."""
-
-    stream_id: str
-    model: str
-    version: str
-    priority: int
-    body: dict[str, object]
-
-
-class EngineEvent(NamedTuple):
-    """One event of a stream: a token, or the end with the reason and the count of tokens.
-
-    ``position`` counts tokens from 0; in the final event it is their total number.
-    """
-
-    position: int
-    text: str
-    finish_reason: str | None
-    version: str
-
-
-class CacheEvent(NamedTuple):
-    """A prefix entered or left the engine's cache; sequence numbers show gaps."""
-
-    sequence: int
-    prefix: str
-    cached: bool
-
-
-class Engine(Protocol):
-    """Orders and uses one engine.
-
-    Raises GypsumpierError with PLATFORM_UNREACHABLE, PLATFORM_REFUSED (the engine said no and
-    did nothing), PLATFORM_BAD_ANSWER or ORDER_FENCED.
-    """
-
-    async def status(self) -> EngineStatus:
-        """Return the engine's last report."""
-
-    async def stage(self, digest: str, path: str, offset: int, content: bytes) -> None:
-        """Hand over a part of a file of the weights known by ``digest``."""
-
-    async def load(self, order: LoadOrder) -> None:
-        """Order the staged weights live; returns when the order is taken, not when live."""
-
-    async def unload(self, order: LoadOrder) -> None:
-        """Order the weights away."""
-
-    def complete(self, completion: Completion) -> AsyncIterator[EngineEvent]:
-        """Run a generation and yield its events."""
-
-    def resume(self, stream_id: str, next_position: int) -> AsyncIterator[EngineEvent]:
-        """Yield the events of a running or finished stream from ``next_position`` on."""
-
-    async def cancel(self, stream_id: str) -> None:
-        """Stop a stream; unknown ids are ignored."""
-
-    async def cache_events(self, after: int) -> list[CacheEvent]:
-        """Return the cache events after that sequence number, late and maybe with gaps."""
+"""Calls the model engine on the same machine."""
+
+import json
+from typing import Final
+from urllib.parse import quote
+
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.http import HttpCaller, raise_for_status
+from gypsumpier.fleet.node import Address
+from gypsumpier.piece.engine import EngineReport
+from gypsumpier.platform.fields import FieldError, field, number
+from gypsumpier.platform.records import loaded_layers
+
+CALL_TIMEOUT_S: Final = 2.0
+"""Seconds for a call on the same machine, which takes milliseconds unless the engine hangs."""
+NOT_FOUND: Final = 404
+CONFLICT: Final = 409
+
+
+class PlatformEngine:
+    """The Engine protocol on the platform's engines."""
+
+    def __init__(self, address: Address) -> None:
+        self.caller = HttpCaller(f"http://{address}")
+
+    async def report(self) -> EngineReport:
+        body = await self.caller.call_json("GET", "/gypsumpier/report", CALL_TIMEOUT_S)
+        try:
+            return EngineReport(
+                layers=loaded_layers(body),
+                is_busy=field(body, "busy", bool),
+                # The platform calls the count of accepted orders "seq".
+                orders=int(number(body, "seq")),
+                queued=int(number(body, "queued")),
+                active=int(number(body, "active")),
+                # The platform calls the start of this run "born", in Unix milliseconds.
+                started_ms=int(number(body, "born")) if "born" in body else 0,
+            )
+        except FieldError as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad report: {error}") from error
+
+    async def stage(self, model: str, number: int, content: bytes) -> None:
+        path = f"/gypsumpier/stage-put/{quote(model, safe='')}?num={number}"
+        await self.caller.call("PUT", path, CALL_TIMEOUT_S, body=content)
+
+    async def staged(self, model: str, number: int) -> bytes | None:
+        path = f"/gypsumpier/stage-get/{quote(model, safe='')}?num={number}"
+        response = await self.caller.fetch(self.caller.request("GET", path, CALL_TIMEOUT_S))
+        if response.code == NOT_FOUND:
+            return None
+        raise_for_status(response)
+        return response.body
+
+    async def start(self, model: str, version: int, preempt: bool) -> bool:
+        order = {
+            "op": "start",
+            "model": model,
+            "version": version,
+            "strategy": "preempt" if preempt else "queue",
+        }
+        request = self.caller.request(
+            "POST",
+            "/gypsumpier/order",
+            CALL_TIMEOUT_S,
+            body=json.dumps(order),
+            headers={"Content-Type": "application/json"},
+        )
+        response = await self.caller.fetch(request)
+        if response.code == CONFLICT:
+            return False
+        raise_for_status(response)
+        return True
+
+    def close(self) -> None:
+        self.caller.close()
--- /dev/null
+++ b/gypsumpier/platform/headers.py
@@ -0,0 +1,138 @@
+"""Translates the headers of callers' requests and of upstreams' answers."""
+
+from typing import Final
+
+from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
+
+from gypsumpier.upstream.head import AnswerHead, CallerHead, UpstreamHead
+
+REQUEST_ID: Final = "X-Request-Id"
+TIME_LIMIT: Final = "X-Deadline-Ms"
+KEY: Final = "X-Key"
+WORKSPACE: Final = "X-Tenant"
+EXPECTED_UPSTREAM: Final = "X-Expect-Instance"
+EXPECTED_VERSION: Final = "X-Expect-Version"
+URGENCY: Final = "X-Request-Urgency"
+MODEL: Final = "X-Model"
+TOKEN_COUNTS: Final = "X-Token-Counts"
+EXPECTED_TOKENS: Final = "X-Length-Hint"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+SEAL: Final = "X-Server-Seal"
+NOT_RUN: Final = "X-Not-Executed"
+WEIGHT_VERSION: Final = "X-Weight-Versions"
+MISDIRECTED: Final = 421
+# Headers of one connection, and those that the system sets whatever a caller sent.
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+OWN_HEADERS: Final = frozenset(
+    name.lower()
+    for name in (
+        KEY, WORKSPACE, TIME_LIMIT, EXPECTED_UPSTREAM, EXPECTED_VERSION, URGENCY, "Path"
+    )
+)  # fmt: skip
+
+
+def caller_head(start: RequestStartLine, headers: HTTPHeaders) -> CallerHead:
+    """Return the head of a caller's request; fields that can't be read keep their default."""
+    prompt_tokens, _, answer_tokens = headers.get(TOKEN_COUNTS, "").partition(",")
+    time_limit_ms = headers.get(TIME_LIMIT, "")
+    return CallerHead(
+        request_id=headers.get(REQUEST_ID, ""),
+        method=start.method,
+        target=start.path,
+        host=headers.get("Host", ""),
+        key=headers.get(KEY, ""),
+        time_limit_s=int(time_limit_ms) / 1000 if is_count(time_limit_ms) else None,
+        model=headers.get(MODEL, ""),
+        last_event_id=headers.get(LAST_EVENT_ID, ""),
+        prompt_tokens=count(prompt_tokens),
+        answer_tokens=count(answer_tokens),
+        expected_answer_tokens=count(headers.get(EXPECTED_TOKENS, "")),
+        passed_on=without(headers, OWN_HEADERS),
+    )
+
+
+def upstream_headers(caller: CallerHead, own: UpstreamHead) -> HTTPHeaders:
+    """Return the headers of the request to an upstream."""
+    headers = HTTPHeaders(caller.passed_on)
+    headers[TIME_LIMIT] = str(max(1, int(own.time_limit_s * 1000)))
+    headers[EXPECTED_UPSTREAM] = own.upstream
+    headers[URGENCY] = str(own.urgency)
+    if own.workspace:
+        headers[WORKSPACE] = own.workspace
+    if own.expected_version:
+        headers[EXPECTED_VERSION] = str(own.expected_version)
+    if own.last_event_id:
+        headers[LAST_EVENT_ID] = own.last_event_id
+    if own.body_bytes or caller.method in ("POST", "PUT", "PATCH"):
+        headers["Content-Length"] = str(own.body_bytes)
+    return headers
+
+
+def answer_head(start: ResponseStartLine, headers: HTTPHeaders) -> AnswerHead:
+    """Return the head of an upstream's answer."""
+    version = headers.get(WEIGHT_VERSION, "")
+    return AnswerHead(
+        status=start.code,
+        reason=start.reason,
+        request_id=headers.get(REQUEST_ID, ""),
+        seal=headers.get(SEAL, ""),
+        is_not_run=NOT_RUN in headers or start.code == MISDIRECTED,
+        is_encoded="Content-Encoding" in headers,
+        closes="close" in headers.get("Connection", "").lower(),
+        idle_s=idle_s(headers),
+        weight_version=count(version),
+        passed_on=without(headers, frozenset()),
+    )
+
+
+def refusal_headers(request_id: str, body_bytes: int, retry_after_s: float | None) -> HTTPHeaders:
+    """Return the headers of an answer of the entry's own; Retry-After may hold fractions."""
+    headers = HTTPHeaders({"Content-Type": "application/json", REQUEST_ID: request_id})
+    headers["Content-Length"] = str(body_bytes)
+    if retry_after_s is not None:
+        headers["Retry-After"] = f"{max(0.0, retry_after_s):.3f}"
+    return headers
+
+
+def without(headers: HTTPHeaders, names: frozenset[str]) -> HTTPHeaders:
+    """Return the headers that pass a proxy, those of ``names`` left out."""
+    listed = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    kept = HTTPHeaders()
+    for name, value in headers.get_all():
+        lower = name.lower()
+        if lower not in CONNECTION_HEADERS and lower not in names and lower not in listed:
+            kept.add(name, value)
+    return kept
+
+
+def idle_s(headers: HTTPHeaders) -> float | None:
+    """Return the seconds of ``Keep-Alive: timeout=N``; None where there are none."""
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout" and is_count(value.strip()):
+            return float(value)
+    return None
+
+
+def is_count(text: str) -> bool:
+    """Tell whether the text is a whole number of a sensible length."""
+    return text.isascii() and text.isdecimal() and len(text) < 12
+
+
+def count(text: str) -> int:
+    """Return the text as a whole number; 0 where it isn't one, as the header is optional."""
+    return int(text) if is_count(text.strip()) else 0
--- /dev/null
+++ b/gypsumpier/platform/origin.py
@@ -0,0 +1,37 @@
+"""Calls the origin of weights."""
+
+from typing import Final
+from urllib.parse import quote
+
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.http import HttpCaller
+from gypsumpier.fleet.node import Address
+from gypsumpier.piece.engine import PieceList
+from gypsumpier.platform.fields import FieldError, field
+
+CALL_TIMEOUT_S: Final = 3.0
+"""Seconds for one call; the origin's whole link needs about 30 ms for a piece."""
+
+
+class PlatformOrigin:
+    """The PieceOrigin protocol on the platform's origin."""
+
+    def __init__(self, address: Address) -> None:
+        self.caller = HttpCaller(f"http://{address}")
+
+    async def piece_list(self, model: str, version: int) -> PieceList:
+        path = f"/gypsumpier/manifest/{quote(model, safe='')}?version={version}"
+        body = await self.caller.call_json("GET", path, CALL_TIMEOUT_S)
+        try:
+            digests = tuple(str(digest) for digest in field(body, "digests", list))
+            return PieceList(field(body, "model", str), field(body, "version", int), digests)
+        except FieldError as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad list: {error}") from error
+
+    async def piece(self, model: str, version: int, number: int) -> bytes:
+        path = f"/gypsumpier/piece/{quote(model, safe='')}?num={number}&version={version}"
+        return await self.caller.call("GET", path, CALL_TIMEOUT_S)
+
+    def close(self) -> None:
+        self.caller.close()
--- /dev/null
+++ b/gypsumpier/platform/records.py
@@ -0,0 +1,221 @@
+"""Decodes what lies in the platform's store: configuration, upstreams and wanted versions.
+
+An upstream's record may come from another writer and be malformed: it then names no upstream.
+"""
+
+import json
+from typing import Any, Final
+
+from gypsumpier.fleet.change import (
+    ConfigurationChange,
+    FleetChange,
+    UpstreamChange,
+    VersionChange,
+)
+from gypsumpier.fleet.configuration import CallerLimits, FleetConfiguration, Workspace
+from gypsumpier.fleet.record import Record
+from gypsumpier.fleet.route import Route, RouteTarget
+from gypsumpier.fleet.service import ModelTraits, Origin, Service
+from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord
+from gypsumpier.log import decision
+from gypsumpier.platform.fields import FieldError, field, number, objects
+from gypsumpier.platform.settings import BITS_PER_BYTE, BITS_PER_MBIT, address
+
+CONFIGURATION_KEY: Final = "op/config"
+VERSION_PREFIX: Final = "op/version/"
+UPSTREAM_PREFIX: Final = "servers/"
+STATES: Final = ("ready", "draining")
+KINDS: Final = ("idempotent", "non_idempotent", "streaming")
+MS: Final = 0.001
+
+
+def decode_record(record: Record) -> FleetChange | None:
+    """Return what the record says; None where the product has no use for it."""
+    key, value, revision = record
+    if key.startswith(UPSTREAM_PREFIX):
+        return upstream_change(key.removeprefix(UPSTREAM_PREFIX), value, revision)
+    try:
+        if value is not None and key == CONFIGURATION_KEY:
+            return ConfigurationChange(configuration(json_value(value)))
+        if value is not None and key.startswith(VERSION_PREFIX):
+            body = json_value(value)
+            return VersionChange(field(body, "model", str), field(body, "version", int))
+    except ValueError as error:
+        decision("record_rejected", key=key, revision=revision, reason=str(error))
+    return None
+
+
+def json_value(value: bytes) -> dict[str, Any]:
+    """Return the value as a JSON object; raise ValueError otherwise."""
+    body = json.loads(value)
+    if not isinstance(body, dict):
+        raise FieldError("the value is not a JSON object")
+    return body
+
+
+def upstream_change(upstream: str, value: bytes | None, revision: int) -> UpstreamChange:
+    """Return the change of one upstream's record."""
+    if value is None:
+        return UpstreamChange(upstream, None)
+    try:
+        return UpstreamChange(upstream, upstream_record(upstream, json_value(value)))
+    except (ValueError, RecursionError) as error:
+        decision("record_rejected", key=upstream, revision=revision, reason=str(error))
+        return UpstreamChange(upstream, None)
+
+
+def upstream_record(upstream: str, body: dict[str, Any]) -> UpstreamRecord:
+    """Return the record; raise FieldError where a field is wrong."""
+    place = address(body.get("address"))
+    state = field(body, "state", str)
+    if place is None or state not in STATES:
+        raise FieldError("address or state is wrong")
+    return UpstreamRecord(
+        id=upstream,
+        service=field(body, "service", str),
+        host=place.host,
+        port=place.port,
+        zone=field(body, "zone", str),
+        slots=int(number(body, "slots")),
+        is_leaving=state == "draining",
+        started_ms=int(body["born"]) if isinstance(body.get("born"), int) else 0,
+        layers=loaded_layers(body),
+    )
+
+
+def loaded_layers(body: dict[str, Any]) -> tuple[LoadedLayers, ...]:
+    """Return the layers that an engine says it holds; a plain service holds none.
+
+    ``layers`` stands beside ``models`` or within a model, as one range or as several.
+    """
+    found: list[LoadedLayers] = []
+    models = objects(body, "models") if body.get("models") else []
+    for model in models:
+        found += layer_ranges(field(model, "name", str), model.get("layers"))
+    if models:
+        found += layer_ranges(field(models[0], "name", str), body.get("layers"))
+    return tuple(found)
+
+
+def layer_ranges(model: str, held: object) -> list[LoadedLayers]:
+    """Return the ranges of layers of a model; an engine that holds none says nothing."""
+    parts = held if isinstance(held, list) else [held] if held else []
+    if not all(isinstance(part, dict) for part in parts):
+        raise FieldError("layers holds something other than ranges")
+    return [layer_range(model, part) for part in parts]
+
+
+def layer_range(model: str, part: dict[str, Any]) -> LoadedLayers:
+    """Return one range of layers; ``to`` is excluded."""
+    start, end = int(number(part, "from")), int(number(part, "to"))
+    return LoadedLayers(model, int(number(part, "version")), start, end)
+
+
+def configuration(body: dict[str, Any]) -> FleetConfiguration:
+    """Return the configuration; raise FieldError where a field is wrong."""
+    services = [service(item) for item in objects(body, "services")]
+    return FleetConfiguration(
+        version=field(body, "version", int),
+        routes=[route(item) for item in objects(body, "routes")],
+        services={found.name: found for found in services},
+        workspaces_by_key=workspaces(body) if "tenants" in body else None,
+        limits=caller_limits(field(body, "limits", dict)),
+    )
+
+
+def workspaces(body: dict[str, Any]) -> dict[str, Workspace]:
+    """Return the workspaces by key; the platform calls a workspace a tenant."""
+    found = {}
+    for tenant in objects(body, "tenants"):
+        priority = tenant.get("priority")
+        workspace = Workspace(
+            field(tenant, "name", str), priority if isinstance(priority, int) else None
+        )
+        for key in field(tenant, "api_keys", list):
+            found[str(key)] = workspace
+    return found
+
+
+def caller_limits(body: dict[str, Any]) -> CallerLimits:
+    """Return what callers may send."""
+    return CallerLimits(
+        header_bytes=int(number(body, "max_header_bytes")),
+        body_bytes=int(number(body, "max_body_bytes")),
+        header_timeout_s=number(body, "header_timeout_ms") * MS,
+        idle_timeout_s=number(body, "idle_timeout_ms") * MS,
+    )
+
+
+def route(body: dict[str, Any]) -> Route:
+    """Return one route; ``goal_ms`` is to the first event where the route streams."""
+    kind = field(body, "kind", str)
+    if kind not in KINDS:
+        raise FieldError(f"unknown kind of route {kind!r}")
+    is_streamed = kind == "streaming"
+    return Route(
+        name=field(body, "name", str),
+        host=field(body, "host", str),
+        prefix=field(body, "prefix", str),
+        is_streamed=is_streamed,
+        is_repeatable=body.get("resumable") is True if is_streamed else kind == "idempotent",
+        is_public=body.get("public") is True,
+        timeout_s=number(body, "timeout_ms") * MS,
+        goal_s=number(body, "goal_ms") * MS,
+        event_gap_goal_s=number(body, "gap_goal_ms") * MS if "gap_goal_ms" in body else 0.0,
+        priority=int(number(body, "priority")) if "priority" in body else 0,
+        max_attempts=max(1, int(number(body, "attempts"))) if "attempts" in body else 1,
+        targets=route_targets(body),
+    )
+
+
+def route_targets(body: dict[str, Any]) -> tuple[RouteTarget, ...]:
+    """Return the services of a route: one ``service``, or several ``backends`` by weight."""
+    if "backends" in body:
+        return tuple(
+            RouteTarget(field(item, "service", str), int(number(item, "weight")))
+            for item in objects(body, "backends")
+        )
+    return (RouteTarget(field(body, "service", str), 1),)
+
+
+def service(body: dict[str, Any]) -> Service:
+    """Return one service."""
+    engine = body.get("engine")
+    return Service(
+        name=field(body, "name", str),
+        max_connections=int(number(body, "max_conns")) if "max_conns" in body else 0,
+        model=model_traits(engine) if isinstance(engine, dict) else None,
+        origin=origin(body) if "origin" in body else None,
+    )
+
+
+def model_traits(body: dict[str, Any]) -> ModelTraits:
+    """Return how the engines of a service work."""
+    usual = body.get("usual")
+    usual = usual if isinstance(usual, dict) else {}
+    return ModelTraits(
+        models=tuple(field(model, "name", str) for model in objects(body, "models")),
+        batch_slots=int(number(body, "slots")),
+        layers=int(number(body, "layers")) if "layers" in body else 0,
+        piece_count=int(number(body, "chunks")) if "chunks" in body else 0,
+        piece_bytes=int(number(body, "chunk_bytes")) if "chunk_bytes" in body else 0,
+        report_lag_s=number(body, "report_lag_ms") * MS if "report_lag_ms" in body else 0.0,
+        step_s=number(body, "step_ms") * MS,
+        prompt_tokens_per_s=number(body, "read_per_s"),
+        mean_prompt_tokens=int(number(usual, "prompt")) if "prompt" in usual else 0,
+        mean_answer_tokens=int(number(usual, "answer")) if "answer" in usual else 0,
+    )
+
+
+def origin(body: dict[str, Any]) -> Origin:
+    """Return the origin of weights."""
+    place = address(body.get("origin"))
+    if place is None:
+        raise FieldError("origin is not IP:PORT")
+    return Origin(
+        host=place.host,
+        port=place.port,
+        zone=field(body, "zone", str),
+        link_bytes_per_s=number(body, "link_mbps") * BITS_PER_MBIT / BITS_PER_BYTE,
+        max_connections=int(number(body, "max_conns")) if "max_conns" in body else 1,
+    )
--- /dev/null
+++ b/gypsumpier/platform/settings.py
@@ -0,0 +1,153 @@
+"""The settings file that the platform writes for a process, rendered as one JSON object.
+
+Unknown fields are ignored.  Every wrong one is reported, as with the product's own settings.
+"""
+
+import json
+from pathlib import Path
+from typing import Any, Final
+
+from gypsumpier.codes.setting import SETTING_MALFORMED, SETTING_MISSING
+from gypsumpier.fleet.node import Address, Bounds, NodeSettings
+from gypsumpier.settings import MAX_PORT, Problem, SettingsError, is_ip_number
+
+FILE_VARIABLE: Final = "GYPSUMPIER_NODE_FILE"
+BITS_PER_MBIT: Final = 1_000_000
+BITS_PER_BYTE: Final = 8
+BYTES_PER_MB: Final = 1024 * 1024
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Return the settings in the file; raise SettingsError with every problem."""
+    try:
+        body = json.loads(path.read_bytes())
+    except (OSError, ValueError) as error:
+        raise SettingsError([Problem(SETTING_MALFORMED, "node file", str(error))]) from error
+    if not isinstance(body, dict):
+        raise SettingsError([Problem(SETTING_MALFORMED, "node file", "is not a JSON object")])
+    reader = Reader(body)
+    settings = node_settings(reader)
+    if reader.problems:
+        raise SettingsError(reader.problems)
+    return settings
+
+
+class Reader:
+    """Reads fields and collects the problems, so that all are told at once."""
+
+    def __init__(self, body: dict[str, Any]) -> None:
+        self.body = body
+        self.problems: list[Problem] = []
+
+    def problem(self, name: str, detail: str) -> None:
+        """Note a wrong field."""
+        code = SETTING_MISSING if self.value(name) is None else SETTING_MALFORMED
+        self.problems.append(Problem(code, name, detail))
+
+    def value(self, name: str) -> Any:
+        """Return the value at a dotted name; None where there is none."""
+        found: Any = self.body
+        for part in name.split("."):
+            found = found.get(part) if isinstance(found, dict) else None
+        return found
+
+    def text(self, name: str) -> str:
+        """Return a text that is not empty."""
+        found = self.value(name)
+        if isinstance(found, str) and found:
+            return found
+        self.problem(name, "is not a text")
+        return ""
+
+    def number(self, name: str, scale: float = 1.0) -> float:
+        """Return a number above or equal to 0, multiplied by ``scale``."""
+        found = self.value(name)
+        if isinstance(found, int | float) and not isinstance(found, bool) and 0 <= found < 1e15:
+            return found * scale
+        self.problem(name, "is not a number of 0 or more")
+        return 0.0
+
+    def address(self, name: str) -> Address:
+        """Return an address."""
+        found = address(self.value(name))
+        if found is None:
+            self.problem(name, "is not IP:PORT")
+            return Address("0.0.0.0", 0)
+        return found
+
+    def optional_address(self, name: str) -> Address | None:
+        """Return an address, or None where the field is absent."""
+        return None if self.value(name) is None else self.address(name)
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        """Return a list of addresses; an absent list is empty."""
+        found = self.value(name)
+        parsed = [address(item) for item in found] if isinstance(found, list) else []
+        if any(item is None for item in parsed) or not isinstance(found, list | None):
+            self.problem(name, "is not a list of IP:PORT")
+        return tuple(item for item in parsed if item is not None)
+
+    def ports(self, name: str) -> tuple[int, int]:
+        """Return the first and the last port of a range."""
+        found = self.value(name)
+        is_pair = isinstance(found, list) and len(found) == 2
+        if is_pair and all(type(item) is int and 0 < item <= MAX_PORT for item in found):
+            return found[0], found[1]
+        self.problem(name, "is not [FIRST, LAST]")
+        return 0, 0
+
+    def texts(self, name: str) -> dict[str, str]:
+        """Return a table of texts."""
+        found = self.value(name)
+        if isinstance(found, dict) and all(isinstance(item, str) for item in found.values()):
+            return dict(found)
+        self.problem(name, "is not a table of texts")
+        return {}
+
+
+def node_settings(reader: Reader) -> NodeSettings:
+    """Return the settings; problems are collected in the reader."""
+    first_port, last_port = reader.ports("port_range")
+    return NodeSettings(
+        name=reader.text("node"),
+        host=reader.text("ip"),
+        zone=reader.text("zone"),
+        region=reader.text("region"),
+        regions_by_zone=reader.texts("zones"),
+        caller_address=reader.optional_address("listen.front"),
+        readiness_address=reader.optional_address("listen.ready"),
+        stream_address=reader.optional_address("listen.control"),
+        seeds=reader.addresses("seeds"),
+        store_address=reader.address("provider.address"),
+        engine_address=reader.optional_address("app"),
+        engine_service=reader.text("service") if reader.value("app") else "",
+        first_port=first_port,
+        last_port=last_port,
+        link_bytes_per_s=reader.number("limits.link_mbps", BITS_PER_MBIT / BITS_PER_BYTE),
+        memory_bytes=int(reader.number("limits.memory_mb", BYTES_PER_MB)),
+        bounds=bounds(reader),
+    )
+
+
+def bounds(reader: Reader) -> Bounds:
+    """Return the promised bounds in seconds."""
+    return Bounds(
+        configuration_in_force_s=reader.number("bounds.config_apply_ms", 0.001),
+        key_revoked_s=reader.number("bounds.revoke_ms", 0.001),
+        upstream_drain_s=reader.number("bounds.drain_ms", 0.001),
+        stop_s=reader.number("bounds.grace_s"),
+        version_in_force_s=reader.number("bounds.version_ms", 0.001),
+        retry_share=reader.number("bounds.retry_ratio"),
+        retry_window_s=reader.number("bounds.retry_window_s"),
+        retry_slack=reader.number("bounds.retry_slack"),
+    )
+
+
+def address(found: object) -> Address | None:
+    """Return the text IP:PORT as an address; None where it isn't one."""
+    if not isinstance(found, str):
+        return None
+    host, _, port = found.rpartition(":")
+    if not is_ip_number(host) or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        return None
+    return Address(host, int(port))
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -1,44 +1,99 @@
-"""Sources of weights: the regional weight store and the origin."""
+"""The platform's store over HTTP: items, pages of items and watches.  It can only be read.
 
-from collections.abc import Iterable
-from typing import NamedTuple, Protocol
+A watch that waits proves nothing until it answers.  Pages are no snapshot: what changed while they
+were read follows from a watch that begins at the revision of the first page.
+"""
 
-from blake3 import blake3
+from base64 import b64decode
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any, Final
+from urllib.parse import quote
 
+from gypsumpier.codes.platform import HISTORY_GONE, PLATFORM_BAD_ANSWER
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
+from gypsumpier.fleet.change import Batch, FleetChange
+from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.record import Record
+from gypsumpier.platform.fields import field, objects
+from gypsumpier.platform.records import decode_record
 
-class WeightFile(NamedTuple):
-    """One file of a version as its publisher described it.
+READ_TIMEOUT_S: Final = 2.0
+"""Seconds for a read; the store answers within milliseconds when it is well."""
+WATCH_MARGIN_S: Final = 1.0
+"""Seconds beyond the wait after which a watch counts as lost."""
+GONE_STATUS: Final = 410
+PAGES_MAX: Final = 1000
+EVERYTHING: Final = ""
 
-    ``digest`` is the BLAKE3 of the whole content in hexadecimal.  The content is cut into chunks
-    of ``chunk_bytes``, the last of which may be shorter; ``chunk_digests`` holds the BLAKE3 of
-    each in order.  The publisher computes both while it writes the file, so that no reader has to
-    draw a copy only to learn the digests.
-    """
 
-    path: str
-    size_bytes: int
-    digest: str
-    chunk_bytes: int
-    chunk_digests: tuple[str, ...]
+class PlatformStore:
+    """The FleetSource protocol over the platform's store."""
 
+    def __init__(self, address: Address) -> None:
+        self.caller = HttpCaller(f"http://{address}")
 
-class Store(Protocol):
-    """Reads published weights by range.
+    async def snapshot(self) -> Batch:
+        revision = None
+        records: list[Record] = []
+        after = ""
+        for _ in range(PAGES_MAX):
+            path = f"/gypsumpier/kv-range?prefix={EVERYTHING}"
+            if after:
+                path += f"&after={quote(after, safe='')}"
+            body = json_object(await self.caller.call("GET", path, READ_TIMEOUT_S))
+            with bad_answer_on_error():
+                items = objects(body, "items")
+                first_revision = field(body, "current_rev", int)
+                revision = first_revision if revision is None else revision
+                records += records_of(items)
+                if not body.get("more_pages") or not items:
+                    return Batch(0, revision, records, True, 0.0)
+                after = field(items[-1], "key", str)
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, f"over {PAGES_MAX} pages of items")
 
-    Raises GypsumpierError with PLATFORM_REFUSED (and when to come back) where the rate is
-    exceeded, PLATFORM_UNREACHABLE or PLATFORM_BAD_ANSWER.
-    """
+    async def watch(self, revision: int, wait_s: float) -> Batch:
+        path = (
+            f"/gypsumpier/kv-watch?prefix={EVERYTHING}&after={revision}"
+            f"&wait_ms={round(wait_s * 1000)}"
+        )
+        request = self.caller.request("GET", path, wait_s + WATCH_MARGIN_S)
+        response = await self.caller.fetch(request)
+        if response.code == GONE_STATUS:
+            raise GypsumpierError(HISTORY_GONE, f"no history after {revision}")
+        raise_for_status(response)
+        body = json_object(response.body)
+        with bad_answer_on_error():
+            events = objects(body, "events")
+            current = field(body, "current_rev", int)
+            found = records_of(events)
+            # An empty answer means that the store waited all the time and had nothing newer.
+            return Batch(revision, current, found, False, 0.0 if found else wait_s)
 
-    async def files(self, model: str, version: str) -> list[WeightFile]:
-        """Return the files of the version as published now; a version's content may change."""
+    def decode(self, record: Record) -> FleetChange | None:
+        return decode_record(record)
 
-    async def read(self, model: str, version: str, path: str, offset: int, length: int) -> bytes:
-        """Return ``length`` bytes of the file from ``offset``."""
+    def close(self) -> None:
+        self.caller.close()
 
 
-def version_digest(files: Iterable[WeightFile]) -> str:
-    """Return the digest that stands for the whole version: BLAKE3 over its sorted file list."""
-    digest = blake3()
-    for file in sorted(files):
-        digest.update(f"{file.path}\0{file.size_bytes}\0{file.digest}\n".encode())
-    return str(digest.hexdigest())
+def records_of(items: list[dict[str, Any]]) -> list[Record]:
+    """Return the items or events as records, in their order."""
+    return [
+        Record(
+            field(item, "key", str),
+            None if item.get("removed") else b64decode(field(item, "value", str)),
+            field(item, "rev", int),
+        )
+        for item in items
+    ]
+
+
+@contextmanager
+def bad_answer_on_error() -> Iterator[None]:
+    """Turn what a malformed answer raises into GypsumpierError with PLATFORM_BAD_ANSWER."""
+    try:
+        yield
+    except ValueError as error:
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, str(error)) from error
--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -4,6 +4,7 @@
 
 SETTING_HELP: Final[dict[str, str]] = {
     "role": "Role of this process: entry (takes callers' requests) or agent (beside an upstream).",
+    "node_file": "Settings file of the Rung Lab platform; runs on that platform where it is given.",
     "name": "Stable name: entry/ZONE/NUMBER, or SERVICE/ZONE/NUMBER for an agent.",
     "incarnation": "Name of this run of the process; random when left out.",
     "region": "Region of this instance.",
--- a/gypsumpier/settings.py
+++ b/gypsumpier/settings.py
@@ -157,7 +157,8 @@
 def role_problems(options: Options) -> list[Problem]:
     """Return the problems of what the role requires and excludes."""
     problems = []
-    for name in REQUIRED_BY_ROLE.get(options.role, ()):
+    required = () if options.node_file else REQUIRED_BY_ROLE.get(options.role, ())
+    for name in required:
         if not getattr(options, name):
             detail = f"required for the role {options.role}"
             problems.append(Problem(SETTING_MISSING, name, detail))
--- /dev/null
+++ b/gypsumpier/sidecar/stager.py
@@ -0,0 +1,122 @@
+"""Stages the pieces of one version at the engine, verifies them and orders the switch.
+
+Staged pieces may rot or be overwritten, and the engine loads whatever lies there when it accepts
+the order.  So every piece is read back and compared with its digest just before the order.
+"""
+
+import asyncio
+import time
+from typing import Any, Final
+
+from gypsumpier.codes.weight import CHUNK_CORRUPT, CHUNK_UNAVAILABLE
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.piece.cache import PIECE, PIECE_LIST, is_intact
+from gypsumpier.piece.engine import Engine
+
+ASKS_AT_ONCE: Final = 4
+"""Pieces asked for at once; enough to keep a slow link full over a short round trip."""
+ASK_TIMEOUT_S: Final = 2.5
+"""Seconds for an entry to answer; it may have to draw the piece first."""
+READ_BACK_AT_ONCE: Final = 4
+"""Staged pieces read back at once, on the same machine."""
+
+
+class Stager:
+    """Pieces of one model's version on their way to one engine."""
+
+    def __init__(self, mesh: Mesh, engine: Engine, model: str, version: int) -> None:
+        self.mesh = mesh
+        self.engine = engine
+        self.model = model
+        self.version = version
+        self.digests: tuple[str, ...] = ()
+        self.pieces: dict[int, bytes] = {}
+
+    async def fetch(self) -> None:
+        """Bring every piece into memory and stage it; raise GypsumpierError on failure."""
+        began_s = time.monotonic()
+        if not self.digests:
+            answer = await self.ask(PIECE_LIST, {})
+            self.digests = tuple(str(digest) for digest in answer["digests"])
+        wanted = [number for number in range(len(self.digests)) if number not in self.pieces]
+        await self.verify_staged(wanted)
+        wanted = [number for number in wanted if number not in self.pieces]
+        await in_parallel(wanted, self.fetch_piece, ASKS_AT_ONCE)
+        decision(
+            "pieces_staged",
+            model=self.model,
+            version=self.version,
+            fetched=len(wanted),
+            took_s=round(time.monotonic() - began_s, 3),
+        )
+
+    async def verify_staged(self, numbers: list[int]) -> None:
+        """Take over what already lies at the engine and is intact."""
+
+        async def look(number: int) -> None:
+            content = await self.engine.staged(self.model, number)
+            if is_intact(content, self.digests[number]):
+                self.pieces[number] = content
+
+        await in_parallel(numbers, look, READ_BACK_AT_ONCE)
+
+    async def fetch_piece(self, number: int) -> None:
+        """Fetch one piece and stage it."""
+        content = (await self.ask(PIECE, {"number": number})).get("content")
+        if not is_intact(content, self.digests[number]):
+            raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from an entry")
+        self.pieces[number] = content
+        await self.engine.stage(self.model, number, content)
+
+    async def ask(self, kind: str, payload: dict[str, Any]) -> dict[str, Any]:
+        """Return the first answer of the entries, those of the own zone first."""
+        payload = payload | {"model": self.model, "version": self.version}
+        for peer in self.entries():
+            link = self.mesh.link(peer.name)
+            if link is None:
+                continue
+            try:
+                return await link.ask(kind, payload, ASK_TIMEOUT_S)
+            except (GypsumpierError, TimeoutError) as error:
+                decision("piece_source_failed", peer=peer.name, kind=kind, reason=repr(error))
+        raise GypsumpierError(CHUNK_UNAVAILABLE, f"no entry has {kind} {payload}")
+
+    def entries(self) -> list[Peer]:
+        """Return the entries to ask, by rank."""
+        peers = self.mesh.peers(ENTRY)
+        return sorted(peers, key=lambda peer: (peer.zone != self.mesh.own.zone, peer.name))
+
+    async def restore(self) -> int:
+        """Read every staged piece back and stage the bad ones again; return their number."""
+        bad: list[int] = []
+
+        async def check(number: int) -> None:
+            content = await self.engine.staged(self.model, number)
+            if not is_intact(content, self.digests[number]):
+                bad.append(number)
+
+        await in_parallel(list(range(len(self.digests))), check, READ_BACK_AT_ONCE)
+        for number in bad:
+            await self.engine.stage(self.model, number, self.pieces[number])
+        if bad:
+            decision("staged_pieces_bad", model=self.model, version=self.version, numbers=bad)
+        return len(bad)
+
+
+async def in_parallel(numbers: list[int], work: Any, at_once: int) -> None:
+    """Run the work for each number, a few at once; raise the first error."""
+    left = iter(numbers)
+
+    async def run() -> None:
+        for number in left:
+            await work(number)
+
+    try:
+        async with asyncio.TaskGroup() as group:
+            for _ in range(min(at_once, len(numbers))):
+                group.create_task(run())
+    except ExceptionGroup as errors:
+        raise errors.exceptions[0] from errors
--- a/gypsumpier/spread/identity.py
+++ b/gypsumpier/spread/identity.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 
 
 class Identity(NamedTuple):
--- a/gypsumpier/spread/link.py
+++ b/gypsumpier/spread/link.py
@@ -6,9 +6,9 @@
 
 from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.membership import Member
 from gypsumpier.log import decision
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.serving import serve
 from gypsumpier.spread.spread import Spread
--- a/gypsumpier/spread/message.py
+++ b/gypsumpier/spread/message.py
@@ -11,8 +11,8 @@
 from gypsumpier.document.record import Rank
 from gypsumpier.document.validator import BODY_LIMIT_BYTES
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.configuration import Revised
-from gypsumpier.platform.membership import Member
+from gypsumpier.external.configuration import Revised
+from gypsumpier.external.membership import Member
 
 DOCUMENT_WANT: Final = "document.want"
 DOCUMENT_HAVE: Final = "document.have"
--- a/gypsumpier/spread/streams.py
+++ b/gypsumpier/spread/streams.py
@@ -14,10 +14,10 @@
 from gypsumpier.clock import Clock
 from gypsumpier.codes.document import STREAMS_FULL
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.membership import Member
 from gypsumpier.log import decision
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread import topology
 from gypsumpier.spread.identity import Identity, own_member
 from gypsumpier.spread.link import SpreadLink
--- a/gypsumpier/spread/topology.py
+++ b/gypsumpier/spread/topology.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
-from gypsumpier.platform.membership import Member
+from gypsumpier.external.membership import Member
 
 SCORE_BYTES: Final = 8
 
--- a/gypsumpier/test/builders.py
+++ b/gypsumpier/test/builders.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from gypsumpier.platform.membership import Member
+from gypsumpier.external.membership import Member
 
 SERVICE: Final = "gypsum-llm"
 MODEL: Final = "gypsum"
--- a/gypsumpier/test/builders_document.py
+++ b/gypsumpier/test/builders_document.py
@@ -5,7 +5,7 @@
 
 from hypothesis import strategies as st
 
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 
 ZONES = ("bac-a", "trung-a", "nam-a")
 
--- a/gypsumpier/test/builders_frame.py
+++ b/gypsumpier/test/builders_frame.py
@@ -7,9 +7,9 @@
 from gypsumpier.administration.state import RUNNING, ProcessState
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.table import DocumentTable
+from gypsumpier.external.membership import Member
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 
 ENTRY_TEXTS: Final[dict[str, str]] = {
     "role": "entry",
--- a/gypsumpier/test/builders_member.py
+++ b/gypsumpier/test/builders_member.py
@@ -1,7 +1,7 @@
 """Builders of members for tests."""
 
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 
 
 def agent(
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -19,11 +19,11 @@
 from gypsumpier.entry.relay import Relay
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.configuration import Revised
+from gypsumpier.external.engine import LiveModel
+from gypsumpier.external.membership import Member
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.configuration import Revised
-from gypsumpier.platform.engine import LiveModel
-from gypsumpier.platform.membership import Member
 from gypsumpier.test.builders import ZONE, model_document, plain_document
 from gypsumpier.test.network import Network
 from gypsumpier.test.virtual import VirtualClock
--- a/gypsumpier/test/builders_spread.py
+++ b/gypsumpier/test/builders_spread.py
@@ -8,11 +8,11 @@
 from gypsumpier.document.keeper import DocumentKeeper
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.configuration import Changes, Revised
+from gypsumpier.external.membership import Member
 from gypsumpier.member.keeper import MemberKeeper
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.configuration import Changes, Revised
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread.identity import Identity, own_member
 from gypsumpier.spread.serving import serve
 from gypsumpier.spread.spread import Spread
--- a/gypsumpier/test/fakes_weight.py
+++ b/gypsumpier/test/fakes_weight.py
@@ -9,9 +9,9 @@
 from gypsumpier.codes.platform import ORDER_FENCED, PLATFORM_REFUSED, PLATFORM_UNREACHABLE
 from gypsumpier.document.service import Accepted
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.engine import EngineStatus, LiveModel, LoadOrder
-from gypsumpier.platform.membership import Member
-from gypsumpier.platform.store import WeightFile, version_digest
+from gypsumpier.external.engine import EngineStatus, LiveModel, LoadOrder
+from gypsumpier.external.membership import Member
+from gypsumpier.external.store import WeightFile, version_digest
 from gypsumpier.weight.publication import published_file
 
 UNLIMITED: Final = float("inf")
--- a/gypsumpier/test/fleet.py
+++ b/gypsumpier/test/fleet.py
@@ -11,8 +11,8 @@
     VersionShare,
     ZoneReplicas,
 )
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.test.fakes_weight import FakeDocuments, FakeEngine, FakeMembers, FakeStore
 from gypsumpier.test.network import Network
 from gypsumpier.test.virtual import VirtualClock
--- a/gypsumpier/test/standin/batch.py
+++ b/gypsumpier/test/standin/batch.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from typing import Any, Final, NamedTuple
 
-from gypsumpier.platform.prefix import prefix_ids
+from gypsumpier.external.prefix import prefix_ids
 from gypsumpier.test.standin.answer import answer, prompt_of
 
 KEPT_EVENTS: Final = 4096
--- a/gypsumpier/test/standin/store.py
+++ b/gypsumpier/test/standin/store.py
@@ -15,7 +15,7 @@
 import click
 from tornado.web import Application
 
-from gypsumpier.platform.store import WeightFile
+from gypsumpier.external.store import WeightFile
 from gypsumpier.test.standin.server import DownControl, StandinHandler, serve
 from gypsumpier.weight.publication import published_file
 
--- a/gypsumpier/test/standin/weights.py
+++ b/gypsumpier/test/standin/weights.py
@@ -10,7 +10,7 @@
 
 from blake3 import blake3
 
-from gypsumpier.platform.store import WeightFile, version_digest
+from gypsumpier.external.store import WeightFile, version_digest
 
 
 class Weights:
--- a/gypsumpier/test/test_adapters.py
+++ b/gypsumpier/test/test_adapters.py
@@ -18,15 +18,15 @@
 )
 from gypsumpier.codes.result import ResultCode
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.configuration import Revised
-from gypsumpier.platform.configuration_http import HttpConfiguration
-from gypsumpier.platform.engine import Completion, EngineEvent, LoadOrder
-from gypsumpier.platform.engine_http import HttpEngine
-from gypsumpier.platform.membership_http import HttpMembership
-from gypsumpier.platform.service import ServiceCall
-from gypsumpier.platform.service_http import HttpService
-from gypsumpier.platform.store import WeightFile, version_digest
-from gypsumpier.platform.store_http import HttpStore
+from gypsumpier.external.configuration import Revised
+from gypsumpier.external.configuration_http import HttpConfiguration
+from gypsumpier.external.engine import Completion, EngineEvent, LoadOrder
+from gypsumpier.external.engine_http import HttpEngine
+from gypsumpier.external.membership_http import HttpMembership
+from gypsumpier.external.service import ServiceCall
+from gypsumpier.external.service_http import HttpService
+from gypsumpier.external.store import WeightFile, version_digest
+from gypsumpier.external.store_http import HttpStore
 from gypsumpier.test import builders
 from gypsumpier.test.standin import configuration, engine, membership, service, store
 from gypsumpier.test.standin.answer import answer
--- a/gypsumpier/test/test_administration.py
+++ b/gypsumpier/test/test_administration.py
@@ -11,8 +11,8 @@
 from gypsumpier.administration.history import DecisionHistory
 from gypsumpier.administration.readiness import UPSTREAM_WAIT_S, Readiness
 from gypsumpier.administration.validation import DOCUMENT_LIMIT_BYTES
+from gypsumpier.external.configuration import Revised
 from gypsumpier.options import Options
-from gypsumpier.platform.configuration import Revised
 from gypsumpier.test.builders_frame import (
     DOCUMENT,
     UPSTREAM,
--- a/gypsumpier/test/test_caller.py
+++ b/gypsumpier/test/test_caller.py
@@ -8,7 +8,7 @@
 from tornado.netutil import bind_sockets
 
 from gypsumpier.entry.application import EntryApplication
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.settings import build
 from gypsumpier.test.builders_frame import DOCUMENT, ENTRY_TEXTS
 
--- a/gypsumpier/test/test_client.py
+++ b/gypsumpier/test/test_client.py
@@ -10,7 +10,7 @@
 
 from gypsumpier import log
 from gypsumpier.client.command import main
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.test.builders_frame import DOCUMENT, ServedProcess
 
 CLOSED_URL = "http://127.0.0.1:1"
--- a/gypsumpier/test/test_document_faults.py
+++ b/gypsumpier/test/test_document_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.test.builders_document import revised
 from gypsumpier.test.builders_spread import Fleet, Instance
 from gypsumpier.test.virtual import run
--- a/gypsumpier/test/test_document_machine.py
+++ b/gypsumpier/test/test_document_machine.py
@@ -16,7 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from gypsumpier.document.service import Accepted
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.test.builders_document import refused_revision, revised
 from gypsumpier.test.builders_spread import Fleet, Instance
 from gypsumpier.test.virtual import VirtualLoop
--- a/gypsumpier/test/test_document_table.py
+++ b/gypsumpier/test/test_document_table.py
@@ -10,7 +10,7 @@
 from gypsumpier.document.record import clipped, rank_of
 from gypsumpier.document.table import DocumentTable, validated
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.test.builders_document import refused_revision, revised
 
 offers = st.lists(
--- a/gypsumpier/test/test_intake.py
+++ b/gypsumpier/test/test_intake.py
@@ -9,7 +9,7 @@
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.intake import chat_request, plain_request
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.test.builders_frame import DOCUMENT
 
 
--- a/gypsumpier/test/test_linkplan.py
+++ b/gypsumpier/test/test_linkplan.py
@@ -13,9 +13,9 @@
 from gypsumpier.document.validator import parse
 from gypsumpier.entry.linkplan import HOLDERS_MIN, planned
 from gypsumpier.entry.links import Links
+from gypsumpier.external.membership import Member
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.test.builders_document import document_body, revised
 from gypsumpier.test.network import Network
 from gypsumpier.test.virtual import VirtualClock, run
--- a/gypsumpier/test/test_member_spread.py
+++ b/gypsumpier/test/test_member_spread.py
@@ -5,11 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gypsumpier.external.membership import Member
 from gypsumpier.member.journal import DROPS_LIMIT, Journal
 from gypsumpier.member.keeper import MemberKeeper
 from gypsumpier.member.spread import MemberExchange, MemberSpread
 from gypsumpier.member.table import MemberTable
-from gypsumpier.platform.membership import Member
 from gypsumpier.spread.freshness import FARTHEST, Freshness
 from gypsumpier.spread.identity import Identity
 from gypsumpier.spread.message import packed_changes, unpacked_changes
--- a/gypsumpier/test/test_request_generation.py
+++ b/gypsumpier/test/test_request_generation.py
@@ -9,7 +9,7 @@
 from gypsumpier.agent.generation import RESUMES_MAX, generate
 from gypsumpier.codes.platform import PLATFORM_REFUSED, PLATFORM_UNREACHABLE
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.engine import CacheEvent, Completion, EngineEvent, EngineStatus, LoadOrder
+from gypsumpier.external.engine import CacheEvent, Completion, EngineEvent, EngineStatus, LoadOrder
 from gypsumpier.test.virtual import run
 
 LENGTH = 6
--- a/gypsumpier/test/test_weight_choice.py
+++ b/gypsumpier/test/test_weight_choice.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.weight.choice import choose
 from gypsumpier.weight.message import bits_of, indexes_of
 from gypsumpier.weight.plan import STORE, ImportPlan, takeover_s
--- a/gypsumpier/test/test_weight_interleavings.py
+++ b/gypsumpier/test/test_weight_interleavings.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from gypsumpier.platform.store import version_digest
+from gypsumpier.external.store import version_digest
 from gypsumpier.test.fleet import CHUNK_BYTES, MODEL, Fleet, FleetAgent
 from gypsumpier.test.virtual import run
 
--- a/gypsumpier/test/test_weight_machine.py
+++ b/gypsumpier/test/test_weight_machine.py
@@ -9,7 +9,7 @@
 
 from gypsumpier.codes.weight import CHUNK_CORRUPT, FILE_CORRUPT
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.store import WeightFile
+from gypsumpier.external.store import WeightFile
 from gypsumpier.test.fakes_weight import FakeEngine, content_digest
 from gypsumpier.test.virtual import run
 from gypsumpier.weight.cache import ChunkCache
--- a/gypsumpier/test/test_weight_switch.py
+++ b/gypsumpier/test/test_weight_switch.py
@@ -5,8 +5,8 @@
 
 from gypsumpier.codes.weight import AGENT_SUPERSEDED, DECISION_TOO_OLD
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import LiveModel
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import LiveModel
 from gypsumpier.test.builders import agent
 from gypsumpier.test.fakes_weight import FakeDocuments, FakeEngine, FakeMembers
 from gypsumpier.test.fleet import CHUNK_BYTES, MODEL, Fleet, FleetAgent
--- /dev/null
+++ b/gypsumpier/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from an entry straight to upstreams: kept connections, exchanges, load and choice."""
--- /dev/null
+++ b/gypsumpier/upstream/health.py
@@ -0,0 +1,69 @@
+"""Which upstreams have failed lately and are left alone for a while."""
+
+import time
+from dataclasses import dataclass
+from typing import Final
+
+FIRST_PAUSE_S: Final = 0.5
+"""Seconds that an upstream is left alone after one failure; doubles with each further one."""
+PAUSE_MAX_S: Final = 4.0
+"""Longest pause in seconds: an upstream that is back must not stay unused for long."""
+FULL_PAUSE_S: Final = 0.05
+"""Seconds after a refusal for lack of room, in which requests end there."""
+
+
+@dataclass
+class Health:
+    """Failures in a row of one run of an upstream; times are monotonic seconds."""
+
+    failures: int = 0
+    paused_until_s: float = 0.0
+    trials: int = 0
+
+
+class HealthBoard:
+    """Health by the run of an upstream."""
+
+    def __init__(self) -> None:
+        self.healths: dict[tuple[str, int], Health] = {}
+
+    def note_failure(self, run: tuple[str, int]) -> None:
+        """Leave the upstream alone, longer after each failure in a row."""
+        health = self.healths.setdefault(run, Health())
+        pause_s = min(PAUSE_MAX_S, FIRST_PAUSE_S * 2.0**health.failures)
+        health.failures += 1
+        health.paused_until_s = time.monotonic() + pause_s
+
+    def note_full(self, run: tuple[str, int]) -> None:
+        """Leave a full upstream alone for a moment."""
+        health = self.healths.setdefault(run, Health())
+        until_s = time.monotonic() + FULL_PAUSE_S
+        health.paused_until_s = max(health.paused_until_s, until_s)
+
+    def note_success(self, run: tuple[str, int]) -> None:
+        """Forget the failures."""
+        self.healths.pop(run, None)
+
+    def is_usable(self, run: tuple[str, int]) -> bool:
+        """Tell whether requests may go there: not paused, and after failures one at a time."""
+        health = self.healths.get(run)
+        if health is None:
+            return True
+        if time.monotonic() < health.paused_until_s:
+            return False
+        return health.failures == 0 or health.trials == 0
+
+    def begin(self, run: tuple[str, int]) -> None:
+        """Count a request towards the trials of an upstream that has failed."""
+        if run in self.healths:
+            self.healths[run].trials += 1
+
+    def end(self, run: tuple[str, int]) -> None:
+        """Take the request from the trials."""
+        if run in self.healths:
+            self.healths[run].trials = max(0, self.healths[run].trials - 1)
+
+    def keep(self, runs: set[tuple[str, int]]) -> None:
+        """Forget upstreams that are gone."""
+        for run in [run for run in self.healths if run not in runs]:
+            del self.healths[run]
--- /dev/null
+++ b/gypsumpier/upstream/pool.py
@@ -0,0 +1,158 @@
+"""Connections to upstreams, kept between requests.
+
+A connection is kept only after a whole answer with nothing behind it, and for less time than the
+upstream announces.  Requests that may not run twice get a connection that was used a moment ago or
+a new one: an upstream may have closed an idle one, and a request sent into that may have run.
+"""
+
+import asyncio
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Final, NamedTuple
+
+from prometheus_client import Counter
+from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.iostream import StreamClosedError
+
+from gypsumpier.fleet.node import Address
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.upstream.errors import NotRunError
+from gypsumpier.upstream.exchange import Exchange
+from gypsumpier.upstream.http import UpstreamStream
+
+CONNECT_TIMEOUT_S: Final = 0.4
+"""Seconds for a new connection, which takes a round trip and about a millisecond of work."""
+IDLE_S: Final = 2.0
+"""Seconds that an idle connection is kept where the upstream doesn't say how long it keeps it."""
+IDLE_MARGIN_S: Final = 1.0
+"""Seconds before the announced end of an idle connection after which it isn't used any more."""
+FRESH_S: Final = 0.3
+"""Seconds of idleness up to which a request that may not run twice uses a kept connection."""
+ACKNOWLEDGE_TIMEOUT_MS: Final = 2500
+"""Milliseconds after which unacknowledged bytes close a connection: its other end is gone."""
+
+CONNECTIONS: Final = Counter(
+    "gypsumpier_upstream_connections",
+    "Connections to upstreams by whether they were new or kept.",
+    ["origin"],
+    registry=REGISTRY,
+)
+
+
+class UpstreamCall(NamedTuple):
+    """One request as it is sent, and after how many seconds of silence to think again."""
+
+    start: RequestStartLine
+    headers: HTTPHeaders
+    body: bytes
+    is_repeatable: bool
+    silence_s: float
+
+
+class Idle(NamedTuple):
+    """A kept connection and when it was put back; times are monotonic seconds."""
+
+    stream: UpstreamStream
+    since_s: float
+    until_s: float
+
+
+class UpstreamPool:
+    """Kept connections by address."""
+
+    def __init__(self) -> None:
+        self.idle: dict[Address, list[Idle]] = {}
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        address: Address,
+        call: UpstreamCall,
+        may_leave: Callable[[], bool],
+    ) -> AsyncIterator[Exchange]:
+        """Send a request and yield its exchange; raise NotRunError where none can be sent.
+
+        Leaving before the answer is whole closes the connection, which cancels the request.
+        """
+        stream = self.take(address, IDLE_S if call.is_repeatable else FRESH_S)
+        CONNECTIONS.labels("kept" if stream else "new").inc()
+        if stream is None:
+            stream = await self.connect(address)
+        exchange = Exchange(stream, call.silence_s, may_leave)
+        try:
+            exchange.send(call.start, call.headers, call.body)
+            yield exchange
+        finally:
+            self.release(address, exchange)
+
+    def take(self, address: Address, idle_max_s: float) -> UpstreamStream | None:
+        """Return the kept connection that was used last; None where there is none to use."""
+        kept = self.idle.get(address, [])
+        now_s = time.monotonic()
+        while kept:
+            found = kept[-1]
+            is_dirty = found.stream.closed() or found.stream.has_unread_bytes()
+            if not is_dirty and now_s < found.until_s and now_s - found.since_s > idle_max_s:
+                return None
+            kept.pop()
+            found.stream.set_close_callback(None)
+            if not is_dirty and now_s < found.until_s:
+                return found.stream
+            found.stream.close()
+        return None
+
+    async def connect(self, address: Address) -> UpstreamStream:
+        """Return a new connection; raise NotRunError where there is none."""
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGE_TIMEOUT_MS)
+        stream = UpstreamStream(raw)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.connect((address.host, address.port))
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            stream.close()
+            raise NotRunError(f"cannot connect: {error!r}", is_promised=False) from error
+        except asyncio.CancelledError:
+            stream.close()
+            raise
+        return stream
+
+    def release(self, address: Address, exchange: Exchange) -> None:
+        """Keep the connection of a whole answer; close every other one."""
+        stream, head = exchange.stream, exchange.head
+        is_done = exchange.finished and exchange.task is not None and exchange.task.done()
+        is_clean = is_done and not stream.closed() and not stream.has_unread_bytes()
+        if head is None or not is_clean or head.closes:
+            stream.close()
+            if exchange.task is not None:
+                exchange.task.cancel()
+            return
+        now_s = time.monotonic()
+        kept_s = IDLE_S if head.idle_s is None else head.idle_s - IDLE_MARGIN_S
+        if kept_s <= 0:
+            stream.close()
+            return
+        # A callback makes the stream read on, so that a close or stray bytes are noticed.
+        stream.set_close_callback(lambda: None)
+        self.idle.setdefault(address, []).append(Idle(stream, now_s, now_s + kept_s))
+
+    def close_idle(self) -> None:
+        """Close what has been idle for too long."""
+        now_s = time.monotonic()
+        for address, kept in list(self.idle.items()):
+            for found in kept:
+                if now_s >= found.until_s or found.stream.closed():
+                    found.stream.close()
+            self.idle[address] = [found for found in kept if not found.stream.closed()]
+            if not self.idle[address]:
+                del self.idle[address]
+
+    def close(self) -> None:
+        """Close every kept connection."""
+        for kept in self.idle.values():
+            for found in kept:
+                found.stream.close()
+        self.idle.clear()
--- a/gypsumpier/weight/catalogue.py
+++ b/gypsumpier/weight/catalogue.py
@@ -12,8 +12,8 @@
 
 from gypsumpier.codes.wire import BAD_FRAME
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.store import WeightFile
 from gypsumpier.log import decision
-from gypsumpier.platform.store import WeightFile
 from gypsumpier.weight.context import RolloutContext
 from gypsumpier.weight.manifest import Manifest, build_manifest
 from gypsumpier.weight.message import AskFiles, Files
--- a/gypsumpier/weight/draw.py
+++ b/gypsumpier/weight/draw.py
@@ -13,7 +13,7 @@
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.codes.weight import CHUNK_CORRUPT, CHUNK_UNAVAILABLE
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.store import Store, WeightFile
+from gypsumpier.external.store import Store, WeightFile
 from gypsumpier.weight.manifest import Manifest
 from gypsumpier.weight.tally import Tally
 from gypsumpier.weight.transfer import Transfer
--- a/gypsumpier/weight/inputs.py
+++ b/gypsumpier/weight/inputs.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 
 from gypsumpier.document.service import Accepted
-from gypsumpier.platform.engine import EngineStatus, LiveModel, LoadOrder
-from gypsumpier.platform.membership import Member
+from gypsumpier.external.engine import EngineStatus, LiveModel, LoadOrder
+from gypsumpier.external.membership import Member
 
 
 class Documents(Protocol):
@@ -27,7 +27,7 @@
 
 
 class WeightEngine(Protocol):
-    """The part of an engine that takes weights; see gypsumpier.platform.engine.Engine."""
+    """The part of an engine that takes weights; see gypsumpier.external.engine.Engine."""
 
     async def status(self) -> EngineStatus:
         """Return the engine's last report."""
--- a/gypsumpier/weight/manifest.py
+++ b/gypsumpier/weight/manifest.py
@@ -11,7 +11,7 @@
 
 from gypsumpier.codes.weight import BAD_MANIFEST
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.store import WeightFile, version_digest
+from gypsumpier.external.store import WeightFile, version_digest
 
 MAX_CHUNK_BYTES: Final = 2 * 1024 * 1024
 DIGEST_HEX_DIGITS: Final = 64
--- a/gypsumpier/weight/monitor.py
+++ b/gypsumpier/weight/monitor.py
@@ -9,8 +9,8 @@
 
 from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import EngineStatus, LiveModel
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import EngineStatus, LiveModel
 from gypsumpier.weight.inputs import WeightEngine
 
 
--- a/gypsumpier/weight/order.py
+++ b/gypsumpier/weight/order.py
@@ -13,8 +13,8 @@
 from gypsumpier.clock import Clock
 from gypsumpier.codes.weight import DECISION_TOO_OLD
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import LoadOrder
 from gypsumpier.log import decision
-from gypsumpier.platform.engine import LoadOrder
 from gypsumpier.weight.inputs import WeightEngine
 
 DECISION_AGE_S: Final = 2.0
--- a/gypsumpier/weight/peers.py
+++ b/gypsumpier/weight/peers.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.weight.message import Message
 from gypsumpier.weight.peer import Peer
 from gypsumpier.weight.rank import score
--- a/gypsumpier/weight/plan.py
+++ b/gypsumpier/weight/plan.py
@@ -12,8 +12,8 @@
 
 from typing import Final
 
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.weight.rank import ranked, slot_ranks
 
 STORE: Final = ""
--- a/gypsumpier/weight/publication.py
+++ b/gypsumpier/weight/publication.py
@@ -2,7 +2,7 @@
 
 from blake3 import blake3
 
-from gypsumpier.platform.store import WeightFile
+from gypsumpier.external.store import WeightFile
 
 
 def published_file(path: str, content: bytes, chunk_bytes: int) -> WeightFile:
--- a/gypsumpier/weight/rollout.py
+++ b/gypsumpier/weight/rollout.py
@@ -11,10 +11,10 @@
 from gypsumpier.clock import Clock
 from gypsumpier.document.service import Accepted
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import EngineStatus, LiveModel
+from gypsumpier.external.store import Store
 from gypsumpier.log import decision
 from gypsumpier.options import Options
-from gypsumpier.platform.engine import EngineStatus, LiveModel
-from gypsumpier.platform.store import Store
 from gypsumpier.weight.cache import ChunkCache
 from gypsumpier.weight.context import RolloutContext, VersionKey
 from gypsumpier.weight.decider import Decider
--- a/gypsumpier/weight/room.py
+++ b/gypsumpier/weight/room.py
@@ -9,7 +9,7 @@
 
 from gypsumpier.codes.weight import ENGINE_FULL
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.platform.engine import LiveModel
+from gypsumpier.external.engine import LiveModel
 from gypsumpier.weight.context import RolloutContext
 from gypsumpier.weight.decider import Decider
 from gypsumpier.weight.manifest import Manifest
--- a/gypsumpier/weight/standings.py
+++ b/gypsumpier/weight/standings.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from gypsumpier.platform.membership import Member
+from gypsumpier.external.membership import Member
 from gypsumpier.weight.context import RolloutContext
 from gypsumpier.weight.message import Standing
 from gypsumpier.weight.peer import Peer
--- a/gypsumpier/weight/swarm.py
+++ b/gypsumpier/weight/swarm.py
@@ -10,8 +10,8 @@
 from typing import Final
 
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.membership import Member
 from gypsumpier.log import decision
-from gypsumpier.platform.membership import Member
 from gypsumpier.weight.catalogue import Catalogue
 from gypsumpier.weight.context import RolloutContext
 from gypsumpier.weight.fetch import Fetch
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -12,8 +12,8 @@
 from gypsumpier.codes.platform import PLATFORM_REFUSED
 from gypsumpier.codes.weight import DECISION_TOO_OLD, WRONG_CONTENT
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.engine import EngineStatus, LiveModel
 from gypsumpier.log import decision
-from gypsumpier.platform.engine import EngineStatus, LiveModel
 from gypsumpier.weight import phase
 from gypsumpier.weight.context import RolloutContext, VersionKey
 from gypsumpier.weight.decider import Decider
--- a/gypsumpier/wire/tcp.py
+++ b/gypsumpier/wire/tcp.py
@@ -13,6 +13,7 @@
 from gypsumpier.codes.wire import CONNECTION_CLOSED
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.metrics import REGISTRY
+from gypsumpier.numericresolver import NumericResolver
 from gypsumpier.wire.stream import Stream
 
 READ_BYTES: Final = 256 * 1024
@@ -59,7 +60,7 @@
     """Opens TCP connections."""
 
     def __init__(self) -> None:
-        self.client = TCPClient()
+        self.client = TCPClient(resolver=NumericResolver())
 
     async def dial(self, host: str, port: int, timeout_s: float) -> Stream:
         try:
--- a/misc/capacity/probedocument.py
+++ b/misc/capacity/probedocument.py
@@ -7,7 +7,7 @@
 
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.table import DocumentTable
-from gypsumpier.platform.configuration import Revised
+from gypsumpier.external.configuration import Revised
 from gypsumpier.test import builders
 from misc.capacity import target
 from misc.capacity.usage import resident_bytes
--- a/misc/capacity/probemember.py
+++ b/misc/capacity/probemember.py
@@ -6,9 +6,9 @@
 from typing import Any, Final
 
 from gypsumpier.clock import SystemClock
+from gypsumpier.external.membership_http import HttpMembership
 from gypsumpier.member.table import MemberTable
 from gypsumpier.options import Options
-from gypsumpier.platform.membership_http import HttpMembership
 from misc.capacity import target
 from misc.capacity.usage import resident_bytes
 from misc.capacity.wire import HEADER_BYTES
--- a/misc/capacity/probeplan.py
+++ b/misc/capacity/probeplan.py
@@ -4,8 +4,8 @@
 
 from gypsumpier.document.validator import parse
 from gypsumpier.entry.linkplan import planned
+from gypsumpier.external.membership import Member
 from gypsumpier.options import Options
-from gypsumpier.platform.membership import Member
 from gypsumpier.test.builders_document import document_body
 from misc.capacity import target
 
--- a/misc/weights/baseline.py
+++ b/misc/weights/baseline.py
@@ -10,7 +10,7 @@
 from typing import Final, NamedTuple
 
 from gypsumpier.clock import SystemClock
-from gypsumpier.platform.store_http import HttpStore
+from gypsumpier.external.store_http import HttpStore
 from gypsumpier.weight.bucket import TokenBucket
 from misc.weights.scale import LIVE_SHARE, Scale
 
