Let engines take turns to switch; fetch pieces in slices; a cut by a switch is no failure

Cause of the late answers after a version is named: requests waited behind 32 KB pieces on the engine's link, all engines switched at once, and entries took the cut streams for failures and left the engine alone for seconds.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -92,7 +92,11 @@
         """Take a place that is free now."""
         version = self.least_version(request.service)
         records = self.board.candidates(request.service, version)
-        record = self.board.choose(records, request.tried)
+        record = None
+        if request.attempts:
+            # A repeat should not meet the switch that cut its first run a second time.
+            record = self.board.choose(self.board.newest(records, request.service), request.tried)
+        record = record or self.board.choose(records, request.tried)
         if record is not None:
             self.board.begin(record)
         return record
--- a/gypsumpier/gateway/line.py
+++ b/gypsumpier/gateway/line.py
@@ -1,8 +1,9 @@
 """The requests of one service that wait for a place at an upstream.
 
-Requests that can still be on time go before those that can't, then a lower priority number, then
-fair shares of the workspaces, then the order of arrival.  One whose wait is estimated to outlast
-its caller is refused at once, with the time after which it is expected to be served.
+Streams that have begun go first.  Requests that can still be on time go before those that can't,
+then a lower priority number, then fair shares of the workspaces, then the order of arrival.  One
+whose wait is estimated to outlast its caller is refused at once, with the time after which it is
+expected to be served.
 """
 
 import asyncio
@@ -38,9 +39,13 @@
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
 
-    def rank(self, now_s: float) -> tuple[bool, int, float, int]:
-        """Return the place in the order; the smallest goes first."""
-        return now_s > self.goal_s, self.request.priority, self.start_tag, self.arrival
+    def rank(self, now_s: float) -> tuple[int, int, float, int]:
+        """Return the place in the order; the smallest goes first.
+
+        A stream that has begun goes before everything, as its caller sees the pause.
+        """
+        rank = 0 if self.request.last_event_id else 2 if now_s > self.goal_s else 1
+        return rank, self.request.priority, self.start_tag, self.arrival
 
 
 class WaitingLine:
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -5,6 +5,7 @@
 that the caller got.  What may have run is never called not run.
 """
 
+import asyncio
 import time
 from typing import Final
 
@@ -58,6 +59,7 @@
         self.pool = pool
         self.retries = retries
         self.crashes = crashes
+        self.looks: set[asyncio.Task[None]] = set()
 
     async def run(self, request: GatewayRequest, writer: AnswerWriter) -> None:
         """Answer the request; raise Refusal where no upstream's answer reaches the caller."""
@@ -97,12 +99,28 @@
         """Go on to another upstream where that is allowed; raise Refusal otherwise."""
         request.attempts += 1
         request.tried.add(record.run_key())
-        self.board.health.note_failure(record.run_key())
-        self.crashes.note_crash(request, record)
+        if not self.board.is_switching(record):
+            # An engine that switches to new weights cuts what it runs, and is well.
+            self.board.health.note_failure(record.run_key())
+            self.suspect_crash(request, record)
         self.log_attempt(request, record, error.reason, "unknown")
         if not self.may_repeat(request) or not self.retries.spend(request.service):
             raise Refusal(ANSWER_LOST, 502, error.reason)
 
+    def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Find out whether the upstream died while it ran the request."""
+
+        async def look() -> None:
+            try:
+                stream = await self.pool.connect(Address(record.host, record.port))
+                stream.close()
+            except NotRunError:
+                self.crashes.note_crash(request, record)
+
+        task = asyncio.create_task(look())
+        self.looks.add(task)
+        task.add_done_callback(self.looks.discard)
+
     def may_repeat(self, request: GatewayRequest) -> bool:
         """Tell whether the route allows the request to run once more."""
         return request.route.is_repeatable and request.attempts < request.route.max_attempts
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -97,6 +97,7 @@
     async def run(self) -> None:
         """Dial what is not connected, for ever."""
         while True:
+            self.drop_far()
             for address in self.wanted():
                 self.dialled[address] = asyncio.create_task(self.dial(address))
             await asyncio.sleep(DIAL_INTERVAL_S)
@@ -109,8 +110,13 @@
                 self.known.pop(address, None)
                 del self.reached_at_s[address]
         own = Address(self.own.host, self.own.port)
-        every = {*self.seeds, *self.known}
-        return [address for address in every if address != own and address not in self.dialled]
+        known = set(self.known)
+        if self.own.role == SIDECAR and self.peers(ENTRY, self.own.zone):
+            # A sidecar needs the entries of its zone; far links cost bytes between regions.
+            known = {place for place, peer in self.known.items() if peer.zone == self.own.zone}
+        else:
+            known |= set(self.seeds)
+        return [address for address in known if address != own and address not in self.dialled]
 
     async def dial(self, address: Address) -> None:
         """Connect to an entry and serve the connection until it closes."""
@@ -199,6 +205,15 @@
                 self.known[place] = other
                 self.reached_at_s[place] = now_s
 
+    def drop_far(self) -> None:
+        """Close a sidecar's connections to other zones once it has one in its own."""
+        if self.own.role != SIDECAR or not self.peers(ENTRY, self.own.zone):
+            return
+        for links in self.links.values():
+            for link in links:
+                if link.peer.zone != self.own.zone:
+                    link.connection.close()
+
     def add(self, link: MeshLink) -> None:
         """Use the link."""
         links = self.links.setdefault(link.peer.name, [])
--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -65,9 +65,13 @@
         return {"digests": list(found.digests)}
 
     async def answer_piece(self, peer: Peer, payload: dict[str, Any]) -> dict[str, Any]:
-        """Answer a peer's question for a piece."""
+        """Answer a peer's question for a piece, or for ``length`` bytes of it from ``offset``."""
         key = str(payload["model"]), int(payload["version"]), int(payload["number"])
-        return {"content": await self.piece(*key)}
+        content = await self.piece(*key)
+        if "offset" not in payload:
+            return {"content": content, "size": len(content)}
+        offset, length = int(payload["offset"]), int(payload["length"])
+        return {"content": content[offset : offset + length], "size": len(content)}
 
     async def piece_list(self, model: str, version: int) -> PieceList:
         """Return the digests of a version; raise GypsumpierError where nobody has them."""
--- a/gypsumpier/sidecar/application.py
+++ b/gypsumpier/sidecar/application.py
@@ -6,6 +6,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.beliefs import Beliefs
 from gypsumpier.fleet.change import FleetSource
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address, NodeSettings
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.upstream import whole_version
@@ -22,12 +23,20 @@
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.wire.tcp import TcpDialer
 
-POLL_S: Final = 0.1
+POLL_S: Final = 0.2
 """Seconds between two reads of the engine's report, which is free on its own machine."""
+SWITCH_POLL_S: Final = 0.05
+"""Seconds between two reads while the engine switches, when every tenth of a second counts."""
 REPEAT_S: Final = 1.0
 """Seconds after which an unchanged state is told again."""
 FIRST_VERSION: Final = 1
 """The version that a model has before another one is named."""
+FIRST_TURN_SHARE: Final = 0.6
+"""Share of the time in which a version must be in force after which the first engine switches."""
+LAST_TURN_SHARE: Final = 0.9
+"""Share of that time by which the last engine has its turn."""
+DRAIN_S: Final = 0.25
+"""Seconds between telling the entries of a switch and the order, in which short streams end."""
 RETRY_S: Final = 0.3
 """Seconds before pieces are fetched again after a failure."""
 
@@ -93,7 +102,11 @@
                     decision("dependency_lost", dependency="engine", reason=error.detail)
                 was_reachable = False
                 self.report = None
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(SWITCH_POLL_S if self.is_switching_now() else POLL_S)
+
+    def is_switching_now(self) -> bool:
+        """Tell whether the engine starts nothing new at the moment."""
+        return self.is_switching or (self.report is not None and self.report.is_busy)
 
     def note_report(self, report: EngineReport) -> None:
         """Take a report; an engine that has started anew holds nothing of before."""
@@ -108,7 +121,7 @@
         report = self.report
         if report is None:
             return
-        is_switching = self.is_switching or report.is_busy
+        is_switching = self.is_switching_now()
         key = (is_switching, report.layers)
         told_key = (self.told.is_switching, self.told.layers) if self.told else None
         now_s = asyncio.get_running_loop().time()
@@ -177,16 +190,59 @@
         await stager.fetch()
         if await stager.restore() and await stager.restore():
             return
+        await self.wait_for_turn(model, version)
         wanted = self.beliefs.versions.get(model)
         if wanted is not None and wanted.version != version:
             return
         self.is_switching = True
         self.tell(again=False)
         try:
+            if self.report is not None and self.report.active:
+                await asyncio.sleep(DRAIN_S)
+            # Checked again: a piece may have gone bad while others had their turn.
+            if await stager.restore() and await stager.restore():
+                return
             accepted = await self.engine.start(model, version, preempt=True)
             decision("switch_ordered", model=model, version=version, accepted=accepted)
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(SWITCH_POLL_S)
             self.report = await self.engine.report()
         finally:
             self.is_switching = False
             self.tell(again=False)
+
+    async def wait_for_turn(self, model: str, version: int) -> None:
+        """Wait until it is this engine's turn, so that not all of them switch at once.
+
+        An engine that serves nothing yet switches at once.
+        """
+        report, wanted, traits = self.report, self.beliefs.versions.get(model), self.traits()
+        if report is None or wanted is None or traits is None:
+            return
+        if not whole_version(report.layers, traits.layers):
+            return
+        addresses = switch_order(self.beliefs, self.settings.engine_service)
+        if self.address not in addresses:
+            return
+        bound_s = self.settings.bounds.version_in_force_s
+        share = addresses.index(self.address) / len(addresses)
+        turn_s = bound_s * (FIRST_TURN_SHARE + (LAST_TURN_SHARE - FIRST_TURN_SHARE) * share)
+        wait_s = wanted.learned_at_s + turn_s - boot_time_s()
+        decision("switch_turn", model=model, version=version, wait_s=round(wait_s, 3))
+        await asyncio.sleep(max(0.0, wait_s))
+
+
+def switch_order(beliefs: Beliefs, service: str) -> list[str]:
+    """Return the addresses of a service's engines in the order of their turns.
+
+    Neighbours in the order are of different availability zones.
+    """
+    by_zone: dict[str, list[str]] = {}
+    for record in beliefs.upstreams.values():
+        if record.service == service:
+            by_zone.setdefault(record.zone, []).append(f"{record.host}:{record.port}")
+    ranked = [
+        (rank, zone, address)
+        for zone, addresses in by_zone.items()
+        for rank, address in enumerate(sorted(addresses))
+    ]
+    return [address for _, _, address in sorted(ranked)]
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -16,8 +16,10 @@
 from gypsumpier.piece.cache import PIECE, PIECE_LIST, is_intact
 from gypsumpier.piece.engine import Engine
 
-ASKS_AT_ONCE: Final = 4
-"""Pieces asked for at once; enough to keep a slow link full over a short round trip."""
+ASKS_AT_ONCE: Final = 2
+"""Slices asked for at once.  Requests to the engine share its slow link, and wait behind them."""
+SLICE_BYTES: Final = 8 * 1024
+"""Bytes of a slice; 17 ms on a link of 3.8 Mbit/s, longer than the round trip."""
 ASK_TIMEOUT_S: Final = 2.5
 """Seconds for an entry to answer; it may have to draw the piece first."""
 READ_BACK_AT_ONCE: Final = 4
@@ -65,12 +67,25 @@
 
     async def fetch_piece(self, number: int) -> None:
         """Fetch one piece and stage it."""
-        content = (await self.ask(PIECE, {"number": number})).get("content")
+        content = await self.fetch_slices(number)
         if not is_intact(content, self.digests[number]):
             raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from an entry")
         self.pieces[number] = content
         await self.engine.stage(self.model, number, content)
 
+    async def fetch_slices(self, number: int) -> bytes:
+        """Return one piece, fetched in slices."""
+        content = b""
+        while True:
+            wanted = {"number": number, "offset": len(content), "length": SLICE_BYTES}
+            answer = await self.ask(PIECE, wanted)
+            found, size = answer.get("content"), answer.get("size")
+            if not isinstance(found, bytes) or not found or not isinstance(size, int):
+                raise GypsumpierError(CHUNK_CORRUPT, f"slice of piece {number} from an entry")
+            content += found
+            if len(content) >= size:
+                return content
+
     async def ask(self, kind: str, payload: dict[str, Any]) -> dict[str, Any]:
         """Return the first answer of the entries, those of the own zone first."""
         payload = payload | {"model": self.model, "version": self.version}
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -111,6 +111,16 @@
         engine = self.engine(record)
         return engine is not None and engine.is_switching
 
+    def newest(self, records: list[UpstreamRecord], service: str) -> list[UpstreamRecord]:
+        """Return the engines with the newest weights among the records; all of a plain service."""
+        configuration = self.beliefs.configuration
+        found = configuration.services.get(service) if configuration else None
+        if found is None or found.model is None or not records:
+            return records
+        model = found.model
+        newest = max(self.version(record, model) for record in records)
+        return [record for record in records if self.version(record, model) == newest]
+
     def choose(
         self, records: list[UpstreamRecord], without: set[tuple[str, int]]
     ) -> UpstreamRecord | None:
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -30,6 +30,9 @@
     def note_failure(self, run: tuple[str, int]) -> None:
         """Leave the upstream alone, longer after each failure in a row."""
         health = self.healths.setdefault(run, Health())
+        if health.failures and time.monotonic() < health.paused_until_s:
+            # Requests that fail together tell of one failure.
+            return
         pause_s = min(PAUSE_MAX_S, FIRST_PAUSE_S * 2.0**health.failures)
         health.failures += 1
         health.paused_until_s = time.monotonic() + pause_s
