Spread resumed streams, bound the prompts that an engine has before it, steer long streams from a switch

Cause of late answers around a switch: resumed streams all went to one engine and held up what it wrote; an engine fresh from a switch was flooded.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -83,24 +83,38 @@
         QUEUE_WAIT.observe(time.monotonic() - began_s)
         return record
 
-    def leave(self, record: UpstreamRecord) -> None:
+    def note_answering(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Note that the upstream has read the request's prompt."""
+        self.board.note_answering(record, request.unread_tokens)
+        request.unread_tokens = 0
+
+    def leave(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Give the place back."""
-        self.board.end(record)
+        self.board.end(record, request.unread_tokens)
+        request.unread_tokens = 0
         self.pump(record.service)
 
     def place(self, request: GatewayRequest) -> UpstreamRecord | None:
         """Take a place that is free now."""
         version = self.least_version(request.service)
         records = self.board.candidates(request.service, version)
-        record = None
-        if request.attempts:
-            # A repeat should not meet the switch that cut its first run a second time.
-            record = self.board.choose(self.board.newest(records, request.service), request.tried)
-        record = record or self.board.choose(records, request.tried)
+        is_repeat = request.attempts > 0
+        record = self.board.choose(records, request.tried, self.needed_s(request), is_repeat)
         if record is not None:
-            self.board.begin(record)
+            request.unread_tokens = request.head.prompt_tokens
+            self.board.begin(record, request.unread_tokens)
         return record
 
+    def needed_s(self, request: GatewayRequest) -> float:
+        """Return about how long an engine works on the request; 0 for a plain service."""
+        configuration = self.beliefs.configuration
+        found = configuration.services.get(request.service) if configuration else None
+        if found is None or found.model is None:
+            return 0.0
+        model = found.model
+        tokens = request.head.expected_answer_tokens or model.mean_answer_tokens
+        return request.head.prompt_tokens / model.prompt_tokens_per_s + tokens * model.step_s
+
     async def wait(self, request: GatewayRequest, line: WaitingLine) -> UpstreamRecord:
         """Wait for a place; raise Refusal where the wait would be too long."""
         latest_s, goal_s = self.latest_s(request), self.goal_s(request)
@@ -122,7 +136,7 @@
         elif waiting.place.done() and not waiting.place.cancelled():
             place = waiting.place.result()
             if isinstance(place, UpstreamRecord):
-                self.leave(place)
+                self.leave(waiting.request, place)
 
     def pump(self, service: str) -> None:
         """Give free places to waiting requests and refuse those that would wait too long."""
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -28,6 +28,7 @@
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PieceCache
 from gypsumpier.piece.engine import PieceOrigin
+from gypsumpier.piece.turns import Turns
 from gypsumpier.tasks import end_task
 from gypsumpier.upstream.board import UpstreamBoard
 from gypsumpier.upstream.pool import UpstreamPool
@@ -65,7 +66,8 @@
         self.listener = TcpListener(self.mesh.accept)
         self.feed = BeliefFeed(self.mesh, self.beliefs)
         self.watcher = StoreWatcher(source, self.beliefs, self.feed.has_duty, self.feed.share)
-        self.board = UpstreamBoard(self.beliefs, settings.zone)
+        turns = Turns(self.beliefs, settings.bounds.version_in_force_s)
+        self.board = UpstreamBoard(self.beliefs, settings.zone, turns)
         self.admission = Admission(self.beliefs, self.board, self.least_version)
         self.loads = LoadShare(self.mesh, self.board)
         self.loads.on_news.append(self.admission.pump_all)
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -168,7 +168,14 @@
             outcome=outcome,
             detail=detail,
             took_s=round(took_s, 4),
+            first_event_s=since(request.first_event_at_s, self.received_at_s) if request else 0.0,
+            longest_gap_s=round(request.longest_gap_s, 4) if request else 0.0,
             attempts=request.attempts if request else 0,
             configuration=beliefs.configuration.version if beliefs.configuration else 0,
             proof_age_s=round(min(beliefs.proof_age_s(), 1e6), 3),
         )
+
+
+def since(at_s: float, began_s: float) -> float:
+    """Return the seconds between two moments; 0 where the later one has not come."""
+    return round(at_s - began_s, 4) if at_s else 0.0
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -6,27 +6,31 @@
 
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.upstream.board import UpstreamBoard
+from gypsumpier.upstream.board import Load, UpstreamBoard
 from gypsumpier.upstream.enginestate import EngineState, engine_state_from
 
 LOAD: Final = "load"
 ENGINE: Final = "engine"
-NEAR_INTERVAL_S: Final = 0.05
+NEAR_INTERVAL_S: Final = 0.02
 """Seconds between two messages of changed counts within an availability zone."""
-FAR_ROUNDS: Final = 4
+FAR_ROUNDS: Final = 5
 """Rounds of the zone for each message to other zones, whose links are narrow."""
 REPEAT_S: Final = 0.8
 """Seconds after which unchanged counts are told again, before a peer drops them."""
 
 
+Told = tuple[dict[str, Load], float]
+"""The loads that were told last, and when in monotonic seconds."""
+
+
 class LoadShare:
     """Sends and takes load messages."""
 
     def __init__(self, mesh: Mesh, board: UpstreamBoard) -> None:
         self.mesh = mesh
         self.board = board
-        self.told_near: tuple[dict[str, int], float] = ({}, 0.0)
-        self.told_far: tuple[dict[str, int], float] = ({}, 0.0)
+        self.told_near: Told = ({}, 0.0)
+        self.told_far: Told = ({}, 0.0)
         self.news: dict[str, EngineState] = {}
         self.on_news: list[Any] = []
         mesh.listeners[LOAD] = self.take
@@ -48,21 +52,22 @@
                 self.told_far = self.tell(far, self.told_far, states)
                 self.news.clear()
 
-    def tell(
-        self, peers: list[Peer], told: tuple[dict[str, int], float], engines: list[list[Any]]
-    ) -> tuple[dict[str, int], float]:
+    def tell(self, peers: list[Peer], told: Told, engines: list[list[Any]]) -> Told:
         """Send the counts where they differ from what was told; return what is told now."""
         counts, at_s = told
         now_s = time.monotonic()
         if self.board.own == counts and now_s - at_s < REPEAT_S and not engines:
             return told
-        self.mesh.post_all(peers, LOAD, {"counts": dict(self.board.own), "engines": engines})
+        loads = {name: list(load) for name, load in self.board.own.items()}
+        self.mesh.post_all(peers, LOAD, {"loads": loads, "engines": engines})
         return dict(self.board.own), now_s
 
     def take(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Take the counts of another entry."""
-        counts = {str(name): int(count) for name, count in payload["counts"].items()}
-        self.board.note_peer(peer.name, counts)
+        loads = {
+            str(name): Load(int(n), int(unread)) for name, (n, unread) in payload["loads"].items()
+        }
+        self.board.note_peer(peer.name, loads)
         for found in payload["engines"]:
             self.board.note_engine(engine_state_from(found))
         for listener in self.on_news:
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -77,7 +77,7 @@
             except OutcomeUnknownError as error:
                 self.note_unknown(request, record, error)
             finally:
-                self.admission.leave(record)
+                self.admission.leave(request, record)
 
     def note_not_run(
         self, request: GatewayRequest, record: UpstreamRecord, error: NotRunError
@@ -175,6 +175,7 @@
                 raise NotRunError(reason, is_promised=True, status=head.status)
             if head.is_success and (not head.seal or head.is_encoded):
                 raise OutcomeUnknownError("the answer is not the upstream's own")
+            self.admission.note_answering(request, record)
             if request.route.is_streamed and head.is_success:
                 await self.relay_stream(request, exchange, head, writer)
             else:
@@ -247,6 +248,7 @@
                 continue
             if not writer.status:
                 writer.begin(head, None)
+            request.note_event()
             await writer.write(events.content)
             if events.ids:
                 request.last_event_id = events.ids[-1]
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -14,6 +14,8 @@
 
     ``attempts`` counts the upstreams that may have run it; ``tried`` names those that are not
     asked again.  ``last_event_id`` is that of the last event passed on to the caller.
+    ``longest_gap_s`` is the longest pause between its events so far.
+    ``unread_tokens`` are the prompt tokens that the present upstream has yet to read.
     """
 
     head: CallerHead
@@ -28,6 +30,10 @@
     tried: set[tuple[str, int]] = field(default_factory=set)
     last_event_id: str = ""
     sent_first_at_s: float = 0.0
+    unread_tokens: int = 0
+    first_event_at_s: float = 0.0
+    last_event_at_s: float = 0.0
+    longest_gap_s: float = 0.0
 
     @property
     def priority(self) -> int:
@@ -48,3 +54,12 @@
     def age_s(self) -> float:
         """Return the seconds since the request arrived."""
         return time.monotonic() - self.received_at_s
+
+    def note_event(self) -> None:
+        """Note that events reach the caller now."""
+        now_s = time.monotonic()
+        if self.first_event_at_s:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self.last_event_at_s)
+        else:
+            self.first_event_at_s = now_s
+        self.last_event_at_s = now_s
--- /dev/null
+++ b/gypsumpier/piece/turns.py
@@ -0,0 +1,75 @@
+"""When each engine of a service switches to newly wanted weights.
+
+Every process works out the same turns from what the platform publishes, so nobody has to agree on
+them: engines have their turns one after the other between the time by which pieces can have arrived
+and the time by which the version must be in force.  Times are those of ``boot_time_s``.
+"""
+
+from typing import Final, NamedTuple
+
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.upstream import whole_version
+
+FIRST_TURN_SHARE: Final = 0.55
+"""Share of the time in which a version must be in force after which the first engine takes nothing
+new any more; its last pieces arrive while it finishes what it runs."""
+LAST_TURN_SHARE: Final = 0.88
+"""Share of that time by which the last engine has its turn."""
+
+
+class Turn(NamedTuple):
+    """When an engine switches, and to which version."""
+
+    at_s: float
+    version: int
+
+
+class Turns:
+    """Turns of the engines of every service, kept until the beliefs change."""
+
+    def __init__(self, beliefs: Beliefs, in_force_s: float) -> None:
+        self.beliefs = beliefs
+        self.in_force_s = in_force_s
+        self.known: dict[str, dict[str, Turn]] = {}
+        beliefs.listeners.append(self.known.clear)
+
+    def turn(self, service: str, address: str) -> Turn | None:
+        """Return the turn of the engine at IP:PORT; None where no version was ever named."""
+        if service not in self.known:
+            self.known[service] = self.turns(service)
+        return self.known[service].get(address)
+
+    def turns(self, service: str) -> dict[str, Turn]:
+        """Return the turn of each engine of the service by its address."""
+        configuration = self.beliefs.configuration
+        found = configuration.services.get(service) if configuration else None
+        if found is None or found.model is None:
+            return {}
+        wanted = [self.beliefs.versions.get(model) for model in found.model.models]
+        newest = max((it for it in wanted if it), key=lambda it: it.learned_at_s, default=None)
+        if newest is None:
+            return {}
+        addresses = switch_order(self.beliefs, service, found.model.layers)
+        span = (LAST_TURN_SHARE - FIRST_TURN_SHARE) * self.in_force_s
+        first_s = newest.learned_at_s + FIRST_TURN_SHARE * self.in_force_s
+        return {
+            address: Turn(first_s + span * rank / len(addresses), newest.version)
+            for rank, address in enumerate(addresses)
+        }
+
+
+def switch_order(beliefs: Beliefs, service: str, layer_count: int) -> list[str]:
+    """Return the addresses of a service's serving engines in the order of their turns.
+
+    Neighbours in the order are of different availability zones.
+    """
+    by_zone: dict[str, list[str]] = {}
+    for record in beliefs.upstreams.values():
+        if record.service == service and whole_version(record.layers, layer_count):
+            by_zone.setdefault(record.zone, []).append(f"{record.host}:{record.port}")
+    ranked = [
+        (rank, zone, address)
+        for zone, addresses in by_zone.items()
+        for rank, address in enumerate(sorted(addresses))
+    ]
+    return [address for _, _, address in sorted(ranked)]
--- a/gypsumpier/sidecar/application.py
+++ b/gypsumpier/sidecar/application.py
@@ -18,6 +18,7 @@
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.engine import Engine, EngineReport
+from gypsumpier.piece.turns import Turns
 from gypsumpier.sidecar.stager import Stager
 from gypsumpier.tasks import end_task
 from gypsumpier.upstream.enginestate import EngineState
@@ -31,12 +32,8 @@
 """Seconds after which an unchanged state is told again."""
 FIRST_VERSION: Final = 1
 """The version that a model has before another one is named."""
-FIRST_TURN_SHARE: Final = 0.6
-"""Share of the time in which a version must be in force after which the first engine switches."""
-LAST_TURN_SHARE: Final = 0.9
-"""Share of that time by which the last engine has its turn."""
 DRAIN_S: Final = 0.25
-"""Seconds between telling the entries of a switch and the order, in which short streams end."""
+"""Seconds for an engine to finish what it runs before the rest is cut and goes on elsewhere."""
 RETRY_S: Final = 0.3
 """Seconds before pieces are fetched again after a failure."""
 
@@ -56,6 +53,7 @@
         self.mesh = Mesh(own, settings.seeds, TcpDialer())
         self.feed = BeliefFeed(self.mesh, self.beliefs)
         self.watcher = StoreWatcher(source, self.beliefs, self.feed.has_duty, self.feed.share)
+        self.turns = Turns(self.beliefs, settings.bounds.version_in_force_s)
         self.status = StatusServer(lambda: True)
         self.report: EngineReport | None = None
         self.stager: Stager | None = None
@@ -183,66 +181,40 @@
                 await asyncio.sleep(RETRY_S)
 
     async def bring(self, model: str, version: int) -> None:
-        """Stage a version and order it live."""
+        """Stage a version and order it live when it is this engine's turn."""
         stager = self.stager
         if stager is None or (stager.model, stager.version) != (model, version):
             stager = self.stager = Stager(self.mesh, self.engine, model, version)
-        await stager.fetch()
-        if await stager.restore() and await stager.restore():
-            return
-        await self.wait_for_turn(model, version)
-        wanted = self.beliefs.versions.get(model)
-        if wanted is not None and wanted.version != version:
-            return
-        self.is_switching = True
-        self.tell(again=False)
+        fetching = asyncio.create_task(stager.fetch())
         try:
-            if self.report is not None and self.report.active:
-                await asyncio.sleep(DRAIN_S)
-            # Checked again: a piece may have gone bad while others had their turn.
+            await self.drain(stager, fetching)
+            await fetching
+            # The last thing before the order, as staged pieces may go bad at any time.
             if await stager.restore() and await stager.restore():
                 return
-            accepted = await self.engine.start(model, version, preempt=True)
-            decision("switch_ordered", model=model, version=version, accepted=accepted)
-            await asyncio.sleep(SWITCH_POLL_S)
-            self.report = await self.engine.report()
+            wanted = self.beliefs.versions.get(model)
+            if wanted is None or wanted.version == version:
+                accepted = await self.engine.start(model, version, preempt=True)
+                decision("switch_ordered", model=model, version=version, accepted=accepted)
+                await asyncio.sleep(SWITCH_POLL_S)
+                self.report = await self.engine.report()
         finally:
+            await end_task(fetching)
             self.is_switching = False
             self.tell(again=False)
 
-    async def wait_for_turn(self, model: str, version: int) -> None:
-        """Wait until it is this engine's turn, so that not all of them switch at once.
+    async def drain(self, stager: Stager, fetching: "asyncio.Task[None]") -> None:
+        """Wait for this engine's turn, then let it finish what it runs, for a limited time.
 
-        An engine that serves nothing yet switches at once.
+        An engine that serves nothing yet has no turn and needs no drain.
         """
-        report, wanted, traits = self.report, self.beliefs.versions.get(model), self.traits()
-        if report is None or wanted is None or traits is None:
+        turn = self.turns.turn(self.settings.engine_service, self.address)
+        if turn is None or self.report is None or not self.report.layers:
             return
-        if not whole_version(report.layers, traits.layers):
-            return
-        addresses = switch_order(self.beliefs, self.settings.engine_service)
-        if self.address not in addresses:
-            return
-        bound_s = self.settings.bounds.version_in_force_s
-        share = addresses.index(self.address) / len(addresses)
-        turn_s = bound_s * (FIRST_TURN_SHARE + (LAST_TURN_SHARE - FIRST_TURN_SHARE) * share)
-        wait_s = wanted.learned_at_s + turn_s - boot_time_s()
-        decision("switch_turn", model=model, version=version, wait_s=round(wait_s, 3))
-        await asyncio.sleep(max(0.0, wait_s))
-
-
-def switch_order(beliefs: Beliefs, service: str) -> list[str]:
-    """Return the addresses of a service's engines in the order of their turns.
-
-    Neighbours in the order are of different availability zones.
-    """
-    by_zone: dict[str, list[str]] = {}
-    for record in beliefs.upstreams.values():
-        if record.service == service:
-            by_zone.setdefault(record.zone, []).append(f"{record.host}:{record.port}")
-    ranked = [
-        (rank, zone, address)
-        for zone, addresses in by_zone.items()
-        for rank, address in enumerate(sorted(addresses))
-    ]
-    return [address for _, _, address in sorted(ranked)]
+        while boot_time_s() < turn.at_s or (stager.left_s() > DRAIN_S and not fetching.done()):
+            await asyncio.sleep(SWITCH_POLL_S)
+        self.is_switching = True
+        self.tell(again=False)
+        until_s = boot_time_s() + DRAIN_S
+        while boot_time_s() < until_s and (self.report is None or self.report.active):
+            await asyncio.sleep(SWITCH_POLL_S)
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -36,6 +36,9 @@
         self.version = version
         self.digests: tuple[str, ...] = ()
         self.pieces: dict[int, bytes] = {}
+        self.left = 0
+        self.fetched = 0
+        self.began_s = time.monotonic()
 
     async def fetch(self) -> None:
         """Bring every piece into memory and stage it; raise GypsumpierError on failure."""
@@ -46,6 +49,8 @@
         wanted = [number for number in range(len(self.digests)) if number not in self.pieces]
         await self.verify_staged(wanted)
         wanted = [number for number in wanted if number not in self.pieces]
+        self.left, self.began_s = len(wanted), time.monotonic()
+        self.fetched = 0
         await in_parallel(wanted, self.fetch_piece, ASKS_AT_ONCE)
         decision(
             "pieces_staged",
@@ -72,6 +77,16 @@
             raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from an entry")
         self.pieces[number] = content
         await self.engine.stage(self.model, number, content)
+        self.left -= 1
+        self.fetched += 1
+
+    def left_s(self) -> float:
+        """Return about how many seconds the pieces that are left will take."""
+        if not self.left:
+            return 0.0
+        if not self.fetched:
+            return float("inf")
+        return (time.monotonic() - self.began_s) / self.fetched * self.left
 
     async def fetch_slices(self, number: int) -> bytes:
         """Return one piece, fetched in slices."""
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -4,13 +4,16 @@
 the other entries are as old as their last message.
 """
 
+import random
 import time
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, NamedTuple
 
 from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
+from gypsumpier.piece.turns import Turns
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthBoard
 
@@ -21,28 +24,54 @@
 filled before the entries have heard of it."""
 
 
+WAITING_COST_S: Final = 0.001
+"""Seconds by which each request in flight delays a new one, beside the prompts to be read."""
+QUEUED_COST_S: Final = 0.06
+"""Seconds by which each request beyond the slots delays a new one: a slot becomes free about that
+often at an engine whose requests take a second."""
+UNREAD_MAX_S: Final = 0.15
+"""Seconds of reading that an engine may have before it; while it reads, what it writes pauses."""
+SPREAD_S: Final = 0.05
+"""Differences of delay, in seconds, that are ignored where many requests choose at one moment."""
+TURN_MARGIN_S: Final = 0.4
+"""Seconds before an engine's turn by which what it runs should have ended."""
+PROMPT_TOKENS_PER_S: Final = 30_000.0
+"""Rate at which prompts are read where the engine's own rate is not known."""
+
+
+class Load(NamedTuple):
+    """Requests in flight at one upstream, and the prompt tokens of those without an answer yet."""
+
+    in_flight: int = 0
+    unread_tokens: int = 0
+
+
+NO_LOAD: Final = Load()
+
+
 @dataclass
 class PeerLoad:
-    """The requests in flight of another entry, by upstream."""
+    """The load that another entry has put on each upstream."""
 
-    counts: dict[str, int] = field(default_factory=dict)
+    loads: dict[str, Load] = field(default_factory=dict)
     at_s: float = 0.0
 
 
 class UpstreamBoard:
     """Candidates and their load."""
 
-    def __init__(self, beliefs: Beliefs, zone: str) -> None:
+    def __init__(self, beliefs: Beliefs, zone: str, turns: Turns) -> None:
         self.beliefs = beliefs
         self.zone = zone
+        self.turns = turns
         self.health = HealthBoard()
-        self.own: dict[str, int] = {}
+        self.own: dict[str, Load] = {}
         self.peers: dict[str, PeerLoad] = {}
         self.engines: dict[str, EngineState] = {}
 
-    def note_peer(self, name: str, counts: dict[str, int]) -> None:
-        """Take the counts of another entry."""
-        self.peers[name] = PeerLoad(counts, time.monotonic())
+    def note_peer(self, name: str, loads: dict[str, Load]) -> None:
+        """Take what another entry has in flight."""
+        self.peers[name] = PeerLoad(loads, time.monotonic())
 
     def note_engine(self, state: EngineState) -> bool:
         """Take what a sidecar tells; False where something newer is known already."""
@@ -77,8 +106,26 @@
 
     def load(self, record: UpstreamRecord) -> int:
         """Return the requests in flight at the upstream, as far as is known."""
-        others = sum(peer.counts.get(record.id, 0) for peer in self.peers.values())
-        return self.own.get(record.id, 0) + others
+        others = sum(peer.loads.get(record.id, NO_LOAD).in_flight for peer in self.peers.values())
+        return self.own.get(record.id, NO_LOAD).in_flight + others
+
+    def unread_s(self, record: UpstreamRecord) -> float:
+        """Return about how long the engine reads the prompts that it has not answered yet."""
+        now_s = time.monotonic()
+        unread_s = self.own.get(record.id, NO_LOAD).unread_tokens / PROMPT_TOKENS_PER_S
+        for peer in self.peers.values():
+            told_s = peer.loads.get(record.id, NO_LOAD).unread_tokens / PROMPT_TOKENS_PER_S
+            unread_s += max(0.0, told_s - (now_s - peer.at_s))
+        return unread_s
+
+    def delay_s(self, record: UpstreamRecord) -> float:
+        """Return about how long a new request waits there for its first event.
+
+        Prompts are read one after the other; what runs beside them delays little.
+        """
+        load = self.load(record)
+        queued = max(0, load + 1 - record.slots)
+        return self.unread_s(record) + WAITING_COST_S * load + QUEUED_COST_S * queued
 
     def limit(self, record: UpstreamRecord) -> int:
         """Return how many requests may be in flight at the upstream."""
@@ -111,46 +158,69 @@
         engine = self.engine(record)
         return engine is not None and engine.is_switching
 
-    def newest(self, records: list[UpstreamRecord], service: str) -> list[UpstreamRecord]:
-        """Return the engines with the newest weights among the records; all of a plain service."""
-        configuration = self.beliefs.configuration
-        found = configuration.services.get(service) if configuration else None
-        if found is None or found.model is None or not records:
-            return records
-        model = found.model
-        newest = max(self.version(record, model) for record in records)
-        return [record for record in records if self.version(record, model) == newest]
-
     def choose(
-        self, records: list[UpstreamRecord], without: set[tuple[str, int]]
+        self,
+        records: list[UpstreamRecord],
+        without: set[tuple[str, int]],
+        needed_s: float = 0.0,
+        anywhere: bool = False,
     ) -> UpstreamRecord | None:
-        """Return the least loaded upstream with room, of the own zone where there is one."""
+        """Return the upstream with room that answers soonest, of the own zone where there is one.
+
+        A request that needs ``needed_s`` is kept from engines that switch before its end.  With
+        ``anywhere`` the own zone is not preferred, and the choice is random where delays are about
+        equal: streams that are cut together must not all go on at one engine.
+        """
         free = [
             record
             for record in records
             if record.run_key() not in without
             and self.health.is_usable(record.run_key())
             and self.load(record) < self.limit(record)
+            and self.unread_s(record) < UNREAD_MAX_S
         ]
         if not free:
             return None
+        steady = [record for record in free if not self.switches_within(record, needed_s)]
+        free = steady or free
+        if anywhere:
+            return min(free, key=lambda record: self.delay_s(record) + random.uniform(0, SPREAD_S))
         home = [
             record
             for record in free
             if record.zone == self.zone and self.load(record) < record.slots
         ]
-        return min(home or free, key=lambda record: self.load(record) / max(1, record.slots))
+        return min(home or free, key=self.delay_s)
+
+    def switches_within(self, record: UpstreamRecord, needed_s: float) -> bool:
+        """Tell whether the engine switches before so many seconds have passed.
+
+        One whose turn has come and that still holds older weights may do so at any moment.
+        """
+        turn = self.turns.turn(record.service, f"{record.host}:{record.port}")
+        if turn is None or boot_time_s() + needed_s + TURN_MARGIN_S < turn.at_s:
+            return False
+        return any(loaded.version < turn.version for loaded in self.layers(record))
 
-    def begin(self, record: UpstreamRecord) -> None:
+    def begin(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Count a request that is sent there."""
-        self.own[record.id] = self.own.get(record.id, 0) + 1
+        self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
 
-    def end(self, record: UpstreamRecord) -> None:
+    def note_answering(self, record: UpstreamRecord, prompt_tokens: int) -> None:
+        """Note that the request's prompt has been read."""
+        self.add(record, 0, -prompt_tokens)
+
+    def end(self, record: UpstreamRecord, unread_tokens: int) -> None:
         """Take a request that is no longer there from the count."""
-        left = self.own.get(record.id, 0) - 1
-        if left > 0:
-            self.own[record.id] = left
+        self.add(record, -1, -unread_tokens)
+        self.health.end(record.run_key())
+
+    def add(self, record: UpstreamRecord, in_flight: int, unread_tokens: int) -> None:
+        """Change the own load of an upstream."""
+        known = self.own.get(record.id, NO_LOAD)
+        load = Load(known.in_flight + in_flight, max(0, known.unread_tokens + unread_tokens))
+        if load.in_flight > 0:
+            self.own[record.id] = load
         else:
             self.own.pop(record.id, None)
-        self.health.end(record.run_key())
