--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -10,6 +10,7 @@
 
 from gypsumpier.codes.request import NO_UPSTREAM, QUEUE_TOO_LONG, TIME_LIMIT_BEFORE_START
 from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.line import Waiting, WaitingLine
 from gypsumpier.gateway.refusal import Refusal
@@ -33,6 +34,8 @@
 """Share by which Retry-After is spread, so that refused callers don't come back together."""
 RETRY_SHARE_MAX: Final = 1 / 3
 """Share of the time left beyond which a caller does not honour Retry-After."""
+SHARE_LEAST_PER_S: Final = 0.5
+"""Lowest rate that is assumed, so that an estimate stays finite."""
 PUMP_INTERVAL_S: Final = 0.05
 """Seconds between two looks at requests whose time has run out."""
 
@@ -62,6 +65,7 @@
         self.board = board
         self.least_version = least_version
         self.random = random.Random()
+        self.entries = 1
         self.lines: dict[str, WaitingLine] = {}
 
     def line(self, service: str) -> WaitingLine:
@@ -98,8 +102,12 @@
         """Take a place that is free now."""
         version = self.least_version(request.service)
         records = self.board.candidates(request.service, version)
+        tried = request.tried
+        if all(record.run_key() in tried for record in records):
+            # Nobody else is left; who was full a moment ago may have room now.
+            tried = set()
         is_repeat = request.attempts > 0
-        record = self.board.choose(records, request.tried, self.needed_s(request), is_repeat)
+        record = self.board.choose(records, tried, self.needed_s(request), is_repeat)
         if record is not None:
             request.unread_tokens = request.head.prompt_tokens
             self.board.begin(record, request.unread_tokens)
@@ -107,16 +115,26 @@
 
     def needed_s(self, request: GatewayRequest) -> float:
         """Return about how long an engine works on the request; 0 for a plain service."""
-        configuration = self.beliefs.configuration
-        found = configuration.services.get(request.service) if configuration else None
-        if found is None or found.model is None:
+        model = self.model(request.service)
+        if model is None:
             return 0.0
-        model = found.model
         tokens = request.head.expected_answer_tokens or model.mean_answer_tokens
-        return request.head.prompt_tokens / model.prompt_tokens_per_s + tokens * model.step_s
+        return self.work_s(model, request.head.prompt_tokens, tokens)
+
+    def model(self, service: str) -> ModelTraits | None:
+        """Return how the engines of the service work; None for a plain service."""
+        configuration = self.beliefs.configuration
+        found = configuration.services.get(service) if configuration else None
+        return found.model if found else None
+
+    def work_s(self, model: ModelTraits, prompt_tokens: int, answer_tokens: int) -> float:
+        """Return about how long an engine works on a request of that size."""
+        return prompt_tokens / model.prompt_tokens_per_s + answer_tokens * model.step_s
 
     async def wait(self, request: GatewayRequest, line: WaitingLine) -> UpstreamRecord:
         """Wait for a place; raise Refusal where the wait would be too long."""
+        if not self.may_come_back(request.service):
+            raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         latest_s, goal_s = self.latest_s(request), self.goal_s(request)
         waiting = line.add(request, self.least_version(request.service), latest_s, goal_s)
         self.pump(request.service)
@@ -129,6 +147,15 @@
             return place
         raise self.refusal(request, place)
 
+    def may_come_back(self, service: str) -> bool:
+        """Tell whether an upstream of the service can serve now or is about to."""
+        if self.board.candidates(service):
+            return True
+        records = self.beliefs.upstreams.values()
+        return any(
+            record.service == service and self.board.is_switching(record) for record in records
+        )
+
     def abandon(self, waiting: Waiting, line: WaitingLine) -> None:
         """Give up a wait; a place that was just granted is given back."""
         if waiting in line.waiting:
@@ -152,9 +179,18 @@
                 line.grant(waiting, record)
             elif not waiting.request.tried:
                 break
-        line.refuse_hopeless()
+        line.refuse_hopeless(self.share_per_s(service))
         QUEUED.labels(service).set(len(line.waiting))
 
+    def share_per_s(self, service: str) -> float:
+        """Return this entry's even share of the requests a second that the upstreams can serve."""
+        slots = sum(record.slots for record in self.board.candidates(service))
+        model = self.model(service)
+        work_s = PLAIN_WORK_S
+        if model is not None:
+            work_s = self.work_s(model, model.mean_prompt_tokens, model.mean_answer_tokens)
+        return max(SHARE_LEAST_PER_S, slots / max(work_s, PLAIN_WORK_S) / self.entries)
+
     def pump_all(self) -> None:
         """Look at every service."""
         for service in self.lines:
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -150,7 +150,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.close_idle()
-            self.retries.entries = 1 + len(self.mesh.peers(ENTRY))
+            self.retries.entries = self.admission.entries = 1 + len(self.mesh.peers(ENTRY))
 
 
 def bind(address: Address) -> list[socket.socket]:
--- a/gypsumpier/gateway/line.py
+++ b/gypsumpier/gateway/line.py
@@ -17,8 +17,6 @@
 
 RATE_WINDOW_S: Final = 2.0
 """Seconds over which the rate of places that become free is measured."""
-RATE_LEAST_PER_S: Final = 0.5
-"""Lowest rate that is assumed, so that an estimate stays finite."""
 IDLE_WORKSPACES_MAX: Final = 1024
 
 
@@ -97,19 +95,23 @@
         """Count a place towards the rate."""
         self.granted_at_s.append(time.monotonic())
 
-    def rate_per_s(self) -> float:
-        """Return how many requests a second got a place lately."""
+    def rate_per_s(self, share_per_s: float) -> float:
+        """Return how many requests a second get a place.
+
+        That is what was seen lately, or this entry's even share of what the upstreams can do: a
+        line that has just formed has seen nothing yet.
+        """
         oldest_s = time.monotonic() - RATE_WINDOW_S
         while self.granted_at_s and self.granted_at_s[0] < oldest_s:
             self.granted_at_s.popleft()
-        return max(RATE_LEAST_PER_S, len(self.granted_at_s) / RATE_WINDOW_S)
+        return max(share_per_s, len(self.granted_at_s) / RATE_WINDOW_S)
 
-    def refuse_hopeless(self) -> None:
+    def refuse_hopeless(self, share_per_s: float) -> None:
         """Refuse the requests whose turn is estimated to come too late.
 
         Only those behind the hopeless one gain from its leaving, so the order is kept.
         """
-        now_s, rate = time.monotonic(), self.rate_per_s()
+        now_s, rate = time.monotonic(), self.rate_per_s(share_per_s)
         position = 0
         for waiting in self.ordered():
             wait_s = position / rate
--- a/gypsumpier/platform/records.py
+++ b/gypsumpier/platform/records.py
@@ -89,7 +89,7 @@
     ``layers`` stands beside ``models`` or within a model, as one range or as several.
     """
     found: list[LoadedLayers] = []
-    models = objects(body, "models") if body.get("models") else []
+    models = objects(body, "models") if body.get("models") is not None else []
     for model in models:
         found += layer_ranges(field(model, "name", str), model.get("layers"))
     if models:
--- /dev/null
+++ b/gypsumpier/test/fakes_piece.py
@@ -0,0 +1,129 @@
+"""Fakes around pieces of weights: an engine, an origin and a mesh of processes in memory."""
+
+import hashlib
+import random
+from typing import Any
+
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.upstream import LoadedLayers
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.piece.cache import PieceCache
+from gypsumpier.piece.engine import EngineReport, PieceList, PieceOrigin
+from gypsumpier.test.builders_platform import LAYERS
+
+PIECES = 16
+PIECE_BYTES = 20_000
+
+
+def piece_of(version: int, number: int) -> bytes:
+    """Return a piece's bytes."""
+    return random.Random(f"{version}/{number}").randbytes(PIECE_BYTES)
+
+
+def entry_peer(name: str, zone: str) -> Peer:
+    """Return an entry as a peer."""
+    return Peer(name, "entry", zone, zone.split("-")[0], "127.0.0.1", 1, "run")
+
+
+class FakeEngine:
+    """An engine; numbers in ``rotting`` turn bad as soon as they have been staged once."""
+
+    def __init__(self) -> None:
+        self.pieces: dict[int, bytes] = {}
+        self.rotting: set[int] = set()
+        self.loaded: list[dict[int, bytes]] = []
+        self.version = 0
+
+    async def report(self) -> EngineReport:
+        layers = (LoadedLayers("m", self.version, 0, LAYERS),) if self.version else ()
+        return EngineReport(layers, False, len(self.loaded), 0, 0, 1)
+
+    async def stage(self, model: str, number: int, content: bytes) -> None:
+        rots = number in self.rotting
+        self.rotting.discard(number)
+        self.pieces[number] = b"rotten" if rots else content
+
+    async def staged(self, model: str, number: int) -> bytes | None:
+        return self.pieces.get(number)
+
+    async def start(self, model: str, version: int, preempt: bool) -> bool:
+        self.loaded.append(dict(self.pieces))
+        self.version = version
+        return True
+
+    def close(self) -> None:
+        return None
+
+
+class FakeOrigin:
+    """The origin; each piece in ``bad`` is corrupt once, and ``down`` refuses everything."""
+
+    def __init__(self) -> None:
+        self.drawn: list[int] = []
+        self.bad: set[int] = set()
+        self.down = False
+
+    async def piece_list(self, model: str, version: int) -> PieceList:
+        self.check()
+        digests = [hashlib.sha256(piece_of(version, n)).hexdigest() for n in range(PIECES)]
+        return PieceList(model, version, tuple(digests))
+
+    async def piece(self, model: str, version: int, number: int) -> bytes:
+        self.check()
+        self.drawn.append(number)
+        if number in self.bad:
+            self.bad.discard(number)
+            return b"corrupt"
+        return piece_of(version, number)
+
+    def check(self) -> None:
+        """Refuse while down."""
+        if self.down:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "down")
+
+    def close(self) -> None:
+        return None
+
+
+class FakeMesh:
+    """One process's view of a network in memory; ``cut`` names peers that never answer."""
+
+    def __init__(self, own: Peer, network: "dict[str, FakeMesh]") -> None:
+        self.own = own
+        self.network = network
+        self.answerers: dict[str, Any] = {}
+        self.cut: set[str] = set()
+        self.asked: list[str] = []
+        network[own.name] = self
+
+    def peers(self, role: str = "entry", zone: str = "") -> list[Peer]:
+        found = [mesh.own for mesh in self.network.values() if mesh is not self]
+        return sorted(
+            peer for peer in found if peer.role == role and (not zone or peer.zone == zone)
+        )
+
+    def link(self, name: str) -> "FakeLink | None":
+        found = self.network.get(name)
+        return FakeLink(self, found) if found else None
+
+
+class FakeLink:
+    """Asks another process directly."""
+
+    def __init__(self, mesh: FakeMesh, other: FakeMesh) -> None:
+        self.mesh = mesh
+        self.other = other
+
+    async def ask(self, kind: str, payload: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+        self.mesh.asked.append(self.other.own.name)
+        if self.other.own.name in self.mesh.cut:
+            raise TimeoutError
+        answer: dict[str, Any] = await self.other.answerers[kind](self.mesh.own, payload)
+        return answer
+
+
+def cache_of(mesh: FakeMesh, beliefs: Beliefs, origin: PieceOrigin) -> PieceCache:
+    """Return the piece cache of an entry."""
+    return PieceCache(mesh, beliefs, lambda host, port: origin)  # type: ignore[arg-type]
--- /dev/null
+++ b/gypsumpier/test/gatewayfleet.py
@@ -0,0 +1,133 @@
+"""One entry before stand-ins of the platform, in the event loop of a test."""
+
+import asyncio
+import socket
+from typing import Any, Final
+
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from gypsumpier.fleet.node import Address
+from gypsumpier.gateway.application import GatewayApplication
+from gypsumpier.platform.origin import PlatformOrigin
+from gypsumpier.platform.settings import Reader, node_settings
+from gypsumpier.platform.store import PlatformStore
+from gypsumpier.test.builders_platform import (
+    ENGINES,
+    KEY,
+    PLAIN,
+    ZONE,
+    configuration_body,
+    engine_body,
+    engine_service_body,
+    plain_body,
+    settings_body,
+)
+from gypsumpier.test.standin.platform import OriginStandin, PlatformStandin, UpstreamStandin
+
+START_TIMEOUT_S: Final = 5.0
+CALL_TIMEOUT_S: Final = 10.0
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        port: int = found.getsockname()[1]
+        return port
+
+
+class GatewayFleet:
+    """A store, an origin, upstreams and one entry."""
+
+    def __init__(self) -> None:
+        self.store = PlatformStandin()
+        self.origin = OriginStandin()
+        self.upstreams: dict[str, UpstreamStandin] = {}
+        self.client = SimpleAsyncHTTPClient(force_instance=True)
+        self.port = free_port()
+        body = settings_body(
+            listen={
+                "front": f"127.0.0.1:{self.port}",
+                "ready": f"127.0.0.1:{free_port()}",
+                "control": f"127.0.0.1:{free_port()}",
+            },
+            port_range=[7700, free_port()],
+            seeds=[],
+            provider={"address": f"127.0.0.1:{self.store.port}"},
+        )
+        self.settings = node_settings(Reader(body))
+        self.entry = GatewayApplication(
+            self.settings,
+            "run-1",
+            PlatformStore(self.settings.store_address),
+            lambda host, port: PlatformOrigin(Address(host, port)),
+        )
+
+    def configure(self, version: int = 1, **fields: Any) -> None:
+        """Write a configuration."""
+        services = [
+            engine_service_body(),
+            {"name": PLAIN, "max_conns": 110},
+            {
+                "name": "origin",
+                "origin": f"127.0.0.1:{self.origin.port}",
+                "zone": ZONE,
+                "link_mbps": 9.9,
+            },
+        ]
+        body = configuration_body(version, services=services) | fields
+        self.store.put("op/config", body)
+
+    def add(self, name: str, service: str, **fields: Any) -> UpstreamStandin:
+        """Start an upstream and write its record."""
+        upstream = self.upstreams[name] = UpstreamStandin(name)
+        build = engine_body if service == ENGINES else plain_body
+        self.store.put(f"servers/{name}", build(address=upstream.address, **fields))
+        return upstream
+
+    async def start(self) -> None:
+        """Start the entry and wait until it is ready."""
+        await self.entry.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not self.entry.is_ready():
+                await asyncio.sleep(0.01)
+
+    async def settle(self) -> None:
+        """Wait until the entry knows what the store holds."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while self.entry.beliefs.revision < self.store.revision:
+                await asyncio.sleep(0.01)
+
+    async def call(self, path: str, request_id: str = "r1", **fields: Any) -> HTTPResponse:
+        """Return the entry's answer; status 599 where the connection was cut."""
+        headers = {"Host": "lab.example", "X-Request-Id": request_id, "X-Key": KEY}
+        headers |= fields.pop("headers", {})
+        request = HTTPRequest(
+            f"http://127.0.0.1:{self.port}{path}",
+            method="POST",
+            body="{}",
+            headers={name: value for name, value in headers.items() if value},
+            request_timeout=CALL_TIMEOUT_S,
+            **fields,
+        )
+        return await self.client.fetch(request, raise_error=False)
+
+    async def stop(self) -> None:
+        """End everything at once."""
+        for task in self.entry.tasks:
+            task.cancel()
+        await self.entry.watcher.stop()
+        await self.entry.mesh.stop()
+        self.entry.listener.stop()
+        self.entry.server.stop()
+        self.entry.pool.close()
+        await self.entry.status.stop()
+        self.client.close()
+        # Lets the last watches end by themselves.
+        self.store.wake()
+        await asyncio.sleep(0.02)
+        self.store.server.stop()
+        self.origin.server.stop()
+        for upstream in self.upstreams.values():
+            upstream.server.stop()
--- /dev/null
+++ b/gypsumpier/test/standin/platform.py
@@ -0,0 +1,254 @@
+"""A small stand-in of the Rung Lab platform: its store, one upstream and the origin of weights.
+
+Written from the platform's pages.  Everything runs in the event loop of the test.
+"""
+
+import asyncio
+import hashlib
+import json
+import random
+from base64 import b64encode
+from typing import Any, Final
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+
+from gypsumpier.test.standin.server import StandinHandler, listen
+
+EVENT_PAUSE_S: Final = 0.01
+
+
+class PlatformStandin:
+    """The store: records by key, with a revision that grows by each change."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.revision = 1
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.changed = asyncio.Event()
+        self.oldest = 0
+        self.calls = 0
+        self.server, self.port = listen(
+            Application(
+                [
+                    (r"/gypsumpier/kv-range", RangeHandler, {"state": self}),
+                    (r"/gypsumpier/kv-watch", WatchHandler, {"state": self}),
+                ]
+            )
+        )
+
+    def put(self, key: str, body: dict[str, Any]) -> None:
+        """Write a record."""
+        self.revision += 1
+        self.items[key] = json.dumps(body).encode(), self.revision
+        self.events.append(item_body(key, *self.items[key]))
+        self.wake()
+
+    def remove(self, key: str) -> None:
+        """Remove a record."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.events.append({"key": key, "rev": self.revision, "removed": True})
+        self.wake()
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.events.clear()
+        self.oldest = self.revision
+
+    def wake(self) -> None:
+        """Wake the waiting watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def item_body(key: str, value: bytes, revision: int) -> dict[str, Any]:
+    """Return an item as the store answers it."""
+    return {"key": key, "value": b64encode(value).decode(), "rev": revision, "lease": 0}
+
+
+class RangeHandler(StandinHandler):
+    """Pages of two items, so that reading in pages is always exercised."""
+
+    def get(self) -> None:
+        self.state.calls += 1
+        prefix, after = self.get_argument("prefix"), self.get_argument("after", "")
+        keys = sorted(k for k in self.state.items if k.startswith(prefix) and k > after)
+        items = [item_body(key, *self.state.items[key]) for key in keys[:2]]
+        self.finish(
+            {"items": items, "more_pages": len(keys) > 2, "current_rev": self.state.revision}
+        )
+
+
+class WatchHandler(StandinHandler):
+    """A watch that waits for the first event."""
+
+    async def get(self) -> None:
+        self.state.calls += 1
+        after = int(self.get_argument("after"))
+        if after < self.state.oldest:
+            self.refuse(410)
+        if not self.found(after):
+            try:
+                async with asyncio.timeout(int(self.get_argument("wait_ms")) / 1000):
+                    await self.state.changed.wait()
+            except TimeoutError:
+                pass
+        self.finish({"events": self.found(after), "current_rev": self.state.revision})
+
+    def found(self, after: int) -> list[dict[str, Any]]:
+        """Return the events after a revision."""
+        return [event for event in self.state.events if event["rev"] > after]
+
+
+class UpstreamStandin:
+    """One upstream that answers as the next entry of ``plan`` says, else well.
+
+    Plans: ``ok``, ``full`` (refused, not run), ``wrong`` (421), ``error`` (500), ``cut`` (the
+    connection breaks after ``cut_after`` events), ``mute`` (never answers), ``crossed`` (the answer
+    to another request), ``extra`` (bytes behind the answer), ``unsealed``.
+    """
+
+    def __init__(self, name: str, host: str = "127.0.0.1") -> None:
+        self.down = False
+        self.name = name
+        self.plan: list[str] = []
+        self.cut_after = 2
+        self.event_count = 5
+        self.ran: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.ended: list[str] = []
+        self.server: HTTPServer
+        self.server, self.port = listen(Application([(r".*", UpstreamHandler, {"state": self})]))
+        self.host = host
+
+    @property
+    def address(self) -> str:
+        """The address as records state it."""
+        return f"{self.host}:{self.port}"
+
+
+class UpstreamHandler(StandinHandler):
+    """One request at the upstream."""
+
+    async def get(self) -> None:
+        await self.run()
+
+    async def post(self) -> None:
+        await self.run()
+
+    async def run(self) -> None:
+        """Do what the plan says."""
+        state: UpstreamStandin = self.state
+        action = state.plan.pop(0) if state.plan else "ok"
+        request_id = self.request.headers.get("X-Request-Id", "")
+        state.seen.append({name.lower(): value for name, value in self.request.headers.items()})
+        self.set_header("X-Request-Id", "another" if action == "crossed" else request_id)
+        if action in ("full", "wrong"):
+            self.set_status(503 if action == "full" else 421)
+            self.set_header("X-Not-Executed", "1")
+            return
+        state.ran.append(request_id)
+        if action == "mute":
+            # Never answered; the caller's leaving ends the connection and with it the request.
+            self._auto_finish = False
+            return
+        if action != "unsealed":
+            self.set_header("X-Server-Seal", f"seal-of-{state.name}")
+        if action == "error":
+            self.set_status(500)
+            self.finish(b"failed")
+            return
+        if "/reports/" in self.request.path:
+            await self.stream(state.cut_after if action == "cut" else None)
+        elif action == "cut":
+            self.set_header("Content-Length", "100")
+            self.write(b"half")
+            await self.flush()
+            self.break_off()
+        else:
+            await self.finish(f"answer to {request_id} by {state.name}".encode())
+            if action == "extra":
+                self.stream_of().write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+
+    async def stream(self, cut_after: int | None) -> None:
+        """Send events from behind Last-Event-Id on."""
+        self.set_header("Content-Type", "text/event-stream")
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        for count, number in enumerate(range(first, self.state.event_count + 1)):
+            if cut_after is not None and count == cut_after:
+                self.write(b"id: 99\nda")
+                await self.flush()
+                self.break_off()
+                return
+            self.write(f"id: {number}\ndata: event {number}\n\n".encode())
+            try:
+                await self.flush()
+            except StreamClosedError:
+                self.state.ended.append(self.request.headers.get("X-Request-Id", ""))
+                return
+            await asyncio.sleep(EVENT_PAUSE_S)
+
+    def on_connection_close(self) -> None:
+        self.state.ended.append(self.request.headers.get("X-Request-Id", ""))
+
+    def stream_of(self) -> Any:
+        """Return the connection's stream."""
+        connection: Any = self.request.connection
+        return connection.stream
+
+    def break_off(self) -> None:
+        """Close the connection at once."""
+        self._auto_finish = False
+        self.stream_of().close()
+
+
+class OriginStandin:
+    """The origin of weights; numbers in ``bad`` are answered corrupt once each."""
+
+    def __init__(self, pieces: int = 64, piece_bytes: int = 1024) -> None:
+        self.down = False
+        self.pieces = pieces
+        self.piece_bytes = piece_bytes
+        self.bad: set[int] = set()
+        self.drawn: list[tuple[int, int]] = []
+        self.server, self.port = listen(
+            Application(
+                [
+                    (r"/gypsumpier/manifest/.*", PieceListHandler, {"state": self}),
+                    (r"/gypsumpier/piece/.*", PieceHandler, {"state": self}),
+                ]
+            )
+        )
+
+    def piece(self, version: int, number: int) -> bytes:
+        """Return a piece's bytes."""
+        return random.Random(f"{version}/{number}").randbytes(self.piece_bytes)
+
+
+class PieceListHandler(StandinHandler):
+    """The digests of a version."""
+
+    def get(self) -> None:
+        version = int(self.get_argument("version"))
+        model = self.request.path.rsplit("/", 1)[1]
+        digests = [
+            hashlib.sha256(self.state.piece(version, number)).hexdigest()
+            for number in range(self.state.pieces)
+        ]
+        self.finish({"model": model, "version": version, "layers": 16, "digests": digests})
+
+
+class PieceHandler(StandinHandler):
+    """One piece."""
+
+    def get(self) -> None:
+        version, number = int(self.get_argument("version")), int(self.get_argument("num"))
+        self.state.drawn.append((version, number))
+        content = self.state.piece(version, number)
+        if number in self.state.bad:
+            self.state.bad.discard(number)
+            content = bytes(len(content))
+        self.finish(content)
--- /dev/null
+++ b/gypsumpier/test/test_admission.py
@@ -0,0 +1,147 @@
+"""Tests of who waits and who is refused, under the loads that the modules name."""
+
+import asyncio
+import unittest
+
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.test.builders_gateway import admission_of, engines, request_of
+from gypsumpier.test.builders_platform import beliefs_of, configuration_record
+from gypsumpier.upstream.board import Load
+
+FULL = 18
+
+
+def fill(admission: Admission, engine: str = "i-1") -> None:
+    """Let another entry have taken every place of an engine."""
+    admission.board.note_peer(f"fills {engine}", {engine: Load(FULL, 0)})
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_free_place_is_given_at_once(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        request = request_of(beliefs)
+        record = await admission.enter(request)
+        self.assertEqual(1, admission.board.load(record))
+        admission.leave(request, record)
+        self.assertEqual(0, admission.board.load(record))
+
+    async def test_without_any_upstream_the_request_is_refused_at_once(self) -> None:
+        beliefs = beliefs_of(configuration_record())
+        admission = admission_of(beliefs)
+        with self.assertRaises(Refusal) as raised:
+            async with asyncio.timeout(1.0):
+                await admission.enter(request_of(beliefs))
+        self.assertEqual((503, "no_upstream"), told(raised.exception))
+        self.assertGreater(raised.exception.retry_after_s or 0.0, 0.0)
+
+    async def test_a_place_that_becomes_free_goes_to_who_waits(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        waiting = asyncio.create_task(admission.enter(request_of(beliefs)))
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        admission.board.peers.clear()
+        admission.pump_all()
+        self.assertEqual("i-1", (await waiting).id)
+
+    async def test_a_burst_is_refused_at_once_where_its_wait_is_known_to_be_too_long(self) -> None:
+        """Pattern: many times the capacity arrives within a moment.
+
+        Each request that can't be reached before its caller gives up is told so at once, with a
+        time to come back that grows with the length of the line; the others keep their place.
+        """
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        calls = [asyncio.create_task(admission.enter(request_of(beliefs))) for _ in range(100)]
+        await asyncio.sleep(0.02)
+        refused = [call.exception() for call in calls if call.done()]
+        # 16 slots of requests of 0.8 s are 19 places a second, over about two seconds of patience.
+        self.assertTrue(30 <= 100 - len(refused) <= 50, len(refused))
+        for found in refused:
+            assert isinstance(found, Refusal)
+            self.assertEqual((503, "queue_too_long"), told(found))
+            self.assertGreater(found.retry_after_s or 0.0, 1.0)
+        await end(calls)
+
+    async def test_a_stream_that_has_begun_goes_before_new_requests(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        new = waiting_for(admission, request_of(beliefs))
+        begun_request = request_of(beliefs, age_s=1.5)
+        begun_request.last_event_id = "7"
+        begun = waiting_for(admission, begun_request)
+        await asyncio.sleep(0)
+        free_places(admission, 1)
+        await asyncio.sleep(0)
+        self.assertEqual((False, True), (new.done(), begun.done()))
+        await end([new, begun])
+
+    async def test_who_can_still_be_on_time_goes_before_who_is_late_already(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        late = waiting_for(admission, request_of(beliefs, age_s=1.0))
+        timely = waiting_for(admission, request_of(beliefs))
+        await asyncio.sleep(0)
+        free_places(admission, 1)
+        await asyncio.sleep(0)
+        self.assertEqual((False, True), (late.done(), timely.done()))
+        free_places(admission, 2)
+        await asyncio.sleep(0)
+        self.assertTrue(late.done())
+        await end([late, timely])
+
+    async def test_a_caller_that_leaves_gives_its_place_back(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        call = waiting_for(admission, request_of(beliefs))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        self.assertEqual([], admission.line("engines").waiting)
+
+    async def test_a_place_granted_as_the_caller_leaves_is_given_back(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        call = waiting_for(admission, request_of(beliefs))
+        await asyncio.sleep(0)
+        free_places(admission, 1)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        self.assertEqual({}, admission.board.own)
+
+
+def told(refusal: Refusal) -> tuple[int, str]:
+    """Return the status and the name of a refusal."""
+    return refusal.status, refusal.code.name
+
+
+def waiting_for(admission: Admission, request: GatewayRequest) -> "asyncio.Task[object]":
+    """Let a request wait for a place."""
+
+    async def enter() -> object:
+        return await admission.enter(request)
+
+    return asyncio.create_task(enter())
+
+
+def free_places(admission: Admission, count: int) -> None:
+    """Let the other entry give back so many places, of which some may be taken meanwhile."""
+    admission.board.note_peer("fills i-1", {"i-1": Load(FULL - count, 0)})
+    admission.pump_all()
+
+
+async def end(calls: "list[asyncio.Task[object]] | list[asyncio.Task[UpstreamRecord]]") -> None:
+    """Cancel what still waits."""
+    for call in calls:
+        call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
--- /dev/null
+++ b/gypsumpier/test/test_gateway.py
@@ -0,0 +1,163 @@
+"""Tests of an entry on the platform, from a caller's socket to an upstream's and back."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from gypsumpier.gateway import relay
+from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN
+from gypsumpier.test.gatewayfleet import GatewayFleet
+
+EVENTS = "".join(f"id: {number}\ndata: event {number}\n\n" for number in range(1, 6))
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = GatewayFleet()
+        self.fleet.configure()
+        self.engine = self.fleet.add("i-1", ENGINES)
+        self.other = self.fleet.add("i-2", ENGINES)
+        self.plain = self.fleet.add("i-3", PLAIN)
+        await self.fleet.start()
+        await self.fleet.settle()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.stop()
+
+    def plan(self, *actions: str) -> None:
+        """Let whichever engine is asked first do the first action, the other the second."""
+        for engine in (self.engine, self.other):
+            engine.plan = list(actions)
+
+    def runs(self) -> int:
+        """Return how often engines ran something."""
+        return len(self.engine.ran) + len(self.other.ran)
+
+    async def test_a_stream_arrives_whole_with_its_seal(self) -> None:
+        answer = await self.fleet.call("/reports/x")
+        self.assertEqual((200, EVENTS), (answer.code, answer.body.decode()))
+        self.assertIn("seal-of", answer.headers["X-Server-Seal"])
+
+    async def test_an_upstream_is_told_who_and_how_long_but_never_the_key(self) -> None:
+        headers = {"X-Deadline-Ms": "900", "X-Tenant": "forged", "Path": "127.0.0.1:1=0-16"}
+        await self.fleet.call("/commands/x", headers=headers)
+        seen = self.plain.seen[0]
+        self.assertEqual(("lab", "i-3"), (seen["x-tenant"], seen["x-expect-instance"]))
+        self.assertTrue(800 <= int(seen["x-deadline-ms"]) <= 900)
+        self.assertFalse({"x-key", "path"} & set(seen))
+
+    async def test_unknown_routes_and_keys_are_refused_without_a_run(self) -> None:
+        paths = ("/else/x", "/reports/x")
+        answers = [await self.fleet.call(path, headers={"X-Key": "no"}) for path in paths]
+        self.assertEqual([404, 401], [answer.code for answer in answers])
+        self.assertEqual(0, self.runs())
+
+    async def test_a_cut_stream_goes_on_elsewhere_behind_the_last_whole_event(self) -> None:
+        self.plan("cut")
+        self.other.plan, self.engine.plan = ["cut"], ["cut"]
+        first_cut = asyncio.create_task(self.fleet.call("/reports/x"))
+        while not self.runs():
+            await asyncio.sleep(0.005)
+        untouched = self.other if self.engine.ran else self.engine
+        untouched.plan = []
+        answer = await first_cut
+        self.assertEqual((200, EVENTS), (answer.code, answer.body.decode()))
+        self.assertEqual("2", untouched.seen[0]["last-event-id"])
+
+    async def test_a_stream_cut_twice_is_never_ended_as_whole(self) -> None:
+        self.plan("cut")
+        with self.assertRaises(HTTPStreamClosedError):
+            await self.fleet.call("/reports/x")
+        self.assertEqual(2, self.runs())
+
+    async def test_a_command_whose_answer_is_lost_is_not_run_again(self) -> None:
+        for action in ("cut", "crossed", "unsealed"):
+            with self.subTest(action=action):
+                self.plain.ran.clear()
+                self.plain.plan = [action]
+                self.fleet.entry.board.health.healths.clear()
+                answer = await self.fleet.call("/commands/x", request_id=f"r-{action}")
+                self.assertEqual((502, 1), (answer.code, len(self.plain.ran)))
+
+    async def test_a_refused_command_goes_to_another_upstream(self) -> None:
+        spare = self.fleet.add("i-4", PLAIN)
+        await self.fleet.settle()
+        self.plain.plan, spare.plan = ["wrong"], ["wrong"]
+        answer = asyncio.create_task(self.fleet.call("/commands/x"))
+        while not self.plain.seen and not spare.seen:
+            await asyncio.sleep(0.005)
+        (spare if self.plain.seen else self.plain).plan = []
+        self.assertEqual(200, (await answer).code)
+        self.assertEqual(1, len(self.plain.ran) + len(spare.ran))
+
+    async def test_a_full_upstream_is_asked_again_a_moment_later(self) -> None:
+        self.plain.plan = ["full", "full"]
+        answer = await self.fleet.call("/commands/x")
+        self.assertEqual((200, 1), (answer.code, len(self.plain.ran)))
+
+    async def test_bytes_behind_an_answer_reach_no_other_request(self) -> None:
+        self.plain.plan = ["extra"]
+        answers = [await self.fleet.call("/commands/x", request_id=f"r{n}") for n in range(3)]
+        bodies = [answer.body.decode() for answer in answers]
+        self.assertEqual([f"answer to r{n} by i-3" for n in range(3)], bodies)
+
+    async def test_a_caller_that_leaves_ends_the_run(self) -> None:
+        self.plain.plan = ["mute"]
+        call = await self.fleet.call("/commands/x", request_id="left")
+        self.assertEqual(504, call.code)
+        async with asyncio.timeout(2.0):
+            while "left" not in self.plain.ended:
+                await asyncio.sleep(0.01)
+
+    async def test_a_silent_engine_is_left_for_another(self) -> None:
+        with mock.patch.object(relay, "STREAM_SILENCE_S", 0.1):
+            self.plan("mute")
+            call = asyncio.create_task(self.fleet.call("/reports/x"))
+            while not self.runs():
+                await asyncio.sleep(0.005)
+            (self.other if self.engine.ran else self.engine).plan = []
+            answer = await call
+        self.assertEqual((200, EVENTS), (answer.code, answer.body.decode()))
+
+    async def test_without_a_fresh_proof_no_request_with_a_key_runs(self) -> None:
+        self.fleet.store.down = True
+        self.fleet.entry.beliefs.proven_at_s -= 60.0
+        answer = await self.fleet.call("/reports/x")
+        self.assertEqual((503, 0), (answer.code, self.runs()))
+        self.assertIn("Retry-After", answer.headers)
+        self.assertFalse(self.fleet.entry.is_ready())
+
+    async def test_a_revoked_key_is_refused_once_the_store_has_told(self) -> None:
+        self.fleet.configure(2, tenants=[{"name": "lab", "api_keys": ["another"]}])
+        await self.fleet.settle()
+        answer = await self.fleet.call("/reports/x", headers={"X-Key": KEY})
+        self.assertEqual((401, 0), (answer.code, self.runs()))
+
+    async def test_a_lost_history_is_read_anew(self) -> None:
+        self.fleet.store.compact()
+        self.fleet.store.put("servers/i-9", {"state": "?"})
+        self.fleet.store.compact()
+        await self.fleet.settle()
+        self.assertEqual(200, (await self.fleet.call("/reports/x")).code)
+
+    async def test_an_engine_that_leaves_gets_nothing_new(self) -> None:
+        for name in ("i-1", "i-2"):
+            self.fleet.store.remove(f"servers/{name}")
+        await self.fleet.settle()
+        answer = await self.fleet.call("/reports/x")
+        self.assertEqual((503, 0), (answer.code, self.runs()))
+
+    async def test_a_stop_announces_the_end_and_finishes_what_runs(self) -> None:
+        running = asyncio.create_task(self.fleet.call("/reports/x"))
+        while not self.runs():
+            await asyncio.sleep(0.005)
+        stopping = asyncio.create_task(self.fleet.entry.stop())
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.fleet.entry.is_ready())
+        late = await self.fleet.call("/commands/x")
+        self.assertEqual((200, "close"), (late.code, late.headers.get("Connection")))
+        self.assertEqual(EVENTS, (await running).body.decode())
+        async with asyncio.timeout(6.0):
+            await stopping
--- /dev/null
+++ b/gypsumpier/test/test_pieces.py
@@ -0,0 +1,108 @@
+"""Tests of pieces on their way from the origin to an engine, and of the order that ends it."""
+
+import asyncio
+import unittest
+
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.piece.cache import PieceCache
+from gypsumpier.sidecar.stager import Stager
+from gypsumpier.test.builders_platform import beliefs_of, configuration_record
+from gypsumpier.test.fakes_piece import (
+    PIECES,
+    FakeEngine,
+    FakeMesh,
+    FakeOrigin,
+    cache_of,
+    entry_peer,
+    piece_of,
+)
+
+ENTRIES = ("bac-a", "bac-a", "nam-a", "nam-a")
+
+
+class PieceFleet:
+    """Four entries in two zones, of which the first is the origin's, and one sidecar in nam-a."""
+
+    def __init__(self) -> None:
+        self.network: dict[str, FakeMesh] = {}
+        self.origin = FakeOrigin()
+        self.engine = FakeEngine()
+        beliefs = beliefs_of(configuration_record())
+        self.meshes: list[FakeMesh] = []
+        self.caches: list[PieceCache] = []
+        for number, zone in enumerate(ENTRIES):
+            mesh = FakeMesh(entry_peer(f"front-{zone}-{number}", zone), self.network)
+            self.meshes.append(mesh)
+            self.caches.append(cache_of(mesh, beliefs, self.origin))
+        own = Peer("side-nam-a-1", "sidecar", "nam-a", "nam", "127.0.0.1", 0, "run")
+        self.sidecar = FakeMesh(own, self.network)
+
+    def stager(self, version: int = 2) -> Stager:
+        """Return the stager of a version at the sidecar's engine."""
+        return Stager(self.sidecar, self.engine, "m", version)  # type: ignore[arg-type]
+
+    def is_staged(self, version: int = 2) -> bool:
+        """Tell whether exactly that version lies at the engine."""
+        return self.engine.pieces == {number: piece_of(version, number) for number in range(PIECES)}
+
+
+class PiecesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.fleet = PieceFleet()
+
+    async def test_one_copy_is_drawn_for_everyone(self) -> None:
+        wanted = [cache.piece("m", 2, n) for n in range(PIECES) for cache in self.fleet.caches]
+        contents = await asyncio.gather(*wanted)
+        self.assertEqual({piece_of(2, n) for n in range(PIECES)}, set(contents))
+        self.assertEqual(list(range(PIECES)), sorted(self.fleet.origin.drawn))
+
+    async def test_a_sidecar_gets_every_piece_staged(self) -> None:
+        await self.fleet.stager().fetch()
+        self.assertTrue(self.fleet.is_staged())
+        self.assertEqual(PIECES, len(self.fleet.origin.drawn))
+
+    async def test_a_corrupt_piece_of_the_origin_is_drawn_again(self) -> None:
+        self.fleet.origin.bad = {3, 7}
+        await self.fleet.stager().fetch()
+        self.assertTrue(self.fleet.is_staged())
+
+    async def test_an_entry_that_does_not_answer_is_passed_over(self) -> None:
+        first, second = self.fleet.meshes[2].own.name, self.fleet.meshes[0].own.name
+        self.fleet.sidecar.cut = {first}
+        for mesh in self.fleet.meshes:
+            mesh.cut = {first, second}
+        await self.fleet.stager().fetch()
+        self.assertTrue(self.fleet.is_staged())
+
+    async def test_without_any_source_nothing_is_staged_and_the_error_is_coded(self) -> None:
+        self.fleet.origin.down = True
+        with self.assertRaises(GypsumpierError):
+            await self.fleet.stager().fetch()
+        self.assertEqual({}, self.fleet.engine.pieces)
+
+    async def test_what_lies_at_the_engine_is_not_fetched_again(self) -> None:
+        await self.fleet.stager().fetch()
+        self.fleet.sidecar.asked.clear()
+        await self.fleet.stager().fetch()
+        self.assertEqual(1, len(self.fleet.sidecar.asked), "only the list of digests")
+
+    async def test_pieces_of_an_older_version_are_replaced(self) -> None:
+        await self.fleet.stager(1).fetch()
+        await self.fleet.stager(2).fetch()
+        self.assertTrue(self.fleet.is_staged(2))
+
+    async def test_staged_pieces_that_went_bad_are_mended_before_the_order(self) -> None:
+        self.fleet.engine.rotting = {0, 5}
+        stager = self.fleet.stager()
+        await stager.fetch()
+        self.assertFalse(self.fleet.is_staged())
+        self.assertEqual(2, await stager.restore())
+        self.assertEqual(0, await stager.restore())
+        self.assertTrue(self.fleet.is_staged())
+
+    async def test_older_versions_are_forgotten(self) -> None:
+        cache = self.fleet.caches[0]
+        for version in (1, 2, 3):
+            await cache.piece("m", version, 0)
+        self.assertEqual({2, 3}, {key[1] for key in cache.pieces})
--- /dev/null
+++ b/gypsumpier/test/test_upstream_board.py
@@ -0,0 +1,163 @@
+"""Tests of the choice of an upstream: what can serve, what is full, what is about to switch."""
+
+import unittest
+from collections import Counter
+
+from gypsumpier.fleet.upstream import LoadedLayers
+from gypsumpier.test.builders_gateway import board_of, engines
+from gypsumpier.test.builders_platform import (
+    ENGINES,
+    LAYERS,
+    MODEL,
+    beliefs_of,
+    configuration_record,
+    engine_record,
+    later,
+    record,
+)
+from gypsumpier.upstream.board import Load, UpstreamBoard
+from gypsumpier.upstream.enginestate import EngineState
+
+
+def state_of(number: int, version: int, sequence: int, is_switching: bool = False) -> EngineState:
+    """Return what the sidecar of an engine tells."""
+    layers = (LoadedLayers(MODEL, version, 0, LAYERS),) if version else ()
+    return EngineState(f"127.0.0.{number}:8701", "run", sequence, is_switching, 0, 0, layers)
+
+
+def candidates(board: UpstreamBoard, least_version: int = 0) -> set[str]:
+    """Return the ids of the engines that can serve."""
+    return {found.id for found in board.candidates(ENGINES, least_version)}
+
+
+class CandidatesTest(unittest.TestCase):
+    def test_an_engine_without_layers_gets_nothing(self) -> None:
+        beliefs = engines(2)
+        later(beliefs, engine_record(3, 9, version=0))
+        self.assertEqual({"i-1", "i-2"}, candidates(board_of(beliefs)))
+
+    def test_a_leaving_engine_gets_nothing(self) -> None:
+        beliefs = engines(2)
+        later(beliefs, engine_record(1, 9, state="draining"))
+        self.assertEqual({"i-2"}, candidates(board_of(beliefs)))
+
+    def test_the_word_of_the_sidecar_is_fresher_than_the_list(self) -> None:
+        board = board_of(engines(2))
+        board.note_engine(state_of(1, 0, 1))
+        self.assertEqual({"i-2"}, candidates(board))
+        board.note_engine(state_of(1, 2, 3))
+        board.note_engine(state_of(1, 0, 2))
+        self.assertEqual({"i-1", "i-2"}, candidates(board))
+
+    def test_a_switching_engine_gets_nothing(self) -> None:
+        board = board_of(engines(2))
+        board.note_engine(state_of(1, 1, 1, is_switching=True))
+        self.assertEqual({"i-2"}, candidates(board))
+
+    def test_a_version_that_is_due_rules_out_older_weights(self) -> None:
+        board = board_of(engines(2))
+        board.note_engine(state_of(2, 2, 1))
+        self.assertEqual({"i-2"}, candidates(board, least_version=2))
+
+
+class ChoiceTest(unittest.TestCase):
+    def choose(self, board: UpstreamBoard, needed_s: float = 0.0) -> str | None:
+        """Return the id of the chosen engine."""
+        found = board.choose(board.candidates(ENGINES), set(), needed_s)
+        return found.id if found else None
+
+    def test_the_own_zone_goes_first_while_it_has_slots(self) -> None:
+        beliefs = engines(1)
+        later(beliefs, engine_record(2, 9, zone="nam-a"))
+        board = board_of(beliefs)
+        board.note_peer("other", {"i-1": Load(15, 0)})
+        self.assertEqual("i-1", self.choose(board))
+        board.note_peer("other", {"i-1": Load(16, 0)})
+        self.assertEqual("i-2", self.choose(board))
+
+    def test_what_other_entries_have_sent_counts(self) -> None:
+        board = board_of(engines(2))
+        board.note_peer("other", {"i-1": Load(3, 0)})
+        self.assertEqual("i-2", self.choose(board))
+
+    def test_a_full_fleet_has_no_place(self) -> None:
+        board = board_of(engines(2))
+        board.note_peer("other", {"i-1": Load(18, 0), "i-2": Load(18, 0)})
+        self.assertIsNone(self.choose(board))
+
+    def test_prompts_that_are_not_read_yet_count_more_than_running_requests(self) -> None:
+        board = board_of(engines(2))
+        board.note_peer("other", {"i-1": Load(1, 3000), "i-2": Load(9, 0)})
+        self.assertEqual("i-2", self.choose(board))
+
+    def test_a_burst_after_a_switch_is_spread(self) -> None:
+        """Pattern: every engine but one is full, and one has just come back empty.
+
+        All that waits must not go there at one moment: its prompts would be read one after the
+        other, and whoever is last would be late.
+        """
+        board = board_of(engines(2))
+        board.note_peer("other", {"i-2": Load(18, 0)})
+        sent = 0
+        while self.choose(board) is not None:
+            board.begin(board.beliefs.upstreams["i-1"], 1300)
+            sent += 1
+        self.assertLessEqual(sent, 5)
+
+    def test_streams_that_are_cut_together_go_on_at_several_engines(self) -> None:
+        """Pattern: an engine switches and the streams that it ran go on elsewhere."""
+        board = board_of(engines(6))
+        chosen: Counter[str] = Counter()
+        for _ in range(12):
+            found = board.choose(board.candidates(ENGINES), set(), 0.5, anywhere=True)
+            assert found is not None
+            board.begin(found, 1000)
+            chosen[found.id] += 1
+        self.assertLessEqual(max(chosen.values()), 4)
+        self.assertGreaterEqual(len(chosen), 5)
+
+    def test_a_long_stream_is_kept_from_an_engine_that_switches_soon(self) -> None:
+        wanted = record(f"op/version/{MODEL}", {"model": MODEL, "version": 2}, 20)
+        beliefs = beliefs_of(
+            configuration_record(), *(engine_record(n, 1 + n) for n in range(1, 5)), wanted
+        )
+        board = board_of(beliefs)
+        turns = board.turns.turns(ENGINES)
+        last = max(turns, key=lambda address: turns[address].at_s)
+        self.assertEqual(4, len(turns))
+        for address in turns:
+            number = int(address.split(":")[0].rsplit(".", 1)[1])
+            if address != last:
+                board.note_peer(f"load on {number}", {f"i-{number}": Load(2, 0)})
+        # All turns lie within the stream's time but the last one's, then even that one's.
+        first_s = min(turn.at_s for turn in turns.values())
+        spare_s = turns[last].at_s - first_s
+        self.assertEqual(f"i-{last.split(':')[0].rsplit('.', 1)[1]}", self.choose(board, 4.4))
+        self.assertGreater(spare_s, 1.0)
+
+    def test_after_a_failure_an_upstream_is_left_alone_and_then_tried_once(self) -> None:
+        board = board_of(engines(1))
+        run = board.beliefs.upstreams["i-1"].run_key()
+        board.health.note_failure(run)
+        self.assertIsNone(self.choose(board))
+        board.health.healths[run].paused_until_s = 0.0
+        self.assertEqual("i-1", self.choose(board))
+        board.begin(board.beliefs.upstreams["i-1"], 0)
+        self.assertIsNone(self.choose(board))
+        board.health.note_success(run)
+        self.assertEqual("i-1", self.choose(board))
+
+    def test_requests_that_fail_together_count_as_one_failure(self) -> None:
+        board = board_of(engines(1))
+        run = board.beliefs.upstreams["i-1"].run_key()
+        for _ in range(16):
+            board.health.note_failure(run)
+        self.assertEqual(1, board.health.healths[run].failures)
+
+    def test_the_count_of_an_upstream_ends_at_nothing(self) -> None:
+        board = board_of(engines(1))
+        found = board.beliefs.upstreams["i-1"]
+        board.begin(found, 700)
+        board.note_answering(found, 700)
+        board.end(found, 0)
+        self.assertEqual({}, board.own)
