--- a/gypsumpier/fleet/beliefs.py
+++ b/gypsumpier/fleet/beliefs.py
@@ -28,8 +28,17 @@
 """Seconds without any proof after which records may have lapsed because of an outage."""
 
 
+VERSIONS_KEPT: Final = 8
+"""Versions of a model that are remembered; several may be named before the first is in force."""
+CONTINUOUS_S: Final = 2.5
+"""Seconds since the proof before it up to which news counts as heard at once."""
+
+
 class WantedVersion(NamedTuple):
-    """The version that a model's engines are to serve, and when this process learned of it."""
+    """The version that a model's engines are to serve, and the earliest that it can be named.
+
+    That is minus infinity where the process has just started.
+    """
 
     version: int
     learned_at_s: float
@@ -43,11 +52,12 @@
         self.records: dict[str, Record] = {}
         self.revision = 0
         self.proven_at_s = float("-inf")
+        self.known_until_s = float("-inf")
         self.outage_ended_at_s = float("-inf")
         self.configuration: FleetConfiguration | None = None
         self.upstreams: dict[str, UpstreamRecord] = {}
         self.lapsed: dict[str, float] = {}
-        self.versions: dict[str, WantedVersion] = {}
+        self.versions: dict[str, list[WantedVersion]] = {}
         self.listeners: list[Callable[[], None]] = []
 
     def proof_age_s(self) -> float:
@@ -66,6 +76,7 @@
         """Take the records of a batch that follows on what is known; older ones are ignored."""
         if batch.revision < self.revision:
             return
+        self.known_until_s = self.proven_at_s
         self.prove(proven_at_s)
         changed = [record for record in batch.records if self.is_news(record)]
         if batch.is_snapshot:
@@ -123,10 +134,15 @@
 
     def note_version(self, change: VersionChange, record: Record, origin: str) -> None:
         """Note the version that engines are to serve."""
-        known = self.versions.get(change.model)
-        if known is not None and change.version <= known.version:
+        named = self.versions.setdefault(change.model, [])
+        if named and change.version <= named[-1].version:
             return
-        self.versions[change.model] = WantedVersion(change.version, boot_time_s())
+        now_s = boot_time_s()
+        is_continuous = now_s - self.known_until_s < CONTINUOUS_S
+        # After a gap the version may have been named as early as the last proof.
+        learned_at_s = now_s if is_continuous else self.known_until_s
+        named.append(WantedVersion(change.version, learned_at_s))
+        del named[:-VERSIONS_KEPT]
         decision(
             "version_wanted",
             model=change.model,
@@ -160,6 +176,21 @@
             source=origin,
         )
 
+    def wanted(self, model: str) -> WantedVersion | None:
+        """Return the newest version of the model; None where none was ever named."""
+        named = self.versions.get(model)
+        return named[-1] if named else None
+
+    def first_wanted(self, model: str, held: int) -> WantedVersion | None:
+        """Return the oldest version above ``held``, which has to be replaced first."""
+        newer = [it for it in self.versions.get(model, []) if it.version > held]
+        return newer[0] if newer else None
+
+    def due_version(self, model: str, before_s: float) -> int:
+        """Return the newest version that was named before that time; 0 where there is none."""
+        named = self.versions.get(model, [])
+        return max((it.version for it in named if it.learned_at_s < before_s), default=0)
+
     def is_after_outage(self) -> bool:
         """Tell whether records may have lapsed because the store was away."""
         return boot_time_s() - self.outage_ended_at_s < LAPSE_GRACE_S
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -12,6 +12,7 @@
 from gypsumpier.fleet.change import FleetSource
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address, NodeSettings
+from gypsumpier.fleet.upstream import whole_version
 from gypsumpier.fleet.watcher import StoreWatcher
 from gypsumpier.gateway.admission import Admission
 from gypsumpier.gateway.crashes import CrashBoard
@@ -24,7 +25,7 @@
 from gypsumpier.gateway.status import StatusServer
 from gypsumpier.log import decision
 from gypsumpier.mesh.feed import BeliefFeed
-from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PieceCache
 from gypsumpier.piece.engine import PieceOrigin
@@ -34,7 +35,7 @@
 from gypsumpier.upstream.pool import UpstreamPool
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
-VERSION_MARGIN_S: Final = 1.2
+VERSION_MARGIN_S: Final = 1.0
 """Seconds before a wanted version must be in force from which older weights are refused."""
 LEAVE_ROTATION_S: Final = 2.6
 """Seconds until the balancer has missed two answers, asked once a second, and sends nobody."""
@@ -73,14 +74,15 @@
         self.loads.on_news.append(self.admission.pump_all)
         self.beliefs.listeners.append(self.admission.pump_all)
         self.pool = UpstreamPool()
-        self.retries = RetryBudget(settings.bounds)
+        self.retries = RetryBudget(settings.bounds, len(settings.regions_by_zone))
         self.crashes = CrashBoard(self.mesh)
         self.intake = Intake(settings, self.beliefs)
         self.relay = Relay(self.admission, self.board, self.pool, self.retries, self.crashes)
         self.front = Front(self.intake, self.relay)
         self.server = FrontServer(self.front)
-        self.pieces = PieceCache(self.mesh, self.beliefs, dial_origin)
+        self.pieces = PieceCache(self.mesh, self.beliefs, dial_origin, self.piece_holders)
         self.status = StatusServer(self.is_ready)
+        self.beliefs.listeners.append(self.pieces.draw_named)
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -139,18 +141,32 @@
         found = configuration.services.get(service) if configuration else None
         if found is None or found.model is None:
             return 0
-        due_s = self.settings.bounds.version_in_force_s - VERSION_MARGIN_S
-        now_s = boot_time_s()
-        wanted = [self.beliefs.versions.get(model) for model in found.model.models]
-        due = [it.version for it in wanted if it is not None and now_s - it.learned_at_s > due_s]
-        return max(due, default=0)
+        before_s = boot_time_s() - self.settings.bounds.version_in_force_s + VERSION_MARGIN_S
+        models = found.model.models
+        return max((self.beliefs.due_version(model, before_s) for model in models), default=0)
+
+    def piece_holders(self, model: str, version: int) -> list[Peer]:
+        """Return the sidecars of the zone whose engine serves that version of the model."""
+        configuration = self.beliefs.configuration
+        service = configuration.service_of_model(model) if configuration else None
+        if service is None or service.model is None:
+            return []
+        holding = {
+            state.address.rpartition(":")[0]
+            for state in self.board.engines.values()
+            if whole_version(state.layers, service.model.layers) == version
+        }
+        return [
+            peer for peer in self.mesh.peers(SIDECAR, self.settings.zone) if peer.host in holding
+        ]
 
     async def housekeeping(self) -> None:
         """Close idle connections and count the entries that share the retry budget."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.close_idle()
-            self.retries.entries = self.admission.entries = 1 + len(self.mesh.peers(ENTRY))
+            self.retries.note_entries(1 + len(self.mesh.peers(ENTRY)))
+            self.admission.entries = 1 + len(self.mesh.peers(ENTRY))
 
 
 def bind(address: Address) -> list[socket.socket]:
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -13,7 +13,7 @@
 ENGINE: Final = "engine"
 NEAR_INTERVAL_S: Final = 0.02
 """Seconds between two messages of changed counts within an availability zone."""
-FAR_ROUNDS: Final = 5
+FAR_ROUNDS: Final = 12
 """Rounds of the zone for each message to other zones, whose links are narrow."""
 REPEAT_S: Final = 0.8
 """Seconds after which unchanged counts are told again, before a peer drops them."""
@@ -47,6 +47,7 @@
             near = [peer for peer in peers if peer.zone == own_zone]
             self.told_near = self.tell(near, self.told_near, [])
             if rounds % FAR_ROUNDS == 0 or self.news:
+                rounds = 0
                 far = [peer for peer in peers if peer.zone != own_zone]
                 states = [state.as_list() for state in self.news.values()]
                 self.told_far = self.tell(far, self.told_far, states)
@@ -76,9 +77,15 @@
     def take_engine(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Take what a sidecar tells, and pass on to other zones what matters there."""
         state = engine_state_from(payload["state"])
+        known = self.board.engines.get(state.address)
         if not self.board.note_engine(state):
             return
-        if peer.zone == self.mesh.own.zone:
+        is_news = known is None or (known.run, known.is_switching, known.layers) != (
+            state.run,
+            state.is_switching,
+            state.layers,
+        )
+        if is_news and peer.zone == self.mesh.own.zone:
             self.news[state.address] = state
         for listener in self.on_news:
             listener()
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -40,6 +40,7 @@
 RETRY_AFTER_S: Final = 0.2
 """Seconds after which a request that every upstream refused is worth another try."""
 SERVER_ERROR: Final = 500
+MISDIRECTED: Final = 421
 URGENCY_MAX: Final = 9
 
 
@@ -83,10 +84,13 @@
         self, request: GatewayRequest, record: UpstreamRecord, error: NotRunError
     ) -> None:
         """Go on to another upstream; raise Refusal where the budget is spent."""
-        if error.is_promised:
-            self.board.health.note_full(record.run_key())
+        health, run = self.board.health, record.run_key()
+        if error.is_replaced:
+            health.note_replaced(run)
+        elif error.is_unfit or not error.is_promised:
+            health.note_failure(run)
         else:
-            self.board.health.note_failure(record.run_key())
+            health.note_full(run)
         request.tried.add(record.run_key())
         self.log_attempt(request, record, error.reason, "not_run")
         # A request that never left is no arrival at any service.
@@ -171,8 +175,7 @@
         async with self.pool.exchange(address, self.call(request, record), may_leave) as exchange:
             head = await exchange.answer(request.head.request_id)
             if head.is_not_run:
-                reason = f"refused with status {head.status}"
-                raise NotRunError(reason, is_promised=True, status=head.status)
+                raise refused_by(head, record)
             if head.is_success and (not head.seal or head.is_encoded):
                 raise OutcomeUnknownError("the answer is not the upstream's own")
             self.admission.note_answering(request, record)
@@ -257,3 +260,13 @@
         if not writer.status:
             writer.begin(head, None)
         writer.finish()
+
+
+def refused_by(head: AnswerHead, record: UpstreamRecord) -> NotRunError:
+    """Return the error of a request that the upstream says it has not run."""
+    is_unfit = head.status == MISDIRECTED
+    is_replaced = is_unfit and bool(head.upstream) and head.upstream != record.id
+    reason = f"refused with status {head.status}"
+    if is_replaced:
+        reason += f" by {head.upstream}"
+    return NotRunError(reason, True, is_unfit, is_replaced)
--- a/gypsumpier/gateway/retries.py
+++ b/gypsumpier/gateway/retries.py
@@ -14,15 +14,24 @@
 """Share of the budget that is used; the rest covers requests counted in another window."""
 
 
+ENTRIES_PER_ZONE: Final = 3
+"""Entries that an availability zone is taken to have before they are known."""
+
+
 class RetryBudget:
     """Counts requests and repeats of each service in a sliding window."""
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, zones: int) -> None:
         self.bounds = bounds
-        self.entries = 1
+        # A process that has just started knows few others; its share must not be larger for that.
+        self.entries = max(1, zones * ENTRIES_PER_ZONE)
         self.requests: dict[str, deque[float]] = {}
         self.repeats: dict[str, deque[float]] = {}
 
+    def note_entries(self, count: int) -> None:
+        """Note how many entries share the budget; it is never taken to be fewer than before."""
+        self.entries = max(self.entries, count)
+
     def note_request(self, service: str) -> None:
         """Count a request of a caller."""
         recent(self.requests, service, self.bounds.retry_window_s).append(time.monotonic())
@@ -32,7 +41,7 @@
         window_s = self.bounds.retry_window_s
         requests = recent(self.requests, service, window_s)
         repeats = recent(self.repeats, service, window_s)
-        slack = self.bounds.retry_slack / max(1, self.entries)
+        slack = self.bounds.retry_slack / self.entries
         allowed = USED_SHARE * (self.bounds.retry_share * len(requests) + slack)
         if len(repeats) + 1 > allowed:
             return False
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -4,6 +4,7 @@
 get only its revision: who does not hear of that revision from its own zone reads the store.
 """
 
+import random
 import time
 from typing import Any, Final
 
@@ -24,6 +25,8 @@
 """Seconds without a proof after which an entry reads for itself; a watch waits for less."""
 SIDECAR_TAKEOVER_S: Final = 4.0
 """The same for a sidecar, whose entries come first."""
+STALE_S: Final = 1.5
+"""Seconds by which a proof from another zone must be fresher to be passed on in the own one."""
 BEHIND_S: Final = 0.15
 """Seconds that a newer revision may be known of without its records."""
 
@@ -34,6 +37,7 @@
     def __init__(self, mesh: Mesh, beliefs: Beliefs) -> None:
         self.mesh = mesh
         self.beliefs = beliefs
+        self.random = random.Random()
         self.heard_revision = 0
         self.behind_since_s = 0.0
         mesh.listeners[FEED] = self.take
@@ -64,9 +68,12 @@
         feed = self.message(batch)
         near = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
         self.mesh.post_all(near, FEED, feed)
-        if batch.records:
-            far = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
-            self.mesh.post_all(far, NOTICE, {"revision": batch.revision})
+        far = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
+        if not batch.records:
+            # One peer of each zone is enough to bring a proof to a zone that has lost the store.
+            far = list({peer.zone: peer for peer in self.random.sample(far, len(far))}.values())
+        notice = {"revision": batch.revision, "age_s": self.beliefs.proof_age_s()}
+        self.mesh.post_all(far, NOTICE, notice)
 
     def message(self, batch: Batch) -> dict[str, Any]:
         """Return a batch as it travels, with the age of this process's proof."""
@@ -98,6 +105,12 @@
         if revision > max(self.heard_revision, self.beliefs.revision):
             self.heard_revision = revision
             self.behind_since_s = time.monotonic()
+        age_s = max(0.0, float(payload["age_s"]))
+        if revision == self.beliefs.revision and self.beliefs.proof_age_s() - age_s > STALE_S:
+            self.beliefs.prove(boot_time_s() - age_s)
+            batch = Batch(revision, revision, [], False, 0.0)
+            near = self.mesh.peers(ENTRY, self.mesh.own.zone)
+            self.mesh.post_all(near, FEED, self.message(batch))
 
     def give_everything(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Send everything that is known."""
--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import hashlib
+import time
 from collections.abc import Callable
 from typing import Any, Final, TypeGuard
 
@@ -24,6 +25,10 @@
 
 PIECE: Final = "piece"
 PIECE_LIST: Final = "piece_list"
+SLICE_BYTES: Final = 8 * 1024
+"""Bytes of a slice; 17 ms on a link of 3.8 Mbit/s, longer than the round trip."""
+HOLDERS_ASKED: Final = 2
+"""Sidecars that are asked for a piece before other sources."""
 ASK_TIMEOUT_S: Final = 1.5
 """Seconds for a peer to answer; the origin needs about 0.2 s for the pieces asked for at once."""
 ORIGIN_DRAWS: Final = 4
@@ -32,8 +37,10 @@
 """Tries at the origin for one piece, whose answers may be cut or corrupt."""
 ORIGIN_PAUSE_S: Final = 0.1
 """Seconds between two tries at the origin."""
-KEPT_VERSIONS: Final = 2
-"""Versions of a model that are kept: the one that is replaced and its successor."""
+KEPT_VERSIONS: Final = 3
+"""Versions of a model that are kept: the one that is replaced and its next successors."""
+DRAW_ALL: Final = -2
+"""Stands for the number of a piece where every piece of a version is drawn."""
 
 DRAWN_BYTES: Final = Counter(
     "gypsumpier_piece_bytes", "Bytes of pieces taken, by source.", ["source"], registry=REGISTRY
@@ -46,15 +53,21 @@
     """Pieces by model, version and number."""
 
     def __init__(
-        self, mesh: Mesh, beliefs: Beliefs, dial_origin: Callable[[str, int], PieceOrigin]
+        self,
+        mesh: Mesh,
+        beliefs: Beliefs,
+        dial_origin: Callable[[str, int], PieceOrigin],
+        holders: Callable[[str, int], list[Peer]],
     ) -> None:
         self.mesh = mesh
         self.beliefs = beliefs
         self.dial_origin = dial_origin
+        self.holders = holders
         self.origins: dict[tuple[str, int], PieceOrigin] = {}
         self.lists: dict[tuple[str, int], PieceList] = {}
         self.pieces: dict[PieceKey, bytes] = {}
         self.running: dict[tuple[str, int, int], asyncio.Task[Any]] = {}
+        self.holder_locks: dict[str, asyncio.Lock] = {}
         self.draws = asyncio.Semaphore(ORIGIN_DRAWS)
         mesh.answerers[PIECE] = self.answer_piece
         mesh.answerers[PIECE_LIST] = self.answer_list
@@ -95,13 +108,43 @@
         """Run the work once for everyone who asks meanwhile."""
         task = self.running.get(key)
         if task is None:
-            task = asyncio.create_task(work)
-            self.running[key] = task
-            task.add_done_callback(lambda _: self.running.pop(key, None))
+            task = self.begin(key, work)
         else:
             work.close()
         return await asyncio.shield(task)
 
+    def begin(self, key: PieceKey, work: Any) -> "asyncio.Task[Any]":
+        """Run the work in a task that others can wait for under the key."""
+        task = asyncio.create_task(work)
+        self.running[key] = task
+        task.add_done_callback(lambda _: self.running.pop(key, None))
+        return task
+
+    def draw_named(self) -> None:
+        """Begin to draw every version that has just been named, where this entry draws first.
+
+        The origin may be down a moment later, and sidecars ask no faster than their links allow.
+        """
+        if self.sources():
+            return
+        for model, named in self.beliefs.versions.items():
+            key = model, named[-1].version, DRAW_ALL
+            if key[:2] not in self.lists and key not in self.running:
+                self.begin(key, self.draw_all(model, named[-1].version))
+
+    async def draw_all(self, model: str, version: int) -> None:
+        """Draw every piece of a version; what fails is drawn once a sidecar asks for it."""
+        began_s = time.monotonic()
+        try:
+            found = await self.piece_list(model, version)
+            wanted = [self.piece(model, version, number) for number in range(len(found.digests))]
+            await asyncio.gather(*wanted)
+        except GypsumpierError as error:
+            decision("version_not_drawn", model=model, version=version, reason=error.detail)
+            return
+        took_s = round(time.monotonic() - began_s, 3)
+        decision("version_drawn", model=model, version=version, took_s=took_s)
+
     async def find_list(self, model: str, version: int) -> PieceList:
         """Ask the other entries by rank, then the origin."""
         for peer in self.sources():
@@ -118,23 +161,54 @@
         if not 0 <= number < len(digests):
             raise GypsumpierError(CHUNK_CORRUPT, f"no piece {number} of {model} {version}")
         payload = {"model": model, "version": version, "number": number}
+        content = await self.from_holder(payload, digests[number])
+        if content is not None:
+            return content
         for peer in self.sources():
             answer = await self.ask(peer, PIECE, payload)
             if answer is not None and is_intact(answer.get("content"), digests[number]):
-                content: bytes = answer["content"]
-                DRAWN_BYTES.labels("peer").inc(len(content))
-                return content
+                found: bytes = answer["content"]
+                DRAWN_BYTES.labels("peer").inc(len(found))
+                return found
 
         async def draw(origin: PieceOrigin) -> bytes:
-            content = await origin.piece(model, version, number)
-            DRAWN_BYTES.labels("origin").inc(len(content))
-            if not is_intact(content, digests[number]):
+            found = await origin.piece(model, version, number)
+            DRAWN_BYTES.labels("origin").inc(len(found))
+            if not is_intact(found, digests[number]):
                 raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from the origin")
-            return content
+            return found
 
         drawn: bytes = await self.from_origin(draw)
         return drawn
 
+    async def from_holder(self, payload: dict[str, Any], digest: str) -> bytes | None:
+        """Return a piece that a sidecar of the own zone has staged; None where none has it.
+
+        Its engine's answers share the sidecar's slow link, so it is asked for one slice at a time.
+        """
+        holders = self.holders(payload["model"], payload["version"])
+        for peer in holders[payload["number"] % max(1, len(holders)) :][:HOLDERS_ASKED]:
+            content = await self.slices(peer, payload)
+            if is_intact(content, digest):
+                DRAWN_BYTES.labels("sidecar").inc(len(content))
+                return content
+        return None
+
+    async def slices(self, peer: Peer, payload: dict[str, Any]) -> bytes:
+        """Return what a sidecar has of a piece, asked for in slices."""
+        content = b""
+        lock = self.holder_locks.setdefault(peer.name, asyncio.Lock())
+        while True:
+            async with lock:
+                wanted = payload | {"offset": len(content), "length": SLICE_BYTES}
+                answer = await self.ask(peer, PIECE, wanted)
+            found = answer.get("content") if answer else None
+            if not isinstance(found, bytes) or not found:
+                return content
+            content += found
+            if answer is None or len(content) >= int(answer["size"]):
+                return content
+
     async def ask(self, peer: Peer, kind: str, payload: dict[str, Any]) -> dict[str, Any] | None:
         """Return a peer's answer; None, with a log line, where there is none."""
         link = self.mesh.link(peer.name)
--- a/gypsumpier/piece/turns.py
+++ b/gypsumpier/piece/turns.py
@@ -45,15 +45,21 @@
         found = configuration.services.get(service) if configuration else None
         if found is None or found.model is None:
             return {}
-        wanted = [self.beliefs.versions.get(model) for model in found.model.models]
-        newest = max((it for it in wanted if it), key=lambda it: it.learned_at_s, default=None)
-        if newest is None:
+        named = [it for model in found.model.models for it in self.beliefs.versions.get(model, [])]
+        if not named:
             return {}
+        newest = named[-1]
+        recent_s = newest.learned_at_s - self.in_force_s
+        # Versions that were named shortly before have to be replaced by their own time.
+        first_s = min(it.learned_at_s for it in named if it.learned_at_s >= recent_s)
+        last_turn_s = first_s + LAST_TURN_SHARE * self.in_force_s
+        first_turn_s = first_s + FIRST_TURN_SHARE * self.in_force_s
+        arrived_s = newest.learned_at_s + FIRST_TURN_SHARE * self.in_force_s
+        first_turn_s = min(max(first_turn_s, arrived_s), last_turn_s)
         addresses = switch_order(self.beliefs, service, found.model.layers)
-        span = (LAST_TURN_SHARE - FIRST_TURN_SHARE) * self.in_force_s
-        first_s = newest.learned_at_s + FIRST_TURN_SHARE * self.in_force_s
+        step_s = (last_turn_s - first_turn_s) / max(1, len(addresses))
         return {
-            address: Turn(first_s + span * rank / len(addresses), newest.version)
+            address: Turn(first_turn_s + step_s * rank, newest.version)
             for rank, address in enumerate(addresses)
         }
 
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -20,6 +20,7 @@
 SEAL: Final = "X-Server-Seal"
 NOT_RUN: Final = "X-Not-Executed"
 WEIGHT_VERSION: Final = "X-Weight-Versions"
+INSTANCE: Final = "X-Instance-Id"
 MISDIRECTED: Final = 421
 # Headers of one connection, and those that the system sets whatever a caller sent.
 CONNECTION_HEADERS: Final = frozenset(
@@ -95,6 +96,7 @@
         closes="close" in headers.get("Connection", "").lower(),
         idle_s=idle_s(headers),
         weight_version=count(version),
+        upstream=headers.get(INSTANCE, ""),
         passed_on=without(headers, frozenset()),
     )
 
--- /dev/null
+++ b/gypsumpier/sidecar/enginewatch.py
@@ -0,0 +1,111 @@
+"""Reads the engine's report and tells the entries of the zone what has changed."""
+
+import asyncio
+import time
+from typing import Final
+
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.gateway.loadshare import ENGINE
+from gypsumpier.log import decision
+from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.piece.engine import Engine, EngineReport
+from gypsumpier.upstream.enginestate import EngineState
+
+POLL_S: Final = 0.2
+"""Seconds between two reads of the engine's report."""
+SWITCH_POLL_S: Final = 0.05
+"""Seconds between two reads while the engine switches, when every tenth of a second counts."""
+REPEAT_S: Final = 1.0
+"""Seconds after which an unchanged state is told again."""
+
+
+class EngineWatch:
+    """The newest report of one engine; ``report`` is None while the engine does not answer.
+
+    ``is_switching`` is set while requests must go elsewhere, also before the engine is busy.
+    """
+
+    def __init__(self, mesh: Mesh, engine: Engine, address: str) -> None:
+        self.mesh = mesh
+        self.engine = engine
+        self.address = address
+        self.report: EngineReport | None = None
+        self.is_switching = False
+        self.was_reachable = True
+        self.sequence = 0
+        self.told: EngineState | None = None
+        self.told_at_s = 0.0
+
+    async def run(self) -> None:
+        """Read the report for ever."""
+        while True:
+            await self.read()
+            await asyncio.sleep(SWITCH_POLL_S if self.is_busy() else POLL_S)
+
+    async def read(self) -> None:
+        """Read the report once and tell what has changed."""
+        try:
+            self.note(await self.engine.report())
+        except GypsumpierError as error:
+            self.report = None
+            if self.was_reachable:
+                self.was_reachable = False
+                decision(
+                    "dependency_lost",
+                    dependency="engine",
+                    address=self.address,
+                    code=error.code.number,
+                    reason=error.detail,
+                )
+
+    def note(self, report: EngineReport) -> None:
+        """Take a report; an engine that has started anew holds nothing of before."""
+        known = self.report
+        if known is not None and known.started_ms != report.started_ms:
+            decision("engine_restarted", address=self.address, started_ms=report.started_ms)
+        if not self.was_reachable:
+            self.was_reachable = True
+            decision("dependency_regained", dependency="engine", address=self.address)
+        self.report = report
+        self.tell()
+
+    def is_busy(self) -> bool:
+        """Tell whether the engine starts nothing new at the moment."""
+        return self.is_switching or (self.report is not None and self.report.is_busy)
+
+    def set_switching(self, is_switching: bool) -> None:
+        """Let requests go elsewhere, or come back."""
+        self.is_switching = is_switching
+        self.tell()
+
+    def tell(self, again: bool = False) -> None:
+        """Tell the entries the engine's state where it has changed or was told long ago."""
+        report, told = self.report, self.told
+        if report is None:
+            return
+        is_busy = self.is_busy()
+        is_news = told is None or (told.is_switching, told.layers) != (is_busy, report.layers)
+        now_s = time.monotonic()
+        if not is_news and not again and now_s - self.told_at_s < REPEAT_S:
+            return
+        self.sequence += 1
+        self.told_at_s = now_s
+        self.told = EngineState(
+            self.address,
+            self.mesh.own.run,
+            self.sequence,
+            is_busy,
+            report.active,
+            report.queued,
+            report.layers,
+        )
+        self.mesh.post_all(self.mesh.peers(ENTRY), ENGINE, {"state": self.told.as_list()})
+        if is_news:
+            decision(
+                "engine_state",
+                address=self.address,
+                is_switching=is_busy,
+                layers=[tuple(part) for part in report.layers],
+                active=report.active,
+                queued=report.queued,
+            )
--- /dev/null
+++ b/gypsumpier/sidecar/keeper.py
@@ -0,0 +1,174 @@
+"""Brings one engine to the wanted version of its model's weights, and keeps it there."""
+
+import asyncio
+import time
+from typing import Final
+
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.service import ModelTraits
+from gypsumpier.fleet.upstream import whole_version
+from gypsumpier.log import decision
+from gypsumpier.mesh.mesh import Mesh
+from gypsumpier.piece.turns import Turns
+from gypsumpier.sidecar.enginewatch import SWITCH_POLL_S, EngineWatch
+from gypsumpier.sidecar.stager import Stager
+from gypsumpier.tasks import end_task
+
+IDLE_S: Final = 0.1
+"""Seconds between two looks at what is wanted."""
+FIRST_VERSION: Final = 1
+"""The version that a model has before another one is named."""
+DRAIN_S: Final = 0.25
+"""Seconds for an engine to finish what it runs before the rest is cut and goes on elsewhere."""
+RETRY_S: Final = 0.3
+"""Seconds before pieces are fetched again after a failure."""
+STALLED_S: Final = 0.8
+"""Seconds without a new piece after which an older version that is wanted too is tried."""
+STALLED_PAUSE_S: Final = 2.0
+"""Seconds for which a version whose pieces do not come is left for an older one."""
+MOSTLY_FETCHED: Final = 0.6
+"""Share of the pieces from which a version is finished although a newer one has been named."""
+
+
+class VersionKeeper:
+    """Keeps the engine of ``watch`` at the newest version that can be had."""
+
+    def __init__(
+        self, mesh: Mesh, beliefs: Beliefs, turns: Turns, watch: EngineWatch, service: str
+    ) -> None:
+        self.mesh = mesh
+        self.beliefs = beliefs
+        self.turns = turns
+        self.watch = watch
+        self.service = service
+        self.stager: Stager | None = None
+        self.stalled_until_s: dict[int, float] = {}
+
+    async def run(self) -> None:
+        """Bring the engine to what is wanted, for ever."""
+        while True:
+            await asyncio.sleep(IDLE_S)
+            traits = self.traits()
+            if traits is None or not traits.models or self.watch.is_busy():
+                continue
+            model, held = traits.models[0], self.held(traits)
+            target = self.target(model, held)
+            if target == held or (self.watch.report is None and self.is_fetched(model, target)):
+                continue
+            try:
+                await self.bring(model, target, traits)
+            except GypsumpierError as error:
+                decision(
+                    "version_failed",
+                    model=model,
+                    version=target,
+                    code=error.code.number,
+                    reason=error.detail,
+                )
+                await asyncio.sleep(RETRY_S)
+
+    def traits(self) -> ModelTraits | None:
+        """Return how the engine's service works; None while that is unknown."""
+        configuration = self.beliefs.configuration
+        service = configuration.services.get(self.service) if configuration else None
+        return service.model if service else None
+
+    def held(self, traits: ModelTraits) -> int:
+        """Return the version that the engine serves; 0 for none."""
+        report = self.watch.report
+        return whole_version(report.layers, traits.layers) if report else 0
+
+    def is_fetched(self, model: str, version: int) -> bool:
+        """Tell whether every piece of the version is in memory."""
+        stager = self.stager
+        return stager is not None and stager.is_for(model, version) and stager.share() == 1.0
+
+    def target(self, model: str, held: int) -> int:
+        """Return the version to bring the engine to."""
+        named = [it.version for it in self.beliefs.versions.get(model, []) if it.version > held]
+        if not named:
+            return held or FIRST_VERSION
+        stager = self.stager
+        is_under_way = stager is not None and stager.model == model and stager.version in named
+        if stager is not None and is_under_way and stager.share() >= MOSTLY_FETCHED:
+            return stager.version
+        now_s = time.monotonic()
+        ready = [it for it in named if self.stalled_until_s.get(it, 0.0) < now_s]
+        return max(ready or named)
+
+    async def bring(self, model: str, version: int, traits: ModelTraits) -> None:
+        """Fetch a version, stage it, and order it live when it is this engine's turn.
+
+        Without an engine the pieces are kept in memory, ready for the one that will start.
+        """
+        stager = self.stager
+        if stager is None or not stager.is_for(model, version):
+            stager = self.stager = Stager(self.mesh, self.watch.engine, model, version)
+        fetching = asyncio.create_task(stager.fetch(self.watch.report is not None))
+        try:
+            if not await self.wait_for_turn(stager, fetching, traits):
+                return
+            await fetching
+            if self.watch.report is None:
+                return
+            # The last thing before the order, as staged pieces may go bad at any time.
+            if await stager.restore() and await stager.restore():
+                return
+            self.watch.set_switching(True)
+            accepted = await self.watch.engine.start(model, version, preempt=True)
+            decision("switch_ordered", model=model, version=version, accepted=accepted)
+            await asyncio.sleep(SWITCH_POLL_S)
+            await self.watch.read()
+        finally:
+            await end_task(fetching)
+            self.watch.set_switching(False)
+
+    async def wait_for_turn(
+        self, stager: Stager, fetching: "asyncio.Task[None]", traits: ModelTraits
+    ) -> bool:
+        """Wait for the pieces and for this engine's turn, then let it finish what it runs.
+
+        Return False where another version is to be brought instead.
+        """
+        while not fetching.done() or self.is_before_turn():
+            if fetching.done() and fetching.exception() is not None:
+                return True
+            if self.target(stager.model, self.held(traits)) != stager.version:
+                return False
+            if self.is_stalled(stager, fetching, traits):
+                until_s = time.monotonic() + STALLED_PAUSE_S
+                self.stalled_until_s[stager.version] = until_s
+                decision("version_stalled", version=stager.version, fetched=len(stager.pieces))
+                return False
+            if not self.is_before_turn() and stager.left_s() < DRAIN_S:
+                break
+            await asyncio.sleep(SWITCH_POLL_S)
+        await self.drain()
+        return True
+
+    def is_before_turn(self) -> bool:
+        """Tell whether the engine serves and its turn is still to come."""
+        turn = self.turns.turn(self.service, self.watch.address)
+        report = self.watch.report
+        return turn is not None and bool(report and report.layers) and boot_time_s() < turn.at_s
+
+    def is_stalled(
+        self, stager: Stager, fetching: "asyncio.Task[None]", traits: ModelTraits
+    ) -> bool:
+        """Tell whether pieces have stopped coming and an older version could be had instead."""
+        if fetching.done() or stager.idle_s() < STALLED_S:
+            return False
+        held = self.held(traits)
+        named = self.beliefs.versions.get(stager.model, [])
+        return any(held < it.version < stager.version for it in named)
+
+    async def drain(self) -> None:
+        """Send requests elsewhere and wait until the engine is idle, for a limited time."""
+        if self.watch.report is None or not self.watch.report.layers:
+            return
+        self.watch.set_switching(True)
+        until_s = time.monotonic() + DRAIN_S
+        while time.monotonic() < until_s and (report := self.watch.report) and report.active:
+            await asyncio.sleep(SWITCH_POLL_S)
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -13,13 +13,11 @@
 from gypsumpier.log import decision
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.piece.cache import PIECE, PIECE_LIST, is_intact
+from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES, is_intact
 from gypsumpier.piece.engine import Engine
 
 ASKS_AT_ONCE: Final = 2
 """Slices asked for at once.  Requests to the engine share its slow link, and wait behind them."""
-SLICE_BYTES: Final = 8 * 1024
-"""Bytes of a slice; 17 ms on a link of 3.8 Mbit/s, longer than the round trip."""
 ASK_TIMEOUT_S: Final = 2.5
 """Seconds for an entry to answer; it may have to draw the piece first."""
 READ_BACK_AT_ONCE: Final = 4
@@ -39,26 +37,47 @@
         self.left = 0
         self.fetched = 0
         self.began_s = time.monotonic()
+        self.progress_at_s = self.began_s
+        self.stages = True
 
-    async def fetch(self) -> None:
-        """Bring every piece into memory and stage it; raise GypsumpierError on failure."""
-        began_s = time.monotonic()
+    def is_for(self, model: str, version: int) -> bool:
+        """Tell whether this stager brings that version."""
+        return (self.model, self.version) == (model, version)
+
+    def share(self) -> float:
+        """Return which share of the pieces is in memory."""
+        return len(self.pieces) / len(self.digests) if self.digests else 0.0
+
+    def idle_s(self) -> float:
+        """Return the seconds since the last piece arrived."""
+        return time.monotonic() - self.progress_at_s
+
+    async def fetch(self, has_engine: bool) -> None:
+        """Bring every piece into memory and stage it; raise GypsumpierError on failure.
+
+        Without an engine the pieces are only kept.
+        """
+        began_s = self.progress_at_s = time.monotonic()
         if not self.digests:
             answer = await self.ask(PIECE_LIST, {})
             self.digests = tuple(str(digest) for digest in answer["digests"])
         wanted = [number for number in range(len(self.digests)) if number not in self.pieces]
-        await self.verify_staged(wanted)
-        wanted = [number for number in wanted if number not in self.pieces]
+        if has_engine:
+            await self.verify_staged(wanted)
+            wanted = [number for number in wanted if number not in self.pieces]
         self.left, self.began_s = len(wanted), time.monotonic()
         self.fetched = 0
+        self.stages = has_engine
         await in_parallel(wanted, self.fetch_piece, ASKS_AT_ONCE)
-        decision(
-            "pieces_staged",
-            model=self.model,
-            version=self.version,
-            fetched=len(wanted),
-            took_s=round(time.monotonic() - began_s, 3),
-        )
+        if wanted:
+            decision(
+                "pieces_fetched",
+                model=self.model,
+                version=self.version,
+                fetched=len(wanted),
+                staged=has_engine,
+                took_s=round(time.monotonic() - began_s, 3),
+            )
 
     async def verify_staged(self, numbers: list[int]) -> None:
         """Take over what already lies at the engine and is intact."""
@@ -76,7 +95,9 @@
         if not is_intact(content, self.digests[number]):
             raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from an entry")
         self.pieces[number] = content
-        await self.engine.stage(self.model, number, content)
+        self.progress_at_s = time.monotonic()
+        if self.stages:
+            await self.engine.stage(self.model, number, content)
         self.left -= 1
         self.fetched += 1
 
--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -126,4 +126,6 @@
 
 def cache_of(mesh: FakeMesh, beliefs: Beliefs, origin: PieceOrigin) -> PieceCache:
     """Return the piece cache of an entry."""
-    return PieceCache(mesh, beliefs, lambda host, port: origin)  # type: ignore[arg-type]
+    return PieceCache(
+        mesh, beliefs, lambda host, port: origin, lambda model, version: []  # type: ignore[arg-type]
+    )
--- a/gypsumpier/test/test_beliefs.py
+++ b/gypsumpier/test/test_beliefs.py
@@ -42,7 +42,36 @@
     def test_a_wanted_version_never_goes_back(self) -> None:
         beliefs = beliefs_of(record(f"op/version/{MODEL}", {"model": MODEL, "version": 3}, 1))
         later(beliefs, record(f"op/version/{MODEL}", {"model": MODEL, "version": 2}, 2))
-        self.assertEqual(3, beliefs.versions[MODEL].version)
+        self.assertEqual(3, beliefs.versions[MODEL][-1].version)
+
+    def test_a_version_that_was_named_while_nothing_was_heard_may_be_due_already(self) -> None:
+        """A process that restarts or returns can't tell how long ago a version was named."""
+        wanted = record(f"op/version/{MODEL}", {"model": MODEL, "version": 3}, 2)
+        started = beliefs_of(wanted)
+        self.assertEqual(float("-inf"), started.versions[MODEL][-1].learned_at_s)
+        returned = beliefs_of(configuration_record(), proven_ago_s=6.0)
+        later(returned, wanted)
+        self.assertLess(returned.versions[MODEL][-1].learned_at_s, boot_time_s() - 5.0)
+        listening = beliefs_of(configuration_record())
+        later(listening, wanted)
+        self.assertGreater(listening.versions[MODEL][-1].learned_at_s, boot_time_s() - 1.0)
+
+    def test_each_named_version_has_its_own_time(self) -> None:
+        """Pattern: a version is named while the one before it is under way.
+
+        What must run by the first one's time is at least the first one, whatever came after.
+        """
+        beliefs = beliefs_of(configuration_record())
+        for version in (2, 3):
+            wanted = record(f"op/version/{MODEL}", {"model": MODEL, "version": version}, version)
+            later(beliefs, wanted)
+        first, second = beliefs.versions[MODEL]
+        between_s = (first.learned_at_s + second.learned_at_s) / 2
+        self.assertEqual(2, beliefs.due_version(MODEL, between_s))
+        self.assertEqual(3, beliefs.due_version(MODEL, second.learned_at_s + 1.0))
+        self.assertEqual(first, beliefs.first_wanted(MODEL, 1))
+        self.assertEqual(second, beliefs.first_wanted(MODEL, 2))
+        self.assertIsNone(beliefs.first_wanted(MODEL, 3))
 
     def test_what_a_snapshot_leaves_out_is_gone(self) -> None:
         beliefs = beliefs_of(engine_record(1, 1), engine_record(2, 2))
--- a/gypsumpier/test/test_upstream_board.py
+++ b/gypsumpier/test/test_upstream_board.py
@@ -9,8 +9,6 @@
     ENGINES,
     LAYERS,
     MODEL,
-    beliefs_of,
-    configuration_record,
     engine_record,
     later,
     record,
@@ -118,9 +116,8 @@
 
     def test_a_long_stream_is_kept_from_an_engine_that_switches_soon(self) -> None:
         wanted = record(f"op/version/{MODEL}", {"model": MODEL, "version": 2}, 20)
-        beliefs = beliefs_of(
-            configuration_record(), *(engine_record(n, 1 + n) for n in range(1, 5)), wanted
-        )
+        beliefs = engines(4)
+        later(beliefs, wanted)
         board = board_of(beliefs)
         turns = board.turns.turns(ENGINES)
         last = max(turns, key=lambda address: turns[address].at_s)
--- a/gypsumpier/upstream/errors.py
+++ b/gypsumpier/upstream/errors.py
@@ -5,13 +5,22 @@
     """The request has not run there and never will.
 
     ``is_promised`` tells that the upstream itself said so; else the request never left.
+    ``is_unfit`` tells that the upstream does not hold what the request needs, and ``is_replaced``
+    that another one has its address.
     """
 
-    def __init__(self, reason: str, is_promised: bool, status: int = 0) -> None:
+    def __init__(
+        self,
+        reason: str,
+        is_promised: bool,
+        is_unfit: bool = False,
+        is_replaced: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.is_promised = is_promised
-        self.status = status
+        self.is_unfit = is_unfit
+        self.is_replaced = is_replaced
 
 
 class OutcomeUnknownError(Exception):
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -54,6 +54,7 @@
 
     ``request_id`` is the id of the request that it answers.  ``is_not_run`` is the upstream's word
     that it has not run the request and never will.  ``seal`` marks an answer as an upstream's own.
+    ``upstream`` is the id of the upstream that answers, where it says so.
     ``idle_s`` is how long the upstream keeps the idle connection, None where it doesn't say.
     """
 
@@ -66,6 +67,7 @@
     closes: bool
     idle_s: float | None
     weight_version: int
+    upstream: str
     passed_on: HTTPHeaders
 
     @property
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -37,6 +37,10 @@
         health.failures += 1
         health.paused_until_s = time.monotonic() + pause_s
 
+    def note_replaced(self, run: tuple[str, int]) -> None:
+        """Leave the address alone until its record changes: another upstream answers there."""
+        self.healths.setdefault(run, Health()).paused_until_s = float("inf")
+
     def note_full(self, run: tuple[str, int]) -> None:
         """Leave a full upstream alone for a moment."""
         health = self.healths.setdefault(run, Health())
