--- a/gypsumpier/client/command.py
+++ b/gypsumpier/client/command.py
@@ -9,6 +9,7 @@
 from gypsumpier.client import page
 from gypsumpier.client.context import EXIT_USAGE, Context, run, shown
 from gypsumpier.client.reader import Reader
+from gypsumpier.client.trace import trace_request
 from gypsumpier.client.validate import validate_at, validate_here
 from gypsumpier.client.watch import watch_fleet
 from gypsumpier.codes.result import ResultCode
@@ -101,6 +102,19 @@
     return run(listing(context, "/v1/decisions", page.decisions_page, query))
 
 
+@gypsumpier.command()
+@click.argument("request", metavar="ID")
+@click.argument("files", nargs=-1, required=True, metavar="FILE...")
+@click.pass_obj
+def trace(context: Context, request: str, files: tuple[str, ...]) -> int:
+    """Follow the request ID through log FILEs of processes on the Rung Lab platform.
+
+    Prints the decisions on the request and, before them, the last ones on its upstreams and on
+    what the processes believed.  A FILE of - is standard input.
+    """
+    return trace_request(context, request, files)
+
+
 @gypsumpier.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.pass_obj
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -80,10 +80,8 @@
         known = self.board.engines.get(state.address)
         if not self.board.note_engine(state):
             return
-        is_news = known is None or (known.run, known.is_switching, known.layers) != (
-            state.run,
-            state.is_switching,
-            state.layers,
+        is_news = known is None or known._replace(sequence=0, active=0, queued=0) != state._replace(
+            sequence=0, active=0, queued=0
         )
         if is_news and peer.zone == self.mesh.own.zone:
             self.news[state.address] = state
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -39,6 +39,8 @@
 """Seconds without an answer after which a repeatable plain request is better sent elsewhere."""
 RETRY_AFTER_S: Final = 0.2
 """Seconds after which a request that every upstream refused is worth another try."""
+TIME_LIMIT_MARGIN_S: Final = 0.05
+"""Seconds before the time limit from which a silent upstream is held to be at fault."""
 SERVER_ERROR: Final = 500
 MISDIRECTED: Final = 421
 URGENCY_MAX: Final = 9
@@ -77,6 +79,9 @@
                 self.note_not_run(request, record, error)
             except OutcomeUnknownError as error:
                 self.note_unknown(request, record, error)
+            except asyncio.CancelledError:
+                self.note_cancelled(request, record)
+                raise
             finally:
                 self.admission.leave(request, record)
 
@@ -91,12 +96,19 @@
             health.note_failure(run)
         else:
             health.note_full(run)
+        health.note_outcome(run, failed=True)
         request.tried.add(record.run_key())
         self.log_attempt(request, record, error.reason, "not_run")
         # A request that never left is no arrival at any service.
         if error.is_promised and not self.retries.spend(request.service):
             raise self.failure(request, "every upstream refused and the retry budget is spent")
 
+    def note_cancelled(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Note an upstream that was still silent when the time limit was reached."""
+        if request.left_s() <= TIME_LIMIT_MARGIN_S and not request.first_event_at_s:
+            self.board.health.note_outcome(record.run_key(), failed=True)
+            self.board.health.note_failure(record.run_key())
+
     def note_unknown(
         self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
     ) -> None:
@@ -106,6 +118,7 @@
         if not self.board.is_switching(record):
             # An engine that switches to new weights cuts what it runs, and is well.
             self.board.health.note_failure(record.run_key())
+            self.board.health.note_outcome(record.run_key(), failed=True)
             self.suspect_crash(request, record)
         self.log_attempt(request, record, error.reason, "unknown")
         if not self.may_repeat(request) or not self.retries.spend(request.service):
@@ -183,7 +196,9 @@
                 await self.relay_stream(request, exchange, head, writer)
             else:
                 await self.relay_whole(request, exchange, head, writer)
+            is_failure = head.status >= SERVER_ERROR
         self.board.health.note_success(record.run_key())
+        self.board.health.note_outcome(record.run_key(), is_failure)
         self.crashes.note_finished(request)
 
     def call(self, request: GatewayRequest, record: UpstreamRecord) -> UpstreamCall:
--- a/gypsumpier/piece/engine.py
+++ b/gypsumpier/piece/engine.py
@@ -8,7 +8,8 @@
 class EngineReport(NamedTuple):
     """What an engine says of itself.  ``orders`` counts those it accepted since its start.
 
-    ``started_ms`` differs for each run of the engine; 0 where it doesn't say.
+    ``started_ms`` differs for each run of the engine; 0 where it doesn't say.  ``pace`` is how many
+    times as long as usual it works; 1 where it doesn't say.
     """
 
     layers: tuple[LoadedLayers, ...]
@@ -17,6 +18,7 @@
     queued: int
     active: int
     started_ms: int
+    pace: float
 
 
 class PieceList(NamedTuple):
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -36,6 +36,7 @@
                 active=int(number(body, "active")),
                 # The platform calls the start of this run "born", in Unix milliseconds.
                 started_ms=int(number(body, "born")) if "born" in body else 0,
+                pace=number(body, "pace") if "pace" in body else 1.0,
             )
         except FieldError as error:
             raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad report: {error}") from error
--- a/gypsumpier/sidecar/enginewatch.py
+++ b/gypsumpier/sidecar/enginewatch.py
@@ -84,7 +84,8 @@
         if report is None:
             return
         is_busy = self.is_busy()
-        is_news = told is None or (told.is_switching, told.layers) != (is_busy, report.layers)
+        news = is_busy, round(report.pace, 1), report.layers
+        is_news = told is None or (told.is_switching, told.pace, told.layers) != news
         now_s = time.monotonic()
         if not is_news and not again and now_s - self.told_at_s < REPEAT_S:
             return
@@ -97,6 +98,7 @@
             is_busy,
             report.active,
             report.queued,
+            round(report.pace, 1),
             report.layers,
         )
         self.mesh.post_all(self.mesh.peers(ENTRY), ENGINE, {"state": self.told.as_list()})
@@ -108,4 +110,5 @@
                 layers=[tuple(part) for part in report.layers],
                 active=report.active,
                 queued=report.queued,
+                pace=report.pace,
             )
--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -38,7 +38,7 @@
 
     async def report(self) -> EngineReport:
         layers = (LoadedLayers("m", self.version, 0, LAYERS),) if self.version else ()
-        return EngineReport(layers, False, len(self.loaded), 0, 0, 1)
+        return EngineReport(layers, False, len(self.loaded), 0, 0, 1, 1.0)
 
     async def stage(self, model: str, number: int, content: bytes) -> None:
         rots = number in self.rotting
--- a/gypsumpier/test/test_upstream_board.py
+++ b/gypsumpier/test/test_upstream_board.py
@@ -17,10 +17,12 @@
 from gypsumpier.upstream.enginestate import EngineState
 
 
-def state_of(number: int, version: int, sequence: int, is_switching: bool = False) -> EngineState:
+def state_of(
+    number: int, version: int, sequence: int, is_switching: bool = False, pace: float = 1.0
+) -> EngineState:
     """Return what the sidecar of an engine tells."""
     layers = (LoadedLayers(MODEL, version, 0, LAYERS),) if version else ()
-    return EngineState(f"127.0.0.{number}:8701", "run", sequence, is_switching, 0, 0, layers)
+    return EngineState(f"127.0.0.{number}:8701", "run", sequence, is_switching, 0, 0, pace, layers)
 
 
 def candidates(board: UpstreamBoard, least_version: int = 0) -> set[str]:
@@ -144,6 +146,31 @@
         board.health.note_success(run)
         self.assertEqual("i-1", self.choose(board))
 
+    def test_an_upstream_that_fails_a_part_of_its_requests_goes_last(self) -> None:
+        """Pattern: one upstream fails every other request while its health check is good.
+
+        A success in between must not bring all requests back to it; without others it still serves.
+        """
+        beliefs = engines(1)
+        later(beliefs, engine_record(2, 9, zone="nam-a"))
+        board = board_of(beliefs)
+        run = beliefs.upstreams["i-1"].run_key()
+        for failed in (True, False, True, False, True, False):
+            board.health.note_outcome(run, failed)
+            if not failed:
+                board.health.note_success(run)
+        self.assertEqual("i-2", self.choose(board))
+        later(beliefs, record("servers/i-2", None, 10))
+        self.assertEqual("i-1", self.choose(board))
+
+    def test_a_slow_engine_is_used_where_the_others_are_full(self) -> None:
+        board = board_of(engines(2))
+        board.note_engine(state_of(1, 1, 1, pace=4.0))
+        board.note_peer("other", {"i-2": Load(10, 0)})
+        self.assertEqual("i-2", self.choose(board))
+        board.note_peer("other", {"i-2": Load(18, 0)})
+        self.assertEqual("i-1", self.choose(board))
+
     def test_requests_that_fail_together_count_as_one_failure(self) -> None:
         board = board_of(engines(1))
         run = board.beliefs.upstreams["i-1"].run_key()
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -33,6 +33,8 @@
 """Seconds of reading that an engine may have before it; while it reads, what it writes pauses."""
 SPREAD_S: Final = 0.05
 """Differences of delay, in seconds, that are ignored where many requests choose at one moment."""
+SLOW_PACE: Final = 1.6
+"""Multiple of the usual time from which an engine is used only where the others are full."""
 TURN_MARGIN_S: Final = 0.4
 """Seconds before an engine's turn by which what it runs should have ended."""
 PROMPT_TOKENS_PER_S: Final = 30_000.0
@@ -181,6 +183,8 @@
         ]
         if not free:
             return None
+        sound = [record for record in free if not self.is_impaired(record)]
+        free = sound or free
         steady = [record for record in free if not self.switches_within(record, needed_s)]
         free = steady or free
         if anywhere:
@@ -192,6 +196,12 @@
         ]
         return min(home or free, key=self.delay_s)
 
+    def is_impaired(self, record: UpstreamRecord) -> bool:
+        """Tell whether the upstream fails many requests or works slowly."""
+        engine = self.engine(record)
+        is_slow = engine is not None and engine.pace > SLOW_PACE
+        return is_slow or self.health.is_failing(record.run_key())
+
     def switches_within(self, record: UpstreamRecord, needed_s: float) -> bool:
         """Tell whether the engine switches before so many seconds have passed.
 
--- a/gypsumpier/upstream/enginestate.py
+++ b/gypsumpier/upstream/enginestate.py
@@ -10,6 +10,7 @@
 
     ``sequence`` grows with each state that one run of the sidecar tells.  An engine that
     ``is_switching`` finishes what it runs and starts nothing until it has loaded.
+    ``pace`` is how many times as long as usual it works.
     """
 
     address: str
@@ -18,6 +19,7 @@
     is_switching: bool
     active: int
     queued: int
+    pace: float
     layers: tuple[LoadedLayers, ...]
 
     def as_list(self) -> list[Any]:
@@ -27,7 +29,7 @@
 
 def engine_state_from(found: Any) -> EngineState:
     """Return the state that a message holds; raise ValueError or TypeError where it is wrong."""
-    address, run, sequence, is_switching, active, queued, layers = found
+    address, run, sequence, is_switching, active, queued, pace, layers = found
     return EngineState(
         str(address),
         str(run),
@@ -35,6 +37,7 @@
         bool(is_switching),
         int(active),
         int(queued),
+        float(pace),
         tuple(
             LoadedLayers(str(model), int(version), int(start), int(end))
             for model, version, start, end in layers
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -1,5 +1,6 @@
 """Which upstreams have failed lately and are left alone for a while."""
 
+import math
 import time
 from dataclasses import dataclass
 from typing import Final
@@ -12,6 +13,31 @@
 """Seconds after a refusal for lack of room, in which requests end there."""
 
 
+FAILURE_GAIN: Final = 0.25
+"""Weight of the newest outcome in the share of requests that fail at an upstream."""
+FAILURE_HALF_LIFE_S: Final = 4.0
+"""Seconds in which a share of failures halves by itself, so that an upstream is tried again."""
+FAILING_SHARE: Final = 0.25
+"""Share of failures from which upstreams that fail less go first."""
+
+
+@dataclass
+class FailureShare:
+    """Which share of the requests failed lately, as of ``at_s`` in monotonic seconds."""
+
+    value: float = 0.0
+    at_s: float = 0.0
+
+    def now(self) -> float:
+        """Return the share, which fades with time."""
+        return self.value * math.exp2((self.at_s - time.monotonic()) / FAILURE_HALF_LIFE_S)
+
+    def note(self, failed: bool) -> None:
+        """Take one more outcome."""
+        self.value = self.now() * (1.0 - FAILURE_GAIN) + FAILURE_GAIN * failed
+        self.at_s = time.monotonic()
+
+
 @dataclass
 class Health:
     """Failures in a row of one run of an upstream; times are monotonic seconds."""
@@ -26,6 +52,16 @@
 
     def __init__(self) -> None:
         self.healths: dict[tuple[str, int], Health] = {}
+        self.shares: dict[tuple[str, int], FailureShare] = {}
+
+    def note_outcome(self, run: tuple[str, int], failed: bool) -> None:
+        """Count an outcome towards the share of failures; a success alone does not clear it."""
+        self.shares.setdefault(run, FailureShare()).note(failed)
+
+    def is_failing(self, run: tuple[str, int]) -> bool:
+        """Tell whether so many requests fail that other upstreams go first."""
+        share = self.shares.get(run)
+        return share is not None and share.now() > FAILING_SHARE
 
     def note_failure(self, run: tuple[str, int]) -> None:
         """Leave the upstream alone, longer after each failure in a row."""
@@ -72,5 +108,5 @@
 
     def keep(self, runs: set[tuple[str, int]]) -> None:
         """Forget upstreams that are gone."""
-        for run in [run for run in self.healths if run not in runs]:
-            del self.healths[run]
+        self.healths = {run: health for run, health in self.healths.items() if run in runs}
+        self.shares = {run: share for run, share in self.shares.items() if run in runs}
