--- a/gypsumpier/client/trace.py
+++ b/gypsumpier/client/trace.py
@@ -47,12 +47,14 @@
     """Return the last lines before the request on its upstreams and on what was believed."""
     upstreams = {line.get("upstream") for line in own} - {None, ""}
     addresses = {line.get("address") for line in own} - {None, ""}
+    nodes = {line.get("node") for line in own}
     began = str(own[0].get("time", ""))
     before = [
         line
         for line in lines
         if str(line.get("time", "")) < began
         and "request" not in line
+        and line.get("node") in nodes
         and (
             line.get("event") in CONTEXT_EVENTS
             or line.get("upstream") in upstreams
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -92,7 +92,15 @@
         self.parts.append(chunk)
 
     def finish(self) -> None:
-        """Serve the request, which has arrived whole."""
+        """Serve the request, which has arrived whole.
+
+        One that was still in the buffer as its connection was closed is not passed on: its caller
+        sends it again.
+        """
+        if self.connection.stream.closed():
+            self.front.active.discard(self)
+            decision("request_after_close", request=self.head.request_id if self.head else "")
+            return
         self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.create_task(self.serve())
 
--- a/gypsumpier/log.py
+++ b/gypsumpier/log.py
@@ -20,9 +20,9 @@
     LOGGER.propagate = False
 
 
-def configure_output(level: str, handler: logging.Handler) -> None:
-    """Send the package's log lines as JSON objects to the handler."""
-    handler.setFormatter(JsonFormatter())
+def configure_output(level: str, handler: logging.Handler, node: str) -> None:
+    """Send the package's log lines, with the name of the node, as JSON objects to the handler."""
+    handler.setFormatter(JsonFormatter(node))
     handler.setLevel(level)
     LOGGER.handlers = [handler]
     LOGGER.setLevel(level)
@@ -43,10 +43,16 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats a record as one JSON object."""
+    """Formats a record as one JSON object, with the name of the node where there is one."""
+
+    def __init__(self, node: str = "") -> None:
+        super().__init__()
+        self.node = node
 
     def format(self, record: logging.LogRecord) -> str:
         head = {"time": self.formatTime(record), "level": record.levelname.lower()}
+        if self.node:
+            head["node"] = self.node
         return json.dumps(head | record_fields(record), default=str)
 
 
--- a/gypsumpier/node.py
+++ b/gypsumpier/node.py
@@ -46,7 +46,7 @@
         self.settings = read_settings(self.path)
         self.content = self.path.read_bytes()
         self.writer = BoundedLogWriter()
-        log.configure_output(options.log_level, self.writer)
+        log.configure_output(options.log_level, self.writer, self.settings.name)
         self.stop_requested = asyncio.Event()
         self.application = build(options, self.settings)
 
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -7,6 +7,7 @@
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from gypsumpier.gateway import relay
+from gypsumpier.gateway.front import CallerExchange
 from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN
 from gypsumpier.test.gatewayfleet import GatewayFleet
 
@@ -149,6 +150,25 @@
         answer = await self.fleet.call("/reports/x")
         self.assertEqual((503, 0), (answer.code, self.runs()))
 
+    async def test_a_request_that_crosses_the_close_of_its_connection_is_not_run(self) -> None:
+        """Pattern: a stop closes an idle connection as the next request is already in its buffer.
+
+        Passing it on would run it for a caller that can't be answered.
+        """
+        head = f"POST /reports/x HTTP/1.1\r\nHost: lab.example\r\nX-Key: {KEY}\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.fleet.port)
+        writer.write(f"{head}X-Request-Id: r1\r\nContent-Length: 2\r\n\r\n".encode())
+        while not self.fleet.entry.front.active:
+            await asyncio.sleep(0.005)
+        (exchange,) = self.fleet.entry.front.active
+        assert isinstance(exchange, CallerExchange)
+        exchange.data_received(b"{}")
+        exchange.connection.stream.close()
+        exchange.finish()
+        await asyncio.sleep(0.1)
+        self.assertEqual(0, self.runs())
+        writer.close()
+
     async def test_a_stop_announces_the_end_and_finishes_what_runs(self) -> None:
         running = asyncio.create_task(self.fleet.call("/reports/x"))
         while not self.runs():
