--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -1,4 +1,8 @@
-"""Tells the other entries how many requests this one has in flight, and what its sidecars say."""
+"""Tells the other entries how many requests this one has in flight, and what its sidecars say.
+
+Entries of one zone tell each other.  Other zones get the sum of a zone from its first entry, as
+each message between regions takes from a narrow link.
+"""
 
 import asyncio
 import time
@@ -11,10 +15,13 @@
 
 LOAD: Final = "load"
 ENGINE: Final = "engine"
+ENGINES: Final = "engines"
 NEAR_INTERVAL_S: Final = 0.02
 """Seconds between two messages of changed counts within an availability zone."""
 FAR_ROUNDS: Final = 12
 """Rounds of the zone for each message to other zones, whose links are narrow."""
+TELLERS_PER_ZONE: Final = 2
+"""Entries of a zone that tell the other zones of its engines."""
 REPEAT_S: Final = 0.8
 """Seconds after which unchanged counts are told again, before a peer drops them."""
 
@@ -35,6 +42,7 @@
         self.on_news: list[Any] = []
         mesh.listeners[LOAD] = self.take
         mesh.listeners[ENGINE] = self.take_engine
+        mesh.listeners[ENGINES] = self.take_engines
 
     async def run(self) -> None:
         """Send the counts whenever they have changed."""
@@ -45,31 +53,45 @@
             own_zone = self.mesh.own.zone
             peers = self.mesh.peers(ENTRY)
             near = [peer for peer in peers if peer.zone == own_zone]
-            self.told_near = self.tell(near, self.told_near, [])
-            if rounds % FAR_ROUNDS == 0 or self.news:
-                rounds = 0
-                far = [peer for peer in peers if peer.zone != own_zone]
+            self.told_near = self.tell(near, self.told_near, dict(self.board.own), {})
+            if rounds % FAR_ROUNDS and not self.news:
+                continue
+            rounds = 0
+            rank = sum(peer.name < self.mesh.own.name for peer in near)
+            far = [peer for peer in peers if peer.zone != own_zone]
+            if rank == 0:
+                loads = self.board.zone_loads([peer.name for peer in near])
+                self.told_far = self.tell(far, self.told_far, loads, {"zone": own_zone})
+            if self.news and rank < TELLERS_PER_ZONE:
                 states = [state.as_list() for state in self.news.values()]
-                self.told_far = self.tell(far, self.told_far, states)
-                self.news.clear()
+                self.mesh.post_all(far, ENGINES, {"states": states})
+            self.news.clear()
 
-    def tell(self, peers: list[Peer], told: Told, engines: list[list[Any]]) -> Told:
-        """Send the counts where they differ from what was told; return what is told now."""
-        counts, at_s = told
+    def tell(
+        self, peers: list[Peer], told: Told, loads: dict[str, Load], more: dict[str, str]
+    ) -> Told:
+        """Send the loads where they differ from what was told; return what is told now."""
+        known, at_s = told
         now_s = time.monotonic()
-        if self.board.own == counts and now_s - at_s < REPEAT_S and not engines:
+        if loads == known and now_s - at_s < REPEAT_S:
             return told
-        loads = {name: list(load) for name, load in self.board.own.items()}
-        self.mesh.post_all(peers, LOAD, {"loads": loads, "engines": engines})
-        return dict(self.board.own), now_s
+        packed = {name: list(load) for name, load in loads.items()}
+        self.mesh.post_all(peers, LOAD, {"loads": packed, **more})
+        return loads, now_s
 
     def take(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Take the counts of another entry."""
+        """Take the loads of another entry, or those of all entries of another zone."""
         loads = {
-            str(name): Load(int(n), int(unread)) for name, (n, unread) in payload["loads"].items()
+            str(name): Load(int(count), int(unread))
+            for name, (count, unread) in payload["loads"].items()
         }
-        self.board.note_peer(peer.name, loads)
-        for found in payload["engines"]:
+        self.board.note_peer(str(payload.get("zone", peer.name)), loads)
+        for listener in self.on_news:
+            listener()
+
+    def take_engines(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Take what the sidecars of another zone have told there."""
+        for found in payload["states"]:
             self.board.note_engine(engine_state_from(found))
         for listener in self.on_news:
             listener()
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -22,6 +22,8 @@
 """The version that a model has before another one is named."""
 DRAIN_S: Final = 0.25
 """Seconds for an engine to finish what it runs before the rest is cut and goes on elsewhere."""
+FETCH_AHEAD_S: Final = 4.0
+"""Seconds without an engine after which pieces are fetched for the one that will start."""
 RETRY_S: Final = 0.3
 """Seconds before pieces are fetched again after a failure."""
 STALLED_S: Final = 0.8
@@ -55,7 +57,7 @@
                 continue
             model, held = traits.models[0], self.held(traits)
             target = self.target(model, held)
-            if target == held or (self.watch.report is None and self.is_fetched(model, target)):
+            if target == held or not self.is_worth_fetching(model, target):
                 continue
             try:
                 await self.bring(model, target, traits)
@@ -69,6 +71,17 @@
                 )
                 await asyncio.sleep(RETRY_S)
 
+    def is_worth_fetching(self, model: str, version: int) -> bool:
+        """Tell whether to bring the version now.
+
+        Without an engine its pieces are fetched ahead, but not where one is just starting, which
+        may hold them already.
+        """
+        if self.watch.report is not None:
+            return True
+        away_s = time.monotonic() - self.watch.away_since_s
+        return away_s > FETCH_AHEAD_S and not self.is_fetched(model, version)
+
     def traits(self) -> ModelTraits | None:
         """Return how the engine's service works; None while that is unknown."""
         configuration = self.beliefs.configuration
--- /dev/null
+++ b/gypsumpier/test/test_load_share.py
@@ -0,0 +1,45 @@
+"""Tests of what entries tell each other of their load, over a mesh in memory."""
+
+import unittest
+
+from gypsumpier.gateway.loadshare import LoadShare
+from gypsumpier.test.builders_gateway import board_of, engines
+from gypsumpier.test.fakes_piece import entry_peer
+from gypsumpier.upstream.board import Load
+
+
+class ListeningMesh:
+    """A mesh that only keeps its listeners."""
+
+    def __init__(self) -> None:
+        self.own = entry_peer("front-bac-a-1", "bac-a")
+        self.listeners: dict[str, object] = {}
+
+
+class LoadShareTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.board = board_of(engines(2))
+        mesh = ListeningMesh()
+        self.share = LoadShare(mesh, self.board)  # type: ignore[arg-type]
+
+    def load(self) -> int:
+        """Return the load of the first engine."""
+        return self.board.load(self.board.beliefs.upstreams["i-1"])
+
+    def test_the_sum_of_a_zone_is_counted_once_whoever_of_it_tells(self) -> None:
+        for name in ("front-nam-a-1", "front-nam-a-2"):
+            peer = entry_peer(name, "nam-a")
+            self.share.take(peer, {"loads": {"i-1": [5, 0]}, "zone": "nam-a"})
+        self.assertEqual(5, self.load())
+
+    def test_entries_of_the_own_zone_count_each(self) -> None:
+        for number in (2, 3):
+            peer = entry_peer(f"front-bac-a-{number}", "bac-a")
+            self.share.take(peer, {"loads": {"i-1": [4, 100]}})
+        self.assertEqual(8, self.load())
+        total = self.board.zone_loads(["front-bac-a-2", "front-bac-a-3"])
+        self.assertEqual({"i-1": Load(8, 200)}, total)
+
+    def test_a_malformed_message_is_an_error_that_the_mesh_logs(self) -> None:
+        with self.assertRaises((ValueError, TypeError)):
+            self.share.take(entry_peer("x", "nam-a"), {"loads": {"i-1": 3}})
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -75,6 +75,18 @@
         """Take what another entry has in flight."""
         self.peers[name] = PeerLoad(loads, time.monotonic())
 
+    def zone_loads(self, entries: list[str]) -> dict[str, Load]:
+        """Return the own loads and those of the named entries together."""
+        total = dict(self.own)
+        for name in entries:
+            peer = self.peers.get(name)
+            for upstream, load in peer.loads.items() if peer else ():
+                known = total.get(upstream, NO_LOAD)
+                total[upstream] = Load(
+                    known.in_flight + load.in_flight, known.unread_tokens + load.unread_tokens
+                )
+        return total
+
     def note_engine(self, state: EngineState) -> bool:
         """Take what a sidecar tells; False where something newer is known already."""
         known = self.engines.get(state.address)
