--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -22,11 +22,12 @@
 from gypsumpier.gateway.loadshare import LoadShare
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.retries import RetryBudget
-from gypsumpier.gateway.status import StatusServer
+from gypsumpier.gateway.status import StatusServer, metrics_address
 from gypsumpier.log import decision
 from gypsumpier.mesh.feed import BeliefFeed
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
+from gypsumpier.options import Options
 from gypsumpier.piece.cache import PieceCache
 from gypsumpier.piece.engine import PieceOrigin
 from gypsumpier.piece.turns import Turns
@@ -52,15 +53,22 @@
     def __init__(
         self,
         settings: NodeSettings,
-        run: str,
+        options: Options,
         source: FleetSource,
         dial_origin: Callable[[str, int], PieceOrigin],
     ) -> None:
         assert settings.stream_address is not None
         self.settings = settings
+        self.options = options
         place = settings.stream_address
         own = Peer(
-            settings.name, ENTRY, settings.zone, settings.region, place.host, place.port, run
+            settings.name,
+            ENTRY,
+            settings.zone,
+            settings.region,
+            place.host,
+            place.port,
+            options.incarnation,
         )
         self.beliefs = Beliefs(source)
         self.mesh = Mesh(own, settings.seeds, TcpDialer())
@@ -92,7 +100,7 @@
         self.listener.add_sockets(bind(settings.stream_address))
         if settings.readiness_address is not None:
             self.status.listen_readiness(settings.readiness_address)
-        self.status.listen_metrics(Address(settings.host, settings.last_port))
+        self.status.listen_metrics(metrics_address(settings, self.options))
         if settings.caller_address is not None:
             self.server.add_sockets(bind(settings.caller_address))
         self.mesh.start()
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -92,7 +92,9 @@
         health, run = self.board.health, record.run_key()
         if error.is_replaced:
             health.note_replaced(run)
-        elif error.is_unfit or not error.is_promised:
+        elif not error.is_promised:
+            self.board.note_unreachable(record)
+        elif error.is_unfit:
             health.note_failure(run)
         else:
             health.note_full(run)
@@ -117,7 +119,10 @@
         request.tried.add(record.run_key())
         if not self.board.is_switching(record):
             # An engine that switches to new weights cuts what it runs, and is well.
-            self.board.health.note_failure(record.run_key())
+            if error.is_silent:
+                self.board.note_unreachable(record)
+            else:
+                self.board.health.note_failure(record.run_key())
             self.board.health.note_outcome(record.run_key(), failed=True)
             self.suspect_crash(request, record)
         self.log_attempt(request, record, error.reason, "unknown")
@@ -197,7 +202,7 @@
             else:
                 await self.relay_whole(request, exchange, head, writer)
             is_failure = head.status >= SERVER_ERROR
-        self.board.health.note_success(record.run_key())
+        self.board.note_success(record)
         self.board.health.note_outcome(record.run_key(), is_failure)
         self.crashes.note_finished(request)
 
--- a/gypsumpier/gateway/status.py
+++ b/gypsumpier/gateway/status.py
@@ -7,8 +7,9 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
 
-from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.node import Address, NodeSettings
 from gypsumpier.metrics import REGISTRY
+from gypsumpier.options import Options
 
 READY = 200
 NOT_READY = 503
@@ -46,6 +47,11 @@
             await server.close_all_connections()
 
 
+def metrics_address(settings: NodeSettings, options: Options) -> Address:
+    """Return where metrics are served: the administration port, or the last one of the range."""
+    return Address(settings.host, options.administration_port or settings.last_port)
+
+
 def answer_metrics(request: HTTPServerRequest) -> None:
     """Answer every metric of the registry."""
     respond(request, READY, generate_latest(REGISTRY), CONTENT_TYPE_LATEST)
--- a/gypsumpier/node.py
+++ b/gypsumpier/node.py
@@ -122,10 +122,10 @@
 
         assert settings.engine_address is not None
         engine = PlatformEngine(settings.engine_address)
-        return SidecarApplication(settings, options.incarnation, store, engine)
+        return SidecarApplication(settings, options, store, engine)
     from gypsumpier.gateway.application import GatewayApplication
 
     def dial_origin(host: str, port: int) -> PlatformOrigin:
         return PlatformOrigin(Address(host, port))
 
-    return GatewayApplication(settings, options.incarnation, store, dial_origin)
+    return GatewayApplication(settings, options, store, dial_origin)
--- a/gypsumpier/sidecar/application.py
+++ b/gypsumpier/sidecar/application.py
@@ -7,12 +7,13 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.beliefs import Beliefs
 from gypsumpier.fleet.change import FleetSource
-from gypsumpier.fleet.node import Address, NodeSettings
+from gypsumpier.fleet.node import NodeSettings
 from gypsumpier.fleet.watcher import StoreWatcher
-from gypsumpier.gateway.status import StatusServer
+from gypsumpier.gateway.status import StatusServer, metrics_address
 from gypsumpier.mesh.feed import BeliefFeed
 from gypsumpier.mesh.mesh import SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
+from gypsumpier.options import Options
 from gypsumpier.piece.cache import PIECE
 from gypsumpier.piece.engine import Engine
 from gypsumpier.piece.turns import Turns
@@ -26,12 +27,21 @@
     """One process beside a model engine."""
 
     def __init__(
-        self, settings: NodeSettings, run: str, source: FleetSource, engine: Engine
+        self, settings: NodeSettings, options: Options, source: FleetSource, engine: Engine
     ) -> None:
         assert settings.engine_address is not None
         self.settings = settings
+        self.options = options
         self.engine = engine
-        own = Peer(settings.name, SIDECAR, settings.zone, settings.region, settings.host, 0, run)
+        own = Peer(
+            settings.name,
+            SIDECAR,
+            settings.zone,
+            settings.region,
+            settings.host,
+            0,
+            options.incarnation,
+        )
         self.beliefs = Beliefs(source)
         self.mesh = Mesh(own, settings.seeds, TcpDialer())
         self.feed = BeliefFeed(self.mesh, self.beliefs)
@@ -46,7 +56,7 @@
 
     async def start(self) -> None:
         """Start every part."""
-        self.status.listen_metrics(Address(self.settings.host, self.settings.last_port))
+        self.status.listen_metrics(metrics_address(self.settings, self.options))
         self.mesh.answerers[PIECE] = self.answer_piece
         self.mesh.on_peer.append(lambda link: self.watch.tell(again=True))
         self.mesh.start()
--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -9,6 +9,7 @@
 
 from gypsumpier.fleet.node import Address
 from gypsumpier.gateway.application import GatewayApplication
+from gypsumpier.options import Options
 from gypsumpier.platform.origin import PlatformOrigin
 from gypsumpier.platform.settings import Reader, node_settings
 from gypsumpier.platform.store import PlatformStore
@@ -59,7 +60,7 @@
         self.settings = node_settings(Reader(body))
         self.entry = GatewayApplication(
             self.settings,
-            "run-1",
+            Options(incarnation="run-1"),
             PlatformStore(self.settings.store_address),
             lambda host, port: PlatformOrigin(Address(host, port)),
         )
--- a/gypsumpier/test/test_upstream_board.py
+++ b/gypsumpier/test/test_upstream_board.py
@@ -171,6 +171,26 @@
         board.note_peer("other", {"i-2": Load(18, 0)})
         self.assertEqual("i-1", self.choose(board))
 
+    def test_a_zone_that_is_cut_off_is_left_alone_after_one_failure(self) -> None:
+        """Pattern: another zone is cut off while the own one is full.
+
+        Each of its upstreams would hold a request for the time of a connection attempt.
+        """
+        beliefs = engines(1)
+        for number in (2, 3, 4):
+            later(beliefs, engine_record(number, 8 + number, zone="nam-a"))
+        board = board_of(beliefs)
+        board.note_peer("other", {"i-1": Load(18, 0)})
+        board.note_unreachable(beliefs.upstreams["i-2"])
+        self.assertIsNone(self.choose(board))
+        board.note_success(beliefs.upstreams["i-3"])
+        self.assertIn(self.choose(board), {"i-3", "i-4"})
+
+    def test_an_own_upstream_that_fails_does_not_rule_out_its_zone(self) -> None:
+        board = board_of(engines(2))
+        board.note_unreachable(board.beliefs.upstreams["i-1"])
+        self.assertEqual("i-2", self.choose(board))
+
     def test_requests_that_fail_together_count_as_one_failure(self) -> None:
         board = board_of(engines(1))
         run = board.beliefs.upstreams["i-1"].run_key()
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -67,6 +67,7 @@
         self.zone = zone
         self.turns = turns
         self.health = HealthBoard()
+        self.zones = HealthBoard()
         self.own: dict[str, Load] = {}
         self.peers: dict[str, PeerLoad] = {}
         self.engines: dict[str, EngineState] = {}
@@ -189,7 +190,7 @@
             record
             for record in records
             if record.run_key() not in without
-            and self.health.is_usable(record.run_key())
+            and self.is_usable(record)
             and self.load(record) < self.limit(record)
             and self.unread_s(record) < UNREAD_MAX_S
         ]
@@ -208,6 +209,27 @@
         ]
         return min(home or free, key=self.delay_s)
 
+    def is_usable(self, record: UpstreamRecord) -> bool:
+        """Tell whether neither the upstream nor the way to its zone has just failed."""
+        if not self.health.is_usable(record.run_key()):
+            return False
+        return record.zone == self.zone or self.zones.is_usable((record.zone, 0))
+
+    def note_unreachable(self, record: UpstreamRecord) -> None:
+        """Note an upstream that can't be connected or has gone silent.
+
+        Another zone is then left alone as a whole for a moment: it may be cut off, and each of its
+        upstreams would cost requests as much again to find out.
+        """
+        self.health.note_failure(record.run_key())
+        if record.zone != self.zone:
+            self.zones.note_failure((record.zone, 0))
+
+    def note_success(self, record: UpstreamRecord) -> None:
+        """Note a whole answer."""
+        self.health.note_success(record.run_key())
+        self.zones.note_success((record.zone, 0))
+
     def is_impaired(self, record: UpstreamRecord) -> bool:
         """Tell whether the upstream fails many requests or works slowly."""
         engine = self.engine(record)
--- a/gypsumpier/upstream/errors.py
+++ b/gypsumpier/upstream/errors.py
@@ -24,8 +24,12 @@
 
 
 class OutcomeUnknownError(Exception):
-    """The request was sent and may have run; there is no whole answer."""
+    """The request was sent and may have run; there is no whole answer.
 
-    def __init__(self, reason: str) -> None:
+    ``is_silent`` tells that nothing came, rather than something wrong.
+    """
+
+    def __init__(self, reason: str, is_silent: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.is_silent = is_silent
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -109,7 +109,8 @@
                     await self.wake.wait()
             except TimeoutError:
                 if self.may_leave():
-                    raise OutcomeUnknownError(f"silent for {self.silence_s:g} s") from None
+                    reason = f"silent for {self.silence_s:g} s"
+                    raise OutcomeUnknownError(reason, is_silent=True) from None
         self.wake.clear()
 
     async def answer(self, request_id: str) -> AnswerHead:
