One watcher a zone; a kept connection to the engine; an outage is what the store's own answers show

A zone's notices to the others already show what its watcher missed (test: the watcher of a zone stands still as a configuration changes). A gap without proofs no longer counts as an outage of the store, which would have kept leaving upstreams in use for two seconds more.

--- a/gypsumpier/fleet/beliefs.py
+++ b/gypsumpier/fleet/beliefs.py
@@ -24,13 +24,11 @@
 
 LAPSE_GRACE_S: Final = 2.0
 """Seconds after an outage of the store within which a lapsed upstream's record may come back."""
-OUTAGE_S: Final = 1.0
-"""Seconds without any proof after which records may have lapsed because of an outage."""
 
 
 VERSIONS_KEPT: Final = 8
 """Versions of a model that are remembered; several may be named before the first is in force."""
-CONTINUOUS_S: Final = 2.5
+CONTINUOUS_S: Final = 3.5
 """Seconds since the proof before it up to which news counts as heard at once."""
 
 
@@ -68,10 +66,12 @@
         """Note that nothing newer than ``revision`` existed at that time."""
         if at_s <= self.proven_at_s:
             return
-        if self.proven_at_s > 0 and at_s - self.proven_at_s > OUTAGE_S:
-            self.outage_ended_at_s = boot_time_s()
         self.proven_at_s = at_s
 
+    def note_outage_ended(self, ago_s: float) -> None:
+        """Note that the store has answered again, so many seconds ago, after it had not."""
+        self.outage_ended_at_s = max(self.outage_ended_at_s, boot_time_s() - ago_s)
+
     def apply(self, batch: Batch, proven_at_s: float, origin: str) -> None:
         """Take the records of a batch that follows on what is known; older ones are ignored."""
         if batch.revision < self.revision:
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -21,8 +21,9 @@
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.tasks import end_task
 
-WATCH_WAIT_S: Final = 1.0
-"""Seconds that a watch waits; with a lost answer the proof is still well within its bound."""
+WATCH_WAIT_S: Final = 2.0
+"""Seconds that a watch waits; after a lost answer there is time for another within the bound of a
+key's revocation, which is 5 s."""
 BACKOFF_LIMIT_S: Final = 0.5
 """Longest wait in seconds between two tries; a key's revocation must be learned within seconds."""
 IDLE_CHECK_S: Final = 0.1
@@ -91,6 +92,8 @@
             STORE_CALLS.labels(kind, error.code.name).inc()
             raise
         STORE_CALLS.labels(kind, "ok").inc()
+        if not self.in_touch:
+            self.beliefs.note_outage_ended(0.0)
         self.beliefs.apply(batch, sent_at_s + batch.proven_after_s, "store")
         self.on_batch(batch)
 
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -19,11 +19,13 @@
 FEED: Final = "feed"
 NOTICE: Final = "notice"
 FEED_ASK: Final = "feed_ask"
-WATCHERS_PER_ZONE: Final = 2
-"""Entries of a zone that watch the store, so that one may fail without delay for the others."""
-TAKEOVER_S: Final = 2.2
+WATCHERS_ALONE: Final = 2
+"""Entries that watch the store where there is one zone only, so that one may fail without delay."""
+WATCHERS_PER_ZONE: Final = 1
+"""Entries of each of several zones that watch: the others' notices show what one of them missed."""
+TAKEOVER_S: Final = 3.2
 """Seconds without a proof after which an entry reads for itself; a watch waits for less."""
-SIDECAR_TAKEOVER_S: Final = 4.0
+SIDECAR_TAKEOVER_S: Final = 5.0
 """The same for a sidecar, whose entries come first."""
 STALE_S: Final = 1.5
 """Seconds by which a proof from another zone must be fresher to be passed on in the own one."""
@@ -54,7 +56,12 @@
             return self.beliefs.proof_age_s() > SIDECAR_TAKEOVER_S
         names = sorted(peer.name for peer in self.mesh.peers(ENTRY, own.zone))
         before_own = sum(name < own.name for name in names)
-        return before_own < WATCHERS_PER_ZONE or self.beliefs.proof_age_s() > TAKEOVER_S
+        watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_ALONE
+        return before_own < watchers or self.beliefs.proof_age_s() > TAKEOVER_S
+
+    def has_other_zones(self) -> bool:
+        """Tell whether entries of other zones are connected."""
+        return any(peer.zone != self.mesh.own.zone for peer in self.mesh.peers(ENTRY))
 
     def is_behind(self) -> bool:
         """Tell whether a newer revision is known of for longer than its records may take."""
@@ -83,6 +90,7 @@
             "records": [list(record) for record in batch.records],
             "whole": batch.is_snapshot,
             "age_s": self.beliefs.proof_age_s(),
+            "outage_ago_s": boot_time_s() - self.beliefs.outage_ended_at_s,
         }
 
     def take(self, peer: Peer, payload: dict[str, Any]) -> None:
@@ -96,6 +104,7 @@
         if not batch.is_snapshot and batch.after > self.beliefs.revision:
             self.mesh.post(peer.name, FEED_ASK, {})
             return
+        self.beliefs.note_outage_ended(max(0.0, float(payload["outage_ago_s"])))
         proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
         self.beliefs.apply(batch, proven_at_s, peer.name)
 
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -6,11 +6,12 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.http import HttpCaller, raise_for_status
+from gypsumpier.external.http import json_object
 from gypsumpier.fleet.node import Address
 from gypsumpier.piece.engine import EngineReport
 from gypsumpier.platform.fields import FieldError, field, number
 from gypsumpier.platform.records import loaded_layers
+from gypsumpier.upstream.caller import UpstreamCaller
 
 CALL_TIMEOUT_S: Final = 2.0
 """Seconds for a call on the same machine, which takes milliseconds unless the engine hangs."""
@@ -22,10 +23,11 @@
     """The Engine protocol on the platform's engines."""
 
     def __init__(self, address: Address) -> None:
-        self.caller = HttpCaller(f"http://{address}")
+        self.caller = UpstreamCaller(address)
 
     async def report(self) -> EngineReport:
-        body = await self.caller.call_json("GET", "/gypsumpier/report", CALL_TIMEOUT_S)
+        answer = await self.caller.call("GET", "/gypsumpier/report", CALL_TIMEOUT_S)
+        body = json_object(answer.checked())
         try:
             return EngineReport(
                 layers=loaded_layers(body),
@@ -42,16 +44,13 @@
             raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad report: {error}") from error
 
     async def stage(self, model: str, number: int, content: bytes) -> None:
-        path = f"/gypsumpier/stage-put/{quote(model, safe='')}?num={number}"
-        await self.caller.call("PUT", path, CALL_TIMEOUT_S, body=content)
+        target = f"/gypsumpier/stage-put/{quote(model, safe='')}?num={number}"
+        (await self.caller.call("PUT", target, CALL_TIMEOUT_S, content)).checked()
 
     async def staged(self, model: str, number: int) -> bytes | None:
-        path = f"/gypsumpier/stage-get/{quote(model, safe='')}?num={number}"
-        response = await self.caller.fetch(self.caller.request("GET", path, CALL_TIMEOUT_S))
-        if response.code == NOT_FOUND:
-            return None
-        raise_for_status(response)
-        return response.body
+        target = f"/gypsumpier/stage-get/{quote(model, safe='')}?num={number}"
+        answer = await self.caller.call("GET", target, CALL_TIMEOUT_S)
+        return None if answer.status == NOT_FOUND else answer.checked()
 
     async def start(self, model: str, version: int, preempt: bool) -> bool:
         order = {
@@ -60,17 +59,13 @@
             "version": version,
             "strategy": "preempt" if preempt else "queue",
         }
-        request = self.caller.request(
-            "POST",
-            "/gypsumpier/order",
-            CALL_TIMEOUT_S,
-            body=json.dumps(order),
-            headers={"Content-Type": "application/json"},
+        body = json.dumps(order).encode()
+        answer = await self.caller.call(
+            "POST", "/gypsumpier/order", CALL_TIMEOUT_S, body, "application/json"
         )
-        response = await self.caller.fetch(request)
-        if response.code == CONFLICT:
+        if answer.status == CONFLICT:
             return False
-        raise_for_status(response)
+        answer.checked()
         return True
 
     def close(self) -> None:
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -21,7 +21,7 @@
 
 READ_TIMEOUT_S: Final = 2.0
 """Seconds for a read; the store answers within milliseconds when it is well."""
-WATCH_MARGIN_S: Final = 1.0
+WATCH_MARGIN_S: Final = 0.6
 """Seconds beyond the wait after which a watch counts as lost."""
 GONE_STATUS: Final = 410
 PAGES_MAX: Final = 1000
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -113,13 +113,16 @@
                     raise OutcomeUnknownError(reason, is_silent=True) from None
         self.wake.clear()
 
-    async def answer(self, request_id: str) -> AnswerHead:
-        """Return the head of the answer; raise OutcomeUnknownError where there is none."""
+    async def answer(self, request_id: str | None) -> AnswerHead:
+        """Return the head of the answer; raise OutcomeUnknownError where there is none.
+
+        A call that is no request of a caller has no id that its answer could echo.
+        """
         while self.head is None:
             if self.failure:
                 raise OutcomeUnknownError(self.failure)
             await self.wait()
-        if self.head.request_id != request_id:
+        if request_id is not None and self.head.request_id != request_id:
             self.finished = False
             raise OutcomeUnknownError("the answer belongs to another request")
         return self.head
