--- a/gypsumpier/sidecar/enginewatch.py
+++ b/gypsumpier/sidecar/enginewatch.py
@@ -32,7 +32,6 @@
         self.report: EngineReport | None = None
         self.is_switching = False
         self.was_reachable = True
-        self.away_since_s = time.monotonic()
         self.sequence = 0
         self.told: EngineState | None = None
         self.told_at_s = 0.0
@@ -51,7 +50,6 @@
             self.report = None
             if self.was_reachable:
                 self.was_reachable = False
-                self.away_since_s = time.monotonic()
                 decision(
                     "dependency_lost",
                     dependency="engine",
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -22,8 +22,6 @@
 """The version that a model has before another one is named."""
 DRAIN_S: Final = 0.25
 """Seconds for an engine to finish what it runs before the rest is cut and goes on elsewhere."""
-FETCH_AHEAD_S: Final = 4.0
-"""Seconds without an engine after which pieces are fetched for the one that will start."""
 RETRY_S: Final = 0.3
 """Seconds before pieces are fetched again after a failure."""
 STALLED_S: Final = 0.8
@@ -53,11 +51,13 @@
         while True:
             await asyncio.sleep(IDLE_S)
             traits = self.traits()
-            if traits is None or not traits.models or self.watch.is_busy():
+            if traits is None or not traits.models:
+                continue
+            if self.watch.report is None or self.watch.is_busy():
                 continue
             model, held = traits.models[0], self.held(traits)
             target = self.target(model, held)
-            if target == held or not self.is_worth_fetching(model, target):
+            if target == held:
                 continue
             try:
                 await self.bring(model, target, traits)
@@ -71,17 +71,6 @@
                 )
                 await asyncio.sleep(RETRY_S)
 
-    def is_worth_fetching(self, model: str, version: int) -> bool:
-        """Tell whether to bring the version now.
-
-        Without an engine its pieces are fetched ahead, but not where one is just starting, which
-        may hold them already.
-        """
-        if self.watch.report is not None:
-            return True
-        away_s = time.monotonic() - self.watch.away_since_s
-        return away_s > FETCH_AHEAD_S and not self.is_fetched(model, version)
-
     def traits(self) -> ModelTraits | None:
         """Return how the engine's service works; None while that is unknown."""
         configuration = self.beliefs.configuration
@@ -93,11 +82,6 @@
         report = self.watch.report
         return whole_version(report.layers, traits.layers) if report else 0
 
-    def is_fetched(self, model: str, version: int) -> bool:
-        """Tell whether every piece of the version is in memory."""
-        stager = self.stager
-        return stager is not None and stager.is_for(model, version) and stager.share() == 1.0
-
     def target(self, model: str, held: int) -> int:
         """Return the version to bring the engine to."""
         named = [it.version for it in self.beliefs.versions.get(model, []) if it.version > held]
@@ -112,14 +96,11 @@
         return max(ready or named)
 
     async def bring(self, model: str, version: int, traits: ModelTraits) -> None:
-        """Fetch a version, stage it, and order it live when it is this engine's turn.
-
-        Without an engine the pieces are kept in memory, ready for the one that will start.
-        """
+        """Fetch a version, stage it, and order it live when it is this engine's turn."""
         stager = self.stager
         if stager is None or not stager.is_for(model, version):
             stager = self.stager = Stager(self.mesh, self.watch.engine, model, version)
-        fetching = asyncio.create_task(stager.fetch(self.watch.report is not None))
+        fetching = asyncio.create_task(stager.fetch())
         try:
             if not await self.wait_for_turn(stager, fetching, traits):
                 return
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -38,7 +38,6 @@
         self.fetched = 0
         self.began_s = time.monotonic()
         self.progress_at_s = self.began_s
-        self.stages = True
 
     def is_for(self, model: str, version: int) -> bool:
         """Tell whether this stager brings that version."""
@@ -52,22 +51,17 @@
         """Return the seconds since the last piece arrived."""
         return time.monotonic() - self.progress_at_s
 
-    async def fetch(self, has_engine: bool) -> None:
-        """Bring every piece into memory and stage it; raise GypsumpierError on failure.
-
-        Without an engine the pieces are only kept.
-        """
+    async def fetch(self) -> None:
+        """Bring every piece into memory and stage it; raise GypsumpierError on failure."""
         began_s = self.progress_at_s = time.monotonic()
         if not self.digests:
             answer = await self.ask(PIECE_LIST, {})
             self.digests = tuple(str(digest) for digest in answer["digests"])
         wanted = [number for number in range(len(self.digests)) if number not in self.pieces]
-        if has_engine:
-            await self.verify_staged(wanted)
-            wanted = [number for number in wanted if number not in self.pieces]
+        await self.verify_staged(wanted)
+        wanted = [number for number in wanted if number not in self.pieces]
         self.left, self.began_s = len(wanted), time.monotonic()
         self.fetched = 0
-        self.stages = has_engine
         await in_parallel(wanted, self.fetch_piece, ASKS_AT_ONCE)
         if wanted:
             decision(
@@ -75,7 +69,6 @@
                 model=self.model,
                 version=self.version,
                 fetched=len(wanted),
-                staged=has_engine,
                 took_s=round(time.monotonic() - began_s, 3),
             )
 
@@ -96,8 +89,7 @@
             raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from an entry")
         self.pieces[number] = content
         self.progress_at_s = time.monotonic()
-        if self.stages:
-            await self.engine.stage(self.model, number, content)
+        await self.engine.stage(self.model, number, content)
         self.left -= 1
         self.fetched += 1
 
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -33,6 +33,9 @@
 """Seconds of reading that an engine may have before it; while it reads, what it writes pauses."""
 SPREAD_S: Final = 0.05
 """Differences of delay, in seconds, that are ignored where many requests choose at one moment."""
+CUT_COST_S: Final = 0.08
+"""Seconds of waiting that a request takes rather than to be cut by a switch, which makes one of its
+events late in about half of the cases."""
 SLOW_PACE: Final = 1.6
 """Multiple of the usual time from which an engine is used only where the others are full."""
 TURN_MARGIN_S: Final = 0.4
@@ -182,9 +185,9 @@
     ) -> UpstreamRecord | None:
         """Return the upstream with room that answers soonest, of the own zone where there is one.
 
-        A request that needs ``needed_s`` is kept from engines that switch before its end.  With
-        ``anywhere`` the own zone is not preferred, and the choice is random where delays are about
-        equal: streams that are cut together must not all go on at one engine.
+        A request that needs ``needed_s`` rather goes to engines that don't switch before its end.
+        With ``anywhere`` the own zone is not preferred, and the choice is random where delays are
+        about equal: streams that are cut together must not all go on at one engine.
         """
         free = [
             record
@@ -198,16 +201,20 @@
             return None
         sound = [record for record in free if not self.is_impaired(record)]
         free = sound or free
-        steady = [record for record in free if not self.switches_within(record, needed_s)]
-        free = steady or free
+
+        def cost_s(record: UpstreamRecord) -> float:
+            switches = self.switches_within(record, needed_s)
+            spread_s = random.uniform(0, SPREAD_S) if anywhere else 0.0
+            return self.delay_s(record) + spread_s + (CUT_COST_S if switches else 0.0)
+
         if anywhere:
-            return min(free, key=lambda record: self.delay_s(record) + random.uniform(0, SPREAD_S))
+            return min(free, key=cost_s)
         home = [
             record
             for record in free
             if record.zone == self.zone and self.load(record) < record.slots
         ]
-        return min(home or free, key=self.delay_s)
+        return min(home or free, key=cost_s)
 
     def is_usable(self, record: UpstreamRecord) -> bool:
         """Tell whether neither the upstream nor the way to its zone has just failed."""
