--- a/gypsumpier/fleet/beliefs.py
+++ b/gypsumpier/fleet/beliefs.py
@@ -139,8 +139,10 @@
             return
         now_s = boot_time_s()
         is_continuous = now_s - self.known_until_s < CONTINUOUS_S
-        # After a gap the version may have been named as early as the last proof.
-        learned_at_s = now_s if is_continuous else self.known_until_s
+        # After a gap the version may have been named as early as the last proof.  Time in which the
+        # store was away does not count towards the bound.
+        is_heard = is_continuous or self.is_after_outage()
+        learned_at_s = now_s if is_heard else self.known_until_s
         named.append(WantedVersion(change.version, learned_at_s))
         del named[:-VERSIONS_KEPT]
         decision(
@@ -176,6 +178,29 @@
             source=origin,
         )
 
+    def named_ages(self) -> dict[str, list[list[float]]]:
+        """Return the versions of each model with the seconds since they were named, for a peer."""
+        now_s = boot_time_s()
+        return {
+            model: [[it.version, now_s - it.learned_at_s] for it in named]
+            for model, named in self.versions.items()
+        }
+
+    def note_named_ages(self, ages: dict[str, list[list[float]]]) -> None:
+        """Take what a peer knows better of when versions were named.
+
+        Each process errs towards too early, so the later time is the better one.
+        """
+        now_s = boot_time_s()
+        for model, found in ages.items():
+            told = {int(version): now_s - float(age_s) for version, age_s in found}
+            self.versions[model] = [
+                it._replace(
+                    learned_at_s=max(it.learned_at_s, told.get(it.version, it.learned_at_s))
+                )
+                for it in self.versions.get(model, [])
+            ]
+
     def wanted(self, model: str) -> WantedVersion | None:
         """Return the newest version of the model; None where none was ever named."""
         named = self.versions.get(model)
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -18,7 +18,7 @@
 ENGINES: Final = "engines"
 NEAR_INTERVAL_S: Final = 0.02
 """Seconds between two messages of changed counts within an availability zone."""
-FAR_ROUNDS: Final = 12
+FAR_ROUNDS: Final = 6
 """Rounds of the zone for each message to other zones, whose links are narrow."""
 TELLERS_PER_ZONE: Final = 2
 """Entries of a zone that tell the other zones of its engines."""
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -90,6 +90,7 @@
             "records": [list(record) for record in batch.records],
             "whole": batch.is_snapshot,
             "age_s": self.beliefs.proof_age_s(),
+            "named": self.beliefs.named_ages(),
             "outage_ago_s": boot_time_s() - self.beliefs.outage_ended_at_s,
         }
 
@@ -107,6 +108,7 @@
         self.beliefs.note_outage_ended(max(0.0, float(payload["outage_ago_s"])))
         proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
         self.beliefs.apply(batch, proven_at_s, peer.name)
+        self.beliefs.note_named_ages(payload["named"])
 
     def note_revision(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Note that a newer revision exists."""
--- a/gypsumpier/test/test_beliefs.py
+++ b/gypsumpier/test/test_beliefs.py
@@ -56,6 +56,25 @@
         later(listening, wanted)
         self.assertGreater(listening.versions[MODEL][-1].learned_at_s, boot_time_s() - 1.0)
 
+    def test_time_in_which_the_store_was_away_does_not_count(self) -> None:
+        """Pattern: a version is named while the store is down, and learned as it returns.
+
+        Taking it for due at once would refuse everything until the engines have switched.
+        """
+        beliefs = beliefs_of(configuration_record(), proven_ago_s=9.0)
+        beliefs.note_outage_ended(0.0)
+        later(beliefs, record(f"op/version/{MODEL}", {"model": MODEL, "version": 3}, 2))
+        self.assertGreater(beliefs.versions[MODEL][-1].learned_at_s, boot_time_s() - 1.0)
+
+    def test_a_process_that_has_started_learns_from_a_peer_when_a_version_was_named(self) -> None:
+        beliefs = beliefs_of(record(f"op/version/{MODEL}", {"model": MODEL, "version": 3}, 2))
+        beliefs.note_named_ages({MODEL: [[3, 2.0]], "other": [[1, 5.0]]})
+        age_s = boot_time_s() - beliefs.versions[MODEL][-1].learned_at_s
+        self.assertAlmostEqual(2.0, age_s, delta=0.5)
+        beliefs.note_named_ages({MODEL: [[3, float("inf")]]})
+        age_s = boot_time_s() - beliefs.versions[MODEL][-1].learned_at_s
+        self.assertAlmostEqual(2.0, age_s, delta=0.5)
+
     def test_each_named_version_has_its_own_time(self) -> None:
         """Pattern: a version is named while the one before it is under way.
 
