--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -17,6 +17,7 @@
 from gypsumpier.codes.weight import CHUNK_CORRUPT
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.beliefs import Beliefs
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.log import decision
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
@@ -31,6 +32,11 @@
 """Sidecars that are asked for a piece before other sources."""
 ASK_TIMEOUT_S: Final = 1.5
 """Seconds for a peer to answer; the origin needs about 0.2 s for the pieces asked for at once."""
+JUST_NAMED_S: Final = 1.0
+"""Seconds for which a version counts as just named."""
+SETTLE_S: Final = 1.0
+"""Seconds after the start in which an entry that knows no other waits before it draws."""
+SETTLE_POLL_S: Final = 0.05
 ORIGIN_DRAWS: Final = 4
 """Pieces drawn from the origin at once; its link is full with fewer."""
 ORIGIN_TRIES: Final = 6
@@ -64,6 +70,7 @@
         self.dial_origin = dial_origin
         self.holders = holders
         self.origins: dict[tuple[str, int], PieceOrigin] = {}
+        self.started_at_s = time.monotonic()
         self.lists: dict[tuple[str, int], PieceList] = {}
         self.pieces: dict[PieceKey, bytes] = {}
         self.running: dict[tuple[str, int, int], asyncio.Task[Any]] = {}
@@ -123,14 +130,28 @@
     def draw_named(self) -> None:
         """Begin to draw every version that has just been named, where this entry draws first.
 
-        The origin may be down a moment later, and sidecars ask no faster than their links allow.
+        The origin may be down a moment later, and sidecars ask no faster than their links allow.  A
+        version that was named before is drawn as it is asked for: after a restart of everything no
+        entry knows the others yet, and each would draw a whole copy over the one slow link.
         """
-        if self.sources():
+        if not self.is_first_at_origin():
             return
+        heard_after_s = boot_time_s() - JUST_NAMED_S
         for model, named in self.beliefs.versions.items():
-            key = model, named[-1].version, DRAW_ALL
-            if key[:2] not in self.lists and key not in self.running:
-                self.begin(key, self.draw_all(model, named[-1].version))
+            newest = named[-1]
+            key = model, newest.version, DRAW_ALL
+            is_new = key[:2] not in self.lists and key not in self.running
+            if is_new and newest.learned_at_s > heard_after_s:
+                self.begin(key, self.draw_all(model, newest.version))
+
+    def is_first_at_origin(self) -> bool:
+        """Tell whether this entry is known to be the first of the origin's zone."""
+        configuration = self.beliefs.configuration
+        place = configuration.origin() if configuration else None
+        own = self.mesh.own
+        if place is None or own.zone != place.zone or not self.mesh.peers(ENTRY):
+            return False
+        return not self.sources()
 
     async def draw_all(self, model: str, version: int) -> None:
         """Draw every piece of a version; what fails is drawn once a sidecar asks for it."""
@@ -164,6 +185,7 @@
         content = await self.from_holder(payload, digests[number])
         if content is not None:
             return content
+        await self.settle()
         for peer in self.sources():
             answer = await self.ask(peer, PIECE, payload)
             if answer is not None and is_intact(answer.get("content"), digests[number]):
@@ -209,6 +231,12 @@
             if answer is None or len(content) >= int(answer["size"]):
                 return content
 
+    async def settle(self) -> None:
+        """Wait for other entries to be found, which one of them may have what is wanted."""
+        until_s = self.started_at_s + SETTLE_S
+        while not self.mesh.peers(ENTRY) and time.monotonic() < until_s:
+            await asyncio.sleep(SETTLE_POLL_S)
+
     async def ask(self, peer: Peer, kind: str, payload: dict[str, Any]) -> dict[str, Any] | None:
         """Return a peer's answer; None, with a log line, where there is none."""
         link = self.mesh.link(peer.name)
--- a/gypsumpier/test/test_pieces.py
+++ b/gypsumpier/test/test_pieces.py
@@ -7,7 +7,12 @@
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PieceCache
 from gypsumpier.sidecar.stager import Stager
-from gypsumpier.test.builders_platform import beliefs_of, configuration_record
+from gypsumpier.test.builders_platform import (
+    beliefs_of,
+    configuration_record,
+    later,
+    record,
+)
 from gypsumpier.test.fakes_piece import (
     PIECES,
     FakeEngine,
@@ -57,6 +62,39 @@
         self.assertEqual({piece_of(2, n) for n in range(PIECES)}, set(contents))
         self.assertEqual(list(range(PIECES)), sorted(self.fleet.origin.drawn))
 
+    async def test_a_version_that_was_named_before_a_restart_is_not_drawn_by_every_entry(
+        self,
+    ) -> None:
+        """Pattern: all machines lose power, and each entry starts knowing no other."""
+        wanted = record("op/version/m", {"model": "m", "version": 2}, 2)
+        for cache in self.fleet.caches:
+            cache.beliefs = beliefs_of(configuration_record(), wanted)
+            cache.draw_named()
+        await asyncio.sleep(0.05)
+        self.assertEqual([], self.fleet.origin.drawn)
+
+    async def test_a_version_that_has_just_been_named_is_drawn_once(self) -> None:
+        wanted = record("op/version/m", {"model": "m", "version": 2}, 2)
+        for cache in self.fleet.caches:
+            later(cache.beliefs, wanted)
+            cache.draw_named()
+        await asyncio.sleep(0.05)
+        self.assertEqual(list(range(PIECES)), sorted(self.fleet.origin.drawn))
+
+    async def test_an_entry_that_knows_no_other_yet_waits_for_one_before_it_draws(self) -> None:
+        """Pattern: the same restart, and a sidecar asks an entry that was the first to be up."""
+        others = {
+            name: mesh for name, mesh in self.fleet.network.items() if name != "front-bac-a-0"
+        }
+        self.fleet.network.clear()
+        self.fleet.network["front-bac-a-0"] = self.fleet.meshes[0]
+        self.fleet.origin.drawn.clear()
+        asked = asyncio.create_task(self.fleet.caches[3].piece("m", 2, 0))
+        await asyncio.sleep(0.1)
+        self.fleet.network.update(others)
+        await asked
+        self.assertEqual([0], self.fleet.origin.drawn)
+
     async def test_a_sidecar_gets_every_piece_staged(self) -> None:
         await self.fleet.stager().fetch()
         self.assertTrue(self.fleet.is_staged())
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -29,7 +29,7 @@
 QUEUED_COST_S: Final = 0.06
 """Seconds by which each request beyond the slots delays a new one: a slot becomes free about that
 often at an engine whose requests take a second."""
-UNREAD_MAX_S: Final = 0.15
+UNREAD_MAX_S: Final = 0.12
 """Seconds of reading that an engine may have before it; while it reads, what it writes pauses."""
 SPREAD_S: Final = 0.05
 """Differences of delay, in seconds, that are ignored where many requests choose at one moment."""
