--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -12,7 +12,7 @@
 from gypsumpier.fleet.beliefs import Beliefs
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.upstream import UpstreamRecord
-from gypsumpier.gateway.line import Waiting, WaitingLine
+from gypsumpier.gateway.line import RATE_LEAST_PER_S, Waiting, WaitingLine
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.metrics import REGISTRY
@@ -34,8 +34,6 @@
 """Share by which Retry-After is spread, so that refused callers don't come back together."""
 RETRY_SHARE_MAX: Final = 1 / 3
 """Share of the time left beyond which a caller does not honour Retry-After."""
-SHARE_LEAST_PER_S: Final = 0.5
-"""Lowest rate that is assumed, so that an estimate stays finite."""
 PUMP_INTERVAL_S: Final = 0.05
 """Seconds between two looks at requests whose time has run out."""
 
@@ -184,12 +182,13 @@
 
     def share_per_s(self, service: str) -> float:
         """Return this entry's even share of the requests a second that the upstreams can serve."""
-        slots = sum(record.slots for record in self.board.candidates(service))
+        records = self.board.candidates(service)
+        slots = sum(record.slots for record in records if self.board.is_usable(record))
         model = self.model(service)
         work_s = PLAIN_WORK_S
         if model is not None:
             work_s = self.work_s(model, model.mean_prompt_tokens, model.mean_answer_tokens)
-        return max(SHARE_LEAST_PER_S, slots / max(work_s, PLAIN_WORK_S) / self.entries)
+        return max(RATE_LEAST_PER_S, slots / max(work_s, PLAIN_WORK_S) / self.entries)
 
     def pump_all(self) -> None:
         """Look at every service."""
--- a/gypsumpier/gateway/line.py
+++ b/gypsumpier/gateway/line.py
@@ -17,6 +17,8 @@
 
 RATE_WINDOW_S: Final = 2.0
 """Seconds over which the rate of places that become free is measured."""
+RATE_LEAST_PER_S: Final = 0.5
+"""Lowest rate that is assumed, so that an estimate stays finite."""
 IDLE_WORKSPACES_MAX: Final = 1024
 
 
@@ -55,11 +57,14 @@
         self.virtual = 0.0
         self.arrivals = 0
         self.granted_at_s: deque[float] = deque()
+        self.formed_at_s = 0.0
 
     def add(
         self, request: GatewayRequest, least_version: int, latest_s: float, goal_s: float
     ) -> Waiting:
         """Let a request wait."""
+        if not self.waiting:
+            self.formed_at_s = time.monotonic()
         workspace = request.workspace_name
         start = max(self.virtual, self.finish_tags.get(workspace, 0.0))
         self.finish_tags[workspace] = start + 1.0
@@ -98,13 +103,16 @@
     def rate_per_s(self, share_per_s: float) -> float:
         """Return how many requests a second get a place.
 
-        That is what was seen lately, or this entry's even share of what the upstreams can do: a
-        line that has just formed has seen nothing yet.
+        That is what was seen lately.  A line that has formed less than a window ago has not seen
+        enough: this entry's even share of what the upstreams can do then counts, where it is more.
         """
         oldest_s = time.monotonic() - RATE_WINDOW_S
         while self.granted_at_s and self.granted_at_s[0] < oldest_s:
             self.granted_at_s.popleft()
-        return max(share_per_s, len(self.granted_at_s) / RATE_WINDOW_S)
+        seen_per_s = len(self.granted_at_s) / RATE_WINDOW_S
+        if time.monotonic() - self.formed_at_s < RATE_WINDOW_S:
+            return max(share_per_s, seen_per_s)
+        return max(RATE_LEAST_PER_S, seen_per_s)
 
     def refuse_hopeless(self, share_per_s: float) -> None:
         """Refuse the requests whose turn is estimated to come too late.
--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -5,10 +5,16 @@
 
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.line import RATE_WINDOW_S
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
-from gypsumpier.test.builders_platform import beliefs_of, configuration_record
+from gypsumpier.test.builders_platform import (
+    beliefs_of,
+    configuration_record,
+    engine_record,
+    later,
+)
 from gypsumpier.upstream.board import Load
 
 FULL = 18
@@ -69,6 +75,32 @@
             self.assertGreater(found.retry_after_s or 0.0, 1.0)
         await end(calls)
 
+    async def test_a_line_that_has_not_moved_for_long_gives_up_its_hopes(self) -> None:
+        """Pattern: engines are reachable by the list and serve nobody, as in a cut or a stall.
+
+        What they could do at best must not keep callers waiting who can't be served in time.
+        """
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        calls = [waiting_for(admission, request_of(beliefs)) for _ in range(10)]
+        await asyncio.sleep(0.02)
+        self.assertEqual(0, sum(call.done() for call in calls))
+        admission.line("engines").formed_at_s -= RATE_WINDOW_S
+        admission.pump_all()
+        await asyncio.sleep(0)
+        self.assertGreaterEqual(sum(call.done() for call in calls), 8)
+        await end(calls)
+
+    async def test_upstreams_of_a_zone_that_is_cut_off_are_no_capacity(self) -> None:
+        beliefs = engines(1)
+        for number in (2, 3):
+            later(beliefs, engine_record(number, 8 + number, zone="nam-a"))
+        admission = admission_of(beliefs)
+        whole = admission.share_per_s("engines")
+        admission.board.note_unreachable(beliefs.upstreams["i-2"])
+        self.assertAlmostEqual(whole / 3, admission.share_per_s("engines"), delta=0.1)
+
     async def test_a_stream_that_has_begun_goes_before_new_requests(self) -> None:
         beliefs = engines(1)
         admission = admission_of(beliefs)
