--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -25,7 +25,12 @@
 PATIENCE_GAPS: Final = 8.0
 """Multiple of the goal for a pause that a caller waits, where that is longer."""
 FIRST_EVENT_S: Final = 0.25
-"""Seconds from a place at an engine to the first event, of a long prompt beside others."""
+"""Seconds from a place at an engine to the first event, of a long prompt beside others; what is
+seen replaces it as an estimate."""
+FIRST_EVENT_GAIN: Final = 0.1
+"""Weight of the newest request in the time to the first event."""
+FIRST_EVENT_SPREAD: Final = 1.3
+"""Multiple of the mean time to the first event that covers most requests."""
 PLAIN_WORK_S: Final = 0.1
 """Seconds that a plain service takes, above its mean."""
 NO_UPSTREAM_WAIT_S: Final = 0.5
@@ -64,6 +69,7 @@
         self.least_version = least_version
         self.random = random.Random()
         self.entries = 1
+        self.first_event_s: dict[str, float] = {}
         self.lines: dict[str, WaitingLine] = {}
 
     def line(self, service: str) -> WaitingLine:
@@ -77,6 +83,8 @@
         """
         began_s = time.monotonic()
         line = self.line(request.service)
+        if not request.attempts:
+            line.note_arrived()
         record = None if line.waiting else self.place(request)
         if record is not None:
             line.note_granted()
@@ -221,9 +229,17 @@
 
     def goal_s(self, request: GatewayRequest) -> float:
         """Return when the request must have its place for its answer to be on time."""
-        needed_s = FIRST_EVENT_S if request.route.is_streamed else PLAIN_WORK_S
+        needed_s = PLAIN_WORK_S
+        if request.route.is_streamed:
+            seen_s = self.first_event_s.get(request.service, FIRST_EVENT_S)
+            needed_s = FIRST_EVENT_SPREAD * seen_s
         return request.received_at_s + request.route.goal_s - needed_s
 
+    def note_first_event(self, service: str, took_s: float) -> None:
+        """Take how long a place at an engine took to the first event."""
+        known_s = self.first_event_s.get(service, FIRST_EVENT_S)
+        self.first_event_s[service] = known_s + FIRST_EVENT_GAIN * (took_s - known_s)
+
     def refusal(self, request: GatewayRequest, wait_s: float) -> Refusal:
         """Return the refusal of a request whose wait would be too long."""
         left_s = request.left_s()
--- a/gypsumpier/gateway/line.py
+++ b/gypsumpier/gateway/line.py
@@ -17,6 +17,14 @@
 
 RATE_WINDOW_S: Final = 2.0
 """Seconds over which the rate of places that become free is measured."""
+BEGUN: Final = 0
+TIMELY: Final = 1
+LATE: Final = 2
+"""Ranks of waiting requests; the smallest goes first."""
+OVERTAKING_SHARE: Final = 0.7
+"""Share of the arrivals seen lately that is expected to go on and to overtake who is late."""
+LATE_SHARE: Final = 0.15
+"""Share of the places that late requests get at least, in the estimate of their wait."""
 RATE_LEAST_PER_S: Final = 0.5
 """Lowest rate that is assumed, so that an estimate stays finite."""
 IDLE_WORKSPACES_MAX: Final = 1024
@@ -44,7 +52,7 @@
 
         A stream that has begun goes before everything, as its caller sees the pause.
         """
-        rank = 0 if self.request.last_event_id else 2 if now_s > self.goal_s else 1
+        rank = BEGUN if self.request.last_event_id else LATE if now_s > self.goal_s else TIMELY
         return rank, self.request.priority, self.start_tag, self.arrival
 
 
@@ -57,6 +65,7 @@
         self.virtual = 0.0
         self.arrivals = 0
         self.granted_at_s: deque[float] = deque()
+        self.arrived_at_s: deque[float] = deque()
         self.formed_at_s = 0.0
 
     def add(
@@ -100,16 +109,17 @@
         """Count a place towards the rate."""
         self.granted_at_s.append(time.monotonic())
 
+    def note_arrived(self) -> None:
+        """Count a request that asks for a place for the first time."""
+        self.arrived_at_s.append(time.monotonic())
+
     def rate_per_s(self, share_per_s: float) -> float:
         """Return how many requests a second get a place.
 
         That is what was seen lately.  A line that has formed less than a window ago has not seen
         enough: this entry's even share of what the upstreams can do then counts, where it is more.
         """
-        oldest_s = time.monotonic() - RATE_WINDOW_S
-        while self.granted_at_s and self.granted_at_s[0] < oldest_s:
-            self.granted_at_s.popleft()
-        seen_per_s = len(self.granted_at_s) / RATE_WINDOW_S
+        seen_per_s = recent_per_s(self.granted_at_s)
         if time.monotonic() - self.formed_at_s < RATE_WINDOW_S:
             return max(share_per_s, seen_per_s)
         return max(RATE_LEAST_PER_S, seen_per_s)
@@ -117,13 +127,27 @@
     def refuse_hopeless(self, share_per_s: float) -> None:
         """Refuse the requests whose turn is estimated to come too late.
 
-        Only those behind the hopeless one gain from its leaving, so the order is kept.
+        Requests that are late already are overtaken by those that still arrive in time.  Only those
+        behind a hopeless one gain from its leaving, so the order is kept.
         """
         now_s, rate = time.monotonic(), self.rate_per_s(share_per_s)
-        position = 0
+        overtaking_per_s = OVERTAKING_SHARE * recent_per_s(self.arrived_at_s)
+        late_rate = max(rate - overtaking_per_s, LATE_SHARE * rate)
+        position = late_position = 0
         for waiting in self.ordered():
-            wait_s = position / rate
+            is_late = waiting.rank(now_s)[0] == LATE
+            wait_s = position / rate + (late_position / late_rate if is_late else 0.0)
             if now_s + wait_s > waiting.latest_s:
                 self.refuse(waiting, wait_s)
+            elif is_late:
+                late_position += 1
             else:
                 position += 1
+
+
+def recent_per_s(times: deque[float]) -> float:
+    """Return how many of the times lie within the window, as a rate; forget the older ones."""
+    oldest_s = time.monotonic() - RATE_WINDOW_S
+    while times and times[0] < oldest_s:
+        times.popleft()
+    return len(times) / RATE_WINDOW_S
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -184,7 +184,8 @@
             waited_s=round(request.age_s(), 3),
             attempts=request.attempts,
         )
-        request.sent_first_at_s = request.sent_first_at_s or time.monotonic()
+        request.sent_at_s = time.monotonic()
+        request.sent_first_at_s = request.sent_first_at_s or request.sent_at_s
         address = Address(record.host, record.port)
 
         def may_leave() -> bool:
@@ -271,6 +272,9 @@
                 continue
             if not writer.status:
                 writer.begin(head, None)
+            if not request.first_event_at_s:
+                took_s = time.monotonic() - request.sent_at_s
+                self.admission.note_first_event(request.service, took_s)
             request.note_event()
             await writer.write(events.content)
             if events.ids:
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -30,6 +30,7 @@
     tried: set[tuple[str, int]] = field(default_factory=set)
     last_event_id: str = ""
     sent_first_at_s: float = 0.0
+    sent_at_s: float = 0.0
     unread_tokens: int = 0
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -17,7 +17,7 @@
 )
 from gypsumpier.upstream.board import Load
 
-FULL = 18
+FULL = 17
 
 
 def fill(admission: Admission, engine: str = "i-1") -> None:
@@ -75,6 +75,41 @@
             self.assertGreater(found.retry_after_s or 0.0, 1.0)
         await end(calls)
 
+    async def test_in_a_lasting_overload_who_is_late_is_told_at_once_when_to_come_back(
+        self,
+    ) -> None:
+        """Pattern: for seconds more arrives than can be served, as after a restart of everything.
+
+        Newcomers that can still be on time take every place, so whoever is late already would wait
+        in vain until giving up; a few may wait for places that newcomers leave.
+        """
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        fill(admission)
+        line = admission.line("engines")
+        for _ in range(40):
+            line.note_granted()
+            line.note_arrived()
+            line.note_arrived()
+        calls = [waiting_for(admission, request_of(beliefs, age_s=0.6)) for _ in range(20)]
+        timely = waiting_for(admission, request_of(beliefs))
+        await asyncio.sleep(0.02)
+        admission.pump_all()
+        await asyncio.sleep(0)
+        refused = sum(call.done() for call in calls)
+        self.assertTrue(14 <= refused <= 18, refused)
+        self.assertFalse(timely.done())
+        await end([*calls, timely])
+
+    async def test_what_engines_take_to_the_first_event_decides_who_can_be_on_time(self) -> None:
+        beliefs = engines(1)
+        admission = admission_of(beliefs)
+        request = request_of(beliefs)
+        before_s = admission.goal_s(request)
+        for _ in range(50):
+            admission.note_first_event("engines", 0.1)
+        self.assertAlmostEqual(before_s + 0.195, admission.goal_s(request), delta=0.01)
+
     async def test_a_line_that_has_not_moved_for_long_gives_up_its_hopes(self) -> None:
         """Pattern: engines are reachable by the list and serve nobody, as in a cut or a stall.
 
--- a/gypsumpier/test/test_upstream_board.py
+++ b/gypsumpier/test/test_upstream_board.py
@@ -82,7 +82,7 @@
 
     def test_a_full_fleet_has_no_place(self) -> None:
         board = board_of(engines(2))
-        board.note_peer("other", {"i-1": Load(18, 0), "i-2": Load(18, 0)})
+        board.note_peer("other", {"i-1": Load(17, 0), "i-2": Load(17, 0)})
         self.assertIsNone(self.choose(board))
 
     def test_prompts_that_are_not_read_yet_count_more_than_running_requests(self) -> None:
@@ -97,7 +97,7 @@
         other, and whoever is last would be late.
         """
         board = board_of(engines(2))
-        board.note_peer("other", {"i-2": Load(18, 0)})
+        board.note_peer("other", {"i-2": Load(17, 0)})
         sent = 0
         while self.choose(board) is not None:
             board.begin(board.beliefs.upstreams["i-1"], 1300)
@@ -168,7 +168,7 @@
         board.note_engine(state_of(1, 1, 1, pace=4.0))
         board.note_peer("other", {"i-2": Load(10, 0)})
         self.assertEqual("i-2", self.choose(board))
-        board.note_peer("other", {"i-2": Load(18, 0)})
+        board.note_peer("other", {"i-2": Load(17, 0)})
         self.assertEqual("i-1", self.choose(board))
 
     def test_a_zone_that_is_cut_off_is_left_alone_after_one_failure(self) -> None:
@@ -180,7 +180,7 @@
         for number in (2, 3, 4):
             later(beliefs, engine_record(number, 8 + number, zone="nam-a"))
         board = board_of(beliefs)
-        board.note_peer("other", {"i-1": Load(18, 0)})
+        board.note_peer("other", {"i-1": Load(17, 0)})
         board.note_unreachable(beliefs.upstreams["i-2"])
         self.assertIsNone(self.choose(board))
         board.note_success(beliefs.upstreams["i-3"])
--- a/gypsumpier/upstream/board.py
+++ b/gypsumpier/upstream/board.py
@@ -19,7 +19,7 @@
 
 PEER_LOAD_MAX_AGE_S: Final = 2.0
 """Seconds after which the counts of an entry that says nothing more are dropped."""
-SPARE_SLOTS_SHARE: Final = 0.125
+SPARE_SLOTS_SHARE: Final = 0.0625
 """Share of an upstream's slots that may wait in its own queue, so that a slot that becomes free is
 filled before the entries have heard of it."""
 
