--- /dev/null
+++ b/gypsumpier/test/test_mesh.py
@@ -0,0 +1,122 @@
+"""Tests of the streams between processes on the platform, over loopback connections."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from tornado.netutil import bind_sockets
+
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.node import Address
+from gypsumpier.mesh.link import SEND_QUEUE_MAX
+from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.wire.tcp import TcpDialer, TcpListener
+
+SETTLE_TIMEOUT_S = 5.0
+
+
+class Node:
+    """One process's mesh with its listener, where it is an entry."""
+
+    def __init__(self, name: str, zone: str, role: str = ENTRY) -> None:
+        self.sockets = bind_sockets(0, "127.0.0.1") if role == ENTRY else []
+        port = self.sockets[0].getsockname()[1] if self.sockets else 0
+        own = Peer(name, role, zone, zone, "127.0.0.1", port, "run")
+        self.mesh = Mesh(own, (), TcpDialer())
+        self.listener = TcpListener(self.mesh.accept)
+
+    def start(self, *seeds: "Node") -> None:
+        """Listen and dial the seeds."""
+        self.listener.add_sockets(self.sockets)
+        self.mesh.seeds = tuple(Address(node.mesh.own.host, node.mesh.own.port) for node in seeds)
+        self.mesh.start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.listener.stop()
+        await self.mesh.stop()
+
+    def names(self, role: str = ENTRY) -> list[str]:
+        """Return the connected peers of a role."""
+        return [peer.name for peer in self.mesh.peers(role)]
+
+
+async def until(condition: Any) -> None:
+    """Wait until the condition holds."""
+    async with asyncio.timeout(SETTLE_TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class MeshTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.nodes = [Node("a-1", "a"), Node("a-2", "a"), Node("b-1", "b")]
+        first = self.nodes[0]
+        for node in self.nodes:
+            node.start(first)
+        await until(lambda: all(len(node.names()) == 2 for node in self.nodes))
+
+    async def asyncTearDown(self) -> None:
+        for node in self.nodes:
+            await node.stop()
+
+    async def test_entries_find_each_other_through_one_seed(self) -> None:
+        self.assertEqual(["a-1", "a-2"], self.nodes[2].names())
+
+    async def test_a_sidecar_keeps_only_the_entries_of_its_zone(self) -> None:
+        sidecar = Node("side", "b", SIDECAR)
+        sidecar.start(self.nodes[0])
+        self.nodes.append(sidecar)
+        await until(lambda: sidecar.names() == ["b-1"])
+        self.assertEqual(["side"], self.nodes[2].names(SIDECAR))
+
+    async def test_messages_and_questions_reach_the_peer(self) -> None:
+        heard: list[tuple[str, Any]] = []
+        self.nodes[1].mesh.listeners["note"] = lambda peer, body: heard.append((peer.name, body))
+
+        async def answer(peer: Peer, body: dict[str, Any]) -> dict[str, Any]:
+            return {"twice": body["number"] * 2}
+
+        self.nodes[1].mesh.answerers["double"] = answer
+        self.nodes[0].mesh.post("a-2", "note", {"n": 1})
+        link = self.nodes[0].mesh.link("a-2")
+        assert link is not None
+        self.assertEqual({"twice": 42}, await link.ask("double", {"number": 21}, 1.0))
+        await until(lambda: heard == [("a-1", {"n": 1})])
+
+    async def test_a_question_that_fails_is_an_error_and_leaves_the_connection_open(self) -> None:
+        async def answer(peer: Peer, body: dict[str, Any]) -> dict[str, Any]:
+            return {"value": body["missing"]}
+
+        self.nodes[1].mesh.answerers["broken"] = answer
+        link = self.nodes[0].mesh.link("a-2")
+        assert link is not None
+        with self.assertRaises(GypsumpierError):
+            await link.ask("broken", {}, 1.0)
+        self.assertIn("a-2", self.nodes[0].names())
+
+    async def test_a_malformed_message_leaves_the_connection_open(self) -> None:
+        def listen(peer: Peer, body: dict[str, Any]) -> None:
+            raise ValueError(body)
+
+        self.nodes[1].mesh.listeners["note"] = listen
+        self.nodes[0].mesh.post("a-2", "note", {"n": 1})
+        await asyncio.sleep(0.05)
+        self.assertIn("a-2", self.nodes[0].names())
+
+    async def test_a_peer_that_restarts_is_found_again(self) -> None:
+        await self.nodes[1].stop()
+        await until(lambda: self.nodes[0].names() == ["b-1"])
+        again = Node("a-2", "a")
+        self.nodes[1] = again
+        again.start(self.nodes[0])
+        await until(lambda: self.nodes[0].names() == ["a-2", "b-1"])
+        await until(lambda: self.nodes[2].names() == ["a-1", "a-2"])
+
+    async def test_a_peer_that_reads_nothing_is_disconnected_and_holds_up_nobody(self) -> None:
+        link = self.nodes[0].mesh.link("a-2")
+        assert link is not None
+        for number in range(SEND_QUEUE_MAX + 1):
+            link.post("note", {"n": number})
+        self.assertTrue(link.connection.closed)
