Never call not run what may have run; an upstream's own failure does not rule it out

Causes, found by reading and shown by tests that failed first: a repeatable request that had been cut once and then found no place was refused with 503, which promises that it has not run; each status 500 of a lookup (one in seven fails at every upstream) paused its upstream for half a second and spent two repeats. What a failed try tells moves to gateway/failures.py, draws from the origin to piece/origindraws.py; a wrong field of the settings file is no longer told as a flag.

--- /dev/null
+++ b/gypsumpier/gateway/failures.py
@@ -0,0 +1,93 @@
+"""What a failed try tells of its upstream: noted for later choices, and logged."""
+
+import asyncio
+from typing import Final
+
+from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.crashes import CrashBoard
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.log import decision
+from gypsumpier.upstream.board import UpstreamBoard
+from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
+from gypsumpier.upstream.pool import UpstreamPool
+
+TIME_LIMIT_MARGIN_S: Final = 0.05
+"""Seconds before the time limit from which a silent upstream is held to be at fault."""
+
+
+class FailureNotes:
+    """Notes failed tries on the board and among the suspects of crashes."""
+
+    def __init__(self, board: UpstreamBoard, pool: UpstreamPool, crashes: CrashBoard) -> None:
+        self.board = board
+        self.pool = pool
+        self.crashes = crashes
+        self.looks: set[asyncio.Task[None]] = set()
+
+    def note_not_run(
+        self, request: GatewayRequest, record: UpstreamRecord, error: NotRunError
+    ) -> None:
+        """Note a try that has certainly not run."""
+        health, run = self.board.health, record.run_key()
+        if error.is_replaced:
+            health.note_replaced(run)
+        elif not error.is_promised:
+            self.board.note_unreachable(record)
+        elif error.is_unfit:
+            health.note_failure(run)
+        else:
+            health.note_full(run)
+        health.note_outcome(run, failed=True)
+        request.tried.add(run)
+        log_failure(request, record, error.reason, "not_run")
+
+    def note_unknown(
+        self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
+    ) -> None:
+        """Note a try that may have run."""
+        request.attempts += 1
+        request.tried.add(record.run_key())
+        # An engine that switches to new weights cuts what it runs, and is well.
+        if not self.board.is_switching(record):
+            self.board.health.note_outcome(record.run_key(), failed=True)
+            if error.is_silent:
+                self.board.note_unreachable(record)
+            elif not error.is_answered:
+                self.board.health.note_failure(record.run_key())
+                self.suspect_crash(request, record)
+        log_failure(request, record, error.reason, "unknown")
+
+    def note_cancelled(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Note an upstream that was still silent when the time limit was reached."""
+        if request.left_s() <= TIME_LIMIT_MARGIN_S and not request.first_event_at_s:
+            self.board.health.note_outcome(record.run_key(), failed=True)
+            self.board.health.note_failure(record.run_key())
+
+    def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Find out whether the upstream died while it ran the request."""
+
+        async def look() -> None:
+            try:
+                stream = await self.pool.connect(Address(record.host, record.port))
+                stream.close()
+            except NotRunError:
+                self.crashes.note_crash(request, record)
+
+        task = asyncio.create_task(look())
+        self.looks.add(task)
+        task.add_done_callback(self.looks.discard)
+
+
+def log_failure(request: GatewayRequest, record: UpstreamRecord, reason: str, outcome: str) -> None:
+    """Log a try that failed."""
+    decision(
+        "attempt_failed",
+        request=request.head.request_id,
+        upstream=record.id,
+        address=f"{record.host}:{record.port}",
+        attempts=request.attempts,
+        age_s=round(request.age_s(), 3),
+        outcome=outcome,
+        reason=reason,
+    )
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -16,11 +16,13 @@
     EVERY_TRY_REFUSED,
     SUSPECTED_OF_CRASHES,
 )
+from gypsumpier.codes.result import Outcome
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.admission import Admission
 from gypsumpier.gateway.crashes import CrashBoard
 from gypsumpier.gateway.events import EventSplitter
+from gypsumpier.gateway.failures import FailureNotes
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.retries import RetryBudget
@@ -39,8 +41,6 @@
 """Seconds without an answer after which a repeatable plain request is better sent elsewhere."""
 RETRY_AFTER_S: Final = 0.2
 """Seconds after which a request that every upstream refused is worth another try."""
-TIME_LIMIT_MARGIN_S: Final = 0.05
-"""Seconds before the time limit from which a silent upstream is held to be at fault."""
 SERVER_ERROR: Final = 500
 MISDIRECTED: Final = 421
 URGENCY_MAX: Final = 9
@@ -62,7 +62,7 @@
         self.pool = pool
         self.retries = retries
         self.crashes = crashes
-        self.looks: set[asyncio.Task[None]] = set()
+        self.failures = FailureNotes(board, pool, crashes)
 
     async def run(self, request: GatewayRequest, writer: AnswerWriter) -> None:
         """Answer the request; raise Refusal where no upstream's answer reaches the caller."""
@@ -70,104 +70,45 @@
         refused_s = self.crashes.refused_for_s(request)
         if refused_s > 0:
             raise Refusal(SUSPECTED_OF_CRASHES, 503, "it ran when upstreams crashed", refused_s)
+        try:
+            await self.try_upstreams(request, writer)
+        except Refusal as refusal:
+            if request.attempts and refusal.code.outcome is Outcome.NOT_RUN:
+                # An earlier try may have run; only an upstream's answer could say more.
+                raise Refusal(ANSWER_LOST, 502, refusal.detail) from refusal
+            raise
+
+    async def try_upstreams(self, request: GatewayRequest, writer: AnswerWriter) -> None:
+        """Try one upstream after the other as far as that is allowed; raise Refusal after that."""
         while True:
             record = await self.admission.enter(request)
             try:
                 await self.attempt(request, record, writer)
                 return
             except NotRunError as error:
-                self.note_not_run(request, record, error)
+                self.failures.note_not_run(request, record, error)
+                self.go_on(request, error)
             except OutcomeUnknownError as error:
-                self.note_unknown(request, record, error)
+                self.failures.note_unknown(request, record, error)
+                self.repeat(request, error)
             except asyncio.CancelledError:
-                self.note_cancelled(request, record)
+                self.failures.note_cancelled(request, record)
                 raise
             finally:
                 self.admission.leave(request, record)
 
-    def note_not_run(
-        self, request: GatewayRequest, record: UpstreamRecord, error: NotRunError
-    ) -> None:
-        """Go on to another upstream; raise Refusal where the budget is spent."""
-        health, run = self.board.health, record.run_key()
-        if error.is_replaced:
-            health.note_replaced(run)
-        elif not error.is_promised:
-            self.board.note_unreachable(record)
-        elif error.is_unfit:
-            health.note_failure(run)
-        else:
-            health.note_full(run)
-        health.note_outcome(run, failed=True)
-        request.tried.add(record.run_key())
-        self.log_attempt(request, record, error.reason, "not_run")
+    def go_on(self, request: GatewayRequest, error: NotRunError) -> None:
+        """Return where a request that was not run may be sent again; raise Refusal otherwise."""
         # A request that never left is no arrival at any service.
         if error.is_promised and not self.retries.spend(request.service):
-            raise self.failure(request, "every upstream refused and the retry budget is spent")
-
-    def note_cancelled(self, request: GatewayRequest, record: UpstreamRecord) -> None:
-        """Note an upstream that was still silent when the time limit was reached."""
-        if request.left_s() <= TIME_LIMIT_MARGIN_S and not request.first_event_at_s:
-            self.board.health.note_outcome(record.run_key(), failed=True)
-            self.board.health.note_failure(record.run_key())
+            detail = "every upstream refused and the retry budget is spent"
+            raise Refusal(EVERY_TRY_REFUSED, 503, detail, RETRY_AFTER_S)
 
-    def note_unknown(
-        self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
-    ) -> None:
-        """Go on to another upstream where that is allowed; raise Refusal otherwise."""
-        request.attempts += 1
-        request.tried.add(record.run_key())
-        if not self.board.is_switching(record):
-            # An engine that switches to new weights cuts what it runs, and is well.
-            if error.is_silent:
-                self.board.note_unreachable(record)
-            else:
-                self.board.health.note_failure(record.run_key())
-            self.board.health.note_outcome(record.run_key(), failed=True)
-            self.suspect_crash(request, record)
-        self.log_attempt(request, record, error.reason, "unknown")
-        if not self.may_repeat(request) or not self.retries.spend(request.service):
+    def repeat(self, request: GatewayRequest, error: OutcomeUnknownError) -> None:
+        """Return where a request that may have run may run again; raise Refusal otherwise."""
+        if not request.may_repeat() or not self.retries.spend(request.service):
             raise Refusal(ANSWER_LOST, 502, error.reason)
 
-    def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> None:
-        """Find out whether the upstream died while it ran the request."""
-
-        async def look() -> None:
-            try:
-                stream = await self.pool.connect(Address(record.host, record.port))
-                stream.close()
-            except NotRunError:
-                self.crashes.note_crash(request, record)
-
-        task = asyncio.create_task(look())
-        self.looks.add(task)
-        task.add_done_callback(self.looks.discard)
-
-    def may_repeat(self, request: GatewayRequest) -> bool:
-        """Tell whether the route allows the request to run once more."""
-        return request.route.is_repeatable and request.attempts < request.route.max_attempts
-
-    def failure(self, request: GatewayRequest, detail: str) -> Refusal:
-        """Return the end of a request that no upstream took."""
-        if request.attempts:
-            return Refusal(ANSWER_LOST, 502, detail)
-        return Refusal(EVERY_TRY_REFUSED, 503, detail, RETRY_AFTER_S)
-
-    def log_attempt(
-        self, request: GatewayRequest, record: UpstreamRecord, reason: str, outcome: str
-    ) -> None:
-        """Log a try that failed."""
-        decision(
-            "attempt_failed",
-            request=request.head.request_id,
-            upstream=record.id,
-            address=f"{record.host}:{record.port}",
-            attempts=request.attempts,
-            age_s=round(request.age_s(), 3),
-            outcome=outcome,
-            reason=reason,
-        )
-
     async def attempt(
         self, request: GatewayRequest, record: UpstreamRecord, writer: AnswerWriter
     ) -> None:
@@ -230,10 +171,7 @@
 
     def may_leave(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Tell whether a silent upstream is better left for another one."""
-        request.attempts += 1
-        is_allowed = self.may_repeat(request)
-        request.attempts -= 1
-        if not is_allowed:
+        if not request.may_repeat(tries=2):
             return False
         records = self.board.candidates(request.service)
         return self.board.choose(records, request.tried | {record.run_key()}) is not None
@@ -250,11 +188,10 @@
         if writer.status:
             # A stream that was to be resumed: its head has been sent already.
             raise OutcomeUnknownError(f"status {head.status} for the rest of a stream")
-        request.attempts += 1
         is_failure = head.status >= SERVER_ERROR
-        if is_failure and self.may_repeat(request) and self.retries.spend(request.service):
-            request.attempts -= 1
-            raise OutcomeUnknownError(f"status {head.status}")
+        if is_failure and request.may_repeat(tries=2) and self.retries.has_left(request.service):
+            raise OutcomeUnknownError(f"status {head.status}", is_answered=True)
+        request.attempts += 1
         await writer.answer(head, body)
 
     async def relay_stream(
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -48,6 +48,10 @@
         """The name of the workspace; empty for a route without keys."""
         return self.workspace.name if self.workspace else ""
 
+    def may_repeat(self, tries: int = 1) -> bool:
+        """Tell whether the route allows so many tries beside those that may have run."""
+        return self.route.is_repeatable and self.attempts + tries <= self.route.max_attempts
+
     def left_s(self) -> float:
         """Return the seconds until the caller or the route gives up."""
         return self.ends_at_s - time.monotonic()
--- a/gypsumpier/gateway/retries.py
+++ b/gypsumpier/gateway/retries.py
@@ -38,15 +38,18 @@
 
     def spend(self, service: str) -> bool:
         """Take one repeat from the budget; False where none is left."""
+        if not self.has_left(service):
+            return False
+        recent(self.repeats, service, self.bounds.retry_window_s).append(time.monotonic())
+        return True
+
+    def has_left(self, service: str) -> bool:
+        """Tell whether a repeat is left."""
         window_s = self.bounds.retry_window_s
         requests = recent(self.requests, service, window_s)
         repeats = recent(self.repeats, service, window_s)
         slack = self.bounds.retry_slack / self.entries
-        allowed = USED_SHARE * (self.bounds.retry_share * len(requests) + slack)
-        if len(repeats) + 1 > allowed:
-            return False
-        repeats.append(time.monotonic())
-        return True
+        return len(repeats) + 1 <= USED_SHARE * (self.bounds.retry_share * len(requests) + slack)
 
 
 def recent(counts: dict[str, deque[float]], service: str, window_s: float) -> deque[float]:
--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -6,14 +6,12 @@
 """
 
 import asyncio
-import hashlib
 import time
 from collections.abc import Callable
-from typing import Any, Final, TypeGuard
+from typing import Any, Final
 
 from prometheus_client import Counter
 
-from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.codes.weight import CHUNK_CORRUPT
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.beliefs import Beliefs
@@ -22,7 +20,8 @@
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.metrics import REGISTRY
-from gypsumpier.piece.engine import PieceList, PieceOrigin
+from gypsumpier.piece.engine import PieceList, PieceOrigin, is_intact
+from gypsumpier.piece.origindraws import OriginDraws
 
 PIECE: Final = "piece"
 PIECE_LIST: Final = "piece_list"
@@ -37,12 +36,6 @@
 SETTLE_S: Final = 1.0
 """Seconds after the start in which an entry that knows no other waits before it draws."""
 SETTLE_POLL_S: Final = 0.05
-ORIGIN_DRAWS: Final = 4
-"""Pieces drawn from the origin at once; its link is full with fewer."""
-ORIGIN_TRIES: Final = 6
-"""Tries at the origin for one piece, whose answers may be cut or corrupt."""
-ORIGIN_PAUSE_S: Final = 0.1
-"""Seconds between two tries at the origin."""
 KEPT_VERSIONS: Final = 3
 """Versions of a model that are kept: the one that is replaced and its next successors."""
 DRAW_ALL: Final = -2
@@ -67,15 +60,13 @@
     ) -> None:
         self.mesh = mesh
         self.beliefs = beliefs
-        self.dial_origin = dial_origin
+        self.draws = OriginDraws(beliefs, dial_origin)
         self.holders = holders
-        self.origins: dict[tuple[str, int], PieceOrigin] = {}
         self.started_at_s = time.monotonic()
         self.lists: dict[tuple[str, int], PieceList] = {}
         self.pieces: dict[PieceKey, bytes] = {}
         self.running: dict[tuple[str, int, int], asyncio.Task[Any]] = {}
         self.holder_locks: dict[str, asyncio.Lock] = {}
-        self.draws = asyncio.Semaphore(ORIGIN_DRAWS)
         mesh.answerers[PIECE] = self.answer_piece
         mesh.answerers[PIECE_LIST] = self.answer_list
 
@@ -173,8 +164,7 @@
             if answer is not None:
                 digests = tuple(str(digest) for digest in answer["digests"])
                 return PieceList(model, version, digests)
-        found: PieceList = await self.from_origin(lambda origin: origin.piece_list(model, version))
-        return found
+        return await self.draws.piece_list(model, version)
 
     async def find_piece(self, model: str, version: int, number: int) -> bytes:
         """Ask the other entries by rank, then the origin; check the digest."""
@@ -193,15 +183,9 @@
                 DRAWN_BYTES.labels("peer").inc(len(found))
                 return found
 
-        async def draw(origin: PieceOrigin) -> bytes:
-            found = await origin.piece(model, version, number)
-            DRAWN_BYTES.labels("origin").inc(len(found))
-            if not is_intact(found, digests[number]):
-                raise GypsumpierError(CHUNK_CORRUPT, f"piece {number} from the origin")
-            return found
-
-        drawn: bytes = await self.from_origin(draw)
-        return drawn
+        found = await self.draws.piece(model, version, number, digests[number])
+        DRAWN_BYTES.labels("origin").inc(len(found))
+        return found
 
     async def from_holder(self, payload: dict[str, Any], digest: str) -> bytes | None:
         """Return a piece that a sidecar of the own zone has staged; None where none has it.
@@ -248,30 +232,6 @@
             decision("piece_source_failed", peer=peer.name, kind=kind, reason=repr(error))
             return None
 
-    async def from_origin(self, call: Callable[[PieceOrigin], Any]) -> Any:
-        """Return what the call returns; raise GypsumpierError after several failed tries."""
-        for number in range(ORIGIN_TRIES):
-            try:
-                async with self.draws:
-                    return await call(self.origin())
-            except GypsumpierError as error:
-                decision(
-                    "origin_failed", number=number, code=error.code.number, reason=error.detail
-                )
-            await asyncio.sleep(ORIGIN_PAUSE_S)
-        raise GypsumpierError(PLATFORM_UNREACHABLE, "the origin of weights does not answer")
-
-    def origin(self) -> PieceOrigin:
-        """Return the client of the origin; raise GypsumpierError where none is configured."""
-        configuration = self.beliefs.configuration
-        place = configuration.origin() if configuration else None
-        if place is None:
-            raise GypsumpierError(PLATFORM_UNREACHABLE, "no origin is configured")
-        address = place.host, place.port
-        if address not in self.origins:
-            self.origins[address] = self.dial_origin(*address)
-        return self.origins[address]
-
     def sources(self) -> list[Peer]:
         """Return the entries to ask before the origin, by rank."""
         own = self.mesh.own
@@ -298,10 +258,4 @@
         """Release the clients."""
         for task in list(self.running.values()):
             task.cancel()
-        for origin in self.origins.values():
-            origin.close()
-
-
-def is_intact(content: object, digest: str) -> TypeGuard[bytes]:
-    """Tell whether the content is bytes of that SHA-256 digest."""
-    return isinstance(content, bytes) and hashlib.sha256(content).hexdigest() == digest.lower()
+        self.draws.close()
--- a/gypsumpier/piece/engine.py
+++ b/gypsumpier/piece/engine.py
@@ -1,6 +1,7 @@
 """The model engine beside a sidecar and the origin of weights, as protocols."""
 
-from typing import NamedTuple, Protocol
+import hashlib
+from typing import NamedTuple, Protocol, TypeGuard
 
 from gypsumpier.fleet.upstream import LoadedLayers
 
@@ -65,3 +66,8 @@
 
     def close(self) -> None:
         """Release the client."""
+
+
+def is_intact(content: object, digest: str) -> TypeGuard[bytes]:
+    """Tell whether the content is bytes of that SHA-256 digest."""
+    return isinstance(content, bytes) and hashlib.sha256(content).hexdigest() == digest.lower()
--- a/gypsumpier/platform/settings.py
+++ b/gypsumpier/platform/settings.py
@@ -11,7 +11,7 @@
 from gypsumpier.fleet.node import Address, Bounds, NodeSettings
 from gypsumpier.settings import MAX_PORT, Problem, SettingsError, is_ip_number
 
-FILE_VARIABLE: Final = "GYPSUMPIER_NODE_FILE"
+FILE_FIELD: Final = "field of the settings file"
 BITS_PER_MBIT: Final = 1_000_000
 BITS_PER_BYTE: Final = 8
 BYTES_PER_MB: Final = 1024 * 1024
@@ -42,7 +42,7 @@
     def problem(self, name: str, detail: str) -> None:
         """Note a wrong field."""
         code = SETTING_MISSING if self.value(name) is None else SETTING_MALFORMED
-        self.problems.append(Problem(code, name, detail))
+        self.problems.append(Problem(code, f"{FILE_FIELD} {name}", detail))
 
     def value(self, name: str) -> Any:
         """Return the value at a dotted name; None where there is none."""
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -13,8 +13,8 @@
 from gypsumpier.log import decision
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES, is_intact
-from gypsumpier.piece.engine import Engine
+from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES
+from gypsumpier.piece.engine import Engine, is_intact
 
 ASKS_AT_ONCE: Final = 2
 """Slices asked for at once.  Requests to the engine share its slow link, and wait behind them."""
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -1,14 +1,19 @@
 """Tests of an entry on the platform, from a caller's socket to an upstream's and back."""
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from gypsumpier.codes.request import QUEUE_TOO_LONG
+from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway import relay
 from gypsumpier.gateway.front import CallerExchange
-from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
 
 EVENTS = "".join(f"id: {number}\ndata: event {number}\n\n" for number in range(1, 6))
@@ -98,6 +103,35 @@
         answer = await self.fleet.call("/commands/x")
         self.assertEqual((200, 1), (answer.code, len(self.plain.ran)))
 
+    async def test_what_may_have_run_is_never_called_not_run(self) -> None:
+        """Pattern: a stream is cut before its first event, and then the line is too long."""
+        for engine in (self.engine, self.other):
+            engine.plan, engine.cut_after = ["cut"], 0
+        admission = self.fleet.entry.admission
+        enter = admission.enter
+
+        async def enter_once(request: GatewayRequest) -> UpstreamRecord:
+            if request.attempts:
+                raise Refusal(QUEUE_TOO_LONG, 503, "too long", 1.0)
+            return await enter(request)
+
+        with mock.patch.object(admission, "enter", enter_once):
+            answer = await self.fleet.call("/reports/x")
+        self.assertEqual((502, 1), (answer.code, self.runs()))
+
+    async def test_a_failure_of_its_own_does_not_rule_an_upstream_out(self) -> None:
+        """Pattern: one in seven lookups fails at every upstream, which are all well."""
+        route = route_body("lookups", prefix="/lookups/", kind="idempotent", service=PLAIN)
+        self.fleet.configure(2, routes=[route])
+        await self.fleet.settle()
+        self.plain.plan = ["error", "ok"]
+        began_s = time.monotonic()
+        answer = await self.fleet.call("/lookups/x")
+        self.assertLess(time.monotonic() - began_s, 0.3)
+        self.assertEqual((200, 2), (answer.code, len(self.plain.ran)))
+        run = self.fleet.entry.beliefs.upstreams["i-3"].run_key()
+        self.assertTrue(self.fleet.entry.board.health.is_usable(run))
+
     async def test_bytes_behind_an_answer_reach_no_other_request(self) -> None:
         self.plain.plan = ["extra"]
         answers = [await self.fleet.call("/commands/x", request_id=f"r{n}") for n in range(3)]
--- a/gypsumpier/upstream/errors.py
+++ b/gypsumpier/upstream/errors.py
@@ -24,12 +24,14 @@
 
 
 class OutcomeUnknownError(Exception):
-    """The request was sent and may have run; there is no whole answer.
+    """The request was sent and may have run; there is no whole answer of a success.
 
-    ``is_silent`` tells that nothing came, rather than something wrong.
+    ``is_silent`` tells that nothing came, rather than something wrong, and ``is_answered`` that the
+    upstream is well and has answered with a failure of its own.
     """
 
-    def __init__(self, reason: str, is_silent: bool = False) -> None:
+    def __init__(self, reason: str, is_silent: bool = False, is_answered: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
         self.is_silent = is_silent
+        self.is_answered = is_answered
