--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,11 @@
 	$(PY) -m misc.runtests
 
 # Starts a deployment of examples/ at real size; WEIGHTS may name a directory of weight files.
+# PLATFORM=rung-lab shows an entry on that platform instead, before stand-ins of it.
 DEPLOYMENT ?= rung-lab
+PLATFORM ?= own
 demo: venv
-	$(PY) -m misc.demo --deployment $(DEPLOYMENT) $(if $(WEIGHTS),--weights $(WEIGHTS))
+	$(if $(filter rung-lab,$(PLATFORM)),$(PY) -m misc.platform_demo,$(PY) -m misc.demo --deployment $(DEPLOYMENT) $(if $(WEIGHTS),--weights $(WEIGHTS)))
 
 # Writes the pages of docs/ that are made from the code.
 pages: venv
--- /dev/null
+++ b/misc/platform_demo.py
@@ -0,0 +1,79 @@
+"""Shows an entry on the Rung Lab platform at work: ``make demo PLATFORM=rung-lab``.
+
+A store, three engines, two plain upstreams and one entry run in one event loop, over loopback.
+Engines break off, refuse and fall silent now and then; every answer is checked.  The last line is
+one JSON object; the exit status is 1 where an answer was wrong or a command ran twice.
+"""
+
+import asyncio
+import json
+import random
+import sys
+from collections import Counter
+from typing import Final
+
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from gypsumpier.test.builders_platform import ENGINES, PLAIN
+from gypsumpier.test.gatewayfleet import GatewayFleet
+
+REQUESTS: Final = 300
+AT_ONCE: Final = 20
+FAULTY_SHARE: Final = 0.15
+ENGINE_FAULTS: Final = ("cut", "full", "wrong")
+PLAIN_FAULTS: Final = ("full", "crossed", "extra")
+SEED: Final = 1
+
+
+async def main() -> int:
+    """Run the demonstration; return the exit status."""
+    draws = random.Random(SEED)
+    fleet = GatewayFleet()
+    fleet.configure()
+    for number in range(1, 4):
+        fleet.add(f"engine-{number}", ENGINES)
+    for number in range(1, 3):
+        fleet.add(f"plain-{number}", PLAIN)
+    await fleet.start()
+    await fleet.settle()
+    for name, upstream in fleet.upstreams.items():
+        faults = ENGINE_FAULTS if name.startswith("engine") else PLAIN_FAULTS
+        upstream.plan = [
+            draws.choice(faults) if draws.random() < FAULTY_SHARE else "ok" for _ in range(REQUESTS)
+        ]
+    print(f"entry on 127.0.0.1:{fleet.port}, {len(fleet.upstreams)} upstreams")
+    ended: Counter[str] = Counter()
+    left = iter(range(REQUESTS))
+
+    async def call() -> None:
+        for number in left:
+            ended[await outcome(fleet, number)] += 1
+
+    await asyncio.gather(*(call() for _ in range(AT_ONCE)))
+    ran = Counter(name for upstream in fleet.upstreams.values() for name in upstream.ran)
+    twice = sum(count > 1 for name, count in ran.items() if name.startswith("command"))
+    await fleet.stop()
+    print(json.dumps({"requests": REQUESTS, "commands_run_twice": twice, **ended}))
+    return 1 if ended["wrong"] or twice else 0
+
+
+async def outcome(fleet: GatewayFleet, number: int) -> str:
+    """Send one request and return what became of it."""
+    kind = "command" if number % 3 == 0 else "report"
+    request_id = f"{kind}-{number}"
+    path = "/commands/x" if kind == "command" else "/reports/x"
+    try:
+        answer = await fleet.call(path, request_id=request_id)
+    except HTTPStreamClosedError:
+        return "cut"
+    if answer.code != 200:
+        return f"status_{answer.code}"
+    text = answer.body.decode()
+    if kind == "command":
+        return "answered" if text.startswith(f"answer to {request_id} ") else "wrong"
+    ids = [line.removeprefix("id: ") for line in text.splitlines() if line.startswith("id: ")]
+    return "answered" if ids == ["1", "2", "3", "4", "5"] else "wrong"
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
