Keep pieces of a version while another is tried; drain an engine only when its pieces are near

Each change of the version under way threw away what had been fetched (45 % of version 2), so version 2, which an entry held whole, was begun anew, was below the share from which it is finished when the pause of version 3 ended, and was thrown away again. Besides, the time left was taken for 0 before the list of pieces was known, so every engine was drained at its turn and stood idle from 24.9 to 30.5 s although version 1 was allowed until 26 s; and a version whose fetch failed quickly never counted as stalled.

Change: one stager per version keeps its pieces; a version whose pieces do not come, or fail, is left for any other that is wanted; the time left is unknown until the pieces are counted and while none comes; a drain whose last pieces do not come is given up. A second entry of the origin's zone takes a whole copy of a version that has just been named, as the first may be stopped in turn.

Tried and given up: in an overload refuse on arrival who can't be on time, earliest goal first.

--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -21,7 +21,8 @@
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.piece.engine import PieceList, PieceOrigin, is_intact
-from gypsumpier.piece.origindraws import OriginDraws
+from gypsumpier.piece.origindraws import ORIGIN_DRAWS, OriginDraws
+from gypsumpier.tasks import in_parallel
 
 PIECE: Final = "piece"
 PIECE_LIST: Final = "piece_list"
@@ -38,6 +39,8 @@
 SETTLE_POLL_S: Final = 0.05
 KEPT_VERSIONS: Final = 3
 """Versions of a model that are kept: the one that is replaced and its next successors."""
+WHOLE_COPIES: Final = 2
+"""Entries of the origin's zone that keep a whole copy of a version that has just been named."""
 DRAW_ALL: Final = -2
 """Stands for the number of a piece where every piece of a version is drawn."""
 
@@ -119,13 +122,13 @@
         return task
 
     def draw_named(self) -> None:
-        """Begin to draw every version that has just been named, where this entry draws first.
+        """Begin to take every piece of a version that has just been named, where this entry should.
 
         The origin may be down a moment later, and sidecars ask no faster than their links allow.  A
         version that was named before is drawn as it is asked for: after a restart of everything no
         entry knows the others yet, and each would draw a whole copy over the one slow link.
         """
-        if not self.is_first_at_origin():
+        if not self.is_keeper_at_origin():
             return
         heard_after_s = boot_time_s() - JUST_NAMED_S
         for model, named in self.beliefs.versions.items():
@@ -135,22 +138,31 @@
             if is_new and newest.learned_at_s > heard_after_s:
                 self.begin(key, self.draw_all(model, newest.version))
 
-    def is_first_at_origin(self) -> bool:
-        """Tell whether this entry is known to be the first of the origin's zone."""
+    def is_keeper_at_origin(self) -> bool:
+        """Tell whether this entry is known to be one of the first of the origin's zone.
+
+        The first draws; the next one takes each piece from it, so that a stop loses nothing.
+        """
         configuration = self.beliefs.configuration
         place = configuration.origin() if configuration else None
         own = self.mesh.own
         if place is None or own.zone != place.zone or not self.mesh.peers(ENTRY):
             return False
-        return not self.sources()
+        near = [peer for peer in self.mesh.peers(ENTRY) if peer.zone == own.zone]
+        return own in sorted([own, *near])[:WHOLE_COPIES]
 
     async def draw_all(self, model: str, version: int) -> None:
         """Draw every piece of a version; what fails is drawn once a sidecar asks for it."""
         began_s = time.monotonic()
         try:
             found = await self.piece_list(model, version)
-            wanted = [self.piece(model, version, number) for number in range(len(found.digests))]
-            await asyncio.gather(*wanted)
+
+            async def take(number: int) -> None:
+                await self.piece(model, version, number)
+
+            # No more than the origin is asked for at once: another entry's answer must not take
+            # longer than it is waited for.
+            await in_parallel(range(len(found.digests)), take, ORIGIN_DRAWS)
         except GypsumpierError as error:
             decision("version_not_drawn", model=model, version=version, reason=error.detail)
             return
--- a/gypsumpier/sidecar/application.py
+++ b/gypsumpier/sidecar/application.py
@@ -79,11 +79,9 @@
         self.mesh.seeds = settings.seeds
 
     async def answer_piece(self, peer: Peer, payload: dict[str, Any]) -> dict[str, Any]:
-        """Answer an entry's question for a slice of a piece that lies at the engine."""
+        """Answer an entry's question for a slice of a piece that is kept here."""
         model, version, number = payload["model"], payload["version"], int(payload["number"])
-        traits = self.keeper.traits()
-        held = self.keeper.held(traits) if traits is not None else 0
-        content = await self.engine.staged(str(model), number) if held == version else None
+        content = await self.keeper.piece(str(model), int(version), number)
         if content is None:
             raise GypsumpierError(CHUNK_UNAVAILABLE, f"piece {number} of {model} {version}")
         offset, length = int(payload["offset"]), int(payload["length"])
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -22,12 +22,14 @@
 """The version that a model has before another one is named."""
 DRAIN_S: Final = 0.25
 """Seconds for an engine to finish what it runs before the rest is cut and goes on elsewhere."""
+LAST_PIECES_S: Final = 0.25
+"""Seconds that the last pieces may take longer than was estimated, while the engine is idle."""
 RETRY_S: Final = 0.3
 """Seconds before pieces are fetched again after a failure."""
 STALLED_S: Final = 0.8
-"""Seconds without a new piece after which an older version that is wanted too is tried."""
+"""Seconds without a new piece after which another version that is wanted too is tried."""
 STALLED_PAUSE_S: Final = 2.0
-"""Seconds for which a version whose pieces do not come is left for an older one."""
+"""Seconds for which a version whose pieces do not come is left for another one."""
 MOSTLY_FETCHED: Final = 0.6
 """Share of the pieces from which a version is finished although a newer one has been named."""
 
@@ -43,7 +45,8 @@
         self.turns = turns
         self.watch = watch
         self.service = service
-        self.stager: Stager | None = None
+        self.stagers: dict[tuple[str, int], Stager] = {}
+        self.active: Stager | None = None
         self.stalled_until_s: dict[int, float] = {}
 
     async def run(self) -> None:
@@ -69,6 +72,7 @@
                     code=error.code.number,
                     reason=error.detail,
                 )
+                self.stalled_until_s[target] = time.monotonic() + STALLED_PAUSE_S
                 await asyncio.sleep(RETRY_S)
 
     def traits(self) -> ModelTraits | None:
@@ -83,28 +87,55 @@
         return whole_version(report.layers, traits.layers) if report else 0
 
     def target(self, model: str, held: int) -> int:
-        """Return the version to bring the engine to."""
+        """Return the version to bring the engine to.
+
+        That is the newest one, unless its pieces have stopped coming and an older one can be had,
+        or an older one is nearly there.
+        """
         named = [it.version for it in self.beliefs.versions.get(model, []) if it.version > held]
         if not named:
             return held or FIRST_VERSION
-        stager = self.stager
-        is_under_way = stager is not None and stager.model == model and stager.version in named
-        if stager is not None and is_under_way and stager.share() >= MOSTLY_FETCHED:
-            return stager.version
         now_s = time.monotonic()
         ready = [it for it in named if self.stalled_until_s.get(it, 0.0) < now_s]
+        active = self.active
+        is_ready = active is not None and active.model == model and active.version in ready
+        if active is not None and is_ready and active.share() >= MOSTLY_FETCHED:
+            return active.version
         return max(ready or named)
 
+    def stager(self, model: str, version: int, held: int) -> Stager:
+        """Return the stager of a version with the pieces that have come so far.
+
+        Those of versions older than the one that the engine holds are dropped.
+        """
+        self.stagers = {
+            key: stager
+            for key, stager in self.stagers.items()
+            if stager.model == model and stager.version >= held
+        }
+        key = model, version
+        if key not in self.stagers:
+            self.stagers[key] = Stager(self.mesh, self.watch.engine, model, version)
+        self.active = self.stagers[key]
+        return self.active
+
+    async def piece(self, model: str, version: int, number: int) -> bytes | None:
+        """Return a piece of a version under way or held, which the caller has to verify."""
+        known = self.stagers.get((model, version))
+        if known is not None and number in known.pieces:
+            return known.pieces[number]
+        traits = self.traits()
+        is_held = traits is not None and self.held(traits) == version
+        return await self.watch.engine.staged(model, number) if is_held else None
+
     async def bring(self, model: str, version: int, traits: ModelTraits) -> None:
         """Fetch a version, stage it, and order it live when it is this engine's turn."""
-        stager = self.stager
-        if stager is None or not stager.is_for(model, version):
-            stager = self.stager = Stager(self.mesh, self.watch.engine, model, version)
+        stager = self.stager(model, version, self.held(traits))
+        stager.resume()
         fetching = asyncio.create_task(stager.fetch())
         try:
             if not await self.wait_for_turn(stager, fetching, traits):
                 return
-            await fetching
             if self.watch.report is None:
                 return
             # The last thing before the order, as staged pieces may go bad at any time.
@@ -124,11 +155,12 @@
     ) -> bool:
         """Wait for the pieces and for this engine's turn, then let it finish what it runs.
 
-        Return False where another version is to be brought instead.
+        Return False where another version is to be brought instead; raise GypsumpierError where
+        the pieces can't be had.
         """
-        while not fetching.done() or self.is_before_turn():
-            if fetching.done() and fetching.exception() is not None:
-                return True
+        while True:
+            if fetching.done():
+                await fetching
             if self.target(stager.model, self.held(traits)) != stager.version:
                 return False
             if self.is_stalled(stager, fetching, traits):
@@ -136,11 +168,10 @@
                 self.stalled_until_s[stager.version] = until_s
                 decision("version_stalled", version=stager.version, fetched=len(stager.pieces))
                 return False
-            if not self.is_before_turn() and stager.left_s() < DRAIN_S:
-                break
+            is_ready = fetching.done() or stager.left_s() < DRAIN_S
+            if is_ready and not self.is_before_turn() and await self.drain(fetching):
+                return True
             await asyncio.sleep(SWITCH_POLL_S)
-        await self.drain()
-        return True
 
     def is_before_turn(self) -> bool:
         """Tell whether the engine serves and its turn is still to come."""
@@ -151,18 +182,28 @@
     def is_stalled(
         self, stager: Stager, fetching: "asyncio.Task[None]", traits: ModelTraits
     ) -> bool:
-        """Tell whether pieces have stopped coming and an older version could be had instead."""
+        """Tell whether pieces have stopped coming and another version could be had instead."""
         if fetching.done() or stager.idle_s() < STALLED_S:
             return False
         held = self.held(traits)
         named = self.beliefs.versions.get(stager.model, [])
-        return any(held < it.version < stager.version for it in named)
-
-    async def drain(self) -> None:
-        """Send requests elsewhere and wait until the engine is idle, for a limited time."""
-        if self.watch.report is None or not self.watch.report.layers:
-            return
-        self.watch.set_switching(True)
-        until_s = time.monotonic() + DRAIN_S
-        while time.monotonic() < until_s and (report := self.watch.report) and report.active:
-            await asyncio.sleep(SWITCH_POLL_S)
+        return any(it.version > held and it.version != stager.version for it in named)
+
+    async def drain(self, fetching: "asyncio.Task[None]") -> bool:
+        """Send requests elsewhere until the engine is idle and the last pieces are there.
+
+        Return False where pieces are still missing after a limited time; the engine goes on with
+        what it holds then.
+        """
+        if self.watch.report is not None and self.watch.report.layers:
+            self.watch.set_switching(True)
+            until_s = time.monotonic() + DRAIN_S
+            while time.monotonic() < until_s and (report := self.watch.report) and report.active:
+                await asyncio.sleep(SWITCH_POLL_S)
+        await asyncio.wait({fetching}, timeout=LAST_PIECES_S)
+        if fetching.done():
+            await fetching
+            return True
+        self.watch.set_switching(False)
+        decision("drain_given_up", version=self.active.version if self.active else 0)
+        return False
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -4,7 +4,6 @@
 the order.  So every piece is read back and compared with its digest just before the order.
 """
 
-import asyncio
 import time
 from typing import Any, Final
 
@@ -15,6 +14,7 @@
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES
 from gypsumpier.piece.engine import Engine, is_intact
+from gypsumpier.tasks import in_parallel
 
 ASKS_AT_ONCE: Final = 2
 """Slices asked for at once.  Requests to the engine share its slow link, and wait behind them."""
@@ -22,6 +22,8 @@
 """Seconds for an entry to answer; it may have to draw the piece first."""
 READ_BACK_AT_ONCE: Final = 4
 """Staged pieces read back at once, on the same machine."""
+PAUSED_S: Final = 0.25
+"""Seconds without a piece, some four times what one takes, after which no estimate holds."""
 
 
 class Stager:
@@ -34,15 +36,11 @@
         self.version = version
         self.digests: tuple[str, ...] = ()
         self.pieces: dict[int, bytes] = {}
-        self.left = 0
+        self.left: int | None = None
         self.fetched = 0
         self.began_s = time.monotonic()
         self.progress_at_s = self.began_s
 
-    def is_for(self, model: str, version: int) -> bool:
-        """Tell whether this stager brings that version."""
-        return (self.model, self.version) == (model, version)
-
     def share(self) -> float:
         """Return which share of the pieces is in memory."""
         return len(self.pieces) / len(self.digests) if self.digests else 0.0
@@ -51,9 +49,15 @@
         """Return the seconds since the last piece arrived."""
         return time.monotonic() - self.progress_at_s
 
+    def resume(self) -> None:
+        """Forget when the last piece came, as it was not asked for any more since."""
+        self.progress_at_s = time.monotonic()
+        self.left = None
+
     async def fetch(self) -> None:
         """Bring every piece into memory and stage it; raise GypsumpierError on failure."""
-        began_s = self.progress_at_s = time.monotonic()
+        began_s = time.monotonic()
+        self.resume()
         if not self.digests:
             answer = await self.ask(PIECE_LIST, {})
             self.digests = tuple(str(digest) for digest in answer["digests"])
@@ -90,14 +94,14 @@
         self.pieces[number] = content
         self.progress_at_s = time.monotonic()
         await self.engine.stage(self.model, number, content)
-        self.left -= 1
+        self.left = max(0, (self.left or 0) - 1)
         self.fetched += 1
 
     def left_s(self) -> float:
-        """Return about how many seconds the pieces that are left will take."""
-        if not self.left:
+        """Return about how many seconds the pieces that are left will take; infinity if unknown."""
+        if self.left == 0:
             return 0.0
-        if not self.fetched:
+        if self.left is None or not self.fetched or self.idle_s() > PAUSED_S:
             return float("inf")
         return (time.monotonic() - self.began_s) / self.fetched * self.left
 
@@ -147,19 +151,3 @@
         if bad:
             decision("staged_pieces_bad", model=self.model, version=self.version, numbers=bad)
         return len(bad)
-
-
-async def in_parallel(numbers: list[int], work: Any, at_once: int) -> None:
-    """Run the work for each number, a few at once; raise the first error."""
-    left = iter(numbers)
-
-    async def run() -> None:
-        for number in left:
-            await work(number)
-
-    try:
-        async with asyncio.TaskGroup() as group:
-            for _ in range(min(at_once, len(numbers))):
-                group.create_task(run())
-    except ExceptionGroup as errors:
-        raise errors.exceptions[0] from errors
--- a/gypsumpier/tasks.py
+++ b/gypsumpier/tasks.py
@@ -1,6 +1,7 @@
-"""Ending tasks."""
+"""Ending tasks, and running work a few at once."""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Collection
 
 
 async def end_task(task: asyncio.Task[None] | None) -> None:
@@ -13,3 +14,21 @@
         return
     task.cancel()
     await asyncio.wait({task})
+
+
+async def in_parallel(
+    numbers: Collection[int], work: Callable[[int], Awaitable[object]], at_once: int
+) -> None:
+    """Run the work for each number, a few at once; raise the first error."""
+    left = iter(numbers)
+
+    async def run() -> None:
+        for number in left:
+            await work(number)
+
+    try:
+        async with asyncio.TaskGroup() as group:
+            for _ in range(min(at_once, len(numbers))):
+                group.create_task(run())
+    except ExceptionGroup as errors:
+        raise errors.exceptions[0] from errors
--- a/gypsumpier/test/test_keeper.py
+++ b/gypsumpier/test/test_keeper.py
@@ -6,15 +6,19 @@
 
 from gypsumpier.fleet.beliefs import Beliefs
 from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.upstream import LoadedLayers
 from gypsumpier.mesh.mesh import Mesh
+from gypsumpier.piece.engine import EngineReport
 from gypsumpier.piece.turns import FIRST_TURN_SHARE, LAST_TURN_SHARE, Turns
 from gypsumpier.sidecar.enginewatch import EngineWatch
 from gypsumpier.sidecar.keeper import FIRST_VERSION, VersionKeeper
 from gypsumpier.sidecar.stager import Stager
+from gypsumpier.tasks import end_task
 from gypsumpier.test.builders_gateway import engines
 from gypsumpier.test.builders_platform import (
     BOUNDS,
     ENGINES,
+    LAYERS,
     MODEL,
     beliefs_of,
     configuration_record,
@@ -49,10 +53,9 @@
 
     def under_way(self, version: int, fetched: int) -> None:
         """Let so many of ten pieces of a version be in memory."""
-        stager = Stager(self.mesh, FakeEngine(), MODEL, version)
+        stager = self.keeper.stager(MODEL, version, 1)
         stager.digests = tuple("0123456789")
         stager.pieces = {number: b"" for number in range(fetched)}
-        self.keeper.stager = stager
 
     def test_without_a_named_version_an_empty_engine_gets_the_first(self) -> None:
         self.assertEqual(FIRST_VERSION, self.keeper.target(MODEL, 0))
@@ -80,11 +83,114 @@
         self.assertEqual(2, self.keeper.target(MODEL, 1))
         self.assertEqual(3, self.keeper.target(MODEL, 2))
 
+    def test_pieces_that_came_before_another_version_was_tried_are_kept(self) -> None:
+        """Pattern: two versions named shortly one after the other, then the origin goes down."""
+        name_version(self.beliefs, 2, 20)
+        self.under_way(2, 5)
+        name_version(self.beliefs, 3, 21)
+        self.under_way(3, 3)
+        self.keeper.stalled_until_s[3] = time.monotonic() + 1.0
+        self.assertEqual(2, self.keeper.target(MODEL, 1))
+        self.assertEqual(5, len(self.keeper.stager(MODEL, 2, 1).pieces))
+        self.assertEqual(3, len(self.keeper.stager(MODEL, 3, 2).pieces))
+        self.assertEqual({2, 3}, {version for _, version in self.keeper.stagers})
+        self.keeper.stager(MODEL, 4, 3)
+        self.assertEqual({3, 4}, {version for _, version in self.keeper.stagers})
+
+    def test_a_version_that_is_mostly_fetched_is_left_while_its_pieces_do_not_come(self) -> None:
+        name_version(self.beliefs, 2, 20)
+        name_version(self.beliefs, 3, 21)
+        self.under_way(2, 7)
+        self.keeper.stalled_until_s[2] = time.monotonic() + 1.0
+        self.assertEqual(3, self.keeper.target(MODEL, 1))
+
     def test_an_older_version_is_never_brought_over_a_newer_one(self) -> None:
         name_version(self.beliefs, 2, 20)
         self.assertEqual(3, self.keeper.target(MODEL, 3))
 
 
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """An engine whose turn has come, with requests at it and pieces that are late."""
+
+    def setUp(self) -> None:
+        self.beliefs = engines(1)
+        name_version(self.beliefs, 2, 20)
+        named = self.beliefs.versions[MODEL][0]
+        learned_at_s = named.learned_at_s - BOUNDS.version_in_force_s
+        self.beliefs.versions[MODEL][0] = named._replace(learned_at_s=learned_at_s)
+        network: dict[str, FakeMesh] = {}
+        mesh: Mesh = FakeMesh(entry_peer("side", "bac-a"), network)  # type: ignore[assignment]
+        self.engine = FakeEngine()
+        upstream = next(iter(self.beliefs.upstreams.values()))
+        address = f"{upstream.host}:{upstream.port}"
+        self.watch = EngineWatch(mesh, self.engine, address)
+        turns = Turns(self.beliefs, BOUNDS.version_in_force_s)
+        self.keeper = VersionKeeper(mesh, self.beliefs, turns, self.watch, ENGINES)
+        layers = (LoadedLayers(MODEL, 1, 0, LAYERS),)
+        self.watch.report = EngineReport(layers, False, 1, 0, 9, 1, 1.0)
+        self.told: list[bool] = []
+        self.watch.tell = lambda again=False: self.told.append(  # type: ignore[method-assign]
+            self.watch.is_switching
+        )
+
+    async def bring(self, stager: Stager, seconds: float) -> bool:
+        """Bring version 2 for so long; return whether it was ordered."""
+        self.keeper.stagers[MODEL, 2] = stager
+        traits = self.keeper.traits()
+        assert traits is not None
+        bringing = asyncio.create_task(self.keeper.bring(MODEL, 2, traits))
+        await asyncio.wait({bringing}, timeout=seconds)
+        await end_task(bringing)
+        return bool(self.engine.loaded)
+
+    async def test_an_engine_goes_on_serving_while_no_piece_comes(self) -> None:
+        """Pattern: the origin is down as the engine's turn comes."""
+        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+
+        async def fetch() -> None:
+            await asyncio.sleep(60)
+
+        stager.fetch = fetch  # type: ignore[method-assign]
+        self.assertFalse(await self.bring(stager, 0.6))
+        self.assertNotIn(True, self.told)
+
+    async def test_an_engine_is_given_back_where_the_last_pieces_do_not_come(self) -> None:
+        """Pattern: the origin goes down between the last pieces of a version."""
+        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+
+        async def fetch() -> None:
+            stager.fetched, stager.left = 63, 1
+            stager.began_s = time.monotonic() - 4.0
+            stager.progress_at_s = time.monotonic()
+            await asyncio.sleep(60)
+
+        stager.fetch = fetch  # type: ignore[method-assign]
+        self.assertFalse(await self.bring(stager, 1.2))
+        self.assertEqual([True, False], self.told[:2])
+        self.assertLessEqual(self.told.count(True), 1)
+
+    async def test_a_version_that_was_left_for_a_while_is_not_stalled_at_once(self) -> None:
+        name_version(self.beliefs, 3, 21)
+        self.keeper.stalled_until_s[3] = time.monotonic() + 60.0
+        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+        stager.progress_at_s = time.monotonic() - 10.0
+
+        async def fetch() -> None:
+            await asyncio.sleep(60)
+
+        stager.fetch = fetch  # type: ignore[method-assign]
+        await self.bring(stager, 0.3)
+        self.assertNotIn(2, self.keeper.stalled_until_s)
+
+    async def test_an_engine_switches_once_its_pieces_are_there(self) -> None:
+        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+        digests = (await FakeOrigin().piece_list(MODEL, 2)).digests
+        stager.digests = digests
+        stager.pieces = {number: piece_of(2, number) for number in range(len(digests))}
+        self.assertTrue(await self.bring(stager, 1.2))
+        self.assertEqual(stager.pieces, self.engine.loaded[0])
+
+
 class TurnsTest(unittest.TestCase):
     def turns(self, beliefs: Beliefs) -> list[float]:
         """Return the turns in order, in seconds from now."""
--- a/gypsumpier/test/test_pieces.py
+++ b/gypsumpier/test/test_pieces.py
@@ -81,6 +81,18 @@
         await asyncio.sleep(0.05)
         self.assertEqual(list(range(PIECES)), sorted(self.fleet.origin.drawn))
 
+    async def test_a_version_outlives_the_entry_that_drew_it_and_the_origin(self) -> None:
+        """Pattern: a version is named, the origin crashes, then entries are stopped in turn."""
+        wanted = record("op/version/m", {"model": "m", "version": 2}, 2)
+        for cache in self.fleet.caches:
+            later(cache.beliefs, wanted)
+            cache.draw_named()
+        await asyncio.sleep(0.05)
+        self.fleet.origin.down = True
+        del self.fleet.network["front-bac-a-0"]
+        await self.fleet.stager().fetch()
+        self.assertTrue(self.fleet.is_staged())
+
     async def test_an_entry_that_knows_no_other_yet_waits_for_one_before_it_draws(self) -> None:
         """Pattern: the same restart, and a sidecar asks an entry that was the first to be up."""
         others = {
