Log how many upstreams can serve and which records lapsed; drop what nothing uses

Each entry now writes a candidates line where the number has changed, at most twice a second for each service, and an upstream_record has the state lapsed.

Dropped without effect: Waiting.least_version, Beliefs.wanted and first_wanted (its test now checks due_version and the order of the versions), HELLO_TIMEOUT_S, AnswerHead.weight_version.

--- a/gypsumpier/fleet/beliefs.py
+++ b/gypsumpier/fleet/beliefs.py
@@ -158,21 +158,23 @@
 
         One that disappears because of an outage of the store may live; it stays for a while.
         """
-        known = self.upstreams.get(change.id)
-        if change.record is not None:
+        known, found = self.upstreams.get(change.id), change.record
+        if found is not None:
             self.lapsed.pop(change.id, None)
-            self.upstreams[change.id] = change.record
+            self.upstreams[change.id] = found
+            state = "leaving" if found.is_leaving else "ready"
         elif known is not None and not known.is_leaving and self.is_after_outage():
             self.lapsed[change.id] = self.outage_ended_at_s + LAPSE_GRACE_S
+            state = "lapsed"
         else:
             self.upstreams.pop(change.id, None)
-        found = change.record
+            state = "gone"
         decision(
             "upstream_record",
             upstream=change.id,
             service=found.service if found else "",
             address=f"{found.host}:{found.port}" if found else "",
-            state="gone" if found is None else "leaving" if found.is_leaving else "ready",
+            state=state,
             layers=[tuple(part) for part in found.layers] if found else [],
             revision=record.revision,
             source=origin,
@@ -201,16 +203,6 @@
                 for it in self.versions.get(model, [])
             ]
 
-    def wanted(self, model: str) -> WantedVersion | None:
-        """Return the newest version of the model; None where none was ever named."""
-        named = self.versions.get(model)
-        return named[-1] if named else None
-
-    def first_wanted(self, model: str, held: int) -> WantedVersion | None:
-        """Return the oldest version above ``held``, which has to be replaced first."""
-        newer = [it for it in self.versions.get(model, []) if it.version > held]
-        return newer[0] if newer else None
-
     def due_version(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before that time; 0 where there is none."""
         named = self.versions.get(model, [])
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -15,6 +15,7 @@
 from gypsumpier.gateway.line import RATE_LEAST_PER_S, Waiting, WaitingLine
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.upstream.board import UpstreamBoard
 
@@ -71,6 +72,7 @@
         self.entries = 1
         self.first_event_s: dict[str, float] = {}
         self.lines: dict[str, WaitingLine] = {}
+        self.told_candidates: dict[str, tuple[int, int, int]] = {}
 
     def line(self, service: str) -> WaitingLine:
         """Return the waiting line of a service."""
@@ -142,7 +144,7 @@
         if not self.may_come_back(request.service):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         latest_s, goal_s = self.latest_s(request), self.goal_s(request)
-        waiting = line.add(request, self.least_version(request.service), latest_s, goal_s)
+        waiting = line.add(request, latest_s, goal_s)
         self.pump(request.service)
         try:
             place = await waiting.place
@@ -210,6 +212,24 @@
             self.board.forget_old()
             self.pump_all()
 
+    def log_candidates(self) -> None:
+        """Log how many upstreams of each service can serve, where that has changed."""
+        configuration = self.beliefs.configuration
+        for service in configuration.services if configuration else ():
+            version = self.least_version(service)
+            records = self.board.candidates(service, version)
+            usable = sum(self.board.is_usable(record) for record in records)
+            state = len(records), usable, version
+            if self.told_candidates.get(service) != state:
+                self.told_candidates[service] = state
+                decision(
+                    "candidates",
+                    service=service,
+                    ready=len(records),
+                    usable=usable,
+                    least_version=version,
+                )
+
     def latest_s(self, request: GatewayRequest) -> float:
         """Return when the request must have its place for the caller to wait for its answer."""
         route = request.route
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -44,7 +44,7 @@
 """Seconds before the platform kills the process by which it ends by itself."""
 DRAIN_POLL_S: Final = 0.05
 HOUSEKEEPING_S: Final = 0.5
-"""Seconds between two rounds of closing idle connections."""
+"""Seconds between two rounds of closing idle connections and counting."""
 
 
 class GatewayApplication:
@@ -169,10 +169,11 @@
         ]
 
     async def housekeeping(self) -> None:
-        """Close idle connections and count the entries that share the retry budget."""
+        """Close idle connections, log how many upstreams can serve, and count the entries."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.close_idle()
+            self.admission.log_candidates()
             self.retries.note_entries(1 + len(self.mesh.peers(ENTRY)))
             self.admission.entries = 1 + len(self.mesh.peers(ENTRY))
 
--- a/gypsumpier/gateway/line.py
+++ b/gypsumpier/gateway/line.py
@@ -59,7 +59,6 @@
     """
 
     request: GatewayRequest
-    least_version: int
     start_tag: float
     arrival: int
     latest_s: float
@@ -88,9 +87,7 @@
         self.arrived_at_s: deque[float] = deque()
         self.formed_at_s = 0.0
 
-    def add(
-        self, request: GatewayRequest, least_version: int, latest_s: float, goal_s: float
-    ) -> Waiting:
+    def add(self, request: GatewayRequest, latest_s: float, goal_s: float) -> Waiting:
         """Let a request wait."""
         if not self.waiting:
             self.formed_at_s = time.monotonic()
@@ -102,7 +99,7 @@
                 name: tag for name, tag in self.finish_tags.items() if tag > self.virtual
             }
         self.arrivals += 1
-        waiting = Waiting(request, least_version, start, self.arrivals, latest_s, goal_s)
+        waiting = Waiting(request, start, self.arrivals, latest_s, goal_s)
         self.waiting.append(waiting)
         return waiting
 
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -34,8 +34,6 @@
 """Seconds without receiving after which a peer is dialled anew."""
 FORGET_S: Final = 30.0
 """Seconds after which an entry that can't be reached is no longer dialled."""
-HELLO_TIMEOUT_S: Final = 2.0
-"""Seconds for a peer to say who it is."""
 
 Listener = Callable[[Peer, dict[str, Any]], None]
 Answerer = Callable[[Peer, dict[str, Any]], Awaitable[dict[str, Any]]]
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -19,7 +19,6 @@
 LAST_EVENT_ID: Final = "Last-Event-Id"
 SEAL: Final = "X-Server-Seal"
 NOT_RUN: Final = "X-Not-Executed"
-WEIGHT_VERSION: Final = "X-Weight-Versions"
 INSTANCE: Final = "X-Instance-Id"
 MISDIRECTED: Final = 421
 # Headers of one connection, and those that the system sets whatever a caller sent.
@@ -85,7 +84,6 @@
 
 def answer_head(start: ResponseStartLine, headers: HTTPHeaders) -> AnswerHead:
     """Return the head of an upstream's answer."""
-    version = headers.get(WEIGHT_VERSION, "")
     return AnswerHead(
         status=start.code,
         reason=start.reason,
@@ -95,7 +93,6 @@
         is_encoded="Content-Encoding" in headers,
         closes="close" in headers.get("Connection", "").lower(),
         idle_s=idle_s(headers),
-        weight_version=count(version),
         upstream=headers.get(INSTANCE, ""),
         passed_on=without(headers, frozenset()),
     )
--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -12,8 +12,10 @@
 from gypsumpier.gateway.line import RATE_WINDOW_S, Waiting, WaitingLine
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.log import LOGGER
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
 from gypsumpier.test.builders_platform import (
+    ENGINES,
     beliefs_of,
     configuration_record,
     engine_record,
@@ -191,6 +193,23 @@
         self.assertEqual({}, admission.board.own)
 
 
+class CandidatesLogTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_change_in_the_number_of_candidates_is_logged_once(self) -> None:
+        beliefs = engines(2)
+        admission = admission_of(beliefs)
+        with self.assertLogs(LOGGER, "INFO") as first:
+            admission.log_candidates()
+        found = [record.fields for record in first.records]  # type: ignore[attr-defined]
+        of_engines = [fields for fields in found if fields["service"] == ENGINES]
+        self.assertEqual([(2, 2)], [(it["ready"], it["usable"]) for it in of_engines])
+        with self.assertNoLogs(LOGGER, "INFO"):
+            admission.log_candidates()
+        del beliefs.upstreams["i-1"]
+        with self.assertLogs(LOGGER, "INFO") as second:
+            admission.log_candidates()
+        self.assertEqual(1, len(second.records))
+
+
 class StandingLineTest(unittest.IsolatedAsyncioTestCase):
     def serve(
         self, workspaces: list[str], in_line: type[WaitingLine]
@@ -211,7 +230,7 @@
                     request = request_of(beliefs)
                     name = workspaces[(tick // 4) % len(workspaces)]
                     request.workspace = Workspace(name, None)
-                    line.add(request, 0, clock + 1.8, clock + 0.15)
+                    line.add(request, clock + 1.8, clock + 0.15)
                 if tick % 5 == 0 and line.waiting:
                     first = line.ordered()[0]
                     timely += clock <= first.goal_s
--- a/gypsumpier/test/test_beliefs.py
+++ b/gypsumpier/test/test_beliefs.py
@@ -88,9 +88,9 @@
         between_s = (first.learned_at_s + second.learned_at_s) / 2
         self.assertEqual(2, beliefs.due_version(MODEL, between_s))
         self.assertEqual(3, beliefs.due_version(MODEL, second.learned_at_s + 1.0))
-        self.assertEqual(first, beliefs.first_wanted(MODEL, 1))
-        self.assertEqual(second, beliefs.first_wanted(MODEL, 2))
-        self.assertIsNone(beliefs.first_wanted(MODEL, 3))
+        self.assertEqual([2, 3], [first.version, second.version])
+        self.assertLessEqual(first.learned_at_s, second.learned_at_s)
+        self.assertEqual(0, beliefs.due_version(MODEL, first.learned_at_s))
 
     def test_what_a_snapshot_leaves_out_is_gone(self) -> None:
         beliefs = beliefs_of(engine_record(1, 1), engine_record(2, 2))
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -66,7 +66,6 @@
     is_encoded: bool
     closes: bool
     idle_s: float | None
-    weight_version: int
     upstream: str
     passed_on: HTTPHeaders
 
