Soak: real entries and sidecars under seeded faults before a stand-in of the platform

make soak SEED=n SECONDS=s starts four entries and two sidecars as processes, with the store, the origin, engines and plain upstreams as stand-ins in the driver; every process reaches the store, and every request its upstream, through a relay that cuts, silences one way, delays or refuses. Faults are kills, freezes, crashes of engines, bad answers, losses of the store (down, cut, answers lost, history gone) and of the origin, and everything killed at once; between spells come planned stops, configurations, revocations, drains and versions of weights. Callers keep their connections.

Checked while it runs: runs at most once, "not run" that is true, own whole answers and streams in order, revoked keys at any time, drains, versions, partial loads, configurations that go back or are late, requests cut by a graceful stop, stops that take too long, recovery. Exit 0 needs 500 served requests.

--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,9 @@
 measure-weights: venv
 	$(PY) -m misc.measure_weights --deployment $(DEPLOYMENT) --seed $(SEED) \
 		--replicas $(REPLICAS) $(if $(FAULTS),--faults)
+
+# Checks the promises to callers on the Rung Lab platform, on real processes under seeded faults.
+SECONDS ?= 60
+.PHONY: soak
+soak: venv
+	$(PY) -m misc.soak --seed $(SEED) --seconds $(SECONDS)
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -7,8 +7,9 @@
 import hashlib
 import json
 import random
+import time
 from base64 import b64encode
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
@@ -103,6 +104,15 @@
         return [event for event in self.state.events if event["rev"] > after]
 
 
+class Run(NamedTuple):
+    """A request that began to run, in monotonic seconds, on a version of weights."""
+
+    request_id: str
+    upstream: str
+    at_s: float
+    version: int
+
+
 class UpstreamStandin:
     """One upstream that answers as the next entry of ``plan`` says, else well.
 
@@ -120,10 +130,29 @@
         self.ran: list[str] = []
         self.seen: list[dict[str, str]] = []
         self.ended: list[str] = []
+        self.runs: list[Run] = []
+        self.event_pause_s = EVENT_PAUSE_S
         self.server: HTTPServer
-        self.server, self.port = listen(Application([(r".*", UpstreamHandler, {"state": self})]))
+        self.server, self.port = listen(Application(self.handlers()))
         self.host = host
 
+    def handlers(self) -> list[tuple[str, type[StandinHandler], dict[str, Any]]]:
+        """Return what answers which paths."""
+        return [(r".*", UpstreamHandler, {"state": self})]
+
+    def next_action(self) -> str:
+        """Return what to do with the next request."""
+        return self.plan.pop(0) if self.plan else "ok"
+
+    def held_version(self) -> int:
+        """Return the version of the weights that requests begin on; 0 for a plain service."""
+        return 0
+
+    def note_run(self, request_id: str) -> None:
+        """Note that a request begins to run."""
+        self.ran.append(request_id)
+        self.runs.append(Run(request_id, self.name, time.monotonic(), self.held_version()))
+
     @property
     def address(self) -> str:
         """The address as records state it."""
@@ -142,7 +171,7 @@
     async def run(self) -> None:
         """Do what the plan says."""
         state: UpstreamStandin = self.state
-        action = state.plan.pop(0) if state.plan else "ok"
+        action = state.next_action()
         request_id = self.request.headers.get("X-Request-Id", "")
         state.seen.append({name.lower(): value for name, value in self.request.headers.items()})
         self.set_header("X-Request-Id", "another" if action == "crossed" else request_id)
@@ -150,7 +179,7 @@
             self.set_status(503 if action == "full" else 421)
             self.set_header("X-Not-Executed", "1")
             return
-        state.ran.append(request_id)
+        state.note_run(request_id)
         if action == "mute":
             # Never answered; the caller's leaving ends the connection and with it the request.
             self._auto_finish = False
@@ -189,7 +218,7 @@
             except StreamClosedError:
                 self.state.ended.append(self.request.headers.get("X-Request-Id", ""))
                 return
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(self.state.event_pause_s)
 
     def on_connection_close(self) -> None:
         self.state.ended.append(self.request.headers.get("X-Request-Id", ""))
@@ -227,6 +256,10 @@
         """Return a piece's bytes."""
         return random.Random(f"{version}/{number}").randbytes(self.piece_bytes)
 
+    def digest(self, version: int, number: int) -> str:
+        """Return a piece's digest."""
+        return hashlib.sha256(self.piece(version, number)).hexdigest()
+
 
 class PieceListHandler(StandinHandler):
     """The digests of a version."""
@@ -234,10 +267,7 @@
     def get(self) -> None:
         version = int(self.get_argument("version"))
         model = self.request.path.rsplit("/", 1)[1]
-        digests = [
-            hashlib.sha256(self.state.piece(version, number)).hexdigest()
-            for number in range(self.state.pieces)
-        ]
+        digests = [self.state.digest(version, number) for number in range(self.state.pieces)]
         self.finish({"model": model, "version": version, "layers": 16, "digests": digests})
 
 
--- a/misc/faulting/cable.py
+++ b/misc/faulting/cable.py
@@ -1,4 +1,4 @@
-"""A TCP relay between entries and one agent, which can cut or silence connections."""
+"""A TCP relay, which can cut, silence, delay or refuse connections."""
 
 import asyncio
 import contextlib
@@ -16,6 +16,8 @@
         self.server: asyncio.Server | None = None
         self.flows: set[Flow] = set()
         self.silent = False
+        self.refusing = False
+        self.delay_s = 0.0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -38,15 +40,25 @@
         for flow in self.flows:
             flow.silent = True
 
+    def silence_answers(self) -> None:
+        """Let what comes back on every open connection get lost, for good; new ones work."""
+        for flow in self.flows:
+            flow.is_back_silent = True
+
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward one connection both ways."""
-        flow = Flow([writer])
+        if self.refusing:
+            writer.close()
+            return
+        flow = Flow(self, [writer])
         flow.silent = self.silent
         self.flows.add(flow)
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
             flow.writers.append(far_writer)
-            await asyncio.gather(flow.pump(reader, far_writer), flow.pump(far_reader, writer))
+            await asyncio.gather(
+                flow.pump(reader, far_writer, False), flow.pump(far_reader, writer, True)
+            )
         except OSError:
             return
         finally:
@@ -57,21 +69,27 @@
 class Flow:
     """One forwarded connection."""
 
-    def __init__(self, writers: list[asyncio.StreamWriter]) -> None:
+    def __init__(self, cable: Cable, writers: list[asyncio.StreamWriter]) -> None:
+        self.cable = cable
         self.writers = writers
         self.silent = False
+        self.is_back_silent = False
 
     def close(self) -> None:
         """Close both ends."""
         for writer in self.writers:
             writer.close()
 
-    async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_back: bool
+    ) -> None:
         """Forward one direction; a silent flow swallows what it reads."""
         with contextlib.suppress(OSError):
             while content := await reader.read(READ_BYTES):
-                if self.silent:
+                if self.silent or (is_back and self.is_back_silent):
                     continue
+                if self.cable.delay_s:
+                    await asyncio.sleep(self.cable.delay_s)
                 writer.write(content)
                 await writer.drain()
         if not self.silent:
--- /dev/null
+++ b/misc/soak.py
@@ -0,0 +1,136 @@
+"""Checks the promises to callers on the Rung Lab platform, on real processes under seeded faults.
+
+``python -m misc.soak --seed N --seconds S`` starts entries and sidecars before stand-ins of the
+platform, sends load over kept connections, and kills, freezes, stops and cuts off what it started.
+Promises are checked while it runs.  The last line is one JSON object; the exit status is 1 where a
+promise was broken, and 2 where too few requests were served to tell.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, Final
+
+import click
+
+from misc.soaking.checks import Facts, Findings, check
+from misc.soaking.deployment import SoakDeployment
+from misc.soaking.faults import SoakFaults
+from misc.soaking.load import PROBE, SoakLoad
+
+LEAST_SERVED: Final = 500
+CHECK_S: Final = 5.0
+RECOVERY_S: Final = 12.0
+"""Seconds after the last fault in which every entry must serve, as on the platform."""
+RECOVERY_POLL_S: Final = 0.2
+EXIT_BROKEN: Final = 1
+EXIT_TOO_FEW: Final = 2
+
+
+async def run(deployment: SoakDeployment, seed: int, seconds: float, rate_per_s: float) -> Any:
+    """Run load and faults; return the report."""
+    draws = random.Random(seed)
+    load = SoakLoad(deployment, random.Random(draws.random()), rate_per_s)
+    faults = SoakFaults(deployment, random.Random(draws.random()))
+    told: set[str] = set()
+
+    def look() -> Findings:
+        """Check everything so far, and print what is new."""
+        found = check(facts(deployment, load, faults))
+        for promise, items in found.items():
+            for item in items:
+                if f"{promise} {item}" not in told:
+                    told.add(f"{promise} {item}")
+                    click.echo(f"broken: {promise}: {item}")
+        return found
+
+    async def watch() -> None:
+        while True:
+            await asyncio.sleep(CHECK_S)
+            look()
+
+    watching = asyncio.create_task(watch())
+    await faults.run(seconds)
+    late = await not_recovered(deployment, load)
+    await load.stop()
+    watching.cancel()
+    found = look() | {"not_recovered": late}
+    began_s = faults.windows[0].began_at_s if faults.windows else 0.0
+    for window in faults.windows:
+        since_s, lasted_s = window.began_at_s - began_s, window.ended_at_s - window.began_at_s
+        click.echo(f"{since_s:.1f} s {window.name} {window.target} for {lasted_s:.1f} s")
+    statuses = Counter(sent.status for sent in load.sent if sent.kind != PROBE)
+    return {
+        "seed": seed,
+        "requests": sum(statuses.values()),
+        "served": statuses[200],
+        "faults": len(faults.windows),
+        "statuses": {str(status): count for status, count in sorted(statuses.items())},
+        "broken": {promise: len(items) for promise, items in found.items()},
+    }
+
+
+def facts(deployment: SoakDeployment, load: SoakLoad, faults: SoakFaults) -> Facts:
+    """Return everything seen so far."""
+    return Facts(
+        sent=load.sent,
+        runs=deployment.runs(),
+        windows=faults.windows,
+        configured_at_s=deployment.configured_at_s,
+        revoked_at_s=deployment.revoked_at_s,
+        draining_at_s=deployment.draining_at_s,
+        named_at_s=deployment.named_at_s,
+        partial_loads=sum(engine.partial_loads for engine in deployment.engines()),
+        killed_at_stop=faults.killed_at_stop,
+    )
+
+
+async def not_recovered(deployment: SoakDeployment, load: SoakLoad) -> list[str]:
+    """Return the entries and kinds of request that are not served again in time."""
+    ended_s = time.monotonic()
+    wanted = {(entry.name, kind) for entry in deployment.entries for kind in ("command", "report")}
+    missing = set(wanted)
+    while missing and time.monotonic() < ended_s + RECOVERY_S:
+        await asyncio.sleep(RECOVERY_POLL_S)
+        missing -= {
+            (sent.entry, sent.kind)
+            for sent in load.sent
+            if sent.status == 200 and sent.sent_at_s > ended_s
+        }
+    return [f"{entry}: {kind}" for entry, kind in sorted(missing)]
+
+
+async def main_async(seed: int, seconds: float, rate_per_s: float, directory: Path) -> Any:
+    """Run everything; end every process that was started."""
+    deployment = SoakDeployment(directory)
+    try:
+        await deployment.start()
+        return await run(deployment, seed, seconds, rate_per_s)
+    finally:
+        await deployment.stop()
+
+
+@click.command()
+@click.option("--seed", default=1)
+@click.option("--seconds", default=60.0, help="Seconds in which faults begin.")
+@click.option("--rate", default=60.0, help="Requests a second.")
+@click.option("--logs", type=click.Path(path_type=Path), help="Directory that keeps the logs.")
+def main(seed: int, seconds: float, rate: float, logs: Path | None) -> None:
+    """Run the faults of one seed."""
+    with tempfile.TemporaryDirectory() as text:
+        directory = logs or Path(text)
+        directory.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(main_async(seed, seconds, rate, directory))
+    print(json.dumps(report))
+    if any(report["broken"].values()):
+        sys.exit(EXIT_BROKEN)
+    sys.exit(EXIT_TOO_FEW if report["served"] < LEAST_SERVED else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/misc/soaking/checks.py
@@ -0,0 +1,165 @@
+"""Compares what callers were told with what upstreams ran, and with what the platform was told."""
+
+from collections import Counter
+from typing import Final, NamedTuple
+
+from gypsumpier.test.builders_platform import BOUNDS
+from gypsumpier.test.standin.platform import Run
+from misc.faulting.actions import Window
+from misc.soaking.connection import CUT, UNCONNECTED
+from misc.soaking.load import COMMAND, PROBE, Sent
+
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+STABLE_S: Final = 3.0
+"""Seconds without a fault after which the bounds hold, as on the platform."""
+MARGIN_S: Final = 0.25
+"""Seconds added to each bound for the way of a record and of a request on a busy machine."""
+STOP_S: Final = 1.0
+"""Seconds after a graceful stop in which its requests may still end."""
+
+
+class Facts(NamedTuple):
+    """Everything that a run has seen so far; times are monotonic seconds."""
+
+    sent: list[Sent]
+    runs: list[Run]
+    windows: list[Window]
+    configured_at_s: dict[int, float]
+    revoked_at_s: dict[str, float]
+    draining_at_s: dict[str, float]
+    named_at_s: dict[int, float]
+    partial_loads: int
+    killed_at_stop: int
+
+
+Findings = dict[str, list[str]]
+"""What was found for each promise; a promise that was kept has an empty list."""
+
+
+def check(facts: Facts) -> Findings:
+    """Return what was found for each promise."""
+    ran = Counter(run.request_id for run in facts.runs)
+    return {
+        "ran_twice": [
+            sent.request_id
+            for sent in facts.sent
+            if sent.kind == COMMAND and ran[sent.request_id] > 1
+        ],
+        "false_not_run": [
+            f"{sent.request_id} status {sent.status}"
+            for sent in facts.sent
+            if sent.kind == COMMAND and sent.status in NOT_RUN_STATUSES and ran[sent.request_id]
+        ],
+        "wrong_answers": [f"{sent.request_id}: {sent.wrong}" for sent in facts.sent if sent.wrong],
+        "revoked_key_ran": revoked_key_ran(facts),
+        "ran_after_drain": ran_after_drain(facts),
+        "old_version_ran": old_version_ran(facts),
+        "partial_loads": ["an order on partial weights"] * facts.partial_loads,
+        "configuration_went_back": configuration_went_back(facts),
+        "configuration_late": configuration_late(facts),
+        "cut_by_graceful_stop": cut_by_graceful_stop(facts, ran),
+        "stop_too_slow": ["a process outlasted its bound"] * facts.killed_at_stop,
+    }
+
+
+def is_quiet(facts: Facts, from_s: float, to_s: float) -> bool:
+    """Tell whether no abrupt fault was in effect from STABLE_S before ``from_s`` to ``to_s``."""
+    return not any(
+        window.began_at_s < to_s and window.ended_at_s > from_s - STABLE_S
+        for window in facts.windows
+        if not window.graceful
+    )
+
+
+def revoked_key_ran(facts: Facts) -> list[str]:
+    """Return requests that ran by a key that had long been revoked; this holds at any time."""
+    keys = {sent.request_id: sent for sent in facts.sent}
+    bound_s = BOUNDS.key_revoked_s + MARGIN_S
+    found = []
+    for run in facts.runs:
+        sent = keys.get(run.request_id)
+        if sent is None or sent.key not in facts.revoked_at_s:
+            continue
+        late_s = sent.sent_at_s - facts.revoked_at_s[sent.key]
+        if late_s > bound_s:
+            found.append(f"{run.request_id} sent {late_s:.2f} s after its key was revoked")
+    return found
+
+
+def ran_after_drain(facts: Facts) -> list[str]:
+    """Return runs at upstreams that had long been leaving."""
+    bound_s = BOUNDS.upstream_drain_s + MARGIN_S
+    return [
+        f"{run.request_id} at {run.upstream} {run.at_s - left_s:.2f} s after it left"
+        for run in facts.runs
+        if (left_s := facts.draining_at_s.get(run.upstream, float("inf"))) < run.at_s - bound_s
+        and is_quiet(facts, left_s, run.at_s)
+    ]
+
+
+def old_version_ran(facts: Facts) -> list[str]:
+    """Return runs on a version of weights that should long have been replaced."""
+    bound_s = BOUNDS.version_in_force_s + MARGIN_S
+    found = []
+    for run in facts.runs:
+        due = [
+            (version, at_s)
+            for version, at_s in facts.named_at_s.items()
+            if version > run.version > 0 and at_s < run.at_s - bound_s
+        ]
+        for version, at_s in due[:1]:
+            if is_quiet(facts, at_s, run.at_s):
+                late_s = run.at_s - at_s
+                text = (
+                    f"{run.request_id} on {run.version}, {late_s:.2f} s after {version} was named"
+                )
+                found.append(text)
+    return found
+
+
+def configuration_went_back(facts: Facts) -> list[str]:
+    """Return probes refused for a route that the same process had served before."""
+    served: dict[tuple[str, int], list[tuple[int, float]]] = {}
+    for sent in facts.sent:
+        if sent.kind == PROBE and sent.status == 200:
+            served.setdefault((sent.entry, sent.run), []).append((sent.probed, sent.ended_at_s))
+    return [
+        f"{sent.request_id} at {sent.entry}: no route of configuration {sent.probed}"
+        for sent in facts.sent
+        if sent.kind == PROBE
+        and sent.status == 404
+        and any(
+            version >= sent.probed and at_s + MARGIN_S < sent.sent_at_s
+            for version, at_s in served.get((sent.entry, sent.run), [])
+        )
+    ]
+
+
+def configuration_late(facts: Facts) -> list[str]:
+    """Return probes refused for a route that should long have been in force."""
+    bound_s = BOUNDS.configuration_in_force_s + MARGIN_S
+    return [
+        f"{sent.request_id} at {sent.entry}: no route of configuration {sent.probed}"
+        for sent in facts.sent
+        if sent.kind == PROBE
+        and sent.status == 404
+        and sent.sent_at_s > (put_s := facts.configured_at_s[sent.probed]) + bound_s
+        and is_quiet(facts, put_s, sent.ended_at_s)
+    ]
+
+
+def cut_by_graceful_stop(facts: Facts, ran: Counter[str]) -> list[str]:
+    """Return requests that ran and were cut by an entry's graceful stop, with no fault around."""
+    stops = [window for window in facts.windows if window.name == "stop"]
+    return [
+        f"{sent.request_id} at {sent.entry}"
+        for sent in facts.sent
+        if sent.status in (CUT, UNCONNECTED)
+        and ran[sent.request_id]
+        and is_quiet(facts, sent.sent_at_s, sent.ended_at_s)
+        and any(
+            window.target == sent.entry
+            and window.began_at_s - STOP_S < sent.ended_at_s < window.ended_at_s + STOP_S
+            for window in stops
+        )
+    ]
--- /dev/null
+++ b/misc/soaking/connection.py
@@ -0,0 +1,100 @@
+"""A caller's connection to an entry, kept for many requests."""
+
+import asyncio
+from typing import Final, NamedTuple
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.tcpclient import TCPClient
+
+CONNECT_TIMEOUT_S: Final = 1.0
+CUT: Final = 0
+"""Stands for the status where the connection ended before the answer did."""
+UNCONNECTED: Final = -1
+"""Stands for the status where no connection came about."""
+SILENT: Final = -2
+"""Stands for the status where the caller's time limit passed."""
+
+
+class Answer(NamedTuple):
+    """What a caller was told; ``status`` is below 100 where the answer is not whole."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+class Collector(HTTPMessageDelegate):
+    """Collects one answer."""
+
+    def __init__(self) -> None:
+        self.status = CUT
+        self.headers = HTTPHeaders()
+        self.body = b""
+        self.is_whole = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        self.status, self.headers = start_line.code, headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        self.is_whole = True
+
+
+class CallerConnection:
+    """Connects on demand, and again where the entry closed."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.stream: IOStream | None = None
+
+    async def call(
+        self, path: str, headers: dict[str, str], body: bytes, timeout_s: float
+    ) -> Answer:
+        """Return what became of one request."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self.connected()
+        except (OSError, StreamClosedError, TimeoutError):
+            return Answer(UNCONNECTED, HTTPHeaders(), b"")
+        collector = Collector()
+        http = HTTP1Connection(stream, True, HTTP1ConnectionParameters(decompress=False))
+        own = HTTPHeaders({**headers, "Content-Length": str(len(body))})
+        try:
+            async with asyncio.timeout(timeout_s):
+                http.write_headers(RequestStartLine("POST", path, "HTTP/1.1"), own, body)
+                http.finish()
+                await http.read_response(collector)
+        except TimeoutError:
+            self.close()
+            return Answer(SILENT, collector.headers, collector.body)
+        except (StreamClosedError, UnsatisfiableReadError, HTTPInputError, OSError):
+            self.close()
+        if not collector.is_whole or collector.headers.get("Connection", "") == "close":
+            self.close()
+        status = collector.status if collector.is_whole else CUT
+        return Answer(status, collector.headers, collector.body)
+
+    async def connected(self) -> IOStream:
+        """Return the kept connection, or a new one."""
+        if self.stream is None or self.stream.closed():
+            self.stream = await TCPClient().connect("127.0.0.1", self.port)
+        return self.stream
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
--- /dev/null
+++ b/misc/soaking/deployment.py
@@ -0,0 +1,229 @@
+"""Stand-ins of the platform in this process, and entries and sidecars as processes."""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Any, Final
+
+from gypsumpier.test.builders_platform import (
+    ENGINES,
+    KEY,
+    LAYERS,
+    MODEL,
+    PLAIN,
+    ZONE,
+    command_route_body,
+    configuration_body,
+    engine_body,
+    engine_service_body,
+    plain_body,
+    route_body,
+    settings_body,
+)
+from gypsumpier.test.gatewayfleet import free_port
+from gypsumpier.test.standin.platform import OriginStandin, PlatformStandin, Run, UpstreamStandin
+from gypsumpier.test.standin.platformengine import EngineStandin
+from misc.faulting.cable import Cable
+from misc.soaking.node import Node
+
+ZONES: Final = (ZONE, "nam-a")
+ENTRIES_PER_ZONE: Final = 2
+ENGINES_PER_ZONE: Final = 1
+PLAIN_COUNT: Final = 3
+PIECES: Final = 16
+PIECE_BYTES: Final = 2048
+EVENTS: Final = 12
+EVENT_PAUSE_S: Final = 0.02
+REPORT_LAG_S: Final = 0.2
+SPARE_KEYS: Final = 40
+START_TIMEOUT_S: Final = 30.0
+POLL_S: Final = 0.05
+
+
+class SoakDeployment:
+    """Two zones of entries and sidecars, engines, plain upstreams, a store and an origin.
+
+    Every process reaches the store through a cable of its own, and each upstream is reached through
+    one.  Times of what was written are in monotonic seconds.
+    """
+
+    def __init__(self, directory: Path) -> None:
+        self.store = PlatformStandin()
+        self.origin = OriginStandin(PIECES, PIECE_BYTES)
+        self.upstreams: dict[str, UpstreamStandin] = {}
+        self.cables: dict[str, Cable] = {}
+        self.store_cables: dict[str, Cable] = {}
+        self.nodes: dict[str, Node] = {}
+        self.directory = directory
+        self.zones: dict[str, str] = {}
+        self.added = 0
+        self.version = 0
+        self.configured_at_s: dict[int, float] = {}
+        self.revoked_at_s: dict[str, float] = {}
+        self.draining_at_s: dict[str, float] = {}
+        self.named_at_s: dict[int, float] = {1: time.monotonic()}
+        self.keys = [KEY] + [f"key-{number}" for number in range(SPARE_KEYS)]
+        self.retired: list[UpstreamStandin] = []
+
+    @property
+    def entries(self) -> list[Node]:
+        """The entries, whether they run or not."""
+        return [node for node in self.nodes.values() if node.role == "entry"]
+
+    def engines(self) -> list[EngineStandin]:
+        """Return the engines."""
+        return [found for found in self.upstreams.values() if isinstance(found, EngineStandin)]
+
+    def plain(self) -> list[UpstreamStandin]:
+        """Return the plain upstreams that are in service."""
+        return [found for found in self.upstreams.values() if not isinstance(found, EngineStandin)]
+
+    def runs(self) -> list[Run]:
+        """Return every run at every upstream, also of those that are gone."""
+        found = [*self.upstreams.values(), *self.retired]
+        return [run for upstream in found for run in upstream.runs]
+
+    async def start(self) -> None:
+        """Start everything and wait until each entry is ready."""
+        self.configure()
+        for _ in range(PLAIN_COUNT):
+            await self.add_plain()
+        for zone in ZONES:
+            for number in range(1, ENGINES_PER_ZONE + 1):
+                await self.add_engine(f"engine-{zone}-{number}", zone)
+        names = [f"front-{zone}-{n}" for zone in ZONES for n in range(1, ENTRIES_PER_ZONE + 1)]
+        places = {name: f"127.0.0.1:{free_port()}" for name in names}
+        for name, place in places.items():
+            listen = {
+                "front": f"127.0.0.1:{free_port()}",
+                "ready": f"127.0.0.1:{free_port()}",
+                "control": place,
+            }
+            await self.add_node("entry", name, list(places.values()), listen=listen)
+        for engine in self.engines():
+            fields = {"app": f"127.0.0.1:{self.cables[engine.name].port}", "service": ENGINES}
+            name = engine.name.replace("engine", "side")
+            await self.add_node("agent", name, list(places.values()), listen={}, **fields)
+        for node in self.nodes.values():
+            await node.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not all(engine.version for engine in self.engines()):
+                await asyncio.sleep(POLL_S)
+
+    async def add_node(self, role: str, name: str, seeds: list[str], **fields: Any) -> None:
+        """Prepare a process."""
+        cable = self.store_cables[name] = Cable(self.store.port)
+        await cable.start()
+        zone = next(zone for zone in ZONES if zone in name)
+        body = settings_body(
+            node=name,
+            zone=zone,
+            region=zone.split("-")[0],
+            port_range=[20000, 60000],
+            seeds=seeds,
+            provider={"address": f"127.0.0.1:{cable.port}"},
+            **fields,
+        )
+        self.nodes[name] = Node(role, body, self.directory)
+
+    async def add_plain(self) -> None:
+        """Add a plain upstream."""
+        self.added += 1
+        name, zone = f"plain-{self.added}", ZONES[self.added % len(ZONES)]
+        await self.wire(UpstreamStandin(name), zone)
+        self.write(name)
+
+    async def add_engine(self, name: str, zone: str) -> None:
+        """Add an engine that holds nothing yet."""
+        engine = EngineStandin(name, MODEL, LAYERS, self.origin)
+        engine.event_count, engine.event_pause_s = EVENTS, EVENT_PAUSE_S
+        await self.wire(engine, zone)
+        loop = asyncio.get_running_loop()
+        engine.on_change = lambda: void(loop.call_later(REPORT_LAG_S, self.write, name))
+        self.write(name)
+
+    async def wire(self, upstream: UpstreamStandin, zone: str) -> None:
+        """Put a cable before an upstream."""
+        self.upstreams[upstream.name] = upstream
+        self.zones[upstream.name] = zone
+        cable = self.cables[upstream.name] = Cable(upstream.port)
+        await cable.start()
+
+    def write(self, name: str) -> None:
+        """Write the record of an upstream."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        own: dict[str, Any] = {"address": f"127.0.0.1:{self.cables[name].port}"}
+        own["zone"] = self.zones[name]
+        if name in self.draining_at_s:
+            own["state"] = "draining"
+        if isinstance(upstream, EngineStandin):
+            self.store.put(f"servers/{name}", engine_body(1, 0, **own) | upstream.body())
+        else:
+            self.store.put(f"servers/{name}", plain_body(**own))
+
+    def configure(self) -> None:
+        """Write the next configuration, which has one more route and the keys in force."""
+        self.version += 1
+        versions = [
+            command_route_body(name=f"v{n}", prefix=f"/v{n}/", kind="idempotent", attempts=2)
+            for n in range(1, self.version + 1)
+        ]
+        lookups = command_route_body(name="lookups", prefix="/lookups/", kind="idempotent")
+        origin = f"127.0.0.1:{self.origin.port}"
+        keys = [key for key in self.keys if key not in self.revoked_at_s]
+        services = [
+            engine_service_body(),
+            {"name": PLAIN, "max_conns": 110},
+            {"name": "origin", "origin": origin, "zone": ZONE, "link_mbps": 9.9},
+        ]
+        body = configuration_body(
+            self.version,
+            services=services,
+            routes=[route_body(), command_route_body(), lookups | {"attempts": 2}, *versions],
+            tenants=[{"name": "lab", "api_keys": keys}],
+        )
+        self.store.put("op/config", body)
+        self.configured_at_s[self.version] = time.monotonic()
+
+    def revoke(self, key: str) -> None:
+        """Take a key away."""
+        self.revoked_at_s[key] = float("inf")
+        self.configure()
+        self.revoked_at_s[key] = time.monotonic()
+
+    def drain(self, name: str) -> None:
+        """Let an upstream leave."""
+        self.draining_at_s[name] = time.monotonic()
+        self.write(name)
+
+    def retire(self, name: str) -> None:
+        """Take a drained upstream away."""
+        self.store.remove(f"servers/{name}")
+        upstream = self.upstreams.pop(name)
+        self.retired.append(upstream)
+        upstream.server.stop()
+        self.cables.pop(name).stop()
+
+    def name_version(self) -> int:
+        """Name the next version of the weights and return it."""
+        version = max(self.named_at_s) + 1
+        self.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": version})
+        self.named_at_s[version] = time.monotonic()
+        return version
+
+    async def stop(self) -> None:
+        """End every process, by its id, and every stand-in."""
+        await asyncio.gather(*(node.kill() for node in self.nodes.values()))
+        for cable in [*self.cables.values(), *self.store_cables.values()]:
+            cable.stop()
+        self.store.wake()
+        for server in (self.store.server, self.origin.server):
+            server.stop()
+        for upstream in self.upstreams.values():
+            upstream.server.stop()
+
+
+def void(handle: object) -> None:
+    """Drop a handle, so that a lambda returns nothing."""
--- /dev/null
+++ b/misc/soaking/faults.py
@@ -0,0 +1,232 @@
+"""The soak's faults and planned changes, in an order that the seed gives."""
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Final
+
+from misc.faulting.actions import Window
+from misc.soaking.deployment import EVENTS, SoakDeployment
+from misc.soaking.node import Node
+
+QUIET_S: Final = 3.2
+"""Seconds after a spell of faults from which the bounds hold again; the platform's are 3."""
+PLANNED_S: Final = 2.6
+"""Seconds that a planned change is left alone: its bound of 2 and a margin."""
+VERSION_S: Final = 9.0
+"""Seconds that a version of weights is left alone: its bound of 8 and a margin."""
+DELAY_S: Final = 0.15
+ANSWER_FAULTS: Final = ("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed")
+FAULTY_ANSWERS: Final = 40
+
+
+class SoakFaults:
+    """Applies faults, takes them back and keeps when each was in effect."""
+
+    def __init__(self, deployment: SoakDeployment, draws: random.Random) -> None:
+        self.deployment = deployment
+        self.draws = draws
+        self.windows: list[Window] = []
+        self.busy: set[str] = set()
+        self.killed_at_stop = 0
+
+    async def run(self, seconds: float) -> None:
+        """Alternate spells of overlapping faults and quiet planned changes for that long."""
+        until_s = time.monotonic() + seconds
+        while time.monotonic() < until_s:
+            await self.spell()
+            await asyncio.sleep(QUIET_S)
+            if time.monotonic() < until_s:
+                await self.draws.choice(self.planned())()
+
+    async def spell(self) -> None:
+        """Apply two or three faults that overlap, with changes among them."""
+        running = []
+        for _ in range(self.draws.choice([2, 3])):
+            running.append(asyncio.ensure_future(self.draws.choice(self.abrupt())()))
+            await asyncio.sleep(self.draws.uniform(0.1, 1.5))
+            if self.draws.random() < 0.5:
+                self.draws.choice([self.deployment.configure, self.revoke_next, self.name])()
+        await asyncio.gather(*running)
+
+    def abrupt(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults under which requests may fail."""
+        return [
+            *(self.kill, self.kill, self.freeze, self.freeze),
+            *(self.crash_engine, self.cut_upstream, self.silence_upstream, self.slow_upstream),
+            *(self.bad_answers, self.lose_store, self.cut_from_store, self.lose_answers_of_store),
+            *(self.forget_history, self.lose_origin, self.spoil_origin, self.kill_all),
+        ]
+
+    def planned(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the changes and stops under which no request may fail."""
+        return [self.stop, self.stop, self.change, self.revoke, self.drain, self.bring_version]
+
+    @asynccontextmanager
+    async def window(self, name: str, target: str, graceful: bool = False) -> AsyncIterator[None]:
+        """Hold a target and note when the fault was in effect."""
+        window = Window(name, target, graceful, time.monotonic())
+        self.windows.append(window)
+        self.busy.add(target)
+        try:
+            yield
+        finally:
+            self.busy.discard(target)
+            window.ended_at_s = time.monotonic()
+
+    def node(self) -> Node | None:
+        """Return a process that no fault holds; mostly an entry."""
+        free = [node for node in self.deployment.nodes.values() if node.name not in self.busy]
+        entries = [node for node in free if node.role == "entry"]
+        found = entries if entries and self.draws.random() < 0.7 else free
+        return self.draws.choice(found) if found else None
+
+    def upstream(self) -> str:
+        """Return the name of an upstream."""
+        return self.draws.choice(sorted(self.deployment.upstreams))
+
+    async def kill(self) -> None:
+        node = self.node()
+        if node is not None:
+            async with self.window("kill", node.name):
+                await node.kill()
+                await asyncio.sleep(self.draws.choice([0.0, 0.5, 2.0]))
+                await node.start()
+
+    async def kill_all(self) -> None:
+        nodes = [node for node in self.deployment.nodes.values() if node.name not in self.busy]
+        async with self.window("kill_all", "all"):
+            self.busy.update(node.name for node in nodes)
+            await asyncio.gather(*(node.kill() for node in nodes))
+            await asyncio.gather(*(node.start() for node in nodes))
+            self.busy.difference_update(node.name for node in nodes)
+
+    async def freeze(self) -> None:
+        node = self.node()
+        if node is not None:
+            async with self.window("freeze", node.name):
+                node.send(signal.SIGSTOP)
+                await asyncio.sleep(self.draws.choice([0.3, 1.5, 5.5]))
+                node.send(signal.SIGCONT)
+
+    async def stop(self) -> None:
+        node = self.node()
+        if node is not None:
+            async with self.window("stop", node.name, graceful=True):
+                self.killed_at_stop += not await node.stop()
+                await node.start()
+                await asyncio.sleep(PLANNED_S)
+
+    async def crash_engine(self) -> None:
+        engine = self.draws.choice(self.deployment.engines())
+        async with self.window("crash_engine", engine.name):
+            engine.crash()
+            self.deployment.cables[engine.name].cut()
+
+    async def cut_upstream(self) -> None:
+        name = self.upstream()
+        async with self.window("cut_upstream", name):
+            cable = self.deployment.cables[name]
+            cable.refusing = True
+            cable.cut()
+            await asyncio.sleep(self.draws.uniform(0.2, 2.0))
+            cable.refusing = False
+
+    async def silence_upstream(self) -> None:
+        name = self.upstream()
+        async with self.window("silence_upstream", name):
+            cable = self.deployment.cables[name]
+            self.draws.choice([cable.silence, cable.silence_answers])()
+            await asyncio.sleep(1.0)
+            cable.cut()
+
+    async def slow_upstream(self) -> None:
+        name = self.upstream()
+        async with self.window("slow_upstream", name):
+            cable = self.deployment.cables[name]
+            cable.delay_s = DELAY_S
+            await asyncio.sleep(2.0)
+            cable.delay_s = 0.0
+
+    async def bad_answers(self) -> None:
+        name = self.upstream()
+        async with self.window("bad_answers", name):
+            upstream = self.deployment.upstreams[name]
+            upstream.cut_after = self.draws.randrange(EVENTS)
+            upstream.plan = [
+                self.draws.choice(ANSWER_FAULTS) if self.draws.random() < 0.3 else "ok"
+                for _ in range(FAULTY_ANSWERS)
+            ]
+            await asyncio.sleep(2.0)
+            upstream.plan = []
+
+    async def lose_store(self) -> None:
+        async with self.window("lose_store", "store"):
+            self.deployment.store.down = True
+            await asyncio.sleep(self.draws.choice([1.0, 6.0]))
+            self.deployment.store.down = False
+
+    async def cut_from_store(self) -> None:
+        name = self.draws.choice(sorted(self.deployment.nodes))
+        async with self.window("cut_from_store", name):
+            cable = self.deployment.store_cables[name]
+            cable.refusing = True
+            cable.cut()
+            await asyncio.sleep(self.draws.choice([1.0, 6.0]))
+            cable.refusing = False
+
+    async def lose_answers_of_store(self) -> None:
+        name = self.draws.choice(sorted(self.deployment.nodes))
+        async with self.window("lose_answers_of_store", name):
+            self.deployment.store_cables[name].silence_answers()
+            await asyncio.sleep(3.0)
+            self.deployment.store_cables[name].cut()
+
+    async def forget_history(self) -> None:
+        async with self.window("forget_history", "store"):
+            self.deployment.store.compact()
+
+    async def lose_origin(self) -> None:
+        async with self.window("lose_origin", "origin"):
+            self.deployment.origin.down = True
+            await asyncio.sleep(3.0)
+            self.deployment.origin.down = False
+
+    async def spoil_origin(self) -> None:
+        async with self.window("spoil_origin", "origin"):
+            self.deployment.origin.bad.update(range(0, self.deployment.origin.pieces, 3))
+
+    async def change(self) -> None:
+        self.deployment.configure()
+        await asyncio.sleep(PLANNED_S)
+
+    def name(self) -> None:
+        """Name the next version of the weights."""
+        self.deployment.name_version()
+
+    def revoke_next(self) -> None:
+        """Revoke the newest key that is in force, but for the callers' common ones."""
+        left = [key for key in self.deployment.keys[1:] if key not in self.deployment.revoked_at_s]
+        if len(left) > 1:
+            self.deployment.revoke(left[-1])
+
+    async def revoke(self) -> None:
+        self.revoke_next()
+        await asyncio.sleep(PLANNED_S)
+
+    async def drain(self) -> None:
+        """Let a plain upstream leave, and another one come."""
+        name = self.draws.choice(sorted(found.name for found in self.deployment.plain()))
+        async with self.window("drain", name, graceful=True):
+            await self.deployment.add_plain()
+            await asyncio.sleep(PLANNED_S)
+            self.deployment.drain(name)
+            await asyncio.sleep(PLANNED_S)
+            self.deployment.retire(name)
+
+    async def bring_version(self) -> None:
+        self.name()
+        await asyncio.sleep(VERSION_S)
