--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -18,9 +18,14 @@
 """Seconds that a planned change is left alone: its bound of 2 and a margin."""
 VERSION_S: Final = 9.0
 """Seconds that a version of weights is left alone: its bound of 8 and a margin."""
+UNSEEN_S: Final = 7.0
+"""Seconds of the longest loss of sight: longer than a revoked key may work, which is 5."""
 DELAY_S: Final = 0.15
 ANSWER_FAULTS: Final = ("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed")
-FAULTY_ANSWERS: Final = 40
+ODD_PAUSE_S: Final = 0.15
+"""Seconds between two answers that are made odd."""
+FAULTY_ANSWERS: Final = 60
+FAULTY_SHARE: Final = 0.5
 
 
 class SoakFaults:
@@ -43,7 +48,8 @@
                 await self.draws.choice(self.planned())()
 
     async def spell(self) -> None:
-        """Apply two or three faults that overlap, with changes among them."""
+        """Apply two or three faults that overlap, with changes and odd answers among them."""
+        odd = asyncio.create_task(self.odd_answers())
         running = []
         for _ in range(self.draws.choice([2, 3])):
             running.append(asyncio.ensure_future(self.draws.choice(self.abrupt())()))
@@ -51,13 +57,35 @@
             if self.draws.random() < 0.5:
                 self.draws.choice([self.deployment.configure, self.revoke_next, self.name])()
         await asyncio.gather(*running)
+        odd.cancel()
+        await asyncio.wait({odd})
+
+    async def odd_answers(self) -> None:
+        """Let some answers of any upstream be wrong or missing until cancelled."""
+        async with self.window("odd_answers", "upstreams"):
+            try:
+                while True:
+                    await asyncio.sleep(ODD_PAUSE_S)
+                    upstream = self.deployment.upstreams[self.upstream()]
+                    if not upstream.plan:
+                        upstream.cut_after = self.draws.randrange(EVENTS)
+                        upstream.plan.append(self.draws.choice(ANSWER_FAULTS))
+            finally:
+                for upstream in self.deployment.upstreams.values():
+                    upstream.plan = []
 
     def abrupt(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the faults under which requests may fail."""
         return [
             *(self.kill, self.kill, self.freeze, self.freeze),
             *(self.crash_engine, self.cut_upstream, self.silence_upstream, self.slow_upstream),
-            *(self.bad_answers, self.lose_store, self.cut_from_store, self.lose_answers_of_store),
+            *(
+                self.bad_answers,
+                self.bad_answers,
+                self.lose_store,
+                self.cut_from_store,
+                self.lose_answers_of_store,
+            ),
             *(self.forget_history, self.lose_origin, self.spoil_origin, self.kill_all),
         ]
 
@@ -109,7 +137,8 @@
         if node is not None:
             async with self.window("freeze", node.name):
                 node.send(signal.SIGSTOP)
-                await asyncio.sleep(self.draws.choice([0.3, 1.5, 5.5]))
+                self.revoke_next()
+                await asyncio.sleep(self.draws.choice([0.3, 1.5, UNSEEN_S]))
                 node.send(signal.SIGCONT)
 
     async def stop(self) -> None:
@@ -157,16 +186,18 @@
             upstream = self.deployment.upstreams[name]
             upstream.cut_after = self.draws.randrange(EVENTS)
             upstream.plan = [
-                self.draws.choice(ANSWER_FAULTS) if self.draws.random() < 0.3 else "ok"
+                self.draws.choice(ANSWER_FAULTS) if self.draws.random() < FAULTY_SHARE else "ok"
                 for _ in range(FAULTY_ANSWERS)
             ]
-            await asyncio.sleep(2.0)
+            await asyncio.sleep(3.0)
             upstream.plan = []
 
     async def lose_store(self) -> None:
         async with self.window("lose_store", "store"):
             self.deployment.store.down = True
-            await asyncio.sleep(self.draws.choice([1.0, 6.0]))
+            # Whoever can't read it can't know of this.
+            self.revoke_next()
+            await asyncio.sleep(self.draws.choice([1.0, UNSEEN_S]))
             self.deployment.store.down = False
 
     async def cut_from_store(self) -> None:
@@ -175,7 +206,7 @@
             cable = self.deployment.store_cables[name]
             cable.refusing = True
             cable.cut()
-            await asyncio.sleep(self.draws.choice([1.0, 6.0]))
+            await asyncio.sleep(self.draws.choice([1.0, UNSEEN_S]))
             cable.refusing = False
 
     async def lose_answers_of_store(self) -> None:
