Send records compressed, and everything only to who asks for it

Configurations 27 and 30 reached 24 of 81 processes, those of the origin's zone.

Change: records travel packed and compressed (a configuration of 1,900 routes to less than an eighth, once for each batch and not once for each peer), a new connection costs an offer of the revision, and who knows less asks one peer.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -6,8 +6,11 @@
 
 import random
 import time
+import zlib
 from typing import Any, Final
 
+import msgpack
+
 from gypsumpier.fleet.beliefs import Beliefs
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
@@ -19,6 +22,7 @@
 FEED: Final = "feed"
 NOTICE: Final = "notice"
 FEED_ASK: Final = "feed_ask"
+FEED_OFFER: Final = "feed_offer"
 WATCHERS_ALONE: Final = 2
 """Entries that watch the store where there is one zone only, so that one may fail without delay."""
 WATCHERS_PER_ZONE: Final = 1
@@ -31,6 +35,12 @@
 """Seconds by which a proof from another zone must be fresher to be passed on in the own one."""
 BEHIND_S: Final = 0.15
 """Seconds that a newer revision may be known of without its records."""
+ASKED_S: Final = 0.5
+"""Seconds for which one peer is waited for that was asked for everything, before another is."""
+COMPRESSION_LEVEL: Final = 1
+"""The fastest level of zlib; the routes of a configuration shrink to about a tenth by it."""
+RECORDS_BYTES_MAX: Final = 64 * 1024 * 1024
+"""Bytes of records that a message may unfold to, some hundred times a large configuration."""
 
 
 class BeliefFeed:
@@ -42,9 +52,12 @@
         self.random = random.Random()
         self.heard_revision = 0
         self.behind_since_s = 0.0
+        self.asked_at_s = float("-inf")
+        self.packed_snapshot: tuple[int, bytes] = (0, b"")
         mesh.listeners[FEED] = self.take
         mesh.listeners[NOTICE] = self.note_revision
         mesh.listeners[FEED_ASK] = self.give_everything
+        mesh.listeners[FEED_OFFER] = self.take_offer
         mesh.on_peer.append(self.greet)
 
     def has_duty(self) -> bool:
@@ -72,7 +85,7 @@
     def share(self, batch: Batch) -> None:
         """Pass on a batch that the store has just answered."""
         own = self.mesh.own
-        feed = self.message(batch)
+        feed = self.message(batch, packed(batch.records))
         near = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
         self.mesh.post_all(near, FEED, feed)
         far = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
@@ -82,12 +95,12 @@
         notice = {"revision": batch.revision, "age_s": self.beliefs.proof_age_s()}
         self.mesh.post_all(far, NOTICE, notice)
 
-    def message(self, batch: Batch) -> dict[str, Any]:
-        """Return a batch as it travels, with the age of this process's proof."""
+    def message(self, batch: Batch, records: bytes) -> dict[str, Any]:
+        """Return a batch and its packed records as they travel, with the age of the proof."""
         return {
             "after": batch.after,
             "revision": batch.revision,
-            "records": [list(record) for record in batch.records],
+            "records": records,
             "whole": batch.is_snapshot,
             "age_s": self.beliefs.proof_age_s(),
             "named": self.beliefs.named_ages(),
@@ -96,9 +109,7 @@
 
     def take(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Apply a batch from a peer, or ask for everything where one is missing."""
-        records = [
-            Record(str(key), value, int(revision)) for key, value, revision in payload["records"]
-        ]
+        records = unpacked(payload["records"])
         batch = Batch(
             int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
         )
@@ -121,14 +132,52 @@
             self.beliefs.prove(boot_time_s() - age_s)
             batch = Batch(revision, revision, [], False, 0.0)
             near = self.mesh.peers(ENTRY, self.mesh.own.zone)
-            self.mesh.post_all(near, FEED, self.message(batch))
+            self.mesh.post_all(near, FEED, self.message(batch, packed([])))
 
     def give_everything(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Send everything that is known."""
-        if self.beliefs.revision:
-            self.mesh.post(peer.name, FEED, self.message(self.beliefs.snapshot()))
+        if not self.beliefs.revision:
+            return
+        batch = self.beliefs.snapshot()
+        if self.packed_snapshot[0] != batch.revision:
+            self.packed_snapshot = batch.revision, packed(batch.records)
+        self.mesh.post(peer.name, FEED, self.message(batch, self.packed_snapshot[1]))
 
     def greet(self, link: MeshLink) -> None:
-        """Tell a peer of the zone that has just connected everything that is known."""
+        """Offer a peer of the zone that has just connected what is known.
+
+        Only who knows less asks for it: where many connections break at once, everything sent to
+        everyone would keep the links so full that more of them break.
+        """
         if link.peer.zone == self.mesh.own.zone and self.mesh.own.role == ENTRY:
-            self.give_everything(link.peer, {})
+            offer = {"revision": self.beliefs.revision, "age_s": self.beliefs.proof_age_s()}
+            self.mesh.post(link.peer.name, FEED_OFFER, offer)
+
+    def take_offer(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Ask for everything where the peer knows more; take its proof where it knows the same."""
+        revision, now_s = int(payload["revision"]), time.monotonic()
+        if revision == self.beliefs.revision:
+            self.beliefs.prove(boot_time_s() - max(0.0, float(payload["age_s"])))
+        elif revision > self.beliefs.revision and now_s - self.asked_at_s > ASKED_S:
+            self.asked_at_s = now_s
+            self.mesh.post(peer.name, FEED_ASK, {})
+
+
+def packed(records: list[Record]) -> bytes:
+    """Return the records as they travel."""
+    content: bytes = msgpack.packb([list(record) for record in records])
+    return zlib.compress(content, COMPRESSION_LEVEL)
+
+
+def unpacked(content: bytes) -> list[Record]:
+    """Return the records of a message; raise ValueError where they can't be read."""
+    unfolding = zlib.decompressobj()
+    try:
+        found = unfolding.decompress(content, RECORDS_BYTES_MAX)
+    except zlib.error as error:
+        raise ValueError(f"records that can't be unfolded: {error}") from error
+    if not unfolding.eof:
+        raise ValueError("records that are cut or too large")
+    return [
+        Record(str(key), value, int(revision)) for key, value, revision in msgpack.unpackb(found)
+    ]
--- a/gypsumpier/test/test_feed.py
+++ b/gypsumpier/test/test_feed.py
@@ -2,18 +2,28 @@
 
 import time
 import unittest
+import zlib
 from typing import Any
 from unittest import mock
 
 from gypsumpier.fleet.change import Batch
 from gypsumpier.mesh import feed as module
-from gypsumpier.mesh.feed import FEED, FEED_ASK, NOTICE, BeliefFeed
+from gypsumpier.mesh.feed import (
+    FEED,
+    FEED_ASK,
+    FEED_OFFER,
+    NOTICE,
+    BeliefFeed,
+    packed,
+    unpacked,
+)
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.test.builders_platform import (
     beliefs_of,
     configuration_record,
     engine_record,
     later,
+    route_body,
 )
 from gypsumpier.test.fakes_piece import entry_peer
 
@@ -54,7 +64,7 @@
         """Return a batch as a peer would send it."""
         revision = max((found.revision for found in records), default=after)
         batch = Batch(after, revision, list(records), False, 0.0)
-        return feed.message(batch) | {"age_s": 0.0} | fields
+        return feed.message(batch, packed(batch.records)) | {"age_s": 0.0} | fields
 
     def test_the_first_entry_of_a_zone_watches_and_the_others_do_not(self) -> None:
         self.assertFalse(self.build(NEAR + FAR).has_duty())
@@ -115,6 +125,50 @@
         self.assertLess(feed.beliefs.proof_age_s(), 1.0)
         self.assertEqual({FEED}, {kind for _, kind, _ in self.mesh.posted})
 
+    def test_a_new_connection_costs_no_more_than_an_offer(self) -> None:
+        """Pattern: many connections of a zone break at once while a configuration is large."""
+        feed = self.build(NEAR + FAR)
+        for peer in NEAR + FAR:
+            feed.greet(mock.Mock(peer=peer))
+        told = {name: kind for name, kind, _ in self.mesh.posted}
+        self.assertEqual({peer.name: FEED_OFFER for peer in NEAR}, told)
+
+    def test_who_knows_less_asks_one_peer_for_everything(self) -> None:
+        feed = self.build(NEAR + FAR, age_s=4.0)
+        for peer in NEAR:
+            feed.take_offer(peer, {"revision": 9, "age_s": 0.1})
+        self.assertEqual([(NEAR[0].name, FEED_ASK, {})], self.mesh.posted)
+        self.assertGreater(feed.beliefs.proof_age_s(), 3.5)
+        later_s = time.monotonic() + module.ASKED_S + 0.01
+        with mock.patch.object(time, "monotonic", lambda: later_s):
+            feed.take_offer(NEAR[1], {"revision": 9, "age_s": 0.1})
+        self.assertEqual((NEAR[1].name, FEED_ASK, {}), self.mesh.posted[-1])
+
+    def test_an_offer_of_the_same_revision_brings_its_proof(self) -> None:
+        feed = self.build(NEAR, age_s=4.0)
+        feed.take_offer(NEAR[0], {"revision": 3, "age_s": 0.1})
+        self.assertGreater(feed.beliefs.proof_age_s(), 3.5)
+        feed.take_offer(NEAR[0], {"revision": 5, "age_s": 0.1})
+        self.assertLess(feed.beliefs.proof_age_s(), 1.0)
+        self.assertEqual([], self.mesh.posted)
+
+    def test_a_large_configuration_travels_in_a_tenth_of_its_size(self) -> None:
+        """Pattern: the configuration grows by many routes and changes several times a second."""
+        routes = [route_body(f"r{number}", prefix=f"/r{number}/") for number in range(1900)]
+        found = configuration_record(6, routes=routes)
+        assert found.value is not None
+        content = packed([found])
+        self.assertLess(len(content), len(found.value) / 8)
+        self.assertEqual([found], unpacked(content))
+
+    def test_records_that_cannot_be_read_are_a_bad_message(self) -> None:
+        content = packed([configuration_record(6)])
+        for bad in (b"", b"text", content[:-5], zlib.compress(b"text")):
+            with self.assertRaises((ValueError, TypeError)):
+                unpacked(bad)
+        with mock.patch.object(module, "RECORDS_BYTES_MAX", 100), self.assertRaises(ValueError):
+            unpacked(content)
+
     def test_an_outage_is_told_with_its_age(self) -> None:
         feed = self.build(NEAR)
         feed.take(NEAR[0], self.message(feed, 5, outage_ago_s=0.4))
