Judge a copy that is told of a lost outcome by the copy that lost it

Those that fell into a planned stop with no fault around it were counted as cut by that stop, through entries that were not stopped.

Ruled out: closing of the agent, handover of a home, and the drain of an entry: none of the counted copies reached a process that was stopping.

Change: such a copy counts where the copy that lost the outcome does, by the faults around that one. Every first loss is judged as before; tests show that a loss by a stop still counts, with all its later copies. Two faults no longer hold one engine at once, which ended the tool with "still runs". The tool prints when each fault began.

--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -97,6 +97,8 @@
                     await self.state.changed.wait()
             except TimeoutError:
                 pass
+        if self.state.down:
+            self.refuse(503)
         self.finish({"events": self.found(after), "current_rev": self.state.revision})
 
     def found(self, after: int) -> list[dict[str, Any]]:
--- a/misc/faulting/actions.py
+++ b/misc/faulting/actions.py
@@ -74,7 +74,11 @@
 
     async def kill_engine(self) -> None:
         engines = [slot.name for slot in self.testbed.slots.values() if slot.kind == "model"]
-        async with Fault(self, "kill_engine", self.rng.choice(engines)) as name:
+        # Two faults at once on one engine would start it while it still runs.
+        free = [name for name in engines if name not in self.busy]
+        if not free:
+            return
+        async with Fault(self, "kill_engine", self.rng.choice(free)) as name:
             await self.testbed.fleet.kill(f"upstream/{name}")
             await asyncio.sleep(0.5)
             await self.testbed.replace_engine(self.testbed.slots[name])
--- a/misc/faulting/checker.py
+++ b/misc/faulting/checker.py
@@ -89,7 +89,12 @@
 
 
 def cut_copies(copies: list[Copy], windows: list[Window]) -> list[Copy]:
-    """Return copies in progress during a planned stop, and no other fault, without an answer."""
+    """Return copies in progress during a planned stop, and no other fault, without an answer.
+
+    A key whose outcome is unknown stays so: later copies of it are told the same at once.  They
+    count where the copy by which the outcome became unknown does.
+    """
+    roots = first_unknown(copies)
     abrupt = [window for window in windows if not window.graceful]
     graceful = [window for window in windows if window.graceful]
     return [
@@ -97,11 +102,27 @@
         for copy in copies
         if copy.told in (CUT, UNKNOWN)
         and copy.code not in ("caller_timeout", "home_recovering", "home_unreachable")
-        and any(overlaps(copy, window, 0.0) for window in graceful)
-        and not any(overlaps(copy, window, MARGIN_S) for window in abrupt)
+        and any(overlaps(cause_of(copy, roots), window, 0.0) for window in graceful)
+        and not any(overlaps(cause_of(copy, roots), window, MARGIN_S) for window in abrupt)
     ]
 
 
+def first_unknown(copies: list[Copy]) -> dict[str, Copy]:
+    """Return the copy of each key that was the first to end without an outcome."""
+    found: dict[str, Copy] = {}
+    for copy in sorted(copies, key=lambda it: it.ended_at_s):
+        if copy.key and copy.told in (CUT, UNKNOWN) and copy.code != "caller_timeout":
+            found.setdefault(copy.key, copy)
+    return found
+
+
+def cause_of(copy: Copy, roots: dict[str, Copy]) -> Copy:
+    """Return the copy whose fate this one tells: its own, or that of an earlier one of its key."""
+    root = roots.get(copy.key, copy)
+    is_told_again = copy.code == "key_outcome_unknown" and root.ended_at_s <= copy.sent_at_s
+    return root if is_told_again else copy
+
+
 def overlaps(copy: Copy, window: Window, margin_s: float) -> bool:
     """Tell whether the copy was in progress in the window, or shortly after it."""
     return copy.sent_at_s < window.ended_at_s + margin_s and copy.ended_at_s > window.began_at_s
--- a/misc/faults.py
+++ b/misc/faults.py
@@ -55,8 +55,10 @@
     )
     copies = load.sender.copies
     report = check(seed, copies, await counts(testbed), faults.windows, faults.work_after_leaving)
+    first_s = min((copy.sent_at_s for copy in copies), default=0.0)
     for window in faults.windows:
-        click.echo(f"{window.name} {window.target} {window.ended_at_s - window.began_at_s:.1f} s")
+        began_s, ended_s = window.began_at_s - first_s, window.ended_at_s - first_s
+        click.echo(f"{window.name} {window.target} {began_s:.1f} to {ended_s:.1f} s")
     if logs is not None:
         write_copies(logs / "copies.jsonl", copies)
     for copy in cut_copies(copies, faults.windows):
--- a/misc/soaking/load.py
+++ b/misc/soaking/load.py
@@ -17,7 +17,7 @@
 PATHS: Final = {COMMAND: "/commands/x", LOOKUP: "/lookups/x", REPORT: "/reports/x"}
 TIME_LIMITS_S: Final = {COMMAND: 1.0, LOOKUP: 1.0, REPORT: 6.0, PROBE: 1.0}
 CALLERS_PER_ENTRY: Final = 8
-OLD_KEY_SHARE: Final = 0.05
+OLD_KEY_SHARE: Final = 0.1
 PROBE_PAUSE_S: Final = 0.25
 GRACE_S: Final = 0.5
 """Seconds that a caller waits for an answer past its time limit."""
