--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -1,6 +1,8 @@
 """One entry before stand-ins of the platform, in the event loop of a test."""
 
 import asyncio
+import errno
+import random
 import socket
 from typing import Any, Final
 
@@ -28,13 +30,26 @@
 
 START_TIMEOUT_S: Final = 5.0
 CALL_TIMEOUT_S: Final = 10.0
+PORTS: Final = range(10_240, 32_768)
+"""Ports below those from which Linux draws the ends of outgoing connections."""
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        port: int = found.getsockname()[1]
+    """Return a port that is free now, and that no outgoing connection will take.
+
+    A port that the kernel chose could be given to any connection before a process binds it, or while
+    that process is started again.
+    """
+    draws = random.SystemRandom()
+    while True:
+        port = draws.choice(PORTS)
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                continue
         return port
 
 
--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -4,11 +4,13 @@
 import subprocess
 import sys
 import unittest
+from pathlib import Path
 from typing import Any
 
 from tornado.httputil import HTTPHeaders
 
 from gypsumpier.test.builders_platform import BOUNDS
+from gypsumpier.test.gatewayfleet import free_port
 from gypsumpier.test.standin.platform import Run
 from misc.faulting.actions import Window
 from misc.soaking.checks import STABLE_S, Facts, check
@@ -149,6 +151,16 @@
         self.assertTrue(self.fault(REPORT, self.stream([1, 2, 2]), status=CUT))
 
 
+class PortTest(unittest.TestCase):
+    def test_a_port_is_none_that_an_outgoing_connection_may_take(self) -> None:
+        """Seen with seed 106: an entry's port was taken before it was bound, and it never served."""
+        text = Path("/proc/sys/net/ipv4/ip_local_port_range")
+        first = int(text.read_text().split()[0]) if text.exists() else 32_768
+        ports = [free_port() for _ in range(200)]
+        self.assertLess(max(ports), first)
+        self.assertGreater(len(set(ports)), 190)
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_a_short_run_of_real_processes_keeps_every_promise(self) -> None:
         command = [sys.executable, "-m", "misc.soak", "--seed", "1", "--seconds", "15"]
