--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -37,8 +37,8 @@
 def free_port() -> int:
     """Return a port that is free now, and that no outgoing connection will take.
 
-    A port that the kernel chose could be given to any connection before a process binds it, or while
-    that process is started again.
+    A port that the kernel chose could be given to any connection before a process binds it, or
+    while that process is started again.
     """
     draws = random.SystemRandom()
     while True:
--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -153,7 +153,7 @@
 
 class PortTest(unittest.TestCase):
     def test_a_port_is_none_that_an_outgoing_connection_may_take(self) -> None:
-        """Seen with seed 106: an entry's port was taken before it was bound, and it never served."""
+        """Seen with seed 106: an entry's port was taken while it was started again."""
         text = Path("/proc/sys/net/ipv4/ip_local_port_range")
         first = int(text.read_text().split()[0]) if text.exists() else 32_768
         ports = [free_port() for _ in range(200)]
