Log what tells a wait in the engine from a wait on the way and from a late belief

A route line now has the version that the upstream held and the oldest one allowed, a failed attempt how long its connection took and how long it was unanswered, and version_wanted how long ago the version was named and how old the last proof was. A sidecar logs, at most once a second, that requests wait in its engine. Two histograms hold the times to the connection and to the answer. No logic is changed.

Three tests: the queue line, the fields of a failed attempt, the fields of version_wanted.

--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -28,6 +28,8 @@
 
 VERSIONS_KEPT: Final = 8
 """Wanted versions kept for each model; several may be named before the first is in force."""
+UNKNOWN_AGE_S: Final = 1e6
+"""Seconds logged for the age of something of which no time is known."""
 CONTINUOUS_PROOF_S: Final = 3.5
 """Longest time in seconds since the previous proof for which a change counts as just made."""
 
@@ -157,6 +159,8 @@
             "version_wanted",
             model=change.model,
             version=change.version,
+            named_ago_s=round(min(now_s - named_at_s, UNKNOWN_AGE_S), 3),
+            proof_gap_s=round(min(now_s - self.previous_proof_at_s, UNKNOWN_AGE_S), 3),
             revision=record.revision,
             source=origin,
         )
--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -90,6 +90,8 @@
         address=f"{record.host}:{record.port}",
         attempts=request.attempts,
         age_s=round(request.age_s(), 3),
+        connect_s=round(request.connect_s(), 3),
+        unanswered_s=round(request.unanswered_s(), 3),
         outcome=outcome,
         reason=reason,
     )
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -9,6 +9,7 @@
 import time
 from typing import Final
 
+from prometheus_client import Histogram
 from tornado.httputil import RequestStartLine
 
 from gypsumpier.codes.request import (
@@ -28,6 +29,7 @@
 from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.log import decision
+from gypsumpier.metrics import REGISTRY
 from gypsumpier.platform.headers import upstream_headers
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.exchange import Exchange
@@ -45,6 +47,18 @@
 MISDIRECTED: Final = 421
 URGENCY_MAX: Final = 9
 
+UPSTREAM_CONNECT_TIME: Final = Histogram(
+    "gypsumpier_upstream_connect_seconds",
+    "Time until an attempt had a new or kept connection to its upstream.",
+    registry=REGISTRY,
+)
+UPSTREAM_ANSWER_TIME: Final = Histogram(
+    "gypsumpier_upstream_answer_seconds",
+    "Time from the connection of an attempt to the head of its answer.",
+    ["service"],
+    registry=REGISTRY,
+)
+
 
 class Relay:
     """Sends admitted requests to upstreams and retries them where that is allowed."""
@@ -126,11 +140,12 @@
             zone=record.zone,
             load=self.selector.load(record),
             slots=record.slots,
+            held_version=self.selector.held_version(record),
+            least_version=self.admission.least_version(request.service),
             waited_s=round(request.age_s(), 3),
             attempts=request.attempts,
         )
-        request.sent_at_s = time.monotonic()
-        request.sent_first_at_s = request.sent_first_at_s or request.sent_at_s
+        request.begin_attempt()
         address = Address(record.host, record.port)
 
         def should_abandon() -> bool:
@@ -139,7 +154,11 @@
         async with self.pool.exchange(
             address, self.call(request, record), should_abandon
         ) as exchange:
+            request.connected_at_s = time.monotonic()
+            UPSTREAM_CONNECT_TIME.observe(request.connect_s())
             head = await exchange.answer(request.head.request_id)
+            request.answered_at_s = time.monotonic()
+            UPSTREAM_ANSWER_TIME.labels(request.service).observe(request.unanswered_s())
             if head.is_not_run:
                 raise refusal_error(head, record)
             if head.is_success and (not head.seal or head.is_encoded):
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -17,6 +17,8 @@
     upstreams that are not tried again.  ``last_event_id`` is the id of the last relayed event.
     ``longest_gap_s`` is the longest gap between its events so far, in seconds.
     ``unread_tokens`` are the prompt tokens that the current upstream has yet to read.
+    The current attempt starts at ``sent_at_s``, has its connection at ``connected_at_s`` and the
+    head of its answer at ``answered_at_s``; the last two are 0 until then.
     """
 
     head: CallerHead
@@ -32,6 +34,8 @@
     last_event_id: str = ""
     sent_first_at_s: float = 0.0
     sent_at_s: float = 0.0
+    connected_at_s: float = 0.0
+    answered_at_s: float = 0.0
     unread_tokens: int = 0
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
@@ -61,6 +65,22 @@
         """Return the seconds since the request arrived."""
         return time.monotonic() - self.received_at_s
 
+    def begin_attempt(self) -> None:
+        """Record that the request is to be sent to an upstream now."""
+        self.sent_at_s = time.monotonic()
+        self.sent_first_at_s = self.sent_first_at_s or self.sent_at_s
+        self.connected_at_s = self.answered_at_s = 0.0
+
+    def connect_s(self) -> float:
+        """Return the seconds that the attempt's connection took, or has taken so far."""
+        return (self.connected_at_s or time.monotonic()) - self.sent_at_s
+
+    def unanswered_s(self) -> float:
+        """Return the seconds that the connected upstream took, or has taken so far, to answer."""
+        if not self.connected_at_s:
+            return 0.0
+        return (self.answered_at_s or time.monotonic()) - self.connected_at_s
+
     def record_event(self) -> None:
         """Record that an event is relayed to the caller now."""
         now_s = time.monotonic()
--- a/gypsumpier/sidecar/enginewatch.py
+++ b/gypsumpier/sidecar/enginewatch.py
@@ -15,6 +15,8 @@
 """Seconds between reads of the engine's report."""
 SWITCH_POLL_S: Final = 0.05
 """Seconds between reads while the engine switches, when delays of 0.1 s matter."""
+QUEUE_LOG_INTERVAL_S: Final = 1.0
+"""Seconds between two log lines while requests wait in the engine."""
 REPUBLISH_S: Final = 1.0
 """Seconds after which an unchanged state is published again."""
 
@@ -36,6 +38,7 @@
         self.sequence = 0
         self.last_published: EngineState | None = None
         self.published_at_s = 0.0
+        self.queue_logged_at_s = float("-inf")
 
     async def run(self) -> None:
         """Poll the report until the task is cancelled."""
@@ -69,6 +72,20 @@
             decision("dependency_regained", dependency="engine", address=self.address)
         self.report = report
         self.publish_state()
+        self.log_queue(report)
+
+    def log_queue(self, report: EngineReport) -> None:
+        """Log that requests wait in the engine, at most once per QUEUE_LOG_INTERVAL_S."""
+        now_s = time.monotonic()
+        if report.queued and now_s - self.queue_logged_at_s >= QUEUE_LOG_INTERVAL_S:
+            self.queue_logged_at_s = now_s
+            decision(
+                "engine_queue",
+                address=self.address,
+                active=report.active,
+                queued=report.queued,
+                layers=[tuple(part) for part in report.layers],
+            )
 
     def is_busy(self) -> bool:
         """Return whether the engine accepts no new requests at the moment."""
--- a/gypsumpier/test/test_beliefs.py
+++ b/gypsumpier/test/test_beliefs.py
@@ -6,6 +6,7 @@
 from gypsumpier.fleet import state as module
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.log import LOGGER, record_fields
 from gypsumpier.test.builders_platform import (
     MODEL,
     apply_records,
@@ -58,6 +59,15 @@
         apply_records(listening, wanted)
         self.assertGreater(listening.versions[MODEL][-1].earliest_named_at_s, boot_time_s() - 1.0)
 
+    def test_a_named_version_is_logged_with_its_age_and_the_gap_of_proofs(self) -> None:
+        returned = fleet_state_of(configuration_record(), proven_ago_s=6.0)
+        wanted = record(f"op/version/{MODEL}", {"model": MODEL, "version": 3}, 2)
+        with self.assertLogs(LOGGER, "INFO") as logged:
+            apply_records(returned, wanted)
+        fields = record_fields(logged.records[0])
+        self.assertAlmostEqual(6.0, float(str(fields["named_ago_s"])), delta=0.5)
+        self.assertAlmostEqual(6.0, float(str(fields["proof_gap_s"])), delta=0.5)
+
     def test_the_time_of_a_store_outage_does_not_count(self) -> None:
         """A version is named while the store is down, and read when the store returns.
 
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -13,6 +13,7 @@
 from gypsumpier.gateway.front import CallerExchange
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.log import LOGGER, record_fields
 from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
 
@@ -124,6 +125,20 @@
             answer = await self.fleet.call("/reports/x")
         self.assertEqual((502, 1), (answer.code, self.runs()))
 
+    async def test_a_failed_attempt_is_logged_with_its_versions_and_waits(self) -> None:
+        """Tells apart old weights, a slow connection and a slow answer as the cause."""
+        self.plan("mute")
+        with (
+            self.assertLogs(LOGGER, "INFO") as logged,
+            mock.patch.object(relay, "STREAM_SILENCE_S", 0.1),
+        ):
+            await self.fleet.call("/reports/x")
+        by_event = {found.getMessage(): record_fields(found) for found in logged.records}
+        route, failed = by_event["route"], by_event["attempt_failed"]
+        self.assertEqual((1, 0), (route["held_version"], route["least_version"]))
+        self.assertGreaterEqual(float(str(failed["unanswered_s"])), 0.1)
+        self.assertLess(float(str(failed["connect_s"])), 0.1)
+
     async def test_an_error_answer_does_not_put_its_upstream_into_backoff(self) -> None:
         """Guards against backing off from healthy upstreams.
 
--- a/gypsumpier/test/test_keeper.py
+++ b/gypsumpier/test/test_keeper.py
@@ -7,6 +7,7 @@
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers
+from gypsumpier.log import LOGGER, record_fields
 from gypsumpier.mesh.mesh import Mesh
 from gypsumpier.piece.engine import EngineReport
 from gypsumpier.piece.turns import FIRST_TURN_SHARE, LAST_TURN_SHARE, SwitchSchedule
@@ -34,6 +35,7 @@
     entry_peer,
     piece_of,
 )
+from gypsumpier.wire.tcp import TcpDialer
 
 
 def name_version(fleet_state: FleetState, version: int, revision: int) -> None:
@@ -43,6 +45,19 @@
     )
 
 
+class EngineQueueLogTest(unittest.TestCase):
+    def test_requests_that_wait_in_the_engine_are_logged_once_per_interval(self) -> None:
+        """Without this line a wait in the engine looks like a wait on the way to it."""
+        mesh = Mesh(entry_peer("side", "bac-a"), (), TcpDialer())
+        watch = EngineWatch(mesh, FakeEngine(), "127.0.0.1:8701")
+        report = EngineReport((LoadedLayers(MODEL, 1, 0, LAYERS),), False, 0, 0, 12, 1, 1.0)
+        with self.assertLogs(LOGGER, "INFO") as logged:
+            for queued in (0, 5, 6):
+                watch.record_report(report._replace(queued=queued))
+        lines = [found for found in logged.records if found.getMessage() == "engine_queue"]
+        self.assertEqual([5], [record_fields(found)["queued"] for found in lines])
+
+
 class KeeperTest(unittest.TestCase):
     def setUp(self) -> None:
         self.fleet_state = engines(2)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -128,6 +128,12 @@
         """Return the version of the weights that the upstream holds completely; 0 if none."""
         return whole_version(self.layers(record), model.layers)
 
+    def held_version(self, record: UpstreamRecord) -> int:
+        """Return the version of the weights that the upstream holds; 0 for none or no model."""
+        configuration = self.fleet_state.configuration
+        found = configuration.services.get(record.service) if configuration else None
+        return self.version(record, found.model) if found and found.model else 0
+
     def load(self, record: UpstreamRecord) -> int:
         """Return the known number of requests in flight at the upstream."""
         others = sum(
