--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -98,10 +98,14 @@
     def add(self, name: str, service: str, **fields: Any) -> UpstreamStandin:
         """Start an upstream and write its record to the store."""
         upstream = self.upstreams[name] = UpstreamStandin(name)
-        build = engine_body if service == ENGINES else plain_body
-        self.store.put(f"servers/{name}", build(address=upstream.address, **fields))
+        self.write_record(name, service, **fields)
         return upstream
 
+    def write_record(self, name: str, service: str, **fields: Any) -> None:
+        """Write the record of an upstream to the store."""
+        build = engine_body if service == ENGINES else plain_body
+        self.store.put(f"servers/{name}", build(address=self.upstreams[name].address, **fields))
+
     async def start(self) -> None:
         """Start the entry and wait until it is ready."""
         await self.entry.start()
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -120,7 +120,8 @@
 
     Plans: ``ok``, ``full`` (refused, not run), ``wrong`` (421), ``error`` (500), ``cut`` (the
     connection breaks after ``cut_after`` events), ``mute`` (never answers), ``crossed`` (the answer
-    to another request), ``extra`` (bytes after the answer), ``unsealed`` (no X-Server-Seal header).
+    to another request), ``extra`` (bytes after the answer), ``unsealed`` (no X-Server-Seal header),
+    ``queued`` (starts to run after ``queued_s`` seconds, if its connection is still open).
 
     ``run_ids`` holds the requests that started to run, and ``closed_ids`` those whose connection
     closed before the end.
@@ -131,6 +132,7 @@
         self.name = name
         self.plan: list[str] = []
         self.cut_after = 2
+        self.queued_s = 1.0
         self.event_count = 5
         self.run_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
@@ -167,6 +169,11 @@
 class UpstreamHandler(StandinHandler):
     """Handles the upstream's requests."""
 
+    connection_closed: asyncio.Event
+
+    def prepare(self) -> None:
+        self.connection_closed = asyncio.Event()
+
     async def get(self) -> None:
         await self.run()
 
@@ -186,6 +193,8 @@
             self.set_status(503 if action == "full" else 421)
             self.set_header("X-Not-Executed", "1")
             return
+        if action == "queued" and not await self.wait_in_queue():
+            return
         state.record_run(request_id)
         if action == "mute":
             # Never answered: the request ends when the caller closes the connection.
@@ -209,6 +218,15 @@
             if action == "extra":
                 self.iostream().write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
 
+    async def wait_in_queue(self) -> bool:
+        """Wait for the turn of a queued request; return False if its connection closed."""
+        try:
+            async with asyncio.timeout(self.state.queued_s):
+                await self.connection_closed.wait()
+        except TimeoutError:
+            return True
+        return False
+
     async def stream(self, cut_after: int | None) -> None:
         """Send the events after Last-Event-Id."""
         self.set_header("Content-Type", "text/event-stream")
@@ -229,6 +247,7 @@
 
     def on_connection_close(self) -> None:
         self.state.closed_ids.append(self.request.headers.get("X-Request-Id", ""))
+        self.connection_closed.set()
 
     def iostream(self) -> Any:
         """Return the connection's stream."""
