Withdraw requests that an engine has not started as its weights fall due

Cause: the entry judged the weights when it sent a request, 1 s before the limit at the latest, but the limit holds for the start at the engine.

Now nothing is sent from 1.2 s before the limit, and from 0.8 s before it each request that an engine with older weights has not begun to answer is withdrawn by closing its connection. The close is behind the request on the same connection, so a request that is still on its way is dropped when it arrives. Its outcome is unknown, as before for a silent engine; the engine's health is not charged. Ruled out: a shorter time limit in the head (counted from the arrival, cuts what runs), a larger margin alone (nothing bounds the wait).

--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -20,6 +20,7 @@
 from gypsumpier.gateway.frontserver import FrontServer
 from gypsumpier.gateway.intake import Intake
 from gypsumpier.gateway.loadshare import LoadShare
+from gypsumpier.gateway.pendingstarts import PendingStarts
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.status import StatusServer, metrics_address
@@ -36,8 +37,13 @@
 from gypsumpier.upstream.selector import UpstreamSelector
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
-VERSION_MARGIN_S: Final = 1.0
-"""Seconds before a wanted version must be in force from which older weights are not used."""
+SEND_MARGIN_S: Final = 1.2
+"""Seconds before a wanted version must be in force from which no request is sent to engines with
+older weights: the longest that a request may be on its way or wait in the engine's queue."""
+START_MARGIN_S: Final = 0.8
+"""Seconds before that time at which requests that such an engine has not started are withdrawn: the
+time for the closed connection to reach the engine.  An engine with a free slot starts a request in
+less than the difference to ``SEND_MARGIN_S``."""
 LEAVE_ROTATION_S: Final = 2.6
 """Seconds after which the balancer, which checks once a second, has had two failed checks and sends
 no more callers."""
@@ -87,8 +93,11 @@
         self.pool = UpstreamPool()
         self.retries = RetryBudget(settings.bounds, len(settings.regions_by_zone))
         self.crashes = CrashTracker(self.mesh)
+        self.starts = PendingStarts(self.selector, self.due_version)
         self.intake = Intake(settings, self.fleet_state)
-        self.relay = Relay(self.admission, self.selector, self.pool, self.retries, self.crashes)
+        self.relay = Relay(
+            self.admission, self.selector, self.pool, self.retries, self.crashes, self.starts
+        )
         self.front = Front(self.intake, self.relay)
         self.server = FrontServer(self.front)
         self.piece_cache = PieceCache(self.mesh, self.fleet_state, dial_origin, self.piece_holders)
@@ -108,7 +117,12 @@
             self.server.add_sockets(bind(settings.caller_address))
         self.mesh.start()
         self.watcher.start()
-        for work in (self.admission.run(), self.load_share.run(), self.housekeeping()):
+        for work in (
+            self.admission.run(),
+            self.starts.run(),
+            self.load_share.run(),
+            self.housekeeping(),
+        ):
             self.tasks.append(asyncio.create_task(work))
 
     async def stop(self) -> None:
@@ -154,12 +168,20 @@
         return self.intake.is_fresh() and bool(self.fleet_state.upstreams)
 
     def least_version(self, service: str) -> int:
-        """Return the oldest version of the weights that engines may still serve requests with."""
+        """Return the oldest version of the weights of engines that a request is still sent to."""
+        return self.version_due_in(service, SEND_MARGIN_S)
+
+    def due_version(self, service: str) -> int:
+        """Return the oldest version of the weights that a request is still left to start on."""
+        return self.version_due_in(service, START_MARGIN_S)
+
+    def version_due_in(self, service: str, margin_s: float) -> int:
+        """Return the newest version that must be in force in ``margin_s`` seconds; 0 for none."""
         configuration = self.fleet_state.configuration
         found = configuration.services.get(service) if configuration else None
         if found is None or found.model is None:
             return 0
-        before_s = boot_time_s() - self.settings.bounds.version_in_force_s + VERSION_MARGIN_S
+        before_s = boot_time_s() - self.settings.bounds.version_in_force_s + margin_s
         models = found.model.models
         return max((self.fleet_state.due_version(model, before_s) for model in models), default=0)
 
--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -50,8 +50,9 @@
         """Record a failed attempt whose request may have run."""
         request.attempts += 1
         request.tried.add(record.run_key())
-        # An engine that switches to new weights cuts its running requests but is healthy.
-        if not self.selector.is_switching(record):
+        # An engine that switches to new weights cuts its running requests but is healthy, and a
+        # withdrawn request says nothing about its engine.
+        if not self.selector.is_switching(record) and not error.is_withdrawn:
             self.selector.health.record_outcome(record.run_key(), failed=True)
             if error.is_silent:
                 self.selector.record_unreachable(record)
--- /dev/null
+++ b/gypsumpier/gateway/pendingstarts.py
@@ -0,0 +1,67 @@
+"""Requests that were sent to an upstream and that it has not started to answer."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final
+
+from prometheus_client import Counter
+
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.upstream.exchange import Exchange
+from gypsumpier.upstream.selector import UpstreamSelector
+
+CHECK_INTERVAL_S: Final = 0.05
+"""Seconds between two checks; small against the margin before a version's time limit."""
+
+WITHDRAWN: Final = Counter(
+    "gypsumpier_withdrawn_requests",
+    "Requests withdrawn from an upstream that had not started them.",
+    ["service"],
+    registry=REGISTRY,
+)
+
+
+class PendingStarts:
+    """Withdraws requests from upstreams that would start them on outdated weights.
+
+    An upstream may start a request long after it was sent: it waits in the upstream's queue, and
+    before that on the way.  ``due_version`` returns the oldest version of a service's weights that
+    a request may still start on.
+    """
+
+    def __init__(self, selector: UpstreamSelector, due_version: Callable[[str], int]) -> None:
+        self.selector = selector
+        self.due_version = due_version
+        self.pending: dict[Exchange, UpstreamRecord] = {}
+
+    @contextmanager
+    def track(self, exchange: Exchange, record: UpstreamRecord) -> Iterator[None]:
+        """Count the exchange's request as not started for the time of the context."""
+        self.pending[exchange] = record
+        try:
+            yield
+        finally:
+            del self.pending[exchange]
+
+    async def run(self) -> None:
+        """Check periodically; never returns."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.withdraw_outdated()
+
+    def withdraw_outdated(self) -> None:
+        """Withdraw requests from upstreams whose weights are too old to start them.
+
+        An upstream without complete weights is loading a newer version, which it starts them on.
+        """
+        due = {
+            service: self.due_version(service)
+            for service in {record.service for record in self.pending.values()}
+        }
+        for exchange, record in list(self.pending.items()):
+            held = self.selector.held_version(record)
+            if 0 < held < due[record.service]:
+                WITHDRAWN.labels(record.service).inc()
+                exchange.withdraw(f"not started on version {held}, {due[record.service]} is due")
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -24,6 +24,7 @@
 from gypsumpier.gateway.crashes import CrashTracker
 from gypsumpier.gateway.events import EventSplitter
 from gypsumpier.gateway.failures import FailureRecorder
+from gypsumpier.gateway.pendingstarts import PendingStarts
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.retries import RetryBudget
@@ -70,12 +71,14 @@
         pool: UpstreamPool,
         retries: RetryBudget,
         crashes: CrashTracker,
+        starts: PendingStarts,
     ) -> None:
         self.admission = admission
         self.selector = selector
         self.pool = pool
         self.retries = retries
         self.crashes = crashes
+        self.starts = starts
         self.failures = FailureRecorder(selector, pool, crashes)
 
     async def run(self, request: GatewayRequest, writer: AnswerWriter) -> None:
@@ -156,7 +159,8 @@
         ) as exchange:
             request.connected_at_s = time.monotonic()
             UPSTREAM_CONNECT_TIME.observe(request.connect_s())
-            head = await exchange.answer(request.head.request_id)
+            with self.starts.track(exchange, record):
+                head = await exchange.answer(request.head.request_id)
             request.answered_at_s = time.monotonic()
             UPSTREAM_ANSWER_TIME.labels(request.service).observe(request.unanswered_s())
             if head.is_not_run:
--- a/gypsumpier/upstream/errors.py
+++ b/gypsumpier/upstream/errors.py
@@ -27,11 +27,19 @@
     """The request was sent and may have run; there is no complete successful answer.
 
     ``is_silent`` is set if nothing was received, rather than something invalid, and ``is_answered``
-    if the upstream is healthy and answered with an error of its own.
+    if the upstream is healthy and answered with an error of its own.  ``is_withdrawn`` is set if
+    this process closed the connection before the upstream began to answer.
     """
 
-    def __init__(self, reason: str, is_silent: bool = False, is_answered: bool = False) -> None:
+    def __init__(
+        self,
+        reason: str,
+        is_silent: bool = False,
+        is_answered: bool = False,
+        is_withdrawn: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.is_silent = is_silent
         self.is_answered = is_answered
+        self.is_withdrawn = is_withdrawn
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -44,6 +44,7 @@
         self.buffered_bytes = 0
         self.finished = False
         self.failure = ""
+        self.withdrawn = ""
         self.progress = asyncio.Event()
         self.drained = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -101,6 +102,11 @@
         self.failure = self.failure or "answer cut"
         self.progress.set()
 
+    def withdraw(self, reason: str) -> None:
+        """Make ``answer`` fail at once, unless the head of the answer has arrived."""
+        self.withdrawn = reason
+        self.progress.set()
+
     async def wait_for_progress(self) -> None:
         """Wait for progress of the answer; raise OutcomeUnknownError if it should be abandoned."""
         while not self.progress.is_set():
@@ -122,6 +128,8 @@
         while self.head is None:
             if self.failure:
                 raise OutcomeUnknownError(self.failure)
+            if self.withdrawn:
+                raise OutcomeUnknownError(self.withdrawn, is_withdrawn=True)
             await self.wait_for_progress()
         if request_id is not None and self.head.request_id != request_id:
             self.finished = False
