Build the head of a request once its connection is open

The time limit and the required version of the weights were worked out before the connection to the upstream was opened, which may take 0.4 s: upstreams were handed more time than was left, and of weights that fell due meanwhile the older ones were still accepted.

The new test failed before (a limit of 900 ms was passed on whole after 250 ms of connecting) and passes.

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -151,14 +151,17 @@
         request.begin_attempt()
         address = Address(record.host, record.port)
 
+        def make_call() -> UpstreamCall:
+            request.connected_at_s = time.monotonic()
+            UPSTREAM_CONNECT_TIME.observe(request.connect_s())
+            return self.call(request, record)
+
         def should_abandon() -> bool:
             return self.should_abandon(request, record)
 
         async with self.pool.exchange(
-            address, self.call(request, record), should_abandon
+            address, request.route.is_repeatable, make_call, should_abandon
         ) as exchange:
-            request.connected_at_s = time.monotonic()
-            UPSTREAM_CONNECT_TIME.observe(request.connect_s())
             with self.starts.track(exchange, record):
                 head = await exchange.answer(request.head.request_id)
             request.answered_at_s = time.monotonic()
@@ -194,7 +197,6 @@
             RequestStartLine(request.head.method, request.head.target, "HTTP/1.1"),
             upstream_headers(request.head, upstream_head),
             request.body,
-            request.route.is_repeatable,
             STREAM_SILENCE_S if request.route.is_streamed else PLAIN_SILENCE_S,
         )
 
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -3,11 +3,13 @@
 import asyncio
 import time
 import unittest
+from collections.abc import Callable
 from unittest import mock
 
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from gypsumpier.codes.request import QUEUE_TOO_LONG
+from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway import relay
 from gypsumpier.gateway.front import CallerExchange
@@ -16,7 +18,9 @@
 from gypsumpier.log import LOGGER, record_fields
 from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
+from gypsumpier.upstream.http import UpstreamStream
 
+SLOW_CONNECT_S = 0.25
 EVENTS = "".join(f"id: {number}\ndata: event {number}\n\n" for number in range(1, 6))
 
 
@@ -139,6 +143,29 @@
         self.assertGreaterEqual(float(str(failed["unanswered_s"])), 0.1)
         self.assertLess(float(str(failed["connect_s"])), 0.1)
 
+    def slow_connections(self, while_connecting: Callable[[], None]) -> None:
+        """Let each connection to an upstream take SLOW_CONNECT_S, with a change in that time."""
+        pool = self.fleet.entry.pool
+        connect = pool.connect
+
+        async def connect_slowly(address: Address) -> UpstreamStream:
+            while_connecting()
+            await asyncio.sleep(SLOW_CONNECT_S)
+            return await connect(address)
+
+        patched = mock.patch.object(pool, "connect", connect_slowly)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    async def test_the_time_limit_sent_to_an_upstream_is_what_is_left_after_connecting(
+        self,
+    ) -> None:
+        """Guards against handing an upstream the time that its own connection has taken."""
+        self.slow_connections(lambda: None)
+        await self.fleet.call("/commands/x", headers={"X-Deadline-Ms": "900"})
+        sent_ms = int(self.plain.received_headers[0]["x-deadline-ms"])
+        self.assertLessEqual(sent_ms, 900 - 1000 * SLOW_CONNECT_S)
+
     async def test_an_error_answer_does_not_put_its_upstream_into_backoff(self) -> None:
         """Guards against backing off from healthy upstreams.
 
--- a/gypsumpier/upstream/caller.py
+++ b/gypsumpier/upstream/caller.py
@@ -46,10 +46,12 @@
         if body or method != "GET":
             headers["Content-Length"] = str(len(body))
         start = RequestStartLine(method, target, "HTTP/1.1")
-        call = UpstreamCall(start, headers, body, True, timeout_s)
+        call = UpstreamCall(start, headers, body, timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
-                async with self.pool.exchange(self.address, call, lambda: False) as exchange:
+                async with self.pool.exchange(
+                    self.address, True, lambda: call, lambda: False
+                ) as exchange:
                     head = await exchange.answer(None)
                     content = b"".join([part async for part in exchange.body()])
                     return CallAnswer(head.status, content)
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -50,7 +50,6 @@
     start: RequestStartLine
     headers: HTTPHeaders
     body: bytes
-    is_repeatable: bool
     silence_s: float
 
 
@@ -75,20 +74,24 @@
     async def exchange(
         self,
         address: Address,
-        call: UpstreamCall,
+        is_repeatable: bool,
+        make_call: Callable[[], UpstreamCall],
         should_abandon: Callable[[], bool],
     ) -> AsyncIterator[Exchange]:
         """Send a request and yield its exchange; raise NotRunError if no connection can be made.
 
+        ``make_call`` returns the request once there is a connection, as its time limit and the
+        required weights may have changed in the meantime.
         Leaving the context before the answer is complete closes the connection, which cancels the
         request at the upstream.
         """
         stream = self.take_idle(
-            address, IDLE_TIMEOUT_S if call.is_repeatable else NON_REPEATABLE_IDLE_MAX_S
+            address, IDLE_TIMEOUT_S if is_repeatable else NON_REPEATABLE_IDLE_MAX_S
         )
         CONNECTIONS.labels("kept" if stream else "new").inc()
         if stream is None:
             stream = await self.connect(address)
+        call = make_call()
         exchange = Exchange(stream, call.silence_s, should_abandon)
         try:
             exchange.send(call.start, call.headers, call.body)
