Look at the upstream again once the connection to it is open

An upstream is chosen and then connected to, which may take 0.4 s. Its leaving, its switch of weights or a version that fell due in that time was not looked at again, and the request was sent. Such a request now goes back to the selection of an upstream; it costs no retry budget, as it was not sent, and the upstream's health is not charged.

The new test failed before (a request ran at an upstream that had announced its leaving 0.25 s before) and passes. The selector's predicate for one upstream serves both checks.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -128,20 +128,18 @@
             self.selector.begin(record, request.unread_tokens)
         return record
 
+    def may_serve(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
+        """Return whether the upstream, chosen a moment ago, may still get the request."""
+        return self.selector.may_still_serve(record, self.least_version(request.service))
+
     def needed_s(self, request: GatewayRequest) -> float:
         """Return the estimated processing time of the request in seconds; 0 for a plain service."""
-        model = self.model(request.service)
+        model = self.selector.model(request.service)
         if model is None:
             return 0.0
         tokens = request.head.expected_answer_tokens or model.mean_answer_tokens
         return self.processing_s(model, request.head.prompt_tokens, tokens)
 
-    def model(self, service: str) -> ModelTraits | None:
-        """Return the model traits of the service's engines; None for a plain service."""
-        configuration = self.fleet_state.configuration
-        found = configuration.services.get(service) if configuration else None
-        return found.model if found else None
-
     def processing_s(self, model: ModelTraits, prompt_tokens: int, answer_tokens: int) -> float:
         """Return the estimated seconds that an engine needs for a request of that size."""
         return prompt_tokens / model.prompt_tokens_per_s + answer_tokens * model.step_s
@@ -201,7 +199,7 @@
         """Return this entry's share of the requests per second that the upstreams can serve."""
         records = self.selector.candidates(service)
         slots = sum(record.slots for record in records if self.selector.is_usable(record))
-        model = self.model(service)
+        model = self.selector.model(service)
         request_s = PLAIN_SERVICE_TIME_S
         if model is not None:
             request_s = self.processing_s(model, model.mean_prompt_tokens, model.mean_answer_tokens)
--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -32,6 +32,10 @@
     ) -> None:
         """Record a failed attempt whose request has certainly not run."""
         health, run = self.selector.health, record.run_key()
+        request.tried.add(run)
+        log_failure(request, record, error.reason, "not_run")
+        if error.is_recalled:
+            return
         if error.is_replaced:
             health.record_replaced(run)
         elif not error.is_refusal:
@@ -41,8 +45,6 @@
         else:
             health.record_full(run)
         health.record_outcome(run, failed=True)
-        request.tried.add(run)
-        log_failure(request, record, error.reason, "not_run")
 
     def record_unknown(
         self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -154,6 +154,9 @@
         def make_call() -> UpstreamCall:
             request.connected_at_s = time.monotonic()
             UPSTREAM_CONNECT_TIME.observe(request.connect_s())
+            if not self.admission.may_serve(request, record):
+                reason = "no longer serves the request once it is connected to"
+                raise NotRunError(reason, is_refusal=False, is_recalled=True)
             return self.call(request, record)
 
         def should_abandon() -> bool:
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -166,6 +166,25 @@
         sent_ms = int(self.plain.received_headers[0]["x-deadline-ms"])
         self.assertLessEqual(sent_ms, 900 - 1000 * SLOW_CONNECT_S)
 
+    async def test_an_upstream_that_leaves_while_it_is_connected_to_gets_no_request(self) -> None:
+        """Guards against sending to an upstream chosen before its leaving was known."""
+        spare = self.fleet.add("i-4", PLAIN)
+        await self.fleet.settle()
+        by_id = {"i-3": self.plain, "i-4": spare}
+        chosen: list[str] = []
+
+        def leave() -> None:
+            if not chosen:
+                chosen.extend(self.fleet.entry.selector.own_loads)
+                self.fleet.write_record(chosen[0], PLAIN, state="draining")
+
+        self.slow_connections(leave)
+        answer = await self.fleet.call("/commands/x")
+        self.assertEqual([], by_id[chosen[0]].run_ids)
+        self.assertEqual(200, answer.code)
+        health = self.fleet.entry.selector.health
+        self.assertTrue(all(health.is_usable(run) for run in health.health_by_run))
+
     async def test_an_error_answer_does_not_put_its_upstream_into_backoff(self) -> None:
         """Guards against backing off from healthy upstreams.
 
--- a/gypsumpier/upstream/errors.py
+++ b/gypsumpier/upstream/errors.py
@@ -6,7 +6,8 @@
 
     ``is_refusal`` is set if the upstream itself stated so; otherwise the request was never sent.
     ``is_misdirected`` is set if the upstream does not hold what the request needs, and
-    ``is_replaced`` if another upstream has its address.
+    ``is_replaced`` if another upstream has its address.  ``is_recalled`` is set if this process did
+    not send it, as the upstream no longer serves such requests.
     """
 
     def __init__(
@@ -15,12 +16,14 @@
         is_refusal: bool,
         is_misdirected: bool = False,
         is_replaced: bool = False,
+        is_recalled: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.is_refusal = is_refusal
         self.is_misdirected = is_misdirected
         self.is_replaced = is_replaced
+        self.is_recalled = is_recalled
 
 
 class OutcomeUnknownError(Exception):
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -81,7 +81,7 @@
         """Send a request and yield its exchange; raise NotRunError if no connection can be made.
 
         ``make_call`` returns the request once there is a connection, as its time limit and the
-        required weights may have changed in the meantime.
+        required weights may have changed in the meantime; NotRunError makes the request unsent.
         Leaving the context before the answer is complete closes the connection, which cancels the
         request at the upstream.
         """
@@ -91,7 +91,11 @@
         CONNECTIONS.labels("kept" if stream else "new").inc()
         if stream is None:
             stream = await self.connect(address)
-        call = make_call()
+        try:
+            call = make_call()
+        except NotRunError:
+            stream.close()
+            raise
         exchange = Exchange(stream, call.silence_s, should_abandon)
         try:
             exchange.send(call.start, call.headers, call.body)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -130,9 +130,14 @@
 
     def held_version(self, record: UpstreamRecord) -> int:
         """Return the version of the weights that the upstream holds; 0 for none or no model."""
+        model = self.model(record.service)
+        return self.version(record, model) if model else 0
+
+    def model(self, service: str) -> ModelTraits | None:
+        """Return the model traits of the service's engines; None for a plain service."""
         configuration = self.fleet_state.configuration
-        found = configuration.services.get(record.service) if configuration else None
-        return self.version(record, found.model) if found and found.model else 0
+        found = configuration.services.get(service) if configuration else None
+        return found.model if found else None
 
     def load(self, record: UpstreamRecord) -> int:
         """Return the known number of requests in flight at the upstream."""
@@ -168,22 +173,31 @@
 
         Engines must hold a complete model of at least that version and not be switching.
         """
-        configuration = self.fleet_state.configuration
-        found = configuration.services.get(service) if configuration else None
-        model = found.model if found else None
-        records = [
+        model = self.model(service)
+        return [
             record
             for record in self.fleet_state.upstreams.values()
-            if record.service == service and not record.is_leaving
+            if record.service == service and self.is_candidate(record, model, least_version)
         ]
-        if model is not None:
-            records = [
-                record
-                for record in records
-                if self.version(record, model) >= max(1, least_version)
-                and not self.is_switching(record)
-            ]
-        return records
+
+    def is_candidate(
+        self, record: UpstreamRecord, model: ModelTraits | None, least_version: int
+    ) -> bool:
+        """Return whether the upstream can serve; ``model`` is that of its service."""
+        if record.is_leaving:
+            return False
+        if model is None:
+            return True
+        return self.version(record, model) >= max(1, least_version) and not self.is_switching(
+            record
+        )
+
+    def may_still_serve(self, record: UpstreamRecord, least_version: int) -> bool:
+        """Return whether an upstream chosen a moment ago is unchanged and still a candidate."""
+        known = self.fleet_state.upstreams.get(record.id)
+        if known is None or known.run_key() != record.run_key():
+            return False
+        return self.is_candidate(known, self.model(record.service), least_version)
 
     def is_switching(self, record: UpstreamRecord) -> bool:
         """Return whether the engine is switching its weights and starts no new request."""
