Withdraw requests also from engines that are loading a version past its limit

A request that was sent on weights past their limit was kept while its engine loads, whatever it loads. The version held when the request was sent is now kept with it: it is withdrawn unless the engine held the due version then or reports it now.

The test of an engine that is loading expected such a request to be kept; it is replaced by two: one sent on the due version is kept, one sent on an older version is withdrawn, until the engine reports the due version.

--- a/gypsumpier/gateway/pendingstarts.py
+++ b/gypsumpier/gateway/pendingstarts.py
@@ -28,18 +28,19 @@
 
     An upstream may start a request long after it was sent: it waits in the upstream's queue, and
     before that on the way.  ``due_version`` returns the oldest version of a service's weights that
-    a request may still start on.
+    a request may still start on.  ``pending`` holds for each exchange the upstream and the version
+    that it held when the request was sent.
     """
 
     def __init__(self, selector: UpstreamSelector, due_version: Callable[[str], int]) -> None:
         self.selector = selector
         self.due_version = due_version
-        self.pending: dict[Exchange, UpstreamRecord] = {}
+        self.pending: dict[Exchange, tuple[UpstreamRecord, int]] = {}
 
     @contextmanager
     def track(self, exchange: Exchange, record: UpstreamRecord) -> Iterator[None]:
         """Count the exchange's request as not started for the time of the context."""
-        self.pending[exchange] = record
+        self.pending[exchange] = record, self.selector.held_version(record)
         try:
             yield
         finally:
@@ -54,14 +55,14 @@
     def withdraw_outdated(self) -> None:
         """Withdraw requests from upstreams whose weights are too old to start them.
 
-        An upstream without complete weights is loading a newer version, which it starts them on.
+        An upstream that is loading holds no version; it may load one that is too old as well.
         """
         due = {
             service: self.due_version(service)
-            for service in {record.service for record in self.pending.values()}
+            for service in {record.service for record, _ in self.pending.values()}
         }
-        for exchange, record in list(self.pending.items()):
-            held = self.selector.held_version(record)
-            if 0 < held < due[record.service]:
+        for exchange, (record, sent_version) in list(self.pending.items()):
+            held = max(sent_version, self.selector.held_version(record))
+            if held < due[record.service]:
                 WITHDRAWN.labels(record.service).inc()
                 exchange.withdraw(f"not started on version {held}, {due[record.service]} is due")
--- a/gypsumpier/test/test_pending_starts.py
+++ b/gypsumpier/test/test_pending_starts.py
@@ -34,10 +34,15 @@
         state = EngineState(address, f"run {version}", 1, not version, 0, 0, 1.0, layers)
         self.selector.record_engine_state(state)
 
-    def is_withdrawn(self) -> bool:
-        """Return whether a request at the engine is withdrawn."""
+    def is_withdrawn(self, loads_version: int | None = None) -> bool:
+        """Return whether a request at the engine is withdrawn.
+
+        ``loads_version`` is the version that the engine reports after the request was sent.
+        """
         exchange = self.exchange()
         with self.starts.track(exchange, self.record):
+            if loads_version is not None:
+                self.report(loads_version)
             self.starts.withdraw_outdated()
         return bool(exchange.withdrawn)
 
@@ -48,10 +53,18 @@
         self.report(2)
         self.assertFalse(self.is_withdrawn())
 
-    async def test_an_engine_that_loads_a_newer_version_keeps_its_requests(self) -> None:
+    async def test_an_engine_that_is_loading_keeps_only_requests_sent_on_the_due_version(
+        self,
+    ) -> None:
+        """Guards against a start on the version being loaded, if that is past its limit too."""
         self.due = 2
-        self.report(0)
-        self.assertFalse(self.is_withdrawn())
+        self.assertTrue(self.is_withdrawn(loads_version=0))
+        self.report(2)
+        self.assertFalse(self.is_withdrawn(loads_version=0))
+
+    async def test_an_engine_that_has_loaded_the_due_version_keeps_its_requests(self) -> None:
+        self.due = 2
+        self.assertFalse(self.is_withdrawn(loads_version=2))
 
     async def test_a_withdrawn_request_may_have_run(self) -> None:
         """Guards against telling a caller that a withdrawn request has not run."""
