Add failing tests: news of a version that comes late makes the version younger

Cause: a process that learns of a version less than 3.5 s after its last proof counts it from the receipt, and of two processes' times the later one is kept, with the delay of each message added. The comment on the merge says that a process can only estimate the time too early; the time of a receipt is only ever too late. Seen in the tests, for a version named at 1.0 s: 3.0 s after a receipt that was 2 s late, 2.5 s after one message that was 1.5 s on its way, 5.0 s from an older build's time that was 4 s late. Ruled out: two clocks that differ; ages are sent as durations, and each test has one clock. The tests that pass already hold what must stay: a process that has just started adopts its peers' time, of two lower bounds the later one holds, processes agree on the turns. RecordingMesh moves to its own module, unchanged, as two test modules use it now.

--- a/gypsumpier/test/test_feed.py
+++ b/gypsumpier/test/test_feed.py
@@ -25,30 +25,9 @@
     fleet_state_of,
     route_body,
 )
+from gypsumpier.test.fakes_mesh import RecordingMesh
 from gypsumpier.test.fakes_piece import entry_peer
 
-
-class RecordingMesh:
-    """A mesh that records posted messages."""
-
-    def __init__(self, own: Peer, others: list[Peer]) -> None:
-        self.own = own
-        self.others = others
-        self.listeners: dict[str, Any] = {}
-        self.on_peer_connected: list[Any] = []
-        self.posted: list[tuple[str, str, dict[str, Any]]] = []
-
-    def peers(self, role: str = "entry", zone: str = "") -> list[Peer]:
-        return sorted(p for p in self.others if p.role == role and (not zone or p.zone == zone))
-
-    def post(self, name: str, kind: str, payload: dict[str, Any]) -> None:
-        self.posted.append((name, kind, payload))
-
-    def post_all(self, peers: list[Peer], kind: str, payload: dict[str, Any]) -> None:
-        for peer in peers:
-            self.post(peer.name, kind, payload)
-
-
 OWN_ZONE_PEERS = [entry_peer("front-bac-a-1", "bac-a"), entry_peer("front-bac-a-3", "bac-a")]
 OTHER_ZONE_PEERS = [entry_peer("front-nam-a-1", "nam-a"), entry_peer("front-nam-a-2", "nam-a")]
 
--- /dev/null
+++ b/gypsumpier/test/test_version_times.py
@@ -0,0 +1,200 @@
+"""Tests of what processes believe about the time at which a version of weights was named.
+
+Every process of a test uses one clock, which the test advances; a message that is late is one that
+is handled some time after it was posted.
+"""
+
+import unittest
+from typing import Any, Final
+from unittest import mock
+
+from gypsumpier.fleet import state
+from gypsumpier.fleet.change import Batch
+from gypsumpier.fleet.record import Record
+from gypsumpier.mesh import feed
+from gypsumpier.mesh.feed import NOTICE, FleetStateFeed, pack_records
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.piece.turns import SwitchSchedule
+from gypsumpier.test import builders_platform
+from gypsumpier.test.builders_platform import (
+    BOUNDS,
+    ENGINES,
+    MODEL,
+    apply_records,
+    configuration_record,
+    engine_record,
+    fleet_state_of,
+    record,
+)
+from gypsumpier.test.fakes_mesh import RecordingMesh
+from gypsumpier.test.fakes_piece import entry_peer
+
+OWN: Final = entry_peer("front-bac-a-1", "bac-a")
+ZONE_PEER: Final = entry_peer("front-bac-a-2", "bac-a")
+ZONE_SIDECAR: Final = entry_peer("side-bac-a-1", "bac-a")._replace(role="sidecar")
+FAR_PEER: Final = entry_peer("front-nam-a-1", "nam-a")
+EVERYONE: Final = [OWN, ZONE_PEER, ZONE_SIDECAR, FAR_PEER]
+START_S: Final = 1000.0
+"""Time of the test clock at the start of a test, in seconds."""
+FIRST_REVISION: Final = 10
+"""Revision at which version 2 is named; version 3 is named at the next one."""
+
+
+def version_record(version: int) -> Record:
+    """Return the record that names a version."""
+    body = {"model": MODEL, "version": version}
+    return record(f"op/version/{MODEL}", body, FIRST_REVISION - 2 + version)
+
+
+class Process:
+    """The fleet state and the feed of one process that has just read its first snapshot.
+
+    ``others`` are records of that snapshot beside those of two engines, ``since_s`` is its age.
+    """
+
+    def __init__(self, own: Peer, *others: Record, since_s: float = 0.0) -> None:
+        self.own = own
+        self.mesh = RecordingMesh(own, [peer for peer in EVERYONE if peer != own])
+        records = [configuration_record(), engine_record(1, 2), engine_record(2, 3), *others]
+        self.state = fleet_state_of(*records, proven_ago_s=since_s)
+        self.feed = FleetStateFeed(self.mesh, self.state)  # type: ignore[arg-type]
+
+    def read_version(self, version: int = 2) -> None:
+        """Apply the record of a version as just read from the store."""
+        apply_records(self.state, version_record(version))
+
+    def return_from_cut(self, version: int = 2) -> None:
+        """Read a version with the first answer of the store after calls that failed."""
+        self.state.record_outage_end(0.0)
+        self.read_version(version)
+
+    def feed_message(self, **fields: Any) -> dict[str, Any]:
+        """Return the message of a watcher that has read no news."""
+        revision = self.state.revision
+        batch = Batch(revision, revision, [], False, 0.0)
+        return self.feed.feed_payload(batch, pack_records([])) | fields
+
+    def notice(self) -> dict[str, Any]:
+        """Return the message of a watcher that has read no news, to another zone."""
+        self.mesh.posted.clear()
+        revision = self.state.revision
+        self.feed.share(Batch(revision, revision, [], False, 0.0))
+        return next(payload for _, kind, payload in self.mesh.posted if kind == NOTICE)
+
+    def offer(self, peer: Peer) -> dict[str, Any]:
+        """Return the message to a peer that has just connected."""
+        self.mesh.posted.clear()
+        self.feed.send_offer(mock.Mock(peer=peer))
+        return self.mesh.posted[0][2]
+
+    def named_at_s(self, version: int = 2) -> float:
+        """Return the believed time of a version, in seconds from the start of the test."""
+        found = next(one for one in self.state.versions[MODEL] if one.version == version)
+        return found.earliest_named_at_s - START_S
+
+
+class VersionTimesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = START_S
+        for module in (state, feed, builders_platform):
+            patch = mock.patch.object(module, "boot_time_s", lambda: self.now_s)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def at(self, seconds: float) -> None:
+        """Set the clock to ``seconds`` after the start of the test."""
+        self.now_s = START_S + seconds
+
+    def peer_that_saw_it(self, own: Peer = ZONE_PEER) -> Process:
+        """Return a peer with continuous proofs that read version 2 as it was named, at 1 s."""
+        peer = Process(own)
+        self.at(1.0)
+        peer.read_version()
+        return peer
+
+
+class ReceiptTest(VersionTimesTest):
+    def test_a_late_receipt_is_corrected_to_an_earlier_observation(self) -> None:
+        """The news of a version was 2 s on its way, which is too short for a gap of proofs."""
+        peer, own = self.peer_that_saw_it(), Process(OWN)
+        self.at(3.0)
+        own.read_version()
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_a_late_message_does_not_move_an_observed_time(self) -> None:
+        """Each message of a watcher arrives over a full link, 1.5 s after it was posted."""
+        peer, own = self.peer_that_saw_it(), Process(OWN)
+        own.read_version()
+        for sent_s in (2.0, 4.0, 6.0):
+            self.at(sent_s)
+            message = peer.feed_message()
+            self.at(sent_s + 1.5)
+            own.feed.handle_feed(peer.own, message)
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_processes_agree_on_the_turns_after_a_late_receipt(self) -> None:
+        """A schedule that was computed from the late time must not stay in use."""
+        peer, own = self.peer_that_saw_it(), Process(OWN)
+        self.at(3.0)
+        own.read_version()
+        schedules = [SwitchSchedule(one.state, BOUNDS.version_in_force_s) for one in (own, peer)]
+        address = "127.0.0.1:8701"
+        self.assertIsNotNone(schedules[0].turn(ENGINES, address))
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        peer.feed.handle_feed(own.own, own.feed_message())
+        turns = [schedule.turn(ENGINES, address) for schedule in schedules]
+        assert turns[0] is not None and turns[1] is not None
+        self.assertAlmostEqual(turns[0].at_s, turns[1].at_s)
+
+    def test_a_message_of_an_older_build_does_not_replace_an_observed_time(self) -> None:
+        """Older builds keep the later of two times, so theirs may be too late."""
+        peer, own = self.peer_that_saw_it(), Process(OWN)
+        own.read_version()
+        self.at(6.0)
+        message = peer.feed_message(named={MODEL: [[2, 1.0]]})
+        message.pop("observed", None)
+        own.feed.handle_feed(peer.own, message)
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_an_observed_time_replaces_that_of_an_older_build(self) -> None:
+        """A process that has just started hears of the time from an older build first."""
+        peer = self.peer_that_saw_it()
+        self.at(6.0)
+        own = Process(OWN, version_record(2))
+        message = peer.feed_message(named={MODEL: [[2, 1.0]]})
+        message.pop("observed", None)
+        own.feed.handle_feed(peer.own, message)
+        self.assertAlmostEqual(5.0, own.named_at_s())
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+
+class StartTest(VersionTimesTest):
+    def test_a_started_process_adopts_an_observed_time(self) -> None:
+        """Otherwise the version would be due at once, and requests refused without need."""
+        peer = self.peer_that_saw_it()
+        self.at(4.0)
+        own = Process(OWN, version_record(2))
+        self.assertEqual(float("-inf"), own.named_at_s())
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_a_started_process_does_not_change_the_time_of_its_peers(self) -> None:
+        peer = self.peer_that_saw_it()
+        self.at(4.0)
+        own = Process(OWN, version_record(2))
+        peer.feed.handle_feed(own.own, own.feed_message())
+        self.assertAlmostEqual(1.0, peer.named_at_s())
+
+    def test_the_later_of_two_lower_bounds_holds(self) -> None:
+        """Neither process was in touch as the version was named; the later proof says more."""
+        peer, own = Process(ZONE_PEER), Process(OWN, since_s=2.0)
+        self.at(6.0)
+        peer.read_version()
+        own.read_version()
+        self.assertAlmostEqual(-2.0, own.named_at_s())
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        self.assertAlmostEqual(0.0, own.named_at_s())
+        peer.feed.handle_feed(own.own, own.feed_message())
+        self.assertAlmostEqual(0.0, peer.named_at_s())
