Add failing tests: a process cut off alone makes a version younger for its whole zone

Cause: the first answer of the store after calls that failed counts as the end of an outage of the store, also where the store was fine for all others. A version that was named meanwhile counts from the return, late by the whole cut; a watcher sends that time to its zone, where the later time wins. Seen in the tests, for a version named at 1.0 s and a return at 7.0 s: 7.0 s at the process, and after one message of it at a peer that had read the version at 1.0 s. Notices and offers have no ages, so that a watcher, to which nobody of its zone sends a batch, doesn't learn its peers' time. The test of an outage that everyone has seen passes and must stay so.

--- a/gypsumpier/test/test_version_times.py
+++ b/gypsumpier/test/test_version_times.py
@@ -12,7 +12,7 @@
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.record import Record
 from gypsumpier.mesh import feed
-from gypsumpier.mesh.feed import NOTICE, FleetStateFeed, pack_records
+from gypsumpier.mesh.feed import FEED, NOTICE, FleetStateFeed, pack_records
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.test import builders_platform
@@ -112,6 +112,14 @@
         peer.read_version()
         return peer
 
+    def returned(self, at_s: float = 7.0) -> Process:
+        """Return a process cut off from 0 s, which reads version 2 on its return."""
+        self.at(0.0)
+        process = Process(OWN)
+        self.at(at_s)
+        process.return_from_cut()
+        return process
+
 
 class ReceiptTest(VersionTimesTest):
     def test_a_late_receipt_is_corrected_to_an_earlier_observation(self) -> None:
@@ -198,3 +206,64 @@
         self.assertAlmostEqual(0.0, own.named_at_s())
         peer.feed.handle_feed(own.own, own.feed_message())
         self.assertAlmostEqual(0.0, peer.named_at_s())
+
+
+class CutTest(VersionTimesTest):
+    """Version 2 is named at 1 s; one process lost the store from 0 s on."""
+
+    def test_a_process_that_returns_does_not_replace_the_time_of_its_peers(self) -> None:
+        """A watcher that alone was cut off spreads the time of its return to its zone."""
+        peer, own = self.peer_that_saw_it(), self.returned()
+        peer.feed.handle_feed(own.own, own.feed_message())
+        self.assertAlmostEqual(1.0, peer.named_at_s())
+
+    def test_a_process_that_returns_adopts_the_time_of_its_zone(self) -> None:
+        peer, own = self.peer_that_saw_it(), self.returned()
+        self.at(7.5)
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_a_watcher_that_returns_adopts_the_time_in_a_notice(self) -> None:
+        """Nobody else of its zone reads the store, so that only other zones send it messages."""
+        peer, own = self.peer_that_saw_it(FAR_PEER), self.returned()
+        self.at(7.5)
+        own.feed.handle_notice(peer.own, peer.notice())
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_a_watcher_that_returns_adopts_the_time_in_an_offer(self) -> None:
+        """Its connections were cut as well, and are made anew."""
+        peer, own = self.peer_that_saw_it(), self.returned()
+        self.at(7.5)
+        own.feed.handle_offer(peer.own, peer.offer(OWN))
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_a_time_corrected_by_another_zone_is_passed_on_in_the_own_zone(self) -> None:
+        """A whole zone was cut off, and a notice without news goes to one of its entries only."""
+        peer, own = self.peer_that_saw_it(FAR_PEER), self.returned()
+        own.mesh.posted.clear()
+        own.feed.handle_notice(peer.own, peer.notice())
+        sent = {name: payload for name, kind, payload in own.mesh.posted if kind == FEED}
+        self.assertEqual({ZONE_PEER.name, ZONE_SIDECAR.name}, set(sent))
+        zone_peer = self.returned()
+        zone_peer.feed.handle_feed(own.own, sent[ZONE_PEER.name])
+        self.assertAlmostEqual(1.0, zone_peer.named_at_s())
+        own.mesh.posted.clear()
+        own.feed.handle_notice(peer.own, peer.notice())
+        self.assertEqual([], own.mesh.posted)
+
+
+class OutageTest(VersionTimesTest):
+    def test_the_time_of_an_outage_for_everyone_does_not_count(self) -> None:
+        """A version is named while nobody can read the store; the first reads it again at 9 s."""
+        first, second = Process(OWN), Process(ZONE_PEER)
+        self.at(9.0)
+        first.return_from_cut()
+        message = first.feed_message()
+        self.at(9.1)
+        second.feed.handle_feed(first.own, message)
+        second.return_from_cut()
+        self.at(9.5)
+        first.feed.handle_feed(second.own, second.feed_message())
+        second.feed.handle_feed(first.own, first.feed_message())
+        self.assertGreater(first.named_at_s(), 9.0 - 1e-6)
+        self.assertGreater(second.named_at_s(), 9.0 - 1e-6)
