Add a failing test: a process that missed a version doesn't keep its limit

A process that was cut off, or has started, after two were named knows the second alone; once a peer's time of the second replaces its lower bound, nothing is due from the limit of the first until that of the second, and it would use the weights before both. The peer sends the time of the first too, but the merge passes over versions not known here. Seen in the test, with versions named at 1.0 and 3.0 s: none due where version 2 is.

--- a/gypsumpier/test/test_version_times.py
+++ b/gypsumpier/test/test_version_times.py
@@ -251,6 +251,23 @@
         own.feed.handle_notice(peer.own, peer.notice())
         self.assertEqual([], own.mesh.posted)
 
+    def test_a_process_that_missed_a_version_keeps_the_limit_of_that_version(self) -> None:
+        """Two versions are named while it is cut off, and a snapshot holds the newer one only.
+
+        Its engines must serve at least the first by the first one's limit.
+        """
+        peer = self.peer_that_saw_it()
+        self.at(3.0)
+        peer.read_version(3)
+        self.at(0.0)
+        own = Process(OWN)
+        self.at(7.0)
+        own.return_from_cut(3)
+        own.feed.handle_feed(peer.own, peer.feed_message())
+        self.assertEqual(2, own.state.due_version(MODEL, START_S + 2.0))
+        self.assertEqual(3, own.state.due_version(MODEL, START_S + 3.5))
+        self.assertEqual([2, 3], [wanted.version for wanted in own.state.versions[MODEL]])
+
 
 class OutageTest(VersionTimesTest):
     def test_the_time_of_an_outage_for_everyone_does_not_count(self) -> None:
