Take the earliest observed time of a version, not the latest

Cause: the merge kept the later of two processes' times, as if both were lower bounds. A time taken at a receipt is late by the delay of the news, one taken at the return from a cut by the whole cut, and each message added its own delay. Now each wanted version says whether its time was observed (learned while proofs were continuous, or as an outage ended) or is a lower bound (the previous proof, minus infinity at the start). Of two observed times the earlier one holds, an observed time replaces a lower bound, of two lower bounds the later one holds. An outage that everyone has seen still doesn't count, as nobody can have observed the version during it. Messages: `named` is as before; `observed` has the versions with an observed time, in the same format. All of `named` counts as a lower bound. So the times of an older build, which keeps the later one, are used by a process that knows no better, and never replace an observed time; older builds pass over `observed`. Turns of engines: a schedule that was computed before a correction is dropped, as the listeners are told. The prefetch of a new version starts as before, when its record is applied. Ages of a model that isn't known here no longer leave an empty list of its versions.

--- a/gypsumpier/client/trace.py
+++ b/gypsumpier/client/trace.py
@@ -20,6 +20,7 @@
         "drain",
         "started",
         "stopping",
+        "version_time_corrected",
         "version_wanted",
     }
 )
--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final
 
 from gypsumpier.fleet.change import (
     Batch,
@@ -20,6 +20,7 @@
 from gypsumpier.fleet.configuration import FleetConfiguration
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.fleet.wantedversion import WantedVersion
 from gypsumpier.log import decision
 
 LAPSE_GRACE_S: Final = 2.0
@@ -32,16 +33,13 @@
 """Seconds logged for the age of something of which no time is known."""
 CONTINUOUS_PROOF_S: Final = 3.5
 """Longest time in seconds since the previous proof for which a change counts as just made."""
+NAMED_GAIN_S: Final = 0.25
+"""Seconds by which the time of a version must change for the change to be logged; less is the usual
+delay of a message."""
 
 
-class WantedVersion(NamedTuple):
-    """A version that a model's engines are to serve, and the earliest time it can have been named.
-
-    That time is minus infinity where the process has just started.
-    """
-
-    version: int
-    earliest_named_at_s: float
+VersionAges = dict[str, list[list[float]]]
+"""Each model's versions with the seconds since they were named: ``[version, age_s]``."""
 
 
 class FleetState:
@@ -150,10 +148,11 @@
         now_s = boot_time_s()
         is_continuous = now_s - self.previous_proof_at_s < CONTINUOUS_PROOF_S
         # After a gap the version may have been named as early as the previous proof.  Time during
-        # an outage of the store does not count towards the time limit for a version.
-        is_recent = is_continuous or self.is_after_outage()
-        named_at_s = now_s if is_recent else self.previous_proof_at_s
-        named.append(WantedVersion(change.version, named_at_s))
+        # an outage of the store does not count towards the time limit for a version.  Where only
+        # this process was cut off, or the news was late, a peer's earlier time replaces this one.
+        is_observed = is_continuous or self.is_after_outage()
+        named_at_s = now_s if is_observed else self.previous_proof_at_s
+        named.append(WantedVersion(change.version, named_at_s, is_observed))
         del named[:-VERSIONS_KEPT]
         decision(
             "version_wanted",
@@ -161,6 +160,7 @@
             version=change.version,
             named_ago_s=round(min(now_s - named_at_s, UNKNOWN_AGE_S), 3),
             proof_gap_s=round(min(now_s - self.previous_proof_at_s, UNKNOWN_AGE_S), 3),
+            observed=is_observed,
             revision=record.revision,
             source=origin,
         )
@@ -193,31 +193,55 @@
             source=origin,
         )
 
-    def version_ages(self) -> dict[str, list[list[float]]]:
+    def version_ages(self) -> VersionAges:
         """Return each model's versions with the seconds since they were named, for a peer."""
+        return self.ages_of(lambda wanted: True)
+
+    def observed_version_ages(self) -> VersionAges:
+        """Return the same for the versions whose time was observed."""
+        return self.ages_of(lambda wanted: wanted.is_observed)
+
+    def ages_of(self, is_listed: Callable[[WantedVersion], bool]) -> VersionAges:
+        """Return the ages in seconds of the versions for which ``is_listed`` returns true."""
         now_s = boot_time_s()
         return {
-            model: [[wanted.version, now_s - wanted.earliest_named_at_s] for wanted in named]
+            model: [
+                [wanted.version, now_s - wanted.earliest_named_at_s]
+                for wanted in named
+                if is_listed(wanted)
+            ]
             for model, named in self.versions.items()
         }
 
-    def merge_version_ages(self, ages: dict[str, list[list[float]]]) -> None:
-        """Merge the ages of versions that a peer has sent, in seconds.
+    def merge_version_ages(
+        self, ages: VersionAges, are_observed: bool = False, origin: str = ""
+    ) -> None:
+        """Merge the ages of versions that a peer, ``origin``, has sent, in seconds.
 
-        Each process can only estimate the time too early, so the later time is the more precise.
+        Ages that were not observed count as lower bounds.  Raises ValueError or TypeError where the
+        ages are malformed.
         """
         now_s = boot_time_s()
+        has_changed = False
         for model, found in ages.items():
-            peer_times_s = {int(version): now_s - float(age_s) for version, age_s in found}
-            self.versions[model] = [
-                wanted._replace(
-                    earliest_named_at_s=max(
-                        wanted.earliest_named_at_s,
-                        peer_times_s.get(wanted.version, wanted.earliest_named_at_s),
-                    )
-                )
-                for wanted in self.versions.get(model, [])
-            ]
+            for version, age_s in found:
+                named_at_s = now_s - max(0.0, float(age_s))
+                claim = WantedVersion(int(version), named_at_s, are_observed)
+                has_changed |= self.merge_claim(model, claim, origin)
+        if has_changed:
+            for listener in self.listeners:
+                listener()
+
+    def merge_claim(self, model: str, claim: WantedVersion, origin: str) -> bool:
+        """Merge a peer's estimate for a known version; return whether that changed the own one."""
+        named = self.versions.get(model, [])
+        for position, known in enumerate(named):
+            if known.version == claim.version:
+                named[position] = known.better_of(claim)
+                if named[position] != known:
+                    log_corrected_time(model, known, named[position], origin)
+                    return True
+        return False
 
     def due_version(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before ``before_s``; 0 where there is none."""
@@ -247,3 +271,21 @@
     def snapshot(self) -> Batch:
         """Return all known records as a snapshot, for a peer."""
         return Batch(0, self.revision, list(self.records.values()), True, 0.0)
+
+
+def log_corrected_time(
+    model: str, known: WantedVersion, better: WantedVersion, origin: str
+) -> None:
+    """Log a changed estimate, unless the change is within the usual delay of a message."""
+    if abs(better.earliest_named_at_s - known.earliest_named_at_s) <= NAMED_GAIN_S:
+        return
+    now_s = boot_time_s()
+    decision(
+        "version_time_corrected",
+        model=model,
+        version=known.version,
+        named_ago_s=round(min(now_s - better.earliest_named_at_s, UNKNOWN_AGE_S), 3),
+        believed_ago_s=round(min(now_s - known.earliest_named_at_s, UNKNOWN_AGE_S), 3),
+        observed=better.is_observed,
+        source=origin,
+    )
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -110,7 +110,10 @@
         self.mesh.post_all(other_zones, NOTICE, notice)
 
     def feed_payload(self, batch: Batch, records: bytes) -> dict[str, Any]:
-        """Return the message for a batch and its packed records, with ages in seconds."""
+        """Return the message for a batch and its packed records, with ages in seconds.
+
+        ``named`` has the ages of all versions, ``observed`` of those whose time was observed.
+        """
         return {
             "after": batch.after,
             "revision": batch.revision,
@@ -118,6 +121,7 @@
             "whole": batch.is_snapshot,
             "age_s": self.fleet_state.proof_age_s(),
             "named": self.fleet_state.version_ages(),
+            "observed": self.fleet_state.observed_version_ages(),
             "outage_ago_s": boot_time_s() - self.fleet_state.outage_ended_at_s,
         }
 
@@ -133,7 +137,15 @@
         self.fleet_state.record_outage_end(max(0.0, float(payload["outage_ago_s"])))
         proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
         self.fleet_state.apply(batch, proven_at_s, peer.name)
-        self.fleet_state.merge_version_ages(payload["named"])
+        # All of ``named`` counts as a lower bound, which never replaces an observed time: a build
+        # that sends no ``observed`` keeps the later of two times, so that its own may be too late.
+        self.fleet_state.merge_version_ages(payload["named"], origin=peer.name)
+        self.merge_observed(peer, payload)
+
+    def merge_observed(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Merge the observed times of versions in a message; older builds send none."""
+        ages = payload.get("observed", {})
+        self.fleet_state.merge_version_ages(ages, are_observed=True, origin=peer.name)
 
     def handle_notice(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
