Send the observed times of versions with notices and offers

Cause: only batches within a zone had the times of versions. A watcher sends those and gets none, so a watcher that came back from a cut kept the time of its return, and so did a zone that was cut off whole. A notice that corrects a time by more than 0.25 s is forwarded in the own zone, to sidecars as well, as one without news goes to a single entry of each zone. Ruled out: times for versions whose record isn't here yet. They are passed over; the next notice, at most one watch later, has them again. Older builds pass over the field, and messages without it change no time; both have a test.

--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -34,8 +34,8 @@
 CONTINUOUS_PROOF_S: Final = 3.5
 """Longest time in seconds since the previous proof for which a change counts as just made."""
 NAMED_GAIN_S: Final = 0.25
-"""Seconds by which the time of a version must change for the change to be logged; less is the usual
-delay of a message."""
+"""Seconds by which a peer must change the time of a version for the change to be logged and passed
+on; less is the usual delay of a message."""
 
 
 VersionAges = dict[str, list[list[float]]]
@@ -215,33 +215,41 @@
 
     def merge_version_ages(
         self, ages: VersionAges, are_observed: bool = False, origin: str = ""
-    ) -> None:
+    ) -> bool:
         """Merge the ages of versions that a peer, ``origin``, has sent, in seconds.
 
-        Ages that were not observed count as lower bounds.  Raises ValueError or TypeError where the
-        ages are malformed.
+        Ages that were not observed count as lower bounds.  Return whether a time was corrected by
+        more than ``NAMED_GAIN_S``.  Raises ValueError or TypeError where the ages are malformed.
         """
         now_s = boot_time_s()
-        has_changed = False
+        has_changed = is_corrected = False
         for model, found in ages.items():
             for version, age_s in found:
                 named_at_s = now_s - max(0.0, float(age_s))
                 claim = WantedVersion(int(version), named_at_s, are_observed)
-                has_changed |= self.merge_claim(model, claim, origin)
+                known = self.merge_claim(model, claim)
+                if known is None:
+                    continue
+                has_changed = True
+                if abs(known.earliest_named_at_s - named_at_s) > NAMED_GAIN_S:
+                    is_corrected = True
+                    log_corrected_time(model, known, claim, origin)
         if has_changed:
             for listener in self.listeners:
                 listener()
+        return is_corrected
+
+    def merge_claim(self, model: str, claim: WantedVersion) -> WantedVersion | None:
+        """Merge a peer's estimate for a known version.
 
-    def merge_claim(self, model: str, claim: WantedVersion, origin: str) -> bool:
-        """Merge a peer's estimate for a known version; return whether that changed the own one."""
+        Return the own estimate that it replaced; None where it replaced none.
+        """
         named = self.versions.get(model, [])
         for position, known in enumerate(named):
-            if known.version == claim.version:
-                named[position] = known.better_of(claim)
-                if named[position] != known:
-                    log_corrected_time(model, known, named[position], origin)
-                    return True
-        return False
+            if known.version == claim.version and known.better_of(claim) != known:
+                named[position] = claim
+                return known
+        return None
 
     def due_version(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before ``before_s``; 0 where there is none."""
@@ -276,9 +284,7 @@
 def log_corrected_time(
     model: str, known: WantedVersion, better: WantedVersion, origin: str
 ) -> None:
-    """Log a changed estimate, unless the change is within the usual delay of a message."""
-    if abs(better.earliest_named_at_s - known.earliest_named_at_s) <= NAMED_GAIN_S:
-        return
+    """Log that a peer's estimate has replaced the own one."""
     now_s = boot_time_s()
     decision(
         "version_time_corrected",
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -106,8 +106,19 @@
                     peer.zone: peer for peer in self.random.sample(other_zones, len(other_zones))
                 }.values()
             )
-        notice = {"revision": batch.revision, "age_s": self.fleet_state.proof_age_s()}
-        self.mesh.post_all(other_zones, NOTICE, notice)
+        self.mesh.post_all(other_zones, NOTICE, self.revision_payload(batch.revision))
+
+    def revision_payload(self, revision: int) -> dict[str, Any]:
+        """Return the message that announces a revision, with ages in seconds.
+
+        With the observed times of versions, a process that returns from a cut learns those of its
+        peers, also where it is the one that reads the store for its zone.
+        """
+        return {
+            "revision": revision,
+            "age_s": self.fleet_state.proof_age_s(),
+            "observed": self.fleet_state.observed_version_ages(),
+        }
 
     def feed_payload(self, batch: Batch, records: bytes) -> dict[str, Any]:
         """Return the message for a batch and its packed records, with ages in seconds.
@@ -142,29 +153,42 @@
         self.fleet_state.merge_version_ages(payload["named"], origin=peer.name)
         self.merge_observed(peer, payload)
 
-    def merge_observed(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Merge the observed times of versions in a message; older builds send none."""
+    def merge_observed(self, peer: Peer, payload: dict[str, Any]) -> bool:
+        """Merge the observed times of versions in a message; older builds send none.
+
+        Return whether the own times were corrected, see ``FleetState.merge_version_ages``.
+        """
         ages = payload.get("observed", {})
-        self.fleet_state.merge_version_ages(ages, are_observed=True, origin=peer.name)
+        return self.fleet_state.merge_version_ages(ages, are_observed=True, origin=peer.name)
 
     def handle_notice(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
 
-        A proof that is fresher by more than ``PROOF_GAIN_S`` is forwarded to the own zone.
+        A proof that is fresher by more than ``PROOF_GAIN_S`` is forwarded to the entries of the own
+        zone.  Corrected times of versions are forwarded to its sidecars as well, which compute the
+        turns of engines from them.
         """
         revision = int(payload["revision"])
         if revision > max(self.announced_revision, self.fleet_state.revision):
             self.announced_revision = revision
             self.behind_since_s = time.monotonic()
         age_s = max(0.0, float(payload["age_s"]))
-        if (
+        is_fresher = (
             revision == self.fleet_state.revision
             and self.fleet_state.proof_age_s() - age_s > PROOF_GAIN_S
-        ):
+        )
+        if is_fresher:
             self.fleet_state.record_proof(boot_time_s() - age_s)
-            batch = Batch(revision, revision, [], False, 0.0)
-            own_zone = self.mesh.peers(ENTRY, self.mesh.own.zone)
-            self.mesh.post_all(own_zone, FEED, self.feed_payload(batch, pack_records([])))
+        is_corrected = self.merge_observed(peer, payload)
+        recipients = (
+            self.mesh.peers(ENTRY, self.mesh.own.zone) if is_fresher or is_corrected else []
+        )
+        if is_corrected:
+            recipients += self.mesh.peers(SIDECAR, self.mesh.own.zone)
+        if recipients:
+            known = self.fleet_state.revision
+            feed = self.feed_payload(Batch(known, known, [], False, 0.0), pack_records([]))
+            self.mesh.post_all(recipients, FEED, feed)
 
     def send_snapshot(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Send the peer a snapshot of the fleet state, where there is one."""
@@ -182,12 +206,13 @@
         once, sending every peer a snapshot would congest the links so much that more of them break.
         """
         if link.peer.zone == self.mesh.own.zone and self.mesh.own.role == ENTRY:
-            offer = {"revision": self.fleet_state.revision, "age_s": self.fleet_state.proof_age_s()}
+            offer = self.revision_payload(self.fleet_state.revision)
             self.mesh.post(link.peer.name, FEED_OFFER, offer)
 
     def handle_offer(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Request a snapshot from a peer at a newer revision; use the proof of the same one."""
         revision, now_s = int(payload["revision"]), time.monotonic()
+        self.merge_observed(peer, payload)
         if revision == self.fleet_state.revision:
             self.fleet_state.record_proof(boot_time_s() - max(0.0, float(payload["age_s"])))
         elif (
--- a/gypsumpier/test/test_version_times.py
+++ b/gypsumpier/test/test_version_times.py
@@ -251,6 +251,23 @@
         own.feed.handle_notice(peer.own, peer.notice())
         self.assertEqual([], own.mesh.posted)
 
+    def test_a_notice_and_an_offer_of_an_older_build_change_no_time(self) -> None:
+        """Older builds send neither with times; a mixed fleet must understand both."""
+        own = self.returned()
+        message = {"revision": own.state.revision, "age_s": 0.0}
+        own.feed.handle_notice(FAR_PEER, message)
+        own.feed.handle_offer(ZONE_PEER, message)
+        self.assertAlmostEqual(7.0, own.named_at_s())
+
+    def test_the_time_of_a_version_whose_record_is_not_here_is_passed_over(self) -> None:
+        """A notice comes before the records; engines must not load what was not read."""
+        peer = self.peer_that_saw_it(FAR_PEER)
+        own = Process(OWN)
+        own.feed.handle_notice(peer.own, peer.notice())
+        self.assertEqual({}, own.state.versions)
+        own.feed.handle_notice(peer.own, peer.notice() | {"observed": {"other": [[2, 1.0]]}})
+        self.assertEqual({}, own.state.versions)
+
     def test_a_process_that_missed_a_version_keeps_the_limit_of_that_version(self) -> None:
         """Two versions are named while it is cut off, and a snapshot holds the newer one only.
 
