Keep the limit of a version that this process has missed

Once it had a peer's time of the second, nothing was due from the limit of the first until that of the second, and it could use the weights before both. A peer's times now add versions that are missing here, if they are older than the newest one here; newer ones still come with their record only. Before: with versions named at 1.0 and 3.0 s, none is due after the limit of the first. After: the first, then the second.

--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -240,16 +240,23 @@
         return is_corrected
 
     def merge_claim(self, model: str, claim: WantedVersion) -> WantedVersion | None:
-        """Merge a peer's estimate for a known version.
+        """Merge a peer's estimate; return the own one that it replaced, None where it did not.
 
-        Return the own estimate that it replaced; None where it replaced none.
+        A version older than the newest one here is added where it is missing: a snapshot holds only
+        the newest, but engines have to serve at least an older one from its own time limit on.
         """
         named = self.versions.get(model, [])
-        for position, known in enumerate(named):
-            if known.version == claim.version and known.better_of(claim) != known:
-                named[position] = claim
-                return known
-        return None
+        is_too_old = len(named) >= VERSIONS_KEPT and claim.version < named[0].version
+        if not named or claim.version > named[-1].version or is_too_old:
+            return None
+        unknown = WantedVersion(claim.version, float("-inf"), False)
+        known = next((wanted for wanted in named if wanted.version == claim.version), None)
+        better = (known or unknown).better_of(claim)
+        if better == known:
+            return None
+        others = [wanted for wanted in named if wanted.version != claim.version]
+        self.versions[model] = sorted([*others, better])[-VERSIONS_KEPT:]
+        return known or unknown
 
     def due_version(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before ``before_s``; 0 where there is none."""
--- a/gypsumpier/test/test_version_times.py
+++ b/gypsumpier/test/test_version_times.py
@@ -285,6 +285,18 @@
         self.assertEqual(3, own.state.due_version(MODEL, START_S + 3.5))
         self.assertEqual([2, 3], [wanted.version for wanted in own.state.versions[MODEL]])
 
+    def test_no_more_versions_are_added_than_are_kept(self) -> None:
+        """A peer that lags behind lists older versions; the list must stay bounded."""
+        own = Process(OWN)
+        newest = state.VERSIONS_KEPT + 3
+        for version in [3, *range(5, newest + 1)]:
+            own.read_version(version)
+        self.at(2.0)
+        for ages in ([[2, 1.0]], [[4, 0.5]], [[2, 1.0], [3, 1.0], [4, 1.0]]):
+            own.feed.handle_feed(ZONE_PEER, own.feed_message(observed={MODEL: ages}))
+        kept = [wanted.version for wanted in own.state.versions[MODEL]]
+        self.assertEqual(list(range(4, newest + 1)), kept)
+
 
 class OutageTest(VersionTimesTest):
     def test_the_time_of_an_outage_for_everyone_does_not_count(self) -> None:
