--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -1,8 +1,8 @@
 """Forwards the changes that watchers of the store read, with the age of the freshness proof.
 
 A watcher sends every batch to the processes of its zone.  Other zones have watchers of their own
-and get only the batch's revision: an entry that does not receive the records of that revision from
-its own zone reads the store itself.
+and get only the batch's revision and the observed times of versions: an entry that does not receive
+the records of that revision from its own zone reads the store itself.
 """
 
 import random
