--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -1,8 +1,8 @@
 """Forwards the changes that watchers of the store read, with the age of the freshness proof.
 
 A watcher sends every batch to the processes of its zone.  Other zones have watchers of their own
-and get only the batch's revision: an entry that does not receive the records of that revision from
-its own zone reads the store itself.
+and get only the batch's revision and the observed times of versions: an entry that does not receive
+the records of that revision from its own zone reads the store itself.
 """
 
 import random
@@ -106,11 +106,25 @@
                     peer.zone: peer for peer in self.random.sample(other_zones, len(other_zones))
                 }.values()
             )
-        notice = {"revision": batch.revision, "age_s": self.fleet_state.proof_age_s()}
-        self.mesh.post_all(other_zones, NOTICE, notice)
+        self.mesh.post_all(other_zones, NOTICE, self.revision_payload(batch.revision))
+
+    def revision_payload(self, revision: int) -> dict[str, Any]:
+        """Return the message that announces a revision, with ages in seconds.
+
+        With the observed times of versions, a process that returns from a cut learns those of its
+        peers, also where it is the one that reads the store for its zone.
+        """
+        return {
+            "revision": revision,
+            "age_s": self.fleet_state.proof_age_s(),
+            "observed": self.fleet_state.observed_version_ages(),
+        }
 
     def feed_payload(self, batch: Batch, records: bytes) -> dict[str, Any]:
-        """Return the message for a batch and its packed records, with ages in seconds."""
+        """Return the message for a batch and its packed records, with ages in seconds.
+
+        ``named`` has the ages of all versions, ``observed`` of those whose time was observed.
+        """
         return {
             "after": batch.after,
             "revision": batch.revision,
@@ -118,6 +132,7 @@
             "whole": batch.is_snapshot,
             "age_s": self.fleet_state.proof_age_s(),
             "named": self.fleet_state.version_ages(),
+            "observed": self.fleet_state.observed_version_ages(),
             "outage_ago_s": boot_time_s() - self.fleet_state.outage_ended_at_s,
         }
 
@@ -133,26 +148,47 @@
         self.fleet_state.record_outage_end(max(0.0, float(payload["outage_ago_s"])))
         proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
         self.fleet_state.apply(batch, proven_at_s, peer.name)
-        self.fleet_state.merge_version_ages(payload["named"])
+        # All of ``named`` counts as a lower bound, which never replaces an observed time: a build
+        # that sends no ``observed`` keeps the later of two times, so that its own may be too late.
+        self.fleet_state.merge_version_ages(payload["named"], origin=peer.name)
+        self.merge_observed(peer, payload)
+
+    def merge_observed(self, peer: Peer, payload: dict[str, Any]) -> bool:
+        """Merge the observed times of versions in a message; older builds send none.
+
+        Return whether the own times were corrected, see ``FleetState.merge_version_ages``.
+        """
+        ages = payload.get("observed", {})
+        return self.fleet_state.merge_version_ages(ages, are_observed=True, origin=peer.name)
 
     def handle_notice(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
 
-        A proof that is fresher by more than ``PROOF_GAIN_S`` is forwarded to the own zone.
+        A proof that is fresher by more than ``PROOF_GAIN_S`` is forwarded to the entries of the own
+        zone.  Corrected times of versions are forwarded to its sidecars as well, which compute the
+        turns of engines from them.
         """
         revision = int(payload["revision"])
         if revision > max(self.announced_revision, self.fleet_state.revision):
             self.announced_revision = revision
             self.behind_since_s = time.monotonic()
         age_s = max(0.0, float(payload["age_s"]))
-        if (
+        is_fresher = (
             revision == self.fleet_state.revision
             and self.fleet_state.proof_age_s() - age_s > PROOF_GAIN_S
-        ):
+        )
+        if is_fresher:
             self.fleet_state.record_proof(boot_time_s() - age_s)
-            batch = Batch(revision, revision, [], False, 0.0)
-            own_zone = self.mesh.peers(ENTRY, self.mesh.own.zone)
-            self.mesh.post_all(own_zone, FEED, self.feed_payload(batch, pack_records([])))
+        is_corrected = self.merge_observed(peer, payload)
+        recipients = (
+            self.mesh.peers(ENTRY, self.mesh.own.zone) if is_fresher or is_corrected else []
+        )
+        if is_corrected:
+            recipients += self.mesh.peers(SIDECAR, self.mesh.own.zone)
+        if recipients:
+            known = self.fleet_state.revision
+            feed = self.feed_payload(Batch(known, known, [], False, 0.0), pack_records([]))
+            self.mesh.post_all(recipients, FEED, feed)
 
     def send_snapshot(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Send the peer a snapshot of the fleet state, where there is one."""
@@ -170,12 +206,13 @@
         once, sending every peer a snapshot would congest the links so much that more of them break.
         """
         if link.peer.zone == self.mesh.own.zone and self.mesh.own.role == ENTRY:
-            offer = {"revision": self.fleet_state.revision, "age_s": self.fleet_state.proof_age_s()}
+            offer = self.revision_payload(self.fleet_state.revision)
             self.mesh.post(link.peer.name, FEED_OFFER, offer)
 
     def handle_offer(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Request a snapshot from a peer at a newer revision; use the proof of the same one."""
         revision, now_s = int(payload["revision"]), time.monotonic()
+        self.merge_observed(peer, payload)
         if revision == self.fleet_state.revision:
             self.fleet_state.record_proof(boot_time_s() - max(0.0, float(payload["age_s"])))
         elif (
