Test the margins and the second attempt of withdrawn requests; check only outdated ones

A review broke the mechanism in eight ways that no test noticed. Three tests are added and were seen to fail: a START_MARGIN_S of 0.3 s, a withdrawn request charged to its engine's health, one repeated where its route forbids it.

The counter no longer counts a request whose answer has begun. A failure of any kind while the head is built closes the connection.

--- a/gypsumpier/gateway/pendingstarts.py
+++ b/gypsumpier/gateway/pendingstarts.py
@@ -57,12 +57,13 @@
 
         An upstream that is loading holds no version; it may load one that is too old as well.
         """
-        due = {
-            service: self.due_version(service)
-            for service in {record.service for record, _ in self.pending.values()}
-        }
+        services = {record.service for record, _ in self.pending.values()}
+        due_by_service = {service: self.due_version(service) for service in services}
         for exchange, (record, sent_version) in list(self.pending.items()):
+            due = due_by_service[record.service]
+            # Held versions are worked out only in the rare case of a request sent on an older one.
+            if sent_version >= due:
+                continue
             held = max(sent_version, self.selector.held_version(record))
-            if held < due[record.service]:
+            if held < due and exchange.withdraw(f"not started on version {held}, {due} is due"):
                 WITHDRAWN.labels(record.service).inc()
-                exchange.withdraw(f"not started on version {held}, {due[record.service]} is due")
--- a/gypsumpier/test/test_version_start.py
+++ b/gypsumpier/test/test_version_start.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from gypsumpier.gateway.application import SEND_MARGIN_S
-from gypsumpier.test.builders_platform import ENGINES, MODEL
+from gypsumpier.test.builders_platform import ENGINES, MODEL, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
 from misc.faulting.tcp_proxy import TcpProxy
 
@@ -32,6 +32,15 @@
     async def asyncTearDown(self) -> None:
         await self.fleet.stop()
 
+    async def delay_way_to_engine(self, seconds: float) -> None:
+        """Delay what is sent to the engine, closes included."""
+        proxy = TcpProxy(self.engine.port)
+        await proxy.start()
+        self.addCleanup(proxy.stop)
+        proxy.delay_s = seconds
+        self.engine.port = proxy.port
+        self.fleet.write_record("i-1", ENGINES)
+
     async def call_after_naming(self) -> tuple[Any, float]:
         """Name a version and send a request; return its answer and the time limit of the version.
 
@@ -56,18 +65,41 @@
         self,
     ) -> None:
         """Guards against the same on a slow link, which delays a close as long as the request."""
-        proxy = TcpProxy(self.engine.port)
-        await proxy.start()
-        self.addCleanup(proxy.stop)
-        proxy.delay_s = 1.4
+        await self.delay_way_to_engine(1.4)
         self.engine.queued_s = 0.1
-        self.engine.port = proxy.port
-        self.fleet.write_record("i-1", ENGINES)
         answer, limit_s = await self.call_after_naming()
         await asyncio.sleep(max(0.0, limit_s + 1.5 - time.monotonic()))
         self.assertEqual([], [run for run in self.engine.runs if run.at_s > limit_s])
         self.assertEqual(502, answer.code)
 
+    async def test_a_withdrawn_request_leaves_a_slow_engine_before_the_limit(self) -> None:
+        """Guards against withdrawing so late that the close reaches the engine past the limit."""
+        await self.delay_way_to_engine(0.8)
+        # Started 0.1 s past the limit if it is not withdrawn.
+        self.engine.queued_s = IN_FORCE_S + 0.1 - SENT_S - 0.8
+        _, limit_s = await self.call_after_naming()
+        await asyncio.sleep(max(0.0, limit_s + 1.0 - time.monotonic()))
+        self.assertEqual([], [run for run in self.engine.runs if run.at_s > limit_s])
+
+    async def test_a_withdrawn_request_runs_once_at_an_engine_with_the_due_version(self) -> None:
+        """Guards against losing a request that may be repeated, and against a second repeat."""
+        self.engine.queued_s = IN_FORCE_S
+        other = self.fleet.add("i-2", ENGINES, version=2, slots=1)
+        answer, _ = await self.call_after_naming()
+        self.assertEqual((200, 1), (answer.code, len(other.runs)))
+        self.assertEqual((1, []), (len(self.engine.received_headers), self.engine.runs))
+        self.assertEqual({}, self.fleet.entry.selector.health.health_by_run)
+
+    async def test_a_withdrawn_request_is_not_repeated_where_its_route_forbids_it(self) -> None:
+        """Guards against a second run of a request that may have run."""
+        self.engine.queued_s = IN_FORCE_S
+        self.fleet.configure(2, routes=[route_body(resumable=False)])
+        await self.fleet.settle()
+        other = self.fleet.add("i-2", ENGINES, version=2)
+        answer, _ = await self.call_after_naming()
+        self.assertEqual((502, []), (answer.code, other.runs))
+        self.assertEqual((1, []), (len(self.engine.received_headers), self.engine.runs))
+
     async def test_a_request_that_an_engine_has_started_is_not_cut_when_its_weights_fall_due(
         self,
     ) -> None:
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -102,10 +102,13 @@
         self.failure = self.failure or "answer cut"
         self.progress.set()
 
-    def withdraw(self, reason: str) -> None:
-        """Make ``answer`` fail at once, unless the head of the answer has arrived."""
+    def withdraw(self, reason: str) -> bool:
+        """Make ``answer`` fail at once; return False where the head of the answer has arrived."""
+        if self.head is not None:
+            return False
         self.withdrawn = reason
         self.progress.set()
+        return True
 
     async def wait_for_progress(self) -> None:
         """Wait for progress of the answer; raise OutcomeUnknownError if it should be abandoned."""
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -93,7 +93,7 @@
             stream = await self.connect(address)
         try:
             call = make_call()
-        except NotRunError:
+        except BaseException:
             stream.close()
             raise
         exchange = Exchange(stream, call.silence_s, should_abandon)
