Check the home of a key again once its request has left the queue

Cause: an entry found the home of a key, then waited in the service's admission (up to 0.75 of the remaining time, 22 s of 30 s), and sent the key on the link found before. If a younger process in the slot had been welcomed meanwhile, the entry had sent it a complete report without the key, which promises that the key goes nowhere else. The old process ran the key, and a copy through another entry ran at the new home: at most once was broken.

Ruled out: the old process refuses (it does not know of its successor); the link refuses (it only checks that its connection is open); the member list closes the link (links to replaced processes stay while they are connected).

Before: the new test finds runs [1, 1] of the old and the new process. After: [0, 1]; test_request_keys, _paths, _overload, test_ledger and test_ledger_machine pass.

Conclusion: what is judged before a wait is judged again after it, in the same step in which the key is recorded and sent.

--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -86,6 +86,7 @@
         entered_at_s = self.clock.monotonic()
         answered = False
         try:
+            self.check_home(request, link)
             payload = self.payload(request, document, version)
             async for frame in self.sender.deliver(request, link, attempt, payload):
                 answered = frame.kind == END
@@ -94,6 +95,23 @@
             admission.leave(self.clock.monotonic() - entered_at_s, answered)
         self.guard.quarantine.record_finished(request.fingerprint)
 
+    def check_home(self, request: CallerRequest, link: Link) -> None:
+        """Raise UPSTREAM_UNREACHABLE if the link no longer leads to the home of the request's key.
+
+        While the request was queued, this entry may have reported its keys to another home, and
+        with that promised to send them nowhere else.
+        """
+        if not request.has_home():
+            return
+        document = self.keys.documents.document(request.service)
+        try:
+            if document is not None and self.keys.home(request, document) is link:
+                return
+        except GypsumpierError as error:
+            raise GypsumpierError(codes.UPSTREAM_UNREACHABLE, error.detail) from error
+        detail = "the key's home has changed while the request was queued"
+        raise GypsumpierError(codes.UPSTREAM_UNREACHABLE, detail)
+
     def backoff_s(self, request: CallerRequest, failure: FailureHistory, number: int) -> float:
         """Return the seconds to wait before the next attempt.
 
--- a/gypsumpier/test/test_request_keys.py
+++ b/gypsumpier/test/test_request_keys.py
@@ -217,6 +217,29 @@
 
         run(scenario())
 
+    def test_a_key_queued_while_its_home_is_replaced_is_not_sent_to_the_old_process(self) -> None:
+        """Guards against a second run by a home whose report, complete already, lacks the key."""
+
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await connected_pair(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLE_TIME_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            admission = entry.relay.guard.admissions["table-ops"]
+            admission.in_flight = int(admission.window)
+            queued = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.1)
+            successor = world.agent(incarnation="two")
+            await asyncio.sleep(SETTLE_TIME_S)
+            admission.leave(0.1, False)
+            copy = asyncio.create_task(outcome(world, other, plain_call(world, "k")))
+            self.assertEqual(["go", "go"], [await queued, await copy])
+            runs = [parts.upstream.runs["k"] for parts in (agent, successor)]
+            self.assertEqual([0, 1], runs)
+
+        run(scenario())
+
     def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
         async def scenario() -> None:
             world = World()
