Choose the home of a key by the document in force

Cause: the first choice of a home, and each choice after a failed attempt, used the document that was in force when the request came. After a document had moved the homes while the request was queued, all three attempts went to the old home. An old home without the new document would have run the key, although the entry had reported its keys to the new home as complete.

Ruled out: the loop that waits for a home looks the document up again, but only after its first try has failed.

Conclusion: a document may only be captured for what holds for the whole request (limits, idempotency), not for where its key runs.

--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -168,6 +168,8 @@
         """Return the link to the key's home; wait a limited time for an unreachable home."""
         until_s = self.clock.monotonic() + self.home_wait_s(request)
         while True:
+            # The document in force, not the one of the request's arrival: homes may have moved.
+            document = self.keys.documents.document(request.service) or document
             try:
                 link = self.keys.home(request, document)
                 self.home_wait.record_reachable(link.member.name)
@@ -181,7 +183,6 @@
                     failure.record(error, None)
                     raise failure.caller_error() from error
             await self.clock.sleep(HOME_POLL_S)
-            document = self.keys.documents.document(request.service) or document
 
     def home_wait_s(self, request: CallerRequest) -> float:
         """Return for how many more seconds the request may wait for its home."""
--- a/gypsumpier/test/test_request_keys.py
+++ b/gypsumpier/test/test_request_keys.py
@@ -15,7 +15,9 @@
 from gypsumpier.test.builders import ZONE, plain_document
 from gypsumpier.test.builders_request import (
     SETTLE_TIME_S,
+    AgentParts,
     EntryParts,
+    FakeUpstream,
     World,
     connected_pair,
     outcome,
@@ -240,6 +242,34 @@
 
         run(scenario())
 
+    def test_a_key_queued_while_a_document_moves_its_home_runs_at_the_new_home(self) -> None:
+        """Guards against choosing a home by the document that was in force when a request came."""
+
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await connected_pair(world)
+            member = world.member(f"table-ops/{ZONE}/1", "one", "agent", "table-ops")
+            second = AgentParts(world, member, FakeUpstream(False))
+            world.members.put(member)
+            world.members.notify()
+            await asyncio.sleep(SETTLE_TIME_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            keys = (f"k{number}" for number in range(100))
+            moved = two_slots(world)
+            key = next(key for key in keys if home_slot(moved, KeyId("lab", key)) == member.name)
+            admission = entry.relay.guard.admissions["table-ops"]
+            admission.in_flight = int(admission.window)
+            queued = asyncio.create_task(outcome(world, entry, plain_call(world, key)))
+            await asyncio.sleep(0.1)
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            await asyncio.sleep(SETTLE_TIME_S)
+            admission.leave(0.1, False)
+            self.assertEqual("go", await queued)
+            runs = [parts.upstream.runs[key] for parts in (agent, second)]
+            self.assertEqual([0, 1], runs)
+
+        run(scenario())
+
     def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
         async def scenario() -> None:
             world = World()
