Count the time that a message took into the ages that it carries

Cause: the ages of freshness proofs, of named versions and of the store's last outage are computed when a message is queued, and were taken as of its arrival. Nothing bounds the time between: a message waits in the link's queue (up to 256 messages), in the buffers of a slow link, and in the receiver's own buffer while that process is frozen. A proof then seems fresher by that time. Of the 5 s in which a revoked key must be out of use, 0.5 s are kept in reserve for it. A process that resumes after a freeze of any length took what had waited in its buffer for new. A named version likewise seemed to be named later, and as the later of two estimates is kept and passed on, one late message moved the time limit for all processes it reached.

A frame now bears the time at which its message was queued, and listeners of messages with ages get the time in queues and buffers from the connection, which knows it already (Connection.buffered_s).

Ruled out: the own reads of the store, whose proofs count from the sending of the call; the streams between entries and agents, which count the time already for requests and resumptions.

Not shown: a request that runs with a revoked key, in a whole deployment.

Open: the first frame of a connection is the measure of the others, so a delay that all frames of a connection share is not seen.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -59,10 +59,10 @@
         self.behind_since_s = 0.0
         self.snapshot_requested_at_s = float("-inf")
         self.packed_snapshot: tuple[int, bytes] = (0, b"")
-        mesh.listeners[FEED] = self.handle_feed
-        mesh.listeners[NOTICE] = self.handle_notice
+        mesh.aged_listeners[FEED] = self.handle_feed
+        mesh.aged_listeners[NOTICE] = self.handle_notice
         mesh.listeners[FEED_ASK] = self.send_snapshot
-        mesh.listeners[FEED_OFFER] = self.handle_offer
+        mesh.aged_listeners[FEED_OFFER] = self.handle_offer
         mesh.on_peer_connected.append(self.send_offer)
 
     def should_read_store(self) -> bool:
@@ -121,8 +121,11 @@
             "outage_ago_s": boot_time_s() - self.fleet_state.outage_ended_at_s,
         }
 
-    def handle_feed(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Apply a batch from a peer; request a snapshot where an earlier batch is missing."""
+    def handle_feed(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
+        """Apply a batch from a peer; request a snapshot where an earlier batch is missing.
+
+        The ages in it grew by ``delay_s`` seconds on the way, here and in the other messages.
+        """
         records = unpack_records(payload["records"])
         batch = Batch(
             int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
@@ -130,12 +133,17 @@
         if not batch.is_snapshot and batch.after > self.fleet_state.revision:
             self.mesh.post(peer.name, FEED_ASK, {})
             return
-        self.fleet_state.record_outage_end(max(0.0, float(payload["outage_ago_s"])))
-        proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
+        self.fleet_state.record_outage_end(delay_s + max(0.0, float(payload["outage_ago_s"])))
+        proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
         self.fleet_state.apply(batch, proven_at_s, peer.name)
-        self.fleet_state.merge_version_ages(payload["named"])
+        self.fleet_state.merge_version_ages(
+            {
+                model: [[version, age_s + delay_s] for version, age_s in named]
+                for model, named in payload["named"].items()
+            }
+        )
 
-    def handle_notice(self, peer: Peer, payload: dict[str, Any]) -> None:
+    def handle_notice(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
 
         A proof that is fresher by more than ``PROOF_GAIN_S`` is forwarded to the own zone.
@@ -144,7 +152,7 @@
         if revision > max(self.announced_revision, self.fleet_state.revision):
             self.announced_revision = revision
             self.behind_since_s = time.monotonic()
-        age_s = max(0.0, float(payload["age_s"]))
+        age_s = delay_s + max(0.0, float(payload["age_s"]))
         if (
             revision == self.fleet_state.revision
             and self.fleet_state.proof_age_s() - age_s > PROOF_GAIN_S
@@ -173,11 +181,12 @@
             offer = {"revision": self.fleet_state.revision, "age_s": self.fleet_state.proof_age_s()}
             self.mesh.post(link.peer.name, FEED_OFFER, offer)
 
-    def handle_offer(self, peer: Peer, payload: dict[str, Any]) -> None:
+    def handle_offer(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Request a snapshot from a peer at a newer revision; use the proof of the same one."""
         revision, now_s = int(payload["revision"]), time.monotonic()
         if revision == self.fleet_state.revision:
-            self.fleet_state.record_proof(boot_time_s() - max(0.0, float(payload["age_s"])))
+            age_s = delay_s + max(0.0, float(payload["age_s"]))
+            self.fleet_state.record_proof(boot_time_s() - age_s)
         elif (
             revision > self.fleet_state.revision
             and now_s - self.snapshot_requested_at_s > SNAPSHOT_TIMEOUT_S
--- a/gypsumpier/mesh/link.py
+++ b/gypsumpier/mesh/link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from gypsumpier.codes.wire import CONNECTION_CLOSED, PEER_FAILED
 from gypsumpier.errors import GypsumpierError
@@ -16,6 +16,15 @@
 """Messages that may be queued for a slow peer; one more closes its connection."""
 
 
+class QueuedMessage(NamedTuple):
+    """A message that waits to be sent since ``queued_at_s``, in monotonic seconds."""
+
+    kind: str
+    payload: dict[str, Any]
+    exchange: str
+    queued_at_s: float
+
+
 class MeshLink:
     """Sends messages and requests to one peer.
 
@@ -26,22 +35,25 @@
     def __init__(self, peer: Peer, connection: Connection) -> None:
         self.peer = peer
         self.connection = connection
-        self.queue: asyncio.Queue[tuple[str, dict[str, Any], str]] = asyncio.Queue(SEND_QUEUE_MAX)
+        self.queue: asyncio.Queue[QueuedMessage] = asyncio.Queue(SEND_QUEUE_MAX)
         self.pending_requests: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self.request_numbers = itertools.count()
 
     def post(self, kind: str, payload: dict[str, Any], exchange: str = "") -> None:
         """Queue a message; where the queue is full, close the connection instead."""
         try:
-            self.queue.put_nowait((kind, payload, exchange))
+            queued_at_s = self.connection.clock.monotonic()
+            self.queue.put_nowait(QueuedMessage(kind, payload, exchange, queued_at_s))
         except asyncio.QueueFull:
             self.connection.close()
 
     async def send_queued(self) -> None:
         """Send queued messages until the connection closes."""
         while not self.connection.closed:
-            kind, payload, exchange = await self.queue.get()
-            await self.connection.send(kind, payload, exchange)
+            found = await self.queue.get()
+            await self.connection.send(
+                found.kind, found.payload, found.exchange, queued_at_s=found.queued_at_s
+            )
 
     async def request(self, kind: str, payload: dict[str, Any], timeout_s: float) -> dict[str, Any]:
         """Send a request and return its answer.
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -36,6 +36,7 @@
 """Seconds after which an unreachable entry is removed and no longer dialled."""
 
 Listener = Callable[[Peer, dict[str, Any]], None]
+AgedListener = Callable[[Peer, dict[str, Any], float], None]
 RequestHandler = Callable[[Peer, dict[str, Any]], Awaitable[dict[str, Any]]]
 
 
@@ -44,7 +45,8 @@
 
     ``known`` holds the entries learned of by address.  ``links`` holds the open connections by the
     peer's name, the newest first.  ``listeners`` and ``request_handlers`` handle messages and
-    requests by kind.
+    requests by kind; ``aged_listeners`` handle messages that carry ages, and also get the seconds
+    that the message spent in queues and buffers.
     """
 
     def __init__(self, own: Peer, seeds: tuple[Address, ...], dialer: Dialer) -> None:
@@ -53,6 +55,7 @@
         self.dialer = dialer
         self.clock = SystemClock()
         self.listeners: dict[str, Listener] = {}
+        self.aged_listeners: dict[str, AgedListener] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
         self.known: dict[Address, Peer] = {}
         self.last_seen_at_s: dict[Address, float] = {}
@@ -257,9 +260,9 @@
         if frame.kind == ANSWER:
             link.resolve(frame.exchange, frame.payload)
             return
-        if frame.kind in self.listeners:
+        if frame.kind in self.listeners or frame.kind in self.aged_listeners:
             try:
-                self.listeners[frame.kind](link.peer, frame.payload)
+                self.notify(link, frame)
             except (KeyError, TypeError, ValueError) as error:
                 log_bad_message(link, frame, error)
         elif frame.kind in self.request_handlers:
@@ -267,6 +270,14 @@
             self.answer_tasks.add(task)
             task.add_done_callback(self.answer_tasks.discard)
 
+    def notify(self, link: MeshLink, frame: Frame) -> None:
+        """Call the listener of the frame's kind; raise what it raises."""
+        if frame.kind in self.listeners:
+            self.listeners[frame.kind](link.peer, frame.payload)
+            return
+        delay_s = link.connection.buffered_s(frame)
+        self.aged_listeners[frame.kind](link.peer, frame.payload, delay_s)
+
     async def answer(self, link: MeshLink, frame: Frame) -> None:
         """Handle a request and send its answer; a failure is sent as the answer."""
         try:
--- a/gypsumpier/test/test_connection.py
+++ b/gypsumpier/test/test_connection.py
@@ -138,10 +138,15 @@
         self.tasks = [asyncio.create_task(self.keep_alive()), asyncio.create_task(self.drain())]
 
     async def send(
-        self, kind: str, payload: dict[str, Any], exchange: str = "", sequence: int = 0
+        self,
+        kind: str,
+        payload: dict[str, Any],
+        exchange: str = "",
+        sequence: int = 0,
+        queued_at_s: float | None = None,
     ) -> None:
         self.sent_frames += 1
-        await super().send(kind, payload, exchange, sequence)
+        await super().send(kind, payload, exchange, sequence, queued_at_s)
 
     async def drain(self) -> None:
         """Read frames until the connection closes."""
--- a/gypsumpier/test/test_feed.py
+++ b/gypsumpier/test/test_feed.py
@@ -35,6 +35,7 @@
         self.own = own
         self.others = others
         self.listeners: dict[str, Any] = {}
+        self.aged_listeners: dict[str, Any] = {}
         self.on_peer_connected: list[Any] = []
         self.posted: list[tuple[str, str, dict[str, Any]]] = []
 
--- a/gypsumpier/wire/connection.py
+++ b/gypsumpier/wire/connection.py
@@ -77,17 +77,24 @@
             pace.connections += 1
 
     async def send(
-        self, kind: str, payload: dict[str, Any], exchange: str = "", sequence: int = 0
+        self,
+        kind: str,
+        payload: dict[str, Any],
+        exchange: str = "",
+        sequence: int = 0,
+        queued_at_s: float | None = None,
     ) -> None:
         """Send one frame; raise GypsumpierError when that is impossible.
 
-        The code is CONNECTION_CLOSED, CONNECTION_SILENT once silence has closed the connection, or
-        FRAME_TOO_LARGE.
+        ``queued_at_s`` is the monotonic time at which the frame was queued, if it had to wait; the
+        peer then counts that time as time in buffers.  The code of the error is CONNECTION_CLOSED,
+        CONNECTION_SILENT once silence has closed the connection, or FRAME_TOO_LARGE.
         """
         if self.closed:
             raise GypsumpierError(self.close_reason, "connection is closed")
         self.sent_at_s = self.clock.monotonic()
-        await self.stream.write(encode(Frame(kind, exchange, sequence, self.sent_at_s, payload)))
+        began_at_s = self.sent_at_s if queued_at_s is None else queued_at_s
+        await self.stream.write(encode(Frame(kind, exchange, sequence, began_at_s, payload)))
 
     async def frames(self) -> AsyncIterator[Frame]:
         """Yield received frames other than heartbeats until the connection closes."""
--- a/gypsumpier/wire/frame.py
+++ b/gypsumpier/wire/frame.py
@@ -3,7 +3,8 @@
 ``exchange`` identifies what the frame belongs to: a request's attempt, or the connection itself
 where it is empty.  ``sequence`` counts the frames of one exchange in one direction from 0, so that
 a late or crossed frame is detected and the final frame proves that none is missing.  ``sent_at_s``
-is the time on the sender's monotonic clock; a receiver may only compare differences of it.
+is the time on the sender's monotonic clock at which the frame was sent, or queued to be sent; a
+receiver may only compare differences of it.
 """
 
 from typing import Any, Final, NamedTuple
