Date a member list by when it was sent, not by when a home read it

Cause: a new home runs unknown keys once every entry has reported that is on a member list read after settling (3 s). A list counted as of the moment at which the home read it from its connection. A home that is paused, or behind a slow link, from before the end of settling takes a list sent earlier for one of after it; an entry that was not on that list yet is then not waited for, though it may have sent keys to the home before.

Ruled out: the ages of keys and of lost entries have the same gap, but there a later time only makes the home refuse or wait for longer.

Before: in the new test a list sent 1.5 s after the start and read at 5 s is among those read after settling. After: it is not, one sent at 5 s is; test_request_keys, test_request_paths and test_ledger pass. Not shown: a key that runs twice by this in a whole deployment.

--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -107,7 +107,7 @@
         elif frame.kind == "keys":
             self.handle_keys(frame.payload)
         elif frame.kind == "entries":
-            self.handle_entries(frame.payload)
+            self.handle_entries(frame.payload, connection.buffered_s(frame))
         elif frame.kind == "closed":
             self.awaiting_closed.discard(connection)
         elif frame.kind == "farewell":
@@ -149,15 +149,18 @@
             for reporter in [entry, *(EntryId(*fields) for fields in payload["inherited"])]:
                 home.recovery.record_report(reporter, payload["revision"])
 
-    def handle_entries(self, payload: dict[str, Any]) -> None:
-        """Record which entries an entry sees on the member list, and which it saw disappear."""
+    def handle_entries(self, payload: dict[str, Any], buffered_s: float) -> None:
+        """Record which entries an entry sees on the member list, and which it saw disappear.
+
+        The list is as old as the ``buffered_s`` seconds that it spent in buffers.
+        """
         recovery = self.gate.home.recovery
         now_s = self.clock.monotonic()
         for name, incarnation, age_s in payload["lost"]:
             recovery.record_loss(EntryId(name, incarnation), now_s - age_s)
         reporter = EntryId(payload["name"], payload["incarnation"])
         listed = frozenset(EntryId(*fields) for fields in payload["listed"])
-        recovery.record_member_list(reporter, listed, now_s)
+        recovery.record_member_list(reporter, listed, now_s - buffered_s)
         lost = [EntryId(name, incarnation) for name, incarnation, _ in payload["lost"]]
         self.vouch(lost)
 
--- a/gypsumpier/test/test_request_keys.py
+++ b/gypsumpier/test/test_request_keys.py
@@ -23,7 +23,10 @@
     outcome,
     plain_call,
 )
+from gypsumpier.test.network import Link
 from gypsumpier.test.virtual import run
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
 
 IMMEDIATE_S = 0.2
 
@@ -270,6 +273,28 @@
 
         run(scenario())
 
+    def test_a_member_list_that_was_long_in_buffers_is_not_one_read_after_settling(self) -> None:
+        """Guards against a second run by a home that was paused while the list came."""
+
+        async def scenario() -> None:
+            world = World()
+            agent = world.agent()
+            entry = EntryId("entry", "one")
+            payload = {"name": "entry", "incarnation": "one", "listed": [list(entry)], "lost": []}
+            connection = Connection(Link("one", "other").accepted, world.clock, 1.0, 3.0)
+            connection.record_clock_difference(Frame("hello", "", 0, 0.0, {}))
+            await asyncio.sleep(SETTLE_TIME_S)
+            connection.received_at_s = SETTLE_TIME_S
+            recovery = agent.home.recovery
+            early_s = recovery.limits.settle_s / 2
+            await agent.listener.handle_frame(Frame("entries", "", 0, early_s, payload), connection)
+            self.assertEqual(frozenset(), recovery.listed_entries())
+            late = Frame("entries", "", 0, SETTLE_TIME_S, payload)
+            await agent.listener.handle_frame(late, connection)
+            self.assertEqual(frozenset([entry]), recovery.listed_entries())
+
+        run(scenario())
+
     def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
         async def scenario() -> None:
             world = World()
