Expect of an engine the version that it holds, not the oldest that is allowed

Cause: X-Expect-Version carried the oldest version that may still be used. An engine refuses (421) any other one, newer ones too. When two versions are named in a row, the engines load the second one before it is due; from the moment at which the first one is due (1 s before its limit) until the second one is, every engine refused every request, each refusal took from the retry budget and put the engine into backoff.

Ruled out: no test or soak run could show it, as the stand-in engines ignored the header. They now refuse as the platform's documentation says.

Before: the new test counts six refused attempts at two idle engines and an answer of 503 (queue_too_long).

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -182,7 +182,7 @@
             workspace=request.workspace_name,
             time_limit_s=request.left_s(),
             urgency=min(URGENCY_MAX, urgency),
-            expected_version=self.admission.least_version(request.service),
+            expected_version=self.expected_version(request, record),
             last_event_id=request.last_event_id,
             body_bytes=len(request.body),
         )
@@ -194,6 +194,15 @@
             STREAM_SILENCE_S if request.route.is_streamed else PLAIN_SILENCE_S,
         )
 
+    def expected_version(self, request: GatewayRequest, record: UpstreamRecord) -> int:
+        """Return the version that the upstream holds; 0 while any version may be used.
+
+        The oldest version that may be used would be wrong: an engine with a newer one refuses it.
+        """
+        if not self.admission.least_version(request.service):
+            return 0
+        return self.selector.held_version(record)
+
     def should_abandon(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Return whether to abandon a silent upstream because another one can take the request."""
         if not request.may_repeat(tries=2):
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -189,6 +189,8 @@
             {name.lower(): value for name, value in self.request.headers.items()}
         )
         self.set_header("X-Request-Id", "another" if action == "crossed" else request_id)
+        if action == "ok" and not self.holds_expected_version():
+            action = "wrong"
         if action in ("full", "wrong"):
             self.set_status(503 if action == "full" else 421)
             self.set_header("X-Not-Executed", "1")
@@ -218,6 +220,11 @@
             if action == "extra":
                 self.iostream().write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
 
+    def holds_expected_version(self) -> bool:
+        """Return whether the weights are of the version that the request expects, if it does."""
+        expected = self.request.headers.get("X-Expect-Version")
+        return expected is None or int(expected) == self.state.loaded_version()
+
     async def wait_in_queue(self) -> bool:
         """Wait for the turn of a queued request; return False if its connection closed."""
         try:
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -14,7 +14,7 @@
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.log import LOGGER, record_fields
-from gypsumpier.test.builders_platform import ENGINES, KEY, PLAIN, route_body
+from gypsumpier.test.builders_platform import ENGINES, KEY, MODEL, PLAIN, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
 
 EVENTS = "".join(f"id: {number}\ndata: event {number}\n\n" for number in range(1, 6))
@@ -139,6 +139,31 @@
         self.assertGreaterEqual(float(str(failed["unanswered_s"])), 0.1)
         self.assertLess(float(str(failed["connect_s"])), 0.1)
 
+    async def test_an_engine_with_newer_weights_than_are_due_serves_requests(self) -> None:
+        """Guards against refusals by every engine after two versions were named in a row.
+
+        The first one is due, and the engines hold the second one already.
+        """
+        state = self.fleet.entry.fleet_state
+        for version in (2, 3):
+            self.fleet.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": version})
+            await self.fleet.settle()
+        in_force_s = self.fleet.entry.settings.bounds.version_in_force_s
+        first, second = state.versions[MODEL]
+        named_at_s = first.earliest_named_at_s - in_force_s
+        state.versions[MODEL] = [first._replace(earliest_named_at_s=named_at_s), second]
+        for name, engine in (("i-1", self.engine), ("i-2", self.other)):
+            self.fleet.write_record(name, ENGINES, version=3)
+            patched = mock.patch.object(engine, "loaded_version", lambda: 3)
+            patched.start()
+            self.addCleanup(patched.stop)
+        await self.fleet.settle()
+        self.assertEqual(2, self.fleet.entry.least_version(ENGINES))
+        answer = await self.fleet.call("/reports/x")
+        sent = [*self.engine.received_headers, *self.other.received_headers]
+        self.assertEqual(["3"], [headers.get("x-expect-version") for headers in sent])
+        self.assertEqual((200, 1), (answer.code, self.runs()))
+
     async def test_an_error_answer_does_not_put_its_upstream_into_backoff(self) -> None:
         """Guards against backing off from healthy upstreams.
 
