--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -15,7 +15,7 @@
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.record import Record
-from gypsumpier.fleet.state import FleetState
+from gypsumpier.fleet.state import FleetState, VersionAges
 from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
@@ -59,10 +59,10 @@
         self.behind_since_s = 0.0
         self.snapshot_requested_at_s = float("-inf")
         self.packed_snapshot: tuple[int, bytes] = (0, b"")
-        mesh.listeners[FEED] = self.handle_feed
-        mesh.listeners[NOTICE] = self.handle_notice
+        mesh.aged_listeners[FEED] = self.handle_feed
+        mesh.aged_listeners[NOTICE] = self.handle_notice
         mesh.listeners[FEED_ASK] = self.send_snapshot
-        mesh.listeners[FEED_OFFER] = self.handle_offer
+        mesh.aged_listeners[FEED_OFFER] = self.handle_offer
         mesh.on_peer_connected.append(self.send_offer)
 
     def should_read_store(self) -> bool:
@@ -136,8 +136,11 @@
             "outage_ago_s": boot_time_s() - self.fleet_state.outage_ended_at_s,
         }
 
-    def handle_feed(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Apply a batch from a peer; request a snapshot where an earlier batch is missing."""
+    def handle_feed(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
+        """Apply a batch from a peer; request a snapshot where an earlier batch is missing.
+
+        The ages in it grew by ``delay_s`` seconds on the way, here and in the other messages.
+        """
         records = unpack_records(payload["records"])
         batch = Batch(
             int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
@@ -145,23 +148,23 @@
         if not batch.is_snapshot and batch.after > self.fleet_state.revision:
             self.mesh.post(peer.name, FEED_ASK, {})
             return
-        self.fleet_state.record_outage_end(max(0.0, float(payload["outage_ago_s"])))
-        proven_at_s = boot_time_s() - max(0.0, float(payload["age_s"]))
+        self.fleet_state.record_outage_end(delay_s + max(0.0, float(payload["outage_ago_s"])))
+        proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
         self.fleet_state.apply(batch, proven_at_s, peer.name)
         # All of ``named`` counts as a lower bound, which never replaces an observed time: a build
         # that sends no ``observed`` keeps the later of two times, so that its own may be too late.
-        self.fleet_state.merge_version_ages(payload["named"], origin=peer.name)
-        self.merge_observed(peer, payload)
+        self.fleet_state.merge_version_ages(aged(payload["named"], delay_s), origin=peer.name)
+        self.merge_observed(peer, payload, delay_s)
 
-    def merge_observed(self, peer: Peer, payload: dict[str, Any]) -> bool:
+    def merge_observed(self, peer: Peer, payload: dict[str, Any], delay_s: float) -> bool:
         """Merge the observed times of versions in a message; older builds send none.
 
         Return whether the own times were corrected, see ``FleetState.merge_version_ages``.
         """
-        ages = payload.get("observed", {})
+        ages = aged(payload.get("observed", {}), delay_s)
         return self.fleet_state.merge_version_ages(ages, are_observed=True, origin=peer.name)
 
-    def handle_notice(self, peer: Peer, payload: dict[str, Any]) -> None:
+    def handle_notice(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
 
         A proof that is fresher by more than ``PROOF_GAIN_S`` is forwarded to the entries of the own
@@ -172,14 +175,14 @@
         if revision > max(self.announced_revision, self.fleet_state.revision):
             self.announced_revision = revision
             self.behind_since_s = time.monotonic()
-        age_s = max(0.0, float(payload["age_s"]))
+        age_s = delay_s + max(0.0, float(payload["age_s"]))
         is_fresher = (
             revision == self.fleet_state.revision
             and self.fleet_state.proof_age_s() - age_s > PROOF_GAIN_S
         )
         if is_fresher:
             self.fleet_state.record_proof(boot_time_s() - age_s)
-        is_corrected = self.merge_observed(peer, payload)
+        is_corrected = self.merge_observed(peer, payload, delay_s)
         recipients = (
             self.mesh.peers(ENTRY, self.mesh.own.zone) if is_fresher or is_corrected else []
         )
@@ -209,12 +212,13 @@
             offer = self.revision_payload(self.fleet_state.revision)
             self.mesh.post(link.peer.name, FEED_OFFER, offer)
 
-    def handle_offer(self, peer: Peer, payload: dict[str, Any]) -> None:
+    def handle_offer(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Request a snapshot from a peer at a newer revision; use the proof of the same one."""
         revision, now_s = int(payload["revision"]), time.monotonic()
-        self.merge_observed(peer, payload)
+        self.merge_observed(peer, payload, delay_s)
         if revision == self.fleet_state.revision:
-            self.fleet_state.record_proof(boot_time_s() - max(0.0, float(payload["age_s"])))
+            age_s = delay_s + max(0.0, float(payload["age_s"]))
+            self.fleet_state.record_proof(boot_time_s() - age_s)
         elif (
             revision > self.fleet_state.revision
             and now_s - self.snapshot_requested_at_s > SNAPSHOT_TIMEOUT_S
@@ -223,6 +227,14 @@
             self.mesh.post(peer.name, FEED_ASK, {})
 
 
+def aged(ages: VersionAges, delay_s: float) -> VersionAges:
+    """Return the ages of versions in a message that took ``delay_s`` seconds."""
+    return {
+        model: [[version, age_s + delay_s] for version, age_s in found]
+        for model, found in ages.items()
+    }
+
+
 def pack_records(records: list[Record]) -> bytes:
     """Return the records as compressed msgpack."""
     content: bytes = msgpack.packb([list(record) for record in records])
--- a/gypsumpier/test/test_request_keys.py
+++ b/gypsumpier/test/test_request_keys.py
@@ -15,13 +15,18 @@
 from gypsumpier.test.builders import ZONE, plain_document
 from gypsumpier.test.builders_request import (
     SETTLE_TIME_S,
+    AgentParts,
     EntryParts,
+    FakeUpstream,
     World,
     connected_pair,
     outcome,
     plain_call,
 )
+from gypsumpier.test.network import Link
 from gypsumpier.test.virtual import run
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
 
 IMMEDIATE_S = 0.2
 
@@ -217,6 +222,79 @@
 
         run(scenario())
 
+    def test_a_key_queued_while_its_home_is_replaced_is_not_sent_to_the_old_process(self) -> None:
+        """Guards against a second run by a home whose report, complete already, lacks the key."""
+
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await connected_pair(world)
+            other = await world.entry(1)
+            await asyncio.sleep(SETTLE_TIME_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            admission = entry.relay.guard.admissions["table-ops"]
+            admission.in_flight = int(admission.window)
+            queued = asyncio.create_task(outcome(world, entry, plain_call(world, "k")))
+            await asyncio.sleep(0.1)
+            successor = world.agent(incarnation="two")
+            await asyncio.sleep(SETTLE_TIME_S)
+            admission.leave(0.1, False)
+            copy = asyncio.create_task(outcome(world, other, plain_call(world, "k")))
+            self.assertEqual(["go", "go"], [await queued, await copy])
+            runs = [parts.upstream.runs["k"] for parts in (agent, successor)]
+            self.assertEqual([0, 1], runs)
+
+        run(scenario())
+
+    def test_a_key_queued_while_a_document_moves_its_home_runs_at_the_new_home(self) -> None:
+        """Guards against choosing a home by the document that was in force when a request came."""
+
+        async def scenario() -> None:
+            world = World()
+            agent, entry = await connected_pair(world)
+            member = world.member(f"table-ops/{ZONE}/1", "one", "agent", "table-ops")
+            second = AgentParts(world, member, FakeUpstream(False))
+            world.members.put(member)
+            world.members.notify()
+            await asyncio.sleep(SETTLE_TIME_S)
+            self.assertEqual("go", await outcome(world, entry, plain_call(world)))
+            keys = (f"k{number}" for number in range(100))
+            moved = two_slots(world)
+            key = next(key for key in keys if home_slot(moved, KeyId("lab", key)) == member.name)
+            admission = entry.relay.guard.admissions["table-ops"]
+            admission.in_flight = int(admission.window)
+            queued = asyncio.create_task(outcome(world, entry, plain_call(world, key)))
+            await asyncio.sleep(0.1)
+            world.offer(2, plain_document(zones=[{"zone": ZONE, "replicas": 2}]))
+            await asyncio.sleep(SETTLE_TIME_S)
+            admission.leave(0.1, False)
+            self.assertEqual("go", await queued)
+            runs = [parts.upstream.runs[key] for parts in (agent, second)]
+            self.assertEqual([0, 1], runs)
+
+        run(scenario())
+
+    def test_a_member_list_that_was_long_in_buffers_is_not_one_read_after_settling(self) -> None:
+        """Guards against a second run by a home that was paused while the list came."""
+
+        async def scenario() -> None:
+            world = World()
+            agent = world.agent()
+            entry = EntryId("entry", "one")
+            payload = {"name": "entry", "incarnation": "one", "listed": [list(entry)], "lost": []}
+            connection = Connection(Link("one", "other").accepted, world.clock, 1.0, 3.0)
+            connection.record_clock_difference(Frame("hello", "", 0, 0.0, {}))
+            await asyncio.sleep(SETTLE_TIME_S)
+            connection.received_at_s = SETTLE_TIME_S
+            recovery = agent.home.recovery
+            early_s = recovery.limits.settle_s / 2
+            await agent.listener.handle_frame(Frame("entries", "", 0, early_s, payload), connection)
+            self.assertEqual(frozenset(), recovery.listed_entries())
+            late = Frame("entries", "", 0, SETTLE_TIME_S, payload)
+            await agent.listener.handle_frame(late, connection)
+            self.assertEqual(frozenset([entry]), recovery.listed_entries())
+
+        run(scenario())
+
     def test_an_entry_that_vanished_holds_back_keys_that_may_be_its_own(self) -> None:
         async def scenario() -> None:
             world = World()
