Send the states of a zone's engines to entries that connect from other zones

An entry of another zone got only changes of engine states. A change that it missed in a cut never came again, and the old report overrides the engine's record, so the entry used no engine that had switched its weights meanwhile, or took one for older than it is. The first two entries of a zone now send its states to each entry that connects.

--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any, Final
 
+from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.upstream.enginestate import EngineState, engine_state_from
@@ -43,6 +44,7 @@
         mesh.listeners[LOAD] = self.on_loads
         mesh.listeners[ENGINE] = self.on_engine
         mesh.listeners[ENGINES] = self.on_engines
+        mesh.on_peer_connected.append(self.send_states)
 
     async def run(self) -> None:
         """Send loads and engine states whenever they have changed; never returns."""
@@ -71,6 +73,24 @@
                 self.mesh.post_all(other_zone_peers, ENGINES, {"states": states})
             self.changed_states.clear()
 
+    def send_states(self, link: MeshLink) -> None:
+        """Send the states of the own zone's engines to an entry of another zone that has connected.
+
+        Changes that it missed while it was not connected are not sent again otherwise.
+        """
+        own, peer = self.mesh.own, link.peer
+        zone_peers = self.mesh.peers(ENTRY, own.zone)
+        rank = sum(found.name < own.name for found in zone_peers)
+        if peer.role != ENTRY or peer.zone == own.zone or rank >= ENGINE_SENDERS_PER_ZONE:
+            return
+        states = [
+            state.as_list()
+            for record in self.selector.fleet_state.upstreams.values()
+            if record.zone == own.zone and (state := self.selector.engine(record)) is not None
+        ]
+        if states:
+            self.mesh.post(peer.name, ENGINES, {"states": states})
+
     def send_loads(
         self,
         peers: list[Peer],
--- a/gypsumpier/test/test_load_share.py
+++ b/gypsumpier/test/test_load_share.py
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         self.own = entry_peer("front-bac-a-1", "bac-a")
         self.listeners: dict[str, object] = {}
+        self.on_peer_connected: list[object] = []
 
 
 class LoadShareTest(unittest.TestCase):
