Count the time that a machine is suspended into the delay of messages

The delay of a message was measured on the monotonic clock, which stands still while a machine is suspended. A proof of freshness that waited in its buffers seemed as fresh on resumption as when it was sent, so that a key revoked meanwhile could be used until the next message. Read in the code; no run shows it. The connections between processes now use the clock that also measures the age of the fleet state; their silence timeouts count the suspension too.

The new test failed with the monotonic clock and passes.

--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -9,8 +9,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
-from gypsumpier.clock import SystemClock
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.clock import BootClock
 from gypsumpier.fleet.node import Address
 from gypsumpier.log import decision
 from gypsumpier.mesh.link import ANSWER, FAILED, MeshLink
@@ -53,7 +53,7 @@
         self.own = own
         self.seeds = seeds
         self.dialer = dialer
-        self.clock = SystemClock()
+        self.clock = BootClock()
         self.listeners: dict[str, Listener] = {}
         self.aged_listeners: dict[str, AgedListener] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
--- a/gypsumpier/test/test_feed_delay.py
+++ b/gypsumpier/test/test_feed_delay.py
@@ -1,8 +1,10 @@
 """Tests of the ages in messages between processes, where the messages are late."""
 
 import asyncio
+import time
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
@@ -27,6 +29,7 @@
 CONNECT_TIMEOUT_S = 5.0
 VERSION_AGE_S = 2.0
 REVISION = 7
+SUSPENDED_S = 5.0
 
 
 class Node:
@@ -105,6 +108,14 @@
         self.sender.prove()
         self.assertGreaterEqual(await self.received_age_s(), 2 * DELAY_S - 3 * TOLERANCE_S)
 
+    async def test_the_time_that_a_machine_is_suspended_counts_as_time_on_the_way(self) -> None:
+        """Guards against a proof that waited in a suspended machine's buffers and seems fresh."""
+        clock = self.receiver.mesh.clock
+        before_s = clock.monotonic()
+        resumed_s = time.clock_gettime(time.CLOCK_BOOTTIME) + SUSPENDED_S
+        with mock.patch.object(time, "clock_gettime", lambda which: resumed_s):
+            self.assertGreaterEqual(clock.monotonic() - before_s, SUSPENDED_S)
+
     async def test_a_version_is_named_no_later_for_a_late_message(self) -> None:
         """Guards against old weights in use for as long as the message took."""
         for link in self.network.links:
