Delay a close in the TCP proxy as long as what was sent before it

The proxy slept after each read, so that a close that it received meanwhile arrived right behind the request. On a real link a close takes as long as the request did: it arrives as much later as it was sent. The test of a request that is delayed on its way passed for that reason alone and fails now: a request sent 0.3 s after the naming with 1.4 s on the way starts 1.8 s after it, 0.2 s past the limit of 1.6 s; it is withdrawn at 0.8 s, and the close arrives at 2.2 s. The test itself is unchanged.

Conclusion: withdrawing covers a wait in the engine's queue of 0.4 s or more (the difference of the two margins).

--- a/misc/faulting/tcp_proxy.py
+++ b/misc/faulting/tcp_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from typing import Final
 
 READ_BYTES: Final = 64 * 1024
@@ -10,7 +11,8 @@
 class TcpProxy:
     """Forwards connections to a port on this machine.
 
-    ``drops_traffic`` and ``refuses`` apply to new connections, ``delay_s`` to every read.
+    ``drops_traffic`` and ``refuses`` apply to new connections, ``delay_s`` to all that is
+    forwarded, also to a close, which arrives as much later as what was sent before it.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -90,13 +92,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_response: bool
     ) -> None:
         """Forward one direction; dropped content is read and discarded."""
+        due_at_s = 0.0
+        loop = asyncio.get_running_loop()
         with contextlib.suppress(OSError):
             while content := await reader.read(READ_BYTES):
                 if self.drops_traffic or (is_response and self.drops_responses):
                     continue
-                if self.proxy.delay_s:
-                    await asyncio.sleep(self.proxy.delay_s)
+                if due_at_s > loop.time() or self.proxy.delay_s:
+                    # Timers that are due at the same time have no defined order.
+                    earliest_s = math.nextafter(due_at_s, math.inf)
+                    due_at_s = max(earliest_s, loop.time() + self.proxy.delay_s)
+                    loop.call_at(due_at_s, writer.write, content)
+                    continue
                 writer.write(content)
                 await writer.drain()
         if not self.drops_traffic:
+            await asyncio.sleep(max(due_at_s - loop.time(), self.proxy.delay_s))
             self.close()
