Tell the stand-in which version the second engine of a test holds

Since a request requires the version that its engine holds, the stand-in refuses one that requires another. The test's second engine said version 2 in its record and held none.

--- a/gypsumpier/test/test_version_start.py
+++ b/gypsumpier/test/test_version_start.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from gypsumpier.gateway.application import SEND_MARGIN_S
 from gypsumpier.test.builders_platform import ENGINES, MODEL, route_body
@@ -84,7 +85,10 @@
     async def test_a_withdrawn_request_runs_once_at_an_engine_with_the_due_version(self) -> None:
         """Guards against losing a request that may be repeated, and against a second repeat."""
         self.engine.queued_s = IN_FORCE_S
-        other = self.fleet.add("i-2", ENGINES, version=2, slots=1)
+        other = self.fleet.add("i-2", ENGINES, version=2)
+        patched = mock.patch.object(other, "loaded_version", lambda: 2)
+        patched.start()
+        self.addCleanup(patched.stop)
         answer, _ = await self.call_after_naming()
         self.assertEqual((200, 1), (answer.code, len(other.runs)))
         self.assertEqual((1, []), (len(self.engine.received_headers), self.engine.runs))
