Judge a run by every overdue version of weights, not by the oldest alone

The soak's check of runs on old weights looked at the oldest overdue version only. Where that one was named under faults, a later one that was named without any excused nothing and was still not looked at. The check is stricter now; what it found before it still finds.

Two tests at the level of the check: a later version named without faults is found (fails on the check as it was: nothing found), and a run is judged by its start, not by when it was sent (passes on both).

--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -87,6 +87,29 @@
         facts["runs"] = [make_run(sent, version=2)]
         self.assertEqual({}, violations(**facts))
 
+    def test_a_run_is_judged_by_its_start_also_where_it_was_sent_in_time(self) -> None:
+        """Guards against judging by the time of sending, which missed requests that waited."""
+        sent = make_sent(REPORT, status=CUT)
+        named = {1: 0.0, 2: sent.sent_at_s - BOUNDS.version_in_force_s + 1.5}
+        late = Window("late_engine", "engine-1", True, named[2], sent.sent_at_s + 5.0)
+        facts = {"sent": [sent], "named_at_s": named, "windows": [late]}
+        for waited_s, found in ((1.4, {}), (2.0, {"old_version_ran": 1})):
+            runs = [make_run(sent, version=1, at_s=sent.sent_at_s + waited_s)]
+            self.assertEqual(found, violations(**facts, runs=runs))
+
+    def test_a_version_named_under_faults_does_not_excuse_a_later_one(self) -> None:
+        """Guards against looking at the oldest overdue version only."""
+        sent = make_sent(REPORT)
+        named_at_s = sent.sent_at_s - BOUNDS.version_in_force_s - 0.5
+        facts = {"sent": [sent], "runs": [make_run(sent, version=1)]}
+        faults = [Window("kill", "front-1", False, named_at_s - 6.0, named_at_s - 4.0)]
+        named = {1: 0.0, 2: named_at_s - 5.0}
+        self.assertEqual({}, violations(**facts, named_at_s=named, windows=faults))
+        named[3] = named_at_s
+        self.assertEqual(
+            {"old_version_ran": 1}, violations(**facts, named_at_s=named, windows=faults)
+        )
+
     def test_a_configuration_that_goes_back_within_one_run_of_a_process_is_found(self) -> None:
         served = make_sent(PROBE, 90.0, probed_version=2)
         refused = make_sent(PROBE, 100.0, probed_version=1, status=404)
--- a/misc/soaking/checks.py
+++ b/misc/soaking/checks.py
@@ -113,13 +113,15 @@
             for version, at_s in facts.named_at_s.items()
             if version > run.version > 0 and at_s < run.at_s - bound_s
         ]
-        for version, at_s in due[:1]:
+        # One version named under faults doesn't excuse another one that was named without.
+        for version, at_s in due:
             if is_free_of_abrupt_faults(facts, at_s, run.at_s):
                 late_s = run.at_s - at_s
                 text = (
                     f"{run.request_id} on {run.version}, {late_s:.2f} s after {version} was named"
                 )
                 violations.append(text)
+                break
     return violations
 
 
