Let the soak find requests that start on weights past their limit

A planned change, late_engine, names a version of which one engine stages the pieces until past the limit, while every engine writes slowly and, in half of the cases, the link of the late one delays a request and a close behind it by 0.9 s. It may be drawn twice as often as others.

Tried and left: a link that is slow by 2 s (the margin of sending covers 1.7 s). Not used: a delay in the proxy, through which the sidecar reaches its engine as well. Not covered: a link slower than the margin of starting together with a queue, as the close then comes too late.

UpstreamHandler.prepare checks again whether the stand-in is down, which had dropped.

--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -172,6 +172,7 @@
     connection_closed: asyncio.Event
 
     def prepare(self) -> None:
+        super().prepare()
         self.connection_closed = asyncio.Event()
 
     async def get(self) -> None:
@@ -195,7 +196,7 @@
             self.set_status(503 if action == "full" else 421)
             self.set_header("X-Not-Executed", "1")
             return
-        if action == "queued" and not await self.wait_in_queue():
+        if not await self.wait_for_start(action):
             return
         state.record_run(request_id)
         if action == "mute":
@@ -225,14 +226,18 @@
         expected = self.request.headers.get("X-Expect-Version")
         return expected is None or int(expected) == self.state.loaded_version()
 
-    async def wait_in_queue(self) -> bool:
-        """Wait for the turn of a queued request; return False if its connection closed."""
+    async def wait_for_start(self, action: str) -> bool:
+        """Wait until the request may start; return False if its connection closed before."""
+        return action != "queued" or not await self.closes_within(self.state.queued_s)
+
+    async def closes_within(self, seconds: float) -> bool:
+        """Wait for so many seconds; return True as soon as the connection has closed."""
         try:
-            async with asyncio.timeout(self.state.queued_s):
+            async with asyncio.timeout(seconds):
                 await self.connection_closed.wait()
         except TimeoutError:
-            return True
-        return False
+            return False
+        return True
 
     async def stream(self, cut_after: int | None) -> None:
         """Send the events after Last-Event-Id."""
--- a/gypsumpier/test/standin/platformengine.py
+++ b/gypsumpier/test/standin/platformengine.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from gypsumpier.test.standin.platform import OriginStandin, UpstreamHandler, UpstreamStandin
+from gypsumpier.test.standin.enginerequest import EngineRequestHandler
+from gypsumpier.test.standin.platform import OriginStandin, UpstreamStandin
 from gypsumpier.test.standin.server import StandinHandler
 
 LOAD_S: Final = 0.1
+QUEUE_LENGTH: Final = 4
+"""Requests beyond the slots that an engine queues before it refuses more."""
 
 
 class EngineStandin(UpstreamStandin):
@@ -17,11 +20,21 @@
 
     ``partial_loads`` counts orders for which a piece was missing, corrupt or of another version.
     The engine refuses requests while it loads or has nothing loaded, and calls ``on_change`` when
-    the loaded version changes.
+    the loaded version changes.  It runs ``slots`` requests, None for any number, and queues
+    QUEUE_LENGTH more: ``running`` counts the former, ``waiting`` holds those that have not started.
+    ``link_s`` is how long a request, or a close behind it, is on its way, and ``stage_s`` how long
+    it takes to stage a piece; both in seconds.
     """
 
-    def __init__(self, name: str, model: str, layers: int, origin: OriginStandin) -> None:
+    def __init__(
+        self, name: str, model: str, layers: int, origin: OriginStandin, slots: int | None = None
+    ) -> None:
         self.model = model
+        self.slots = slots
+        self.running = 0
+        self.waiting: list[EngineRequestHandler] = []
+        self.link_s = 0.0
+        self.stage_s = 0.0
         self.layers = layers
         self.origin = origin
         self.version = 0
@@ -40,13 +53,22 @@
             (r"/gypsumpier/stage-put/.*", StagePutHandler, state),
             (r"/gypsumpier/stage-get/.*", StageGetHandler, state),
             (r"/gypsumpier/order", OrderHandler, state),
-            (r".*", UpstreamHandler, state),
+            (r".*", EngineRequestHandler, state),
         ]
 
     def next_action(self) -> str:
-        if not self.version or self.is_busy:
-            return "full"
-        return super().next_action()
+        taken = self.running + len(self.waiting)
+        is_full = self.slots is not None and taken >= self.slots + QUEUE_LENGTH
+        return super().next_action() if self.can_start() and not is_full else "full"
+
+    def can_start(self) -> bool:
+        """Return whether requests may start: weights are loaded and no load is running."""
+        return bool(self.version) and not self.is_busy
+
+    def has_slot_for(self, request: EngineRequestHandler) -> bool:
+        """Return whether a waiting request may start; the longest waiting goes first."""
+        is_next = self.slots is None or self.waiting.index(request) < self.slots - self.running
+        return is_next and self.can_start()
 
     def loaded_version(self) -> int:
         return self.version
@@ -88,15 +110,15 @@
 
     def get(self) -> None:
         state: EngineStandin = self.state
-        active = len(state.run_ids) - len(state.closed_ids)
-        activity = {"busy": state.is_busy, "queued": 0, "active": max(0, active)}
+        activity = {"busy": state.is_busy, "queued": len(state.waiting), "active": state.running}
         self.finish(state.body() | activity)
 
 
 class StagePutHandler(StandinHandler):
     """Stages one piece."""
 
-    def put(self) -> None:
+    async def put(self) -> None:
+        await asyncio.sleep(self.state.stage_s)
         self.state.staged[int(self.get_argument("num"))] = self.request.body
         self.finish({})
 
--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -29,6 +29,8 @@
 ZONES: Final = (ZONE, "nam-a")
 ENTRIES_PER_ZONE: Final = 2
 ENGINES_PER_ZONE: Final = 1
+SLOTS: Final = 6
+"""Requests that an engine runs at once; the callers can fill the slots of every engine."""
 PLAIN_COUNT: Final = 3
 PIECES: Final = 16
 PIECE_BYTES: Final = 2048
@@ -137,7 +139,7 @@
 
     async def add_engine(self, name: str, zone: str) -> None:
         """Add an engine without weights; its record is written RECORD_DELAY_S after each change."""
-        engine = EngineStandin(name, MODEL, LAYERS, self.origin)
+        engine = EngineStandin(name, MODEL, LAYERS, self.origin, SLOTS)
         engine.event_count, engine.event_pause_s = EVENTS, EVENT_PAUSE_S
         await self.add_proxy(engine, zone)
         loop = asyncio.get_running_loop()
@@ -161,7 +163,9 @@
         if name in self.draining_at_s:
             own["state"] = "draining"
         if isinstance(upstream, EngineStandin):
-            self.store.put(f"servers/{name}", engine_body(1, 0, **own) | upstream.body())
+            self.store.put(
+                f"servers/{name}", engine_body(1, 0, slots=SLOTS, **own) | upstream.body()
+            )
         else:
             self.store.put(f"servers/{name}", plain_body(**own))
 
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from misc.faulting.actions import Window
-from misc.soaking.deployment import EVENTS, SoakDeployment
+from misc.soaking.deployment import EVENT_PAUSE_S, EVENTS, SoakDeployment
 from misc.soaking.node import Node
 
 SETTLE_S: Final = 3.2
@@ -18,6 +18,18 @@
 """Seconds without a fault after a planned change: its bound of 2 and a margin."""
 VERSION_CHANGE_S: Final = 9.0
 """Seconds without a fault after a new version of weights: its bound of 8 and a margin."""
+SLOW_FROM_S: Final = 5.6
+"""Seconds after the naming of a version from which requests are slow to start, while entries still
+use engines with older weights."""
+SLOW_UNTIL_S: Final = 9.0
+"""Seconds after the naming until which they are, and until which the late engine gets its pieces:
+past the limit of 8."""
+LATE_STAGE_S: Final = 1.3
+"""Seconds to stage one of 16 pieces, two at a time, so that all take longer than SLOW_UNTIL_S."""
+SLOW_EVENT_PAUSE_S: Final = 0.8
+"""Seconds between events of a slow engine; below 1, from which entries take it for silent."""
+SLOW_LINK_S: Final = 0.9
+"""Seconds on a slow link, for a request and a close behind it; entries allow 1 s for a close."""
 LONGEST_OUTAGE_S: Final = 7.0
 """Seconds of the longest outage or freeze; must exceed the 5 that a revoked key may work."""
 DELAY_S: Final = 0.15
@@ -37,6 +49,8 @@
     def __init__(self, deployment: SoakDeployment, rng: random.Random) -> None:
         self.deployment = deployment
         self.rng = rng
+        # Of its own, as overlapping faults draw from the other in an order that depends on timing.
+        self.planned_rng = random.Random(rng.random())
         self.windows: list[Window] = []
         self.busy: set[str] = set()
         self.killed_at_stop = 0
@@ -48,7 +62,7 @@
             await self.fault_burst()
             await asyncio.sleep(SETTLE_S)
             if time.monotonic() < deadline_s:
-                await self.rng.choice(self.planned())()
+                await self.planned_rng.choice(self.planned())()
 
     async def fault_burst(self) -> None:
         """Inject two or three overlapping faults, with changes and faulty answers among them."""
@@ -101,6 +115,8 @@
             self.revoke_key,
             self.drain,
             self.change_version,
+            self.late_engine,
+            self.late_engine,
         ]
 
     @asynccontextmanager
@@ -273,3 +289,22 @@
     async def change_version(self) -> None:
         self.name()
         await asyncio.sleep(VERSION_CHANGE_S)
+
+    async def late_engine(self) -> None:
+        """Name a version that one engine gets past the limit, while requests are slow to start.
+
+        They wait for slots as every engine is slow, or are on their way as its link is slow too.
+        """
+        engines = self.deployment.engines()
+        late = self.planned_rng.choice(engines)
+        async with self.window("late_engine", late.name, graceful=True):
+            late.stage_s = LATE_STAGE_S
+            self.name()
+            await asyncio.sleep(SLOW_FROM_S)
+            late.link_s = self.planned_rng.choice([0.0, SLOW_LINK_S])
+            for engine in engines:
+                engine.event_pause_s = SLOW_EVENT_PAUSE_S
+            await asyncio.sleep(SLOW_UNTIL_S - SLOW_FROM_S)
+            for engine in engines:
+                engine.event_pause_s, engine.stage_s, engine.link_s = EVENT_PAUSE_S, 0.0, 0.0
+            await asyncio.sleep(PLANNED_CHANGE_S)
