Add failing tests: entries flood an engine that returns

Cause: an entry sees the loads of its zone 20 ms late and those of other zones 120 ms late. After a switch of all engines every entry has requests queued, and each fills an engine that returns by itself.

The simulation runs the real selection, admission and exchange of loads of 12 or 40 entries in virtual time.

Ruled out: that entries use old lists of engines; each of these engines was ready.

--- a/gypsumpier/test/builders_gateway.py
+++ b/gypsumpier/test/builders_gateway.py
@@ -34,9 +34,18 @@
     return fleet_state_of(configuration_record(), *records)
 
 
-def admission_of(fleet_state: FleetState) -> Admission:
+def engines_in(zones: tuple[str, ...], count: int, **fields: Any) -> FleetState:
+    """Return a fleet state with a configuration and engines by turns in each of the zones."""
+    records = [
+        engine_record(number, 1 + number, zone=zones[(number - 1) % len(zones)], **fields)
+        for number in range(1, count + 1)
+    ]
+    return fleet_state_of(configuration_record(), *records)
+
+
+def admission_of(fleet_state: FleetState, selector: UpstreamSelector | None = None) -> Admission:
     """Return the admission of an entry with this fleet state; no version is required yet."""
-    return Admission(fleet_state, selector_of(fleet_state), lambda service: 0)
+    return Admission(fleet_state, selector or selector_of(fleet_state), lambda service: 0)
 
 
 def request_of(fleet_state: FleetState, age_s: float = 0.0, **fields: Any) -> GatewayRequest:
--- /dev/null
+++ b/gypsumpier/test/simulated_entry.py
@@ -0,0 +1,93 @@
+"""An entry in virtual time: real selection, admission and exchange of loads, no network."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
+
+from gypsumpier.gateway.loadshare import LoadShare
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.test.builders_gateway import admission_of, request_of, selector_of
+from gypsumpier.test.builders_platform import ENGINES
+from gypsumpier.test.fakes_piece import entry_peer
+from gypsumpier.upstream.enginestate import EngineState
+
+if TYPE_CHECKING:
+    from gypsumpier.test.simulated_entries import SimulatedEntries
+
+IN_ZONE_S: Final = 0.002
+"""Seconds until a message within a zone is handled."""
+CROSS_ZONE_S: Final = 0.004
+"""Seconds until a message to another zone is handled."""
+ADMITTED_BEFORE: Final = 16
+"""Requests that an entry has admitted just before; admission estimates waits by them."""
+
+
+class EntryMesh:
+    """The connections of one entry to all others."""
+
+    def __init__(self, fleet: "SimulatedEntries", own: Peer) -> None:
+        self.fleet = fleet
+        self.own = own
+        self.listeners: dict[str, Any] = {}
+
+    def peers(self, role: str) -> list[Peer]:
+        return [entry.mesh.own for entry in self.fleet.entries if entry.mesh is not self]
+
+    def post_all(self, peers: list[Peer], kind: str, payload: dict[str, Any]) -> None:
+        names = {peer.name for peer in peers}
+        for entry in self.fleet.entries:
+            own = entry.mesh.own
+            if own.name in names:
+                delay_s = IN_ZONE_S if own.zone == self.own.zone else CROSS_ZONE_S
+                listener = entry.mesh.listeners[kind]
+                asyncio.get_running_loop().call_later(delay_s, listener, self.own, payload)
+
+
+class SimulatedEntry:
+    """One entry; ``admitted_after_s`` and ``refused`` tell what became of its requests."""
+
+    def __init__(self, fleet: "SimulatedEntries", name: str, zone: str, count: int) -> None:
+        self.fleet = fleet
+        self.mesh = EntryMesh(fleet, entry_peer(name, zone))
+        self.selector = selector_of(fleet.state, zone)
+        self.admission = admission_of(fleet.state, self.selector)
+        self.admission.entry_count = count
+        self.share = LoadShare(self.mesh, self.selector)  # type: ignore[arg-type]
+        self.share.on_change.append(self.admission.dispatch_all)
+        self.admitted_after_s: list[float] = []
+        self.first_event_after_s: list[float] = []
+        self.refused = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        for _ in range(ADMITTED_BEFORE):
+            self.admission.queue(ENGINES).record_granted()
+
+    async def run(self, delay_s: float) -> None:
+        """Exchange loads and dispatch the queue until cancelled, from ``delay_s`` on."""
+        await asyncio.sleep(delay_s)
+        await asyncio.gather(self.share.run(), self.admission.run())
+
+    def send(self, **fields: Any) -> None:
+        """Start a request to the engines, as from a caller."""
+        self.tasks.append(asyncio.create_task(self.serve(**fields)))
+
+    async def serve(self, **fields: Any) -> None:
+        """Admit a request and let an engine run it."""
+        request = request_of(self.fleet.state, **fields)
+        try:
+            record = await self.admission.enter(request)
+        except Refusal:
+            self.refused += 1
+            return
+        self.admitted_after_s.append(request.age_s())
+
+        def on_read() -> None:
+            self.admission.record_prompt_read(request, record)
+            self.first_event_after_s.append(request.age_s())
+
+        await self.fleet.engines[record.id].run(request.head.prompt_tokens, on_read)
+        self.admission.leave(request, record)
+
+    def learn(self, state: EngineState) -> None:
+        """Learn of an engine's state."""
+        self.selector.record_engine_state(state)
+        self.admission.dispatch_all()
