--- a/gypsumpier/test/simulated_entry.py
+++ b/gypsumpier/test/simulated_entry.py
@@ -29,6 +29,7 @@
         self.fleet = fleet
         self.own = own
         self.listeners: dict[str, Any] = {}
+        self.on_peer_connected: list[Any] = []
 
     def peers(self, role: str) -> list[Peer]:
         return [entry.mesh.own for entry in self.fleet.entries if entry.mesh is not self]
