--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Final
 
+from prometheus_client import Gauge
+
 from gypsumpier.fleet.change import (
     Batch,
     ConfigurationChange,
@@ -22,6 +24,7 @@
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.fleet.wantedversion import WantedVersion
 from gypsumpier.log import decision
+from gypsumpier.metrics import REGISTRY
 
 LAPSE_GRACE_S: Final = 2.0
 """Seconds after an outage of the store during which an upstream whose record lapsed is kept."""
@@ -37,6 +40,16 @@
 """Seconds by which a peer must change the time of a version for the change to be logged and passed
 on; less is the usual delay of a message."""
 
+WANTED_VERSION: Final = Gauge(
+    "gypsumpier_wanted_version", "Newest wanted version.", ["model"], registry=REGISTRY
+)
+WANTED_VERSION_AGE: Final = Gauge(
+    "gypsumpier_wanted_version_age_seconds",
+    "Seconds since the newest wanted version was named, as far as the process knows.",
+    ["model"],
+    registry=REGISTRY,
+)
+
 
 VersionAges = dict[str, list[list[float]]]
 """Each model's versions with the seconds since they were named: ``[version, age_s]``."""
@@ -154,6 +167,7 @@
         named_at_s = now_s if is_observed else self.previous_proof_at_s
         named.append(WantedVersion(change.version, named_at_s, is_observed))
         del named[:-VERSIONS_KEPT]
+        self.set_version_metrics(change)
         decision(
             "version_wanted",
             model=change.model,
@@ -165,6 +179,13 @@
             source=origin,
         )
 
+    def set_version_metrics(self, change: VersionChange) -> None:
+        """Set the metrics of the newest version of a model."""
+        WANTED_VERSION.labels(change.model).set(change.version)
+        WANTED_VERSION_AGE.labels(change.model).set_function(
+            lambda: boot_time_s() - self.versions[change.model][-1].earliest_named_at_s
+        )
+
     def apply_upstream(self, change: UpstreamChange, record: Record, origin: str) -> None:
         """Add, update or remove an upstream.
 
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -16,7 +16,8 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.change import Batch, FleetSource
 from gypsumpier.fleet.clock import boot_time_s
-from gypsumpier.fleet.state import FleetState
+from gypsumpier.fleet.stall import StallMonitor
+from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.tasks import end_task
@@ -54,15 +55,17 @@
         self.backoff = Backoff(random.Random(), BACKOFF_LIMIT_S)
         self.is_store_reachable = True
         self.needs_snapshot = True
-        self.task: asyncio.Task[None] | None = None
+        self.stalls = StallMonitor()
+        self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
-        """Start the reading task."""
-        self.task = asyncio.create_task(self.run())
+        """Start the reading task and the monitor of stalls."""
+        self.tasks = [asyncio.create_task(work) for work in (self.run(), self.stalls.run())]
 
     async def stop(self) -> None:
-        """Stop the reading task and release the client."""
-        await end_task(self.task)
+        """Stop the tasks and release the client."""
+        for task in self.tasks:
+            await end_task(task)
         self.source.close()
 
     async def run(self) -> None:
@@ -94,9 +97,25 @@
         STORE_CALLS.labels(kind, "ok").inc()
         if not self.is_store_reachable:
             self.fleet_state.record_outage_end(0.0)
+        if batch.records:
+            self.log_news(kind, batch, sent_at_s)
         self.fleet_state.apply(batch, sent_at_s + batch.proven_after_s, "store")
         self.on_batch(batch)
 
+    def log_news(self, kind: str, batch: Batch, sent_at_s: float) -> None:
+        """Log how changes were read, which shows whether their news may have been late."""
+        now_s = boot_time_s()
+        decision(
+            "store_news",
+            kind=kind,
+            revision=batch.revision,
+            records=len(batch.records),
+            waited_s=round(now_s - sent_at_s, 3),
+            proof_gap_s=round(min(self.fleet_state.proof_age_s(), UNKNOWN_AGE_S), 3),
+            stalled_s=round(now_s - self.stalls.running_since_s(), 3),
+            after_failure=not self.is_store_reachable,
+        )
+
     def record_success(self) -> None:
         """Reset the backoff and log where the store answers again after an outage."""
         self.backoff.reset()
