--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -21,7 +21,10 @@
 
 
 class PlatformStandin:
-    """The store: records by key, with a revision that each change increments."""
+    """The store: records by key, with a revision that each change increments.
+
+    While ``is_deaf``, watches hear of no change.
+    """
 
     def __init__(self) -> None:
         self.down = False
@@ -31,6 +34,9 @@
         self.changed = asyncio.Event()
         self.compacted_revision = 0
         self.calls = 0
+        self.is_deaf = False
+        self.watches = 0
+        self.silent_watches = 0
         self.server, self.port = listen(
             Application(
                 [
@@ -59,6 +65,16 @@
         self.events.clear()
         self.compacted_revision = self.revision
 
+    def silence_watches(self) -> None:
+        """Never answer the watches that wait now; later calls are answered."""
+        self.silent_watches = self.watches
+
+    def end_deafness(self) -> None:
+        """Drop the history and cut the waiting watches, which have missed changes."""
+        self.is_deaf = False
+        self.compact()
+        self.wake_watches()
+
     def wake_watches(self) -> None:
         """Wake the waiting watches."""
         self.changed.set()
@@ -88,19 +104,38 @@
 
     async def get(self) -> None:
         self.state.calls += 1
+        self.state.watches += 1
+        number = self.state.watches
         after = int(self.get_argument("after"))
         if after < self.state.compacted_revision:
             self.refuse(410)
         if not self.events_after(after):
-            try:
-                async with asyncio.timeout(int(self.get_argument("wait_ms")) / 1000):
-                    await self.state.changed.wait()
-            except TimeoutError:
-                pass
+            await self.wait(int(self.get_argument("wait_ms")) / 1000)
+        stream = self.detach() if self.is_lost(number, after) else None
+        if stream is not None:
+            while number <= self.state.silent_watches and not stream.closed():
+                await asyncio.sleep(EVENT_PAUSE_S)
+            stream.close()
+            return
         if self.state.down:
             self.refuse(503)
         self.finish({"events": self.events_after(after), "current_rev": self.state.revision})
 
+    def is_lost(self, number: int, after: int) -> bool:
+        """Return whether the watch gets no answer: it is silenced, or its history has gone."""
+        state: PlatformStandin = self.state
+        return number <= state.silent_watches or after < state.compacted_revision
+
+    async def wait(self, wait_s: float) -> None:
+        """Wait up to ``wait_s`` seconds for a change that watches hear of."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.state.changed.wait()
+                while self.state.is_deaf:
+                    await asyncio.sleep(EVENT_PAUSE_S)
+        except TimeoutError:
+            pass
+
     def events_after(self, after: int) -> list[dict[str, Any]]:
         """Return the events after a revision."""
         return [event for event in self.state.events if event["rev"] > after]
--- /dev/null
+++ b/gypsumpier/test/test_late_news.py
@@ -0,0 +1,278 @@
+"""Tests of versions of weights whose news is late for every reader of the store.
+
+Nobody else has heard of the change in time, so that no peer can correct a wrong belief.
+"""
+
+import asyncio
+import signal
+import unittest
+from typing import Any, Final
+from unittest import mock
+
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet import stall, state, watcher
+from gypsumpier.fleet.change import Batch
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.record import Record
+from gypsumpier.fleet.watcher import WATCH_WAIT_S, StoreWatcher
+from gypsumpier.mesh import feed
+from gypsumpier.mesh.feed import FEED, TAKEOVER_S, FleetStateFeed
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.test import builders_platform
+from gypsumpier.test.builders_platform import (
+    ENGINES,
+    MODEL,
+    DecodingSource,
+    configuration_body,
+    configuration_record,
+    engine_record,
+    fleet_state_of,
+    record,
+)
+from gypsumpier.test.fakes_mesh import RecordingMesh
+from gypsumpier.test.fakes_piece import entry_peer
+from gypsumpier.test.gatewayfleet import GatewayFleet
+from gypsumpier.test.nodeprocess import NodeProcessCase
+
+VERSION_KEY: Final = f"op/version/{MODEL}"
+VERSION_BODY: Final = {"model": MODEL, "version": 2}
+TOLERANCE_S: Final = 0.1
+"""Seconds by which a version may seem younger than it is: what a message takes."""
+START_S: Final = 1000.0
+NAMED_S: Final = 1.0
+"""Seconds from the start of a test until the version is named."""
+REVISION: Final = 9
+
+
+class SilentStoreTest(unittest.IsolatedAsyncioTestCase):
+    """One entry is the only reader of the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = GatewayFleet()
+        self.fleet.configure()
+        self.engine = self.fleet.add("i-1", ENGINES)
+        await self.fleet.start()
+        await self.fleet.settle()
+        self.addAsyncCleanup(self.fleet.stop)
+        while self.fleet.store.watches == 0:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+
+    def believed_named_at_s(self) -> float:
+        """Return the time at which the entry believes the version to have been named."""
+        return self.fleet.entry.fleet_state.versions[MODEL][-1].earliest_named_at_s
+
+    async def test_a_version_found_after_an_unanswered_watch_is_not_taken_for_just_named(
+        self,
+    ) -> None:
+        """Guards against weights past their limit: connections to the store have gone silent."""
+        self.fleet.store.silence_watches()
+        named_at_s = boot_time_s()
+        self.fleet.store.put(VERSION_KEY, VERSION_BODY)
+        await self.fleet.settle()
+        self.assertLessEqual(self.believed_named_at_s(), named_at_s + TOLERANCE_S)
+
+    async def test_a_version_found_in_a_snapshot_is_not_taken_for_just_named(self) -> None:
+        """Guards against weights past their limit: the store drops its history unheard."""
+        self.fleet.store.is_deaf = True
+        named_at_s = boot_time_s()
+        self.fleet.store.put(VERSION_KEY, VERSION_BODY)
+        await asyncio.sleep(1.0)
+        self.fleet.store.end_deafness()
+        await self.fleet.settle()
+        self.assertLessEqual(self.believed_named_at_s(), named_at_s + TOLERANCE_S)
+
+    async def test_no_request_starts_on_weights_past_their_limit_after_late_news(self) -> None:
+        """Guards against requests on replaced weights where every reader hears of it late."""
+        entry = self.fleet.entry
+        bounds = entry.settings.bounds._replace(version_in_force_s=2.0)
+        entry.settings = entry.settings._replace(bounds=bounds)
+        self.fleet.store.silence_watches()
+        limit_s = boot_time_s() + 2.0
+        self.fleet.store.put(VERSION_KEY, VERSION_BODY)
+        await self.fleet.settle()
+        self.assertGreater(boot_time_s(), limit_s)
+        answer = await self.fleet.call("/reports/x")
+        self.assertEqual((503, []), (answer.code, self.engine.runs))
+
+
+class StoppedProcessTest(NodeProcessCase):
+    """The only reader of the store is a process that stands still."""
+
+    async def test_a_version_named_while_the_process_is_stopped_is_not_just_named(self) -> None:
+        """Guards against taking the time at which a process went on for that of the naming."""
+        process = await self.start()
+        self.store.put("op/config", configuration_body())
+        await self.until_logged("configuration_in_force")
+        await asyncio.sleep(0.3)
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(0.2)
+            named_at_s = boot_time_s()
+            self.store.put(VERSION_KEY, VERSION_BODY)
+            await asyncio.sleep(1.0)
+            stopped_s = boot_time_s() - named_at_s
+        finally:
+            process.send_signal(signal.SIGCONT)
+        await self.until_logged("version_wanted")
+        line = next(line for line in self.lines() if line["event"] == "version_wanted")
+        self.assertGreaterEqual(line["named_ago_s"], stopped_s - TOLERANCE_S)
+
+
+class ScriptedSource(DecodingSource):
+    """A source whose calls take ``takes_s`` on the test's clock and then do as ``script`` says.
+
+    Each item of the script is the list of records to answer with, or None for no answer.
+    """
+
+    def __init__(self, test: "LateReadersTest") -> None:
+        self.test = test
+        self.takes_s = 0.0
+        self.script: list[list[Record] | None] = []
+
+    async def watch(self, revision: int, wait_s: float) -> Batch:
+        return self.answer(revision, False)
+
+    async def snapshot(self) -> Batch:
+        return self.answer(0, True)
+
+    def answer(self, after: int, is_snapshot: bool) -> Batch:
+        self.test.now_s += self.takes_s
+        records = self.script.pop(0)
+        if records is None:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "no answer")
+        revision = max([after, *(found.revision for found in records)])
+        return Batch(after, revision, records, is_snapshot, 0.0)
+
+
+class Reader:
+    """An entry with its watcher of the store, whose last proof is of the start of the test."""
+
+    def __init__(self, test: "LateReadersTest", own: Peer, others: list[Peer]) -> None:
+        self.mesh = RecordingMesh(own, [peer for peer in others if peer != own])
+        self.state = fleet_state_of(
+            configuration_record(), engine_record(1, 2), engine_record(2, REVISION - 1)
+        )
+        self.feed = FleetStateFeed(self.mesh, self.state)  # type: ignore[arg-type]
+        self.source = ScriptedSource(test)
+        self.watcher = StoreWatcher(
+            self.source, self.state, self.feed.should_read_store, self.feed.share
+        )
+        self.watcher.needs_snapshot = False
+
+    async def call(self, takes_s: float, records: list[Record] | None) -> None:
+        """Make the watcher's next call to the store, which takes that long."""
+        self.source.takes_s = takes_s
+        self.source.script.append(records)
+        try:
+            await self.watcher.read()
+            self.watcher.record_success()
+        except GypsumpierError as error:
+            with mock.patch.object(asyncio, "sleep", mock.AsyncMock()):
+                await self.watcher.handle_failure(error)
+
+    def believed_named_at_s(self) -> float:
+        """Return the believed time of the version, in seconds from the start of the test."""
+        return self.state.versions[MODEL][-1].earliest_named_at_s - START_S
+
+
+class LateReadersTest(unittest.IsolatedAsyncioTestCase):
+    """Two entries of one zone and one of another; a version is named at ``NAMED_S``."""
+
+    def setUp(self) -> None:
+        self.now_s = START_S
+        for module in (state, feed, watcher, stall, builders_platform):
+            patch = mock.patch.object(module, "boot_time_s", lambda: self.now_s)
+            patch.start()
+            self.addCleanup(patch.stop)
+        names = [("front-bac-a-1", "bac-a"), ("front-bac-a-2", "bac-a"), ("front-nam-a-1", "nam-a")]
+        peers = [entry_peer(name, zone) for name, zone in names]
+        self.readers = [Reader(self, peer, peers) for peer in peers]
+        self.news = [record(VERSION_KEY, VERSION_BODY, REVISION)]
+
+    def at(self, seconds: float) -> None:
+        """Set the clock to ``seconds`` after the start of the test."""
+        self.now_s = START_S + seconds
+
+    def deliver(self) -> None:
+        """Deliver everything that the entries have posted to each other."""
+        by_name = {reader.mesh.own.name: reader for reader in self.readers}
+        for sender in self.readers:
+            posted, sender.mesh.posted = sender.mesh.posted, []
+            for name, kind, payload in posted:
+                by_name[name].mesh.aged_listeners[kind](sender.mesh.own, payload, 0.0)
+
+    def assert_nobody_believes_it_younger(self) -> None:
+        """Check that no entry takes the version for younger than it is."""
+        for reader in self.readers:
+            with self.subTest(reader.mesh.own.name):
+                self.assertLessEqual(reader.believed_named_at_s(), NAMED_S + TOLERANCE_S)
+
+    async def test_an_entry_that_takes_over_does_not_take_what_it_finds_for_just_named(
+        self,
+    ) -> None:
+        """Guards against trusting news that is as old as it took to take over."""
+        self.at(TAKEOVER_S + 0.1)
+        for reader in self.readers[1:]:
+            await reader.call(0.004, self.news)
+        self.deliver()
+        self.readers[0].feed.handle_feed(
+            self.readers[1].mesh.own, self.feed_with_news(self.readers[1])
+        )
+        self.assert_nobody_believes_it_younger()
+
+    def feed_with_news(self, reader: Reader) -> dict[str, Any]:
+        """Return the message with which the reader passes the news on."""
+        reader.feed.share(Batch(REVISION - 1, REVISION, self.news, False, 0.0))
+        return next(payload for _, kind, payload in reader.mesh.posted if kind == FEED)
+
+    async def test_a_peer_that_learns_of_it_from_a_late_reader_does_not_trust_its_own_receipt(
+        self,
+    ) -> None:
+        """Guards against a time that becomes certain by being passed on."""
+        self.at(3.0)
+        await self.readers[0].call(0.004, self.news)
+        self.deliver()
+        self.assertIn(MODEL, self.readers[1].state.versions)
+        self.assertLessEqual(self.readers[1].believed_named_at_s(), NAMED_S + TOLERANCE_S)
+
+    async def test_calls_that_one_fault_of_the_connections_cut_are_no_outage(self) -> None:
+        """Guards against an outage that nobody has seen: all watches are silent at once."""
+        for reader in self.readers:
+            self.at(0.1)
+            await reader.call(WATCH_WAIT_S + 0.6, None)
+        for reader in self.readers:
+            await reader.call(0.004, self.news)
+        self.deliver()
+        self.assert_nobody_believes_it_younger()
+
+    async def test_all_readers_that_stood_still_do_not_trust_the_time_of_their_return(
+        self,
+    ) -> None:
+        """Guards against a time that is too late by as long as the readers were stopped."""
+        for reader in self.readers:
+            self.at(0.1)
+            await reader.call(3.0, self.news)
+        self.deliver()
+        self.assert_nobody_believes_it_younger()
+
+    async def test_a_watch_that_waits_tells_the_time_of_the_naming(self) -> None:
+        """Guards against bounds so careful that engines lose seconds for their switch."""
+        for seconds in range(1, 11):
+            for reader in self.readers:
+                self.at(0.1 * (seconds - 1))
+                reader.watcher.stalls.tick()
+                await reader.call(0.1, [])
+        for reader in self.readers:
+            self.at(NAMED_S - 0.05)
+            reader.watcher.stalls.tick()
+            await reader.call(0.05, self.news)
+        self.deliver()
+        for reader in self.readers:
+            self.assertGreaterEqual(reader.believed_named_at_s(), NAMED_S - 2 * TOLERANCE_S)
+        self.assert_nobody_believes_it_younger()
+
+
+if __name__ == "__main__":
+    unittest.main()
