--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -22,7 +22,7 @@
 from gypsumpier.fleet.configuration import FleetConfiguration
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.upstream import UpstreamRecord
-from gypsumpier.fleet.wantedversion import WantedVersion
+from gypsumpier.fleet.wantedversion import Evidence, WantedVersion
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 
@@ -32,10 +32,10 @@
 
 VERSIONS_KEPT: Final = 8
 """Wanted versions kept for each model; several may be named before the first is in force."""
+MODELS_CLAIMED_MAX: Final = 64
+"""Models of which claims to versions without a record are kept; a deployment has a few."""
 UNKNOWN_AGE_S: Final = 1e6
 """Seconds logged for the age of something of which no time is known."""
-CONTINUOUS_PROOF_S: Final = 3.5
-"""Longest time in seconds since the previous proof for which a change counts as just made."""
 NAMED_GAIN_S: Final = 0.25
 """Seconds by which a peer must change the time of a version for the change to be logged and passed
 on; less is the usual delay of a message."""
@@ -59,7 +59,8 @@
     """Configuration, upstreams and wanted versions.  Times are those of ``boot_time_s``.
 
     ``proven_at_s`` is the time of the newest freshness proof.  ``lapsed`` maps upstreams that are
-    kept without a record to the time at which they are removed.
+    kept without a record to the time at which they are removed.  ``claims`` holds, by model and
+    version, what peers know of the naming of versions whose records have not arrived here yet.
     """
 
     def __init__(self, source: FleetSource) -> None:
@@ -68,11 +69,13 @@
         self.revision = 0
         self.proven_at_s = float("-inf")
         self.previous_proof_at_s = float("-inf")
+        self.outage_began_at_s = float("-inf")
         self.outage_ended_at_s = float("-inf")
         self.configuration: FleetConfiguration | None = None
         self.upstreams: dict[str, UpstreamRecord] = {}
         self.lapsed: dict[str, float] = {}
         self.versions: dict[str, list[WantedVersion]] = {}
+        self.claims: dict[str, dict[int, WantedVersion]] = {}
         self.listeners: list[Callable[[], None]] = []
 
     def proof_age_s(self) -> float:
@@ -85,15 +88,37 @@
             return
         self.proven_at_s = at_s
 
-    def record_outage_end(self, ago_s: float) -> None:
-        """Record that the store answered again ``ago_s`` seconds ago, after an outage."""
-        self.outage_ended_at_s = max(self.outage_ended_at_s, boot_time_s() - ago_s)
+    def record_outage(self, lasted_s: float, ended_ago_s: float) -> None:
+        """Record an outage of the store that ended ``ended_ago_s`` seconds ago.
 
-    def apply(self, batch: Batch, proven_at_s: float, origin: str) -> None:
+        It is ignored if there is a proof of a time within it: then the store was up, and only the
+        process that reports the outage was cut off.
+        """
+        ended_at_s = boot_time_s() - ended_ago_s
+        if ended_at_s <= self.outage_ended_at_s:
+            return
+        began_at_s = ended_at_s - lasted_s
+        if began_at_s < self.proven_at_s < ended_at_s:
+            decision(
+                "store_outage_refuted",
+                lasted_s=round(lasted_s, 3),
+                proof_age_s=round(self.proof_age_s(), 3),
+            )
+            return
+        self.outage_began_at_s, self.outage_ended_at_s = began_at_s, ended_at_s
+
+    def apply(
+        self,
+        batch: Batch,
+        proven_at_s: float,
+        origin: str,
+        changed_after_s: float | None = None,
+    ) -> None:
         """Apply a batch that continues from the known revision; older records are ignored.
 
         ``proven_at_s`` is the time of the batch's freshness proof.  ``origin`` names the source of
-        the batch in the log.
+        the batch in the log.  ``changed_after_s`` is the time before which the changes were not
+        made, as the reader of the store knows; None where it can't tell.
         """
         if batch.revision < self.revision:
             return
@@ -108,7 +133,7 @@
                 if key not in listed and record.value is not None
             ]
         for record in sorted(changed, key=lambda found: found.revision):
-            self.apply_record(record, origin)
+            self.apply_record(record, origin, changed_after_s)
         self.revision = batch.revision
         if changed:
             for listener in self.listeners:
@@ -119,7 +144,9 @@
         known = self.records.get(record.key)
         return known is None or record.revision > known.revision
 
-    def apply_record(self, record: Record, origin: str) -> None:
+    def apply_record(
+        self, record: Record, origin: str, changed_after_s: float | None = None
+    ) -> None:
         """Store or remove one record and apply the change that it contains."""
         if record.value is None:
             self.records.pop(record.key, None)
@@ -127,14 +154,16 @@
             self.records[record.key] = record
         change = self.source.decode(record)
         if change is not None:
-            self.apply_change(change, record, origin)
+            self.apply_change(change, record, origin, changed_after_s)
 
-    def apply_change(self, change: FleetChange, record: Record, origin: str) -> None:
+    def apply_change(
+        self, change: FleetChange, record: Record, origin: str, changed_after_s: float | None
+    ) -> None:
         """Apply and log the decoded change of a record."""
         if isinstance(change, ConfigurationChange):
             self.apply_configuration(change.configuration, record, origin)
         elif isinstance(change, VersionChange):
-            self.apply_version(change, record, origin)
+            self.apply_version(change, record, origin, changed_after_s)
         else:
             self.apply_upstream(change, record, origin)
 
@@ -153,32 +182,44 @@
             source=origin,
         )
 
-    def apply_version(self, change: VersionChange, record: Record, origin: str) -> None:
+    def apply_version(
+        self, change: VersionChange, record: Record, origin: str, changed_after_s: float | None
+    ) -> None:
         """Record a newly named version of a model; an older version is ignored."""
-        named = self.versions.setdefault(change.model, [])
+        named = self.versions.get(change.model, [])
         if named and change.version <= named[-1].version:
             return
         now_s = boot_time_s()
-        is_continuous = now_s - self.previous_proof_at_s < CONTINUOUS_PROOF_S
-        # After a gap the version may have been named as early as the previous proof.  Time during
-        # an outage of the store does not count towards the time limit for a version.  Where only
-        # this process was cut off, or the news was late, a peer's earlier time replaces this one.
-        is_observed = is_continuous or self.is_after_outage()
-        named_at_s = now_s if is_observed else self.previous_proof_at_s
-        named.append(WantedVersion(change.version, named_at_s, is_observed))
-        del named[:-VERSIONS_KEPT]
+        wanted = self.estimate(change.version, changed_after_s)
+        if wanted.evidence is not Evidence.UNKNOWN:
+            wanted = wanted._replace(learned_at_s=now_s)
+        self.versions[change.model] = [*named, wanted][-VERSIONS_KEPT:]
+        for claim in self.claims.pop(change.model, {}).values():
+            self.merge_claim(change.model, claim)
+        wanted = self.versions[change.model][-1]
         self.set_version_metrics(change)
         decision(
             "version_wanted",
             model=change.model,
             version=change.version,
-            named_ago_s=round(min(now_s - named_at_s, UNKNOWN_AGE_S), 3),
+            named_ago_s=round(min(now_s - wanted.earliest_named_at_s, UNKNOWN_AGE_S), 3),
             proof_gap_s=round(min(now_s - self.previous_proof_at_s, UNKNOWN_AGE_S), 3),
-            observed=is_observed,
+            evidence=wanted.evidence.name.lower(),
             revision=record.revision,
             source=origin,
         )
 
+    def estimate(self, version: int, changed_after_s: float | None) -> WantedVersion:
+        """Return the estimate of the time at which a version that was just read was named."""
+        if changed_after_s is not None:
+            at_s = max(changed_after_s, self.previous_proof_at_s)
+            return WantedVersion(version, at_s, Evidence.OBSERVED)
+        if self.is_after_outage() and self.previous_proof_at_s < self.outage_ended_at_s:
+            return WantedVersion(version, self.outage_ended_at_s, Evidence.AFTER_OUTAGE)
+        is_known = self.previous_proof_at_s > float("-inf")
+        evidence = Evidence.PROVEN if is_known else Evidence.UNKNOWN
+        return WantedVersion(version, self.previous_proof_at_s, evidence)
+
     def set_version_metrics(self, change: VersionChange) -> None:
         """Set the metrics of the newest version of a model."""
         WANTED_VERSION.labels(change.model).set(change.version)
@@ -218,9 +259,9 @@
         """Return each model's versions with the seconds since they were named, for a peer."""
         return self.ages_of(lambda wanted: True)
 
-    def observed_version_ages(self) -> VersionAges:
-        """Return the same for the versions whose time was observed."""
-        return self.ages_of(lambda wanted: wanted.is_observed)
+    def version_ages_by(self, evidence: Evidence) -> VersionAges:
+        """Return the same for the versions whose time rests on that evidence."""
+        return self.ages_of(lambda wanted: wanted.evidence is evidence)
 
     def ages_of(self, is_listed: Callable[[WantedVersion], bool]) -> VersionAges:
         """Return the ages in seconds of the versions for which ``is_listed`` returns true."""
@@ -235,19 +276,19 @@
         }
 
     def merge_version_ages(
-        self, ages: VersionAges, are_observed: bool = False, origin: str = ""
+        self, ages: VersionAges, evidence: Evidence = Evidence.PROVEN, origin: str = ""
     ) -> bool:
         """Merge the ages of versions that a peer, ``origin``, has sent, in seconds.
 
-        Ages that were not observed count as lower bounds.  Return whether a time was corrected by
-        more than ``NAMED_GAIN_S``.  Raises ValueError or TypeError where the ages are malformed.
+        Return whether a time was corrected by more than ``NAMED_GAIN_S``.  Raises ValueError or
+        TypeError where the ages are malformed.
         """
         now_s = boot_time_s()
         has_changed = is_corrected = False
         for model, found in ages.items():
             for version, age_s in found:
                 named_at_s = now_s - max(0.0, float(age_s))
-                claim = WantedVersion(int(version), named_at_s, are_observed)
+                claim = WantedVersion(int(version), named_at_s, evidence)
                 known = self.merge_claim(model, claim)
                 if known is None:
                     continue
@@ -264,21 +305,48 @@
         """Merge a peer's estimate; return the own one that it replaced, None where it did not.
 
         A version older than the newest one here is added where it is missing: a snapshot holds only
-        the newest, but engines have to serve at least an older one from its own time limit on.
+        the newest, but engines have to serve at least an older one from its own time limit on.  The
+        claim to a newer one is kept until its record arrives.
         """
         named = self.versions.get(model, [])
-        is_too_old = len(named) >= VERSIONS_KEPT and claim.version < named[0].version
-        if not named or claim.version > named[-1].version or is_too_old:
+        if not named or claim.version > named[-1].version:
+            self.keep_claim(model, claim)
             return None
-        unknown = WantedVersion(claim.version, float("-inf"), False)
+        if len(named) >= VERSIONS_KEPT and claim.version < named[0].version:
+            return None
+        unknown = WantedVersion(claim.version, float("-inf"), Evidence.UNKNOWN)
         known = next((wanted for wanted in named if wanted.version == claim.version), None)
+        if known is not None and self.ends_before_outage(known, claim):
+            return None
         better = (known or unknown).better_of(claim)
         if better == known:
             return None
+        if known is not None:
+            better = better._replace(learned_at_s=known.learned_at_s)
         others = [wanted for wanted in named if wanted.version != claim.version]
         self.versions[model] = sorted([*others, better])[-VERSIONS_KEPT:]
         return known or unknown
 
+    def keep_claim(self, model: str, claim: WantedVersion) -> None:
+        """Keep a claim to a version whose record has not arrived, if it is observed."""
+        if claim.evidence is not Evidence.OBSERVED:
+            return
+        if model not in self.claims and len(self.claims) >= MODELS_CLAIMED_MAX:
+            return
+        claims = self.claims.setdefault(model, {})
+        if claim.version not in claims and len(claims) >= VERSIONS_KEPT:
+            return
+        known = claims.get(claim.version, claim)
+        claims[claim.version] = known.better_of(claim)
+
+    def ends_before_outage(self, known: WantedVersion, claim: WantedVersion) -> bool:
+        """Return whether the claim is a proof from before the outage that ``known`` rests on.
+
+        It comes from a process that did not notice the outage, and the time since does not count.
+        """
+        is_outage = known.evidence is Evidence.AFTER_OUTAGE and claim.evidence is Evidence.PROVEN
+        return is_outage and claim.earliest_named_at_s <= self.outage_began_at_s
+
     def due_version(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before ``before_s``; 0 where there is none."""
         named = self.versions.get(model, [])
@@ -286,6 +354,12 @@
             (wanted.version for wanted in named if wanted.earliest_named_at_s < before_s), default=0
         )
 
+    def outage_lasted_s(self) -> float:
+        """Return the duration in seconds of the last outage of the store; 0 where there is none."""
+        if self.outage_ended_at_s == float("-inf"):
+            return 0.0
+        return self.outage_ended_at_s - self.outage_began_at_s
+
     def is_after_outage(self) -> bool:
         """Return whether an outage of the store ended within the last ``LAPSE_GRACE_S``."""
         return boot_time_s() - self.outage_ended_at_s < LAPSE_GRACE_S
@@ -320,6 +394,6 @@
         version=known.version,
         named_ago_s=round(min(now_s - better.earliest_named_at_s, UNKNOWN_AGE_S), 3),
         believed_ago_s=round(min(now_s - known.earliest_named_at_s, UNKNOWN_AGE_S), 3),
-        observed=better.is_observed,
+        evidence=better.evidence.name.lower(),
         source=origin,
     )
--- a/gypsumpier/fleet/wantedversion.py
+++ b/gypsumpier/fleet/wantedversion.py
@@ -1,29 +1,45 @@
 """A version that a model's engines are to serve, and what is known of when it was named."""
 
+from enum import IntEnum
 from typing import NamedTuple
 
 
+class Evidence(IntEnum):
+    """What an estimate of the time of a naming rests on; more reliable evidence is greater.
+
+    OBSERVED: a process in continuous contact with the store heard of it at that time.  The delay of
+    the news is small, but not zero.
+    PROVEN: a lower bound, the last proof that the version had not been named.
+    AFTER_OUTAGE: the end of an outage of the store, in which the version was named.  The time of an
+    outage does not count towards the time limit for a version.
+    UNKNOWN: minus infinity, as the process had no proof before it learned of the version.
+    """
+
+    UNKNOWN = 0
+    AFTER_OUTAGE = 1
+    PROVEN = 2
+    OBSERVED = 3
+
+
 class WantedVersion(NamedTuple):
     """A version and the estimate of the time at which it was named, on ``boot_time_s``.
 
-    An observed time is the earliest known at which some process learned of the version while its
-    freshness proofs were continuous, or as an outage of the store ended.  News and messages arrive
-    with a delay, so it is never too early.  A time that was not observed is a lower bound: the
-    previous proof of a process that learned of the version later, or minus infinity where that
-    process has just started.
+    ``learned_at_s`` is the time at which this process learned of it; minus infinity where it may
+    have been named long before.
     """
 
     version: int
     earliest_named_at_s: float
-    is_observed: bool
+    evidence: Evidence
+    learned_at_s: float = float("-inf")
 
     def better_of(self, other: "WantedVersion") -> "WantedVersion":
-        """Return the more precise of two estimates for the same version.
+        """Return the better of two estimates for the same version.
 
-        An observed time goes before a lower bound.  Of two observed times the earlier one is the
-        more precise, of two lower bounds the later one.
+        Of two observed times, and of two ends of an outage, the earlier one holds, as neither is
+        ever too early.  Of two proofs the later one says more.
         """
-        if self.is_observed != other.is_observed:
-            return self if self.is_observed else other
+        if self.evidence != other.evidence:
+            return max(self, other, key=lambda found: found.evidence)
         is_earlier = self.earliest_named_at_s <= other.earliest_named_at_s
-        return self if is_earlier == self.is_observed else other
+        return self if is_earlier == (self.evidence is not Evidence.PROVEN) else other
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -27,6 +27,16 @@
 call within the 5 s in which the revocation of a key must take effect."""
 BACKOFF_LIMIT_S: Final = 0.5
 """Longest wait in seconds between attempts; a key's revocation must arrive within seconds."""
+PROMPT_ANSWER_S: Final = 0.25
+"""Seconds within which a watch that finds a change made before it is answered; a later answer tells
+of a change that was made as it was sent."""
+CONTACT_GAP_S: Final = 0.5
+"""Longest time in seconds from an answer to the next call in which contact counts as continuous."""
+NEWS_DELAY_S: Final = 0.1
+"""Seconds that the answer of a watch takes from the change until it is read."""
+OUTAGE_FAILURES: Final = 2
+"""Calls in a row that must fail for an outage of the store.  One alone may be due to a connection
+that has gone silent or was cut; the next one opens a new connection and does not wait."""
 IDLE_CHECK_S: Final = 0.1
 """Seconds between checks whether this process should start to read the store."""
 
@@ -39,7 +49,12 @@
 
 
 class StoreWatcher:
-    """Keeps the fleet state up to date from the store."""
+    """Keeps the fleet state up to date from the store.
+
+    ``failures`` counts the calls in a row that have failed, the first of them at
+    ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
+    its last answer; minus infinity after a failure.
+    """
 
     def __init__(
         self,
@@ -53,7 +68,9 @@
         self.should_read_store = should_read_store
         self.on_batch = on_batch
         self.backoff = Backoff(random.Random(), BACKOFF_LIMIT_S)
-        self.is_store_reachable = True
+        self.failures = 0
+        self.failing_since_s = 0.0
+        self.answered_at_s = float("-inf")
         self.needs_snapshot = True
         self.stalls = StallMonitor()
         self.tasks: list[asyncio.Task[None]] = []
@@ -82,7 +99,11 @@
                 await self.handle_failure(error)
 
     async def read(self) -> None:
-        """Make one call to the store and apply its answer; raise GypsumpierError on failure."""
+        """Make one call to the store and apply its answer; raise GypsumpierError on failure.
+
+        After a failure the call does not wait for changes, so that it shows whether the store can
+        be reached at all.
+        """
         kind = "snapshot" if self.needs_snapshot or not self.fleet_state.revision else "watch"
         sent_at_s = boot_time_s()
         try:
@@ -90,21 +111,40 @@
                 batch = await self.source.snapshot()
                 self.needs_snapshot = False
             else:
-                batch = await self.source.watch(self.fleet_state.revision, WATCH_WAIT_S)
+                wait_s = 0.0 if self.failures else WATCH_WAIT_S
+                batch = await self.source.watch(self.fleet_state.revision, wait_s)
         except GypsumpierError as error:
             STORE_CALLS.labels(kind, error.code.name).inc()
             raise
         STORE_CALLS.labels(kind, "ok").inc()
-        if not self.is_store_reachable:
-            self.fleet_state.record_outage_end(0.0)
+        if self.failures >= OUTAGE_FAILURES:
+            self.fleet_state.record_outage(boot_time_s() - self.failing_since_s, 0.0)
+        changed_after_s = self.changed_after_s(kind, sent_at_s)
         if batch.records:
-            self.log_news(kind, batch, sent_at_s)
-        self.fleet_state.apply(batch, sent_at_s + batch.proven_after_s, "store")
+            self.log_news(kind, batch, sent_at_s, changed_after_s)
+        proven_at_s = sent_at_s + batch.proven_after_s
+        self.fleet_state.apply(batch, proven_at_s, "store", changed_after_s)
+        self.answered_at_s = max(sent_at_s, changed_after_s or sent_at_s)
         self.on_batch(batch)
 
-    def log_news(self, kind: str, batch: Batch, sent_at_s: float) -> None:
+    def changed_after_s(self, kind: str, sent_at_s: float) -> float | None:
+        """Return the time before which no change in the answer just read was made.
+
+        None where the answer does not tell: this process was not in contact with the store when it
+        sent the call, so that the change may be as old as its last proof.
+        """
+        if kind == "snapshot" or sent_at_s - self.answered_at_s > CONTACT_GAP_S:
+            return None
+        if boot_time_s() - sent_at_s < PROMPT_ANSWER_S:
+            return self.answered_at_s
+        return max(self.answered_at_s, self.stalls.running_since_s() - NEWS_DELAY_S)
+
+    def log_news(
+        self, kind: str, batch: Batch, sent_at_s: float, changed_after_s: float | None
+    ) -> None:
         """Log how changes were read, which shows whether their news may have been late."""
         now_s = boot_time_s()
+        changed_ago_s = None if changed_after_s is None else round(now_s - changed_after_s, 3)
         decision(
             "store_news",
             kind=kind,
@@ -113,14 +153,15 @@
             waited_s=round(now_s - sent_at_s, 3),
             proof_gap_s=round(min(self.fleet_state.proof_age_s(), UNKNOWN_AGE_S), 3),
             stalled_s=round(now_s - self.stalls.running_since_s(), 3),
-            after_failure=not self.is_store_reachable,
+            failures=self.failures,
+            changed_ago_s=changed_ago_s,
         )
 
     def record_success(self) -> None:
         """Reset the backoff and log where the store answers again after an outage."""
         self.backoff.reset()
-        if not self.is_store_reachable:
-            self.is_store_reachable = True
+        if self.failures:
+            self.failures = 0
             decision("dependency_regained", dependency="store", revision=self.fleet_state.revision)
 
     async def handle_failure(self, error: GypsumpierError) -> None:
@@ -128,12 +169,14 @@
 
         Where the store no longer has the history, the next call reads a snapshot at once.
         """
+        self.answered_at_s = float("-inf")
         if error.code is HISTORY_GONE:
             self.needs_snapshot = True
             decision("store_history_gone", revision=self.fleet_state.revision)
             return
-        if self.is_store_reachable:
-            self.is_store_reachable = False
+        self.failures += 1
+        if self.failures == 1:
+            self.failing_since_s = boot_time_s()
             decision(
                 "dependency_lost",
                 dependency="store",
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -5,6 +5,7 @@
 the records of that revision from its own zone reads the store itself.
 """
 
+import math
 import random
 import time
 import zlib
@@ -16,6 +17,7 @@
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.state import FleetState, VersionAges
+from gypsumpier.fleet.wantedversion import Evidence
 from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
@@ -24,6 +26,13 @@
 NOTICE: Final = "notice"
 FEED_ASK: Final = "feed_ask"
 FEED_OFFER: Final = "feed_offer"
+NAMED: Final = "named"
+AGE_FIELDS: Final = {
+    Evidence.OBSERVED: "observed",
+    Evidence.PROVEN: "proven",
+    Evidence.AFTER_OUTAGE: "after_outage",
+}
+"""Fields of a message with the ages of versions, by evidence; NAMED has them all."""
 WATCHERS_IN_SINGLE_ZONE: Final = 2
 """Entries that watch the store in a deployment of one zone: one may fail without any delay."""
 WATCHERS_PER_ZONE: Final = 1
@@ -117,23 +126,28 @@
         return {
             "revision": revision,
             "age_s": self.fleet_state.proof_age_s(),
-            "observed": self.fleet_state.observed_version_ages(),
+            **self.age_fields(),
         }
 
-    def feed_payload(self, batch: Batch, records: bytes) -> dict[str, Any]:
-        """Return the message for a batch and its packed records, with ages in seconds.
+    def age_fields(self) -> dict[str, VersionAges]:
+        """Return the fields with the ages of versions, by evidence."""
+        return {
+            name: self.fleet_state.version_ages_by(evidence)
+            for evidence, name in AGE_FIELDS.items()
+        }
 
-        ``named`` has the ages of all versions, ``observed`` of those whose time was observed.
-        """
+    def feed_payload(self, batch: Batch, records: bytes) -> dict[str, Any]:
+        """Return the message for a batch and its packed records, with ages in seconds."""
         return {
             "after": batch.after,
             "revision": batch.revision,
             "records": records,
             "whole": batch.is_snapshot,
             "age_s": self.fleet_state.proof_age_s(),
-            "named": self.fleet_state.version_ages(),
-            "observed": self.fleet_state.observed_version_ages(),
+            NAMED: self.fleet_state.version_ages(),
+            **self.age_fields(),
             "outage_ago_s": boot_time_s() - self.fleet_state.outage_ended_at_s,
+            "outage_lasted_s": self.fleet_state.outage_lasted_s(),
         }
 
     def handle_feed(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
@@ -148,21 +162,30 @@
         if not batch.is_snapshot and batch.after > self.fleet_state.revision:
             self.mesh.post(peer.name, FEED_ASK, {})
             return
-        self.fleet_state.record_outage_end(delay_s + max(0.0, float(payload["outage_ago_s"])))
+        # Older builds send no duration; theirs can't be refuted.
+        self.fleet_state.record_outage(
+            max(0.0, float(payload.get("outage_lasted_s", 0.0))),
+            delay_s + max(0.0, float(payload["outage_ago_s"])),
+        )
         proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
         self.fleet_state.apply(batch, proven_at_s, peer.name)
-        # All of ``named`` counts as a lower bound, which never replaces an observed time: a build
-        # that sends no ``observed`` keeps the later of two times, so that its own may be too late.
-        self.fleet_state.merge_version_ages(aged(payload["named"], delay_s), origin=peer.name)
-        self.merge_observed(peer, payload, delay_s)
+        self.merge_ages(peer, payload, delay_s)
 
-    def merge_observed(self, peer: Peer, payload: dict[str, Any], delay_s: float) -> bool:
-        """Merge the observed times of versions in a message; older builds send none.
+    def merge_ages(self, peer: Peer, payload: dict[str, Any], delay_s: float) -> bool:
+        """Merge the ages of versions in a message.
 
-        Return whether the own times were corrected, see ``FleetState.merge_version_ages``.
+        Return whether the own times were corrected, see ``FleetState.merge_version_ages``.  Older
+        builds tell observed ages at most; all of theirs count as proven then, which never replaces
+        an observed time.
         """
-        ages = aged(payload.get("observed", {}), delay_s)
-        return self.fleet_state.merge_version_ages(ages, are_observed=True, origin=peer.name)
+        fields = dict(AGE_FIELDS)
+        if fields[Evidence.PROVEN] not in payload:
+            fields[Evidence.PROVEN] = NAMED
+        is_corrected = False
+        for evidence, name in fields.items():
+            ages = aged(finite(payload.get(name, {})), delay_s)
+            is_corrected |= self.fleet_state.merge_version_ages(ages, evidence, peer.name)
+        return is_corrected
 
     def handle_notice(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
@@ -182,7 +205,7 @@
         )
         if is_fresher:
             self.fleet_state.record_proof(boot_time_s() - age_s)
-        is_corrected = self.merge_observed(peer, payload, delay_s)
+        is_corrected = self.merge_ages(peer, payload, delay_s)
         recipients = (
             self.mesh.peers(ENTRY, self.mesh.own.zone) if is_fresher or is_corrected else []
         )
@@ -215,7 +238,7 @@
     def handle_offer(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Request a snapshot from a peer at a newer revision; use the proof of the same one."""
         revision, now_s = int(payload["revision"]), time.monotonic()
-        self.merge_observed(peer, payload, delay_s)
+        self.merge_ages(peer, payload, delay_s)
         if revision == self.fleet_state.revision:
             age_s = delay_s + max(0.0, float(payload["age_s"]))
             self.fleet_state.record_proof(boot_time_s() - age_s)
@@ -235,6 +258,14 @@
     }
 
 
+def finite(ages: VersionAges) -> VersionAges:
+    """Return the ages without those of versions of which no time is known."""
+    return {
+        model: [[version, age_s] for version, age_s in found if math.isfinite(age_s)]
+        for model, found in ages.items()
+    }
+
+
 def pack_records(records: list[Record]) -> bytes:
     """Return the records as compressed msgpack."""
     content: bytes = msgpack.packb([list(record) for record in records])
--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -141,7 +141,7 @@
             newest = named[-1]
             key = model, newest.version, ALL_PIECES
             is_new = key[:2] not in self.lists and key not in self.fetch_tasks
-            if is_new and newest.earliest_named_at_s > newly_named_from_s:
+            if is_new and newest.learned_at_s > newly_named_from_s:
                 self.start_task(key, self.prefetch_all(model, newest.version))
 
     def keeps_whole_copies(self) -> bool:
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -181,11 +181,19 @@
     return fleet_state
 
 
-def apply_records(fleet_state: FleetState, *records: Record, proven_ago_s: float = 0.0) -> None:
-    """Apply further records, with a freshness proof that is ``proven_ago_s`` seconds old."""
+def apply_records(
+    fleet_state: FleetState,
+    *records: Record,
+    proven_ago_s: float = 0.0,
+    changed_after_s: float | None = None,
+) -> None:
+    """Apply further records, with a freshness proof that is ``proven_ago_s`` seconds old.
+
+    ``changed_after_s`` is the time before which a watch that waited knows of no change.
+    """
     revision = max(found.revision for found in records)
     batch = Batch(fleet_state.revision, revision, list(records), False, 0.0)
-    fleet_state.apply(batch, boot_time_s() - proven_ago_s, "test")
+    fleet_state.apply(batch, boot_time_s() - proven_ago_s, "test", changed_after_s)
 
 
 def caller_head_of(**fields: Any) -> CallerHead:
--- a/gypsumpier/test/test_beliefs.py
+++ b/gypsumpier/test/test_beliefs.py
@@ -74,7 +74,7 @@
         If it were due at once, all requests would be refused until the engines have switched.
         """
         fleet_state = fleet_state_of(configuration_record(), proven_ago_s=9.0)
-        fleet_state.record_outage_end(0.0)
+        fleet_state.record_outage(8.0, 0.0)
         apply_records(fleet_state, record(f"op/version/{MODEL}", {"model": MODEL, "version": 3}, 2))
         self.assertGreater(fleet_state.versions[MODEL][-1].earliest_named_at_s, boot_time_s() - 1.0)
 
@@ -120,7 +120,7 @@
 
     def test_a_record_that_lapsed_in_an_outage_is_kept_for_the_grace_period(self) -> None:
         fleet_state = fleet_state_of(engine_record(1, 1))
-        fleet_state.record_outage_end(0.5)
+        fleet_state.record_outage(5.0, 0.5)
         apply_records(fleet_state, record("servers/i-1", None, 2))
         self.assertIn("i-1", fleet_state.upstreams)
         fleet_state.drop_expired_lapsed()
@@ -132,7 +132,7 @@
 
     def test_a_lapsed_record_that_returns_is_kept(self) -> None:
         fleet_state = fleet_state_of(engine_record(1, 1))
-        fleet_state.record_outage_end(0.5)
+        fleet_state.record_outage(5.0, 0.5)
         apply_records(fleet_state, record("servers/i-1", None, 2))
         apply_records(fleet_state, engine_record(1, 3))
         now_s = boot_time_s()
--- a/gypsumpier/test/test_version_times.py
+++ b/gypsumpier/test/test_version_times.py
@@ -12,7 +12,7 @@
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.record import Record
 from gypsumpier.mesh import feed
-from gypsumpier.mesh.feed import FEED, NOTICE, FleetStateFeed, pack_records
+from gypsumpier.mesh.feed import AGE_FIELDS, FEED, NOTICE, FleetStateFeed, pack_records
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.test import builders_platform
@@ -36,6 +36,8 @@
 EVERYONE: Final = [OWN, ZONE_PEER, ZONE_SIDECAR, FAR_PEER]
 START_S: Final = 1000.0
 """Time of the test clock at the start of a test, in seconds."""
+START_REVISION: Final = 3
+"""Revision of the snapshot with which each process starts."""
 FIRST_REVISION: Final = 10
 """Revision at which version 2 is named; version 3 is named at the next one."""
 
@@ -60,13 +62,25 @@
         self.feed = FleetStateFeed(self.mesh, self.state)  # type: ignore[arg-type]
 
     def read_version(self, version: int = 2) -> None:
-        """Apply the record of a version as just read from the store."""
+        """Apply the record of a version as a watch that was waiting has just read it."""
+        now_s = self.state.proven_at_s + self.state.proof_age_s()
+        apply_records(self.state, version_record(version), changed_after_s=now_s)
+
+    def share_version(self, version: int = 2) -> dict[str, Any]:
+        """Return the message with which this process passes a version on that it has just read."""
+        self.mesh.posted.clear()
+        news = [version_record(version)]
+        self.feed.share(Batch(START_REVISION, self.state.revision, news, False, 0.0))
+        return next(payload for _, kind, payload in self.mesh.posted if kind == FEED)
+
+    def find_version(self, version: int = 2) -> None:
+        """Apply the record of a version as found in the store, named at an unknown time."""
         apply_records(self.state, version_record(version))
 
     def return_from_cut(self, version: int = 2) -> None:
         """Read a version with the first answer of the store after calls that failed."""
-        self.state.record_outage_end(0.0)
-        self.read_version(version)
+        self.state.record_outage(self.state.proof_age_s(), 0.0)
+        self.find_version(version)
 
     def feed_message(self, **fields: Any) -> dict[str, Any]:
         """Return the message of a watcher that has read no news."""
@@ -161,7 +175,8 @@
         own.read_version()
         self.at(6.0)
         message = peer.feed_message(named={MODEL: [[2, 1.0]]})
-        message.pop("observed", None)
+        for name in AGE_FIELDS.values():
+            message.pop(name, None)
         own.feed.handle_feed(peer.own, message)
         self.assertAlmostEqual(1.0, own.named_at_s())
 
@@ -171,7 +186,8 @@
         self.at(6.0)
         own = Process(OWN, version_record(2))
         message = peer.feed_message(named={MODEL: [[2, 1.0]]})
-        message.pop("observed", None)
+        for name in AGE_FIELDS.values():
+            message.pop(name, None)
         own.feed.handle_feed(peer.own, message)
         self.assertAlmostEqual(5.0, own.named_at_s())
         own.feed.handle_feed(peer.own, peer.feed_message())
@@ -199,8 +215,8 @@
         """Neither process was in touch as the version was named; the later proof says more."""
         peer, own = Process(ZONE_PEER), Process(OWN, since_s=2.0)
         self.at(6.0)
-        peer.read_version()
-        own.read_version()
+        peer.find_version()
+        own.find_version()
         self.assertAlmostEqual(-2.0, own.named_at_s())
         own.feed.handle_feed(peer.own, peer.feed_message())
         self.assertAlmostEqual(0.0, own.named_at_s())
@@ -298,7 +314,110 @@
         self.assertEqual(list(range(4, newest + 1)), kept)
 
 
+class StandstillTest(VersionTimesTest):
+    """An entry stands still from before the naming of version 2, at 1 s, until 5.4 s."""
+
+    def test_an_entry_that_goes_on_does_not_make_its_zone_take_a_version_for_younger(self) -> None:
+        """Guards against replaced weights in a zone: the news waited in the entry's buffers."""
+        reader = self.peer_that_saw_it()
+        news = reader.share_version()
+        self.at(0.0)
+        stopped = Process(OWN)
+        self.at(5.4)
+        stopped.feed.handle_feed(reader.own, news, delay_s=4.4)
+        self.assertAlmostEqual(1.0, stopped.named_at_s())
+        reader.feed.handle_feed(stopped.own, stopped.feed_message())
+        self.assertAlmostEqual(1.0, reader.named_at_s())
+
+    def test_an_entry_that_goes_on_and_reads_the_store_does_neither(self) -> None:
+        """Guards against the same where its own call is answered before it reads its messages."""
+        reader = self.peer_that_saw_it()
+        news = reader.share_version()
+        self.at(0.0)
+        stopped = Process(OWN)
+        self.at(5.4)
+        stopped.find_version()
+        reader.feed.handle_feed(stopped.own, stopped.feed_message())
+        self.assertAlmostEqual(1.0, reader.named_at_s())
+        stopped.feed.handle_feed(reader.own, news, delay_s=4.4)
+        stopped.feed.handle_feed(reader.own, reader.feed_message())
+        self.assertAlmostEqual(1.0, stopped.named_at_s())
+
+
+class ClaimTest(VersionTimesTest):
+    def test_an_observed_time_that_comes_before_the_record_holds(self) -> None:
+        """Guards against a bound seconds too early: a notice overtakes the records of the zone."""
+        peer = self.peer_that_saw_it(FAR_PEER)
+        self.at(0.0)
+        own = Process(OWN)
+        self.at(1.1)
+        own.feed.handle_notice(peer.own, peer.notice())
+        self.at(1.3)
+        own.find_version()
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
+    def test_a_claim_to_a_newer_version_outlives_the_record_of_an_older_one(self) -> None:
+        """Guards against the loss of a claim where two versions are named in a row."""
+        peer = self.peer_that_saw_it(FAR_PEER)
+        self.at(1.5)
+        peer.read_version(3)
+        self.at(0.0)
+        own = Process(OWN)
+        self.at(2.0)
+        own.feed.handle_notice(peer.own, peer.notice())
+        for version in (2, 3):
+            own.find_version(version)
+        self.assertAlmostEqual(1.0, own.named_at_s(2))
+        self.assertAlmostEqual(1.5, own.named_at_s(3))
+
+    def test_a_proof_of_another_zone_raises_a_lower_bound(self) -> None:
+        """Guards against engines without use: the proofs of one zone are older than need be."""
+        peer, own = Process(FAR_PEER), Process(OWN, since_s=2.0)
+        self.at(3.0)
+        peer.find_version()
+        own.find_version()
+        self.assertAlmostEqual(-2.0, own.named_at_s())
+        own.feed.handle_notice(peer.own, peer.notice())
+        self.assertAlmostEqual(0.0, own.named_at_s())
+
+    def test_claims_are_bounded(self) -> None:
+        own = Process(OWN)
+        models = {f"m-{number}": [[2, 1.0]] for number in range(state.MODELS_CLAIMED_MAX + 5)}
+        versions = {"m-0": [[number, 1.0] for number in range(state.VERSIONS_KEPT + 5)]}
+        for observed in (models, versions):
+            own.feed.handle_feed(ZONE_PEER, own.feed_message(observed=observed))
+        self.assertEqual(state.MODELS_CLAIMED_MAX, len(own.state.claims))
+        self.assertEqual(state.VERSIONS_KEPT, len(own.state.claims["m-0"]))
+
+
 class OutageTest(VersionTimesTest):
+    def test_an_outage_is_refuted_by_a_proof_of_a_time_within_it(self) -> None:
+        """Guards against a zone that trusts the return of one reader that alone was cut off."""
+        own = Process(OWN)
+        self.at(4.0)
+        own.state.record_proof(START_S + 3.0)
+        self.at(6.0)
+        own.feed.handle_feed(ZONE_PEER, own.feed_message(outage_ago_s=0.0, outage_lasted_s=5.5))
+        self.assertFalse(own.state.is_after_outage())
+        own.find_version()
+        self.assertAlmostEqual(6.0, own.named_at_s(), delta=3.0)
+        self.assertLess(own.named_at_s(), 6.0)
+
+    def test_a_proof_from_before_an_outage_does_not_replace_its_end(self) -> None:
+        """Guards against requests refused: one entry stood still all through the outage."""
+        returned, stopped = self.returned(9.0), Process(ZONE_PEER, since_s=9.5)
+        stopped.find_version()
+        returned.feed.handle_feed(stopped.own, stopped.feed_message())
+        self.assertAlmostEqual(9.0, returned.named_at_s())
+
+    def test_a_started_process_adopts_the_end_of_an_outage(self) -> None:
+        """Guards against a version that is due at once in a process that starts later."""
+        returned = self.returned(9.0)
+        self.at(12.0)
+        own = Process(ZONE_PEER, version_record(2))
+        own.feed.handle_feed(returned.own, returned.feed_message())
+        self.assertAlmostEqual(9.0, own.named_at_s())
+
     def test_the_time_of_an_outage_for_everyone_does_not_count(self) -> None:
         """A version is named while nobody can read the store; the first reads it again at 9 s."""
         first, second = Process(OWN), Process(ZONE_PEER)
