--- a/gypsumpier/fleet/change.py
+++ b/gypsumpier/fleet/change.py
@@ -57,6 +57,9 @@
     async def watch(self, revision: int, wait_s: float) -> Batch:
         """Return the changes after ``revision``; wait up to ``wait_s`` seconds for the first."""
 
+    async def current_revision(self) -> int:
+        """Return the store's newest revision, without waiting for a change."""
+
     def decode(self, record: Record) -> FleetChange | None:
         """Return the change that the record contains; None where the product does not use it."""
 
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from prometheus_client import Counter
@@ -40,6 +41,11 @@
 IDLE_CHECK_S: Final = 0.1
 """Seconds between checks whether this process should start to read the store."""
 
+SNAPSHOT: Final = "snapshot"
+WATCH: Final = "watch"
+REVISION: Final = "revision"
+"""Kinds of calls to the store, as they stand in logs and metrics."""
+
 STORE_CALLS: Final = Counter(
     "gypsumpier_store_calls",
     "Calls to the platform's store by kind and outcome.",
@@ -48,12 +54,24 @@
 )
 
 
+@contextmanager
+def counted(kind: str) -> Iterator[None]:
+    """Count a call to the store by its outcome."""
+    try:
+        yield
+    except GypsumpierError as error:
+        STORE_CALLS.labels(kind, error.code.name).inc()
+        raise
+    STORE_CALLS.labels(kind, "ok").inc()
+
+
 class StoreWatcher:
     """Keeps the fleet state up to date from the store.
 
     ``failures`` counts the calls in a row that have failed, the first of them at
     ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
-    its last answer; minus infinity after a failure.
+    its last answer; minus infinity after a failure.  ``is_behind`` is set where a check of the
+    store's revision has shown changes that are still to be read.
     """
 
     def __init__(
@@ -72,6 +90,7 @@
         self.failing_since_s = 0.0
         self.answered_at_s = float("-inf")
         self.needs_snapshot = True
+        self.is_behind = False
         self.stalls = StallMonitor()
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -101,24 +120,23 @@
     async def read(self) -> None:
         """Make one call to the store and apply its answer; raise GypsumpierError on failure.
 
-        After a failure the call does not wait for changes, so that it shows whether the store can
-        be reached at all.
+        After a failure that is a read of the revision alone.  It neither waits nor depends on the
+        store's watches, so that it tells an outage from a lost connection.
         """
-        kind = "snapshot" if self.needs_snapshot or not self.fleet_state.revision else "watch"
+        if self.failures:
+            await self.check_revision()
+            return
+        is_snapshot = self.needs_snapshot or not self.fleet_state.revision
+        kind = SNAPSHOT if is_snapshot else WATCH
         sent_at_s = boot_time_s()
-        try:
-            if kind == "snapshot":
+        with counted(kind):
+            if is_snapshot:
                 batch = await self.source.snapshot()
                 self.needs_snapshot = False
             else:
-                wait_s = 0.0 if self.failures else WATCH_WAIT_S
+                wait_s = 0.0 if self.is_behind else WATCH_WAIT_S
                 batch = await self.source.watch(self.fleet_state.revision, wait_s)
-        except GypsumpierError as error:
-            STORE_CALLS.labels(kind, error.code.name).inc()
-            raise
-        STORE_CALLS.labels(kind, "ok").inc()
-        if self.failures >= OUTAGE_FAILURES:
-            self.fleet_state.record_outage(boot_time_s() - self.failing_since_s, 0.0)
+        self.is_behind = False
         changed_after_s = self.changed_after_s(kind, sent_at_s)
         if batch.records:
             self.log_news(kind, batch, sent_at_s, changed_after_s)
@@ -127,13 +145,31 @@
         self.answered_at_s = max(sent_at_s, changed_after_s or sent_at_s)
         self.on_batch(batch)
 
+    async def check_revision(self) -> None:
+        """Read the store's revision after a failure; record a proof where it is the known one.
+
+        Where it is newer, its changes are read next: as a snapshot if only one call has failed, as
+        watches may hear of nothing.  After an outage many processes do so at once, and the changes
+        alone are less.
+        """
+        sent_at_s = boot_time_s()
+        with counted(REVISION):
+            revision = await self.source.current_revision()
+        if self.failures >= OUTAGE_FAILURES:
+            self.fleet_state.record_outage(boot_time_s() - self.failing_since_s, 0.0)
+        self.is_behind = revision != self.fleet_state.revision
+        if not self.is_behind:
+            self.fleet_state.record_proof(sent_at_s)
+        elif self.failures < OUTAGE_FAILURES:
+            self.needs_snapshot = True
+
     def changed_after_s(self, kind: str, sent_at_s: float) -> float | None:
         """Return the time before which no change in the answer just read was made.
 
         None where the answer does not tell: this process was not in contact with the store when it
         sent the call, so that the change may be as old as its last proof.
         """
-        if kind == "snapshot" or sent_at_s - self.answered_at_s > CONTACT_GAP_S:
+        if kind == SNAPSHOT or sent_at_s - self.answered_at_s > CONTACT_GAP_S:
             return None
         if boot_time_s() - sent_at_s < PROMPT_ANSWER_S:
             return self.answered_at_s
@@ -170,6 +206,7 @@
         Where the store no longer has the history, the next call reads a snapshot at once.
         """
         self.answered_at_s = float("-inf")
+        self.needs_snapshot |= self.is_behind
         if error.code is HISTORY_GONE:
             self.needs_snapshot = True
             decision("store_history_gone", revision=self.fleet_state.revision)
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -27,6 +27,10 @@
 GONE_STATUS: Final = 410
 MAX_PAGES: Final = 1000
 ALL_KEYS_PREFIX: Final = ""
+NO_KEYS_PREFIX: Final = "none/"
+"""A prefix without keys: the answer to a read of it holds the revision alone."""
+REVISION_TIMEOUT_S: Final = 0.6
+"""Timeout of a read of the revision alone, in seconds: a multiple of a slow store's time."""
 
 
 class PlatformStore:
@@ -72,6 +76,12 @@
             # An empty answer means that the store waited for the full time without a newer change.
             return Batch(revision, current, records, False, 0.0 if records else wait_s)
 
+    async def current_revision(self) -> int:
+        path = f"/gypsumpier/kv-range?prefix={quote(NO_KEYS_PREFIX, safe='')}"
+        body = json_object(await self.caller.call("GET", path, REVISION_TIMEOUT_S))
+        with bad_answer_on_error():
+            return field(body, "current_rev", int)
+
     def decode(self, record: Record) -> FleetChange | None:
         return decode_record(record)
 
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -162,6 +162,9 @@
     async def watch(self, revision: int, wait_s: float) -> Batch:
         raise NotImplementedError
 
+    async def current_revision(self) -> int:
+        raise NotImplementedError
+
     def decode(self, found: Record) -> FleetChange | None:
         return decode_record(found)
 
--- a/gypsumpier/test/test_late_news.py
+++ b/gypsumpier/test/test_late_news.py
@@ -137,6 +137,17 @@
     async def snapshot(self) -> Batch:
         return self.answer(0, True)
 
+    async def current_revision(self) -> int:
+        self.test.now_s += self.takes_s
+        return self.script_revision()
+
+    def script_revision(self) -> int:
+        """Return the newest revision of the records that the next call would answer with."""
+        records = self.script.pop(0)
+        if records is None:
+            raise GypsumpierError(PLATFORM_UNREACHABLE, "no answer")
+        return max((found.revision for found in records), default=0)
+
     def answer(self, after: int, is_snapshot: bool) -> Batch:
         self.test.now_s += self.takes_s
         records = self.script.pop(0)
@@ -243,10 +254,36 @@
             self.at(0.1)
             await reader.call(WATCH_WAIT_S + 0.6, None)
         for reader in self.readers:
-            await reader.call(0.004, self.news)
+            for _ in ("revision", "changes"):
+                await reader.call(0.004, self.news)
         self.deliver()
+        self.assertFalse(any(reader.state.is_after_outage() for reader in self.readers))
         self.assert_nobody_believes_it_younger()
 
+    async def test_a_store_that_can_be_read_while_its_watches_fail_is_not_out(self) -> None:
+        """Guards against an outage that is inferred from watches alone, twice in a row."""
+        reader = self.readers[0]
+        self.at(0.1)
+        await reader.call(WATCH_WAIT_S + 0.6, None)
+        await reader.call(0.004, self.news)
+        self.assertTrue(reader.watcher.needs_snapshot)
+        await reader.call(0.6, None)
+        await reader.call(0.004, self.news)
+        await reader.call(0.004, self.news)
+        self.assertFalse(reader.state.is_after_outage())
+        self.assertLessEqual(reader.believed_named_at_s(), NAMED_S + TOLERANCE_S)
+
+    async def test_a_store_that_fails_two_calls_in_a_row_was_out(self) -> None:
+        """Guards against a version that is due at once when the store returns."""
+        reader = self.readers[0]
+        self.at(0.1)
+        for takes_s in (WATCH_WAIT_S + 0.6, 0.6, 0.6):
+            await reader.call(takes_s, None)
+        returned_s = self.now_s - START_S
+        for _ in ("revision", "changes"):
+            await reader.call(0.004, self.news)
+        self.assertAlmostEqual(returned_s, reader.believed_named_at_s(), delta=TOLERANCE_S)
+
     async def test_all_readers_that_stood_still_do_not_trust_the_time_of_their_return(
         self,
     ) -> None:
