--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -146,7 +146,7 @@
         self.on_batch(batch)
 
     async def check_revision(self) -> None:
-        """Read the store's revision after a failure; record a proof where it is the known one.
+        """Read the store's revision after a failure; share a proof where it is the known one.
 
         Where it is newer, its changes are read next: as a snapshot if only one call has failed, as
         watches may hear of nothing.  After an outage many processes do so at once, and the changes
@@ -159,7 +159,9 @@
             self.fleet_state.record_outage(boot_time_s() - self.failing_since_s, 0.0)
         self.is_behind = revision != self.fleet_state.revision
         if not self.is_behind:
-            self.fleet_state.record_proof(sent_at_s)
+            unchanged = Batch(revision, revision, [], False, 0.0)
+            self.fleet_state.apply(unchanged, sent_at_s, "store")
+            self.on_batch(unchanged)
         elif self.failures < OUTAGE_FAILURES:
             self.needs_snapshot = True
 
--- a/gypsumpier/test/test_late_news.py
+++ b/gypsumpier/test/test_late_news.py
@@ -284,6 +284,19 @@
             await reader.call(0.004, self.news)
         self.assertAlmostEqual(returned_s, reader.believed_named_at_s(), delta=TOLERANCE_S)
 
+    async def test_a_zone_hears_of_the_end_of_an_outage_at_once(self) -> None:
+        """Guards against a bound from before the outage for a version that is named after it."""
+        reader, peer = self.readers[:2]
+        self.at(0.1)
+        for takes_s in (WATCH_WAIT_S + 0.6, 0.6):
+            await reader.call(takes_s, None)
+        await reader.call(0.004, [engine_record(1, REVISION - 1)])
+        returned_s = self.now_s - START_S
+        self.deliver()
+        self.at(returned_s + 0.5)
+        await peer.call(0.004, self.news)
+        self.assertAlmostEqual(returned_s, peer.believed_named_at_s(), delta=TOLERANCE_S)
+
     async def test_all_readers_that_stood_still_do_not_trust_the_time_of_their_return(
         self,
     ) -> None:
