--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -214,9 +214,10 @@
 
     def should_abandon(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Return whether to abandon a silent upstream because another one can take the request."""
-        if not request.may_repeat(tries=2):
+        if not request.may_repeat(tries=2) or not self.retries.has_left(request.service):
             return False
-        records = self.selector.candidates(request.service)
+        version = self.admission.least_version(request.service)
+        records = self.selector.candidates(request.service, version)
         return self.selector.choose(records, request.tried | {record.run_key()}) is not None
 
     async def relay_buffered(
