--- /dev/null
+++ b/gypsumpier/test/test_endless_answer.py
@@ -0,0 +1,233 @@
+"""Tests of an entry beside servers whose bytes never end, in a head, a body or a stream."""
+
+import asyncio
+import gc
+import logging
+import time
+import unittest
+from collections.abc import Callable
+from typing import Final
+from unittest import mock
+
+from tornado.httpclient import HTTPResponse
+
+from gypsumpier.test.builders_platform import (
+    ENGINES,
+    PLAIN,
+    command_route_body,
+    engine_body,
+    plain_body,
+    route_body,
+)
+from gypsumpier.test.gatewayfleet import GatewayFleet
+from gypsumpier.test.standin.endless import SLOW_PAUSE_S, EndlessServer
+
+ENDLESS: Final = "i-9"
+SENT_MAX_BYTES: Final = 24 * 1024 * 1024
+"""Bytes that one answer may take: what is held, and the buffers of both ends of a connection."""
+LAG_MAX_S: Final = 1.5
+"""Seconds that one answer may hold up the event loop, on a busy machine."""
+CLOSE_TIMEOUT_S: Final = 5.0
+CALLS_MAX: Final = 60
+COMMAND_LIMIT_S: Final = 3.0
+EVENTS: Final = "".join(f"id: {number}\ndata: event {number}\n\n" for number in range(1, 6))
+INTERIM: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+GARBAGE: Final = b"\x01garbage" * 8192
+HEADER_LINES: Final = b"X-Filler: filler\r\n" * 4096
+FILLER: Final = b"filler--" * 8192
+TINY_CHUNKS: Final = b"1\r\nx\r\n" * 8192
+
+
+def nothing(request_id: str) -> bytes:
+    """Return no bytes."""
+    return b""
+
+
+def head(*lines: str) -> Callable[[str], bytes]:
+    """Return what builds the head of an answer with these header lines."""
+
+    def build(request_id: str) -> bytes:
+        own = (f"X-Request-Id: {request_id}", "X-Server-Seal: seal")
+        return "\r\n".join(("HTTP/1.1 200 OK", *own, *lines, "", "")).encode()
+
+    return build
+
+
+def whole_answer(request_id: str) -> bytes:
+    """Return a complete answer."""
+    return head("Content-Length: 5")(request_id) + b"whole"
+
+
+def whole_answer_after_interim(request_id: str) -> bytes:
+    """Return an interim answer and a complete answer."""
+    return INTERIM + whole_answer(request_id)
+
+
+def begun_stream(request_id: str) -> bytes:
+    """Return the head of a stream and its first event."""
+    return head("Content-Type: text/event-stream")(request_id) + b"id: 1\ndata: event 1\n\n"
+
+
+class EndlessTest(unittest.IsolatedAsyncioTestCase):
+    """Checks after each test that nothing was left behind."""
+
+    async def asyncSetUp(self) -> None:
+        self.unhandled: list[object] = []
+        errors = logging.Handler(logging.ERROR)
+        patched = mock.patch.object(errors, "emit", lambda found: self.unhandled.append(found.msg))
+        patched.start()
+        self.addCleanup(patched.stop)
+        logging.getLogger("tornado").addHandler(errors)
+        self.addCleanup(logging.getLogger("tornado").removeHandler, errors)
+        self.lag_s = 0.0
+        loop = asyncio.get_running_loop()
+        # The debug mode of the test case takes many times as long for each future.
+        loop.set_debug(False)
+        loop.set_exception_handler(lambda _, context: self.unhandled.append(context))
+        self.ticker = asyncio.create_task(self.tick())
+        self.servers: list[EndlessServer] = []
+
+    async def asyncTearDown(self) -> None:
+        self.ticker.cancel()
+        for server in self.servers:
+            await server.stop()
+
+    async def tick(self) -> None:
+        """Measure for how long the event loop is held up."""
+        while True:
+            began_s = time.monotonic()
+            await asyncio.sleep(0.01)
+            self.lag_s = max(self.lag_s, time.monotonic() - began_s)
+
+    async def serve(
+        self, begin: Callable[[str], bytes], piece: bytes, pause_s: float = 0.0
+    ) -> EndlessServer:
+        """Start a server whose bytes never end."""
+        server = EndlessServer(begin, piece, pause_s)
+        self.servers.append(server)
+        await server.start()
+        return server
+
+    async def check_end(self, server: EndlessServer) -> None:
+        """Assert that connections are closed, and memory and loop were left to other requests."""
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            while server.open:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        gc.collect()
+        self.assertLess(server.sent_bytes, SENT_MAX_BYTES)
+        self.assertLess(self.lag_s, LAG_MAX_S, "seconds of a held-up event loop")
+        self.assertEqual([], self.unhandled)
+
+
+class EndlessAnswerTest(EndlessTest):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.fleet = GatewayFleet()
+        lookups = route_body("lookups", prefix="/lookups/", kind="idempotent", service=PLAIN)
+        commands = command_route_body(timeout_ms=round(COMMAND_LIMIT_S * 1000))
+        self.fleet.configure(routes=[route_body(), commands, lookups])
+        # An entry without any upstream is not ready.
+        self.fleet.store.put("servers/i-8", plain_body(service="spare", slots=1))
+        await self.fleet.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.stop()
+        await super().asyncTearDown()
+
+    async def add_endless(
+        self, service: str, begin: Callable[[str], bytes], piece: bytes, pause_s: float = 0.0
+    ) -> EndlessServer:
+        """Start an upstream whose bytes never end and write its record to the store."""
+        server = await self.serve(begin, piece, pause_s)
+        build = engine_body if service == ENGINES else plain_body
+        self.fleet.store.put(f"servers/{ENDLESS}", build(address=server.address))
+        await self.fleet.settle()
+        return server
+
+    def assert_counts_as_failing(self) -> None:
+        """Assert that the upstream without end has a failure on record."""
+        run = self.fleet.entry.fleet_state.upstreams[ENDLESS].run_key()
+        rate = self.fleet.entry.selector.health.failure_rates.get(run)
+        self.assertGreater(rate.value if rate else 0.0, 0.0)
+
+    async def call_until_asked(self, path: str, server: EndlessServer) -> list[HTTPResponse]:
+        """Call until the upstream without end was asked; return the answers."""
+        answers = []
+        for number in range(CALLS_MAX):
+            answers.append(await self.fleet.call(path, request_id=f"r{number}"))
+            if server.requests:
+                return answers
+        raise AssertionError(f"{path} never reached the upstream")
+
+    async def check_command(
+        self, begin: Callable[[str], bytes], piece: bytes, pause_s: float = 0.0
+    ) -> None:
+        """Assert that a command to the upstream ends with an answer that it may have run."""
+        server = await self.add_endless(PLAIN, begin, piece, pause_s)
+        answer = await self.fleet.call("/commands/x")
+        self.assertIn(answer.code, (502, 504))
+        self.assertIn(b'"outcome": "unknown"', answer.body)
+        self.assertEqual(1, server.requests)
+        self.assert_counts_as_failing()
+        await self.check_end(server)
+
+    async def check_lookup(
+        self, begin: Callable[[str], bytes], piece: bytes, pause_s: float = 0.0
+    ) -> None:
+        """Assert that a repeatable request gets another upstream's answer."""
+        server = await self.add_endless(PLAIN, begin, piece, pause_s)
+        self.fleet.add("i-3", PLAIN)
+        await self.fleet.settle()
+        answers = await self.call_until_asked("/lookups/x", server)
+        self.assertEqual({200}, {answer.code for answer in answers})
+        self.assertTrue(all(b"by i-3" in answer.body for answer in answers))
+        self.assert_counts_as_failing()
+        await self.check_end(server)
+
+    async def test_garbage_without_a_line_end(self) -> None:
+        await self.check_command(nothing, GARBAGE)
+
+    async def test_slow_garbage_without_a_line_end(self) -> None:
+        await self.check_command(nothing, b"garbage", SLOW_PAUSE_S)
+
+    async def test_garbage_is_answered_by_another_upstream(self) -> None:
+        await self.check_lookup(nothing, GARBAGE)
+
+    async def test_slow_garbage_is_answered_by_another_upstream(self) -> None:
+        await self.check_lookup(nothing, b"garbage", SLOW_PAUSE_S)
+
+    async def test_header_lines_without_end(self) -> None:
+        await self.check_command(lambda _: b"HTTP/1.1 200 OK\r\n", HEADER_LINES)
+
+    async def test_slow_header_lines_without_end(self) -> None:
+        begin: Callable[[str], bytes] = lambda _: b"HTTP/1.1 200 OK\r\n"  # noqa: E731
+        await self.check_lookup(begin, b"X-Filler: filler\r\n", SLOW_PAUSE_S)
+
+    async def test_interim_answers_without_end(self) -> None:
+        await self.check_command(nothing, INTERIM * 4096)
+
+    async def test_slow_interim_answers_without_end(self) -> None:
+        await self.check_lookup(nothing, INTERIM, SLOW_PAUSE_S)
+
+    async def test_bytes_after_an_answer_with_an_interim_one_are_no_part_of_it(self) -> None:
+        """Guards against a body until the close being read after an interim answer."""
+        server = await self.add_endless(PLAIN, whole_answer_after_interim, FILLER)
+        answer = await self.fleet.call("/commands/x")
+        self.assertEqual((200, b"whole"), (answer.code, answer.body))
+        await self.check_end(server)
+
+    async def test_bytes_after_an_answer_without_end(self) -> None:
+        for number, pause_s in enumerate((0.0, SLOW_PAUSE_S)):
+            with self.subTest(pause_s=pause_s):
+                server = await self.add_endless(PLAIN, whole_answer, FILLER, pause_s)
+                for call in range(3):
+                    answer = await self.fleet.call("/commands/x", request_id=f"r{number}-{call}")
+                    self.assertEqual((200, b"whole"), (answer.code, answer.body))
+                await self.check_end(server)
+
+    async def test_a_length_that_is_too_long(self) -> None:
+        await self.check_command(head("Content-Length: 99999999999"), FILLER)
+
+    async def test_a_slow_chunked_body_without_end(self) -> None:
+        await self.check_command(head("Transfer-Encoding: chunked"), b"1\r\nx\r\n", SLOW_PAUSE_S)
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -72,11 +72,10 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Parse the head of the answer; informational responses are ignored."""
+        """Parse the head of the answer."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code >= 200:
-            self.head = answer_head(start_line, headers)
-            self.progress.set()
+        self.head = answer_head(start_line, headers)
+        self.progress.set()
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Buffer a part of the body; a returned future pauses reading while the caller is slow."""
--- a/gypsumpier/upstream/http.py
+++ b/gypsumpier/upstream/http.py
@@ -1,10 +1,16 @@
 """Tornado's HTTP/1 client connection, adapted for a proxy."""
 
+from typing import Final
+
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPInputError, HTTPMessageDelegate
 from tornado.iostream import IOStream, StreamClosedError
 
+from gypsumpier.upstream.finalanswer import FinalAnswer
+
 READ_BYTES = 65536
+INTERIM_ANSWERS_MAX: Final = 16
+"""Interim answers (1xx) that may precede an answer."""
 
 
 class UpstreamStream(IOStream):
@@ -16,7 +22,21 @@
 
 
 class UpstreamHttp(HTTP1Connection):
-    """Delivers a body without a length as it arrives; tornado would buffer it until its end."""
+    """Skips interim answers, and delivers a body without a length as it arrives.
+
+    Tornado would recurse for each interim answer and then read behind the answer until the close;
+    a body without a length it would buffer until its end.
+    """
+
+    async def _read_message(self, delegate: HTTPMessageDelegate) -> bool:
+        stream = self.stream
+        for _ in range(INTERIM_ANSWERS_MAX + 1):
+            answer = FinalAnswer(self, delegate)
+            is_open = await super()._read_message(answer)
+            if not answer.is_interim:
+                return is_open
+            self.stream = stream
+        raise HTTPInputError(f"more than {INTERIM_ANSWERS_MAX} interim answers")
 
     async def _read_body_until_close(self, delegate: HTTPMessageDelegate) -> None:
         while True:
