--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -42,6 +42,8 @@
 """Seconds without an event after which a stream is started or resumed at another upstream."""
 PLAIN_SILENCE_S: Final = 0.35
 """Seconds without an answer after which a repeatable plain request is sent to another upstream."""
+ANSWER_MAX_BYTES: Final = 256 * 1024
+"""Bytes of a plain answer, which is held as a whole for each request in flight."""
 RETRY_AFTER_S: Final = 0.2
 """Retry-After, in seconds, of a request that every upstream refused."""
 SERVER_ERROR: Final = 500
@@ -228,7 +230,7 @@
         writer: AnswerWriter,
     ) -> None:
         """Relay an answer once it is complete; a server error is retried elsewhere if allowed."""
-        body = b"".join([content async for content in exchange.body()])
+        body = await exchange.whole_body(ANSWER_MAX_BYTES)
         if writer.status:
             # The caller already has the head of the stream that was to be resumed.
             raise OutcomeUnknownError(
--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -229,5 +229,21 @@
     async def test_a_length_that_is_too_long(self) -> None:
         await self.check_command(head("Content-Length: 99999999999"), FILLER)
 
+    async def test_a_length_that_is_long(self) -> None:
+        """Guards against holding an answer of 64 MiB for each request in flight."""
+        await self.check_command(head(f"Content-Length: {64 * 1024 * 1024}"), FILLER)
+
+    async def test_a_chunked_body_without_end(self) -> None:
+        """Guards against holding an answer of 64 MiB for each request in flight."""
+        piece = b"10000\r\n" + FILLER + b"\r\n"
+        await self.check_command(head("Transfer-Encoding: chunked"), piece)
+
     async def test_a_slow_chunked_body_without_end(self) -> None:
         await self.check_command(head("Transfer-Encoding: chunked"), b"1\r\nx\r\n", SLOW_PAUSE_S)
+
+    async def test_a_body_without_a_length_or_an_end(self) -> None:
+        """Guards against holding a body without a length in memory, whatever its size."""
+        await self.check_command(head(), FILLER)
+
+    async def test_a_body_without_end_is_answered_by_another_upstream(self) -> None:
+        await self.check_lookup(head(), FILLER)
--- a/gypsumpier/upstream/caller.py
+++ b/gypsumpier/upstream/caller.py
@@ -11,6 +11,8 @@
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.pool import UpstreamCall, UpstreamPool
 
+ANSWER_MAX_BYTES: Final = 4 * 1024 * 1024
+"""Bytes of the answer to an internal call, which is at most one piece of weights."""
 REFUSED_STATUSES: Final = frozenset({404, 409, 421, 429, 503})
 
 
@@ -53,8 +55,7 @@
                     self.address, True, lambda: call, lambda: False
                 ) as exchange:
                     head = await exchange.answer(None)
-                    content = b"".join([part async for part in exchange.body()])
-                    return CallAnswer(head.status, content)
+                    return CallAnswer(head.status, await exchange.whole_body(ANSWER_MAX_BYTES))
         except (NotRunError, OutcomeUnknownError) as error:
             raise GypsumpierError(PLATFORM_UNREACHABLE, f"{self.address}: {error}") from error
         except TimeoutError as error:
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -21,9 +21,14 @@
 from gypsumpier.upstream.http import UpstreamHttp, UpstreamStream
 
 BODY_MAX_BYTES: Final = 64 * 1024 * 1024
-BUFFERED_MAX_BYTES: Final = 256 * 1024
+"""Bytes of a body, of which only a part is held at a time."""
+HEAD_MAX_BYTES: Final = 64 * 1024
+"""Bytes of the head of an answer."""
+BUFFERED_MAX_BYTES: Final = 64 * 1024
 """Buffered bytes of an answer to a slow caller from which reading from the upstream pauses."""
-PARAMETERS: Final = HTTP1ConnectionParameters(max_body_size=BODY_MAX_BYTES, decompress=False)
+PARAMETERS: Final = HTTP1ConnectionParameters(
+    max_header_size=HEAD_MAX_BYTES, max_body_size=BODY_MAX_BYTES, decompress=False
+)
 
 
 class Exchange(HTTPMessageDelegate):
@@ -45,6 +50,7 @@
         self.finished = False
         self.failure = ""
         self.withdrawn = ""
+        self.abandoned = False
         self.progress = asyncio.Event()
         self.drained = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -82,7 +88,8 @@
         self.parts.append(chunk)
         self.buffered_bytes += len(chunk)
         self.progress.set()
-        if self.buffered_bytes < BUFFERED_MAX_BYTES:
+        is_full = self.buffered_bytes >= BUFFERED_MAX_BYTES
+        if not is_full or self.abandoned:
             return None
         self.drained.clear()
         return asyncio.ensure_future(self.wait_until_drained())
@@ -93,7 +100,7 @@
 
     def finish(self) -> None:
         """Record that the answer is complete."""
-        self.finished = self.head is not None
+        self.finished = self.head is not None and not self.abandoned
         self.progress.set()
 
     def on_connection_close(self) -> None:
@@ -109,6 +116,13 @@
         self.progress.set()
         return True
 
+    def abandon(self) -> None:
+        """Close the connection and end the reading of the answer."""
+        self.abandoned = True
+        self.stream.close()
+        # The closed stream ends the task; tornado logs the cancellation of a pause as an error.
+        self.drained.set()
+
     async def wait_for_progress(self) -> None:
         """Wait for progress of the answer; raise OutcomeUnknownError if it should be abandoned."""
         while not self.progress.is_set():
@@ -149,6 +163,15 @@
                 raise OutcomeUnknownError(self.failure)
             await self.wait_for_progress()
 
+    async def whole_body(self, max_bytes: int) -> bytes:
+        """Return the complete body; raise OutcomeUnknownError if it is incomplete or longer."""
+        whole = bytearray()
+        async for content in self.body():
+            if len(whole) + len(content) > max_bytes:
+                raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
+            whole += content
+        return bytes(whole)
+
     def take_buffered(self) -> bytes:
         """Return and clear the buffered parts of the body."""
         content = b"".join(self.parts)
--- a/gypsumpier/upstream/http.py
+++ b/gypsumpier/upstream/http.py
@@ -39,6 +39,7 @@
         raise HTTPInputError(f"more than {INTERIM_ANSWERS_MAX} interim answers")
 
     async def _read_body_until_close(self, delegate: HTTPMessageDelegate) -> None:
+        total_bytes = 0
         while True:
             try:
                 content = await self.stream.read_bytes(READ_BYTES, partial=True)
@@ -47,6 +48,9 @@
                     # A connection reset; only a regular close ends such a body.
                     raise
                 return
+            total_bytes += len(content)
+            if total_bytes > self._max_body_size:
+                raise HTTPInputError("body without a length too large")
             waiting = delegate.data_received(content)
             if waiting is not None:
                 await waiting
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -146,9 +146,7 @@
         is_done = exchange.finished and exchange.task is not None and exchange.task.done()
         is_clean = is_done and not stream.closed() and not stream.has_unread_bytes()
         if head is None or not is_clean or head.closes:
-            stream.close()
-            if exchange.task is not None:
-                exchange.task.cancel()
+            exchange.abandon()
             return
         now_s = time.monotonic()
         kept_s = IDLE_TIMEOUT_S if head.idle_s is None else head.idle_s - IDLE_MARGIN_S
