--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -3,14 +3,21 @@
 import asyncio
 import gc
 import logging
+import socket
 import time
 import unittest
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 from unittest import mock
 
 from tornado.httpclient import HTTPResponse
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.node import Address
+from gypsumpier.platform import engine
+from gypsumpier.platform.engine import PlatformEngine
 from gypsumpier.test.builders_platform import (
     ENGINES,
     PLAIN,
@@ -21,6 +28,8 @@
 )
 from gypsumpier.test.gatewayfleet import GatewayFleet
 from gypsumpier.test.standin.endless import SLOW_PAUSE_S, EndlessServer
+from gypsumpier.upstream.exchange import Exchange
+from gypsumpier.upstream.http import UpstreamStream
 
 ENDLESS: Final = "i-9"
 SENT_MAX_BYTES: Final = 24 * 1024 * 1024
@@ -28,7 +37,9 @@
 LAG_MAX_S: Final = 1.5
 """Seconds that one answer may hold up the event loop, on a busy machine."""
 CLOSE_TIMEOUT_S: Final = 5.0
+READ_TIMEOUT_S: Final = 30.0
 CALLS_MAX: Final = 60
+TINY_CHUNK_COUNT: Final = 10_000
 COMMAND_LIMIT_S: Final = 3.0
 EVENTS: Final = "".join(f"id: {number}\ndata: event {number}\n\n" for number in range(1, 6))
 INTERIM: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -238,6 +249,9 @@
         piece = b"10000\r\n" + FILLER + b"\r\n"
         await self.check_command(head("Transfer-Encoding: chunked"), piece)
 
+    async def test_a_body_of_tiny_chunks_without_end(self) -> None:
+        await self.check_command(head("Transfer-Encoding: chunked"), TINY_CHUNKS)
+
     async def test_a_slow_chunked_body_without_end(self) -> None:
         await self.check_command(head("Transfer-Encoding: chunked"), b"1\r\nx\r\n", SLOW_PAUSE_S)
 
@@ -247,3 +261,75 @@
 
     async def test_a_body_without_end_is_answered_by_another_upstream(self) -> None:
         await self.check_lookup(head(), FILLER)
+
+
+class TinyPartsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_other_tasks_run_while_tiny_chunks_are_read(self) -> None:
+        """Guards against holding up the event loop with a buffer full of tiny chunks."""
+        # The debug mode of the test case takes many times as long for each future.
+        asyncio.get_running_loop().set_debug(False)
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        body = b"1\r\nx\r\n" * TINY_CHUNK_COUNT + b"0\r\n\r\n"
+        theirs.sendall(head("Transfer-Encoding: chunked")("r1") + body)
+        exchange = Exchange(UpstreamStream(ours), READ_TIMEOUT_S, lambda: False)
+        exchange.send(RequestStartLine("GET", "/", "HTTP/1.1"), HTTPHeaders(), b"")
+        turns = taken = 0
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while not exchange.finished:
+                await asyncio.sleep(0)
+                turns += 1
+                taken += len(exchange.take_buffered())
+        exchange.abandon()
+        self.assertEqual(TINY_CHUNK_COUNT, taken)
+        self.assertGreaterEqual(turns, TINY_CHUNK_COUNT // 500)
+
+
+class EndlessPlatformTest(EndlessTest):
+    """Calls to the engine, the store and the origin."""
+
+    ANSWERS: Final = (
+        ("garbage", nothing, GARBAGE),
+        ("header lines", lambda _: b"HTTP/1.1 200 OK\r\n", HEADER_LINES),
+        ("interim answers", nothing, INTERIM * 4096),
+        ("long", head("Content-Length: 99999999999"), FILLER),
+        ("chunked", head("Transfer-Encoding: chunked"), b"10000\r\n" + FILLER + b"\r\n"),
+        ("tiny chunks", head("Transfer-Encoding: chunked"), TINY_CHUNKS),
+        ("bad chunks", head("Transfer-Encoding: chunked"), b"1\r\nxyz\r\n"),
+        ("no length", head(), FILLER),
+    )
+    SLOW_ANSWERS: Final = (
+        ("garbage", nothing, b"garbage"),
+        ("interim answers", nothing, INTERIM),
+        ("chunked", head("Transfer-Encoding: chunked"), b"1\r\nx\r\n"),
+        ("no length", head(), b"x"),
+    )
+
+    async def check_calls(self, call: Callable[[Address], Any], timeout_s: float) -> None:
+        """Assert that each call ends within its time limit and with the code of a lost call."""
+        cases = [(*answer, 0.0) for answer in self.ANSWERS]
+        cases += [(*answer, SLOW_PAUSE_S) for answer in self.SLOW_ANSWERS]
+        for name, begin, piece, pause_s in cases:
+            with self.subTest(name=name, pause_s=pause_s):
+                self.lag_s = 0.0
+                self.unhandled.clear()
+                server = await self.serve(begin, piece, pause_s)
+                host, _, port = server.address.partition(":")
+                began_s = time.monotonic()
+                with self.assertRaises(GypsumpierError) as caught:
+                    await call(Address(host, int(port)))
+                self.assertEqual(PLATFORM_UNREACHABLE, caught.exception.code)
+                self.assertLess(time.monotonic() - began_s, timeout_s + LAG_MAX_S)
+                await self.check_end(server)
+
+    async def test_an_engines_report_without_end(self) -> None:
+        """Guards against holding an engine's report in memory, whatever its size."""
+
+        async def report(address: Address) -> None:
+            caller = PlatformEngine(address)
+            try:
+                await caller.report()
+            finally:
+                caller.caller.close()
+
+        await self.check_calls(report, engine.CALL_TIMEOUT_S)
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -26,6 +26,8 @@
 """Bytes of the head of an answer."""
 BUFFERED_MAX_BYTES: Final = 64 * 1024
 """Buffered bytes of an answer to a slow caller from which reading from the upstream pauses."""
+BUFFERED_MAX_PARTS: Final = 256
+"""Buffered parts of an answer from which reading pauses, so that other requests go on."""
 PARAMETERS: Final = HTTP1ConnectionParameters(
     max_header_size=HEAD_MAX_BYTES, max_body_size=BODY_MAX_BYTES, decompress=False
 )
@@ -88,7 +90,7 @@
         self.parts.append(chunk)
         self.buffered_bytes += len(chunk)
         self.progress.set()
-        is_full = self.buffered_bytes >= BUFFERED_MAX_BYTES
+        is_full = self.buffered_bytes >= BUFFERED_MAX_BYTES or len(self.parts) >= BUFFERED_MAX_PARTS
         if not is_full or self.abandoned:
             return None
         self.drained.clear()
--- a/gypsumpier/upstream/finalanswer.py
+++ b/gypsumpier/upstream/finalanswer.py
@@ -1,5 +1,6 @@
 """Tells interim answers from the final one."""
 
+import asyncio
 from collections.abc import Awaitable
 from typing import Final
 
@@ -12,6 +13,8 @@
 )
 
 FIRST_FINAL_STATUS: Final = 200
+PARTS_BEFORE_PAUSE: Final = 256
+"""Parts of a body after which other tasks run, as buffered bytes are read without a wait."""
 
 
 class FinalAnswer(HTTPMessageDelegate):
@@ -24,6 +27,7 @@
         self.connection = connection
         self.delegate = delegate
         self.is_interim = False
+        self.part_count = 0
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -36,7 +40,11 @@
         return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return self.delegate.data_received(chunk)
+        waiting = self.delegate.data_received(chunk)
+        self.part_count += 1
+        if waiting is None and self.part_count % PARTS_BEFORE_PAUSE == 0:
+            return asyncio.sleep(0)
+        return waiting
 
     def finish(self) -> None:
         self.delegate.finish()
