--- a/gypsumpier/gateway/events.py
+++ b/gypsumpier/gateway/events.py
@@ -2,8 +2,12 @@
 
 from typing import Final, NamedTuple
 
+from gypsumpier.upstream.errors import OutcomeUnknownError
+
 EVENT_END: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
+EVENT_MAX_BYTES: Final = 64 * 1024
+"""Bytes of an incomplete event that are held; an event has a few hundred."""
 
 
 class Events(NamedTuple):
@@ -23,14 +27,23 @@
         self.rest = b""
 
     def feed(self, content: bytes) -> Events:
-        """Return the events that are complete once ``content`` is added."""
+        """Return the events that are complete once ``content`` is added.
+
+        Raises OutcomeUnknownError if an event has too many bytes before its end.
+        """
         self.rest += content
         end = self.rest.rfind(EVENT_END)
         if end < 0:
+            self.check_rest()
             return Events(b"", [])
         whole, self.rest = self.rest[: end + 2], self.rest[end + 2 :]
         return Events(whole, [found for found in map(event_id, whole.split(b"\n")) if found])
 
+    def check_rest(self) -> None:
+        """Raise OutcomeUnknownError if the incomplete event has too many bytes."""
+        if len(self.rest) > EVENT_MAX_BYTES:
+            raise OutcomeUnknownError(f"an event has more than {EVENT_MAX_BYTES} bytes")
+
 
 def event_id(line: bytes) -> str:
     """Return the event id if the line is an ``id`` field; empty for any other line."""
--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -12,6 +12,7 @@
 
 from tornado.httpclient import HTTPResponse
 from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.errors import GypsumpierError
@@ -196,6 +197,28 @@
         self.assert_counts_as_failing()
         await self.check_end(server)
 
+    async def check_stream(
+        self, begin: Callable[[str], bytes], piece: bytes, pause_s: float = 0.0
+    ) -> None:
+        """Assert that a stream is resumed elsewhere, and cut where there is no other engine."""
+        server = await self.add_endless(ENGINES, begin, piece, pause_s)
+        other = self.fleet.add("i-1", ENGINES)
+        await self.fleet.settle()
+        answers = await self.call_until_asked("/reports/x", server)
+        self.assertEqual({EVENTS}, {answer.body.decode() for answer in answers})
+        self.assert_counts_as_failing()
+        await self.check_end(server)
+        self.fleet.store.remove("servers/i-1")
+        await self.fleet.settle()
+        self.fleet.entry.selector.health.health_by_run.clear()
+        asked, runs = server.requests, len(other.run_ids)
+        with self.assertRaises(HTTPStreamClosedError):
+            await self.fleet.call("/reports/x", headers={"X-Deadline-Ms": "2000"})
+        # The route allows two attempts, and the second one may go to the same upstream.
+        self.assertIn(server.requests, (asked + 1, asked + 2))
+        self.assertEqual(runs, len(other.run_ids))
+        await self.check_end(server)
+
     async def test_garbage_without_a_line_end(self) -> None:
         await self.check_command(nothing, GARBAGE)
 
@@ -262,6 +285,14 @@
     async def test_a_body_without_end_is_answered_by_another_upstream(self) -> None:
         await self.check_lookup(head(), FILLER)
 
+    async def test_an_event_without_end(self) -> None:
+        """Guards against holding an event in memory, whatever its size."""
+        await self.check_stream(begun_stream, FILLER)
+
+    async def test_comment_lines_without_end(self) -> None:
+        """Guards against holding comment lines in memory, however many there are."""
+        await self.check_stream(begun_stream, b": comment\n" * 4096)
+
 
 class TinyPartsTest(unittest.IsolatedAsyncioTestCase):
     async def test_other_tasks_run_while_tiny_chunks_are_read(self) -> None:
