--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -1,6 +1,7 @@
 """Records failed attempts in the health of their upstreams, and logs them."""
 
 import asyncio
+import time
 from typing import Final
 
 from gypsumpier.fleet.node import Address
@@ -14,6 +15,8 @@
 
 TIME_LIMIT_MARGIN_S: Final = 0.05
 """Seconds before the time limit from which a silent upstream counts as failed."""
+STREAM_STALLED_S: Final = 1.0
+"""Seconds since the last event after which a stream's upstream counts as silent."""
 
 
 class FailureRecorder:
@@ -64,8 +67,9 @@
         log_failure(request, record, error.reason, "unknown")
 
     def record_cancelled(self, request: GatewayRequest, record: UpstreamRecord) -> None:
-        """Record a failure of an upstream that was still silent when the time limit was reached."""
-        if request.left_s() <= TIME_LIMIT_MARGIN_S and not request.first_event_at_s:
+        """Record a failure of an upstream that was silent when the time limit was reached."""
+        silent_s = time.monotonic() - request.last_event_at_s
+        if request.left_s() <= TIME_LIMIT_MARGIN_S and silent_s >= STREAM_STALLED_S:
             self.selector.health.record_outcome(record.run_key(), failed=True)
             self.selector.health.record_failure(record.run_key())
 
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -249,11 +249,13 @@
         head: AnswerHead,
         writer: AnswerWriter,
     ) -> None:
-        """Relay complete events as they arrive."""
+        """Relay complete events as they arrive; bytes of an incomplete one are no progress."""
         splitter = EventSplitter()
+        since_s = time.monotonic()
         async for content in exchange.body():
             events = splitter.feed(content)
             if not events.content:
+                since_s = exchange.check_stalled(since_s)
                 continue
             if not writer.status:
                 writer.begin(head, None)
@@ -264,6 +266,7 @@
             await writer.write(events.content)
             if events.ids:
                 request.last_event_id = events.ids[-1]
+            since_s = time.monotonic()
         if splitter.rest:
             raise OutcomeUnknownError("the stream ended in the middle of an event")
         if not writer.status:
--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -267,6 +267,10 @@
         """Guards against holding an answer of 64 MiB for each request in flight."""
         await self.check_command(head(f"Content-Length: {64 * 1024 * 1024}"), FILLER)
 
+    async def test_a_length_that_is_reached_slowly(self) -> None:
+        """Guards against waiting until the time limit for an answer that another could give."""
+        await self.check_lookup(head("Content-Length: 60000"), b"x", SLOW_PAUSE_S)
+
     async def test_a_chunked_body_without_end(self) -> None:
         """Guards against holding an answer of 64 MiB for each request in flight."""
         piece = b"10000\r\n" + FILLER + b"\r\n"
@@ -285,14 +289,25 @@
     async def test_a_body_without_end_is_answered_by_another_upstream(self) -> None:
         await self.check_lookup(head(), FILLER)
 
+    async def test_a_slow_body_without_end_is_answered_by_another_upstream(self) -> None:
+        """Guards against waiting until the time limit for an answer that another could give."""
+        await self.check_lookup(head(), b"x", SLOW_PAUSE_S)
+
     async def test_an_event_without_end(self) -> None:
         """Guards against holding an event in memory, whatever its size."""
         await self.check_stream(begun_stream, FILLER)
 
+    async def test_a_slow_event_without_end(self) -> None:
+        """Guards against taking the bytes of an event that never ends for progress."""
+        await self.check_stream(begun_stream, b"x", SLOW_PAUSE_S)
+
     async def test_comment_lines_without_end(self) -> None:
         """Guards against holding comment lines in memory, however many there are."""
         await self.check_stream(begun_stream, b": comment\n" * 4096)
 
+    async def test_slow_comment_lines_without_end(self) -> None:
+        await self.check_stream(begun_stream, b": comment\n", SLOW_PAUSE_S)
+
 
 class TinyPartsTest(unittest.IsolatedAsyncioTestCase):
     async def test_other_tasks_run_while_tiny_chunks_are_read(self) -> None:
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -1,6 +1,7 @@
 """One request and its answer on one connection."""
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from typing import Final
@@ -166,14 +167,31 @@
             await self.wait_for_progress()
 
     async def whole_body(self, max_bytes: int) -> bytes:
-        """Return the complete body; raise OutcomeUnknownError if it is incomplete or longer."""
+        """Return the complete body; raise OutcomeUnknownError if it is incomplete or longer.
+
+        Parts are no progress: ``should_abandon`` is asked for as long as the body is incomplete.
+        """
         whole = bytearray()
+        since_s = time.monotonic()
         async for content in self.body():
             if len(whole) + len(content) > max_bytes:
                 raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
             whole += content
+            since_s = self.check_stalled(since_s)
         return bytes(whole)
 
+    def check_stalled(self, since_s: float) -> float:
+        """Return since when, in monotonic seconds, an answer that receives bytes is stalled.
+
+        Every ``silence_s`` seconds ``should_abandon`` decides; raises OutcomeUnknownError then.
+        """
+        now_s = time.monotonic()
+        if now_s - since_s < self.silence_s:
+            return since_s
+        if self.should_abandon():
+            raise OutcomeUnknownError(f"stalled for {self.silence_s:g} s")
+        return now_s
+
     def take_buffered(self) -> bytes:
         """Return and clear the buffered parts of the body."""
         content = b"".join(self.parts)
