--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -9,7 +9,9 @@
 from typing import Any, Final
 
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
-from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
+from tornado.httputil import HTTPInputError
+from tornado.iostream import UnsatisfiableReadError
+from tornado.simple_httpclient import HTTPTimeoutError
 
 from gypsumpier.codes.platform import (
     ORDER_FENCED,
@@ -18,6 +20,7 @@
     PLATFORM_UNREACHABLE,
 )
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.httpconnection import BoundedHttpClient
 from gypsumpier.numericresolver import NumericResolver
 
 MAX_CLIENTS: Final = 2000
@@ -38,7 +41,7 @@
 
     def __init__(self, base_url: str, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.base_url = base_url.rstrip("/")
-        self.client = SimpleAsyncHTTPClient(
+        self.client = BoundedHttpClient(
             force_instance=True,
             max_clients=MAX_CLIENTS,
             max_body_size=max_body_bytes,
@@ -71,7 +74,7 @@
             ) from error
         except HTTPTimeoutError as error:
             raise timeout_error(error, self.base_url) from error
-        except (HTTPClientError, OSError) as error:
+        except (HTTPClientError, HTTPInputError, UnsatisfiableReadError, OSError) as error:
             raise GypsumpierError(PLATFORM_UNREACHABLE, f"{self.base_url}: {error}") from error
 
     async def call(
--- a/gypsumpier/platform/origin.py
+++ b/gypsumpier/platform/origin.py
@@ -12,13 +12,15 @@
 
 CALL_TIMEOUT_S: Final = 3.0
 """Timeout of one call; a piece takes about 30 ms at the full rate of the origin's link."""
+ANSWER_MAX_BYTES: Final = 4 * 1024 * 1024
+"""Bytes of a piece or of a list of pieces."""
 
 
 class PlatformOrigin:
     """The PieceOrigin protocol over the platform's origin."""
 
     def __init__(self, address: Address) -> None:
-        self.caller = HttpCaller(f"http://{address}")
+        self.caller = HttpCaller(f"http://{address}", ANSWER_MAX_BYTES)
 
     async def piece_list(self, model: str, version: int) -> PieceList:
         path = f"/gypsumpier/manifest/{quote(model, safe='')}?version={version}"
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -24,6 +24,8 @@
 """Timeout of a read; a healthy store answers within milliseconds."""
 WATCH_MARGIN_S: Final = 0.6
 """Seconds beyond the wait after which a watch times out."""
+ANSWER_MAX_BYTES: Final = 16 * 1024 * 1024
+"""Bytes of a page of items or of the answer to a watch."""
 GONE_STATUS: Final = 410
 MAX_PAGES: Final = 1000
 ALL_KEYS_PREFIX: Final = ""
@@ -37,7 +39,7 @@
     """The FleetSource protocol over the platform's store."""
 
     def __init__(self, address: Address) -> None:
-        self.caller = HttpCaller(f"http://{address}")
+        self.caller = HttpCaller(f"http://{address}", ANSWER_MAX_BYTES)
 
     async def snapshot(self) -> Batch:
         revision = None
--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -17,8 +17,10 @@
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.node import Address
-from gypsumpier.platform import engine
+from gypsumpier.platform import engine, origin, store
 from gypsumpier.platform.engine import PlatformEngine
+from gypsumpier.platform.origin import PlatformOrigin
+from gypsumpier.platform.store import PlatformStore
 from gypsumpier.test.builders_platform import (
     ENGINES,
     PLAIN,
@@ -379,3 +381,27 @@
                 caller.caller.close()
 
         await self.check_calls(report, engine.CALL_TIMEOUT_S)
+
+    async def test_a_stores_answer_without_end(self) -> None:
+        """Guards against errors of the HTTP client that no caller of the store expects."""
+
+        async def snapshot(address: Address) -> None:
+            source = PlatformStore(address)
+            try:
+                await source.snapshot()
+            finally:
+                source.close()
+
+        await self.check_calls(snapshot, store.READ_TIMEOUT_S)
+
+    async def test_an_origins_answer_without_end(self) -> None:
+        """Guards against errors of the HTTP client that no caller of the origin expects."""
+
+        async def piece(address: Address) -> None:
+            source = PlatformOrigin(address)
+            try:
+                await source.piece("seismic", 1, 0)
+            finally:
+                source.close()
+
+        await self.check_calls(piece, origin.CALL_TIMEOUT_S)
--- a/gypsumpier/upstream/http.py
+++ b/gypsumpier/upstream/http.py
@@ -38,6 +38,12 @@
             self.stream = stream
         raise HTTPInputError(f"more than {INTERIM_ANSWERS_MAX} interim answers")
 
+    async def _read_chunked_body(self, delegate: HTTPMessageDelegate) -> None:
+        try:
+            await super()._read_chunked_body(delegate)
+        except AssertionError as error:
+            raise HTTPInputError("chunk without an end") from error
+
     async def _read_body_until_close(self, delegate: HTTPMessageDelegate) -> None:
         total_bytes = 0
         while True:
