--- a/gypsumpier/test/standin/endless.py
+++ b/gypsumpier/test/standin/endless.py
@@ -15,6 +15,7 @@
     """Answers each request with ``begin(request_id)`` and then ``piece`` until the caller closes.
 
     Pieces go out as fast as the connection takes them, or ``pause_s`` seconds apart.
+    The first one goes out ``first_pause_s`` seconds after the beginning.
     ``requests`` counts the requests, ``open`` the connections that are not closed yet and
     ``sent_bytes`` what was sent over all of them.
     """
@@ -23,6 +24,7 @@
         self.begin = begin
         self.piece = piece
         self.pause_s = pause_s
+        self.first_pause_s = 0.0
         self.requests = 0
         self.open = 0
         self.sent_bytes = 0
@@ -46,6 +48,7 @@
             request_id = await self.read_request(reader)
             self.requests += 1
             writer.write(self.begin(request_id))
+            await asyncio.sleep(self.first_pause_s)
             while True:
                 writer.write(self.piece)
                 self.sent_bytes += len(self.piece)
--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -262,6 +262,18 @@
                     self.assertEqual((200, b"whole"), (answer.code, answer.body))
                 await self.check_end(server)
 
+    async def test_bytes_on_an_idle_connection_close_it(self) -> None:
+        """Guards against an idle connection that stays open with bytes of no answer."""
+
+        def begin(request_id: str) -> bytes:
+            return head("Content-Length: 5", "Keep-Alive: timeout=60")(request_id) + b"whole"
+
+        server = await self.add_endless(PLAIN, begin, FILLER)
+        server.first_pause_s = 0.2
+        answer = await self.fleet.call("/commands/x")
+        self.assertEqual((200, b"whole"), (answer.code, answer.body))
+        await self.check_end(server)
+
     async def test_a_length_that_is_too_long(self) -> None:
         await self.check_command(head("Content-Length: 99999999999"), FILLER)
 
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -158,11 +158,11 @@
         self.idle.setdefault(address, []).append(IdleConnection(stream, now_s, now_s + kept_s))
 
     def close_idle(self) -> None:
-        """Close connections whose idle time is over or that the upstream closed."""
+        """Close connections that are idle for too long, have unread bytes or are closed."""
         now_s = time.monotonic()
         for address, connections in list(self.idle.items()):
             for connection in connections:
-                if now_s >= connection.until_s or connection.stream.closed():
+                if now_s >= connection.until_s or connection.stream.has_unread_bytes():
                     connection.stream.close()
             self.idle[address] = [
                 connection for connection in connections if not connection.stream.closed()
