--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -246,7 +246,8 @@
                 STREAM_TIMEOUT_GOAL_FACTOR * route.goal_s,
                 STREAM_TIMEOUT_GAP_FACTOR * route.event_gap_goal_s,
             )
-            caller_abandons_at_s = request.received_at_s + caller_timeout_s
+            awaited_since_s = request.last_event_at_s or request.received_at_s
+            caller_abandons_at_s = awaited_since_s + caller_timeout_s
             latest_start_s = min(request.ends_at_s, caller_abandons_at_s) - FIRST_EVENT_ESTIMATE_S
         if not self.selector.candidates(request.service):
             latest_start_s = min(latest_start_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -42,7 +42,7 @@
 """Seconds without an event after which a stream is started or resumed at another upstream."""
 PLAIN_SILENCE_S: Final = 0.35
 """Seconds without an answer after which a repeatable plain request is sent to another upstream."""
-ANSWER_MAX_BYTES: Final = 256 * 1024
+ANSWER_MAX_BYTES: Final = 1024 * 1024
 """Bytes of a plain answer, which is held as a whole for each request in flight."""
 RETRY_AFTER_S: Final = 0.2
 """Retry-After, in seconds, of a request that every upstream refused."""
--- a/gypsumpier/test/test_silent_upstream.py
+++ b/gypsumpier/test/test_silent_upstream.py
@@ -14,7 +14,9 @@
 
 from tornado.httpclient import HTTPResponse
 
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address
+from gypsumpier.gateway import relay
 from gypsumpier.gateway.application import SEND_MARGIN_S, START_MARGIN_S
 from gypsumpier.log import LOGGER
 from gypsumpier.mesh.mesh import Mesh
@@ -214,6 +216,16 @@
         self.assert_whole(answer, LATE_EVENTS)
         self.assertEqual((1, []), (len(self.silent.standin.run_ids), other.run_ids))
 
+    async def test_a_late_stream_of_another_zone_ends_whole(self) -> None:
+        """Guards against a cut stream because one silent engine rules out its whole zone."""
+        record = engine_body(address=self.silent.standin.address, zone=OTHER_ZONE)
+        self.fleet.store.put("servers/i-1", record)
+        await self.start()
+        other = self.fleet.add("i-2", ENGINES, zone=OTHER_ZONE, slots=1)
+        await self.fleet.settle()
+        other.event_count = LATE_EVENTS
+        self.assert_whole(await self.late_stream_with_silence(), LATE_EVENTS)
+
 
 class SilentPlainTest(SilentUpstreamCase):
     async def asyncSetUp(self) -> None:
@@ -273,6 +285,14 @@
         answer = await self.fleet.call("/reads/x")
         self.assertEqual((200, b"answer to r1 by i-3"), (answer.code, answer.body))
 
+    async def test_an_upstream_whose_requests_failed_together_is_used_again_soon(self) -> None:
+        """Guards against leaving out an upstream for seconds after one silence."""
+        ends_at_s = self.silent.pause(1.2)
+        calls = [self.fleet.call("/reads/x", f"r{number}") for number in range(6)]
+        codes = {answer.code for answer in await asyncio.gather(*calls)}
+        self.assertEqual({200}, codes)
+        await self.use_until_used_again("/reads/x", ends_at_s)
+
 
 class SilentEngineUsedAgainTest(SilentUpstreamCase):
     async def test_an_engine_whose_stream_was_resumed_is_used_again_soon(self) -> None:
@@ -283,6 +303,18 @@
         self.assertEqual(1, len(other.run_ids))
         await self.use_until_used_again("/reports/x", ends_at_s)
 
+    async def test_an_engine_whose_streams_were_resumed_together_is_used_again_soon(self) -> None:
+        """Guards against leaving out an engine for seconds after one silence."""
+        other = self.fleet.add("i-2", ENGINES, zone=OTHER_ZONE)
+        await self.start()
+        ends_at_s = self.silent.pause(SILENCE_S)
+        with mock.patch.object(relay, "STREAM_SILENCE_S", 0.7):
+            calls = [self.fleet.call("/reports/x", f"r{number}") for number in range(8)]
+            for answer in await asyncio.gather(*calls):
+                self.assert_whole(answer)
+        self.assertEqual(8, len(other.run_ids))
+        await self.use_until_used_again("/reports/x", ends_at_s)
+
 
 class CheckingHandler(UpstreamHandler):
     """Looks whether its connection is still open just before the request starts."""
@@ -430,3 +462,22 @@
         while time.monotonic() < ends_at_s + BUSY_MARGIN_S:
             self.assertEqual(200, (await self.fleet.call("/reports/x")).code)
         self.assertEqual(0, self.unready)
+
+    async def test_the_entry_stays_ready_after_a_watch_that_ends_in_a_silence(self) -> None:
+        """Guards against refusing every key after a silence at the end of a watch."""
+        store = self.store.standin
+        calls = store.calls
+        async with asyncio.timeout(2 * ENDED_TIMEOUT_S):
+            while store.calls == calls:
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(1.7)
+        ends_at_s = self.store.pause(1.5)
+        await asyncio.sleep(ends_at_s + 2.5 - time.monotonic())
+        self.assertEqual(0, self.unready)
+
+    async def test_a_version_counts_from_its_naming(self) -> None:
+        """Guards against counting the time limit of a version from the end of a silence."""
+        named_at_s = boot_time_s()
+        await self.write_and_pause(f"op/version/{MODEL}", {"model": MODEL, "version": 2})
+        (wanted,) = self.fleet.entry.fleet_state.versions[MODEL]
+        self.assertLess(wanted.earliest_named_at_s - named_at_s, START_MARGIN_S)
