--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -25,6 +25,8 @@
 NOTICE: Final = "notice"
 FEED_ASK: Final = "feed_ask"
 FEED_OFFER: Final = "feed_offer"
+READ: Final = "read"
+"""Field of a batch that its sender has read itself, as opposed to passed on."""
 NAMED: Final = "named"
 AGE_FIELDS: Final = {
     Evidence.OBSERVED: "observed",
@@ -56,7 +58,8 @@
     """Sends the fleet state to other processes and applies what they send.
 
     ``announced_revision`` is the newest revision announced by another zone, and
-    ``behind_since_s`` the time of that announcement on the monotonic clock.
+    ``behind_since_s`` the time of that announcement on the monotonic clock.  ``has_taken_over`` is
+    set from the take-over until an entry that precedes this one reads the store again.
     """
 
     def __init__(self, mesh: Mesh, fleet_state: FleetState) -> None:
@@ -65,6 +68,7 @@
         self.announced_revision = 0
         self.behind_since_s = 0.0
         self.snapshot_requested_at_s = float("-inf")
+        self.has_taken_over = False
         self.packed_snapshot: tuple[int, bytes] = (0, b"")
         mesh.aged_listeners[FEED] = self.handle_feed
         mesh.aged_listeners[NOTICE] = self.handle_notice
@@ -86,7 +90,9 @@
         names = sorted(peer.name for peer in self.mesh.peers(ENTRY, own.zone))
         preceding = sum(name < own.name for name in names)
         watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_IN_SINGLE_ZONE
-        return preceding < watchers or self.fleet_state.proof_age_s() > TAKEOVER_S
+        if self.fleet_state.proof_age_s() > TAKEOVER_S:
+            self.has_taken_over = True
+        return preceding < watchers or self.has_taken_over
 
     def has_other_zones(self) -> bool:
         """Return whether entries of other zones are connected."""
@@ -101,7 +107,7 @@
     def share(self, batch: Batch) -> None:
         """Send a batch just read from the store to the own zone, and its revision to the others."""
         own = self.mesh.own
-        feed = self.feed_payload(batch, pack_records(batch.records))
+        feed = self.feed_payload(batch, pack_records(batch.records)) | {READ: True}
         own_zone = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
         self.mesh.post_all(own_zone, FEED, feed)
         other_zones = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
@@ -152,6 +158,8 @@
         The ages in it grew by ``delay_s`` seconds on the way, here and in the other messages.
         """
         records = unpack_records(payload["records"])
+        if payload.get(READ) and peer.role == ENTRY and peer.name < self.mesh.own.name:
+            self.has_taken_over = False
         batch = Batch(
             int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
         )
--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -113,9 +113,9 @@
             while not self.entry.is_ready():
                 await asyncio.sleep(0.01)
 
-    async def settle(self) -> None:
+    async def settle(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until the entry has received every change in the store."""
-        async with asyncio.timeout(START_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             while self.entry.fleet_state.revision < self.store.revision:
                 await asyncio.sleep(0.01)
 
--- a/gypsumpier/test/test_feed.py
+++ b/gypsumpier/test/test_feed.py
@@ -61,6 +61,23 @@
             ).should_read_store()
         )
 
+    def test_an_entry_that_has_taken_over_reads_until_one_before_it_reads_again(self) -> None:
+        """Guards against changes that are late by a take-over each: the watchers are cut off.
+
+        A watcher that only passes on what it hears is still cut off itself.
+        """
+        others = OWN_ZONE_PEERS + OTHER_ZONE_PEERS
+        feed = self.build(others, age_s=module.TAKEOVER_S + 0.1)
+        self.assertTrue(feed.should_read_store())
+        apply_records(feed.fleet_state, engine_record(1, 6))
+        self.assertTrue(feed.should_read_store())
+        watcher, follower = OWN_ZONE_PEERS
+        feed.handle_feed(watcher, self.payload_of(feed, 6))
+        feed.handle_feed(follower, self.payload_of(feed, 6, read=True))
+        self.assertTrue(feed.should_read_store())
+        feed.handle_feed(watcher, self.payload_of(feed, 6, read=True))
+        self.assertFalse(feed.should_read_store())
+
     def test_a_revision_announced_by_another_zone_is_read_if_its_records_are_late(self) -> None:
         """The watcher of a zone hangs while a configuration changes.
 
--- a/gypsumpier/test/test_naming_times.py
+++ b/gypsumpier/test/test_naming_times.py
@@ -8,28 +8,22 @@
 
 from gypsumpier.codes.platform import PLATFORM_REFUSED
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.fleet import stall, state, watcher
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.watcher import OUTAGE_FAILURES, WATCH_WAIT_S
-from gypsumpier.mesh import feed
 from gypsumpier.mesh.feed import AGE_FIELDS, NAMED, pack_records
-from gypsumpier.test import builders_platform
 from gypsumpier.test.builders_platform import (
     MODEL,
     configuration_record,
     engine_record,
-    record,
 )
-from gypsumpier.test.fakes_piece import entry_peer
-from gypsumpier.test.test_late_news import (
+from gypsumpier.test.storereaders import (
     NAMED_S,
     REVISION,
     START_S,
-    VERSION_BODY,
-    VERSION_KEY,
     Reader,
     ScriptedSource,
+    StoreReadersCase,
 )
 
 LATE_MAX_S: Final = 0.3
@@ -58,40 +52,20 @@
         return batch._replace(revision=self.snapshot_revision) if is_snapshot else batch
 
 
-class NamingTimesCase(unittest.IsolatedAsyncioTestCase):
-    """Two entries of one zone and one of another; a version is named at ``NAMED_S``."""
+class NamingTimesCase(StoreReadersCase):
+    """Readers whose calls may be interrupted."""
 
     def setUp(self) -> None:
-        self.now_s = START_S
-        for module in (state, feed, watcher, stall, builders_platform):
-            patch = mock.patch.object(module, "boot_time_s", lambda: self.now_s)
-            patch.start()
-            self.addCleanup(patch.stop)
-        names = [("front-bac-a-1", "bac-a"), ("front-bac-a-2", "bac-a"), ("front-nam-a-1", "nam-a")]
-        peers = [entry_peer(name, zone) for name, zone in names]
-        self.readers = [Reader(self, peer, peers) for peer in peers]  # type: ignore[arg-type]
-        self.sources = [EventfulSource(self) for _ in self.readers]  # type: ignore[arg-type]
+        super().setUp()
+        self.sources = [EventfulSource(self) for _ in self.readers]
         for reader, source in zip(self.readers, self.sources, strict=True):
             reader.source = reader.watcher.source = source
-        self.news = [record(VERSION_KEY, VERSION_BODY, REVISION)]
-
-    def at(self, seconds: float) -> None:
-        """Set the clock to ``seconds`` after the start of the test."""
-        self.now_s = START_S + seconds
 
     def during_call(self, reader: Reader, action: Callable[[], None]) -> None:
         """Run the action while the reader's calls are in progress."""
         source = self.sources[self.readers.index(reader)]
         source.during = action  # type: ignore[method-assign]
 
-    def deliver(self, delay_s: float = 0.0) -> None:
-        """Deliver what the entries have posted to each other, ``delay_s`` after it was posted."""
-        by_name = {reader.mesh.own.name: reader for reader in self.readers}
-        for sender in self.readers:
-            posted, sender.mesh.posted = sender.mesh.posted, []
-            for name, kind, payload in posted:
-                by_name[name].mesh.aged_listeners[kind](sender.mesh.own, payload, delay_s)
-
     def run_until(self, reader: Reader, seconds: float) -> None:
         """Let the reader's process run, with its ticks, until then."""
         while self.now_s + TICK_S < START_S + seconds:
