Log the parts of the prompts that run in a crash

The log told which requests ran when an engine ended, not what they have in common, so the hypotheses of the incident could not be told apart from it: one part behind nine crashes, or nine causes. crash_suspected now has the id of the crash, the request's digest and the shared parts of its prompt. No decision changes.

--- a/gypsumpier/gateway/crashes.py
+++ b/gypsumpier/gateway/crashes.py
@@ -35,7 +35,14 @@
         self.quarantine.record_crash(request.fingerprint, crash, time.monotonic())
         message = {"fingerprint": request.fingerprint, "crash": crash}
         self.mesh.post_all(self.mesh.peers(), CRASH, message)
-        decision("crash_suspected", request=request.head.request_id, upstream=record.id)
+        decision(
+            "crash_suspected",
+            request=request.head.request_id,
+            upstream=record.id,
+            crash=crash,
+            fingerprint=request.fingerprint,
+            parts=request.head.prompt_parts,
+        )
 
     def record_finished(self, request: GatewayRequest) -> None:
         """Clear an answered request; notify the other entries if it was a suspect."""
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -15,12 +15,15 @@
 URGENCY: Final = "X-Request-Urgency"
 MODEL: Final = "X-Model"
 TOKEN_COUNTS: Final = "X-Token-Counts"
+PROMPT_PARTS: Final = "X-Prompt-Prefix"
 EXPECTED_TOKENS: Final = "X-Length-Hint"
 LAST_EVENT_ID: Final = "Last-Event-Id"
 SEAL: Final = "X-Server-Seal"
 NOT_RUN: Final = "X-Not-Executed"
 INSTANCE: Final = "X-Instance-Id"
 MISDIRECTED_STATUS: Final = 421
+SHARED_PARTS_MAX: Final = 16
+"""Parts of a prompt that are told apart; the platform's prompts have two or three."""
 # Headers of a single connection, which a proxy does not forward, and headers that the system sets
 # itself, whatever a caller sent.
 CONNECTION_HEADERS: Final = frozenset(
@@ -62,6 +65,7 @@
         prompt_tokens=whole_number(prompt_tokens),
         answer_tokens=whole_number(answer_tokens),
         expected_answer_tokens=whole_number(headers.get(EXPECTED_TOKENS, "")),
+        prompt_parts=shared_prompt_parts(headers.get(PROMPT_PARTS, "")),
         forwarded_headers=forwardable_headers(headers, SYSTEM_HEADERS),
     )
 
@@ -132,6 +136,15 @@
     return None
 
 
+def shared_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the prompt's parts without the last, which is the request's own.
+
+    The text is a comma-separated list of ID:TOKENS.
+    """
+    ids = [item.partition(":")[0].strip().lower() for item in text.split(",")]
+    return tuple(dict.fromkeys(found for found in ids[:-1] if found))[:SHARED_PARTS_MAX]
+
+
 def is_whole_number(text: str) -> bool:
     """Return whether the text is a whole number of fewer than 12 digits."""
     return text.isascii() and text.isdecimal() and len(text) < 12
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -214,6 +214,7 @@
         prompt_tokens=1000,
         answer_tokens=100,
         expected_answer_tokens=100,
+        prompt_parts=(),
         forwarded_headers=HTTPHeaders(),
     )
     return head._replace(**fields)
--- a/gypsumpier/test/test_platform_headers.py
+++ b/gypsumpier/test/test_platform_headers.py
@@ -6,7 +6,14 @@
 from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
-from gypsumpier.platform.headers import answer_head, caller_head, refusal_headers, upstream_headers
+from gypsumpier.platform.headers import (
+    SHARED_PARTS_MAX,
+    answer_head,
+    caller_head,
+    refusal_headers,
+    shared_prompt_parts,
+    upstream_headers,
+)
 from gypsumpier.test.builders_platform import caller_head_of
 from gypsumpier.upstream.head import AnswerHead, CallerHead, UpstreamHead
 
@@ -65,6 +72,18 @@
         head = caller_head(RequestStartLine("GET", "/", "HTTP/1.1"), HTTPHeaders(found))
         self.assertGreaterEqual(head.prompt_tokens, 0)
 
+    def test_the_parts_of_a_prompt_are_read_without_the_last(self) -> None:
+        for text, parts in {
+            "5c1e:800,91bd:410,e440:250": ("5c1e", "91bd"),
+            " 5C1E:800 , 91bd ,, 5c1e:1,e440:250": ("5c1e", "91bd"),
+            "e440:250": (),
+            "": (),
+        }.items():
+            with self.subTest(text=text):
+                self.assertEqual(parts, shared_prompt_parts(text))
+        many = ",".join(f"{number:x}:1" for number in range(1000))
+        self.assertEqual(SHARED_PARTS_MAX, len(shared_prompt_parts(many)))
+
     def test_an_upstream_gets_the_decisions_of_the_entry_as_headers(self) -> None:
         headers = upstream_headers(caller_head_of(), UPSTREAM_HEAD._replace(expected_version=2))
         found = {
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -9,8 +9,9 @@
     """The head of a caller's request.
 
     ``target`` is the path with its query, as it is forwarded.  ``time_limit_s`` is counted from the
-    arrival and None if the caller states none.  ``forwarded_headers`` are the headers that an
-    upstream gets unchanged.
+    arrival and None if the caller states none.  ``prompt_parts`` are the ids of the parts of its
+    prompt that other requests may share.  ``forwarded_headers`` are the headers that an upstream
+    gets unchanged.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     prompt_tokens: int
     answer_tokens: int
     expected_answer_tokens: int
+    prompt_parts: tuple[str, ...]
     forwarded_headers: HTTPHeaders
 
     @property
