Reproduce the incident: requests that share one part end engine after engine

Four entries as processes before six engines that end when they begin to write on a prompt with a fatal part, and start again after a second; sound requests share the first part. Two parts in a row.

--- /dev/null
+++ b/gypsumpier/test/test_crashing_parts.py
@@ -0,0 +1,52 @@
+"""Tests of entries as processes under requests that share a part which ends engines."""
+
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Final
+
+from gypsumpier.test.crashfleet import CrashFleet
+
+ENTRIES: Final = 4
+FATAL_PARTS: Final = ("bad00001", "bad00002")
+SOUND_PER_S: Final = 40.0
+FATAL_PER_S: Final = 4.0
+STABLE_S: Final = 3.0
+"""Seconds after the fifth crash from which requests with the part count."""
+LATE_MAX: Final = 3
+"""Requests with the part that may still reach engines after that."""
+QUIET_S: Final = 1.0
+LOAD_S: Final = 7.0
+
+
+class CrashingPartsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = CrashFleet(Path(folder.name), ENTRIES)
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.fleet.start()
+
+    # Guards against each request with a fatal part being taken for new, and ending engines anew.
+    async def test_requests_with_a_part_that_ends_engines_are_refused_and_sound_ones_served(
+        self,
+    ) -> None:
+        await self.fleet.load(QUIET_S, SOUND_PER_S, 0.0, "")
+        for part in FATAL_PARTS:
+            with self.subTest(part=part):
+                self.fleet.fatal_parts.add(part)
+                crashes_before = len(self.fleet.crashes_at_s())
+                await self.fleet.load(LOAD_S, SOUND_PER_S, FATAL_PER_S, part)
+                ended_s = time.monotonic()
+                crashes = self.fleet.crashes_at_s()[crashes_before:]
+                fifth_s = crashes[4] if len(crashes) > 4 else crashes[-1]
+                late = [a for a in self.fleet.arrivals(part) if a.at_s > fifth_s + STABLE_S]
+                self.assertLessEqual(len(late), LATE_MAX)
+                self.assertGreater(
+                    self.fleet.served_share(fifth_s + STABLE_S, ended_s - STABLE_S / 3), 0.9
+                )
+
+
+if __name__ == "__main__":
+    unittest.main()
