Refuse the part of prompts that ends engines, not each request anew

What callers saw: engine after engine ended under requests of one kind; sound streams beside them broke.

Cause: the quarantine knew whole requests only, by a digest. Requests that share one part and nothing else were each new to it, so each was allowed two crashes, for as long as they came. Class of fault: the unit that is suspected (a copy) was narrower than what causes the harm (a part).

Crashes now name traits: the request's fingerprint and the shared parts of its prompt (all but the last). An answer clears every trait that it has of all crashes known by then. A part that three separate crashes name and no answer clears is refused, unless a more suspicious part in the same crashes explains them; five for a part that was answered before. It is judged on arrival, while a request waits, once it is connected and before a repeat, which waits up to 0.05 s for the check whether its upstream ended. After 5 s one request is tried, by one entry at a time; after failed trials again in 10 min, 6 h and 24 h. Copies of one request follow the same schedule: before, each was let through every 60 s to end two more engines, for good. Processes exchange what they know on connection, sidecars included, so that entries that are all restarted know it again. The own interface names the messages of a chat in the same way.

--- a/gypsumpier/agent/crashes.py
+++ b/gypsumpier/agent/crashes.py
@@ -1,7 +1,7 @@
-"""Crashes of the upstream and the requests that were in flight at the time.
+"""Crashes of the upstream and the requests that were in flight at the time, by their traits.
 
-Failures within ``CRASH_WINDOW_S`` of each other count as one crash.  The agent reports the suspect
-requests of recent crashes to each entry.
+Failures within ``CRASH_WINDOW_S`` of each other count as one crash.  The agent reports the suspects
+of recent crashes to each entry.
 """
 
 from collections import OrderedDict
@@ -9,12 +9,13 @@
 from typing import Final
 
 CRASH_WINDOW_S: Final = 2.0
-SUSPECTS_MAX: Final = 64
+SUSPECTS_MAX: Final = 256
+"""Requests and parts of prompts that are kept; an engine runs some tens of requests."""
 SUSPECT_RETENTION_S: Final = 60.0
 
 
 class Crashes:
-    """The fingerprints of requests in flight at recent crashes, with the id of the crash.
+    """The traits of requests in flight at recent crashes, with the id of the crash.
 
     Times are monotonic seconds.
     """
@@ -25,24 +26,24 @@
         self.failed_at_s = float("-inf")
         self.suspects: OrderedDict[str, str] = OrderedDict()
 
-    def record(self, fingerprints: Iterable[str], now_s: float) -> str:
-        """Record a failure while these requests were in flight; return the id of the crash."""
+    def record(self, traits: Iterable[str], now_s: float) -> str:
+        """Record a failure while requests with these traits ran; return the id of the crash."""
         if now_s - self.failed_at_s > CRASH_WINDOW_S:
             self.number += 1
         self.failed_at_s = now_s
         crash = f"{self.upstream}/{self.number}"
-        for fingerprint in fingerprints:
-            self.suspects[fingerprint] = crash
-            self.suspects.move_to_end(fingerprint)
+        for trait in traits:
+            self.suspects[trait] = crash
+            self.suspects.move_to_end(trait)
         while len(self.suspects) > SUSPECTS_MAX:
             self.suspects.popitem(last=False)
         return crash
 
     def recent(self, now_s: float) -> list[list[str]]:
-        """Return the fingerprint and crash id of each suspect.
+        """Return the trait and crash id of each suspect.
 
         There are none once the last failure is more than ``SUSPECT_RETENTION_S`` ago.
         """
         if now_s - self.failed_at_s > SUSPECT_RETENTION_S:
             self.suspects.clear()
-        return [[fingerprint, crash] for fingerprint, crash in self.suspects.items()]
+        return [[trait, crash] for trait, crash in self.suspects.items()]
--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -162,7 +162,7 @@
             error = GypsumpierError(codes.UPSTREAM_FAILED, str(error))
         part = error_part(error, not_run)
         if error.code in CRASH_CODES:
-            running = [other.fingerprint for other in self.orders.values()]
+            running = [trait for other in self.orders.values() for trait in other.traits]
             part.payload["crash"] = self.crashes.record(running, self.clock.monotonic())
         decision(part.kind, exchange=order.exchange, upstream=self.options.name, reason=error)
         exchange.add(part)
--- a/gypsumpier/agent/order.py
+++ b/gypsumpier/agent/order.py
@@ -4,6 +4,7 @@
 
 from gypsumpier.codes.wire import BAD_FRAME
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.quarantine.trait import traits_of
 from gypsumpier.wire.frame import Frame
 
 
@@ -12,7 +13,8 @@
 
     ``remaining_s`` is the time left to the caller's deadline and ``age_s`` the time since the
     entry received the request, both when the frame was read.  A ``suspect`` request was in flight
-    when an upstream crashed.
+    when an upstream crashed.  ``parts`` are the parts of its prompt that others may share; an entry
+    of an earlier build sends none.
     """
 
     exchange: str
@@ -32,6 +34,12 @@
     version: str
     fingerprint: str
     suspect: bool
+    parts: list[str] = []
+
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """What it has in common with other attempts, by which a crash names it."""
+        return traits_of(self.fingerprint, self.parts)
 
     def has_home(self) -> bool:
         """Return whether the request may run only at the home of its key."""
@@ -58,6 +66,7 @@
     "version": TEXT,
     "fingerprint": TEXT,
     "suspect": FLAG,
+    "parts": (list,),
 }
 
 
@@ -83,6 +92,8 @@
         value = getattr(order, name)
         if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
             raise GypsumpierError(BAD_FRAME, f"request: {name} is a {type(value).__name__}")
+    if not all(isinstance(part, str) for part in order.parts):
+        raise GypsumpierError(BAD_FRAME, "request: parts must be strings")
     for pair in order.headers.items():
         if not all(isinstance(text, str) for text in pair):
             raise GypsumpierError(BAD_FRAME, "request: header names and values must be strings")
--- a/gypsumpier/entry/guard.py
+++ b/gypsumpier/entry/guard.py
@@ -1,5 +1,7 @@
 """Checks before an attempt: admission to the service and the quarantine."""
 
+from typing import Final
+
 from gypsumpier.clock import Clock
 from gypsumpier.codes import request as codes
 from gypsumpier.document.service import ServiceDocument
@@ -7,11 +9,15 @@
 from gypsumpier.entry.delivery import CrashError
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
-from gypsumpier.entry.quarantine import Quarantine
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.options import Options
+from gypsumpier.quarantine.quarantine import Quarantine
+
+TRIAL_STAGGER_S: Final = 2.0
+"""Seconds between the first moments at which two entries may try what is refused; an agent's report
+of a crash reaches every entry in a tenth of it."""
 
 
 class Guard:
@@ -36,34 +42,47 @@
         return admission
 
     def check_quarantine(self, request: CallerRequest) -> None:
-        """Raise QUARANTINED for a request that was running in two crashes."""
-        now_s = self.clock.monotonic()
-        refused_s = self.quarantine.refused_for_s(request.fingerprint, now_s)
+        """Raise QUARANTINED for a request like those that were running in several crashes."""
+        refused_s = self.quarantine.refused_for_s(request.traits, self.clock.monotonic())
         if refused_s > 0:
-            decision(
-                "quarantine",
-                request=request.request_id,
-                reason="was running during two upstream crashes",
-            )
-            raise GypsumpierError(
-                codes.QUARANTINED, "was running during two upstream crashes", refused_s
-            )
+            refused = ", ".join(self.quarantine.refused(request.traits))
+            reason = f"requests with {refused} were running when upstreams crashed"
+            decision("quarantine", request=request.request_id, reason=reason)
+            raise GypsumpierError(codes.QUARANTINED, reason, refused_s)
+
+    def begin(self, request: CallerRequest) -> None:
+        """Record that the request is sent to an upstream; it may try what is refused."""
+        own_name = self.links.options.name
+        rank = sum(entry.name < own_name for entry in self.keys.listed)
+        self.quarantine.trial_delay_s = rank * TRIAL_STAGGER_S
+        self.check_quarantine(request)
+        tried = self.quarantine.begin_trial(request.traits, self.clock.monotonic())
+        if tried:
+            decision("suspect_tried", request=request.request_id, traits=tried)
+
+    def record_answered(self, request: CallerRequest) -> None:
+        """Clear what an answered request has in common with others."""
+        self.quarantine.record_answered(request.traits, self.clock.monotonic())
 
     def record_suspects(self, suspects: list[list[str]]) -> None:
-        """Record the requests that an agent reports as running during a crash."""
-        now_s = self.clock.monotonic()
-        for named, crash in suspects:
-            self.quarantine.record_crash(named, crash, now_s)
+        """Record the traits of requests that an agent reports as running during a crash."""
+        traits_by_crash: dict[str, list[str]] = {}
+        for trait, crash in suspects:
+            # Agents report a crash again and again.
+            if not self.quarantine.knows(trait, crash):
+                traits_by_crash.setdefault(crash, []).append(trait)
+        for crash, traits in traits_by_crash.items():
+            self.quarantine.record_crash(traits, crash, self.clock.monotonic())
 
     def handle_attempt_failure(self, request: CallerRequest, error: GypsumpierError) -> None:
         """Shrink the window if the upstream was full; record the request if the upstream crashed.
 
-        Raises GypsumpierError with QUARANTINED if two crashes name the request now.
+        Raises GypsumpierError with QUARANTINED if the request is refused now.
         """
         if error.code is codes.UPSTREAM_FULL:
             self.admissions[request.service].decrease_window()
         if isinstance(error, CrashError):
-            self.record_suspects([[request.fingerprint, error.crash]])
+            self.record_suspects([[trait, error.crash] for trait in request.traits])
             self.check_quarantine(request)
 
     def inspect(self) -> dict[str, object]:
--- a/gypsumpier/entry/intake.py
+++ b/gypsumpier/entry/intake.py
@@ -5,6 +5,7 @@
 idempotent, by the route with the longest matching prefix.
 """
 
+import hashlib
 import json
 import uuid
 from typing import Any, Final
@@ -23,6 +24,9 @@
 KEY_HEADER: Final = "Idempotency-Key"
 TIMEOUT_HEADER: Final = "Request-Timeout"
 DEFAULT_WORKSPACE: Final = "default"
+PART_DIGEST_BYTES: Final = 8
+SHARED_PARTS_MAX: Final = 16
+"""Messages of a prompt that are told apart in crashes: the first ones are shared most."""
 AFFINITY_BLOCKS: Final = 3
 """Blocks of a prompt that are hashed for prefix affinity."""
 STARTING_RETRY_AFTER_S: Final = 1.0
@@ -46,7 +50,8 @@
         raise GypsumpierError(BAD_REQUEST, "stream must be true or false")
     document = document_for_model(documents, name)
     request = build(http, document, http.path, streamed, now_s)
-    return request._replace(prefix=prefix_of(body["messages"])), document
+    messages = body["messages"]
+    return request._replace(prefix=prefix_of(messages), parts=parts_of(messages)), document
 
 
 def plain_request(
@@ -87,6 +92,7 @@
         idempotent=is_idempotent(document, route, method),
         priority=route.priority if route else 0,
         prefix="",
+        parts=(),
         fingerprint=fingerprint(method, path, http.body),
     )
 
@@ -121,6 +127,13 @@
     return names[-1] if names else ""
 
 
+def parts_of(messages: list[Any]) -> tuple[str, ...]:
+    """Return digests of the messages without the last, which is the request's own."""
+    texts = [json.dumps(message, sort_keys=True).encode() for message in messages[:-1]]
+    digests = [hashlib.blake2b(text, digest_size=PART_DIGEST_BYTES).hexdigest() for text in texts]
+    return tuple(dict.fromkeys(digests))[:SHARED_PARTS_MAX]
+
+
 def json_object(body: bytes) -> dict[str, Any]:
     """Return the body as a JSON object; raise BAD_REQUEST if it is none."""
     try:
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -87,13 +87,14 @@
         answered = False
         try:
             self.check_home(request, link)
+            self.guard.begin(request)
             payload = self.payload(request, document, version)
             async for frame in self.sender.deliver(request, link, attempt, payload):
                 answered = frame.kind == END
                 yield frame
         finally:
             admission.leave(self.clock.monotonic() - entered_at_s, answered)
-        self.guard.quarantine.record_finished(request.fingerprint)
+        self.guard.record_answered(request)
 
     def check_home(self, request: CallerRequest, link: Link) -> None:
         """Raise UPSTREAM_UNREACHABLE if the link no longer leads to the home of the request's key.
@@ -243,5 +244,6 @@
             "model": document.model,
             "version": version,
             "fingerprint": request.fingerprint,
-            "suspect": self.guard.quarantine.is_suspect(request.fingerprint, now_s),
+            "suspect": self.guard.quarantine.is_suspect(request.fingerprint),
+            "parts": list(request.parts),
         }
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -174,6 +174,8 @@
         if waiting in queue.waiting:
             queue.waiting.remove(waiting)
         elif waiting.outcome.done() and not waiting.outcome.cancelled():
+            if waiting.outcome.exception() is not None:
+                return
             result = waiting.outcome.result()
             if isinstance(result, UpstreamRecord):
                 self.leave(waiting.request, result)
@@ -195,6 +197,17 @@
         queue.shed_excess(self.capacity_share_per_s(service))
         QUEUED.labels(service).set(len(queue.waiting))
 
+    def refuse_queued(self, check: Callable[[GatewayRequest], None]) -> None:
+        """End the wait of each queued request for which ``check`` raises Refusal."""
+        for queue in self.queues.values():
+            for waiting in list(queue.waiting):
+                try:
+                    check(waiting.request)
+                except Refusal as refusal:
+                    if not waiting.outcome.done():
+                        waiting.outcome.set_exception(refusal)
+                    queue.waiting.remove(waiting)
+
     def capacity_share_per_s(self, service: str) -> float:
         """Return this entry's share of the requests per second that the upstreams can serve."""
         records = self.selector.candidates(service)
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -99,6 +99,7 @@
         self.relay = Relay(
             self.admission, self.selector, self.pool, self.retries, self.crashes, self.starts
         )
+        self.crashes.on_refused.append(self.stop_refused)
         self.front = Front(self.intake, self.relay)
         self.server = FrontServer(self.front)
         self.piece_cache = PieceCache(self.mesh, self.fleet_state, dial_origin, self.piece_holders)
@@ -186,6 +187,13 @@
         models = found.model.models
         return max((self.fleet_state.due_version(model, before_s) for model in models), default=0)
 
+    def stop_refused(self) -> None:
+        """End the waiting of requests that are refused by now, here and at upstreams."""
+        self.admission.refuse_queued(self.crashes.check)
+        self.starts.withdraw(
+            lambda request: self.crashes.refused_for_s(request) > 0, "suspected of crashes"
+        )
+
     def piece_holders(self, model: str, version: int) -> list[Peer]:
         """Return the sidecars of the zone whose engine serves that version of the model."""
         configuration = self.fleet_state.configuration
@@ -209,6 +217,7 @@
             self.admission.log_candidates()
             self.retries.set_entry_count(1 + len(self.mesh.peers(ENTRY)))
             self.admission.entry_count = 1 + len(self.mesh.peers(ENTRY))
+            self.crashes.update_rank()
 
 
 def bind(address: Address) -> list[socket.socket]:
--- a/gypsumpier/gateway/crashes.py
+++ b/gypsumpier/gateway/crashes.py
@@ -1,40 +1,77 @@
-"""Requests suspected of crashing the upstreams that run them, shared among the entries."""
+"""Refuses requests like those that ran when upstreams crashed, and reports crashes and answers."""
 
 import time
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Final
 
-from gypsumpier.entry.quarantine import Quarantine
+from prometheus_client import Counter, Gauge
+
+from gypsumpier.codes.request import SUSPECTED_OF_CRASHES
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.log import decision
-from gypsumpier.mesh.mesh import Mesh
-from gypsumpier.mesh.peer import Peer
+from gypsumpier.mesh.mesh import ENTRY, Mesh
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.quarantine.quarantine import FIRST_REFUSAL_S, Quarantine
+from gypsumpier.quarantine.share import QuarantineShare
+
+TRIAL_STAGGER_S: Final = 0.5
+"""Seconds between the first moments at which two entries may try; a trial is known everywhere in a
+tenth of it."""
 
-CRASH: Final = "crash"
-FINISHED: Final = "finished"
-QUARANTINE_S: Final = 60.0
-"""Seconds for which a request that is suspected of several crashes is refused."""
+CRASHES: Final = Counter(
+    "gypsumpier_suspected_requests",
+    "Attempts that were running when their upstream crashed.",
+    registry=REGISTRY,
+)
+REFUSED_TRAITS: Final = Gauge(
+    "gypsumpier_refused_traits",
+    "Requests and parts of prompts that are refused as they ended upstreams.",
+    registry=REGISTRY,
+)
 
 
 class CrashTracker:
-    """Records which requests were running when the connections of an upstream broke."""
+    """Records which requests were running when the connections of an upstream broke.
+
+    ``on_refused`` is called whenever more is refused than before.
+    """
 
     def __init__(self, mesh: Mesh) -> None:
         self.mesh = mesh
-        self.quarantine = Quarantine(QUARANTINE_S)
-        mesh.listeners[CRASH] = self.on_crash
-        mesh.listeners[FINISHED] = self.on_finished
+        self.quarantine = Quarantine(FIRST_REFUSAL_S)
+        self.share = QuarantineShare(mesh, self.quarantine)
+        self.refused: set[str] = set()
+        self.on_refused: list[Callable[[], None]] = []
+        self.quarantine.listeners.append(self.handle_change)
 
     def refused_for_s(self, request: GatewayRequest) -> float:
         """Return for how many seconds the request is still refused; 0 if it is not."""
-        return self.quarantine.refused_for_s(request.fingerprint, time.monotonic())
+        return self.quarantine.refused_for_s(request.traits, time.monotonic())
+
+    def check(self, request: GatewayRequest) -> None:
+        """Raise Refusal if the request must not be sent to an upstream now."""
+        refused_s = self.refused_for_s(request)
+        if refused_s > 0:
+            raise self.refusal(request, refused_s)
+
+    def refusal(self, request: GatewayRequest, refused_s: float) -> Refusal:
+        """Return the refusal of a request that may be sent again in so many seconds."""
+        refused = self.quarantine.refused(request.traits)
+        detail = f"requests with {', '.join(refused)} ran when upstreams crashed"
+        return Refusal(SUSPECTED_OF_CRASHES, 503, detail, refused_s)
+
+    def begin(self, request: GatewayRequest) -> None:
+        """Record that the request is sent to an upstream; it may be a trial."""
+        tried = self.share.begin_trial(request.traits)
+        if tried:
+            decision("suspect_tried", request=request.head.request_id, traits=tried)
 
     def record_crash(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Record that the request was running when the upstream crashed; notify all peers."""
         crash = f"{record.id}/{record.started_ms}"
-        self.quarantine.record_crash(request.fingerprint, crash, time.monotonic())
-        message = {"fingerprint": request.fingerprint, "crash": crash}
-        self.mesh.post_all(self.mesh.peers(), CRASH, message)
+        CRASHES.inc()
         decision(
             "crash_suspected",
             request=request.head.request_id,
@@ -43,21 +80,39 @@
             fingerprint=request.fingerprint,
             parts=request.head.prompt_parts,
         )
+        self.share.record_crash(request.traits, crash)
 
-    def record_finished(self, request: GatewayRequest) -> None:
-        """Clear an answered request; notify the other entries if it was a suspect."""
-        if not self.quarantine.is_suspect(request.fingerprint, time.monotonic()):
-            return
-        self.quarantine.record_finished(request.fingerprint)
-        message = {"fingerprint": request.fingerprint}
-        self.mesh.post_all(self.mesh.peers(), FINISHED, message)
-
-    def on_crash(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Record a crash that another entry reports."""
-        self.quarantine.record_crash(
-            str(payload["fingerprint"]), str(payload["crash"]), time.monotonic()
-        )
+    def record_answered(self, request: GatewayRequest) -> None:
+        """Clear what an answered request has in common with others.
+
+        An answer that follows a failed attempt may be the rest of a stream and proves nothing.
+        """
+        if not request.attempts:
+            self.share.record_answered(request.traits)
+
+    def update_rank(self) -> None:
+        """Set how much later than the other entries this one tries what is refused."""
+        rank = sum(peer.name < self.mesh.own.name for peer in self.mesh.peers(ENTRY))
+        self.quarantine.trial_delay_s = rank * TRIAL_STAGGER_S
 
-    def on_finished(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Clear a request that another entry reports as answered."""
-        self.quarantine.record_finished(str(payload["fingerprint"]))
+    def handle_change(self) -> None:
+        """Log what is refused now or no more; notify the listeners if something was added."""
+        now_s = time.monotonic()
+        suspects = self.quarantine.suspects
+        refused = {trait for trait, suspect in suspects.items() if suspect.is_refused}
+        for trait in refused - self.refused:
+            decision(
+                "suspect_refused",
+                trait=trait,
+                crashes=list(suspects[trait].crashes),
+                requests=suspects[trait].requests,
+                seconds=round(suspects[trait].refused_until_s - now_s, 1),
+            )
+        for trait in self.refused - refused:
+            decision("suspect_allowed", trait=trait)
+        is_more = bool(refused - self.refused)
+        self.refused = refused
+        REFUSED_TRAITS.set(len(refused))
+        if is_more:
+            for listener in self.on_refused:
+                listener()
--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -51,8 +51,12 @@
 
     def record_unknown(
         self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
-    ) -> None:
-        """Record a failed attempt whose request may have run."""
+    ) -> asyncio.Task[None] | None:
+        """Record a failed attempt whose request may have run.
+
+        Returns the check whether the upstream has crashed, if there is one.
+        """
+        probe = None
         request.attempts += 1
         request.tried.add(record.run_key())
         # An engine that switches to new weights cuts its running requests but is healthy, and a
@@ -63,8 +67,9 @@
                 self.selector.record_unreachable(record)
             elif not error.is_answered:
                 self.selector.health.record_failure(record.run_key())
-                self.suspect_crash(request, record)
+                probe = self.suspect_crash(request, record)
         log_failure(request, record, error.reason, "unknown")
+        return probe
 
     def record_cancelled(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Record a failure of an upstream that was silent when the time limit was reached."""
@@ -73,7 +78,7 @@
             self.selector.health.record_outcome(record.run_key(), failed=True)
             self.selector.health.record_failure(record.run_key())
 
-    def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+    def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> asyncio.Task[None]:
         """Record a crash if a new connection to the upstream fails after it ran the request."""
 
         async def probe() -> None:
@@ -86,6 +91,7 @@
         task = asyncio.create_task(probe())
         self.probes.add(task)
         task.add_done_callback(self.probes.discard)
+        return task
 
 
 def log_failure(request: GatewayRequest, record: UpstreamRecord, reason: str, outcome: str) -> None:
--- a/gypsumpier/gateway/pendingstarts.py
+++ b/gypsumpier/gateway/pendingstarts.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Final
+from typing import Final, NamedTuple
 
 from prometheus_client import Counter
 
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.selector import UpstreamSelector
@@ -23,24 +24,35 @@
 )
 
 
+class PendingStart(NamedTuple):
+    """A request that was sent to an upstream, which held that version of the weights."""
+
+    request: GatewayRequest
+    record: UpstreamRecord
+    sent_version: int
+
+
 class PendingStarts:
-    """Withdraws requests from upstreams that would start them on outdated weights.
+    """Withdraws requests from upstreams that must not start them any more.
 
     An upstream may start a request long after it was sent: it waits in the upstream's queue, and
     before that on the way.  ``due_version`` returns the oldest version of a service's weights that
-    a request may still start on.  ``pending`` holds for each exchange the upstream and the version
-    that it held when the request was sent.
+    a request may still start on.  ``pending`` holds for each exchange its request, the upstream and
+    the version that it held when the request was sent.
     """
 
     def __init__(self, selector: UpstreamSelector, due_version: Callable[[str], int]) -> None:
         self.selector = selector
         self.due_version = due_version
-        self.pending: dict[Exchange, tuple[UpstreamRecord, int]] = {}
+        self.pending: dict[Exchange, PendingStart] = {}
 
     @contextmanager
-    def track(self, exchange: Exchange, record: UpstreamRecord) -> Iterator[None]:
+    def track(
+        self, exchange: Exchange, request: GatewayRequest, record: UpstreamRecord
+    ) -> Iterator[None]:
         """Count the exchange's request as not started for the time of the context."""
-        self.pending[exchange] = record, self.selector.held_version(record)
+        version = self.selector.held_version(record)
+        self.pending[exchange] = PendingStart(request, record, version)
         try:
             yield
         finally:
@@ -57,9 +69,9 @@
 
         An upstream that is loading holds no version; it may load one that is too old as well.
         """
-        services = {record.service for record, _ in self.pending.values()}
+        services = {pending.record.service for pending in self.pending.values()}
         due_by_service = {service: self.due_version(service) for service in services}
-        for exchange, (record, sent_version) in list(self.pending.items()):
+        for exchange, (_, record, sent_version) in list(self.pending.items()):
             due = due_by_service[record.service]
             # Held versions are worked out only in the rare case of a request sent on an older one.
             if sent_version >= due:
@@ -67,3 +79,9 @@
             held = max(sent_version, self.selector.held_version(record))
             if held < due and exchange.withdraw(f"not started on version {held}, {due} is due"):
                 WITHDRAWN.labels(record.service).inc()
+
+    def withdraw(self, is_refused: Callable[[GatewayRequest], bool], reason: str) -> None:
+        """Withdraw the requests that are refused by now."""
+        for exchange, (request, record, _) in list(self.pending.items()):
+            if is_refused(request) and exchange.withdraw(reason):
+                WITHDRAWN.labels(record.service).inc()
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -12,11 +12,7 @@
 from prometheus_client import Histogram
 from tornado.httputil import RequestStartLine
 
-from gypsumpier.codes.request import (
-    ANSWER_LOST,
-    EVERY_TRY_REFUSED,
-    SUSPECTED_OF_CRASHES,
-)
+from gypsumpier.codes.request import ANSWER_LOST, EVERY_TRY_REFUSED
 from gypsumpier.codes.result import Outcome
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import UpstreamRecord
@@ -44,6 +40,9 @@
 """Seconds without an answer after which a repeatable plain request is sent to another upstream."""
 ANSWER_MAX_BYTES: Final = 1024 * 1024
 """Bytes of a plain answer, which is held as a whole for each request in flight."""
+CRASH_CHECK_S: Final = 0.05
+"""Seconds for which a repeat waits for the check whether the upstream has crashed; a connection
+within a region takes a few milliseconds."""
 RETRY_AFTER_S: Final = 0.2
 """Retry-After, in seconds, of a request that every upstream refused."""
 SERVER_ERROR: Final = 500
@@ -86,9 +85,6 @@
     async def run(self, request: GatewayRequest, writer: AnswerWriter) -> None:
         """Answer the request; raise Refusal if no upstream's answer reaches the caller."""
         self.retries.record_request(request.service)
-        refused_s = self.crashes.refused_for_s(request)
-        if refused_s > 0:
-            raise Refusal(SUSPECTED_OF_CRASHES, 503, "it ran when upstreams crashed", refused_s)
         try:
             await self.try_upstreams(request, writer)
         except Refusal as refusal:
@@ -100,7 +96,9 @@
     async def try_upstreams(self, request: GatewayRequest, writer: AnswerWriter) -> None:
         """Try one upstream after another; raise Refusal once no further attempt is allowed."""
         while True:
+            self.crashes.check(request)
             record = await self.admission.enter(request)
+            probe = None
             try:
                 await self.attempt(request, record, writer)
                 return
@@ -108,13 +106,16 @@
                 self.failures.record_not_run(request, record, error)
                 self.check_resend(request, error)
             except OutcomeUnknownError as error:
-                self.failures.record_unknown(request, record, error)
+                probe = self.failures.record_unknown(request, record, error)
                 self.check_repeat(request, error)
             except asyncio.CancelledError:
                 self.failures.record_cancelled(request, record)
                 raise
             finally:
                 self.admission.leave(request, record)
+            if probe is not None:
+                # The repeat would end another upstream if the request ended this one.
+                await asyncio.wait({probe}, timeout=CRASH_CHECK_S)
 
     def check_resend(self, request: GatewayRequest, error: NotRunError) -> None:
         """Raise Refusal unless a request that has not run may be sent to another upstream."""
@@ -159,6 +160,10 @@
             if not self.admission.may_serve(request, record):
                 reason = "no longer serves the request once it is connected to"
                 raise NotRunError(reason, is_refusal=False, is_recalled=True)
+            if self.crashes.refused_for_s(request):
+                reason = "the request is suspected of crashes once it is connected to"
+                raise NotRunError(reason, is_refusal=False, is_recalled=True)
+            self.crashes.begin(request)
             return self.call(request, record)
 
         def should_abandon() -> bool:
@@ -167,7 +172,7 @@
         async with self.pool.exchange(
             address, request.route.is_repeatable, make_call, should_abandon
         ) as exchange:
-            with self.starts.track(exchange, record):
+            with self.starts.track(exchange, request, record):
                 head = await exchange.answer(request.head.request_id)
             request.answered_at_s = time.monotonic()
             UPSTREAM_ANSWER_TIME.labels(request.service).observe(request.unanswered_s())
@@ -183,7 +188,7 @@
             is_failure = head.status >= SERVER_ERROR
         self.selector.record_success(record)
         self.selector.health.record_outcome(record.run_key(), is_failure)
-        self.crashes.record_finished(request)
+        self.crashes.record_answered(request)
 
     def call(self, request: GatewayRequest, record: UpstreamRecord) -> UpstreamCall:
         """Return the request in the form in which it is sent to the upstream."""
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -5,6 +5,7 @@
 
 from gypsumpier.fleet.configuration import Workspace
 from gypsumpier.fleet.route import Route
+from gypsumpier.quarantine.trait import traits_of
 from gypsumpier.upstream.head import CallerHead
 
 
@@ -48,6 +49,11 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """What it may have in common with others: its fingerprint and parts of its prompt."""
+        return traits_of(self.fingerprint, self.head.prompt_parts)
+
     @property
     def workspace_name(self) -> str:
         """The name of the workspace; empty if the route needs no key."""
--- /dev/null
+++ b/gypsumpier/quarantine/quarantine.py
@@ -0,0 +1,253 @@
+"""Decides which requests are refused because requests like them ended upstreams.
+
+Each crash of an upstream has an id and names the requests that were running there, by their traits.
+Every request with the culprit ends its upstream, so a trait is cleared of all known crashes once a
+request with it is answered.  Of the traits that are left, those that enough crashes name are
+refused, except where a more suspicious trait in the same crashes explains them: one that was never
+answered, or that fewer of the requests in a crash had.
+
+A refusal ends with an answer.  Once its time is over, a single request is tried; if it ends an
+upstream too, the next trial is much later.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from itertools import takewhile
+from typing import Any, Final
+
+from gypsumpier.quarantine.suspect import Suspect, count_separate, suspect_from
+from gypsumpier.quarantine.trait import is_part
+
+CRASHES_TO_REFUSE: Final = 2
+"""Crashes that name a request until its copies are refused."""
+CRASHES_TO_REFUSE_PART: Final = 3
+"""Crashes that name a part of prompts until it is refused; other parts run beside the culprit."""
+CRASHES_TO_REFUSE_ANSWERED_PART: Final = 5
+"""The same for a part with which requests were answered before, which is likely sound."""
+EXPLAINING_FACTOR: Final = 2.0
+"""How many times more requests per crash a part must have to be explained by another part."""
+EXPLAINED_SHARE: Final = 0.75
+"""Share of a part's crashes in which the part that explains it must have run as well."""
+FIRST_REFUSAL_S: Final = 5.0
+"""Seconds until the first trial of what is refused: requests that were sent before have ended."""
+LATER_REFUSALS_S: Final = (600.0, 6 * 3600.0, 24 * 3600.0)
+"""Seconds of the refusal after each failed trial; the last one repeats.  The trials of a day end
+three upstreams at most."""
+TRIAL_S: Final = 5.0
+"""Seconds for which one trial prevents others, unless its end is known before."""
+JOINT_TRIAL_DELAY_S: Final = 60.0
+"""Seconds for which a request with several refused traits waits longer for its trial than a request
+with one: its end would not tell which of them is the culprit."""
+EVIDENCE_S: Final = 3600.0
+"""Seconds for which a crash counts against a trait that is not refused."""
+FORGOTTEN_S: Final = 24 * 3600.0
+"""Seconds after its last refusal after which a trait that was not tried again is forgotten."""
+SUSPECTS_MAX: Final = 4096
+"""Suspects that are kept; refused ones go last."""
+CRASHES_MAX: Final = 256
+ANSWERED_MAX: Final = 8192
+"""Parts with answered requests that are remembered."""
+
+
+class Quarantine:
+    """The traits that crashes name, bounded in number and age.  Times are monotonic seconds.
+
+    ``trial_delay_s`` is how much later than others this process tries a refused trait.
+    ``parts_by_crash`` holds the parts of the prompts that ran in each recent crash.  ``listeners``
+    are called when a suspect may have changed.
+    """
+
+    def __init__(self, first_refusal_s: float) -> None:
+        self.first_refusal_s = first_refusal_s
+        self.trial_delay_s = 0.0
+        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+        self.parts_by_crash: OrderedDict[str, set[str]] = OrderedDict()
+        self.answered_parts: OrderedDict[str, None] = OrderedDict()
+        self.listeners: list[Callable[[], None]] = []
+
+    def record_crash(self, traits: Iterable[str], crash: str, now_s: float) -> None:
+        """Record that a request with these traits was running when an upstream crashed."""
+        for trait in traits:
+            self.name(trait, crash, now_s)
+        self.update(now_s)
+
+    def name(self, trait: str, crash: str, now_s: float) -> None:
+        """Add a crash to a trait; a refused one that was tried is refused for longer."""
+        suspect = self.suspects.setdefault(trait, Suspect())
+        if crash in suspect.cleared:
+            return
+        suspect.requests += 1
+        if is_part(trait):
+            self.parts_by_crash.setdefault(crash, set()).add(trait)
+        if crash in suspect.crashes:
+            return
+        if not suspect.is_refused:
+            suspect.drop_crashes_before(now_s - EVIDENCE_S)
+        suspect.add_crash(crash, now_s)
+        self.suspects.move_to_end(trait)
+        if suspect.is_refused and now_s >= suspect.refused_until_s:
+            suspect.failed_trials += 1
+            suspect.trial_until_s = 0.0
+            suspect.refused_until_s = now_s + self.refusal_s(suspect.failed_trials)
+
+    def update(self, now_s: float) -> None:
+        """Draw the conclusions from what has changed."""
+        self.refuse_culprits(now_s)
+        self.evict_old(now_s)
+        for listener in self.listeners:
+            listener()
+
+    def refusal_s(self, failed_trials: int) -> float:
+        """Return the seconds of a refusal after so many failed trials."""
+        if not failed_trials:
+            return self.first_refusal_s
+        index = min(failed_trials, len(LATER_REFUSALS_S)) - 1
+        return max(self.first_refusal_s, LATER_REFUSALS_S[index])
+
+    def refuse_culprits(self, now_s: float) -> None:
+        """Refuse the traits that explain crashes; allow again those that others explain better."""
+        found = []
+        for trait, suspect in self.suspects.items():
+            if is_part(trait):
+                if len(suspect.crashes) >= CRASHES_TO_REFUSE_PART:
+                    found.append((trait, suspect))
+            elif len(suspect.crashes) >= CRASHES_TO_REFUSE:
+                self.refuse(suspect, now_s)
+        found.sort(key=lambda item: (self.was_answered(item[0]), item[1].requests_per_crash))
+        culprits: set[str] = set()
+        for trait, suspect in found:
+            unexplained_s = [
+                at_s
+                for crash, at_s in suspect.crashes.items()
+                if not self.is_explained(trait, crash, culprits)
+            ]
+            if suspect.failed_trials or count_separate(unexplained_s) >= self.crashes_needed(trait):
+                self.refuse(suspect, now_s)
+                culprits.add(trait)
+            elif suspect.is_refused:
+                suspect.end_refusal()
+
+    def refuse(self, suspect: Suspect, now_s: float) -> None:
+        """Begin to refuse a trait, unless it is refused already."""
+        if not suspect.is_refused:
+            suspect.is_refused = True
+            suspect.refused_until_s = now_s + self.first_refusal_s
+
+    def was_answered(self, part: str) -> bool:
+        """Return whether a request with the part was answered not long ago."""
+        return part in self.answered_parts
+
+    def crashes_needed(self, part: str) -> int:
+        """Return how many separate crashes must name the part until it is refused."""
+        if self.was_answered(part):
+            return CRASHES_TO_REFUSE_ANSWERED_PART
+        return CRASHES_TO_REFUSE_PART
+
+    def is_explained(self, part: str, crash: str, culprits: set[str]) -> bool:
+        """Return whether a more suspicious culprit ran in the crash as well."""
+        others = self.parts_by_crash.get(crash, set()) & culprits
+        return any(self.is_more_suspicious(other, part) for other in others)
+
+    def is_more_suspicious(self, other: str, part: str) -> bool:
+        """Return whether crashes that name both parts are rather due to the other one."""
+        if self.was_answered(part) and not self.was_answered(other):
+            return True
+        rare, frequent = self.suspects[other], self.suspects[part]
+        common = rare.crashes.keys() & frequent.crashes.keys()
+        return (
+            len(common) >= EXPLAINED_SHARE * len(frequent.crashes)
+            and EXPLAINING_FACTOR * rare.requests_per_crash <= frequent.requests_per_crash
+        )
+
+    def record_answered(self, traits: Iterable[str], now_s: float) -> dict[str, list[str]]:
+        """Clear the traits of an answered request of the crashes known by now.
+
+        Returns the crashes of which each suspect was cleared.
+        """
+        cleared = {}
+        for trait in traits:
+            if is_part(trait):
+                self.answered_parts[trait] = None
+                self.answered_parts.move_to_end(trait)
+            suspect = self.suspects.get(trait)
+            if suspect is not None and suspect.crashes:
+                cleared[trait] = list(suspect.crashes)
+        while len(self.answered_parts) > ANSWERED_MAX:
+            self.answered_parts.popitem(last=False)
+        self.clear(cleared, now_s)
+        return cleared
+
+    def clear(self, cleared: dict[str, list[str]], now_s: float) -> None:
+        """Clear each trait of the crashes."""
+        for trait, crashes in cleared.items():
+            self.suspects.setdefault(trait, Suspect(named_at_s=now_s)).clear(crashes)
+        if cleared:
+            self.update(now_s)
+
+    def merge(self, found: dict[str, Any], now_s: float) -> None:
+        """Add the suspects of another process, as the fields of a message by trait.
+
+        Raises KeyError, TypeError or ValueError if they are malformed; then none is added.
+        """
+        others = {trait: suspect_from(fields, now_s) for trait, fields in found.items()}
+        for trait, other in others.items():
+            self.suspects.setdefault(trait, Suspect()).merge(other, now_s)
+            self.suspects.move_to_end(trait)
+            if is_part(trait):
+                for crash in other.crashes:
+                    self.parts_by_crash.setdefault(crash, set()).add(trait)
+        self.update(now_s)
+
+    def is_suspect(self, trait: str) -> bool:
+        """Return whether a crash names the trait, of which it was not cleared."""
+        suspect = self.suspects.get(trait)
+        return suspect is not None and bool(suspect.crashes)
+
+    def knows(self, trait: str, crash: str) -> bool:
+        """Return whether it is known that a request with the trait ran in the crash."""
+        suspect = self.suspects.get(trait)
+        return suspect is not None and (crash in suspect.crashes or crash in suspect.cleared)
+
+    def refused(self, traits: Iterable[str]) -> list[str]:
+        """Return which of the traits are refused, including those that may be tried."""
+        return [
+            trait
+            for trait in traits
+            if (suspect := self.suspects.get(trait)) is not None and suspect.is_refused
+        ]
+
+    def refused_for_s(self, traits: Iterable[str], now_s: float) -> float:
+        """Return for how many more seconds a request with these traits is refused; 0 if it isn't.
+
+        A request that may be tried isn't refused.
+        """
+        refused = self.refused(traits)
+        if not refused:
+            return 0.0
+        delay_s = self.trial_delay_s + (JOINT_TRIAL_DELAY_S if len(refused) > 1 else 0.0)
+        suspects = [self.suspects[trait] for trait in refused]
+        until_s = max(
+            max(suspect.refused_until_s + delay_s, suspect.trial_until_s) for suspect in suspects
+        )
+        return max(0.0, until_s - now_s)
+
+    def begin_trial(self, traits: Iterable[str], now_s: float) -> list[str]:
+        """Record that a request with these traits is sent now; return those that it tries."""
+        refused = self.refused(traits)
+        for trait in refused:
+            self.suspects[trait].trial_until_s = now_s + TRIAL_S
+        return refused
+
+    def evict_old(self, now_s: float) -> None:
+        """Drop old crashes, and the suspects that are forgotten or too many."""
+        while len(self.parts_by_crash) > CRASHES_MAX:
+            self.parts_by_crash.popitem(last=False)
+        oldest_s = now_s - EVIDENCE_S
+        # In the order in which they were named last.
+        old = takewhile(lambda item: item[1].named_at_s < oldest_s, self.suspects.items())
+        for trait, suspect in list(old):
+            if not suspect.is_refused or now_s >= suspect.refused_until_s + FORGOTTEN_S:
+                del self.suspects[trait]
+        while len(self.suspects) > SUSPECTS_MAX:
+            unrefused = (trait for trait, found in self.suspects.items() if not found.is_refused)
+            del self.suspects[next(unrefused, next(iter(self.suspects)))]
--- a/gypsumpier/sidecar/application.py
+++ b/gypsumpier/sidecar/application.py
@@ -17,6 +17,8 @@
 from gypsumpier.piece.cache import PIECE
 from gypsumpier.piece.engine import Engine
 from gypsumpier.piece.turns import SwitchSchedule
+from gypsumpier.quarantine.quarantine import FIRST_REFUSAL_S, Quarantine
+from gypsumpier.quarantine.share import QuarantineShare
 from gypsumpier.sidecar.enginewatch import EngineWatch
 from gypsumpier.sidecar.keeper import VersionKeeper
 from gypsumpier.tasks import end_task
@@ -54,6 +56,8 @@
         self.keeper = VersionKeeper(
             self.mesh, self.fleet_state, schedule, self.watch, settings.engine_service
         )
+        # The entries of the zone may all restart at once and then know no suspect.
+        self.quarantine_share = QuarantineShare(self.mesh, Quarantine(FIRST_REFUSAL_S))
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -194,6 +194,7 @@
         idempotent=False,
         priority=1,
         prefix="",
+        parts=(),
         fingerprint=body.decode(),
     )
 
