Drop a message of any wrong shape without its connection

A message with a list where an object belongs, an infinite number or an empty list ended the task that reads the connection: the peers lost each other until the next dial, again with each such message. Handlers raise AttributeError, LookupError and ArithmeticError for these; they are now logged as mesh_message_failed like the others. The new test fails without the change. The process itself went on before as well.

--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -35,6 +35,9 @@
 UNREACHABLE_TIMEOUT_S: Final = 30.0
 """Seconds after which an unreachable entry is removed and no longer dialled."""
 
+BAD_MESSAGE_ERRORS: Final = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
+"""What a handler raises for fields that are missing, of another type or out of range."""
+
 Listener = Callable[[Peer, dict[str, Any]], None]
 AgedListener = Callable[[Peer, dict[str, Any], float], None]
 RequestHandler = Callable[[Peer, dict[str, Any]], Awaitable[dict[str, Any]]]
@@ -263,7 +266,7 @@
         if frame.kind in self.listeners or frame.kind in self.aged_listeners:
             try:
                 self.notify(link, frame)
-            except (KeyError, TypeError, ValueError) as error:
+            except BAD_MESSAGE_ERRORS as error:
                 log_bad_message(link, frame, error)
         elif frame.kind in self.request_handlers:
             task = asyncio.create_task(self.answer(link, frame))
@@ -282,7 +285,7 @@
         """Handle a request and send its answer; a failure is sent as the answer."""
         try:
             answer = await self.request_handlers[frame.kind](link.peer, frame.payload)
-        except (GypsumpierError, KeyError, TypeError, ValueError, TimeoutError) as error:
+        except (GypsumpierError, TimeoutError, *BAD_MESSAGE_ERRORS) as error:
             log_bad_message(link, frame, error)
             answer = {FAILED: repr(error)}
         link.post(ANSWER, answer, frame.exchange)
--- a/gypsumpier/test/test_mesh.py
+++ b/gypsumpier/test/test_mesh.py
@@ -4,49 +4,11 @@
 import unittest
 from typing import Any
 
-from tornado.netutil import bind_sockets
-
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.fleet.node import Address
 from gypsumpier.mesh.link import SEND_QUEUE_MAX
-from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
+from gypsumpier.mesh.mesh import SIDECAR
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.wire.tcp import TcpDialer, TcpListener
-
-SETTLE_TIMEOUT_S = 5.0
-
-
-class Node:
-    """One process's mesh and, for an entry, its listening sockets."""
-
-    def __init__(self, name: str, zone: str, role: str = ENTRY) -> None:
-        self.sockets = bind_sockets(0, "127.0.0.1") if role == ENTRY else []
-        port = self.sockets[0].getsockname()[1] if self.sockets else 0
-        own = Peer(name, role, zone, zone, "127.0.0.1", port, "run")
-        self.mesh = Mesh(own, (), TcpDialer())
-        self.listener = TcpListener(self.mesh.accept)
-
-    def start(self, *seeds: "Node") -> None:
-        """Listen and dial the seeds."""
-        self.listener.add_sockets(self.sockets)
-        self.mesh.seeds = tuple(Address(node.mesh.own.host, node.mesh.own.port) for node in seeds)
-        self.mesh.start()
-
-    async def stop(self) -> None:
-        """Close the listener and all connections."""
-        self.listener.stop()
-        await self.mesh.stop()
-
-    def names(self, role: str = ENTRY) -> list[str]:
-        """Return the names of the connected peers of a role."""
-        return [peer.name for peer in self.mesh.peers(role)]
-
-
-async def wait_until(condition: Any) -> None:
-    """Wait until the condition holds."""
-    async with asyncio.timeout(SETTLE_TIMEOUT_S):
-        while not condition():
-            await asyncio.sleep(0.01)
+from gypsumpier.test.meshnode import Node, wait_until
 
 
 class MeshTest(unittest.IsolatedAsyncioTestCase):
@@ -105,6 +67,30 @@
         await asyncio.sleep(0.05)
         self.assertIn("a-2", self.nodes[0].names())
 
+    # Guards against a message with a list in place of an object ending the connection it came on.
+    async def test_a_message_of_any_wrong_shape_leaves_the_connection_open(self) -> None:
+        link = self.nodes[0].mesh.link("a-2")
+        heard: list[Any] = []
+
+        def listen(peer: Peer, body: dict[str, Any]) -> None:
+            heard.append(body["field"])
+            body["field"].items()
+            int(body["number"])
+            body["numbers"][0] / 0
+
+        self.nodes[1].mesh.listeners["note"] = listen
+        bodies: list[dict[str, Any]] = [
+            {"field": []},
+            {"field": {}, "number": float("inf")},
+            {"field": {}, "number": 1, "numbers": []},
+            {"field": {}, "number": 1, "numbers": [1]},
+        ]
+        for body in bodies:
+            self.nodes[0].mesh.post("a-2", "note", body)
+        await wait_until(lambda: len(heard) == len(bodies))
+        await asyncio.sleep(0.05)
+        self.assertIs(link, self.nodes[0].mesh.link("a-2"))
+
     async def test_a_peer_that_restarts_is_found_again(self) -> None:
         await self.nodes[1].stop()
         await wait_until(lambda: self.nodes[0].names() == ["b-1"])
