Test what crashes prove, and share it with sidecars by state

Sidecars heard only of the crashes that entries of their zone reported and kept a refusal that an answer in another zone had ended (test_an_answer_anywhere_ends_the_refusal_everywhere failed). The first entry of a zone now sends its sidecars what is refused, for longer, or no more.

A sound part that rare culprits share by turns was refused by the earlier rule; a part now explains another if it has three quarters of its crashes.

--- a/gypsumpier/gateway/crashes.py
+++ b/gypsumpier/gateway/crashes.py
@@ -35,14 +35,13 @@
 class CrashTracker:
     """Records which requests were running when the connections of an upstream broke.
 
-    ``on_refused`` is called whenever more is refused than before.
+    ``on_refused`` is called when something is refused or refused for longer.
     """
 
     def __init__(self, mesh: Mesh) -> None:
         self.mesh = mesh
         self.quarantine = Quarantine(FIRST_REFUSAL_S)
         self.share = QuarantineShare(mesh, self.quarantine)
-        self.refused: set[str] = set()
         self.on_refused: list[Callable[[], None]] = []
         self.quarantine.listeners.append(self.handle_change)
 
@@ -95,24 +94,22 @@
         rank = sum(peer.name < self.mesh.own.name for peer in self.mesh.peers(ENTRY))
         self.quarantine.trial_delay_s = rank * TRIAL_STAGGER_S
 
-    def handle_change(self) -> None:
-        """Log what is refused now or no more; notify the listeners if something was added."""
-        now_s = time.monotonic()
-        suspects = self.quarantine.suspects
-        refused = {trait for trait, suspect in suspects.items() if suspect.is_refused}
-        for trait in refused - self.refused:
+    def handle_change(self, changed: list[str]) -> None:
+        """Log what is refused, for longer or no more; notify the listeners of a refusal."""
+        REFUSED_TRAITS.set(len(self.quarantine.failed_trials))
+        for trait in changed:
+            suspect = self.quarantine.suspects.get(trait)
+            if suspect is None or not suspect.is_refused:
+                decision("suspect_allowed", trait=trait)
+                continue
             decision(
                 "suspect_refused",
                 trait=trait,
-                crashes=list(suspects[trait].crashes),
-                requests=suspects[trait].requests,
-                seconds=round(suspects[trait].refused_until_s - now_s, 1),
+                crashes=list(suspect.crashes),
+                requests=suspect.requests,
+                failed_trials=suspect.failed_trials,
+                seconds=round(suspect.refused_until_s - time.monotonic(), 1),
             )
-        for trait in self.refused - refused:
-            decision("suspect_allowed", trait=trait)
-        is_more = bool(refused - self.refused)
-        self.refused = refused
-        REFUSED_TRAITS.set(len(refused))
-        if is_more:
+        if self.quarantine.refused(changed):
             for listener in self.on_refused:
                 listener()
--- a/gypsumpier/quarantine/quarantine.py
+++ b/gypsumpier/quarantine/quarantine.py
@@ -26,8 +26,8 @@
 """The same for a part with which requests were answered before, which is likely sound."""
 EXPLAINING_FACTOR: Final = 2.0
 """How many times more requests per crash a part must have to be explained by another part."""
-EXPLAINED_SHARE: Final = 0.75
-"""Share of a part's crashes in which the part that explains it must have run as well."""
+EXPLAINING_SHARE: Final = 0.75
+"""Share of a part's number of crashes that a part must have that explains it."""
 FIRST_REFUSAL_S: Final = 5.0
 """Seconds until the first trial of what is refused: requests that were sent before have ended."""
 LATER_REFUSALS_S: Final = (600.0, 6 * 3600.0, 24 * 3600.0)
@@ -53,17 +53,20 @@
     """The traits that crashes name, bounded in number and age.  Times are monotonic seconds.
 
     ``trial_delay_s`` is how much later than others this process tries a refused trait.
-    ``parts_by_crash`` holds the parts of the prompts that ran in each recent crash.  ``listeners``
-    are called when a suspect may have changed.
+    ``repeated`` are the suspects that may have more than one crash.  ``parts_by_crash`` holds the
+    parts of the prompts that ran in each recent crash.  ``failed_trials`` holds the failed trials
+    of each refused trait; ``listeners`` are called with the traits for which that has changed.
     """
 
     def __init__(self, first_refusal_s: float) -> None:
         self.first_refusal_s = first_refusal_s
         self.trial_delay_s = 0.0
         self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+        self.repeated: set[str] = set()
         self.parts_by_crash: OrderedDict[str, set[str]] = OrderedDict()
         self.answered_parts: OrderedDict[str, None] = OrderedDict()
-        self.listeners: list[Callable[[], None]] = []
+        self.failed_trials: dict[str, int] = {}
+        self.listeners: list[Callable[[list[str]], None]] = []
 
     def record_crash(self, traits: Iterable[str], crash: str, now_s: float) -> None:
         """Record that a request with these traits was running when an upstream crashed."""
@@ -84,6 +87,8 @@
         if not suspect.is_refused:
             suspect.drop_crashes_before(now_s - EVIDENCE_S)
         suspect.add_crash(crash, now_s)
+        if len(suspect.crashes) >= CRASHES_TO_REFUSE:
+            self.repeated.add(trait)
         self.suspects.move_to_end(trait)
         if suspect.is_refused and now_s >= suspect.refused_until_s:
             suspect.failed_trials += 1
@@ -94,8 +99,13 @@
         """Draw the conclusions from what has changed."""
         self.refuse_culprits(now_s)
         self.evict_old(now_s)
-        for listener in self.listeners:
-            listener()
+        before = self.failed_trials
+        refused = self.refused(self.repeated)
+        self.failed_trials = {trait: self.suspects[trait].failed_trials for trait in refused}
+        changed = [trait for trait, _ in before.items() ^ self.failed_trials.items()]
+        if changed:
+            for listener in self.listeners:
+                listener(sorted(set(changed)))
 
     def refusal_s(self, failed_trials: int) -> float:
         """Return the seconds of a refusal after so many failed trials."""
@@ -107,12 +117,15 @@
     def refuse_culprits(self, now_s: float) -> None:
         """Refuse the traits that explain crashes; allow again those that others explain better."""
         found = []
-        for trait, suspect in self.suspects.items():
-            if is_part(trait):
-                if len(suspect.crashes) >= CRASHES_TO_REFUSE_PART:
-                    found.append((trait, suspect))
-            elif len(suspect.crashes) >= CRASHES_TO_REFUSE:
+        for trait in list(self.repeated):
+            suspect = self.suspects.get(trait, Suspect())
+            if len(suspect.crashes) < CRASHES_TO_REFUSE:
+                self.repeated.discard(trait)
+                suspect.end_refusal()
+            elif not is_part(trait):
                 self.refuse(suspect, now_s)
+            elif len(suspect.crashes) >= CRASHES_TO_REFUSE_PART:
+                found.append((trait, suspect))
         found.sort(key=lambda item: (self.was_answered(item[0]), item[1].requests_per_crash))
         culprits: set[str] = set()
         for trait, suspect in found:
@@ -153,9 +166,8 @@
         if self.was_answered(part) and not self.was_answered(other):
             return True
         rare, frequent = self.suspects[other], self.suspects[part]
-        common = rare.crashes.keys() & frequent.crashes.keys()
         return (
-            len(common) >= EXPLAINED_SHARE * len(frequent.crashes)
+            len(rare.crashes) >= EXPLAINING_SHARE * len(frequent.crashes)
             and EXPLAINING_FACTOR * rare.requests_per_crash <= frequent.requests_per_crash
         )
 
@@ -193,6 +205,7 @@
         for trait, other in others.items():
             self.suspects.setdefault(trait, Suspect()).merge(other, now_s)
             self.suspects.move_to_end(trait)
+            self.repeated.add(trait)
             if is_part(trait):
                 for crash in other.crashes:
                     self.parts_by_crash.setdefault(crash, set()).add(trait)
--- a/gypsumpier/quarantine/share.py
+++ b/gypsumpier/quarantine/share.py
@@ -34,11 +34,25 @@
         mesh.listeners[TRIAL] = self.on_trial
         mesh.listeners[SUSPECTS] = self.on_suspects
         mesh.on_peer_connected.append(self.send_suspects)
+        quarantine.listeners.append(self.tell_sidecars)
 
     def post(self, kind: str, payload: dict[str, Any]) -> None:
-        """Send a message to the other entries and to the sidecars of the own zone."""
-        peers = self.mesh.peers(ENTRY) + self.mesh.peers(SIDECAR, self.mesh.own.zone)
-        self.mesh.post_all(peers, kind, payload)
+        """Send a message to the other entries."""
+        self.mesh.post_all(self.mesh.peers(ENTRY), kind, payload)
+
+    def tell_sidecars(self, changed: list[str]) -> None:
+        """Tell the sidecars of the zone what is refused or no more; its first entry does so."""
+        own = self.mesh.own
+        if own.role != ENTRY or any(peer < own for peer in self.mesh.peers(ENTRY, own.zone)):
+            return
+        now_s = time.monotonic()
+        suspects = {
+            trait: self.quarantine.suspects[trait].as_fields(now_s)
+            for trait in changed[:SENT_SUSPECTS_MAX]
+            if trait in self.quarantine.suspects
+        }
+        sidecars = self.mesh.peers(SIDECAR, own.zone)
+        self.mesh.post_all(sidecars, SUSPECTS, {"suspects": suspects})
 
     def record_crash(self, traits: tuple[str, ...], crash: str) -> None:
         """Record that a request with these traits ran in a crash; tell the others."""
