Reset the connection of a caller without chunks where a stream was cut

A caller of HTTP/1.0 gets a stream without length or chunks, which ends with its connection. A stream that broke off was ended by a regular close, so for such a caller it looked whole. It is reset now; callers of HTTP/1.1 still see the missing last chunk. test_a_caller_that_knows_no_chunks_sees_that_a_stream_was_cut failed before. The other tests of answers without length or chunks, and of events cut at their end (unframed, with a length, in chunks), passed before this change as well.

--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -79,6 +79,7 @@
         self.head: CallerHead | None = None
         self.parts: list[bytes] = []
         self.received_at_s = 0.0
+        self.knows_chunks = True
         self.request: GatewayRequest | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -89,6 +90,7 @@
         assert isinstance(start_line, RequestStartLine)
         self.received_at_s = time.monotonic()
         self.head = caller_head(start_line, headers)
+        self.knows_chunks = start_line.version != "HTTP/1.0"
         self.front.active.add(self)
 
     def data_received(self, chunk: bytes) -> None:
@@ -117,7 +119,9 @@
     async def serve(self) -> None:
         """Answer the request and log how it ended."""
         assert self.head is not None
-        writer = AnswerWriter(self.connection, self.head.request_id, self.front.stopping)
+        writer = AnswerWriter(
+            self.connection, self.head.request_id, self.front.stopping, self.knows_chunks
+        )
         outcome = "answered"
         detail = ""
         try:
--- a/gypsumpier/gateway/writer.py
+++ b/gypsumpier/gateway/writer.py
@@ -9,6 +9,7 @@
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.platform.headers import refusal_headers
 from gypsumpier.upstream.head import AnswerHead
+from gypsumpier.wire.reset import reset
 
 REASONS: Final = {
     400: "Bad Request",
@@ -25,13 +26,17 @@
     """Writes the answer of one request.
 
     ``status`` is 0 until an answer has begun; ``ended`` is set once it is complete or aborted.
-    With ``closes`` the answer announces that the connection is closed after it.
+    With ``closes`` the answer announces that the connection is closed after it.  A caller that
+    ``knows_chunks`` can tell a stream that was cut from a whole one.
     """
 
-    def __init__(self, connection: HTTP1Connection, request_id: str, closes: bool) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, request_id: str, closes: bool, knows_chunks: bool
+    ) -> None:
         self.connection = connection
         self.request_id = request_id
         self.closes = closes
+        self.knows_chunks = knows_chunks
         self.status = 0
         self.ended = False
 
@@ -87,4 +92,7 @@
     def abort(self) -> None:
         """Close the connection, so that an incomplete answer is never taken for a complete one."""
         self.ended = True
-        self.connection.stream.close()
+        if self.knows_chunks:
+            self.connection.stream.close()
+        else:
+            reset(self.connection.stream)
--- a/gypsumpier/test/standin/crashingengine.py
+++ b/gypsumpier/test/standin/crashingengine.py
@@ -1,8 +1,6 @@
 """A stand-in for a model engine that ends when it begins to write on certain prompts."""
 
 import asyncio
-import socket
-import struct
 import time
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
@@ -13,6 +11,7 @@
 from gypsumpier.test.gatewayfleet import free_port
 from gypsumpier.test.standin.platform import UpstreamHandler, UpstreamStandin
 from gypsumpier.test.standin.server import StandinHandler, listen
+from gypsumpier.wire.reset import reset
 
 READ_S: Final = 0.02
 """Seconds for which an engine reads a prompt before it begins to write."""
@@ -20,7 +19,6 @@
 """Seconds from the beginning of a fatal answer to the end of the engine; an event gets out."""
 DOWN_S: Final = 1.0
 """Seconds after which an engine that has ended serves again."""
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 class Arrival(NamedTuple):
@@ -41,7 +39,6 @@
         self.fatal_parts = fatal_parts
         self.arrivals: list[Arrival] = []
         self.crashed_at_s: list[float] = []
-        self.connections: set[socket.socket] = set()
         self.down_s = DOWN_S
         self.is_down = False
         self.on_start: Callable[[], None] = lambda: None
@@ -68,10 +65,7 @@
         self.crashed_at_s.append(time.monotonic())
         self.server.stop()
         for connection in list(self.server._connections):
-            stream: Any = connection.stream
-            if stream.socket is not None:
-                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            stream.close()
+            reset(connection.stream)
         asyncio.get_running_loop().call_later(self.down_s, self.start_again)
 
     def start_again(self) -> None:
