Give each test process ports of its own

Each process now goes through a share of the ports by its id and gives none twice in a row. Two processes of the same share still check that a port is free.

--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import errno
-import random
+import itertools
+import os
 import socket
 from typing import Any, Final
 
@@ -32,17 +33,20 @@
 CALL_TIMEOUT_S: Final = 10.0
 PORTS: Final = range(10_240, 32_768)
 """Ports below the range that Linux uses for outgoing connections."""
+PORT_SHARES: Final = 64
+"""Shares of these ports, one for each process, so that two test runs don't take the same port."""
+
+
+own_ports = itertools.cycle(PORTS[os.getpid() % PORT_SHARES :: PORT_SHARES])
 
 
 def free_port() -> int:
     """Return a port that is free now and outside the range of outgoing connections.
 
     A port chosen by the kernel could be assigned to an outgoing connection before a process binds
-    it, or while that process restarts.
+    it, or while that process restarts.  A port is given again only after all others of the share.
     """
-    draws = random.SystemRandom()
-    while True:
-        port = draws.choice(PORTS)
+    for port in own_ports:
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
@@ -51,6 +55,7 @@
                     raise
                 continue
         return port
+    raise AssertionError("the ports have no end")
 
 
 class GatewayFleet:
