--- a/gypsumpier/agent/listener.py
+++ b/gypsumpier/agent/listener.py
@@ -228,10 +228,11 @@
                 await self.clock.sleep(STATE_INTERVAL_S)
 
     def welcome(self) -> dict[str, Any]:
-        """Return the incarnation of this process and its uptime in seconds."""
+        """Return the incarnation of this process, its uptime in seconds and what it understands."""
         return {
             "incarnation": self.options.incarnation,
             "uptime_s": self.clock.monotonic() - self.started_at_s,
+            "takes_parts": True,
         }
 
     def state(self) -> dict[str, Any]:
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -75,6 +75,7 @@
         self.reported_at_s = 0.0
         self.incarnation = ""
         self.started_at_s = 0.0
+        self.takes_parts = False
         self.on_welcome: Callable[[Link], None] = ignore
         self.own_in_flight_at_report = 0
         self.on_suspects: Callable[[list[list[str]]], None] = ignore
@@ -176,6 +177,8 @@
         """Record which process answers on this connection; requests may be sent from now on."""
         self.incarnation = payload["incarnation"]
         self.started_at_s = self.clock.monotonic() - payload["uptime_s"]
+        # An agent of an earlier build refuses requests with a field that it doesn't know.
+        self.takes_parts = payload.get("takes_parts") is True
         self.connection = self.open_connection
         self.closing = False
         self.on_welcome(self)
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -89,6 +89,8 @@
             self.check_home(request, link)
             self.guard.begin(request)
             payload = self.payload(request, document, version)
+            if link.takes_parts:
+                payload["parts"] = list(request.parts)
             async for frame in self.sender.deliver(request, link, attempt, payload):
                 answered = frame.kind == END
                 yield frame
@@ -245,5 +247,4 @@
             "version": version,
             "fingerprint": request.fingerprint,
             "suspect": self.guard.quarantine.is_suspect(request.fingerprint),
-            "parts": list(request.parts),
         }
