Let only whole, successful answers prove what they have in common sound

A plain answer counts as an attempt before it ends, so since the parts were introduced it cleared nothing; an error of the upstream cleared, though the upstream may have run nothing. An attempt that began at the beginning of its answer and was answered with success now clears, also behind an earlier failed attempt without events.

--- a/gypsumpier/gateway/crashes.py
+++ b/gypsumpier/gateway/crashes.py
@@ -82,12 +82,11 @@
         self.share.record_crash(request.traits, crash)
 
     def record_answered(self, request: GatewayRequest) -> None:
-        """Clear what an answered request has in common with others.
+        """Clear what a request has in common with others, as it was answered from the beginning.
 
-        An answer that follows a failed attempt may be the rest of a stream and proves nothing.
+        The rest of a stream that was resumed proves nothing.
         """
-        if not request.attempts:
-            self.share.record_answered(request.traits)
+        self.share.record_answered(request.traits)
 
     def update_rank(self) -> None:
         """Set how much later than the other entries this one tries what is refused."""
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -152,6 +152,7 @@
             attempts=request.attempts,
         )
         request.begin_attempt()
+        is_resumed = bool(request.last_event_id)
         address = Address(record.host, record.port)
 
         def make_call() -> UpstreamCall:
@@ -188,7 +189,8 @@
             is_failure = head.status >= SERVER_ERROR
         self.selector.record_success(record)
         self.selector.health.record_outcome(record.run_key(), is_failure)
-        self.crashes.record_answered(request)
+        if head.is_success and not is_resumed:
+            self.crashes.record_answered(request)
 
     def call(self, request: GatewayRequest, record: UpstreamRecord) -> UpstreamCall:
         """Return the request in the form in which it is sent to the upstream."""
