--- a/gypsumpier/test/test_crash_tracker.py
+++ b/gypsumpier/test/test_crash_tracker.py
@@ -4,6 +4,8 @@
 import unittest
 from typing import Final
 
+from tornado.httpclient import HTTPResponse
+
 from gypsumpier.quarantine.trait import traits_of
 from gypsumpier.test.builders_platform import ENGINES, PLAIN, command_route_body, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
@@ -86,7 +88,7 @@
     async def test_a_request_that_waits_is_refused_at_once(self) -> None:
         self.engine.event_pause_s = 0.5
         queue = self.fleet.entry.admission.queue(ENGINES)
-        fillers = []
+        fillers: list[asyncio.Task[HTTPResponse]] = []
         while not queue.waiting:
             number = len(fillers)
             fillers.append(asyncio.create_task(self.fleet.call("/reports/x", f"r{number}")))
