Test a sidecar that restarts while an accepted order is still to be carried out

An engine that loads 0.8 s after it has accepted an order: the sidecar orders again, and so does its successor, each time with whole pieces; the engine ends on the wanted version.

--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -1,5 +1,6 @@
 """Fakes for the transfer of weight pieces: an engine, an origin and an in-memory mesh."""
 
+import asyncio
 import hashlib
 import random
 from typing import Any
@@ -57,6 +58,23 @@
         return None
 
 
+class LateEngine(FakeEngine):
+    """An engine that carries out an order ``late_s`` seconds after it has accepted it."""
+
+    def __init__(self, late_s: float) -> None:
+        super().__init__()
+        self.late_s = late_s
+
+    async def start(self, model: str, version: int, preempt: bool) -> bool:
+        self.loaded.append(dict(self.pieces))
+        asyncio.get_running_loop().call_later(self.late_s, self.finish, version)
+        return True
+
+    def finish(self, version: int) -> None:
+        """Serve the version from now on."""
+        self.version = version
+
+
 class FakeOrigin:
     """The origin; pieces in ``bad`` are served corrupt once each, and ``down`` fails every call."""
 
--- a/gypsumpier/test/test_keeper.py
+++ b/gypsumpier/test/test_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from typing import Final
 
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.state import FleetState
@@ -31,12 +32,16 @@
     FakeEngine,
     FakeMesh,
     FakeOrigin,
+    LateEngine,
     cache_of,
     entry_peer,
     piece_of,
 )
 from gypsumpier.wire.tcp import TcpDialer
 
+ORDERS_MAX: Final = 8
+"""Orders that an engine may get for one version that it loads 0.8 s late."""
+
 
 def name_version(fleet_state: FleetState, version: int, revision: int) -> None:
     """Apply a record that names a version now."""
@@ -210,6 +215,47 @@
         self.assertEqual(stager.pieces, self.engine.loaded[0])
 
 
+class LateOrderTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a sidecar that restarts while an accepted order is still to be carried out.
+    async def test_a_late_order_and_a_restart_end_on_the_wanted_version_with_whole_pieces(
+        self,
+    ) -> None:
+        fleet_state = engines(1)
+        name_version(fleet_state, 2, 20)
+        named = fleet_state.versions[MODEL][0]
+        due_s = named.earliest_named_at_s - BOUNDS.version_in_force_s
+        fleet_state.versions[MODEL][0] = named._replace(earliest_named_at_s=due_s)
+        engine = LateEngine(late_s=0.8)
+        engine.version = 1
+        digests = (await FakeOrigin().piece_list(MODEL, 2)).digests
+        pieces = {number: piece_of(2, number) for number in range(len(digests))}
+        for run_s in (0.6, 3.0):
+            keeper = keeper_of(fleet_state, engine)
+            stager = keeper.stager(MODEL, 2, 1)
+            stager.digests, stager.pieces = digests, dict(pieces)
+            tasks = [asyncio.create_task(work) for work in (keeper.watch.run(), keeper.run())]
+            await asyncio.sleep(run_s)
+            for task in tasks:
+                await end_task(task)
+        self.assertEqual(2, engine.version)
+        report = keeper.watch.report
+        assert report is not None
+        self.assertEqual(2, report.layers[0].version)
+        self.assertFalse(keeper.watch.is_busy())
+        self.assertEqual([pieces] * len(engine.loaded), engine.loaded)
+        self.assertLess(len(engine.loaded), ORDERS_MAX)
+
+
+def keeper_of(fleet_state: FleetState, engine: FakeEngine) -> VersionKeeper:
+    """Return the keeper of a sidecar that has just started beside the engine."""
+    mesh: Mesh = FakeMesh(entry_peer("side", "bac-a"), {})  # type: ignore[assignment]
+    upstream = next(iter(fleet_state.upstreams.values()))
+    watch = EngineWatch(mesh, engine, f"{upstream.host}:{upstream.port}")
+    watch.publish_state = lambda force=False: None  # type: ignore[method-assign]
+    schedule = SwitchSchedule(fleet_state, BOUNDS.version_in_force_s)
+    return VersionKeeper(mesh, fleet_state, schedule, watch, ENGINES)
+
+
 class TurnsTest(unittest.TestCase):
     def turns(self, fleet_state: FleetState) -> list[float]:
         """Return the times of the turns in seconds from now, in order."""
