--- a/gypsumpier/test/test_crashing_parts.py
+++ b/gypsumpier/test/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """Tests of entries as processes under requests that share a part which ends engines."""
 
+import asyncio
 import tempfile
 import time
 import unittest
@@ -19,6 +20,8 @@
 SERVED_MIN: Final = 0.5
 """Share of the sound requests that must be served while requests with the part still come."""
 QUIET_S: Final = 1.0
+CONNECT_S: Final = 1.0
+"""Seconds within which an entry that serves is connected to the others; they dial every 0.5 s."""
 LOAD_S: Final = 7.0
 
 
@@ -48,6 +51,22 @@
                 self.assertLessEqual(len(late), LATE_MAX)
                 self.assertGreater(self.fleet.served_share(began_s + 1.0, ended_s), SERVED_MIN)
 
+    # Guards against an entry that was restarted letting through what the others refuse.
+    async def test_a_restarted_entry_refuses_what_the_others_refuse(self) -> None:
+        part = FATAL_PARTS[0]
+        self.fleet.fatal_parts.add(part)
+        await self.fleet.load(QUIET_S, SOUND_PER_S, FATAL_PER_S, part)
+        reached = len(self.fleet.arrivals(part))
+        restarted = self.fleet.nodes[1]
+        await restarted.kill()
+        await restarted.start()
+        await self.fleet.until_served(restarted)
+        await asyncio.sleep(CONNECT_S)
+        calls = [await self.fleet.call(restarted, self.fleet.fatal_prompt(part)) for _ in range(10)]
+        # One of them may be the trial.
+        self.assertGreaterEqual([call.status for call in calls].count(503), 9)
+        self.assertLessEqual(len(self.fleet.arrivals(part)), reached + 1)
+
 
 if __name__ == "__main__":
     unittest.main()
