--- a/gypsumpier/entry/guard.py
+++ b/gypsumpier/entry/guard.py
@@ -52,13 +52,14 @@
 
     def begin(self, request: CallerRequest) -> None:
         """Record that the request is sent to an upstream; it may try what is refused."""
+        if not self.quarantine.refused(request.traits):
+            return
         own_name = self.links.options.name
         rank = sum(entry.name < own_name for entry in self.keys.listed)
         self.quarantine.trial_delay_s = rank * TRIAL_STAGGER_S
         self.check_quarantine(request)
         tried = self.quarantine.begin_trial(request.traits, self.clock.monotonic())
-        if tried:
-            decision("suspect_tried", request=request.request_id, traits=tried)
+        decision("suspect_tried", request=request.request_id, traits=tried)
 
     def record_answered(self, request: CallerRequest) -> None:
         """Clear what an answered request has in common with others."""
