--- a/gypsumpier/gateway/crashes.py
+++ b/gypsumpier/gateway/crashes.py
@@ -46,7 +46,12 @@
         self.quarantine.listeners.append(self.handle_change)
 
     def refused_for_s(self, request: GatewayRequest) -> float:
-        """Return for how many seconds the request is still refused; 0 if it is not."""
+        """Return for how many seconds the request is still refused; 0 if it is not.
+
+        A trial goes on until an upstream may have run it.
+        """
+        if request.is_trial and not request.attempts:
+            return 0.0
         return self.quarantine.refused_for_s(request.traits, time.monotonic())
 
     def check(self, request: GatewayRequest) -> None:
@@ -65,6 +70,7 @@
         """Record that the request is sent to an upstream; it may be a trial."""
         tried = self.share.begin_trial(request.traits)
         if tried:
+            request.is_trial = True
             decision("suspect_tried", request=request.head.request_id, traits=tried)
 
     def record_crash(self, request: GatewayRequest, record: UpstreamRecord) -> None:
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -17,6 +17,7 @@
     ``attempts`` counts the upstreams that may have run it; ``tried`` holds the run keys of the
     upstreams that are not tried again.  ``last_event_id`` is the id of the last relayed event.
     ``longest_gap_s`` is the longest gap between its events so far, in seconds.
+    ``is_trial`` is set once it is sent although others like it are refused.
     ``unread_tokens`` are the prompt tokens that the current upstream has yet to read.
     The current attempt starts at ``sent_at_s``, has its connection at ``connected_at_s`` and the
     head of its answer at ``answered_at_s``; the last two are 0 until then.
@@ -41,6 +42,7 @@
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
     longest_gap_s: float = 0.0
+    is_trial: bool = False
 
     @property
     def priority(self) -> int:
--- a/gypsumpier/quarantine/quarantine.py
+++ b/gypsumpier/quarantine/quarantine.py
@@ -247,10 +247,16 @@
         return max(0.0, until_s - now_s)
 
     def begin_trial(self, traits: Iterable[str], now_s: float) -> list[str]:
-        """Record that a request with these traits is sent now; return those that it tries."""
+        """Record that a request with these traits is sent now; return those that it tries.
+
+        Another process may try a trait earlier than this one would; a crash that follows is the
+        trial's here as well.
+        """
         refused = self.refused(traits)
         for trait in refused:
-            self.suspects[trait].trial_until_s = now_s + TRIAL_S
+            suspect = self.suspects[trait]
+            suspect.refused_until_s = min(suspect.refused_until_s, now_s)
+            suspect.trial_until_s = now_s + TRIAL_S
         return refused
 
     def evict_old(self, now_s: float) -> None:
--- a/gypsumpier/quarantine/share.py
+++ b/gypsumpier/quarantine/share.py
@@ -29,10 +29,10 @@
     def __init__(self, mesh: Mesh, quarantine: Quarantine) -> None:
         self.mesh = mesh
         self.quarantine = quarantine
-        mesh.listeners[CRASH] = self.on_crash
+        mesh.aged_listeners[CRASH] = self.on_crash
         mesh.listeners[FINISHED] = self.on_finished
         mesh.listeners[TRIAL] = self.on_trial
-        mesh.listeners[SUSPECTS] = self.on_suspects
+        mesh.aged_listeners[SUSPECTS] = self.on_suspects
         mesh.on_peer_connected.append(self.send_suspects)
         quarantine.listeners.append(self.tell_sidecars)
 
@@ -75,11 +75,15 @@
             self.post(TRIAL, {"traits": tried})
         return tried
 
-    def on_crash(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Record a crash that another process reports; raise KeyError if a field is missing."""
+    def on_crash(self, peer: Peer, payload: dict[str, Any], delay_s: float) -> None:
+        """Record a crash that another process reported ``delay_s`` seconds ago.
+
+        Without the delay, a process that has stood still would take separate crashes for one.
+        Raises KeyError if a field is missing.
+        """
         traits = payload.get("traits") or traits_of(str(payload["fingerprint"]), ())
         names = [str(trait) for trait in traits[:TRAITS_MAX]]
-        self.quarantine.record_crash(names, str(payload["crash"]), time.monotonic())
+        self.quarantine.record_crash(names, str(payload["crash"]), time.monotonic() - delay_s)
 
     def on_finished(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Clear traits of which another process reports an answer, also of what it doesn't know."""
@@ -107,7 +111,11 @@
             }
             link.post(SUSPECTS, {"suspects": suspects})
 
-    def on_suspects(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Add what another process knows; raise KeyError, TypeError or ValueError if malformed."""
+    def on_suspects(self, peer: Peer, payload: dict[str, Any], delay_s: float) -> None:
+        """Add what another process knew ``delay_s`` seconds ago.
+
+        Raises KeyError, TypeError or ValueError if it is malformed.
+        """
         found = list(payload["suspects"].items())[:SENT_SUSPECTS_MAX]
-        self.quarantine.merge({str(trait): fields for trait, fields in found}, time.monotonic())
+        suspects = {str(trait): fields for trait, fields in found}
+        self.quarantine.merge(suspects, time.monotonic() - delay_s)
--- a/gypsumpier/test/test_quarantine.py
+++ b/gypsumpier/test/test_quarantine.py
@@ -14,6 +14,7 @@
     EVIDENCE_S,
     FIRST_REFUSAL_S,
     JOINT_TRIAL_DELAY_S,
+    LATER_REFUSALS_S,
     SUSPECTS_MAX,
     TRIAL_S,
     Quarantine,
@@ -195,6 +196,14 @@
         self.assertEqual(["part:bad"], self.quarantine.begin_trial(self.traits(FATAL), self.now_s))
         self.assertEqual(TRIAL_S, self.refused_for_s(FATAL))
 
+    # Guards against a process that learned of a refusal late trying once more after a trial.
+    def test_a_crash_after_the_trial_of_another_process_counts_as_that_of_the_trial(self) -> None:
+        self.refuse(FATAL)
+        self.now_s += FIRST_REFUSAL_S - 1.0
+        self.quarantine.begin_trial(self.traits(FATAL), self.now_s)
+        self.crash((FATAL,))
+        self.assertEqual(LATER_REFUSALS_S[0], self.refused_for_s(FATAL))
+
     def test_a_request_with_two_refused_parts_is_tried_late(self) -> None:
         """Its end would not tell which of them is the culprit, and extend the other's refusal."""
         self.refuse("sound", FATAL)
--- a/gypsumpier/test/test_quarantine_share.py
+++ b/gypsumpier/test/test_quarantine_share.py
@@ -77,6 +77,16 @@
         sidecar.mesh.seeds = (Address(restarted.mesh.own.host, restarted.mesh.own.port),)
         await wait_until(restarted.is_refused)
 
+    # Guards against an entry that stood still taking separate crashes for one fault.
+    async def test_crashes_that_are_heard_of_together_count_by_when_they_were_reported(
+        self,
+    ) -> None:
+        peer = self.first.mesh.own
+        for number in range(CRASHES_TO_REFUSE_PART):
+            payload = {"traits": [f"request-{number}", *FATAL], "crash": f"i-{number}/1"}
+            self.first.mesh.aged_listeners[CRASH](peer, payload, 2.0 - 0.5 * number)
+        self.assertTrue(self.first.is_refused())
+
     async def test_an_answer_anywhere_ends_the_refusal_everywhere(self) -> None:
         others = [await self.add("b-1", "b"), await self.add("side", "a", SIDECAR)]
         await self.crash(self.first)
