--- a/gypsumpier/test/crashfleet.py
+++ b/gypsumpier/test/crashfleet.py
@@ -40,7 +40,6 @@
     parts: tuple[str, ...]
     sent_at_s: float
     status: int
-    retry_after: str
 
 
 class CrashFleet:
@@ -142,8 +141,7 @@
         body = request_id.encode()
         answer = await connection.call("/reports/x", headers, body, TIME_LIMIT_S + 0.5)
         connection.close()
-        retry_after = answer.headers.get("Retry-After", "")
-        call = Call(request_id, parts, sent_at_s, answer.status, retry_after)
+        call = Call(request_id, parts, sent_at_s, answer.status)
         self.calls.append(call)
         return call
 
