Log why a process reads the store, and when it stops

The logs of a late configuration did not tell whether an entry knew that it was behind. The line store_reader has the reason, the announced revision with its age, and the age of the last proof.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -15,8 +15,9 @@
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.record import Record
-from gypsumpier.fleet.state import FleetState, VersionAges
+from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState, VersionAges
 from gypsumpier.fleet.wantedversion import Evidence
+from gypsumpier.log import decision
 from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
@@ -34,6 +35,10 @@
     Evidence.AFTER_OUTAGE: "after_outage",
 }
 """Fields of a message with the ages of versions, by evidence; NAMED has them all."""
+WATCHER: Final = "watcher of its zone"
+BEHIND: Final = "an announced revision is overdue"
+TAKEN_OVER: Final = "no proof for the take-over time"
+"""Reasons to read the store, as they are logged."""
 WATCHERS_IN_SINGLE_ZONE: Final = 2
 """Entries that watch the store in a deployment of one zone: one may fail without any delay."""
 WATCHERS_PER_ZONE: Final = 1
@@ -60,6 +65,7 @@
     ``announced_revision`` is the newest revision announced by another zone, and
     ``behind_since_s`` the time of that announcement on the monotonic clock.  ``has_taken_over`` is
     set from the take-over until an entry that precedes this one reads the store again.
+    ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
 
     def __init__(self, mesh: Mesh, fleet_state: FleetState) -> None:
@@ -69,6 +75,7 @@
         self.behind_since_s = 0.0
         self.snapshot_requested_at_s = float("-inf")
         self.has_taken_over = False
+        self.reading_reason = ""
         self.packed_snapshot: tuple[int, bytes] = (0, b"")
         mesh.aged_listeners[FEED] = self.handle_feed
         mesh.aged_listeners[NOTICE] = self.handle_notice
@@ -77,22 +84,43 @@
         mesh.on_peer_connected.append(self.send_offer)
 
     def should_read_store(self) -> bool:
-        """Return whether this process should read the store.
+        """Return whether this process should read the store; log where the reason changes."""
+        reason = self.reason_to_read()
+        if reason != self.reading_reason:
+            self.reading_reason = reason
+            self.log_reason()
+        return bool(reason)
+
+    def reason_to_read(self) -> str:
+        """Return why this process should read the store; empty if it should not.
 
         That is where an announced revision is overdue, where this entry is one of its zone's
         watchers, or where no freshness proof has arrived for the take-over time.
         """
         own = self.mesh.own
         if self.is_behind():
-            return True
+            return BEHIND
         if own.role == SIDECAR:
-            return self.fleet_state.proof_age_s() > SIDECAR_TAKEOVER_S
+            return TAKEN_OVER if self.fleet_state.proof_age_s() > SIDECAR_TAKEOVER_S else ""
         names = sorted(peer.name for peer in self.mesh.peers(ENTRY, own.zone))
         preceding = sum(name < own.name for name in names)
         watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_IN_SINGLE_ZONE
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
-        return preceding < watchers or self.has_taken_over
+        if preceding < watchers:
+            return WATCHER
+        return TAKEN_OVER if self.has_taken_over else ""
+
+    def log_reason(self) -> None:
+        """Log why this process reads the store, with what it knows and what is announced."""
+        decision(
+            "store_reader",
+            reason=self.reading_reason or "others read",
+            revision=self.fleet_state.revision,
+            announced_revision=self.announced_revision,
+            announced_s=round(time.monotonic() - self.behind_since_s, 3),
+            proof_age_s=round(min(self.fleet_state.proof_age_s(), UNKNOWN_AGE_S), 3),
+        )
 
     def has_other_zones(self) -> bool:
         """Return whether entries of other zones are connected."""
