Read an announced revision although newer ones are announced meanwhile

Callers got 404 by an older configuration more than 2 s after its successor was acknowledged. Cause: an entry waits 0.15 s for the records of a revision that another zone has announced, and each newer announcement began that wait anew. Configurations that follow each other as fast as the store acknowledges them come 0.10 to 0.14 s apart, so an entry whose zone's watcher got no answer never read them before its take-over, 3.2 s after the last proof. The wait now counts from the first announcement that the entry lacks. The entries of a zone read one after the other, 0.25 s apart for the first three, so that a series of changes does not draw a copy for each of them over a narrow link. Tried and given up: one time for all announcements, set back once the entry has caught up; where changes come faster than records arrive it counts from too early a one.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -8,6 +8,7 @@
 import math
 import time
 import zlib
+from collections import deque
 from typing import Any, Final
 
 import msgpack
@@ -51,6 +52,13 @@
 """Seconds by which a proof of another zone must be fresher to be forwarded in the own zone."""
 RECORDS_DELAY_S: Final = 0.15
 """Seconds that the records of an announced revision may take to arrive."""
+READER_STAGGER_S: Final = 0.25
+"""Seconds by which an entry reads overdue records later than the one before it: the time in which
+that one reads and shares them, so that one copy crosses a narrow link instead of one an entry."""
+STAGGERED_READERS: Final = 3
+"""Entries that read one after the other; those behind them read together."""
+ANNOUNCED_MAX: Final = 256
+"""Announced revisions that are kept; far more than changes can be made while one is overdue."""
 SNAPSHOT_TIMEOUT_S: Final = 0.5
 """Seconds to wait for a snapshot requested from one peer before it is requested from another."""
 COMPRESSION_LEVEL: Final = 1
@@ -62,8 +70,8 @@
 class FleetStateFeed:
     """Sends the fleet state to other processes and applies what they send.
 
-    ``announced_revision`` is the newest revision announced by another zone, and
-    ``behind_since_s`` the time of that announcement on the monotonic clock.  ``has_taken_over`` is
+    ``announced`` holds the revisions announced by other zones that are not known here, oldest
+    first, with the monotonic times of their announcements.  ``has_taken_over`` is
     set from the take-over until an entry that precedes this one reads the store again.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
@@ -71,8 +79,7 @@
     def __init__(self, mesh: Mesh, fleet_state: FleetState) -> None:
         self.mesh = mesh
         self.fleet_state = fleet_state
-        self.announced_revision = 0
-        self.behind_since_s = 0.0
+        self.announced: deque[tuple[int, float]] = deque(maxlen=ANNOUNCED_MAX)
         self.snapshot_requested_at_s = float("-inf")
         self.has_taken_over = False
         self.reading_reason = ""
@@ -98,8 +105,6 @@
         watchers, or where no freshness proof has arrived for the take-over time.
         """
         own = self.mesh.own
-        if self.is_behind():
-            return BEHIND
         if own.role == SIDECAR:
             return TAKEN_OVER if self.fleet_state.proof_age_s() > SIDECAR_TAKEOVER_S else ""
         names = sorted(peer.name for peer in self.mesh.peers(ENTRY, own.zone))
@@ -109,6 +114,8 @@
             self.has_taken_over = True
         if preceding < watchers:
             return WATCHER
+        if self.is_behind(preceding - watchers):
+            return BEHIND
         return TAKEN_OVER if self.has_taken_over else ""
 
     def log_reason(self) -> None:
@@ -117,8 +124,8 @@
             "store_reader",
             reason=self.reading_reason or "others read",
             revision=self.fleet_state.revision,
-            announced_revision=self.announced_revision,
-            announced_s=round(time.monotonic() - self.behind_since_s, 3),
+            announced_revision=self.announced[-1][0] if self.announced else 0,
+            announced_s=round(self.behind_s(), 3),
             proof_age_s=round(min(self.fleet_state.proof_age_s(), UNKNOWN_AGE_S), 3),
         )
 
@@ -126,11 +133,22 @@
         """Return whether entries of other zones are connected."""
         return any(peer.zone != self.mesh.own.zone for peer in self.mesh.peers(ENTRY))
 
-    def is_behind(self) -> bool:
-        """Return whether the records of an announced revision are overdue."""
-        if self.announced_revision <= self.fleet_state.revision:
-            return False
-        return time.monotonic() - self.behind_since_s > RECORDS_DELAY_S
+    def is_behind(self, rank: int) -> bool:
+        """Return whether the records of an announced revision are overdue.
+
+        ``rank`` is the number of entries that read them first where no watcher delivers them.
+        """
+        return self.behind_s() > RECORDS_DELAY_S + READER_STAGGER_S * min(rank, STAGGERED_READERS)
+
+    def behind_s(self) -> float:
+        """Return the seconds since the first announcement of a revision that is not known here.
+
+        A newer announcement does not begin that time anew: changes may follow each other faster
+        than their records are given to arrive.
+        """
+        while self.announced and self.announced[0][0] <= self.fleet_state.revision:
+            self.announced.popleft()
+        return time.monotonic() - self.announced[0][1] if self.announced else 0.0
 
     def share(self, batch: Batch) -> None:
         """Send a batch just read from the store to the own zone, and its revision to the others."""
@@ -228,9 +246,9 @@
         turns of engines from them.
         """
         revision = int(payload["revision"])
-        if revision > max(self.announced_revision, self.fleet_state.revision):
-            self.announced_revision = revision
-            self.behind_since_s = time.monotonic()
+        newest = self.announced[-1][0] if self.announced else 0
+        if revision > max(newest, self.fleet_state.revision):
+            self.announced.append((revision, time.monotonic()))
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
         is_fresher = (
--- a/gypsumpier/test/test_late_configuration.py
+++ b/gypsumpier/test/test_late_configuration.py
@@ -148,6 +148,28 @@
             self.feed.fleet_state.revision = revision - 1
             self.assertFalse(self.feed.should_read_store())
 
+    def test_entries_of_a_zone_read_overdue_records_one_after_the_other(self) -> None:
+        """Guards against a copy for each entry of a zone over a narrow link, at each change."""
+        others = [entry_peer(f"front-bac-a-{number}", "bac-a") for number in range(1, 9)]
+        delays_s = []
+        for own in others:
+            mesh = RecordingMesh(own, [peer for peer in others if peer != own] + [self.other_zone])
+            state = fleet_state_of(configuration_record(5))
+            feed = FleetStateFeed(mesh, state)  # type: ignore[arg-type]
+            feed.handle_notice(self.other_zone, {"revision": 6, "age_s": 0.0})
+            delays_s.append(self.overdue_after_s(feed))
+        self.assertEqual(sorted(delays_s), delays_s)
+        self.assertEqual(5, len(set(delays_s)))
+        self.assertLess(delays_s[-1], IN_FORCE_S / 2)
+
+    def overdue_after_s(self, feed: FleetStateFeed) -> float:
+        """Return the seconds after which the entry reads; the clock is set back afterwards."""
+        began_s = self.now_s
+        while not feed.should_read_store():
+            self.now_s += MESSAGE_S
+        took_s, self.now_s = self.now_s - began_s, began_s
+        return took_s
+
 
 if __name__ == "__main__":
     unittest.main()
