--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -108,6 +108,7 @@
         while True:
             self.fleet_state.drop_expired_lapsed()
             if not self.should_read_store():
+                self.stop_reading()
                 await asyncio.sleep(IDLE_CHECK_S)
                 continue
             try:
@@ -116,6 +117,20 @@
             except GypsumpierError as error:
                 await self.handle_failure(error)
 
+    def stop_reading(self) -> None:
+        """Leave the reading of the store to others; begin with a snapshot when it is resumed.
+
+        A watch would return each configuration since then, which takes long over a narrow link and
+        looks like the answer of a watch that was waiting for the last of them.
+        """
+        self.needs_snapshot = True
+        self.is_behind = False
+        if self.failures:
+            # The store may have answered others meanwhile: these failures make no longer outage.
+            decision("store_left_to_others", failures=self.failures)
+            self.failures = 0
+            self.backoff.reset()
+
     async def read(self) -> None:
         """Make one call to the store and apply its answer; raise GypsumpierError on failure.
 
