Check on the readers of the store each second

A configuration was not in force in time where the store gave the watchers of all zones no answer: they notice after 2.6 s, and the others take over 3.2 s after their last proof; 2.0 s are allowed. Nobody was left to announce a revision. Tried and given up: watches of 0.8 s and a take-over after 1.3 s. StoreWatcher gets the group of readers as one protocol in place of one callback for each matter.

--- /dev/null
+++ b/gypsumpier/fleet/readergroup.py
@@ -0,0 +1,27 @@
+"""The protocol of the processes that share the reading of the store with this one."""
+
+from typing import Protocol
+
+from gypsumpier.fleet.change import Batch
+
+
+class ReaderGroup(Protocol):
+    """Decides which process reads the store, and forwards what this one reads."""
+
+    def should_read_store(self) -> bool:
+        """Return whether this process should read the store."""
+
+    def should_check_revision(self) -> bool:
+        """Return whether this process, which leaves the reading to others, should check on them.
+
+        Their connections to the store may have gone silent, which they notice late.
+        """
+
+    def share(self, batch: Batch) -> None:
+        """Forward a batch just read from the store."""
+
+    def share_failure(self) -> None:
+        """Tell others that a call to the store has failed."""
+
+    def record_announced(self, revision: int) -> None:
+        """Record a revision of the store; where its records don't arrive, they are to be read."""
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Final
 
@@ -17,6 +17,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.change import Batch, FleetSource, News
 from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.readergroup import ReaderGroup
 from gypsumpier.fleet.stall import StallMonitor
 from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState
 from gypsumpier.log import decision
@@ -37,6 +38,9 @@
 """Calls in a row that must fail for an outage of the store.  One may be due to a connection that
 has gone silent or was cut, a second one to a stall of this process; each later one opens a new
 connection and does not wait."""
+READERS_CHECK_S: Final = 1.0
+"""Seconds between checks on the readers of the store: a change that they don't hear of is read by
+another process before the 2 s are over in which it must be in force."""
 IDLE_CHECK_S: Final = 0.1
 """Seconds between checks whether this process should start to read the store."""
 
@@ -69,7 +73,8 @@
 
     ``failures`` counts the calls in a row that have failed, the first of them at
     ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
-    its last answer; minus infinity after a failure.  ``is_behind`` is set where a check of the
+    its last answer; minus infinity after a failure.  ``checked_at_s`` is when this process last
+    checked on the readers of the store.  ``is_behind`` is set where a check of the
     store's revision has shown changes that are still to be read.
     """
 
@@ -77,19 +82,16 @@
         self,
         source: FleetSource,
         fleet_state: FleetState,
-        should_read_store: Callable[[], bool],
-        on_batch: Callable[[Batch], None],
-        on_failure: Callable[[], None],
+        readers: ReaderGroup,
     ) -> None:
         self.source = source
         self.fleet_state = fleet_state
-        self.should_read_store = should_read_store
-        self.on_batch = on_batch
-        self.on_failure = on_failure
+        self.readers = readers
         self.backoff = Backoff(random.Random(), BACKOFF_LIMIT_S)
         self.failures = 0
         self.failing_since_s = 0.0
         self.answered_at_s = float("-inf")
+        self.checked_at_s = float("-inf")
         self.needs_snapshot = True
         self.is_behind = False
         self.stalls = StallMonitor()
@@ -106,12 +108,13 @@
         self.source.close()
 
     async def run(self) -> None:
-        """Read and watch the store whenever ``should_read_store`` returns true."""
+        """Read and watch the store whenever this process should; check on its readers otherwise."""
         while True:
             self.fleet_state.drop_expired_lapsed()
-            if not self.should_read_store():
+            if not self.readers.should_read_store():
                 self.stop_reading()
                 await asyncio.sleep(IDLE_CHECK_S)
+                await self.check_readers()
                 continue
             try:
                 await self.read()
@@ -162,7 +165,24 @@
         self.answered_at_s = max(proven_at_s, news.after_s or 0.0) if is_prompt else proven_at_s
         if batch.revision == self.fleet_state.revision:
             # A batch that a peer has overtaken must not be shared with the newer one's proof.
-            self.on_batch(batch)
+            self.readers.share(batch)
+
+    async def check_readers(self) -> None:
+        """Compare the store's revision with the known one at intervals, where this process should.
+
+        The processes that read the store may wait in vain: a silent connection looks like a store
+        without changes.
+        """
+        now_s = boot_time_s()
+        is_due = now_s - self.checked_at_s >= READERS_CHECK_S
+        if not is_due or not self.readers.should_check_revision():
+            return
+        self.checked_at_s = now_s
+        try:
+            with counted(REVISION):
+                self.readers.record_announced(await self.source.current_revision())
+        except GypsumpierError as error:
+            decision("store_check_failed", code=error.code.number, reason=error.detail)
 
     async def check_revision(self) -> None:
         """Read the store's revision after a failure; share a proof where it is the known one.
@@ -180,7 +200,7 @@
         if not self.is_behind:
             unchanged = Batch(revision, revision, [], False, 0.0)
             self.fleet_state.apply(unchanged, sent_at_s, "store")
-            self.on_batch(unchanged)
+            self.readers.share(unchanged)
         elif self.failures < OUTAGE_FAILURES:
             self.needs_snapshot = True
 
@@ -222,7 +242,7 @@
             decision("dependency_regained", dependency="store", revision=self.fleet_state.revision)
 
     async def handle_failure(self, error: GypsumpierError) -> None:
-        """Log the failure, call ``on_failure`` and wait before the next attempt.
+        """Log the failure, tell the other readers and wait before the next attempt.
 
         Where the store no longer has the history, the next call reads a snapshot at once.
         """
@@ -242,5 +262,5 @@
                 reason=error.detail,
                 proof_age_s=round(self.fleet_state.proof_age_s(), 3),
             )
-        self.on_failure()
+        self.readers.share_failure()
         await asyncio.sleep(self.backoff.next_wait_s(error.retry_after_s))
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -82,13 +82,7 @@
         self.mesh = Mesh(own_peer, settings.seeds, TcpDialer())
         self.listener = TcpListener(self.mesh.accept)
         self.feed = FleetStateFeed(self.mesh, self.fleet_state)
-        self.watcher = StoreWatcher(
-            source,
-            self.fleet_state,
-            self.feed.should_read_store,
-            self.feed.share,
-            self.feed.share_failure,
-        )
+        self.watcher = StoreWatcher(source, self.fleet_state, self.feed)
         schedule = SwitchSchedule(self.fleet_state, settings.bounds.version_in_force_s)
         self.selector = UpstreamSelector(self.fleet_state, settings.zone, schedule)
         self.admission = Admission(self.fleet_state, self.selector, self.least_version)
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -71,9 +71,9 @@
 class FleetStateFeed:
     """Sends the fleet state to other processes and applies what they send.
 
-    ``announced`` holds the revisions announced by other zones that are not known here, oldest
-    first, with the monotonic times of their announcements.  ``has_taken_over`` is
-    set from the take-over until an entry that precedes this one reads the store again.
+    ``announced`` holds the revisions that the store has and this process lacks, oldest first, with
+    the monotonic times at which it learned of them.  ``has_taken_over`` is set from the take-over
+    until an entry that precedes this one reads the store again.
     ``cut_off`` names the entries of the zone whose last call to the store has failed.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
@@ -111,18 +111,31 @@
         own = self.mesh.own
         if own.role == SIDECAR:
             return TAKEN_OVER if self.fleet_state.proof_age_s() > SIDECAR_TAKEOVER_S else ""
-        names = {peer.name for peer in self.mesh.peers(ENTRY, own.zone)}
-        self.cut_off &= names
-        preceding = sum(name < own.name for name in names - self.cut_off)
-        watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_IN_SINGLE_ZONE
+        rank = self.rank_behind_watchers()
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
-        if preceding < watchers:
+        if rank < 0:
             return WATCHER
-        if self.is_behind(preceding - watchers):
+        if self.is_behind(rank):
             return BEHIND
         return TAKEN_OVER if self.has_taken_over else ""
 
+    def rank_behind_watchers(self) -> int:
+        """Return how many entries of the zone stand between the watchers and this one.
+
+        Negative for a watcher.  Entries that are cut off from the store don't count.
+        """
+        own = self.mesh.own
+        names = {peer.name for peer in self.mesh.peers(ENTRY, own.zone)}
+        self.cut_off &= names
+        preceding = sum(name < own.name for name in names - self.cut_off)
+        watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_IN_SINGLE_ZONE
+        return preceding - watchers
+
+    def should_check_revision(self) -> bool:
+        """Return whether this entry is the first behind the watchers of its zone."""
+        return self.mesh.own.role == ENTRY and self.rank_behind_watchers() == 0
+
     def log_reason(self) -> None:
         """Log why this process reads the store, with what it knows and what is announced."""
         decision(
@@ -259,6 +272,12 @@
             is_corrected |= self.fleet_state.merge_version_ages(ages, evidence, peer.name)
         return is_corrected
 
+    def record_announced(self, revision: int) -> None:
+        """Record that the store has that revision, if it is newer than all known ones."""
+        newest = self.announced[-1][0] if self.announced else 0
+        if revision > max(newest, self.fleet_state.revision):
+            self.announced.append((revision, time.monotonic()))
+
     def handle_notice(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Handle another zone's revision: record a newer one, use the proof of the same one.
 
@@ -267,9 +286,7 @@
         turns of engines from them.
         """
         revision = int(payload["revision"])
-        newest = self.announced[-1][0] if self.announced else 0
-        if revision > max(newest, self.fleet_state.revision):
-            self.announced.append((revision, time.monotonic()))
+        self.record_announced(revision)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
         is_fresher = (
--- a/gypsumpier/sidecar/application.py
+++ b/gypsumpier/sidecar/application.py
@@ -47,13 +47,7 @@
         self.fleet_state = FleetState(source)
         self.mesh = Mesh(own, settings.seeds, TcpDialer())
         self.feed = FleetStateFeed(self.mesh, self.fleet_state)
-        self.watcher = StoreWatcher(
-            source,
-            self.fleet_state,
-            self.feed.should_read_store,
-            self.feed.share,
-            self.feed.share_failure,
-        )
+        self.watcher = StoreWatcher(source, self.fleet_state, self.feed)
         self.status = StatusServer(lambda: True)
         self.watch = EngineWatch(self.mesh, engine, str(settings.engine_address))
         schedule = SwitchSchedule(self.fleet_state, settings.bounds.version_in_force_s)
--- a/gypsumpier/test/storereaders.py
+++ b/gypsumpier/test/storereaders.py
@@ -81,13 +81,7 @@
         )
         self.feed = FleetStateFeed(self.mesh, self.state)  # type: ignore[arg-type]
         self.source = ScriptedSource(test)
-        self.watcher = StoreWatcher(
-            self.source,
-            self.state,
-            self.feed.should_read_store,
-            self.feed.share,
-            self.feed.share_failure,
-        )
+        self.watcher = StoreWatcher(self.source, self.state, self.feed)
         self.watcher.needs_snapshot = False
 
     async def call(self, takes_s: float, records: list[Record] | None) -> None:
--- a/gypsumpier/test/test_late_configuration.py
+++ b/gypsumpier/test/test_late_configuration.py
@@ -84,7 +84,7 @@
         self.store.put("op/config", configuration_body())
         self.entry = ReadingEntry(self.store, Network(), "front-bac-a-2", "bac-a")
         self.is_reader = True
-        self.entry.watcher.should_read_store = lambda: self.is_reader
+        self.entry.feed.should_read_store = lambda: self.is_reader  # type: ignore[method-assign]
         self.entry.watcher.start()
         self.addAsyncCleanup(self.entry.watcher.stop)
         await self.until_known()
--- a/gypsumpier/test/zonedreaders.py
+++ b/gypsumpier/test/zonedreaders.py
@@ -108,13 +108,7 @@
         self.state = FleetState(source)
         self.mesh = Mesh(own, (Address("front-bac-a-1", 1),), network.dialer(name))
         self.feed = FleetStateFeed(self.mesh, self.state)
-        self.watcher = StoreWatcher(
-            source,
-            self.state,
-            self.feed.should_read_store,
-            self.feed.share,
-            self.feed.share_failure,
-        )
+        self.watcher = StoreWatcher(source, self.state, self.feed)
         self.in_force_at_s: dict[int, float] = {}
         self.state.listeners.append(self.record_configuration)
         network.listen(name, 1, self.mesh.accept)
