Read and log the limits that upstreams state in their answers

Engines got 14 to 20 requests in 4 s at limits of 1 to 2.4 a second. No log told that they had named a limit. The adapter reads the header into a rate, or into the start of a value that is none; the entry logs each limit that is set, changed or lifted, and each unreadable value once. A limit is lifted only by the answer to a request that was sent after it was stated, as an older answer may arrive later. Nothing is limited yet.

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -177,9 +177,12 @@
                 head = await exchange.answer(request.head.request_id)
             request.answered_at_s = time.monotonic()
             UPSTREAM_ANSWER_TIME.labels(request.service).observe(request.unanswered_s())
+            is_foreign = head.is_success and (not head.seal or head.is_encoded)
+            if not is_foreign and head.upstream in ("", record.id):
+                self.selector.limits.record_answer(record, head.limit, request.connected_at_s)
             if head.is_not_run:
                 raise refusal_error(head, record)
-            if head.is_success and (not head.seal or head.is_encoded):
+            if is_foreign:
                 raise OutcomeUnknownError("the answer is not the upstream's own")
             self.admission.record_prompt_read(request, record)
             if request.route.is_streamed and head.is_success:
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
+from gypsumpier.ratelimit.statedlimit import stated_limit
 from gypsumpier.upstream.head import AnswerHead, CallerHead, UpstreamHead
 
 REQUEST_ID: Final = "X-Request-Id"
@@ -21,6 +22,8 @@
 SEAL: Final = "X-Server-Seal"
 NOT_RUN: Final = "X-Not-Executed"
 INSTANCE: Final = "X-Instance-Id"
+REQUEST_LIMIT: Final = "Server-Limit"
+"""Requests a second that the answering upstream takes from all entries together."""
 MISDIRECTED_STATUS: Final = 421
 SHARED_PARTS_MAX: Final = 16
 """Parts of a prompt that are told apart; the platform's prompts have two or three."""
@@ -99,6 +102,7 @@
         closes="close" in headers.get("Connection", "").lower(),
         idle_s=keep_alive_timeout_s(headers),
         upstream=headers.get(INSTANCE, ""),
+        limit=stated_limit(headers.get(REQUEST_LIMIT)),
         forwarded_headers=forwardable_headers(headers, frozenset()),
     )
 
--- /dev/null
+++ b/gypsumpier/ratelimit/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests per second that upstreams state in their answers."""
--- /dev/null
+++ b/gypsumpier/ratelimit/limits.py
@@ -0,0 +1,197 @@
+"""The limits of upstreams as this entry knows them, and its own share of each."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, NamedTuple, Protocol
+
+from prometheus_client import Gauge
+
+from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.log import decision
+from gypsumpier.metrics import REGISTRY
+from gypsumpier.ratelimit.bucket import TokenBucket
+from gypsumpier.ratelimit.statedlimit import StatedLimit
+
+TRIAL_PER_S: Final = 0.2
+"""Requests a second that all entries together send an upstream at least, however low its limit:
+only an answer can tell that the limit has ended."""
+BURST_MIN: Final = 1.0
+BURST_S: Final = 0.5
+"""Requests that all entries together may send at once after a pause: one, and as many as the limit
+allows in so many seconds."""
+FORGOTTEN_S: Final = 30.0
+"""Seconds after which the limit of an upstream that is in no record is dropped; its record may be
+on its way."""
+LIMITS_MAX: Final = 16_384
+"""Upstreams whose limits are kept; more than there are upstreams in the largest deployment."""
+
+LIMITED_UPSTREAMS: Final = Gauge(
+    "gypsumpier_limited_upstreams",
+    "Upstreams that state how many requests they take.",
+    registry=REGISTRY,
+)
+
+RunKey = tuple[str, int]
+
+
+class Shares(Protocol):
+    """Divides limits among the entries."""
+
+    def share(self, service: str) -> float:
+        """Return this entry's share, above 0 and at most 1."""
+
+    def phase(self, upstream: str) -> float:
+        """Return the part of a first token, from 0 to 1, that this entry begins with."""
+
+
+class WholeShare:
+    """The shares of a process that is alone."""
+
+    def share(self, service: str) -> float:
+        return 1.0
+
+    def phase(self, upstream: str) -> float:
+        return 1.0
+
+
+class LimitNews(NamedTuple):
+    """A limit, or None where there is none, of one run of an upstream since ``at_s``."""
+
+    run: RunKey
+    per_s: float | None
+    at_s: float
+
+
+@dataclass
+class KnownLimit:
+    """The limit of one run of an upstream, as stated at ``at_s`` in monotonic seconds.
+
+    ``per_s`` and ``bucket`` are None once the upstream has answered without a limit.  The time of
+    that is kept, so that older news does not bring the limit back.
+    """
+
+    per_s: float | None
+    at_s: float
+    bucket: TokenBucket | None = None
+
+
+class RequestLimits:
+    """Which upstreams may get a request now.
+
+    ``listeners`` are called with each limit that an answer here has set, changed or lifted.
+    """
+
+    def __init__(self, shares: Shares) -> None:
+        self.shares = shares
+        self.known: dict[RunKey, KnownLimit] = {}
+        self.unreadable: dict[RunKey, str] = {}
+        self.listeners: list[Callable[[LimitNews], None]] = []
+
+    def record_answer(self, record: UpstreamRecord, stated: StatedLimit, sent_at_s: float) -> None:
+        """Record what an answer states; its request was sent at ``sent_at_s``.
+
+        An answer without a limit lifts it only if its request was sent after the limit was stated:
+        it may have overtaken the answer that did.  A value that is no rate changes nothing.
+        """
+        run = record.run_key()
+        if stated.unreadable:
+            self.log_unreadable(record, stated.unreadable)
+            return
+        known = self.known.get(run)
+        if stated.per_s is None and (known is None or sent_at_s <= known.at_s):
+            return
+        before = known.per_s if known else None
+        news = LimitNews(run, stated.per_s, time.monotonic())
+        self.record_news(news, "answer")
+        if stated.per_s != before:
+            for listener in self.listeners:
+                listener(news)
+
+    def record_news(self, news: LimitNews, origin: str) -> bool:
+        """Record a limit that ``origin`` has stated or lifted; return whether it was newer."""
+        known = self.known.get(news.run)
+        if known is not None and news.at_s <= known.at_s:
+            return False
+        if known is None and len(self.known) >= LIMITS_MAX:
+            decision("limit_dropped", upstream=news.run[0], known=len(self.known))
+            return False
+        before = known.per_s if known else None
+        if known is None:
+            known = self.known[news.run] = KnownLimit(news.per_s, news.at_s)
+        known.per_s, known.at_s = news.per_s, news.at_s
+        if news.per_s is None:
+            known.bucket = None
+        if news.per_s != before:
+            self.log_change(news, before, origin)
+        return True
+
+    def log_change(self, news: LimitNews, before: float | None, origin: str) -> None:
+        """Log a new, changed or lifted limit."""
+        LIMITED_UPSTREAMS.set(sum(found.per_s is not None for found in self.known.values()))
+        decision(
+            "upstream_limit",
+            upstream=news.run[0],
+            per_s=news.per_s,
+            before_per_s=before,
+            age_s=round(time.monotonic() - news.at_s, 3),
+            source=origin,
+        )
+
+    def log_unreadable(self, record: UpstreamRecord, text: str) -> None:
+        """Log a value that is no rate, once until it is another one."""
+        run = record.run_key()
+        if self.unreadable.get(run) != text:
+            self.unreadable[run] = text
+            decision("upstream_limit_ignored", upstream=record.id, value=text)
+
+    def bucket(self, record: UpstreamRecord) -> TokenBucket | None:
+        """Return the bucket of this entry's share of the limit; None where there is none."""
+        known = self.known.get(record.run_key())
+        if known is None or known.per_s is None:
+            return None
+        now_s = time.monotonic()
+        share = self.shares.share(record.service)
+        rate_per_s = max(TRIAL_PER_S, known.per_s) * share
+        burst = (BURST_MIN + BURST_S * known.per_s) * share
+        if known.bucket is None:
+            phase = self.shares.phase(record.id)
+            known.bucket = TokenBucket(rate_per_s, burst, phase, now_s)
+        known.bucket.set_rate(rate_per_s, burst, now_s)
+        return known.bucket
+
+    def allows(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream may get a request from this entry now."""
+        bucket = self.bucket(record)
+        return bucket is None or bucket.has_token(time.monotonic())
+
+    def take(self, record: UpstreamRecord) -> None:
+        """Count a request that is sent to the upstream."""
+        bucket = self.bucket(record)
+        if bucket is not None:
+            bucket.take(time.monotonic())
+
+    def give_back(self, record: UpstreamRecord) -> None:
+        """Count a request as not sent, because there was no connection to the upstream."""
+        bucket = self.bucket(record)
+        if bucket is not None:
+            bucket.give_back()
+
+    def rate_per_s(self, record: UpstreamRecord) -> float | None:
+        """Return the requests per second that this entry may send; None for no limit."""
+        bucket = self.bucket(record)
+        return None if bucket is None else bucket.rate_per_s
+
+    def wait_s(self, record: UpstreamRecord) -> float:
+        """Return the seconds until the upstream may get a request from this entry."""
+        bucket = self.bucket(record)
+        return 0.0 if bucket is None else bucket.wait_s(time.monotonic())
+
+    def retain(self, runs: set[RunKey]) -> None:
+        """Drop what is known of runs that have no record, some time after it was stated."""
+        oldest_s = time.monotonic() - FORGOTTEN_S
+        for run in [run for run in self.known if run not in runs]:
+            if self.known[run].at_s < oldest_s:
+                del self.known[run]
+        self.unreadable = {run: text for run, text in self.unreadable.items() if run in runs}
+        LIMITED_UPSTREAMS.set(sum(found.per_s is not None for found in self.known.values()))
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -4,6 +4,8 @@
 
 from tornado.httputil import HTTPHeaders
 
+from gypsumpier.ratelimit.statedlimit import StatedLimit
+
 
 class CallerHead(NamedTuple):
     """The head of a caller's request.
@@ -58,7 +60,8 @@
     statement that it has not run the request and never will.  ``seal`` marks an answer as the
     upstream's own.  ``upstream`` is the id of the answering upstream, if stated.  ``closes`` is set
     if the connection is closed after the answer.  ``idle_s`` is how many seconds the upstream keeps
-    the idle connection; None if not stated.
+    the idle connection; None if not stated.  ``limit`` is what the answer says of the requests that
+    the upstream takes.
     """
 
     status: int
@@ -70,6 +73,7 @@
     closes: bool
     idle_s: float | None
     upstream: str
+    limit: StatedLimit
     forwarded_headers: HTTPHeaders
 
     @property
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -14,6 +14,7 @@
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
 from gypsumpier.piece.turns import SwitchSchedule
+from gypsumpier.ratelimit.limits import RequestLimits, WholeShare
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 
@@ -66,7 +67,8 @@
 class UpstreamSelector:
     """The load, health and engine state of upstreams, by which one is selected for each request.
 
-    ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.
+    ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.  ``limits``
+    are the requests per second that upstreams state they take.
     """
 
     def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
@@ -78,6 +80,7 @@
         self.own_loads: dict[str, Load] = {}
         self.peer_loads: dict[str, PeerLoad] = {}
         self.engines: dict[str, EngineState] = {}
+        self.limits = RequestLimits(WholeShare())
 
     def record_peer_loads(self, name: str, loads: dict[str, Load]) -> None:
         """Replace the loads reported by another entry, or by another zone as a sum."""
@@ -110,7 +113,9 @@
             name: load for name, load in self.peer_loads.items() if load.at_s > oldest_s
         }
         records = self.fleet_state.upstreams.values()
-        self.health.retain({record.run_key() for record in records})
+        runs = {record.run_key() for record in records}
+        self.health.retain(runs)
+        self.limits.retain(runs)
         addresses = {f"{record.host}:{record.port}" for record in records}
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
