--- a/gypsumpier/test/crashfleet.py
+++ b/gypsumpier/test/crashfleet.py
@@ -39,6 +39,7 @@
     request_id: str
     parts: tuple[str, ...]
     sent_at_s: float
+    ended_at_s: float
     status: int
 
 
@@ -141,7 +142,7 @@
         body = request_id.encode()
         answer = await connection.call("/reports/x", headers, body, TIME_LIMIT_S + 0.5)
         connection.close()
-        call = Call(request_id, parts, sent_at_s, answer.status)
+        call = Call(request_id, parts, sent_at_s, time.monotonic(), answer.status)
         self.calls.append(call)
         return call
 
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -159,7 +159,7 @@
     ``queued`` (starts to run after ``queued_s`` seconds, if its connection is still open).
 
     ``run_ids`` holds the requests that started to run, and ``closed_ids`` those whose connection
-    closed before the end.
+    closed before the end.  ``limit`` is the limit that its answers state; None for no limit.
     """
 
     def __init__(self, name: str, host: str = "127.0.0.1") -> None:
@@ -169,6 +169,7 @@
         self.cut_after = 2
         self.queued_s = 1.0
         self.event_count = 5
+        self.limit: str | None = None
         self.run_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.closed_ids: list[str] = []
@@ -209,6 +210,8 @@
     def prepare(self) -> None:
         super().prepare()
         self.connection_closed = asyncio.Event()
+        if self.state.limit is not None:
+            self.set_header("Server-Limit", self.state.limit)
 
     async def get(self) -> None:
         await self.run()
