Keep to the limits that upstreams state

Engines in need got 14 to 20 requests in 4 s at limits of 1 to 2.4 a second, as nothing read the limit. Each entry now sends an upstream its share of the limit and no more: its share of the requests for the service, which entries tell each other beside their loads while a limit is known. A share below one request is a turn, spread evenly over the entries by name; a turn that is not used in time is lost, so that no more than a small burst of all entries is usable at once. Limits are told to the other entries, and to one that has just connected. One request in five seconds goes on whatever the limit, as only an answer can lift it. A request that finds no connection costs nothing.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -17,6 +17,7 @@
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
+from gypsumpier.ratelimit.capacity import LimitedCapacity
 from gypsumpier.upstream.selector import UpstreamSelector
 
 STREAM_TIMEOUT_MIN_S: Final = 2.0
@@ -102,6 +103,11 @@
         QUEUE_WAIT.observe(time.monotonic() - began_s)
         return record
 
+    def arrivals_per_s(self, service: str) -> float:
+        """Return the recent requests per second of callers for the service."""
+        queue = self.queues.get(service)
+        return queue.arrivals_per_s() if queue else 0.0
+
     def record_prompt_read(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Stop counting the request's prompt as unread, as the upstream has begun to answer."""
         self.selector.record_prompt_read(record, request.unread_tokens)
@@ -194,7 +200,7 @@
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
                 break
-        queue.shed_excess(self.capacity_share_per_s(service))
+        queue.shed_excess(self.capacity_share_per_s(service), self.limited_capacity(service))
         QUEUED.labels(service).set(len(queue.waiting))
 
     def refuse_queued(self, check: Callable[[GatewayRequest], None]) -> None:
@@ -210,13 +216,29 @@
 
     def capacity_share_per_s(self, service: str) -> float:
         """Return this entry's share of the requests per second that the upstreams can serve."""
-        records = self.selector.candidates(service)
-        slots = sum(record.slots for record in records if self.selector.is_usable(record))
         model = self.selector.model(service)
         request_s = PLAIN_SERVICE_TIME_S
         if model is not None:
             request_s = self.processing_s(model, model.mean_prompt_tokens, model.mean_answer_tokens)
-        return max(RATE_MIN_PER_S, slots / max(request_s, PLAIN_SERVICE_TIME_S) / self.entry_count)
+        request_s = max(request_s, PLAIN_SERVICE_TIME_S)
+        rates = []
+        for record in self.usable_candidates(service):
+            limit_per_s = self.selector.limits.rate_per_s(record)
+            slots_per_s = record.slots / request_s / self.entry_count
+            rates.append(slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s))
+        return max(RATE_MIN_PER_S, sum(rates))
+
+    def limited_capacity(self, service: str) -> LimitedCapacity | None:
+        """Return what the limits of all upstreams together allow; None where one has no limit."""
+        return self.selector.limits.capacity(self.usable_candidates(service))
+
+    def usable_candidates(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams of the service that can serve and are not in backoff."""
+        return [
+            record
+            for record in self.selector.candidates(service)
+            if self.selector.is_usable(record)
+        ]
 
     def dispatch_all(self) -> None:
         """Dispatch the queue of every service."""
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -32,6 +32,8 @@
 from gypsumpier.piece.cache import PieceCache
 from gypsumpier.piece.engine import PieceOrigin
 from gypsumpier.piece.turns import SwitchSchedule
+from gypsumpier.ratelimit.demand import DemandShares
+from gypsumpier.ratelimit.limitshare import LimitShare
 from gypsumpier.tasks import end_task
 from gypsumpier.upstream.pool import UpstreamPool
 from gypsumpier.upstream.selector import UpstreamSelector
@@ -86,7 +88,12 @@
         schedule = SwitchSchedule(self.fleet_state, settings.bounds.version_in_force_s)
         self.selector = UpstreamSelector(self.fleet_state, settings.zone, schedule)
         self.admission = Admission(self.fleet_state, self.selector, self.least_version)
-        self.load_share = LoadShare(self.mesh, self.selector)
+        self.demand = DemandShares(
+            self.mesh, frozenset(settings.regions_by_zone), self.admission.arrivals_per_s
+        )
+        self.selector.limits.shares = self.demand
+        self.limit_share = LimitShare(self.mesh, self.selector.limits)
+        self.load_share = LoadShare(self.mesh, self.selector, self.demand)
         self.load_share.on_change.append(self.admission.dispatch_all)
         self.fleet_state.listeners.append(self.admission.dispatch_all)
         self.pool = UpstreamPool()
@@ -121,6 +128,7 @@
             self.admission.run(),
             self.starts.run(),
             self.load_share.run(),
+            self.limit_share.run(),
             self.housekeeping(),
         ):
             self.tasks.append(asyncio.create_task(work))
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any, Final
 
 from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
+from gypsumpier.ratelimit.demand import DemandShares, finite_rate
 from gypsumpier.upstream.enginestate import EngineState, engine_state_from
 from gypsumpier.upstream.selector import Load, UpstreamSelector
 
@@ -34,9 +36,10 @@
 class LoadShare:
     """Sends and receives loads and engine states; calls ``on_change`` after received ones."""
 
-    def __init__(self, mesh: Mesh, selector: UpstreamSelector) -> None:
+    def __init__(self, mesh: Mesh, selector: UpstreamSelector, demand: DemandShares) -> None:
         self.mesh = mesh
         self.selector = selector
+        self.demand = demand
         self.sent_in_zone: SentLoads = ({}, 0.0)
         self.sent_to_zones: SentLoads = ({}, 0.0)
         self.changed_states: dict[str, EngineState] = {}
@@ -56,7 +59,10 @@
             peers = self.mesh.peers(ENTRY)
             zone_peers = [peer for peer in peers if peer.zone == own_zone]
             self.sent_in_zone = self.send_loads(
-                zone_peers, self.sent_in_zone, dict(self.selector.own_loads), {}
+                zone_peers,
+                self.sent_in_zone,
+                dict(self.selector.own_loads),
+                self.demand_fields(self.demand.own_demand),
             )
             if rounds % ROUNDS_PER_CROSS_ZONE_SEND and not self.changed_states:
                 continue
@@ -66,7 +72,10 @@
             if rank == 0:
                 loads = self.selector.summed_loads([peer.name for peer in zone_peers])
                 self.sent_to_zones = self.send_loads(
-                    other_zone_peers, self.sent_to_zones, loads, {"zone": own_zone}
+                    other_zone_peers,
+                    self.sent_to_zones,
+                    loads,
+                    {"zone": own_zone} | self.demand_fields(self.demand.zone_demand),
                 )
             if self.changed_states and rank < ENGINE_SENDERS_PER_ZONE:
                 states = [state.as_list() for state in self.changed_states.values()]
@@ -96,7 +105,7 @@
         peers: list[Peer],
         last_sent: SentLoads,
         loads: dict[str, Load],
-        extra_fields: dict[str, str],
+        extra_fields: dict[str, Any],
     ) -> SentLoads:
         """Send the loads if they have changed or are due again; return what was sent last."""
         sent_loads, at_s = last_sent
@@ -107,6 +116,11 @@
         self.mesh.post_all(peers, LOAD, {"loads": packed, **extra_fields})
         return loads, now_s
 
+    def demand_fields(self, demand_per_s: Callable[[str], float]) -> dict[str, Any]:
+        """Return the field with the demand for each service that has a limited upstream."""
+        services = self.selector.limited_services()
+        return {"demand": {name: demand_per_s(name) for name in services}} if services else {}
+
     def on_loads(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Handle the loads of another entry, or the summed loads of another zone.
 
@@ -116,7 +130,13 @@
             str(name): Load(int(count), int(unread))
             for name, (count, unread) in payload["loads"].items()
         }
-        self.selector.record_peer_loads(str(payload.get("zone", peer.name)), loads)
+        demand = {
+            str(name): finite_rate(per_s) for name, per_s in payload.get("demand", {}).items()
+        }
+        zone = str(payload.get("zone", ""))
+        self.selector.record_peer_loads(zone or peer.name, loads)
+        if demand:
+            self.demand.record(peer, zone, demand)
         for listener in self.on_change:
             listener()
 
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -103,6 +103,8 @@
                 await self.attempt(request, record, writer)
                 return
             except NotRunError as error:
+                if not error.is_refusal:
+                    self.selector.limits.give_back(record)
                 self.failures.record_not_run(request, record, error)
                 self.check_resend(request, error)
             except OutcomeUnknownError as error:
--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -15,6 +15,7 @@
 
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.ratelimit.capacity import LimitedCapacity
 
 RATE_WINDOW_S: Final = 2.0
 """Seconds over which the rates of arrivals and of admissions are measured."""
@@ -32,6 +33,9 @@
 """Smallest share of admissions that late requests are assumed to get when estimating their wait."""
 RATE_MIN_PER_S: Final = 0.5
 """Lowest admission rate that is assumed, so that estimated waits stay finite."""
+LIMITED_WAIT_S: Final = 0.3
+"""Seconds that a request may wait where upstreams state that they take fewer than arrive: enough to
+choose fairly among those that arrive together, and not so long that the others wait in vain."""
 IDLE_WORKSPACES_MAX: Final = 1024
 """Workspaces whose fairness state is kept before idle ones are dropped."""
 
@@ -58,7 +62,8 @@
 
     ``start_tag`` is its virtual start time in fair queueing, ``arrival`` its number in order of
     arrival.  It must be admitted by ``goal_start_s`` to meet its goal, and by ``latest_start_s``
-    for its caller to wait for the answer; both are monotonic seconds.  ``outcome`` is set to the
+    for its caller to wait for the answer; it waits since ``queued_at_s``.  All three are monotonic
+    seconds.  ``outcome`` is set to the
     upstream that admits it, or to the seconds after which the caller should retry.
     """
 
@@ -67,6 +72,7 @@
     arrival: int
     latest_start_s: float
     goal_start_s: float
+    queued_at_s: float = field(default_factory=time.monotonic)
     outcome: "asyncio.Future[UpstreamRecord | float]" = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -155,6 +161,10 @@
         """Count a request's first arrival towards the arrival rate."""
         self.arrived_at_s.append(time.monotonic())
 
+    def arrivals_per_s(self) -> float:
+        """Return the requests per second that arrived within the last window."""
+        return recent_per_s(self.arrived_at_s)
+
     def rate_per_s(self, share_per_s: float) -> float:
         """Return the estimated admissions per second.
 
@@ -166,20 +176,28 @@
             return max(share_per_s, measured_per_s)
         return max(RATE_MIN_PER_S, measured_per_s)
 
-    def shed_excess(self, capacity_share_per_s: float) -> None:
+    def shed_excess(
+        self, capacity_share_per_s: float, limited: LimitedCapacity | None = None
+    ) -> None:
         """Refuse the requests whose estimated wait exceeds their latest start.
 
         Late requests are overtaken by requests that arrive and can still meet their goal.
         Removing a request shortens only the waits behind it, so one pass in order is enough.
+        Where all upstreams state limits, ``limited`` takes the place of the measured rate.
         """
-        now_s, rate = time.monotonic(), self.rate_per_s(capacity_share_per_s)
-        overtaking_per_s = OVERTAKING_SHARE * recent_per_s(self.arrived_at_s)
+        now_s, rate, first_in_s = time.monotonic(), self.rate_per_s(capacity_share_per_s), 0.0
+        if limited is not None:
+            rate, first_in_s = limited
+        is_scarce = limited is not None and self.arrivals_per_s() > rate
+        overtaking_per_s = OVERTAKING_SHARE * self.arrivals_per_s()
         late_rate = max(rate - overtaking_per_s, LATE_SHARE_MIN * rate)
         position = late_position = 0
         for waiting in self.ordered():
             is_late = waiting.rank(now_s) == RANK_LATE
-            wait_s = position / rate + (late_position / late_rate if is_late else 0.0)
-            if now_s + wait_s > waiting.latest_start_s:
+            wait_s = first_in_s + position / rate + (late_position / late_rate if is_late else 0.0)
+            if now_s + wait_s > waiting.latest_start_s or (
+                is_scarce and now_s + wait_s > waiting.queued_at_s + LIMITED_WAIT_S
+            ):
                 self.refuse(waiting, wait_s)
             elif is_late:
                 late_position += 1
--- a/gypsumpier/ratelimit/bucket.py
+++ b/gypsumpier/ratelimit/bucket.py
@@ -8,7 +8,7 @@
 
 
 class TokenBucket:
-    """Permits requests at a rate.  Times are monotonic seconds.
+    """Permits requests at a rate above 0.  Times are monotonic seconds.
 
     ``burst`` is how many tokens are kept for later.  Where it is below 1, as a small share of a
     burst that many processes have together, a whole token may be used until ``burst`` further
@@ -51,7 +51,5 @@
         self.tokens = min(self.tokens + 1.0, max(1.0, self.burst))
 
     def wait_s(self, now_s: float) -> float:
-        """Return the seconds until a request may be sent; infinite at a rate of 0."""
-        if self.has_token(now_s):
-            return 0.0
-        return (1.0 - self.tokens) / self.rate_per_s if self.rate_per_s else math.inf
+        """Return the seconds until a request may be sent."""
+        return 0.0 if self.has_token(now_s) else (1.0 - self.tokens) / self.rate_per_s
--- a/gypsumpier/ratelimit/demand.py
+++ b/gypsumpier/ratelimit/demand.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import math
 import time
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
@@ -107,3 +108,10 @@
         digest = hashlib.blake2b(upstream.encode(), digest_size=4).digest()
         offset = int.from_bytes(digest, "big") / 2**32
         return ((rank + 0.5) / (len(names) + 1) + offset) % 1.0
+
+
+def finite_rate(per_s: float) -> float:
+    """Return a rate that a message holds; raise ValueError where it is none."""
+    if not (math.isfinite(per_s) and per_s >= 0):
+        raise ValueError(f"{per_s!r} is no rate")
+    return float(per_s)
--- a/gypsumpier/ratelimit/limits.py
+++ b/gypsumpier/ratelimit/limits.py
@@ -11,6 +11,7 @@
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.bucket import TokenBucket
+from gypsumpier.ratelimit.capacity import LimitedCapacity
 from gypsumpier.ratelimit.statedlimit import StatedLimit
 
 TRIAL_PER_S: Final = 0.2
@@ -145,6 +146,15 @@
             self.unreadable[run] = text
             decision("upstream_limit_ignored", upstream=record.id, value=text)
 
+    def has_any(self) -> bool:
+        """Return whether any upstream may have a limit."""
+        return bool(self.known)
+
+    def is_limited(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream states a limit."""
+        known = self.known.get(record.run_key())
+        return known is not None and known.per_s is not None
+
     def bucket(self, record: UpstreamRecord) -> TokenBucket | None:
         """Return the bucket of this entry's share of the limit; None where there is none."""
         known = self.known.get(record.run_key())
@@ -182,10 +192,20 @@
         bucket = self.bucket(record)
         return None if bucket is None else bucket.rate_per_s
 
-    def wait_s(self, record: UpstreamRecord) -> float:
-        """Return the seconds until the upstream may get a request from this entry."""
-        bucket = self.bucket(record)
-        return 0.0 if bucket is None else bucket.wait_s(time.monotonic())
+    def capacity(self, records: list[UpstreamRecord]) -> LimitedCapacity | None:
+        """Return what the limits of all these upstreams together allow this entry to send.
+
+        None where one of them has no limit, or there is none.
+        """
+        buckets = [self.bucket(record) for record in records]
+        limited = [bucket for bucket in buckets if bucket is not None]
+        if not buckets or len(limited) < len(buckets):
+            return None
+        now_s = time.monotonic()
+        return LimitedCapacity(
+            sum(bucket.rate_per_s for bucket in limited),
+            min(bucket.wait_s(now_s) for bucket in limited),
+        )
 
     def retain(self, runs: set[RunKey]) -> None:
         """Drop what is known of runs that have no record, some time after it was stated."""
--- a/gypsumpier/test/builders_gateway.py
+++ b/gypsumpier/test/builders_gateway.py
@@ -9,6 +9,7 @@
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.platform.settings import Reader, node_settings
+from gypsumpier.ratelimit.demand import DemandShares
 from gypsumpier.test.builders_platform import (
     BOUNDS,
     ZONE,
@@ -28,6 +29,11 @@
     )
 
 
+def demand_of(mesh: Any) -> DemandShares:
+    """Return the demand at an entry that gets no requests, in a deployment of its zone alone."""
+    return DemandShares(mesh, frozenset(), lambda service: 0.0)
+
+
 def engines(count: int, **fields: Any) -> FleetState:
     """Return a fleet state with a configuration and ``count`` engines, named from ``i-1`` on."""
     records = [engine_record(number, 1 + number, **fields) for number in range(1, count + 1)]
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -120,6 +120,13 @@
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
 
+    def limited_services(self) -> set[str]:
+        """Return the services of which an upstream states a limit."""
+        if not self.limits.has_any():
+            return set()
+        records = self.fleet_state.upstreams.values()
+        return {record.service for record in records if self.limits.is_limited(record)}
+
     def engine(self, record: UpstreamRecord) -> EngineState | None:
         """Return the state last reported by the sidecar of the upstream; None if there is none."""
         return self.engines.get(f"{record.host}:{record.port}")
@@ -218,11 +225,12 @@
     ) -> UpstreamRecord | None:
         """Return the upstream with capacity and the least estimated delay; None if there is none.
 
-        Upstreams whose run keys are in ``excluded`` are left out.  Impaired upstreams are chosen
-        only if no other has capacity; upstreams of the own zone with free slots are preferred.
-        A request that takes ``needed_s`` seconds prefers engines that don't switch weights before
-        its end.  With ``any_zone`` the own zone is not preferred, and the choice is random among
-        about equal delays: streams that were cut together must not all resume at one engine.
+        An upstream has capacity up to its slots and to the limit that it states.  Those whose run
+        keys are in ``excluded`` are left out.  Impaired upstreams are chosen only if no other has
+        capacity; upstreams of the own zone with free slots are preferred.  A request that takes
+        ``needed_s`` seconds prefers engines that don't switch weights before its end.  With
+        ``any_zone`` the own zone is not preferred, and the choice is random among about equal
+        delays: streams that were cut together must not all resume at one engine.
         """
         free = [
             record
@@ -231,6 +239,7 @@
             and self.is_usable(record)
             and self.load(record) < self.limit(record)
             and self.unread_s(record) < UNREAD_MAX_S
+            and self.limits.allows(record)
         ]
         if not free:
             return None
@@ -292,6 +301,7 @@
         """Count a request that is sent to the upstream."""
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
+        self.limits.take(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Stop counting the prompt tokens of a request as unread."""
