--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -70,9 +70,9 @@
     request: GatewayRequest
     start_tag: float
     arrival: int
+    queued_at_s: float
     latest_start_s: float
     goal_start_s: float
-    queued_at_s: float = field(default_factory=time.monotonic)
     outcome: "asyncio.Future[UpstreamRecord | float]" = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -101,8 +101,9 @@
         self, request: GatewayRequest, latest_start_s: float, goal_start_s: float
     ) -> QueuedRequest:
         """Add a request to the queue and return its queue entry."""
+        now_s = time.monotonic()
         if not self.waiting:
-            self.formed_at_s = time.monotonic()
+            self.formed_at_s = now_s
         workspace = request.workspace_name
         start = max(self.virtual_time, self.finish_tags.get(workspace, 0.0))
         self.finish_tags[workspace] = start + 1.0
@@ -111,7 +112,7 @@
                 name: tag for name, tag in self.finish_tags.items() if tag > self.virtual_time
             }
         self.arrivals += 1
-        waiting = QueuedRequest(request, start, self.arrivals, latest_start_s, goal_start_s)
+        waiting = QueuedRequest(request, start, self.arrivals, now_s, latest_start_s, goal_start_s)
         self.waiting.append(waiting)
         return waiting
 
