Keep to stated limits on the own interface, too

Upstreams of the own interface may state the same header; it was forwarded and not read. All requests of an upstream pass through its agent, so the agent keeps to the whole limit by itself: it refuses what is beyond with the new code 2008, upstream_limited, and the time until the next place. The entry leaves the agent out until then, tries the others without cost to its retry budget, and refuses at once where all are at their limits. A keyed request is refused as not run before it starts. test_own_limits: two entries send 20 requests a second to an upstream that takes 2; 22 or fewer run in 10 s, none is refused after 0.5 s. In virtual time, and the adapters against a stand-in.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -9,6 +9,7 @@
 from gypsumpier.agent.closing import drain_connections
 from gypsumpier.agent.gate import Gate
 from gypsumpier.agent.home import Home
+from gypsumpier.agent.limitedupstream import LimitedUpstream, OwnUpstream
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.monitor import Monitor
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
@@ -68,9 +69,16 @@
 
     def build_upstream(self) -> Upstream:
         """Return the upstream of the kind that the settings name."""
+        own = OwnUpstream(self.options.name, self.options.service)
         if self.options.upstream_kind == "plain":
-            return ServiceUpstream(HttpService(self.options.upstream_url))
-        return EngineUpstream(HttpEngine(self.options.upstream_url))
+            service = HttpService(self.options.upstream_url)
+            limited = LimitedUpstream(ServiceUpstream(service), own)
+            service.on_limit = limited.record_answer
+            return limited
+        engine = HttpEngine(self.options.upstream_url)
+        limited = LimitedUpstream(EngineUpstream(engine), own)
+        engine.on_limit = limited.record_answer
+        return limited
 
     def build_rollout(self) -> Rollout | None:
         """Return the component that brings versions live.
--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -25,6 +25,9 @@
 ENTRY_STARTING: Final = ResultCode(
     2007, "entry_starting", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
 )
+UPSTREAM_LIMITED: Final = ResultCode(
+    2008, "upstream_limited", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
 BAD_REQUEST: Final = ResultCode(
     2010, "bad_request", 400, Outcome.NOT_RUN, "Correct the request before sending it again."
 )
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -43,7 +43,8 @@
     """One agent, as this entry sees it.
 
     ``open_connection`` is the open connection, and ``connection`` is the same one once the agent
-    has identified itself.  ``on_welcome`` is called when it has done so, ``on_suspects`` with the
+    has identified itself.  Until ``limited_until_s`` the agent refuses requests, as its upstream
+    takes no more.  ``on_welcome`` is called when it has done so, ``on_suspects`` with the
     requests that it reports after a crash, ``on_key_frame`` with each frame of KEY_KINDS.
     """
 
@@ -75,6 +76,7 @@
         self.reported_at_s = 0.0
         self.incarnation = ""
         self.started_at_s = 0.0
+        self.limited_until_s = 0.0
         self.takes_parts = False
         self.on_welcome: Callable[[Link], None] = ignore
         self.own_in_flight_at_report = 0
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -148,6 +148,8 @@
                 return
             except GypsumpierError as error:
                 failure.record(error, link)
+                if error.code is codes.UPSTREAM_LIMITED:
+                    link.limited_until_s = self.clock.monotonic() + (error.retry_after_s or 0.0)
                 self.guard.handle_attempt_failure(request, error)
                 if started or not self.may_retry(request, error):
                     raise failure.caller_error() from error
@@ -199,6 +201,10 @@
         """Choose an untried upstream, and log the choice."""
         links = self.links.of_service(request.service)
         untried = [link for link in links if link.member.name not in failure.tried]
+        waits_s = [link.limited_until_s - self.clock.monotonic() for link in untried]
+        if untried and min(waits_s) > 0:
+            failure.last = GypsumpierError(codes.UPSTREAM_LIMITED, request.service, min(waits_s))
+        untried = [link for link, wait_s in zip(untried, waits_s, strict=True) if wait_s <= 0]
         if not self.options.prefix_affinity:
             request = request._replace(prefix="")
         choice = choose(request, document, untried, self.options.zone, self.random)
@@ -221,9 +227,10 @@
         not_run = error.code.outcome is Outcome.NOT_RUN
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
-        # A full upstream refuses before any work, and the window has just been decreased, so this
-        # retry does not count against the budget.
-        return error.code is codes.UPSTREAM_FULL or self.budget.spend()
+        # A full upstream refuses before any work, and the window has just been decreased; so does
+        # one at its limit, which is left out.  These retries do not count against the budget.
+        is_free = error.code in (codes.UPSTREAM_FULL, codes.UPSTREAM_LIMITED)
+        return is_free or self.budget.spend()
 
     def payload(
         self, request: CallerRequest, document: ServiceDocument, version: str
--- a/gypsumpier/external/engine_http.py
+++ b/gypsumpier/external/engine_http.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import AsyncIterator
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -25,16 +26,18 @@
 )
 from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
 from gypsumpier.external.lines import LineQueue
+from gypsumpier.external.requestlimit import LimitListener, LimitReader, ignore_limit
 
 STATUS_TIMEOUT_S: Final = 2.0
 STREAM_TIMEOUT_S: Final = 600.0
 
 
 class HttpEngine:
-    """The Engine protocol over HTTP."""
+    """The Engine protocol over HTTP; ``on_limit`` gets the limit that each stream states."""
 
     def __init__(self, url: str) -> None:
         self.caller = HttpCaller(url)
+        self.on_limit: LimitListener = ignore_limit
 
     async def status(self) -> EngineStatus:
         answer = await self.caller.call_json("GET", "/status", STATUS_TIMEOUT_S)
@@ -83,11 +86,17 @@
     async def events(self, method: str, path: str, **fields: Any) -> AsyncIterator[EngineEvent]:
         """Yield the events of one streamed answer; raise GypsumpierError if it is cut off."""
         lines = LineQueue()
+        limit = LimitReader(self.on_limit, time.monotonic())
+
+        def header(line: str) -> None:
+            limit.header(line)
+            lines.header(line)
+
         request = self.caller.request(
             method,
             path,
             STREAM_TIMEOUT_S,
-            header_callback=lines.header,
+            header_callback=header,
             streaming_callback=lines.feed,
             **fields,
         )
--- a/gypsumpier/external/service_http.py
+++ b/gypsumpier/external/service_http.py
@@ -5,11 +5,13 @@
 failure, including a reset, may occur after the service has run the call.
 """
 
+import time
 from typing import Final
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.http import HttpCaller, NotSentError
+from gypsumpier.external.requestlimit import LimitListener, LimitReader, ignore_limit
 from gypsumpier.external.service import ServiceAnswer, ServiceCall
 
 HEALTH_TIMEOUT_S: Final = 2.0
@@ -19,10 +21,11 @@
 
 
 class HttpService:
-    """The Service protocol over HTTP."""
+    """The Service protocol over HTTP; ``on_limit`` gets the limit that each answer states."""
 
     def __init__(self, url: str) -> None:
         self.caller = HttpCaller(url)
+        self.on_limit: LimitListener = ignore_limit
 
     async def call(self, call: ServiceCall, timeout_s: float) -> ServiceAnswer:
         request = self.caller.request(
@@ -31,6 +34,7 @@
             timeout_s,
             headers=forwardable_headers(call.headers),
             body=call.body or None,
+            header_callback=LimitReader(self.on_limit, time.monotonic()).header,
         )
         try:
             response = await self.caller.fetch(request)
--- a/gypsumpier/ratelimit/limits.py
+++ b/gypsumpier/ratelimit/limits.py
@@ -1,13 +1,12 @@
 """The limits of upstreams as this entry knows them, and its own share of each."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final, NamedTuple, Protocol
 
 from prometheus_client import Gauge
 
-from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.bucket import TokenBucket
@@ -36,6 +35,21 @@
 RunKey = tuple[str, int]
 
 
+class Limitable(Protocol):
+    """An upstream as far as its limit is concerned."""
+
+    @property
+    def id(self) -> str:
+        """Its name."""
+
+    @property
+    def service(self) -> str:
+        """The service that it is part of."""
+
+    def run_key(self) -> RunKey:
+        """Return the key of its run; another run has no limit until it states one."""
+
+
 class Shares(Protocol):
     """Divides limits among the entries."""
 
@@ -89,7 +103,7 @@
         self.unreadable: dict[RunKey, str] = {}
         self.listeners: list[Callable[[LimitNews], None]] = []
 
-    def record_answer(self, record: UpstreamRecord, stated: StatedLimit, sent_at_s: float) -> None:
+    def record_answer(self, record: Limitable, stated: StatedLimit, sent_at_s: float) -> None:
         """Record what an answer states; its request was sent at ``sent_at_s``.
 
         An answer without a limit lifts it only if its request was sent after the limit was stated:
@@ -139,7 +153,7 @@
             source=origin,
         )
 
-    def log_unreadable(self, record: UpstreamRecord, text: str) -> None:
+    def log_unreadable(self, record: Limitable, text: str) -> None:
         """Log a value that is no rate, once until it is another one."""
         run = record.run_key()
         if self.unreadable.get(run) != text:
@@ -150,12 +164,12 @@
         """Return whether any upstream may have a limit."""
         return bool(self.known)
 
-    def is_limited(self, record: UpstreamRecord) -> bool:
+    def is_limited(self, record: Limitable) -> bool:
         """Return whether the upstream states a limit."""
         known = self.known.get(record.run_key())
         return known is not None and known.per_s is not None
 
-    def bucket(self, record: UpstreamRecord) -> TokenBucket | None:
+    def bucket(self, record: Limitable) -> TokenBucket | None:
         """Return the bucket of this entry's share of the limit; None where there is none."""
         known = self.known.get(record.run_key())
         if known is None or known.per_s is None:
@@ -170,29 +184,29 @@
         known.bucket.set_rate(rate_per_s, burst, now_s)
         return known.bucket
 
-    def allows(self, record: UpstreamRecord) -> bool:
+    def allows(self, record: Limitable) -> bool:
         """Return whether the upstream may get a request from this entry now."""
         bucket = self.bucket(record)
         return bucket is None or bucket.has_token(time.monotonic())
 
-    def take(self, record: UpstreamRecord) -> None:
+    def take(self, record: Limitable) -> None:
         """Count a request that is sent to the upstream."""
         bucket = self.bucket(record)
         if bucket is not None:
             bucket.take(time.monotonic())
 
-    def give_back(self, record: UpstreamRecord) -> None:
+    def give_back(self, record: Limitable) -> None:
         """Count a request as not sent, because there was no connection to the upstream."""
         bucket = self.bucket(record)
         if bucket is not None:
             bucket.give_back()
 
-    def rate_per_s(self, record: UpstreamRecord) -> float | None:
+    def rate_per_s(self, record: Limitable) -> float | None:
         """Return the requests per second that this entry may send; None for no limit."""
         bucket = self.bucket(record)
         return None if bucket is None else bucket.rate_per_s
 
-    def capacity(self, records: list[UpstreamRecord]) -> LimitedCapacity | None:
+    def capacity(self, records: Sequence[Limitable]) -> LimitedCapacity | None:
         """Return what the limits of all these upstreams together allow this entry to send.
 
         None where one of them has no limit, or there is none.
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -9,6 +9,7 @@
 
 from gypsumpier.agent.gate import Gate
 from gypsumpier.agent.home import Home
+from gypsumpier.agent.limitedupstream import LimitedUpstream, OwnUpstream
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.agent.upstream import Part
@@ -102,10 +103,11 @@
         )
         self.member = member
         self.upstream = upstream
-        self.home = Home(options, world.clock, world.documents, upstream)
+        self.limited = LimitedUpstream(upstream, OwnUpstream(member.name, member.service))
+        self.home = Home(options, world.clock, world.documents, self.limited)
         for accepted in world.documents.accepted.values():
             self.home.apply_document(accepted)
-        self.gate = Gate(options, world.clock, upstream, self.home)
+        self.gate = Gate(options, world.clock, self.limited, self.home)
         self.listener = Listener(options, world.clock, self.gate)
         self.listener.healthy = True
         world.network.listen(member.host, member.port, self.listener.serve)
@@ -144,9 +146,11 @@
         body = json.dumps(document).encode()
         assert self.documents.offer(DocumentRevision(document["service"], revision, body), "test")
 
-    def agent(self, service: str = PLAIN_SERVICE, incarnation: str = "one") -> AgentParts:
+    def agent(
+        self, service: str = PLAIN_SERVICE, incarnation: str = "one", number: int = 0
+    ) -> AgentParts:
         """Add an agent and list it."""
-        member = self.member(f"{service}/{ZONE}/0", incarnation, "agent", service)
+        member = self.member(f"{service}/{ZONE}/{number}", incarnation, "agent", service)
         upstream = FakeUpstream(service == MODEL_SERVICE)
         parts = AgentParts(self, member, upstream)
         self.members.put(member)
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -210,8 +210,6 @@
     def prepare(self) -> None:
         super().prepare()
         self.connection_closed = asyncio.Event()
-        if self.state.limit is not None:
-            self.set_header("Server-Limit", self.state.limit)
 
     async def get(self) -> None:
         await self.run()
--- a/gypsumpier/test/standin/server.py
+++ b/gypsumpier/test/standin/server.py
@@ -15,7 +15,10 @@
 
 
 class Faults(Protocol):
-    """The state of a stand-in that is checked before every call."""
+    """The state of a stand-in that is checked before every call.
+
+    One with an attribute ``limit`` that is not None states it in its answers.
+    """
 
     down: bool
 
@@ -29,7 +32,10 @@
         self.state = state
 
     def prepare(self) -> None:
-        """Refuse the call while the stand-in is down."""
+        """State the limit, if there is one; refuse the call while the stand-in is down."""
+        limit = getattr(self.state, "limit", None)
+        if limit is not None:
+            self.set_header("Server-Limit", limit)
         if self.state.down and not self.request.path.startswith("/control/"):
             self.refuse(503)
 
