--- a/gypsumpier/test/test_late_copies.py
+++ b/gypsumpier/test/test_late_copies.py
@@ -41,7 +41,7 @@
                 self.answers.append(body)
                 writer.write(last + answer)
                 last = answer
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
 
