Bound the log of limits that change with each answer, and find limited services by name

An upstream may state another value, or another unreadable one, in each answer; each was a log line at every entry. Now one in 10 s for each upstream, beside the begin and the end of a limit. The services with a limit were looked for among all upstreams 50 times a second while any limit was known.

--- a/gypsumpier/ratelimit/limits.py
+++ b/gypsumpier/ratelimit/limits.py
@@ -26,6 +26,10 @@
 LIMITS_MAX: Final = 16_384
 """Upstreams whose limits are kept; more than there are upstreams in the largest deployment."""
 
+LOG_INTERVAL_S: Final = 10.0
+"""Seconds between two log lines of one upstream's changes, or of its unreadable values: it may
+state another one in each answer."""
+
 LIMITED_UPSTREAMS: Final = Gauge(
     "gypsumpier_limited_upstreams",
     "Upstreams that state how many requests they take.",
@@ -89,6 +93,7 @@
     per_s: float | None
     at_s: float
     bucket: TokenBucket | None = None
+    logged_at_s: float = float("-inf")
 
 
 class RequestLimits:
@@ -100,7 +105,7 @@
     def __init__(self, shares: Shares) -> None:
         self.shares = shares
         self.known: dict[RunKey, KnownLimit] = {}
-        self.unreadable: dict[RunKey, str] = {}
+        self.unreadable_logged_at_s: dict[RunKey, float] = {}
         self.listeners: list[Callable[[LimitNews], None]] = []
 
     def record_answer(self, record: Limitable, stated: StatedLimit, sent_at_s: float) -> None:
@@ -142,27 +147,32 @@
         return True
 
     def log_change(self, news: LimitNews, before: float | None, origin: str) -> None:
-        """Log a new, changed or lifted limit."""
-        LIMITED_UPSTREAMS.set(sum(found.per_s is not None for found in self.known.values()))
+        """Log a new or lifted limit, and now and then one that has changed."""
+        LIMITED_UPSTREAMS.set(len(self.limited()))
+        known, now_s = self.known[news.run], time.monotonic()
+        is_begin_or_end = before is None or news.per_s is None
+        if not is_begin_or_end and now_s - known.logged_at_s < LOG_INTERVAL_S:
+            return
+        known.logged_at_s = now_s
         decision(
             "upstream_limit",
             upstream=news.run[0],
             per_s=news.per_s,
             before_per_s=before,
-            age_s=round(time.monotonic() - news.at_s, 3),
+            age_s=round(now_s - news.at_s, 3),
             source=origin,
         )
 
     def log_unreadable(self, record: Limitable, text: str) -> None:
-        """Log a value that is no rate, once until it is another one."""
-        run = record.run_key()
-        if self.unreadable.get(run) != text:
-            self.unreadable[run] = text
+        """Log a value that is no rate, now and then."""
+        run, now_s = record.run_key(), time.monotonic()
+        if now_s - self.unreadable_logged_at_s.get(run, float("-inf")) >= LOG_INTERVAL_S:
+            self.unreadable_logged_at_s[run] = now_s
             decision("upstream_limit_ignored", upstream=record.id, value=text)
 
-    def has_any(self) -> bool:
-        """Return whether any upstream may have a limit."""
-        return bool(self.known)
+    def limited(self) -> set[str]:
+        """Return the names of the upstreams that state a limit."""
+        return {run[0] for run, found in self.known.items() if found.per_s is not None}
 
     def is_limited(self, record: Limitable) -> bool:
         """Return whether the upstream states a limit."""
@@ -227,5 +237,6 @@
         for run in [run for run in self.known if run not in runs]:
             if self.known[run].at_s < oldest_s:
                 del self.known[run]
-        self.unreadable = {run: text for run, text in self.unreadable.items() if run in runs}
-        LIMITED_UPSTREAMS.set(sum(found.per_s is not None for found in self.known.values()))
+        for run in [run for run in self.unreadable_logged_at_s if run not in runs]:
+            del self.unreadable_logged_at_s[run]
+        LIMITED_UPSTREAMS.set(len(self.limited()))
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -122,10 +122,8 @@
 
     def limited_services(self) -> set[str]:
         """Return the services of which an upstream states a limit."""
-        if not self.limits.has_any():
-            return set()
-        records = self.fleet_state.upstreams.values()
-        return {record.service for record in records if self.limits.is_limited(record)}
+        upstreams = self.fleet_state.upstreams
+        return {upstreams[name].service for name in self.limits.limited() if name in upstreams}
 
     def engine(self, record: UpstreamRecord) -> EngineState | None:
         """Return the state last reported by the sidecar of the upstream; None if there is none."""
