Name the fleet of engines for what it is, and keep what limits allow in one place

Tests of limits and of stops use the fleet that was made for engines that crash; its set-up stood in three tests. The window and what is allowed in it stood in a test that another test imported. No assertion is changed. Limits of all upstreams are looked at only where one is known.

--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -74,8 +74,8 @@
     ``failures`` counts the calls in a row that have failed, the first of them at
     ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
     its last answer; minus infinity after a failure.  ``checked_at_s`` is when this process last
-    checked on the readers of the store.  ``is_behind`` is set where a check of the
-    store's revision has shown changes that are still to be read.
+    checked on the readers of the store.  ``is_behind`` is set where a check of the store's
+    revision has shown changes that are still to be read.
     """
 
     def __init__(
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -234,6 +234,8 @@
 
     def limited_capacity(self, service: str) -> LimitedCapacity | None:
         """Return what the limits of all upstreams together allow; None where one has no limit."""
+        if not self.selector.limits.limited():
+            return None
         return self.selector.limits.capacity(self.usable_candidates(service))
 
     def usable_candidates(self, service: str) -> list[UpstreamRecord]:
--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -65,8 +65,8 @@
     ``start_tag`` is its virtual start time in fair queueing, ``arrival`` its number in order of
     arrival.  It must be admitted by ``goal_start_s`` to meet its goal, and by ``latest_start_s``
     for its caller to wait for the answer; it waits since ``queued_at_s``.  All three are monotonic
-    seconds.  ``outcome`` is set to the
-    upstream that admits it, or to the seconds after which the caller should retry.
+    seconds.  ``outcome`` is set to the upstream that admits it, or to the seconds after which the
+    caller should retry.
     """
 
     request: GatewayRequest
--- a/gypsumpier/test/crashfleet.py
+++ b/gypsumpier/test/enginefleet.py
@@ -1,8 +1,10 @@
-"""Entries as processes before engines that end under certain prompts, and callers of both kinds."""
+"""Entries as processes before engines that may end under certain prompts, and their callers."""
 
 import asyncio
 import itertools
+import tempfile
 import time
+import unittest
 from functools import partial
 from pathlib import Path
 from typing import Final, NamedTuple
@@ -43,7 +45,7 @@
     status: int
 
 
-class CrashFleet:
+class EngineFleet:
     """A store, engines that end under prompts with a part in ``fatal_parts``, and entries.
 
     ``calls`` are the requests that have ended, in the order of their ends.
@@ -193,3 +195,16 @@
         self.store.server.stop()
         for engine in self.engines:
             engine.server.stop()
+
+
+class EngineFleetCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with such a fleet, which has started."""
+
+    entries = 4
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = EngineFleet(Path(folder.name), self.entries)
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.fleet.start()
--- a/gypsumpier/test/test_crashing_parts.py
+++ b/gypsumpier/test/test_crashing_parts.py
@@ -1,15 +1,12 @@
 """Tests of entries as processes under requests that share a part which ends engines."""
 
 import asyncio
-import tempfile
 import time
 import unittest
-from pathlib import Path
 from typing import Final
 
-from gypsumpier.test.crashfleet import CrashFleet
+from gypsumpier.test.enginefleet import EngineFleetCase
 
-ENTRIES: Final = 4
 FATAL_PARTS: Final = ("bad00001", "bad00002")
 SOUND_PER_S: Final = 40.0
 FATAL_PER_S: Final = 4.0
@@ -25,14 +22,7 @@
 LOAD_S: Final = 7.0
 
 
-class CrashingPartsTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = CrashFleet(Path(folder.name), ENTRIES)
-        self.addAsyncCleanup(self.fleet.stop)
-        await self.fleet.start()
-
+class CrashingPartsTest(EngineFleetCase):
     # Guards against each request with a fatal part being taken for new, and ending engines anew.
     async def test_requests_with_a_part_that_ends_engines_are_refused_and_sound_ones_served(
         self,
--- a/gypsumpier/test/test_limit_sharing.py
+++ b/gypsumpier/test/test_limit_sharing.py
@@ -9,14 +9,16 @@
 from gypsumpier.fleet.change import UNKNOWN_NEWS
 from gypsumpier.test.builders_gateway import engines_in
 from gypsumpier.test.builders_platform import configuration_record
+from gypsumpier.test.limitcheck import (
+    EXCESS_REQUESTS,
+    STABLE_S,
+    allowed_in_window,
+    most_in_window,
+)
 from gypsumpier.test.simulated_entries import simulate
 from gypsumpier.test.simulated_limits import LimitedFleet
-from gypsumpier.test.test_request_limits import EXCESS_REQUESTS, EXCESS_SHARE, most_in_window
 
 ZONES: Final = ("bac-a", "nam-a", "trung-a")
-STABLE_S: Final = 3.0
-"""Seconds after a limit is stated from which it must be kept."""
-WINDOW_S: Final = 4.0
 USED_MIN: Final = 0.8
 """Share of the limits that must be used where far more is asked for."""
 AT_ONCE_S: Final = 0.5
@@ -102,8 +104,7 @@
         counts = []
         for name in fleet.upstreams:
             arrivals_s = fleet.arrivals_s(name, from_s)
-            allowed = EXCESS_SHARE * WINDOW_S * per_s + EXCESS_REQUESTS
-            self.assertLessEqual(most_in_window(arrivals_s), allowed, name)
+            self.assertLessEqual(most_in_window(arrivals_s), allowed_in_window(per_s), name)
             counts.append(len(arrivals_s))
         self.assertGreaterEqual(sum(counts), USED_MIN * seconds * per_s * len(counts))
 
@@ -178,8 +179,7 @@
             await fleet.load(10.0, LOAD_PER_S, {})
             for name in limited:
                 arrivals_s = fleet.arrivals_s(name, stated_at_s + STABLE_S)
-                allowed = EXCESS_SHARE * WINDOW_S + EXCESS_REQUESTS
-                self.assertLessEqual(most_in_window(arrivals_s), allowed)
+                self.assertLessEqual(most_in_window(arrivals_s), allowed_in_window(1.0))
                 self.assertTrue(arrivals_s)
             self.assertEqual([], fleet.refused_after_s)
 
--- a/gypsumpier/test/test_planned_stop.py
+++ b/gypsumpier/test/test_planned_stop.py
@@ -2,18 +2,15 @@
 
 import asyncio
 import signal
-import tempfile
 import time
 import unittest
 from collections import Counter
-from pathlib import Path
 from typing import Final
 
 from gypsumpier.test.builders_platform import KEY
-from gypsumpier.test.crashfleet import CrashFleet
+from gypsumpier.test.enginefleet import EngineFleetCase
 from misc.soaking.connection import CUT, CallerConnection
 
-ENTRIES: Final = 2
 CALLERS: Final = 12
 PAUSE_S: Final = 0.05
 SLOW_EVENT_PAUSE_S: Final = 0.4
@@ -25,13 +22,11 @@
 """Requests of one caller that may cross the close of their connection; none of them may run."""
 
 
-class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+class PlannedStopTest(EngineFleetCase):
+    entries = 2
+
     async def asyncSetUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = CrashFleet(Path(folder.name), ENTRIES)
-        self.addAsyncCleanup(self.fleet.stop)
-        await self.fleet.start()
+        await super().asyncSetUp()
         self.ends: dict[str, int] = {}
 
     async def use_connection(self, caller: int) -> None:
--- a/gypsumpier/test/test_request_limits.py
+++ b/gypsumpier/test/test_request_limits.py
@@ -1,23 +1,15 @@
 """Tests of entries as processes of two zones before engines that state a limit of requests."""
 
 import asyncio
-import tempfile
 import time
 import unittest
-from pathlib import Path
 from typing import Final
 
-from gypsumpier.test.crashfleet import CrashFleet
+from gypsumpier.test.enginefleet import EngineFleetCase
+from gypsumpier.test.limitcheck import STABLE_S, allowed_in_window, most_in_window
 from gypsumpier.test.standin.crashingengine import CrashingEngine
 
-ENTRIES: Final = 4
 LOAD_PER_S: Final = 40.0
-WINDOW_S: Final = 4.0
-EXCESS_SHARE: Final = 1.5
-EXCESS_REQUESTS: Final = 5
-"""An upstream may get so much of its limit within each window, and so many requests more."""
-STABLE_S: Final = 3.0
-"""Seconds after a limit is stated first from which it must be kept."""
 USED_MIN: Final = 0.6
 """Share of the limits that must be used where more is asked for."""
 REFUSED_AT_ONCE_S: Final = 0.5
@@ -29,13 +21,9 @@
 """Seconds within which an entry that serves is connected to the others; they dial every 0.5 s."""
 
 
-class RequestLimitsTest(unittest.IsolatedAsyncioTestCase):
+class RequestLimitsTest(EngineFleetCase):
     async def asyncSetUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = CrashFleet(Path(folder.name), ENTRIES)
-        self.addAsyncCleanup(self.fleet.stop)
-        await self.fleet.start()
+        await super().asyncSetUp()
         await asyncio.sleep(CONNECT_S)
         self.stated_at_s = 0.0
 
@@ -49,9 +37,9 @@
         """Check all windows that begin once the limit must be kept."""
         for engine in engines:
             assert engine.limit is not None
-            allowed = EXCESS_SHARE * WINDOW_S * float(engine.limit) + EXCESS_REQUESTS
             with self.subTest(engine.name):
-                self.assertLessEqual(most_in_window(self.arrivals_s(engine)), allowed)
+                most = most_in_window(self.arrivals_s(engine))
+                self.assertLessEqual(most, allowed_in_window(float(engine.limit)))
 
     def arrivals_s(self, engine: CrashingEngine) -> list[float]:
         """Return the times at which requests reached the engine once the limit must be kept."""
@@ -107,15 +95,5 @@
         self.assertGreater(self.fleet.served_share(from_s, time.monotonic()), SERVED_MIN)
 
 
-def most_in_window(times_s: list[float]) -> int:
-    """Return the largest number of the times, in order, that are within one window."""
-    most = first = 0
-    for last, at_s in enumerate(times_s):
-        while at_s - times_s[first] > WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 if __name__ == "__main__":
     unittest.main()
