--- a/gypsumpier/test/enginefleet.py
+++ b/gypsumpier/test/enginefleet.py
@@ -34,6 +34,7 @@
 TIME_LIMIT_S: Final = 4.0
 ENGINE_COUNT: Final = 6
 EVENT_PAUSE_S: Final = 0.04
+SLOTS: Final = 16
 
 
 class Call(NamedTuple):
@@ -64,6 +65,7 @@
         self.nodes = self.build_nodes(entries)
         self.calls: list[Call] = []
         self.numbers = itertools.count()
+        self.slots = SLOTS
 
     def build_nodes(self, count: int) -> list[Node]:
         """Return the entries, which are not started yet."""
@@ -103,9 +105,16 @@
             while (await self.call(node, self.sound_parts())).status != 200:
                 await asyncio.sleep(POLL_S)
 
+    def write_slots(self, slots: int) -> None:
+        """Write the records of all engines with so many slots."""
+        self.slots = slots
+        for engine in self.engines:
+            self.write_record(engine)
+
     def write_record(self, engine: CrashingEngine) -> None:
         """Write the record of the engine's current start."""
         body = engine_body(
+            slots=self.slots,
             address=engine.address,
             zone=ZONES[self.engines.index(engine) % len(ZONES)],
             service=ENGINES,
