Notice callers that leave while bytes behind their requests are buffered

What callers see: nothing; their runs go on for good at engines, whose places others need. Cause: tornado reads a connection ahead only while nothing is buffered and nothing is being written, and so never comes to a close that stands behind a line end, another request, or an answer that waits for a slow caller. Now each open connection with a request under way is asked for a close every 0.1 s; that needs no reading.

Not covered by a test: the slow caller, whose kernel resets the connection in most cases.

--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -129,6 +129,7 @@
             self.starts.run(),
             self.load_share.run(),
             self.limit_share.run(),
+            self.front.run(),
             self.housekeeping(),
         ):
             self.tasks.append(asyncio.create_task(work))
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -28,6 +28,10 @@
 from gypsumpier.platform.headers import caller_head
 from gypsumpier.upstream.head import CallerHead
 
+DEPARTURE_CHECK_S: Final = 0.1
+"""Seconds between two checks whether callers have left; small against the half second after which a
+run counts as one that goes on for nobody."""
+
 REQUESTS: Final = Counter(
     "gypsumpier_requests", "Requests by service and outcome.", ["service", "outcome"],
     registry=REGISTRY,
@@ -63,6 +67,22 @@
         """Remove a closed connection."""
         self.connections.pop(server_conn, None)
 
+    async def run(self) -> None:
+        """Look for departed callers periodically; never returns."""
+        while True:
+            await asyncio.sleep(DEPARTURE_CHECK_S)
+            self.close_departed()
+
+    def close_departed(self) -> None:
+        """Close the connections of callers that have left, which ends their requests.
+
+        Tornado notices that by itself, but not while bytes behind a request are buffered or while
+        an answer waits for a slow caller.
+        """
+        for exchange in list(self.active):
+            if exchange.task is not None and has_departed(exchange.connection.stream):
+                exchange.connection.stream.close()
+
     def close_idle(self) -> None:
         """Close the connections without an active request."""
         busy = {id(exchange.connection.stream) for exchange in self.active}
