End the attempt of a caller that leaves the own interface before its answer begins

What callers see: nothing; engines run their requests to the end. Cause: the handlers of the own interface's entry had no close callback, and noticed a close only as they wrote: never for answers in one piece, and not before the first part of a stream. A close cancels the serving task now; the entry tells the agent, which cancels the run on the engine, and lets go on what may not run again.

--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -39,6 +39,7 @@
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
+from gypsumpier.log import decision
 from gypsumpier.wire.frame import Frame
 
 if TYPE_CHECKING:
@@ -59,6 +60,8 @@
     def initialize(self, entry: "EntryApplication") -> None:
         self.entry = entry
         self.request_id = ""
+        self.serving: asyncio.Task[Any] | None = None
+        self.has_caller_left = False
 
     def set_default_headers(self) -> None:
         """Make the answer close its connection while the entry is stopping."""
@@ -117,9 +120,19 @@
         """Relay the answer of the request to the caller."""
         raise NotImplementedError
 
+    def on_connection_close(self) -> None:
+        """Cancel the request, as its caller has disconnected.
+
+        The agent goes on with an attempt that may not run again, so that its outcome is known.
+        """
+        self.has_caller_left = True
+        if self.serving is not None:
+            self.serving.cancel()
+
     async def serve(self, request: CallerRequest, document: ServiceDocument) -> None:
         """Answer the request, or send the coded error."""
         self.request_id = request.request_id
+        self.serving = asyncio.current_task()
         self.set_header("Gypsumpier-Request", request.request_id)
         self.entry.in_flight += 1
         try:
@@ -132,7 +145,13 @@
             await self.fail(GypsumpierError(DEADLINE_EXCEEDED, "the caller's deadline has passed"))
         except StreamClosedError:
             return
+        except asyncio.CancelledError:
+            if not self.has_caller_left:
+                raise
+            self._auto_finish = False
+            decision("caller_gone", request=request.request_id, service=request.service)
         finally:
+            self.serving = None
             self.entry.in_flight -= 1
 
     async def write_plain(self, frames: AsyncIterator[Frame]) -> None:
