Let requests under a key go on where their callers leave the own interface

The commit before would have cancelled them at the entry, too, which then remembers their outcome as unknown although the home goes on and knows it; a caller that comes back with its key may meet that where the home has died meanwhile. With a test, which fails on the commit before.

--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -123,7 +123,8 @@
     def on_connection_close(self) -> None:
         """Cancel the request, as its caller has disconnected.
 
-        The agent goes on with an attempt that may not run again, so that its outcome is known.
+        The agent goes on with an attempt that may not run again, so that its outcome is known.  A
+        request under a key goes on here as well: its caller may ask for the outcome.
         """
         self.has_caller_left = True
         if self.serving is not None:
@@ -132,7 +133,7 @@
     async def serve(self, request: CallerRequest, document: ServiceDocument) -> None:
         """Answer the request, or send the coded error."""
         self.request_id = request.request_id
-        self.serving = asyncio.current_task()
+        self.serving = None if request.key else asyncio.current_task()
         self.set_header("Gypsumpier-Request", request.request_id)
         self.entry.in_flight += 1
         try:
--- a/gypsumpier/test/test_departed_own_callers.py
+++ b/gypsumpier/test/test_departed_own_callers.py
@@ -52,11 +52,11 @@
         self.entry.server.add_sockets(sockets)
         self.addCleanup(self.entry.server.stop)
 
-    async def leave(self, path: str, body: dict[str, Any]) -> None:
+    async def leave(self, path: str, body: dict[str, Any], headers: str = "") -> None:
         """Send a request and leave once it is under way."""
         content = json.dumps(body).encode()
         _, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(content)}\r\n\r\n"
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(content)}\r\n{headers}\r\n"
         writer.write(head.encode() + content)
         began = len(self.relay.began)
         while len(self.relay.began) == began:
@@ -79,6 +79,12 @@
                         await asyncio.sleep(0.005)
         self.assertEqual(0, self.entry.in_flight)
 
+    # Guards against an outcome that is lost as the caller that may ask for it has left.
+    async def test_a_request_under_a_key_goes_on(self) -> None:
+        await self.leave("/services/table-ops/commands", {}, "Idempotency-Key: k1\r\n")
+        await asyncio.sleep(0.2)
+        self.assertEqual([], self.relay.ended)
+
 
 if __name__ == "__main__":
     unittest.main()
