Read in one place what upstreams state about themselves in their answers, and log it

Nothing acts on rests and leavings yet; limits are kept as before.

The adapters' Retry-After of the own interface was a float: "inf" and "nan" were times. Changed assertions: none; tests follow moved names.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -9,9 +9,9 @@
 from gypsumpier.agent.closing import drain_connections
 from gypsumpier.agent.gate import Gate
 from gypsumpier.agent.home import Home
-from gypsumpier.agent.limitedupstream import LimitedUpstream, OwnUpstream
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.monitor import Monitor
+from gypsumpier.agent.statedupstream import OwnUpstream, StatedUpstream
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
 from gypsumpier.clock import SystemClock
 from gypsumpier.document.reader import DocumentReader
@@ -67,18 +67,21 @@
         self.stopping = False
         self.members.subscribe(self.check_leaving)
 
-    def build_upstream(self) -> Upstream:
+    def build_upstream(self) -> StatedUpstream:
         """Return the upstream of the kind that the settings name."""
         own = OwnUpstream(self.options.name, self.options.service)
+        client: HttpService | HttpEngine
+        upstream: Upstream
         if self.options.upstream_kind == "plain":
-            service = HttpService(self.options.upstream_url)
-            limited = LimitedUpstream(ServiceUpstream(service), own)
-            service.on_limit = limited.record_answer
-            return limited
-        engine = HttpEngine(self.options.upstream_url)
-        limited = LimitedUpstream(EngineUpstream(engine), own)
-        engine.on_limit = limited.record_answer
-        return limited
+            client = HttpService(self.options.upstream_url)
+            upstream = ServiceUpstream(client)
+        else:
+            client = HttpEngine(self.options.upstream_url)
+            upstream = EngineUpstream(client)
+        stated = StatedUpstream(upstream, own)
+        client.on_statement = stated.record_answer
+        client.on_status = stated.record_status
+        return stated
 
     def build_rollout(self) -> Rollout | None:
         """Return the component that brings versions live.
--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -38,6 +38,9 @@
     async def refresh(self) -> None:
         """Poll the upstream's status; raise GypsumpierError if it reports none."""
 
+    def incarnation(self) -> str:
+        """Return the last reported incarnation of the upstream; empty where it reports none."""
+
     def live(self) -> list[LiveModel]:
         """Return the contents that the upstream last reported live; empty for a plain service."""
 
@@ -57,6 +60,7 @@
     def __init__(self, engine: Engine) -> None:
         self.engine = engine
         self.reported: list[LiveModel] = []
+        self.reported_incarnation = ""
         self.retired: set[LiveModel] = set()
         self.refused: set[LiveModel] = set()
 
@@ -78,10 +82,14 @@
         await self.engine.cancel(exchange)
 
     async def refresh(self) -> None:
-        self.reported = (await self.engine.status()).live
+        status = await self.engine.status()
+        self.reported, self.reported_incarnation = status.live, status.incarnation
         self.retired &= set(self.reported)
         self.refused &= self.retired
 
+    def incarnation(self) -> str:
+        return self.reported_incarnation
+
     def live(self) -> list[LiveModel]:
         return [live for live in self.reported if live not in self.retired]
 
@@ -127,6 +135,9 @@
         if not await self.service.healthy():
             raise GypsumpierError(UPSTREAM_UNREACHABLE, "the service failed its health check")
 
+    def incarnation(self) -> str:
+        return ""
+
     def live(self) -> list[LiveModel]:
         return []
 
--- a/gypsumpier/external/engine_http.py
+++ b/gypsumpier/external/engine_http.py
@@ -24,23 +24,40 @@
     LiveModel,
     LoadOrder,
 )
-from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
+from gypsumpier.external.http import HttpCaller, json_object, raise_for_status, was_answered
 from gypsumpier.external.lines import LineQueue
-from gypsumpier.external.requestlimit import LimitListener, LimitReader, ignore_limit
+from gypsumpier.external.statementreader import (
+    LeavingListener,
+    StatementListener,
+    StatementReader,
+    ignore_leaving,
+    ignore_statement,
+    states_leaving,
+)
 
 STATUS_TIMEOUT_S: Final = 2.0
 STREAM_TIMEOUT_S: Final = 600.0
 
 
 class HttpEngine:
-    """The Engine protocol over HTTP; ``on_limit`` gets the limit that each stream states."""
+    """The Engine protocol over HTTP.
+
+    ``on_statement`` gets what each stream states about the engine, ``on_status`` what answers to
+    status calls say of its leaving.
+    """
 
     def __init__(self, url: str) -> None:
         self.caller = HttpCaller(url)
-        self.on_limit: LimitListener = ignore_limit
+        self.on_statement: StatementListener = ignore_statement
+        self.on_status: LeavingListener = ignore_leaving
 
     async def status(self) -> EngineStatus:
-        answer = await self.caller.call_json("GET", "/status", STATUS_TIMEOUT_S)
+        sent_at_s = time.monotonic()
+        response = await self.caller.fetch(self.caller.request("GET", "/status", STATUS_TIMEOUT_S))
+        if was_answered(response):
+            self.on_status(states_leaving(response.headers), sent_at_s)
+        raise_for_status(response)
+        answer = json_object(response.body)
         try:
             return decode_status(answer)
         except (KeyError, TypeError, ValueError) as error:
@@ -86,10 +103,10 @@
     async def events(self, method: str, path: str, **fields: Any) -> AsyncIterator[EngineEvent]:
         """Yield the events of one streamed answer; raise GypsumpierError if it is cut off."""
         lines = LineQueue()
-        limit = LimitReader(self.on_limit, time.monotonic())
+        statement = StatementReader(self.on_statement, time.monotonic())
 
         def header(line: str) -> None:
-            limit.header(line)
+            statement.header(line)
             lines.header(line)
 
         request = self.caller.request(
--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -22,6 +22,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.httpconnection import BoundedHttpClient
 from gypsumpier.numericresolver import NumericResolver
+from gypsumpier.statement.statedrest import stated_rest
 
 MAX_CLIENTS: Final = 2000
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -29,6 +30,8 @@
 CALL_TIMEOUT_S: Final = 10.0
 REFUSED_STATUSES: Final = frozenset({404, 409, 429, 503})
 FENCED_STATUS: Final = 412
+UNANSWERED_STATUS: Final = 599
+"""Status by which the simple client reports a connection that failed or closed early."""
 UNSENT_TIMEOUT_PHASES: Final = ("while connecting", "in request queue")
 
 
@@ -103,12 +106,16 @@
     return GypsumpierError(PLATFORM_UNREACHABLE, f"{url}: {error}")
 
 
+def was_answered(response: HTTPResponse) -> bool:
+    """Return whether there was an answer; the simple client reports a failed connection as one."""
+    return response.code != UNANSWERED_STATUS
+
+
 def raise_for_status(response: HTTPResponse) -> None:
     """Raise GypsumpierError unless the status is 2xx."""
     if 200 <= response.code < 300:
         return
-    # The simple client reports a connection that failed or closed early as status 599.
-    if response.code == 599:
+    if not was_answered(response):
         raise GypsumpierError(PLATFORM_UNREACHABLE, "no answer")
     detail = f"status {response.code}"
     if response.code == FENCED_STATUS:
@@ -119,11 +126,9 @@
 
 
 def retry_after_s(response: HTTPResponse) -> float | None:
-    """Return the seconds of the Retry-After header; None if it is absent or not a number."""
-    try:
-        return max(0.0, float(response.headers.get("Retry-After", "")))
-    except ValueError:
-        return None
+    """Return the seconds of the Retry-After header; None if it states none."""
+    rest = stated_rest(response.headers.get("Retry-After"))
+    return rest.seconds if rest.seconds > 0 else None
 
 
 def json_object(body: bytes) -> dict[str, Any]:
--- a/gypsumpier/external/service_http.py
+++ b/gypsumpier/external/service_http.py
@@ -10,9 +10,16 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.http import HttpCaller, NotSentError
-from gypsumpier.external.requestlimit import LimitListener, LimitReader, ignore_limit
+from gypsumpier.external.http import HttpCaller, NotSentError, was_answered
 from gypsumpier.external.service import ServiceAnswer, ServiceCall
+from gypsumpier.external.statementreader import (
+    LeavingListener,
+    StatementListener,
+    StatementReader,
+    ignore_leaving,
+    ignore_statement,
+    states_leaving,
+)
 
 HEALTH_TIMEOUT_S: Final = 2.0
 CONNECTION_HEADERS: Final = frozenset(
@@ -21,11 +28,15 @@
 
 
 class HttpService:
-    """The Service protocol over HTTP; ``on_limit`` gets the limit that each answer states."""
+    """The Service protocol over HTTP; ``on_statement`` gets what each answer states.
+
+    ``on_status`` gets what answers to health checks say of the service's leaving.
+    """
 
     def __init__(self, url: str) -> None:
         self.caller = HttpCaller(url)
-        self.on_limit: LimitListener = ignore_limit
+        self.on_statement: StatementListener = ignore_statement
+        self.on_status: LeavingListener = ignore_leaving
 
     async def call(self, call: ServiceCall, timeout_s: float) -> ServiceAnswer:
         request = self.caller.request(
@@ -34,7 +45,7 @@
             timeout_s,
             headers=forwardable_headers(call.headers),
             body=call.body or None,
-            header_callback=LimitReader(self.on_limit, time.monotonic()).header,
+            header_callback=StatementReader(self.on_statement, time.monotonic()).header,
         )
         try:
             response = await self.caller.fetch(request)
@@ -47,11 +58,14 @@
         )
 
     async def healthy(self) -> bool:
+        sent_at_s = time.monotonic()
         request = self.caller.request("GET", "/healthz", HEALTH_TIMEOUT_S)
         try:
             response = await self.caller.fetch(request)
         except GypsumpierError:
             return False
+        if was_answered(response):
+            self.on_status(states_leaving(response.headers), sent_at_s)
         return 200 <= response.code < 300
 
     def close(self) -> None:
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -227,16 +227,16 @@
         request_s = max(request_s, PLAIN_SERVICE_TIME_S)
         rates = []
         for record in self.usable_candidates(service):
-            limit_per_s = self.selector.limits.rate_per_s(record)
+            limit_per_s = self.selector.statements.limits.rate_per_s(record)
             slots_per_s = record.slots / request_s / self.entry_count
             rates.append(slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s))
         return max(RATE_MIN_PER_S, sum(rates))
 
     def limited_capacity(self, service: str) -> LimitedCapacity | None:
         """Return what the limits of all upstreams together allow; None where one has no limit."""
-        if not self.selector.limits.limited():
+        if not self.selector.statements.limits.limited():
             return None
-        return self.selector.limits.capacity(self.selector.candidates(service))
+        return self.selector.statements.limits.capacity(self.selector.candidates(service))
 
     def usable_candidates(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of the service that can serve and are not in backoff."""
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -33,7 +33,7 @@
 from gypsumpier.piece.engine import PieceOrigin
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.demand import DemandShares
-from gypsumpier.ratelimit.limitshare import LimitShare
+from gypsumpier.statement.share import StatementShare
 from gypsumpier.tasks import end_task
 from gypsumpier.upstream.pool import UpstreamPool
 from gypsumpier.upstream.selector import UpstreamSelector
@@ -91,8 +91,8 @@
         self.demand = DemandShares(
             self.mesh, frozenset(settings.regions_by_zone), self.admission.arrivals_per_s
         )
-        self.selector.limits.shares = self.demand
-        self.limit_share = LimitShare(self.mesh, self.selector.limits)
+        self.selector.statements.limits.shares = self.demand
+        self.statement_share = StatementShare(self.mesh, self.selector.statements)
         self.load_share = LoadShare(self.mesh, self.selector, self.demand)
         self.load_share.on_change.append(self.admission.dispatch_all)
         self.fleet_state.listeners.append(self.admission.dispatch_all)
@@ -128,7 +128,7 @@
             self.admission.run(),
             self.starts.run(),
             self.load_share.run(),
-            self.limit_share.run(),
+            self.statement_share.run(),
             self.front.run(),
             self.housekeeping(),
         ):
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -105,7 +105,7 @@
                 return
             except NotRunError as error:
                 if not error.is_refusal:
-                    self.selector.limits.give_back(record)
+                    self.selector.statements.limits.give_back(record)
                 self.failures.record_not_run(request, record, error)
                 self.check_resend(request, error)
             except OutcomeUnknownError as error:
@@ -177,7 +177,8 @@
             UPSTREAM_ANSWER_TIME.labels(request.service).observe(request.unanswered_s())
             is_foreign = head.is_success and (not head.seal or head.is_encoded)
             if not is_foreign and head.upstream in ("", record.id):
-                self.selector.limits.record_answer(record, head.limit, request.connected_at_s)
+                sent_at_s = request.connected_at_s
+                self.selector.statements.record_answer(record, head.statement, sent_at_s)
             if head.is_not_run:
                 raise refusal_error(head, record)
             if is_foreign:
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
-from gypsumpier.ratelimit.statedlimit import stated_limit
+from gypsumpier.statement.statement import statement_of
 from gypsumpier.upstream.head import AnswerHead, CallerHead, UpstreamHead
 
 REQUEST_ID: Final = "X-Request-Id"
@@ -24,6 +24,11 @@
 INSTANCE: Final = "X-Instance-Id"
 REQUEST_LIMIT: Final = "Server-Limit"
 """Requests a second that the answering upstream takes from all entries together."""
+RETRY_AFTER: Final = "Retry-After"
+"""Seconds, with fractions: in a 503 of an upstream, for which it wants nothing from the entry that
+it answers; in an answer of an entry, after which the caller should send the request again."""
+UPSTREAM_LEAVING: Final = "Server-Leaving"
+"""``1`` in all answers of an upstream that leaves."""
 MISDIRECTED_STATUS: Final = 421
 SHARED_PARTS_MAX: Final = 16
 """Parts of a prompt that are told apart; the platform's prompts have two or three."""
@@ -102,7 +107,12 @@
         closes="close" in headers.get("Connection", "").lower(),
         idle_s=keep_alive_timeout_s(headers),
         upstream=headers.get(INSTANCE, ""),
-        limit=stated_limit(headers.get(REQUEST_LIMIT)),
+        statement=statement_of(
+            start.code,
+            headers.get(REQUEST_LIMIT),
+            headers.get(RETRY_AFTER),
+            headers.get(UPSTREAM_LEAVING),
+        ),
         forwarded_headers=forwardable_headers(headers, frozenset()),
     )
 
@@ -112,7 +122,7 @@
     headers = HTTPHeaders({"Content-Type": "application/json", REQUEST_ID: request_id})
     headers["Content-Length"] = str(body_bytes)
     if retry_after_s is not None:
-        headers["Retry-After"] = f"{max(0.0, retry_after_s):.3f}"
+        headers[RETRY_AFTER] = f"{max(0.0, retry_after_s):.3f}"
     return headers
 
 
--- a/gypsumpier/ratelimit/limits.py
+++ b/gypsumpier/ratelimit/limits.py
@@ -11,7 +11,8 @@
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.bucket import TokenBucket
 from gypsumpier.ratelimit.capacity import LimitedCapacity
-from gypsumpier.ratelimit.statedlimit import StatedLimit
+from gypsumpier.statement.run import RunKey, StatingUpstream
+from gypsumpier.statement.statedlimit import StatedLimit
 
 TRIAL_PER_S: Final = 0.2
 """Requests a second that all entries together send an upstream at least, however low its limit:
@@ -36,23 +37,6 @@
     registry=REGISTRY,
 )
 
-RunKey = tuple[str, int]
-
-
-class Limitable(Protocol):
-    """An upstream as far as its limit is concerned."""
-
-    @property
-    def id(self) -> str:
-        """Its name."""
-
-    @property
-    def service(self) -> str:
-        """The service that it is part of."""
-
-    def run_key(self) -> RunKey:
-        """Return the key of its run; another run has no limit until it states one."""
-
 
 class Shares(Protocol):
     """Divides limits among the entries."""
@@ -108,7 +92,7 @@
         self.unreadable_logged_at_s: dict[RunKey, float] = {}
         self.listeners: list[Callable[[LimitNews], None]] = []
 
-    def record_answer(self, record: Limitable, stated: StatedLimit, sent_at_s: float) -> None:
+    def record_answer(self, record: StatingUpstream, stated: StatedLimit, sent_at_s: float) -> None:
         """Record what an answer states; its request was sent at ``sent_at_s``.
 
         An answer without a limit lifts it only if its request was sent after the limit was stated:
@@ -163,7 +147,7 @@
             source=origin,
         )
 
-    def log_unreadable(self, record: Limitable, text: str) -> None:
+    def log_unreadable(self, record: StatingUpstream, text: str) -> None:
         """Log a value that is no rate, now and then."""
         run, now_s = record.run_key(), time.monotonic()
         if now_s - self.unreadable_logged_at_s.get(run, float("-inf")) >= LOG_INTERVAL_S:
@@ -174,12 +158,12 @@
         """Return the names of the upstreams that state a limit."""
         return {run[0] for run, found in self.known.items() if found.per_s is not None}
 
-    def is_limited(self, record: Limitable) -> bool:
+    def is_limited(self, record: StatingUpstream) -> bool:
         """Return whether the upstream states a limit."""
         known = self.known.get(record.run_key())
         return known is not None and known.per_s is not None
 
-    def bucket(self, record: Limitable) -> TokenBucket | None:
+    def bucket(self, record: StatingUpstream) -> TokenBucket | None:
         """Return the bucket of this entry's share of the limit; None where there is none."""
         known = self.known.get(record.run_key())
         if known is None or known.per_s is None:
@@ -194,29 +178,29 @@
         known.bucket.set_rate(rate_per_s, burst, now_s)
         return known.bucket
 
-    def allows(self, record: Limitable) -> bool:
+    def allows(self, record: StatingUpstream) -> bool:
         """Return whether the upstream may get a request from this entry now."""
         bucket = self.bucket(record)
         return bucket is None or bucket.has_token(time.monotonic())
 
-    def take(self, record: Limitable) -> None:
+    def take(self, record: StatingUpstream) -> None:
         """Count a request that is sent to the upstream."""
         bucket = self.bucket(record)
         if bucket is not None:
             bucket.take(time.monotonic())
 
-    def give_back(self, record: Limitable) -> None:
+    def give_back(self, record: StatingUpstream) -> None:
         """Count a request as not sent, because there was no connection to the upstream."""
         bucket = self.bucket(record)
         if bucket is not None:
             bucket.give_back()
 
-    def rate_per_s(self, record: Limitable) -> float | None:
+    def rate_per_s(self, record: StatingUpstream) -> float | None:
         """Return the requests per second that this entry may send; None for no limit."""
         bucket = self.bucket(record)
         return None if bucket is None else bucket.rate_per_s
 
-    def capacity(self, records: Sequence[Limitable]) -> LimitedCapacity | None:
+    def capacity(self, records: Sequence[StatingUpstream]) -> LimitedCapacity | None:
         """Return what the limits of all these upstreams together allow this entry to send.
 
         None where one of them has no limit, or there is none.
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -9,9 +9,9 @@
 
 from gypsumpier.agent.gate import Gate
 from gypsumpier.agent.home import Home
-from gypsumpier.agent.limitedupstream import LimitedUpstream, OwnUpstream
 from gypsumpier.agent.listener import Listener
 from gypsumpier.agent.order import AttemptOrder
+from gypsumpier.agent.statedupstream import OwnUpstream, StatedUpstream
 from gypsumpier.agent.upstream import Part
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.document.table import DocumentTable
@@ -77,6 +77,9 @@
     async def refresh(self) -> None:
         """Always healthy."""
 
+    def incarnation(self) -> str:
+        return ""
+
     def live(self) -> list[LiveModel]:
         return [LiveModel("gypsum", "v1", "digest")] if self.model else []
 
@@ -103,11 +106,11 @@
         )
         self.member = member
         self.upstream = upstream
-        self.limited = LimitedUpstream(upstream, OwnUpstream(member.name, member.service))
-        self.home = Home(options, world.clock, world.documents, self.limited)
+        self.stated = StatedUpstream(upstream, OwnUpstream(member.name, member.service))
+        self.home = Home(options, world.clock, world.documents, self.stated)
         for accepted in world.documents.accepted.values():
             self.home.apply_document(accepted)
-        self.gate = Gate(options, world.clock, self.limited, self.home)
+        self.gate = Gate(options, world.clock, self.stated, self.home)
         self.listener = Listener(options, world.clock, self.gate)
         self.listener.healthy = True
         world.network.listen(member.host, member.port, self.listener.serve)
--- a/gypsumpier/test/enginefleet.py
+++ b/gypsumpier/test/enginefleet.py
@@ -38,13 +38,18 @@
 
 
 class Call(NamedTuple):
-    """A caller's request and its end; times are monotonic seconds."""
+    """A caller's request to an entry and its end; times are monotonic seconds.
+
+    ``retry_after_s`` is what the answer states; None if it states nothing.
+    """
 
     request_id: str
     parts: tuple[str, ...]
     sent_at_s: float
     ended_at_s: float
     status: int
+    entry: str
+    retry_after_s: float | None
 
 
 class EngineFleet:
@@ -154,7 +159,17 @@
         body = request_id.encode()
         answer = await connection.call("/reports/x", headers, body, TIME_LIMIT_S + 0.5)
         connection.close()
-        call = Call(request_id, parts, sent_at_s, time.monotonic(), answer.status)
+        stated = answer.headers.get("Retry-After")
+        retry_after_s = None if stated is None else float(stated)
+        call = Call(
+            request_id,
+            parts,
+            sent_at_s,
+            time.monotonic(),
+            answer.status,
+            node.name,
+            retry_after_s,
+        )
         self.calls.append(call)
         return call
 
--- a/gypsumpier/test/simulated_limits.py
+++ b/gypsumpier/test/simulated_limits.py
@@ -17,8 +17,8 @@
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.ratelimit.demand import DemandShares
-from gypsumpier.ratelimit.limitshare import LimitShare
-from gypsumpier.ratelimit.statedlimit import StatedLimit, stated_limit
+from gypsumpier.statement.share import StatementShare
+from gypsumpier.statement.statedlimit import StatedLimit, stated_limit
 from gypsumpier.test.builders_gateway import admission_of, request_of, selector_of
 from gypsumpier.test.builders_platform import ENGINES
 from gypsumpier.test.fakes_piece import entry_peer
@@ -97,13 +97,13 @@
         self.admission = admission_of(fleet.state, self.selector)
         mesh: Any = self.mesh
         demand = DemandShares(mesh, fleet.zones, self.admission.arrivals_per_s)
-        self.selector.limits.shares = demand
-        self.limit_share = LimitShare(mesh, self.selector.limits)
+        self.selector.statements.limits.shares = demand
+        self.statement_share = StatementShare(mesh, self.selector.statements)
         self.load_share = LoadShare(mesh, self.selector, demand)
         self.load_share.on_change.append(self.admission.dispatch_all)
         self.tasks = [
             asyncio.create_task(work)
-            for work in (self.limit_share.run(), self.load_share.run(), self.admission.run())
+            for work in (self.statement_share.run(), self.load_share.run(), self.admission.run())
         ]
 
     async def serve(self, **fields: Any) -> None:
@@ -131,7 +131,7 @@
     def learn(self, record: UpstreamRecord, stated: StatedLimit, sent_at_s: float) -> None:
         """Record what an answer states, as the relay does."""
         self.admission.record_first_event(ENGINES, FIRST_EVENT_S)
-        self.selector.limits.record_answer(record, stated, sent_at_s)
+        self.selector.statements.limits.record_answer(record, stated, sent_at_s)
 
     def stop(self) -> None:
         """End the process at once."""
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -150,6 +150,14 @@
     version: int
 
 
+class TurnedAway(NamedTuple):
+    """A request that was answered 503 at a monotonic time, with the Retry-After of that answer."""
+
+    request_id: str
+    at_s: float
+    retry_after: str | None
+
+
 class UpstreamStandin:
     """An upstream that handles each request as the next item of ``plan`` says, else as ``ok``.
 
@@ -160,6 +168,8 @@
 
     ``run_ids`` holds the requests that started to run, and ``closed_ids`` those whose connection
     closed before the end.  ``limit`` is the limit that its answers state; None for no limit.
+    ``is_full`` makes it turn every request away, and ``retry_after`` is stated in these answers;
+    ``turned_away`` holds them.  ``is_leaving`` is stated in all answers.
     """
 
     def __init__(self, name: str, host: str = "127.0.0.1") -> None:
@@ -170,6 +180,10 @@
         self.queued_s = 1.0
         self.event_count = 5
         self.limit: str | None = None
+        self.is_full = False
+        self.retry_after: str | None = None
+        self.is_leaving = False
+        self.turned_away: list[TurnedAway] = []
         self.run_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.closed_ids: list[str] = []
@@ -185,6 +199,8 @@
 
     def next_action(self) -> str:
         """Return how to handle the next request."""
+        if self.is_full:
+            return "full"
         return self.plan.pop(0) if self.plan else "ok"
 
     def loaded_version(self) -> int:
@@ -229,8 +245,7 @@
         if action == "ok" and not self.holds_expected_version():
             action = "wrong"
         if action in ("full", "wrong"):
-            self.set_status(503 if action == "full" else 421)
-            self.set_header("X-Not-Executed", "1")
+            self.refuse_run(action, request_id)
             return
         if not await self.wait_for_start(action):
             return
@@ -257,6 +272,18 @@
             if action == "extra":
                 self.iostream().write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
 
+    def refuse_run(self, action: str, request_id: str) -> None:
+        """State that the request has not run: the upstream is full, or holds something else."""
+        state: UpstreamStandin = self.state
+        self.set_header("X-Not-Executed", "1")
+        if action == "wrong":
+            self.set_status(421)
+            return
+        self.set_status(503)
+        state.turned_away.append(TurnedAway(request_id, time.monotonic(), state.retry_after))
+        if state.retry_after is not None:
+            self.set_header("Retry-After", state.retry_after)
+
     def holds_expected_version(self) -> bool:
         """Return whether the weights are of the version that the request expects, if it does."""
         expected = self.request.headers.get("X-Expect-Version")
--- a/gypsumpier/test/standin/server.py
+++ b/gypsumpier/test/standin/server.py
@@ -17,7 +17,8 @@
 class Faults(Protocol):
     """The state of a stand-in that is checked before every call.
 
-    One with an attribute ``limit`` that is not None states it in its answers.
+    One with an attribute ``limit`` that is not None states it in its answers, and one whose
+    ``is_leaving`` is set states that.
     """
 
     down: bool
@@ -32,10 +33,12 @@
         self.state = state
 
     def prepare(self) -> None:
-        """State the limit, if there is one; refuse the call while the stand-in is down."""
+        """State the limit and the leaving; refuse the call while the stand-in is down."""
         limit = getattr(self.state, "limit", None)
         if limit is not None:
             self.set_header("Server-Limit", limit)
+        if getattr(self.state, "is_leaving", False):
+            self.set_header("Server-Leaving", "1")
         if self.state.down and not self.request.path.startswith("/control/"):
             self.refuse(503)
 
--- a/gypsumpier/test/test_answered_limits.py
+++ b/gypsumpier/test/test_answered_limits.py
@@ -23,7 +23,7 @@
 
     def is_limited(self) -> bool:
         """Return whether the entry knows a limit of the upstream."""
-        return self.fleet.entry.selector.limits.is_limited(self.record)
+        return self.fleet.entry.selector.statements.limits.is_limited(self.record)
 
     async def test_answers_failures_and_refusals_state_a_limit(self) -> None:
         """Guards against a limit that only successes state; an upstream in need may refuse."""
--- a/gypsumpier/test/test_known_limits.py
+++ b/gypsumpier/test/test_known_limits.py
@@ -10,9 +10,10 @@
 
 from gypsumpier.ratelimit.bucket import TokenBucket
 from gypsumpier.ratelimit.demand import DemandShares
-from gypsumpier.ratelimit.limits import FORGOTTEN_S, LimitNews, RequestLimits, WholeShare
-from gypsumpier.ratelimit.limitshare import LIMITS, LimitShare
-from gypsumpier.ratelimit.statedlimit import NOT_STATED, StatedLimit
+from gypsumpier.ratelimit.limits import FORGOTTEN_S, LimitNews, WholeShare
+from gypsumpier.statement.share import LIMITS, StatementShare
+from gypsumpier.statement.statedlimit import NOT_STATED, StatedLimit
+from gypsumpier.statement.statements import UpstreamStatements
 from gypsumpier.test.builders_gateway import engines, selector_of
 from gypsumpier.test.fakes_mesh import RecordingMesh
 from gypsumpier.test.fakes_piece import entry_peer
@@ -38,9 +39,10 @@
         self.addCleanup(patch.stop)
         self.state = engines(2)
         self.engine = self.state.upstreams["i-1"]
-        self.limits = RequestLimits(WholeShare())
+        self.statements = UpstreamStatements(WholeShare())
+        self.limits = self.statements.limits
         self.mesh = RecordingMesh(entry_peer("front-bac-a-1", "bac-a"), PEERS)
-        self.share = LimitShare(self.mesh, self.limits)  # type: ignore[arg-type]
+        self.share = StatementShare(self.mesh, self.statements)  # type: ignore[arg-type]
 
     def answer(self, stated: StatedLimit, sent_ago_s: float = 0.05) -> None:
         """Record an answer to a request that was sent so many seconds ago."""
@@ -168,7 +170,7 @@
         records = list(self.state.upstreams.values())
         for record in records:
             news = LimitNews(record.run_key(), 1.0, self.now_s)
-            selector.limits.record_news(news, "test")
+            selector.statements.limits.record_news(news, "test")
         chosen = set()
         while (record_or_none := selector.choose(records, set(), any_zone=True)) is not None:
             selector.begin(record_or_none, 0)
--- a/gypsumpier/test/test_own_limits.py
+++ b/gypsumpier/test/test_own_limits.py
@@ -11,7 +11,8 @@
 from gypsumpier.external.engine_http import HttpEngine
 from gypsumpier.external.service import ServiceCall
 from gypsumpier.external.service_http import HttpService
-from gypsumpier.ratelimit.statedlimit import StatedLimit
+from gypsumpier.statement.statedlimit import StatedLimit
+from gypsumpier.statement.statement import Statement
 from gypsumpier.test.builders_request import (
     MODEL_SERVICE,
     SETTLE_TIME_S,
@@ -61,17 +62,17 @@
         self.addCleanup(server.stop)
         return f"http://127.0.0.1:{port}"
 
-    def record(self, stated: StatedLimit, sent_at_s: float) -> None:
+    def record(self, statement: Statement, sent_at_s: float) -> None:
         """Record what an answer states."""
         self.assertLessEqual(sent_at_s, time.monotonic())
-        self.stated.append(stated)
+        self.stated.append(statement.limit)
 
     # Guards against an own interface whose upstreams state their limits in vain.
     async def test_answers_of_services_and_streams_of_engines_state_limits(self) -> None:
         service, engine = HttpService(self.serve()), HttpEngine(self.serve())
         self.addCleanup(service.close)
         self.addCleanup(engine.close)
-        service.on_limit = engine.on_limit = self.record
+        service.on_statement = engine.on_statement = self.record
         for limit, expected in (("2.5", StatedLimit(2.5)), (None, StatedLimit(None))):
             self.state.limit = limit
             await service.call(ServiceCall("POST", "/x", {}, b"{}"), 2.0)
@@ -111,7 +112,7 @@
             world, (agent,) = await self.world("table-ops", 1)
             entries = [await world.entry(number) for number in range(2)]
             await asyncio.sleep(SETTLE_TIME_S)
-            agent.limited.record_answer(StatedLimit(LIMIT_PER_S), time.monotonic())
+            agent.stated.record_answer(Statement(StatedLimit(LIMIT_PER_S)), time.monotonic())
             ends = await self.load(world, entries)
             runs = sum(agent.upstream.runs.values())
             self.assertLessEqual(runs, LIMIT_PER_S * LOAD_S + BURST_MAX)
@@ -130,7 +131,7 @@
             entries = [await world.entry(number) for number in range(2)]
             await asyncio.sleep(SETTLE_TIME_S)
             for agent in agents[:4]:
-                agent.limited.record_answer(StatedLimit(0.0), time.monotonic())
+                agent.stated.record_answer(Statement(StatedLimit(0.0)), time.monotonic())
             agents[4].upstream.delay_s = 0.01
             ends = await self.load(world, entries, model=True)
             refused = [end for end, _ in ends if end == "upstream_limited"]
@@ -144,13 +145,13 @@
             _, (agent,) = await self.world("table-ops", 1)
             sent_at_s = time.monotonic()
             await asyncio.sleep(0.1)
-            agent.limited.record_answer(StatedLimit(LIMIT_PER_S), sent_at_s)
-            agent.limited.record_answer(StatedLimit(None), sent_at_s)
-            agent.limited.record_answer(StatedLimit(None, "'soon'"), time.monotonic())
-            self.assertTrue(agent.limited.limits.is_limited(agent.limited.own))
+            agent.stated.record_answer(Statement(StatedLimit(LIMIT_PER_S)), sent_at_s)
+            agent.stated.record_answer(Statement(StatedLimit(None)), sent_at_s)
+            agent.stated.record_answer(Statement(StatedLimit(None, "'soon'")), time.monotonic())
+            self.assertTrue(agent.stated.statements.limits.is_limited(agent.stated.own))
             await asyncio.sleep(0.1)
-            agent.limited.record_answer(StatedLimit(None), time.monotonic())
-            self.assertFalse(agent.limited.limits.is_limited(agent.limited.own))
+            agent.stated.record_answer(Statement(StatedLimit(None)), time.monotonic())
+            self.assertFalse(agent.stated.statements.limits.is_limited(agent.stated.own))
 
         simulate(scenario())
 
--- a/gypsumpier/test/test_stated_limit.py
+++ b/gypsumpier/test/test_stated_limit.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from gypsumpier.platform.headers import answer_head
-from gypsumpier.ratelimit.statedlimit import LIMIT_MAX_PER_S, StatedLimit, stated_limit
+from gypsumpier.statement.statedlimit import LIMIT_MAX_PER_S, StatedLimit, stated_limit
 
 UNREADABLE = (
     "", "soon", "-1", "+1", "nan", "inf", "infinity", "1e3", "1_000", "0x10", "1,5", "1, 2", "1.",
@@ -41,12 +41,12 @@
     def test_an_answer_states_a_limit_in_a_header(self) -> None:
         start = ResponseStartLine("HTTP/1.1", 200, "OK")
         head = answer_head(start, HTTPHeaders({"Server-Limit": "2.4"}))
-        self.assertEqual(StatedLimit(2.4), head.limit)
-        self.assertEqual(StatedLimit(None), answer_head(start, HTTPHeaders()).limit)
+        self.assertEqual(StatedLimit(2.4), head.statement.limit)
+        self.assertEqual(StatedLimit(None), answer_head(start, HTTPHeaders()).statement.limit)
         twice = HTTPHeaders()
         twice.add("Server-Limit", "2")
         twice.add("Server-Limit", "3")
-        self.assertTrue(answer_head(start, twice).limit.unreadable)
+        self.assertTrue(answer_head(start, twice).statement.limit.unreadable)
 
 
 if __name__ == "__main__":
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from gypsumpier.ratelimit.statedlimit import StatedLimit
+from gypsumpier.statement.statement import Statement
 
 
 class CallerHead(NamedTuple):
@@ -60,8 +60,8 @@
     statement that it has not run the request and never will.  ``seal`` marks an answer as the
     upstream's own.  ``upstream`` is the id of the answering upstream, if stated.  ``closes`` is set
     if the connection is closed after the answer.  ``idle_s`` is how many seconds the upstream keeps
-    the idle connection; None if not stated.  ``limit`` is what the answer says of the requests that
-    the upstream takes.
+    the idle connection; None if not stated.  ``statement`` is what the answer says of the upstream
+    itself.
     """
 
     status: int
@@ -73,7 +73,7 @@
     closes: bool
     idle_s: float | None
     upstream: str
-    limit: StatedLimit
+    statement: Statement
     forwarded_headers: HTTPHeaders
 
     @property
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -14,7 +14,8 @@
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
 from gypsumpier.piece.turns import SwitchSchedule
-from gypsumpier.ratelimit.limits import RequestLimits, WholeShare
+from gypsumpier.ratelimit.limits import WholeShare
+from gypsumpier.statement.statements import UpstreamStatements
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 
@@ -67,8 +68,8 @@
 class UpstreamSelector:
     """The load, health and engine state of upstreams, by which one is selected for each request.
 
-    ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.  ``limits``
-    are the requests per second that upstreams state they take.
+    ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.
+    ``statements`` are what upstreams have stated in their answers.
     """
 
     def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
@@ -80,7 +81,7 @@
         self.own_loads: dict[str, Load] = {}
         self.peer_loads: dict[str, PeerLoad] = {}
         self.engines: dict[str, EngineState] = {}
-        self.limits = RequestLimits(WholeShare())
+        self.statements = UpstreamStatements(WholeShare())
 
     def record_peer_loads(self, name: str, loads: dict[str, Load]) -> None:
         """Replace the loads reported by another entry, or by another zone as a sum."""
@@ -115,7 +116,7 @@
         records = self.fleet_state.upstreams.values()
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
-        self.limits.retain(runs)
+        self.statements.retain(runs)
         addresses = {f"{record.host}:{record.port}" for record in records}
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
@@ -123,7 +124,11 @@
     def limited_services(self) -> set[str]:
         """Return the services of which an upstream states a limit."""
         upstreams = self.fleet_state.upstreams
-        return {upstreams[name].service for name in self.limits.limited() if name in upstreams}
+        return {
+            upstreams[name].service
+            for name in self.statements.limits.limited()
+            if name in upstreams
+        }
 
     def engine(self, record: UpstreamRecord) -> EngineState | None:
         """Return the state last reported by the sidecar of the upstream; None if there is none."""
@@ -223,7 +228,7 @@
     ) -> UpstreamRecord | None:
         """Return the upstream with capacity and the least estimated delay; None if there is none.
 
-        An upstream has capacity up to its slots and to the limit that it states.  Those whose run
+        An upstream has capacity up to its slots and to what it states.  Those whose run
         keys are in ``excluded`` are left out.  Impaired upstreams are chosen only if no other has
         capacity; upstreams of the own zone with free slots are preferred.  A request that takes
         ``needed_s`` seconds prefers engines that don't switch weights before its end.  With
@@ -237,7 +242,7 @@
             and self.is_usable(record)
             and self.load(record) < self.limit(record)
             and self.unread_s(record) < UNREAD_MAX_S
-            and self.limits.allows(record)
+            and self.statements.limits.allows(record)
         ]
         if not free:
             return None
@@ -299,7 +304,7 @@
         """Count a request that is sent to the upstream."""
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
-        self.limits.take(record)
+        self.statements.limits.take(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Stop counting the prompt tokens of a request as unread."""
