--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -28,6 +28,9 @@
 UPSTREAM_LIMITED: Final = ResultCode(
     2008, "upstream_limited", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
 )
+UPSTREAM_RESTING: Final = ResultCode(
+    2009, "upstream_resting", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
 BAD_REQUEST: Final = ResultCode(
     2010, "bad_request", 400, Outcome.NOT_RUN, "Correct the request before sending it again."
 )
