Give upstreams the rest that they ask an entry for

What callers see: requests that reach their engine late, by way of engines that turn them away; what engines see: more than 20 requests a second while they ask for none. Cause: nobody read Retry-After of an engine's 503, which led to a backoff of 0.05 s. Now nothing is sent to an upstream while it rests: no first try, repeat, resumed stream or trial; only time ends a rest, or a new run. What is being connected when a rest begins is recalled.

Ruled out: health's backoff, which a success under way would end; sharing rests among entries, as upstreams ask each for its own.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -8,7 +8,12 @@
 
 from prometheus_client import Counter, Gauge, Histogram
 
-from gypsumpier.codes.request import NO_UPSTREAM, QUEUE_TOO_LONG, TIME_LIMIT_BEFORE_START
+from gypsumpier.codes.request import (
+    NO_UPSTREAM,
+    QUEUE_TOO_LONG,
+    TIME_LIMIT_BEFORE_START,
+    UPSTREAM_RESTING,
+)
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
@@ -38,6 +43,9 @@
 NO_UPSTREAM_WAIT_S: Final = 0.5
 """Longest wait, in seconds, while no upstream of the service can serve; also the shortest
 Retry-After before jitter."""
+REST_WAIT_S: Final = 0.1
+"""Seconds that a request waits for the end of a rest; a caller that is refused takes as long to
+come back."""
 RETRY_AFTER_JITTER_SHARE: Final = 0.25
 """Largest share by which Retry-After is extended at random, so that refused callers don't retry
 all at once."""
@@ -126,7 +134,8 @@
         version = self.least_version(request.service)
         records = self.selector.candidates(request.service, version)
         tried = request.tried
-        if all(record.run_key() in tried for record in records):
+        rests = self.selector.statements.rests
+        if all(record.run_key() in tried or rests.is_resting(record) for record in records):
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
         is_repeat = request.attempts > 0
@@ -156,6 +165,7 @@
         """Queue the request until it is admitted; raise Refusal if it would wait too long."""
         if not self.is_upstream_expected(request.service):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
+        self.check_rests(request)
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
         waiting = queue.add(request, latest_start_s, goal_start_s)
         self.dispatch(request.service)
@@ -168,6 +178,29 @@
             return result
         raise self.refusal(request, result)
 
+    def check_rests(self, request: GatewayRequest) -> None:
+        """Raise Refusal if every upstream rests, unless the request can wait for the first of them.
+
+        A stream that is to be resumed waits as long as its caller does: a refusal would cut it.
+        """
+        rest_s = self.rest_left_s(request.service)
+        if rest_s <= REST_WAIT_S:
+            return
+        if request.last_event_id and time.monotonic() + rest_s < self.latest_start_s(request):
+            return
+        # Callers come back one after the other, not all at the end of the rest.
+        retry_after_s = rest_s * (1.0 + self.random.uniform(0.0, RETRY_AFTER_JITTER_SHARE))
+        detail = f"every upstream of {request.service} rests, the first for {rest_s:.2f} s more"
+        raise Refusal(UPSTREAM_RESTING, 503, detail, retry_after_s)
+
+    def rest_left_s(self, service: str) -> float:
+        """Return the seconds until the first upstream has rested; 0 if one does not rest."""
+        rests = self.selector.statements.rests
+        if not rests.known:
+            return 0.0
+        records = self.selector.candidates(service, self.least_version(service))
+        return min((rests.left_s(record) for record in records), default=0.0)
+
     def is_upstream_expected(self, service: str) -> bool:
         """Return whether an upstream of the service can serve now or is switching its weights."""
         if self.selector.candidates(service):
@@ -193,6 +226,7 @@
         queue = self.queue(service)
         if not queue.waiting:
             return
+        self.refuse_waiting(queue, self.check_rests)
         queue.limited = self.limited_capacity(service)
         for waiting in queue.ordered():
             if waiting.outcome.done():
@@ -210,13 +244,17 @@
     def refuse_queued(self, check: Callable[[GatewayRequest], None]) -> None:
         """End the wait of each queued request for which ``check`` raises Refusal."""
         for queue in self.queues.values():
-            for waiting in list(queue.waiting):
-                try:
-                    check(waiting.request)
-                except Refusal as refusal:
-                    if not waiting.outcome.done():
-                        waiting.outcome.set_exception(refusal)
-                    queue.waiting.remove(waiting)
+            self.refuse_waiting(queue, check)
+
+    def refuse_waiting(self, queue: RequestQueue, check: Callable[[GatewayRequest], None]) -> None:
+        """End the wait of each request in the queue for which ``check`` raises Refusal."""
+        for waiting in list(queue.waiting):
+            try:
+                check(waiting.request)
+            except Refusal as refusal:
+                if not waiting.outcome.done():
+                    waiting.outcome.set_exception(refusal)
+                queue.waiting.remove(waiting)
 
     def capacity_share_per_s(self, service: str) -> float:
         """Return this entry's share of the requests per second that the upstreams can serve."""
@@ -236,10 +274,14 @@
         """Return what the limits of all upstreams together allow; None where one has no limit."""
         if not self.selector.statements.limits.limited():
             return None
-        return self.selector.statements.limits.capacity(self.selector.candidates(service))
+        rests = self.selector.statements.rests
+        records = self.selector.candidates(service)
+        return self.selector.statements.limits.capacity(
+            [record for record in records if not rests.is_resting(record)]
+        )
 
     def usable_candidates(self, service: str) -> list[UpstreamRecord]:
-        """Return the upstreams of the service that can serve and are not in backoff."""
+        """Return the upstreams of the service that can serve and are usable now."""
         return [
             record
             for record in self.selector.candidates(service)
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -105,7 +105,7 @@
                 return
             except NotRunError as error:
                 if not error.is_refusal:
-                    self.selector.statements.limits.give_back(record)
+                    self.selector.statements.give_back(record)
                 self.failures.record_not_run(request, record, error)
                 self.check_resend(request, error)
             except OutcomeUnknownError as error:
--- a/gypsumpier/test/test_request_limits.py
+++ b/gypsumpier/test/test_request_limits.py
@@ -10,7 +10,7 @@
 from gypsumpier.test.standin.crashingengine import CrashingEngine
 
 LOAD_PER_S: Final = 40.0
-SERVED_LOAD_PER_S: Final = 24.0
+SERVED_LOAD_PER_S: Final = 40.0
 """Requests a second where all must be served: callers and engines share the process of the test."""
 USED_MIN: Final = 0.6
 """Share of the limits that must be used where more is asked for."""
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -208,10 +208,15 @@
         )
 
     def may_still_serve(self, record: UpstreamRecord, least_version: int) -> bool:
-        """Return whether an upstream chosen a moment ago is unchanged and still a candidate."""
+        """Return whether an upstream chosen a moment ago is unchanged and still a candidate.
+
+        It may have asked for a rest since then, in the answer to another request.
+        """
         known = self.fleet_state.upstreams.get(record.id)
         if known is None or known.run_key() != record.run_key():
             return False
+        if self.statements.rests.is_resting(known):
+            return False
         return self.is_candidate(known, self.model(record.service), least_version)
 
     def is_switching(self, record: UpstreamRecord) -> bool:
@@ -242,7 +247,7 @@
             and self.is_usable(record)
             and self.load(record) < self.limit(record)
             and self.unread_s(record) < UNREAD_MAX_S
-            and self.statements.limits.allows(record)
+            and self.statements.allows(record)
         ]
         if not free:
             return None
@@ -264,7 +269,9 @@
         return min(local or free, key=cost_s)
 
     def is_usable(self, record: UpstreamRecord) -> bool:
-        """Return whether neither the upstream nor the connection to its zone is in backoff."""
+        """Return whether neither a rest nor a backoff, its own or its zone's, holds."""
+        if self.statements.rests.is_resting(record):
+            return False
         if not self.health.is_usable(record.run_key()):
             return False
         return record.zone == self.zone or self.zone_health.is_usable((record.zone, 0))
@@ -304,7 +311,7 @@
         """Count a request that is sent to the upstream."""
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
-        self.statements.limits.take(record)
+        self.statements.take(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Stop counting the prompt tokens of a request as unread."""
