Give upstreams of the own interface the rest that they ask for

Entries leave it out for so long, and refuse at once where all agents of a service do so, with the time until the first. After a rest requests begin again as on the platform.

--- a/gypsumpier/agent/statedupstream.py
+++ b/gypsumpier/agent/statedupstream.py
@@ -10,7 +10,7 @@
 
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.agent.upstream import Part, Upstream
-from gypsumpier.codes.request import UPSTREAM_LIMITED
+from gypsumpier.codes.request import UPSTREAM_LIMITED, UPSTREAM_RESTING
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.engine import LiveModel
 from gypsumpier.ratelimit.limits import WholeShare
@@ -18,6 +18,9 @@
 from gypsumpier.statement.statement import Statement
 from gypsumpier.statement.statements import UpstreamStatements
 
+RESUMING_RETRY_AFTER_S = 0.1
+"""Retry-After, in seconds, of requests beyond those that may follow a rest at once."""
+
 
 class OwnUpstream(NamedTuple):
     """The agent's upstream by name and service; ``run`` counts its incarnations."""
@@ -66,17 +69,22 @@
         return self.statements.leaving.is_leaving(self.own)
 
     def check_allowed(self) -> None:
-        """Raise GypsumpierError with a Retry-After where a limit allows no request."""
-        bucket = self.statements.limits.bucket(self.own)
+        """Raise GypsumpierError with a Retry-After where a limit or a rest allows no request."""
+        limits, rests = self.statements.limits, self.statements.rests
+        bucket = limits.bucket(self.own)
         wait_s = bucket.wait_s(time.monotonic()) if bucket else 0.0
         if bucket and wait_s > 0:
             detail = f"{self.own.id} takes {bucket.rate_per_s:g} requests/s"
             raise GypsumpierError(UPSTREAM_LIMITED, detail, wait_s)
+        if not rests.allows(self.own):
+            left_s = rests.left_s(self.own)
+            detail = f"{self.own.id} rests for {left_s:.2f} s more"
+            raise GypsumpierError(UPSTREAM_RESTING, detail, max(left_s, RESUMING_RETRY_AFTER_S))
 
     async def run(self, order: AttemptOrder) -> AsyncIterator[Part]:
         """Run the order; raise GypsumpierError where the upstream's statements don't allow it."""
         self.check_allowed()
-        self.statements.limits.take(self.own)
+        self.statements.take(self.own)
         async for part in self.upstream.run(order):
             yield part
 
--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from gypsumpier.clock import Clock
-from gypsumpier.codes.request import UPSTREAM_UNREACHABLE
+from gypsumpier.codes.request import NO_LIVE_UPSTREAM, UPSTREAM_UNREACHABLE
 from gypsumpier.codes.wire import CONNECTION_CLOSED
 from gypsumpier.entry.attempt import Attempt
 from gypsumpier.errors import GypsumpierError
@@ -43,9 +43,10 @@
     """One agent, as this entry sees it.
 
     ``open_connection`` is the open connection, and ``connection`` is the same one once the agent
-    has identified itself.  Until ``limited_until_s`` the agent refuses requests, as its upstream
-    takes no more.  ``on_welcome`` is called when it has done so, ``on_suspects`` with the
-    requests that it reports after a crash, ``on_key_frame`` with each frame of KEY_KINDS.
+    has identified itself.  Until ``refuses_until_s`` the agent refuses requests, as its upstream
+    takes no more; ``refusal`` says why.  ``on_welcome`` is called when it has done so,
+    ``on_suspects`` with the requests that it reports after a crash, ``on_key_frame`` with each
+    frame of KEY_KINDS.
     """
 
     def __init__(
@@ -76,7 +77,8 @@
         self.reported_at_s = 0.0
         self.incarnation = ""
         self.started_at_s = 0.0
-        self.limited_until_s = 0.0
+        self.refusal = GypsumpierError(NO_LIVE_UPSTREAM, member.name)
+        self.refuses_until_s = 0.0
         self.takes_parts = False
         self.on_welcome: Callable[[Link], None] = ignore
         self.own_in_flight_at_report = 0
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -37,6 +37,8 @@
 BACKOFF_BASE_S: Final = 0.05
 HOME_POLL_S: Final = 0.1
 HOME_RETRY_JITTER_S: Final = 0.5
+TIMED_REFUSALS: Final = frozenset({codes.UPSTREAM_LIMITED, codes.UPSTREAM_RESTING})
+"""Refusals of an agent that hold for every request until their Retry-After has passed."""
 
 
 class Relay:
@@ -148,8 +150,9 @@
                 return
             except GypsumpierError as error:
                 failure.record(error, link)
-                if error.code is codes.UPSTREAM_LIMITED:
-                    link.limited_until_s = self.clock.monotonic() + (error.retry_after_s or 0.0)
+                if error.code in TIMED_REFUSALS:
+                    link.refusal = error
+                    link.refuses_until_s = self.clock.monotonic() + (error.retry_after_s or 0.0)
                 self.guard.handle_attempt_failure(request, error)
                 if started or not self.may_retry(request, error):
                     raise failure.caller_error() from error
@@ -201,10 +204,13 @@
         """Choose an untried upstream, and log the choice."""
         links = self.links.of_service(request.service)
         untried = [link for link in links if link.member.name not in failure.tried]
-        waits_s = [link.limited_until_s - self.clock.monotonic() for link in untried]
-        if untried and min(waits_s) > 0:
-            failure.last = GypsumpierError(codes.UPSTREAM_LIMITED, request.service, min(waits_s))
-        untried = [link for link, wait_s in zip(untried, waits_s, strict=True) if wait_s <= 0]
+        now_s = self.clock.monotonic()
+        refusing = [link for link in untried if link.refuses_until_s > now_s]
+        if refusing and len(refusing) == len(untried):
+            first = min(refusing, key=lambda link: link.refuses_until_s)
+            wait_s = first.refuses_until_s - now_s
+            failure.last = GypsumpierError(first.refusal.code, request.service, wait_s)
+        untried = [link for link in untried if link not in refusing]
         if not self.options.prefix_affinity:
             request = request._replace(prefix="")
         choice = choose(request, document, untried, self.options.zone, self.random)
@@ -228,8 +234,9 @@
         if not (not_run or request.idempotent) or error.code.http_status in range(400, 500):
             return False
         # A full upstream refuses before any work, and the window has just been decreased; so does
-        # one at its limit, which is left out.  These retries do not count against the budget.
-        is_free = error.code in (codes.UPSTREAM_FULL, codes.UPSTREAM_LIMITED)
+        # one at its limit or at rest, which is left out.  These retries do not count against the
+        # budget.
+        is_free = error.code is codes.UPSTREAM_FULL or error.code in TIMED_REFUSALS
         return is_free or self.budget.spend()
 
     def payload(
