Send no new work to upstreams that state in their answers that they leave

What callers see: requests that their upstream cuts as it ends. Cause: Server-Leaving was forwarded and read by nobody; an upstream counted as ready for as long as its record said so, longer where the store is away. Streams under way go on. Another run begins afresh.

Ruled out: acting on Connection: close, which healthy upstreams send as well.

--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -199,7 +199,7 @@
         self, record: UpstreamRecord, model: ModelTraits | None, least_version: int
     ) -> bool:
         """Return whether the upstream can serve; ``model`` is that of its service."""
-        if record.is_leaving:
+        if record.is_leaving or self.statements.leaving.is_leaving(record):
             return False
         if model is None:
             return True
