Let an agent leave while its upstream states that it leaves

The agent refuses new work and reports itself as leaving to entries, as it does where the member list says so. Status answers tell it as well, as no requests are sent any more: it stays again once they deny it, or with a new incarnation of the engine. What the member list or a stop says is not called off by an upstream.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -65,6 +65,7 @@
         self.server = TcpListener(self.listener.serve)
         self.bulk_server = TcpListener(self.rollout.serve) if self.rollout is not None else None
         self.stopping = False
+        self.is_listed_leaving = False
         self.members.subscribe(self.check_leaving)
 
     def build_upstream(self) -> StatedUpstream:
@@ -81,6 +82,7 @@
         stated = StatedUpstream(upstream, own)
         client.on_statement = stated.record_answer
         client.on_status = stated.record_status
+        stated.on_leaving_changed = self.check_leaving
         return stated
 
     def build_rollout(self) -> Rollout | None:
@@ -105,13 +107,19 @@
         )
 
     def check_leaving(self) -> None:
-        """Refuse new work once the member list marks this process as leaving."""
+        """Refuse new work while the member list or the upstream says that it leaves."""
         member = self.members.members.get(self.options.name)
-        if member is None or member.incarnation != self.options.incarnation or not member.leaving:
-            return
-        if not self.gate.leaving:
-            decision("leaving", upstream=self.options.name, reason="member list")
-        self.gate.leaving = True
+        is_own = member is not None and member.incarnation == self.options.incarnation
+        if member is not None and is_own and member.leaving:
+            self.is_listed_leaving = True
+        reason = ""
+        if self.stopping or self.is_listed_leaving:
+            reason = "stop requested" if self.stopping else "member list"
+        elif self.upstream.is_leaving():
+            reason = "stated by the upstream"
+        if bool(reason) != self.gate.leaving:
+            decision("leaving" if reason else "stays", upstream=self.options.name, reason=reason)
+        self.gate.leaving = bool(reason)
 
     async def start(self) -> None:
         """Bind the ports and start every component."""
