Let requests wait at entries, not in the queues of engines: share free places by queue lengths

What callers see: nothing, as they have left; their requests run as their engine goes on after a standstill of its instance, and others wait behind them. A request waited 1 s in the engine's queue, the engine stood still, the caller left, the entry closed 0.07 s later, and the engine ran it 0.9 s after that. Nothing can take back what waits there; so less of it may wait there. Entries tell each other how many requests they have queued, beside the loads, and each takes only its share of the places that it sees free, once in 0.12 s.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -129,8 +129,11 @@
         request.unread_tokens = 0
         self.dispatch(record.service)
 
-    def try_admit(self, request: GatewayRequest) -> UpstreamRecord | None:
-        """Admit the request to an upstream with free capacity; return None if there is none."""
+    def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
+        """Admit the request to an upstream with free capacity; return None if there is none.
+
+        Only this ``share`` of the free capacity counts.
+        """
         version = self.least_version(request.service)
         records = self.selector.candidates(request.service, version)
         tried = request.tried
@@ -139,7 +142,10 @@
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
         is_repeat = request.attempts > 0
-        record = self.selector.choose(records, tried, self.needed_s(request), is_repeat)
+        tokens = request.head.prompt_tokens
+        record = self.selector.choose(
+            records, tried, self.needed_s(request), is_repeat, share, tokens
+        )
         if record is not None:
             request.unread_tokens = request.head.prompt_tokens
             self.selector.begin(record, request.unread_tokens)
@@ -224,22 +230,30 @@
     def dispatch(self, service: str) -> None:
         """Admit queued requests while there is capacity; refuse those that would wait too long."""
         queue = self.queue(service)
+        self.record_waiting(service)
         if not queue.waiting:
             return
         self.refuse_waiting(queue, self.check_rests)
+        share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
         for waiting in queue.ordered():
             if waiting.outcome.done():
                 queue.waiting.remove(waiting)
                 continue
-            record = self.try_admit(waiting.request)
+            record = self.try_admit(waiting.request, share)
             if record is not None:
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
                 break
         queue.limited = self.limited_capacity(service)
         queue.shed_excess(self.capacity_share_per_s(service))
-        QUEUED.labels(service).set(len(queue.waiting))
+        self.record_waiting(service)
+
+    def record_waiting(self, service: str) -> None:
+        """Record how many requests of the service are queued, for the metrics and other entries."""
+        waiting = len(self.queue(service).waiting)
+        QUEUED.labels(service).set(waiting)
+        self.selector.record_waiting(service, waiting)
 
     def refuse_queued(self, check: Callable[[GatewayRequest], None]) -> None:
         """End the wait of each queued request for which ``check`` raises Refusal."""
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -29,8 +29,8 @@
 """Seconds after which unchanged loads are sent again, before a peer drops them as stale."""
 
 
-SentLoads = tuple[dict[str, Load], float]
-"""The loads that were sent last, and when they were sent, in monotonic seconds."""
+SentLoads = tuple[dict[str, Load], dict[str, int], float]
+"""The loads and queue lengths that were sent last, and when, in monotonic seconds."""
 
 
 class LoadShare:
@@ -40,8 +40,8 @@
         self.mesh = mesh
         self.selector = selector
         self.demand = demand
-        self.sent_in_zone: SentLoads = ({}, 0.0)
-        self.sent_to_zones: SentLoads = ({}, 0.0)
+        self.sent_in_zone: SentLoads = ({}, {}, 0.0)
+        self.sent_to_zones: SentLoads = ({}, {}, 0.0)
         self.changed_states: dict[str, EngineState] = {}
         self.on_change: list[Any] = []
         mesh.listeners[LOAD] = self.on_loads
@@ -62,6 +62,7 @@
                 zone_peers,
                 self.sent_in_zone,
                 dict(self.selector.own_loads),
+                dict(self.selector.own_waiting),
                 self.demand_fields(self.demand.own_demand),
             )
             if rounds % ROUNDS_PER_CROSS_ZONE_SEND and not self.changed_states:
@@ -70,11 +71,12 @@
             rank = sum(peer.name < self.mesh.own.name for peer in zone_peers)
             other_zone_peers = [peer for peer in peers if peer.zone != own_zone]
             if rank == 0:
-                loads = self.selector.summed_loads([peer.name for peer in zone_peers])
+                names = [peer.name for peer in zone_peers]
                 self.sent_to_zones = self.send_loads(
                     other_zone_peers,
                     self.sent_to_zones,
-                    loads,
+                    self.selector.summed_loads(names),
+                    self.selector.summed_waiting(names),
                     {"zone": own_zone} | self.demand_fields(self.demand.zone_demand),
                 )
             if self.changed_states and rank < ENGINE_SENDERS_PER_ZONE:
@@ -105,16 +107,18 @@
         peers: list[Peer],
         last_sent: SentLoads,
         loads: dict[str, Load],
+        waiting: dict[str, int],
         extra_fields: dict[str, Any],
     ) -> SentLoads:
-        """Send the loads if they have changed or are due again; return what was sent last."""
-        sent_loads, at_s = last_sent
+        """Send what has changed or is due again; return what was sent last."""
+        sent_loads, sent_waiting, at_s = last_sent
         now_s = time.monotonic()
-        if loads == sent_loads and now_s - at_s < RESEND_INTERVAL_S:
+        if (loads, waiting) == (sent_loads, sent_waiting) and now_s - at_s < RESEND_INTERVAL_S:
             return last_sent
         packed = {name: list(load) for name, load in loads.items()}
-        self.mesh.post_all(peers, LOAD, {"loads": packed, **extra_fields})
-        return loads, now_s
+        payload = {"loads": packed, "waiting": waiting, **extra_fields}
+        self.mesh.post_all(peers, LOAD, payload)
+        return loads, waiting, now_s
 
     def demand_fields(self, demand_per_s: Callable[[str], float]) -> dict[str, Any]:
         """Return the field with the demand for each service that has a limited upstream."""
@@ -134,7 +138,9 @@
             str(name): finite_rate(per_s) for name, per_s in payload.get("demand", {}).items()
         }
         zone = str(payload.get("zone", ""))
-        self.selector.record_peer_loads(zone or peer.name, loads)
+        found = payload.get("waiting", {}).items()
+        waiting = {str(service): max(0, int(count)) for service, count in found}
+        self.selector.record_peer_loads(zone or peer.name, loads, waiting)
         if demand:
             self.demand.record(peer, zone, demand)
         for listener in self.on_change:
--- a/gypsumpier/test/test_engine_rush.py
+++ b/gypsumpier/test/test_engine_rush.py
@@ -136,3 +136,27 @@
             self.assertGreater(busy, 0.95 * SLOTS * len(engines))
 
         simulate(scenario())
+
+    def check_queues(self, entry_count: int, engine_count: int, per_s: float) -> None:
+        """Check that requests wait at entries, not at engines, under more load than they take."""
+
+        async def scenario() -> None:
+            state = engines_in(THREE_ZONES, engine_count, slots=SLOTS)
+            fleet = SimulatedEntries(state, entry_count, THREE_ZONES)
+            await fleet.start()
+            await fleet.send_for(1.5, per_s, PROMPTS)
+            for engine in fleet.engines.values():
+                engine.most = engine.in_flight
+            await fleet.send_for(2.4, per_s, PROMPTS)
+            most = max(engine.most for engine in fleet.engines.values())
+            self.assertLessEqual(most, LIMIT + OVERSHOOT_MAX)
+
+        simulate(scenario())
+
+    # Guards against requests that nobody can take back as their engine stands still.
+    def test_lasting_overload_of_nine_entries_waits_at_entries(self) -> None:
+        self.check_queues(9, 6, 110.0)
+
+    # Guards against the same in a deployment that has grown.
+    def test_lasting_overload_of_forty_two_entries_waits_at_entries(self) -> None:
+        self.check_queues(42, 20, 320.0)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -4,8 +4,10 @@
 the counts of other entries are as old as their last message.
 """
 
+import math
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
@@ -16,6 +18,7 @@
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.limits import WholeShare
 from gypsumpier.statement.statements import UpstreamStatements
+from gypsumpier.upstream.claims import Claims
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 
@@ -59,10 +62,14 @@
 
 @dataclass
 class PeerLoad:
-    """The load that another entry puts on each upstream, as of ``at_s`` in monotonic seconds."""
+    """The load that another entry puts on each upstream, as of ``at_s`` in monotonic seconds.
+
+    ``waiting`` is the number of its queued requests by service.
+    """
 
     loads: dict[str, Load] = field(default_factory=dict)
     at_s: float = 0.0
+    waiting: dict[str, int] = field(default_factory=dict)
 
 
 class UpstreamSelector:
@@ -79,13 +86,17 @@
         self.health = HealthTracker()
         self.zone_health = HealthTracker()
         self.own_loads: dict[str, Load] = {}
+        self.own_waiting: dict[str, int] = {}
         self.peer_loads: dict[str, PeerLoad] = {}
+        self.claims = Claims()
         self.engines: dict[str, EngineState] = {}
         self.statements = UpstreamStatements(WholeShare())
 
-    def record_peer_loads(self, name: str, loads: dict[str, Load]) -> None:
-        """Replace the loads reported by another entry, or by another zone as a sum."""
-        self.peer_loads[name] = PeerLoad(loads, time.monotonic())
+    def record_peer_loads(
+        self, name: str, loads: dict[str, Load], waiting: dict[str, int] | None = None
+    ) -> None:
+        """Replace what another entry reports, or another zone as a sum."""
+        self.peer_loads[name] = PeerLoad(loads, time.monotonic(), waiting or {})
 
     def summed_loads(self, entries: list[str]) -> dict[str, Load]:
         """Return the sum of the own loads and those of the named entries."""
@@ -99,6 +110,27 @@
                 )
         return total
 
+    def record_waiting(self, service: str, waiting: int) -> None:
+        """Record how many requests of the service are queued at this entry."""
+        if waiting:
+            self.own_waiting[service] = waiting
+        else:
+            self.own_waiting.pop(service, None)
+
+    def summed_waiting(self, entries: list[str]) -> dict[str, int]:
+        """Return the sum by service of the own queued requests and those of the named entries."""
+        total = Counter(self.own_waiting)
+        for name in entries:
+            peer = self.peer_loads.get(name)
+            total.update(peer.waiting if peer else {})
+        return dict(total)
+
+    def waiting_share(self, service: str) -> float:
+        """Return the own share of all known queued requests of the service."""
+        own = self.own_waiting.get(service, 0)
+        others = sum(peer.waiting.get(service, 0) for peer in self.peer_loads.values())
+        return own / (own + others) if own else 1.0
+
     def record_engine_state(self, state: EngineState) -> bool:
         """Store the state reported by a sidecar; return False if a newer one is known already."""
         known = self.engines.get(state.address)
@@ -117,6 +149,7 @@
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
         self.statements.retain(runs)
+        self.claims.retain({record.id for record in records})
         addresses = {f"{record.host}:{record.port}" for record in records}
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
@@ -230,6 +263,8 @@
         excluded: set[tuple[str, int]],
         needed_s: float = 0.0,
         any_zone: bool = False,
+        share: float = 1.0,
+        prompt_tokens: int = 0,
     ) -> UpstreamRecord | None:
         """Return the upstream with capacity and the least estimated delay; None if there is none.
 
@@ -239,6 +274,9 @@
         ``needed_s`` seconds prefers engines that don't switch weights before its end.  With
         ``any_zone`` the own zone is not preferred, and the choice is random among about equal
         delays: streams that were cut together must not all resume at one engine.
+
+        With a ``share`` below 1, only that share of an upstream's free places is used between two
+        exchanges of loads.
         """
         free = [
             record
@@ -249,10 +287,12 @@
             and self.unread_s(record) < UNREAD_MAX_S
             and self.statements.allows(record)
         ]
-        if not free:
-            return None
         unimpaired = [record for record in free if not self.is_impaired(record)]
         free = unimpaired or free
+        if share < 1.0:
+            free = [record for record in free if self.may_claim(record, share, prompt_tokens)]
+        if not free:
+            return None
 
         def cost_s(record: UpstreamRecord) -> float:
             switches = self.switches_within(record, needed_s)
@@ -268,6 +308,18 @@
         ]
         return min(local or free, key=cost_s)
 
+    def may_claim(self, record: UpstreamRecord, share: float, prompt_tokens: int) -> bool:
+        """Return whether one more request is within this entry's share of the free places.
+
+        There are only as many places as prompts of that size can be read soon.
+        """
+        places = self.limit(record) - self.load(record)
+        if prompt_tokens:
+            unread_s = UNREAD_MAX_S - self.unread_s(record)
+            places = min(places, math.ceil(unread_s * PROMPT_TOKENS_PER_S / prompt_tokens))
+        own = self.own_loads.get(record.id, NO_LOAD).in_flight
+        return own < self.claims.most(record.id, own, places, share)
+
     def is_usable(self, record: UpstreamRecord) -> bool:
         """Return whether neither a rest nor a backoff, its own or its zone's, holds."""
         if self.statements.rests.is_resting(record):
