--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -230,7 +230,8 @@
     def dispatch(self, service: str) -> None:
         """Admit queued requests while there is capacity; refuse those that would wait too long."""
         queue = self.queue(service)
-        self.record_waiting(service)
+        if len(queue.waiting) != self.selector.own_waiting.get(service, 0):
+            self.record_waiting(service)
         if not queue.waiting:
             return
         self.refuse_waiting(queue, self.check_rests)
