Close the connection of a caller that left before its request was read

Since requests of departed callers are not taken up, a connection with unread bytes behind such a request stayed open for good: nothing reads on to its close, and it no longer counts as one with a request under way. test_unread_departure fails without the change (bytes "\\r\\n" and a whole request) and passes with it.

--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -152,6 +152,8 @@
             await self.refuse(refusal, writer)
         except StreamClosedError:
             outcome = "caller_gone"
+            # Tornado does not read on to a close that stands behind unread bytes.
+            self.connection.stream.close()
         except asyncio.CancelledError:
             outcome = "caller_gone"
         except Exception as error:
