--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -126,9 +126,10 @@
 
 
 def retry_after_s(response: HTTPResponse) -> float | None:
-    """Return the seconds of the Retry-After header; None if it states none."""
-    rest = stated_rest(response.headers.get("Retry-After"))
-    return rest.seconds if rest.seconds > 0 else None
+    """Return the seconds of the Retry-After header; None if absent or no time."""
+    text = response.headers.get("Retry-After")
+    rest = stated_rest(text)
+    return None if text is None or rest.unreadable else rest.seconds
 
 
 def json_object(body: bytes) -> dict[str, Any]:
