--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -108,19 +108,25 @@
 
     def check_leaving(self) -> None:
         """Refuse new work while the member list or the upstream says that it leaves."""
-        member = self.members.members.get(self.options.name)
-        is_own = member is not None and member.incarnation == self.options.incarnation
-        if member is not None and is_own and member.leaving:
-            self.is_listed_leaving = True
-        reason = ""
-        if self.stopping or self.is_listed_leaving:
-            reason = "stop requested" if self.stopping else "member list"
-        elif self.upstream.is_leaving():
-            reason = "stated by the upstream"
+        reason = self.leaving_reason()
         if bool(reason) != self.gate.leaving:
             decision("leaving" if reason else "stays", upstream=self.options.name, reason=reason)
         self.gate.leaving = bool(reason)
 
+    def leaving_reason(self) -> str:
+        """Return why this agent leaves; empty if it does not.
+
+        Neither a stop nor the member list is called off by an upstream that does not leave.
+        """
+        member = self.members.members.get(self.options.name)
+        if member is not None and member.incarnation == self.options.incarnation and member.leaving:
+            self.is_listed_leaving = True
+        if self.stopping:
+            return "stop requested"
+        if self.is_listed_leaving:
+            return "member list"
+        return "stated by the upstream" if self.upstream.is_leaving() else ""
+
     async def start(self) -> None:
         """Bind the ports and start every component."""
         sockets = bind_sockets(self.options.port, self.options.host)
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -210,7 +210,7 @@
             first = min(refusing, key=lambda link: link.refuses_until_s)
             wait_s = first.refuses_until_s - now_s
             failure.last = GypsumpierError(first.refusal.code, request.service, wait_s)
-        untried = [link for link in untried if link not in refusing]
+        untried = [link for link in untried if link.refuses_until_s <= now_s]
         if not self.options.prefix_affinity:
             request = request._replace(prefix="")
         choice = choose(request, document, untried, self.options.zone, self.random)
