Take an odd entry of another writer for an absent one, in every list that a process reads

Cause: json.loads raises RecursionError for deeply nested content. Only the records of upstreams were guarded; a nested configuration or wanted version ended the watcher's task, and with it a process followed the store no longer. Numbers over 64 bits (born, version) and half characters in names were taken as they are, and packing them for a peer raised in the sender's task. 1e17 slots made one upstream take all requests. The short array of a member, an infinite port in the member list and a nested answer ended tasks as well.

Now: one place decodes JSON objects (platform/fields.py) and knows the ranges; a record that is no upstream is absent, logged once in ten seconds for its key, and hides no other record or revision; an odd member is left out of its list.

Ruled out: a guard around the watcher's loop alone, as the revision of an odd record would then be read again without end.

--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -136,7 +136,7 @@
     """Return the body as a JSON object; raise GypsumpierError if it is not one."""
     try:
         value = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise GypsumpierError(PLATFORM_BAD_ANSWER, "the answer is not JSON") from error
     if not isinstance(value, dict):
         raise GypsumpierError(PLATFORM_BAD_ANSWER, "the answer is not a JSON object")
--- a/gypsumpier/external/membership_http.py
+++ b/gypsumpier/external/membership_http.py
@@ -11,6 +11,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
 from gypsumpier.external.membership import Member
+from gypsumpier.log import decision
 
 NOT_MODIFIED: Final = 304
 
@@ -42,12 +43,22 @@
 
 
 def decode_members(body: bytes) -> list[Member]:
-    """Return the members in an answer; raise GypsumpierError if its shape is wrong."""
-    answer = json_object(body)
-    try:
-        return [decode_member(entry) for entry in answer["members"]]
-    except (KeyError, TypeError, ValueError) as error:
-        raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad member list: {error!r}") from error
+    """Return the members in an answer; raise GypsumpierError if it holds no list.
+
+    A malformed entry is logged and left out, as it must not hide the others.
+    """
+    entries = json_object(body).get("members")
+    if not isinstance(entries, list):
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, "the answer holds no list of members")
+    members, malformed = [], []
+    for number, entry in enumerate(entries):
+        try:
+            members.append(decode_member(entry))
+        except (LookupError, TypeError, ValueError, ArithmeticError) as error:
+            malformed.append(f"{number}: {type(error).__name__}")
+    if malformed:
+        decision("members_rejected", count=len(malformed), first=malformed[0])
+    return members
 
 
 def decode_member(entry: dict[str, Any]) -> Member:
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -372,7 +372,12 @@
         raise ValueError(f"records can't be decompressed: {error}") from error
     if not decompressor.eof:
         raise ValueError("records are truncated or exceed the size limit")
-    return [
-        Record(str(key), value, int(revision))
-        for key, value, revision in msgpack.unpackb(decompressed)
-    ]
+    return [record_from(fields) for fields in msgpack.unpackb(decompressed)]
+
+
+def record_from(fields: Any) -> Record:
+    """Return the record of a message; raise ValueError or TypeError where it is malformed."""
+    key, value, revision = fields
+    if value is not None and not isinstance(value, bytes):
+        raise TypeError("the value of a record is not bytes")
+    return Record(str(key), value, int(revision))
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -35,8 +35,15 @@
 UNREACHABLE_TIMEOUT_S: Final = 30.0
 """Seconds after which an unreachable entry is removed and no longer dialled."""
 
-BAD_MESSAGE_ERRORS: Final = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
-"""What a handler raises for fields that are missing, of another type or out of range."""
+BAD_MESSAGE_ERRORS: Final = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+"""What a handler raises for fields that are missing, of another type, out of range or too deep."""
 
 Listener = Callable[[Peer, dict[str, Any]], None]
 AgedListener = Callable[[Peer, dict[str, Any], float], None]
--- a/gypsumpier/platform/records.py
+++ b/gypsumpier/platform/records.py
@@ -3,7 +3,6 @@
 Upstream records may be written by others and be malformed; such a record counts as no upstream.
 """
 
-import json
 from typing import Any, Final
 
 from gypsumpier.fleet.change import (
@@ -18,7 +17,15 @@
 from gypsumpier.fleet.service import ModelTraits, Origin, Service
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord
 from gypsumpier.log import decision
-from gypsumpier.platform.fields import FieldError, field, number, objects
+from gypsumpier.loginterval import LogInterval
+from gypsumpier.platform.fields import (
+    FieldError,
+    field,
+    json_value,
+    number,
+    objects,
+    whole,
+)
 from gypsumpier.platform.settings import BITS_PER_BYTE, BITS_PER_MBIT, address
 
 CONFIGURATION_KEY: Final = "op/config"
@@ -27,47 +34,57 @@
 UPSTREAM_STATES: Final = ("ready", "draining")
 ROUTE_KINDS: Final = ("idempotent", "non_idempotent", "streaming")
 SECONDS_PER_MS: Final = 0.001
-
-
-def decode_record(record: Record) -> FleetChange | None:
-    """Return the change that the record makes; None if it is malformed or its key is unused.
-
-    A removed configuration or wanted version is no change either.  A removed or malformed upstream
-    is a change to None.
-    """
-    key, value, revision = record
+SLOTS_MAX: Final = 65_535
+"""Largest number of slots of an upstream: as many connections as one of its ports can have from one
+address."""
+REJECTION_LOG_INTERVAL_S: Final = 10.0
+"""Seconds between two log lines about the same malformed record, which may be written often."""
+REASON_MAX_CHARACTERS: Final = 200
+"""Logged characters of the reason of a rejection, which may quote the content."""
+
+
+class RecordDecoder:
+    """Decodes records, and logs rejected ones at intervals."""
+
+    def __init__(self) -> None:
+        self.rejections = LogInterval(REJECTION_LOG_INTERVAL_S)
+
+    def decode(self, record: Record) -> FleetChange | None:
+        """Return the change that the record makes; None if it is malformed or its key is unused.
+
+        A removed configuration or wanted version is no change either.  A removed or malformed
+        upstream is a change to None.
+        """
+        try:
+            return decoded(record)
+        except ValueError as error:
+            self.log_rejection(record.key, record.revision, str(error))
+        if record.key.startswith(UPSTREAM_PREFIX):
+            return UpstreamChange(record.key.removeprefix(UPSTREAM_PREFIX), None)
+        return None
+
+    def log_rejection(self, key: str, revision: int, reason: str) -> None:
+        """Log that a record is ignored, unless a line about its key was logged just before."""
+        if self.rejections.is_due(key):
+            reason = reason[:REASON_MAX_CHARACTERS]
+            decision("record_rejected", key=ascii(key), revision=revision, reason=reason)
+
+
+def decoded(record: Record) -> FleetChange | None:
+    """Return the change that the record makes, as ``RecordDecoder.decode``; raise ValueError."""
+    key, value, _ = record
     if key.startswith(UPSTREAM_PREFIX):
-        return upstream_change(key.removeprefix(UPSTREAM_PREFIX), value, revision)
-    try:
-        if value is not None and key == CONFIGURATION_KEY:
-            return ConfigurationChange(configuration(json_value(value)))
-        if value is not None and key.startswith(VERSION_PREFIX):
-            body = json_value(value)
-            return VersionChange(field(body, "model", str), field(body, "version", int))
-    except ValueError as error:
-        decision("record_rejected", key=key, revision=revision, reason=str(error))
+        upstream = key.removeprefix(UPSTREAM_PREFIX)
+        found = None if value is None else upstream_record(upstream, json_value(value))
+        return UpstreamChange(upstream, found)
+    if value is not None and key == CONFIGURATION_KEY:
+        return ConfigurationChange(configuration(json_value(value)))
+    if value is not None and key.startswith(VERSION_PREFIX):
+        body = json_value(value)
+        return VersionChange(field(body, "model", str), whole(body, "version"))
     return None
 
 
-def json_value(value: bytes) -> dict[str, Any]:
-    """Return the value as a JSON object; raise ValueError otherwise."""
-    body = json.loads(value)
-    if not isinstance(body, dict):
-        raise FieldError("the value is not a JSON object")
-    return body
-
-
-def upstream_change(upstream: str, value: bytes | None, revision: int) -> UpstreamChange:
-    """Return the change of one upstream's record; a malformed record is logged and removes it."""
-    if value is None:
-        return UpstreamChange(upstream, None)
-    try:
-        return UpstreamChange(upstream, upstream_record(upstream, json_value(value)))
-    except (ValueError, RecursionError) as error:
-        decision("record_rejected", key=upstream, revision=revision, reason=str(error))
-        return UpstreamChange(upstream, None)
-
-
 def upstream_record(upstream: str, body: dict[str, Any]) -> UpstreamRecord:
     """Return the decoded record; raise FieldError if a field is wrong."""
     upstream_address = address(body.get("address"))
@@ -80,9 +97,9 @@
         host=upstream_address.host,
         port=upstream_address.port,
         zone=field(body, "zone", str),
-        slots=int(number(body, "slots")),
+        slots=whole(body, "slots", SLOTS_MAX),
         is_leaving=state == "draining",
-        started_ms=int(body["born"]) if isinstance(body.get("born"), int) else 0,
+        started_ms=whole(body, "born") if "born" in body else 0,
         layers=loaded_layers(body),
     )
 
@@ -119,7 +136,7 @@
     """Return the configuration; raise FieldError if a field is wrong."""
     services = [service(item) for item in objects(body, "services")]
     return FleetConfiguration(
-        version=field(body, "version", int),
+        version=whole(body, "version"),
         routes=[route(item) for item in objects(body, "routes")],
         services={found.name: found for found in services},
         workspaces_by_key=workspaces(body) if "tenants" in body else None,
--- a/gypsumpier/platform/settings.py
+++ b/gypsumpier/platform/settings.py
@@ -16,13 +16,14 @@
 BITS_PER_MBIT: Final = 1_000_000
 BITS_PER_BYTE: Final = 8
 BYTES_PER_MB: Final = 1024 * 1024
+PORT_DIGITS_MAX: Final = 5
 
 
 def read_settings(path: Path) -> NodeSettings:
     """Return the settings in the file; raise SettingsError with every problem."""
     try:
         body = json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError([Problem(SETTING_MALFORMED, "node file", str(error))]) from error
     if not isinstance(body, dict):
         raise SettingsError([Problem(SETTING_MALFORMED, "node file", "is not a JSON object")])
@@ -149,6 +150,7 @@
     if not isinstance(found, str):
         return None
     host, _, port = found.rpartition(":")
-    if not is_ip_address(host) or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    is_number = port.isascii() and port.isdecimal() and len(port) <= PORT_DIGITS_MAX
+    if not is_ip_address(host) or not is_number or not 0 < int(port) <= MAX_PORT:
         return None
     return Address(host, int(port))
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -17,8 +17,8 @@
 from gypsumpier.fleet.change import Batch, FleetChange
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.record import Record
-from gypsumpier.platform.fields import field, objects
-from gypsumpier.platform.records import decode_record
+from gypsumpier.platform.fields import field, is_encodable, objects, whole
+from gypsumpier.platform.records import RecordDecoder
 
 READ_TIMEOUT_S: Final = 2.0
 """Timeout of a read; a healthy store answers within milliseconds."""
@@ -40,6 +40,7 @@
 
     def __init__(self, address: Address) -> None:
         self.caller = HttpCaller(f"http://{address}", ANSWER_MAX_BYTES)
+        self.decoder = RecordDecoder()
 
     async def snapshot(self) -> Batch:
         revision = None
@@ -52,9 +53,9 @@
             body = json_object(await self.caller.call("GET", path, READ_TIMEOUT_S))
             with bad_answer_on_error():
                 items = objects(body, "items")
-                first_revision = field(body, "current_rev", int)
+                first_revision = whole(body, "current_rev")
                 revision = first_revision if revision is None else revision
-                records += decode_items(items)
+                records += self.decode_items(items)
                 if not body.get("more_pages") or not items:
                     return Batch(0, revision, records, True, 0.0)
                 after = field(items[-1], "key", str)
@@ -73,8 +74,8 @@
         body = json_object(response.body)
         with bad_answer_on_error():
             events = objects(body, "events")
-            current = field(body, "current_rev", int)
-            records = decode_items(events)
+            current = whole(body, "current_rev")
+            records = self.decode_items(events)
             # An empty answer means that the store waited for the full time without a newer change.
             return Batch(revision, current, records, False, 0.0 if records else wait_s)
 
@@ -82,25 +83,34 @@
         path = f"/gypsumpier/kv-range?prefix={quote(NO_KEYS_PREFIX, safe='')}"
         body = json_object(await self.caller.call("GET", path, REVISION_TIMEOUT_S))
         with bad_answer_on_error():
-            return field(body, "current_rev", int)
+            return whole(body, "current_rev")
 
     def decode(self, record: Record) -> FleetChange | None:
-        return decode_record(record)
+        return self.decoder.decode(record)
+
+    def decode_items(self, items: list[dict[str, Any]]) -> list[Record]:
+        """Return the items or events as records, in the same order, without those with no name."""
+        named = []
+        for item in items:
+            if is_encodable(str(item.get("key"))):
+                named.append(decode_item(item))
+            else:
+                self.decoder.log_rejection(item["key"], whole(item, "rev"), "the key is no text")
+        return named
 
     def close(self) -> None:
         self.caller.close()
 
 
-def decode_items(items: list[dict[str, Any]]) -> list[Record]:
-    """Return the items or events as records, in the same order."""
-    return [
-        Record(
-            field(item, "key", str),
-            None if item.get("removed") else b64decode(field(item, "value", str)),
-            field(item, "rev", int),
-        )
-        for item in items
-    ]
+def decode_item(item: dict[str, Any]) -> Record:
+    """Return an item or event as a record; a value that is no base64 is empty, so malformed."""
+    value: bytes | None = None
+    if not item.get("removed"):
+        try:
+            value = b64decode(field(item, "value", str))
+        except ValueError:
+            value = b""
+    return Record(field(item, "key", str), value, whole(item, "rev"))
 
 
 @contextmanager
--- a/gypsumpier/spread/message.py
+++ b/gypsumpier/spread/message.py
@@ -117,7 +117,9 @@
 
 
 def member(item: list[Any]) -> Member:
-    """Return one received member; raise TypeError on a field of the wrong type."""
+    """Return one received member; raise TypeError on a missing field or one of the wrong type."""
+    if len(item) != len(Member._fields):
+        raise TypeError("a member has another number of fields")
     texts, ports, leaving = item[:7], item[7:9], item[9]
     if not all(isinstance(text, str) for text in texts):
         raise TypeError("a member's first fields are strings")
--- a/gypsumpier/spread/serving.py
+++ b/gypsumpier/spread/serving.py
@@ -7,6 +7,7 @@
 from gypsumpier.spread.message import is_control
 from gypsumpier.spread.spread import Spread
 from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.payload import bad_frame_on_error
 
 
 async def serve(
@@ -22,7 +23,8 @@
         async for frame in connection.frames():
             on_frame()
             if is_control(frame.kind):
-                session.handle(frame)
+                with bad_frame_on_error(frame):
+                    session.handle(frame)
     finally:
         keep_alive.cancel()
         connection.close()
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -10,7 +10,7 @@
 from gypsumpier.fleet.node import Bounds
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.state import FleetState
-from gypsumpier.platform.records import decode_record
+from gypsumpier.platform.records import RecordDecoder
 from gypsumpier.upstream.head import CallerHead
 
 ENGINES: Final = "engines"
@@ -153,6 +153,11 @@
     return record(f"servers/i-{number}", engine_body(number, **fields), revision)
 
 
+def decode_record(found: Record) -> FleetChange | None:
+    """Return the change that a record makes for a process that has rejected none so far."""
+    return RecordDecoder().decode(found)
+
+
 class DecodingSource:
     """A fleet source that only decodes records; the test itself supplies what is read."""
 
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -48,8 +48,12 @@
 
     def put(self, key: str, body: dict[str, Any]) -> None:
         """Write a record."""
+        self.put_bytes(key, json.dumps(body).encode())
+
+    def put_bytes(self, key: str, content: bytes) -> None:
+        """Write a record with any content, as other writers may."""
         self.revision += 1
-        self.items[key] = json.dumps(body).encode(), self.revision
+        self.items[key] = content, self.revision
         self.events.append(item_body(key, *self.items[key]))
         self.wake_watches()
 
--- a/gypsumpier/test/test_platform_records.py
+++ b/gypsumpier/test/test_platform_records.py
@@ -10,13 +10,13 @@
 from gypsumpier.fleet.change import ConfigurationChange, UpstreamChange, VersionChange
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.upstream import LoadedLayers, whole_version
-from gypsumpier.platform.records import decode_record
 from gypsumpier.test.builders_platform import (
     KEY,
     LAYERS,
     MODEL,
     configuration_body,
     configuration_record,
+    decode_record,
     engine_body,
     engine_record,
     record,
--- a/gypsumpier/wire/payload.py
+++ b/gypsumpier/wire/payload.py
@@ -17,5 +17,12 @@
     """
     try:
         yield
-    except (AttributeError, LookupError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+        ArithmeticError,
+        RecursionError,
+    ) as error:
         raise GypsumpierError(BAD_FRAME, f"{frame.kind}: {error!r}") from error
