Relay nothing into a broken stream that does not continue it

Cause: once a stream had broken off, every successful answer of the next upstream was relayed into it.

Now only a 200 with events is relayed, each with a later id than the one before; an answer that ends at once without a length is no end of the stream. A stream of which the caller has a part without an id is not continued. What is left out ends as before: another upstream, or a connection that is closed.

Ruled out: to refuse each resumption without an event, as a stream may break off behind its last one. Statuses of 400 and more were not relayed before.

--- a/gypsumpier/gateway/events.py
+++ b/gypsumpier/gateway/events.py
@@ -2,6 +2,7 @@
 
 from typing import Final, NamedTuple
 
+from gypsumpier.platform.headers import is_whole_number
 from gypsumpier.upstream.errors import OutcomeUnknownError
 
 EVENT_END: Final = b"\n\n"
@@ -20,16 +21,19 @@
 class EventSplitter:
     """Buffers incomplete events, so that a stream can be resumed after a complete one.
 
-    ``rest`` holds the bytes of the event that is not complete yet.
+    ``rest`` holds the bytes of the event that is not complete yet.  In the answer to a resumption,
+    ``resumed_after`` is the id that each event must follow; anything else is no part of the stream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, resumed_after: str = "") -> None:
         self.rest = b""
+        self.resumed_after = resumed_after
 
     def feed(self, content: bytes) -> Events:
         """Return the events that are complete once ``content`` is added.
 
-        Raises OutcomeUnknownError if an event has too many bytes before its end.
+        Raises OutcomeUnknownError if an event has too many bytes before its end, or does not
+        continue a resumed stream.
         """
         self.rest += content
         end = self.rest.rfind(EVENT_END)
@@ -37,8 +41,20 @@
             self.check_rest()
             return Events(b"", [])
         whole, self.rest = self.rest[: end + 2], self.rest[end + 2 :]
+        if self.resumed_after:
+            self.check_continues(whole)
         return Events(whole, [found for found in map(event_id, whole.split(b"\n")) if found])
 
+    def check_continues(self, whole: bytes) -> None:
+        """Raise OutcomeUnknownError unless each of the events follows the one before it."""
+        for event in whole.removesuffix(EVENT_END).split(EVENT_END):
+            found = next(filter(None, map(event_id, event.split(b"\n"))), "")
+            if not follows(found, self.resumed_after):
+                raise OutcomeUnknownError(
+                    f"event {found!r} in answer to the resumption after {self.resumed_after!r}"
+                )
+            self.resumed_after = found
+
     def check_rest(self) -> None:
         """Raise OutcomeUnknownError if the incomplete event has too many bytes."""
         if len(self.rest) > EVENT_MAX_BYTES:
@@ -50,3 +66,10 @@
     if not line.startswith(ID_FIELD):
         return ""
     return line.removeprefix(ID_FIELD).strip().decode("latin1")
+
+
+def follows(later: str, earlier: str) -> bool:
+    """Return whether an event id is a later one: the larger number, or any other text."""
+    if is_whole_number(later) and is_whole_number(earlier):
+        return int(later) > int(earlier)
+    return later not in ("", earlier)
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -46,6 +46,7 @@
 within a region takes a few milliseconds."""
 RETRY_AFTER_S: Final = 0.2
 """Retry-After, in seconds, of a request that every upstream refused."""
+SUCCESS: Final = 200
 SERVER_ERROR: Final = 500
 MISDIRECTED: Final = 421
 URGENCY_MAX: Final = 9
@@ -110,7 +111,7 @@
                 self.check_resend(request, error)
             except OutcomeUnknownError as error:
                 probe = self.failures.record_unknown(request, record, error)
-                self.check_repeat(request, error)
+                self.check_repeat(request, writer, error)
             except asyncio.CancelledError:
                 self.failures.record_cancelled(request, record)
                 raise
@@ -127,9 +128,15 @@
             detail = "every upstream refused and the retry budget is exhausted"
             raise Refusal(EVERY_TRY_REFUSED, 503, detail, RETRY_AFTER_S)
 
-    def check_repeat(self, request: GatewayRequest, error: OutcomeUnknownError) -> None:
-        """Raise Refusal unless a request that may have run may run again."""
-        if not request.may_repeat() or not self.retries.spend(request.service):
+    def check_repeat(
+        self, request: GatewayRequest, writer: AnswerWriter, error: OutcomeUnknownError
+    ) -> None:
+        """Raise Refusal unless a request that may have run may run again.
+
+        A stream of which the caller has a part without an id can't be continued.
+        """
+        is_lost = bool(writer.status) and not request.last_event_id
+        if is_lost or not request.may_repeat() or not self.retries.spend(request.service):
             raise Refusal(ANSWER_LOST, 502, error.reason)
 
     async def attempt(
@@ -262,9 +269,7 @@
         body = await exchange.whole_body(ANSWER_MAX_BYTES)
         if writer.status:
             # The caller already has the head of the stream that was to be resumed.
-            raise OutcomeUnknownError(
-                f"status {head.status} in answer to the resumption of a stream"
-            )
+            raise resumption_error(head)
         is_failure = head.status >= SERVER_ERROR
         if is_failure and request.may_repeat(tries=2) and self.retries.has_left(request.service):
             raise OutcomeUnknownError(f"status {head.status}", is_answered=True)
@@ -278,8 +283,15 @@
         head: AnswerHead,
         writer: AnswerWriter,
     ) -> None:
-        """Relay complete events as they arrive; bytes of an incomplete one are no progress."""
-        splitter = EventSplitter()
+        """Relay complete events as they arrive; bytes of an incomplete one are no progress.
+
+        An answer that does not continue a stream that the caller has a part of is not relayed.
+        """
+        is_resumed = bool(writer.status)
+        if is_resumed and not (head.status == SUCCESS and head.is_event_stream):
+            raise resumption_error(head)
+        splitter = EventSplitter(request.last_event_id if is_resumed else "")
+        has_events = False
         since_s = time.monotonic()
         async for content in exchange.body():
             events = splitter.feed(content)
@@ -291,6 +303,7 @@
             if not request.first_event_at_s:
                 took_s = time.monotonic() - request.sent_at_s
                 self.admission.record_first_event(request.service, took_s)
+            has_events = True
             request.record_event()
             await writer.write(events.content)
             if events.ids:
@@ -298,11 +311,20 @@
             since_s = time.monotonic()
         if splitter.rest:
             raise OutcomeUnknownError("the stream ended in the middle of an event")
+        if is_resumed and not has_events and not head.is_framed:
+            # A connection that closes behind the head shows no end of the stream.
+            raise OutcomeUnknownError("no event in answer to the resumption of a stream")
         if not writer.status:
             writer.begin(head, None)
         writer.finish()
 
 
+def resumption_error(head: AnswerHead) -> OutcomeUnknownError:
+    """Return the error for an answer that can't continue a stream."""
+    kind = "a stream" if head.is_event_stream else "no stream"
+    return OutcomeUnknownError(f"status {head.status} with {kind} in answer to a resumption")
+
+
 def refusal_error(head: AnswerHead, record: UpstreamRecord) -> NotRunError:
     """Return the error for an answer that states that the request has not run."""
     is_misdirected = head.status == MISDIRECTED
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -29,6 +29,8 @@
 it answers; in an answer of an entry, after which the caller should send the request again."""
 UPSTREAM_LEAVING: Final = "Server-Leaving"
 """``1`` in all answers of an upstream that leaves."""
+EVENT_STREAM: Final = "text/event-stream"
+"""Type of the body of a stream."""
 MISDIRECTED_STATUS: Final = 421
 SHARED_PARTS_MAX: Final = 16
 """Parts of a prompt that are told apart; the platform's prompts have two or three."""
@@ -112,6 +114,8 @@
         closes="close" in headers.get("Connection", "").lower(),
         idle_s=keep_alive_timeout_s(headers),
         upstream=headers.get(INSTANCE, ""),
+        is_event_stream=headers.get("Content-Type", "").lower().startswith(EVENT_STREAM),
+        is_framed="Content-Length" in headers or "Transfer-Encoding" in headers,
         statement=statement_of(
             start.code,
             headers.get(REQUEST_LIMIT),
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -60,8 +60,9 @@
     statement that it has not run the request and never will.  ``seal`` marks an answer as the
     upstream's own.  ``upstream`` is the id of the answering upstream, if stated.  ``closes`` is set
     if the connection is closed after the answer.  ``idle_s`` is how many seconds the upstream keeps
-    the idle connection; None if not stated.  ``statement`` is what the answer says of the upstream
-    itself.
+    the idle connection; None if not stated.  ``is_event_stream`` is set if its body is a series of
+    events, ``is_framed`` if the body's end is told from that of the connection.  ``statement`` is
+    what the answer says of the upstream itself.
     """
 
     status: int
@@ -73,6 +74,8 @@
     closes: bool
     idle_s: float | None
     upstream: str
+    is_event_stream: bool
+    is_framed: bool
     statement: Statement
     forwarded_headers: HTTPHeaders
 
