Keep sums of the loads that entries report, and the candidates of a service

Cause: each look at an upstream summed the reports of all other entries, and each admission worked out the weights of all engines and looked at them two to four times. So the cost of an admission grew with engines times reports, and each message with loads started one for every queue.

Now the sums are kept as reports arrive and expire, the candidates of a service until a record, an engine's weights or a leaving upstream changes, and the peers of a zone until a link changes. The engines of the own zone are looked at first; others only where none of them has a free slot. Messages that arrive in one turn of the event loop cause one dispatch, and only while a request waits. Prompts are taken to be read at the rate that the service publishes, no longer at 30,000 tokens a second for every engine.

Tried and given up: at least 10 ms between two dispatches.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -89,6 +89,7 @@
         self.first_event_estimates_s: dict[str, float] = {}
         self.queues: dict[str, RequestQueue] = {}
         self.logged_candidates: dict[str, tuple[int, int, int]] = {}
+        self.news_dispatch: asyncio.Handle | None = None
 
     def queue(self, service: str) -> RequestQueue:
         """Return the request queue of a service."""
@@ -246,8 +247,9 @@
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
                 break
-        queue.limited = self.limited_capacity(service)
-        queue.shed_excess(self.capacity_share_per_s(service))
+        if queue.waiting:
+            queue.limited = self.limited_capacity(service)
+            queue.shed_excess(self.capacity_share_per_s(service))
         self.record_waiting(service)
 
     def record_waiting(self, service: str) -> None:
@@ -305,9 +307,18 @@
 
     def dispatch_all(self) -> None:
         """Dispatch the queue of every service."""
+        if self.news_dispatch is not None:
+            self.news_dispatch.cancel()
+            self.news_dispatch = None
         for service in self.queues:
             self.dispatch(service)
 
+    def handle_peer_news(self) -> None:
+        """Dispatch the queues once for all messages that arrive in one turn of the event loop."""
+        is_waiting = any(queue.waiting for queue in self.queues.values())
+        if is_waiting and self.news_dispatch is None:
+            self.news_dispatch = asyncio.get_running_loop().call_soon(self.dispatch_all)
+
     async def run(self) -> None:
         """Dispatch every queue periodically, as waits and backoffs also change with time alone."""
         while True:
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -94,7 +94,7 @@
         self.selector.statements.limits.shares = self.demand
         self.statement_share = StatementShare(self.mesh, self.selector.statements)
         self.load_share = LoadShare(self.mesh, self.selector, self.demand)
-        self.load_share.on_change.append(self.admission.dispatch_all)
+        self.load_share.on_change.append(self.admission.handle_peer_news)
         self.fleet_state.listeners.append(self.admission.dispatch_all)
         self.pool = UpstreamPool()
         self.retries = RetryBudget(settings.bounds, len(settings.regions_by_zone))
--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -14,7 +14,8 @@
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.ratelimit.demand import DemandShares, finite_rate
 from gypsumpier.upstream.enginestate import EngineState, engine_state_from
-from gypsumpier.upstream.selector import Load, UpstreamSelector
+from gypsumpier.upstream.peerloads import Load
+from gypsumpier.upstream.selector import UpstreamSelector
 
 LOAD: Final = "load"
 ENGINE: Final = "engine"
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -54,9 +54,10 @@
     """Connections to the other processes.
 
     ``known`` holds the entries learned of by address.  ``links`` holds the open connections by the
-    peer's name, the newest first.  ``listeners`` and ``request_handlers`` handle messages and
-    requests by kind; ``aged_listeners`` handle messages that carry ages, and also get the seconds
-    that the message spent in queues and buffers.
+    peer's name, the newest first; ``listed`` the peers by role and zone until a link changes.
+    ``listeners`` and ``request_handlers`` handle messages and requests by kind; ``aged_listeners``
+    handle messages that carry ages, and also get the seconds that the message spent in queues and
+    buffers.
     """
 
     def __init__(self, own: Peer, seeds: tuple[Address, ...], dialer: Dialer) -> None:
@@ -71,6 +72,7 @@
         self.last_seen_at_s: dict[Address, float] = {}
         self.dial_tasks: dict[Address, asyncio.Task[None]] = {}
         self.links: dict[str, list[MeshLink]] = {}
+        self.listed: dict[tuple[str, str], list[Peer]] = {}
         self.on_peer_connected: list[Callable[[MeshLink], None]] = []
         self.answer_tasks: set[asyncio.Task[None]] = set()
         self.task: asyncio.Task[None] | None = None
@@ -90,10 +92,13 @@
 
     def peers(self, role: str = ENTRY, zone: str = "") -> list[Peer]:
         """Return the connected peers of a role, in one zone or in all, sorted by name."""
-        connected = {links[0].peer for links in self.links.values() if links}
-        return sorted(
-            peer for peer in connected if peer.role == role and (not zone or peer.zone == zone)
-        )
+        found = self.listed.get((role, zone))
+        if found is None:
+            connected = {links[0].peer for links in self.links.values() if links}
+            found = self.listed[role, zone] = sorted(
+                peer for peer in connected if peer.role == role and (not zone or peer.zone == zone)
+            )
+        return list(found)
 
     def link(self, name: str) -> MeshLink | None:
         """Return the newest open connection to the peer of that name; None without one."""
@@ -247,6 +252,7 @@
         links = self.links.setdefault(link.peer.name, [])
         is_new = not links
         links.insert(0, link)
+        self.listed.clear()
         if is_new:
             decision("peer_connected", peer=link.peer.name, role=link.peer.role, run=link.peer.run)
         for listener in self.on_peer_connected:
@@ -256,6 +262,7 @@
         """Shut the link down and remove it; log where it was the last to its peer."""
         link.shut_down()
         links = self.links.get(link.peer.name, [])
+        self.listed.clear()
         if link in links:
             links.remove(link)
         if not links:
--- a/gypsumpier/ratelimit/limits.py
+++ b/gypsumpier/ratelimit/limits.py
@@ -165,7 +165,7 @@
 
     def bucket(self, record: StatingUpstream) -> TokenBucket | None:
         """Return the bucket of this entry's share of the limit; None where there is none."""
-        known = self.known.get(record.run_key())
+        known = self.known.get(record.run_key()) if self.known else None
         if known is None or known.per_s is None:
             return None
         now_s = time.monotonic()
--- a/gypsumpier/statement/leaving.py
+++ b/gypsumpier/statement/leaving.py
@@ -27,11 +27,14 @@
     """Runs that leave, with the monotonic time at which this process learned of it.
 
     Their records may still call them ready: an answer can be earlier than the record, and the store
-    may be away.  ``listeners`` are called with each run that an answer here has shown to leave.
+    may be away.  ``changes`` counts the
+    changes of what is known.  ``listeners`` are called with each run that an answer here has shown
+    to leave.
     """
 
     def __init__(self) -> None:
         self.known: dict[RunKey, float] = {}
+        self.changes = 0
         self.listeners: list[Callable[[RunKey], None]] = []
 
     def record_answer(self, record: StatingUpstream, is_leaving: bool, sent_at_s: float) -> None:
@@ -46,6 +49,7 @@
                     listener(run)
         elif sent_at_s > self.known.get(run, float("inf")):
             del self.known[run]
+            self.changes += 1
             LEAVING_UPSTREAMS.set(len(self.known))
             decision("upstream_stays", upstream=run[0])
 
@@ -57,17 +61,19 @@
             decision("upstream_leaving_dropped", upstream=run[0], known=len(self.known))
             return False
         self.known[run] = time.monotonic()
+        self.changes += 1
         LEAVING_UPSTREAMS.set(len(self.known))
         decision("upstream_leaving", upstream=run[0], source=origin)
         return True
 
     def is_leaving(self, record: StatingUpstream) -> bool:
         """Return whether the upstream's current run has stated that it leaves."""
-        return record.run_key() in self.known
+        return bool(self.known) and record.run_key() in self.known
 
     def retain(self, runs: set[RunKey]) -> None:
         """Drop runs that have no record, some time after they were heard of."""
         oldest_s = time.monotonic() - FORGOTTEN_S
         for run in [run for run, at_s in self.known.items() if run not in runs and at_s < oldest_s]:
             del self.known[run]
+            self.changes += 1
         LEAVING_UPSTREAMS.set(len(self.known))
--- a/gypsumpier/statement/rests.py
+++ b/gypsumpier/statement/rests.py
@@ -102,7 +102,7 @@
 
     def left_s(self, record: StatingUpstream) -> float:
         """Return the seconds until the end of the upstream's rest; 0 if it does not rest."""
-        known = self.known.get(record.run_key())
+        known = self.known.get(record.run_key()) if self.known else None
         return max(0.0, known.until_s - time.monotonic()) if known else 0.0
 
     def is_resting(self, record: StatingUpstream) -> bool:
@@ -111,7 +111,7 @@
 
     def allows(self, record: StatingUpstream) -> bool:
         """Return whether the upstream may get a request from this process now."""
-        known = self.known.get(record.run_key())
+        known = self.known.get(record.run_key()) if self.known else None
         return known is None or known.permits_at(time.monotonic()) >= 1.0
 
     def take(self, record: StatingUpstream) -> None:
--- a/gypsumpier/test/simulated_entry.py
+++ b/gypsumpier/test/simulated_entry.py
@@ -54,7 +54,7 @@
         self.admission = admission_of(fleet.state, self.selector)
         self.admission.entry_count = count
         self.share = LoadShare(self.mesh, self.selector, demand_of(self.mesh))  # type: ignore[arg-type]
-        self.share.on_change.append(self.admission.dispatch_all)
+        self.share.on_change.append(self.admission.handle_peer_news)
         self.admitted_after_s: list[float] = []
         self.first_event_after_s: list[float] = []
         self.refused = 0
--- a/gypsumpier/test/simulated_limits.py
+++ b/gypsumpier/test/simulated_limits.py
@@ -100,7 +100,7 @@
         self.selector.statements.limits.shares = demand
         self.statement_share = StatementShare(mesh, self.selector.statements)
         self.load_share = LoadShare(mesh, self.selector, demand)
-        self.load_share.on_change.append(self.admission.dispatch_all)
+        self.load_share.on_change.append(self.admission.handle_peer_news)
         self.tasks = [
             asyncio.create_task(work)
             for work in (self.statement_share.run(), self.load_share.run(), self.admission.run())
--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -21,7 +21,7 @@
     engine_record,
     fleet_state_of,
 )
-from gypsumpier.upstream.selector import Load
+from gypsumpier.upstream.peerloads import Load
 
 FULL = 17
 
--- a/gypsumpier/test/test_load_share.py
+++ b/gypsumpier/test/test_load_share.py
@@ -5,7 +5,7 @@
 from gypsumpier.gateway.loadshare import LoadShare
 from gypsumpier.test.builders_gateway import demand_of, engines, selector_of
 from gypsumpier.test.fakes_piece import entry_peer
-from gypsumpier.upstream.selector import Load
+from gypsumpier.upstream.peerloads import Load
 
 
 class ListeningMesh:
--- a/gypsumpier/test/test_upstream_board.py
+++ b/gypsumpier/test/test_upstream_board.py
@@ -14,7 +14,8 @@
     record,
 )
 from gypsumpier.upstream.enginestate import EngineState
-from gypsumpier.upstream.selector import Load, UpstreamSelector
+from gypsumpier.upstream.peerloads import Load
+from gypsumpier.upstream.selector import UpstreamSelector
 
 
 def state_of(
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -93,7 +93,7 @@
 
     def is_usable(self, run: tuple[str, int]) -> bool:
         """Return whether requests may be sent: not in backoff, and after failures one at a time."""
-        health = self.health_by_run.get(run)
+        health = self.health_by_run.get(run) if self.health_by_run else None
         if health is None:
             return True
         if time.monotonic() < health.retry_at_s:
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -8,8 +8,7 @@
 import random
 import time
 from collections import Counter
-from dataclasses import dataclass, field
-from typing import Final, NamedTuple
+from typing import Final
 
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.service import ModelTraits
@@ -21,6 +20,7 @@
 from gypsumpier.upstream.claims import Claims
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
+from gypsumpier.upstream.peerloads import NO_LOAD, Load, PeerLoads
 
 PEER_LOAD_MAX_AGE_S: Final = 2.0
 """Seconds after its last message after which the loads of another entry are dropped."""
@@ -47,36 +47,17 @@
 SWITCH_MARGIN_S: Final = 0.4
 """Seconds before an engine's weight switch by which its requests should have ended."""
 PROMPT_TOKENS_PER_S: Final = 30_000.0
-"""Assumed rate at which engines read prompts; their own rates are not known here."""
-
-
-class Load(NamedTuple):
-    """Requests in flight at one upstream, and the prompt tokens of those not answered yet."""
-
-    in_flight: int = 0
-    unread_tokens: int = 0
-
-
-NO_LOAD: Final = Load()
-
-
-@dataclass
-class PeerLoad:
-    """The load that another entry puts on each upstream, as of ``at_s`` in monotonic seconds.
-
-    ``waiting`` is the number of its queued requests by service.
-    """
-
-    loads: dict[str, Load] = field(default_factory=dict)
-    at_s: float = 0.0
-    waiting: dict[str, int] = field(default_factory=dict)
+"""Assumed rate at which an upstream reads prompts whose service publishes none."""
+FORGET_INTERVAL_S: Final = 1.0
+"""Seconds between two times at which the state of upstreams that no longer exist is dropped."""
 
 
 class UpstreamSelector:
     """The load, health and engine state of upstreams, by which one is selected for each request.
 
     ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.
-    ``statements`` are what upstreams have stated in their answers.
+    ``statements`` are what upstreams have stated in their answers.  ``known_candidates`` holds the
+    candidates by service and least version until something changes that they depend on.
     """
 
     def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
@@ -87,22 +68,31 @@
         self.zone_health = HealthTracker()
         self.own_loads: dict[str, Load] = {}
         self.own_waiting: dict[str, int] = {}
-        self.peer_loads: dict[str, PeerLoad] = {}
+        self.peer_loads = PeerLoads()
         self.claims = Claims()
         self.engines: dict[str, EngineState] = {}
         self.statements = UpstreamStatements(WholeShare())
+        self.known_candidates: dict[tuple[str, int], list[UpstreamRecord]] = {}
+        self.known_state = (0, 0)
+        self.forgot_at_s = float("-inf")
+        fleet_state.listeners.append(self.handle_fleet_change)
+
+    def handle_fleet_change(self) -> None:
+        """Work the candidates out anew, and drop the state of upstreams that no longer exist."""
+        self.known_candidates.clear()
+        self.forgot_at_s = float("-inf")
 
     def record_peer_loads(
         self, name: str, loads: dict[str, Load], waiting: dict[str, int] | None = None
     ) -> None:
         """Replace what another entry reports, or another zone as a sum."""
-        self.peer_loads[name] = PeerLoad(loads, time.monotonic(), waiting or {})
+        self.peer_loads.record(name, loads, waiting or {})
 
     def summed_loads(self, entries: list[str]) -> dict[str, Load]:
         """Return the sum of the own loads and those of the named entries."""
         total = dict(self.own_loads)
         for name in entries:
-            peer = self.peer_loads.get(name)
+            peer = self.peer_loads.reports.get(name)
             for upstream, load in peer.loads.items() if peer else ():
                 known = total.get(upstream, NO_LOAD)
                 total[upstream] = Load(
@@ -121,14 +111,14 @@
         """Return the sum by service of the own queued requests and those of the named entries."""
         total = Counter(self.own_waiting)
         for name in entries:
-            peer = self.peer_loads.get(name)
+            peer = self.peer_loads.reports.get(name)
             total.update(peer.waiting if peer else {})
         return dict(total)
 
     def waiting_share(self, service: str) -> float:
         """Return the own share of all known queued requests of the service."""
         own = self.own_waiting.get(service, 0)
-        others = sum(peer.waiting.get(service, 0) for peer in self.peer_loads.values())
+        others = self.peer_loads.waiting.get(service, 0)
         return own / (own + others) if own else 1.0
 
     def record_engine_state(self, state: EngineState) -> bool:
@@ -136,15 +126,19 @@
         known = self.engines.get(state.address)
         if known is not None and known.run == state.run and known.sequence >= state.sequence:
             return False
+        is_same = known is not None and known.is_switching == state.is_switching
+        if known is None or not is_same or known.layers != state.layers:
+            self.known_candidates.clear()
         self.engines[state.address] = state
         return True
 
     def drop_expired(self) -> None:
         """Drop stale loads of other entries, and the state of upstreams that no longer exist."""
-        oldest_s = time.monotonic() - PEER_LOAD_MAX_AGE_S
-        self.peer_loads = {
-            name: load for name, load in self.peer_loads.items() if load.at_s > oldest_s
-        }
+        now_s = time.monotonic()
+        self.peer_loads.drop_before(now_s - PEER_LOAD_MAX_AGE_S)
+        if now_s - self.forgot_at_s < FORGET_INTERVAL_S:
+            return
+        self.forgot_at_s = now_s
         records = self.fleet_state.upstreams.values()
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
@@ -153,6 +147,7 @@
         addresses = {f"{record.host}:{record.port}" for record in records}
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
+            self.known_candidates.clear()
 
     def limited_services(self) -> set[str]:
         """Return the services of which an upstream states a limit."""
@@ -189,19 +184,21 @@
 
     def load(self, record: UpstreamRecord) -> int:
         """Return the known number of requests in flight at the upstream."""
-        others = sum(
-            peer.loads.get(record.id, NO_LOAD).in_flight for peer in self.peer_loads.values()
-        )
-        return self.own_loads.get(record.id, NO_LOAD).in_flight + others
+        own = self.own_loads.get(record.id, NO_LOAD).in_flight
+        return own + self.peer_loads.in_flight.get(record.id, 0)
 
     def unread_s(self, record: UpstreamRecord) -> float:
         """Return the estimated seconds until the engine has read the prompts not answered yet."""
-        now_s = time.monotonic()
-        unread_s = self.own_loads.get(record.id, NO_LOAD).unread_tokens / PROMPT_TOKENS_PER_S
-        for peer in self.peer_loads.values():
-            reported_s = peer.loads.get(record.id, NO_LOAD).unread_tokens / PROMPT_TOKENS_PER_S
-            unread_s += max(0.0, reported_s - (now_s - peer.at_s))
-        return unread_s
+        own_tokens = self.own_loads.get(record.id, NO_LOAD).unread_tokens
+        if not own_tokens and record.id not in self.peer_loads.unread:
+            return 0.0
+        tokens_per_s = self.prompt_tokens_per_s(record)
+        return own_tokens / tokens_per_s + self.peer_loads.unread_s(record.id, tokens_per_s)
+
+    def prompt_tokens_per_s(self, record: UpstreamRecord) -> float:
+        """Return the rate at which the upstream reads prompts, as its service publishes it."""
+        model = self.model(record.service)
+        return (model.prompt_tokens_per_s if model else 0.0) or PROMPT_TOKENS_PER_S
 
     def delay_s(self, record: UpstreamRecord) -> float:
         """Return the estimated seconds that a new request waits there for its first event.
@@ -219,14 +216,23 @@
     def candidates(self, service: str, least_version: int = 0) -> list[UpstreamRecord]:
         """Return the upstreams of the service that can serve, regardless of load and health.
 
-        Engines must hold a complete model of at least that version and not be switching.
+        Engines must hold a complete model of at least that version and not be switching.  The list
+        is kept for later calls and must not be changed.
         """
-        model = self.model(service)
-        return [
-            record
-            for record in self.fleet_state.upstreams.values()
-            if record.service == service and self.is_candidate(record, model, least_version)
-        ]
+        state = (len(self.fleet_state.upstreams), self.statements.leaving.changes)
+        if state != self.known_state:
+            self.known_candidates.clear()
+            self.known_state = state
+        key = (service, least_version)
+        found = self.known_candidates.get(key)
+        if found is None:
+            model = self.model(service)
+            found = self.known_candidates[key] = [
+                record
+                for record in self.fleet_state.upstreams.values()
+                if record.service == service and self.is_candidate(record, model, least_version)
+            ]
+        return found
 
     def is_candidate(
         self, record: UpstreamRecord, model: ModelTraits | None, least_version: int
@@ -278,35 +284,60 @@
         With a ``share`` below 1, only that share of an upstream's free places is used between two
         exchanges of loads.
         """
-        free = [
+        if not any_zone:
+            # Most requests find a place in the own zone; the others are then not looked at.
+            local = [record for record in records if record.zone == self.zone]
+            free = [
+                record
+                for record in self.with_capacity(local, excluded)
+                if self.load(record) < record.slots and not self.is_impaired(record)
+            ]
+            found = self.least_delayed(self.claimable(free, share, prompt_tokens), needed_s, False)
+            if found is not None:
+                return found
+        free = self.with_capacity(records, excluded)
+        unimpaired = [record for record in free if not self.is_impaired(record)]
+        free = self.claimable(unimpaired or free, share, prompt_tokens)
+        local = [
+            record
+            for record in free
+            if not any_zone and record.zone == self.zone and self.load(record) < record.slots
+        ]
+        return self.least_delayed(local or free, needed_s, any_zone)
+
+    def with_capacity(
+        self, records: list[UpstreamRecord], excluded: set[tuple[str, int]]
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that may get one more request now, impaired ones included."""
+        return [
             record
             for record in records
-            if record.run_key() not in excluded
+            if self.load(record) < self.limit(record)
+            and (not excluded or record.run_key() not in excluded)
             and self.is_usable(record)
-            and self.load(record) < self.limit(record)
             and self.unread_s(record) < UNREAD_MAX_S
             and self.statements.allows(record)
         ]
-        unimpaired = [record for record in free if not self.is_impaired(record)]
-        free = unimpaired or free
-        if share < 1.0:
-            free = [record for record in free if self.may_claim(record, share, prompt_tokens)]
-        if not free:
-            return None
+
+    def claimable(
+        self, records: list[UpstreamRecord], share: float, prompt_tokens: int
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams of which one more request is within this entry's share."""
+        if share >= 1.0:
+            return records
+        return [record for record in records if self.may_claim(record, share, prompt_tokens)]
+
+    def least_delayed(
+        self, records: list[UpstreamRecord], needed_s: float, is_jittered: bool
+    ) -> UpstreamRecord | None:
+        """Return the upstream with the least estimated delay; None if there is none."""
 
         def cost_s(record: UpstreamRecord) -> float:
             switches = self.switches_within(record, needed_s)
-            jitter_s = random.uniform(0, CHOICE_JITTER_S) if any_zone else 0.0
+            jitter_s = random.uniform(0, CHOICE_JITTER_S) if is_jittered else 0.0
             return self.delay_s(record) + jitter_s + (SWITCH_COST_S if switches else 0.0)
 
-        if any_zone:
-            return min(free, key=cost_s)
-        local = [
-            record
-            for record in free
-            if record.zone == self.zone and self.load(record) < record.slots
-        ]
-        return min(local or free, key=cost_s)
+        return min(records, key=cost_s, default=None)
 
     def may_claim(self, record: UpstreamRecord, share: float, prompt_tokens: int) -> bool:
         """Return whether one more request is within this entry's share of the free places.
@@ -316,7 +347,8 @@
         places = self.limit(record) - self.load(record)
         if prompt_tokens:
             unread_s = UNREAD_MAX_S - self.unread_s(record)
-            places = min(places, math.ceil(unread_s * PROMPT_TOKENS_PER_S / prompt_tokens))
+            tokens_per_s = self.prompt_tokens_per_s(record)
+            places = min(places, math.ceil(unread_s * tokens_per_s / prompt_tokens))
         own = self.own_loads.get(record.id, NO_LOAD).in_flight
         return own < self.claims.most(record.id, own, places, share)
 
