Bound the messages with loads of an entry, whatever the size of its zone and fleet

Cause: each entry sent its changed loads to each other entry of its zone up to 50 times a second, and the first entry of a zone sent the zone's sum to every entry of all other zones 8 times a second: with 20 entries in each of 5 zones up to 1,000 and 660 messages a second. Every message was packed for each recipient by itself, and each connection to another zone got two heartbeats a second.

A message to many peers is packed once. Connections to other zones share 60 heartbeats a second.

Loads from the agent beside each engine: each admission would wait for a permit across the network.

--- a/gypsumpier/mesh/link.py
+++ b/gypsumpier/mesh/link.py
@@ -17,10 +17,13 @@
 
 
 class QueuedMessage(NamedTuple):
-    """A message that waits to be sent since ``queued_at_s``, in monotonic seconds."""
+    """A message that waits to be sent since ``queued_at_s``, in monotonic seconds.
+
+    The payload of a message to many peers is packed.
+    """
 
     kind: str
-    payload: dict[str, Any]
+    payload: dict[str, Any] | bytes
     exchange: str
     queued_at_s: float
 
@@ -39,7 +42,7 @@
         self.pending_requests: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self.request_numbers = itertools.count()
 
-    def post(self, kind: str, payload: dict[str, Any], exchange: str = "") -> None:
+    def post(self, kind: str, payload: dict[str, Any] | bytes, exchange: str = "") -> None:
         """Queue a message; where the queue is full, close the connection instead."""
         try:
             queued_at_s = self.connection.clock.monotonic()
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from gypsumpier.errors import GypsumpierError
@@ -17,7 +18,8 @@
 from gypsumpier.mesh.peer import Peer, peer_from
 from gypsumpier.tasks import end_task
 from gypsumpier.wire.connection import Connection
-from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.frame import Frame, pack_payload
+from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Dialer, Stream
 
 HELLO: Final = "hello"
@@ -30,8 +32,12 @@
 """Seconds for opening a connection; the latency to the farthest region is milliseconds."""
 HEARTBEAT_S: Final = 0.5
 """Seconds without a sent message after which a heartbeat is sent."""
+CROSS_ZONE_HEARTBEATS_PER_S: Final = 60.0
+"""Heartbeats a second that a process sends to other zones at most: their entries are the most
+numerous peers by far, and little depends on how soon one of them is found silent."""
 SILENCE_TIMEOUT_S: Final = 2.0
-"""Seconds without a received message after which a connection is closed and dialled again."""
+"""Seconds without a received message after which a connection is closed and dialled again; three
+intervals of heartbeats if that is longer."""
 UNREACHABLE_TIMEOUT_S: Final = 30.0
 """Seconds after which an unreachable entry is removed and no longer dialled."""
 
@@ -50,6 +56,14 @@
 RequestHandler = Callable[[Peer, dict[str, Any]], Awaitable[dict[str, Any]]]
 
 
+@dataclass
+class CrossZonePace:
+    """The settings of the pace of connections to other zones, as ``PaceSettings``."""
+
+    heartbeat_s: float = HEARTBEAT_S
+    idle_heartbeats_per_s: float = CROSS_ZONE_HEARTBEATS_PER_S
+
+
 class Mesh:
     """Connections to the other processes.
 
@@ -65,6 +79,7 @@
         self.seeds = seeds
         self.dialer = dialer
         self.clock = BootClock()
+        self.cross_zone_pace = Pace(CrossZonePace())
         self.listeners: dict[str, Listener] = {}
         self.aged_listeners: dict[str, AgedListener] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
@@ -104,16 +119,17 @@
         """Return the newest open connection to the peer of that name; None without one."""
         return next(iter(self.links.get(name, ())), None)
 
-    def post(self, name: str, kind: str, payload: dict[str, Any]) -> None:
+    def post(self, name: str, kind: str, payload: dict[str, Any] | bytes) -> None:
         """Queue a message to a peer; it is dropped where the peer is not connected."""
         link = self.link(name)
         if link is not None:
             link.post(kind, payload)
 
     def post_all(self, peers: list[Peer], kind: str, payload: dict[str, Any]) -> None:
-        """Queue a message to each of the peers."""
+        """Queue a message to each of the peers; its payload is packed once for all of them."""
+        packed = pack_payload(payload)
         for peer in peers:
-            self.post(peer.name, kind, payload)
+            self.post(peer.name, kind, packed)
 
     async def run(self) -> None:
         """Dial addresses that are not connected, until the task is cancelled."""
@@ -199,6 +215,8 @@
                 if first == HELLO:
                     await connection.send(WELCOME, self.welcome_payload())
                 self.record_known_peers(frame, peer, address)
+                if peer.zone != self.own.zone:
+                    connection.use_pace(self.cross_zone_pace)
                 link = MeshLink(peer, connection)
                 writer = asyncio.create_task(self.send_queued(link))
                 self.add(link)
--- a/gypsumpier/test/simulated_entries.py
+++ b/gypsumpier/test/simulated_entries.py
@@ -8,8 +8,9 @@
 from unittest import mock
 
 from gypsumpier.fleet.state import FleetState
-from gypsumpier.fleet.upstream import LoadedLayers
+from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord
 from gypsumpier.gateway.loadshare import ZONE_INTERVAL_S
+from gypsumpier.mesh.peer import Peer
 from gypsumpier.test.builders_platform import ENGINES, LAYERS, MODEL
 from gypsumpier.test.simulated_engine import SimulatedEngine
 from gypsumpier.test.simulated_entry import IN_ZONE_S, SimulatedEntry
@@ -36,10 +37,26 @@
             record.id: SimulatedEngine(record, model.prompt_tokens_per_s)
             for record in fleet_state.upstreams.values()
         }
+        self.listed: dict[str, list[Peer]] = {}
         self.entries = [
-            SimulatedEntry(self, f"front-{number:02}", zones[number % len(zones)], count)
+            SimulatedEntry(self, f"front-{number:03}", zones[number % len(zones)], count)
             for number in range(count)
         ]
+        self.meshes = {entry.mesh.own.name: entry.mesh for entry in self.entries}
+
+    def peers(self, zone: str) -> list[Peer]:
+        """Return the entries that are connected, in one zone or in all, by name."""
+        found = self.listed.get(zone)
+        if found is None:
+            peers = [mesh.own for mesh in self.meshes.values()]
+            found = sorted(peer for peer in peers if not zone or peer.zone == zone)
+            self.listed[zone] = found
+        return found
+
+    def disconnect(self, name: str) -> None:
+        """End an entry; the others notice at once."""
+        self.meshes.pop(name).is_silent = True
+        self.listed.clear()
 
     async def start(self) -> None:
         """Start the exchange of loads, at another moment within its interval for each entry."""
@@ -47,13 +64,17 @@
             delay_s = random.uniform(0, ZONE_INTERVAL_S)
             entry.tasks.append(asyncio.create_task(entry.run(delay_s)))
 
-    def set_switching(self, is_switching: bool) -> None:
-        """Let all engines drain or return; entries of other zones learn of it later."""
+    def engine_state(self, record: UpstreamRecord, is_switching: bool) -> EngineState:
+        """Return the next state of an engine that holds its weights."""
         self.sequence += 1
         layers = (LoadedLayers(MODEL, 1, 0, LAYERS),)
+        address = f"{record.host}:{record.port}"
+        return EngineState(address, "run", self.sequence, is_switching, 0, 0, 1.0, layers)
+
+    def set_switching(self, is_switching: bool) -> None:
+        """Let all engines drain or return; entries of other zones learn of it later."""
         for engine in self.engines.values():
-            address = f"{engine.record.host}:{engine.record.port}"
-            state = EngineState(address, "run", self.sequence, is_switching, 0, 0, 1.0, layers)
+            state = self.engine_state(engine.record, is_switching)
             for entry in self.entries:
                 is_local = entry.selector.zone == engine.record.zone
                 delay_s = IN_ZONE_S if is_local else STATE_CROSS_ZONE_S
--- a/gypsumpier/test/simulated_entry.py
+++ b/gypsumpier/test/simulated_entry.py
@@ -23,25 +23,34 @@
 
 
 class EntryMesh:
-    """The connections of one entry to all others."""
+    """The connections of one entry to all others, over which it has ``sent`` so many messages.
+
+    While it ``is_silent``, nothing that it sends or is sent arrives.
+    """
 
     def __init__(self, fleet: "SimulatedEntries", own: Peer) -> None:
         self.fleet = fleet
         self.own = own
         self.listeners: dict[str, Any] = {}
         self.on_peer_connected: list[Any] = []
+        self.sent = 0
+        self.is_silent = False
 
-    def peers(self, role: str) -> list[Peer]:
-        return [entry.mesh.own for entry in self.fleet.entries if entry.mesh is not self]
+    def peers(self, role: str, zone: str = "") -> list[Peer]:
+        return [peer for peer in self.fleet.peers(zone) if peer is not self.own]
 
     def post_all(self, peers: list[Peer], kind: str, payload: dict[str, Any]) -> None:
-        names = {peer.name for peer in peers}
-        for entry in self.fleet.entries:
-            own = entry.mesh.own
-            if own.name in names:
-                delay_s = IN_ZONE_S if own.zone == self.own.zone else CROSS_ZONE_S
-                listener = entry.mesh.listeners[kind]
-                asyncio.get_running_loop().call_later(delay_s, listener, self.own, payload)
+        loop = asyncio.get_running_loop()
+        for peer in peers:
+            self.sent += 1
+            delay_s = IN_ZONE_S if peer.zone == self.own.zone else CROSS_ZONE_S
+            mesh = self.fleet.meshes[peer.name]
+            loop.call_later(delay_s, mesh.receive, self, kind, payload)
+
+    def receive(self, sender: "EntryMesh", kind: str, payload: dict[str, Any]) -> None:
+        """Handle a message, unless one of its ends is silent."""
+        if not (self.is_silent or sender.is_silent):
+            self.listeners[kind](sender.own, payload)
 
 
 class SimulatedEntry:
--- a/gypsumpier/test/test_connection.py
+++ b/gypsumpier/test/test_connection.py
@@ -140,7 +140,7 @@
     async def send(
         self,
         kind: str,
-        payload: dict[str, Any],
+        payload: dict[str, Any] | bytes,
         exchange: str = "",
         sequence: int = 0,
         queued_at_s: float | None = None,
--- a/gypsumpier/test/test_load_share.py
+++ b/gypsumpier/test/test_load_share.py
@@ -3,19 +3,23 @@
 import unittest
 
 from gypsumpier.gateway.loadshare import LoadShare
+from gypsumpier.mesh.peer import Peer
 from gypsumpier.test.builders_gateway import demand_of, engines, selector_of
 from gypsumpier.test.fakes_piece import entry_peer
 from gypsumpier.upstream.peerloads import Load
 
 
 class ListeningMesh:
-    """A mesh that only stores its listeners."""
+    """A mesh without peers that stores its listeners."""
 
     def __init__(self) -> None:
         self.own = entry_peer("front-bac-a-1", "bac-a")
         self.listeners: dict[str, object] = {}
         self.on_peer_connected: list[object] = []
 
+    def peers(self, role: str = "entry", zone: str = "") -> list[Peer]:
+        return []
+
 
 class LoadShareTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/gypsumpier/upstream/peerloads.py
+++ b/gypsumpier/upstream/peerloads.py
@@ -48,16 +48,21 @@
         self.waiting: dict[str, int] = {}
         self.unread: dict[str, dict[str, Unread]] = {}
 
-    def record(self, reporter: str, loads: dict[str, Load], waiting: dict[str, int]) -> None:
-        """Replace what an entry or a zone reports."""
-        now_s = time.monotonic()
+    def record(
+        self, reporter: str, loads: dict[str, Load], waiting: dict[str, int], age_s: float = 0.0
+    ) -> None:
+        """Replace what an entry or a zone has reported ``age_s`` seconds ago, if that is newer."""
+        at_s = time.monotonic() - age_s
+        known = self.reports.get(reporter)
+        if known is not None and known.at_s > at_s:
+            return
         self.drop(reporter)
-        self.reports[reporter] = PeerLoad(loads, now_s, waiting)
+        self.reports[reporter] = PeerLoad(loads, at_s, waiting)
         for upstream, load in loads.items():
             add(self.in_flight, upstream, load.in_flight)
             if load.unread_tokens:
                 reported = self.unread.setdefault(upstream, {})
-                reported[reporter] = Unread(load.unread_tokens, now_s)
+                reported[reporter] = Unread(load.unread_tokens, at_s)
         for service, count in waiting.items():
             add(self.waiting, service, count)
 
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -83,10 +83,19 @@
         self.forgot_at_s = float("-inf")
 
     def record_peer_loads(
-        self, name: str, loads: dict[str, Load], waiting: dict[str, int] | None = None
+        self,
+        name: str,
+        loads: dict[str, Load],
+        waiting: dict[str, int] | None = None,
+        age_s: float = 0.0,
     ) -> None:
-        """Replace what another entry reports, or another zone as a sum."""
-        self.peer_loads.record(name, loads, waiting or {})
+        """Replace what another entry, or another zone as a sum, has reported ``age_s`` ago."""
+        self.peer_loads.record(name, loads, waiting or {}, age_s)
+
+    def load_age_s(self, name: str) -> float:
+        """Return the seconds since another entry's newest report; infinite without one."""
+        report = self.peer_loads.reports.get(name)
+        return time.monotonic() - report.at_s if report else float("inf")
 
     def summed_loads(self, entries: list[str]) -> dict[str, Load]:
         """Return the sum of the own loads and those of the named entries."""
--- a/gypsumpier/wire/connection.py
+++ b/gypsumpier/wire/connection.py
@@ -23,7 +23,7 @@
 from gypsumpier.clock import Clock
 from gypsumpier.codes.wire import BAD_FRAME, CONNECTION_CLOSED, CONNECTION_SILENT
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.wire.frame import Decoder, Frame, encode
+from gypsumpier.wire.frame import Decoder, Frame, encode_packed, pack_payload
 from gypsumpier.wire.pace import Pace
 from gypsumpier.wire.stream import Stream
 
@@ -59,7 +59,7 @@
         self.clock = clock
         self.heartbeat_s = heartbeat_s
         self.silence_s = silence_s
-        self.pace = pace
+        self.pace: Pace | None = None
         self.closed = False
         self.answering = 0
         self.waiting = 0
@@ -74,17 +74,23 @@
         self.difference_recorded_at_s = self.received_at_s
         self.close_reason = CONNECTION_CLOSED
         if pace is not None:
+            self.use_pace(pace)
+
+    def use_pace(self, pace: Pace) -> None:
+        """Share the pace's budget of idle heartbeats with its other connections from now on."""
+        if not self.closed:
+            self.pace = pace
             pace.connections += 1
 
     async def send(
         self,
         kind: str,
-        payload: dict[str, Any],
+        payload: dict[str, Any] | bytes,
         exchange: str = "",
         sequence: int = 0,
         queued_at_s: float | None = None,
     ) -> None:
-        """Send one frame; raise GypsumpierError when that is impossible.
+        """Send one frame, whose payload may be packed; raise GypsumpierError if that is impossible.
 
         ``queued_at_s`` is the monotonic time at which the frame was queued, if it had to wait; the
         peer then counts that time as time in buffers.  The code of the error is CONNECTION_CLOSED,
@@ -94,7 +100,8 @@
             raise GypsumpierError(self.close_reason, "connection is closed")
         self.sent_at_s = self.clock.monotonic()
         began_at_s = self.sent_at_s if queued_at_s is None else queued_at_s
-        await self.stream.write(encode(Frame(kind, exchange, sequence, began_at_s, payload)))
+        packed = payload if isinstance(payload, bytes) else pack_payload(payload)
+        await self.stream.write(encode_packed(kind, exchange, sequence, began_at_s, packed))
 
     async def frames(self) -> AsyncIterator[Frame]:
         """Yield received frames other than heartbeats until the connection closes."""
--- a/gypsumpier/wire/frame.py
+++ b/gypsumpier/wire/frame.py
@@ -20,6 +20,7 @@
 # many connections.
 BUFFER_BYTES: Final = 16 * 1024
 FRAME_FIELDS: Final = 5
+FRAME_BEGIN: Final[bytes] = msgpack.Packer().pack_array_header(FRAME_FIELDS)
 
 
 class Frame(NamedTuple):
@@ -53,12 +54,26 @@
 
 def encode(frame: Frame) -> bytes:
     """Return the encoded frame; raise GypsumpierError with FRAME_TOO_LARGE if it is too large."""
-    packed: bytes = msgpack.packb(list(frame))
-    if len(packed) > MAX_FRAME_BYTES:
-        raise GypsumpierError(FRAME_TOO_LARGE, f"{frame.kind} of {len(packed)} bytes")
+    return encode_packed(*frame[:-1], pack_payload(frame.payload))
+
+
+def pack_payload(payload: dict[str, Any]) -> bytes:
+    """Return a payload as it stands in a frame, so that one for many peers is packed once."""
+    packed: bytes = msgpack.packb(payload)
     return packed
 
 
+def encode_packed(
+    kind: str, exchange: str, sequence: int, sent_at_s: float, payload: bytes
+) -> bytes:
+    """Return the encoded frame of a packed payload; raise GypsumpierError as ``encode``."""
+    fields = (kind, exchange, sequence, sent_at_s)
+    encoded = b"".join([FRAME_BEGIN, *map(msgpack.packb, fields), payload])
+    if len(encoded) > MAX_FRAME_BYTES:
+        raise GypsumpierError(FRAME_TOO_LARGE, f"{kind} of {len(encoded)} bytes")
+    return encoded
+
+
 def checked(message: object) -> Frame:
     """Return the message as a frame; raise GypsumpierError where its shape is wrong."""
     if not isinstance(message, list) or len(message) != FRAME_FIELDS:
--- a/gypsumpier/wire/pace.py
+++ b/gypsumpier/wire/pace.py
@@ -6,13 +6,20 @@
 uses the short interval, because a caller is waiting for the answer.
 """
 
-from gypsumpier.options import Options
+from typing import Protocol
+
+
+class PaceSettings(Protocol):
+    """The shortest interval between heartbeats, in seconds, and the budget of idle connections."""
+
+    heartbeat_s: float
+    idle_heartbeats_per_s: float
 
 
 class Pace:
     """Counts the open connections of a process and derives the idle interval."""
 
-    def __init__(self, options: Options) -> None:
+    def __init__(self, options: PaceSettings) -> None:
         self.options = options
         self.connections = 0
 
