Let only seeds list the entries that they know to a process that connects

Cause: whoever accepted a connection sent the list of all entries. With 99 entries that all start at once, 4,851 connections carry about 8 KB each: 3 MB between each two regions, two seconds of their link, while requests wait.

Now the dialling side says whether it wants the list: from a seed, or from anybody while no seed is connected. Each process dials every seed, and one that accepts records the dialling side before it answers, so that of two processes that start at once the later one learns of the earlier. Older builds send and get the list as before.

Tests in test_mesh: only the seed is asked for its list; a process that starts after the only known seed has ended finds all entries through another.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,11 @@
 measure-capacity: venv
 	$(PY) -m misc.measure_capacity $(foreach group,$(GROUPS),--only $(group))
 
+# Measures how the cost of an admission grows with the fleet; takes ten seconds.
+.PHONY: measure-admission
+measure-admission: venv
+	$(PY) -m misc.measure_admission
+
 # Checks the promises to callers under a seeded schedule of faults; the last line is JSON.
 .PHONY: faults
 faults: venv
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -1,7 +1,9 @@
 """Discovers the other processes and keeps connections to them.
 
 A process dials the seeds and every entry that it learns of; entries accept.  The dialling side
-sends its identity first, and the answer lists the entries that the accepting side knows.  Either
+sends its identity first, and a seed's answer lists the entries that it knows.  Others list theirs
+only while no seed is connected: in a large fleet, the lists would fill the links between regions
+when many processes start at once.  Either
 side may send over a connection, whichever of them opened it.
 """
 
@@ -178,7 +180,8 @@
         """Serve a connection that this process has opened."""
         connection = Connection(stream, self.clock, HEARTBEAT_S, SILENCE_TIMEOUT_S)
         try:
-            await connection.send(HELLO, {"peer": self.own.as_list()})
+            wants_known = address in self.seeds or not self.has_seed_link()
+            await connection.send(HELLO, {"peer": self.own.as_list(), "wants_known": wants_known})
             await self.serve(connection, WELCOME, address)
         except GypsumpierError as error:
             decision("mesh_connection_failed", address=str(address), reason=error.detail)
@@ -212,9 +215,11 @@
                 if frame.kind != first:
                     return
                 peer = peer_from(frame, frame.payload.get("peer"))
-                if first == HELLO:
-                    await connection.send(WELCOME, self.welcome_payload())
                 self.record_known_peers(frame, peer, address)
+                if first == HELLO:
+                    # Older builds do not say whether they want the list.
+                    wants_known = bool(frame.payload.get("wants_known", True))
+                    await connection.send(WELCOME, self.welcome_payload(wants_known))
                 if peer.zone != self.own.zone:
                     connection.use_pace(self.cross_zone_pace)
                 link = MeshLink(peer, connection)
@@ -234,12 +239,18 @@
             # The task that reads the connection logs its loss.
             link.connection.close()
 
-    def welcome_payload(self) -> dict[str, Any]:
-        """Return this process's identity and the entries that it knows."""
-        return {
-            "peer": self.own.as_list(),
-            "known": [peer.as_list() for peer in self.known.values()],
-        }
+    def welcome_payload(self, wants_known: bool) -> dict[str, Any]:
+        """Return this process's identity and, if they are wanted, the entries that it knows."""
+        known = [peer.as_list() for peer in self.known.values()] if wants_known else []
+        return {"peer": self.own.as_list(), "known": known}
+
+    def has_seed_link(self) -> bool:
+        """Return whether a seed is connected: it knows every entry, as all of them dial it."""
+        return any(
+            Address(links[0].peer.host, links[0].peer.port) in self.seeds
+            for links in self.links.values()
+            if links
+        )
 
     def record_known_peers(self, frame: Frame, peer: Peer, address: Address | None) -> None:
         """Record the peer and the entries that it knows, and the time at which they were seen."""
--- a/gypsumpier/test/test_mesh.py
+++ b/gypsumpier/test/test_mesh.py
@@ -26,6 +26,38 @@
     async def test_entries_find_each_other_through_one_seed(self) -> None:
         self.assertEqual(["a-1", "a-2"], self.nodes[2].names())
 
+    # Guards against lists of all entries on each of many connections at once.
+    async def test_only_seeds_list_the_entries_that_they_know(self) -> None:
+        lists = [node.mesh.welcome_payload for node in self.nodes]
+        asked: list[list[bool]] = [[] for _ in self.nodes]
+        for payload_of, node, wanted in zip(lists, self.nodes, asked, strict=True):
+
+            def record(
+                wants_known: bool, payload_of: Any = payload_of, wanted: list[bool] = wanted
+            ) -> dict[str, Any]:
+                wanted.append(wants_known)
+                found: dict[str, Any] = payload_of(wants_known)
+                return found
+
+            node.mesh.welcome_payload = record  # type: ignore[method-assign]
+        last = Node("b-2", "b")
+        self.nodes.append(last)
+        last.start(self.nodes[0])
+        await wait_until(lambda: last.names() == ["a-1", "a-2", "b-1"])
+        self.assertEqual([{True}, {False}, {False}], [set(wanted) for wanted in asked])
+
+    async def test_entries_find_each_other_although_the_only_seed_has_ended(self) -> None:
+        last = Node("b-2", "b")
+        self.nodes.append(last)
+        last.start(self.nodes[0])
+        await wait_until(lambda: last.names() == ["a-1", "a-2", "b-1"])
+        await self.nodes[0].stop()
+        await wait_until(lambda: last.names() == ["a-2", "b-1"])
+        newest = Node("b-3", "b")
+        self.nodes.append(newest)
+        newest.start(self.nodes[1])
+        await wait_until(lambda: newest.names() == ["a-2", "b-1", "b-2"])
+
     async def test_a_sidecar_keeps_only_the_entries_of_its_zone(self) -> None:
         sidecar = Node("side", "b", SIDECAR)
         sidecar.start(self.nodes[0])
