Let the engines of a large zone draw new weights from several of its entries

Cause: every agent asked the first entry of its zone by name. With 12 engines in a zone that entry sends 24 MB for one version, ten seconds of a link of 20 Mbit/s, beside requests and its other duties; the last engine of a zone has 8.2 s. At the target there are 333 agents in a zone.

Now an agent asks one of the first entries by its engine's rank, one entry for each four engines, and no more than the square root of the number of engines; each of these draws one copy from the first one. With up to four engines in a zone nothing changes. What an agent does where its entry fails is as before.

Ruled out: all entries of a zone, as each draws a whole copy from the first.

Test: 12 agents of a zone of four entries draw from three of them, four each, and the origin sends one copy.

--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -13,7 +13,7 @@
 from gypsumpier.mesh.mesh import Mesh
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.sidecar.enginewatch import SWITCH_POLL_S, EngineWatch
-from gypsumpier.sidecar.stager import Stager
+from gypsumpier.sidecar.stager import ONLY_PLACE, Place, Stager
 from gypsumpier.tasks import end_task
 
 CHECK_INTERVAL_S: Final = 0.1
@@ -129,10 +129,22 @@
         }
         key = model, version
         if key not in self.stagers:
-            self.stagers[key] = Stager(self.mesh, self.watch.engine, model, version)
+            engine = self.watch.engine
+            self.stagers[key] = Stager(self.mesh, engine, model, version, self.place)
         self.active = self.stagers[key]
         return self.active
 
+    def place(self) -> Place:
+        """Return the place of the engine among those of its service in its zone."""
+        addresses = sorted(
+            f"{record.host}:{record.port}"
+            for record in self.fleet_state.upstreams.values()
+            if record.service == self.service and record.zone == self.mesh.own.zone
+        )
+        if self.watch.address not in addresses:
+            return ONLY_PLACE
+        return Place(addresses.index(self.watch.address), len(addresses))
+
     async def piece(self, model: str, version: int, number: int) -> bytes | None:
         """Return a piece of a version being fetched or loaded; None where it is not here.
 
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -5,8 +5,10 @@
 the order.
 """
 
+import math
 import time
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
 
 from gypsumpier.codes.weight import CHUNK_CORRUPT, CHUNK_UNAVAILABLE
 from gypsumpier.errors import GypsumpierError
@@ -21,21 +23,42 @@
 """Slices requested at once.  Requests to the engine share its slow link and queue behind them."""
 REQUEST_TIMEOUT_S: Final = 2.5
 """Seconds for an entry to answer; it may have to fetch the piece from the origin first."""
+ENGINES_PER_SOURCE: Final = 4
+"""Engines of a zone to which one entry passes pieces on before another one does as well."""
 CONCURRENT_READS: Final = 4
 """Staged pieces read back at once; the engine is on the same machine."""
 ESTIMATE_VALID_S: Final = 0.25
 """Seconds without a piece, some four times the time of one, after which no estimate is valid."""
 
 
+class Place(NamedTuple):
+    """The rank of an engine among those of its service in its zone, from 0, and their number."""
+
+    rank: int
+    engine_count: int
+
+
+ONLY_PLACE: Final = Place(0, 1)
+"""The place of an engine that is alone."""
+
+
 class Stager:
-    """The transfer of one version of a model's weights to one engine.
+    """The transfer of one version of a model's weights to one engine, which stands at ``place``.
 
     ``pieces`` holds the verified pieces in memory.  ``remaining`` counts the pieces still to be
     fetched, None while that is unknown; ``fetched`` those fetched since ``fetch_started_at_s``.
     """
 
-    def __init__(self, mesh: Mesh, engine: Engine, model: str, version: int) -> None:
+    def __init__(
+        self,
+        mesh: Mesh,
+        engine: Engine,
+        model: str,
+        version: int,
+        place: Callable[[], Place] = lambda: ONLY_PLACE,
+    ) -> None:
         self.mesh = mesh
+        self.place = place
         self.engine = engine
         self.model = model
         self.version = version
@@ -146,9 +169,16 @@
         )
 
     def entries(self) -> list[Peer]:
-        """Return the connected entries, those of the own zone first, then by name."""
-        peers = self.mesh.peers(ENTRY)
-        return sorted(peers, key=lambda peer: (peer.zone != self.mesh.own.zone, peer.name))
+        """Return the connected entries, those of the own zone first, then by name.
+
+        The engines of a large zone draw from several of its entries by turns: the link of one would
+        carry a copy for each of them.
+        """
+        place = self.place()
+        local = self.mesh.peers(ENTRY, self.mesh.own.zone)
+        first = place.rank % min(len(local), source_count(place.engine_count)) if local else 0
+        others = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != self.mesh.own.zone]
+        return [*local[first : first + 1], *local[:first], *local[first + 1 :], *others]
 
     async def restage_bad(self) -> int:
         """Read every staged piece back and stage corrupt ones again; return their number."""
@@ -165,3 +195,12 @@
         if bad:
             decision("staged_pieces_bad", model=self.model, version=self.version, numbers=bad)
         return len(bad)
+
+
+def source_count(engine_count: int) -> int:
+    """Return how many entries of a zone pass pieces on to so many engines.
+
+    Each of them draws a copy from the first one, which therefore sends the fewest copies where
+    their number is the square root of that of the engines.
+    """
+    return min(math.ceil(engine_count / ENGINES_PER_SOURCE), math.ceil(math.sqrt(engine_count)))
--- a/gypsumpier/test/test_pieces.py
+++ b/gypsumpier/test/test_pieces.py
@@ -1,12 +1,15 @@
 """Tests of the transfer of pieces from the origin to an engine, up to the order to switch."""
 
 import asyncio
+import functools
 import unittest
+from collections import Counter
+from typing import Any
 
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PieceCache
-from gypsumpier.sidecar.stager import Stager
+from gypsumpier.sidecar.stager import Place, Stager, source_count
 from gypsumpier.test.builders_platform import (
     apply_records,
     configuration_record,
@@ -33,7 +36,7 @@
         self.network: dict[str, FakeMesh] = {}
         self.origin = FakeOrigin()
         self.engine = FakeEngine()
-        fleet_state = fleet_state_of(configuration_record())
+        self.fleet_state = fleet_state = fleet_state_of(configuration_record())
         self.meshes: list[FakeMesh] = []
         self.caches: list[PieceCache] = []
         for number, zone in enumerate(ENTRIES):
@@ -117,6 +120,26 @@
         self.assertTrue(self.fleet.is_staged())
         self.assertEqual(PIECES, len(self.fleet.origin.fetched_pieces))
 
+    # Guards against one entry whose link carries a copy for each engine of a large zone.
+    async def test_the_engines_of_a_large_zone_draw_from_several_entries(self) -> None:
+        for number in range(2, 6):
+            mesh = FakeMesh(entry_peer(f"front-nam-a-{number}", "nam-a"), self.fleet.network)
+            self.fleet.caches.append(cache_of(mesh, self.fleet.fleet_state, self.fleet.origin))
+        asked: Counter[str] = Counter()
+        for rank in range(12):
+            engine = FakeEngine()
+            own = Peer(f"side-nam-a-{rank}", "sidecar", "nam-a", "nam", "127.0.0.1", 0, "run")
+            sidecar: Any = FakeMesh(own, self.fleet.network)
+            await Stager(sidecar, engine, "m", 2, functools.partial(Place, rank, 12)).fetch()
+            self.assertEqual(PIECES, len(engine.pieces))
+            asked.update(set(sidecar.requested_peers))
+        self.assertEqual([4, 4, 4], sorted(asked.values()))
+        self.assertEqual(PIECES, len(self.fleet.origin.fetched_pieces))
+
+    def test_few_engines_draw_from_one_entry_and_many_from_several(self) -> None:
+        counts = [source_count(engines) for engines in (1, 2, 4, 6, 12, 24, 333)]
+        self.assertEqual([1, 1, 1, 2, 3, 5, 19], counts)
+
     async def test_a_corrupt_piece_of_the_origin_is_fetched_again(self) -> None:
         self.fleet.origin.bad = {3, 7}
         await self.fleet.stager().fetch()
