Let the soak leave odd entries, repeat refusals and answer resumptions with text

The three reports of other operators as faults of the soak's stand-ins: an upstream writes its last refusal on a connection once more as the next request runs, answers the resumption of a stream with the text of an error as a success, and another writer leaves odd entries in the store.

--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -8,6 +8,7 @@
 import json
 import random
 import time
+import weakref
 from base64 import b64encode
 from typing import Any, Final, NamedTuple
 
@@ -168,12 +169,15 @@
     Plans: ``ok``, ``full`` (refused, not run), ``wrong`` (421), ``error`` (500), ``cut`` (the
     connection breaks after ``cut_after`` events), ``mute`` (never answers), ``crossed`` (the answer
     to another request), ``extra`` (bytes after the answer), ``unsealed`` (no X-Server-Seal header),
-    ``queued`` (starts to run after ``queued_s`` seconds, if its connection is still open).
+    ``queued`` (starts to run after ``queued_s`` seconds, if its connection is still open),
+    ``again`` (runs, after the last refusal on its connection was written once more), ``text`` (the
+    text of an error, as a success, in answer to the resumption of a stream).
 
     ``run_ids`` holds the requests that started to run, and ``closed_ids`` those whose connection
     closed before the end.  ``limit`` is the limit that its answers state; None for no limit.
     ``is_full`` makes it turn every request away, and ``retry_after`` is stated in these answers;
-    ``turned_away`` holds them.  ``is_leaving`` is stated in all answers.
+    ``turned_away`` holds them.  ``is_leaving`` is stated in all answers.  ``refused_ids`` holds the
+    id that was refused last on each connection.
     """
 
     def __init__(self, name: str, host: str = "127.0.0.1") -> None:
@@ -188,6 +192,7 @@
         self.retry_after: str | None = None
         self.is_leaving = False
         self.turned_away: list[TurnedAway] = []
+        self.refused_ids: weakref.WeakKeyDictionary[Any, str] = weakref.WeakKeyDictionary()
         self.run_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.closed_ids: list[str] = []
@@ -253,6 +258,8 @@
             return
         if not await self.wait_for_start(action):
             return
+        if action == "again":
+            await self.write_refusal_again()
         state.record_run(request_id)
         if action == "mute":
             # Never answered: the request ends when the caller closes the connection.
@@ -260,10 +267,18 @@
             return
         if action != "unsealed":
             self.set_header("X-Server-Seal", f"seal-of-{state.name}")
+        await self.answer(action, request_id)
+
+    async def answer(self, action: str, request_id: str) -> None:
+        """Answer a request that runs as the plan says."""
+        state: UpstreamStandin = self.state
         if action == "error":
             self.set_status(500)
             self.finish(b"failed")
             return
+        if action == "text" and "Last-Event-Id" in self.request.headers:
+            self.finish(b"failed\n\nplease try again\n\n")
+            return
         if "/reports/" in self.request.path:
             await self.stream(state.cut_after if action == "cut" else None)
         elif action == "cut":
@@ -284,10 +299,18 @@
             self.set_status(421)
             return
         self.set_status(503)
+        state.refused_ids[self.iostream()] = request_id
         state.turned_away.append(TurnedAway(request_id, time.monotonic(), state.retry_after))
         if state.retry_after is not None:
             self.set_header("Retry-After", state.retry_after)
 
+    async def write_refusal_again(self) -> None:
+        """Write the last refusal on the connection once more, as a faulty upstream does."""
+        refused_id = self.state.refused_ids.pop(self.iostream(), None)
+        if refused_id is not None:
+            head = f"HTTP/1.1 503 Full\r\nX-Request-Id: {refused_id}\r\nX-Not-Executed: 1\r\n"
+            await self.iostream().write(f"{head}Content-Length: 0\r\n\r\n".encode())
+
     def holds_expected_version(self) -> bool:
         """Return whether the weights are of the version that the request expects, if it does."""
         expected = self.request.headers.get("X-Expect-Version")
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from typing import Final
 
+from gypsumpier.test.builders_odd import odd_records
 from misc.faulting.actions import Window
 from misc.soaking.deployment import EVENT_PAUSE_S, EVENTS, SoakDeployment
 from misc.soaking.node import Node
@@ -33,7 +34,12 @@
 LONGEST_OUTAGE_S: Final = 7.0
 """Seconds of the longest outage or freeze; must exceed the 5 that a revoked key may work."""
 DELAY_S: Final = 0.15
-ANSWER_FAULTS: Final = ("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed")
+ANSWER_FAULTS: Final = (
+    *("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed"),
+    *("again", "text"),
+)
+ODD_ENTRIES_MAX: Final = 8
+"""Keys among which odd entries of another writer are left."""
 FAULTY_ANSWER_INTERVAL_S: Final = 0.15
 """Seconds between two planned faulty answers."""
 FAULTY_ANSWERS: Final = 60
@@ -87,6 +93,8 @@
                     if not upstream.plan:
                         upstream.cut_after = self.rng.randrange(EVENTS)
                         upstream.plan.append(self.rng.choice(ANSWER_FAULTS))
+                        if upstream.plan == ["full"]:
+                            upstream.plan.append("again")
             finally:
                 for upstream in self.deployment.upstreams.values():
                     upstream.plan = []
@@ -104,6 +112,7 @@
                 self.lose_answers_of_store,
             ),
             *(self.forget_history, self.lose_origin, self.spoil_origin, self.kill_all),
+            self.leave_odd_entries,
         ]
 
     def planned(self) -> list[Callable[[], Awaitable[None]]]:
@@ -246,6 +255,13 @@
         async with self.window("forget_history", "store"):
             self.deployment.store.compact()
 
+    async def leave_odd_entries(self) -> None:
+        odd = odd_records()
+        async with self.window("leave_odd_entries", "store"):
+            for label in self.rng.sample(sorted(odd), 3):
+                key = f"servers/odd-{self.rng.randrange(ODD_ENTRIES_MAX)}"
+                self.deployment.store.put_bytes(key, odd[label])
+
     async def lose_origin(self) -> None:
         async with self.window("lose_origin", "origin"):
             self.deployment.origin.down = True
