--- a/gypsumpier/test/test_pieces.py
+++ b/gypsumpier/test/test_pieces.py
@@ -25,6 +25,7 @@
     entry_peer,
     piece_of,
 )
+from gypsumpier.test.meshnode import wait_until
 
 ENTRIES = ("bac-a", "bac-a", "nam-a", "nam-a")
 
@@ -84,7 +85,7 @@
         for cache in self.fleet.caches:
             apply_records(cache.fleet_state, wanted)
             cache.prefetch_new_versions()
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: not any(cache.fetch_tasks for cache in self.fleet.caches))
         self.assertEqual(list(range(PIECES)), sorted(self.fleet.origin.fetched_pieces))
 
     async def test_a_version_survives_the_loss_of_the_origin_and_the_entry_that_fetched_it(
@@ -95,7 +96,7 @@
         for cache in self.fleet.caches:
             apply_records(cache.fleet_state, wanted)
             cache.prefetch_new_versions()
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: not any(cache.fetch_tasks for cache in self.fleet.caches))
         self.fleet.origin.down = True
         del self.fleet.network["front-bac-a-0"]
         await self.fleet.stager().fetch()
