Send the states of all engines of a zone to the other zones each five seconds

Cause: since states of engines are passed on by two entries of each zone, a change reaches nobody behind them where both end before they have passed it on, and a state that does not change again was not sent again: an engine that switched its weights would stay unused by that zone. Found by reading.

Test: both entries of a zone that pass on fall silent and end as an engine begins to switch; the others of the zone know it 5 s later. It fails without the interval.

--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -35,6 +35,8 @@
 """Messages with the sum of a zone that its sender sends in a second at most."""
 RELAYS_PER_ZONE: Final = 2
 """Entries of a zone that send engine states to other zones and pass on what these send."""
+STATES_INTERVAL_S: Final = 5.0
+"""Seconds between two messages with the states of all engines of a zone to the other zones."""
 SILENT_S: Final = 1.0
 """Seconds without loads of an entry after which the next one sends the sum of the zone; longer than
 the interval at which unchanged loads are sent again."""
@@ -61,6 +63,7 @@
         self.sent_to_zones: SentLoads = ({}, {}, 0.0)
         self.began_at_s = time.monotonic()
         self.cross_zone_at_s = float("-inf")
+        self.states_at_s = self.began_at_s
         self.zone_sums: dict[str, tuple[dict[str, Any], float]] = {}
         self.changed_states: dict[str, EngineState] = {}
         self.on_change: list[Any] = []
@@ -84,16 +87,27 @@
             dict(self.selector.own_waiting),
             self.demand_fields(self.demand.own_demand) | self.passed_on(),
         )
-        if self.changed_states and self.is_relay():
-            states = [state.as_list() for state in self.changed_states.values()]
-            self.mesh.post_all(self.other_relays(), ENGINES, {"states": states})
-        self.changed_states.clear()
         relays = self.other_relays()
         now_s = time.monotonic()
+        if self.is_relay():
+            self.send_changed_states(relays, now_s)
+        self.changed_states.clear()
         if now_s - self.cross_zone_at_s >= cross_zone_interval_s(len(relays)):
             self.cross_zone_at_s = now_s
             self.send_zone_sum(relays)
 
+    def send_changed_states(self, relays: list[Peer], now_s: float) -> None:
+        """Send changed engine states to the relays of other zones, and all of them at intervals.
+
+        A relay may end before it has passed a change on.
+        """
+        if now_s - self.states_at_s >= STATES_INTERVAL_S:
+            self.states_at_s = now_s
+            self.mesh.post_all(relays, ENGINES, {"states": self.zone_states(), "all": True})
+        elif self.changed_states:
+            states = [state.as_list() for state in self.changed_states.values()]
+            self.mesh.post_all(relays, ENGINES, {"states": states})
+
     def send_zone_sum(self, relays: list[Peer]) -> None:
         """Send the sum of the zone to the other zones, unless an entry before this one does."""
         running_s = time.monotonic() - self.began_at_s
@@ -141,18 +155,23 @@
     def send_states(self, link: MeshLink) -> None:
         """Send the states of the own zone's engines to an entry of another zone that has connected.
 
-        Changes that it missed while it was not connected are not sent again otherwise.
+        Changes that it missed while it was not connected are not sent again at once otherwise.
         """
         own, peer = self.mesh.own, link.peer
         if peer.role != ENTRY or peer.zone == own.zone or not self.is_relay():
             return
-        states = [
+        states = self.zone_states()
+        if states:
+            self.mesh.post(peer.name, ENGINES, {"states": states})
+
+    def zone_states(self) -> list[list[Any]]:
+        """Return the states of the own zone's engines, for a message."""
+        return [
             state.as_list()
             for record in self.selector.fleet_state.upstreams.values()
-            if record.zone == own.zone and (state := self.selector.engine(record)) is not None
+            if record.zone == self.mesh.own.zone
+            and (state := self.selector.engine(record)) is not None
         ]
-        if states:
-            self.mesh.post(peer.name, ENGINES, {"states": states})
 
     def send_loads(
         self,
@@ -208,9 +227,13 @@
             self.demand.record(peer, zone, demand)
 
     def on_engines(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Handle states of another zone's engines; the first entries of a zone pass them on."""
+        """Handle states of another zone's engines; the first entries of a zone pass them on.
+
+        Only news are passed on, except from a message that is to reach all entries.
+        """
         states = [engine_state_from(fields) for fields in payload["states"]]
         news = [state for state in states if self.selector.record_engine_state(state)]
+        news = states if payload.get("all") else news
         if news and peer.zone != self.mesh.own.zone and self.is_relay():
             payload = {"states": [state.as_list() for state in news]}
             self.mesh.post_all(self.zone_peers(), ENGINES, payload)
--- a/gypsumpier/test/test_large_fleet.py
+++ b/gypsumpier/test/test_large_fleet.py
@@ -149,6 +149,30 @@
 
         simulate(scenario())
 
+    # Guards against an engine that a zone never uses again, as both entries that pass on ended.
+    def test_a_state_that_no_entry_has_passed_on_arrives_later(self) -> None:
+        async def scenario() -> None:
+            fleet = self.fleet(25, ZONES)
+            await fleet.start()
+            engine = next(iter(fleet.engines.values())).record
+            relays = [peer.name for peer in fleet.peers(ZONES[1])[: loadshare.RELAYS_PER_ZONE]]
+            for name in relays:
+                fleet.meshes[name].is_silent = True
+            state = fleet.engine_state(engine, True)
+            for peer in fleet.peers(engine.zone):
+                fleet.meshes[peer.name].listeners[loadshare.ENGINE](
+                    peer, {"state": state.as_list()}
+                )
+            await asyncio.sleep(0.2)
+            for name in relays:
+                fleet.disconnect(name)
+            await asyncio.sleep(loadshare.STATES_INTERVAL_S + 0.1)
+            for peer in fleet.peers(ZONES[1]):
+                entry = next(one for one in fleet.entries if one.mesh.own == peer)
+                self.assertTrue(entry.selector.is_switching(engine))
+
+        simulate(scenario())
+
 
 class LateLoadsTest(unittest.TestCase):
     """The pattern: many entries choose among the same engines at once, by loads known late."""
