--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -3,8 +3,8 @@
 A process dials the seeds and every entry that it learns of; entries accept.  The dialling side
 sends its identity first, and a seed's answer lists the entries that it knows.  Others list theirs
 only while no seed is connected: in a large fleet, the lists would fill the links between regions
-when many processes start at once.  Either
-side may send over a connection, whichever of them opened it.
+when many processes start at once.  Either side may send over a connection, whichever of them opened
+it.
 """
 
 import asyncio
