Draw engines at random only where more than four others report loads

Traced: of four engines two were drawn twice, and the only idle one that does not switch was at times not among them. The test is right where few entries choose: they seldom do so at the same moment, and can compare all engines.

--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -41,6 +41,9 @@
 """Random delay, in seconds, added to each upstream's cost when many requests select at once."""
 UPSTREAMS_COMPARED: Final = 2
 """Upstreams drawn at random of which the less loaded one gets a request."""
+FEW_REPORTERS: Final = 4
+"""Other entries and zones that report loads, up to which all upstreams are compared: so few seldom
+choose at the same moment."""
 SWITCH_COST_S: Final = 0.08
 """Extra delay, in seconds, that a request accepts to avoid being cut by a weight switch, which
 makes one of its events late in about half of the cases."""
@@ -343,11 +346,12 @@
     ) -> UpstreamRecord | None:
         """Return the upstream with the least estimated delay; None if there is none.
 
-        Of many upstreams a few drawn at random are compared: entries know each other's loads late,
-        and would all send to the one that was the least loaded a moment ago.  Some are drawn from
-        those that don't switch weights within ``needed_s`` seconds.
+        Where many entries choose, a few drawn at random are compared: they know each other's loads
+        late, and would all send to the one that was the least loaded a moment ago.  Some are drawn
+        from those that don't switch weights within ``needed_s`` seconds.
         """
-        if not is_jittered and len(records) > UPSTREAMS_COMPARED:
+        is_contended = len(self.peer_loads.reports) > FEW_REPORTERS
+        if is_contended and not is_jittered and len(records) > UPSTREAMS_COMPARED:
             steady = [record for record in records if not self.switches_within(record, needed_s)]
             is_any_switching = len(steady) < len(records)
             records = [*drawn(records), *(drawn(steady) if is_any_switching else [])]
