Log the requests that the end of a stop cuts, and connections closed with unread bytes

The logs of a stop told how many requests were left, not which, nor whether they had been sent; a connection that was closed as idle while a request arrived left no line at all. No behaviour changes.

--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -153,6 +153,7 @@
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         decision("drained", in_flight=len(self.front.active))
+        self.front.log_cut()
         for task in self.tasks:
             await end_task(task)
         await self.watcher.stop()
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -17,7 +17,7 @@
 from tornado.iostream import StreamClosedError
 
 from gypsumpier.codes.request import GATEWAY_FAILED, TIME_LIMIT_BEFORE_START, TIME_LIMIT_REACHED
-from gypsumpier.gateway.departure import has_departed
+from gypsumpier.gateway.departure import has_departed, has_unread_bytes
 from gypsumpier.gateway.intake import Intake
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.relay import Relay
@@ -88,8 +88,15 @@
         busy = {id(exchange.connection.stream) for exchange in self.active}
         for connection in list(self.connections.values()):
             if id(connection.stream) not in busy:
+                if has_unread_bytes(connection.stream):
+                    decision("closed_unread", address=str(connection.context))
                 connection.stream.close()
 
+    def log_cut(self) -> None:
+        """Log the requests that the end of the process cuts."""
+        for exchange in self.active:
+            exchange.log_cut()
+
 
 class CallerExchange(HTTPMessageDelegate):
     """One request of a caller, from its first byte to the end of its answer."""
@@ -200,6 +207,18 @@
             # The caller has disconnected; the refusal is still logged with the end of the request.
             return
 
+    def log_cut(self) -> None:
+        """Log that the end of the process cuts the request, and how far it has come."""
+        request = self.request
+        decision(
+            "request_cut",
+            request=self.head.request_id if self.head else "",
+            age_s=round(time.monotonic() - self.received_at_s, 3),
+            is_complete=self.task is not None,
+            is_sent=bool(request and request.sent_first_at_s),
+            attempts=request.attempts if request else 0,
+        )
+
     def log_end(self, head: CallerHead, writer: AnswerWriter, outcome: str, detail: str) -> None:
         """Log and count the end of the request."""
         request = self.request
