Reproduce streams that are cut because their silent engine is given up (failing)

What callers see: a stream that has begun ends without its last events 0.4 s before its engine, silent for 1.4 s, goes on. Up to 9 of 9 streams are given up for one free place at another engine, which goes to queued requests; those behind are refused, which cuts them. A stream whose events have no ids is given up as well, though no other engine could continue it.

--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -31,6 +31,8 @@
 
 START_TIMEOUT_S: Final = 5.0
 CALL_TIMEOUT_S: Final = 10.0
+CALLS_MAX: Final = 64
+"""Calls at a time; further ones wait in the client."""
 PORTS: Final = range(10_240, 32_768)
 """Ports below the range that Linux uses for outgoing connections."""
 PORT_SHARES: Final = 64
@@ -65,7 +67,7 @@
         self.store = PlatformStandin()
         self.origin = OriginStandin()
         self.upstreams: dict[str, UpstreamStandin] = {}
-        self.client = SimpleAsyncHTTPClient(force_instance=True)
+        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=CALLS_MAX)
         self.port = free_port()
         body = settings_body(
             listen={
--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -174,10 +174,10 @@
     text of an error, as a success, in answer to the resumption of a stream).
 
     ``run_ids`` holds the requests that started to run, and ``closed_ids`` those whose connection
-    closed before the end.  ``limit`` is the limit that its answers state; None for no limit.
-    ``is_full`` makes it turn every request away, and ``retry_after`` is stated in these answers;
-    ``turned_away`` holds them.  ``is_leaving`` is stated in all answers.  ``refused_ids`` holds the
-    id that was refused last on each connection.
+    closed before the end.  Events have ids if ``has_event_ids``.  ``limit`` is the limit that its
+    answers state; None for no limit.  ``is_full`` makes it turn every request away, and
+    ``retry_after`` is stated in these answers; ``turned_away`` holds them.  ``is_leaving`` is
+    stated in all answers.  ``refused_ids`` holds the id that was refused last on each connection.
     """
 
     def __init__(self, name: str, host: str = "127.0.0.1") -> None:
@@ -187,6 +187,7 @@
         self.cut_after = 2
         self.queued_s = 1.0
         self.event_count = 5
+        self.has_event_ids = True
         self.limit: str | None = None
         self.is_full = False
         self.retry_after: str | None = None
@@ -339,7 +340,8 @@
                 await self.flush()
                 self.abort_connection()
                 return
-            self.write(f"id: {number}\ndata: event {number}\n\n".encode())
+            label = f"id: {number}\n" if self.state.has_event_ids else ""
+            self.write(f"{label}data: event {number}\n\n".encode())
             try:
                 await self.flush()
             except StreamClosedError:
