Reproduce requests that a planned stop cuts without an answer (failing)

On this code, in a stop with nothing else wrong: 4 of 4 commands whose bodies end late in the grace are sent to the upstream and cut; so is what runs, or waits for a place, when the grace ends; a request whose bytes have arrived is cut as its connection is closed as idle; and the answer to a request from before SIGTERM does not announce the close, so that its caller uses the connection again.

--- /dev/null
+++ b/gypsumpier/test/test_stop_answers.py
@@ -0,0 +1,230 @@
+"""Tests of what an entry answers while it stops, on connections that stay open.
+
+Whatever it takes up is answered; what it can't answer in time is refused as not run.
+"""
+
+import asyncio
+import os
+import time
+import unittest
+from typing import Final, NamedTuple
+
+from tornado.httputil import HTTPHeaders, parse_response_start_line
+
+from gypsumpier.gateway.application import LEAVE_ROTATION_S, STOP_MARGIN_S
+from gypsumpier.test.builders_platform import KEY, PLAIN, command_route_body, route_body
+from gypsumpier.test.gatewayfleet import GatewayFleet
+
+GRACE_S: Final = 4.5
+ENDS_S: Final = GRACE_S - STOP_MARGIN_S
+"""Seconds from the beginning of a stop until the entry must have answered everything."""
+LATE_S: Final = LEAVE_ROTATION_S + 0.4
+"""Seconds from the beginning of a stop at which the balancer sends no more callers."""
+MARGIN_S: Final = 0.4
+"""Seconds by which a busy machine may be late."""
+BODY: Final = b"x" * 2000
+LONG_LIMIT_S: Final = 8.0
+SHORT_LIMIT_S: Final = 0.6
+ROUTES: Final = [
+    route_body(timeout_ms=9000),
+    command_route_body(timeout_ms=9000),
+]
+
+
+class Received(NamedTuple):
+    """What a caller received until its connection closed or a whole answer had arrived.
+
+    ``status`` is 0 if there is no answer.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+class SlowCaller:
+    """A caller that sends its request in parts."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    async def connect(self) -> None:
+        """Open the connection."""
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+
+    def send_head(self, request_id: str, path: str, limit_s: float) -> None:
+        """Send the head of a request and half of its body."""
+        self.writer.write(request_head(request_id, path, limit_s) + BODY[: len(BODY) // 2])
+
+    def send_rest(self) -> None:
+        """Send the other half of the body."""
+        self.writer.write(BODY[len(BODY) // 2 :])
+
+    async def receive(self) -> Received:
+        """Return the next answer; one that is cut has the status 0."""
+        try:
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            start, _, lines = head.decode().partition("\r\n")
+            headers = HTTPHeaders.parse(lines)
+            body = await self.reader.readexactly(int(headers.get("Content-Length", "0")))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Received(0, HTTPHeaders(), b"")
+        return Received(parse_response_start_line(start).code, headers, body)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
+
+
+def request_head(request_id: str, path: str, limit_s: float) -> bytes:
+    """Return the head of a request that its caller waits for so many seconds."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: lab.example\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Key: {KEY}\r\nX-Deadline-Ms: {int(limit_s * 1000)}\r\n"
+        f"Content-Length: {len(BODY)}\r\n\r\n"
+    ).encode()
+
+
+class StopAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = GatewayFleet()
+        self.fleet.configure(routes=ROUTES)
+        self.plain = self.fleet.add("p-1", PLAIN)
+        settings = self.fleet.entry.settings
+        bounds = settings.bounds._replace(stop_s=GRACE_S)
+        self.fleet.entry.settings = settings._replace(bounds=bounds)
+        await self.fleet.start()
+        await self.fleet.settle()
+        self.addAsyncCleanup(self.fleet.stop)
+        self.stop_began_s = 0.0
+
+    async def caller(self) -> SlowCaller:
+        """Return a caller with an open connection."""
+        found = SlowCaller(self.fleet.port)
+        await found.connect()
+        self.addCleanup(found.close)
+        return found
+
+    def begin_stop(self) -> asyncio.Task[None]:
+        """Begin to stop the entry."""
+        self.stop_began_s = time.monotonic()
+        stop = asyncio.create_task(self.stop_and_exit())
+        self.addCleanup(stop.cancel)
+        return stop
+
+    async def stop_and_exit(self) -> None:
+        """Stop the entry, then close its connections as the end of its process does."""
+        await self.fleet.entry.stop()
+        for connection in list(self.fleet.entry.front.connections.values()):
+            connection.stream.close()
+
+    async def until(self, stop_age_s: float) -> None:
+        """Wait until the stop is so many seconds old."""
+        await asyncio.sleep(self.stop_began_s + stop_age_s - time.monotonic())
+
+    # Guards against a request that is passed on late in a stop and then cut without an answer.
+    async def test_a_body_that_ends_late_in_a_stop_is_refused_as_not_run(self) -> None:
+        self.plain.plan = ["mute"] * 4
+        callers = [await self.caller() for _ in range(4)]
+        for number, caller in enumerate(callers):
+            caller.send_head(f"late-{number}", "/commands/x", LONG_LIMIT_S)
+        await asyncio.sleep(0.1)
+        stop = self.begin_stop()
+        await self.until(LATE_S)
+        for caller in callers:
+            caller.send_rest()
+        answers = await asyncio.gather(*(caller.receive() for caller in callers))
+        answered_s = time.monotonic() - self.stop_began_s
+        self.assertEqual([503] * 4, [answer.status for answer in answers])
+        self.assertEqual(["close"] * 4, [answer.headers.get("Connection") for answer in answers])
+        self.assertTrue(all("Retry-After" in answer.headers for answer in answers))
+        self.assertEqual([], self.plain.run_ids)
+        self.assertLess(answered_s, LATE_S + MARGIN_S)
+        await stop
+
+    async def test_a_body_that_ends_late_is_served_where_its_time_limit_ends_before_the_stop(
+        self,
+    ) -> None:
+        caller = await self.caller()
+        caller.send_head("short-1", "/commands/x", LATE_S + SHORT_LIMIT_S)
+        await asyncio.sleep(0.1)
+        stop = self.begin_stop()
+        await self.until(LATE_S)
+        caller.send_rest()
+        self.assertEqual(200, (await caller.receive()).status)
+        await stop
+
+    # Guards against requests that run when the stop ends and whose callers get no answer at all.
+    async def test_a_request_that_outlasts_the_stop_is_told_that_it_may_have_run(self) -> None:
+        self.plain.plan = ["mute"]
+        caller = await self.caller()
+        caller.send_head("mute-1", "/commands/x", LONG_LIMIT_S)
+        caller.send_rest()
+        await asyncio.sleep(0.2)
+        self.assertEqual(["mute-1"], self.plain.run_ids)
+        stop = self.begin_stop()
+        answer = await caller.receive()
+        self.assertEqual(502, answer.status)
+        self.assertEqual("close", answer.headers.get("Connection"))
+        took_s = time.monotonic() - self.stop_began_s
+        self.assertGreater(took_s, ENDS_S - MARGIN_S)
+        self.assertLess(took_s, ENDS_S + MARGIN_S)
+        await stop
+
+    # Guards against a request that waits for a place until the process ends, without an answer.
+    async def test_a_request_that_never_gets_a_place_is_told_that_it_has_not_run(self) -> None:
+        self.plain.plan = ["mute"] * 20
+        callers = [await self.caller() for _ in range(8)]
+        for number, caller in enumerate(callers):
+            caller.send_head(f"many-{number}", "/commands/x", LONG_LIMIT_S)
+            caller.send_rest()
+        await asyncio.sleep(0.2)
+        stop = self.begin_stop()
+        answers = await asyncio.gather(*(caller.receive() for caller in callers))
+        for number, answer in enumerate(answers):
+            has_run = f"many-{number}" in self.plain.run_ids
+            self.assertEqual(502 if has_run else 503, answer.status)
+        await stop
+
+    # Guards against the close of a connection whose caller has sent a request at the same moment.
+    async def test_a_connection_with_unread_bytes_is_not_closed_as_idle(self) -> None:
+        caller = await self.caller()
+        caller.send_head("first-1", "/commands/x", LONG_LIMIT_S)
+        caller.send_rest()
+        self.assertEqual(200, (await caller.receive()).status)
+        await asyncio.sleep(0.1)
+        request = request_head("second-1", "/commands/x", LONG_LIMIT_S) + BODY
+        # The event loop, which is the entry's as well, does not run before the close.
+        file_number = caller.writer.get_extra_info("socket").fileno()
+        self.assertEqual(len(request), os.write(file_number, request))
+        self.fleet.entry.front.close_idle()
+        self.assertEqual(200, (await caller.receive()).status)
+
+    async def test_a_connection_with_a_part_of_a_head_is_closed_by_the_end_of_the_stop(
+        self,
+    ) -> None:
+        caller = await self.caller()
+        caller.writer.write(request_head("part-1", "/commands/x", LONG_LIMIT_S)[:30])
+        await asyncio.sleep(0.1)
+        await self.begin_stop()
+        self.assertLess(time.monotonic() - self.stop_began_s, ENDS_S + MARGIN_S)
+        self.assertEqual(0, (await caller.receive()).status)
+
+    # Guards against a caller that uses its connection again because the answer to a request from
+    # before the stop did not announce the close.
+    async def test_an_answer_that_begins_in_a_stop_announces_the_close(self) -> None:
+        self.plain.plan = ["queued"]
+        caller = await self.caller()
+        caller.send_head("queued-1", "/commands/x", LONG_LIMIT_S)
+        caller.send_rest()
+        await asyncio.sleep(0.3)
+        stop = self.begin_stop()
+        answer = await caller.receive()
+        self.assertEqual((200, "close"), (answer.status, answer.headers.get("Connection")))
+        await stop
+
+
+if __name__ == "__main__":
+    unittest.main()
