Announce the close in every answer that begins after SIGTERM

What callers saw: the answer to a request from before SIGTERM left the connection open without a word; the next request on it crossed the close, which came up to 2.6 s later. Cause: whether the close is announced was decided as the request arrived, not as its answer began.

--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -148,7 +148,7 @@
         """Answer the request and log how it ended."""
         assert self.head is not None
         writer = AnswerWriter(
-            self.connection, self.head.request_id, self.front.stopping, self.knows_chunks
+            self.connection, self.head.request_id, lambda: self.front.stopping, self.knows_chunks
         )
         outcome = "answered"
         detail = ""
--- a/gypsumpier/gateway/writer.py
+++ b/gypsumpier/gateway/writer.py
@@ -1,6 +1,7 @@
 """Writes one answer to a caller."""
 
 import json
+from collections.abc import Callable
 from typing import Final
 
 from tornado.http1connection import HTTP1Connection
@@ -27,16 +28,20 @@
     """Writes the answer of one request.
 
     ``status`` is 0 until an answer has begun; ``ended`` is set once it is complete or aborted.
-    With ``closes`` the answer announces that the connection is closed after it.  A caller that
-    ``knows_chunks`` can tell a stream that was cut from a whole one.
+    Where ``is_closing`` is true as the answer begins, it announces that the connection is closed
+    after it.  A caller that ``knows_chunks`` can tell a stream that was cut from a whole one.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, request_id: str, closes: bool, knows_chunks: bool
+        self,
+        connection: HTTP1Connection,
+        request_id: str,
+        is_closing: Callable[[], bool],
+        knows_chunks: bool,
     ) -> None:
         self.connection = connection
         self.request_id = request_id
-        self.closes = closes
+        self.is_closing = is_closing
         self.knows_chunks = knows_chunks
         self.status = 0
         self.ended = False
@@ -54,7 +59,7 @@
 
     def write_head(self, status: int, reason: str, headers: HTTPHeaders) -> None:
         """Send the status and the headers."""
-        if self.closes:
+        if self.is_closing():
             headers["Connection"] = "close"
         self.status = status
         # Without TCP_NODELAY, small events would wait for the acknowledgement of earlier ones.
