Answer every request that a planned stop has taken up, and refuse at once what it can't answer

What callers saw: requests whose bodies ended late in the grace were sent to an upstream and cut without an answer as the process ended, commands among them; so was whatever still ran or waited for a place. Cause: a request counted as active from its head on and was sent whenever it was complete, and nothing answered what was left at the end. Now, once the balancer sends no more callers, only requests whose time limit ends before the stop are taken up and others are refused as not run (2072); what was taken up is told to upstreams with the time that is left, and gets 502 or, if it was not sent, 503 in time.

--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -207,3 +207,6 @@
 GATEWAY_FAILED: Final = ResultCode(
     2071, "gateway_failed", 502, Outcome.UNKNOWN, "Report the request's id; it may have run."
 )
+ENTRY_STOPPING: Final = ResultCode(
+    2072, "entry_stopping", 503, Outcome.NOT_RUN, "Send the request again on a new connection."
+)
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -24,6 +24,7 @@
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.status import StatusServer, metrics_address
+from gypsumpier.gateway.stopschedule import StopSchedule
 from gypsumpier.log import decision
 from gypsumpier.mesh.feed import FleetStateFeed
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
@@ -51,7 +52,9 @@
 """Seconds after which the balancer, which checks once a second, has had two failed checks and sends
 no more callers."""
 STOP_MARGIN_S: Final = 0.7
-"""Seconds before the platform kills the process by which it must have exited."""
+"""Seconds before the platform kills the process by which it must have closed its connections."""
+LAST_ANSWERS_S: Final = 0.2
+"""Seconds before that in which the last requests get their answers."""
 DRAIN_POLL_S: Final = 0.05
 HOUSEKEEPING_S: Final = 0.5
 """Seconds between two rounds of housekeeping."""
@@ -138,13 +141,16 @@
         """Drain and stop.
 
         The entry reports itself as not ready, serves requests that still arrive until the balancer
-        has stopped sending, then closes idle connections and waits for active requests.
+        has stopped sending, then closes idle connections and waits for active requests.  Requests
+        that it could not answer before its end are refused, and those that it has taken up get an
+        answer of its own at the end.
         """
-        self.front.stopping = True
         began_s = time.monotonic()
         ends_s = began_s + self.settings.bounds.stop_s - STOP_MARGIN_S
+        rotation_ends_s = began_s + LEAVE_ROTATION_S
+        self.front.begin_stop(StopSchedule(rotation_ends_s, ends_s - LAST_ANSWERS_S))
         decision("drain", in_flight=len(self.front.active), seconds=round(ends_s - began_s, 1))
-        while time.monotonic() < began_s + LEAVE_ROTATION_S:
+        while time.monotonic() < rotation_ends_s:
             await asyncio.sleep(DRAIN_POLL_S)
         self.server.stop()
         while time.monotonic() < ends_s:
@@ -173,7 +179,7 @@
 
         It must have a fresh configuration and at least one upstream, and not be stopping.
         """
-        if self.front.stopping or self.fleet_state.configuration is None:
+        if self.front.is_stopping() or self.fleet_state.configuration is None:
             return False
         return self.intake.is_fresh() and bool(self.fleet_state.upstreams)
 
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -16,12 +16,19 @@
 )
 from tornado.iostream import StreamClosedError
 
-from gypsumpier.codes.request import GATEWAY_FAILED, TIME_LIMIT_BEFORE_START, TIME_LIMIT_REACHED
+from gypsumpier.codes.request import (
+    ANSWER_LOST,
+    ENTRY_STOPPING,
+    GATEWAY_FAILED,
+    TIME_LIMIT_BEFORE_START,
+    TIME_LIMIT_REACHED,
+)
 from gypsumpier.gateway.departure import has_departed, has_unread_bytes
 from gypsumpier.gateway.intake import Intake
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.gateway.stopschedule import StopSchedule
 from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
@@ -31,6 +38,8 @@
 DEPARTURE_CHECK_S: Final = 0.1
 """Seconds between two checks whether callers have left; small against the half second after which a
 run counts as one that goes on for nobody."""
+STOPPING_RETRY_S: Final = 0.05
+"""Retry-After, in seconds, of a stopping entry; the caller's next connection reaches another."""
 
 REQUESTS: Final = Counter(
     "gypsumpier_requests", "Requests by service and outcome.", ["service", "outcome"],
@@ -44,14 +53,14 @@
 class Front(HTTPServerConnectionDelegate):
     """Serves callers.
 
-    While ``stopping`` is set, every answer announces that its connection is closed.  ``active`` are
-    the requests that are being served.
+    While it stops, as ``stop_schedule`` says, every answer announces that its connection is closed.
+    ``active`` are the requests that are being served.
     """
 
     def __init__(self, intake: Intake, relay: Relay) -> None:
         self.intake = intake
         self.relay = relay
-        self.stopping = False
+        self.stop_schedule: StopSchedule | None = None
         self.active: set[CallerExchange] = set()
         self.connections: dict[object, HTTP1Connection] = {}
 
@@ -83,6 +92,16 @@
             if exchange.task is not None and has_departed(exchange.connection.stream):
                 exchange.connection.stream.close()
 
+    def is_stopping(self) -> bool:
+        """Return whether a stop has begun."""
+        return self.stop_schedule is not None
+
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Answer every request in time for the end of the process."""
+        self.stop_schedule = schedule
+        for exchange in self.active:
+            exchange.answer_by(schedule.answers_by_s)
+
     def close_idle(self) -> None:
         """Close the connections without an active request."""
         busy = {id(exchange.connection.stream) for exchange in self.active}
@@ -110,6 +129,8 @@
         self.knows_chunks = True
         self.request: GatewayRequest | None = None
         self.task: asyncio.Task[None] | None = None
+        self.timeout: asyncio.Timeout | None = None
+        self.is_cut_short = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -148,7 +169,7 @@
         """Answer the request and log how it ended."""
         assert self.head is not None
         writer = AnswerWriter(
-            self.connection, self.head.request_id, lambda: self.front.stopping, self.knows_chunks
+            self.connection, self.head.request_id, self.front.is_stopping, self.knows_chunks
         )
         outcome = "answered"
         detail = ""
@@ -180,19 +201,45 @@
             raise StreamClosedError
         body = b"".join(self.parts)
         self.request = self.front.intake.request(head, body, self.received_at_s)
+        self.limit_to_stop(self.request)
         try:
-            async with asyncio.timeout(max(0.0, self.request.left_s())):
+            async with asyncio.timeout(max(0.0, self.request.left_s())) as self.timeout:
                 await self.front.relay.run(self.request, writer)
         except TimeoutError:
-            if self.request.sent_first_at_s:
-                raise Refusal(
-                    TIME_LIMIT_REACHED, 504, "no complete answer within the time limit"
-                ) from None
-            raise Refusal(
-                TIME_LIMIT_BEFORE_START,
-                503,
-                "no upstream accepted the request within the time limit",
-            ) from None
+            raise self.timeout_refusal(self.request) from None
+        finally:
+            self.timeout = None
+
+    def limit_to_stop(self, request: GatewayRequest) -> None:
+        """Let a request that arrives in a stop end with it; raise Refusal if that is too soon."""
+        schedule = self.front.stop_schedule
+        if schedule is None:
+            return
+        if not schedule.admits(request.ends_at_s):
+            raise Refusal(ENTRY_STOPPING, 503, "the entry stops", STOPPING_RETRY_S)
+        self.answer_by(schedule.answers_by_s)
+
+    def answer_by(self, at_s: float) -> None:
+        """End the request at that monotonic time if its time limit is later."""
+        if self.request is None or self.request.ends_at_s <= at_s:
+            return
+        self.is_cut_short = True
+        self.request.ends_at_s = at_s
+        if self.timeout is not None:
+            loop = asyncio.get_running_loop()
+            self.timeout.reschedule(loop.time() + self.request.left_s())
+
+    def timeout_refusal(self, request: GatewayRequest) -> Refusal:
+        """Return the refusal of a request that has no complete answer in time."""
+        is_sent = bool(request.sent_first_at_s)
+        if self.is_cut_short:
+            if is_sent:
+                return Refusal(ANSWER_LOST, 502, "no complete answer before the entry's end")
+            return Refusal(ENTRY_STOPPING, 503, "not sent before the entry's end", STOPPING_RETRY_S)
+        if is_sent:
+            return Refusal(TIME_LIMIT_REACHED, 504, "no complete answer within the time limit")
+        detail = "no upstream accepted the request within the time limit"
+        return Refusal(TIME_LIMIT_BEFORE_START, 503, detail)
 
     async def refuse(self, refusal: Refusal, writer: AnswerWriter) -> None:
         """Send the refusal, or abort an answer that has already begun."""
--- /dev/null
+++ b/gypsumpier/gateway/stopschedule.py
@@ -0,0 +1,20 @@
+"""The times of a graceful stop."""
+
+import time
+from typing import NamedTuple
+
+
+class StopSchedule(NamedTuple):
+    """Until when a stopping entry takes requests up; times are monotonic seconds.
+
+    Until ``admits_all_until_s`` callers may still be sent here, and every request is taken up.
+    After it only those are whose time limit has passed by ``answers_by_s``, at which the entry ends
+    what is left with an answer of its own.
+    """
+
+    admits_all_until_s: float
+    answers_by_s: float
+
+    def admits(self, ends_at_s: float) -> bool:
+        """Return whether a request with that time limit is taken up now."""
+        return ends_at_s <= self.answers_by_s or time.monotonic() <= self.admits_all_until_s
