Keep a connection open in a stop while a request is arriving on it

What callers saw: a request that had just arrived on a kept connection ended without an answer, as the entry closed the connection as idle. Cause: idle meant that no request had been parsed, while its bytes could stand in the socket or in the buffer; the check runs each 0.05 s. Such connections are now served, or closed at the end of the stop.

--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -103,13 +103,12 @@
             exchange.answer_by(schedule.answers_by_s)
 
     def close_idle(self) -> None:
-        """Close the connections without an active request."""
+        """Close the connections without an active request, or a part of one that has arrived."""
         busy = {id(exchange.connection.stream) for exchange in self.active}
         for connection in list(self.connections.values()):
-            if id(connection.stream) not in busy:
-                if has_unread_bytes(connection.stream):
-                    decision("closed_unread", address=str(connection.context))
-                connection.stream.close()
+            stream = connection.stream
+            if id(stream) not in busy and not has_unread_bytes(stream):
+                stream.close()
 
     def log_cut(self) -> None:
         """Log the requests that the end of the process cuts."""
