Give a silent upstream up only once the request has a place at another one

Cause: the entry closed the connection where another engine seemed to have a place and then queued the request like a new one; the place went to others, and a refused stream can't go on. The class: what works is given up before what replaces it is held. A stream whose events have no ids was given up as well, though nothing could continue it.

Now the request queues for a place, and pays for its retry, while it still listens to the silent upstream; it moves once it holds both, and gives the place back where the upstream goes on first. Ruled out: asking more often whether a place is free, as places that come free go to the queue at once, so that the streams of an engine that is really gone would never get one. Signatures in three tests follow (NoReplacement() for lambda: False).

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -100,20 +100,36 @@
 
         The request counts as in flight at that upstream until ``leave``.
         """
+        if not request.attempts:
+            self.queue(request.service).record_arrived()
+        return await self.enter_again(request)
+
+    async def enter_again(self, request: GatewayRequest) -> UpstreamRecord:
+        """Do the same as ``enter`` for a request that counts as arrived already."""
         began_s = time.monotonic()
+        record = self.try_enter(request)
+        if record is None:
+            record = await self.wait(request, self.queue(request.service))
+        QUEUE_WAIT.observe(time.monotonic() - began_s)
+        return record
+
+    def try_enter(self, request: GatewayRequest) -> UpstreamRecord | None:
+        """Admit the request without a wait, behind those that wait; return None if that fails."""
         queue = self.queue(request.service)
-        if not request.attempts:
-            queue.record_arrived()
         record = None if queue.waiting else self.try_admit(request)
         if record is not None:
             queue.record_granted()
             if queue.is_scarce():
                 queue.count_grant(request.workspace_name)
-        else:
-            record = await self.wait(request, queue)
-        QUEUE_WAIT.observe(time.monotonic() - began_s)
         return record
 
+    def has_other_upstream(self, service: str, tried: set[tuple[str, int]]) -> bool:
+        """Return whether an upstream that is not among the ``tried`` runs is usable now."""
+        records = self.selector.candidates(service, self.least_version(service))
+        return any(
+            record.run_key() not in tried and self.selector.is_usable(record) for record in records
+        )
+
     def arrivals_per_s(self, service: str) -> float:
         """Return the recent requests per second of callers for the service."""
         queue = self.queues.get(service)
@@ -142,7 +158,7 @@
         if all(record.run_key() in tried or rests.is_resting(record) for record in records):
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
-        is_repeat = request.attempts > 0
+        is_repeat = request.attempts > 0 or request.is_moving
         tokens = request.head.prompt_tokens
         record = self.selector.choose(
             records, tried, self.needed_s(request), is_repeat, share, tokens
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -21,6 +21,7 @@
 from gypsumpier.gateway.crashes import CrashTracker
 from gypsumpier.gateway.events import EventSplitter
 from gypsumpier.gateway.failures import FailureRecorder
+from gypsumpier.gateway.otherplace import OtherPlace
 from gypsumpier.gateway.pendingstarts import PendingStarts
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
@@ -97,29 +98,48 @@
 
     async def try_upstreams(self, request: GatewayRequest, writer: AnswerWriter) -> None:
         """Try one upstream after another; raise Refusal once no further attempt is allowed."""
+        record = await self.next_upstream(request)
         while True:
-            self.crashes.check(request)
-            record = await self.admission.enter(request)
-            probe = None
-            try:
-                await self.attempt(request, record, writer)
-                return
-            except NotRunError as error:
-                if not error.is_refusal:
-                    self.selector.statements.give_back(record)
-                self.failures.record_not_run(request, record, error)
-                self.check_resend(request, error)
-            except OutcomeUnknownError as error:
-                probe = self.failures.record_unknown(request, record, error)
+            with OtherPlace(self.admission, self.retries, request, record, writer) as other:
+                if await self.try_upstream(request, record, writer, other):
+                    return
+                record = other.claim() or await self.next_upstream(request)
+
+    async def try_upstream(
+        self,
+        request: GatewayRequest,
+        record: UpstreamRecord,
+        writer: AnswerWriter,
+        other: OtherPlace,
+    ) -> bool:
+        """Return whether the upstream has answered; raise Refusal if that ends the request."""
+        probe = None
+        try:
+            await self.attempt(request, record, writer, other)
+            return True
+        except NotRunError as error:
+            if not error.is_refusal:
+                self.selector.statements.give_back(record)
+            self.failures.record_not_run(request, record, error)
+            self.check_resend(request, error)
+        except OutcomeUnknownError as error:
+            probe = self.failures.record_unknown(request, record, error)
+            if other.place is None:
                 self.check_repeat(request, writer, error)
-            except asyncio.CancelledError:
-                self.failures.record_cancelled(request, record)
-                raise
-            finally:
-                self.admission.leave(request, record)
-            if probe is not None:
-                # The repeat would end another upstream if the request ended this one.
-                await asyncio.wait({probe}, timeout=CRASH_CHECK_S)
+        except asyncio.CancelledError:
+            self.failures.record_cancelled(request, record)
+            raise
+        finally:
+            self.admission.leave(request, record)
+        if probe is not None:
+            # The repeat would end another upstream if the request ended this one.
+            await asyncio.wait({probe}, timeout=CRASH_CHECK_S)
+        return False
+
+    async def next_upstream(self, request: GatewayRequest) -> UpstreamRecord:
+        """Return the upstream that the request is admitted to; raise Refusal if there is none."""
+        self.crashes.check(request)
+        return await self.admission.enter(request)
 
     def check_resend(self, request: GatewayRequest, error: NotRunError) -> None:
         """Raise Refusal unless a request that has not run may be sent to another upstream."""
@@ -140,9 +160,13 @@
             raise Refusal(ANSWER_LOST, 502, error.reason)
 
     async def attempt(
-        self, request: GatewayRequest, record: UpstreamRecord, writer: AnswerWriter
+        self,
+        request: GatewayRequest,
+        record: UpstreamRecord,
+        writer: AnswerWriter,
+        other: OtherPlace,
     ) -> None:
-        """Send the request to the upstream and relay its answer.
+        """Send the request to the upstream and relay its answer, or take the ``other`` place.
 
         Raises NotRunError if the request has not run, and OutcomeUnknownError if it may have run
         and there is no usable answer.
@@ -172,14 +196,11 @@
             self.crashes.begin(request)
             return self.call(request, record)
 
-        def should_abandon() -> bool:
-            return self.should_abandon(request, record)
-
         # An answer to the request sent before, with the same id, may arrive once more.
         is_sent_again = address in request.sent_to
         request.sent_to.add(address)
         async with self.pool.exchange(
-            address, request.route.is_repeatable, make_call, should_abandon, is_new=is_sent_again
+            address, request.route.is_repeatable, make_call, other, is_new=is_sent_again
         ) as exchange:
             with self.starts.track(exchange, request, record):
                 head = await exchange.answer(request.head.request_id)
@@ -250,14 +271,6 @@
             return 0
         return self.selector.held_version(record)
 
-    def should_abandon(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
-        """Return whether to abandon a silent upstream because another one can take the request."""
-        if not request.may_repeat(tries=2) or not self.retries.has_left(request.service):
-            return False
-        version = self.admission.least_version(request.service)
-        records = self.selector.candidates(request.service, version)
-        return self.selector.choose(records, request.tried | {record.run_key()}) is not None
-
     async def relay_buffered(
         self,
         request: GatewayRequest,
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -19,7 +19,8 @@
     upstreams that are not tried again.  ``sent_to`` holds the addresses that it was sent to.
     ``last_event_id`` is the id of the last relayed event.
     ``longest_gap_s`` is the longest gap between its events so far, in seconds.
-    ``is_trial`` is set once it is sent although others like it are refused.
+    ``is_trial`` is set once it is sent although others like it are refused, ``is_moving`` while it
+    waits for another upstream than the silent one that it was sent to.
     ``unread_tokens`` are the prompt tokens that the current upstream has yet to read.
     The current attempt starts at ``sent_at_s``, has its connection at ``connected_at_s`` and the
     head of its answer at ``answered_at_s``; the last two are 0 until then.
@@ -46,6 +47,7 @@
     last_event_at_s: float = 0.0
     longest_gap_s: float = 0.0
     is_trial: bool = False
+    is_moving: bool = False
 
     @property
     def priority(self) -> int:
--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -50,6 +50,7 @@
 from gypsumpier.test.standin.endless import SLOW_PAUSE_S, EndlessServer
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.http import UpstreamStream
+from gypsumpier.upstream.replacement import NoReplacement
 
 
 class EndlessAnswerTest(EndlessTest):
@@ -250,7 +251,7 @@
         self.addCleanup(theirs.close)
         body = b"1\r\nx\r\n" * TINY_CHUNK_COUNT + b"0\r\n\r\n"
         theirs.sendall(head("Transfer-Encoding: chunked")("r1") + body)
-        exchange = Exchange(UpstreamStream(ours), READ_TIMEOUT_S, lambda: False)
+        exchange = Exchange(UpstreamStream(ours), READ_TIMEOUT_S, NoReplacement())
         exchange.send(RequestStartLine("GET", "/", "HTTP/1.1"), HTTPHeaders(), b"")
         turns = taken = 0
         async with asyncio.timeout(READ_TIMEOUT_S):
--- a/gypsumpier/test/test_late_copies.py
+++ b/gypsumpier/test/test_late_copies.py
@@ -10,6 +10,7 @@
 from gypsumpier.upstream.caller import UpstreamCaller
 from gypsumpier.upstream.errors import OutcomeUnknownError
 from gypsumpier.upstream.pool import UpstreamCall, UpstreamPool
+from gypsumpier.upstream.replacement import NoReplacement
 
 TIMEOUT_S: Final = 2.0
 
@@ -77,7 +78,7 @@
         async def call(request_id: str) -> bytes:
             headers = HTTPHeaders({"Host": "x", "X-Request-Id": request_id})
             made = UpstreamCall(RequestStartLine("GET", "/", "HTTP/1.1"), headers, b"", TIMEOUT_S)
-            async with pool.exchange(self.address, True, lambda: made, lambda: False) as exchange:
+            async with pool.exchange(self.address, True, lambda: made, NoReplacement()) as exchange:
                 await exchange.answer(request_id)
                 return await exchange.whole_body(1024)
 
--- a/gypsumpier/test/test_pending_starts.py
+++ b/gypsumpier/test/test_pending_starts.py
@@ -12,6 +12,7 @@
 from gypsumpier.upstream.errors import OutcomeUnknownError
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.http import UpstreamStream
+from gypsumpier.upstream.replacement import NoReplacement
 
 
 class PendingStartsTest(unittest.IsolatedAsyncioTestCase):
@@ -26,7 +27,7 @@
     def exchange(self) -> Exchange:
         """Return an exchange without an answer; nothing uses its connection."""
         stream: UpstreamStream = None  # type: ignore[assignment]
-        return Exchange(stream, 1.0, lambda: False)
+        return Exchange(stream, 1.0, NoReplacement())
 
     def report(self, version: int) -> None:
         """Set the version that the sidecar of the engine reports; 0 while it loads one."""
--- a/gypsumpier/test/test_silent_engine_streams.py
+++ b/gypsumpier/test/test_silent_engine_streams.py
@@ -69,6 +69,7 @@
         reports.cancel()
         for call in self.calls:
             self.assertIn((await call).code, (200, 503))
+        self.assert_no_place_held()
 
     # Guards against a cut stream whose events have no ids, as it can't be resumed elsewhere.
     async def test_a_stream_without_event_ids_waits_for_its_engine(self) -> None:
@@ -79,6 +80,29 @@
         events = "".join(f"data: event {number}\n\n" for number in range(1, 6))
         self.assertEqual((200, events), (answer.code, answer.body.decode()))
         self.assertEqual([], other.run_ids)
+        self.assert_no_place_held()
+
+    # Guards against places that are never given back where a silent engine goes on while its
+    # streams wait for others, so that fewer and fewer requests are served.
+    async def test_places_are_given_back_where_the_engine_goes_on_first(self) -> None:
+        other = self.fleet.add("i-2", ENGINES, zone=OTHER_ZONE, slots=1)
+        other.event_pause_s = SILENCE_S
+        streams = self.send(STREAMS)
+        await self.wait_until(lambda: len(self.silent.standin.run_ids) == STREAMS)
+        await self.fleet.settle()
+        self.send(OTHER_PLACES + 1)
+        await self.wait_until(lambda: len(other.run_ids) == OTHER_PLACES)
+        self.silent.pause(SILENCE_S)
+        for answer in await asyncio.gather(*streams):
+            self.assert_whole(answer)
+        self.assertEqual(OTHER_PLACES, len(other.run_ids))
+        await asyncio.gather(*self.calls)
+        self.assert_no_place_held()
+
+    def assert_no_place_held(self) -> None:
+        """Check that no request counts as waiting or as in flight."""
+        self.assertEqual({}, self.fleet.entry.selector.own_loads)
+        self.assertEqual([], self.fleet.entry.admission.queue(ENGINES).waiting)
 
 
 if __name__ == "__main__":
--- a/gypsumpier/upstream/caller.py
+++ b/gypsumpier/upstream/caller.py
@@ -13,6 +13,7 @@
 from gypsumpier.platform.headers import internal_headers
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.pool import UpstreamCall, UpstreamPool
+from gypsumpier.upstream.replacement import NoReplacement
 
 ANSWER_MAX_BYTES: Final = 4 * 1024 * 1024
 """Bytes of the answer to an internal call, which is at most one piece of weights."""
@@ -92,7 +93,7 @@
             headers["Content-Length"] = str(len(body))
         call = UpstreamCall(RequestStartLine(method, target, "HTTP/1.1"), headers, body, silence_s)
         async with self.pool.exchange(
-            self.address, True, lambda: call, lambda: False, is_new
+            self.address, True, lambda: call, NoReplacement(), is_new
         ) as exchange:
             head = await exchange.answer(call_id, is_echo_required=False)
             return CallAnswer(head.status, await exchange.whole_body(ANSWER_MAX_BYTES))
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import Final
 
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -20,6 +20,7 @@
 from gypsumpier.upstream.errors import OutcomeUnknownError
 from gypsumpier.upstream.head import AnswerHead
 from gypsumpier.upstream.http import UpstreamHttp, UpstreamStream
+from gypsumpier.upstream.replacement import Replacement
 
 BODY_MAX_BYTES: Final = 64 * 1024 * 1024
 """Bytes of a body, of which only a part is held at a time."""
@@ -37,16 +38,14 @@
 class Exchange(HTTPMessageDelegate):
     """Sends one request and yields the parts of its answer.
 
-    ``finished`` is set if the answer is complete; ``failure`` says why it is not.  After each
-    ``silence_s`` seconds without progress ``should_abandon`` decides whether to give up.
+    ``finished`` is set if the answer is complete; ``failure`` says why it is not.  After
+    ``silence_s`` seconds without progress it is given up for a ``replacement``, once there is one.
     """
 
-    def __init__(
-        self, stream: UpstreamStream, silence_s: float, should_abandon: Callable[[], bool]
-    ) -> None:
+    def __init__(self, stream: UpstreamStream, silence_s: float, replacement: Replacement) -> None:
         self.stream = stream
         self.silence_s = silence_s
-        self.should_abandon = should_abandon
+        self.replacement = replacement
         self.head: AnswerHead | None = None
         self.parts: deque[bytes] = deque()
         self.buffered_bytes = 0
@@ -127,17 +126,33 @@
         self.drained.set()
 
     async def wait_for_progress(self) -> None:
-        """Wait for progress of the answer; raise OutcomeUnknownError if it should be abandoned."""
+        """Wait for progress of the answer; raise OutcomeUnknownError if it is replaced instead."""
         while not self.progress.is_set():
             try:
                 async with asyncio.timeout(self.silence_s):
                     await self.progress.wait()
             except TimeoutError:
-                if self.should_abandon():
+                if await self.is_replaced():
                     reason = f"silent for {self.silence_s:g} s"
                     raise OutcomeUnknownError(reason, is_silent=True) from None
         self.progress.clear()
 
+    async def is_replaced(self) -> bool:
+        """Wait for a replacement; return False if there is progress first, or none is to be had."""
+        replaced = asyncio.create_task(self.replacement.wait())
+        progressed = asyncio.create_task(self.progress.wait())
+        try:
+            await asyncio.wait({replaced, progressed}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            progressed.cancel()
+            replaced.cancel()
+            await asyncio.wait({replaced})
+        is_taken = not replaced.cancelled() and replaced.result()
+        if is_taken and self.progress.is_set():
+            self.replacement.release()
+            return False
+        return is_taken
+
     async def answer(self, request_id: str, is_echo_required: bool = True) -> AnswerHead:
         """Return the head of the answer; raise OutcomeUnknownError if there is none.
 
@@ -170,7 +185,7 @@
     async def whole_body(self, max_bytes: int) -> bytes:
         """Return the complete body; raise OutcomeUnknownError if it is incomplete or longer.
 
-        Parts are no progress: ``should_abandon`` is asked for as long as the body is incomplete.
+        Parts are no progress: a replacement is looked for as long as the body is incomplete.
         """
         whole = bytearray()
         since_s = time.monotonic()
@@ -184,12 +199,13 @@
     def check_stalled(self, since_s: float) -> float:
         """Return since when, in monotonic seconds, an answer that receives bytes is stalled.
 
-        Every ``silence_s`` seconds ``should_abandon`` decides; raises OutcomeUnknownError then.
+        Every ``silence_s`` seconds a replacement is looked for; raises OutcomeUnknownError where
+        there is one.
         """
         now_s = time.monotonic()
         if now_s - since_s < self.silence_s:
             return since_s
-        if self.should_abandon():
+        if self.replacement.take():
             raise OutcomeUnknownError(f"stalled for {self.silence_s:g} s")
         return now_s
 
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -21,6 +21,7 @@
 from gypsumpier.upstream.errors import NotRunError
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.http import UpstreamStream
+from gypsumpier.upstream.replacement import Replacement
 
 CONNECT_TIMEOUT_S: Final = 0.4
 """Timeout of a new connection, which takes a round trip and about a millisecond of work."""
@@ -44,7 +45,7 @@
 class UpstreamCall(NamedTuple):
     """One request as it is sent.
 
-    After each ``silence_s`` seconds without data, the exchange checks whether to abandon it.
+    After each ``silence_s`` seconds without data, the exchange looks for a replacement.
     """
 
     start: RequestStartLine
@@ -76,7 +77,7 @@
         address: Address,
         is_repeatable: bool,
         make_call: Callable[[], UpstreamCall],
-        should_abandon: Callable[[], bool],
+        replacement: Replacement,
         is_new: bool = False,
     ) -> AsyncIterator[Exchange]:
         """Send a request and yield its exchange; raise NotRunError if no connection can be made.
@@ -96,7 +97,7 @@
         except BaseException:
             stream.close()
             raise
-        exchange = Exchange(stream, call.silence_s, should_abandon)
+        exchange = Exchange(stream, call.silence_s, replacement)
         try:
             exchange.send(call.start, call.headers, call.body)
             yield exchange
