Send the last attempt of a request to an engine that does not switch its weights soon

Cause: a switch to come cost a repeated request only 0.08 s, though its second cut can't be mended. Now the last attempt takes, or waits for, an engine that does not switch before its end, unless there is none. The test failed before: the stream was admitted to the switching engine.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -153,16 +153,18 @@
         """
         version = self.least_version(request.service)
         records = self.selector.candidates(request.service, version)
+        needed_s = self.needed_s(request)
+        is_repeat = request.attempts > 0 or request.is_moving
+        if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
+            # The last attempt: an engine that switches before its end would cut it for good.
+            records = self.selector.steady(records, needed_s) or records
         tried = request.tried
         rests = self.selector.statements.rests
         if all(record.run_key() in tried or rests.is_resting(record) for record in records):
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
-        is_repeat = request.attempts > 0 or request.is_moving
         tokens = request.head.prompt_tokens
-        record = self.selector.choose(
-            records, tried, self.needed_s(request), is_repeat, share, tokens
-        )
+        record = self.selector.choose(records, tried, needed_s, is_repeat, share, tokens)
         if record is not None:
             request.unread_tokens = request.head.prompt_tokens
             self.selector.begin(record, request.unread_tokens)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -352,7 +352,7 @@
         """
         is_contended = len(self.peer_loads.reports) > FEW_REPORTERS
         if is_contended and not is_jittered and len(records) > UPSTREAMS_COMPARED:
-            steady = [record for record in records if not self.switches_within(record, needed_s)]
+            steady = self.steady(records, needed_s)
             is_any_switching = len(steady) < len(records)
             records = [*drawn(records), *(drawn(steady) if is_any_switching else [])]
 
@@ -405,6 +405,10 @@
         is_slow = engine is not None and engine.pace > SLOW_PACE_MIN
         return is_slow or self.health.is_failing(record.run_key())
 
+    def steady(self, records: list[UpstreamRecord], needed_s: float) -> list[UpstreamRecord]:
+        """Return the upstreams that don't switch weights within ``needed_s`` seconds."""
+        return [record for record in records if not self.switches_within(record, needed_s)]
+
     def switches_within(self, record: UpstreamRecord, needed_s: float) -> bool:
         """Return whether the engine switches weights within ``needed_s`` seconds.
 
