Fail a call at once whose answer has a malformed head

Seen: test_malformed_heads, before the change: 56 of 56 subtests (7 heads, closed or kept open behind them, 4 calls) still waited after 1 s; 'python -m unittest gypsumpier.test.test_malformed_heads' took 56 s. In a trial with a timeout of 1.5 s a service's call failed after 1.50 s, with a timeout as the reason. An order to an engine waits 10 s like this, a stream of an engine 600 s, and a read of the platform's store 2 s.

Cause: tornado's HTTP1Connection._read_message handles an HTTPInputError in the head by a log line and a close, and returns False. Its delegate is told only of failures behind the head, and the stream's close callback, which its simple client relies on, has been cleared by then. Upstream exchanges were not affected: they look whether the answer was finished when the read returns.

Why it works: FinalAnswer, which sees every head, notes that there was one. A read that returns without any raises HTTPInputError to the reader, which both the simple client and Exchange turn into a failed call. A connection that closes inside a head still raises StreamClosedError before that.

After: 56 of 56 pass, in 0.4 s.

--- a/gypsumpier/upstream/finalanswer.py
+++ b/gypsumpier/upstream/finalanswer.py
@@ -20,12 +20,14 @@
 class FinalAnswer(HTTPMessageDelegate):
     """Passes a final answer on, and ends the reading of an interim one behind its head.
 
-    ``is_interim`` is set once an interim answer was read; its connection is then detached.
+    ``has_head`` is set once a head was read, ``is_interim`` if it is that of an interim answer,
+    whose connection is then detached.
     """
 
     def __init__(self, connection: HTTP1Connection, delegate: HTTPMessageDelegate) -> None:
         self.connection = connection
         self.delegate = delegate
+        self.has_head = False
         self.is_interim = False
         self.part_count = 0
 
@@ -33,6 +35,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
+        self.has_head = True
         if start_line.code < FIRST_FINAL_STATUS:
             self.is_interim = True
             self.connection.detach()
--- a/gypsumpier/upstream/http.py
+++ b/gypsumpier/upstream/http.py
@@ -33,6 +33,9 @@
         for _ in range(INTERIM_ANSWERS_MAX + 1):
             answer = FinalAnswer(self, delegate)
             is_open = await super()._read_message(answer)
+            if not answer.has_head:
+                # Tornado logs a malformed head and closes the connection, but tells no one.
+                raise HTTPInputError("malformed head of an answer")
             if not answer.is_interim:
                 return is_open
             self.stream = stream
