Don't end a stream as whole of which only the head came

Seen: test_unframed_answer, before the change: a head without a length and chunks ('HTTP/1.1 200 OK', X-Request-Id, X-Server-Seal, Content-Type: text/event-stream) and then the close. test_a_head_alone_is_no_stream: '502 != 200'; test_a_stream_of_which_only_the_head_came_is_sent_elsewhere: (200, '') instead of the five events, although a second engine had room. This is what the operators report: a 200 with an empty body that is framed as whole.

Cause: where neither a length nor chunks frame a body, its end is that of the connection. Only the answer to a resumption had to hold an event then; a first answer without any was ended as a whole stream.

Why it works: a close behind the head shows no end of a stream, as an engine makes one event at least, and an engine that is done with nothing can say so by a length or a last chunk (that is still relayed, and tested). The attempt has no known outcome now: the caller has got nothing yet, so that a stream that may be repeated goes to another engine, and another one is answered 502.

Plain answers stay as they are: an empty body that ends with its connection is whole by the protocol, and nothing tells it from one that was cut there.

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -311,9 +311,9 @@
             since_s = time.monotonic()
         if splitter.rest:
             raise OutcomeUnknownError("the stream ended in the middle of an event")
-        if is_resumed and not has_events and not head.is_framed:
+        if head.status == SUCCESS and not has_events and not head.is_framed:
             # A connection that closes behind the head shows no end of the stream.
-            raise OutcomeUnknownError("no event in answer to the resumption of a stream")
+            raise OutcomeUnknownError("the connection closed before the first event")
         if not writer.status:
             writer.begin(head, None)
         writer.finish()
--- a/gypsumpier/test/test_unframed_answer.py
+++ b/gypsumpier/test/test_unframed_answer.py
@@ -110,6 +110,29 @@
                 await self.fleet.stop()
                 self.fleet = GatewayFleet()
 
+    # Guards against a connection that closes behind the head of a stream making an empty answer
+    # that ends like a whole stream.
+    async def test_a_head_alone_is_no_stream(self) -> None:
+        server = await self.start(ENGINES, answer("", STREAM), is_reset=False)
+        self.assertEqual(502, (await self.call("/once/reports/x")).code)
+        self.assertEqual(1, server.requests)
+
+    # Guards against an empty stream where another engine could give the whole one.
+    async def test_a_stream_of_which_only_the_head_came_is_sent_elsewhere(self) -> None:
+        server = await self.start(ENGINES, answer("", STREAM), is_reset=False)
+        self.fleet.add("i-2", ENGINES)
+        await self.fleet.settle()
+        for number in range(6):
+            found = await self.fleet.call("/reports/x", f"r{number}")
+            self.assertEqual((200, "".join(EVENTS)), (found.code, found.body.decode()))
+        self.assertGreater(server.requests, 0)
+
+    async def test_an_empty_stream_with_an_end_of_its_own_is_whole(self) -> None:
+        empty = answer("", STREAM + "Content-Length: 0\r\n")
+        await self.start(ENGINES, empty, is_reset=False)
+        found = await self.call("/once/reports/x")
+        self.assertEqual((200, b""), (found.code, found.body))
+
     async def test_a_stream_that_ends_inside_an_event_is_resumed_behind_the_last_whole_one(
         self,
     ) -> None:
