--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -24,7 +24,6 @@
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.status import StatusServer, metrics_address
-from gypsumpier.gateway.stopschedule import StopSchedule
 from gypsumpier.log import decision
 from gypsumpier.mesh.feed import FleetStateFeed
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
@@ -35,6 +34,7 @@
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.demand import DemandShares
 from gypsumpier.statement.share import StatementShare
+from gypsumpier.stopschedule import StopSchedule
 from gypsumpier.tasks import end_task
 from gypsumpier.upstream.pool import UpstreamPool
 from gypsumpier.upstream.selector import UpstreamSelector
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -23,17 +23,17 @@
     TIME_LIMIT_BEFORE_START,
     TIME_LIMIT_REACHED,
 )
-from gypsumpier.gateway.departure import has_departed, has_unread_bytes
 from gypsumpier.gateway.intake import Intake
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.request import GatewayRequest
-from gypsumpier.gateway.stopschedule import StopSchedule
 from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.platform.headers import caller_head
+from gypsumpier.stopschedule import StopSchedule
 from gypsumpier.upstream.head import CallerHead
+from gypsumpier.wire.departure import has_departed, has_unread_bytes
 
 DEPARTURE_CHECK_S: Final = 0.1
 """Seconds between two checks whether callers have left; small against the half second after which a
--- a/gypsumpier/gateway/writer.py
+++ b/gypsumpier/gateway/writer.py
@@ -7,10 +7,10 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
-from gypsumpier.gateway.departure import has_departed
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.platform.headers import refusal_headers
 from gypsumpier.upstream.head import AnswerHead
+from gypsumpier.wire.departure import has_departed
 from gypsumpier.wire.reset import reset
 
 REASONS: Final = {
