Announce the close in every answer of an entry that begins after SIGTERM

What callers saw: on the own interface, the answer to a request from before SIGTERM left the connection open without a word; the next request on it crossed the close. Cause: the header was set as the request began. It is now set as the answer's head is written, also for errors and streams.

--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+from asyncio import Future
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any, Final
 
@@ -63,17 +64,16 @@
         self.serving: asyncio.Task[Any] | None = None
         self.has_caller_left = False
 
-    def set_default_headers(self) -> None:
-        """Make the answer close its connection while the entry is stopping."""
-        # Tornado calls this once before ``initialize``.
-        if getattr(self, "entry", None) is not None and self.entry.stopping:
-            self.set_header("Connection", "close")
-
     def prepare(self) -> None:
-        """Set the headers of every answer, and limit the body's size before it is read."""
-        self.set_default_headers()
+        """Limit the body's size before it is read."""
         self.set_body_limit(self.entry.options.body_limit_bytes, BODY_TOO_LARGE)
 
+    def flush(self, include_footers: bool = False) -> Future[None]:
+        """Send what was written; an answer that begins in a stop announces the close."""
+        if self.entry.stopping and not self._headers_written:
+            self.set_header("Connection", "close")
+        return super().flush(include_footers)
+
     def http(self) -> HTTPServerRequest:
         """Return the call with its whole body; raise GypsumpierError if the body is too large."""
         self.request.body = self.whole_body()
--- /dev/null
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -0,0 +1,102 @@
+"""Tests of what an entry of the own interface answers while it stops, on open connections."""
+
+import asyncio
+import time
+import unittest
+from typing import Any, Final
+
+from gypsumpier.entry.application import LISTEN_AFTER_STOP_S
+from gypsumpier.test.ownfleet import DRAIN_S, POLL_S, OwnFleet
+from gypsumpier.test.test_stop_answers import Received, SlowCaller
+
+BODY: Final = b"x" * 2000
+LATE_S: Final = LISTEN_AFTER_STOP_S + 0.4
+"""Seconds from the beginning of a stop at which an idle entry would have ended."""
+ENDS_S: Final = LISTEN_AFTER_STOP_S + DRAIN_S
+MARGIN_S: Final = 0.4
+"""Seconds by which a busy machine may be late."""
+COMMAND: Final = "/services/table-ops/commands"
+LONG_LIMIT_S: Final = 15.0
+SHORT_LIMIT_S: Final = 0.3
+LARGE_PARTS: Final = 80
+"""Parts of an answer that doesn't fit into the buffers of a connection."""
+RECEIVE_BUFFER_BYTES: Final = 4096
+STALL_S: Final = 0.12
+"""Seconds for which the event loop stands still."""
+
+
+def head_of(
+    path: str, limit_s: float, body_bytes: int, headers: str = "", method: str = "POST"
+) -> bytes:
+    """Return the head of a request that its caller waits for so many seconds."""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: lab\r\nRequest-Timeout: {limit_s}\r\n{headers}"
+        f"Content-Length: {body_bytes}\r\n\r\n"
+    ).encode()
+
+
+def code_of(received: Received) -> tuple[int, int, str | None]:
+    """Return status, result code and Connection of an answer; zeros where there is none."""
+    headers = received.headers
+    return received.status, int(headers.get("Gypsumpier-Code", "0")), headers.get("Connection")
+
+
+class OwnStopCase(unittest.IsolatedAsyncioTestCase):
+    """A fleet whose entry is stopped."""
+
+    async def start(self, **settings: Any) -> None:
+        """Start the fleet."""
+        self.fleet = OwnFleet(**settings)
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.stop)
+        self.stop_began_s = 0.0
+
+    async def caller(self) -> SlowCaller:
+        """Return a caller with an open connection."""
+        found = SlowCaller(self.fleet.port)
+        await found.connect()
+        self.addCleanup(found.close)
+        return found
+
+    async def send(self, caller: SlowCaller, headers: str = "") -> None:
+        """Send a whole command and wait until it has arrived at the entry."""
+        caller.writer.write(head_of(COMMAND, LONG_LIMIT_S, len(BODY), headers) + BODY)
+        before = self.fleet.entry.in_flight
+        while self.fleet.entry.in_flight == before:
+            await asyncio.sleep(POLL_S)
+
+    async def until_run(self, count: int) -> None:
+        """Wait until so many requests have begun to run."""
+        while self.fleet.run_count() < count:
+            await asyncio.sleep(POLL_S)
+
+    def begin_stop(self) -> asyncio.Task[None]:
+        """Begin to stop the entry."""
+        self.stop_began_s = time.monotonic()
+        stop = asyncio.create_task(self.fleet.entry.stop())
+        self.addCleanup(stop.cancel)
+        return stop
+
+    async def until(self, stop_age_s: float) -> None:
+        """Wait until the stop is so many seconds old."""
+        await asyncio.sleep(self.stop_began_s + stop_age_s - time.monotonic())
+
+
+class OwnStopAnswersTest(OwnStopCase):
+    # Guards against a caller that uses its connection again because the answer to a request from
+    # before the stop did not announce the close.
+    async def test_an_answer_that_begins_in_a_stop_announces_the_close(self) -> None:
+        await self.start()
+        self.fleet.upstream.release.clear()
+        caller = await self.caller()
+        await self.send(caller)
+        await self.until_run(1)
+        stop = self.begin_stop()
+        await asyncio.sleep(0.1)
+        self.fleet.upstream.release.set()
+        self.assertEqual((200, 0, "close"), code_of(await caller.receive()))
+        await stop
+
+
+if __name__ == "__main__":
+    unittest.main()
