Count a caller's request as active from its head on, so that a stop waits for its body

Cause: only requests with a whole body counted as in flight, and queries never did, so the entry took itself for idle and closed all connections. Requests now count from the head to the end of the answer, or to the end of the run under a key whose caller has left. 'in_flight' of the status and of the line 'drain' count requests whose body is arriving as well.

--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -3,7 +3,6 @@
 from random import Random
 from typing import Final
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -16,6 +15,7 @@
     ServiceHandler,
     UnknownPathHandler,
 )
+from gypsumpier.entry.callerserver import CallerServer
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
@@ -77,9 +77,13 @@
             options, self.clock, self.documents, self.members, self.links, self.random
         )
         self.relay = Relay(options, self.clock, self.links, self.keys, self.random)
-        self.in_flight = 0
         self.stopping = False
-        self.server = HTTPServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
+        self.server = CallerServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
+
+    @property
+    def in_flight(self) -> int:
+        """The number of active requests."""
+        return len(self.server.active)
 
     def routes(self) -> Application:
         """Return the caller-facing HTTP application."""
@@ -122,7 +126,7 @@
         deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
         idle_since_s = self.clock.monotonic()
         while self.clock.monotonic() < min(deadline_s, idle_since_s + DRAIN_IDLE_S):
-            if self.in_flight:
+            if not self.server.is_idle():
                 idle_since_s = self.clock.monotonic()
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -62,10 +62,12 @@
         self.entry = entry
         self.request_id = ""
         self.serving: asyncio.Task[Any] | None = None
+        self.is_served = False
         self.has_caller_left = False
 
     def prepare(self) -> None:
-        """Limit the body's size before it is read."""
+        """Count the request as active, and limit the body's size before it is read."""
+        self.entry.server.active.add(self)
         self.set_body_limit(self.entry.options.body_limit_bytes, BODY_TOO_LARGE)
 
     def flush(self, include_footers: bool = False) -> Future[None]:
@@ -126,16 +128,23 @@
         The agent goes on with an attempt that may not run again, so that its outcome is known.  A
         request under a key goes on here as well: its caller may ask for the outcome.
         """
+        super().on_connection_close()
         self.has_caller_left = True
         if self.serving is not None:
             self.serving.cancel()
+        if not self.is_served:
+            self.entry.server.active.discard(self)
+
+    def on_finish(self) -> None:
+        """Stop counting the request as active."""
+        self.entry.server.active.discard(self)
 
     async def serve(self, request: CallerRequest, document: ServiceDocument) -> None:
         """Answer the request, or send the coded error."""
         self.request_id = request.request_id
         self.serving = None if request.key else asyncio.current_task()
         self.set_header("Gypsumpier-Request", request.request_id)
-        self.entry.in_flight += 1
+        self.is_served = True
         try:
             now_s = self.entry.clock.monotonic()
             async with asyncio.timeout(request.remaining_at(now_s)):
@@ -153,7 +162,9 @@
             decision("caller_gone", request=request.request_id, service=request.service)
         finally:
             self.serving = None
-            self.entry.in_flight -= 1
+            self.is_served = False
+            if self.has_caller_left:
+                self.entry.server.active.discard(self)
 
     async def write_plain(self, frames: AsyncIterator[Frame]) -> None:
         """Write the answer of a plain service once it is complete."""
--- /dev/null
+++ b/gypsumpier/entry/callerserver.py
@@ -0,0 +1,37 @@
+"""Tornado's HTTP server, extended to know the open connections and the active requests."""
+
+from typing import TYPE_CHECKING, Any
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPConnection, HTTPMessageDelegate
+
+if TYPE_CHECKING:
+    from gypsumpier.entry.caller import CallerHandler
+
+
+class CallerServer(HTTPServer):
+    """Serves callers.
+
+    ``active`` are the requests from their head to the end of their answer.
+    """
+
+    def initialize(self, *arguments: Any, **settings: Any) -> None:
+        super().initialize(*arguments, **settings)
+        self.active: set[CallerHandler] = set()
+        self.open_connections: dict[object, HTTP1Connection] = {}
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        assert isinstance(request_conn, HTTP1Connection)
+        self.open_connections[server_conn] = request_conn
+        return super().start_request(server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self.open_connections.pop(server_conn, None)
+
+    def is_idle(self) -> bool:
+        """Return whether no request is active."""
+        return not self.active
--- a/gypsumpier/test/test_own_stop_answers.py
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -5,9 +5,14 @@
 import unittest
 from typing import Any, Final
 
+from gypsumpier.codes.request import (
+    KEY_NOT_SEEN,
+)
 from gypsumpier.entry.application import LISTEN_AFTER_STOP_S
 from gypsumpier.test.ownfleet import DRAIN_S, POLL_S, OwnFleet
 from gypsumpier.test.test_stop_answers import Received, SlowCaller
+from gypsumpier.wire.connection import Connection
+from gypsumpier.wire.frame import Frame
 
 BODY: Final = b"x" * 2000
 LATE_S: Final = LISTEN_AFTER_STOP_S + 0.4
@@ -97,6 +102,37 @@
         self.assertEqual((200, 0, "close"), code_of(await caller.receive()))
         await stop
 
+    # Guards against a request whose body arrives during the drain and whose connection is closed.
+    async def test_a_body_that_ends_in_the_drain_is_served(self) -> None:
+        await self.start()
+        caller = await self.caller()
+        caller.writer.write(head_of(COMMAND, SHORT_LIMIT_S, len(BODY)) + BODY[:1000])
+        await asyncio.sleep(0.1)
+        stop = self.begin_stop()
+        await self.until(LATE_S)
+        caller.writer.write(BODY[1000:])
+        self.assertEqual((200, 0, "close"), code_of(await caller.receive()))
+        await stop
+
+    # Guards against a query of an outcome that a stop cuts, as it did not count as in flight.
+    async def test_a_query_of_an_outcome_is_answered_in_the_drain(self) -> None:
+        await self.start()
+        listener = self.fleet.agent.listener
+        handle_frame = listener.handle_frame
+
+        async def handle_late(frame: Frame, connection: Connection) -> None:
+            await self.until(LATE_S)
+            await handle_frame(frame, connection)
+
+        listener.handle_frame = handle_late  # type: ignore[method-assign]
+        caller = await self.caller()
+        stop = self.begin_stop()
+        key = "Idempotency-Key: k-1\r\n"
+        caller.writer.write(head_of("/outcomes/table-ops", 1.0, 0, key, "GET"))
+        expected = (KEY_NOT_SEEN.http_status, KEY_NOT_SEEN.number, "close")
+        self.assertEqual(expected, code_of(await caller.receive()))
+        await stop
+
 
 if __name__ == "__main__":
     unittest.main()
