Close no connection of an own entry on which a request has arrived at that moment

What callers saw: a request that had just arrived on a kept connection ended without an answer as the stopping entry closed all connections 0.75 s after SIGTERM. Cause: only parsed requests counted, while bytes stood in the socket or, for a head without a body, had been read and were not handed over yet: tornado does that some turns of the event loop later. The entry now looks at each connection directly before the close: it must be waiting for bytes, and there must be none.

--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -125,9 +125,12 @@
         self.server.stop()
         deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
         idle_since_s = self.clock.monotonic()
-        while self.clock.monotonic() < min(deadline_s, idle_since_s + DRAIN_IDLE_S):
+        while (now_s := self.clock.monotonic()) < deadline_s:
+            # Nothing may be read between this check and the close.
             if not self.server.is_idle():
-                idle_since_s = self.clock.monotonic()
+                idle_since_s = now_s
+            elif now_s - idle_since_s >= DRAIN_IDLE_S:
+                break
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
         await self.keys.hand_over()
--- a/gypsumpier/entry/callerserver.py
+++ b/gypsumpier/entry/callerserver.py
@@ -6,6 +6,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 
+from gypsumpier.wire.departure import is_awaiting_bytes
+
 if TYPE_CHECKING:
     from gypsumpier.entry.caller import CallerHandler
 
@@ -33,5 +35,6 @@
         self.open_connections.pop(server_conn, None)
 
     def is_idle(self) -> bool:
-        """Return whether no request is active."""
-        return not self.active
+        """Return whether no request is active, and none has arrived that is not parsed yet."""
+        streams = [connection.stream for connection in self.open_connections.values()]
+        return not self.active and all(map(is_awaiting_bytes, streams))
--- a/gypsumpier/test/test_own_stop_answers.py
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -1,6 +1,7 @@
 """Tests of what an entry of the own interface answers while it stops, on open connections."""
 
 import asyncio
+import os
 import time
 import unittest
 from typing import Any, Final
@@ -8,7 +9,7 @@
 from gypsumpier.codes.request import (
     KEY_NOT_SEEN,
 )
-from gypsumpier.entry.application import LISTEN_AFTER_STOP_S
+from gypsumpier.entry.application import DRAIN_IDLE_S, LISTEN_AFTER_STOP_S
 from gypsumpier.test.ownfleet import DRAIN_S, POLL_S, OwnFleet
 from gypsumpier.test.test_stop_answers import Received, SlowCaller
 from gypsumpier.wire.connection import Connection
@@ -133,6 +134,27 @@
         self.assertEqual(expected, code_of(await caller.receive()))
         await stop
 
+    # Guards against the close of a connection whose caller has sent a request at the same moment.
+    async def test_a_connection_with_unread_bytes_is_not_closed_as_idle(self) -> None:
+        requests = (
+            head_of(COMMAND, SHORT_LIMIT_S, len(BODY)) + BODY,
+            head_of(COMMAND, SHORT_LIMIT_S, 0, method="GET"),
+        )
+        for content in requests:
+            with self.subTest(content[:4]):
+                await self.start()
+                caller = await self.caller()
+                caller.writer.write(content)
+                self.assertEqual(200, (await caller.receive()).status)
+                stop = self.begin_stop()
+                file_number = caller.writer.get_extra_info("socket").fileno()
+                await self.until(LISTEN_AFTER_STOP_S + DRAIN_IDLE_S - STALL_S / 2)
+                # The event loop, which is the entry's as well, stands still as it would close.
+                os.write(file_number, content)
+                time.sleep(STALL_S)
+                self.assertEqual((200, 0, "close"), code_of(await caller.receive()))
+                await stop
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/wire/departure.py
+++ b/gypsumpier/wire/departure.py
@@ -27,6 +27,14 @@
     return not has_departed(stream) and has_events(stream, select.POLLIN)
 
 
+def is_awaiting_bytes(stream: IOStream) -> bool:
+    """Return whether everything that the caller has sent so far has been parsed.
+
+    Tornado has consumed the head of a request some turns of the event loop before it hands it over.
+    """
+    return stream.closed() or (stream.reading() and not has_unread_bytes(stream))
+
+
 def has_events(stream: IOStream, events: int) -> bool:
     """Return whether one of the poll events holds for the connection now."""
     poller = select.poll()
