Check that a stop sends the whole of a large answer that its caller reads slowly

The check before the close finds such a connection busy, as tornado awaits its next request only once the answer is sent.

--- a/gypsumpier/entry/callerserver.py
+++ b/gypsumpier/entry/callerserver.py
@@ -35,6 +35,9 @@
         self.open_connections.pop(server_conn, None)
 
     def is_idle(self) -> bool:
-        """Return whether no request is active, and none has arrived that is not parsed yet."""
+        """Return whether no request is active or not parsed yet, and no answer is being sent.
+
+        Tornado awaits the next request only once an answer is sent.
+        """
         streams = [connection.stream for connection in self.open_connections.values()]
         return not self.active and all(map(is_awaiting_bytes, streams))
--- a/gypsumpier/test/test_own_stop_answers.py
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import socket
 import time
 import unittest
 from typing import Any, Final
@@ -10,7 +11,7 @@
     KEY_NOT_SEEN,
 )
 from gypsumpier.entry.application import DRAIN_IDLE_S, LISTEN_AFTER_STOP_S
-from gypsumpier.test.ownfleet import DRAIN_S, POLL_S, OwnFleet
+from gypsumpier.test.ownfleet import DRAIN_S, PART_BYTES, POLL_S, OwnFleet
 from gypsumpier.test.test_stop_answers import Received, SlowCaller
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
@@ -134,6 +135,27 @@
         self.assertEqual(expected, code_of(await caller.receive()))
         await stop
 
+    # Guards against a large answer that is cut because its caller reads it slowly.
+    async def test_an_answer_that_a_caller_reads_slowly_is_whole(self) -> None:
+        await self.start()
+        self.fleet.upstream.answer_parts = LARGE_PARTS
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", self.fleet.port))
+        await loop.sock_sendall(sock, head_of(COMMAND, LONG_LIMIT_S, len(BODY)) + BODY)
+        await self.until_run(1)
+        stop = self.begin_stop()
+        await self.until(LATE_S)
+        received = 0
+        async with asyncio.timeout(ENDS_S):
+            while content := await loop.sock_recv(sock, PART_BYTES):
+                received += len(content)
+        self.assertGreater(received, LARGE_PARTS * PART_BYTES)
+        await stop
+
     # Guards against the close of a connection whose caller has sent a request at the same moment.
     async def test_a_connection_with_unread_bytes_is_not_closed_as_idle(self) -> None:
         requests = (
