Answer every request that a stop of an own entry has taken up, and refuse at once what it can't answer

What callers saw: whatever still ran, streamed or waited for a place as the drain of an entry ended was cut without an answer, and requests on open connections were passed on up to that moment, commands among them. Cause: nothing answered what was left before the connections were closed. Now the stop follows the schedule of the platform's interface: once callers are no longer sent here, only requests whose time limit ends before the drain are taken up, others get 2072 (2039 under a key) at once; 0.2 s before the drain ends the rest gets 2072 or 2039 if no upstream may have run it, else 2021 or 2025, or the error event of a stream, and a body that has not arrived gets 2072. Whether a request may have run is kept with it, as retries know it.

--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -27,6 +27,7 @@
 from gypsumpier.options import Options
 from gypsumpier.spread.spread import Spread
 from gypsumpier.spread.streams import SpreadStreams
+from gypsumpier.stopschedule import LAST_ANSWERS_S, StopSchedule
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 DRAIN_POLL_S: Final = 0.05
@@ -77,7 +78,7 @@
             options, self.clock, self.documents, self.members, self.links, self.random
         )
         self.relay = Relay(options, self.clock, self.links, self.keys, self.random)
-        self.stopping = False
+        self.stop_schedule: StopSchedule | None = None
         self.server = CallerServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
 
     @property
@@ -116,16 +117,22 @@
     async def stop(self) -> None:
         """Stop accepting connections, let requests in flight finish, then close everything.
 
-        Requests that still arrive on open connections are served; the answer closes the
-        connection.
+        Requests that still arrive on open connections are served if their time limit ends before
+        the drain does, and refused otherwise.  What is left at the end of the drain gets an answer
+        of the entry's own.  Each answer closes its connection.
         """
-        self.stopping = True
+        listens_until_s = self.clock.monotonic() + LISTEN_AFTER_STOP_S
+        closes_at_s = listens_until_s + self.options.drain_timeout_s
+        schedule = StopSchedule(listens_until_s, closes_at_s - LAST_ANSWERS_S)
+        self.stop_schedule = schedule
+        self.server.begin_stop(schedule)
         decision("drain", in_flight=self.in_flight, reason="stop requested")
         await self.clock.sleep(LISTEN_AFTER_STOP_S)
         self.server.stop()
-        deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
         idle_since_s = self.clock.monotonic()
-        while (now_s := self.clock.monotonic()) < deadline_s:
+        while (now_s := self.clock.monotonic()) < closes_at_s:
+            if now_s >= schedule.answers_by_s:
+                self.server.refuse_incomplete()
             # Nothing may be read between this check and the close.
             if not self.server.is_idle():
                 idle_since_s = now_s
@@ -160,5 +167,5 @@
             ],
             "in_flight": self.in_flight,
             "requests": self.relay.inspect(),
-            "stopping": self.stopping,
+            "stopping": self.stop_schedule is not None,
         }
--- a/gypsumpier/entry/caller.py
+++ b/gypsumpier/entry/caller.py
@@ -22,8 +22,11 @@
     BODY_TOO_LARGE,
     DEADLINE_EXCEEDED,
     ENTRY_FAILED,
+    ENTRY_STOPPING,
     HOME_UNREACHABLE,
     METHOD_REFUSED,
+    OUTCOME_UNKNOWN,
+    OUTCOME_UNKNOWN_WITHOUT_KEY,
     UNKNOWN_PATH,
 )
 from gypsumpier.document.service import ServiceDocument
@@ -38,9 +41,11 @@
 )
 from gypsumpier.entry.refusal import refusal_of_copy
 from gypsumpier.entry.request import CallerRequest
+from gypsumpier.entry.timelimit import TimeLimit
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.idempotency.key import KeyId
 from gypsumpier.log import decision
+from gypsumpier.stopschedule import STOPPING_RETRY_S, StopSchedule
 from gypsumpier.wire.frame import Frame
 
 if TYPE_CHECKING:
@@ -63,6 +68,7 @@
         self.request_id = ""
         self.serving: asyncio.Task[Any] | None = None
         self.is_served = False
+        self.limit: TimeLimit | None = None
         self.has_caller_left = False
 
     def prepare(self) -> None:
@@ -72,7 +78,7 @@
 
     def flush(self, include_footers: bool = False) -> Future[None]:
         """Send what was written; an answer that begins in a stop announces the close."""
-        if self.entry.stopping and not self._headers_written:
+        if self.entry.stop_schedule is not None and not self._headers_written:
             self.set_header("Connection", "close")
         return super().flush(include_footers)
 
@@ -99,9 +105,15 @@
 
     async def fail(self, error: GypsumpierError) -> None:
         """Send a coded error, or abort a stream that has begun."""
+        if self._finished:
+            return
         if self._headers_written:
             await self.cut(error)
             return
+        self.send_coded(error)
+
+    def send_coded(self, error: GypsumpierError) -> None:
+        """Write a coded error in place of an answer."""
         self.clear()
         if self.request_id:
             self.set_header("Gypsumpier-Request", self.request_id)
@@ -144,15 +156,19 @@
         self.request_id = request.request_id
         self.serving = None if request.key else asyncio.current_task()
         self.set_header("Gypsumpier-Request", request.request_id)
+        if self._finished:
+            # It was refused at the moment at which the end of its body arrived.
+            return
         self.is_served = True
         try:
-            now_s = self.entry.clock.monotonic()
-            async with asyncio.timeout(request.remaining_at(now_s)):
+            left_s = request.remaining_at(self.entry.clock.monotonic())
+            self.check_stop(left_s)
+            async with self.time_limit(left_s):
                 await self.answer(request, document)
         except GypsumpierError as error:
             await self.fail(error)
         except TimeoutError:
-            await self.fail(GypsumpierError(DEADLINE_EXCEEDED, "the caller's deadline has passed"))
+            await self.fail(self.timeout_error(request))
         except StreamClosedError:
             return
         except asyncio.CancelledError:
@@ -162,10 +178,53 @@
             decision("caller_gone", request=request.request_id, service=request.service)
         finally:
             self.serving = None
+            self.limit = None
             self.is_served = False
             if self.has_caller_left:
                 self.entry.server.active.discard(self)
 
+    def check_stop(self, left_s: float) -> None:
+        """Raise GypsumpierError if the request might outlast the stop of the entry."""
+        schedule = self.entry.stop_schedule
+        if schedule and not schedule.admits(self.entry.clock.monotonic() + left_s):
+            raise self.stop_refusal("the entry stops")
+
+    def stop_refusal(self, detail: str) -> GypsumpierError:
+        """Return the refusal of a request that a stopping entry has sent to no upstream."""
+        error = GypsumpierError(ENTRY_STOPPING, detail, STOPPING_RETRY_S)
+        return refusal_of_copy(error, KEY_HEADER in self.request.headers)
+
+    @contextlib.asynccontextmanager
+    async def time_limit(self, seconds: float) -> AsyncIterator[None]:
+        """Raise TimeoutError after so many seconds, or in time for the end of the entry."""
+        async with TimeLimit(self.entry.clock, seconds) as self.limit:
+            if self.entry.stop_schedule is not None:
+                self.limit_to_stop(self.entry.stop_schedule)
+            yield
+
+    def limit_to_stop(self, schedule: StopSchedule) -> None:
+        """Let the request end in time for the end of the entry."""
+        if self.limit is not None:
+            self.limit.bring_forward(schedule.answers_by_s)
+
+    def timeout_error(self, request: CallerRequest) -> GypsumpierError:
+        """Return the error for a request that has no complete answer in time."""
+        if self.limit is None or not self.limit.is_cut_short:
+            return GypsumpierError(DEADLINE_EXCEEDED, "the caller's deadline has passed")
+        if not request.progress.may_have_run:
+            return self.stop_refusal("not sent before the entry's end")
+        is_safe = request.idempotent or request.key
+        code = OUTCOME_UNKNOWN if is_safe else OUTCOME_UNKNOWN_WITHOUT_KEY
+        return GypsumpierError(code, "no complete answer before the entry's end")
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request if its body has not arrived."""
+        if self.is_served or self._finished:
+            return
+        error = self.stop_refusal("the body did not arrive before the entry's end")
+        self.send_coded(error)
+        self.finish()
+
     async def write_plain(self, frames: AsyncIterator[Frame]) -> None:
         """Write the answer of a plain service once it is complete."""
         parts: list[bytes] = []
@@ -283,8 +342,11 @@
         headers = self.request.headers
         workspace = headers.get(WORKSPACE_HEADER, DEFAULT_WORKSPACE)
         key_id = KeyId(workspace, headers.get(KEY_HEADER, ""))
+        if self._finished:
+            return
+        self.is_served = True
         try:
-            async with asyncio.timeout(OUTCOME_TIMEOUT_S):
+            async with self.time_limit(OUTCOME_TIMEOUT_S):
                 await self.write_plain(ask_outcome(self.entry.keys, service, key_id))
         except GypsumpierError as error:
             await self.fail(refusal_of_copy(error, True))
@@ -292,6 +354,11 @@
             await self.fail(
                 GypsumpierError(HOME_UNREACHABLE, "the key's home did not answer in time")
             )
+        finally:
+            self.limit = None
+            self.is_served = False
+            if self.has_caller_left:
+                self.entry.server.active.discard(self)
 
 
 class UnknownPathHandler(CallerHandler):
--- a/gypsumpier/entry/callerserver.py
+++ b/gypsumpier/entry/callerserver.py
@@ -6,6 +6,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 
+from gypsumpier.stopschedule import StopSchedule
 from gypsumpier.wire.departure import is_awaiting_bytes
 
 if TYPE_CHECKING:
@@ -34,6 +35,16 @@
         super().on_close(server_conn)
         self.open_connections.pop(server_conn, None)
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Answer every active request in time for the end of the process."""
+        for handler in self.active:
+            handler.limit_to_stop(schedule)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests whose bodies have not arrived."""
+        for handler in list(self.active):
+            handler.refuse_incomplete()
+
     def is_idle(self) -> bool:
         """Return whether no request is active or not parsed yet, and no answer is being sent.
 
--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -32,6 +32,7 @@
             self.tried.add(link.member.name)
             certain = error.code.outcome is Outcome.NOT_RUN or error.code in NOT_RUN_BY_HOME
             self.may_have_run = self.may_have_run or not certain
+        self.request.progress.may_have_run = self.may_have_run
 
     def caller_error(self) -> GypsumpierError:
         """Return the error for the caller, never *not run* after an attempt that may have run."""
--- a/gypsumpier/entry/intake.py
+++ b/gypsumpier/entry/intake.py
@@ -15,6 +15,7 @@
 from gypsumpier.codes.request import BAD_REQUEST, BODY_TOO_LARGE, ENTRY_STARTING, UNKNOWN_SERVICE
 from gypsumpier.document.service import Route, ServiceDocument
 from gypsumpier.document.table import DocumentTable
+from gypsumpier.entry.progress import RequestProgress
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.prefix import PREFIX_BLOCK_CHARS, prefix_ids
@@ -94,6 +95,7 @@
         prefix="",
         parts=(),
         fingerprint=fingerprint(method, path, http.body),
+        progress=RequestProgress(),
     )
 
 
--- a/gypsumpier/entry/refusal.py
+++ b/gypsumpier/entry/refusal.py
@@ -6,10 +6,16 @@
 
 from typing import Final
 
-from gypsumpier.codes.request import COPY_REFUSED, ENTRY_STARTING, OVERLOADED, UNKNOWN_SERVICE
+from gypsumpier.codes.request import (
+    COPY_REFUSED,
+    ENTRY_STARTING,
+    ENTRY_STOPPING,
+    OVERLOADED,
+    UNKNOWN_SERVICE,
+)
 from gypsumpier.errors import GypsumpierError
 
-ENTRY_REFUSALS: Final = frozenset({ENTRY_STARTING, OVERLOADED, UNKNOWN_SERVICE})
+ENTRY_REFUSALS: Final = frozenset({ENTRY_STARTING, ENTRY_STOPPING, OVERLOADED, UNKNOWN_SERVICE})
 
 
 def refusal_of_copy(error: GypsumpierError, has_key: bool) -> GypsumpierError:
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -93,6 +93,7 @@
             payload = self.payload(request, document, version)
             if link.takes_parts:
                 payload["parts"] = list(request.parts)
+            request.progress.may_have_run = True
             async for frame in self.sender.deliver(request, link, attempt, payload):
                 answered = frame.kind == END
                 yield frame
--- a/gypsumpier/entry/request.py
+++ b/gypsumpier/entry/request.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from gypsumpier.entry.progress import RequestProgress
 from gypsumpier.quarantine.trait import traits_of
 
 
@@ -30,6 +31,7 @@
     prefix: str
     parts: tuple[str, ...]
     fingerprint: str
+    progress: RequestProgress
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -34,7 +34,7 @@
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.demand import DemandShares
 from gypsumpier.statement.share import StatementShare
-from gypsumpier.stopschedule import StopSchedule
+from gypsumpier.stopschedule import LAST_ANSWERS_S, StopSchedule
 from gypsumpier.tasks import end_task
 from gypsumpier.upstream.pool import UpstreamPool
 from gypsumpier.upstream.selector import UpstreamSelector
@@ -53,8 +53,6 @@
 no more callers."""
 STOP_MARGIN_S: Final = 0.7
 """Seconds before the platform kills the process by which it must have closed its connections."""
-LAST_ANSWERS_S: Final = 0.2
-"""Seconds before that in which the last requests get their answers."""
 DRAIN_POLL_S: Final = 0.05
 HOUSEKEEPING_S: Final = 0.5
 """Seconds between two rounds of housekeeping."""
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -31,15 +31,13 @@
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.platform.headers import caller_head
-from gypsumpier.stopschedule import StopSchedule
+from gypsumpier.stopschedule import STOPPING_RETRY_S, StopSchedule
 from gypsumpier.upstream.head import CallerHead
 from gypsumpier.wire.departure import has_departed, has_unread_bytes
 
 DEPARTURE_CHECK_S: Final = 0.1
 """Seconds between two checks whether callers have left; small against the half second after which a
 run counts as one that goes on for nobody."""
-STOPPING_RETRY_S: Final = 0.05
-"""Retry-After, in seconds, of a stopping entry; the caller's next connection reaches another."""
 
 REQUESTS: Final = Counter(
     "gypsumpier_requests", "Requests by service and outcome.", ["service", "outcome"],
--- a/gypsumpier/stopschedule.py
+++ b/gypsumpier/stopschedule.py
@@ -1,7 +1,12 @@
 """The times of a graceful stop."""
 
 import time
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+LAST_ANSWERS_S: Final = 0.2
+"""Seconds before an entry closes its connections in which the last requests get their answers."""
+STOPPING_RETRY_S: Final = 0.05
+"""Retry-After, in seconds, of a stopping entry; the caller's next connection reaches another."""
 
 
 class StopSchedule(NamedTuple):
--- a/gypsumpier/test/builders_request.py
+++ b/gypsumpier/test/builders_request.py
@@ -17,6 +17,7 @@
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
+from gypsumpier.entry.progress import RequestProgress
 from gypsumpier.entry.relay import Relay
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
@@ -206,6 +207,7 @@
         prefix="",
         parts=(),
         fingerprint=body.decode(),
+        progress=RequestProgress(),
     )
 
 
--- a/gypsumpier/test/test_own_stop_answers.py
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -1,6 +1,7 @@
 """Tests of what an entry of the own interface answers while it stops, on open connections."""
 
 import asyncio
+import json
 import os
 import socket
 import time
@@ -8,9 +9,14 @@
 from typing import Any, Final
 
 from gypsumpier.codes.request import (
+    COPY_REFUSED,
+    ENTRY_STOPPING,
     KEY_NOT_SEEN,
+    OUTCOME_UNKNOWN,
+    OUTCOME_UNKNOWN_WITHOUT_KEY,
 )
 from gypsumpier.entry.application import DRAIN_IDLE_S, LISTEN_AFTER_STOP_S
+from gypsumpier.test.builders import MODEL, SERVICE
 from gypsumpier.test.ownfleet import DRAIN_S, PART_BYTES, POLL_S, OwnFleet
 from gypsumpier.test.test_stop_answers import Received, SlowCaller
 from gypsumpier.wire.connection import Connection
@@ -177,6 +183,88 @@
                 self.assertEqual((200, 0, "close"), code_of(await caller.receive()))
                 await stop
 
+    # Guards against requests that run when the drain ends and whose callers get no answer at all.
+    async def test_a_request_that_outlasts_the_drain_is_told_that_it_may_have_run(self) -> None:
+        await self.start()
+        self.fleet.upstream.release.clear()
+        callers = [await self.caller() for _ in range(2)]
+        await self.send(callers[0])
+        await self.send(callers[1], "Idempotency-Key: k-1\r\n")
+        await self.until_run(2)
+        stop = self.begin_stop()
+        answers = await asyncio.gather(*(caller.receive() for caller in callers))
+        took_s = time.monotonic() - self.stop_began_s
+        codes = (OUTCOME_UNKNOWN_WITHOUT_KEY.number, OUTCOME_UNKNOWN.number)
+        self.assertEqual([(502, code, "close") for code in codes], [*map(code_of, answers)])
+        self.assertGreater(took_s, ENDS_S - MARGIN_S)
+        self.assertLess(took_s, ENDS_S + MARGIN_S)
+        await stop
+
+    # Guards against a stream that the end of the drain cuts without its error event.
+    async def test_a_stream_that_outlasts_the_drain_ends_with_an_error_event(self) -> None:
+        await self.start(service=SERVICE)
+        self.fleet.upstream.release.clear()
+        caller = await self.caller()
+        body = json.dumps({"model": MODEL, "messages": [], "stream": True}).encode()
+        caller.writer.write(head_of("/v1/chat/completions", LONG_LIMIT_S, len(body)) + body)
+        await self.until_run(1)
+        await asyncio.sleep(0.1)
+        stop = self.begin_stop()
+        content = await caller.reader.read()
+        self.assertIn(b"event: error", content)
+        self.assertIn(f'"code": {OUTCOME_UNKNOWN.number}'.encode(), content)
+        self.assertFalse(content.endswith(b"0\r\n\r\n"))
+        await stop
+
+    # Guards against a request that waits for a place until the process ends, without an answer.
+    async def test_a_queued_request_that_outlasts_the_drain_is_told_that_it_has_not_run(
+        self,
+    ) -> None:
+        await self.start(in_flight_max=1)
+        self.fleet.upstream.release.clear()
+        callers = [await self.caller() for _ in range(3)]
+        await self.send(callers[0])
+        await self.until_run(1)
+        await self.send(callers[1])
+        await self.send(callers[2], "Idempotency-Key: k-1\r\n")
+        stop = self.begin_stop()
+        answers = await asyncio.gather(*(caller.receive() for caller in callers[1:]))
+        codes = (ENTRY_STOPPING.number, COPY_REFUSED.number)
+        self.assertEqual([(503, code, "close") for code in codes], [*map(code_of, answers)])
+        self.assertEqual(1, self.fleet.run_count())
+        await stop
+
+    # Guards against a request that is passed on late in a drain and then cut without an answer.
+    async def test_a_request_that_may_outlast_the_drain_is_refused_at_once(self) -> None:
+        await self.start()
+        callers = [await self.caller() for _ in range(2)]
+        for caller, headers in zip(callers, ("", "Idempotency-Key: k-1\r\n"), strict=True):
+            head = head_of(COMMAND, LONG_LIMIT_S, len(BODY), headers)
+            caller.writer.write(head + BODY[:1000])
+        await asyncio.sleep(0.1)
+        self.fleet.upstream.release.clear()
+        stop = self.begin_stop()
+        await self.until(LATE_S)
+        for caller in callers:
+            caller.writer.write(BODY[1000:])
+        answers = await asyncio.gather(*(caller.receive() for caller in callers))
+        codes = (ENTRY_STOPPING.number, COPY_REFUSED.number)
+        self.assertEqual([(503, code, "close") for code in codes], [*map(code_of, answers)])
+        self.assertLess(time.monotonic() - self.stop_began_s, LATE_S + MARGIN_S)
+        self.assertEqual(0, self.fleet.run_count())
+        await stop
+
+    # Guards against a caller that is still sending its body at the end and gets no answer.
+    async def test_a_body_that_never_ends_is_refused_at_the_end_of_the_drain(self) -> None:
+        await self.start()
+        caller = await self.caller()
+        caller.writer.write(head_of(COMMAND, LONG_LIMIT_S, len(BODY)) + BODY[:1000])
+        await asyncio.sleep(0.1)
+        stop = self.begin_stop()
+        expected = (503, ENTRY_STOPPING.number, "close")
+        self.assertEqual(expected, code_of(await caller.receive()))
+        await stop
+
 
 if __name__ == "__main__":
     unittest.main()
