--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -3,7 +3,6 @@
 from random import Random
 from typing import Final
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -16,6 +15,7 @@
     ServiceHandler,
     UnknownPathHandler,
 )
+from gypsumpier.entry.callerserver import CallerServer
 from gypsumpier.entry.keys import EntryKeys
 from gypsumpier.entry.links import Links
 from gypsumpier.entry.relay import Relay
@@ -27,6 +27,7 @@
 from gypsumpier.options import Options
 from gypsumpier.spread.spread import Spread
 from gypsumpier.spread.streams import SpreadStreams
+from gypsumpier.stopschedule import LAST_ANSWERS_S, StopSchedule
 from gypsumpier.wire.tcp import TcpDialer, TcpListener
 
 DRAIN_POLL_S: Final = 0.05
@@ -77,9 +78,13 @@
             options, self.clock, self.documents, self.members, self.links, self.random
         )
         self.relay = Relay(options, self.clock, self.links, self.keys, self.random)
-        self.in_flight = 0
-        self.stopping = False
-        self.server = HTTPServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
+        self.stop_schedule: StopSchedule | None = None
+        self.server = CallerServer(self.routes(), max_buffer_size=2 * options.body_limit_bytes)
+
+    @property
+    def in_flight(self) -> int:
+        """The number of active requests."""
+        return len(self.server.active)
 
     def routes(self) -> Application:
         """Return the caller-facing HTTP application."""
@@ -112,18 +117,27 @@
     async def stop(self) -> None:
         """Stop accepting connections, let requests in flight finish, then close everything.
 
-        Requests that still arrive on open connections are served; the answer closes the
-        connection.
+        Requests that still arrive on open connections are served if their time limit ends before
+        the drain does, and refused otherwise.  What is left at the end of the drain gets an answer
+        of the entry's own.  Each answer closes its connection.
         """
-        self.stopping = True
+        listens_until_s = self.clock.monotonic() + LISTEN_AFTER_STOP_S
+        closes_at_s = listens_until_s + self.options.drain_timeout_s
+        schedule = StopSchedule(listens_until_s, closes_at_s - LAST_ANSWERS_S)
+        self.stop_schedule = schedule
+        self.server.begin_stop(schedule)
         decision("drain", in_flight=self.in_flight, reason="stop requested")
         await self.clock.sleep(LISTEN_AFTER_STOP_S)
         self.server.stop()
-        deadline_s = self.clock.monotonic() + self.options.drain_timeout_s
         idle_since_s = self.clock.monotonic()
-        while self.clock.monotonic() < min(deadline_s, idle_since_s + DRAIN_IDLE_S):
-            if self.in_flight:
-                idle_since_s = self.clock.monotonic()
+        while (now_s := self.clock.monotonic()) < closes_at_s:
+            if now_s >= schedule.answers_by_s:
+                self.server.refuse_incomplete()
+            # Nothing may be read between this check and the close.
+            if not self.server.is_idle():
+                idle_since_s = now_s
+            elif now_s - idle_since_s >= DRAIN_IDLE_S:
+                break
             await self.clock.sleep(DRAIN_POLL_S)
         await self.server.close_all_connections()
         await self.keys.hand_over()
@@ -153,5 +167,5 @@
             ],
             "in_flight": self.in_flight,
             "requests": self.relay.inspect(),
-            "stopping": self.stopping,
+            "stopping": self.stop_schedule is not None,
         }
