Close a connection as idle only where the next request is awaited

What callers saw: a request without a body, whose head had just been read, ended without an answer, as its connection was closed as idle. Cause: between the reading of a head and its handling nothing is left in the buffer for some turns of the event loop; nor is a connection idle to which the end of an answer is still being sent. Tornado reads on only once it has sent an answer, so whether it reads tells both.

--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -33,7 +33,7 @@
 from gypsumpier.platform.headers import caller_head
 from gypsumpier.stopschedule import STOPPING_RETRY_S, StopSchedule
 from gypsumpier.upstream.head import CallerHead
-from gypsumpier.wire.departure import has_departed, has_unread_bytes
+from gypsumpier.wire.departure import has_departed, is_awaiting_bytes
 
 DEPARTURE_CHECK_S: Final = 0.1
 """Seconds between two checks whether callers have left; small against the half second after which a
@@ -101,11 +101,14 @@
             exchange.answer_by(schedule.answers_by_s)
 
     def close_idle(self) -> None:
-        """Close the connections without an active request, or a part of one that has arrived."""
+        """Close the connections on which nothing has arrived since an answer was sent as a whole.
+
+        Tornado awaits the next request only once it has sent the answer.
+        """
         busy = {id(exchange.connection.stream) for exchange in self.active}
         for connection in list(self.connections.values()):
             stream = connection.stream
-            if id(stream) not in busy and not has_unread_bytes(stream):
+            if id(stream) not in busy and is_awaiting_bytes(stream):
                 stream.close()
 
     def log_cut(self) -> None:
--- a/gypsumpier/test/test_stop_answers.py
+++ b/gypsumpier/test/test_stop_answers.py
@@ -23,6 +23,8 @@
 MARGIN_S: Final = 0.4
 """Seconds by which a busy machine may be late."""
 BODY: Final = b"x" * 2000
+TURNS: Final = 50
+"""Turns of the event loop in which a request that has arrived is handed over."""
 LONG_LIMIT_S: Final = 8.0
 SHORT_LIMIT_S: Final = 0.6
 ROUTES: Final = [
@@ -202,6 +204,24 @@
         self.fleet.entry.front.close_idle()
         self.assertEqual(200, (await caller.receive()).status)
 
+    # Guards against the same close in the turns of the event loop between the reading of a head and
+    # its handling.
+    async def test_a_connection_is_not_closed_as_idle_while_its_request_is_parsed(self) -> None:
+        caller = await self.caller()
+        caller.send_head("first-1", "/commands/x", LONG_LIMIT_S)
+        caller.send_rest()
+        self.assertEqual(200, (await caller.receive()).status)
+        await asyncio.sleep(0.1)
+        file_number = caller.writer.get_extra_info("socket").fileno()
+        # Without a body, nothing is left in the buffer once the head is read.
+        head = request_head("second-1", "/commands/x", LONG_LIMIT_S)
+        head = head.replace(b"POST", b"GET").replace(str(len(BODY)).encode(), b"0")
+        os.write(file_number, head)
+        for _ in range(TURNS):
+            self.fleet.entry.front.close_idle()
+            await asyncio.sleep(0)
+        self.assertEqual(200, (await caller.receive()).status)
+
     async def test_a_connection_with_a_part_of_a_head_is_closed_by_the_end_of_the_stop(
         self,
     ) -> None:
