Count the requests that fail in one silence of an upstream once

What callers saw: after one silence of a second or so, an upstream that had gone on got no request for several seconds, and its load went to the others. Cause: each request that was given up in the silence counted in its failure rate (8 requests: 0.9, and 0.25 already ranks it behind the others, for 7.4 s), and requests that had been in flight from before it doubled the backoff as they failed later. Now a silence lasts from the first request that fails until an answer begins to arrive: it counts once in the rate, and only requests that were sent after its first failure double the backoff. Requests that end at their time limit at a silent upstream count alike.

The price: one that stays silent after 8 requests failed gets 4 requests, one at a time, in the 12 s after them instead of 2, as its backoff alone spaces them.

--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -39,6 +39,8 @@
         log_failure(request, record, error.reason, "not_run")
         if error.is_recalled:
             return
+        if error.is_refusal and not error.is_replaced:
+            self.selector.record_heard(record)
         if error.is_replaced:
             health.record_replaced(run)
         elif not error.is_refusal:
@@ -62,12 +64,13 @@
         # An engine that switches to new weights cuts its running requests but is healthy, and a
         # withdrawn request says nothing about its engine.
         if not self.selector.is_switching(record) and not error.is_withdrawn:
-            self.selector.health.record_outcome(record.run_key(), failed=True)
             if error.is_silent:
-                self.selector.record_unreachable(record)
-            elif not error.is_answered:
-                self.selector.health.record_failure(record.run_key())
-                probe = self.suspect_crash(request, record)
+                self.selector.record_silence(record, request.sent_at_s)
+            else:
+                self.selector.health.record_outcome(record.run_key(), failed=True)
+                if not error.is_answered:
+                    self.selector.health.record_failure(record.run_key())
+                    probe = self.suspect_crash(request, record)
         log_failure(request, record, error.reason, "unknown")
         return probe
 
@@ -75,8 +78,7 @@
         """Record a failure of an upstream that was silent when the time limit was reached."""
         silent_s = time.monotonic() - request.last_event_at_s
         if request.left_s() <= TIME_LIMIT_MARGIN_S and silent_s >= STREAM_STALLED_S:
-            self.selector.health.record_outcome(record.run_key(), failed=True)
-            self.selector.health.record_failure(record.run_key())
+            self.selector.health.record_silence(record.run_key(), request.sent_at_s)
 
     def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> asyncio.Task[None]:
         """Record a crash if a new connection to the upstream fails after it ran the request."""
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -52,11 +52,16 @@
 
 
 class HealthTracker:
-    """Health and failure rates by the run key of an upstream."""
+    """Health and failure rates by the run key of an upstream.
+
+    ``silent_since_s`` holds the monotonic time at which the first request failed in the silence
+    that an upstream is in, until it is heard again.
+    """
 
     def __init__(self) -> None:
         self.health_by_run: dict[tuple[str, int], Health] = {}
         self.failure_rates: dict[tuple[str, int], FailureRate] = {}
+        self.silent_since_s: dict[tuple[str, int], float] = {}
 
     def record_outcome(self, run: tuple[str, int], failed: bool) -> None:
         """Add an outcome to the failure rate; a single success does not clear the rate."""
@@ -67,16 +72,34 @@
         rate = self.failure_rates.get(run)
         return rate is not None and rate.now() > FAILING_RATE
 
-    def record_failure(self, run: tuple[str, int]) -> None:
-        """Start a backoff, which doubles with each failure in a row."""
+    def record_failure(self, run: tuple[str, int], is_known: bool = False) -> None:
+        """Start a backoff, which doubles with each failure in a row but not with a known one."""
         health = self.health_by_run.setdefault(run, Health())
         if health.failures and time.monotonic() < health.retry_at_s:
             # Requests that fail together count as one failure.
             return
-        backoff_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2.0**health.failures)
-        health.failures += 1
+        backoff_s = BACKOFF_MIN_S
+        if not is_known:
+            backoff_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2.0**health.failures)
+            health.failures += 1
         health.retry_at_s = time.monotonic() + backoff_s
 
+    def record_silence(self, run: tuple[str, int], sent_at_s: float) -> None:
+        """Record that a request, sent at that monotonic time, was given up for lack of an answer.
+
+        Requests that fail in one silence are one incident: they count once in the failure rate, and
+        only those that were sent after the first failure double the backoff.
+        """
+        is_known = run in self.silent_since_s and sent_at_s <= self.silent_since_s[run]
+        if run not in self.silent_since_s:
+            self.silent_since_s[run] = time.monotonic()
+            self.record_outcome(run, failed=True)
+        self.record_failure(run, is_known)
+
+    def record_heard(self, run: tuple[str, int]) -> None:
+        """Record that an answer has begun to arrive, which ends a silence."""
+        self.silent_since_s.pop(run, None)
+
     def record_replaced(self, run: tuple[str, int]) -> None:
         """Stop using the upstream until its record changes: another one answers at its address."""
         self.health_by_run.setdefault(run, Health()).retry_at_s = float("inf")
@@ -89,6 +112,7 @@
 
     def record_success(self, run: tuple[str, int]) -> None:
         """Clear the failures and the backoff; the failure rate stays."""
+        self.record_heard(run)
         self.health_by_run.pop(run, None)
 
     def is_usable(self, run: tuple[str, int]) -> bool:
@@ -118,3 +142,6 @@
         self.failure_rates = {
             run: share for run, share in self.failure_rates.items() if run in runs
         }
+        self.silent_since_s = {
+            run: since_s for run, since_s in self.silent_since_s.items() if run in runs
+        }
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -385,7 +385,7 @@
         return record.zone == self.zone or self.zone_health.is_usable((record.zone, 0))
 
     def record_unreachable(self, record: UpstreamRecord) -> None:
-        """Record that an upstream can't be connected to or has gone silent.
+        """Record that an upstream can't be connected to.
 
         For another zone, the whole zone goes into backoff: it may be cut off, and each of its
         upstreams would otherwise delay requests again before failing.
@@ -394,6 +394,20 @@
         if record.zone != self.zone:
             self.zone_health.record_failure((record.zone, 0))
 
+    def record_silence(self, record: UpstreamRecord, sent_at_s: float) -> None:
+        """Record that a request, sent at that monotonic time, was given up as nothing arrived.
+
+        For another zone, the whole zone goes into backoff, as if it could not be connected to.
+        """
+        self.health.record_silence(record.run_key(), sent_at_s)
+        if record.zone != self.zone:
+            self.zone_health.record_silence((record.zone, 0), sent_at_s)
+
+    def record_heard(self, record: UpstreamRecord) -> None:
+        """Record that an answer has begun to arrive: the upstream and its zone are not silent."""
+        self.health.record_heard(record.run_key())
+        self.zone_health.record_heard((record.zone, 0))
+
     def record_success(self, record: UpstreamRecord) -> None:
         """Record a complete answer: the upstream and its zone are reachable."""
         self.health.record_success(record.run_key())
@@ -422,8 +436,9 @@
         self.statements.take(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
-        """Stop counting the prompt tokens of a request as unread."""
+        """Stop counting the prompt tokens of a request as unread, as its answer has begun."""
         self.add(record, 0, -prompt_tokens)
+        self.record_heard(record)
 
     def end(self, record: UpstreamRecord, unread_tokens: int) -> None:
         """Stop counting a request that has ended at the upstream."""
