--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -140,6 +140,11 @@
         self.selector.record_prompt_read(record, request.unread_tokens)
         request.unread_tokens = 0
 
+    def forget_prompt(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Stop counting the request's prompt as unread, as it will wait for another upstream."""
+        self.selector.add(record, 0, -request.unread_tokens)
+        request.unread_tokens = 0
+
     def leave(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Stop counting the request as in flight, and dispatch the queue of the service."""
         self.selector.end(record, request.unread_tokens)
--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -83,7 +83,7 @@
 
     def begin_move(self) -> None:
         """Stop counting the prompt as unread at the silent upstream, and rule that one out."""
-        self.admission.record_prompt_read(self.request, self.silent)
+        self.admission.forget_prompt(self.request, self.silent)
         self.request.tried.add(self.silent.run_key())
         self.request.is_moving = True
 
