Say at the time limit that a request has not run where every upstream refused it

What callers saw: a command that its only upstream had refused with 421 was answered 504 as its time limit passed while it waited for the next try, so that its caller could not send it again. Cause: whether it was sent was kept from the first try on. Now it holds for the current one, from just before the send until the upstream states that it has not run; attempts that may have run count as before. The test failed before (504 instead of 503); two checks that 504 stays for what may have run passed before and after.

--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -231,12 +231,11 @@
 
     def timeout_refusal(self, request: GatewayRequest) -> Refusal:
         """Return the refusal of a request that has no complete answer in time."""
-        is_sent = bool(request.sent_first_at_s)
         if self.is_cut_short:
-            if is_sent:
+            if request.may_have_run():
                 return Refusal(ANSWER_LOST, 502, "no complete answer before the entry's end")
             return Refusal(ENTRY_STOPPING, 503, "not sent before the entry's end", STOPPING_RETRY_S)
-        if is_sent:
+        if request.may_have_run():
             return Refusal(TIME_LIMIT_REACHED, 504, "no complete answer within the time limit")
         detail = "no upstream accepted the request within the time limit"
         return Refusal(TIME_LIMIT_BEFORE_START, 503, detail)
@@ -262,7 +261,7 @@
             request=self.head.request_id if self.head else "",
             age_s=round(time.monotonic() - self.received_at_s, 3),
             is_complete=self.task is not None,
-            is_sent=bool(request and request.sent_first_at_s),
+            is_sent=bool(request and request.may_have_run()),
             attempts=request.attempts if request else 0,
         )
 
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -118,6 +118,7 @@
             await self.attempt(request, record, writer, other)
             return True
         except NotRunError as error:
+            request.is_sent = False
             if not error.is_refusal:
                 self.selector.statements.give_back(record)
             self.failures.record_not_run(request, record, error)
@@ -194,6 +195,7 @@
             UPSTREAM_CONNECT_TIME.observe(request.connect_s())
             self.check_sendable(request, record, writer)
             self.crashes.begin(request)
+            request.is_sent = True
             return self.call(request, record)
 
         # An answer to the request sent before, with the same id, may arrive once more.
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -16,7 +16,8 @@
 
     ``ends_at_s`` is its time limit.  ``fingerprint`` is alike in copies of one request.
     ``attempts`` counts the upstreams that may have run it; ``tried`` holds the run keys of the
-    upstreams that are not tried again.  ``sent_to`` holds the addresses that it was sent to.
+    upstreams that are not tried again.  ``is_sent`` is set while the current upstream may have it
+    and has not stated that it has not run.  ``sent_to`` holds the addresses that it was sent to.
     ``last_event_id`` is the id of the last relayed event.
     ``longest_gap_s`` is the longest gap between its events so far, in seconds.
     ``is_trial`` is set once it is sent although others like it are refused, ``is_moving`` while it
@@ -38,7 +39,7 @@
     tried: set[tuple[str, int]] = field(default_factory=set)
     sent_to: set[Address] = field(default_factory=set)
     last_event_id: str = ""
-    sent_first_at_s: float = 0.0
+    is_sent: bool = False
     sent_at_s: float = 0.0
     connected_at_s: float = 0.0
     answered_at_s: float = 0.0
@@ -70,6 +71,10 @@
         """Return whether the route allows ``tries`` attempts beyond those that may have run."""
         return self.route.is_repeatable and self.attempts + tries <= self.route.max_attempts
 
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have run it, or may still."""
+        return self.attempts > 0 or self.is_sent
+
     def left_s(self) -> float:
         """Return the seconds until the time limit of the caller or of the route."""
         return self.ends_at_s - time.monotonic()
@@ -81,7 +86,6 @@
     def begin_attempt(self) -> None:
         """Record that the request is to be sent to an upstream now."""
         self.sent_at_s = time.monotonic()
-        self.sent_first_at_s = self.sent_first_at_s or self.sent_at_s
         self.connected_at_s = self.answered_at_s = 0.0
 
     def connect_s(self) -> float:
