End what still runs at the end of an agent's drain, tell its callers and hand its keys over

What callers saw: an agent with a drain of 1 s stopped only after its last request did (14.9 s for a stream, more than 15 s for a command under a key, which may run for run_timeout_s); a platform that kills it meanwhile leaves callers without word until the entry misses the process, and its keys are handed over to nobody. Cause: after the bounded wait, the closing handshake waited for all runs again, without a bound. What is left after the drain is now ended first: attempts fail with 2021, streams end with their error event, keys become unknown (2034) and reach the entries.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -148,7 +148,11 @@
             self.bulk_server.add_sockets(sockets)
 
     async def stop(self) -> None:
-        """Refuse new work, notify the entries, drain attempts in flight, then close everything."""
+        """Refuse new work, notify the entries, drain attempts in flight, then close everything.
+
+        What still runs at the end of the drain is ended, so that callers are told and keys handed
+        over before the platform kills the process.
+        """
         self.stopping = True
         self.gate.leaving = True
         self.spread.announce_leaving()
@@ -158,6 +162,7 @@
             await asyncio.wait_for(self.gate.drain(), self.options.drain_timeout_s)
         except TimeoutError:
             decision("drain_cut", in_flight=len(self.gate.running), reason="drain timeout")
+            await self.gate.end_running()
         await drain_connections(self.listener)
         await self.listener.hand_over()
         self.server.stop()
--- a/gypsumpier/agent/gate.py
+++ b/gypsumpier/agent/gate.py
@@ -203,6 +203,14 @@
         while self.clock.monotonic() < until_s and self.has_undelivered_answers():
             await self.clock.sleep(DELIVERY_POLL_S)
 
+    async def end_running(self) -> None:
+        """End what still runs; whether it ran to its end is unknown from then on."""
+        await self.home.end_running()
+        names = [name for name, order in self.orders.items() if not order.has_home()]
+        for name in names:
+            self.running[name].cancel()
+        await asyncio.gather(*(self.cancel_upstream(name) for name in names))
+
     def has_undelivered_answers(self) -> bool:
         """Return whether the delivery of an answer is still in progress."""
         return any(
--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -28,6 +28,7 @@
 from gypsumpier.idempotency.reported import ReportedKey
 from gypsumpier.log import decision
 from gypsumpier.options import Options
+from gypsumpier.tasks import end_task
 
 RETRY_AFTER_S: Final = 1.0
 
@@ -208,6 +209,11 @@
         finally:
             self.close(key_id)
 
+    async def end_running(self) -> None:
+        """End the runs; the outcome of their keys is unknown from then on."""
+        for task in list(self.running.values()):
+            await end_task(task)
+
     def record_failure(
         self, key_id: KeyId, request_fingerprint: str, error: GypsumpierError
     ) -> None:
