Log drain_cut where the drain of an own entry was not enough

It tells how many requests are cut without a whole answer even so. The test failed before (no such line).

--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -139,6 +139,8 @@
             elif now_s - idle_since_s >= DRAIN_IDLE_S:
                 break
             await self.clock.sleep(DRAIN_POLL_S)
+        if now_s >= schedule.answers_by_s:
+            decision("drain_cut", in_flight=self.in_flight, reason="drain timeout")
         await self.server.close_all_connections()
         await self.keys.hand_over()
         await self.links.stop()
--- a/gypsumpier/test/test_own_stop_answers.py
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -16,6 +16,7 @@
     OUTCOME_UNKNOWN_WITHOUT_KEY,
 )
 from gypsumpier.entry.application import DRAIN_IDLE_S, LISTEN_AFTER_STOP_S
+from gypsumpier.log import record_fields
 from gypsumpier.test.builders import MODEL, SERVICE
 from gypsumpier.test.ownfleet import DRAIN_S, PART_BYTES, POLL_S, OwnFleet
 from gypsumpier.test.test_stop_answers import Received, SlowCaller
@@ -198,7 +199,10 @@
         self.assertEqual([(502, code, "close") for code in codes], [*map(code_of, answers)])
         self.assertGreater(took_s, ENDS_S - MARGIN_S)
         self.assertLess(took_s, ENDS_S + MARGIN_S)
-        await stop
+        with self.assertLogs("gypsumpier", "INFO") as logs:
+            await stop
+        cut = [record_fields(record) for record in logs.records if record.msg == "drain_cut"]
+        self.assertEqual([0], [fields["in_flight"] for fields in cut])
 
     # Guards against a stream that the end of the drain cuts without its error event.
     async def test_a_stream_that_outlasts_the_drain_ends_with_an_error_event(self) -> None:
