--- a/gypsumpier/entry/callerserver.py
+++ b/gypsumpier/entry/callerserver.py
@@ -10,7 +10,7 @@
 from gypsumpier.wire.departure import is_awaiting_bytes
 
 if TYPE_CHECKING:
-    from gypsumpier.entry.caller import CallerHandler
+    from gypsumpier.entry.callerhandler import CallerHandler
 
 
 class CallerServer(HTTPServer):
