Check that callers who leave within their body, and cut streams, don't hold up a stop

Both hold; with the removal of such requests from the active ones broken, the first test runs into its time limit and the second counts 1 request in place of 0.

--- a/gypsumpier/test/test_agent_stop_answers.py
+++ b/gypsumpier/test/test_agent_stop_answers.py
@@ -75,6 +75,8 @@
         self.assertLess(await stop, ENDS_S + MARGIN_S)
         self.assertIn(b"event: error", content)
         self.assertIn(f'"code": {OUTCOME_UNKNOWN.number}'.encode(), content)
+        # A stop of the entry would wait for it otherwise.
+        self.assertEqual(0, self.fleet.entry.in_flight)
 
     # Guards against a command that is told as run or unknown though its agent refused it.
     async def test_a_command_that_arrives_in_the_stop_of_its_agent_is_told_as_not_run(self) -> None:
--- a/gypsumpier/test/test_departed_own_callers.py
+++ b/gypsumpier/test/test_departed_own_callers.py
@@ -79,6 +79,20 @@
                         await asyncio.sleep(0.005)
         self.assertEqual(0, self.entry.in_flight)
 
+    # Guards against a stop that waits for the rest of a body whose caller has left.
+    async def test_a_caller_that_leaves_within_its_body_is_not_counted_any_longer(self) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{{".encode())
+        await self.wait_in_flight(1)
+        writer.close()
+        await self.wait_in_flight(0)
+
+    async def wait_in_flight(self, count: int) -> None:
+        """Wait until so many requests are active."""
+        async with asyncio.timeout(ENDED_TIMEOUT_S):
+            while self.entry.in_flight != count:
+                await asyncio.sleep(0.005)
+
     # Guards against an outcome that is lost as the caller that may ask for it has left.
     async def test_a_request_under_a_key_goes_on(self) -> None:
         await self.leave("/services/table-ops/commands", {}, "Idempotency-Key: k1\r\n")
