Test refusals whose heads are cut

A 503 that says that the request has not run, cut at each third byte of its head, is no refusal: 502, and no other upstream sees a request that may have run. The whole refusal still sends it elsewhere.

--- a/gypsumpier/test/test_cut_heads.py
+++ b/gypsumpier/test/test_cut_heads.py
@@ -23,8 +23,8 @@
 ROUTE_TIMEOUT_MS: Final = 6000
 """Milliseconds for a request that is sent twice, so that a busy machine ends none."""
 PAUSE_S: Final = 0.02
-KEPT_STEP: Final = 3
-"""Bytes between two cuts of the second answer on a connection."""
+STEP: Final = 3
+"""Bytes between two cuts where not each byte is tried."""
 ENDS: Final = ((False, 0.0), (True, 0.0), (False, PAUSE_S), (True, PAUSE_S))
 """How connections end: whether by a reset, and after how many seconds."""
 BODY: Final = "whole"
@@ -189,7 +189,7 @@
     # of a kept connection's next answer is cut.
     async def test_the_second_answer_on_a_connection_is_lost_if_it_is_cut(self) -> None:
         answer = PLAIN_ANSWERS["the length last"]
-        for at in range(0, len(answer.content), KEPT_STEP):
+        for at in range(0, len(answer.content), STEP):
             with self.subTest(at=at):
                 self.cut(answer.content, 0)
                 self.server.cut_at = None
@@ -213,6 +213,20 @@
                     self.assertEqual((200, whole), (found.code, found.body.decode()))
                     self.assertEqual(1, self.server.requests - before)
 
+    # Guards against a request that is sent elsewhere, though it may have run, as a refusal was read
+    # from a head that was cut.
+    async def test_a_refusal_whose_head_is_cut_is_no_refusal(self) -> None:
+        refusal = case(f"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n{OWN}{LENGTH}")
+        for at in range(0, refusal.head_bytes, STEP):
+            with self.subTest(at=at):
+                self.cut(refusal.content, at)
+                await self.check_lost("/commands/x")
+        self.cut(refusal.content, len(refusal.content))
+        request_id = self.next_id()
+        found = await self.fleet.call("/commands/x", request_id)
+        whole = f"answer to {request_id} by other"
+        self.assertEqual((200, whole), (found.code, found.body.decode()))
+
     # Guards against heads that a lenient reader takes for whole, and lengths that say nothing.
     async def test_a_broken_head_is_lost(self) -> None:
         for label, content in BROKEN_HEADS.items():
