Let the last attempt wait only for engines that it has not tried and that are usable

What callers saw: a stream whose last attempt fell between the naming of a version and the switches waited for a steady engine that was dead, or had just failed it, and was refused after 2.2 s beside an idle engine. Cause: the steady engines were taken before health and tried ones were looked at. Three tests (test_last_attempt) failed before and pass now.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -151,6 +151,11 @@
         request.unread_tokens = 0
         self.dispatch(record.service)
 
+    def give_back(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+        """Do the same as ``leave`` for a request that was not sent to the upstream."""
+        self.selector.statements.give_back(record)
+        self.leave(request, record)
+
     def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
         """Admit the request to an upstream with free capacity; return None if there is none.
 
@@ -160,14 +165,14 @@
         records = self.selector.candidates(request.service, version)
         needed_s = self.needed_s(request)
         is_repeat = request.attempts > 0 or request.is_moving
-        if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
-            # The last attempt: an engine that switches before its end would cut it for good.
-            records = self.selector.steady(records, needed_s) or records
         tried = request.tried
         rests = self.selector.statements.rests
         if all(record.run_key() in tried or rests.is_resting(record) for record in records):
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
+        if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
+            # The last attempt: an engine that switches before its end would cut it for good.
+            records = self.last_attempt_candidates(records, tried, needed_s)
         tokens = request.head.prompt_tokens
         record = self.selector.choose(records, tried, needed_s, is_repeat, share, tokens)
         if record is not None:
@@ -175,6 +180,20 @@
             self.selector.begin(record, request.unread_tokens)
         return record
 
+    def last_attempt_candidates(
+        self, records: list[UpstreamRecord], tried: set[tuple[str, int]], needed_s: float
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that the last attempt waits for: those that can take it to its end.
+
+        Where every untried and usable one switches weights within ``needed_s``, that is all.
+        """
+        untried = [
+            record
+            for record in records
+            if record.run_key() not in tried and self.selector.is_usable(record)
+        ]
+        return self.selector.steady(untried, needed_s) or records
+
     def may_serve(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Return whether the upstream, chosen a moment ago, may still get the request."""
         return self.selector.may_still_serve(record, self.least_version(request.service))
@@ -249,7 +268,7 @@
                 return
             result = waiting.outcome.result()
             if isinstance(result, UpstreamRecord):
-                self.leave(waiting.request, result)
+                self.give_back(waiting.request, result)
 
     def dispatch(self, service: str) -> None:
         """Admit queued requests while there is capacity; refuse those that would wait too long."""
