Take a success of which only the head came, without a length, for incomplete

What callers saw: an upstream that closed behind the head of a plain answer made an empty 200, framed as whole. The protocol lets a body end with its connection, so that an empty one can't be told from one that was cut; a true answer comes first. Such a request is repeated where its route allows it, else answered 502; 204 and HEAD stay.

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -285,6 +285,8 @@
         if writer.status:
             # The caller already has the head of the stream that was to be resumed.
             raise resumption_error(head)
+        if not body:
+            check_end(request, head)
         is_failure = head.status >= SERVER_ERROR
         if is_failure and request.may_repeat(tries=2) and self.retries.has_left(request.service):
             raise OutcomeUnknownError(f"status {head.status}", is_answered=True)
@@ -326,9 +328,8 @@
             since_s = time.monotonic()
         if splitter.rest:
             raise OutcomeUnknownError("the stream ended in the middle of an event")
-        if head.status == SUCCESS and not has_events and not head.is_framed:
-            # A connection that closes behind the head shows no end of the stream.
-            raise OutcomeUnknownError("the connection closed before the first event")
+        if not has_events:
+            check_end(request, head)
         if not writer.status:
             writer.begin(head, None)
         writer.finish()
@@ -340,6 +341,16 @@
     return OutcomeUnknownError(f"status {head.status} with {kind} in answer to a resumption")
 
 
+def check_end(request: GatewayRequest, head: AnswerHead) -> None:
+    """Raise OutcomeUnknownError if nothing shows that a successful answer without a body is whole.
+
+    A connection that closes behind the head may as well have been cut there.
+    """
+    has_body = head.status == SUCCESS and request.head.method != "HEAD"
+    if has_body and not head.is_framed:
+        raise OutcomeUnknownError("the connection closed behind the head of the answer")
+
+
 def refusal_error(head: AnswerHead, record: UpstreamRecord) -> NotRunError:
     """Return the error for an answer that states that the request has not run."""
     is_misdirected = head.status == MISDIRECTED
--- a/gypsumpier/test/test_unframed_answer.py
+++ b/gypsumpier/test/test_unframed_answer.py
@@ -67,6 +67,12 @@
         self.assertEqual((200, b"all of it"), (found.code, found.body))
         self.assertEqual("9", found.headers["Content-Length"])
 
+    # Guards against an empty success, framed as whole, of which the upstream sent the head alone.
+    async def test_a_head_alone_is_no_plain_answer(self) -> None:
+        await self.start(PLAIN, answer(""), is_reset=False)
+        found = await self.call("/commands/x")
+        self.assertEqual(502, found.code, (found.headers, found.body))
+
     async def test_a_plain_answer_whose_connection_is_reset_is_not_whole(self) -> None:
         server = await self.start(PLAIN, answer("half"), is_reset=True)
         self.assertEqual(502, (await self.call("/commands/x")).code)
