Look for another place each 0.2 s while an upstream stays silent

What callers saw: a stream of a dead engine moved 1.98 s into the silence, although another engine had appeared at 1.2 s; callers leave after 2 s. Cause: each further look came a second after the one before.

--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -30,6 +30,8 @@
 """Buffered bytes of an answer to a slow caller from which reading from the upstream pauses."""
 BUFFERED_MAX_PARTS: Final = 256
 """Buffered parts of an answer from which reading pauses, so that other requests go on."""
+LOOK_AGAIN_S: Final = 0.2
+"""Seconds between two searches for a replacement of an upstream that stays silent."""
 PARAMETERS: Final = HTTP1ConnectionParameters(
     max_header_size=HEAD_MAX_BYTES, max_body_size=BODY_MAX_BYTES, decompress=False
 )
@@ -127,14 +129,16 @@
 
     async def wait_for_progress(self) -> None:
         """Wait for progress of the answer; raise OutcomeUnknownError if it is replaced instead."""
+        wait_s = self.silence_s
         while not self.progress.is_set():
             try:
-                async with asyncio.timeout(self.silence_s):
+                async with asyncio.timeout(wait_s):
                     await self.progress.wait()
             except TimeoutError:
                 if await self.is_replaced():
                     reason = f"silent for {self.silence_s:g} s"
                     raise OutcomeUnknownError(reason, is_silent=True) from None
+                wait_s = LOOK_AGAIN_S
         self.progress.clear()
 
     async def is_replaced(self) -> bool:
