Give back the turn of a limited upstream that a moving request has not used

Found by the review, by reading: a place that was taken at another upstream and not used gave back the place but not the token of a stated limit.

--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -91,7 +91,7 @@
         """Keep the place that the request was admitted to; return False if it can't be used."""
         is_silent_one = record.run_key() == self.silent.run_key()
         if is_silent_one or not self.retries.spend(self.request.service):
-            self.admission.leave(self.request, record)
+            self.admission.give_back(self.request, record)
             return False
         self.place = Place(record, self.request.unread_tokens)
         self.request.unread_tokens = 0
@@ -109,4 +109,4 @@
         """Give the place back, if there is one."""
         record = self.claim()
         if record is not None:
-            self.admission.leave(self.request, record)
+            self.admission.give_back(self.request, record)
--- a/gypsumpier/test/test_silent_engine_streams.py
+++ b/gypsumpier/test/test_silent_engine_streams.py
@@ -19,6 +19,8 @@
 REPORT_INTERVAL_S: Final = 0.1
 OTHER_PLACES: Final = 2
 """Places of an engine with one slot: one more request may wait there."""
+HELD_EVENT_PAUSE_S: Final = 0.5
+"""Seconds between the events of the silent engine, whose streams so last until all is set up."""
 OTHER_EVENT_PAUSE_S: Final = 0.14
 """Seconds between the events of the other engine, which so has places again before streams of the
 silent one are given up."""
@@ -53,6 +55,7 @@
     # goes to requests queued here or at other entries.
     async def test_streams_without_a_place_elsewhere_wait_for_their_engine(self) -> None:
         engine = self.silent.standin
+        engine.event_pause_s = HELD_EVENT_PAUSE_S
         streams = self.send(STREAMS)
         await self.wait_until(lambda: len(engine.run_ids) == STREAMS)
         other = self.fleet.add("i-2", ENGINES, zone=OTHER_ZONE, slots=1)
@@ -87,6 +90,7 @@
     async def test_places_are_given_back_where_the_engine_goes_on_first(self) -> None:
         other = self.fleet.add("i-2", ENGINES, zone=OTHER_ZONE, slots=1)
         other.event_pause_s = SILENCE_S
+        self.silent.standin.event_pause_s = HELD_EVENT_PAUSE_S
         streams = self.send(STREAMS)
         await self.wait_until(lambda: len(self.silent.standin.run_ids) == STREAMS)
         await self.fleet.settle()
