--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -42,6 +42,10 @@
 POLL_S: Final = 0.05
 
 
+class StartError(Exception):
+    """A process ended by itself while the deployment was starting."""
+
+
 class SoakDeployment:
     """Two zones of entries and sidecars, engines, plain upstreams, a store and an origin.
 
@@ -112,6 +116,9 @@
             await node.start()
         async with asyncio.timeout(START_TIMEOUT_S):
             while not all(engine.version for engine in self.engines()):
+                ended = [name for name, node in self.nodes.items() if not node.is_running()]
+                if ended:
+                    raise StartError(f"ended while starting, see their logs: {', '.join(ended)}")
                 await asyncio.sleep(POLL_S)
 
     async def add_node(self, role: str, name: str, seeds: list[str], **fields: Any) -> None:
