Let the soak find requests that an entry gives up with nothing wrong

A 502 of the entry is an answer, so the check "lost" leaves it out; but a caller is told of a loss. The new check wants a fault on the entry or on an upstream of the service, or a stop of the entry, for it.

--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -60,7 +60,7 @@
             sent = make_sent(status=status)
             self.assertEqual({"false_not_run": 1}, violations(sent=[sent], runs=[make_run(sent)]))
         sent = make_sent(status=502)
-        self.assertEqual({}, violations(sent=[sent], runs=[make_run(sent)]))
+        self.assertNotIn("false_not_run", violations(sent=[sent], runs=[make_run(sent)]))
 
     def test_a_run_by_a_revoked_key_is_found_also_under_faults(self) -> None:
         late_s = BOUNDS.key_revoked_s + 0.5
@@ -184,6 +184,21 @@
         facts["runs"] = [make_run(sent, action="cut")]
         self.assertEqual({}, violations(**facts))
 
+    def test_a_request_that_is_given_up_in_a_silence_without_fault_is_found(self) -> None:
+        sent = make_sent(REPORT, status=502)
+        facts = {"sent": [sent], "runs": [make_run(sent, upstream="engine-1")]}
+        for name, target, found in (
+            ("be_silent", "engine-1", {"unexplained_failures": 1}),
+            ("stop", "front-2", {"unexplained_failures": 1}),
+            ("stop", "front-1", {}),
+            ("crash_engine", "engine-1", {}),
+            ("kill", "front-1", {}),
+        ):
+            windows = [Window(name, target, True, 99.9, 100.5)]
+            self.assertEqual(found, violations(**facts, windows=windows), f"{name} {target}")
+        facts["runs"] = [make_run(sent, action="crossed")]
+        self.assertEqual({}, violations(**facts))
+
     def test_a_starved_entry_explains_late_answers_but_no_cut(self) -> None:
         for status, target, found in (
             (TIMED_OUT, "front-1", {}),
--- a/misc/soaking/checks.py
+++ b/misc/soaking/checks.py
@@ -7,7 +7,7 @@
 from misc.soaking.connection import CUT, NOT_CONNECTED
 from misc.soaking.facts import MARGIN_S, Facts, is_free_of_abrupt_faults
 from misc.soaking.load import COMMAND, PROBE, UPLOAD
-from misc.soaking.lost import lost
+from misc.soaking.lost import lost, unexplained_failures
 
 ONCE_KINDS: Final = frozenset({COMMAND, UPLOAD})
 """Kinds of request that may run at most once."""
@@ -42,6 +42,7 @@
         "configuration_went_back": configuration_went_back(facts),
         "configuration_late": configuration_late(facts),
         "lost": lost(facts),
+        "unexplained_failures": unexplained_failures(facts),
         "cut_by_graceful_stop": cut_by_graceful_stop(facts, ran),
         "stop_too_slow": ["a process did not stop within its bound and was killed"]
         * facts.killed_at_stop,
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -45,7 +45,7 @@
 """Seconds between two planned faulty answers."""
 FAULTY_ANSWERS: Final = 60
 FAULTY_SHARE: Final = 0.5
-BUSY_EVENT_PAUSE_S: Final = 0.06
+BUSY_EVENT_PAUSE_S: Final = 0.2
 """Seconds between events with which the callers fill the slots of all engines."""
 SECOND_STOP_S: Final = (0.0, 4.0)
 """Seconds between two stops that overlap; a stop lasts up to 8."""
--- a/misc/soaking/lost.py
+++ b/misc/soaking/lost.py
@@ -17,6 +17,8 @@
 UPSTREAM_FAULTS: Final = frozenset(
     {"crash_engine", "cut_upstream", "silence_upstream", "slow_upstream"}
 )
+OUTCOME_UNKNOWN: Final = 502
+"""Status by which an entry says that a request may have run and its answer won't come."""
 EARLY_IN_STOP_S: Final = 3.0
 LAST_SHARE_OF_STOP: Final = 1 / 6
 """A request that was sent early in a stop and still runs in this last share of it may be cut."""
@@ -28,24 +30,53 @@
     They were sent whole, and reached an upstream or had time to be read.  A fault explains the end
     of a request only if it was on its entry or on an upstream that it reached or wanted.
     """
-    runs_by_id = defaultdict(list)
-    for run in facts.runs:
-        runs_by_id[run.request_id].append(run)
     return [
         f"{sent.request_id} at {sent.entry} status {sent.status}, {len(runs)} runs"
         f" ({', '.join(run.upstream for run in runs)}), sent whole"
         f" {sent.whole_at_s - sent.sent_at_s:.2f} s and ended"
         f" {sent.ended_at_s - sent.sent_at_s:.2f} s after its head{during(facts, sent)}"
-        for sent in facts.sent
-        for runs in [runs_by_id[sent.request_id]]
+        for sent, runs in with_runs(facts)
         if is_without_answer(sent, runs)
-        and not is_explained_by_entry(facts, sent)
-        and not is_explained_by_upstream(facts, sent, runs)
+        and not is_explained(facts, sent, runs)
         and not ran_out_of_stop(facts, sent, runs)
         and not (sent.status == TIMED_OUT and is_starved(facts, sent))
     ]
 
 
+def unexplained_failures(facts: Facts) -> list[str]:
+    """Return requests that their entry gave up without a fault on their way or a stop."""
+    return [
+        f"{sent.request_id} at {sent.entry}, runs at [{', '.join(run.upstream for run in runs)}],"
+        f" ended {sent.ended_at_s - sent.sent_at_s:.2f} s after its head{during(facts, sent)}"
+        for sent, runs in with_runs(facts)
+        if sent.status == OUTCOME_UNKNOWN
+        and not is_explained(facts, sent, runs)
+        and not is_in_stop(facts, sent)
+    ]
+
+
+def with_runs(facts: Facts) -> list[tuple[Sent, list[Run]]]:
+    """Return each request with its runs."""
+    runs_by_id = defaultdict(list)
+    for run in facts.runs:
+        runs_by_id[run.request_id].append(run)
+    return [(sent, runs_by_id[sent.request_id]) for sent in facts.sent]
+
+
+def is_explained(facts: Facts, sent: Sent, runs: list[Run]) -> bool:
+    """Return whether a fault on its entry or on an upstream explains the end of a request."""
+    return is_explained_by_entry(facts, sent) or is_explained_by_upstream(facts, sent, runs)
+
+
+def is_in_stop(facts: Facts, sent: Sent) -> bool:
+    """Return whether the entry was stopping, and might answer for what it can't finish."""
+    return any(
+        window.name == "stop" and window.target == sent.entry
+        for window in facts.windows
+        if overlaps(window, sent.sent_at_s, sent.ended_at_s)
+    )
+
+
 def is_without_answer(sent: Sent, runs: list[Run]) -> bool:
     """Return whether a request was taken up and ended within its time without a whole answer."""
     was_read = bool(runs) or sent.ended_at_s > sent.whole_at_s + LOSS_SLACK_S
