--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -21,7 +21,13 @@
     settings_body,
 )
 from gypsumpier.test.gatewayfleet import free_port
-from gypsumpier.test.standin.platform import OriginStandin, PlatformStandin, Run, UpstreamStandin
+from gypsumpier.test.standin.platform import (
+    WORK_PREFIX,
+    OriginStandin,
+    PlatformStandin,
+    Run,
+    UpstreamStandin,
+)
 from gypsumpier.test.standin.platformengine import EngineStandin
 from misc.faulting.tcp_proxy import TcpProxy
 from misc.soaking.node import Node
@@ -38,10 +44,17 @@
 EVENT_PAUSE_S: Final = 0.02
 RECORD_DELAY_S: Final = 0.2
 SPARE_KEYS: Final = 40
+LONGEST_WORK_S: Final = 3.0
+"""Seconds of the longest command at a plain upstream."""
+UPLOAD_ROUTE: Final = {"name": "uploads", "prefix": WORK_PREFIX, "timeout_ms": 12_000}
 START_TIMEOUT_S: Final = 30.0
 POLL_S: Final = 0.05
 
 
+class StartError(Exception):
+    """A process ended by itself while the deployment was starting."""
+
+
 class SoakDeployment:
     """Two zones of entries and sidecars, engines, plain upstreams, a store and an origin.
 
@@ -112,6 +125,9 @@
             await node.start()
         async with asyncio.timeout(START_TIMEOUT_S):
             while not all(engine.version for engine in self.engines()):
+                ended = [name for name, node in self.nodes.items() if not node.is_running()]
+                if ended:
+                    raise StartError(f"ended while starting, see their logs: {', '.join(ended)}")
                 await asyncio.sleep(POLL_S)
 
     async def add_node(self, role: str, name: str, seeds: list[str], **fields: Any) -> None:
@@ -187,7 +203,10 @@
         body = configuration_body(
             self.version,
             services=services,
-            routes=[route_body(), command_route_body(), lookups | {"attempts": 2}, *versions],
+            routes=[
+                *(route_body(), command_route_body(), command_route_body(**UPLOAD_ROUTE)),
+                *(lookups | {"attempts": 2}, *versions),
+            ],
             tenants=[{"name": "lab", "api_keys": keys}],
         )
         self.store.put("op/config", body)
@@ -229,6 +248,8 @@
             server.stop()
         for upstream in self.upstreams.values():
             upstream.server.stop()
+        # Lets the upstreams' requests end as their connections close.
+        await asyncio.sleep(POLL_S)
 
 
 def discard(handle: object) -> None:
