--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -16,12 +16,10 @@
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
 from gypsumpier.test.builders_platform import (
     ENGINES,
-    MODEL,
     apply_records,
     configuration_record,
     engine_record,
     fleet_state_of,
-    record,
 )
 from gypsumpier.upstream.peerloads import Load
 
@@ -255,42 +253,6 @@
         self.assertGreaterEqual(admitted.get("small", 0), 4)
 
 
-class LastAttemptTest(unittest.IsolatedAsyncioTestCase):
-    """One engine switches to new weights before a request ends; the other one is full."""
-
-    def setUp(self) -> None:
-        self.fleet_state = engines(1)
-        wanted = record(f"op/version/{MODEL}", {"model": MODEL, "version": 2}, 20)
-        apply_records(self.fleet_state, wanted, engine_record(2, 21, version=2))
-        self.admission = admission_of(self.fleet_state)
-        fill(self.admission, "i-2")
-
-    def stream(self, attempts: int) -> GatewayRequest:
-        """Return a stream of which so many of two attempts may have run."""
-        request = request_of(self.fleet_state, expected_answer_tokens=900)
-        request.attempts, request.last_event_id = attempts, "3" if attempts else ""
-        return request
-
-    # Guards against a stream that is cut for good as its last attempt goes to an engine that
-    # cuts it once more.
-    async def test_the_last_attempt_waits_for_an_engine_that_does_not_switch(self) -> None:
-        waiting = asyncio.create_task(self.admission.enter(self.stream(attempts=1)))
-        await asyncio.sleep(0)
-        self.assertFalse(waiting.done())
-        self.admission.selector.peer_loads.clear()
-        self.admission.dispatch_all()
-        self.assertEqual("i-2", (await waiting).id)
-
-    async def test_the_last_attempt_goes_to_a_switching_engine_where_there_is_no_other(
-        self,
-    ) -> None:
-        apply_records(self.fleet_state, engine_record(2, 22, version=1))
-        self.assertEqual("i-1", (await self.admission.enter(self.stream(attempts=1))).id)
-
-    async def test_an_attempt_that_may_be_repeated_goes_to_a_switching_engine(self) -> None:
-        self.assertEqual("i-1", (await self.admission.enter(self.stream(attempts=0))).id)
-
-
 class ArrivalOrderQueue(RequestQueue):
     """A queue that serves requests in order of arrival."""
 
--- a/gypsumpier/test/test_last_attempt.py
+++ b/gypsumpier/test/test_last_attempt.py
@@ -1,15 +1,25 @@
-"""Tests of the last attempt of a stream where the steady engine is of no use to it."""
+"""Tests of the last attempt of a request while engines switch to new weights.
+
+An engine that switches cuts its streams; the last attempt can't be mended after that.
+"""
 
 import asyncio
 import unittest
+from typing import Final
 
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
 from gypsumpier.test.builders_platform import MODEL, apply_records, engine_record, record
+from gypsumpier.upstream.peerloads import Load
+
+FULL: Final = 17
+"""Requests in flight from which an engine of 16 slots takes no more."""
+PASSES: Final = 10
+PASS_INTERVAL_S: Final = 0.02
 
 
-class LastAttemptElsewhereTest(unittest.IsolatedAsyncioTestCase):
-    """i-1 switches its weights before the request ends and has places; i-2 does not switch."""
+class LastAttemptTest(unittest.IsolatedAsyncioTestCase):
+    """i-1 switches its weights before a request ends, and has places; i-2 has switched."""
 
     def setUp(self) -> None:
         self.fleet_state = engines(1)
@@ -18,22 +28,53 @@
         self.admission = admission_of(self.fleet_state)
         self.steady = self.fleet_state.upstreams["i-2"]
 
-    def stream(self) -> GatewayRequest:
-        """Return a stream that has one attempt left."""
+    def fill_steady(self) -> None:
+        """Fill the steady engine with requests of another entry."""
+        self.admission.selector.record_peer_loads("front-nam-a-9", {"i-2": Load(FULL, 0)})
+
+    def stream(self, attempts: int = 1) -> GatewayRequest:
+        """Return a stream of which so many of two attempts may have run."""
         request = request_of(self.fleet_state, expected_answer_tokens=900)
-        request.attempts, request.last_event_id = 1, "3"
+        request.attempts, request.last_event_id = attempts, "3" if attempts else ""
         return request
 
     async def entered(self, request: GatewayRequest) -> str:
-        """Return the engine that the request gets within some passes over the queue."""
+        """Return the engine that admits the request within some passes over the queue."""
         task = asyncio.create_task(self.admission.enter(request))
-        for _ in range(10):
-            await asyncio.sleep(0.02)
+        for _ in range(PASSES):
+            await asyncio.sleep(PASS_INTERVAL_S)
             self.admission.dispatch_all()
         if not task.done():
             task.cancel()
             return "waits"
-        return task.exception() and repr(task.exception()) or task.result().id
+        return (await task).id
+
+    # Guards against a stream that is cut for good as its last attempt goes to an engine that
+    # cuts it once more.
+    async def test_it_waits_for_an_engine_that_does_not_switch(self) -> None:
+        self.fill_steady()
+        waiting = asyncio.create_task(self.admission.enter(self.stream()))
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        self.admission.selector.peer_loads.clear()
+        self.admission.dispatch_all()
+        self.assertEqual("i-2", (await waiting).id)
+
+    async def test_it_goes_to_a_switching_engine_where_there_is_no_other(self) -> None:
+        self.fill_steady()
+        apply_records(self.fleet_state, engine_record(2, 22, version=1))
+        self.assertEqual("i-1", (await self.admission.enter(self.stream())).id)
+
+    async def test_an_attempt_that_may_be_repeated_goes_to_a_switching_engine(self) -> None:
+        self.fill_steady()
+        self.assertEqual("i-1", (await self.admission.enter(self.stream(attempts=0))).id)
+
+    # Guards against the same cut for a stream that moves from a silent engine: that attempt counts.
+    async def test_the_attempt_at_a_silent_engine_counts(self) -> None:
+        self.fill_steady()
+        request = self.stream(attempts=0)
+        request.is_moving = True
+        self.assertEqual("waits", await self.entered(request))
 
     # Guards against a stream that waits for, or goes back to, the engine that failed it just now.
     async def test_it_does_not_wait_for_the_engine_that_has_just_failed_it(self) -> None:
--- a/gypsumpier/test/test_own_stop_answers.py
+++ b/gypsumpier/test/test_own_stop_answers.py
@@ -19,11 +19,10 @@
 from gypsumpier.log import record_fields
 from gypsumpier.test.builders import MODEL, SERVICE
 from gypsumpier.test.ownfleet import DRAIN_S, PART_BYTES, POLL_S, OwnFleet
-from gypsumpier.test.test_stop_answers import Received, SlowCaller
+from gypsumpier.test.slowcaller import BODY, Received, SlowCaller
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
 
-BODY: Final = b"x" * 2000
 LATE_S: Final = LISTEN_AFTER_STOP_S + 0.4
 """Seconds from the beginning of a stop at which an idle entry would have ended."""
 ENDS_S: Final = LISTEN_AFTER_STOP_S + DRAIN_S
