--- a/gypsumpier/test/test_agent_stop_answers.py
+++ b/gypsumpier/test/test_agent_stop_answers.py
@@ -16,8 +16,8 @@
 from gypsumpier.idempotency.record import KeyState
 from gypsumpier.test.builders import MODEL, SERVICE
 from gypsumpier.test.ownfleet import DRAIN_S
+from gypsumpier.test.slowcaller import BODY
 from gypsumpier.test.test_own_stop_answers import (
-    BODY,
     COMMAND,
     LONG_LIMIT_S,
     OwnStopCase,
