--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -183,9 +183,10 @@
     def last_attempt_candidates(
         self, records: list[UpstreamRecord], tried: set[tuple[str, int]], needed_s: float
     ) -> list[UpstreamRecord]:
-        """Return the upstreams that the last attempt waits for: those that can take it to its end.
+        """Return the upstreams that the last attempt waits for.
 
-        Where every untried and usable one switches weights within ``needed_s``, that is all.
+        These are the untried and usable ones that don't switch weights within ``needed_s`` seconds;
+        where there is none, all ``records``.
         """
         untried = [
             record
--- a/gypsumpier/test/test_last_attempt.py
+++ b/gypsumpier/test/test_last_attempt.py
@@ -60,11 +60,13 @@
         self.admission.dispatch_all()
         self.assertEqual("i-2", (await waiting).id)
 
+    # Guards against a stream that is refused beside an engine that may still finish it.
     async def test_it_goes_to_a_switching_engine_where_there_is_no_other(self) -> None:
         self.fill_steady()
         apply_records(self.fleet_state, engine_record(2, 22, version=1))
         self.assertEqual("i-1", (await self.admission.enter(self.stream())).id)
 
+    # Guards against first attempts that wait although a cut could still be mended.
     async def test_an_attempt_that_may_be_repeated_goes_to_a_switching_engine(self) -> None:
         self.fill_steady()
         self.assertEqual("i-1", (await self.admission.enter(self.stream(attempts=0))).id)
@@ -83,6 +85,7 @@
         self.admission.selector.health.record_failure(self.steady.run_key())
         self.assertEqual("i-1", await self.entered(request))
 
+    # Guards against the same where that engine is in no backoff.
     async def test_it_does_not_go_back_to_the_engine_that_has_just_failed_it(self) -> None:
         request = self.stream()
         request.tried.add(self.steady.run_key())
--- a/gypsumpier/test/test_refused_until_limit.py
+++ b/gypsumpier/test/test_refused_until_limit.py
@@ -44,6 +44,7 @@
         answer = await self.fleet.call("/commands/x", headers={"X-Deadline-Ms": "400"})
         self.assertEqual((504, ["r1"]), (answer.code, self.plain.run_ids))
 
+    # Guards against the word of an earlier refusal for a later attempt.
     async def test_a_command_that_runs_after_a_refusal_may_have_run(self) -> None:
         self.plain.plan = ["wrong", "mute"]
         answer = await self.fleet.call("/commands/x", headers={"X-Deadline-Ms": "900"})
--- a/gypsumpier/test/test_stop_answers.py
+++ b/gypsumpier/test/test_stop_answers.py
@@ -90,6 +90,7 @@
         self.assertLess(answered_s, LATE_S + MARGIN_S)
         await stop
 
+    # Guards against refusing what can still be answered for certain.
     async def test_a_body_that_ends_late_is_served_where_its_time_limit_ends_before_the_stop(
         self,
     ) -> None:
@@ -183,6 +184,7 @@
                 self.fleet.entry.front.close_idle()
                 self.assertEqual(200, (await caller.receive()).status)
 
+    # Guards against a stop that waits without end for a request that never arrives.
     async def test_a_connection_with_a_part_of_a_head_is_closed_by_the_end_of_the_stop(
         self,
     ) -> None:
