Keep listening to a silent upstream until another one has begun to answer

Callers saw streams cut, status 200, as the engine that was to continue them had no place after all: the entry closed the connection to an engine that was silent for 1 s as soon as it held a place elsewhere by its own count. Where that engine refused (503) or could not be reached, the stream depended on one more retry and one more place.

Now the request is sent to the other upstream while the entry still listens to the silent one, and moves once the other one has begun an answer that can be relayed. Where the silent one goes on first, the second attempt is ended and counts as an attempt; where it fails, refuses or is withdrawn from, the second attempt is kept. One that is silent as well is ended only if a third upstream may be tried. For that an attempt becomes an object of its own, with its times, its exchange and its head (Attempt), and its beginning moves from the relay to UpstreamSender.

Changed tests: test_gateway lets the second engine answer in the test of the log of a failed attempt, as an attempt fails only then, and asks for attempt_silent as well; the others follow the new names.

--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -6,6 +6,7 @@
 
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.crashes import CrashTracker
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.log import decision
@@ -30,13 +31,14 @@
         self.crashes = crashes
         self.probes: set[asyncio.Task[None]] = set()
 
-    def record_not_run(
-        self, request: GatewayRequest, record: UpstreamRecord, error: NotRunError
-    ) -> None:
+    def record_not_run(self, attempt: Attempt, error: NotRunError) -> None:
         """Record a failed attempt whose request has certainly not run."""
+        record = attempt.record
         health, run = self.selector.health, record.run_key()
-        request.tried.add(run)
-        log_failure(request, record, error.reason, "not_run")
+        attempt.request.tried.add(run)
+        log_failure(attempt, error.reason, "not_run")
+        if not error.is_refusal:
+            self.selector.statements.give_back(record)
         if error.is_recalled:
             return
         if error.is_refusal and not error.is_replaced:
@@ -52,33 +54,41 @@
         health.record_outcome(run, failed=True)
 
     def record_unknown(
-        self, request: GatewayRequest, record: UpstreamRecord, error: OutcomeUnknownError
+        self, attempt: Attempt, error: OutcomeUnknownError
     ) -> asyncio.Task[None] | None:
         """Record a failed attempt whose request may have run.
 
         Returns the check whether the upstream has crashed, if there is one.
         """
         probe = None
+        request, record = attempt.request, attempt.record
         request.attempts += 1
         request.tried.add(record.run_key())
         # An engine that switches to new weights cuts its running requests but is healthy, and a
         # withdrawn request says nothing about its engine.
         if not self.selector.is_switching(record) and not error.is_withdrawn:
             if error.is_silent:
-                self.selector.record_silence(record, request.sent_at_s)
+                self.selector.record_silence(record, attempt.began_at_s)
             else:
                 self.selector.health.record_outcome(record.run_key(), failed=True)
                 if not error.is_answered:
                     self.selector.health.record_failure(record.run_key())
                     probe = self.suspect_crash(request, record)
-        log_failure(request, record, error.reason, "unknown")
+        log_failure(attempt, error.reason, "unknown")
         return probe
 
-    def record_cancelled(self, request: GatewayRequest, record: UpstreamRecord) -> None:
+    def record_silent(self, attempt: Attempt) -> None:
+        """Record that an upstream is silent so that another one is tried while it may go on."""
+        if not self.selector.is_switching(attempt.record):
+            self.selector.record_silence(attempt.record, attempt.began_at_s)
+        log_attempt("attempt_silent", attempt)
+
+    def record_cancelled(self, attempt: Attempt) -> None:
         """Record a failure of an upstream that was silent when the time limit was reached."""
+        request = attempt.request
         silent_s = time.monotonic() - request.last_event_at_s
         if request.left_s() <= TIME_LIMIT_MARGIN_S and silent_s >= STREAM_STALLED_S:
-            self.selector.health.record_silence(record.run_key(), request.sent_at_s)
+            self.selector.health.record_silence(attempt.record.run_key(), attempt.began_at_s)
 
     def suspect_crash(self, request: GatewayRequest, record: UpstreamRecord) -> asyncio.Task[None]:
         """Record a crash if a new connection to the upstream fails after it ran the request."""
@@ -96,17 +106,22 @@
         return task
 
 
-def log_failure(request: GatewayRequest, record: UpstreamRecord, reason: str, outcome: str) -> None:
+def log_failure(attempt: Attempt, reason: str, outcome: str) -> None:
     """Log a failed attempt."""
+    log_attempt("attempt_failed", attempt, outcome=outcome, reason=reason)
+
+
+def log_attempt(event: str, attempt: Attempt, **fields: object) -> None:
+    """Log an event of an attempt, with how far it has come."""
+    request = attempt.request
     decision(
-        "attempt_failed",
+        event,
         request=request.head.request_id,
-        upstream=record.id,
-        address=f"{record.host}:{record.port}",
+        upstream=attempt.record.id,
+        address=str(attempt.address()),
         attempts=request.attempts,
         age_s=round(request.age_s(), 3),
-        connect_s=round(request.connect_s(), 3),
-        unanswered_s=round(request.unanswered_s(), 3),
-        outcome=outcome,
-        reason=reason,
+        connect_s=round(attempt.connect_s(), 3),
+        unanswered_s=round(attempt.unanswered_s(), 3),
+        **fields,
     )
--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -1,43 +1,43 @@
-"""A place at another upstream for a request whose upstream is silent."""
+"""A second attempt at another upstream, for a request whose upstream is silent."""
 
-from typing import NamedTuple, Self
+from typing import Self
 
 from gypsumpier.fleet.upstream import UpstreamRecord
-from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.attempt import Attempt
+from gypsumpier.gateway.failures import FailureRecorder
 from gypsumpier.gateway.refusal import Refusal
-from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.sender import UpstreamSender
 from gypsumpier.gateway.writer import AnswerWriter
-
-
-class Place(NamedTuple):
-    """A place at an upstream, which counts as one more request there with that unread prompt."""
-
-    record: UpstreamRecord
-    unread_tokens: int
+from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
+from gypsumpier.upstream.head import AnswerHead
 
 
 class OtherPlace:
-    """Takes the request's place at another upstream than ``silent``, and its retry.
+    """Sends a request to another upstream while that of ``silent`` may still go on.
 
-    Until both are taken the request stays with the silent upstream, which may go on.  At the end of
-    the context a place that was not claimed is given back.
+    A request that stays with the silent upstream can lose nothing, so ``attempt`` is set only once
+    the other one has begun an answer that may be relayed.  Where the silent one goes on first, or
+    at the end of the context, an attempt that was not claimed is ended.
     """
 
     def __init__(
         self,
-        admission: Admission,
+        sender: UpstreamSender,
         retries: RetryBudget,
-        request: GatewayRequest,
-        silent: UpstreamRecord,
+        failures: FailureRecorder,
+        silent: Attempt,
         writer: AnswerWriter,
     ) -> None:
-        self.admission = admission
+        self.sender = sender
+        self.admission = sender.admission
         self.retries = retries
-        self.request = request
+        self.failures = failures
+        self.request = silent.request
         self.silent = silent
         self.writer = writer
-        self.place: Place | None = None
+        self.attempt: Attempt | None = None
+        self.unread_tokens = 0
 
     def __enter__(self) -> Self:
         return self
@@ -45,68 +45,133 @@
     def __exit__(self, *error: object) -> None:
         self.release()
 
-    def may_move(self) -> bool:
-        """Return whether the request may go to another upstream, and whether there is one.
+    def may_move(self, tried: frozenset[tuple[str, int]] = frozenset()) -> bool:
+        """Return whether the request may go to an upstream besides those that have it.
 
-        The caller of a stream has a part of it; without the id of an event it can't be continued.
+        These are the silent one and those of the run keys in ``tried``.  The caller of a stream has
+        a part of it; without the id of an event it can't be continued.
         """
         request = self.request
         if self.writer.status and not request.last_event_id:
             return False
-        if not request.may_repeat(tries=2) or not self.retries.has_left(request.service):
+        if not request.may_repeat(tries=2 + len(tried)) or not self.retries.has_left(
+            request.service
+        ):
             return False
-        tried = request.tried | {self.silent.run_key()}
-        return self.admission.has_other_upstream(request.service, tried)
+        all_tried = request.tried | tried | {self.silent.record.run_key()}
+        return self.admission.has_other_upstream(request.service, all_tried)
 
-    def take(self) -> bool:
-        """Take a place that is free now; return whether there is one."""
-        if not self.may_move():
-            return False
-        self.begin_move()
-        try:
-            record = self.admission.try_enter(self.request)
-            return record is not None and self.accept(record)
-        finally:
-            self.request.is_moving = False
+    async def take(self) -> bool:
+        """Send the request to an upstream that has a place now; return whether it answers."""
+        return await self.move(is_queued=False)
 
     async def wait(self) -> bool:
-        """Queue for a place and take it; return False if none is to be had in time."""
+        """Queue for a place, send the request there and return whether it answers."""
+        return await self.move(is_queued=True)
+
+    async def move(self, is_queued: bool) -> bool:
+        """Take a place, after a wait if it ``is_queued``, and begin an attempt there."""
+        if self.attempt is not None:
+            return True
         if not self.may_move():
             return False
-        self.begin_move()
+        record = await self.enter(is_queued)
+        return record is not None and await self.send(record)
+
+    async def enter(self, is_queued: bool) -> UpstreamRecord | None:
+        """Return the upstream that the request is admitted to, at the cost of a retry, if any."""
+        request = self.request
+        # Its prompt no longer counts as unread at the silent upstream, which is ruled out.
+        self.admission.forget_prompt(request, self.silent.record)
+        request.tried.add(self.silent.record.run_key())
+        request.is_moving = True
         try:
-            return self.accept(await self.admission.enter_again(self.request))
+            if is_queued:
+                record = await self.admission.enter_again(request)
+            elif (found := self.admission.try_enter(request)) is not None:
+                record = found
+            else:
+                return None
         except Refusal:
-            return False
+            return None
         finally:
-            self.request.is_moving = False
-
-    def begin_move(self) -> None:
-        """Stop counting the prompt as unread at the silent upstream, and rule that one out."""
-        self.admission.forget_prompt(self.request, self.silent)
-        self.request.tried.add(self.silent.run_key())
-        self.request.is_moving = True
-
-    def accept(self, record: UpstreamRecord) -> bool:
-        """Keep the place that the request was admitted to; return False if it can't be used."""
-        is_silent_one = record.run_key() == self.silent.run_key()
-        if is_silent_one or not self.retries.spend(self.request.service):
-            self.admission.give_back(self.request, record)
-            return False
-        self.place = Place(record, self.request.unread_tokens)
-        self.request.unread_tokens = 0
-        return True
-
-    def claim(self) -> UpstreamRecord | None:
-        """Return the upstream of the place, for which the request now counts; None without one."""
-        place, self.place = self.place, None
-        if place is None:
+            request.is_moving = False
+        is_silent_one = record.run_key() == self.silent.record.run_key()
+        if is_silent_one or not self.retries.spend(request.service):
+            self.admission.give_back(request, record)
             return None
-        self.request.unread_tokens = place.unread_tokens
-        return place.record
+        self.failures.record_silent(self.silent)
+        return record
+
+    async def send(self, record: UpstreamRecord) -> bool:
+        """Begin an attempt at the upstream; return whether its answer may be relayed."""
+        attempt = Attempt(self.request, record)
+        # Both attempts count their unread prompt by the request's.
+        self.unread_tokens, self.request.unread_tokens = self.request.unread_tokens, 0
+        try:
+            await self.sender.begin(
+                attempt, self.writer, LastResort(self, record), self.silent.record.id
+            )
+            assert attempt.head is not None
+            self.check_usable(attempt.head)
+            self.attempt = attempt
+        except NotRunError as error:
+            self.failures.record_not_run(attempt, error)
+        except OutcomeUnknownError as error:
+            self.failures.record_unknown(attempt, error)
+        except BaseException:
+            self.record_dropped(attempt)
+            raise
+        finally:
+            if self.attempt is None:
+                self.leave(attempt)
+        return self.attempt is not None
+
+    def check_usable(self, head: AnswerHead) -> None:
+        """Raise OutcomeUnknownError unless an answer serves better than that of the silent one."""
+        if not head.is_success or (self.writer.status and not head.is_stream):
+            raise OutcomeUnknownError(f"status {head.status} while moving", is_answered=True)
+
+    def claim(self) -> Attempt | None:
+        """Return the attempt, for which the request now counts; None if there is none."""
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            self.request.unread_tokens = self.unread_tokens
+        return attempt
+
+    def release(self) -> None:
+        """End the attempt, if there is one."""
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            self.record_dropped(attempt)
+            self.leave(attempt)
+
+    def record_dropped(self, attempt: Attempt) -> None:
+        """Record that the attempt is not needed; its upstream may have run the request."""
+        if attempt.connected_at_s:
+            self.request.attempts += 1
+        else:
+            self.failures.selector.statements.give_back(attempt.record)
+
+    def leave(self, attempt: Attempt) -> None:
+        """End the attempt and its place."""
+        self.sender.end(attempt)
+        self.request.unread_tokens = self.unread_tokens
+        self.admission.leave(self.request, attempt.record)
+
+
+class LastResort:
+    """Keeps a second attempt that is silent as well, unless there is a third upstream to try."""
+
+    def __init__(self, other: OtherPlace, record: UpstreamRecord) -> None:
+        self.other = other
+        self.record = record
+
+    async def take(self) -> bool:
+        return await self.wait()
+
+    async def wait(self) -> bool:
+        return self.other.may_move(frozenset({self.record.run_key()}))
 
     def release(self) -> None:
-        """Give the place back, if there is one."""
-        record = self.claim()
-        if record is not None:
-            self.admission.give_back(self.request, record)
+        return None
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -9,15 +9,11 @@
 import time
 from typing import Final
 
-from prometheus_client import Histogram
-from tornado.httputil import RequestStartLine
-from tornado.iostream import StreamClosedError
-
 from gypsumpier.codes.request import ANSWER_LOST, EVERY_TRY_REFUSED
 from gypsumpier.codes.result import Outcome
-from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.crashes import CrashTracker
 from gypsumpier.gateway.events import EventSplitter
 from gypsumpier.gateway.failures import FailureRecorder
@@ -26,20 +22,14 @@
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.sender import UpstreamSender
 from gypsumpier.gateway.writer import AnswerWriter
-from gypsumpier.log import decision
-from gypsumpier.metrics import REGISTRY
-from gypsumpier.platform.headers import upstream_headers
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.exchange import Exchange
-from gypsumpier.upstream.head import AnswerHead, UpstreamHead
-from gypsumpier.upstream.pool import UpstreamCall, UpstreamPool
+from gypsumpier.upstream.head import OK, AnswerHead
+from gypsumpier.upstream.pool import UpstreamPool
 from gypsumpier.upstream.selector import UpstreamSelector
 
-STREAM_SILENCE_S: Final = 1.0
-"""Seconds without an event after which a stream is started or resumed at another upstream."""
-PLAIN_SILENCE_S: Final = 0.35
-"""Seconds without an answer after which a repeatable plain request is sent to another upstream."""
 ANSWER_MAX_BYTES: Final = 1024 * 1024
 """Bytes of a plain answer, which is held as a whole for each request in flight."""
 CRASH_CHECK_S: Final = 0.05
@@ -47,22 +37,7 @@
 within a region takes a few milliseconds."""
 RETRY_AFTER_S: Final = 0.2
 """Retry-After, in seconds, of a request that every upstream refused."""
-SUCCESS: Final = 200
 SERVER_ERROR: Final = 500
-MISDIRECTED: Final = 421
-URGENCY_MAX: Final = 9
-
-UPSTREAM_CONNECT_TIME: Final = Histogram(
-    "gypsumpier_upstream_connect_seconds",
-    "Time until an attempt had a new or kept connection to its upstream.",
-    registry=REGISTRY,
-)
-UPSTREAM_ANSWER_TIME: Final = Histogram(
-    "gypsumpier_upstream_answer_seconds",
-    "Time from the connection of an attempt to the head of its answer.",
-    ["service"],
-    registry=REGISTRY,
-)
 
 
 class Relay:
@@ -79,10 +54,9 @@
     ) -> None:
         self.admission = admission
         self.selector = selector
-        self.pool = pool
         self.retries = retries
         self.crashes = crashes
-        self.starts = starts
+        self.sender = UpstreamSender(admission, selector, pool, crashes, starts)
         self.failures = FailureRecorder(selector, pool, crashes)
 
     async def run(self, request: GatewayRequest, writer: AnswerWriter) -> None:
@@ -98,41 +72,35 @@
 
     async def try_upstreams(self, request: GatewayRequest, writer: AnswerWriter) -> None:
         """Try one upstream after another; raise Refusal once no further attempt is allowed."""
-        record = await self.next_upstream(request)
+        attempt = Attempt(request, await self.next_upstream(request))
         while True:
-            with OtherPlace(self.admission, self.retries, request, record, writer) as other:
-                if await self.try_upstream(request, record, writer, other):
+            with OtherPlace(self.sender, self.retries, self.failures, attempt, writer) as other:
+                if await self.try_upstream(attempt, writer, other):
                     return
-                record = other.claim() or await self.next_upstream(request)
+                attempt = other.claim() or Attempt(request, await self.next_upstream(request))
 
-    async def try_upstream(
-        self,
-        request: GatewayRequest,
-        record: UpstreamRecord,
-        writer: AnswerWriter,
-        other: OtherPlace,
-    ) -> bool:
+    async def try_upstream(self, attempt: Attempt, writer: AnswerWriter, other: OtherPlace) -> bool:
         """Return whether the upstream has answered; raise Refusal if that ends the request."""
         probe = None
+        request = attempt.request
         try:
-            await self.attempt(request, record, writer, other)
+            await self.attempt(attempt, writer, other)
             return True
         except NotRunError as error:
-            request.is_sent = False
-            if not error.is_refusal:
-                self.selector.statements.give_back(record)
-            self.failures.record_not_run(request, record, error)
-            self.check_resend(request, error)
+            request.is_sent = other.attempt is not None
+            self.failures.record_not_run(attempt, error)
+            if other.attempt is None:
+                self.check_resend(request, error)
         except OutcomeUnknownError as error:
-            probe = self.failures.record_unknown(request, record, error)
-            if other.place is None:
+            probe = self.failures.record_unknown(attempt, error)
+            if other.attempt is None:
                 self.check_repeat(request, writer, error)
         except asyncio.CancelledError:
-            self.failures.record_cancelled(request, record)
+            self.failures.record_cancelled(attempt)
             raise
         finally:
-            self.admission.leave(request, record)
-        if probe is not None:
+            self.admission.leave(request, attempt.record)
+        if probe is not None and other.attempt is None:
             # The repeat would end another upstream if the request ended this one.
             await asyncio.wait({probe}, timeout=CRASH_CHECK_S)
         return False
@@ -160,125 +128,38 @@
         if is_lost or not request.may_repeat() or not self.retries.spend(request.service):
             raise Refusal(ANSWER_LOST, 502, error.reason)
 
-    async def attempt(
-        self,
-        request: GatewayRequest,
-        record: UpstreamRecord,
-        writer: AnswerWriter,
-        other: OtherPlace,
-    ) -> None:
-        """Send the request to the upstream and relay its answer, or take the ``other`` place.
+    async def attempt(self, attempt: Attempt, writer: AnswerWriter, other: OtherPlace) -> None:
+        """Relay the answer of the upstream, or leave it for the ``other`` place.
 
-        Raises NotRunError if the request has not run, and OutcomeUnknownError if it may have run
-        and there is no usable answer.
+        Sends the request first, unless the attempt has begun.  Raises NotRunError if it has not
+        run, and OutcomeUnknownError if it may have run and there is no usable answer.
         """
-        decision(
-            "route",
-            request=request.head.request_id,
-            workspace=request.workspace_name,
-            service=request.service,
-            upstream=record.id,
-            zone=record.zone,
-            load=self.selector.load(record),
-            slots=record.slots,
-            held_version=self.selector.held_version(record),
-            least_version=self.admission.least_version(request.service),
-            waited_s=round(request.age_s(), 3),
-            attempts=request.attempts,
-        )
-        request.begin_attempt()
-        is_resumed = bool(request.last_event_id)
-        address = Address(record.host, record.port)
-
-        def make_call() -> UpstreamCall:
-            request.connected_at_s = time.monotonic()
-            UPSTREAM_CONNECT_TIME.observe(request.connect_s())
-            self.check_sendable(request, record, writer)
-            self.crashes.begin(request)
-            request.is_sent = True
-            return self.call(request, record)
-
-        # An answer to the request sent before, with the same id, may arrive once more.
-        is_sent_again = address in request.sent_to
-        request.sent_to.add(address)
-        async with self.pool.exchange(
-            address, request.route.is_repeatable, make_call, other, is_new=is_sent_again
-        ) as exchange:
-            with self.starts.track(exchange, request, record):
-                head = await exchange.answer(request.head.request_id)
-            request.answered_at_s = time.monotonic()
-            UPSTREAM_ANSWER_TIME.labels(request.service).observe(request.unanswered_s())
-            is_foreign = head.is_success and (not head.seal or head.is_encoded)
-            if not is_foreign and head.upstream in ("", record.id):
-                sent_at_s = request.connected_at_s
-                self.selector.statements.record_answer(record, head.statement, sent_at_s)
-            if head.is_not_run:
-                raise refusal_error(head, record)
-            if is_foreign:
-                raise OutcomeUnknownError("the answer is not the upstream's own")
+        request, record = attempt.request, attempt.record
+        if attempt.exchange is None:
+            await self.sender.begin(attempt, writer, other)
+        exchange, head = attempt.exchange, attempt.head
+        assert exchange is not None and head is not None
+        exchange.replacement = other
+        try:
             self.admission.record_prompt_read(request, record)
             if request.route.is_streamed and head.is_success:
-                await self.relay_stream(request, exchange, head, writer)
+                await self.relay_stream(attempt, exchange, head, writer)
             else:
-                await self.relay_buffered(request, exchange, head, writer)
-            is_failure = head.status >= SERVER_ERROR
+                await self.relay_buffered(request, exchange, head, writer, other)
+        finally:
+            self.sender.end(attempt)
         self.selector.record_success(record)
-        self.selector.health.record_outcome(record.run_key(), is_failure)
-        if head.is_success and not is_resumed:
+        self.selector.health.record_outcome(record.run_key(), head.status >= SERVER_ERROR)
+        if head.is_success and not attempt.is_resumption:
             self.crashes.record_answered(request)
 
-    def check_sendable(
-        self, request: GatewayRequest, record: UpstreamRecord, writer: AnswerWriter
-    ) -> None:
-        """Check again what may have changed since the upstream was chosen.
-
-        Raises StreamClosedError if the caller has left, and NotRunError if the request must not be
-        sent to this upstream any more.
-        """
-        if writer.has_caller_departed():
-            raise StreamClosedError
-        if not self.admission.may_serve(request, record):
-            reason = "no longer serves the request once it is connected to"
-            raise NotRunError(reason, is_refusal=False, is_recalled=True)
-        if self.crashes.refused_for_s(request):
-            reason = "the request is suspected of crashes once it is connected to"
-            raise NotRunError(reason, is_refusal=False, is_recalled=True)
-
-    def call(self, request: GatewayRequest, record: UpstreamRecord) -> UpstreamCall:
-        """Return the request in the form in which it is sent to the upstream."""
-        is_late = request.age_s() > request.route.goal_s
-        urgency = 0 if request.last_event_id else 1 + 2 * request.priority + is_late
-        upstream_head = UpstreamHead(
-            upstream=record.id,
-            workspace=request.workspace_name,
-            time_limit_s=request.left_s(),
-            urgency=min(URGENCY_MAX, urgency),
-            expected_version=self.expected_version(request, record),
-            last_event_id=request.last_event_id,
-            body_bytes=len(request.body),
-        )
-        return UpstreamCall(
-            RequestStartLine(request.head.method, request.head.target, "HTTP/1.1"),
-            upstream_headers(request.head, upstream_head),
-            request.body,
-            STREAM_SILENCE_S if request.route.is_streamed else PLAIN_SILENCE_S,
-        )
-
-    def expected_version(self, request: GatewayRequest, record: UpstreamRecord) -> int:
-        """Return the version that the upstream holds; 0 while any version may be used.
-
-        The oldest version that may be used would be wrong: an engine with a newer one refuses it.
-        """
-        if not self.admission.least_version(request.service):
-            return 0
-        return self.selector.held_version(record)
-
     async def relay_buffered(
         self,
         request: GatewayRequest,
         exchange: Exchange,
         head: AnswerHead,
         writer: AnswerWriter,
+        other: OtherPlace,
     ) -> None:
         """Relay an answer once it is complete; a server error is retried elsewhere if allowed."""
         body = await exchange.whole_body(ANSWER_MAX_BYTES)
@@ -287,15 +168,15 @@
             raise resumption_error(head)
         if not body:
             check_end(request, head)
-        is_failure = head.status >= SERVER_ERROR
-        if is_failure and request.may_repeat(tries=2) and self.retries.has_left(request.service):
+        may_repeat = request.may_repeat(tries=2) and self.retries.has_left(request.service)
+        if head.status >= SERVER_ERROR and (other.attempt is not None or may_repeat):
             raise OutcomeUnknownError(f"status {head.status}", is_answered=True)
         request.attempts += 1
         await writer.answer(head, body)
 
     async def relay_stream(
         self,
-        request: GatewayRequest,
+        attempt: Attempt,
         exchange: Exchange,
         head: AnswerHead,
         writer: AnswerWriter,
@@ -304,8 +185,9 @@
 
         An answer that does not continue a stream that the caller has a part of is not relayed.
         """
+        request = attempt.request
         is_resumed = bool(writer.status)
-        if is_resumed and not (head.status == SUCCESS and head.is_event_stream):
+        if is_resumed and not head.is_stream:
             raise resumption_error(head)
         splitter = EventSplitter(request.last_event_id if is_resumed else "")
         has_events = False
@@ -313,12 +195,12 @@
         async for content in exchange.body():
             events = splitter.feed(content)
             if not events.content:
-                since_s = exchange.check_stalled(since_s)
+                since_s = await exchange.check_stalled(since_s)
                 continue
             if not writer.status:
                 writer.begin(head, None)
             if not request.first_event_at_s:
-                took_s = time.monotonic() - request.sent_at_s
+                took_s = time.monotonic() - attempt.began_at_s
                 self.admission.record_first_event(request.service, took_s)
             has_events = True
             request.record_event()
@@ -346,16 +228,6 @@
 
     A connection that closes behind the head may as well have been cut there.
     """
-    has_body = head.status == SUCCESS and request.head.method != "HEAD"
+    has_body = head.status == OK and request.head.method != "HEAD"
     if has_body and not head.is_framed:
         raise OutcomeUnknownError("the connection closed behind the head of the answer")
-
-
-def refusal_error(head: AnswerHead, record: UpstreamRecord) -> NotRunError:
-    """Return the error for an answer that states that the request has not run."""
-    is_misdirected = head.status == MISDIRECTED
-    is_replaced = is_misdirected and bool(head.upstream) and head.upstream != record.id
-    reason = f"refused with status {head.status}"
-    if is_replaced:
-        reason += f" by {head.upstream}"
-    return NotRunError(reason, True, is_misdirected, is_replaced)
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -16,15 +16,13 @@
 
     ``ends_at_s`` is its time limit.  ``fingerprint`` is alike in copies of one request.
     ``attempts`` counts the upstreams that may have run it; ``tried`` holds the run keys of the
-    upstreams that are not tried again.  ``is_sent`` is set while the current upstream may have it
-    and has not stated that it has not run.  ``sent_to`` holds the addresses that it was sent to.
+    upstreams that are not tried again.  ``is_sent`` is set while an upstream may have it that
+    has not stated that it has not run.  ``sent_to`` holds the addresses that it was sent to.
     ``last_event_id`` is the id of the last relayed event.
     ``longest_gap_s`` is the longest gap between its events so far, in seconds.
     ``is_trial`` is set once it is sent although others like it are refused, ``is_moving`` while it
     waits for another upstream than the silent one that it was sent to.
     ``unread_tokens`` are the prompt tokens that the current upstream has yet to read.
-    The current attempt starts at ``sent_at_s``, has its connection at ``connected_at_s`` and the
-    head of its answer at ``answered_at_s``; the last two are 0 until then.
     """
 
     head: CallerHead
@@ -40,9 +38,6 @@
     sent_to: set[Address] = field(default_factory=set)
     last_event_id: str = ""
     is_sent: bool = False
-    sent_at_s: float = 0.0
-    connected_at_s: float = 0.0
-    answered_at_s: float = 0.0
     unread_tokens: int = 0
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
@@ -83,21 +78,6 @@
         """Return the seconds since the request arrived."""
         return time.monotonic() - self.received_at_s
 
-    def begin_attempt(self) -> None:
-        """Record that the request is to be sent to an upstream now."""
-        self.sent_at_s = time.monotonic()
-        self.connected_at_s = self.answered_at_s = 0.0
-
-    def connect_s(self) -> float:
-        """Return the seconds that the attempt's connection took, or has taken so far."""
-        return (self.connected_at_s or time.monotonic()) - self.sent_at_s
-
-    def unanswered_s(self) -> float:
-        """Return the seconds that the connected upstream took, or has taken so far, to answer."""
-        if not self.connected_at_s:
-            return 0.0
-        return (self.answered_at_s or time.monotonic()) - self.connected_at_s
-
     def record_event(self) -> None:
         """Record that an event is relayed to the caller now."""
         now_s = time.monotonic()
--- a/gypsumpier/test/test_engine_rush.py
+++ b/gypsumpier/test/test_engine_rush.py
@@ -9,7 +9,7 @@
 import unittest
 from typing import Final
 
-from gypsumpier.gateway.relay import STREAM_SILENCE_S
+from gypsumpier.gateway.sender import STREAM_SILENCE_S
 from gypsumpier.test.builders_gateway import engines_in
 from gypsumpier.test.simulated_engine import SimulatedEngine
 from gypsumpier.test.simulated_entries import SimulatedEntries, simulate
--- a/gypsumpier/test/test_gateway.py
+++ b/gypsumpier/test/test_gateway.py
@@ -11,7 +11,7 @@
 from gypsumpier.codes.request import QUEUE_TOO_LONG
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import UpstreamRecord
-from gypsumpier.gateway import relay
+from gypsumpier.gateway import sender
 from gypsumpier.gateway.front import CallerExchange
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
@@ -134,11 +134,16 @@
         self.plan("mute")
         with (
             self.assertLogs(LOGGER, "INFO") as logged,
-            mock.patch.object(relay, "STREAM_SILENCE_S", 0.1),
+            mock.patch.object(sender, "STREAM_SILENCE_S", 0.1),
         ):
-            await self.fleet.call("/reports/x")
+            answer = asyncio.create_task(self.fleet.call("/reports/x"))
+            while not self.engine.received_headers and not self.other.received_headers:
+                await asyncio.sleep(0.005)
+            (self.other if self.engine.received_headers else self.engine).plan = []
+            await answer
         by_event = {found.getMessage(): record_fields(found) for found in logged.records}
         route, failed = by_event["route"], by_event["attempt_failed"]
+        self.assertEqual(failed["upstream"], by_event["attempt_silent"]["upstream"])
         self.assertEqual((1, 0), (route["held_version"], route["least_version"]))
         self.assertGreaterEqual(float(str(failed["unanswered_s"])), 0.1)
         self.assertLess(float(str(failed["connect_s"])), 0.1)
@@ -241,7 +246,7 @@
                 await asyncio.sleep(0.01)
 
     async def test_a_silent_engine_is_abandoned_for_another(self) -> None:
-        with mock.patch.object(relay, "STREAM_SILENCE_S", 0.1):
+        with mock.patch.object(sender, "STREAM_SILENCE_S", 0.1):
             self.plan("mute")
             call = asyncio.create_task(self.fleet.call("/reports/x"))
             while not self.runs():
--- a/gypsumpier/test/test_other_place.py
+++ b/gypsumpier/test/test_other_place.py
@@ -1,19 +1,51 @@
-"""Tests of the place that is taken at another upstream for a request of a silent one."""
+"""Tests of the second attempt at another upstream for a request of a silent one."""
 
 import asyncio
 import unittest
+from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.attempt import Attempt
+from gypsumpier.gateway.failures import FailureRecorder
 from gypsumpier.gateway.otherplace import OtherPlace
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.sender import UpstreamSender
+from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
 from gypsumpier.test.builders_platform import BOUNDS, ENGINES
-from gypsumpier.upstream.errors import OutcomeUnknownError
+from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.exchange import Exchange
+from gypsumpier.upstream.replacement import Replacement
 
 SILENCE_S = 0.01
+ANSWER_S = 0.05
+"""Seconds in which an upstream answers the second attempt."""
+
+
+def head_of(**fields: Any) -> mock.Mock:
+    """Return the head of a successful answer."""
+    defaults = {"request_id": "r1", "status": 200, "is_success": True, "is_stream": True}
+    return mock.Mock(**(defaults | fields))
+
+
+class FakeSender(UpstreamSender):
+    """Connects to upstreams without a network; they answer with ``head`` or ``error``."""
+
+    head = head_of()
+    error: Exception | None = None
+    answer_s = 0.0
+
+    async def begin(
+        self, attempt: Attempt, writer: AnswerWriter, replacement: Replacement, silent: str = ""
+    ) -> None:
+        attempt.connected_at_s = attempt.began_at_s
+        await asyncio.sleep(self.answer_s)
+        if self.error is not None:
+            raise self.error
+        attempt.exchange, attempt.head = mock.Mock(), self.head
 
 
 class OtherPlaceTest(unittest.IsolatedAsyncioTestCase):
@@ -25,30 +57,78 @@
         self.retries.entry_count = 1
         self.request = request_of(self.fleet_state)
         self.silent = await self.admission.enter(self.request)
+        self.sender = FakeSender(
+            self.admission, self.selector, mock.Mock(), mock.Mock(), mock.Mock()
+        )
+        self.failures = FailureRecorder(self.selector, mock.Mock(), mock.Mock())
+        self.writer = mock.Mock(status=0)
         self.other = OtherPlace(
-            self.admission, self.retries, self.request, self.silent, mock.Mock(status=0)
+            self.sender,
+            self.retries,
+            self.failures,
+            Attempt(self.request, self.silent),
+            self.writer,
         )
+        self.exchange = Exchange(mock.Mock(), SILENCE_S, self.other)
 
     def places(self) -> dict[str, int]:
         """Return the requests in flight by engine."""
         return {name: load.in_flight for name, load in self.selector.own_loads.items()}
 
-    # Guards against places, and turns of upstreams with a limit, that are never given back.
+    def allow_many_attempts(self) -> None:
+        """Let neither the route nor the retry budget limit the attempts."""
+        self.request.route = self.request.route._replace(max_attempts=9)
+        self.retries.bounds = self.retries.bounds._replace(retry_slack=9.0)
+
+    def after(self, seconds: float, act: Callable[[], None]) -> None:
+        """Act after so many seconds, which is progress of the silent upstream's exchange."""
+
+        def act_and_set() -> None:
+            act()
+            self.exchange.progress.set()
+
+        asyncio.get_running_loop().call_later(seconds, act_and_set)
+
+    # Guards against places that are never given back.
     async def test_a_place_that_is_not_claimed_is_given_back(self) -> None:
-        give_back = mock.patch.object(self.selector.statements, "give_back")
-        with give_back as given_back, self.other:
+        with self.other:
             self.assertTrue(await self.other.wait())
             self.assertEqual(2, len(self.places()))
         self.assertEqual({self.silent.id: 1}, self.places())
-        given_back.assert_called_once()
+
+    # Guards against turns of upstreams with a limit that are never given back, or that are given
+    # back although the request was sent.
+    async def test_the_turn_of_a_request_that_was_not_sent_is_given_back(self) -> None:
+        refusals = {
+            1: NotRunError("cannot connect", is_refusal=False),
+            0: NotRunError("refused with status 503", is_refusal=True),
+        }
+        for expected, error in refusals.items():
+            self.sender.error = error
+            self.request.tried.clear()
+            with mock.patch.object(self.selector.statements, "give_back") as given_back:
+                self.assertFalse(await self.other.wait())
+            self.assertEqual(expected, given_back.call_count, str(error))
+            self.assertEqual({self.silent.id: 1}, self.places())
+            self.assertEqual(0, self.request.attempts)
 
     # Guards against moves without an end where the retry budget is exhausted.
     async def test_each_place_costs_a_retry(self) -> None:
+        # The bound of attempts must not be what ends the moves.
+        self.request.route = self.request.route._replace(max_attempts=9)
         for expected in (True, True, False):
             with self.other:
                 self.assertEqual(expected, await self.other.wait())
         self.assertEqual({self.silent.id: 1}, self.places())
 
+    # Guards against more upstreams for a request than its route allows.
+    async def test_an_attempt_that_is_dropped_counts(self) -> None:
+        self.request.route = self.request.route._replace(max_attempts=2)
+        for expected in (True, False):
+            with self.other:
+                self.assertEqual(expected, await self.other.wait())
+        self.assertEqual(1, self.request.attempts)
+
     # Guards against a request that is sent again to the upstream that is silent.
     async def test_a_place_at_the_silent_upstream_is_none(self) -> None:
         def try_admit(request: GatewayRequest, share: float = 1.0) -> UpstreamRecord:
@@ -57,41 +137,95 @@
 
         self.admission.try_admit = try_admit  # type: ignore[method-assign]
         self.assertFalse(await self.other.wait())
-        self.assertIsNone(self.other.place)
+        self.assertIsNone(self.other.attempt)
         self.assertEqual({self.silent.id: 1}, self.places())
 
     # Guards against giving up an upstream that has just gone on.
     async def test_an_upstream_that_goes_on_as_the_place_is_granted_is_kept(self) -> None:
-        exchange = Exchange(mock.Mock(), SILENCE_S, self.other)
         wait = self.other.wait
 
         async def wait_and_go_on() -> bool:
             is_taken = await wait()
-            exchange.head = mock.Mock(request_id="r1")
-            exchange.progress.set()
+            self.exchange.head = head_of()
+            self.exchange.progress.set()
             return is_taken
 
         self.other.wait = wait_and_go_on  # type: ignore[method-assign]
-        self.assertIsNotNone(await exchange.answer("r1"))
+        self.assertIsNotNone(await self.exchange.answer("r1"))
         self.assertEqual({self.silent.id: 1}, self.places())
 
-    # Guards against a place that is held for a caller that has left.
-    async def test_a_caller_that_leaves_as_the_place_is_granted_holds_none(self) -> None:
-        exchange = Exchange(mock.Mock(), SILENCE_S, self.other)
+    # Guards against giving up an upstream that goes on while one that may refuse is asked.
+    async def test_an_upstream_that_goes_on_while_the_other_is_asked_is_kept(self) -> None:
+        self.sender.answer_s = 2 * ANSWER_S
+        self.after(ANSWER_S, lambda: setattr(self.exchange, "head", head_of()))
         with self.other:
-            task = asyncio.create_task(exchange.answer("r1"))
-            wait = self.other.wait
+            self.assertIsNotNone(await self.exchange.answer("r1"))
+            self.assertIsNone(self.other.attempt)
+        self.assertEqual({self.silent.id: 1}, self.places())
+        self.assertEqual(1, self.request.attempts)
+
+    # Guards against dropping the replacement of an upstream that fails or refuses in the meantime.
+    async def test_another_upstream_that_is_asked_is_kept_as_the_silent_one_fails(self) -> None:
+        refusal = head_of(status=503, is_success=False, is_stream=False)
+        failures: dict[str, Callable[[], None]] = {
+            "cut": lambda: setattr(self.exchange, "failure", "answer cut"),
+            "refused": lambda: setattr(self.exchange, "head", refusal),
+            "withdrawn": lambda: setattr(self.exchange, "withdrawn", "not started"),
+        }
+        self.allow_many_attempts()
+        self.sender.answer_s = 2 * ANSWER_S
+        for name, fail in failures.items():
+            self.exchange = Exchange(mock.Mock(), SILENCE_S, self.other)
+            self.after(ANSWER_S, fail)
+            with self.subTest(name), self.other:
+                try:
+                    self.assertFalse((await self.exchange.answer("r1")).is_success)
+                except OutcomeUnknownError as error:
+                    self.assertFalse(error.is_silent)
+                self.assertIsNotNone(self.other.attempt)
+                self.assertEqual(2, len(self.places()))
+
+    # Guards against a stream that is cut as it moves to an upstream that can't continue it.
+    async def test_only_an_answer_that_continues_is_moved_to(self) -> None:
+        cases = [
+            (0, head_of(status=500, is_success=False, is_stream=False)),
+            (200, head_of(status=204, is_stream=False)),
+        ]
+        for status, head in cases:
+            self.writer.status, self.sender.head = status, head
+            self.request.last_event_id = "1" if status else ""
+            self.request.tried.clear()
+            self.request.attempts = 0
+            self.assertFalse(await self.other.wait(), str(status))
+            self.assertEqual({self.silent.id: 1}, self.places())
+            self.assertEqual(1, self.request.attempts)
 
-            async def wait_and_leave() -> bool:
-                is_taken = await wait()
-                task.cancel()
-                return is_taken
+    # Guards against a place that is held for a caller that has left.
+    async def test_a_caller_that_leaves_as_the_place_is_granted_holds_none(self) -> None:
+        self.allow_many_attempts()
+        for answer_s in (0.0, ANSWER_S):
+            self.sender.answer_s = answer_s
+            with self.subTest(answer_s=answer_s), self.other:
+                await self.leave_as_the_place_is_granted()
+            self.assertEqual({self.silent.id: 1}, self.places())
+            self.assertEqual([], self.admission.queue(ENGINES).waiting)
+
+    async def leave_as_the_place_is_granted(self) -> None:
+        """Cancel the wait for an answer as the other upstream is asked, or as it answers."""
+        task = asyncio.create_task(self.exchange.answer("r1"))
+        send = self.other.send
+
+        async def send_and_leave(record: UpstreamRecord) -> bool:
+            if self.sender.answer_s:
+                asyncio.get_running_loop().call_later(self.sender.answer_s / 2, task.cancel)
+            is_taken = await send(record)
+            task.cancel()
+            return is_taken
 
-            self.other.wait = wait_and_leave  # type: ignore[method-assign]
-            with self.assertRaises((asyncio.CancelledError, OutcomeUnknownError)):
-                await task
-        self.assertEqual({self.silent.id: 1}, self.places())
-        self.assertEqual([], self.admission.queue(ENGINES).waiting)
+        self.other.send = send_and_leave  # type: ignore[method-assign]
+        with self.assertRaises((asyncio.CancelledError, OutcomeUnknownError)):
+            await task
+        self.other.send = send  # type: ignore[method-assign]
 
 
 if __name__ == "__main__":
--- a/gypsumpier/test/test_silent_upstream.py
+++ b/gypsumpier/test/test_silent_upstream.py
@@ -15,7 +15,7 @@
 
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address
-from gypsumpier.gateway import relay
+from gypsumpier.gateway import sender
 from gypsumpier.gateway.application import SEND_MARGIN_S, START_MARGIN_S
 from gypsumpier.log import LOGGER
 from gypsumpier.mesh.mesh import Mesh
@@ -218,7 +218,7 @@
         other = self.fleet.add("i-2", ENGINES, zone=OTHER_ZONE)
         await self.start()
         ends_at_s = self.silent.pause(SILENCE_S)
-        with mock.patch.object(relay, "STREAM_SILENCE_S", 0.7):
+        with mock.patch.object(sender, "STREAM_SILENCE_S", 0.7):
             calls = [self.fleet.call("/reports/x", f"r{number}") for number in range(8)]
             for answer in await asyncio.gather(*calls):
                 self.assert_whole(answer)
--- a/gypsumpier/test/test_upstream_silence.py
+++ b/gypsumpier/test/test_upstream_silence.py
@@ -4,6 +4,7 @@
 from typing import Final
 from unittest import mock
 
+from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.failures import FailureRecorder
 from gypsumpier.test.builders_gateway import engines, request_of, selector_of
 from gypsumpier.test.builders_platform import ENGINES, apply_records, engine_record
@@ -61,12 +62,10 @@
     # Guards against the same for requests that reach their time limit in the silence.
     def test_requests_that_end_at_their_time_limit_in_one_silence_count_once(self) -> None:
         failures = FailureRecorder(self.selector, mock.Mock(), mock.Mock())
-        requests = [request_of(self.fleet_state) for _ in range(TOGETHER)]
-        for request in requests:
-            request.begin_attempt()
-        self.now_s = requests[0].ends_at_s
-        for request in requests:
-            failures.record_cancelled(request, self.silent)
+        attempts = [Attempt(request_of(self.fleet_state), self.silent) for _ in range(TOGETHER)]
+        self.now_s = attempts[0].request.ends_at_s
+        for attempt in attempts:
+            failures.record_cancelled(attempt)
         self.assertEqual("i-2", self.chosen())
         self.now_s += 0.5
         self.assertEqual("i-1", self.chosen())
--- a/gypsumpier/test/test_version_start.py
+++ b/gypsumpier/test/test_version_start.py
@@ -6,7 +6,7 @@
 from typing import Any
 from unittest import mock
 
-from gypsumpier.gateway import relay
+from gypsumpier.gateway import sender
 from gypsumpier.gateway.application import SEND_MARGIN_S
 from gypsumpier.test.builders_platform import ENGINES, MODEL, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
@@ -90,7 +90,7 @@
         # A silent engine would be abandoned at about the same time.
         for patched in (
             mock.patch.object(other, "loaded_version", lambda: 2),
-            mock.patch.object(relay, "STREAM_SILENCE_S", IN_FORCE_S),
+            mock.patch.object(sender, "STREAM_SILENCE_S", IN_FORCE_S),
         ):
             patched.start()
             self.addCleanup(patched.stop)
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -41,7 +41,8 @@
     """Sends one request and yields the parts of its answer.
 
     ``finished`` is set if the answer is complete; ``failure`` says why it is not.  After
-    ``silence_s`` seconds without progress it is given up for a ``replacement``, once there is one.
+    ``silence_s`` seconds without progress a ``replacement`` is asked for, and once that answers the
+    exchange is given up.
     """
 
     def __init__(self, stream: UpstreamStream, silence_s: float, replacement: Replacement) -> None:
@@ -113,8 +114,11 @@
         self.progress.set()
 
     def withdraw(self, reason: str) -> bool:
-        """Make ``answer`` fail at once; return False where the head of the answer has arrived."""
-        if self.head is not None:
+        """Make ``answer`` fail at once and the upstream drop the request, unless it has answered.
+
+        Returns False where the head of the answer has arrived, or ``answer`` fails already.
+        """
+        if self.head is not None or self.withdrawn:
             return False
         self.withdrawn = reason
         self.progress.set()
@@ -142,20 +146,32 @@
         self.progress.clear()
 
     async def is_replaced(self) -> bool:
-        """Wait for a replacement; return False if there is progress first, or none is to be had."""
+        """Wait for a replacement; return False if there is progress first, or none is to be had.
+
+        A replacement is kept where the answer fails in the meantime.
+        """
         replaced = asyncio.create_task(self.replacement.wait())
         progressed = asyncio.create_task(self.progress.wait())
         try:
             await asyncio.wait({replaced, progressed}, return_when=asyncio.FIRST_COMPLETED)
+            if self.withdrawn:
+                self.abandon()
+            if not self.has_gone_on():
+                await asyncio.wait({replaced})
         finally:
             progressed.cancel()
             replaced.cancel()
             await asyncio.wait({replaced})
         is_taken = not replaced.cancelled() and replaced.result()
-        if is_taken and self.progress.is_set():
+        if is_taken and self.has_gone_on():
             self.replacement.release()
+        return is_taken and not self.progress.is_set()
+
+    def has_gone_on(self) -> bool:
+        """Return whether what has arrived since the silence may lead to a complete answer."""
+        if not self.progress.is_set() or self.head is None or not self.head.is_success:
             return False
-        return is_taken
+        return bool(self.parts) or not self.failure
 
     async def answer(self, request_id: str, is_echo_required: bool = True) -> AnswerHead:
         """Return the head of the answer; raise OutcomeUnknownError if there is none.
@@ -164,10 +180,10 @@
         calls without an id: where no echo is required, only another id is rejected.
         """
         while self.head is None:
-            if self.failure:
-                raise OutcomeUnknownError(self.failure)
             if self.withdrawn:
                 raise OutcomeUnknownError(self.withdrawn, is_withdrawn=True)
+            if self.failure:
+                raise OutcomeUnknownError(self.failure)
             await self.wait_for_progress()
         echoed = self.head.request_id
         if echoed != request_id and (is_echo_required or echoed):
@@ -197,10 +213,10 @@
             if len(whole) + len(content) > max_bytes:
                 raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
             whole += content
-            since_s = self.check_stalled(since_s)
+            since_s = await self.check_stalled(since_s)
         return bytes(whole)
 
-    def check_stalled(self, since_s: float) -> float:
+    async def check_stalled(self, since_s: float) -> float:
         """Return since when, in monotonic seconds, an answer that receives bytes is stalled.
 
         Every ``silence_s`` seconds a replacement is looked for; raises OutcomeUnknownError where
@@ -209,7 +225,7 @@
         now_s = time.monotonic()
         if now_s - since_s < self.silence_s:
             return since_s
-        if self.replacement.take():
+        if await self.replacement.take():
             raise OutcomeUnknownError(f"stalled for {self.silence_s:g} s")
         return now_s
 
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -1,11 +1,13 @@
 """The heads of requests and answers, independent of their HTTP headers."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from tornado.httputil import HTTPHeaders
 
 from gypsumpier.statement.statement import Statement
 
+OK: Final = 200
+
 
 class CallerHead(NamedTuple):
     """The head of a caller's request.
@@ -83,3 +85,8 @@
     def is_success(self) -> bool:
         """Whether the status is a success (2xx)."""
         return 200 <= self.status < 300
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether it begins a series of events, or the rest of one that was asked for."""
+        return self.status == OK and self.is_event_stream
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -71,21 +71,19 @@
     def __init__(self) -> None:
         self.idle: dict[Address, list[IdleConnection]] = {}
 
-    @asynccontextmanager
-    async def exchange(
+    async def open(
         self,
         address: Address,
         is_repeatable: bool,
         make_call: Callable[[], UpstreamCall],
         replacement: Replacement,
         is_new: bool = False,
-    ) -> AsyncIterator[Exchange]:
-        """Send a request and yield its exchange; raise NotRunError if no connection can be made.
+    ) -> Exchange:
+        """Send a request and return its exchange, which has to be released.
 
         ``make_call`` returns the request once there is a connection, as its time limit and the
-        required weights may have changed in the meantime; NotRunError makes the request unsent.
-        With ``is_new`` no kept connection is used.  Leaving the context before the answer is
-        complete closes the connection, which cancels the request at the upstream.
+        required weights may have changed in the meantime; NotRunError makes the request unsent, and
+        is raised as well if no connection can be made.  With ``is_new`` no kept connection is used.
         """
         idle_max_s = IDLE_TIMEOUT_S if is_repeatable else NON_REPEATABLE_IDLE_MAX_S
         stream = None if is_new else self.take_idle(address, idle_max_s)
@@ -98,8 +96,21 @@
             stream.close()
             raise
         exchange = Exchange(stream, call.silence_s, replacement)
+        exchange.send(call.start, call.headers, call.body)
+        return exchange
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        address: Address,
+        is_repeatable: bool,
+        make_call: Callable[[], UpstreamCall],
+        replacement: Replacement,
+        is_new: bool = False,
+    ) -> AsyncIterator[Exchange]:
+        """Do the same as ``open``, and release the exchange at the end of the context."""
+        exchange = await self.open(address, is_repeatable, make_call, replacement, is_new)
         try:
-            exchange.send(call.start, call.headers, call.body)
             yield exchange
         finally:
             self.release(address, exchange)
@@ -142,7 +153,10 @@
         return stream
 
     def release(self, address: Address, exchange: Exchange) -> None:
-        """Keep the connection if its answer is complete; close it otherwise."""
+        """Keep the connection if its answer is complete; close it otherwise.
+
+        Closing it cancels the request at the upstream.
+        """
         stream, head = exchange.stream, exchange.head
         is_done = exchange.finished and exchange.task is not None and exchange.task.done()
         is_clean = is_done and not stream.closed() and not stream.has_unread_bytes()
--- a/gypsumpier/upstream/replacement.py
+++ b/gypsumpier/upstream/replacement.py
@@ -4,25 +4,25 @@
 
 
 class Replacement(Protocol):
-    """A place at another upstream, which must be held before the silent one is given up."""
+    """Another upstream, which must answer the request before the silent one is given up.
 
-    def take(self) -> bool:
-        """Take a place that is free now; return whether there is one."""
+    A cancelled call gives up what it has begun.
+    """
 
-    async def wait(self) -> bool:
-        """Wait for a place and take it; return False if none is to be had.
+    async def take(self) -> bool:
+        """Use a place that is free now; return whether the upstream there answers."""
 
-        A cancelled wait takes none.
-        """
+    async def wait(self) -> bool:
+        """Wait for a place and use it; return whether the upstream there answers."""
 
     def release(self) -> None:
-        """Give a place back that was taken, as the silent upstream went on first."""
+        """Give up the other upstream, as the silent one went on first."""
 
 
 class NoReplacement:
     """For requests that stay with their upstream."""
 
-    def take(self) -> bool:
+    async def take(self) -> bool:
         return False
 
     async def wait(self) -> bool:
