Read a stalled answer on while another upstream is asked for it

Callers waited for events, or got a plain answer late or not at all, that had arrived: an answer of which bytes but no event, or not the whole body, had arrived for the time of a silence was not read on until the other upstream had answered, which may be silent as well, and was then dropped for it, however much had arrived meanwhile.

Cause: check_stalled awaits the second attempt since; before that it only took a place. Now the answer is kept where its body ends, an event is complete or its buffer is full before the other upstream answers; where it is cut, the other one is kept, as with silences.

--- a/gypsumpier/gateway/events.py
+++ b/gypsumpier/gateway/events.py
@@ -45,6 +45,10 @@
             self.check_continues(whole)
         return Events(whole, [found for found in map(event_id, whole.split(b"\n")) if found])
 
+    def ends_event(self, content: bytes) -> bool:
+        """Return whether an event would be complete once ``content`` is added."""
+        return EVENT_END in self.rest[-1:] + content
+
     def check_continues(self, whole: bytes) -> None:
         """Raise OutcomeUnknownError unless each of the events follows the one before it."""
         for event in whole.removesuffix(EVENT_END).split(EVENT_END):
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -195,7 +195,7 @@
         async for content in exchange.body():
             events = splitter.feed(content)
             if not events.content:
-                since_s = await exchange.check_stalled(since_s)
+                since_s = await exchange.check_stalled(since_s, splitter.ends_event)
                 continue
             if not writer.status:
                 writer.begin(head, None)
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -93,8 +93,7 @@
         self.parts.append(chunk)
         self.buffered_bytes += len(chunk)
         self.progress.set()
-        is_full = self.buffered_bytes >= BUFFERED_MAX_BYTES or len(self.parts) >= BUFFERED_MAX_PARTS
-        if not is_full or self.abandoned:
+        if not self.is_buffer_full() or self.abandoned:
             return None
         self.drained.clear()
         return asyncio.ensure_future(self.wait_until_drained())
@@ -213,21 +212,43 @@
             if len(whole) + len(content) > max_bytes:
                 raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
             whole += content
-            since_s = await self.check_stalled(since_s)
+            since_s = await self.check_stalled(since_s, lambda _: self.finished)
         return bytes(whole)
 
-    async def check_stalled(self, since_s: float) -> float:
+    async def check_stalled(self, since_s: float, goes_on: Callable[[bytes], bool]) -> float:
         """Return since when, in monotonic seconds, an answer that receives bytes is stalled.
 
         Every ``silence_s`` seconds a replacement is looked for; raises OutcomeUnknownError where
-        there is one.
+        one answers before the buffered bytes show by ``goes_on`` that it is not needed.
         """
-        now_s = time.monotonic()
-        if now_s - since_s < self.silence_s:
+        if time.monotonic() - since_s < self.silence_s:
             return since_s
-        if await self.replacement.take():
-            raise OutcomeUnknownError(f"stalled for {self.silence_s:g} s")
-        return now_s
+        replaced = asyncio.create_task(self.replacement.take())
+        try:
+            while not replaced.done() and not self.has_recovered(goes_on):
+                # Where the answer has failed, only the replacement is left to wait for.
+                self.progress.clear()
+                progressed = asyncio.create_task(self.progress.wait())
+                try:
+                    await asyncio.wait({replaced, progressed}, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    progressed.cancel()
+        finally:
+            replaced.cancel()
+            await asyncio.wait({replaced})
+        if not replaced.cancelled() and replaced.result():
+            if not self.has_recovered(goes_on):
+                raise OutcomeUnknownError(f"stalled for {self.silence_s:g} s")
+            self.replacement.release()
+        return time.monotonic()
+
+    def has_recovered(self, goes_on: Callable[[bytes], bool]) -> bool:
+        """Return whether a stalled answer goes on, or has to be read on to tell."""
+        return self.is_buffer_full() or goes_on(b"".join(self.parts))
+
+    def is_buffer_full(self) -> bool:
+        """Return whether reading pauses until the buffered parts are taken."""
+        return self.buffered_bytes >= BUFFERED_MAX_BYTES or len(self.parts) >= BUFFERED_MAX_PARTS
 
     def take_buffered(self) -> bytes:
         """Return and clear the buffered parts of the body."""
