Ask an upstream again that was full as a silent one was to be replaced

Callers saw a stream stand still until its dead engine came back or their patience ended, where the only other engine had been full in the one moment in which it was asked.

Cause: since a refused second attempt leaves the request at the silent upstream, but the one that refused stays among those that are not tried again, and no move looks at it any more. A request that is at no upstream forgets its refusals once all have been tried (Admission.try_admit). Now a move does so as well, one look (0.2 s) after the last upstream was asked, so that each is asked at most once in 0.4 s; each time costs a retry of the budget, as before.

--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -18,7 +18,8 @@
 
     A request that stays with the silent upstream can lose nothing, so ``attempt`` is set only once
     the other one has begun an answer that may be relayed.  Where the silent one goes on first, or
-    at the end of the context, an attempt that was not claimed is ended.
+    at the end of the context, an attempt that was not claimed is ended.  ``refused`` holds the run
+    keys of those that have not run the request, and that may have a place for it later.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self.silent = silent
         self.writer = writer
         self.attempt: Attempt | None = None
+        self.refused: set[tuple[str, int]] = set()
         self.unread_tokens = 0
 
     def __enter__(self) -> Self:
@@ -74,6 +76,9 @@
         if self.attempt is not None:
             return True
         if not self.may_move():
+            # Once all have been asked, those that were full then may be asked again next time.
+            self.request.tried -= self.refused
+            self.refused.clear()
             return False
         record = await self.enter(is_queued)
         return record is not None and await self.send(record)
@@ -117,6 +122,8 @@
             self.attempt = attempt
         except NotRunError as error:
             self.failures.record_not_run(attempt, error)
+            if not (error.is_replaced or error.is_misdirected):
+                self.refused.add(record.run_key())
         except OutcomeUnknownError as error:
             self.failures.record_unknown(attempt, error)
         except BaseException:
