Keep a silent second attempt until a third upstream has a place

Callers could lose the answer of a second upstream, silent for a moment only, where the first one was dead: the second attempt was ended as soon as a third upstream was usable, even one without a place, which then had to be waited for.

Now the second attempt is ended only if a third upstream has a place that no other request waits for, and that place is taken at once instead of at the next look, 0.2 s later. It is not held while the second attempt ends: where it is lost in those few turns of the event loop, the request is still at the first upstream.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -130,6 +130,18 @@
             record.run_key() not in tried and self.selector.is_usable(record) for record in records
         )
 
+    def has_place(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
+        """Return whether an upstream that is not among the ``tried`` runs has a place now.
+
+        Places belong to the requests that wait for them.
+        """
+        if self.queue(request.service).waiting:
+            return False
+        records = self.selector.candidates(request.service, self.least_version(request.service))
+        tokens = request.head.prompt_tokens
+        needed_s = self.needed_s(request)
+        return self.selector.choose(records, tried, needed_s, True, 1.0, tokens) is not None
+
     def arrivals_per_s(self, service: str) -> float:
         """Return the recent requests per second of callers for the service."""
         queue = self.queues.get(service)
--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -20,6 +20,7 @@
     the other one has begun an answer that may be relayed.  Where the silent one goes on first, or
     at the end of the context, an attempt that was not claimed is ended.  ``refused`` holds the run
     keys of those that have not run the request, and that may have a place for it later.
+    ``is_place_seen`` is set once the attempt is to be ended for a place at a third upstream.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self.writer = writer
         self.attempt: Attempt | None = None
         self.refused: set[tuple[str, int]] = set()
+        self.is_place_seen = False
         self.unread_tokens = 0
 
     def __enter__(self) -> Self:
@@ -60,8 +62,11 @@
             request.service
         ):
             return False
-        all_tried = request.tried | tried | {self.silent.record.run_key()}
-        return self.admission.has_other_upstream(request.service, all_tried)
+        return self.admission.has_other_upstream(request.service, self.all_tried(tried))
+
+    def all_tried(self, tried: frozenset[tuple[str, int]]) -> set[tuple[str, int]]:
+        """Return the run keys of the upstreams that it does not go to, ``tried`` among them."""
+        return self.request.tried | tried | {self.silent.record.run_key()}
 
     async def take(self) -> bool:
         """Send the request to an upstream that has a place now; return whether it answers."""
@@ -80,8 +85,11 @@
             self.request.tried -= self.refused
             self.refused.clear()
             return False
+        self.is_place_seen = False
         record = await self.enter(is_queued)
-        return record is not None and await self.send(record)
+        if record is None:
+            return False
+        return await self.send(record) or (self.is_place_seen and await self.take())
 
     async def enter(self, is_queued: bool) -> UpstreamRecord | None:
         """Return the upstream that the request is admitted to, at the cost of a retry, if any."""
@@ -168,7 +176,7 @@
 
 
 class LastResort:
-    """Keeps a second attempt that is silent as well, unless there is a third upstream to try."""
+    """Keeps a second attempt that is silent as well, unless a third upstream has a place now."""
 
     def __init__(self, other: OtherPlace, record: UpstreamRecord) -> None:
         self.other = other
@@ -178,7 +186,11 @@
         return await self.wait()
 
     async def wait(self) -> bool:
-        return self.other.may_move(frozenset({self.record.run_key()}))
+        other, tried = self.other, frozenset({self.record.run_key()})
+        other.is_place_seen = other.may_move(tried) and other.admission.has_place(
+            other.request, other.all_tried(tried)
+        )
+        return other.is_place_seen
 
     def release(self) -> None:
         return None
--- a/gypsumpier/test/test_refused_moves.py
+++ b/gypsumpier/test/test_refused_moves.py
@@ -4,7 +4,10 @@
 import unittest
 from typing import Final
 
+from gypsumpier.gateway.otherplace import LastResort
+from gypsumpier.test.builders_gateway import request_of
 from gypsumpier.test.builders_platform import ENGINES
+from gypsumpier.test.otherplacecase import OtherPlaceCase
 from gypsumpier.test.silentcase import EVENT_PAUSE_S, OTHER_ZONE, SilentUpstreamCase
 
 DEAD_S: Final = 3.0
@@ -30,5 +33,35 @@
         self.assertEqual(["r1"], other.run_ids)
 
 
+class LastResortTest(OtherPlaceCase):
+    engine_count = 3
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.allow_many_attempts()
+        self.second, self.third = (
+            record
+            for record in self.fleet_state.upstreams.values()
+            if record.run_key() != self.silent.run_key()
+        )
+        self.last_resort = LastResort(self.other, self.second)
+
+    # Guards against a second attempt that stays silent while a third upstream has a place.
+    async def test_a_silent_second_attempt_is_ended_for_a_third_upstream(self) -> None:
+        self.assertTrue(await self.last_resort.wait())
+
+    # Guards against a second attempt that is given up although no other upstream has a place, so
+    # that its answer is lost where the first upstream is dead.
+    async def test_a_silent_second_attempt_stays_while_the_third_upstream_is_full(self) -> None:
+        for _ in range(self.selector.limit(self.third)):
+            self.selector.begin(self.third, 0)
+        self.assertFalse(await self.last_resort.wait())
+
+    # Guards against the same where the place will go to a request that has waited for it.
+    async def test_a_silent_second_attempt_stays_while_others_wait(self) -> None:
+        self.admission.queue(ENGINES).add(request_of(self.fleet_state), 1e9, 1e9)
+        self.assertFalse(await self.last_resort.wait())
+
+
 if __name__ == "__main__":
     unittest.main()
