Let each test run hold its share of the ports, so that no other one takes them

Cause: free_port shared the ports by process id modulo 64. Two processes whose ids are alike by that number start with the same ports, and the entries of a soak bind theirs a second later, or again after a restart; in between the other process takes them for free. A process now claims a share by a socket on its first port, and takes the next share where another process holds it.

Ruled out: other kinds of process. In two listings of the listening sockets beside plays and tests, all those in the range were of processes that use free_port.

--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -36,10 +36,36 @@
 PORTS: Final = range(10_240, 32_768)
 """Ports below the range that Linux uses for outgoing connections."""
 PORT_SHARES: Final = 64
-"""Shares of these ports, one for each process, so that two test runs don't take the same port."""
+"""Shares of these ports; a process holds one, so that two test runs don't take the same port."""
 
 
-own_ports = itertools.cycle(PORTS[os.getpid() % PORT_SHARES :: PORT_SHARES])
+def claim_share() -> tuple[range, socket.socket]:
+    """Return a share of the ports, and the socket by which this process holds it until its end.
+
+    The socket is bound to the first port of the share.
+    """
+    for number in range(os.getpid(), os.getpid() + PORT_SHARES):
+        first, *_ = share = PORTS[number % PORT_SHARES :: PORT_SHARES]
+        claim = socket.socket()
+        if bind_port(claim, first):
+            return share[1:], claim
+        claim.close()
+    raise AssertionError(f"{PORT_SHARES} other processes hold a share of the ports")
+
+
+def bind_port(found: socket.socket, port: int) -> bool:
+    """Bind a socket to a port of this machine; return False if another socket has it."""
+    try:
+        found.bind(("127.0.0.1", port))
+    except OSError as error:
+        if error.errno != errno.EADDRINUSE:
+            raise
+        return False
+    return True
+
+
+own_share, own_claim = claim_share()
+own_ports = itertools.cycle(own_share)
 
 
 def free_port() -> int:
@@ -50,13 +76,8 @@
     """
     for port in own_ports:
         with socket.socket() as found:
-            try:
-                found.bind(("127.0.0.1", port))
-            except OSError as error:
-                if error.errno != errno.EADDRINUSE:
-                    raise
-                continue
-        return port
+            if bind_port(found, port):
+                return port
     raise AssertionError("the ports have no end")
 
 
--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak test: each check detects its violation, and a short run has none."""
 
 import json
+import os
 import subprocess
 import sys
 import unittest
@@ -10,7 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from gypsumpier.test.builders_platform import BOUNDS
-from gypsumpier.test.gatewayfleet import free_port
+from gypsumpier.test.gatewayfleet import PORT_SHARES, PORTS, free_port
 from gypsumpier.test.standin.platform import Run
 from misc.faulting.actions import Window
 from misc.soaking.checks import check
@@ -267,6 +268,18 @@
         self.assertLess(max(ports), first)
         self.assertGreater(len(set(ports)), 190)
 
+    # Guards against an entry that ends at its start as another test run took its port meanwhile.
+    def test_processes_whose_ids_give_them_the_same_share_share_no_port(self) -> None:
+        program = (
+            f"import os; os.getpid = lambda: {os.getpid()}\n"
+            "from gypsumpier.test.gatewayfleet import PORT_SHARES, PORTS, free_port\n"
+            "print(*(free_port() for _ in range(20)))"
+        )
+        command = [sys.executable, "-c", program]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=True)
+        own = {free_port() for _ in range(len(PORTS) // PORT_SHARES)}
+        self.assertEqual(set(), own & {int(port) for port in done.stdout.split()})
+
 
 class ShortSoakTest(unittest.TestCase):
     def test_a_short_run_of_real_processes_violates_no_guarantee(self) -> None:
