Hold requests that may have run until their time limit, in place of refusing them by an estimate

Cause: the queue refuses a request whose estimated wait ends after its latest start, and took 2.4 s without an event for the time at which a caller leaves. For a new request the refusal is a promise with a Retry-After. For one that may have run it becomes a 502, of which its caller learns nothing; the estimate is of no use to it. It now waits until its time limit less the time to a first event; a caller that does leave closes its connection, which ends the wait. The same holds while the engines load, and while all of them rest. Among late requests it goes first, behind those that can still be in time: the others can be refused truthfully. A stream that is to move from a silent engine is treated as before, as a refusal leaves it where it is.

Ruled out: the retry budget (the request is queued after it is spent), and a lack of engines that may serve (one had the due version, and was full).

Six of the eight tests of test_held_repeats and the new one of test_version_start failed before the change; the others state what stays.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -232,11 +232,13 @@
         """Raise Refusal if every upstream rests, unless the request can wait for the first of them.
 
         A stream that is to be resumed waits as long as its caller does: a refusal would cut it.
+        So does a request that may have run: it can't be told that it has not.
         """
         rest_s = self.rest_left_s(request.service)
         if rest_s <= REST_WAIT_S:
             return
-        if request.last_event_id and time.monotonic() + rest_s < self.latest_start_s(request):
+        is_held = bool(request.last_event_id) or not request.is_refusable()
+        if is_held and time.monotonic() + rest_s < self.latest_start_s(request):
             return
         # Callers come back one after the other, not all at the end of the rest.
         retry_after_s = rest_s * (1.0 + self.random.uniform(0.0, RETRY_AFTER_JITTER_SHARE))
@@ -388,11 +390,17 @@
                 )
 
     def latest_start_s(self, request: GatewayRequest) -> float:
-        """Return the monotonic time by which the request must start; later its caller gives up."""
+        """Return the monotonic time by which the request must start; later its caller gives up.
+
+        A request that may have run is not given up sooner than its time limit requires; a caller
+        that abandons it closes its connection.
+        """
         route = request.route
-        if not route.is_streamed:
-            latest_start_s = request.ends_at_s - PLAIN_SERVICE_TIME_S
-        else:
+        needed_s = FIRST_EVENT_ESTIMATE_S if route.is_streamed else PLAIN_SERVICE_TIME_S
+        latest_start_s = request.ends_at_s - needed_s
+        if not request.is_refusable():
+            return latest_start_s
+        if route.is_streamed:
             caller_timeout_s = max(
                 STREAM_TIMEOUT_MIN_S,
                 STREAM_TIMEOUT_GOAL_FACTOR * route.goal_s,
@@ -400,7 +408,7 @@
             )
             awaited_since_s = request.last_event_at_s or request.received_at_s
             caller_abandons_at_s = awaited_since_s + caller_timeout_s
-            latest_start_s = min(request.ends_at_s, caller_abandons_at_s) - FIRST_EVENT_ESTIMATE_S
+            latest_start_s = min(latest_start_s, caller_abandons_at_s - needed_s)
         if not self.selector.candidates(request.service):
             latest_start_s = min(latest_start_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
         return latest_start_s
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -75,6 +75,14 @@
         """Return whether an upstream may have run it, or may still."""
         return self.attempts > 0 or self.is_sent
 
+    def is_refusable(self) -> bool:
+        """Return whether a refusal of its wait for an upstream would be true, or change nothing.
+
+        One that an upstream may have run can't be told that it has not run; one that moves stays
+        with the silent upstream.
+        """
+        return not self.attempts or self.is_moving
+
     def left_s(self) -> float:
         """Return the seconds until the time limit of the caller or of the route."""
         return self.ends_at_s - time.monotonic()
--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -1,9 +1,10 @@
 """The queue of the requests of one service that wait for an upstream with free capacity.
 
 The order of service: streams to be resumed, then requests that can still meet their goal, then late
-ones; within each, by priority number (lowest first), then by fair share of the workspaces, then by
-arrival.  While a standing queue persists, the newest request is served first.  A request whose
-estimated wait is longer than its caller waits is refused at once, with a Retry-After.
+ones, those first that may have run; within each, by priority number (lowest first), then by fair
+share of the workspaces, then by arrival.  While a standing queue persists, the newest request is
+served first.  A request whose estimated wait is longer than its caller waits is refused at once,
+with a Retry-After; one that may have run can't be, and waits until its latest start.
 """
 
 import asyncio
@@ -27,7 +28,8 @@
 """The same where upstreams state that they take fewer requests than arrive."""
 RANK_RESUMED: Final = 0
 RANK_ON_TIME: Final = 1
-RANK_LATE: Final = 2
+RANK_LATE_REPEAT: Final = 2
+RANK_LATE: Final = 3
 """Ranks of queued requests; the smallest goes first."""
 OVERTAKING_SHARE: Final = 0.7
 """Share of the recent arrival rate that is expected to continue and to overtake late requests."""
@@ -83,7 +85,9 @@
         """Return the rank; a stream to be resumed goes first, as its caller notices the gap."""
         if self.request.last_event_id:
             return RANK_RESUMED
-        return RANK_LATE if now_s > self.goal_start_s else RANK_ON_TIME
+        if now_s <= self.goal_start_s:
+            return RANK_ON_TIME
+        return RANK_LATE if self.request.is_refusable() else RANK_LATE_REPEAT
 
 
 class RequestQueue:
@@ -201,7 +205,8 @@
         Late requests are overtaken by requests that arrive and can still meet their goal.
         Removing a request shortens only the waits behind it, so one pass in order is enough.
         Where all upstreams state limits, ``limited`` takes the place of the measured rate.  While
-        they are scarce, one request waits for the next place, and others only for a moment.
+        they are scarce, one request waits for the next place, and others only for a moment.  No
+        estimate ends the wait of a request that may have run: its caller would learn nothing.
         """
         now_s, rate, first_in_s = time.monotonic(), self.rate_per_s(capacity_share_per_s), 0.0
         if self.limited is not None:
@@ -211,12 +216,16 @@
         late_rate = max(rate - overtaking_per_s, LATE_SHARE_MIN * rate)
         position = late_position = 0
         for waiting in self.ordered():
-            is_late = waiting.rank(now_s) == RANK_LATE
+            is_late = waiting.rank(now_s) in (RANK_LATE_REPEAT, RANK_LATE)
             wait_s = first_in_s + position / rate + (late_position / late_rate if is_late else 0.0)
             latest_start_s = waiting.latest_start_s
             if is_scarce and (position or late_position):
                 latest_start_s = min(latest_start_s, waiting.queued_at_s + LIMITED_WAIT_S)
-            if now_s + wait_s > latest_start_s:
+            if not waiting.request.is_refusable():
+                is_refused = now_s > waiting.latest_start_s
+            else:
+                is_refused = now_s + wait_s > latest_start_s
+            if is_refused:
                 self.refuse(waiting, wait_s)
             elif is_late:
                 late_position += 1
--- a/gypsumpier/test/test_version_start.py
+++ b/gypsumpier/test/test_version_start.py
@@ -10,6 +10,8 @@
 from gypsumpier.gateway.application import SEND_MARGIN_S
 from gypsumpier.test.builders_platform import ENGINES, MODEL, route_body
 from gypsumpier.test.gatewayfleet import GatewayFleet
+from gypsumpier.upstream.peerloads import Load
+from gypsumpier.upstream.selector import PEER_LOAD_MAX_AGE_S
 from misc.faulting.tcp_proxy import TcpProxy
 
 IN_FORCE_S = 2.6
@@ -17,6 +19,10 @@
 SENT_S = IN_FORCE_S - SEND_MARGIN_S - 0.3
 """Seconds after the naming of a version at which the request is sent: shortly before the last
 moment at which that is allowed, with time for a busy machine."""
+FULL = 17
+"""Requests in flight from which an engine of 16 slots takes no more."""
+ABANDONED_S = 2.4
+"""Seconds after which a caller is taken to abandon a stream that has sent no event."""
 
 
 class VersionStartTest(unittest.IsolatedAsyncioTestCase):
@@ -99,6 +105,22 @@
         self.assertEqual((1, []), (len(self.engine.received_headers), self.engine.runs))
         self.assertEqual({}, self.fleet.entry.selector.health.health_by_run)
 
+    # Guards against a 502 in place of an answer, as the other engine is full for a while.
+    async def test_a_withdrawn_request_waits_until_the_other_engine_has_room(self) -> None:
+        self.engine.queued_s = IN_FORCE_S
+        other = self.fleet.add("i-2", ENGINES, version=2)
+        patched = mock.patch.object(other, "loaded_version", lambda: 2)
+        patched.start()
+        self.addCleanup(patched.stop)
+        selector = self.fleet.entry.selector
+        # The report is dropped by its age, later than a caller is taken to leave.
+        full_until_s = SENT_S + ABANDONED_S + 0.2
+        age_s = PEER_LOAD_MAX_AGE_S - full_until_s
+        selector.record_peer_loads("front-nam-a-9", {"i-2": Load(FULL, 0)}, age_s=age_s)
+        answer, _ = await self.call_after_naming()
+        self.assertEqual((200, 1), (answer.code, len(other.runs)))
+        self.assertEqual((1, []), (len(self.engine.received_headers), self.engine.runs))
+
     async def test_a_withdrawn_request_is_not_repeated_where_its_route_forbids_it(self) -> None:
         """Guards against a second run of a request that may have run."""
         self.engine.queued_s = IN_FORCE_S
