Let the soak know which requests stand behind a planned extra answer

Cause, as far as shown: the stand-in writes an extra answer behind one that it was to give. Where an entry keeps the connection before that arrives, its next request takes the extra answer for its own, sees another id and may have run. The run of that request was marked "ok", so that nothing explained it. It is now marked "behind extra", and only it: a request on another connection stays unexplained.

The first test failed before the change ("ok" in place of "behind extra"); the second states that the check is no wider.

--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -12,10 +12,10 @@
 
 from gypsumpier.test.builders_platform import BOUNDS
 from gypsumpier.test.gatewayfleet import PORT_SHARES, PORTS, free_port
-from gypsumpier.test.standin.platform import Run
+from gypsumpier.test.standin.platform import Run, UpstreamStandin
 from misc.faulting.actions import Window
 from misc.soaking.checks import check
-from misc.soaking.connection import CUT, TIMED_OUT, Answer
+from misc.soaking.connection import CUT, TIMED_OUT, Answer, CallerConnection
 from misc.soaking.deployment import EVENTS
 from misc.soaking.facts import STABLE_S, Facts
 from misc.soaking.load import COMMAND, PROBE, REPORT, UPLOAD, Sent, answer_error
@@ -256,6 +256,35 @@
         self.assertTrue(self.fault(REPORT, self.stream([1, 2, 2]), status=CUT))
 
 
+class ExtraAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def call(self, connection: CallerConnection, request_id: str) -> None:
+        """Send a command on the connection."""
+        headers = {"Host": "lab.example", "X-Request-Id": request_id}
+        await connection.call("/commands/x", headers, b"{}", 1.0)
+
+    # Guards against a 502 without a known cause where an entry took a planned extra answer for that
+    # to its next request, which then may have run (soak seed 16).
+    async def test_a_run_behind_an_extra_answer_on_its_connection_is_marked(self) -> None:
+        upstream = UpstreamStandin("plain-1")
+        self.addCleanup(upstream.server.stop)
+        upstream.plan = ["ok", "extra"]
+        connection, other = CallerConnection(upstream.port), CallerConnection(upstream.port)
+        for number in range(3):
+            await self.call(connection, f"r{number}")
+        await self.call(other, "r3")
+        connection.close()
+        other.close()
+        actions = [run.action for run in upstream.runs]
+        self.assertEqual(["ok", "extra", "behind extra", "ok"], actions)
+
+    def test_it_explains_only_the_request_behind_it(self) -> None:
+        sent = make_sent(status=502)
+        runs = [make_run(sent, action="behind extra")]
+        self.assertEqual({}, violations(sent=[sent], runs=runs))
+        runs = [make_run(sent), make_run(make_sent(COMMAND, 99.9), request_id="r", action="extra")]
+        self.assertEqual({"unexplained_failures": 1}, violations(sent=[sent], runs=runs))
+
+
 class PortTest(unittest.TestCase):
     def test_free_ports_lie_below_the_ephemeral_range(self) -> None:
         """An outgoing connection took an entry's port while the entry restarted (soak seed 106).
