Give a request that crosses a close the time that its ends got no processor

The platform's rule is about requests that a process has read.

Cause: the check takes a request for read 0.2 s after its last byte, whatever the machine does; the other bounds have a margin for that. Processor waits counted as starvation only above 0.25 s in a sample. Waits of the entry and of the callers between the last byte and the close are now recorded in samples of 0.05 s and added, each for the part that lies in between. On an idle machine nothing is added. Requests that have run are judged as before, and starvation is recorded as before.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -25,7 +25,13 @@
 from misc.soaking.facts import Facts
 from misc.soaking.faults import SoakFaults
 from misc.soaking.load import PROBE, SoakLoad
-from misc.soaking.starvation import record_starvation
+from misc.soaking.processorwait import ProcessorWait
+from misc.soaking.starvation import (
+    STARVATION_INTERVAL_S,
+    WAIT_INTERVAL_S,
+    record_waits,
+    starved,
+)
 
 MIN_SERVED: Final = 500
 CHECK_INTERVAL_S: Final = 5.0
@@ -41,12 +47,13 @@
     rng = random.Random(seed)
     load = SoakLoad(deployment, random.Random(rng.random()), rate_per_s)
     faults = SoakFaults(deployment, random.Random(rng.random()))
-    starved: list[Window] = []
+    waits: list[ProcessorWait] = []
+    samples: list[ProcessorWait] = []
     printed: set[str] = set()
 
     def report_violations() -> Violations:
         """Check everything observed so far, print new violations, and return all."""
-        violations = check(facts(deployment, load, faults, starved))
+        violations = check(facts(deployment, load, faults, starved(samples), waits))
         for guarantee, items in violations.items():
             for item in items:
                 if f"{guarantee} {item}" not in printed:
@@ -61,7 +68,8 @@
 
     watch_tasks = [
         asyncio.create_task(watch()),
-        asyncio.create_task(record_starvation(deployment.nodes, starved)),
+        asyncio.create_task(record_waits(deployment.nodes, waits, WAIT_INTERVAL_S)),
+        asyncio.create_task(record_waits(deployment.nodes, samples, STARVATION_INTERVAL_S)),
     ]
     await faults.run(seconds)
     unrecovered = await not_recovered(deployment, load)
@@ -70,7 +78,7 @@
         task.cancel()
     violations = report_violations() | {"not_recovered": unrecovered}
     began_s = faults.windows[0].began_at_s if faults.windows else 0.0
-    for window in faults.windows + starved:
+    for window in faults.windows + starved(samples):
         since_s, lasted_s = window.began_at_s - began_s, window.ended_at_s - window.began_at_s
         click.echo(f"{since_s:.1f} s {window.name} {window.target} for {lasted_s:.1f} s")
     statuses = Counter(sent.status for sent in load.sent if sent.kind != PROBE)
@@ -79,26 +87,31 @@
         "requests": sum(statuses.values()),
         "served": statuses[200],
         "faults": len(faults.windows),
-        "starved": len(starved),
+        "starved": len(starved(samples)),
         "statuses": {str(status): count for status, count in sorted(statuses.items())},
         "broken": {guarantee: len(items) for guarantee, items in violations.items()},
     }
 
 
 def facts(
-    deployment: SoakDeployment, load: SoakLoad, faults: SoakFaults, starved: list[Window]
+    deployment: SoakDeployment,
+    load: SoakLoad,
+    faults: SoakFaults,
+    starvation: list[Window],
+    waits: list[ProcessorWait],
 ) -> Facts:
     """Return everything observed so far."""
     return Facts(
         sent=load.sent,
         runs=deployment.runs(),
-        windows=faults.windows + starved,
+        windows=faults.windows + starvation,
         configured_at_s=deployment.configured_at_s,
         revoked_at_s=deployment.revoked_at_s,
         draining_at_s=deployment.draining_at_s,
         named_at_s=deployment.named_at_s,
         partial_loads=sum(engine.partial_loads for engine in deployment.engines()),
         killed_at_stop=faults.killed_at_stop,
+        waits=waits,
     )
 
 
--- a/misc/soaking/facts.py
+++ b/misc/soaking/facts.py
@@ -5,6 +5,7 @@
 from gypsumpier.test.standin.platform import Run
 from misc.faulting.actions import Window
 from misc.soaking.load import Sent
+from misc.soaking.processorwait import ProcessorWait
 
 STABLE_S: Final = 3.0
 """Seconds without a fault after which the time bounds hold, as on the platform."""
@@ -28,6 +29,7 @@
     named_at_s: dict[int, float]
     partial_loads: int
     killed_at_stop: int
+    waits: list[ProcessorWait]
 
 
 def is_free_of_abrupt_faults(facts: Facts, from_s: float, to_s: float) -> bool:
--- a/misc/soaking/lost.py
+++ b/misc/soaking/lost.py
@@ -36,7 +36,7 @@
         f" {sent.whole_at_s - sent.sent_at_s:.2f} s and ended"
         f" {sent.ended_at_s - sent.sent_at_s:.2f} s after its head{during(facts, sent)}"
         for sent, runs in with_runs(facts)
-        if is_without_answer(sent, runs)
+        if is_without_answer(facts, sent, runs)
         and not is_explained(facts, sent, runs)
         and not ran_out_of_stop(facts, sent, runs)
         and not (sent.status == TIMED_OUT and is_starved(facts, sent))
@@ -77,11 +77,13 @@
     )
 
 
-def is_without_answer(sent: Sent, runs: list[Run]) -> bool:
+def is_without_answer(facts: Facts, sent: Sent, runs: list[Run]) -> bool:
     """Return whether a request was taken up and ended within its time without a whole answer."""
-    was_read = bool(runs) or sent.ended_at_s > sent.whole_at_s + LOSS_SLACK_S
     is_cut = sent.status == CUT and sent.ended_at_s < sent.sent_at_s + TIME_LIMITS_S[sent.kind]
-    return was_read and sent.whole_at_s < float("inf") and (is_cut or sent.status == TIMED_OUT)
+    if sent.whole_at_s == float("inf") or not (is_cut or sent.status == TIMED_OUT):
+        return False
+    crossed_until_s = sent.whole_at_s + LOSS_SLACK_S + waited_s(facts, sent)
+    return bool(runs) or sent.ended_at_s > crossed_until_s
 
 
 def is_explained_by_entry(facts: Facts, sent: Sent) -> bool:
@@ -120,6 +122,18 @@
     )
 
 
+def waited_s(facts: Facts, sent: Sent) -> float:
+    """Return for how long the machine kept the caller or the entry from running at its end.
+
+    The entry reads the last byte, and the caller notices the close, that much later.
+    """
+    return sum(
+        wait.within_s(sent.whole_at_s, sent.ended_at_s)
+        for wait in facts.waits
+        if wait.target in (SELF, sent.entry)
+    )
+
+
 def ran_out_of_stop(facts: Facts, sent: Sent, runs: list[Run]) -> bool:
     """Return whether a request sent early in a stop of its entry still ran in the last part."""
     last_s = BOUNDS.stop_s * (1 - LAST_SHARE_OF_STOP)
--- a/misc/soaking/starvation.py
+++ b/misc/soaking/starvation.py
@@ -9,19 +9,25 @@
 from misc.faulting.actions import Window
 from misc.soaking.facts import MARGIN_S
 from misc.soaking.node import Node
+from misc.soaking.processorwait import ProcessorWait
 
-SAMPLE_INTERVAL_S: Final = 0.2
+STARVATION_INTERVAL_S: Final = 0.2
+"""Seconds of a sample in which a process may be starved."""
+WAIT_INTERVAL_S: Final = 0.05
+"""Seconds of a sample of short waits; the last one of a process that ends is not known."""
 NS_PER_S: Final = 1e9
 SELF: Final = "soak"
 """Target of the windows in which the soak test's own process, with its callers, was starved."""
 
 
-async def record_starvation(nodes: dict[str, Node], windows: list[Window]) -> None:
-    """Add a window for each sample in which a process waited over MARGIN_S, until cancelled."""
+async def record_waits(
+    nodes: dict[str, Node], waits: list[ProcessorWait], interval_s: float
+) -> None:
+    """Add the wait of each process in each sample, until cancelled."""
     waited_by_pid: dict[int, float] = {}
     sampled_at_s = time.monotonic()
     while True:
-        await asyncio.sleep(SAMPLE_INTERVAL_S)
+        await asyncio.sleep(interval_s)
         pids = [(SELF, os.getpid())]
         pids += [
             (name, node.process.pid)
@@ -32,13 +38,22 @@
         for name, pid in pids:
             total_s = processor_wait_s(pid)
             waited_s = total_s - waited_by_pid.get(pid, total_s)
-            if waited_s > MARGIN_S:
+            if waited_s > 0:
                 # The kernel adds a wait when it ends, so that it may have begun before the sample.
-                windows.append(Window("starved", name, True, sampled_at_s - waited_s, now_s))
+                waits.append(ProcessorWait(name, sampled_at_s - waited_s, now_s, waited_s))
             waited_by_pid[pid] = total_s
         sampled_at_s = now_s
 
 
+def starved(samples: list[ProcessorWait]) -> list[Window]:
+    """Return a window for each sample in which a process waited over MARGIN_S."""
+    return [
+        Window("starved", wait.target, True, wait.began_at_s, wait.ended_at_s)
+        for wait in samples
+        if wait.waited_s > MARGIN_S
+    ]
+
+
 def processor_wait_s(pid: int) -> float:
     """Return the seconds for which a process's main thread has waited for a processor so far.
 
