Let the soak serve enough to judge before it ends, and draw its faults alike in each run of a seed

Cause: faults of a spell drew from one generator, and planned wrong answers drew from it every 0.15 s too, so that the same seed gave a spell of 2.5 s or of 8 s, with kill_all or without.

Wrong answers now have a generator of their own, so that the first spell is the same in each run. Where fewer than 500 were served after the time given, spells and planned changes go on for at most as long again, and a run that still serves fewer, or less than half of the requests that reached an entry with a key in force, ends with exit status 2 as before. The second condition is new: the first alone would be looser in a longer run.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -21,6 +21,7 @@
 
 from misc.faulting.actions import Window
 from misc.soaking.checks import Violations, check
+from misc.soaking.connection import NOT_CONNECTED
 from misc.soaking.deployment import SoakDeployment
 from misc.soaking.facts import Facts
 from misc.soaking.faults import SoakFaults
@@ -34,10 +35,13 @@
 )
 
 MIN_SERVED: Final = 500
+MIN_SERVED_SHARE: Final = 0.5
 CHECK_INTERVAL_S: Final = 5.0
 RECOVERY_S: Final = 12.0
 """Seconds after the last fault in which every entry must serve, as on the platform."""
 RECOVERY_POLL_S: Final = 0.2
+SERVED: Final = 200
+KEY_REFUSED: Final = 401
 EXIT_BROKEN: Final = 1
 EXIT_TOO_FEW_SERVED: Final = 2
 
@@ -71,7 +75,7 @@
         asyncio.create_task(record_waits(deployment.nodes, waits, WAIT_INTERVAL_S)),
         asyncio.create_task(record_waits(deployment.nodes, samples, STARVATION_INTERVAL_S)),
     ]
-    await faults.run(seconds)
+    await faults.run(seconds, lambda: served_count(load) >= MIN_SERVED)
     unrecovered = await not_recovered(deployment, load)
     await load.stop()
     for task in watch_tasks:
@@ -85,7 +89,8 @@
     return {
         "seed": seed,
         "requests": sum(statuses.values()),
-        "served": statuses[200],
+        "admissible": sum(statuses.values()) - statuses[NOT_CONNECTED] - statuses[KEY_REFUSED],
+        "served": statuses[SERVED],
         "faults": len(faults.windows),
         "starved": len(starved(samples)),
         "statuses": {str(status): count for status, count in sorted(statuses.items())},
@@ -93,6 +98,11 @@
     }
 
 
+def served_count(load: SoakLoad) -> int:
+    """Return how many requests were served so far, without probes."""
+    return sum(sent.status == SERVED for sent in load.sent if sent.kind != PROBE)
+
+
 def facts(
     deployment: SoakDeployment,
     load: SoakLoad,
@@ -140,6 +150,14 @@
         await deployment.stop()
 
 
+def exit_status(report: dict[str, Any]) -> int:
+    """Return the exit status of a run with that report."""
+    if any(report["broken"].values()):
+        return EXIT_BROKEN
+    least = max(MIN_SERVED, MIN_SERVED_SHARE * report["admissible"])
+    return EXIT_TOO_FEW_SERVED if report["served"] < least else 0
+
+
 @click.command()
 @click.option("--seed", default=1)
 @click.option("--seconds", default=60.0, help="Seconds in which faults begin.")
@@ -152,9 +170,7 @@
         directory.mkdir(parents=True, exist_ok=True)
         report = asyncio.run(main_async(seed, seconds, rate, directory))
     print(json.dumps(report))
-    if any(report["broken"].values()):
-        sys.exit(EXIT_BROKEN)
-    sys.exit(EXIT_TOO_FEW_SERVED if report["served"] < MIN_SERVED else 0)
+    sys.exit(exit_status(report))
 
 
 if __name__ == "__main__":
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -64,16 +64,25 @@
         self.planned_rng = random.Random(rng.random())
         self.windows: list[Window] = []
         self.series = Series(deployment, random.Random(rng.random()), self.windows)
+        self.answers_rng = random.Random(rng.random())
         self.busy: set[str] = set()
         self.killed_at_stop = 0
 
-    async def run(self, seconds: float) -> None:
-        """Alternate bursts of overlapping faults with lone planned changes, for so many seconds."""
-        deadline_s = time.monotonic() + seconds
-        while time.monotonic() < deadline_s:
+    async def run(self, seconds: float, is_enough: Callable[[], bool]) -> None:
+        """Alternate bursts of overlapping faults with lone planned changes, for so many seconds.
+
+        Goes on until it ``is_enough``, but no longer than for as many seconds again.
+        """
+        began_s = time.monotonic()
+
+        def is_due() -> bool:
+            past_s = time.monotonic() - began_s
+            return past_s < seconds or (past_s < 2 * seconds and not is_enough())
+
+        while is_due():
             await self.fault_burst()
             await asyncio.sleep(SETTLE_S)
-            if time.monotonic() < deadline_s:
+            if is_due():
                 await self.planned_rng.choice(self.planned())()
 
     async def fault_burst(self) -> None:
@@ -95,10 +104,11 @@
             try:
                 while True:
                     await asyncio.sleep(FAULTY_ANSWER_INTERVAL_S)
-                    upstream = self.deployment.upstreams[self.upstream()]
+                    name = self.answers_rng.choice(sorted(self.deployment.upstreams))
+                    upstream = self.deployment.upstreams[name]
                     if not upstream.plan:
-                        upstream.cut_after = self.rng.randrange(EVENTS)
-                        upstream.plan.append(self.rng.choice(ANSWER_FAULTS))
+                        upstream.cut_after = self.answers_rng.randrange(EVENTS)
+                        upstream.plan.append(self.answers_rng.choice(ANSWER_FAULTS))
                         if upstream.plan == ["full"]:
                             upstream.plan.append("again")
             finally:
