Answer a request in one piece from the parts of one attempt

A chat whose answer is sent in one piece and whose upstream failed in the middle of it was repeated, which is right, but the parts of the failed attempt stayed in front of those of the repeat. The handler compares their number with that of the final frame and refuses the answer as cut (check_count; by reading): the caller lost an answer that was there. Parts of an answer in one piece are now kept for each attempt.

The test got '0 1 2 3 4 0 1 2 3 4 5 ...' before the change. A streamed answer was not concerned: it is not repeated once a part has reached the caller.

--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -61,14 +61,7 @@
         """Yield the frames of a complete answer; raise GypsumpierError if there is none."""
         self.budget.earn()
         self.guard.check_quarantine(request)
-        frames = self.attempts(request, document)
-        if request.streamed:
-            async for frame in frames:
-                yield frame
-            return
-        # Nothing reaches the caller before the answer is complete, so an attempt may be retried.
-        whole = [frame async for frame in frames]
-        for frame in whole:
+        async for frame in self.attempts(request, document):
             yield frame
 
     async def admitted(
@@ -144,9 +137,10 @@
             link, version = await self.target(request, document, failure)
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
             started = False
+            frames = self.admitted(request, document, link, attempt, version)
             try:
-                async for frame in self.admitted(request, document, link, attempt, version):
-                    started = started or request.streamed
+                async for frame in relayed(request, frames):
+                    started = True
                     yield frame
                 return
             except GypsumpierError as error:
@@ -263,3 +257,17 @@
             "fingerprint": request.fingerprint,
             "suspect": self.guard.quarantine.is_suspect(request.fingerprint),
         }
+
+
+async def relayed(request: CallerRequest, frames: AsyncIterator[Frame]) -> AsyncIterator[Frame]:
+    """Yield the frames of one attempt as its caller gets them: as they arrive, or all at the end.
+
+    An attempt can be repeated as long as nothing has reached the caller.
+    """
+    if request.streamed:
+        async for frame in frames:
+            yield frame
+        return
+    whole = [frame async for frame in frames]
+    for frame in whole:
+        yield frame
--- a/gypsumpier/test/test_request_paths.py
+++ b/gypsumpier/test/test_request_paths.py
@@ -109,6 +109,24 @@
         run(scenario())
 
 
+class RepeatedAttemptTest(unittest.TestCase):
+    # Guards against an answer that is refused as cut although its repeat is complete: it began with
+    # the parts of the attempt that had failed.
+    def test_an_answer_in_one_piece_has_the_parts_of_one_attempt(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            agents = [world.agent(MODEL_SERVICE, number=number) for number in range(2)]
+            entry = await world.entry()
+            await asyncio.sleep(SETTLE_TIME_S)
+            call = asyncio.create_task(outcome(world, entry, chat_call(world, streamed=False)))
+            await asyncio.sleep(2.2)
+            failing = next(agent for agent in agents if agent.gate.running)
+            failing.upstream.crashes += 1
+            self.assertEqual(COMPLETE_TEXT, await call)
+
+        run(scenario())
+
+
 class StaleListTest(unittest.TestCase):
     def test_a_link_stops_although_the_end_of_a_session_swallows_its_cancellation(self) -> None:
         async def scenario() -> None:
