Resume a lost attempt where no other upstream answers

When the connection to an agent was lost before the first part of an answer, and another agent of the service was usable, the entry gave the attempt up and tried the other one. Where that was not possible the caller got 502 (outcome_unknown), although the first agent still ran the request and the connection was back within 0.1 s. Four cases, each with a test that failed before (test_lost_connection): no retry left (streamed or not), the other agent rests, it refuses the repeat, the attempt is the last one allowed.

The other agent still goes first, at once. The lost attempt is kept, and resumed before a loss is reported; once another agent has answered it is cancelled at the first one, which did not happen before, as there was no connection to send that on.

Ruled out: a request that must not run twice is always resumed (tested); a lost connection of the repeat, with none to any other agent, was resumed before. Not changed: the entry asks for 4 s (ask_timeout_s, a setting); a process that was replaced can't answer. A resumed attempt does not count in the entry's window of admission.

--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -4,6 +4,7 @@
 
 from gypsumpier.codes import request as codes
 from gypsumpier.codes.result import Outcome
+from gypsumpier.entry.delivery import Delivery, LostAttemptError
 from gypsumpier.entry.link import Link
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.errors import GypsumpierError
@@ -17,17 +18,25 @@
 
 
 class FailureHistory:
-    """The failures of one request's attempts so far."""
+    """The failures of one request's attempts so far.
+
+    ``lost`` are the attempts that may still run and can be resumed.  ``is_begun`` is set once a
+    frame has been yielded for the caller; no other attempt may answer then.
+    """
 
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
         self.tried: set[str] = set()
         self.may_have_run = False
+        self.is_begun = False
+        self.lost: list[Delivery] = []
         self.last = GypsumpierError(codes.NO_LIVE_UPSTREAM, request.service, RETRY_AFTER_S)
 
     def record(self, error: GypsumpierError, link: Link | None) -> None:
         """Record the failure of an attempt on a link; None where no home was reached."""
         self.last = error
+        if isinstance(error, LostAttemptError):
+            self.lost.append(error.delivery)
         if link is not None:
             self.tried.add(link.member.name)
             certain = error.code.outcome is Outcome.NOT_RUN or error.code in NOT_RUN_BY_HOME
--- a/gypsumpier/entry/relay.py
+++ b/gypsumpier/entry/relay.py
@@ -61,8 +61,41 @@
         """Yield the frames of a complete answer; raise GypsumpierError if there is none."""
         self.budget.earn()
         self.guard.check_quarantine(request)
-        async for frame in self.attempts(request, document):
-            yield frame
+        failure = FailureHistory(request)
+        try:
+            async for frame in self.answer(request, document, failure):
+                yield frame
+        finally:
+            for delivery in failure.lost:
+                await delivery.cancel()
+
+    async def answer(
+        self, request: CallerRequest, document: ServiceDocument, failure: FailureHistory
+    ) -> AsyncIterator[Frame]:
+        """Yield the frames of the attempt that answers; raise the error for the caller otherwise.
+
+        Where no new attempt is possible, lost ones are resumed: they may still run.
+        """
+        try:
+            async for frame in self.attempts(request, document, failure):
+                yield frame
+            return
+        except GypsumpierError:
+            if failure.is_begun or not failure.lost:
+                raise
+        for delivery in reversed(failure.lost):
+            decision("resume_lost", request=request.request_id, exchange=delivery.attempt.exchange)
+            try:
+                async for frame in relayed(request, delivery.resumed_frames()):
+                    failure.is_begun = True
+                    yield frame
+                self.guard.record_answered(request)
+                return
+            except GypsumpierError as error:
+                failure.record(error, delivery.link)
+                if failure.is_begun:
+                    break
+        raise failure.caller_error()
 
     async def admitted(
         self,
@@ -129,18 +162,16 @@
         }
 
     async def attempts(
-        self, request: CallerRequest, document: ServiceDocument
+        self, request: CallerRequest, document: ServiceDocument, failure: FailureHistory
     ) -> AsyncIterator[Frame]:
         """Yield the frames of the successful attempt; raise the error for the caller otherwise."""
-        failure = FailureHistory(request)
         for number in range(ATTEMPTS_MAX):
             link, version = await self.target(request, document, failure)
             attempt = Attempt(f"{request.request_id}/{number}", link.member.name)
-            started = False
             frames = self.admitted(request, document, link, attempt, version)
             try:
                 async for frame in relayed(request, frames):
-                    started = True
+                    failure.is_begun = True
                     yield frame
                 return
             except GypsumpierError as error:
@@ -149,7 +180,7 @@
                     link.refusal = error
                     link.refuses_until_s = self.clock.monotonic() + (error.retry_after_s or 0.0)
                 self.guard.handle_attempt_failure(request, error)
-                if started or not self.may_retry(request, error):
+                if failure.is_begun or not self.may_retry(request, error):
                     raise failure.caller_error() from error
             await self.clock.sleep(self.backoff_s(request, failure, number))
         raise failure.caller_error()
