Keep using a zone of which one upstream fails

One connection that failed, or one silence, at an upstream of another zone put all of that zone into backoff, for 0.5 s and up to 4 s, although its other upstreams answered and had places. With the own zone full, requests waited meanwhile or were refused as the queue seemed too long. As the failing upstream is the least loaded one it is tried first after each backoff, which rests the zone again.

The zone now goes into backoff once two of its upstreams can't be connected to with no answer from the zone in between, or if a request is given up in silence and the zone has not answered for 0.35 s. The beginning of an answer ends the backoff; before, only the end of one did.

--- a/gypsumpier/test/test_upstream_silence.py
+++ b/gypsumpier/test/test_upstream_silence.py
@@ -134,6 +134,25 @@
         self.selector.record_success(self.fleet_state.upstreams["i-3"])
         self.assertEqual("i-3", self.chosen())
 
+    # Guards against ruling out a zone that answers, because one of its upstreams is silent.
+    def test_a_silent_upstream_does_not_rule_out_a_zone_that_answers(self) -> None:
+        apply_records(self.fleet_state, engine_record(3, 10, zone="nam-a"))
+        self.selector.health.record_replaced(self.silent.run_key())
+        sent_at_s = self.now_s - GIVEN_UP_S
+        self.selector.record_heard(self.fleet_state.upstreams["i-3"])
+        self.now_s += STEP_S
+        self.selector.record_silence(self.distant, sent_at_s)
+        self.assertEqual("i-3", self.chosen())
+
+    # Guards against ruling out a zone for seconds after it has answered again.
+    def test_the_beginning_of_an_answer_ends_the_backoff_of_a_silent_zone(self) -> None:
+        apply_records(self.fleet_state, engine_record(3, 10, zone="nam-a"))
+        self.selector.health.record_replaced(self.silent.run_key())
+        self.selector.record_silence(self.distant, self.now_s - GIVEN_UP_S)
+        self.assertEqual("", self.chosen())
+        self.selector.record_heard(self.fleet_state.upstreams["i-3"])
+        self.assertEqual("i-3", self.chosen())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -53,6 +53,12 @@
 """Seconds before an engine's weight switch by which its requests should have ended."""
 PROMPT_TOKENS_PER_S: Final = 30_000.0
 """Assumed rate at which an upstream reads prompts whose service publishes none."""
+ZONE_UNREACHABLE_MIN: Final = 2
+"""Upstreams of another zone that can't be connected to, with no answer from that zone in between,
+before all of it goes into backoff: one may be down by itself."""
+ZONE_SILENCE_S: Final = 0.35
+"""Seconds without an answer from another zone after which a silent upstream counts against all of
+it: the shortest silence after which a request is given up."""
 FORGET_INTERVAL_S: Final = 1.0
 """Seconds between two times at which the state of upstreams that no longer exist is dropped."""
 
@@ -61,6 +67,8 @@
     """The load, health and engine state of upstreams, by which one is selected for each request.
 
     ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.
+    ``heard_at_s`` is the monotonic time of the last answer from each other zone, ``unreachable``
+    the ids of its upstreams that could not be connected to since then.
     ``statements`` are what upstreams have stated in their answers.  ``known_candidates`` holds the
     candidates by service and least version until something changes that they depend on.
     """
@@ -71,6 +79,8 @@
         self.schedule = schedule
         self.health = HealthTracker()
         self.zone_health = HealthTracker()
+        self.heard_at_s: dict[str, float] = {}
+        self.unreachable: dict[str, set[str]] = {}
         self.own_loads: dict[str, Load] = {}
         self.own_waiting: dict[str, int] = {}
         self.peer_loads = PeerLoads()
@@ -157,7 +167,10 @@
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
         self.statements.retain(runs)
-        self.claims.retain({record.id for record in records})
+        ids = {record.id for record in records}
+        self.claims.retain(ids)
+        for unreachable in self.unreachable.values():
+            unreachable &= ids
         addresses = {f"{record.host}:{record.port}" for record in records}
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
@@ -387,31 +400,44 @@
     def record_unreachable(self, record: UpstreamRecord) -> None:
         """Record that an upstream can't be connected to.
 
-        For another zone, the whole zone goes into backoff: it may be cut off, and each of its
-        upstreams would otherwise delay requests again before failing.
+        Another zone of which several can't be goes into backoff as a whole: it may be cut off, and
+        each of its upstreams would otherwise delay requests again before failing.
         """
         self.health.record_failure(record.run_key())
-        if record.zone != self.zone:
+        if record.zone == self.zone:
+            return
+        unreachable = self.unreachable.setdefault(record.zone, set())
+        unreachable.add(record.id)
+        if len(unreachable) >= ZONE_UNREACHABLE_MIN:
             self.zone_health.record_failure((record.zone, 0))
 
     def record_silence(self, record: UpstreamRecord, sent_at_s: float) -> None:
         """Record that a request, sent at that monotonic time, was given up as nothing arrived.
 
-        For another zone, the whole zone goes into backoff, as if it could not be connected to.
+        Another zone goes into backoff if nothing arrives from any of its upstreams.  One silence is
+        enough: unlike a failed connection it costs the request one of its attempts.
         """
         self.health.record_silence(record.run_key(), sent_at_s)
-        if record.zone != self.zone:
+        silent_from_s = self.heard_at_s.get(record.zone, float("-inf")) + ZONE_SILENCE_S
+        if record.zone != self.zone and time.monotonic() >= silent_from_s:
             self.zone_health.record_silence((record.zone, 0), sent_at_s)
 
     def record_heard(self, record: UpstreamRecord) -> None:
         """Record that an answer has begun to arrive: the upstream and its zone are not silent."""
         self.health.record_heard(record.run_key())
-        self.zone_health.record_heard((record.zone, 0))
+        self.record_zone_reached(record.zone)
 
     def record_success(self, record: UpstreamRecord) -> None:
         """Record a complete answer: the upstream and its zone are reachable."""
         self.health.record_success(record.run_key())
-        self.zone_health.record_success((record.zone, 0))
+        self.record_zone_reached(record.zone)
+
+    def record_zone_reached(self, zone: str) -> None:
+        """Record that an answer arrives from the zone, which ends its backoff."""
+        if zone != self.zone:
+            self.heard_at_s[zone] = time.monotonic()
+        self.unreachable.pop(zone, None)
+        self.zone_health.record_success((zone, 0))
 
     def is_impaired(self, record: UpstreamRecord) -> bool:
         """Return whether the upstream fails many requests or is slow."""
