--- a/gypsumpier/test/test_zone_backoff.py
+++ b/gypsumpier/test/test_zone_backoff.py
@@ -11,9 +11,9 @@
 from typing import Final
 from unittest import mock
 
+from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.failures import FailureRecorder
 from gypsumpier.gateway.refusal import Refusal
-from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.test.builders_gateway import engines_in, request_of
 from gypsumpier.test.builders_platform import apply_records, engine_record
 from gypsumpier.test.simulated_entries import SimulatedEntries, simulate
@@ -77,13 +77,13 @@
             except Refusal:
                 self.refused += 1
                 return
-            request.begin_attempt()
+            attempt = Attempt(request, record)
             if record.id != FAILING:
                 break
             self.failed += 1
             allowed_s += self.fails_after_s
             await asyncio.sleep(self.fails_after_s)
-            self.record_failure(request)
+            self.record_failure(attempt)
             self.entry.admission.leave(request, record)
 
         def record_first_event() -> None:
@@ -95,15 +95,14 @@
         self.entry.admission.leave(request, record)
         self.entry.selector.record_success(record)
 
-    def record_failure(self, request: GatewayRequest) -> None:
+    def record_failure(self, attempt: Attempt) -> None:
         """Record that the failing engine could not be connected to, or was silent."""
-        record = self.fleet.state.upstreams[FAILING]
         if self.is_silent:
             silent = OutcomeUnknownError("silent", is_silent=True)
-            self.failures.record_unknown(request, record, silent)
+            self.failures.record_unknown(attempt, silent)
         else:
             unreachable = NotRunError("cannot connect", is_refusal=False)
-            self.failures.record_not_run(request, record, unreachable)
+            self.failures.record_not_run(attempt, unreachable)
 
 
 class ZoneBackoffTest(unittest.TestCase):
