Give back the turn of a limited upstream as a caller leaves before its request is sent

Callers of an upstream with a limit were refused for turns that nobody used: a caller that left, or whose time ended, while the connection was made kept the turn that its request had taken (at as well).

Cause: only a failed connection gave the turn back. Now the sender does so whenever a request ends before it is sent and no failure is recorded, for first and second attempts alike.

--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -165,8 +165,6 @@
         """Record that the attempt is not needed; its upstream may have run the request."""
         if attempt.connected_at_s:
             self.request.attempts += 1
-        else:
-            self.failures.selector.statements.give_back(attempt.record)
 
     def leave(self, attempt: Attempt) -> None:
         """End the attempt and its place."""
--- a/gypsumpier/gateway/sender.py
+++ b/gypsumpier/gateway/sender.py
@@ -99,9 +99,16 @@
         # An answer to the request sent before, with the same id, may arrive once more.
         is_sent_again = address in request.sent_to
         request.sent_to.add(address)
-        attempt.exchange = await self.pool.open(
-            address, request.route.is_repeatable, make_call, replacement, is_new=is_sent_again
-        )
+        try:
+            attempt.exchange = await self.pool.open(
+                address, request.route.is_repeatable, make_call, replacement, is_new=is_sent_again
+            )
+        except NotRunError:
+            raise
+        except BaseException:
+            # The caller has left before the request was sent; no failure is recorded.
+            self.selector.statements.give_back(record)
+            raise
         try:
             attempt.head = await self.usable_head(attempt, attempt.exchange)
         except BaseException:
