Record the failure of a silent upstream at once while its request waits for a place elsewhere

Nobody saw more than a late log line in the tests, but the failure of an upstream, and the check whether it has crashed, was recorded only once its request had a place elsewhere or none in time: an upstream that restarts within that time is not found to have crashed, and the next one gets the request before the check.

Cause: since a move is awaited where the silent upstream fails, also one that only waits in the queue. Now it is awaited only once the other upstream is asked; before that the request is admitted like any other whose upstream fails.

--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -40,6 +40,7 @@
         self.writer = writer
         self.attempt: Attempt | None = None
         self.refused: set[tuple[str, int]] = set()
+        self.is_asked = False
         self.is_place_seen = False
         self.unread_tokens = 0
 
@@ -119,6 +120,7 @@
     async def send(self, record: UpstreamRecord) -> bool:
         """Begin an attempt at the upstream; return whether its answer may be relayed."""
         attempt = Attempt(self.request, record)
+        self.is_asked = True
         # Both attempts count their unread prompt by the request's.
         self.unread_tokens, self.request.unread_tokens = self.request.unread_tokens, 0
         try:
@@ -168,6 +170,7 @@
 
     def leave(self, attempt: Attempt) -> None:
         """End the attempt and its place."""
+        self.is_asked = False
         self.sender.end(attempt)
         self.request.unread_tokens = self.unread_tokens
         self.admission.leave(self.request, attempt.record)
@@ -176,6 +179,8 @@
 class LastResort:
     """Keeps a second attempt that is silent as well, unless a third upstream has a place now."""
 
+    is_asked = False
+
     def __init__(self, other: OtherPlace, record: UpstreamRecord) -> None:
         self.other = other
         self.record = record
--- a/gypsumpier/test/test_other_place.py
+++ b/gypsumpier/test/test_other_place.py
@@ -110,6 +110,17 @@
                 self.assertIsNotNone(self.other.attempt)
                 self.assertEqual(2, len(self.places()))
 
+    # Guards against a failure, and the check for a crash, that wait for a place elsewhere.
+    async def test_a_silent_upstream_that_fails_while_no_other_is_asked_fails_at_once(self) -> None:
+        for record in self.fleet_state.upstreams.values():
+            while self.selector.load(record) < self.selector.limit(record):
+                self.selector.begin(record, 0)
+        self.after(ANSWER_S, lambda: setattr(self.exchange, "failure", "answer cut"))
+        with self.other, self.assertRaises(OutcomeUnknownError):
+            async with asyncio.timeout(4 * ANSWER_S):
+                await self.exchange.answer("r1")
+        self.assertEqual([], self.admission.queue(ENGINES).waiting)
+
     # Guards against a stream that is cut as it moves to an upstream that can't continue it.
     async def test_only_an_answer_that_continues_is_moved_to(self) -> None:
         cases = [
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -147,7 +147,7 @@
     async def is_replaced(self) -> bool:
         """Wait for a replacement; return False if there is progress first, or none is to be had.
 
-        A replacement is kept where the answer fails in the meantime.
+        A replacement that is asked already is kept where the answer fails in the meantime.
         """
         replaced = asyncio.create_task(self.replacement.wait())
         progressed = asyncio.create_task(self.progress.wait())
@@ -155,7 +155,7 @@
             await asyncio.wait({replaced, progressed}, return_when=asyncio.FIRST_COMPLETED)
             if self.withdrawn:
                 self.abandon()
-            if not self.has_gone_on():
+            if self.replacement.is_asked and not self.has_gone_on():
                 await asyncio.wait({replaced})
         finally:
             progressed.cancel()
--- a/gypsumpier/upstream/replacement.py
+++ b/gypsumpier/upstream/replacement.py
@@ -6,9 +6,12 @@
 class Replacement(Protocol):
     """Another upstream, which must answer the request before the silent one is given up.
 
-    A cancelled call gives up what it has begun.
+    A cancelled call gives up what it has begun.  ``is_asked`` is set while the other
+    upstream may have the request.
     """
 
+    is_asked: bool
+
     async def take(self) -> bool:
         """Use a place that is free now; return whether the upstream there answers."""
 
@@ -22,6 +25,8 @@
 class NoReplacement:
     """For requests that stay with their upstream."""
 
+    is_asked = False
+
     async def take(self) -> bool:
         return False
 
