Count the silence of an attempt once, also where its upstream is heard before another one answers

A sound upstream was left out for half a second, and its whole zone if it is another one, although it had gone on: its silence counted as the place elsewhere was taken, and once more as the other upstream had answered.

Cause: since up to a second or more lies between the two, in which answers to other requests may end the silence. Now the silence of an attempt is recorded once, at the first of the two.

--- a/gypsumpier/gateway/attempt.py
+++ b/gypsumpier/gateway/attempt.py
@@ -15,7 +15,8 @@
     ``began_at_s`` is when the connection was asked for.  ``connected_at_s``, when the request was
     sent, and ``answered_at_s``, when the head of the answer had arrived, are 0 until then.
     ``exchange`` is set while the upstream may be working on the request, and ``head`` once it has
-    begun a usable answer.  ``is_resumption`` is set if only the rest of a stream is asked for.
+    begun a usable answer.  ``is_resumption`` is set if only the rest of a stream is asked for, and
+    ``is_silence_recorded`` once its silence has counted as a failure of the upstream.
     """
 
     def __init__(self, request: GatewayRequest, record: UpstreamRecord) -> None:
@@ -27,6 +28,7 @@
         self.answered_at_s = 0.0
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
+        self.is_silence_recorded = False
 
     def address(self) -> Address:
         """Return the address that the request is sent to."""
--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -68,7 +68,7 @@
         # withdrawn request says nothing about its engine.
         if not self.selector.is_switching(record) and not error.is_withdrawn:
             if error.is_silent:
-                self.selector.record_silence(record, attempt.began_at_s)
+                self.record_silence(attempt)
             else:
                 self.selector.health.record_outcome(record.run_key(), failed=True)
                 if not error.is_answered:
@@ -80,9 +80,15 @@
     def record_silent(self, attempt: Attempt) -> None:
         """Record that an upstream is silent so that another one is tried while it may go on."""
         if not self.selector.is_switching(attempt.record):
-            self.selector.record_silence(attempt.record, attempt.began_at_s)
+            self.record_silence(attempt)
         log_attempt("attempt_silent", attempt)
 
+    def record_silence(self, attempt: Attempt) -> None:
+        """Record a silence; that of one attempt counts once, as the upstream may have gone on."""
+        if not attempt.is_silence_recorded:
+            attempt.is_silence_recorded = True
+            self.selector.record_silence(attempt.record, attempt.began_at_s)
+
     def record_cancelled(self, attempt: Attempt) -> None:
         """Record a failure of an upstream that was silent when the time limit was reached."""
         request = attempt.request
--- a/gypsumpier/test/test_upstream_silence.py
+++ b/gypsumpier/test/test_upstream_silence.py
@@ -8,6 +8,7 @@
 from gypsumpier.gateway.failures import FailureRecorder
 from gypsumpier.test.builders_gateway import engines, request_of, selector_of
 from gypsumpier.test.builders_platform import ENGINES, apply_records, engine_record
+from gypsumpier.upstream.errors import OutcomeUnknownError
 
 TOGETHER: Final = 8
 """Requests in flight at an upstream as it falls silent."""
@@ -59,6 +60,17 @@
                 self.now_s += 0.5
                 self.assertEqual("i-1", self.chosen())
 
+    # Guards against the same where an upstream goes on before another one answers a request of it.
+    def test_a_silence_that_has_ended_does_not_count_again_as_its_request_moves(self) -> None:
+        failures = FailureRecorder(self.selector, mock.Mock(), mock.Mock())
+        attempt = Attempt(request_of(self.fleet_state), self.silent)
+        failures.record_silent(attempt)
+        self.assertEqual("i-2", self.chosen())
+        self.now_s += 0.5
+        self.selector.record_success(self.silent)
+        failures.record_unknown(attempt, OutcomeUnknownError("silent for 1 s", is_silent=True))
+        self.assertEqual("i-1", self.chosen())
+
     # Guards against the same for requests that reach their time limit in the silence.
     def test_requests_that_end_at_their_time_limit_in_one_silence_count_once(self) -> None:
         failures = FailureRecorder(self.selector, mock.Mock(), mock.Mock())
