Let a zone far from the store be sent changes by a nearer one, and not read each whole itself

Cause: the watcher of each zone has a watch at the store, and each change answers it with the whole configuration as base64. Between our own processes only revisions crossed regions, so deltas between them alone would not have helped.

Now a watcher that is farther from the store than one of another region, by the shortest time of an answer, asks that one for what it reads, and stops watching while it comes. It passes batches and proofs on in its zone. Nothing is agreed on; without anything for 2.6 s, or a connection, it reads again, and checks and overdue records work as before. A build that does not name the feature is not asked.

Found on the way by its tests on a starved machine: a reader beside the store that took itself for far was supplied for good; it measures again now.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -1,8 +1,9 @@
 """Forwards the changes that watchers of the store read, with the age of the freshness proof.
 
-A watcher sends every batch to the processes of its zone.  Other zones have watchers of their own
-and get only the batch's revision and the observed times of versions: an entry that does not receive
-the records of that revision from its own zone reads the store itself.
+A watcher sends every batch to the processes of its zone.  Other zones get the batch's revision and
+the observed times of versions: an entry that does not receive the records of that revision from its
+own zone reads the store itself.  Zones that are farther from the store than another one get the
+batches as well, from its watcher to theirs, which passes them on (see ``gypsumpier.mesh.supply``).
 """
 
 import math
@@ -33,6 +34,7 @@
     split_records,
     unpack_deltas,
 )
+from gypsumpier.mesh.supply import ZoneSupply
 
 FEED: Final = "feed"
 NOTICE: Final = "notice"
@@ -40,7 +42,8 @@
 FEED_OFFER: Final = "feed_offer"
 STORE_FAILED: Final = "store_failed"
 READ: Final = "read"
-"""Field of a batch that its sender has read itself, as opposed to passed on."""
+"""Field of a batch that its sender has read itself, or passes on as its zone's watcher, as opposed
+to a proof that any entry passes on."""
 NAMED: Final = "named"
 AGE_FIELDS: Final = {
     Evidence.OBSERVED: "observed",
@@ -107,6 +110,7 @@
         self.packed_snapshot: tuple[int, bytes] = (0, b"")
         self.bases: dict[str, bytes] = {}
         self.asked_at_s: dict[str, float] = {}
+        self.supply = ZoneSupply(mesh)
         mesh.features.add(DELTAS)
         mesh.aged_listeners[FEED] = self.handle_feed
         mesh.aged_listeners[NOTICE] = self.handle_notice
@@ -135,9 +139,9 @@
         rank = self.rank_behind_watchers()
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
-        if rank < 0:
+        if rank < 0 and not self.supply.is_supplied():
             return WATCHER
-        if self.is_behind(rank):
+        if self.is_behind(max(rank, 0)):
             return BEHIND
         return TAKEN_OVER if self.has_taken_over else ""
 
@@ -154,8 +158,18 @@
         return preceding - watchers
 
     def should_check_revision(self) -> bool:
-        """Return whether this entry is the first behind the watchers of its zone."""
-        return self.mesh.own.role == ENTRY and self.rank_behind_watchers() == 0
+        """Return whether this entry is the first behind the watchers of its zone.
+
+        A watcher that another zone supplies checks itself where there is none, and now and then to
+        learn how far it is from the store.
+        """
+        own = self.mesh.own
+        if own.role != ENTRY:
+            return False
+        rank = self.rank_behind_watchers()
+        if rank < 0 and self.supply.is_supplied():
+            return not self.mesh.peers(ENTRY, own.zone) or self.supply.should_measure()
+        return rank == 0
 
     def log_reason(self) -> None:
         """Log why this process reads the store, with what it knows and what is announced."""
@@ -193,26 +207,37 @@
         """Send a batch just read from the store to the own zone, and its revision to the others."""
         own = self.mesh.own
         own_zone = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
-        self.post_batch(own_zone, batch)
+        supplied = self.supply.recipients()
+        self.post_batch(own_zone + supplied, batch)
         self.record_bases(batch)
         other_zones = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
         if not batch.records:
             # The first entry of a zone brings the proof to one that is cut off from the store.  It
             # is the one that reads the store, and learns whether others reach it.
-            other_zones = list(
-                {peer.zone: peer for peer in sorted(other_zones, reverse=True)}.values()
-            )
-        self.mesh.post_all(other_zones, NOTICE, self.revision_payload(batch.revision))
+            first = {peer.zone: peer for peer in sorted(other_zones, reverse=True)}
+            other_zones = [peer for peer in first.values() if peer not in supplied]
+        notice = self.revision_payload(batch.revision) | self.supply.fields()
+        self.mesh.post_all(other_zones, NOTICE, notice)
 
-    def post_batch(self, peers: list[Peer], batch: Batch) -> None:
-        """Send a batch just read from the store, as deltas to the peers that understand them."""
+    def record_answer(self, seconds: float) -> None:
+        """Record how long the store took for an answer without content: its distance."""
+        self.supply.record_answer(seconds)
+
+    def post_batch(
+        self, peers: list[Peer], batch: Batch, ages: dict[str, Any] | None = None
+    ) -> None:
+        """Send a batch that is new to the peers, as deltas to the peers that understand them.
+
+        ``ages`` are fields that replace those of the own fleet state.
+        """
         able = [peer for peer in peers if self.mesh.understands(peer.name, DELTAS)]
         others = [peer for peer in peers if peer not in able]
         forms = [(able, True), (others, False)]
         for recipients, with_deltas in forms:
             if recipients:
                 packed = self.packed_batch(batch, with_deltas)
-                payload = self.feed_payload(batch, packed.records) | packed.fields | {READ: True}
+                payload = self.feed_payload(batch, packed.records) | packed.fields
+                payload |= {READ: True} | self.supply.fields() | (ages or {})
                 self.mesh.post_all(recipients, FEED, payload)
                 packed.record_sent(batch, len(recipients))
 
@@ -290,7 +315,7 @@
         records = unpack_records(payload["records"])
         if payload.get(READ) and peer.role == ENTRY:
             self.cut_off.discard(peer.name)
-            if peer.name < self.mesh.own.name:
+            if peer.zone == self.mesh.own.zone and peer.name < self.mesh.own.name:
                 self.has_taken_over = False
         batch = Batch(
             int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
@@ -313,9 +338,30 @@
                 delay_s + max(0.0, float(payload["outage_ago_s"])),
             )
         proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
+        if batch.revision >= self.fleet_state.revision and peer.zone != self.mesh.own.zone:
+            # Before a large configuration is decoded: meanwhile its records would be overdue.
+            self.pass_on(batch, aged_fields(payload, delay_s))
+            if payload.get(READ):
+                self.has_taken_over = False
+                self.supply.record_supplied(peer)
+                self.want_supply(peer, payload)
         self.fleet_state.apply(batch, proven_at_s, peer.name)
-        self.record_bases(batch)
         self.merge_ages(peer, payload, delay_s)
+        self.record_bases(batch)
+
+    def want_supply(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Ask another zone's watcher for what it reads where this one is farther from the store."""
+        if self.mesh.own.role == ENTRY and self.rank_behind_watchers() < 0:
+            self.supply.want(peer, payload)
+
+    def pass_on(self, batch: Batch, ages: dict[str, Any]) -> None:
+        """Send a batch of another zone's watcher, or a copy asked of it, to the own zone.
+
+        ``ages`` are the fields of its message with ages, as they are now.
+        """
+        own = self.mesh.own
+        peers = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
+        self.post_batch(peers, batch, ages)
 
     def joined(self, batch: Batch, deltas: Any) -> Batch:
         """Return the batch with the records that its deltas make; raise DeltaError.
@@ -378,6 +424,7 @@
         """
         revision = int(payload["revision"])
         self.record_announced(revision)
+        self.want_supply(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
         is_fresher = (
@@ -442,6 +489,21 @@
     }
 
 
+def aged_fields(payload: dict[str, Any], delay_s: float) -> dict[str, Any]:
+    """Return the fields with ages of a batch's message that took ``delay_s`` seconds."""
+    found: dict[str, Any] = {
+        name: aged(finite(payload[name]), delay_s)
+        for name in (NAMED, *AGE_FIELDS.values())
+        if name in payload
+    }
+    for name in ("age_s", "outage_ago_s"):
+        if name in payload:
+            found[name] = delay_s + max(0.0, float(payload[name]))
+    if "outage_lasted_s" in payload:
+        found["outage_lasted_s"] = float(payload["outage_lasted_s"])
+    return found
+
+
 def finite(ages: VersionAges) -> VersionAges:
     """Return the ages without those of versions of which no time is known."""
     return {
--- a/gypsumpier/test/fakes_mesh.py
+++ b/gypsumpier/test/fakes_mesh.py
@@ -27,6 +27,9 @@
     def understands(self, name: str, feature: str) -> bool:
         return feature in self.features and name not in self.older_builds
 
+    def link(self, name: str) -> Peer | None:
+        return next((peer for peer in self.others if peer.name == name), None)
+
     def post(self, name: str, kind: str, payload: dict[str, Any]) -> None:
         self.posted.append((name, kind, payload))
 
