--- a/gypsumpier/fleet/readergroup.py
+++ b/gypsumpier/fleet/readergroup.py
@@ -20,9 +20,6 @@
     def share(self, batch: Batch) -> None:
         """Forward a batch just read from the store."""
 
-    def record_answer(self, seconds: float) -> None:
-        """Record how long the store took for an answer without content: its distance."""
-
     def share_failure(self) -> None:
         """Tell others that a call to the store has failed."""
 
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -156,8 +156,6 @@
             else:
                 batch = await self.source.watch(self.fleet_state.revision, wait_s)
         self.is_behind = False
-        if not batch.records and not is_snapshot:
-            self.readers.record_answer(boot_time_s() - sent_at_s - wait_s)
         news = News(None, False) if is_snapshot else self.news(sent_at_s, wait_s)
         if batch.records:
             self.log_news(kind, batch, sent_at_s, news)
@@ -182,9 +180,7 @@
         self.checked_at_s = now_s
         try:
             with counted(REVISION):
-                revision = await self.source.current_revision()
-            self.readers.record_answer(boot_time_s() - now_s)
-            self.readers.record_announced(revision)
+                self.readers.record_announced(await self.source.current_revision())
         except GypsumpierError as error:
             decision("store_check_failed", code=error.code.number, reason=error.detail)
 
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -1,9 +1,8 @@
 """Forwards the changes that watchers of the store read, with the age of the freshness proof.
 
-A watcher sends every batch to the processes of its zone.  Other zones get the batch's revision and
-the observed times of versions: an entry that does not receive the records of that revision from its
-own zone reads the store itself.  Zones that are farther from the store than another one get the
-batches as well, from its watcher to theirs, which passes them on (see ``gypsumpier.mesh.supply``).
+A watcher sends every batch to the processes of its zone.  Other zones have watchers of their own
+and get only the batch's revision and the observed times of versions: an entry that does not receive
+the records of that revision from its own zone reads the store itself.
 """
 
 import math
@@ -20,21 +19,9 @@
 from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState, VersionAges
 from gypsumpier.fleet.wantedversion import Evidence
 from gypsumpier.log import decision
-from gypsumpier.mesh.batchform import DELTA, WHOLE, PackedBatch
-from gypsumpier.mesh.delta import DeltaError
 from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.mesh.recorddelta import (
-    COMPRESSION_LEVEL,
-    decompressed,
-    is_large,
-    join_records,
-    pack_deltas,
-    split_records,
-    unpack_deltas,
-)
-from gypsumpier.mesh.supply import ZoneSupply
 
 FEED: Final = "feed"
 NOTICE: Final = "notice"
@@ -42,8 +29,7 @@
 FEED_OFFER: Final = "feed_offer"
 STORE_FAILED: Final = "store_failed"
 READ: Final = "read"
-"""Field of a batch that its sender has read itself, or passes on as its zone's watcher, as opposed
-to a proof that any entry passes on."""
+"""Field of a batch that its sender has read itself, as opposed to passed on."""
 NAMED: Final = "named"
 AGE_FIELDS: Final = {
     Evidence.OBSERVED: "observed",
@@ -76,11 +62,8 @@
 """Announced revisions that are kept; far more than changes can be made while one is overdue."""
 SNAPSHOT_TIMEOUT_S: Final = 0.5
 """Seconds to wait for a snapshot requested from one peer before it is requested from another."""
-DELTAS: Final = "deltas"
-"""Field of a batch with changes of large records, and the feature of builds that understand it."""
-DELTA_GAIN: Final = 20
-"""Part of their records' size up to which deltas are sent without a look at the whole batch, which
-is costly to compress: to about a tenth."""
+COMPRESSION_LEVEL: Final = 1
+"""The fastest level of zlib; it compresses a configuration's routes to about a tenth."""
 RECORDS_BYTES_MAX: Final = 64 * 1024 * 1024
 """Limit in bytes on a message's decompressed records, some hundred times a large configuration."""
 
@@ -93,10 +76,6 @@
     until an entry that precedes this one reads the store again.
     ``cut_off`` names the entries of the zone whose last call to the store has failed.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
-    ``bases`` holds the large values as they were before the newest batch, by key: what the peers
-    of the zone know, as the next batch reaches them.
-    ``asked_at_s`` has the monotonic times at which peers were asked for a whole copy that is still
-    to come.
     """
 
     def __init__(self, mesh: Mesh, fleet_state: FleetState) -> None:
@@ -108,10 +87,6 @@
         self.cut_off: set[str] = set()
         self.reading_reason = ""
         self.packed_snapshot: tuple[int, bytes] = (0, b"")
-        self.bases: dict[str, bytes] = {}
-        self.asked_at_s: dict[str, float] = {}
-        self.supply = ZoneSupply(mesh)
-        mesh.features.add(DELTAS)
         mesh.aged_listeners[FEED] = self.handle_feed
         mesh.aged_listeners[NOTICE] = self.handle_notice
         mesh.listeners[FEED_ASK] = self.send_snapshot
@@ -139,9 +114,9 @@
         rank = self.rank_behind_watchers()
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
-        if rank < 0 and not self.supply.is_supplied():
+        if rank < 0:
             return WATCHER
-        if self.is_behind(max(rank, 0)):
+        if self.is_behind(rank):
             return BEHIND
         return TAKEN_OVER if self.has_taken_over else ""
 
@@ -158,18 +133,8 @@
         return preceding - watchers
 
     def should_check_revision(self) -> bool:
-        """Return whether this entry is the first behind the watchers of its zone.
-
-        A watcher that another zone supplies checks itself where there is none, and now and then to
-        learn how far it is from the store.
-        """
-        own = self.mesh.own
-        if own.role != ENTRY:
-            return False
-        rank = self.rank_behind_watchers()
-        if rank < 0 and self.supply.is_supplied():
-            return not self.mesh.peers(ENTRY, own.zone) or self.supply.should_measure()
-        return rank == 0
+        """Return whether this entry is the first behind the watchers of its zone."""
+        return self.mesh.own.role == ENTRY and self.rank_behind_watchers() == 0
 
     def log_reason(self) -> None:
         """Log why this process reads the store, with what it knows and what is announced."""
@@ -206,59 +171,17 @@
     def share(self, batch: Batch) -> None:
         """Send a batch just read from the store to the own zone, and its revision to the others."""
         own = self.mesh.own
+        feed = self.feed_payload(batch, pack_records(batch.records)) | {READ: True}
         own_zone = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
-        supplied = self.supply.recipients()
-        self.post_batch(own_zone + supplied, batch)
-        self.record_bases(batch)
+        self.mesh.post_all(own_zone, FEED, feed)
         other_zones = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
         if not batch.records:
             # The first entry of a zone brings the proof to one that is cut off from the store.  It
             # is the one that reads the store, and learns whether others reach it.
-            first = {peer.zone: peer for peer in sorted(other_zones, reverse=True)}
-            other_zones = [peer for peer in first.values() if peer not in supplied]
-        notice = self.revision_payload(batch.revision) | self.supply.fields()
-        self.mesh.post_all(other_zones, NOTICE, notice)
-
-    def record_answer(self, seconds: float) -> None:
-        """Record how long the store took for an answer without content: its distance."""
-        self.supply.record_answer(seconds)
-
-    def post_batch(
-        self, peers: list[Peer], batch: Batch, ages: dict[str, Any] | None = None
-    ) -> None:
-        """Send a batch that is new to the peers, as deltas to the peers that understand them.
-
-        ``ages`` are fields that replace those of the own fleet state.
-        """
-        able = [peer for peer in peers if self.mesh.understands(peer.name, DELTAS)]
-        others = [peer for peer in peers if peer not in able]
-        forms = [(able, True), (others, False)]
-        for recipients, with_deltas in forms:
-            if recipients:
-                packed = self.packed_batch(batch, with_deltas)
-                payload = self.feed_payload(batch, packed.records) | packed.fields
-                payload |= {READ: True} | self.supply.fields() | (ages or {})
-                self.mesh.post_all(recipients, FEED, payload)
-                packed.record_sent(batch, len(recipients))
-
-    def packed_batch(self, batch: Batch, with_deltas: bool) -> PackedBatch:
-        """Return the records of a batch as they are sent: the smaller one of the two forms."""
-        records, deltas = split_records(batch.records, self.bases if with_deltas else {})
-        found = None
-        if deltas:
-            fields = {DELTAS: pack_deltas(deltas)}
-            found = PackedBatch(DELTA, pack_records(records), fields, deltas[0].base_digest)
-            size = sum(len(record.value or b"") for record in batch.records)
-            if found.size() * DELTA_GAIN < size:
-                return found
-        whole = PackedBatch(WHOLE, pack_records(batch.records), {}, b"")
-        return found if found is not None and found.size() < whole.size() else whole
-
-    def record_bases(self, batch: Batch) -> None:
-        """Record the large values that are known once the batch has been applied."""
-        if batch.records:
-            known = self.fleet_state.records.values()
-            self.bases = {found.key: found.value or b"" for found in known if is_large(found)}
+            other_zones = list(
+                {peer.zone: peer for peer in sorted(other_zones, reverse=True)}.values()
+            )
+        self.mesh.post_all(other_zones, NOTICE, self.revision_payload(batch.revision))
 
     def share_failure(self) -> None:
         """Tell the entries of the own zone that a call to the store has failed.
@@ -315,22 +238,14 @@
         records = unpack_records(payload["records"])
         if payload.get(READ) and peer.role == ENTRY:
             self.cut_off.discard(peer.name)
-            if peer.zone == self.mesh.own.zone and peer.name < self.mesh.own.name:
+            if peer.name < self.mesh.own.name:
                 self.has_taken_over = False
         batch = Batch(
             int(payload["after"]), int(payload["revision"]), records, bool(payload["whole"]), 0.0
         )
         if not batch.is_snapshot and batch.after > self.fleet_state.revision:
-            self.ask_whole(peer, batch, "an earlier batch is missing")
+            self.mesh.post(peer.name, FEED_ASK, {})
             return
-        if batch.is_snapshot and DELTAS not in payload:
-            self.asked_at_s.pop(peer.name, None)
-        if DELTAS in payload:
-            try:
-                batch = self.joined(batch, payload[DELTAS])
-            except DeltaError as error:
-                self.ask_whole(peer, batch, str(error))
-                return
         if "outage_lasted_s" in payload:
             # Older builds send no duration, and take one failed call for an outage.
             self.fleet_state.record_outage(
@@ -338,60 +253,8 @@
                 delay_s + max(0.0, float(payload["outage_ago_s"])),
             )
         proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
-        if batch.revision >= self.fleet_state.revision and peer.zone != self.mesh.own.zone:
-            # Before a large configuration is decoded: meanwhile its records would be overdue.
-            self.pass_on(batch, aged_fields(payload, delay_s))
-            if payload.get(READ):
-                self.has_taken_over = False
-                self.supply.record_supplied(peer)
-                self.want_supply(peer, payload)
         self.fleet_state.apply(batch, proven_at_s, peer.name)
         self.merge_ages(peer, payload, delay_s)
-        self.record_bases(batch)
-
-    def want_supply(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Ask another zone's watcher for what it reads where this one is farther from the store."""
-        if self.mesh.own.role == ENTRY and self.rank_behind_watchers() < 0:
-            self.supply.want(peer, payload)
-
-    def pass_on(self, batch: Batch, ages: dict[str, Any]) -> None:
-        """Send a batch of another zone's watcher, or a copy asked of it, to the own zone.
-
-        ``ages`` are the fields of its message with ages, as they are now.
-        """
-        own = self.mesh.own
-        peers = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
-        self.post_batch(peers, batch, ages)
-
-    def joined(self, batch: Batch, deltas: Any) -> Batch:
-        """Return the batch with the records that its deltas make; raise DeltaError.
-
-        A batch of a revision that is known already needs none.
-        """
-        if batch.revision <= self.fleet_state.revision:
-            return batch._replace(records=[], is_snapshot=False)
-        made = join_records(unpack_deltas(deltas), self.fleet_state.records)
-        return batch._replace(records=batch.records + made)
-
-    def ask_whole(self, peer: Peer, batch: Batch, reason: str) -> None:
-        """Ask the sender of a batch that can't be applied for a whole copy.
-
-        One copy is enough for all batches that are on their way: what follows it continues from it.
-        Where it is late, its revision is overdue like one that another zone has announced.
-        """
-        self.record_announced(batch.revision)
-        asked_at_s, now_s = self.asked_at_s.get(peer.name, float("-inf")), time.monotonic()
-        if now_s - asked_at_s <= SNAPSHOT_TIMEOUT_S:
-            return
-        self.asked_at_s[peer.name] = now_s
-        decision(
-            "whole_records_asked",
-            peer=peer.name,
-            revision=batch.revision,
-            known_revision=self.fleet_state.revision,
-            reason=reason,
-        )
-        self.mesh.post(peer.name, FEED_ASK, {})
 
     def merge_ages(self, peer: Peer, payload: dict[str, Any], delay_s: float) -> bool:
         """Merge the ages of versions in a message.
@@ -424,7 +287,6 @@
         """
         revision = int(payload["revision"])
         self.record_announced(revision)
-        self.want_supply(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
         is_fresher = (
@@ -451,9 +313,7 @@
         batch = self.fleet_state.snapshot()
         if self.packed_snapshot[0] != batch.revision:
             self.packed_snapshot = batch.revision, pack_records(batch.records)
-        packed = PackedBatch(WHOLE, self.packed_snapshot[1], {}, b"")
-        self.mesh.post(peer.name, FEED, self.feed_payload(batch, packed.records))
-        packed.record_sent(batch, 1)
+        self.mesh.post(peer.name, FEED, self.feed_payload(batch, self.packed_snapshot[1]))
 
     def send_offer(self, link: MeshLink) -> None:
         """Send the own revision to a peer of the zone that has just connected.
@@ -489,21 +349,6 @@
     }
 
 
-def aged_fields(payload: dict[str, Any], delay_s: float) -> dict[str, Any]:
-    """Return the fields with ages of a batch's message that took ``delay_s`` seconds."""
-    found: dict[str, Any] = {
-        name: aged(finite(payload[name]), delay_s)
-        for name in (NAMED, *AGE_FIELDS.values())
-        if name in payload
-    }
-    for name in ("age_s", "outage_ago_s"):
-        if name in payload:
-            found[name] = delay_s + max(0.0, float(payload[name]))
-    if "outage_lasted_s" in payload:
-        found["outage_lasted_s"] = float(payload["outage_lasted_s"])
-    return found
-
-
 def finite(ages: VersionAges) -> VersionAges:
     """Return the ages without those of versions of which no time is known."""
     return {
@@ -520,9 +365,14 @@
 
 def unpack_records(content: bytes) -> list[Record]:
     """Return the records of a message; raise ValueError where they can't be decoded."""
-    return [
-        record_from(fields) for fields in msgpack.unpackb(decompressed(content, RECORDS_BYTES_MAX))
-    ]
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(content, RECORDS_BYTES_MAX)
+    except zlib.error as error:
+        raise ValueError(f"records can't be decompressed: {error}") from error
+    if not decompressor.eof:
+        raise ValueError("records are truncated or exceed the size limit")
+    return [record_from(fields) for fields in msgpack.unpackb(decompressed)]
 
 
 def record_from(fields: Any) -> Record:
--- a/gypsumpier/mesh/link.py
+++ b/gypsumpier/mesh/link.py
@@ -32,16 +32,12 @@
     """Sends messages and requests to one peer.
 
     Messages wait in a bounded queue, so that a peer that does not read blocks no sender.
-    ``features`` names what the peer understands beyond the messages of the oldest builds.
     ``pending_requests`` holds the futures of open requests by exchange number.
     """
 
-    def __init__(
-        self, peer: Peer, connection: Connection, features: frozenset[str] = frozenset()
-    ) -> None:
+    def __init__(self, peer: Peer, connection: Connection) -> None:
         self.peer = peer
         self.connection = connection
-        self.features = features
         self.queue: asyncio.Queue[QueuedMessage] = asyncio.Queue(SEND_QUEUE_MAX)
         self.pending_requests: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self.request_numbers = itertools.count()
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -71,8 +71,6 @@
 
     ``known`` holds the entries learned of by address.  ``links`` holds the open connections by the
     peer's name, the newest first; ``listed`` the peers by role and zone until a link changes.
-    ``features`` names what this process understands beyond the messages of the oldest builds; it is
-    told to each peer.
     ``listeners`` and ``request_handlers`` handle messages and requests by kind; ``aged_listeners``
     handle messages that carry ages, and also get the seconds that the message spent in queues and
     buffers.
@@ -84,7 +82,6 @@
         self.dialer = dialer
         self.clock = BootClock()
         self.cross_zone_pace = Pace(CrossZonePace())
-        self.features: set[str] = set()
         self.listeners: dict[str, Listener] = {}
         self.aged_listeners: dict[str, AgedListener] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
@@ -124,11 +121,6 @@
         """Return the newest open connection to the peer of that name; None without one."""
         return next(iter(self.links.get(name, ())), None)
 
-    def understands(self, name: str, feature: str) -> bool:
-        """Return whether the peer of that name is connected and has named the feature."""
-        link = self.link(name)
-        return link is not None and feature in link.features
-
     def post(self, name: str, kind: str, payload: dict[str, Any] | bytes) -> None:
         """Queue a message to a peer; it is dropped where the peer is not connected."""
         link = self.link(name)
@@ -189,7 +181,7 @@
         connection = Connection(stream, self.clock, HEARTBEAT_S, SILENCE_TIMEOUT_S)
         try:
             wants_known = address in self.seeds or not self.has_seed_link()
-            await connection.send(HELLO, self.identity() | {"wants_known": wants_known})
+            await connection.send(HELLO, {"peer": self.own.as_list(), "wants_known": wants_known})
             await self.serve(connection, WELCOME, address)
         except GypsumpierError as error:
             decision("mesh_connection_failed", address=str(address), reason=error.detail)
@@ -230,7 +222,7 @@
                     await connection.send(WELCOME, self.welcome_payload(wants_known))
                 if peer.zone != self.own.zone:
                     connection.use_pace(self.cross_zone_pace)
-                link = MeshLink(peer, connection, features_from(frame))
+                link = MeshLink(peer, connection)
                 writer = asyncio.create_task(self.send_queued(link))
                 self.add(link)
         finally:
@@ -250,11 +242,7 @@
     def welcome_payload(self, wants_known: bool) -> dict[str, Any]:
         """Return this process's identity and, if they are wanted, the entries that it knows."""
         known = [peer.as_list() for peer in self.known.values()] if wants_known else []
-        return self.identity() | {"known": known}
-
-    def identity(self) -> dict[str, Any]:
-        """Return the fields of the first message in each direction that describe this process."""
-        return {"peer": self.own.as_list(), "features": sorted(self.features)}
+        return {"peer": self.own.as_list(), "known": known}
 
     def has_seed_link(self) -> bool:
         """Return whether a seed is connected: it knows every entry, as all of them dial it."""
@@ -349,9 +337,3 @@
 def log_bad_message(link: MeshLink, frame: Frame, error: Exception) -> None:
     """Log a message that could not be handled."""
     decision("mesh_message_failed", peer=link.peer.name, kind=frame.kind, reason=repr(error))
-
-
-def features_from(frame: Frame) -> frozenset[str]:
-    """Return the features that a peer's first message names; older builds name none."""
-    found = frame.payload.get("features", [])
-    return frozenset(map(str, found)) if isinstance(found, list) else frozenset()
--- a/gypsumpier/test/fakes_mesh.py
+++ b/gypsumpier/test/fakes_mesh.py
@@ -6,10 +6,7 @@
 
 
 class RecordingMesh:
-    """A mesh that records posted messages.
-
-    The peers named in ``older_builds`` understand no features, the others those of this process.
-    """
+    """A mesh that records posted messages."""
 
     def __init__(self, own: Peer, others: list[Peer]) -> None:
         self.own = own
@@ -17,19 +14,11 @@
         self.listeners: dict[str, Any] = {}
         self.aged_listeners: dict[str, Any] = {}
         self.on_peer_connected: list[Any] = []
-        self.features: set[str] = set()
-        self.older_builds: set[str] = set()
         self.posted: list[tuple[str, str, dict[str, Any]]] = []
 
     def peers(self, role: str = "entry", zone: str = "") -> list[Peer]:
         return sorted(p for p in self.others if p.role == role and (not zone or p.zone == zone))
 
-    def understands(self, name: str, feature: str) -> bool:
-        return feature in self.features and name not in self.older_builds
-
-    def link(self, name: str) -> Peer | None:
-        return next((peer for peer in self.others if peer.name == name), None)
-
     def post(self, name: str, kind: str, payload: dict[str, Any]) -> None:
         self.posted.append((name, kind, payload))
 
--- a/gypsumpier/test/network.py
+++ b/gypsumpier/test/network.py
@@ -41,7 +41,6 @@
 
     async def write(self, content: bytes) -> None:
         self.raise_if_cut("writing")
-        self.link.sent_bytes += len(content)
         if self.link.silent:
             self.lost_bytes += len(content)
         else:
@@ -84,14 +83,13 @@
 
 
 class Link:
-    """A connection with its two ends; ``sent_bytes`` counts what both have sent."""
+    """A connection with its two ends."""
 
     def __init__(self, source: str, target: str, delay_s: float = 0.0) -> None:
         self.source = source
         self.target = target
         self.delay_s = delay_s
         self.silent = False
-        self.sent_bytes = 0
         self.is_cut = False
         self.dialled = MemoryStream(self)
         self.accepted = MemoryStream(self)
--- a/gypsumpier/test/test_mesh.py
+++ b/gypsumpier/test/test_mesh.py
@@ -65,29 +65,6 @@
         await wait_until(lambda: sidecar.names() == ["b-1"])
         self.assertEqual(["side"], self.nodes[2].names(SIDECAR))
 
-    # Guards against messages that an older build takes for others or can't read.
-    async def test_features_are_known_of_builds_that_name_them(self) -> None:
-        newest = Node("b-2", "b")
-        newest.mesh.features.add("some")
-        older = Node("b-3", "b")
-        older.mesh.identity = lambda: {"peer": older.mesh.own.as_list()}  # type: ignore[method-assign]
-        malformed = Node("b-4", "b")
-        malformed.mesh.identity = lambda: {  # type: ignore[method-assign]
-            "peer": malformed.mesh.own.as_list(),
-            "features": 7,
-        }
-        for node in (newest, older, malformed):
-            self.nodes.append(node)
-            node.start(self.nodes[0])
-        await wait_until(lambda: all(len(node.names()) == 5 for node in self.nodes))
-        for node in self.nodes[:3]:
-            self.assertTrue(node.mesh.understands("b-2", "some"))
-            self.assertFalse(node.mesh.understands("b-2", "other"))
-            self.assertFalse(node.mesh.understands("b-3", "some"))
-            self.assertFalse(node.mesh.understands("b-4", "some"))
-            self.assertFalse(node.mesh.understands("nobody", "some"))
-        self.assertFalse(newest.mesh.understands("a-1", "some"))
-
     async def test_messages_and_requests_reach_the_peer(self) -> None:
         received: list[tuple[str, Any]] = []
         self.nodes[1].mesh.listeners["note"] = lambda peer, body: received.append((peer.name, body))
--- a/gypsumpier/test/zonedreaders.py
+++ b/gypsumpier/test/zonedreaders.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from base64 import b64encode
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any, Final
@@ -32,8 +31,7 @@
     """Records with a history.
 
     ``silent`` and ``refused`` are the entries that get no answer, or a refusal.  Each event or
-    item takes ``record_s`` seconds to be transferred.  The store answers an entry later by its
-    distance in ``distances_s``; ``read_bytes`` counts the values that it has sent to each.
+    item takes ``record_s`` seconds to be transferred.
     """
 
     def __init__(self) -> None:
@@ -43,8 +41,6 @@
         self.silent: set[str] = set()
         self.refused: set[str] = set()
         self.record_s = 0.0
-        self.distances_s: dict[str, float] = {}
-        self.read_bytes: dict[str, int] = defaultdict(int)
         self.changed = asyncio.Event()
 
     def put(self, key: str, body: dict[str, Any]) -> None:
@@ -84,28 +80,20 @@
         await self.check(times_out_at_s - time.monotonic())
         found = [event for event in store.events if event.revision > revision]
         answer = Batch(revision, store.revision, found, False, 0.0 if found else wait_s)
-        await self.transfer(found)
+        await asyncio.sleep(store.record_s * len(found))
         return answer
 
     async def snapshot(self) -> Batch:
         await self.check(CALL_TIMEOUT_MARGIN_S)
         found = list(self.store.records.values())
         answer = Batch(0, self.store.revision, found, True, 0.0)
-        await self.transfer(found)
+        await asyncio.sleep(self.store.record_s * len(found))
         return answer
 
     async def current_revision(self) -> int:
         await self.check(CALL_TIMEOUT_MARGIN_S)
-        await self.transfer([])
         return self.store.revision
 
-    async def transfer(self, found: list[Record]) -> None:
-        """Let the records, as the text that the store sends, arrive at this entry."""
-        text_bytes = sum(len(b64encode(one.value or b"")) for one in found)
-        self.store.read_bytes[self.name] += text_bytes
-        distance_s = self.store.distances_s.get(self.name, 0.0)
-        await asyncio.sleep(self.store.record_s * len(found) + distance_s)
-
 
 class ReadingEntry:
     """One entry: its mesh, its fleet state, its feed and its watcher of the store.
@@ -117,7 +105,6 @@
         source = MemorySource(store, name)
         own = Peer(name, "entry", zone, REGIONS[zone], name, 1, "run")
         self.name = name
-        self.network = network
         self.state = FleetState(source)
         self.mesh = Mesh(own, (Address("front-bac-a-1", 1),), network.dialer(name))
         self.feed = FleetStateFeed(self.mesh, self.state)
@@ -137,8 +124,7 @@
         self.watcher.start()
 
     async def stop(self) -> None:
-        """Stop both; nothing listens at the address any more."""
-        self.network.handlers.pop((self.name, 1), None)
+        """Stop both."""
         await self.watcher.stop()
         await self.mesh.stop()
 
