Let the last attempt of a stream wait for the first engine that returns

While engines switch their weights one after the other, and none has come back yet, a stream that the first of them has cut had no engine that would serve it to its end. Its last attempt went to one that switches next, and was cut for good. It now waits where another engine than the one that cut it is switching at the moment: that one is back within 0.6 s or so, as the sidecar gives requests 0.25 s and loading takes 0.3 s. An engine that has not returned 1 s after its first report is no longer waited for.

The test of the wait failed before; those of an overdue engine and of the one that cut the stream show that nothing else waits.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -185,15 +185,20 @@
     ) -> list[UpstreamRecord]:
         """Return the upstreams that the last attempt waits for.
 
-        These are the untried and usable ones that don't switch weights within ``needed_s`` seconds;
-        where there is none, all ``records``.
+        These are the untried and usable ones that don't switch weights within ``needed_s`` seconds.
+        Where there is none, the attempt waits for an engine that is switching now, as any other
+        would cut it; without one, all ``records`` are candidates.
         """
         untried = [
             record
             for record in records
             if record.run_key() not in tried and self.selector.is_usable(record)
         ]
-        return self.selector.steady(untried, needed_s) or records
+        steady = self.selector.steady(untried, needed_s)
+        service = records[0].service if records else ""
+        if steady or self.selector.is_engine_returning(service, tried):
+            return steady
+        return records
 
     def may_serve(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Return whether the upstream, chosen a moment ago, may still get the request."""
--- a/gypsumpier/test/test_last_attempt.py
+++ b/gypsumpier/test/test_last_attempt.py
@@ -7,10 +7,19 @@
 import unittest
 from typing import Final
 
+from gypsumpier.fleet.upstream import LoadedLayers
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
-from gypsumpier.test.builders_platform import MODEL, apply_records, engine_record, record
+from gypsumpier.test.builders_platform import (
+    LAYERS,
+    MODEL,
+    apply_records,
+    engine_record,
+    record,
+)
+from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.peerloads import Load
+from gypsumpier.upstream.selector import SWITCH_MAX_S
 
 FULL: Final = 17
 """Requests in flight from which an engine of 16 slots takes no more."""
@@ -66,6 +75,42 @@
         apply_records(self.fleet_state, engine_record(2, 22, version=1))
         self.assertEqual("i-1", (await self.admission.enter(self.stream())).id)
 
+    def begin_switch(self) -> None:
+        """Let i-2 begin to switch its weights; i-1 does so later."""
+        self.admission.selector.record_engine_state(self.switching_state(1, True))
+
+    def switching_state(self, sequence: int, is_switching: bool) -> EngineState:
+        """Return a report of i-2, which holds version 2 once it has switched."""
+        layers = (LoadedLayers(MODEL, 1 if is_switching else 2, 0, LAYERS),)
+        address = f"{self.steady.host}:{self.steady.port}"
+        return EngineState(address, "run", sequence, is_switching, 0, 0, 1.0, layers)
+
+    # Guards against a stream that is cut for good as no engine has switched yet, although the first
+    # one is about to return.
+    async def test_it_waits_for_the_first_engine_that_returns(self) -> None:
+        self.begin_switch()
+        waiting = asyncio.create_task(self.admission.enter(self.stream()))
+        await asyncio.sleep(0.1)
+        self.admission.dispatch_all()
+        self.assertFalse(waiting.done())
+        self.admission.selector.record_engine_state(self.switching_state(2, False))
+        self.admission.dispatch_all()
+        self.assertEqual("i-2", (await waiting).id)
+
+    # Guards against a stream that is refused as it waits for an engine that does not return.
+    async def test_it_does_not_wait_for_an_engine_that_is_overdue(self) -> None:
+        self.begin_switch()
+        address = f"{self.steady.host}:{self.steady.port}"
+        self.admission.selector.switching_since_s[address] -= SWITCH_MAX_S
+        self.assertEqual("i-1", await self.entered(self.stream()))
+
+    # Guards against the same for an engine that the stream is not sent to again.
+    async def test_it_does_not_wait_for_the_return_of_the_engine_that_cut_it(self) -> None:
+        self.begin_switch()
+        request = self.stream()
+        request.tried.add(self.steady.run_key())
+        self.assertEqual("i-1", await self.entered(request))
+
     # Guards against first attempts that wait although a cut could still be mended.
     async def test_an_attempt_that_may_be_repeated_goes_to_a_switching_engine(self) -> None:
         self.fill_steady()
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -51,6 +51,9 @@
 """Multiple of the usual processing time above which an engine is used only if others are full."""
 SWITCH_MARGIN_S: Final = 0.4
 """Seconds before an engine's weight switch by which its requests should have ended."""
+SWITCH_MAX_S: Final = 1.0
+"""Seconds after its first report of a switch within which an engine serves again: the sidecar waits
+up to 0.5 s for requests and pieces, and loading takes 0.3 s.  Later it is not waited for."""
 PROMPT_TOKENS_PER_S: Final = 30_000.0
 """Assumed rate at which an upstream reads prompts whose service publishes none."""
 ZONE_UNREACHABLE_MIN: Final = 2
@@ -69,8 +72,10 @@
     ``health`` is kept per run of an upstream, ``zone_health`` per availability zone.
     ``heard_at_s`` is the monotonic time of the last answer from each other zone, ``unreachable``
     the ids of its upstreams that could not be connected to since then.
-    ``statements`` are what upstreams have stated in their answers.  ``known_candidates`` holds the
-    candidates by service and least version until something changes that they depend on.
+    ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
+    reported as switching.  ``statements`` are what upstreams have stated in their answers.
+    ``known_candidates`` holds the candidates by service and least version until something changes
+    that they depend on.
     """
 
     def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
@@ -86,6 +91,7 @@
         self.peer_loads = PeerLoads()
         self.claims = Claims()
         self.engines: dict[str, EngineState] = {}
+        self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
         self.known_candidates: dict[tuple[str, int], list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
@@ -154,6 +160,10 @@
         if known is None or not is_same or known.layers != state.layers:
             self.known_candidates.clear()
         self.engines[state.address] = state
+        if state.is_switching:
+            self.switching_since_s.setdefault(state.address, time.monotonic())
+        else:
+            self.switching_since_s.pop(state.address, None)
         return True
 
     def drop_expired(self) -> None:
@@ -174,6 +184,7 @@
         addresses = {f"{record.host}:{record.port}" for record in records}
         for address in [address for address in self.engines if address not in addresses]:
             del self.engines[address]
+            self.switching_since_s.pop(address, None)
             self.known_candidates.clear()
 
     def limited_services(self) -> set[str]:
@@ -290,6 +301,20 @@
         engine = self.engine(record)
         return engine is not None and engine.is_switching
 
+    def is_engine_returning(self, service: str, excluded: set[tuple[str, int]]) -> bool:
+        """Return whether an engine is switching and will soon serve with its new weights.
+
+        Those whose run keys are in ``excluded`` don't count.
+        """
+        began_after_s = time.monotonic() - SWITCH_MAX_S
+        return any(
+            record.service == service
+            and record.run_key() not in excluded
+            and not record.is_leaving
+            and self.switching_since_s.get(f"{record.host}:{record.port}", 0.0) > began_after_s
+            for record in self.fleet_state.upstreams.values()
+        )
+
     def choose(
         self,
         records: list[UpstreamRecord],
