Let a stream that has begun wait for a place as long as its caller does

A stream that was to be resumed while no engine could serve was refused at once, or 0.5 s later, and cut; one that waited in a queue was cut as soon as its estimated wait was longer than its caller's. The estimate falls to 2 s a request where no place has become free lately, so that of three streams the second and third were cut at once. Their callers go on waiting for the next event for 2 s or more, and a refusal is of no use to them: they can't send half of a stream again.

Such streams, which go first in any case, now stay queued until the time by which they must start. New requests are refused at once as before (tested).

Both tests failed before: 'no_upstream: 0 requests wait, about 0.50 s' and 'queue_too_long: 2 requests wait, about 4.00 s'.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -217,8 +217,11 @@
         return prompt_tokens / model.prompt_tokens_per_s + answer_tokens * model.step_s
 
     async def wait(self, request: GatewayRequest, queue: RequestQueue) -> UpstreamRecord:
-        """Queue the request until it is admitted; raise Refusal if it would wait too long."""
-        if not self.is_upstream_expected(request.service):
+        """Queue the request until it is admitted; raise Refusal if it would wait too long.
+
+        Without any upstream it is refused at once, unless it is a stream that a refusal would cut.
+        """
+        if not request.last_event_id and not self.is_upstream_expected(request.service):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
@@ -406,7 +409,7 @@
             awaited_since_s = request.last_event_at_s or request.received_at_s
             caller_abandons_at_s = awaited_since_s + caller_timeout_s
             latest_start_s = min(request.ends_at_s, caller_abandons_at_s) - FIRST_EVENT_ESTIMATE_S
-        if not self.selector.candidates(request.service):
+        if not request.last_event_id and not self.selector.candidates(request.service):
             latest_start_s = min(latest_start_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
         return latest_start_s
 
--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -202,6 +202,8 @@
         Removing a request shortens only the waits behind it, so one pass in order is enough.
         Where all upstreams state limits, ``limited`` takes the place of the measured rate.  While
         they are scarce, one request waits for the next place, and others only for a moment.
+        Streams that have begun stay until their latest start: a refusal would cut them, and an
+        estimate may be wrong.
         """
         now_s, rate, first_in_s = time.monotonic(), self.rate_per_s(capacity_share_per_s), 0.0
         if self.limited is not None:
@@ -211,10 +213,13 @@
         late_rate = max(rate - overtaking_per_s, LATE_SHARE_MIN * rate)
         position = late_position = 0
         for waiting in self.ordered():
-            is_late = waiting.rank(now_s) == RANK_LATE
+            rank = waiting.rank(now_s)
+            is_late = rank == RANK_LATE
             wait_s = first_in_s + position / rate + (late_position / late_rate if is_late else 0.0)
             latest_start_s = waiting.latest_start_s
-            if is_scarce and (position or late_position):
+            if rank == RANK_RESUMED:
+                wait_s = 0.0
+            elif is_scarce and (position or late_position):
                 latest_start_s = min(latest_start_s, waiting.queued_at_s + LIMITED_WAIT_S)
             if now_s + wait_s > latest_start_s:
                 self.refuse(waiting, wait_s)
