--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -229,8 +229,11 @@
         return prompt_tokens / model.prompt_tokens_per_s + answer_tokens * model.step_s
 
     async def wait(self, request: GatewayRequest, queue: RequestQueue) -> UpstreamRecord:
-        """Queue the request until it is admitted; raise Refusal if it would wait too long."""
-        if not self.is_upstream_expected(request.service):
+        """Queue the request until it is admitted; raise Refusal if it would wait too long.
+
+        Without any upstream it is refused at once, unless a refusal would lose its answer.
+        """
+        if request.is_refusable() and not self.is_upstream_expected(request.service):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
