Let requests of a silent engine go first in the entry's queue

Cause: such a request queues for a place elsewhere once its engine has been silent for 1 s. It is then late, so that it ranked behind every request that had just arrived, and in overload it was refused a place at once, again and again.

The test failed before: the request was refused at once.

--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -1,9 +1,10 @@
 """The queue of the requests of one service that wait for an upstream with free capacity.
 
-The order of service: streams to be resumed, then requests that can still meet their goal, then late
-ones; within each, by priority number (lowest first), then by fair share of the workspaces, then by
-arrival.  While a standing queue persists, the newest request is served first.  A request whose
-estimated wait is longer than its caller waits is refused at once, with a Retry-After.
+The order of service: streams to be resumed and requests of silent upstreams, then requests that can
+still meet their goal, then late ones; within each, by priority number (lowest first), then by fair
+share of the workspaces, then by arrival.  While a standing queue persists, the newest request is
+served first.  A request whose estimated wait is longer than its caller waits is refused at once,
+with a Retry-After.
 """
 
 import asyncio
@@ -25,7 +26,7 @@
 """Recent admissions by which a workspace is ranked behind another one in a standing queue."""
 SCARCE_STEP_ADMISSIONS: Final = 1.0
 """The same where upstreams state that they take fewer requests than arrive."""
-RANK_RESUMED: Final = 0
+RANK_INTERRUPTED: Final = 0
 RANK_ON_TIME: Final = 1
 RANK_LATE: Final = 2
 """Ranks of queued requests; the smallest goes first."""
@@ -80,9 +81,13 @@
     )
 
     def rank(self, now_s: float) -> int:
-        """Return the rank; a stream to be resumed goes first, as its caller notices the gap."""
-        if self.request.last_event_id:
-            return RANK_RESUMED
+        """Return the rank; a request whose upstream has failed it goes first.
+
+        The caller of a stream to be resumed notices the gap.  A request that waits to leave a
+        silent upstream has lost a second there, and its caller is the first to give up.
+        """
+        if self.request.last_event_id or self.request.is_moving:
+            return RANK_INTERRUPTED
         return RANK_LATE if now_s > self.goal_start_s else RANK_ON_TIME
 
 
@@ -141,7 +146,7 @@
                 return rank, priority, waiting.start_tag, waiting.arrival
             grants = self.recent_grants.get(waiting.request.workspace_name)
             fairness_level = grants.now(now_s) // step if grants else 0.0
-            if is_scarce and rank != RANK_RESUMED:
+            if is_scarce and rank != RANK_INTERRUPTED:
                 return RANK_ON_TIME, priority, fairness_level, waiting.arrival
             return rank, priority, fairness_level, -waiting.arrival
 
--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -158,6 +158,28 @@
         self.assertEqual((False, True), (new.done(), begun.done()))
         await cancel_all([new, begun])
 
+    # Guards against a request that stays with a silent engine until its caller leaves, as requests
+    # that have just arrived take every place elsewhere.
+    async def test_a_request_of_a_silent_engine_goes_before_new_requests(self) -> None:
+        fleet_state = engines(1)
+        admission = admission_of(fleet_state)
+        fill(admission)
+        queue = admission.queue("engines")
+        for _ in range(40):
+            queue.record_granted()
+            queue.record_arrived()
+            queue.record_arrived()
+        new = [waiting_for(admission, request_of(fleet_state)) for _ in range(30)]
+        moving_request = request_of(fleet_state, age_s=1.1)
+        moving_request.is_moving = True
+        moving = waiting_for(admission, moving_request)
+        await asyncio.sleep(0)
+        self.assertFalse(moving.done())
+        free_capacity(admission, 1)
+        await asyncio.sleep(0)
+        self.assertEqual(fleet_state.upstreams["i-1"], moving.result())
+        await cancel_all(new)
+
     async def test_on_time_requests_go_before_late_ones(self) -> None:
         fleet_state = engines(1)
         admission = admission_of(fleet_state)
