Let entries tell each other which engines are silent

Cause: an entry learned of a silent engine only from requests of its own there. To all others an engine that stands still looks free, as requests leave it: with 42 entries and 24 engines most have none there.

Evidence: 22, 19 and 18 moves to a silent engine in three silences on, and 71 of 426, 41 of 290 and 85 of 515 new requests that came later than 1.15 s into one.

An engine is left alone while two entries or more, and most of those with requests there, report it; other zones believe the engine's own zone. An entry that lost its connections or stood still itself is so not believed.

Ruled out: ending such requests before their callers leave, which tells a caller 0.25 s sooner what it notices by itself. Believing the silence of the connection to an engine's agent, as the agent may end by itself.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -20,6 +20,7 @@
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
+from gypsumpier.gateway.streamwatch import StreamWatch
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.capacity import LimitedCapacity
@@ -88,6 +89,7 @@
         self.entry_count = 1
         self.first_event_estimates_s: dict[str, float] = {}
         self.queues: dict[str, RequestQueue] = {}
+        self.streams = StreamWatch()
         self.logged_candidates: dict[str, tuple[int, int, int]] = {}
         self.news_dispatch: asyncio.Handle | None = None
 
@@ -147,6 +149,7 @@
 
     def leave(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Stop counting the request as in flight, and dispatch the queue of the service."""
+        self.streams.end(request, record.run_key())
         self.selector.end(record, request.unread_tokens)
         request.unread_tokens = 0
         self.dispatch(record.service)
@@ -178,6 +181,7 @@
         if record is not None:
             request.unread_tokens = request.head.prompt_tokens
             self.selector.begin(record, request.unread_tokens)
+            self.streams.begin(request, record.run_key())
         return record
 
     def last_attempt_candidates(
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -23,6 +23,7 @@
 from gypsumpier.gateway.pendingstarts import PendingStarts
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.silenceshare import SilenceShare
 from gypsumpier.gateway.status import StatusServer, metrics_address
 from gypsumpier.log import decision
 from gypsumpier.mesh.feed import FleetStateFeed
@@ -96,6 +97,10 @@
         self.statement_share = StatementShare(self.mesh, self.selector.statements)
         self.load_share = LoadShare(self.mesh, self.selector, self.demand)
         self.load_share.on_change.append(self.admission.handle_peer_news)
+        self.silence_share = SilenceShare(
+            self.mesh, self.selector, self.load_share, self.admission.streams
+        )
+        self.silence_share.on_change.append(self.admission.handle_peer_news)
         self.fleet_state.listeners.append(self.admission.dispatch_all)
         self.pool = UpstreamPool()
         self.retries = RetryBudget(settings.bounds, len(settings.regions_by_zone))
@@ -129,6 +134,7 @@
             self.admission.run(),
             self.starts.run(),
             self.load_share.run(),
+            self.silence_share.run(),
             self.statement_share.run(),
             self.front.run(),
             self.housekeeping(),
--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -60,6 +60,7 @@
 
     def take(self) -> bool:
         """Take a place that is free now; return whether there is one."""
+        self.admission.selector.silences.record_found(self.silent.run_key())
         if not self.may_move():
             return False
         self.begin_move()
@@ -71,6 +72,7 @@
 
     async def wait(self) -> bool:
         """Queue for a place and take it; return False if none is to be had in time."""
+        self.admission.selector.silences.record_found(self.silent.run_key())
         if not self.may_move():
             return False
         self.begin_move()
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -218,7 +218,7 @@
                 raise OutcomeUnknownError("the answer is not the upstream's own")
             self.admission.record_prompt_read(request, record)
             if request.route.is_streamed and head.is_success:
-                await self.relay_stream(request, exchange, head, writer)
+                await self.relay_stream(request, record, exchange, head, writer)
             else:
                 await self.relay_buffered(request, exchange, head, writer)
             is_failure = head.status >= SERVER_ERROR
@@ -296,6 +296,7 @@
     async def relay_stream(
         self,
         request: GatewayRequest,
+        record: UpstreamRecord,
         exchange: Exchange,
         head: AnswerHead,
         writer: AnswerWriter,
@@ -322,6 +323,7 @@
                 self.admission.record_first_event(request.service, took_s)
             has_events = True
             request.record_event()
+            self.selector.record_heard(record)
             await writer.write(events.content)
             if events.ids:
                 request.last_event_id = events.ids[-1]
--- a/gypsumpier/test/simulated_entry.py
+++ b/gypsumpier/test/simulated_entry.py
@@ -5,6 +5,7 @@
 
 from gypsumpier.gateway.loadshare import LoadShare
 from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.silenceshare import SilenceShare
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.test.builders_gateway import admission_of, demand_of, request_of, selector_of
 from gypsumpier.test.builders_platform import ENGINES
@@ -64,6 +65,9 @@
         self.admission.entry_count = count
         self.share = LoadShare(self.mesh, self.selector, demand_of(self.mesh))  # type: ignore[arg-type]
         self.share.on_change.append(self.admission.handle_peer_news)
+        streams = self.admission.streams
+        self.silence_share = SilenceShare(self.mesh, self.selector, self.share, streams)  # type: ignore[arg-type]
+        self.silence_share.on_change.append(self.admission.handle_peer_news)
         self.admitted_after_s: list[float] = []
         self.first_event_after_s: list[float] = []
         self.refused = 0
@@ -72,9 +76,9 @@
             self.admission.queue(ENGINES).record_granted()
 
     async def run(self, delay_s: float) -> None:
-        """Exchange loads and dispatch the queue until cancelled, from ``delay_s`` on."""
+        """Exchange news and dispatch the queue until cancelled, from ``delay_s`` on."""
         await asyncio.sleep(delay_s)
-        await asyncio.gather(self.share.run(), self.admission.run())
+        await asyncio.gather(self.share.run(), self.silence_share.run(), self.admission.run())
 
     def send(self, **fields: Any) -> None:
         """Start a request to the engines, as from a caller."""
--- a/gypsumpier/test/test_silent_upstream.py
+++ b/gypsumpier/test/test_silent_upstream.py
@@ -126,6 +126,19 @@
         self.assert_whole(answer, LATE_EVENTS)
         self.assertEqual((1, []), (len(self.silent.standin.run_ids), other.run_ids))
 
+    # Guards against an engine whose silence no other entry learns of, as its requests stay there,
+    # and against one that is still reported as it has gone on.
+    async def test_a_silence_is_known_while_it_lasts(self) -> None:
+        await self.start()
+        silences = self.fleet.entry.selector.silences
+        call = asyncio.create_task(self.late_stream_with_silence())
+        await self.wait_until(lambda: bool(self.silent.standin.run_ids))
+        await asyncio.sleep(2 * LATE_EVENT_PAUSE_S + 0.1)
+        await self.wait_until(lambda: bool(silences.own()))
+        self.assertEqual({"i-1"}, {upstream for upstream, _ in silences.own()})
+        self.assert_whole(await call, LATE_EVENTS)
+        self.assertEqual(frozenset(), silences.own())
+
     async def test_a_late_stream_of_another_zone_ends_whole(self) -> None:
         """Guards against a cut stream because one silent engine rules out its whole zone."""
         record = engine_body(address=self.silent.standin.address, zone=OTHER_ZONE)
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -124,6 +124,11 @@
             return False
         return health.failures == 0 or health.probes == 0
 
+    def is_in_backoff(self, run: tuple[str, int]) -> bool:
+        """Return whether no request may be sent, as the upstream has failed a moment ago."""
+        health = self.health_by_run.get(run)
+        return health is not None and time.monotonic() < health.retry_at_s
+
     def begin(self, run: tuple[str, int]) -> None:
         """Count a request as a probe if the upstream has failed."""
         if run in self.health_by_run:
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -21,6 +21,7 @@
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 from gypsumpier.upstream.peerloads import NO_LOAD, Load, PeerLoads
+from gypsumpier.upstream.silences import Silences
 
 PEER_LOAD_MAX_AGE_S: Final = 2.0
 """Seconds after its last message after which the loads of another entry are dropped."""
@@ -74,6 +75,7 @@
         self.own_loads: dict[str, Load] = {}
         self.own_waiting: dict[str, int] = {}
         self.peer_loads = PeerLoads()
+        self.silences = Silences(self.health, self.own_loads, self.peer_loads)
         self.claims = Claims()
         self.engines: dict[str, EngineState] = {}
         self.statements = UpstreamStatements(WholeShare())
@@ -377,8 +379,11 @@
         return own < self.claims.most(record.id, own, places, share)
 
     def is_usable(self, record: UpstreamRecord) -> bool:
-        """Return whether neither a rest nor a backoff, its own or its zone's, holds."""
-        if self.statements.rests.is_resting(record):
+        """Return whether neither a rest nor a backoff, its own or its zone's, holds.
+
+        Nor may it be an engine that other entries find silent.
+        """
+        if self.statements.rests.is_resting(record) or self.silences.is_silent(record):
             return False
         if not self.health.is_usable(record.run_key()):
             return False
@@ -399,17 +404,20 @@
 
         For another zone, the whole zone goes into backoff, as if it could not be connected to.
         """
+        self.silences.record_found(record.run_key())
         self.health.record_silence(record.run_key(), sent_at_s)
         if record.zone != self.zone:
             self.zone_health.record_silence((record.zone, 0), sent_at_s)
 
     def record_heard(self, record: UpstreamRecord) -> None:
-        """Record that an answer has begun to arrive: the upstream and its zone are not silent."""
+        """Record that an answer begins or goes on: the upstream and its zone are not silent."""
+        self.silences.record_heard(record.run_key())
         self.health.record_heard(record.run_key())
         self.zone_health.record_heard((record.zone, 0))
 
     def record_success(self, record: UpstreamRecord) -> None:
         """Record a complete answer: the upstream and its zone are reachable."""
+        self.silences.record_heard(record.run_key())
         self.health.record_success(record.run_key())
         self.zone_health.record_success((record.zone, 0))
 
