--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/otherplace.py
@@ -81,6 +81,7 @@
         """Take a place, after a wait if it ``is_queued``, and begin an attempt there."""
         if self.attempt is not None:
             return True
+        self.admission.selector.silences.record_found(self.silent.record.run_key())
         if not self.may_move():
             # Once all have been asked, those that were full then may be asked again next time.
             self.request.tried -= self.refused
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -204,6 +204,7 @@
                 self.admission.record_first_event(request.service, took_s)
             has_events = True
             request.record_event()
+            self.selector.record_heard(attempt.record)
             await writer.write(events.content)
             if events.ids:
                 request.last_event_id = events.ids[-1]
--- a/gypsumpier/test/test_stream_without_engine.py
+++ b/gypsumpier/test/test_stream_without_engine.py
@@ -74,7 +74,7 @@
             with self.assertRaises(Refusal):
                 await self.admission.enter(request_of(self.fleet_state))
 
-    # Guards against a stream that waits for good.  A caller that leaves sooner ends the wait itself.
+    # Guards against a stream that waits for good: only a caller that leaves ends its wait itself.
     async def test_a_begun_stream_is_refused_as_its_time_limit_leaves_no_time_for_an_event(
         self,
     ) -> None:
