Hold the ports that a test gives out until a server listens on them

Cause: free_port looked whether a port is free and let it go; the entries bind theirs about 3 s later at a load of 30.

A port is now held by a socket that does not listen. A server that sets SO_REUSEADDR, as tornado's do, may listen beside it, now and after a restart; whoever looks for a free port finds it taken. Up to 160 ports are held by a process, then the oldest are let go.

The test failed before the change: another socket bound the port.

--- a/gypsumpier/test/gatewayfleet.py
+++ b/gypsumpier/test/gatewayfleet.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import socket
+from collections import deque
 from typing import Any, Final
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
@@ -37,6 +38,8 @@
 """Ports below the range that Linux uses for outgoing connections."""
 PORT_SHARES: Final = 64
 """Shares of these ports; a process holds one, so that two test runs don't take the same port."""
+HELD_PORTS_MAX: Final = 160
+"""Ports that are held at a time; more than the largest fleet of a test needs."""
 
 
 def claim_share() -> tuple[range, socket.socket]:
@@ -66,18 +69,26 @@
 
 own_share, own_claim = claim_share()
 own_ports = itertools.cycle(own_share)
+held_ports: deque[socket.socket] = deque()
 
 
 def free_port() -> int:
     """Return a port that is free now and outside the range of outgoing connections.
 
     A port chosen by the kernel could be assigned to an outgoing connection before a process binds
-    it, or while that process restarts.  A port is given again only after all others of the share.
+    it, or while that process restarts.  The port is held by a socket that does not listen: a server
+    may listen on it, as servers set SO_REUSEADDR, and nobody else takes it for free.  It is given
+    again only after all others of the share.
     """
     for port in own_ports:
-        with socket.socket() as found:
-            if bind_port(found, port):
-                return port
+        held = socket.socket()
+        if bind_port(held, port):
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            held_ports.append(held)
+            if len(held_ports) > HELD_PORTS_MAX:
+                held_ports.popleft().close()
+            return port
+        held.close()
     raise AssertionError("the ports have no end")
 
 
--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import socket
 import subprocess
 import sys
 import time
@@ -13,6 +14,7 @@
 from unittest import mock
 
 from tornado.httputil import HTTPHeaders
+from tornado.netutil import bind_sockets
 
 from gypsumpier.test.builders_platform import BOUNDS
 from gypsumpier.test.gatewayfleet import PORT_SHARES, PORTS, free_port
@@ -367,6 +369,16 @@
         self.assertLess(max(ports), first)
         self.assertGreater(len(set(ports)), 190)
 
+    # Guards against an entry that ends at its start as another process, which knows nothing of the
+    # shares, took its port before it (soak seed 220).
+    def test_a_port_is_kept_for_who_listens_on_it(self) -> None:
+        port = free_port()
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind(("127.0.0.1", port))
+        for _ in range(2):
+            (listening,) = bind_sockets(port, "127.0.0.1")
+            listening.close()
+
     # Guards against an entry that ends at its start as another test run took its port meanwhile.
     def test_processes_whose_ids_give_them_the_same_share_share_no_port(self) -> None:
         program = (
