Name the second attempt at another upstream what it is

OtherPlace held a place; it sends the request there by now. Names only: SecondAttempt, test_second_attempt, secondattemptcase.

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -17,11 +17,11 @@
 from gypsumpier.gateway.crashes import CrashTracker
 from gypsumpier.gateway.events import EventSplitter
 from gypsumpier.gateway.failures import FailureRecorder
-from gypsumpier.gateway.otherplace import OtherPlace
 from gypsumpier.gateway.pendingstarts import PendingStarts
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.secondattempt import SecondAttempt
 from gypsumpier.gateway.sender import UpstreamSender
 from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
@@ -74,12 +74,14 @@
         """Try one upstream after another; raise Refusal once no further attempt is allowed."""
         attempt = Attempt(request, await self.next_upstream(request))
         while True:
-            with OtherPlace(self.sender, self.retries, self.failures, attempt, writer) as other:
+            with SecondAttempt(self.sender, self.retries, self.failures, attempt, writer) as other:
                 if await self.try_upstream(attempt, writer, other):
                     return
                 attempt = other.claim() or Attempt(request, await self.next_upstream(request))
 
-    async def try_upstream(self, attempt: Attempt, writer: AnswerWriter, other: OtherPlace) -> bool:
+    async def try_upstream(
+        self, attempt: Attempt, writer: AnswerWriter, other: SecondAttempt
+    ) -> bool:
         """Return whether the upstream has answered; raise Refusal if that ends the request."""
         probe = None
         request = attempt.request
@@ -128,8 +130,8 @@
         if is_lost or not request.may_repeat() or not self.retries.spend(request.service):
             raise Refusal(ANSWER_LOST, 502, error.reason)
 
-    async def attempt(self, attempt: Attempt, writer: AnswerWriter, other: OtherPlace) -> None:
-        """Relay the answer of the upstream, or leave it for the ``other`` place.
+    async def attempt(self, attempt: Attempt, writer: AnswerWriter, other: SecondAttempt) -> None:
+        """Relay the answer of the upstream, or leave it to the ``other`` attempt.
 
         Sends the request first, unless the attempt has begun.  Raises NotRunError if it has not
         run, and OutcomeUnknownError if it may have run and there is no usable answer.
@@ -159,7 +161,7 @@
         exchange: Exchange,
         head: AnswerHead,
         writer: AnswerWriter,
-        other: OtherPlace,
+        other: SecondAttempt,
     ) -> None:
         """Relay an answer once it is complete; a server error is retried elsewhere if allowed."""
         body = await exchange.whole_body(ANSWER_MAX_BYTES)
--- a/gypsumpier/gateway/otherplace.py
+++ b/gypsumpier/gateway/secondattempt.py
@@ -13,7 +13,7 @@
 from gypsumpier.upstream.head import AnswerHead
 
 
-class OtherPlace:
+class SecondAttempt:
     """Sends a request to another upstream while that of ``silent`` may still go on.
 
     A request that stays with the silent upstream can lose nothing, so ``attempt`` is set only once
@@ -182,7 +182,7 @@
 
     is_asked = False
 
-    def __init__(self, other: OtherPlace, record: UpstreamRecord) -> None:
+    def __init__(self, other: SecondAttempt, record: UpstreamRecord) -> None:
         self.other = other
         self.record = record
 
--- a/gypsumpier/test/otherplacecase.py
+++ b/gypsumpier/test/secondattemptcase.py
@@ -8,8 +8,8 @@
 
 from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.failures import FailureRecorder
-from gypsumpier.gateway.otherplace import OtherPlace
 from gypsumpier.gateway.retries import RetryBudget
+from gypsumpier.gateway.secondattempt import SecondAttempt
 from gypsumpier.gateway.sender import UpstreamSender
 from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.test.builders_gateway import admission_of, engines, request_of
@@ -45,7 +45,7 @@
         attempt.exchange, attempt.head = mock.Mock(), self.head
 
 
-class OtherPlaceCase(unittest.IsolatedAsyncioTestCase):
+class SecondAttemptCase(unittest.IsolatedAsyncioTestCase):
     """A request at one of several engines, which is silent."""
 
     engine_count = 2
@@ -63,7 +63,7 @@
         )
         self.failures = FailureRecorder(self.selector, mock.Mock(), mock.Mock())
         self.writer = mock.Mock(status=0)
-        self.other = OtherPlace(
+        self.other = SecondAttempt(
             self.sender,
             self.retries,
             self.failures,
--- a/gypsumpier/test/test_refused_moves.py
+++ b/gypsumpier/test/test_refused_moves.py
@@ -4,10 +4,10 @@
 import unittest
 from typing import Final
 
-from gypsumpier.gateway.otherplace import LastResort
+from gypsumpier.gateway.secondattempt import LastResort
 from gypsumpier.test.builders_gateway import request_of
 from gypsumpier.test.builders_platform import ENGINES
-from gypsumpier.test.otherplacecase import OtherPlaceCase
+from gypsumpier.test.secondattemptcase import SecondAttemptCase
 from gypsumpier.test.silentcase import EVENT_PAUSE_S, OTHER_ZONE, SilentUpstreamCase
 
 DEAD_S: Final = 3.0
@@ -33,7 +33,7 @@
         self.assertEqual(["r1"], other.run_ids)
 
 
-class LastResortTest(OtherPlaceCase):
+class LastResortTest(SecondAttemptCase):
     engine_count = 3
 
     async def asyncSetUp(self) -> None:
--- a/gypsumpier/test/test_other_place.py
+++ b/gypsumpier/test/test_second_attempt.py
@@ -8,12 +8,12 @@
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.test.builders_platform import ENGINES
-from gypsumpier.test.otherplacecase import ANSWER_S, SILENCE_S, OtherPlaceCase, head_of
+from gypsumpier.test.secondattemptcase import ANSWER_S, SILENCE_S, SecondAttemptCase, head_of
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.exchange import Exchange
 
 
-class OtherPlaceTest(OtherPlaceCase):
+class SecondAttemptTest(SecondAttemptCase):
     # Guards against places that are never given back.
     async def test_a_place_that_is_not_claimed_is_given_back(self) -> None:
         with self.other:
--- a/gypsumpier/test/test_stalled_answer.py
+++ b/gypsumpier/test/test_stalled_answer.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from gypsumpier.gateway.relay import Relay
-from gypsumpier.test.otherplacecase import ANSWER_S, OtherPlaceCase, head_of
+from gypsumpier.test.secondattemptcase import ANSWER_S, SecondAttemptCase, head_of
 from gypsumpier.upstream.errors import OutcomeUnknownError
 from gypsumpier.upstream.exchange import BUFFERED_MAX_BYTES, Exchange
 
@@ -22,7 +22,7 @@
 EVENT_END: Final = b"\n\n"
 
 
-class StalledAnswerTest(OtherPlaceCase):
+class StalledAnswerTest(SecondAttemptCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.exchange = Exchange(mock.Mock(), STALLED_S, self.other)
