--- a/misc/faulting/tcp_proxy.py
+++ b/misc/faulting/tcp_proxy.py
@@ -3,16 +3,21 @@
 import asyncio
 import contextlib
 import math
+import socket
+import struct
 from typing import Final
 
 READ_BYTES: Final = 64 * 1024
+NO_LINGER: Final = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER that makes a close reset the connection."""
 
 
 class TcpProxy:
     """Forwards connections to a port on this machine.
 
     ``drops_traffic`` and ``refuses`` apply to new connections, ``delay_s`` to all that is
-    forwarded, also to a close, which arrives as much later as what was sent before it.
+    forwarded, also to a close, which arrives as much later as what was sent before it.  While
+    ``flows`` is not set, everything is held back, and nothing is lost.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -23,6 +28,8 @@
         self.drops_traffic = False
         self.refuses = False
         self.delay_s = 0.0
+        self.flows = asyncio.Event()
+        self.flows.set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -40,6 +47,11 @@
         for connection in list(self.connections):
             connection.close()
 
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for connection in list(self.connections):
+            connection.reset()
+
     def drop_traffic(self) -> None:
         """Drop everything on the open connections until they close; new ones work."""
         for connection in self.connections:
@@ -88,6 +100,14 @@
         for writer in self.writers:
             writer.close()
 
+    def reset(self) -> None:
+        """Reset both ends."""
+        for writer in self.writers:
+            found: socket.socket | None = writer.get_extra_info("socket")
+            if found is not None and not writer.is_closing():
+                found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+
     async def forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_response: bool
     ) -> None:
@@ -96,6 +116,7 @@
         loop = asyncio.get_running_loop()
         with contextlib.suppress(OSError):
             while content := await reader.read(READ_BYTES):
+                await self.proxy.flows.wait()
                 if self.drops_traffic or (is_response and self.drops_responses):
                     continue
                 if due_at_s > loop.time() or self.proxy.delay_s:
@@ -106,6 +127,7 @@
                     continue
                 writer.write(content)
                 await writer.drain()
+        await self.proxy.flows.wait()
         if not self.drops_traffic:
             await asyncio.sleep(max(due_at_s - loop.time(), self.proxy.delay_s))
             self.close()
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -19,10 +19,13 @@
 
 import click
 
-from misc.soaking.checks import Facts, Violations, check
+from misc.faulting.actions import Window
+from misc.soaking.checks import Violations, check
 from misc.soaking.deployment import SoakDeployment
+from misc.soaking.facts import Facts
 from misc.soaking.faults import SoakFaults
 from misc.soaking.load import PROBE, SoakLoad
+from misc.soaking.starvation import record_starvation
 
 MIN_SERVED: Final = 500
 CHECK_INTERVAL_S: Final = 5.0
@@ -38,11 +41,12 @@
     rng = random.Random(seed)
     load = SoakLoad(deployment, random.Random(rng.random()), rate_per_s)
     faults = SoakFaults(deployment, random.Random(rng.random()))
+    starved: list[Window] = []
     printed: set[str] = set()
 
     def report_violations() -> Violations:
         """Check everything observed so far, print new violations, and return all."""
-        violations = check(facts(deployment, load, faults))
+        violations = check(facts(deployment, load, faults, starved))
         for guarantee, items in violations.items():
             for item in items:
                 if f"{guarantee} {item}" not in printed:
@@ -55,14 +59,18 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             report_violations()
 
-    watch_task = asyncio.create_task(watch())
+    watch_tasks = [
+        asyncio.create_task(watch()),
+        asyncio.create_task(record_starvation(deployment.nodes, starved)),
+    ]
     await faults.run(seconds)
     unrecovered = await not_recovered(deployment, load)
     await load.stop()
-    watch_task.cancel()
+    for task in watch_tasks:
+        task.cancel()
     violations = report_violations() | {"not_recovered": unrecovered}
     began_s = faults.windows[0].began_at_s if faults.windows else 0.0
-    for window in faults.windows:
+    for window in faults.windows + starved:
         since_s, lasted_s = window.began_at_s - began_s, window.ended_at_s - window.began_at_s
         click.echo(f"{since_s:.1f} s {window.name} {window.target} for {lasted_s:.1f} s")
     statuses = Counter(sent.status for sent in load.sent if sent.kind != PROBE)
@@ -71,17 +79,20 @@
         "requests": sum(statuses.values()),
         "served": statuses[200],
         "faults": len(faults.windows),
+        "starved": len(starved),
         "statuses": {str(status): count for status, count in sorted(statuses.items())},
         "broken": {guarantee: len(items) for guarantee, items in violations.items()},
     }
 
 
-def facts(deployment: SoakDeployment, load: SoakLoad, faults: SoakFaults) -> Facts:
+def facts(
+    deployment: SoakDeployment, load: SoakLoad, faults: SoakFaults, starved: list[Window]
+) -> Facts:
     """Return everything observed so far."""
     return Facts(
         sent=load.sent,
         runs=deployment.runs(),
-        windows=faults.windows,
+        windows=faults.windows + starved,
         configured_at_s=deployment.configured_at_s,
         revoked_at_s=deployment.revoked_at_s,
         draining_at_s=deployment.draining_at_s,
--- a/misc/soaking/checks.py
+++ b/misc/soaking/checks.py
@@ -1,41 +1,21 @@
 """Compares the answers to callers with the runs at upstreams and the changes at the platform."""
 
 from collections import Counter
-from typing import Final, NamedTuple
+from typing import Final
 
 from gypsumpier.test.builders_platform import BOUNDS
-from gypsumpier.test.standin.platform import Run
-from misc.faulting.actions import Window
 from misc.soaking.connection import CUT, NOT_CONNECTED
-from misc.soaking.load import COMMAND, PROBE, Sent
+from misc.soaking.facts import MARGIN_S, Facts, is_free_of_abrupt_faults
+from misc.soaking.load import COMMAND, PROBE, UPLOAD
+from misc.soaking.lost import lost
 
+ONCE_KINDS: Final = frozenset({COMMAND, UPLOAD})
+"""Kinds of request that may run at most once."""
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
-STABLE_S: Final = 3.0
-"""Seconds without a fault after which the time bounds hold, as on the platform."""
-MARGIN_S: Final = 0.25
-"""Seconds added to each bound for the delivery of a record and a request on a busy machine."""
 STOP_MARGIN_S: Final = 1.0
 """Seconds around a graceful stop in which the end of a request is attributed to it."""
 
 
-class Facts(NamedTuple):
-    """Everything observed in a test run so far; times are monotonic seconds.
-
-    The ``_at_s`` mappings hold when a configuration version was written, a key was revoked, an
-    upstream began to drain, and a version of weights was named by the platform as the one to serve.
-    """
-
-    sent: list[Sent]
-    runs: list[Run]
-    windows: list[Window]
-    configured_at_s: dict[int, float]
-    revoked_at_s: dict[str, float]
-    draining_at_s: dict[str, float]
-    named_at_s: dict[int, float]
-    partial_loads: int
-    killed_at_stop: int
-
-
 Violations = dict[str, list[str]]
 """The violations of each guarantee; the list of one that held is empty."""
 
@@ -47,12 +27,12 @@
         "ran_twice": [
             sent.request_id
             for sent in facts.sent
-            if sent.kind == COMMAND and ran[sent.request_id] > 1
+            if sent.kind in ONCE_KINDS and ran[sent.request_id] > 1
         ],
         "false_not_run": [
             f"{sent.request_id} status {sent.status}"
             for sent in facts.sent
-            if sent.kind == COMMAND and sent.status in NOT_RUN_STATUSES and ran[sent.request_id]
+            if sent.kind in ONCE_KINDS and sent.status in NOT_RUN_STATUSES and ran[sent.request_id]
         ],
         "wrong_answers": [f"{sent.request_id}: {sent.wrong}" for sent in facts.sent if sent.wrong],
         "revoked_key_ran": revoked_key_ran(facts),
@@ -61,21 +41,13 @@
         "partial_loads": ["an engine got an order without all valid pieces"] * facts.partial_loads,
         "configuration_went_back": configuration_went_back(facts),
         "configuration_late": configuration_late(facts),
+        "lost": lost(facts),
         "cut_by_graceful_stop": cut_by_graceful_stop(facts, ran),
         "stop_too_slow": ["a process did not stop within its bound and was killed"]
         * facts.killed_at_stop,
     }
 
 
-def is_free_of_abrupt_faults(facts: Facts, from_s: float, to_s: float) -> bool:
-    """Return whether no abrupt fault was in effect from STABLE_S before ``from_s`` to ``to_s``."""
-    return not any(
-        window.began_at_s < to_s and window.ended_at_s > from_s - STABLE_S
-        for window in facts.windows
-        if not window.graceful
-    )
-
-
 def revoked_key_ran(facts: Facts) -> list[str]:
     """Return requests that ran with a key revoked longer ago than the bound, even under faults."""
     sent_by_id = {sent.request_id: sent for sent in facts.sent}
--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -21,7 +21,13 @@
     settings_body,
 )
 from gypsumpier.test.gatewayfleet import free_port
-from gypsumpier.test.standin.platform import OriginStandin, PlatformStandin, Run, UpstreamStandin
+from gypsumpier.test.standin.platform import (
+    WORK_PREFIX,
+    OriginStandin,
+    PlatformStandin,
+    Run,
+    UpstreamStandin,
+)
 from gypsumpier.test.standin.platformengine import EngineStandin
 from misc.faulting.tcp_proxy import TcpProxy
 from misc.soaking.node import Node
@@ -38,6 +44,9 @@
 EVENT_PAUSE_S: Final = 0.02
 RECORD_DELAY_S: Final = 0.2
 SPARE_KEYS: Final = 40
+LONGEST_WORK_S: Final = 3.0
+"""Seconds of the longest command at a plain upstream."""
+UPLOAD_ROUTE: Final = {"name": "uploads", "prefix": WORK_PREFIX, "timeout_ms": 12_000}
 START_TIMEOUT_S: Final = 30.0
 POLL_S: Final = 0.05
 
@@ -194,7 +203,10 @@
         body = configuration_body(
             self.version,
             services=services,
-            routes=[route_body(), command_route_body(), lookups | {"attempts": 2}, *versions],
+            routes=[
+                *(route_body(), command_route_body(), command_route_body(**UPLOAD_ROUTE)),
+                *(lookups | {"attempts": 2}, *versions),
+            ],
             tenants=[{"name": "lab", "api_keys": keys}],
         )
         self.store.put("op/config", body)
@@ -236,6 +248,8 @@
             server.stop()
         for upstream in self.upstreams.values():
             upstream.server.stop()
+        # Lets the upstreams' requests end as their connections close.
+        await asyncio.sleep(POLL_S)
 
 
 def discard(handle: object) -> None:
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -10,8 +10,9 @@
 
 from gypsumpier.test.builders_odd import odd_records
 from misc.faulting.actions import Window
-from misc.soaking.deployment import EVENT_PAUSE_S, EVENTS, SoakDeployment
+from misc.soaking.deployment import EVENT_PAUSE_S, EVENTS, LONGEST_WORK_S, SoakDeployment
 from misc.soaking.node import Node
+from misc.soaking.series import Series, end
 
 SETTLE_S: Final = 3.2
 """Seconds to wait after a burst of faults; the bounds hold again after the platform's 3."""
@@ -36,7 +37,7 @@
 DELAY_S: Final = 0.15
 ANSWER_FAULTS: Final = (
     *("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed"),
-    *("again", "text"),
+    *("again", "text", "head"),
 )
 ODD_ENTRIES_MAX: Final = 8
 """Keys among which odd entries of another writer are left."""
@@ -44,6 +45,10 @@
 """Seconds between two planned faulty answers."""
 FAULTY_ANSWERS: Final = 60
 FAULTY_SHARE: Final = 0.5
+BUSY_EVENT_PAUSE_S: Final = 0.06
+"""Seconds between events with which the callers fill the slots of all engines."""
+SECOND_STOP_S: Final = (0.0, 4.0)
+"""Seconds between two stops that overlap; a stop lasts up to 8."""
 
 
 class SoakFaults:
@@ -55,9 +60,10 @@
     def __init__(self, deployment: SoakDeployment, rng: random.Random) -> None:
         self.deployment = deployment
         self.rng = rng
-        # Of its own, as overlapping faults draw from the other in an order that depends on timing.
+        # Of their own, as overlapping faults draw from a shared one in an order set by timing.
         self.planned_rng = random.Random(rng.random())
         self.windows: list[Window] = []
+        self.series = Series(deployment, random.Random(rng.random()), self.windows)
         self.busy: set[str] = set()
         self.killed_at_stop = 0
 
@@ -72,7 +78,8 @@
 
     async def fault_burst(self) -> None:
         """Inject two or three overlapping faults, with changes and faulty answers among them."""
-        faulty_answers = asyncio.create_task(self.odd_answers())
+        series = [self.odd_answers, self.series.configure_often, self.series.be_silent]
+        background = [asyncio.create_task(found()) for found in self.rng.sample(series, 2)]
         running = []
         for _ in range(self.rng.choice([2, 3])):
             running.append(asyncio.ensure_future(self.rng.choice(self.abrupt())()))
@@ -80,8 +87,7 @@
             if self.rng.random() < 0.5:
                 self.rng.choice([self.deployment.configure, self.revoke_newest, self.name])()
         await asyncio.gather(*running)
-        faulty_answers.cancel()
-        await asyncio.wait({faulty_answers})
+        await end(background)
 
     async def odd_answers(self) -> None:
         """Make some answers of random upstreams wrong or missing until cancelled."""
@@ -112,14 +118,16 @@
                 self.lose_answers_of_store,
             ),
             *(self.forget_history, self.lose_origin, self.spoil_origin, self.kill_all),
-            self.leave_odd_entries,
+            *(self.leave_odd_entries, self.stop),
         ]
 
     def planned(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the changes and stops under which no request may fail."""
         return [
             self.stop,
-            self.stop,
+            self.stop_two,
+            self.stop_two,
+            self.stay_busy,
             self.change_configuration,
             self.revoke_key,
             self.drain,
@@ -184,6 +192,29 @@
                 await node.start()
                 await asyncio.sleep(PLANNED_CHANGE_S)
 
+    async def stop_two(self) -> None:
+        """Stop two processes in stops that overlap, amid configurations and silences."""
+        background = [asyncio.create_task(self.series.configure_often())]
+        if self.planned_rng.random() < 0.5:
+            background.append(asyncio.create_task(self.series.be_silent()))
+        first = asyncio.create_task(self.stop())
+        await asyncio.sleep(self.planned_rng.uniform(*SECOND_STOP_S))
+        await asyncio.gather(first, self.stop())
+        await end(background)
+
+    async def stay_busy(self) -> None:
+        """Fill the engines while configurations change and upstreams are silent for a while."""
+        background = [
+            asyncio.create_task(self.series.configure_often()),
+            asyncio.create_task(self.series.be_silent()),
+        ]
+        for engine in self.deployment.engines():
+            engine.event_pause_s = BUSY_EVENT_PAUSE_S
+        await asyncio.sleep(VERSION_CHANGE_S)
+        for engine in self.deployment.engines():
+            engine.event_pause_s = EVENT_PAUSE_S
+        await end(background)
+
     async def crash_engine(self) -> None:
         engine = self.rng.choice(self.deployment.engines())
         async with self.window("crash_engine", engine.name):
@@ -195,7 +226,7 @@
         async with self.window("cut_upstream", name):
             proxy = self.deployment.proxies[name]
             proxy.refuses = True
-            proxy.cut()
+            self.rng.choice([proxy.cut, proxy.reset])()
             await asyncio.sleep(self.rng.uniform(0.2, 2.0))
             proxy.refuses = False
 
@@ -299,7 +330,7 @@
             await self.deployment.add_plain()
             await asyncio.sleep(PLANNED_CHANGE_S)
             self.deployment.drain(name)
-            await asyncio.sleep(PLANNED_CHANGE_S)
+            await asyncio.sleep(PLANNED_CHANGE_S + LONGEST_WORK_S)
             self.deployment.retire(name)
 
     async def change_version(self) -> None:
--- a/misc/soaking/load.py
+++ b/misc/soaking/load.py
@@ -7,16 +7,23 @@
 from typing import Final
 
 from gypsumpier.test.builders_platform import KEY, MODEL
+from gypsumpier.test.standin.platform import WORK_PREFIX
 from misc.soaking.connection import Answer, CallerConnection
-from misc.soaking.deployment import EVENTS, SoakDeployment
+from misc.soaking.deployment import EVENTS, LONGEST_WORK_S, SoakDeployment
 
 COMMAND: Final = "command"
 LOOKUP: Final = "lookup"
 REPORT: Final = "report"
 PROBE: Final = "probe"
+UPLOAD: Final = "upload"
 PATHS: Final = {COMMAND: "/commands/x", LOOKUP: "/lookups/x", REPORT: "/reports/x"}
-TIME_LIMITS_S: Final = {COMMAND: 1.0, LOOKUP: 1.0, REPORT: 6.0, PROBE: 1.0}
+TIME_LIMITS_S: Final = {COMMAND: 1.0, LOOKUP: 1.0, REPORT: 6.0, PROBE: 1.0, UPLOAD: 12.0}
 CALLERS_PER_ENTRY: Final = 8
+UPLOADERS_PER_ENTRY: Final = 6
+UPLOAD_PAUSE_S: Final = 0.2
+BODY_DELAY_S: Final = (0.2, 7.0)
+"""Seconds between the head and the body of an upload; up to the end of a grace."""
+UPLOAD_WORK_S: Final = (0.05, LONGEST_WORK_S)
 REVOKED_KEY_SHARE: Final = 0.1
 PROBE_INTERVAL_S: Final = 0.25
 RESPONSE_MARGIN_S: Final = 0.5
@@ -29,6 +36,7 @@
 
     ``run`` is how often the entry that handled it had been started.  ``probed_version`` is the
     configuration whose route a probe requests.  ``wrong`` is what is wrong with the answer.
+    ``whole_at_s`` is when its last byte was sent; infinite if it never was.
     """
 
     request_id: str
@@ -41,6 +49,7 @@
     status: int = 0
     wrong: str = ""
     probed_version: int = 0
+    whole_at_s: float = float("inf")
 
 
 class SoakLoad:
@@ -59,14 +68,22 @@
             for entry in deployment.entries
             for _ in range(CALLERS_PER_ENTRY)
         ]
+        self.uploaders = [
+            asyncio.create_task(self.run_uploader(entry.name, random.Random(rng.random())))
+            for entry in deployment.entries
+            for _ in range(UPLOADERS_PER_ENTRY)
+        ]
         self.tasks += [
             asyncio.create_task(self.run_prober(entry.name)) for entry in deployment.entries
         ]
 
     async def stop(self) -> None:
-        """Stop the callers and wait until their requests in flight have ended."""
+        """Stop the callers; all but uploads in flight end first."""
         self.stopped = True
         await asyncio.gather(*self.tasks)
+        for task in self.uploaders:
+            task.cancel()
+        await asyncio.wait(self.uploaders)
 
     def connection(self, entry: str) -> CallerConnection:
         """Return a new caller's connection to an entry."""
@@ -82,6 +99,18 @@
             await self.send(connection, entry, kind, PATHS[kind], self.key())
         connection.close()
 
+    async def run_uploader(self, entry: str, rng: random.Random) -> None:
+        """Send long commands whose bodies follow their heads late, until cancelled."""
+        connection = self.connection(entry)
+        try:
+            while True:
+                await asyncio.sleep(rng.expovariate(1.0 / UPLOAD_PAUSE_S))
+                path = f"{WORK_PREFIX}{rng.uniform(*UPLOAD_WORK_S):.2f}"
+                delay_s = rng.uniform(*BODY_DELAY_S)
+                await self.send(connection, entry, UPLOAD, path, KEY, body_delay_s=delay_s)
+        finally:
+            connection.close()
+
     async def run_prober(self, entry: str) -> None:
         """Probe the routes of recent configurations at one entry, until stopped."""
         connection = self.connection(entry)
@@ -109,6 +138,7 @@
         path: str,
         key: str,
         probed_version: int = 0,
+        body_delay_s: float = 0.0,
     ) -> None:
         """Send one request, check its answer and record both."""
         self.number += 1
@@ -124,8 +154,10 @@
         }
         if kind == REPORT:
             headers |= {"X-Model": MODEL, "X-Token-Counts": "20,24"}
-        answer = await connection.call(path, headers, b"{}", limit_s + RESPONSE_MARGIN_S)
+        timeout_s = limit_s + RESPONSE_MARGIN_S
+        answer = await connection.call(path, headers, b"{}", timeout_s, body_delay_s)
         sent.ended_at_s, sent.status = time.monotonic(), answer.status
+        sent.whole_at_s = answer.whole_at_s
         sent.wrong = answer_error(sent, answer)
         self.sent.append(sent)
 
--- /dev/null
+++ b/misc/soaking/lost.py
@@ -0,0 +1,115 @@
+"""Finds requests that ended without an answer although no fault on their way explains it."""
+
+from collections import defaultdict
+from typing import Final
+
+from gypsumpier.test.builders_platform import BOUNDS, ENGINES, PLAIN
+from gypsumpier.test.standin.platform import Run
+from misc.faulting.actions import Window
+from misc.soaking.connection import CUT, TIMED_OUT
+from misc.soaking.facts import MARGIN_S, STABLE_S, Facts
+from misc.soaking.load import REPORT, TIME_LIMITS_S, Sent
+from misc.soaking.starvation import SELF
+
+LOSS_SLACK_S: Final = 0.2
+"""Seconds after its last byte in which a request may cross a close, as on the platform."""
+ENTRY_FAULTS: Final = frozenset({"kill", "freeze"})
+UPSTREAM_FAULTS: Final = frozenset(
+    {"crash_engine", "cut_upstream", "silence_upstream", "slow_upstream"}
+)
+EARLY_IN_STOP_S: Final = 3.0
+LAST_SHARE_OF_STOP: Final = 1 / 6
+"""A request that was sent early in a stop and still runs in this last share of it may be cut."""
+
+
+def lost(facts: Facts) -> list[str]:
+    """Return requests that ended without a whole answer and without a fault that explains it.
+
+    They were sent whole, and reached an upstream or had time to be read.  A fault explains the end
+    of a request only if it was on its entry or on an upstream that it reached or wanted.
+    """
+    runs_by_id = defaultdict(list)
+    for run in facts.runs:
+        runs_by_id[run.request_id].append(run)
+    return [
+        f"{sent.request_id} at {sent.entry} status {sent.status}, {len(runs)} runs"
+        f" ({', '.join(run.upstream for run in runs)}), sent whole"
+        f" {sent.whole_at_s - sent.sent_at_s:.2f} s and ended"
+        f" {sent.ended_at_s - sent.sent_at_s:.2f} s after its head{during(facts, sent)}"
+        for sent in facts.sent
+        for runs in [runs_by_id[sent.request_id]]
+        if is_without_answer(sent, runs)
+        and not is_explained_by_entry(facts, sent)
+        and not is_explained_by_upstream(facts, sent, runs)
+        and not ran_out_of_stop(facts, sent, runs)
+        and not (sent.status == TIMED_OUT and is_starved(facts, sent))
+    ]
+
+
+def is_without_answer(sent: Sent, runs: list[Run]) -> bool:
+    """Return whether a request was taken up and ended within its time without a whole answer."""
+    was_read = bool(runs) or sent.ended_at_s > sent.whole_at_s + LOSS_SLACK_S
+    is_cut = sent.status == CUT and sent.ended_at_s < sent.sent_at_s + TIME_LIMITS_S[sent.kind]
+    return was_read and sent.whole_at_s < float("inf") and (is_cut or sent.status == TIMED_OUT)
+
+
+def is_explained_by_entry(facts: Facts, sent: Sent) -> bool:
+    """Return whether the entry was killed or frozen from STABLE_S before the request to its end."""
+    return any(
+        window.name == "kill_all" or (window.name in ENTRY_FAULTS and window.target == sent.entry)
+        for window in facts.windows
+        if overlaps(window, sent.sent_at_s - STABLE_S, sent.ended_at_s + MARGIN_S)
+    )
+
+
+def is_explained_by_upstream(facts: Facts, sent: Sent, runs: list[Run]) -> bool:
+    """Return whether an upstream answered wrongly, or a fault was on one that the request used.
+
+    Those of the service count where the request has not run: its upstream is not known.
+    """
+    if any(run.action != "ok" for run in runs):
+        return True
+    service = ENGINES if sent.kind == REPORT else PLAIN
+    began_at_s = min((run.at_s for run in runs), default=sent.sent_at_s)
+    used = {run.upstream for run in runs}
+    return any(
+        window.target in used or (not used and service.startswith(window.target.split("-")[0]))
+        for window in facts.windows
+        if window.name in UPSTREAM_FAULTS
+        and overlaps(window, began_at_s - MARGIN_S, sent.ended_at_s + MARGIN_S)
+    )
+
+
+def is_starved(facts: Facts, sent: Sent) -> bool:
+    """Return whether the machine kept the caller or the entry from running meanwhile."""
+    return any(
+        window.target in (SELF, sent.entry)
+        for window in facts.windows
+        if window.name == "starved" and overlaps(window, sent.sent_at_s, sent.ended_at_s)
+    )
+
+
+def ran_out_of_stop(facts: Facts, sent: Sent, runs: list[Run]) -> bool:
+    """Return whether a request sent early in a stop of its entry still ran in the last part."""
+    last_s = BOUNDS.stop_s * (1 - LAST_SHARE_OF_STOP)
+    return bool(runs) and any(
+        sent.whole_at_s <= window.began_at_s + EARLY_IN_STOP_S
+        and window.began_at_s + last_s <= sent.ended_at_s <= window.ended_at_s + MARGIN_S
+        for window in facts.windows
+        if window.name == "stop" and window.target == sent.entry
+    )
+
+
+def overlaps(window: Window, from_s: float, to_s: float) -> bool:
+    """Return whether a fault was in effect at some time between these."""
+    return window.began_at_s < to_s and window.ended_at_s > from_s
+
+
+def during(facts: Facts, sent: Sent) -> str:
+    """Return the faults and changes beside a request, for the report."""
+    found = [
+        f"{window.name} {window.target} {sent.ended_at_s - window.began_at_s:.2f} s before its end"
+        for window in facts.windows
+        if overlaps(window, sent.sent_at_s, sent.ended_at_s)
+    ]
+    return "".join(f"; {text}" for text in found)
