--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Usage: review/1/run.sh; TROUBLE=0 leaves the drill out.
-cd "$(dirname "$0")/../.." && PYTHONDONTWRITEBYTECODE=1 exec python3 review/1/case.py
+# Usage: run.sh; TROUBLE=0 leaves the disruption out. 
+here="$(cd "$(dirname "$0")" && pwd)" && cd "$here/../.." && PYTHONDONTWRITEBYTECODE=1 exec python3 "$here/case.py"
--- a/review/lab.py
+++ b/review/lab.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import hashlib
 import json
 import os
 import random
@@ -25,6 +26,8 @@
 HOST = "lab.example"
 KEY = "key-in-force"
 READS_PER_S = 2000
+MODEL = "daka510000"
+LAYERS = 16
 
 
 class Record:
@@ -268,6 +271,158 @@
         self.lab.record.write("run", worker=self.name, id=request_id)
 
 
+class Engine(Worker):
+    """A sound model worker: pieces are staged, an order loads them, requests are streams.
+
+    ``origin`` tells which pieces belong to a version.  A crash cuts all channels; the engine is
+    back under its id after ``back_after_s`` and holds no layers then.
+    """
+
+    def __init__(self, lab, name, service, zone):
+        super().__init__(lab, name, service, zone)
+        self.version, self.is_busy, self.seq, self.staged = 1, False, 0, {}
+        self.active, self.events, self.event_s = 0, 12, 0.02
+        self.is_up = True
+        self.back_after_s = 2.0
+        self.ip = ""
+
+    async def start(self):
+        self.ip = self.lab.ip()
+        await self.http.start(self.ip)
+        return self
+
+    def body(self):
+        body = {"stage": "colocated", "models": [], "seq": self.seq, "born": self.born}
+        if self.version:
+            body["models"] = [{"name": MODEL, "version": self.version, "adapters": []}]
+            body["layers"] = {"from": 0, "to": LAYERS, "version": self.version}
+        return body
+
+    def entry(self):
+        return super().entry() | {"slots": 16} | self.body()
+
+    async def handle(self, head, body, writer):
+        method, target, _ = head[""].split(" ")
+        path, _, query = target.partition("?")
+        fields = dict(part.partition("=")[::2] for part in query.split("&"))
+        if path == "/gypsumpier/report":
+            counts = {"busy": self.is_busy, "queued": 0, "active": self.active, "kv_used": 0,
+                      "kv_total": 1640000, "handles": 0, "pace": 1.0}  # fmt: skip
+            return answer_of(200, "OK", {}, json.dumps(self.body() | counts).encode())
+        if path.startswith("/gypsumpier/stage-put/"):
+            self.staged[int(fields["num"])] = body
+            return answer_of(200, "OK", {}, b"{}")
+        if path.startswith("/gypsumpier/stage-get/"):
+            content = self.staged.get(int(fields["num"]))
+            return answer_of(404, "None", {}, b"") if content is None else answer_of(
+                200, "OK", {}, content
+            )
+        if path == "/gypsumpier/order":
+            return self.order(json.loads(body))
+        return await super().handle(head, body, writer)
+
+    def order(self, order):
+        self.lab.record.write("order", worker=self.name, order=json.dumps(order))
+        if order["op"] != "start" or self.is_busy:
+            return answer_of(409, "Conflict", {}, b"{}")
+        self.seq, self.is_busy = self.seq + 1, True
+        asyncio.get_running_loop().call_later(0.3, self.loaded, order["version"], self.born)
+        return answer_of(202, "Accepted", {}, b"{}")
+
+    def loaded(self, version, born):
+        if born == self.born and self.is_up:
+            self.is_busy, self.version = False, version
+            self.lab.record.write("loaded", worker=self.name, version=version)
+            self.register()
+
+    async def run(self, request_id, head, body, headers, writer):
+        expected = head.get("x-expect-version")
+        if not self.version or self.is_busy:
+            return answer_of(503, "Full", headers | {"X-Not-Executed": "1"}, b"")
+        if expected and int(expected) != self.version:
+            return answer_of(421, "Misdirected", headers | {"X-Not-Executed": "1"}, b"")
+        self.ran(request_id)
+        self.active += 1
+        try:
+            await asyncio.sleep(0.05)
+            if self.crashes_on(head):
+                self.crash()
+                return None
+            headers = headers | {
+                "X-Server-Seal": f"seal-{request_id}", "Content-Type": "text/event-stream",
+                "X-Weight-Versions": str(self.version), "Transfer-Encoding": "chunked",
+            }  # fmt: skip
+            lines = ["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in headers.items()]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin1"))
+            for number in range(int(head.get("last-event-id", "0")) + 1, self.events + 1):
+                event = f"id: {number}\ndata: event {number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(self.event_s)
+            return b"0\r\n\r\n"
+        finally:
+            self.active -= 1
+
+    def crashes_on(self, head):
+        """Return whether the request crashes the engine as it begins to write an answer."""
+        return False
+
+    def crash(self, loses_staged=False):
+        """Stop at once; be back after some seconds as a new run that holds nothing."""
+        self.is_up, self.version, self.is_busy = False, 0, False
+        if loses_staged:
+            self.staged.clear()
+        self.lab.record.write("crash", worker=self.name)
+        self.http.server.close()
+        self.http.cut()
+        self.back = asyncio.create_task(self.come_back())
+
+    async def come_back(self):
+        await asyncio.sleep(self.back_after_s)
+        self.born, self.seq, self.is_up = int(time.time() * 1000), 0, True
+        host, _, port = self.http.address.rpartition(":")
+        await self.http.start(host, int(port))
+        self.lab.record.write("back", worker=self.name)
+        self.register()
+
+
+class Origin:
+    """The origin of weights; ``spoil_lists`` lists are sent with one digit of a digest changed."""
+
+    def __init__(self, lab, pieces=64, piece_bytes=2048):
+        self.lab, self.pieces, self.piece_bytes = lab, pieces, piece_bytes
+        self.spoil_lists = 0
+        self.answers = 0
+        self.http = Http(self.handle)
+
+    def piece(self, version, number):
+        return random.Random(f"{version}/{number}").randbytes(self.piece_bytes)
+
+    async def handle(self, head, body, writer):
+        self.answers += 1
+        path, _, query = head[""].split(" ")[1].partition("?")
+        fields = dict(part.partition("=")[::2] for part in query.split("&"))
+        version = int(fields.get("version", "1"))
+        if "/piece/" in path:
+            number = int(fields["num"])
+            self.lab.record.write("origin-piece", version=version, num=number)
+            return answer_of(200, "OK", {}, self.piece(version, number))
+        digests = [
+            hashlib.sha256(self.piece(version, number)).hexdigest() for number in range(self.pieces)
+        ]
+        listed = {"model": MODEL, "version": version, "chunk_bytes": self.piece_bytes,
+                  "layers": LAYERS, "digests": digests}  # fmt: skip
+        content = json.dumps(listed)
+        is_spoilt = self.spoil_lists > 0
+        if is_spoilt:
+            self.spoil_lists -= 1
+            at = content.index(digests[7])
+            content = content[:at] + ("0" if content[at] != "0" else "1") + content[at + 1 :]
+        self.lab.record.write("origin-list", version=version, spoilt=is_spoilt)
+        headers = {"Content-Type": "application/json"}
+        return answer_of(200, "OK", headers, content.encode())
+
+
 class Answer:
     def __init__(self, status, head, body, sent_at_s):
         self.status, self.head, self.body, self.sent_at_s = status, head, body, sent_at_s
@@ -303,8 +458,27 @@
         worker.register()
         return worker
 
+    def command(self, role):
+        return tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][role]["run"]
+
+    async def start_sidecars(self, engines):
+        """Start the process beside each engine; the entries are known by then."""
+        for engine in engines:
+            name = engine.name.replace("engine", "side")
+            settings = dict(next(iter(self.settings.values())))
+            settings |= {
+                "node": name, "role": "agent", "machine_class": "side", "serves": ["side"],
+                "ip": engine.ip, "zone": engine.zone, "region": self.zones[engine.zone],
+                "listen": {}, "app": engine.http.address, "service": engine.service,
+            }  # fmt: skip
+            settings["limits"] = settings["limits"] | {
+                "cpu_share": 0.645, "memory_mb": 168, "max_fds": 1124, "link_mbps": 3.8,
+            }  # fmt: skip
+            self.settings[name] = settings
+            await self.start_process(name, self.command("agent"))
+
     async def start_entries(self, wait_s=20.0):
-        command = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]["run"]
+        command = self.command("entry")
         names = [f"front-{z}-{n}" for z in self.zones for n in range(1, self.entries_per_zone + 1)]
         ips = {name: self.ip() for name in names}
         seeds = [f"{ips[name]}:8000" for name in names[:3]]
@@ -312,6 +486,9 @@
             zone = next(zone for zone in self.zones if zone in name)
             self.settings[name] = self.settings_of(name, zone, ips[name], seeds)
             await self.start_process(name, command)
+        await self.wait_ready(names, wait_s)
+
+    async def wait_ready(self, names, wait_s=20.0):
         until_s = time.monotonic() + wait_s
         while not all([await self.is_ready(name) for name in names]):
             if time.monotonic() > until_s:
@@ -436,7 +613,34 @@
             "tenants": [{"name": "lab", "api_keys": keys}],
         }  # fmt: skip
 
-    async def stop(self, keep_logs=None):
+    async def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        await self.processes[name].wait()
+
+    def engine_configuration(self, version, keys, origin):
+        """Return a manifest with resumable streams to engines, and the origin of weights."""
+        body = self.configuration(version, keys, [])
+        engine = {
+            "slots": 16, "kv_capacity": 1640000, "stride": 6,
+            "models": [{"name": MODEL, "pace": 1.0, "load_s": 4.0, "warm_s": 0.3}],
+            "mb": 282000.0, "layers": LAYERS, "layer_mb": 4540.0, "step_ms": 6.73,
+            "per_seq_ms": 0.0219, "context_per_k": 0.0068, "read_per_s": 30600.0,
+            "chunk": 2048, "report_lag_ms": 200.0, "usual": {"prompt": 964, "answer": 119},
+            "chunks": origin.pieces, "chunk_bytes": origin.piece_bytes,
+        }  # fmt: skip
+        body["services"] = [
+            {"name": "gypsum-llm", "health_path": "/health", "max_conns": 434, "engine": engine},
+            {"name": "lab-portal", "origin": origin.http.address, "zone": "bac-a",
+             "link_mbps": 9.9, "max_conns": 48},
+        ]  # fmt: skip
+        body["routes"] = [
+            route("full-report", kind="streaming", service="gypsum-llm", timeout_ms=6000,
+                  goal_ms=400, priority=1, attempts=2, affinity=True, resumable=True,
+                  gap_goal_ms=300)
+        ]  # fmt: skip
+        return body
+
+    async def stop(self):
         for process in self.processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
