Let a piece decide on its digest, so that one corrupt list of digests doesn't end the service

Cause: an entry kept the first list for as long as the version was known and passed it on; each sidecar kept what it got. A difference between piece and digest was always held against the piece.

Why this works: a digest is right once a piece matches it. A piece that the origin sends twice with the same content, which its digest does not match, casts doubt on the digest: the list is read again, and the digest that the piece matches replaces the known one. Entries and sidecars do the same with the list of the entry that has sent, so verified, the piece. What matches no digest is never staged.

--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -3,6 +3,10 @@
 The first entry by name of each availability zone fetches from the first entry of the origin's zone,
 which fetches from the origin; the other entries of a zone fetch from its first one.  Entries are
 ranked by name and no leader is elected: an entry that does not answer in time is skipped.
+
+A list of digests may be corrupt.  A piece that does not match its digest, from a source that has
+verified it, casts doubt on the list: the source's list is read, and the digest that the piece
+matches replaces the known one.
 """
 
 import asyncio
@@ -49,6 +53,12 @@
     "gypsumpier_piece_bytes", "Bytes of pieces taken, by source.", ["source"], registry=REGISTRY
 )
 
+CORRECTED_DIGESTS: Final = Counter(
+    "gypsumpier_corrected_digests",
+    "Digests of pieces that were corrupt in a list and were replaced.",
+    registry=REGISTRY,
+)
+
 PieceKey = tuple[str, int, int]
 
 
@@ -179,32 +189,63 @@
     async def fetch_list(self, model: str, version: int) -> PieceList:
         """Return a version's digests from the other entries by rank, else from the origin."""
         for peer in self.source_entries():
-            answer = await self.request_from(peer, PIECE_LIST, {"model": model, "version": version})
-            if answer is not None:
-                digests = tuple(str(digest) for digest in answer["digests"])
-                return PieceList(model, version, digests)
+            found = await self.list_of(peer, model, version)
+            if found is not None:
+                return found
         return await self.origin_fetcher.piece_list(model, version)
 
+    async def list_of(self, peer: Peer, model: str, version: int) -> PieceList | None:
+        """Return the digests that a peer has; None where it does not answer with such a list."""
+        answer = await self.request_from(peer, PIECE_LIST, {"model": model, "version": version})
+        if answer is None:
+            return None
+        found = PieceList(model, version, tuple(str(digest) for digest in answer["digests"]))
+        return found if found.is_well_formed() else None
+
     async def fetch_piece(self, model: str, version: int, number: int) -> bytes:
         """Return a piece from sidecars, other entries by rank or the origin; verify its digest."""
-        digests = (await self.piece_list(model, version)).digests
-        if not 0 <= number < len(digests):
+        found = await self.piece_list(model, version)
+        if not 0 <= number < len(found.digests):
             raise GypsumpierError(CHUNK_CORRUPT, f"no piece {number} of {model} {version}")
         payload = {"model": model, "version": version, "number": number}
-        content = await self.fetch_from_sidecars(payload, digests[number])
+        content = await self.fetch_from_sidecars(payload, found.digests[number])
         if content is not None:
             return content
         await self.wait_for_entries()
         for peer in self.source_entries():
-            answer = await self.request_from(peer, PIECE, payload)
-            if answer is not None and is_intact(answer.get("content"), digests[number]):
-                found: bytes = answer["content"]
-                FETCHED_BYTES.labels("peer").inc(len(found))
-                return found
+            content = await self.fetch_from_entry(peer, found, number)
+            if content is not None:
+                FETCHED_BYTES.labels("peer").inc(len(content))
+                return content
 
-        found = await self.origin_fetcher.piece(model, version, number, digests[number])
-        FETCHED_BYTES.labels("origin").inc(len(found))
-        return found
+        piece = await self.origin_fetcher.piece(model, version, number, found.digests[number])
+        if piece.is_corrected:
+            self.correct_list(found, number, piece.content, "origin")
+        FETCHED_BYTES.labels("origin").inc(len(piece.content))
+        return piece.content
+
+    async def fetch_from_entry(self, peer: Peer, known: PieceList, number: int) -> bytes | None:
+        """Return a piece from another entry; None where it has none that matches a digest.
+
+        The entry has verified it with its own list, which decides where the known one differs.
+        """
+        payload = {"model": known.model, "version": known.version, "number": number}
+        answer = await self.request_from(peer, PIECE, payload)
+        content = answer.get("content") if answer else None
+        if not isinstance(content, bytes) or known.matches(number, content):
+            return content if isinstance(content, bytes) else None
+        listed = await self.list_of(peer, known.model, known.version)
+        if listed is None or not listed.matches(number, content):
+            return None
+        self.correct_list(known, number, content, peer.name)
+        return content
+
+    def correct_list(self, known: PieceList, number: int, content: bytes, source: str) -> None:
+        """Replace the digest of a piece that matches its digest in another reading of the list."""
+        key = known.model, known.version
+        self.lists[key] = self.lists.get(key, known).with_digest_of(number, content)
+        CORRECTED_DIGESTS.inc()
+        log_corrected_digest(known.model, known.version, number, source)
 
     async def fetch_from_sidecars(self, payload: dict[str, Any], digest: str) -> bytes | None:
         """Return a piece that a sidecar of the own zone has staged; None where none has it.
@@ -283,3 +324,8 @@
         for task in list(self.fetch_tasks.values()):
             task.cancel()
         self.origin_fetcher.close()
+
+
+def log_corrected_digest(model: str, version: int, number: int, source: str) -> None:
+    """Log that the digest of a piece was corrupt in the known list."""
+    decision("piece_digest_corrected", model=model, version=version, number=number, source=source)
--- a/gypsumpier/piece/engine.py
+++ b/gypsumpier/piece/engine.py
@@ -1,10 +1,13 @@
 """Protocols of the model engine beside a sidecar and of the origin of weights."""
 
 import hashlib
-from typing import NamedTuple, Protocol, TypeGuard
+import re
+from typing import Final, NamedTuple, Protocol, TypeGuard
 
 from gypsumpier.fleet.upstream import LoadedLayers
 
+DIGEST: Final = re.compile("[0-9A-Fa-f]{64}")
+
 
 class EngineReport(NamedTuple):
     """An engine's report of its state.
@@ -24,12 +27,35 @@
 
 
 class PieceList(NamedTuple):
-    """The SHA-256 digests of one version's pieces, in hexadecimal."""
+    """The SHA-256 digests of one version's pieces, in hexadecimal.
+
+    A digest may be corrupt.  One that a piece matches is certainly right.
+    """
 
     model: str
     version: int
     digests: tuple[str, ...]
 
+    def is_well_formed(self) -> bool:
+        """Return whether each digest can be one."""
+        return all(DIGEST.fullmatch(digest) for digest in self.digests)
+
+    def matches(self, number: int, content: object) -> bool:
+        """Return whether the list has that number and the content is the piece of it."""
+        return number < len(self.digests) and is_intact(content, self.digests[number])
+
+    def with_digest_of(self, number: int, content: bytes) -> "PieceList":
+        """Return the list with the digest of that number replaced by that of the content."""
+        digests = (*self.digests[:number], digest_of(content), *self.digests[number + 1 :])
+        return self._replace(digests=digests)
+
+
+class VerifiedPiece(NamedTuple):
+    """A piece that matches its digest in a list; ``is_corrected`` if that is a list read later."""
+
+    content: bytes
+    is_corrected: bool
+
 
 class Engine(Protocol):
     """Client that stages pieces at the engine on the same machine and orders it to load them.
@@ -72,6 +98,11 @@
         """Release the client."""
 
 
+def digest_of(content: bytes) -> str:
+    """Return the SHA-256 digest of a piece in hexadecimal."""
+    return hashlib.sha256(content).hexdigest()
+
+
 def is_intact(content: object, digest: str) -> TypeGuard[bytes]:
     """Return whether the content is bytes with that SHA-256 digest in hexadecimal."""
-    return isinstance(content, bytes) and hashlib.sha256(content).hexdigest() == digest.lower()
+    return isinstance(content, bytes) and digest_of(content) == digest.lower()
--- a/gypsumpier/platform/origin.py
+++ b/gypsumpier/platform/origin.py
@@ -5,7 +5,7 @@
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.http import HttpCaller
+from gypsumpier.external.http import HttpCaller, json_object
 from gypsumpier.fleet.node import Address
 from gypsumpier.piece.engine import PieceList
 from gypsumpier.platform.fields import FieldError, field
@@ -24,12 +24,7 @@
 
     async def piece_list(self, model: str, version: int) -> PieceList:
         path = f"/gypsumpier/manifest/{quote(model, safe='')}?version={version}"
-        body = await self.caller.call_json("GET", path, CALL_TIMEOUT_S)
-        try:
-            digests = tuple(str(digest) for digest in field(body, "digests", list))
-            return PieceList(field(body, "model", str), field(body, "version", int), digests)
-        except FieldError as error:
-            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad piece list: {error}") from error
+        return decode_list(await self.caller.call("GET", path, CALL_TIMEOUT_S))
 
     async def piece(self, model: str, version: int, number: int) -> bytes:
         path = f"/gypsumpier/piece/{quote(model, safe='')}?num={number}&version={version}"
@@ -37,3 +32,13 @@
 
     def close(self) -> None:
         self.caller.close()
+
+
+def decode_list(content: bytes) -> PieceList:
+    """Return the list of digests in an answer; raise GypsumpierError where it is malformed."""
+    body = json_object(content)
+    try:
+        digests = tuple(str(digest) for digest in field(body, "digests", list))
+        return PieceList(field(body, "model", str), field(body, "version", int), digests)
+    except FieldError as error:
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, f"bad piece list: {error}") from error
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -15,8 +15,8 @@
 from gypsumpier.log import decision
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES
-from gypsumpier.piece.engine import Engine, is_intact
+from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES, log_corrected_digest
+from gypsumpier.piece.engine import Engine, PieceList, is_intact
 from gypsumpier.tasks import in_parallel
 
 CONCURRENT_SLICES: Final = 2
@@ -87,8 +87,7 @@
         call_started_at_s = time.monotonic()
         self.resume()
         if not self.digests:
-            answer = await self.request(PIECE_LIST, {})
-            self.digests = tuple(str(digest) for digest in answer["digests"])
+            self.digests = (await self.read_list()).digests
         wanted = [number for number in range(len(self.digests)) if number not in self.pieces]
         await self.load_staged(wanted)
         wanted = [number for number in wanted if number not in self.pieces]
@@ -118,15 +117,33 @@
         """Fetch one piece, verify and stage it; raise GypsumpierError where it is corrupt."""
         content = await self.fetch_slices(number)
         if not is_intact(content, self.digests[number]):
-            raise GypsumpierError(
-                CHUNK_CORRUPT, f"piece {number} from an entry does not match its digest"
-            )
+            await self.correct_digest(number, content)
         self.pieces[number] = content
         self.progress_at_s = time.monotonic()
         await self.engine.stage(self.model, number, content)
         self.remaining = max(0, (self.remaining or 0) - 1)
         self.fetched += 1
 
+    async def correct_digest(self, number: int, content: bytes) -> None:
+        """Replace the digest of a piece by the one that it matches in the list as entries have it.
+
+        Raises GypsumpierError with CHUNK_CORRUPT where it matches neither.
+        """
+        listed = await self.read_list()
+        if not listed.matches(number, content):
+            raise GypsumpierError(
+                CHUNK_CORRUPT, f"piece {number} from an entry does not match its digest"
+            )
+        known = PieceList(self.model, self.version, self.digests)
+        self.digests = known.with_digest_of(number, content).digests
+        log_corrected_digest(self.model, self.version, number, "entries")
+
+    async def read_list(self) -> PieceList:
+        """Return the list of digests as the entries have it; raise GypsumpierError without one."""
+        answer = await self.request(PIECE_LIST, {})
+        digests = tuple(str(digest) for digest in answer["digests"])
+        return PieceList(self.model, self.version, digests)
+
     def estimated_remaining_s(self) -> float:
         """Return an estimate of the seconds for the remaining pieces; infinity if unknown."""
         if self.remaining == 0:
--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import random
+from collections.abc import Callable
 from typing import Any
 
 from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
@@ -23,6 +24,12 @@
     return random.Random(f"{version}/{number}").randbytes(PIECE_BYTES)
 
 
+def list_of(model: str, version: int) -> PieceList:
+    """Return the digests of a version."""
+    digests = [hashlib.sha256(piece_of(version, n)).hexdigest() for n in range(PIECES)]
+    return PieceList(model, version, tuple(digests))
+
+
 def entry_peer(name: str, zone: str) -> Peer:
     """Return an entry as a peer."""
     return Peer(name, "entry", zone, zone.split("-")[0], "127.0.0.1", 1, "run")
@@ -76,17 +83,23 @@
 
 
 class FakeOrigin:
-    """The origin; pieces in ``bad`` are served corrupt once each, and ``down`` fails every call."""
+    """The origin; pieces in ``bad`` are served corrupt once each, and ``down`` fails every call.
+
+    The next lists of digests are those that the functions in ``list_faults`` make of the right one.
+    """
 
     def __init__(self) -> None:
         self.fetched_pieces: list[int] = []
+        self.lists_read = 0
         self.bad: set[int] = set()
+        self.list_faults: list[Callable[[PieceList], PieceList]] = []
         self.down = False
 
     async def piece_list(self, model: str, version: int) -> PieceList:
         self.check()
-        digests = [hashlib.sha256(piece_of(version, n)).hexdigest() for n in range(PIECES)]
-        return PieceList(model, version, tuple(digests))
+        self.lists_read += 1
+        found = list_of(model, version)
+        return self.list_faults.pop(0)(found) if self.list_faults else found
 
     async def piece(self, model: str, version: int, number: int) -> bytes:
         self.check()
