Read decimal numbers of any length, so that a limit written with all its digits is kept

Cause: stated_number took at most 12 digits on each side of the point, and ignored anything longer. Rests were read by it too. Rests of over an hour and limits of over 1,000,000 a second were ignored likewise.

Ruled out: the sharing of limits between entries and the buckets (14 requests with the same limit written as 6.667, on the same code).

Why this works: the size of a head bounds the digits already. A longer rest than an hour is kept for an hour, a larger limit counts as the largest. As such times are kept now, those of the platform's own services are bounded: 1 s for the store, 30 s for others.

Tests: the properties in test_stated_limit and test_stated_rest fail before, as any float of over 12 decimals does. Three values that the tests listed as unreadable limits (1000000.1, 1000001, 400 digits) and two as rests (3600.1, 86400) are read now and asserted by their value: listed, they kept the fault.

--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -30,6 +30,8 @@
 CALL_TIMEOUT_S: Final = 10.0
 REFUSED_STATUSES: Final = frozenset({404, 409, 429, 503})
 FENCED_STATUS: Final = 412
+RETRY_AFTER_MAX_S: Final = 30.0
+"""Longest time in seconds for which a service of the platform is not called as it asks for that."""
 UNANSWERED_STATUS: Final = 599
 """Status by which the simple client reports a connection that failed or closed early."""
 UNSENT_TIMEOUT_PHASES: Final = ("while connecting", "in request queue")
@@ -126,10 +128,10 @@
 
 
 def retry_after_s(response: HTTPResponse) -> float | None:
-    """Return the seconds of the Retry-After header; None if absent or no time."""
+    """Return the seconds of the Retry-After header, bounded; None if absent or no time."""
     text = response.headers.get("Retry-After")
     rest = stated_rest(text)
-    return None if text is None or rest.unreadable else rest.seconds
+    return None if text is None or rest.unreadable else min(rest.seconds, RETRY_AFTER_MAX_S)
 
 
 def json_object(body: bytes) -> dict[str, Any]:
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -31,6 +31,8 @@
 call within the 5 s in which the revocation of a key must take effect."""
 BACKOFF_LIMIT_S: Final = 0.5
 """Longest wait in seconds between attempts; a key's revocation must arrive within seconds."""
+RETRY_AFTER_MAX_S: Final = 1.0
+"""Longest time in seconds that the store is left alone as it asks for that, before this wait."""
 PROMPT_ANSWER_S: Final = 0.25
 """Seconds within which a watch that finds a change made before it is answered; a later answer tells
 of a change that was made as it was sent."""
@@ -306,4 +308,5 @@
                 proof_age_s=round(self.fleet_state.proof_age_s(), 3),
             )
         self.readers.share_failure()
-        await asyncio.sleep(self.backoff.next_wait_s(error.retry_after_s))
+        rest_s = min(error.retry_after_s or 0.0, RETRY_AFTER_MAX_S)
+        await asyncio.sleep(self.backoff.next_wait_s(rest_s))
--- a/gypsumpier/statement/number.py
+++ b/gypsumpier/statement/number.py
@@ -3,17 +3,17 @@
 import re
 from typing import Final
 
-DECIMAL: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+DECIMAL: Final = re.compile(r"[0-9]+(\.[0-9]+)?")
 LOGGED_TEXT_MAX: Final = 40
 """Characters of an unreadable value that are kept for the log."""
 
 
-def stated_number(text: str, largest: float) -> float | None:
-    """Return a decimal number of at most ``largest``; None if the text is none."""
-    if not DECIMAL.fullmatch(text.strip(" \t")):
-        return None
-    number = float(text)
-    return number if number <= largest else None
+def stated_number(text: str) -> float | None:
+    """Return a decimal number, infinity for one beyond all floats; None if the text is no number.
+
+    It may have any number of digits: a quotient is written with all that the sender computes.
+    """
+    return float(text) if DECIMAL.fullmatch(text.strip(" \t")) else None
 
 
 def logged_text(text: str) -> str:
--- a/gypsumpier/statement/statedlimit.py
+++ b/gypsumpier/statement/statedlimit.py
@@ -5,7 +5,7 @@
 from gypsumpier.statement.number import logged_text, stated_number
 
 LIMIT_MAX_PER_S: Final = 1e6
-"""Largest limit in requests per second; a larger value can't be meant."""
+"""Largest limit in requests per second; a larger one limits nothing either."""
 
 
 class StatedLimit(NamedTuple):
@@ -25,5 +25,7 @@
     """Return the limit in a header's value, a decimal number; None stands for no header."""
     if text is None:
         return NOT_STATED
-    per_s = stated_number(text, LIMIT_MAX_PER_S)
-    return StatedLimit(None, logged_text(text)) if per_s is None else StatedLimit(per_s)
+    per_s = stated_number(text)
+    if per_s is None:
+        return StatedLimit(None, logged_text(text))
+    return StatedLimit(min(per_s, LIMIT_MAX_PER_S))
--- a/gypsumpier/statement/statedrest.py
+++ b/gypsumpier/statement/statedrest.py
@@ -5,7 +5,9 @@
 from gypsumpier.statement.number import logged_text, stated_number
 
 REST_MAX_S: Final = 3600.0
-"""Longest rest in seconds; a longer one can't be meant, as an upstream in such need would leave."""
+"""Longest rest in seconds; an upstream that asks for more gets a request after it."""
+READABLE_MAX_S: Final = 1e9
+"""Largest value in seconds that can be meant as a time."""
 
 
 class StatedRest(NamedTuple):
@@ -28,5 +30,7 @@
     """
     if text is None:
         return NO_REST
-    seconds = stated_number(text, REST_MAX_S)
-    return StatedRest(0.0, logged_text(text)) if seconds is None else StatedRest(seconds)
+    seconds = stated_number(text)
+    if seconds is None or seconds > READABLE_MAX_S:
+        return StatedRest(0.0, logged_text(text))
+    return StatedRest(min(seconds, REST_MAX_S))
