Order event ids of any length by their number, so that a resumed stream doesn't go back

Found as a related path of the limits with many decimals: ids were compared as numbers up to 11 digits only. Longer ones, as times in milliseconds, counted as later whenever they differed, so that an upstream that resumed a stream at an earlier event would have had it relayed again (rule ORDER).

Cause: the bound of is_whole_number, which is there as Python converts no text of over 4300 digits. The order needs no conversion.

--- a/gypsumpier/gateway/events.py
+++ b/gypsumpier/gateway/events.py
@@ -2,7 +2,6 @@
 
 from typing import Final, NamedTuple
 
-from gypsumpier.platform.headers import is_whole_number
 from gypsumpier.upstream.errors import OutcomeUnknownError
 
 EVENT_END: Final = b"\n\n"
@@ -74,6 +73,17 @@
 
 def follows(later: str, earlier: str) -> bool:
     """Return whether an event id is a later one: the larger number, or any other text."""
-    if is_whole_number(later) and is_whole_number(earlier):
-        return int(later) > int(earlier)
+    if is_number(later) and is_number(earlier):
+        return number_order(later) > number_order(earlier)
     return later not in ("", earlier)
+
+
+def is_number(text: str) -> bool:
+    """Return whether an event id is a whole number of any length."""
+    return text.isascii() and text.isdecimal()
+
+
+def number_order(text: str) -> tuple[int, str]:
+    """Return what orders numbers of any length, which need not be converted."""
+    digits = text.lstrip("0")
+    return len(digits), digits
