Tell all parts of a prompt apart, so that one that ends engines is refused wherever it stands

Cause: parts behind the 16th were dropped as the head was read. Messages of a crash were cut at 32 traits, the own interface read 16 messages of a chat, and its agents kept 256 traits of a crash.

Ruled out: the quarantine's conclusions (6 crashes with the same part in second place, on the same code).

Why this works: the limit on a head or a body bounds the parts already. So that the culprit is not pushed out by the many parts that run beside it, more suspects are kept, and those go first that fewest crashes name. The table of parts by crash, which would have had to grow with them, is replaced by the culprits' own crashes; parts that occur together are judged once.

Tests: two assertions that only 16 parts are read kept the fault in place; all parts of 1,000 are asserted now. The bound on the table of parts by crash goes with the table; the flood of ids is twice as long, so that it meets the larger bound of suspects. Four tests fail on the code before, among them one that asserted the old bound.

--- a/gypsumpier/agent/crashes.py
+++ b/gypsumpier/agent/crashes.py
@@ -9,8 +9,9 @@
 from typing import Final
 
 CRASH_WINDOW_S: Final = 2.0
-SUSPECTS_MAX: Final = 256
-"""Requests and parts of prompts that are kept; an engine runs some tens of requests."""
+SUSPECTS_MAX: Final = 16_384
+"""Requests and parts of prompts that are kept; an engine runs some tens of requests, with some tens
+to hundreds of parts each."""
 SUSPECT_RETENTION_S: Final = 60.0
 
 
--- a/gypsumpier/entry/intake.py
+++ b/gypsumpier/entry/intake.py
@@ -26,8 +26,6 @@
 TIMEOUT_HEADER: Final = "Request-Timeout"
 DEFAULT_WORKSPACE: Final = "default"
 PART_DIGEST_BYTES: Final = 8
-SHARED_PARTS_MAX: Final = 16
-"""Messages of a prompt that are told apart in crashes: the first ones are shared most."""
 AFFINITY_BLOCKS: Final = 3
 """Blocks of a prompt that are hashed for prefix affinity."""
 STARTING_RETRY_AFTER_S: Final = 1.0
@@ -130,10 +128,13 @@
 
 
 def parts_of(messages: list[Any]) -> tuple[str, ...]:
-    """Return digests of the messages without the last, which is the request's own."""
+    """Return digests of the messages without the last, which is the request's own.
+
+    The limit on a body bounds their number.
+    """
     texts = [json.dumps(message, sort_keys=True).encode() for message in messages[:-1]]
     digests = [hashlib.blake2b(text, digest_size=PART_DIGEST_BYTES).hexdigest() for text in texts]
-    return tuple(dict.fromkeys(digests))[:SHARED_PARTS_MAX]
+    return tuple(dict.fromkeys(digests))
 
 
 def json_object(body: bytes) -> dict[str, Any]:
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from gypsumpier.fleet.configuration import Workspace
 from gypsumpier.fleet.node import Address
@@ -52,7 +53,7 @@
             return self.workspace.priority
         return self.route.priority
 
-    @property
+    @cached_property
     def traits(self) -> tuple[str, ...]:
         """What it may have in common with others: its fingerprint and parts of its prompt."""
         return traits_of(self.fingerprint, self.head.prompt_parts)
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -32,8 +32,6 @@
 EVENT_STREAM: Final = "text/event-stream"
 """Type of the body of a stream."""
 MISDIRECTED_STATUS: Final = 421
-SHARED_PARTS_MAX: Final = 16
-"""Parts of a prompt that are told apart; the platform's prompts have two or three."""
 # Headers of a single connection, which a proxy does not forward, and headers that the system sets
 # itself, whatever a caller sent.
 CONNECTION_HEADERS: Final = frozenset(
@@ -162,10 +160,10 @@
 def shared_prompt_parts(text: str) -> tuple[str, ...]:
     """Return the ids of the prompt's parts without the last, which is the request's own.
 
-    The text is a comma-separated list of ID:TOKENS.
+    The text is a comma-separated list of ID:TOKENS.  The limit on a head bounds their number.
     """
     ids = [item.partition(":")[0].strip().lower() for item in text.split(",")]
-    return tuple(dict.fromkeys(found for found in ids[:-1] if found))[:SHARED_PARTS_MAX]
+    return tuple(dict.fromkeys(found for found in ids[:-1] if found))
 
 
 def is_whole_number(text: str) -> bool:
--- a/gypsumpier/quarantine/quarantine.py
+++ b/gypsumpier/quarantine/quarantine.py
@@ -42,10 +42,12 @@
 """Seconds for which a crash counts against a trait that is not refused."""
 FORGOTTEN_S: Final = 24 * 3600.0
 """Seconds after its last refusal after which a trait that was not tried again is forgotten."""
-SUSPECTS_MAX: Final = 4096
-"""Suspects that are kept; refused ones go last."""
-CRASHES_MAX: Final = 256
-ANSWERED_MAX: Final = 8192
+SUSPECTS_MAX: Final = 16_384
+"""Suspects that are kept; the most suspicious ones longest.  An engine runs some tens of requests,
+with some tens to hundreds of parts each."""
+SUSPECTS_KEPT: Final = 14_336
+"""Suspects that are left where there were more than ``SUSPECTS_MAX``."""
+ANSWERED_MAX: Final = 32_768
 """Parts with answered requests that are remembered."""
 
 
@@ -54,9 +56,9 @@
 
     ``first_refusal_s`` is for how long copies of a request are refused at first.
     ``trial_delay_s`` is how much later than others this process tries a refused trait.
-    ``repeated`` are the suspects that may have more than one crash.  ``parts_by_crash`` holds the
-    parts of the prompts that ran in each recent crash.  ``failed_trials`` holds the failed trials
-    of each refused trait; ``listeners`` are called with the traits for which that has changed.
+    ``repeated`` are the suspects that may have more than one crash.  ``failed_trials`` holds the
+    failed trials of each refused trait; ``listeners`` are called with the traits for which that has
+    changed.
     """
 
     def __init__(self, first_refusal_s: float) -> None:
@@ -64,7 +66,6 @@
         self.trial_delay_s = 0.0
         self.suspects: OrderedDict[str, Suspect] = OrderedDict()
         self.repeated: set[str] = set()
-        self.parts_by_crash: OrderedDict[str, set[str]] = OrderedDict()
         self.answered_parts: OrderedDict[str, None] = OrderedDict()
         self.failed_trials: dict[str, int] = {}
         self.listeners: list[Callable[[list[str]], None]] = []
@@ -81,8 +82,6 @@
         if crash in suspect.cleared:
             return
         suspect.requests += 1
-        if is_part(trait):
-            self.parts_by_crash.setdefault(crash, set()).add(trait)
         if crash in suspect.crashes:
             return
         if not suspect.is_refused:
@@ -101,7 +100,7 @@
         self.refuse_culprits(now_s)
         self.evict_old(now_s)
         before = self.failed_trials
-        refused = self.refused(self.repeated)
+        refused = [trait for trait in self.repeated if self.is_refused(trait)]
         self.failed_trials = {trait: self.suspects[trait].failed_trials for trait in refused}
         changed = [trait for trait, _ in before.items() ^ self.failed_trials.items()]
         if changed:
@@ -129,19 +128,31 @@
             elif len(suspect.crashes) >= CRASHES_TO_REFUSE_PART:
                 found.append((trait, suspect))
         found.sort(key=lambda item: (self.was_answered(item[0]), item[1].requests_per_crash))
-        culprits: set[str] = set()
+        # Parts that always occur together, as those of a session, are judged once.
+        judged: dict[tuple[bool, int, bool, tuple[str, ...]], bool] = {}
+        culprits: list[str] = []
         for trait, suspect in found:
-            unexplained_s = [
-                at_s
-                for crash, at_s in suspect.crashes.items()
-                if not self.is_explained(trait, crash, culprits)
-            ]
-            if suspect.failed_trials or count_separate(unexplained_s) >= self.crashes_needed(trait):
+            has_failed = suspect.failed_trials > 0
+            named = tuple(suspect.crashes)
+            evidence = self.was_answered(trait), suspect.requests, has_failed, named
+            if evidence not in judged:
+                judged[evidence] = has_failed or self.is_culprit(trait, suspect, culprits)
+                if judged[evidence]:
+                    culprits.append(trait)
+            if judged[evidence]:
                 self.refuse(trait, suspect, now_s)
-                culprits.add(trait)
             elif suspect.is_refused:
                 suspect.end_refusal()
 
+    def is_culprit(self, part: str, suspect: Suspect, culprits: list[str]) -> bool:
+        """Return whether enough crashes name the part that none of the culprits explains."""
+        unexplained_s = [
+            at_s
+            for crash, at_s in suspect.crashes.items()
+            if not self.is_explained(part, crash, culprits)
+        ]
+        return count_separate(unexplained_s) >= self.crashes_needed(part)
+
     def refuse(self, trait: str, suspect: Suspect, now_s: float) -> None:
         """Begin to refuse a trait, unless it is refused already."""
         if not suspect.is_refused:
@@ -158,10 +169,12 @@
             return CRASHES_TO_REFUSE_ANSWERED_PART
         return CRASHES_TO_REFUSE_PART
 
-    def is_explained(self, part: str, crash: str, culprits: set[str]) -> bool:
+    def is_explained(self, part: str, crash: str, culprits: list[str]) -> bool:
         """Return whether a more suspicious culprit ran in the crash as well."""
-        others = self.parts_by_crash.get(crash, set()) & culprits
-        return any(self.is_more_suspicious(other, part) for other in others)
+        return any(
+            crash in self.suspects[other].crashes and self.is_more_suspicious(other, part)
+            for other in culprits
+        )
 
     def is_more_suspicious(self, other: str, part: str) -> bool:
         """Return whether crashes that name both parts are rather due to the other one."""
@@ -208,9 +221,6 @@
             self.suspects.setdefault(trait, Suspect()).merge(other, now_s)
             self.suspects.move_to_end(trait)
             self.repeated.add(trait)
-            if is_part(trait):
-                for crash in other.crashes:
-                    self.parts_by_crash.setdefault(crash, set()).add(trait)
         self.update(now_s)
 
     def is_suspect(self, trait: str) -> bool:
@@ -225,11 +235,12 @@
 
     def refused(self, traits: Iterable[str]) -> list[str]:
         """Return which of the traits are refused, including those that may be tried."""
-        return [
-            trait
-            for trait in traits
-            if (suspect := self.suspects.get(trait)) is not None and suspect.is_refused
-        ]
+        return [trait for trait in traits if trait in self.failed_trials]
+
+    def is_refused(self, trait: str) -> bool:
+        """Return whether the trait is refused, also if it may be tried."""
+        suspect = self.suspects.get(trait)
+        return suspect is not None and suspect.is_refused
 
     def refused_for_s(self, traits: Iterable[str], now_s: float) -> float:
         """Return for how many more seconds a request with these traits is refused; 0 if it isn't.
@@ -260,15 +271,22 @@
         return refused
 
     def evict_old(self, now_s: float) -> None:
-        """Drop old crashes, and the suspects that are forgotten or too many."""
-        while len(self.parts_by_crash) > CRASHES_MAX:
-            self.parts_by_crash.popitem(last=False)
+        """Drop the suspects that are forgotten or too many."""
         oldest_s = now_s - EVIDENCE_S
         # In the order in which they were named last.
         old = takewhile(lambda item: item[1].named_at_s < oldest_s, self.suspects.items())
         for trait, suspect in list(old):
             if not suspect.is_refused or now_s >= suspect.refused_until_s + FORGOTTEN_S:
                 del self.suspects[trait]
-        while len(self.suspects) > SUSPECTS_MAX:
-            unrefused = (trait for trait, found in self.suspects.items() if not found.is_refused)
-            del self.suspects[next(unrefused, next(iter(self.suspects)))]
+        if len(self.suspects) > SUSPECTS_MAX:
+            least_suspicious_first = sorted(self.suspects, key=self.suspicion)
+            for trait in least_suspicious_first[: len(self.suspects) - SUSPECTS_KEPT]:
+                del self.suspects[trait]
+
+    def suspicion(self, trait: str) -> tuple[bool, int, bool]:
+        """Return what orders suspects by what would be lost if they were forgotten.
+
+        Those that are equal stay in the order in which they were named.
+        """
+        suspect = self.suspects[trait]
+        return suspect.is_refused, len(suspect.crashes), not self.was_answered(trait)
--- a/gypsumpier/quarantine/share.py
+++ b/gypsumpier/quarantine/share.py
@@ -19,8 +19,6 @@
 SUSPECTS: Final = "suspects"
 SENT_SUSPECTS_MAX: Final = 128
 """Suspects in the message to a peer that has connected; the refused and the newest go first."""
-TRAITS_MAX: Final = 32
-"""Traits in one message; a request has its fingerprint and at most 16 parts."""
 
 
 class QuarantineShare:
@@ -82,14 +80,14 @@
         Raises KeyError if a field is missing.
         """
         traits = payload.get("traits") or traits_of(str(payload["fingerprint"]), ())
-        names = [str(trait) for trait in traits[:TRAITS_MAX]]
+        names = [str(trait) for trait in traits]
         self.quarantine.record_crash(names, str(payload["crash"]), time.monotonic() - delay_s)
 
     def on_finished(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Clear traits of which another process reports an answer, also of what it doesn't know."""
         found = payload.get("cleared") or {str(payload["fingerprint"]): []}
         cleared = {}
-        for trait, crashes in list(found.items())[:TRAITS_MAX]:
+        for trait, crashes in found.items():
             suspect = self.quarantine.suspects.get(str(trait))
             known = list(suspect.crashes) if suspect is not None else []
             cleared[str(trait)] = [*map(str, crashes), *known]
@@ -97,7 +95,7 @@
 
     def on_trial(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Record that another process tries refused traits."""
-        names = [str(trait) for trait in payload["traits"][:TRAITS_MAX]]
+        names = [str(trait) for trait in payload["traits"]]
         self.quarantine.begin_trial(names, time.monotonic())
 
     def send_suspects(self, link: MeshLink) -> None:
--- a/gypsumpier/test/simulated_crashes.py
+++ b/gypsumpier/test/simulated_crashes.py
@@ -29,12 +29,23 @@
 
 
 class Load(NamedTuple):
-    """What callers send: requests a second, sound ones over subjects of Zipf popularity."""
+    """What callers send: requests a second, sound ones over subjects of Zipf popularity.
+
+    All prompts have ``shared_parts`` parts in common, ``parts_before`` of them in front of the
+    fatal part or the subject.
+    """
 
     sound_per_s: float = 60.0
     fatal_per_s: float = 2.0
     subjects: int = 40
     first_parts: int = 3
+    shared_parts: int = 0
+    parts_before: int = 0
+
+    def prompt(self, first: str, own: str) -> tuple[str, ...]:
+        """Return the parts of a prompt with this first part and this own one."""
+        shared = [f"shared-{number}" for number in range(self.shared_parts)]
+        return first, *shared[: self.parts_before], own, *shared[self.parts_before :]
 
 
 USUAL_LOAD: Final = Load()
@@ -104,13 +115,14 @@
         """Send a sound request, and the next one later."""
         self.at(self.random.expovariate(self.load.sound_per_s), self.send_sound)
         subject = self.random.choices(range(self.load.subjects), self.popularity)[0]
-        self.send((f"first-{subject % self.load.first_parts}", f"subject-{subject}"), False)
+        first = f"first-{subject % self.load.first_parts}"
+        self.send(self.load.prompt(first, f"subject-{subject}"), False)
 
     def send_fatal(self) -> None:
         """Send a request with the fatal part, if there is one, and the next one later."""
         self.at(self.random.expovariate(self.load.fatal_per_s), self.send_fatal)
         if self.fatal_part:
-            self.send(("first-0", self.fatal_part), True)
+            self.send(self.load.prompt("first-0", self.fatal_part), True)
 
     def send(self, parts: tuple[str, ...], is_fatal: bool) -> None:
         """Send a request to a random entry."""
--- a/gypsumpier/test/test_platform_headers.py
+++ b/gypsumpier/test/test_platform_headers.py
@@ -7,7 +7,6 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
 from gypsumpier.platform.headers import (
-    SHARED_PARTS_MAX,
     answer_head,
     caller_head,
     refusal_headers,
@@ -81,8 +80,16 @@
         }.items():
             with self.subTest(text=text):
                 self.assertEqual(parts, shared_prompt_parts(text))
-        many = ",".join(f"{number:x}:1" for number in range(1000))
-        self.assertEqual(SHARED_PARTS_MAX, len(shared_prompt_parts(many)))
+
+    # Guards against a part that is not told apart, as it stands behind others.
+    @given(st.integers(2, 1000), st.data())
+    @settings(derandomize=True, deadline=None)
+    def test_a_part_at_any_place_is_read(self, count: int, data: st.DataObject) -> None:
+        parts = [f"{0xA000 + number:x}" for number in range(count)]
+        place = data.draw(st.integers(0, count - 2))
+        parts[place] = "fa7a1"
+        found = shared_prompt_parts(",".join(f"{part}:40" for part in parts))
+        self.assertEqual(tuple(parts[:-1]), found)
 
     def test_an_upstream_gets_the_decisions_of_the_entry_as_headers(self) -> None:
         headers = upstream_headers(caller_head_of(), UPSTREAM_HEAD._replace(expected_version=2))
--- a/gypsumpier/test/test_quarantine.py
+++ b/gypsumpier/test/test_quarantine.py
@@ -8,7 +8,6 @@
 
 from gypsumpier.quarantine.quarantine import (
     ANSWERED_MAX,
-    CRASHES_MAX,
     CRASHES_TO_REFUSE_ANSWERED_PART,
     CRASHES_TO_REFUSE_PART,
     EVIDENCE_S,
@@ -267,16 +266,27 @@
     def test_ids_that_never_repeat_take_bounded_memory_and_push_out_nothing_refused(self) -> None:
         for _ in range(CRASHES_TO_REFUSE_PART):
             self.crash((FATAL,))
-        for number in range(2000):
+        for number in range(4000):
             self.answer(f"answered-{number}", f"answered-too-{number}")
             self.crash(*[(f"part-{number}-{index}",) for index in range(4)], after_s=0.1)
         for number in range(ANSWERED_MAX):
             self.answer(f"more-{number}")
         self.assertLessEqual(len(self.quarantine.suspects), SUSPECTS_MAX)
-        self.assertLessEqual(len(self.quarantine.parts_by_crash), CRASHES_MAX)
         self.assertLessEqual(len(self.quarantine.answered_parts), ANSWERED_MAX)
         self.assertTrue(self.quarantine.suspects["part:bad"].is_refused)
 
+    # Guards against a culprit that is forgotten between two crashes, as many parts run in each.
+    def test_long_prompts_push_out_no_part_that_several_crashes_name(self) -> None:
+        for crash in range(CRASHES_TO_REFUSE_PART):
+            prompts = [
+                tuple(f"{crash}-{number}-{index}" for index in range(1000)) for number in range(20)
+            ]
+            for prompt in prompts:
+                self.answer(*prompt)
+            self.crash((FATAL,), *((*prompt, "popular") for prompt in prompts))
+        self.assertLessEqual(len(self.quarantine.suspects), SUSPECTS_MAX)
+        self.assertGreater(self.refused_for_s(FATAL), 0.0)
+
     def test_a_popular_sound_part_takes_bounded_memory_over_many_crashes(self) -> None:
         for _ in range(10 * CRASHES_PER_SUSPECT_MAX):
             self.crash(("popular",), after_s=30.0)
@@ -297,6 +307,16 @@
                     for number in range(3):
                         self.assert_contained(simulation, f"bad-{number}")
 
+    # Guards against engines that end for good, as the fatal part stands behind many others.
+    def test_a_fatal_part_at_any_place_of_a_long_prompt_is_refused(self) -> None:
+        for shared, before in ((15, 15), (16, 16), (19, 17), (60, 0), (60, 60), (200, 150)):
+            with self.subTest(shared=shared, before=before):
+                load = Load(20.0, 1.0, shared_parts=shared, parts_before=before)
+                simulation = CrashSimulation(3, entries=4, engines=6, load=load)
+                simulation.start()
+                simulation.run(3.0)
+                self.assert_contained(simulation, "bad-0")
+
     def assert_contained(self, simulation: CrashSimulation, part: str) -> None:
         """Send requests with the part for a time; assert that few end engines and others begin."""
         began_s = simulation.now_s
--- a/gypsumpier/test/test_quarantine_share.py
+++ b/gypsumpier/test/test_quarantine_share.py
@@ -55,6 +55,17 @@
             await asyncio.sleep(CRASH_INTERVAL_S)
         self.assertTrue(node.is_refused())
 
+    # Guards against a part that only the entry of its request suspects: it is one of many.
+    async def test_a_part_behind_many_others_is_known_everywhere(self) -> None:
+        other = await self.add("b-1", "b")
+        parts = [f"{number:x}" for number in range(1000)] + ["bad"]
+        for number in range(CRASHES_TO_REFUSE_PART):
+            self.first.share.record_crash(traits_of(f"r-{number}", parts), f"i-{number}/1")
+            await asyncio.sleep(CRASH_INTERVAL_S)
+        await wait_until(other.is_refused)
+        self.first.share.record_answered(traits_of("r-9", parts))
+        await wait_until(lambda: not other.is_refused())
+
     async def test_entries_of_every_zone_and_sidecars_of_the_own_learn_of_crashes(self) -> None:
         others = [await self.add("b-1", "b"), await self.add("side", "a", SIDECAR)]
         await self.crash(self.first)
--- a/gypsumpier/test/test_request_overload.py
+++ b/gypsumpier/test/test_request_overload.py
@@ -14,7 +14,7 @@
 from gypsumpier.entry.affinity import LOAD_LIMIT_FACTOR, choose_by_load, choose_by_prefix
 from gypsumpier.entry.budget import RetryBudget
 from gypsumpier.entry.fairqueue import FairQueue
-from gypsumpier.entry.intake import SHARED_PARTS_MAX, parts_of
+from gypsumpier.entry.intake import parts_of
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.router import version_by_share
 from gypsumpier.errors import GypsumpierError
@@ -275,7 +275,7 @@
         self.assertEqual((), parts_of([question]))
         self.assertEqual((), parts_of([]))
         many = [{"content": str(number)} for number in range(1000)]
-        self.assertEqual(SHARED_PARTS_MAX, len(parts_of(many)))
+        self.assertEqual(999, len(parts_of(many)))
 
     async def send(self, world: World, entry: EntryParts, body: bytes) -> str:
         """Send a chat completion with that body and return its outcome."""
