Bound the memory of all incomplete answers together, not only that of each

Beyond its memory a process ends, and with it the requests of all its callers (LOST).

Cause: the bound of 1 MiB is for one answer; nothing bounded their sum.

Ruled out: heads (64 KiB each, 55 MB for 200), buffers of the connections (reading pauses at 64 KiB), bytes behind a complete answer.

Why this works: beyond 32 MiB of incomplete answers the largest is given up; its outcome is unknown, and its upstream has a failure. Sound ones are small.

--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -17,6 +17,7 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from gypsumpier.platform.headers import answer_head
+from gypsumpier.upstream.answerbuffers import AnswerBuffers
 from gypsumpier.upstream.errors import OutcomeUnknownError
 from gypsumpier.upstream.head import AnswerHead
 from gypsumpier.upstream.http import UpstreamHttp, UpstreamStream
@@ -42,11 +43,18 @@
 
     ``finished`` is set if the answer is complete; ``failure`` says why it is not.  After
     ``silence_s`` seconds without progress a ``replacement`` is asked for, and once that answers the
-    exchange is given up.
+    exchange is given up.  ``buffers`` bounds what all exchanges hold of incomplete answers.
     """
 
-    def __init__(self, stream: UpstreamStream, silence_s: float, replacement: Replacement) -> None:
+    def __init__(
+        self,
+        stream: UpstreamStream,
+        silence_s: float,
+        replacement: Replacement,
+        buffers: AnswerBuffers | None = None,
+    ) -> None:
         self.stream = stream
+        self.buffers = buffers or AnswerBuffers()
         self.silence_s = silence_s
         self.replacement = replacement
         self.head: AnswerHead | None = None
@@ -208,13 +216,25 @@
         """
         whole = bytearray()
         since_s = time.monotonic()
-        async for content in self.body():
-            if len(whole) + len(content) > max_bytes:
-                raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
-            whole += content
-            since_s = await self.check_stalled(since_s, lambda _: self.finished)
+        try:
+            async for content in self.body():
+                if len(whole) + len(content) > max_bytes:
+                    raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
+                self.buffers.add(self, len(content))
+                whole += content
+                since_s = await self.check_stalled(since_s, lambda _: self.finished)
+        finally:
+            self.buffers.release(self)
         return bytes(whole)
 
+    def give_up(self, reason: str) -> None:
+        """End the reading of the answer and drop what is buffered of it."""
+        self.failure = self.failure or reason
+        self.finished = False
+        self.take_buffered()
+        self.abandon()
+        self.progress.set()
+
     async def check_stalled(self, since_s: float, goes_on: Callable[[bytes], bool]) -> float:
         """Return since when, in monotonic seconds, an answer that receives bytes is stalled.
 
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -18,6 +18,7 @@
 
 from gypsumpier.fleet.node import Address
 from gypsumpier.metrics import REGISTRY
+from gypsumpier.upstream.answerbuffers import AnswerBuffers
 from gypsumpier.upstream.errors import NotRunError
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.http import UpstreamStream
@@ -66,9 +67,10 @@
 
 
 class UpstreamPool:
-    """Idle connections by address."""
+    """Idle connections by address, and what the answers on the others take of the memory."""
 
     def __init__(self) -> None:
+        self.buffers = AnswerBuffers()
         self.idle: dict[Address, list[IdleConnection]] = {}
 
     async def open(
@@ -95,7 +97,7 @@
         except BaseException:
             stream.close()
             raise
-        exchange = Exchange(stream, call.silence_s, replacement)
+        exchange = Exchange(stream, call.silence_s, replacement, self.buffers)
         exchange.send(call.start, call.headers, call.body)
         return exchange
 
