Close an idle connection as the first bytes arrive on it

Cause: tornado reads on while a connection is idle, into a buffer of up to 100 MB, and the pool looked for such bytes each 0.5 s. An upstream that begins to send without end on its idle connections filled the memory until then.

--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -28,6 +28,7 @@
 )
 from gypsumpier.test.endlesscase import (
     CALLS_MAX,
+    CLOSE_TIMEOUT_S,
     COMMAND_LIMIT_S,
     ENDLESS,
     EVENTS,
@@ -37,6 +38,7 @@
     INTERIM,
     LAG_MAX_S,
     READ_TIMEOUT_S,
+    SENT_MAX_BYTES,
     TINY_CHUNK_COUNT,
     TINY_CHUNKS,
     EndlessTest,
@@ -181,6 +183,20 @@
                     self.assertEqual((200, b"whole"), (answer.code, answer.body))
                 await self.check_end(server)
 
+    # Guards against bytes without end on many idle connections, which nobody reads.
+    async def test_bytes_without_end_on_many_idle_connections(self) -> None:
+        server = await self.serve(whole_answer, FILLER)
+        server.first_pause_s = 0.3
+        self.fleet.store.put(f"servers/{ENDLESS}", plain_body(address=server.address, slots=40))
+        await self.fleet.settle()
+        calls = [self.fleet.call("/lookups/x", f"r{number}") for number in range(30)]
+        self.assertEqual({200}, {answer.code for answer in await asyncio.gather(*calls)})
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            while server.open:
+                await asyncio.sleep(0.01)
+        self.assertLess(server.sent_bytes, SENT_MAX_BYTES)
+        self.assertEqual([], self.unhandled)
+
     async def test_bytes_on_an_idle_connection_close_it(self) -> None:
         """Guards against an idle connection that stays open with bytes of no answer."""
 
--- a/gypsumpier/upstream/http.py
+++ b/gypsumpier/upstream/http.py
@@ -14,7 +14,19 @@
 
 
 class UpstreamStream(IOStream):
-    """A stream that can report whether it has buffered bytes that were not read."""
+    """A stream that can report whether it has buffered bytes that were not read.
+
+    While it ``is_idle``, it is closed as soon as bytes arrive.
+    """
+
+    is_idle = False
+
+    def _read_to_buffer(self) -> int | None:
+        count = super()._read_to_buffer()
+        if self.is_idle and self._read_buffer_size:
+            # Tornado would buffer what arrives without end until somebody looks.
+            self.close()
+        return count
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes are buffered; after an answer they belong to no request."""
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -132,6 +132,7 @@
                 return None
             connections.pop()
             connection.stream.set_close_callback(None)
+            connection.stream.is_idle = False
             if not is_dirty and now_s < connection.until_s:
                 return connection.stream
             connection.stream.close()
@@ -171,6 +172,7 @@
             stream.close()
             return
         # A close callback makes the stream keep reading, so that a close or stray bytes are seen.
+        stream.is_idle = True
         stream.set_close_callback(lambda: None)
         self.idle.setdefault(address, []).append(IdleConnection(stream, now_s, now_s + kept_s))
 
