Give up a whole body in very many parts, so that tiny chunks don't take the time of other requests

Cause: a body is bounded by bytes, but each chunk costs as much time however small it is: 1 MiB in chunks of one byte kept an entry busy past the request's time limit.

--- a/gypsumpier/test/test_endless_answer.py
+++ b/gypsumpier/test/test_endless_answer.py
@@ -50,7 +50,7 @@
 )
 from gypsumpier.test.gatewayfleet import GatewayFleet
 from gypsumpier.test.standin.endless import SLOW_PAUSE_S, EndlessServer
-from gypsumpier.upstream.exchange import Exchange
+from gypsumpier.upstream.exchange import WHOLE_PARTS_MAX, Exchange
 from gypsumpier.upstream.http import UpstreamStream
 from gypsumpier.upstream.replacement import NoReplacement
 
@@ -197,6 +197,14 @@
         self.assertLess(server.sent_bytes, SENT_MAX_BYTES)
         self.assertEqual([], self.unhandled)
 
+    # Guards against a process without time for other requests: a body of a million tiny parts.
+    async def test_a_whole_body_in_very_many_parts_ends_early(self) -> None:
+        server = await self.add_endless(PLAIN, head("Transfer-Encoding: chunked"), TINY_CHUNKS)
+        answer = await self.fleet.call("/commands/x")
+        self.assertEqual(502, answer.code)
+        self.assertIn(f"more than {WHOLE_PARTS_MAX} parts".encode(), answer.body)
+        await self.check_end(server)
+
     async def test_bytes_on_an_idle_connection_close_it(self) -> None:
         """Guards against an idle connection that stays open with bytes of no answer."""
 
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -31,6 +31,8 @@
 """Buffered bytes of an answer to a slow caller from which reading from the upstream pauses."""
 BUFFERED_MAX_PARTS: Final = 256
 """Buffered parts of an answer from which reading pauses, so that other requests go on."""
+WHOLE_PARTS_MAX: Final = 16_384
+"""Parts of a body that is held as a whole: each takes processor time, however few bytes it has."""
 LOOK_AGAIN_S: Final = 0.2
 """Seconds between two searches for a replacement of an upstream that stays silent."""
 PARAMETERS: Final = HTTP1ConnectionParameters(
@@ -59,6 +61,7 @@
         self.replacement = replacement
         self.head: AnswerHead | None = None
         self.parts: deque[bytes] = deque()
+        self.part_count = 0
         self.buffered_bytes = 0
         self.finished = False
         self.failure = ""
@@ -99,6 +102,7 @@
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Buffer a part of the body; a returned future pauses reading while the caller is slow."""
         self.parts.append(chunk)
+        self.part_count += 1
         self.buffered_bytes += len(chunk)
         self.progress.set()
         if not self.is_buffer_full() or self.abandoned:
@@ -220,6 +224,8 @@
             async for content in self.body():
                 if len(whole) + len(content) > max_bytes:
                     raise OutcomeUnknownError(f"the answer has more than {max_bytes} bytes")
+                if self.part_count > WHOLE_PARTS_MAX:
+                    raise OutcomeUnknownError(f"the answer has more than {WHOLE_PARTS_MAX} parts")
                 self.buffers.add(self, len(content))
                 whole += content
                 since_s = await self.check_stalled(since_s, lambda _: self.finished)
