--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -79,13 +79,13 @@
     return body | {"timeout_ms": 1000, "goal_ms": 200} | fields
 
 
-def engine_service_body(**fields: Any) -> dict[str, Any]:
-    """Return the service of the engines."""
+def engine_service_body(piece_count: int = 64, **fields: Any) -> dict[str, Any]:
+    """Return the service of the engines, whose weights have that many pieces."""
     engine = {
         "slots": 16,
         "models": [{"name": MODEL}],
         "layers": LAYERS,
-        "chunks": 64,
+        "chunks": piece_count,
         "chunk_bytes": 32768,
         "step_ms": 6.73,
         "read_per_s": 30600.0,
--- a/gypsumpier/test/test_corrupt_lists.py
+++ b/gypsumpier/test/test_corrupt_lists.py
@@ -129,8 +129,7 @@
     # Guards against a list of other pieces that is kept as it has the form of one.
     async def test_a_list_for_something_else_or_of_another_length_is_read_again(self) -> None:
         services = [
-            engine_service_body()
-            | {"engine": engine_service_body()["engine"] | {"chunks": PIECES}},
+            engine_service_body(PIECES),
             {"name": "origin", "origin": "127.0.0.1:9", "zone": "bac-a", "link_mbps": 9.9},
         ]
         configuration = configuration_record(9, version=9, services=services)
--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -196,7 +196,7 @@
         origin = f"127.0.0.1:{self.origin.port}"
         keys = [key for key in self.keys if key not in self.revoked_at_s]
         services = [
-            engine_service_body(),
+            engine_service_body(PIECES),
             {"name": PLAIN, "max_conns": 110},
             {"name": "origin", "origin": origin, "zone": ZONE, "link_mbps": 9.9},
         ]
