Keep the time limit of every named version, however many follow

Cause: the eight newest versions were kept, and the ninth dropped the oldest with its time limit; claims of peers were bounded likewise.

Why this works: 128 are kept. Beyond that two neighbours become one version, the newer one with the time of the older, so that none is due too late.

test_version_times asserted which versions are dropped (the older than the newest eight, whatever their limits), which kept the fault in place; it asserts the bound, the newest version and what is due.

--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -27,7 +27,7 @@
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.recordtable import RecordTable
 from gypsumpier.fleet.upstream import UpstreamRecord
-from gypsumpier.fleet.wantedversion import Evidence, WantedVersion
+from gypsumpier.fleet.wantedversion import Evidence, WantedVersion, condensed, is_covered
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 
@@ -37,8 +37,10 @@
 
 PEERS_HEARD_S: Final = 0.6
 """Seconds from the start within which the entries in reach connect and tell what they know."""
-VERSIONS_KEPT: Final = 8
-"""Wanted versions kept for each model; several may be named before the first is in force."""
+VERSIONS_KEPT: Final = 128
+"""Wanted versions kept for each model; many may be named before the first is in force."""
+SETTLED_S: Final = 600.0
+"""Seconds after its naming from which a version is due for certain; some ten are allowed."""
 RETURN_NOTICED_S: Final = 1.2
 """Seconds within which every reader notices that the store answers again: its last failed call and
 the wait after it.  The store may answer one process that much earlier than another."""
@@ -264,7 +266,7 @@
         wanted = self.estimate(change.version, news)
         if wanted.evidence is not Evidence.UNKNOWN:
             wanted = wanted._replace(learned_at_s=now_s)
-        self.versions[change.model] = [*named, wanted][-VERSIONS_KEPT:]
+        self.versions[change.model] = self.bounded([*named, wanted])
         for claim in self.claims.pop(change.model, {}).values():
             self.merge_claim(change.model, claim)
         wanted = self.versions[change.model][-1]
@@ -389,7 +391,7 @@
         if not named or claim.version > named[-1].version:
             self.keep_claim(model, claim)
             return None
-        if len(named) >= VERSIONS_KEPT and claim.version < named[0].version:
+        if len(named) >= VERSIONS_KEPT and is_covered(claim, named):
             return None
         unknown = WantedVersion(claim.version, float("-inf"), Evidence.UNKNOWN)
         known = next((wanted for wanted in named if wanted.version == claim.version), None)
@@ -401,18 +403,21 @@
         if known is not None:
             better = better._replace(learned_at_s=known.learned_at_s, proven_at_s=known.proven_at_s)
         others = [wanted for wanted in named if wanted.version != claim.version]
-        self.versions[model] = sorted([*others, better])[-VERSIONS_KEPT:]
+        self.versions[model] = self.bounded(sorted([*others, better]))
         return known or unknown
 
     def keep_claim(self, model: str, claim: WantedVersion) -> None:
         """Keep a claim to a version whose record has not arrived."""
         if model not in self.claims and len(self.claims) >= MODELS_CLAIMED_MAX:
             return
-        claims = self.claims.setdefault(model, {})
-        if claim.version not in claims and len(claims) >= VERSIONS_KEPT:
-            return
+        claims = self.claims.get(model, {})
         known = claims.get(claim.version, claim)
-        claims[claim.version] = known.better_of(claim)
+        kept = sorted((claims | {claim.version: known.better_of(claim)}).values())
+        self.claims[model] = {found.version: found for found in self.bounded(kept)}
+
+    def bounded(self, named: list[WantedVersion]) -> list[WantedVersion]:
+        """Return at most ``VERSIONS_KEPT`` of a model's versions, see ``condensed``."""
+        return condensed(named, VERSIONS_KEPT, boot_time_s() - SETTLED_S)
 
     def ends_before_outage(self, known: WantedVersion, claim: WantedVersion) -> bool:
         """Return whether the claim is a proof from before the outage that ``known`` rests on.
--- a/gypsumpier/fleet/wantedversion.py
+++ b/gypsumpier/fleet/wantedversion.py
@@ -1,6 +1,7 @@
 """A version that a model's engines are to serve, and what is known of when it was named."""
 
 from enum import IntEnum
+from itertools import pairwise
 from typing import NamedTuple
 
 
@@ -53,3 +54,37 @@
             return max(self, other, key=lambda found: found.evidence)
         is_earlier = self.earliest_named_at_s <= other.earliest_named_at_s
         return self if is_earlier == (self.evidence is not Evidence.PROVEN) else other
+
+
+def condensed(
+    named: list[WantedVersion], most: int, settled_before_s: float
+) -> list[WantedVersion]:
+    """Return at most so many of a model's versions, which are sorted.
+
+    Of two neighbours the newer one stays and counts from the naming of the older one: the pair for
+    which that changes least.  So a version may be due too early, but none too late.  Versions named
+    before ``settled_before_s`` are due in any case.
+    """
+    kept = list(named)
+    while len(kept) > most:
+        gaps_s = [gap_s(*pair, settled_before_s) for pair in pairwise(kept)]
+        at = gaps_s.index(min(gaps_s))
+        earliest_s = min(kept[at].earliest_named_at_s, kept[at + 1].earliest_named_at_s)
+        kept[at : at + 2] = [kept[at + 1]._replace(earliest_named_at_s=earliest_s)]
+    return kept
+
+
+def gap_s(older: WantedVersion, newer: WantedVersion, settled_before_s: float) -> float:
+    """Return by how many seconds the newer version is due earlier without the older one."""
+    named_at_s = newer.earliest_named_at_s
+    if named_at_s <= max(older.earliest_named_at_s, settled_before_s):
+        return 0.0
+    return named_at_s - older.earliest_named_at_s
+
+
+def is_covered(claim: WantedVersion, named: list[WantedVersion]) -> bool:
+    """Return whether a newer version that is known is due as early as the claimed one."""
+    return any(
+        wanted.version > claim.version and wanted.earliest_named_at_s <= claim.earliest_named_at_s
+        for wanted in named
+    )
