Take an upstream's first words after a return of the store for news, and let the soak play returns

An upstream whose first report after the return is its leaving would have been used on, if its seq had not risen.

The soak's store comes back from copies of 0.5 to 4 s after 0.8 s away, beside its other faults; operator and upstreams write again, and records of upstreams that are gone lapse. That the checks find the old order was not tried.

Evidence: test_an_upstream_leaves_with_its_first_report_after_the_return fails on for a leaving that is read by a watch.

--- a/gypsumpier/fleet/recordtable.py
+++ b/gypsumpier/fleet/recordtable.py
@@ -53,7 +53,9 @@
         for key, position in batch.outdated.items():
             if key not in self.by_key or self.by_key[key].position <= position:
                 self.outdated[key] = position
-        changed = [record for record in batch.records if self.is_news(record)]
+        changed = [
+            record for record in batch.records if self.is_news(record, not batch.is_snapshot)
+        ]
         if batch.is_snapshot:
             listed = {record.key for record in batch.records}
             changed += [
@@ -65,45 +67,51 @@
                 del self.outdated[key]
         return sorted(changed, key=lambda record: record.position)
 
-    def is_news(self, record: Record) -> bool:
+    def is_news(self, record: Record, is_change: bool) -> bool:
         """Return whether the record is newer than what is known of its key.
 
         Of two records of different eras, the position of the one whose content is outdated is
-        kept, so that it is ignored when it is read again.
+        kept, so that it is ignored when it is read again.  One that ``is_change`` was written after
+        a snapshot of its era, and so after the store came back.
         """
         if self.outdated.get(record.key) == record.position:
             return False
         removed = self.removed.get(record.key)
         known = self.by_key.get(record.key)
         if known is None and removed is not None:
-            return self.is_news_of_removed(record, removed)
+            return self.is_news_of_removed(record, removed, is_change)
         if known is None:
             return True
         if record.era == known.era or record.value is None:
             return record.position > known.position
         earlier, later = sorted((known, record), key=lambda found: found.position)
-        is_outdated = self.is_outdated(later, earlier)
+        is_outdated = self.is_outdated(later, earlier, is_change and later is record)
         if is_outdated:
             self.outdated[record.key] = later.position
         return is_outdated == (later is known)
 
-    def is_news_of_removed(self, record: Record, removed: RemovedRecord) -> bool:
+    def is_news_of_removed(self, record: Record, removed: RemovedRecord, is_change: bool) -> bool:
         """Return whether the record is newer than the removal of its key."""
         if record.era <= removed.position.era or record.value is None:
             return record.position > removed.position
-        if record.revision <= removed.record.revision and (
-            record.value == removed.record.value or self.is_outdated(record, removed.record)
+        if (
+            not is_change
+            and record.revision <= removed.record.revision
+            and (
+                record.value == removed.record.value
+                or self.is_outdated(record, removed.record, is_change)
+            )
         ):
             self.outdated[record.key] = record.position
             return False
         return True
 
-    def is_outdated(self, later: Record, earlier: Record) -> bool:
+    def is_outdated(self, later: Record, earlier: Record, is_change: bool) -> bool:
         """Return whether the record of the later era holds older content than the earlier one.
 
-        Configurations and wanted versions are numbered.  An upstream's record that has a higher
-        revision than the earlier one was written after the store came back; a lower one is of the
-        copy unless the upstream has reported since.
+        Configurations and wanted versions are numbered.  An upstream's record that ``is_change`` of
+        the later era, or has a higher revision than the earlier one, was written after the store
+        came back; another one is of the copy unless the upstream has reported since.
         """
         found, known = self.source.decode(later), self.source.decode(earlier)
         found_order, known_order = content_order(found), content_order(known)
@@ -112,7 +120,8 @@
         if not isinstance(found, UpstreamChange):
             return found_order < known_order
         return (
-            later.revision <= earlier.revision
+            not is_change
+            and later.revision <= earlier.revision
             and later.value != earlier.value
             and found_order <= known_order
         )
@@ -163,5 +172,6 @@
     if isinstance(change, VersionChange):
         return (change.version,)
     if isinstance(change, UpstreamChange) and change.record is not None:
-        return change.record.started_ms, change.record.sequence
+        # An upstream that leaves does not become ready again in the same run.
+        return change.record.started_ms, change.record.is_leaving, change.record.sequence
     return None
--- a/gypsumpier/test/test_restored_records.py
+++ b/gypsumpier/test/test_restored_records.py
@@ -61,6 +61,21 @@
         write(fleet_state, engine_record(1, 11, seq=12))
         self.assertFalse(fleet_state.upstreams["i-1"].is_leaving)
 
+    # Guards against a leaving that is taken for the copy's: it has a low revision, and the number
+    # of the upstream's last report.
+    def test_an_upstream_leaves_with_its_first_report_after_the_return(self) -> None:
+        leaving = engine_record(1, COPY_REVISION - 1, state="draining")
+        for is_in_snapshot in (True, False):
+            with self.subTest(is_in_snapshot=is_in_snapshot):
+                fleet_state = fleet_state_of(engine_record(1, 5, slots=8))
+                apply_records(fleet_state, engine_record(1, 20))
+                restore(fleet_state, leaving if is_in_snapshot else engine_record(1, 5, slots=8))
+                self.assertEqual(is_in_snapshot, fleet_state.upstreams["i-1"].is_leaving)
+                self.assertEqual(16, fleet_state.upstreams["i-1"].slots)
+                if not is_in_snapshot:
+                    write(fleet_state, leaving._replace(revision=COPY_REVISION + 1))
+                self.assertTrue(fleet_state.upstreams["i-1"].is_leaving)
+
     # Guards against an address that is now another service's, under the old one's record.
     def test_a_removed_upstream_stays_removed_and_its_address_is_the_new_ones(self) -> None:
         fleet_state = fleet_state_of(engine_record(1, 5))
--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -64,6 +64,7 @@
 
     def __init__(self, directory: Path) -> None:
         self.store = PlatformStandin()
+        self.store.era = "1"
         self.origin = OriginStandin(PIECES, PIECE_BYTES)
         self.upstreams: dict[str, UpstreamStandin] = {}
         self.proxies: dict[str, TcpProxy] = {}
@@ -188,6 +189,11 @@
     def configure(self) -> None:
         """Write the next configuration, with one more route and without the revoked keys."""
         self.version += 1
+        self.write_configuration()
+        self.configured_at_s[self.version] = time.monotonic()
+
+    def write_configuration(self) -> None:
+        """Write the configuration of the newest version."""
         versions = [
             command_route_body(name=f"v{n}", prefix=f"/v{n}/", kind="idempotent", attempts=2)
             for n in range(1, self.version + 1)
@@ -210,7 +216,22 @@
             tenants=[{"name": "lab", "api_keys": keys}],
         )
         self.store.put("op/config", body)
-        self.configured_at_s[self.version] = time.monotonic()
+
+    def write_again(self) -> None:
+        """Write what the store lacks after its return from a copy, as operator and upstreams do."""
+        self.write_configuration()
+        newest = max(self.named_at_s)
+        if newest > 1:
+            self.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": newest})
+        for name in self.upstreams:
+            self.write_record(name)
+
+    def remove_stale_records(self) -> None:
+        """Remove the records of upstreams that are gone, which the copy still had."""
+        for key in list(self.store.items):
+            name = key.removeprefix("servers/")
+            if name != key and name not in self.upstreams and not name.startswith("odd-"):
+                self.store.remove(key)
 
     def revoke(self, key: str) -> None:
         """Revoke a key by a new configuration."""
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -34,6 +34,11 @@
 """Seconds on a slow link, for a request and a close behind it; entries allow 1 s for a close."""
 LONGEST_OUTAGE_S: Final = 7.0
 """Seconds of the longest outage or freeze; must exceed the 5 that a revoked key may work."""
+COPY_AGE_MAX_S: Final = 4.0
+STORE_AWAY_S: Final = 0.8
+LAPSE_S: Final = 3.6
+"""Seconds from the making of a copy until the store is lost, for which it is away before it comes
+back from the copy, and after which records in it of upstreams that are gone lapse."""
 DELAY_S: Final = 0.15
 ANSWER_FAULTS: Final = (
     *("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed"),
@@ -124,6 +129,7 @@
                 self.bad_answers,
                 self.bad_answers,
                 self.lose_store,
+                self.restore_store,
                 self.cut_from_store,
                 self.lose_answers_of_store,
             ),
@@ -276,6 +282,17 @@
             await asyncio.sleep(self.rng.choice([1.0, LONGEST_OUTAGE_S]))
             self.deployment.store.down = False
 
+    async def restore_store(self) -> None:
+        async with self.window("restore_store", "store"):
+            copy = self.deployment.store.copied()
+            await asyncio.sleep(self.rng.uniform(0.5, COPY_AGE_MAX_S))
+            self.deployment.store.leave()
+            await asyncio.sleep(STORE_AWAY_S)
+            self.deployment.store.come_back(copy)
+            self.deployment.write_again()
+            await asyncio.sleep(LAPSE_S)
+            self.deployment.remove_stale_records()
+
     async def cut_from_store(self) -> None:
         name = self.rng.choice(sorted(self.deployment.nodes))
         async with self.window("cut_from_store", name):
