--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -40,8 +40,8 @@
 """Seconds that the answer of a watch takes from the change until it is read."""
 CALLS_PER_S: Final = 25.0
 CALLS_BURST: Final = 25.0
-"""Calls of the store that one process makes in a second at most, and at once after a pause.  What
-changes faster is read together."""
+"""Readings of the store that one process begins in a second at most, and at once after a pause.  A
+snapshot of several pages counts once.  What changes faster is read together."""
 OUTAGE_FAILURES: Final = 3
 """Calls in a row that must fail for an outage of the store.  One may be due to a connection that
 has gone silent or was cut, a second one to a stall of this process; each later one opens a new
@@ -79,7 +79,7 @@
 class StoreWatcher:
     """Keeps the fleet state up to date from the store.
 
-    ``calls`` limits the calls of the store.  ``history_losses`` counts the watches without an
+    ``calls`` limits the readings of the store.  ``history_losses`` counts the watches without an
     answered one in between for which the store lacked the history.
     ``failures`` counts the calls in a row that have failed, the first of them at
     ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
@@ -188,7 +188,7 @@
             self.readers.share(self.fleet_state.snapshot() if is_snapshot else batch)
 
     async def take_call(self) -> None:
-        """Wait until the next call of the store may be made, and count it."""
+        """Wait until the next reading of the store may begin, and count it."""
         while wait_s := self.calls.wait_s(time.monotonic()):
             await asyncio.sleep(wait_s)
         self.calls.take(time.monotonic())
