Keep the staged pieces of a version while its order may be accepted

Callers got answers made with weights that aren't those of their version (WHOLE). Cause: the call that orders an engine to load ended after 2 s without an answer and was taken for an order that was never given. The sidecar staged the next version, and the engine accepted the order up to 6 s after it was sent, when pieces of both versions were staged.

An order now requires the count of accepted orders at which it was decided, so that of all its copies at most one is accepted. While one may be, its version owns the stage: the order is repeated, and no other version is staged. Writes end with the engine's answer or the failure of their connection, not with a timeout or their caller's cancellation. An order is not sent with a check of the pieces that began more than 1.5 s before. A new run of the sidecar assumes an order for the version that is staged whole. NotSentError moves to errors.py, as the client of the platform's engine raises it now, too.

Test doubles follow the new protocol: their engines count orders, and the keeper's test starts from a report with the count of its engine (it said 1 for an engine that had accepted none).

--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -11,9 +11,8 @@
     UPSTREAM_UNREACHABLE,
     WRONG_VERSION,
 )
-from gypsumpier.errors import GypsumpierError
+from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.engine import Completion, Engine, LiveModel
-from gypsumpier.external.http import NotSentError
 from gypsumpier.external.service import Service, ServiceCall
 
 RETRY_AFTER_S: Final = 1.0
--- a/gypsumpier/errors.py
+++ b/gypsumpier/errors.py
@@ -15,3 +15,7 @@
         self.code = code
         self.detail = detail
         self.retry_after_s = retry_after_s
+
+
+class NotSentError(GypsumpierError):
+    """The call certainly never reached the server; the code is PLATFORM_UNREACHABLE."""
--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -19,7 +19,7 @@
     PLATFORM_REFUSED,
     PLATFORM_UNREACHABLE,
 )
-from gypsumpier.errors import GypsumpierError
+from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.httpconnection import BoundedHttpClient
 from gypsumpier.numericresolver import NumericResolver
 from gypsumpier.statement.statedrest import stated_rest
@@ -37,10 +37,6 @@
 UNSENT_TIMEOUT_PHASES: Final = ("while connecting", "in request queue")
 
 
-class NotSentError(GypsumpierError):
-    """The call certainly never reached the server; the code is PLATFORM_UNREACHABLE."""
-
-
 class HttpCaller:
     """Calls one platform service below ``base_url``."""
 
--- a/gypsumpier/external/service_http.py
+++ b/gypsumpier/external/service_http.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
-from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.http import HttpCaller, NotSentError, was_answered
+from gypsumpier.errors import GypsumpierError, NotSentError
+from gypsumpier.external.http import HttpCaller, was_answered
 from gypsumpier.external.service import ServiceAnswer, ServiceCall
 from gypsumpier.external.statementreader import (
     LeavingListener,
--- a/gypsumpier/piece/engine.py
+++ b/gypsumpier/piece/engine.py
@@ -4,6 +4,7 @@
 import re
 from typing import Final, NamedTuple, Protocol, TypeGuard
 
+from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.upstream import LoadedLayers
 
 DIGEST: Final = re.compile("[0-9A-Fa-f]{64}")
@@ -26,6 +27,24 @@
     pace: float
 
 
+class SwitchOrder(NamedTuple):
+    """An order to load the staged pieces.
+
+    The engine accepts it only while ``after_orders`` is the number of orders that it has accepted.
+    It is not sent after ``send_until_s``, a time of ``boot_time_s``.
+    """
+
+    model: str
+    version: int
+    preempt: bool
+    after_orders: int
+    send_until_s: float
+
+
+class OrderRefusedError(GypsumpierError):
+    """The engine refused the order and will never accept it."""
+
+
 class PieceList(NamedTuple):
     """The SHA-256 digests of one version's pieces, in hexadecimal.
 
@@ -67,15 +86,20 @@
         """Return the engine's current report, read on the same machine without network delay."""
 
     async def stage(self, model: str, number: int, content: bytes) -> None:
-        """Stage one piece, replacing the staged piece of that number."""
+        """Stage one piece, replacing the staged piece of that number.
+
+        The call ends when the engine has answered or the connection has failed, however long that
+        takes: a write that was given up could replace a later one.
+        """
 
     async def staged(self, model: str, number: int) -> bytes | None:
         """Return the staged piece of that number; None where there is none."""
 
-    async def start(self, model: str, version: int, preempt: bool) -> bool:
+    async def start(self, order: SwitchOrder) -> bool:
         """Order the engine to load the staged pieces.
 
-        Return whether it has begun or serves the version already.
+        Return whether it has begun or serves the version already.  Raises NotSentError or
+        OrderRefusedError where it never will; after any other error it may accept the order later.
         """
 
     def close(self) -> None:
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -4,19 +4,23 @@
 from typing import Final
 from urllib.parse import quote
 
-from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER, PLATFORM_REFUSED
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.http import json_object
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address
-from gypsumpier.piece.engine import EngineReport
+from gypsumpier.piece.engine import EngineReport, OrderRefusedError, SwitchOrder
 from gypsumpier.platform.fields import FieldError, field, number
 from gypsumpier.platform.records import loaded_layers
 from gypsumpier.upstream.caller import UpstreamCaller
+from gypsumpier.upstream.errors import NotRunError
 
 CALL_TIMEOUT_S: Final = 2.0
 """Timeout of a call on the same machine, which takes milliseconds unless the engine hangs."""
 NOT_FOUND_STATUS: Final = 404
 CONFLICT_STATUS: Final = 409
+REFUSED_STATUSES: Final = frozenset({400, 412, 421, 429, 503})
+"""Statuses that state that an order was not accepted and never will be."""
 
 
 class PlatformEngine:
@@ -45,26 +49,39 @@
 
     async def stage(self, model: str, number: int, content: bytes) -> None:
         target = f"/gypsumpier/stage-put/{quote(model, safe='')}?num={number}"
-        (await self.caller.call("PUT", target, CALL_TIMEOUT_S, content)).require_success()
+        (await self.caller.call("PUT", target, None, content)).require_success()
 
     async def staged(self, model: str, number: int) -> bytes | None:
         target = f"/gypsumpier/stage-get/{quote(model, safe='')}?num={number}"
         answer = await self.caller.call("GET", target, CALL_TIMEOUT_S)
         return None if answer.status == NOT_FOUND_STATUS else answer.require_success()
 
-    async def start(self, model: str, version: int, preempt: bool) -> bool:
-        order = {
+    async def start(self, order: SwitchOrder) -> bool:
+        def require_current() -> None:
+            if boot_time_s() > order.send_until_s:
+                raise NotRunError("the staged pieces were checked too long ago", is_refusal=False)
+
+        fields = {
             "op": "start",
-            "model": model,
-            "version": version,
-            "strategy": "preempt" if preempt else "queue",
+            "model": order.model,
+            "version": order.version,
+            "strategy": "preempt" if order.preempt else "queue",
+            # "expected" is the platform's name for the count of accepted orders it requires.
+            "expected": order.after_orders,
         }
-        body = json.dumps(order).encode()
         answer = await self.caller.call(
-            "POST", "/gypsumpier/order", CALL_TIMEOUT_S, body, "application/json", is_new=True
+            "POST",
+            "/gypsumpier/order",
+            CALL_TIMEOUT_S,
+            json.dumps(fields).encode(),
+            "application/json",
+            is_new=True,
+            require_current=require_current,
         )
         if answer.status == CONFLICT_STATUS:
             return False
+        if answer.status in REFUSED_STATUSES:
+            raise OrderRefusedError(PLATFORM_REFUSED, f"status {answer.status}")
         answer.require_success()
         return True
 
--- /dev/null
+++ b/gypsumpier/sidecar/inheritance.py
@@ -0,0 +1,59 @@
+"""Finds the version that an earlier run of this process may have ordered its engine to load.
+
+The order of a run that has ended may still be accepted, and only the staged pieces tell of it: they
+are left alone for as long as it may be.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from gypsumpier.errors import GypsumpierError
+from gypsumpier.log import decision
+from gypsumpier.piece.engine import digest_of
+from gypsumpier.sidecar.stager import CONCURRENT_READS, Stager
+from gypsumpier.tasks import in_parallel
+
+INTACT_SHARE_MIN: Final = 0.5
+"""Share of the staged pieces that must match a version for it to be the ordered one; the others may
+have become corrupt."""
+
+
+async def inherited_version(
+    stager_of: Callable[[int], Stager], versions: Iterable[int], piece_count: int
+) -> int | None:
+    """Return the version of which all pieces were staged; None if there is none or it is unknown.
+
+    ``versions`` are those to compare with, of which some must be read from other processes.
+    Pieces of a second version show that the first one's order was no longer pending.
+    """
+    staged: list[str] = []
+    matches: dict[int, set[int]] = {}
+    for version in versions:
+        stager = stager_of(version)
+        staged = staged or await staged_digests(stager, piece_count)
+        if not staged:
+            return None
+        try:
+            listed = await stager.read_list()
+        except GypsumpierError as error:
+            decision("staged_version_unread", version=version, reason=error.detail)
+            continue
+        pairs = enumerate(zip(listed.digests, staged, strict=False))
+        matches[version] = {number for number, (digest, found) in pairs if digest.lower() == found}
+        if len(matches[version]) >= INTACT_SHARE_MIN * piece_count:
+            is_only_one = all(other <= matches[version] for other in matches.values())
+            return version if is_only_one else None
+    return None
+
+
+async def staged_digests(stager: Stager, piece_count: int) -> list[str]:
+    """Return the digest of each staged piece; an empty list if any is missing."""
+    digests: dict[int, str] = {}
+
+    async def read(number: int) -> None:
+        content = await stager.engine.staged(stager.model, number)
+        if content is not None:
+            digests[number] = digest_of(content)
+
+    await in_parallel(range(piece_count), read, CONCURRENT_READS)
+    return [digests[number] for number in sorted(digests)] if len(digests) == piece_count else []
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -11,8 +11,11 @@
 from gypsumpier.fleet.upstream import whole_version
 from gypsumpier.log import decision
 from gypsumpier.mesh.mesh import Mesh
+from gypsumpier.piece.engine import EngineReport
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.sidecar.enginewatch import SWITCH_POLL_S, EngineWatch
+from gypsumpier.sidecar.inheritance import inherited_version
+from gypsumpier.sidecar.stage import Stage
 from gypsumpier.sidecar.stager import ONLY_PLACE, Place, Stager
 from gypsumpier.tasks import end_task
 
@@ -24,6 +27,10 @@
 """Seconds for an engine to finish its requests; the rest is then cut and resumed elsewhere."""
 LAST_PIECES_TIMEOUT_S: Final = 0.25
 """Seconds to wait, with the engine idle, for last pieces that take longer than estimated."""
+ORDER_ANSWER_S: Final = 0.3
+"""Seconds for an order to be answered; after that the engine gets requests again meanwhile."""
+RECHECK_S: Final = 1.0
+"""Seconds between checks of the staged pieces while an order is not answered."""
 RETRY_PAUSE_S: Final = 0.3
 """Seconds before the next attempt after a failed fetch or switch."""
 STALL_TIMEOUT_S: Final = 0.8
@@ -37,7 +44,8 @@
 class VersionKeeper:
     """Keeps the engine of ``watch`` at the newest available version.
 
-    ``stalled_until_s`` maps versions to the time until which they are skipped.
+    ``stalled_until_s`` maps versions to the time until which they are skipped.  ``inheriting`` is
+    the task that finds out whether an earlier run of this process may have given an order.
     """
 
     def __init__(
@@ -53,35 +61,65 @@
         self.schedule = schedule
         self.watch = watch
         self.service = service
+        self.stage = Stage(watch.engine)
+        self.inheriting: asyncio.Task[None] | None = None
         self.stagers: dict[tuple[str, int], Stager] = {}
         self.active: Stager | None = None
         self.stalled_until_s: dict[int, float] = {}
 
     async def run(self) -> None:
         """Switch the engine to the target version whenever it differs, until cancelled."""
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            traits = self.traits()
-            if traits is None or not traits.models:
-                continue
-            if self.watch.report is None or self.watch.is_busy():
-                continue
-            model, held = traits.models[0], self.held(traits)
-            target = self.target(model, held)
-            if target == held:
-                continue
-            try:
-                await self.switch_to(model, target, traits)
-            except GypsumpierError as error:
-                decision(
-                    "version_failed",
-                    model=model,
-                    version=target,
-                    code=error.code.number,
-                    reason=error.detail,
-                )
-                self.stalled_until_s[target] = time.monotonic() + STALL_PAUSE_S
-                await asyncio.sleep(RETRY_PAUSE_S)
+        try:
+            while True:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                await self.check()
+        finally:
+            await end_task(self.inheriting)
+
+    async def check(self) -> None:
+        """Switch the engine to the target version if it differs."""
+        traits, report = self.traits(), self.watch.report
+        if traits is None or not traits.models or report is None:
+            return
+        self.stage.settle(report, traits.layers)
+        if self.watch.is_busy():
+            return
+        pending = self.stage.pending
+        model = pending.model if pending else traits.models[0]
+        held = self.held(traits)
+        target = self.target(model, held)
+        if target == held:
+            return
+        if self.inheriting is None:
+            self.inheriting = asyncio.create_task(self.inherit(model, held, traits))
+        try:
+            await self.switch_to(model, target, traits)
+        except GypsumpierError as error:
+            decision(
+                "version_failed",
+                model=model,
+                version=target,
+                code=error.code.number,
+                reason=error.detail,
+            )
+            self.stalled_until_s[target] = time.monotonic() + STALL_PAUSE_S
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def inherit(self, model: str, held: int, traits: ModelTraits) -> None:
+        """Assume an order for the version that an earlier run of this process has staged."""
+        named = [wanted.version for wanted in self.fleet_state.versions.get(model, [])]
+        newest_first = sorted({FIRST_VERSION, *named}, reverse=True)
+        versions = dict.fromkeys([newest_first[0], held or FIRST_VERSION, *newest_first])
+        try:
+            version = await inherited_version(
+                lambda version: self.known_stager(model, version), versions, traits.piece_count
+            )
+        except GypsumpierError as error:
+            decision("staged_version_unread", reason=error.detail)
+            return
+        report = self.watch.report
+        if version is not None and report is not None and self.held(traits) != version:
+            self.stage.assume_order(model, version, report)
 
     def traits(self) -> ModelTraits | None:
         """Return the model traits of the engine's service; None while they are unknown."""
@@ -97,9 +135,11 @@
     def target(self, model: str, held: int) -> int:
         """Return the version to switch the engine to.
 
-        That is the newest one, unless its fetch has stalled and an older one is available, or most
-        pieces of an older one are already fetched.
+        That is the newest one, unless an order for another one may still be accepted, its fetch has
+        stalled and an older one is available, or most pieces of an older one are already fetched.
         """
+        if self.stage.pending is not None:
+            return self.stage.pending.version
         newer_versions = [
             wanted.version
             for wanted in self.fleet_state.versions.get(model, [])
@@ -127,12 +167,15 @@
             for key, stager in self.stagers.items()
             if stager.model == model and stager.version >= held
         }
+        self.active = self.known_stager(model, version)
+        return self.active
+
+    def known_stager(self, model: str, version: int) -> Stager:
+        """Return the stager of a version with the pieces fetched so far."""
         key = model, version
         if key not in self.stagers:
-            engine = self.watch.engine
-            self.stagers[key] = Stager(self.mesh, engine, model, version, self.place)
-        self.active = self.stagers[key]
-        return self.active
+            self.stagers[key] = Stager(self.mesh, self.stage, model, version, self.place)
+        return self.stagers[key]
 
     def place(self) -> Place:
         """Return the place of the engine among those of its service in its zone."""
@@ -162,24 +205,56 @@
         stager = self.stager(model, version, self.held(traits))
         stager.resume()
         fetching = asyncio.create_task(stager.fetch())
+        ahead = asyncio.create_task(self.fetch_ahead(model, version))
         try:
             if not await self.wait_for_turn(stager, fetching, traits):
                 return
-            if self.watch.report is None:
-                return
             # The last step before the order, as staged pieces may become corrupt at any time.  The
             # order is not sent if pieces are corrupt even after they have been staged again.
-            if await stager.restage_bad() and await stager.restage_bad():
+            checked_at_s = boot_time_s()
+            if await stager.restage_bad():
+                checked_at_s = boot_time_s()
+                if await stager.restage_bad():
+                    return
+            if self.watch.report is None:
                 return
             self.watch.set_switching(True)
-            accepted = await self.watch.engine.start(model, version, preempt=True)
+            accepted = await self.order(stager, self.watch.report, checked_at_s)
             decision("switch_ordered", model=model, version=version, accepted=accepted)
             await asyncio.sleep(SWITCH_POLL_S)
             await self.watch.read()
         finally:
+            await end_task(ahead)
             await end_task(fetching)
             self.watch.set_switching(False)
 
+    async def order(self, stager: Stager, report: EngineReport, checked_at_s: float) -> bool:
+        """Order the engine to load a version, and keep its pieces intact until it has answered."""
+        ordering = asyncio.create_task(
+            self.stage.order(stager.model, stager.version, report, checked_at_s)
+        )
+        try:
+            await asyncio.wait({ordering}, timeout=ORDER_ANSWER_S)
+            if not ordering.done():
+                self.watch.set_switching(False)
+            while not ordering.done():
+                await stager.restage_bad()
+                await asyncio.wait({ordering}, timeout=RECHECK_S)
+            return await ordering
+        finally:
+            ordering.cancel()
+            await asyncio.wait({ordering})
+
+    async def fetch_ahead(self, model: str, version: int) -> None:
+        """Fetch the newest version into memory while an order for an older one is pending."""
+        named = self.fleet_state.versions.get(model, [])
+        if self.stage.pending is None or not named or named[-1].version <= version:
+            return
+        try:
+            await self.known_stager(model, named[-1].version).fetch()
+        except GypsumpierError as error:
+            decision("fetch_ahead_failed", version=named[-1].version, reason=error.detail)
+
     async def wait_for_turn(
         self, stager: Stager, fetching: "asyncio.Task[None]", traits: ModelTraits
     ) -> bool:
@@ -190,21 +265,39 @@
         """
         while True:
             if fetching.done():
-                await fetching
+                await self.finish_fetch(fetching)
+            is_stage_known = self.inheriting is None or self.inheriting.done()
+            is_owner = is_stage_known and self.stage.claim(stager.model, stager.version)
             if self.target(stager.model, self.held(traits)) != stager.version:
                 return False
             if self.is_stalled(stager, fetching, traits):
                 until_s = time.monotonic() + STALL_PAUSE_S
                 self.stalled_until_s[stager.version] = until_s
                 decision("version_stalled", version=stager.version, fetched=len(stager.pieces))
+                self.stage.drop_assumed_order("its fetch has stalled")
                 return False
-            is_ready = fetching.done() or stager.estimated_remaining_s() < DRAIN_TIMEOUT_S
+            is_fetched = fetching.done() or stager.estimated_remaining_s() < DRAIN_TIMEOUT_S
+            is_ready = is_owner and is_fetched
             if is_ready and not self.is_waiting_for_turn() and await self.drain(fetching):
                 return True
             await asyncio.sleep(SWITCH_POLL_S)
 
+    async def finish_fetch(self, fetching: "asyncio.Task[None]") -> None:
+        """Raise the error of a fetch that has failed; an assumed order is then given up."""
+        try:
+            await fetching
+        except GypsumpierError as error:
+            self.stage.drop_assumed_order(error.detail)
+            raise
+
     def is_waiting_for_turn(self) -> bool:
-        """Return whether the engine has layers loaded and its turn is still to come."""
+        """Return whether the engine has layers loaded and its turn is still to come.
+
+        An order that was sent already may be accepted at any time, and is repeated at once.
+        """
+        pending = self.stage.pending
+        if pending is not None and not pending.is_assumed:
+            return False
         turn = self.schedule.turn(self.service, self.watch.address)
         report = self.watch.report
         return turn is not None and bool(report and report.layers) and boot_time_s() < turn.at_s
@@ -232,7 +325,7 @@
                 await asyncio.sleep(SWITCH_POLL_S)
         await asyncio.wait({fetching}, timeout=LAST_PIECES_TIMEOUT_S)
         if fetching.done():
-            await fetching
+            await self.finish_fetch(fetching)
             return True
         self.watch.set_switching(False)
         decision("drain_given_up", version=self.active.version if self.active else 0)
--- /dev/null
+++ b/gypsumpier/sidecar/stage.py
@@ -0,0 +1,150 @@
+"""What is staged at an engine, and the orders that may still take it.
+
+An engine keeps one set of staged pieces for all versions and loads what is staged when it accepts
+an order.  A call without an answer may have its effect at any later time, so that
+
+- no write is abandoned: the next one begins when the engine has answered the one before or its
+  connection has failed;
+- an order names the number of orders that the engine had accepted when it was given, and is void
+  once that number has changed;
+- while an order may still be accepted, no other version is staged.
+"""
+
+import asyncio
+from typing import Final, NamedTuple
+
+from gypsumpier.errors import NotSentError
+from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.upstream import whole_version
+from gypsumpier.log import decision
+from gypsumpier.piece.engine import Engine, EngineReport, OrderRefusedError, SwitchOrder
+
+CHECK_VALID_S: Final = 1.5
+"""Seconds after the start of a check of all pieces for which an order may rely on it.  An engine is
+not at fault for pieces that became corrupt in the 3 s before it took them; the rest of that is for
+the order's way."""
+
+
+class PendingOrder(NamedTuple):
+    """An order that the engine may still accept.
+
+    ``after_orders`` is the number of accepted orders at which it does.  ``unanswered`` counts how
+    often the order was sent without a definite answer.  ``is_assumed`` is set if an earlier run of
+    this process may have given it, rather than this one.
+    """
+
+    model: str
+    version: int
+    after_orders: int
+    unanswered: int
+    is_assumed: bool = False
+
+    def is_settled(self, report: EngineReport, layer_count: int) -> bool:
+        """Return whether the engine has accepted the order, or never will.
+
+        An engine that holds the version accepts an order for it without loading anything.
+        """
+        return (
+            report.orders != self.after_orders
+            or not self.unanswered
+            or whole_version(report.layers, layer_count) == self.version
+        )
+
+
+class Stage:
+    """The staged pieces of one engine.
+
+    ``owner`` is the model and version whose pieces may be staged; None until the keeper claims the
+    stage for one.
+    """
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.owner: tuple[str, int] | None = None
+        self.pending: PendingOrder | None = None
+        self.lock = asyncio.Lock()
+
+    def claim(self, model: str, version: int) -> bool:
+        """Make a version the owner; return False while an order may take the pieces of another."""
+        pending = self.pending
+        if pending is not None and (pending.model, pending.version) != (model, version):
+            return False
+        self.owner = model, version
+        return True
+
+    async def write(self, model: str, version: int, number: int, content: bytes) -> bool:
+        """Stage one piece; return False if the version is not the owner.
+
+        The write goes on if the caller is cancelled.  Raises GypsumpierError where it fails.
+        """
+        await self.lock.acquire()
+        if self.owner != (model, version):
+            self.lock.release()
+            return False
+        writing = asyncio.create_task(self.engine.stage(model, number, content))
+        writing.add_done_callback(self.end_write)
+        await asyncio.shield(writing)
+        return True
+
+    def end_write(self, writing: "asyncio.Task[None]") -> None:
+        """Let the next write begin; log a failure, as the caller may be gone."""
+        self.lock.release()
+        error = None if writing.cancelled() else writing.exception()
+        if error is not None:
+            decision("staging_failed", reason=repr(error))
+
+    async def order(
+        self, model: str, version: int, report: EngineReport, checked_at_s: float
+    ) -> bool:
+        """Order the engine to load the staged pieces; return whether it has begun or holds them.
+
+        ``checked_at_s`` is the boot time at which their check began.  Raises GypsumpierError where
+        the outcome is unknown or the order was not sent; ``pending`` tells which.
+        """
+        known = self.pending
+        unanswered = known.unanswered if known is not None else 0
+        self.pending = PendingOrder(model, version, report.orders, unanswered + 1)
+        order = SwitchOrder(model, version, True, report.orders, checked_at_s + CHECK_VALID_S)
+        decision(
+            "switch_sent",
+            model=model,
+            version=version,
+            after_orders=report.orders,
+            unanswered=unanswered,
+            check_age_s=round(boot_time_s() - checked_at_s, 3),
+        )
+        try:
+            accepted = await self.engine.start(order)
+        except (NotSentError, OrderRefusedError):
+            self.pending = self.pending._replace(unanswered=unanswered)
+            raise
+        if not accepted:
+            self.pending = self.pending._replace(unanswered=unanswered)
+        return accepted
+
+    def settle(self, report: EngineReport, layer_count: int) -> None:
+        """Free the staged pieces if the fate of the pending order is known from the report."""
+        pending = self.pending
+        if pending is None or not pending.is_settled(report, layer_count):
+            return
+        self.pending = None
+        decision(
+            "switch_settled",
+            model=pending.model,
+            version=pending.version,
+            after_orders=pending.after_orders,
+            orders=report.orders,
+            unanswered=pending.unanswered,
+            is_busy=report.is_busy,
+        )
+
+    def assume_order(self, model: str, version: int, report: EngineReport) -> None:
+        """Take it that an earlier run of this process has given an order for what is staged."""
+        self.pending = PendingOrder(model, version, report.orders, 1, is_assumed=True)
+        decision("order_assumed", model=model, version=version, after_orders=report.orders)
+
+    def drop_assumed_order(self, reason: str) -> None:
+        """Forget an assumed order whose pieces can't be completed."""
+        if self.pending is not None and self.pending.is_assumed:
+            decision("assumed_order_dropped", version=self.pending.version, reason=reason)
+            self.pending = None
--- a/gypsumpier/sidecar/stager.py
+++ b/gypsumpier/sidecar/stager.py
@@ -1,8 +1,9 @@
 """Fetches the pieces of one version, stages them at the engine and verifies them.
 
-Staged pieces may become corrupt or be overwritten, and the engine loads whatever is staged when it
-accepts the order to switch.  So every piece is read back and compared with its digest just before
-the order.
+Pieces are kept in memory, and staged as they arrive if their version owns the stage.  Staged pieces
+may become corrupt, and the engine loads whatever is staged when it accepts the order to switch.  So
+every piece is read back and compared with its digest just before the order, and again while the
+order may still be accepted.
 """
 
 import math
@@ -16,7 +17,8 @@
 from gypsumpier.mesh.mesh import ENTRY, Mesh
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PIECE, PIECE_LIST, SLICE_BYTES, log_corrected_digest
-from gypsumpier.piece.engine import Engine, PieceList, is_intact
+from gypsumpier.piece.engine import PieceList, is_intact
+from gypsumpier.sidecar.stage import Stage
 from gypsumpier.tasks import in_parallel
 
 CONCURRENT_SLICES: Final = 2
@@ -52,14 +54,15 @@
     def __init__(
         self,
         mesh: Mesh,
-        engine: Engine,
+        stage: Stage,
         model: str,
         version: int,
         place: Callable[[], Place] = lambda: ONLY_PLACE,
     ) -> None:
         self.mesh = mesh
         self.place = place
-        self.engine = engine
+        self.stage = stage
+        self.engine = stage.engine
         self.model = model
         self.version = version
         self.digests: tuple[str, ...] = ()
@@ -120,7 +123,7 @@
             await self.correct_digest(number, content)
         self.pieces[number] = content
         self.progress_at_s = time.monotonic()
-        await self.engine.stage(self.model, number, content)
+        await self.stage.write(self.model, self.version, number, content)
         self.remaining = max(0, (self.remaining or 0) - 1)
         self.fetched += 1
 
@@ -198,7 +201,7 @@
         return [*local[first : first + 1], *local[:first], *local[first + 1 :], *others]
 
     async def restage_bad(self) -> int:
-        """Read every staged piece back and stage corrupt ones again; return their number."""
+        """Read every staged piece back and stage what is not intact again; return their number."""
         bad: list[int] = []
 
         async def check(number: int) -> None:
@@ -208,7 +211,7 @@
 
         await in_parallel(list(range(len(self.digests))), check, CONCURRENT_READS)
         for number in bad:
-            await self.engine.stage(self.model, number, self.pieces[number])
+            await self.stage.write(self.model, self.version, number, self.pieces[number])
         if bad:
             decision("staged_pieces_bad", model=self.model, version=self.version, numbers=bad)
         return len(bad)
--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -12,7 +12,8 @@
 from gypsumpier.fleet.upstream import LoadedLayers
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PieceCache
-from gypsumpier.piece.engine import EngineReport, PieceList, PieceOrigin
+from gypsumpier.piece.engine import EngineReport, PieceList, PieceOrigin, SwitchOrder
+from gypsumpier.sidecar.stage import Stage
 from gypsumpier.test.builders_platform import LAYERS
 
 PIECES = 16
@@ -30,6 +31,13 @@
     return PieceList(model, version, tuple(digests))
 
 
+def owned_stage(engine: "FakeEngine", model: str, version: int) -> Stage:
+    """Return the stage of an engine at which pieces of that version may be staged."""
+    stage = Stage(engine)
+    stage.claim(model, version)
+    return stage
+
+
 def entry_peer(name: str, zone: str) -> Peer:
     """Return an entry as a peer."""
     return Peer(name, "entry", zone, zone.split("-")[0], "127.0.0.1", 1, "run")
@@ -56,9 +64,11 @@
     async def staged(self, model: str, number: int) -> bytes | None:
         return self.pieces.get(number)
 
-    async def start(self, model: str, version: int, preempt: bool) -> bool:
+    async def start(self, order: SwitchOrder) -> bool:
+        if order.after_orders != len(self.loaded):
+            return False
         self.loaded.append(dict(self.pieces))
-        self.version = version
+        self.version = order.version
         return True
 
     def close(self) -> None:
@@ -72,9 +82,11 @@
         super().__init__()
         self.late_s = late_s
 
-    async def start(self, model: str, version: int, preempt: bool) -> bool:
+    async def start(self, order: SwitchOrder) -> bool:
+        if order.after_orders != len(self.loaded):
+            return False
         self.loaded.append(dict(self.pieces))
-        asyncio.get_running_loop().call_later(self.late_s, self.finish, version)
+        asyncio.get_running_loop().call_later(self.late_s, self.finish, order.version)
         return True
 
     def finish(self, version: int) -> None:
--- a/gypsumpier/test/piecefleet.py
+++ b/gypsumpier/test/piecefleet.py
@@ -11,6 +11,7 @@
     FakeOrigin,
     cache_of,
     entry_peer,
+    owned_stage,
     piece_of,
 )
 
@@ -34,9 +35,10 @@
         own = Peer("side-nam-a-1", "sidecar", "nam-a", "nam", "127.0.0.1", 0, "run")
         self.sidecar = FakeMesh(own, self.network)
 
-    def stager(self, version: int = 2) -> Stager:
+    def stager(self, version: int = 2, model: str = "m") -> Stager:
         """Return the stager of a version at the sidecar's engine."""
-        return Stager(self.sidecar, self.engine, "m", version)  # type: ignore[arg-type]
+        stage = owned_stage(self.engine, model, version)
+        return Stager(self.sidecar, stage, model, version)  # type: ignore[arg-type]
 
     def is_staged(self, version: int = 2) -> bool:
         """Return whether exactly that version is staged at the engine."""
--- a/gypsumpier/test/test_corrupt_lists.py
+++ b/gypsumpier/test/test_corrupt_lists.py
@@ -14,7 +14,6 @@
 from gypsumpier.piece import originfetcher
 from gypsumpier.piece.engine import PieceList
 from gypsumpier.platform.origin import decode_list
-from gypsumpier.sidecar.stager import Stager
 from gypsumpier.test.builders_platform import (
     MODEL,
     apply_records,
@@ -141,8 +140,7 @@
             lambda found: found._replace(digests=(*found.digests, found.digests[0])),
             lambda found: found._replace(digests=(found.digests[0][:-1], *found.digests[1:])),
         ]
-        mesh, engine = self.fleet.sidecar, self.fleet.engine
-        await Stager(mesh, engine, MODEL, 2).fetch()  # type: ignore[arg-type]
+        await self.fleet.stager(model=MODEL).fetch()
         self.assertTrue(self.fleet.is_staged())
         self.assertEqual(6, self.fleet.origin.lists_read)
 
--- a/gypsumpier/test/test_cut_calls.py
+++ b/gypsumpier/test/test_cut_calls.py
@@ -21,6 +21,7 @@
 from gypsumpier.external.service_http import HttpService
 from gypsumpier.external.store_http import HttpStore
 from gypsumpier.fleet.node import Address
+from gypsumpier.piece.engine import SwitchOrder
 from gypsumpier.platform.engine import PlatformEngine
 from gypsumpier.platform.origin import PlatformOrigin
 from gypsumpier.platform.store import PlatformStore
@@ -81,6 +82,7 @@
     def table(self) -> dict[str, tuple[Callable[[], Awaitable[object]], str]]:
         """Return each call and the body of a good answer by its name."""
         order = LoadOrder("gypsum", "v1", "digest", 1)
+        switch = SwitchOrder("gypsum", 1, False, 0, float("inf"))
         command = ServiceCall("POST", "/commands", {}, b"{}")
         items = json.dumps({"items": [], "events": [], "current_rev": 1})
         pieces = json.dumps({"model": "gypsum", "version": 1, "digests": []})
@@ -104,7 +106,7 @@
             "platform's report": (platform.report, REPORT),
             "platform's stage": (lambda: platform.stage("gypsum", 0, b"content"), ""),
             "platform's staged": (lambda: platform.staged("gypsum", 0), PIECE),
-            "platform's order": (lambda: platform.start("gypsum", 1, False), ""),
+            "platform's order": (lambda: platform.start(switch), ""),
             "platform's snapshot": (self.platform_store.snapshot, items),
             "platform's watch": (lambda: self.platform_store.watch(1, TIMEOUT_S), items),
             "platform's pieces": (lambda: self.platform_origin.piece_list("gypsum", 1), pieces),
--- a/gypsumpier/test/test_keeper.py
+++ b/gypsumpier/test/test_keeper.py
@@ -151,7 +151,7 @@
         schedule = SwitchSchedule(self.fleet_state, BOUNDS.version_in_force_s)
         self.keeper = VersionKeeper(mesh, self.fleet_state, schedule, self.watch, ENGINES)
         layers = (LoadedLayers(MODEL, 1, 0, LAYERS),)
-        self.watch.report = EngineReport(layers, False, 1, 0, 9, 1, 1.0)
+        self.watch.report = EngineReport(layers, False, 0, 0, 9, 1, 1.0)
         self.published_switching: list[bool] = []
         self.watch.publish_state = lambda force=False: self.published_switching.append(  # type: ignore[method-assign]
             self.watch.is_switching
@@ -169,7 +169,7 @@
 
     async def test_an_engine_keeps_serving_while_no_piece_arrives(self) -> None:
         """The origin is down when the engine's turn comes."""
-        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+        stager = Stager(self.keeper.mesh, self.keeper.stage, MODEL, 2)
 
         async def fetch() -> None:
             await asyncio.sleep(60)
@@ -180,7 +180,7 @@
 
     async def test_an_engine_serves_again_if_the_last_pieces_do_not_arrive(self) -> None:
         """The origin goes down before the last pieces of a version are fetched."""
-        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+        stager = Stager(self.keeper.mesh, self.keeper.stage, MODEL, 2)
 
         async def fetch() -> None:
             stager.fetched, stager.remaining = 63, 1
@@ -196,7 +196,7 @@
     async def test_a_resumed_version_is_not_stalled_at_once(self) -> None:
         name_version(self.fleet_state, 3, 21)
         self.keeper.stalled_until_s[3] = time.monotonic() + 60.0
-        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+        stager = Stager(self.keeper.mesh, self.keeper.stage, MODEL, 2)
         stager.progress_at_s = time.monotonic() - 10.0
 
         async def fetch() -> None:
@@ -207,7 +207,7 @@
         self.assertNotIn(2, self.keeper.stalled_until_s)
 
     async def test_an_engine_switches_once_its_pieces_are_fetched(self) -> None:
-        stager = Stager(self.keeper.mesh, self.engine, MODEL, 2)
+        stager = Stager(self.keeper.mesh, self.keeper.stage, MODEL, 2)
         digests = (await FakeOrigin().piece_list(MODEL, 2)).digests
         stager.digests = digests
         stager.pieces = {number: piece_of(2, number) for number in range(len(digests))}
--- a/gypsumpier/test/test_pieces.py
+++ b/gypsumpier/test/test_pieces.py
@@ -21,6 +21,7 @@
     FakeMesh,
     cache_of,
     entry_peer,
+    owned_stage,
     piece_of,
 )
 from gypsumpier.test.meshnode import wait_until
@@ -102,7 +103,8 @@
             engine = FakeEngine()
             own = Peer(f"side-nam-a-{rank}", "sidecar", "nam-a", "nam", "127.0.0.1", 0, "run")
             sidecar: Any = FakeMesh(own, self.fleet.network)
-            await Stager(sidecar, engine, "m", 2, functools.partial(Place, rank, 12)).fetch()
+            stage = owned_stage(engine, "m", 2)
+            await Stager(sidecar, stage, "m", 2, functools.partial(Place, rank, 12)).fetch()
             self.assertEqual(PIECES, len(engine.pieces))
             asked.update(set(sidecar.requested_peers))
         self.assertEqual([4, 4, 4], sorted(asked.values()))
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -34,6 +34,8 @@
 """Longest idle time, in seconds, of a connection that a request that must not run twice may use."""
 ACKNOWLEDGE_TIMEOUT_MS: Final = 2500
 """Milliseconds of unacknowledged data after which a connection is closed: its peer is gone."""
+PROBE_INTERVAL_S: Final = 1
+"""Seconds between probes of a connection on which nothing arrives."""
 
 CONNECTIONS: Final = Counter(
     "gypsumpier_upstream_connections",
@@ -67,9 +69,13 @@
 
 
 class UpstreamPool:
-    """Idle connections by address, and what the answers on the others take of the memory."""
+    """Idle connections by address, and what the answers on the others take of the memory.
 
-    def __init__(self) -> None:
+    With ``are_probed`` a connection also fails if its peer is gone while nothing is sent on it.
+    """
+
+    def __init__(self, are_probed: bool = False) -> None:
+        self.are_probed = are_probed
         self.buffers = AnswerBuffers()
         self.idle: dict[Address, list[IdleConnection]] = {}
 
@@ -143,6 +149,10 @@
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGE_TIMEOUT_MS)
+        if self.are_probed:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
         stream = UpstreamStream(raw)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
