Drop reports that arrive behind later ones, log the engine's count, and check pieces while an order is pending

An older report's count of orders would differ from that of the pending order and seem to settle it.

--- a/gypsumpier/sidecar/enginewatch.py
+++ b/gypsumpier/sidecar/enginewatch.py
@@ -39,6 +39,8 @@
         self.last_published: EngineState | None = None
         self.published_at_s = 0.0
         self.queue_logged_at_s = float("-inf")
+        self.reads = 0
+        self.newest_read = 0
 
     async def run(self) -> None:
         """Poll the report until the task is cancelled."""
@@ -47,9 +49,18 @@
             await asyncio.sleep(SWITCH_POLL_S if self.is_busy() else POLL_S)
 
     async def read(self) -> None:
-        """Read the report once and publish the state; log where the engine stops answering."""
+        """Read the report once and publish the state; log where the engine stops answering.
+
+        A report is dropped if one that was asked for later has arrived: its count of orders would
+        seem to have changed back.
+        """
+        self.reads += 1
+        number = self.reads
         try:
-            self.record_report(await self.engine.report())
+            report = await self.engine.report()
+            if number > self.newest_read:
+                self.newest_read = number
+                self.record_report(report)
         except GypsumpierError as error:
             self.report = None
             if self.was_reachable:
@@ -67,6 +78,14 @@
         known = self.report
         if known is not None and known.started_ms != report.started_ms:
             decision("engine_restarted", address=self.address, started_ms=report.started_ms)
+        elif known is not None and known.orders != report.orders:
+            decision(
+                "engine_orders",
+                address=self.address,
+                orders=report.orders,
+                before=known.orders,
+                is_busy=report.is_busy,
+            )
         if not self.was_reachable:
             self.was_reachable = True
             decision("dependency_regained", dependency="engine", address=self.address)
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -65,6 +65,7 @@
         self.inheriting: asyncio.Task[None] | None = None
         self.stagers: dict[tuple[str, int], Stager] = {}
         self.active: Stager | None = None
+        self.rechecked_at_s = float("-inf")
         self.stalled_until_s: dict[int, float] = {}
 
     async def run(self) -> None:
@@ -238,13 +239,20 @@
             if not ordering.done():
                 self.watch.set_switching(False)
             while not ordering.done():
-                await stager.restage_bad()
-                await asyncio.wait({ordering}, timeout=RECHECK_S)
+                await self.keep_intact(stager)
+                await asyncio.wait({ordering}, timeout=SWITCH_POLL_S)
             return await ordering
         finally:
             ordering.cancel()
             await asyncio.wait({ordering})
 
+    async def keep_intact(self, stager: Stager) -> None:
+        """Check the staged pieces again if that was done more than RECHECK_S ago."""
+        now_s = time.monotonic()
+        if now_s - self.rechecked_at_s >= RECHECK_S:
+            self.rechecked_at_s = now_s
+            await stager.restage_bad()
+
     async def fetch_ahead(self, model: str, version: int) -> None:
         """Fetch the newest version into memory while an order for an older one is pending."""
         named = self.fleet_state.versions.get(model, [])
@@ -268,6 +276,8 @@
                 await self.finish_fetch(fetching)
             is_stage_known = self.inheriting is None or self.inheriting.done()
             is_owner = is_stage_known and self.stage.claim(stager.model, stager.version)
+            if self.stage.pending is not None and is_owner and fetching.done():
+                await self.keep_intact(stager)
             if self.target(stager.model, self.held(traits)) != stager.version:
                 return False
             if self.is_stalled(stager, fetching, traits):
