--- a/gypsumpier/sidecar/inheritance.py
+++ b/gypsumpier/sidecar/inheritance.py
@@ -4,6 +4,7 @@
 are left alone for as long as it may be.
 """
 
+import asyncio
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -17,6 +18,9 @@
 """Share of the staged pieces that must match a version for it to be the ordered one; the others may
 have become corrupt."""
 
+LIST_TIMEOUT_S: Final = 1.0
+"""Seconds to read the digests of one version; no process may have those of an old one."""
+
 
 async def inherited_version(
     stager_of: Callable[[int], Stager], versions: Iterable[int], piece_count: int
@@ -34,9 +38,10 @@
         if not staged:
             return None
         try:
-            listed = await stager.read_list()
-        except GypsumpierError as error:
-            decision("staged_version_unread", version=version, reason=error.detail)
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                listed = await stager.read_list()
+        except (GypsumpierError, TimeoutError) as error:
+            decision("staged_version_unread", version=version, reason=repr(error))
             continue
         pairs = enumerate(zip(listed.digests, staged, strict=False))
         matches[version] = {number for number, (digest, found) in pairs if digest.lower() == found}
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -31,6 +31,8 @@
 """Seconds for an order to be answered; after that the engine gets requests again meanwhile."""
 RECHECK_S: Final = 1.0
 """Seconds between checks of the staged pieces while an order is not answered."""
+COMPARED_VERSIONS: Final = 3
+"""Newest versions among which that of staged pieces is looked for; entries keep as many."""
 RETRY_PAUSE_S: Final = 0.3
 """Seconds before the next attempt after a failed fetch or switch."""
 STALL_TIMEOUT_S: Final = 0.8
@@ -109,8 +111,8 @@
     async def inherit(self, model: str, held: int, traits: ModelTraits) -> None:
         """Assume an order for the version that an earlier run of this process has staged."""
         named = [wanted.version for wanted in self.fleet_state.versions.get(model, [])]
-        newest_first = sorted({FIRST_VERSION, *named}, reverse=True)
-        versions = dict.fromkeys([newest_first[0], held or FIRST_VERSION, *newest_first])
+        newest_first = sorted({FIRST_VERSION, *named}, reverse=True)[:COMPARED_VERSIONS]
+        versions = dict.fromkeys([newest_first[0], held or newest_first[0], *newest_first])
         try:
             version = await inherited_version(
                 lambda version: self.known_stager(model, version), versions, traits.piece_count
