--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -276,11 +276,11 @@
         while True:
             if fetching.done():
                 await self.finish_fetch(fetching)
-            is_stage_known = self.inheriting is None or self.inheriting.done()
-            is_owner = is_stage_known and self.stage.claim(stager.model, stager.version)
+            is_owner = self.claim_stage(stager, traits)
             if self.stage.pending is not None and is_owner and fetching.done():
                 await self.keep_intact(stager)
-            if self.target(stager.model, self.held(traits)) != stager.version:
+            held = self.held(traits)
+            if held == stager.version or self.target(stager.model, held) != stager.version:
                 return False
             if self.is_stalled(stager, fetching, traits):
                 until_s = time.monotonic() + STALL_PAUSE_S
@@ -294,6 +294,14 @@
                 return True
             await asyncio.sleep(SWITCH_POLL_S)
 
+    def claim_stage(self, stager: Stager, traits: ModelTraits) -> bool:
+        """Return whether the pieces of this version may be staged now."""
+        if self.inheriting is not None and not self.inheriting.done():
+            return False
+        if self.watch.report is not None:
+            self.stage.settle(self.watch.report, traits.layers)
+        return self.stage.claim(stager.model, stager.version)
+
     async def finish_fetch(self, fetching: "asyncio.Task[None]") -> None:
         """Raise the error of a fetch that has failed; an assumed order is then given up."""
         try:
--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -12,7 +12,7 @@
 from gypsumpier.fleet.upstream import LoadedLayers
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.piece.cache import PieceCache
-from gypsumpier.piece.engine import EngineReport, PieceList, PieceOrigin, SwitchOrder
+from gypsumpier.piece.engine import Engine, EngineReport, PieceList, PieceOrigin, SwitchOrder
 from gypsumpier.sidecar.stage import Stage
 from gypsumpier.test.builders_platform import LAYERS
 
@@ -31,7 +31,7 @@
     return PieceList(model, version, tuple(digests))
 
 
-def owned_stage(engine: "FakeEngine", model: str, version: int) -> Stage:
+def owned_stage(engine: Engine, model: str, version: int) -> Stage:
     """Return the stage of an engine at which pieces of that version may be staged."""
     stage = Stage(engine)
     stage.claim(model, version)
--- a/gypsumpier/test/test_stage.py
+++ b/gypsumpier/test/test_stage.py
@@ -141,7 +141,9 @@
 
     # Guards against an order that relies on a check from before a pause of the process.
     async def test_an_order_is_not_sent_once_its_check_is_too_old(self) -> None:
-        engine = EngineStandin("i-1", MODEL, LAYERS, OriginStandin())
+        origin = OriginStandin()
+        engine = EngineStandin("i-1", MODEL, LAYERS, origin)
+        self.addCleanup(origin.server.stop)
         self.addCleanup(engine.server.stop)
         client = PlatformEngine(Address("127.0.0.1", engine.port))
         self.addCleanup(client.close)
