Let a lower count of orders settle nothing, as the engine's new run may come to accept the order

test_an_order_on_its_way_reaches_the_next_run_after_another: an order required the count 1, the engine restarted and counted anew, and accepted it after its first other order. One partial load before, none after.

--- a/gypsumpier/sidecar/stage.py
+++ b/gypsumpier/sidecar/stage.py
@@ -42,10 +42,11 @@
     def is_settled(self, report: EngineReport, layer_count: int) -> bool:
         """Return whether the engine has accepted the order, or never will.
 
-        An engine that holds the version accepts an order for it without loading anything.
+        An engine that holds the version accepts an order for it without loading anything.  A lower
+        count is that of a new run, which may come to accept the order.
         """
         return (
-            report.orders != self.after_orders
+            report.orders > self.after_orders
             or not self.unanswered
             or whole_version(report.layers, layer_count) == self.version
         )
