Stage nothing until it is known which version the last run of the sidecar has staged

At a load of 19 the staged pieces could not be read in 2 s at the start of a sidecar; it then assumed no order and staged the next version (test_the_sidecar_is_killed_and_started_before_its_order_is_accepted, once in two runs). It now reads them until it succeeds.

--- a/gypsumpier/sidecar/inheritance.py
+++ b/gypsumpier/sidecar/inheritance.py
@@ -10,7 +10,7 @@
 
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
-from gypsumpier.piece.engine import digest_of
+from gypsumpier.piece.engine import PieceList, digest_of
 from gypsumpier.sidecar.stager import CONCURRENT_READS, Stager
 from gypsumpier.tasks import in_parallel
 
@@ -20,6 +20,8 @@
 
 LIST_TIMEOUT_S: Final = 1.0
 """Seconds to read the digests of one version; no process may have those of an old one."""
+LIST_ATTEMPTS: Final = 2
+"""Attempts to read the digests of a version other than the first."""
 
 
 async def inherited_version(
@@ -27,8 +29,9 @@
 ) -> int | None:
     """Return the version of which all pieces were staged; None if there is none or it is unknown.
 
-    ``versions`` are those to compare with, of which some must be read from other processes.
-    Pieces of a second version show that the first one's order was no longer pending.
+    Of ``versions``, those to compare with, the first is the one to be loaded; the digests of the
+    others may no longer be had.  Pieces of a second version show that the first one's order was no
+    longer pending.  Raises GypsumpierError where the staged pieces or the first list can't be read.
     """
     staged: list[str] = []
     matches: dict[int, set[int]] = {}
@@ -37,11 +40,8 @@
         staged = staged or await staged_digests(stager, piece_count)
         if not staged:
             return None
-        try:
-            async with asyncio.timeout(LIST_TIMEOUT_S):
-                listed = await stager.read_list()
-        except (GypsumpierError, TimeoutError) as error:
-            decision("staged_version_unread", version=version, reason=repr(error))
+        listed = await stager.read_list() if not matches else await older_list(stager)
+        if listed is None:
             continue
         pairs = enumerate(zip(listed.digests, staged, strict=False))
         matches[version] = {number for number, (digest, found) in pairs if digest.lower() == found}
@@ -51,6 +51,17 @@
     return None
 
 
+async def older_list(stager: Stager) -> PieceList | None:
+    """Return the digests of a version; None where no attempt succeeds."""
+    for _ in range(LIST_ATTEMPTS):
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                return await stager.read_list()
+        except (GypsumpierError, TimeoutError) as error:
+            decision("staged_version_unread", version=stager.version, reason=repr(error))
+    return None
+
+
 async def staged_digests(stager: Stager, piece_count: int) -> list[str]:
     """Return the digest of each staged piece; an empty list if any is missing."""
     digests: dict[int, str] = {}
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -113,15 +113,18 @@
         named = [wanted.version for wanted in self.fleet_state.versions.get(model, [])]
         newest_first = sorted({FIRST_VERSION, *named}, reverse=True)[:COMPARED_VERSIONS]
         versions = dict.fromkeys([newest_first[0], held or newest_first[0], *newest_first])
-        try:
-            version = await inherited_version(
-                lambda version: self.known_stager(model, version), versions, traits.piece_count
-            )
-        except GypsumpierError as error:
-            decision("staged_version_unread", reason=error.detail)
-            return
-        report = self.watch.report
-        if version is not None and report is not None and self.held(traits) != version:
+        while True:
+            report = self.watch.report
+            try:
+                version = await inherited_version(
+                    lambda version: self.known_stager(model, version), versions, traits.piece_count
+                )
+                if report is not None:
+                    break
+            except GypsumpierError as error:
+                decision("staged_version_unread", reason=error.detail)
+            await asyncio.sleep(RETRY_PAUSE_S)
+        if version is not None and self.held(traits) != version:
             self.stage.assume_order(model, version, report)
 
     def traits(self) -> ModelTraits | None:
