--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -316,14 +316,14 @@
     def is_waiting_for_turn(self) -> bool:
         """Return whether the engine has layers loaded and its turn is still to come.
 
-        An order that was sent already may be accepted at any time, and is repeated at once.
+        An order that was sent already may be accepted at any time, and is repeated at once.  So is
+        one that is assumed for a version before the newest, whose turn is over.
         """
-        pending = self.stage.pending
-        if pending is not None and not pending.is_assumed:
-            return False
+        pending, report = self.stage.pending, self.watch.report
         turn = self.schedule.turn(self.service, self.watch.address)
-        report = self.watch.report
-        return turn is not None and bool(report and report.layers) and boot_time_s() < turn.at_s
+        if turn is None or report is None or not report.layers or boot_time_s() >= turn.at_s:
+            return False
+        return pending is None or (pending.is_assumed and pending.version == turn.version)
 
     def is_stalled(
         self, stager: Stager, fetching: "asyncio.Task[None]", traits: ModelTraits
