--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -27,7 +27,7 @@
 """Seconds after the naming until which they are, and until which the late engine gets its pieces:
 past the limit of 8."""
 LATE_STAGE_S: Final = 1.3
-"""Seconds to stage one of 16 pieces, two at a time, so that all take longer than SLOW_UNTIL_S."""
+"""Seconds to stage one of 16 pieces, so that all take longer than SLOW_UNTIL_S."""
 SLOW_EVENT_PAUSE_S: Final = 0.8
 """Seconds between events of a slow engine; below 1, from which entries take it for silent."""
 SLOW_LINK_S: Final = 0.9
@@ -52,6 +52,12 @@
 FAULTY_SHARE: Final = 0.5
 BUSY_EVENT_PAUSE_S: Final = 0.2
 """Seconds between events with which the callers fill the slots of all engines."""
+LATE_ORDER_S: Final = (2.2, 5.0)
+"""Seconds after which engines accept late orders; a call ends without an answer after 2."""
+LATE_ORDERS_MAX: Final = 2
+"""Orders in a row that an engine accepts late."""
+NEXT_NAMING_S: Final = (4.0, 8.0)
+"""Seconds between two namings; the first version is ordered in between."""
 SECOND_STOP_S: Final = (0.0, 4.0)
 """Seconds between two stops that overlap; a stop lasts up to 8."""
 
@@ -134,7 +140,7 @@
                 self.lose_answers_of_store,
             ),
             *(self.forget_history, self.lose_origin, self.spoil_origin, self.kill_all),
-            *(self.leave_odd_entries, self.stop),
+            *(self.leave_odd_entries, self.stop, self.late_orders),
         ]
 
     def planned(self) -> list[Callable[[], Awaitable[None]]]:
@@ -237,6 +243,19 @@
             engine.crash()
             self.deployment.proxies[engine.name].cut()
 
+    async def late_orders(self) -> None:
+        """Name two versions while engines accept orders late and don't answer them."""
+        async with self.window("late_orders", "engines"):
+            for engine in self.deployment.engines():
+                engine.late_calls.late_s = self.rng.uniform(*LATE_ORDER_S)
+                engine.late_orders = self.rng.randint(1, LATE_ORDERS_MAX)
+            self.name()
+            await asyncio.sleep(self.rng.uniform(*NEXT_NAMING_S))
+            self.name()
+            await asyncio.sleep(LATE_ORDER_S[1])
+            for engine in self.deployment.engines():
+                engine.late_orders = 0
+
     async def cut_upstream(self) -> None:
         name = self.upstream()
         async with self.window("cut_upstream", name):
