Take an unload for carried out once it is sent, also without an answer

Callers saw a version that the document names vanish from an engine that still offered it, with their requests on it. Worse, an engine could load what was left of a version.

Cause: an unload without an answer within 10 s, or whose caller was cancelled by a newer document, was taken for one that was never given. The content was offered again at once, and the unload ordered again, so several could be on their way. A version that is live when it is named again gets no order, so no higher fence closes the older unload. Where a second unload took effect while the version was staged again between two reports, free memory didn't grow, and the rest was loaded.

Evidence: the three orders of events of LateUnloadTest, in virtual time with an engine that carries out calls late and honours fences.

Why it works: Unloads holds each sent unload until a report shows its effect, the engine's incarnation has changed or 30 s have passed. Until then the content isn't live for this agent: not offered, not counted towards what may be unloaded next, not staged and not unloaded again. So at most one unload of a content is on its way, and its effect is seen before the content is staged. The old version keeps serving meanwhile. The price: an unload that is lost without the engine's end is repeated after 30 s, no longer at the next report.

The retirement belongs to Unloads now; test_weight_switch sets it there, its checks are unchanged.

--- a/gypsumpier/test/fleet.py
+++ b/gypsumpier/test/fleet.py
@@ -16,6 +16,7 @@
 from gypsumpier.test.fakes_weight import FakeDocuments, FakeEngine, FakeMembers, FakeStore
 from gypsumpier.test.network import Network
 from gypsumpier.test.virtual import VirtualClock
+from gypsumpier.weight.inputs import Retirement
 from gypsumpier.weight.phase import LIVE
 from gypsumpier.weight.rollout import Rollout
 
@@ -50,6 +51,7 @@
         self.documents = FakeDocuments()
         self.members = fleet.members
         self.engine = FakeEngine()
+        self.retirement: Retirement | None = None
         self.starts = 0
         self.rollout = self.build()
 
@@ -67,6 +69,7 @@
             self.fleet.origin,
             self.fleet.network.dialer(self.host),
             Random(f"{self.fleet.seed}/{self.number}/{self.starts}"),
+            self.retirement,
         )
 
     async def start(self) -> None:
--- a/gypsumpier/test/test_weight_switch.py
+++ b/gypsumpier/test/test_weight_switch.py
@@ -198,7 +198,7 @@
         fleet = await live_fleet(1)
         one = fleet.agents[0]
         retirement = SlowRetirement()
-        one.rollout.context.retirement = retirement
+        one.rollout.unloads.retirement = retirement
         fleet.name("v2")
         while not retirement.retired:
             await asyncio.sleep(0.1)
--- /dev/null
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -0,0 +1,185 @@
+"""Tests of calls to an engine that get no answer and take effect later."""
+
+import asyncio
+import unittest
+from typing import Final
+
+from gypsumpier.external.engine import LiveModel, LoadOrder
+from gypsumpier.external.http import CALL_TIMEOUT_S
+from gypsumpier.test.fleet import CHUNK_BYTES, Fleet, FleetAgent
+from gypsumpier.test.lateengine import LateEngine
+from gypsumpier.test.virtual import run, virtual
+
+SIZE: Final = 32 * CHUNK_BYTES
+SETTLED_S: Final = 120.0
+"""Time after which every call of a test has taken effect and every retry is over."""
+
+
+class WatchedRetirement:
+    """The contents that are offered to requests; retiring one takes a second."""
+
+    def __init__(self) -> None:
+        self.retired: set[LiveModel] = set()
+
+    async def retire(self, live: LiveModel) -> None:
+        """Stop offering the content and wait, as for running requests."""
+        self.retired.add(live)
+        await asyncio.sleep(1)
+
+    def restore(self, live: LiveModel) -> None:
+        """Offer the content again."""
+        self.retired.discard(live)
+
+
+class WatchedEngine(LateEngine):
+    """An engine that counts the contents that were unloaded although they were offered."""
+
+    def __init__(self, retirement: WatchedRetirement) -> None:
+        super().__init__()
+        self.retirement = retirement
+        self.unloaded_in_use: list[str] = []
+        self.unloaded: list[str] = []
+
+    def accept_order(self, action: str, order: LoadOrder) -> None:
+        super().accept_order(action, order)
+        content = LiveModel(order.model, order.version, order.digest)
+        if action == "unload" and content in self.live:
+            self.unloaded.append(order.version)
+            if content not in self.retirement.retired:
+                self.unloaded_in_use.append(order.version)
+        # What is gone is offered again as soon as it is loaded.
+        self.retirement.retired &= set(self.live) - {content}
+
+
+class LateFleet:
+    """A fleet of one agent beside a ``WatchedEngine``; v1 is live, v2 and v3 are published."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet({"bac": 1})
+        self.retirement = WatchedRetirement()
+        self.engine = WatchedEngine(self.retirement)
+        self.agent.engine = self.engine
+        self.agent.retirement = self.retirement
+        self.build()
+
+    @property
+    def agent(self) -> FleetAgent:
+        """The only agent."""
+        return self.fleet.agents[0]
+
+    def build(self) -> None:
+        """Make the agent a newly started process beside the same engine."""
+        self.agent.documents.callbacks.clear()
+        self.agent.rollout = self.agent.build()
+
+    async def start(self) -> None:
+        """Start the agent and wait until v1 is live."""
+        for seed, version in enumerate(["v1", "v2", "v3"]):
+            self.fleet.publish(version, SIZE, seed)
+        await self.fleet.start()
+        self.fleet.name("v1")
+        await self.fleet.wait_live("v1")
+
+    async def restart_agent(self) -> None:
+        """Kill the agent and start it again beside the same engine."""
+        await self.agent.kill()
+        self.retirement.retired.clear()
+        self.build()
+        self.fleet.list_members()
+        await self.agent.start()
+
+    def phases(self) -> dict[str, str]:
+        """Return the phase of each named version."""
+        return {view.version: view.phase for view in self.agent.rollout.transfers()}
+
+    async def wait_sent(self, kind: str) -> None:
+        """Wait until the late calls of a kind have been sent."""
+        while self.engine.late_s[kind]:
+            await asyncio.sleep(0.01)
+
+    async def wait_unanswered(self, count: int) -> None:
+        """Wait until that many calls had no answer."""
+        while self.engine.unanswered < count:
+            await asyncio.sleep(0.01)
+
+
+class LateUnloadTest(unittest.TestCase):
+    @virtual
+    async def test_a_version_that_is_named_again_before_a_late_unload_is_not_offered(self) -> None:
+        # An unload without an answer was taken for one not given, and the version offered again.
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["unload"] = [CALL_TIMEOUT_S + 2]
+        late.fleet.name("v2")
+        await late.wait_unanswered(1)
+        late.fleet.name("v1", "v2")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual([], late.engine.unloaded_in_use)
+        self.assertEqual(["v1", "v2"], sorted(late.engine.versions()))
+        self.assertEqual({"v1": "live", "v2": "live"}, late.phases())
+        self.assertEqual(0, late.engine.bad_loads)
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_version_whose_unload_was_cancelled_is_not_offered(self) -> None:
+        # The version that needed the memory was dropped while the unload was on its way.
+        late = LateFleet()
+        await late.start()
+        late.engine.memory_bytes = SIZE + SIZE // 2
+        await asyncio.sleep(1)
+        late.engine.late_s["unload"] = [3.0]
+        late.fleet.name("v2")
+        await late.wait_sent("unload")
+        late.fleet.name("v1")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual([], late.engine.unloaded_in_use)
+        self.assertEqual(["v1"], late.engine.versions())
+        self.assertEqual({"v1": "live"}, late.phases())
+        self.assertEqual(0, late.engine.bad_loads)
+        await late.fleet.stop()
+
+    def test_a_late_unload_does_not_drop_what_is_being_staged_again(self) -> None:
+        # A repeated unload took effect while the version was staged again; what was left of it
+        # was loaded.
+        for step in range(40):
+            self.assertEqual(0, run(bad_loads_with_late_unload(step * 0.02)), step)
+
+    @virtual
+    async def test_an_unload_that_never_takes_effect_is_ordered_again(self) -> None:
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["unload"] = [1e6]
+        late.fleet.name("v2")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(["v2"], late.engine.versions())
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_version_whose_unload_never_takes_effect_is_offered_again(self) -> None:
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["unload"] = [1e6]
+        late.fleet.name("v2")
+        await late.wait_unanswered(1)
+        late.fleet.name("v1", "v2")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(set(), late.retirement.retired)
+        self.assertEqual({"v1": "live", "v2": "live"}, late.phases())
+        self.assertEqual([], late.engine.unloaded)
+        await late.fleet.stop()
+
+
+async def bad_loads_with_late_unload(delay_s: float) -> int:
+    """Return the bad loads where v1 is named again between two unloads of it."""
+    late = LateFleet()
+    await late.start()
+    late.engine.late_s["unload"] = [CALL_TIMEOUT_S + 6 + delay_s]
+    late.fleet.name("v2")
+    await late.wait_sent("unload")
+    await asyncio.sleep(CALL_TIMEOUT_S + 6)
+    late.engine.stage_s = 0.02
+    late.fleet.name("v1", "v2")
+    await asyncio.sleep(SETTLED_S)
+    assert late.phases() == {"v1": "live", "v2": "live"}
+    await late.fleet.stop()
+    return late.engine.bad_loads
--- a/gypsumpier/weight/context.py
+++ b/gypsumpier/weight/context.py
@@ -7,10 +7,11 @@
 from gypsumpier.document.service import Accepted, ServiceDocument
 from gypsumpier.options import Options
 from gypsumpier.weight.cache import ChunkCache
-from gypsumpier.weight.inputs import Documents, Members, Retirement, WeightEngine
+from gypsumpier.weight.inputs import Documents, Members, WeightEngine
 from gypsumpier.weight.monitor import EngineMonitor
 from gypsumpier.weight.order import Orders
 from gypsumpier.weight.storereader import StoreReader
+from gypsumpier.weight.unloads import Unloads
 
 VersionKey = tuple[str, str]
 
@@ -27,9 +28,9 @@
     engine: WeightEngine
     monitor: EngineMonitor
     orders: Orders
+    unloads: Unloads
     store_reader: StoreReader
     cache: ChunkCache
-    retirement: Retirement
 
     def accepted(self) -> Accepted | None:
         """Return the service's accepted document, or None where none has been accepted yet."""
--- a/gypsumpier/weight/memoryreclaim.py
+++ b/gypsumpier/weight/memoryreclaim.py
@@ -51,7 +51,7 @@
         key = (self.manifest.model, self.manifest.version)
         return [
             live
-            for live in self.context.monitor.live()
+            for live in self.context.unloads.live()
             if (live.model, live.version) not in named or (live.model, live.version) == key
         ]
 
@@ -87,17 +87,21 @@
         retired = self.replaceable()
         try:
             for live in retired:
-                await self.context.retirement.retire(live)
+                await self.context.unloads.retire(live)
             for live in self.replaceable():
                 decided = self.decider.decide(f"{self.manifest.version} needs the memory")
-                await self.context.orders.unload(decided, *live)
-            while self.is_memory_short() and self.replaceable():
-                await self.context.monitor.next_report()
+                await self.context.unloads.unload(decided, live)
+            await self.wait_unloaded()
         finally:
             self.restore(retired)
 
+    async def wait_unloaded(self) -> None:
+        """Wait for the unloads that may still free memory, as long as it is short."""
+        while self.is_memory_short() and self.context.unloads.sent:
+            await self.context.monitor.next_report()
+
     def restore(self, retired: list[LiveModel]) -> None:
         """Restore retired contents that are still live, because they were not unloaded."""
         for live in retired:
             if live in self.context.monitor.live():
-                self.context.retirement.restore(live)
+                self.context.unloads.restore(live)
--- a/gypsumpier/weight/monitor.py
+++ b/gypsumpier/weight/monitor.py
@@ -61,6 +61,10 @@
         assert self.status is not None
         return self.status
 
+    def incarnation(self) -> str:
+        """Return the engine's last reported incarnation, or empty where it reports none."""
+        return "" if self.status is None else self.status.incarnation
+
     def live(self) -> list[LiveModel]:
         """Return the contents that the engine last reported as live."""
         return [] if self.status is None else self.status.live
--- a/gypsumpier/weight/rollout.py
+++ b/gypsumpier/weight/rollout.py
@@ -11,7 +11,7 @@
 from gypsumpier.clock import Clock
 from gypsumpier.document.service import Accepted
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.engine import EngineStatus, LiveModel
+from gypsumpier.external.engine import LiveModel
 from gypsumpier.external.store import Store
 from gypsumpier.log import decision
 from gypsumpier.options import Options
@@ -23,6 +23,7 @@
 from gypsumpier.weight.order import Orders
 from gypsumpier.weight.storereader import StoreReader
 from gypsumpier.weight.swarm import Swarm
+from gypsumpier.weight.unloads import Unloads
 from gypsumpier.weight.version import VersionRollout
 from gypsumpier.weight.view import TransferView
 from gypsumpier.wire.stream import Dialer, Stream
@@ -50,6 +51,7 @@
         self.monitor = EngineMonitor(options, clock, engine)
         self.orders = Orders(clock, engine)
         self.decider = Decider(options, clock, documents, members)
+        self.unloads = Unloads(clock, self.monitor, self.orders, retirement or NoRetirement())
         self.context = RolloutContext(
             options=options,
             clock=clock,
@@ -59,9 +61,9 @@
             engine=engine,
             monitor=self.monitor,
             orders=self.orders,
+            unloads=self.unloads,
             store_reader=StoreReader(clock, random, store, origin),
             cache=ChunkCache(options.weight_memory_bytes),
-            retirement=retirement or NoRetirement(),
         )
         self.swarm = Swarm(self.context, dialer)
         self.versions: dict[VersionKey, VersionRollout] = {}
@@ -74,6 +76,7 @@
         self.tasks = [
             asyncio.create_task(self.monitor.run()),
             asyncio.create_task(self.decider.run()),
+            asyncio.create_task(self.unloads.run()),
             asyncio.create_task(self.unload_loop()),
             asyncio.create_task(self.swarm.run()),
             asyncio.create_task(self.swarm.catalogue.run()),
@@ -126,45 +129,45 @@
     async def unload_loop(self) -> None:
         """After each engine report, unload the contents that the document no longer names."""
         while True:
-            status = await self.monitor.next_report()
+            await self.monitor.next_report()
             try:
-                await self.unload_unnamed(status)
+                await self.unload_unnamed()
             except GypsumpierError as error:
                 decision("unload_failed", reason=str(error))
 
-    async def unload_unnamed(self, status: EngineStatus) -> None:
+    async def unload_unnamed(self) -> None:
         """Unload superseded contents once every named version is live."""
         if self.context.accepted() is None:
             return
-        kept = self.named_and_live(status)
+        kept = self.named_and_live()
         if kept is None:
             return
-        for live in [live for live in status.live if live not in kept]:
+        for live in [live for live in self.unloads.live() if live not in kept]:
             await self.unload(live)
 
     async def unload(self, live: LiveModel) -> None:
         """Retire a content and unload it, unless it is needed again once it is retired."""
-        retirement = self.context.retirement
-        await retirement.retire(live)
-        kept = self.named_and_live(await self.monitor.next_report())
+        await self.unloads.retire(live)
+        await self.monitor.next_report()
+        kept = self.named_and_live()
         if kept is None or live in kept:
             decision("unload_dropped", version=live.version, reason="it is still needed")
-            retirement.restore(live)
+            self.unloads.restore(live)
             return
         try:
             decided = self.decider.decide(
                 f"{live.version} is no longer named or its content has changed"
             )
-            await self.orders.unload(decided, *live)
+            await self.unloads.unload(decided, live)
         except GypsumpierError:
-            retirement.restore(live)
+            self.unloads.restore(live)
             raise
 
-    def named_and_live(self, status: EngineStatus) -> list[LiveModel] | None:
+    def named_and_live(self) -> list[LiveModel] | None:
         """Return the named contents if all of them are live, or else None."""
         kept = []
         for version in self.versions.values():
-            live = version.live_content(status)
+            live = version.live_content()
             if live is None:
                 return None
             kept.append(live)
--- a/gypsumpier/weight/standings.py
+++ b/gypsumpier/weight/standings.py
@@ -43,7 +43,7 @@
 
     def post(self) -> None:
         """Send this agent's standing if it has changed or POST_INTERVAL_S has passed."""
-        live = [model.digest for model in self.context.monitor.live()]
+        live = [model.digest for model in self.context.unloads.live()]
         last = self.known.get(self.options.name)
         unchanged = last is not None and (last.live, last.out) == (live, self.out)
         if unchanged and self.clock.monotonic() - self.posted_at_s < POST_INTERVAL_S:
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -12,7 +12,7 @@
 from gypsumpier.codes.platform import PLATFORM_REFUSED
 from gypsumpier.codes.weight import DECISION_TOO_OLD, WRONG_CONTENT
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.engine import EngineStatus, LiveModel
+from gypsumpier.external.engine import LiveModel
 from gypsumpier.log import decision
 from gypsumpier.weight import phase
 from gypsumpier.weight.context import RolloutContext, VersionKey
@@ -78,6 +78,8 @@
         self.manifest = manifest
         if self.context.monitor.status is None:
             await self.context.monitor.next_report()
+        if not self.is_live(manifest):
+            await self.context.unloads.wait_settled(*self.key)
         if not self.is_live(manifest):
             transfer = self.transfer_of(manifest)
             await self.reclaim_memory(transfer)
@@ -119,6 +121,7 @@
     async def reclaim_memory(self, transfer: Transfer) -> None:
         """If the old and the new content don't fit together, free engine memory in turn."""
         reclaim = MemoryReclaim(self.context, self.decider, self.swarm.standings, transfer)
+        await reclaim.wait_unloaded()
         if not reclaim.is_memory_short():
             return
         self.phase = phase.TURN
@@ -183,7 +186,7 @@
             if (live.model, live.version) != self.key or live.digest == manifest.digest:
                 continue
             decided = self.decider.decide("the engine reports a content other than the one ordered")
-            await self.context.orders.unload(decided, *live)
+            await self.context.unloads.unload(decided, live)
             if self.transfer is not None:
                 self.transfer.reset()
             raise GypsumpierError(
@@ -206,17 +209,16 @@
         if self.transfer is not None:
             self.transfer.reset()
 
-    def live_content(self, status: EngineStatus) -> LiveModel | None:
-        """Return this version's current content if the engine reports it as live, or else None."""
-        if self.manifest is None:
+    def live_content(self) -> LiveModel | None:
+        """Return this version's current content if it is live, or else None."""
+        if self.manifest is None or not self.is_live(self.manifest):
             return None
-        wanted = LiveModel(self.model, self.version, self.manifest.digest)
-        return wanted if wanted in status.live else None
+        return LiveModel(self.model, self.version, self.manifest.digest)
 
     def is_live(self, manifest: Manifest) -> bool:
-        """Return whether the engine reports exactly this content as live."""
+        """Return whether the engine reports exactly this content as live and is to keep it."""
         wanted = LiveModel(self.model, self.version, manifest.digest)
-        return wanted in self.context.monitor.live()
+        return wanted in self.context.unloads.live()
 
     def view(self, revision: int, live_by_wall_s: float | None) -> TransferView:
         """Return the state of the transfer, for the administration API."""
