Decide anew before each unload that frees memory

Callers saw a version that the document names taken out of an engine, and requests cut on a version that had not been retired.

Cause: the contents to unload were listed once, after the retirement; each unload may take seconds. A version named again during an earlier unload was unloaded by the new revision's fence. And a version that the document dropped during the retirement of another one joined the list without having been retired itself.

Evidence: the two tests of RecheckTest. Without this change they fail: v2 is unloaded although named, and v2 is unloaded while offered.

--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -92,6 +92,11 @@
         """Return the phase of each named version."""
         return {view.version: view.phase for view in self.agent.rollout.transfers()}
 
+    async def wait_phase(self, version: str, phase: str) -> None:
+        """Wait until a version is in that phase."""
+        while self.phases().get(version) != phase:
+            await asyncio.sleep(0.01)
+
     async def wait_sent(self, kind: str) -> None:
         """Wait until the late calls of a kind have been sent."""
         while self.engine.late_s[kind]:
@@ -183,3 +188,53 @@
     assert late.phases() == {"v1": "live", "v2": "live"}
     await late.fleet.stop()
     return late.engine.bad_loads
+
+
+class RecheckTest(unittest.TestCase):
+    @virtual
+    async def test_a_version_named_during_a_slow_unload_of_another_one_is_not_unloaded(
+        self,
+    ) -> None:
+        # All that was replaceable before the first unload was unloaded, also after it.
+        late = await fleet_short_of_memory()
+        unload = late.engine.unload
+
+        async def unload_slowly(order: LoadOrder) -> None:
+            await asyncio.sleep(4)
+            await unload(order)
+
+        late.engine.unload = unload_slowly  # type: ignore[method-assign]
+        late.fleet.name("v3")
+        await late.wait_phase("v3", "drain")
+        await asyncio.sleep(3)
+        self.assertEqual([], late.engine.unloaded)
+        late.fleet.name("v2", "v3")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(["v1"], late.engine.unloaded)
+        self.assertEqual({"v2": "live", "v3": "live"}, late.phases())
+        self.assertEqual(set(), late.retirement.retired)
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_version_dropped_while_another_one_is_retired_is_retired_itself(self) -> None:
+        # What became replaceable during the retirement was unloaded while requests ran on it.
+        late = await fleet_short_of_memory()
+        late.fleet.name("v2", "v3")
+        await late.wait_phase("v3", "drain")
+        await asyncio.sleep(0.5)
+        late.fleet.name("v3")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual([], late.engine.unloaded_in_use)
+        self.assertEqual(["v3"], late.engine.versions())
+        await late.fleet.stop()
+
+
+async def fleet_short_of_memory() -> LateFleet:
+    """Return a fleet with v1 and v2 live, whose engine has no space for a third version."""
+    late = LateFleet()
+    await late.start()
+    late.fleet.name("v1", "v2")
+    await asyncio.sleep(10)
+    late.engine.memory_bytes = 2 * SIZE + SIZE // 2
+    await asyncio.sleep(1)
+    return late
--- a/gypsumpier/weight/memoryreclaim.py
+++ b/gypsumpier/weight/memoryreclaim.py
@@ -88,9 +88,11 @@
         try:
             for live in retired:
                 await self.context.unloads.retire(live)
-            for live in self.replaceable():
-                decided = self.decider.decide(f"{self.manifest.version} needs the memory")
-                await self.context.unloads.unload(decided, live)
+            for live in retired:
+                # The document may have changed while earlier contents were retired or unloaded.
+                if live in self.replaceable():
+                    decided = self.decider.decide(f"{self.manifest.version} needs the memory")
+                    await self.context.unloads.unload(decided, live)
             await self.wait_unloaded()
         finally:
             self.restore(retired)
