Let only one task at a time retire contents of an engine

Callers saw requests cut on an older version that was unloaded while it was offered.

Cause: the version was being retired because all named versions were live, when a further version was named that needed its memory. Both tasks retired it. The first one found it needed again at the end of its wait and offered it, while the second one went on to unload it.

Evidence: test_a_version_retired_for_two_reasons_is_offered_only_if_neither_holds; without this change v1 is unloaded while offered.

Why it works: a lock is held from the retirement of contents until each is unloaded or offered again, and the second task looks at what is live once it has the lock.

--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -16,15 +16,16 @@
 
 
 class WatchedRetirement:
-    """The contents that are offered to requests; retiring one takes a second."""
+    """The contents that are offered to requests; retiring one takes ``retire_s``."""
 
     def __init__(self) -> None:
+        self.retire_s = 1.0
         self.retired: set[LiveModel] = set()
 
     async def retire(self, live: LiveModel) -> None:
         """Stop offering the content and wait, as for running requests."""
         self.retired.add(live)
-        await asyncio.sleep(1)
+        await asyncio.sleep(self.retire_s)
 
     def restore(self, live: LiveModel) -> None:
         """Offer the content again."""
@@ -228,6 +229,24 @@
         self.assertEqual(["v3"], late.engine.versions())
         await late.fleet.stop()
 
+    @virtual
+    async def test_a_version_retired_for_two_reasons_is_offered_only_if_neither_holds(self) -> None:
+        # The end of the one retirement offered the version again, in the middle of the other one.
+        for retire_s in (1.5, 2.0, 2.5, 3.0, 4.0):
+            late = LateFleet()
+            await late.start()
+            late.retirement.retire_s = retire_s
+            late.fleet.name("v2")
+            while not late.retirement.retired:
+                await asyncio.sleep(0.01)
+            late.engine.memory_bytes = 2 * SIZE + SIZE // 2
+            late.fleet.name("v2", "v3")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual([], late.engine.unloaded_in_use)
+            self.assertEqual({"v2": "live", "v3": "live"}, late.phases())
+            self.assertEqual(["v1"], late.engine.unloaded)
+            await late.fleet.stop()
+
 
 async def fleet_short_of_memory() -> LateFleet:
     """Return a fleet with v1 and v2 live, whose engine has no space for a third version."""
--- a/gypsumpier/weight/memoryreclaim.py
+++ b/gypsumpier/weight/memoryreclaim.py
@@ -84,6 +84,12 @@
 
     async def free_memory(self) -> None:
         """Retire and unload replaceable contents; wait until the engine reports enough memory."""
+        async with self.context.unloads.turn:
+            await self.unload_replaceable()
+        await self.wait_unloaded()
+
+    async def unload_replaceable(self) -> None:
+        """Retire and unload the contents that the new one may replace."""
         retired = self.replaceable()
         try:
             for live in retired:
@@ -93,7 +99,6 @@
                 if live in self.replaceable():
                     decided = self.decider.decide(f"{self.manifest.version} needs the memory")
                     await self.context.unloads.unload(decided, live)
-            await self.wait_unloaded()
         finally:
             self.restore(retired)
 
--- a/gypsumpier/weight/rollout.py
+++ b/gypsumpier/weight/rollout.py
@@ -147,21 +147,24 @@
 
     async def unload(self, live: LiveModel) -> None:
         """Retire a content and unload it, unless it is needed again once it is retired."""
-        await self.unloads.retire(live)
-        await self.monitor.next_report()
-        kept = self.named_and_live()
-        if kept is None or live in kept:
-            decision("unload_dropped", version=live.version, reason="it is still needed")
-            self.unloads.restore(live)
-            return
-        try:
-            decided = self.decider.decide(
-                f"{live.version} is no longer named or its content has changed"
-            )
-            await self.unloads.unload(decided, live)
-        except GypsumpierError:
-            self.unloads.restore(live)
-            raise
+        async with self.unloads.turn:
+            if live not in self.unloads.live():
+                return
+            await self.unloads.retire(live)
+            await self.monitor.next_report()
+            kept = self.named_and_live()
+            if kept is None or live in kept:
+                decision("unload_dropped", version=live.version, reason="it is still needed")
+                self.unloads.restore(live)
+                return
+            try:
+                decided = self.decider.decide(
+                    f"{live.version} is no longer named or its content has changed"
+                )
+                await self.unloads.unload(decided, live)
+            except GypsumpierError:
+                self.unloads.restore(live)
+                raise
 
     def named_and_live(self) -> list[LiveModel] | None:
         """Return the named contents if all of them are live, or else None."""
--- a/gypsumpier/weight/unloads.py
+++ b/gypsumpier/weight/unloads.py
@@ -7,6 +7,7 @@
 ``EFFECT_TIMEOUT_S``, or when the engine's run has ended that it was sent to.
 """
 
+import asyncio
 from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
@@ -31,7 +32,11 @@
 
 
 class Unloads:
-    """The unloads that one engine may still carry out."""
+    """The unloads that one engine may still carry out.
+
+    ``turn`` is held from the retirement of contents until each is unloaded or offered again, so
+    that no other task offers them meanwhile.
+    """
 
     def __init__(
         self, clock: Clock, monitor: EngineMonitor, orders: Orders, retirement: Retirement
@@ -41,6 +46,7 @@
         self.orders = orders
         self.retirement = retirement
         self.sent: dict[LiveModel, SentUnload] = {}
+        self.turn = asyncio.Lock()
 
     async def run(self) -> None:
         """Settle unloads by the engine's reports until cancelled."""
