Stage a wrong content again also where its unload has no answer

Callers saw an engine load a content other than its version's once more.

Cause: what the engine had loaded in place of the ordered content was unloaded, and only an answer to that made the agent stage everything again. Without an answer the transfer still counted as verified, and the same wrong parts were loaded.

Evidence: WrongContentTest: 2 bad loads without this change, 1 with it, the one that the test makes itself.

Why it works: the staged parts are known to be wrong before the unload is sent, so the transfer is reset first.

--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -191,6 +191,28 @@
     return late.engine.bad_loads
 
 
+class WrongContentTest(unittest.TestCase):
+    @virtual
+    async def test_a_wrong_content_is_staged_again_although_its_unload_had_no_answer(self) -> None:
+        # Only an answered unload started the staging anew; the wrong parts were loaded again.
+        late = LateFleet()
+        await late.start()
+        stage = late.engine.stage
+
+        async def stage_zeros(digest: str, path: str, offset: int, content: bytes) -> None:
+            await stage(digest, path, offset, b"\0" * len(content))
+
+        late.engine.stage = stage_zeros  # type: ignore[method-assign]
+        late.engine.late_s["unload"] = [CALL_TIMEOUT_S + 2]
+        late.fleet.name("v2")
+        await late.wait_sent("unload")
+        late.engine.stage = stage  # type: ignore[method-assign]
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual({"v2": "live"}, late.phases())
+        self.assertEqual(1, late.engine.bad_loads)
+        await late.fleet.stop()
+
+
 class RecheckTest(unittest.TestCase):
     @virtual
     async def test_a_version_named_during_a_slow_unload_of_another_one_is_not_unloaded(
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -185,10 +185,11 @@
         for live in loaded:
             if (live.model, live.version) != self.key or live.digest == manifest.digest:
                 continue
-            decided = self.decider.decide("the engine reports a content other than the one ordered")
-            await self.context.unloads.unload(decided, live)
+            # What is staged is wrong whatever becomes of the unload.
             if self.transfer is not None:
                 self.transfer.reset()
+            decided = self.decider.decide("the engine reports a content other than the one ordered")
+            await self.context.unloads.unload(decided, live)
             raise GypsumpierError(
                 WRONG_CONTENT, f"instead of the ordered content the engine has loaded {live.digest}"
             )
