Order a load without an answer again only once it can't take effect any more

Callers saw an engine go back to the replaced content of a version, and lose the new one until it was staged and loaded again, 3 s and a transfer later.

Cause: a load without an answer within 10 s was ordered again at once. Both had the same fence, which increases with the document's revision only. Where the version's content was published anew under its name before the first load took effect, that load came after the newer one's and wasn't refused. A failed report, common in the stall that keeps the answer back, was taken for a restart of the engine and had the same effect.

Evidence: two tests of LateLoadTest; without this change the new content is loaded twice, and a load is ordered twice. Two others show what held before: a late load of a dropped version loads all of it and is undone, one of an older revision is fenced.

Why it works: the load counts as given, as an answered one, and its effect is waited for. It is ordered again once the engine's incarnation has changed or 30 s have passed; only an engine that reports no incarnation is still judged by failed reports and grown memory. A load that is lost on its way costs these 30 s.

--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -191,6 +191,97 @@
     return late.engine.bad_loads
 
 
+class LateLoadTest(unittest.TestCase):
+    @virtual
+    async def test_a_late_load_does_not_bring_back_a_replaced_content(self) -> None:
+        # The content was published anew under its name; both loads had the same fence.
+        late = LateFleet()
+        await late.start()
+        late.agent.options.manifest_interval_s = 1.0
+        late.engine.late_s["load"] = [CALL_TIMEOUT_S + 8]
+        late.fleet.name("v2")
+        await late.wait_unanswered(1)
+        await asyncio.sleep(3)
+        late.fleet.publish("v2", SIZE, seed=17)
+        await asyncio.sleep(SETTLED_S)
+        digests = [live.digest for live in late.engine.shown if live.version == "v2"]
+        self.assertEqual(late.engine.live[0].digest, digests[-1])
+        loaded = [order.digest for act, order in late.engine.orders if act == "load"]
+        self.assertEqual(loaded[-1], late.engine.live[0].digest)
+        self.assertEqual(1, loaded.count(loaded[-1]), "the new content was replaced once more")
+        self.assertEqual({"v2": "live"}, late.phases())
+        self.assertEqual(0, late.engine.bad_loads)
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_load_without_an_answer_is_not_repeated_after_a_failed_report(self) -> None:
+        # A stall of the engine that fails a report as well was taken for its restart.
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["load"] = [CALL_TIMEOUT_S + 8]
+        late.fleet.name("v2")
+        await late.wait_sent("load")
+        await asyncio.sleep(1)
+        late.engine.down = True
+        await asyncio.sleep(CALL_TIMEOUT_S + 2)
+        late.engine.down = False
+        await late.fleet.wait_live("v2")
+        await asyncio.sleep(SETTLED_S)
+        loaded = [order.version for act, order in late.engine.orders if act == "load"]
+        self.assertEqual(["v1", "v2"], loaded)
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_load_that_is_lost_with_the_engine_is_not_waited_for(self) -> None:
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["load"] = [1e6]
+        late.fleet.name("v2")
+        await late.wait_sent("load")
+        await asyncio.sleep(2)
+        late.engine.restart()
+        self.assertLess(await late.fleet.wait_live("v2"), CALL_TIMEOUT_S + 4)
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_late_load_of_a_dropped_version_loads_all_of_it_and_is_undone(self) -> None:
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["load"] = [3.0]
+        late.fleet.name("v2")
+        await late.wait_sent("load")
+        late.fleet.name("v1")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(["v1"], late.engine.versions())
+        self.assertIn("v2", [live.version for live in late.engine.shown])
+        self.assertEqual([], late.engine.unloaded_in_use)
+        self.assertEqual(0, late.engine.bad_loads)
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_late_load_of_an_older_revision_is_fenced(self) -> None:
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["load"] = [CALL_TIMEOUT_S + 8]
+        late.fleet.name("v2")
+        await late.wait_sent("load")
+        late.fleet.name("v3")
+        await late.fleet.wait_live("v3")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(1, len(late.engine.refused_late))
+        self.assertNotIn("v2", [live.version for live in late.engine.shown])
+        await late.fleet.stop()
+
+    @virtual
+    async def test_a_load_that_never_takes_effect_is_ordered_again(self) -> None:
+        late = LateFleet()
+        await late.start()
+        late.engine.late_s["load"] = [1e6]
+        late.fleet.name("v2")
+        await late.fleet.wait_live("v2")
+        await late.fleet.stop()
+
+
 class WrongContentTest(unittest.TestCase):
     @virtual
     async def test_a_wrong_content_is_staged_again_although_its_unload_had_no_answer(self) -> None:
--- a/gypsumpier/weight/monitor.py
+++ b/gypsumpier/weight/monitor.py
@@ -61,6 +61,10 @@
         assert self.status is not None
         return self.status
 
+    def run_name(self) -> str:
+        """Return a name that changes once orders to the engine may have been lost by its end."""
+        return self.incarnation() or f"after {self.restarts} possible restarts"
+
     def incarnation(self) -> str:
         """Return the engine's last reported incarnation, or empty where it reports none."""
         return "" if self.status is None else self.status.incarnation
--- a/gypsumpier/weight/order.py
+++ b/gypsumpier/weight/order.py
@@ -12,9 +12,11 @@
 from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
+from gypsumpier.codes.result import Outcome
 from gypsumpier.codes.weight import DECISION_TOO_OLD
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.engine import LoadOrder
+from gypsumpier.external.http import NotSentError
 from gypsumpier.log import decision
 from gypsumpier.weight.inputs import WeightEngine
 
@@ -38,6 +40,11 @@
     return (revision << START_TIME_BITS) | (int(started_wall_s) & ((1 << START_TIME_BITS) - 1))
 
 
+def may_take_effect(error: GypsumpierError) -> bool:
+    """Return whether an order that has failed with this error may still be carried out."""
+    return not isinstance(error, NotSentError) and error.code.outcome is not Outcome.NOT_RUN
+
+
 class Orders:
     """Sends orders to one engine."""
 
--- a/gypsumpier/weight/unloads.py
+++ b/gypsumpier/weight/unloads.py
@@ -11,14 +11,12 @@
 from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
-from gypsumpier.codes.result import Outcome
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.engine import LiveModel
-from gypsumpier.external.http import NotSentError
 from gypsumpier.log import decision
 from gypsumpier.weight.inputs import Retirement
 from gypsumpier.weight.monitor import EngineMonitor
-from gypsumpier.weight.order import Decision, Orders
+from gypsumpier.weight.order import Decision, Orders, may_take_effect
 
 EFFECT_TIMEOUT_S: Final = 30.0
 """Time after which an unload without effect is taken for lost."""
@@ -68,7 +66,7 @@
         try:
             await self.orders.unload(decided, *live)
         except GypsumpierError as error:
-            if isinstance(error, NotSentError) or error.code.outcome is Outcome.NOT_RUN:
+            if not may_take_effect(error):
                 self.sent.pop(live, None)
             raise
 
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -20,6 +20,7 @@
 from gypsumpier.weight.fetchrun import FetchRun
 from gypsumpier.weight.manifest import Manifest
 from gypsumpier.weight.memoryreclaim import MemoryReclaim
+from gypsumpier.weight.order import may_take_effect
 from gypsumpier.weight.swarm import Swarm
 from gypsumpier.weight.tally import ORIGIN, OTHER_REGION, REGION, STORE, Tally
 from gypsumpier.weight.transfer import Transfer
@@ -136,8 +137,10 @@
     async def load(self, manifest: Manifest) -> None:
         """Order the load once and wait for the engine to report the version as live."""
         self.phase = phase.LOAD
+        run_name = self.context.monitor.run_name()
+        before = set(self.context.monitor.live())
         await self.order_load(manifest)
-        await self.wait_live(manifest)
+        await self.wait_live(manifest, run_name, before)
 
     def record_live(self, manifest: Manifest) -> None:
         """Record and log that the engine reports the version as live."""
@@ -151,9 +154,10 @@
         )
 
     async def order_load(self, manifest: Manifest) -> None:
-        """Order the load once; raise GypsumpierError unless only the decision was too old.
+        """Order the load once; raise GypsumpierError if it is refused, unless as too old.
 
-        An engine that refuses the load has lost what was staged, so the transfer is reset.
+        A load without an answer counts as ordered: ordered again, it could take effect twice, and
+        late.  An engine that refuses the load has lost what was staged, so the transfer is reset.
         """
         try:
             decided = self.decider.decide(f"{self.version} is completely verified")
@@ -161,20 +165,24 @@
         except GypsumpierError as error:
             if error.code == PLATFORM_REFUSED and self.transfer is not None:
                 self.transfer.reset()
-            if error.code != DECISION_TOO_OLD:
+            if may_take_effect(error):
+                self.reason = str(error)
+                decision("load_unsure", model=self.model, version=self.version, reason=self.reason)
+            elif error.code != DECISION_TOO_OLD:
                 raise
 
-    async def wait_live(self, manifest: Manifest) -> None:
-        """Wait until the version is live, a timeout passes or the engine may have restarted."""
-        restarts = self.context.monitor.restarts
+    async def wait_live(self, manifest: Manifest, run_name: str, before: set[LiveModel]) -> None:
+        """Wait until the version is live, a timeout passes or the engine's run may have ended.
+
+        ``run_name`` and ``before``, which was live, are those of the time before the order.
+        """
         ordered_at_s = self.context.clock.monotonic()
-        before = set(self.context.monitor.live())
         while not self.is_live(manifest):
             status = await self.context.monitor.next_report()
             await self.unload_wrong(manifest, [one for one in status.live if one not in before])
             if self.context.clock.monotonic() - ordered_at_s > LOAD_TIMEOUT_S:
                 return
-            if self.context.monitor.restarts != restarts:
+            if self.context.monitor.run_name() != run_name:
                 return
 
     async def unload_wrong(self, manifest: Manifest, loaded: list[LiveModel]) -> None:
