Decide a load anew that was dropped as too old

Callers saw a version come up to 30 s late after a pause of the agent's process.

Cause: a load that the agent itself dropped, as its decision was too old, was then waited for like one that had been sent.

Evidence: test_a_load_dropped_as_too_old_is_decided_anew_soon; 31.95 s without this change, less than 8 s with it.

Why it works: the round ends as after a refusal, and the next one decides anew 0.5 to 1 s later, until the agent may order again, 2 s after its pause.

--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -342,6 +342,18 @@
         self.assertEqual(["v3"], late.engine.versions())
         await late.fleet.stop()
 
+    @virtual
+    async def test_a_load_dropped_as_too_old_is_decided_anew_soon(self) -> None:
+        # It was waited for like a load that had been sent, for 30 s.
+        late = LateFleet()
+        await late.start()
+        late.fleet.name("v2")
+        while late.phases().get("v2") != "transfer":
+            await asyncio.sleep(0.01)
+        late.agent.clock.paused_s += 60.0
+        self.assertLess(await late.fleet.wait_live("v2"), 8.0)
+        await late.fleet.stop()
+
     @virtual
     async def test_a_version_retired_for_two_reasons_is_offered_only_if_neither_holds(self) -> None:
         # The end of the one retirement offered the version again, in the middle of the other one.
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from gypsumpier.codes.platform import PLATFORM_REFUSED
-from gypsumpier.codes.weight import DECISION_TOO_OLD, WRONG_CONTENT
+from gypsumpier.codes.weight import WRONG_CONTENT
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.engine import LiveModel
 from gypsumpier.log import decision
@@ -154,7 +154,7 @@
         )
 
     async def order_load(self, manifest: Manifest) -> None:
-        """Order the load once; raise GypsumpierError if it is refused, unless as too old.
+        """Order the load once; raise GypsumpierError if it is refused or not sent.
 
         A load without an answer counts as ordered: ordered again, it could take effect twice, and
         late.  An engine that refuses the load has lost what was staged, so the transfer is reset.
@@ -165,11 +165,10 @@
         except GypsumpierError as error:
             if error.code == PLATFORM_REFUSED and self.transfer is not None:
                 self.transfer.reset()
-            if may_take_effect(error):
-                self.reason = str(error)
-                decision("load_unsure", model=self.model, version=self.version, reason=self.reason)
-            elif error.code != DECISION_TOO_OLD:
+            if not may_take_effect(error):
                 raise
+            self.reason = str(error)
+            decision("load_unsure", model=self.model, version=self.version, reason=self.reason)
 
     async def wait_live(self, manifest: Manifest, run_name: str, before: set[LiveModel]) -> None:
         """Wait until the version is live, a timeout passes or the engine's run may have ended.
