Rely on no report of an engine that was requested before the last part was staged

Callers could see an engine load what was left of a version after its restart.

Cause: after staging the agent waits for the next report, which would show a restart. The next one to arrive may have been requested, and made, before the restart and the last parts.

Evidence: OldReportTest, with reports that are 1.5 s old when they arrive; without this change the engine makes a bad load.

Why it works: next_report waits for a report that is requested after its call. A restart after that report was made and before the engine takes the load still isn't seen; the fake keeps old answers across a restart, which a call to a real engine doesn't survive.

--- a/gypsumpier/test/lateengine.py
+++ b/gypsumpier/test/lateengine.py
@@ -16,7 +16,8 @@
 
     Such a call takes effect that many seconds after it was sent, whatever became of its caller,
     and its caller gets no answer within the time that our client waits.  ``shown`` collects every
-    content that was live.  Each part takes ``stage_s`` seconds to be staged.
+    content that was live.  Each part takes ``stage_s`` seconds to be staged, and
+    each report is ``status_s`` seconds old when it arrives.
     """
 
     def __init__(self) -> None:
@@ -27,9 +28,11 @@
         self.shown: list[LiveModel] = []
         self.unanswered = 0
         self.stage_s = 0.0
+        self.status_s = 0.0
 
     async def status(self) -> EngineStatus:
         status = await super().status()
+        await asyncio.sleep(self.status_s)
         self.shown += [live for live in status.live if live not in self.shown]
         return status
 
--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -304,6 +304,28 @@
         await late.fleet.stop()
 
 
+class OldReportTest(unittest.TestCase):
+    @virtual
+    async def test_a_report_requested_before_the_last_part_was_staged_is_not_relied_on(
+        self,
+    ) -> None:
+        # The report that was to show a restart had been made before it.
+        for restart_s in (0.3, 0.4, 0.5, 0.6, 0.7, 0.8):
+            late = LateFleet()
+            await late.start()
+            late.engine.status_s = 1.5
+            late.engine.stage_s = 0.05
+            late.fleet.name("v2")
+            await asyncio.sleep(restart_s)
+            view = late.agent.rollout.transfers()[0]
+            self.assertLess(view.chunks_held, view.chunks)
+            late.engine.restart()
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual({"v2": "live"}, late.phases())
+            self.assertEqual(0, late.engine.bad_loads)
+            await late.fleet.stop()
+
+
 class RecheckTest(unittest.TestCase):
     @virtual
     async def test_a_version_named_during_a_slow_unload_of_another_one_is_not_unloaded(
--- a/gypsumpier/weight/monitor.py
+++ b/gypsumpier/weight/monitor.py
@@ -23,6 +23,8 @@
         self.engine = engine
         self.status: EngineStatus | None = None
         self.reports = 0
+        self.asked = 0
+        self.answered = 0
         self.restarts = 0
         self.unreachable = False
         self.reported = asyncio.Event()
@@ -35,6 +37,8 @@
 
     async def poll(self) -> None:
         """Request one report and wake the tasks that wait for it."""
+        self.asked += 1
+        number = self.asked
         try:
             status = await self.engine.status()
         except GypsumpierError:
@@ -45,6 +49,7 @@
         self.unreachable = False
         self.status = status
         self.reports += 1
+        self.answered = number
         self.reported.set()
         self.reported = asyncio.Event()
 
@@ -56,8 +61,13 @@
         return grown or status.incarnation != self.status.incarnation
 
     async def next_report(self) -> EngineStatus:
-        """Wait for the next report and return it."""
-        await self.reported.wait()
+        """Wait for a report that is requested after this call and return it.
+
+        One that is on its way already may have been made before what the caller has just done.
+        """
+        known = self.asked
+        while self.answered <= known:
+            await self.reported.wait()
         assert self.status is not None
         return self.status
 
