Show which late calls to engines the weights withstand already

Tests only, which also pass on the weights of: a part that is staged late, a late load or a late unload of a predecessor, and a late load of an older revision at an engine that ignores fences. What holds: parts lie under the digest of their content and are written again with the same bytes; a load is ordered only for a verified digest; the successor's fence is higher once it has given an order; what isn't named is unloaded when it shows.

And a test of which failures leave an order's effect open, by the codes of the adapter.

--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -4,11 +4,20 @@
 import unittest
 from typing import Final
 
+from gypsumpier.codes.platform import (
+    ORDER_FENCED,
+    PLATFORM_BAD_ANSWER,
+    PLATFORM_REFUSED,
+    PLATFORM_UNREACHABLE,
+)
+from gypsumpier.codes.weight import AGENT_SUPERSEDED, DECISION_TOO_OLD
+from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.engine import LiveModel, LoadOrder
-from gypsumpier.external.http import CALL_TIMEOUT_S
+from gypsumpier.external.http import CALL_TIMEOUT_S, NotSentError
 from gypsumpier.test.fleet import CHUNK_BYTES, Fleet, FleetAgent
 from gypsumpier.test.lateengine import LateEngine
 from gypsumpier.test.virtual import run, virtual
+from gypsumpier.weight.order import may_take_effect
 
 SIZE: Final = 32 * CHUNK_BYTES
 SETTLED_S: Final = 120.0
@@ -109,6 +118,16 @@
             await asyncio.sleep(0.01)
 
 
+class OutcomeTest(unittest.TestCase):
+    def test_only_an_order_that_was_refused_or_not_sent_takes_no_effect(self) -> None:
+        none = [PLATFORM_REFUSED, ORDER_FENCED, DECISION_TOO_OLD, AGENT_SUPERSEDED]
+        for code in none:
+            self.assertFalse(may_take_effect(GypsumpierError(code, "test")), code.name)
+        self.assertFalse(may_take_effect(NotSentError(PLATFORM_UNREACHABLE, "test")))
+        for code in (PLATFORM_UNREACHABLE, PLATFORM_BAD_ANSWER):
+            self.assertTrue(may_take_effect(GypsumpierError(code, "test")), code.name)
+
+
 class LateUnloadTest(unittest.TestCase):
     @virtual
     async def test_a_version_that_is_named_again_before_a_late_unload_is_not_offered(self) -> None:
@@ -259,18 +278,24 @@
         await late.fleet.stop()
 
     @virtual
-    async def test_a_late_load_of_an_older_revision_is_fenced(self) -> None:
-        late = LateFleet()
-        await late.start()
-        late.engine.late_s["load"] = [CALL_TIMEOUT_S + 8]
-        late.fleet.name("v2")
-        await late.wait_sent("load")
-        late.fleet.name("v3")
-        await late.fleet.wait_live("v3")
-        await asyncio.sleep(SETTLED_S)
-        self.assertEqual(1, len(late.engine.refused_late))
-        self.assertNotIn("v2", [live.version for live in late.engine.shown])
-        await late.fleet.stop()
+    async def test_a_late_load_of_an_older_revision_is_fenced_or_undone(self) -> None:
+        for fencing in (True, False):
+            late = LateFleet()
+            await late.start()
+            late.engine.fencing = fencing
+            late.engine.late_s["load"] = [CALL_TIMEOUT_S + 8]
+            late.fleet.name("v2")
+            await late.wait_sent("load")
+            late.fleet.name("v3")
+            await late.fleet.wait_live("v3")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(int(fencing), len(late.engine.refused_late))
+            shown = [live.version for live in late.engine.shown]
+            self.assertEqual(not fencing, "v2" in shown)
+            self.assertEqual(["v3"], late.engine.versions())
+            self.assertEqual([], late.engine.unloaded_in_use)
+            self.assertEqual(0, late.engine.bad_loads)
+            await late.fleet.stop()
 
     @virtual
     async def test_a_load_that_never_takes_effect_is_ordered_again(self) -> None:
@@ -282,6 +307,25 @@
         await late.fleet.stop()
 
 
+class LateStageTest(unittest.TestCase):
+    @virtual
+    async def test_a_part_that_is_staged_late_never_spoils_a_content(self) -> None:
+        for delay_s in (0.5, CALL_TIMEOUT_S + 0.1, CALL_TIMEOUT_S + 2):
+            late = LateFleet()
+            await late.start()
+            late.engine.late_s["stage"] = [delay_s, delay_s + 1, delay_s + 2]
+            late.fleet.name("v2")
+            await late.wait_sent("stage")
+            late.fleet.name("v3")
+            await late.fleet.wait_live("v3")
+            late.fleet.name("v2")
+            await late.fleet.wait_live("v2")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(["v2"], late.engine.versions())
+            self.assertEqual(0, late.engine.bad_loads)
+            await late.fleet.stop()
+
+
 class WrongContentTest(unittest.TestCase):
     @virtual
     async def test_a_wrong_content_is_staged_again_although_its_unload_had_no_answer(self) -> None:
@@ -304,6 +348,43 @@
         await late.fleet.stop()
 
 
+class RestartedAgentTest(unittest.TestCase):
+    @virtual
+    async def test_a_late_unload_of_a_predecessor_is_fenced_by_an_order_of_its_successor(
+        self,
+    ) -> None:
+        for step in range(20):
+            late = LateFleet()
+            await late.start()
+            late.engine.late_s["unload"] = [8.0 + step * 0.05]
+            late.fleet.name("v2")
+            await late.wait_sent("unload")
+            await late.restart_agent()
+            await late.fleet.wait_live("v2")
+            late.engine.stage_s = 0.03
+            late.fleet.name("v1", "v2")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(1, len(late.engine.refused_late))
+            self.assertEqual({"v1": "live", "v2": "live"}, late.phases())
+            self.assertEqual(0, late.engine.bad_loads)
+            await late.fleet.stop()
+
+    @virtual
+    async def test_a_late_load_of_a_predecessor_loads_a_whole_content(self) -> None:
+        for delay_s in (1.0, 2.0, 2.5, 3.0, 4.0, 8.0):
+            late = LateFleet()
+            await late.start()
+            late.engine.late_s["load"] = [delay_s]
+            late.fleet.name("v2")
+            await late.wait_sent("load")
+            late.engine.stage_s = 0.03
+            await late.restart_agent()
+            await late.fleet.wait_live("v2")
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(0, late.engine.bad_loads)
+            await late.fleet.stop()
+
+
 class OldReportTest(unittest.TestCase):
     @virtual
     async def test_a_report_requested_before_the_last_part_was_staged_is_not_relied_on(
