--- a/gypsumpier/weight/memoryreclaim.py
+++ b/gypsumpier/weight/memoryreclaim.py
@@ -51,7 +51,7 @@
         key = (self.manifest.model, self.manifest.version)
         return [
             live
-            for live in self.context.monitor.live()
+            for live in self.context.unloads.live()
             if (live.model, live.version) not in named or (live.model, live.version) == key
         ]
 
@@ -84,20 +84,31 @@
 
     async def free_memory(self) -> None:
         """Retire and unload replaceable contents; wait until the engine reports enough memory."""
+        async with self.context.unloads.turn:
+            await self.unload_replaceable()
+        await self.wait_unloaded()
+
+    async def unload_replaceable(self) -> None:
+        """Retire and unload the contents that the new one may replace."""
         retired = self.replaceable()
         try:
             for live in retired:
-                await self.context.retirement.retire(live)
-            for live in self.replaceable():
-                decided = self.decider.decide(f"{self.manifest.version} needs the memory")
-                await self.context.orders.unload(decided, *live)
-            while self.is_memory_short() and self.replaceable():
-                await self.context.monitor.next_report()
+                await self.context.unloads.retire(live)
+            for live in retired:
+                # The document may have changed while earlier contents were retired or unloaded.
+                if live in self.replaceable():
+                    decided = self.decider.decide(f"{self.manifest.version} needs the memory")
+                    await self.context.unloads.unload(decided, live)
         finally:
             self.restore(retired)
 
+    async def wait_unloaded(self) -> None:
+        """Wait for the unloads that may still free memory, as long as it is short."""
+        while self.is_memory_short() and self.context.unloads.sent:
+            await self.context.monitor.next_report()
+
     def restore(self, retired: list[LiveModel]) -> None:
         """Restore retired contents that are still live, because they were not unloaded."""
         for live in retired:
             if live in self.context.monitor.live():
-                self.context.retirement.restore(live)
+                self.context.unloads.restore(live)
--- a/gypsumpier/weight/version.py
+++ b/gypsumpier/weight/version.py
@@ -10,9 +10,9 @@
 from typing import Final
 
 from gypsumpier.codes.platform import PLATFORM_REFUSED
-from gypsumpier.codes.weight import DECISION_TOO_OLD, WRONG_CONTENT
+from gypsumpier.codes.weight import WRONG_CONTENT
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.engine import EngineStatus, LiveModel
+from gypsumpier.external.engine import LiveModel
 from gypsumpier.log import decision
 from gypsumpier.weight import phase
 from gypsumpier.weight.context import RolloutContext, VersionKey
@@ -20,6 +20,7 @@
 from gypsumpier.weight.fetchrun import FetchRun
 from gypsumpier.weight.manifest import Manifest
 from gypsumpier.weight.memoryreclaim import MemoryReclaim
+from gypsumpier.weight.order import may_take_effect
 from gypsumpier.weight.swarm import Swarm
 from gypsumpier.weight.tally import ORIGIN, OTHER_REGION, REGION, STORE, Tally
 from gypsumpier.weight.transfer import Transfer
@@ -78,6 +79,8 @@
         self.manifest = manifest
         if self.context.monitor.status is None:
             await self.context.monitor.next_report()
+        if not self.is_live(manifest):
+            await self.context.unloads.wait_settled(*self.key)
         if not self.is_live(manifest):
             transfer = self.transfer_of(manifest)
             await self.reclaim_memory(transfer)
@@ -119,6 +122,7 @@
     async def reclaim_memory(self, transfer: Transfer) -> None:
         """If the old and the new content don't fit together, free engine memory in turn."""
         reclaim = MemoryReclaim(self.context, self.decider, self.swarm.standings, transfer)
+        await reclaim.wait_unloaded()
         if not reclaim.is_memory_short():
             return
         self.phase = phase.TURN
@@ -133,8 +137,10 @@
     async def load(self, manifest: Manifest) -> None:
         """Order the load once and wait for the engine to report the version as live."""
         self.phase = phase.LOAD
+        run_name = self.context.monitor.run_name()
+        before = set(self.context.monitor.live())
         await self.order_load(manifest)
-        await self.wait_live(manifest)
+        await self.wait_live(manifest, run_name, before)
 
     def record_live(self, manifest: Manifest) -> None:
         """Record and log that the engine reports the version as live."""
@@ -148,9 +154,10 @@
         )
 
     async def order_load(self, manifest: Manifest) -> None:
-        """Order the load once; raise GypsumpierError unless only the decision was too old.
+        """Order the load once; raise GypsumpierError if it is refused or not sent.
 
-        An engine that refuses the load has lost what was staged, so the transfer is reset.
+        A load without an answer counts as ordered: ordered again, it could take effect twice, and
+        late.  An engine that refuses the load has lost what was staged, so the transfer is reset.
         """
         try:
             decided = self.decider.decide(f"{self.version} is completely verified")
@@ -158,20 +165,23 @@
         except GypsumpierError as error:
             if error.code == PLATFORM_REFUSED and self.transfer is not None:
                 self.transfer.reset()
-            if error.code != DECISION_TOO_OLD:
+            if not may_take_effect(error):
                 raise
+            self.reason = str(error)
+            decision("load_unsure", model=self.model, version=self.version, reason=self.reason)
+
+    async def wait_live(self, manifest: Manifest, run_name: str, before: set[LiveModel]) -> None:
+        """Wait until the version is live, a timeout passes or the engine's run may have ended.
 
-    async def wait_live(self, manifest: Manifest) -> None:
-        """Wait until the version is live, a timeout passes or the engine may have restarted."""
-        restarts = self.context.monitor.restarts
+        ``run_name`` and ``before``, which was live, are those of the time before the order.
+        """
         ordered_at_s = self.context.clock.monotonic()
-        before = set(self.context.monitor.live())
         while not self.is_live(manifest):
             status = await self.context.monitor.next_report()
             await self.unload_wrong(manifest, [one for one in status.live if one not in before])
             if self.context.clock.monotonic() - ordered_at_s > LOAD_TIMEOUT_S:
                 return
-            if self.context.monitor.restarts != restarts:
+            if self.context.monitor.run_name() != run_name:
                 return
 
     async def unload_wrong(self, manifest: Manifest, loaded: list[LiveModel]) -> None:
@@ -182,10 +192,11 @@
         for live in loaded:
             if (live.model, live.version) != self.key or live.digest == manifest.digest:
                 continue
-            decided = self.decider.decide("the engine reports a content other than the one ordered")
-            await self.context.orders.unload(decided, *live)
+            # What is staged is wrong whatever becomes of the unload.
             if self.transfer is not None:
                 self.transfer.reset()
+            decided = self.decider.decide("the engine reports a content other than the one ordered")
+            await self.context.unloads.unload(decided, live)
             raise GypsumpierError(
                 WRONG_CONTENT, f"instead of the ordered content the engine has loaded {live.digest}"
             )
@@ -206,17 +217,16 @@
         if self.transfer is not None:
             self.transfer.reset()
 
-    def live_content(self, status: EngineStatus) -> LiveModel | None:
-        """Return this version's current content if the engine reports it as live, or else None."""
-        if self.manifest is None:
+    def live_content(self) -> LiveModel | None:
+        """Return this version's current content if it is live, or else None."""
+        if self.manifest is None or not self.is_live(self.manifest):
             return None
-        wanted = LiveModel(self.model, self.version, self.manifest.digest)
-        return wanted if wanted in status.live else None
+        return LiveModel(self.model, self.version, self.manifest.digest)
 
     def is_live(self, manifest: Manifest) -> bool:
-        """Return whether the engine reports exactly this content as live."""
+        """Return whether the engine reports exactly this content as live and is to keep it."""
         wanted = LiveModel(self.model, self.version, manifest.digest)
-        return wanted in self.context.monitor.live()
+        return wanted in self.context.unloads.live()
 
     def view(self, revision: int, live_by_wall_s: float | None) -> TransferView:
         """Return the state of the transfer, for the administration API."""
