--- a/gypsumpier/test/test_weight_unanswered.py
+++ b/gypsumpier/test/test_weight_unanswered.py
@@ -11,9 +11,9 @@
     PLATFORM_UNREACHABLE,
 )
 from gypsumpier.codes.weight import AGENT_SUPERSEDED, DECISION_TOO_OLD
-from gypsumpier.errors import GypsumpierError
+from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.engine import LiveModel, LoadOrder
-from gypsumpier.external.http import CALL_TIMEOUT_S, NotSentError
+from gypsumpier.external.http import CALL_TIMEOUT_S
 from gypsumpier.test.fleet import CHUNK_BYTES, Fleet, FleetAgent
 from gypsumpier.test.lateengine import LateEngine
 from gypsumpier.test.virtual import run, virtual
--- a/gypsumpier/weight/order.py
+++ b/gypsumpier/weight/order.py
@@ -14,9 +14,8 @@
 from gypsumpier.clock import Clock
 from gypsumpier.codes.result import Outcome
 from gypsumpier.codes.weight import DECISION_TOO_OLD
-from gypsumpier.errors import GypsumpierError
+from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.engine import LoadOrder
-from gypsumpier.external.http import NotSentError
 from gypsumpier.log import decision
 from gypsumpier.weight.inputs import WeightEngine
 
