--- /dev/null
+++ b/gypsumpier/test/standin/latecall.py
@@ -0,0 +1,39 @@
+"""Calls that an engine carries out late and doesn't answer."""
+
+import asyncio
+from typing import Any
+
+from gypsumpier.test.standin.server import StandinHandler
+
+
+class LateCalls:
+    """The calls that are still to be carried out, in the order in which they arrived.
+
+    Each is carried out ``late_s`` seconds after its arrival, or as soon as its event is set.
+    """
+
+    def __init__(self) -> None:
+        self.late_s = 4.0
+        self.waiting: list[asyncio.Event] = []
+
+    async def wait(self) -> None:
+        """Hold one call back."""
+        release = asyncio.Event()
+        self.waiting.append(release)
+        try:
+            async with asyncio.timeout(self.late_s):
+                await release.wait()
+        except TimeoutError:
+            return
+        finally:
+            self.waiting.remove(release)
+
+
+class LateCallHandler(StandinHandler):
+    """Base of handlers whose calls may go without an answer."""
+
+    def end_unanswered(self) -> None:
+        """Close the connection without an answer; the caller may have closed it before."""
+        self._auto_finish = False
+        connection: Any = self.request.connection
+        connection.stream.close()
