--- a/gypsumpier/test/standin/platformengine.py
+++ b/gypsumpier/test/standin/platformengine.py
@@ -29,7 +29,7 @@
     the loaded version changes.  It runs ``slots`` requests, None for any number, and queues
     QUEUE_LENGTH more: ``running`` counts the former, ``waiting`` holds those that have not started.
     ``link_s`` is how long a request, or a close behind it, is on its way, and ``stage_s`` how long
-    it takes to stage a piece; both in seconds.
+    it takes to stage a piece, and ``order_s`` how long an order is on its way; all in seconds.
 
     The next ``late_orders`` orders and ``late_writes`` pieces to stage are carried out as
     ``late_calls`` says, also after the caller has closed, and get no answer.  They outlive a crash:
@@ -45,6 +45,7 @@
         self.waiting: list[EngineRequestHandler] = []
         self.link_s = 0.0
         self.stage_s = 0.0
+        self.order_s = 0.0
         self.layers = layers
         self.origin = origin
         self.version = 0
@@ -183,6 +184,7 @@
         state: EngineStandin = self.state
         order = json.loads(self.request.body)
         state.received_orders.append(order)
+        await asyncio.sleep(state.order_s)
         if state.late_orders > 0:
             state.late_orders -= 1
             await state.late_calls.wait()
