--- a/gypsumpier/test/lateorderfleet.py
+++ b/gypsumpier/test/lateorderfleet.py
@@ -98,6 +98,12 @@
         """Return how many orders for a version have arrived."""
         return sum(int(order["version"]) == version for order in self.engine.received_orders)
 
+    def is_known(self, version: int) -> bool:
+        """Return whether the sidecar has logged that a version is wanted."""
+        lines = self.side.log_path.read_text().splitlines()
+        wanted = f'"event": "version_wanted", "model": "{MODEL}", "version": {version},'
+        return any(wanted in line for line in lines)
+
     def is_settled(self, version: int) -> bool:
         """Return whether the engine holds the version and no call is on its way."""
         engine = self.engine
