Test orders and staging writes that an engine carries out late, across kills, stops and restarts

Callers saw tokens from weights that aren't those of their version: an order without an answer in 2 s was taken for one not given, another version was staged, and the engine accepted the first order then. These tests play that and its neighbours with a sidecar process beside a stand-in of the engine; no product code is changed.

--- a/gypsumpier/test/lateordercase.py
+++ b/gypsumpier/test/lateordercase.py
@@ -14,7 +14,7 @@
 
 
 class LateOrderCase(unittest.IsolatedAsyncioTestCase):
-    """Base of tests with one engine that holds version 1, and version 2 named."""
+    """Base of tests with one engine that holds version 1 when its sidecar starts."""
 
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
--- a/gypsumpier/test/standin/latecall.py
+++ b/gypsumpier/test/standin/latecall.py
@@ -10,10 +10,12 @@
     """The calls that are still to be carried out, in the order in which they arrived.
 
     Each is carried out ``late_s`` seconds after its arrival, or as soon as its event is set.
+    Then its connection is closed, or stays open without an answer if ``keeps_open`` is set.
     """
 
     def __init__(self) -> None:
         self.late_s = 4.0
+        self.keeps_open = False
         self.waiting: list[asyncio.Event] = []
 
     async def wait(self) -> None:
@@ -33,7 +35,9 @@
     """Base of handlers whose calls may go without an answer."""
 
     def end_unanswered(self) -> None:
-        """Close the connection without an answer; the caller may have closed it before."""
+        """End the call without an answer; the caller may have closed the connection before."""
         self._auto_finish = False
+        if self.state.late_calls.keeps_open:
+            return
         connection: Any = self.request.connection
         connection.stream.close()
--- a/gypsumpier/test/test_late_orders.py
+++ b/gypsumpier/test/test_late_orders.py
@@ -8,6 +8,7 @@
 from gypsumpier.test.lateordercase import LateOrderCase
 from gypsumpier.test.lateorderfleet import PIECES
 
+SHORT_LATE_S: Final = 0.3
 LONG_LATE_S: Final = 6.0
 EXCUSED_S: Final = 3.0
 """Seconds before the acceptance from which a piece that turned bad has to be noticed."""
@@ -84,6 +85,16 @@
         await self.fleet.release_when(lambda: self.fleet.ordered(3) > 0)
         await self.assert_ends_whole(3)
 
+    # Guards against waiting without end for the answer to a write that has long been carried out.
+    async def test_a_write_that_is_never_answered_does_not_hold_up_its_version(self) -> None:
+        self.engine.late_calls.keeps_open = True
+        self.engine.late_calls.late_s = SHORT_LATE_S
+        self.engine.late_writes = 1
+        self.fleet.name(2)
+        await self.fleet.side.start()
+        await self.fleet.until(lambda: self.engine.late_writes == 0, "staged")
+        await self.assert_ends_whole(2)
+
 
 class EngineRestartTest(LateOrderCase):
     # Guards against taking an order for lost as its engine has restarted with the same count.
