Let writes of one version go on beside each other, and bound the wait for one that is never answered

Writes of one version harm nothing, so only the owner has to stay until all have ended; on an open connection without an answer that is for 20 s.

--- a/gypsumpier/piece/engine.py
+++ b/gypsumpier/piece/engine.py
@@ -88,8 +88,8 @@
     async def stage(self, model: str, number: int, content: bytes) -> None:
         """Stage one piece, replacing the staged piece of that number.
 
-        The call ends when the engine has answered or the connection has failed, however long that
-        takes: a write that was given up could replace a later one.
+        The call ends when the engine has answered or the connection has failed, or after a time in
+        which that was to be expected: a write that is given up could replace a later one.
         """
 
     async def staged(self, model: str, number: int) -> bytes | None:
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -17,6 +17,9 @@
 
 CALL_TIMEOUT_S: Final = 2.0
 """Timeout of a call on the same machine, which takes milliseconds unless the engine hangs."""
+WRITE_TIMEOUT_S: Final = 20.0
+"""Seconds after which a piece to stage is taken for lost if its connection still holds; engines
+carry out late calls within 6 s."""
 NOT_FOUND_STATUS: Final = 404
 CONFLICT_STATUS: Final = 409
 REFUSED_STATUSES: Final = frozenset({400, 412, 421, 429, 503})
@@ -49,7 +52,7 @@
 
     async def stage(self, model: str, number: int, content: bytes) -> None:
         target = f"/gypsumpier/stage-put/{quote(model, safe='')}?num={number}"
-        (await self.caller.call("PUT", target, None, content)).require_success()
+        (await self.caller.call("PUT", target, WRITE_TIMEOUT_S, content)).require_success()
 
     async def staged(self, model: str, number: int) -> bytes | None:
         target = f"/gypsumpier/stage-get/{quote(model, safe='')}?num={number}"
--- a/gypsumpier/sidecar/stage.py
+++ b/gypsumpier/sidecar/stage.py
@@ -3,17 +3,18 @@
 An engine keeps one set of staged pieces for all versions and loads what is staged when it accepts
 an order.  A call without an answer may have its effect at any later time, so that
 
-- no write is abandoned: the next one begins when the engine has answered the one before or its
-  connection has failed;
+- a write counts as under way until the engine has answered or its connection has failed, whatever
+  becomes of its caller;
 - an order names the number of orders that the engine had accepted when it was given, and is void
   once that number has changed;
-- while an order may still be accepted, no other version is staged.
+- while a write is under way, or an order may still be accepted, no other version is staged.
 """
 
 import asyncio
 from typing import Final, NamedTuple
 
-from gypsumpier.errors import NotSentError
+from gypsumpier.codes.platform import PLATFORM_UNREACHABLE
+from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.upstream import whole_version
 from gypsumpier.log import decision
@@ -23,6 +24,8 @@
 """Seconds after the start of a check of all pieces for which an order may rely on it.  An engine is
 not at fault for pieces that became corrupt in the 3 s before it took them; the rest of that is for
 the order's way."""
+WRITE_ANSWER_S: Final = 2.0
+"""Seconds to wait for the answer to a write, which takes milliseconds on the same machine."""
 
 
 class PendingOrder(NamedTuple):
@@ -56,40 +59,46 @@
     """The staged pieces of one engine.
 
     ``owner`` is the model and version whose pieces may be staged; None until the keeper claims the
-    stage for one.
+    stage for one.  ``writes`` are those under way, all of the owner's pieces.
     """
 
     def __init__(self, engine: Engine) -> None:
         self.engine = engine
         self.owner: tuple[str, int] | None = None
         self.pending: PendingOrder | None = None
-        self.lock = asyncio.Lock()
+        self.writes: set[asyncio.Task[None]] = set()
 
     def claim(self, model: str, version: int) -> bool:
-        """Make a version the owner; return False while an order may take the pieces of another."""
+        """Make a version the owner; return False while writes or an order of another may follow."""
         pending = self.pending
         if pending is not None and (pending.model, pending.version) != (model, version):
             return False
+        if self.writes and self.owner != (model, version):
+            return False
         self.owner = model, version
         return True
 
     async def write(self, model: str, version: int, number: int, content: bytes) -> bool:
         """Stage one piece; return False if the version is not the owner.
 
-        The write goes on if the caller is cancelled.  Raises GypsumpierError where it fails.
+        Raises GypsumpierError where the write fails or has no answer in ``WRITE_ANSWER_S``; in the
+        latter case, or if the caller is cancelled, it is still under way.
         """
-        await self.lock.acquire()
         if self.owner != (model, version):
-            self.lock.release()
             return False
         writing = asyncio.create_task(self.engine.stage(model, number, content))
+        self.writes.add(writing)
         writing.add_done_callback(self.end_write)
-        await asyncio.shield(writing)
+        done, _ = await asyncio.wait({writing}, timeout=WRITE_ANSWER_S)
+        if not done:
+            detail = f"no answer to the staging of piece {number} in {WRITE_ANSWER_S:g} s"
+            raise GypsumpierError(PLATFORM_UNREACHABLE, detail)
+        await writing
         return True
 
     def end_write(self, writing: "asyncio.Task[None]") -> None:
-        """Let the next write begin; log a failure, as the caller may be gone."""
-        self.lock.release()
+        """Record that a write has ended; log a failure, as the caller may be gone."""
+        self.writes.discard(writing)
         error = None if writing.cancelled() else writing.exception()
         if error is not None:
             decision("staging_failed", reason=repr(error))
--- a/gypsumpier/upstream/caller.py
+++ b/gypsumpier/upstream/caller.py
@@ -18,8 +18,6 @@
 
 ANSWER_MAX_BYTES: Final = 4 * 1024 * 1024
 """Bytes of the answer to an internal call, which is at most one piece of weights."""
-CONNECTION_CHECK_S: Final = 60.0
-"""Seconds between the looks at a call without a timeout, of which nothing follows."""
 RUN_BYTES: Final = 4
 """Random bytes that tell the calls of this run from those of earlier ones."""
 REFUSED_STATUSES: Final = frozenset({404, 409, 421, 429, 503})
@@ -54,7 +52,7 @@
         self,
         method: str,
         target: str,
-        timeout_s: float | None,
+        timeout_s: float,
         body: bytes = b"",
         content_type: str = "",
         is_new: bool = False,
@@ -62,15 +60,12 @@
     ) -> CallAnswer:
         """Return the answer whatever its status; raise GypsumpierError if there is none in time.
 
-        Without ``timeout_s`` the call waits as long as its connection holds.  With ``is_new`` it
-        gets a connection of its own, on which no earlier answer can arrive once more.  Where that
-        happens on a kept connection, the call is repeated on a new one.  ``require_current`` is
-        called once there is a connection, and raises NotRunError where the call must not be sent
-        any more.  Raises NotSentError where it was not sent.
+        With ``is_new`` the call gets a connection of its own, on which no earlier answer can arrive
+        once more.  Where that happens on a kept connection, the call is repeated on a new one.
+        ``require_current`` is called once there is a connection, and raises NotRunError where the
+        call must not be sent any more.  Raises NotSentError where it was not sent.
         """
 
-        silence_s = CONNECTION_CHECK_S if timeout_s is None else timeout_s
-
         async def send(is_new: bool) -> CallAnswer:
             call_id = f"{self.run}-{next(self.call_numbers)}"
             headers = internal_headers(str(self.address), call_id)
@@ -82,7 +77,7 @@
 
             def make_call() -> UpstreamCall:
                 require_current()
-                return UpstreamCall(start, headers, body, silence_s)
+                return UpstreamCall(start, headers, body, timeout_s)
 
             async with self.pool.exchange(
                 self.address, True, make_call, NoReplacement(), is_new
