Let every answer conclude an order, drop overtaken failures, and stage before the drain what has arrived in memory

A longer validity of the check (2.5 s) was tried and taken back, as test_a_piece_turns_bad_as_the_sidecar_stands_still_after_its_check failed.

--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -104,13 +104,14 @@
 
     async def piece_list(self, model: str, version: int) -> PieceList:
         """Return the digests of a version; raise GypsumpierError where no source has them."""
-        if (model, version) not in self.lists:
-            found: PieceList = await self.run_once(
-                (model, version, -1), self.fetch_list(model, version)
-            )
-            self.lists[model, version] = found
-            self.evict_old_versions(model)
-        return self.lists[model, version]
+        if (model, version) in self.lists:
+            return self.lists[model, version]
+        found: PieceList = await self.run_once(
+            (model, version, -1), self.fetch_list(model, version)
+        )
+        self.lists[model, version] = found
+        self.evict_old_versions(model)
+        return found
 
     async def piece(self, model: str, version: int, number: int) -> bytes:
         """Return one verified piece; raise GypsumpierError where no source has it."""
--- a/gypsumpier/sidecar/enginewatch.py
+++ b/gypsumpier/sidecar/enginewatch.py
@@ -51,8 +51,8 @@
     async def read(self) -> None:
         """Read the report once and publish the state; log where the engine stops answering.
 
-        A report is dropped if one that was asked for later has arrived: its count of orders would
-        seem to have changed back.
+        An answer or a failure is dropped if a report that was asked for later has arrived: the
+        count of orders would seem to have changed back.
         """
         self.reads += 1
         number = self.reads
@@ -62,6 +62,8 @@
                 self.newest_read = number
                 self.record_report(report)
         except GypsumpierError as error:
+            if number < self.newest_read:
+                return
             self.report = None
             if self.was_reachable:
                 self.was_reachable = False
--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -48,6 +48,7 @@
 
     ``stalled_until_s`` maps versions to the time until which they are skipped.  ``inheriting`` is
     the task that finds out whether an earlier run of this process may have given an order.
+    ``rechecked_at_s`` is the time of the last check of the staged pieces beside that of an order.
     """
 
     def __init__(
@@ -290,7 +291,7 @@
             if fetching.done():
                 await self.finish_fetch(fetching)
             is_owner = self.claim_stage(stager, traits)
-            if self.stage.pending is not None and is_owner and fetching.done():
+            if is_owner and fetching.done():
                 await self.keep_intact(stager)
             held = self.held(traits)
             if held == stager.version or self.target(stager.model, held) != stager.version:
--- a/gypsumpier/sidecar/stage.py
+++ b/gypsumpier/sidecar/stage.py
@@ -35,7 +35,7 @@
     """An order that the engine may still accept.
 
     ``after_orders`` is the number of accepted orders at which it does.  ``unanswered`` counts how
-    often the order was sent without a definite answer.  ``is_assumed`` is set if an earlier run of
+    often the order was sent without an answer.  ``is_assumed`` is set if an earlier run of
     this process may have given it, rather than this one.
     """
 
@@ -137,8 +137,7 @@
         except (NotSentError, OrderRefusedError):
             self.pending = self.pending._replace(unanswered=unanswered)
             raise
-        if not accepted:
-            self.pending = self.pending._replace(unanswered=unanswered)
+        self.pending = self.pending._replace(unanswered=unanswered)
         return accepted
 
     def settle(self, report: EngineReport, layer_count: int) -> None:
--- a/gypsumpier/upstream/caller.py
+++ b/gypsumpier/upstream/caller.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 from tornado.httputil import RequestStartLine
@@ -92,7 +92,7 @@
                 except OutcomeUnknownError as error:
                     if is_new or not error.is_foreign:
                         raise
-                return await send(True)
+                return await self.repeat(send)
         except NotRunError as error:
             raise NotSentError(PLATFORM_UNREACHABLE, f"{self.address}: {error}") from error
         except OutcomeUnknownError as error:
@@ -101,6 +101,13 @@
             detail = f"{self.address}: no answer in {timeout_s:g} s"
             raise GypsumpierError(PLATFORM_UNREACHABLE, detail) from error
 
+    async def repeat(self, send: Callable[[bool], Awaitable[CallAnswer]]) -> CallAnswer:
+        """Send a call on a new connection that was sent before; raise OutcomeUnknownError."""
+        try:
+            return await send(True)
+        except NotRunError as error:
+            raise OutcomeUnknownError(f"not repeated: {error}") from error
+
     def close(self) -> None:
         """Close the pooled connections."""
         self.pool.close()
