--- a/gypsumpier/sidecar/inheritance.py
+++ b/gypsumpier/sidecar/inheritance.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from gypsumpier.codes.weight import CHUNK_UNAVAILABLE
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.piece.engine import PieceList, digest_of
@@ -19,9 +20,9 @@
 have become corrupt."""
 
 LIST_TIMEOUT_S: Final = 1.0
-"""Seconds to read the digests of one version; no process may have those of an old one."""
+"""Seconds to read the digests of one version; no process may have them, or the origin be down."""
 LIST_ATTEMPTS: Final = 2
-"""Attempts to read the digests of a version other than the first."""
+"""Attempts to read the digests of one version."""
 
 
 async def inherited_version(
@@ -29,9 +30,9 @@
 ) -> int | None:
     """Return the version of which all pieces were staged; None if there is none or it is unknown.
 
-    Of ``versions``, those to compare with, the first is the one to be loaded; the digests of the
-    others may no longer be had.  Pieces of a second version show that the first one's order was no
-    longer pending.  Raises GypsumpierError where the staged pieces or the first list can't be read.
+    ``versions`` are those to compare with; the digests of some may not be had.  Pieces of a second
+    version show that the first one's order was no longer pending.  Raises GypsumpierError where the
+    staged pieces or all lists can't be read.
     """
     staged: list[str] = []
     matches: dict[int, set[int]] = {}
@@ -40,7 +41,7 @@
         staged = staged or await staged_digests(stager, piece_count)
         if not staged:
             return None
-        listed = await stager.read_list() if not matches else await older_list(stager)
+        listed = await read_list(stager)
         if listed is None:
             continue
         pairs = enumerate(zip(listed.digests, staged, strict=False))
@@ -49,10 +50,12 @@
         if len(matches[version]) >= INTACT_SHARE_MIN * piece_count:
             is_only_one = all(other <= matches[version] for other in matches.values())
             return version if is_only_one else None
+    if not matches:
+        raise GypsumpierError(CHUNK_UNAVAILABLE, "no list of digests to compare with")
     return None
 
 
-async def older_list(stager: Stager) -> PieceList | None:
+async def read_list(stager: Stager) -> PieceList | None:
     """Return the digests of a version; None where no attempt succeeds."""
     for _ in range(LIST_ATTEMPTS):
         try:
--- a/gypsumpier/test/test_stage.py
+++ b/gypsumpier/test/test_stage.py
@@ -10,7 +10,7 @@
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.upstream import LoadedLayers
 from gypsumpier.mesh.mesh import Mesh
-from gypsumpier.piece.engine import EngineReport, OrderRefusedError, SwitchOrder
+from gypsumpier.piece.engine import EngineReport, OrderRefusedError, PieceList, SwitchOrder
 from gypsumpier.platform.engine import PlatformEngine
 from gypsumpier.sidecar.enginewatch import EngineWatch
 from gypsumpier.sidecar.inheritance import inherited_version
@@ -185,12 +185,21 @@
         fleet.engine.pieces[5] = b"corrupt"
         return await self.inherited(fleet)
 
-    async def inherited(self, fleet: PieceFleet) -> int | None:
-        """Return the version found by a sidecar that knows versions 1 to 3."""
+    async def inherited(self, fleet: PieceFleet, lost_version: int = 0) -> int | None:
+        """Return the version found by a sidecar that knows versions 1 to 3.
+
+        The digests of ``lost_version`` can't be had.
+        """
         stage = Stage(fleet.engine)
 
+        async def fail() -> PieceList:
+            raise LOST
+
         def stager(version: int) -> Stager:
-            return Stager(fleet.sidecar, stage, "m", version)  # type: ignore[arg-type]
+            found = Stager(fleet.sidecar, stage, "m", version)  # type: ignore[arg-type]
+            if version == lost_version:
+                found.read_list = fail  # type: ignore[method-assign]
+            return found
 
         return await inherited_version(stager, [3, 1, 2], PIECES)
 
@@ -199,6 +208,12 @@
         self.assertEqual(2, await self.found(2))
         self.assertEqual(3, await self.found(3))
 
+    # Guards against an engine that gets no older version while the newest one can't be fetched.
+    async def test_the_staged_version_is_found_without_the_list_of_the_newest(self) -> None:
+        fleet = PieceFleet()
+        fleet.engine.pieces = {number: piece_of(2, number) for number in range(PIECES)}
+        self.assertEqual(2, await self.inherited(fleet, lost_version=3))
+
     # Guards against finishing an old version for nothing: its stage was given up already.
     async def test_pieces_of_two_versions_or_a_missing_one_tell_of_no_order(self) -> None:
         self.assertIsNone(await self.found(2, 2, 2, 3))
