--- a/gypsumpier/sidecar/keeper.py
+++ b/gypsumpier/sidecar/keeper.py
@@ -259,8 +259,7 @@
                 await asyncio.wait({ordering}, timeout=SWITCH_POLL_S)
             return await ordering
         finally:
-            ordering.cancel()
-            await asyncio.wait({ordering})
+            await end_task(ordering)
 
     async def keep_intact(self, stager: Stager) -> None:
         """Check the staged pieces again if that was done more than RECHECK_S ago."""
--- a/gypsumpier/tasks.py
+++ b/gypsumpier/tasks.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
+from typing import Any
 
 
-async def end_task(task: asyncio.Task[None] | None) -> None:
+async def end_task(task: asyncio.Task[Any] | None) -> None:
     """Cancel the task and wait until it has ended; None and finished tasks are ignored.
 
     A cancellation of the caller propagates.  Suppressing CancelledError around ``await task`` would
--- a/gypsumpier/test/test_lost_answers.py
+++ b/gypsumpier/test/test_lost_answers.py
@@ -181,6 +181,7 @@
                 try:
                     head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 except (asyncio.IncompleteReadError, ConnectionError):
+                    writer.close()
                     return
                 await reader.readexactly(int(re.findall(r"(?i)content-length: (\d+)", head)[0]))
                 own = re.findall(r"(?i)x-request-id: (\S+)", head)[0] if has_id else ""
