--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -17,9 +17,9 @@
 
 CALL_TIMEOUT_S: Final = 2.0
 """Timeout of a call on the same machine, which takes milliseconds unless the engine hangs."""
-WRITE_TIMEOUT_S: Final = 20.0
+WRITE_TIMEOUT_S: Final = 30.0
 """Seconds after which a piece to stage is taken for lost if its connection still holds; engines
-carry out late calls within 6 s."""
+were seen to accept orders up to 11 s after they were sent."""
 NOT_FOUND_STATUS: Final = 404
 CONFLICT_STATUS: Final = 409
 
--- a/gypsumpier/sidecar/stage.py
+++ b/gypsumpier/sidecar/stage.py
@@ -24,9 +24,9 @@
 """Seconds after the start of a check of all pieces for which an order may rely on it.  An engine is
 not at fault for pieces that became corrupt in the 3 s before it took them; the rest of that is for
 the order's way."""
-ASSUMED_ORDER_S: Final = 20.0
-"""Seconds for which an assumed order is believed if its pieces can't be completed; engines carry
-out late calls within 6 s."""
+ASSUMED_ORDER_S: Final = 30.0
+"""Seconds for which an assumed order is believed if its pieces can't be completed; engines were
+seen to accept orders up to 11 s after they were sent."""
 WRITE_ANSWER_S: Final = 2.0
 """Seconds to wait for the answer to a write, which takes milliseconds on the same machine."""
 
