--- a/gypsumpier/sidecar/stage.py
+++ b/gypsumpier/sidecar/stage.py
@@ -6,7 +6,7 @@
 - a write counts as under way until the engine has answered or its connection has failed, whatever
   becomes of its caller;
 - an order names the number of orders that the engine had accepted when it was given, and is void
-  once that number has changed;
+  once the engine has accepted another;
 - while a write is under way, or an order may still be accepted, no other version is staged.
 """
 
@@ -34,8 +34,8 @@
 class PendingOrder(NamedTuple):
     """An order that the engine may still accept.
 
-    ``after_orders`` is the number of accepted orders at which it does.  ``unanswered`` counts how
-    often the order was sent without an answer.  ``is_assumed`` is set if an earlier run of
+    ``after_orders`` is the number of accepted orders at which it does.  ``unanswered`` counts the
+    copies of the order that were sent and not answered.  ``is_assumed`` is set if an earlier run of
     this process may have given it, rather than this one.
     """
 
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -27,7 +27,7 @@
 """Seconds after the naming until which they are, and until which the late engine gets its pieces:
 past the limit of 8."""
 LATE_STAGE_S: Final = 1.3
-"""Seconds to stage one of 16 pieces, so that all take longer than SLOW_UNTIL_S."""
+"""Seconds to stage one of 16 pieces, two at a time, so that all take longer than SLOW_UNTIL_S."""
 SLOW_EVENT_PAUSE_S: Final = 0.8
 """Seconds between events of a slow engine; below 1, from which entries take it for silent."""
 SLOW_LINK_S: Final = 0.9
