--- a/gypsumpier/test/test_lost_answers.py
+++ b/gypsumpier/test/test_lost_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 import unittest
-from typing import Any
+from typing import Any, Final
 
 from gypsumpier.codes.weight import CHUNK_UNAVAILABLE
 from gypsumpier.errors import GypsumpierError
@@ -16,8 +16,9 @@
 from gypsumpier.platform.store import PlatformStore
 from gypsumpier.test.lateordercase import LateOrderCase
 
-WRITE_S = 0.2
-EXTRA_S = 0.05
+WRITE_S: Final = 0.2
+"""Seconds that the second write takes."""
+EXTRA_S: Final = 0.05
 """Seconds after an answer in which it is sent once more, while the next write is carried out."""
 
 
