Gather the constraints on the choice of upstreams behind one interface

Cause: which upstreams may get a request was decided in one method of the selector and repeated where a choice is checked again; regions, evacuated zones and cold upstreams would each have added to both. Now each standing constraint is an object of its own, asked by both. No change of behaviour: candidates are kept by needs as before.

--- /dev/null
+++ b/gypsumpier/eligibility/__init__.py
@@ -0,0 +1,1 @@
+"""Decides whether a request may go to an upstream now, and names what prevents it."""
--- /dev/null
+++ b/gypsumpier/eligibility/eligibility.py
@@ -0,0 +1,42 @@
+"""All constraints on the choice of upstreams, in one place."""
+
+from gypsumpier.eligibility.constraint import Constraint
+from gypsumpier.eligibility.needs import Needs
+from gypsumpier.eligibility.obstacle import Obstacle
+from gypsumpier.fleet.upstream import UpstreamRecord
+
+
+class Eligibility:
+    """The constraints that hold for every path on which an upstream is chosen.
+
+    Those in ``standing`` depend on the fleet state and on what engines and upstreams have stated;
+    their result may be kept until one of these changes.  Those in ``momentary`` change with time
+    alone, or with each request.
+    """
+
+    def __init__(self) -> None:
+        self.standing: list[Constraint] = []
+        self.momentary: list[Constraint] = []
+
+    def standing_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
+        """Return the first standing obstacle; None if there is none."""
+        return first_obstacle(self.standing, record, needs)
+
+    def momentary_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
+        """Return the first momentary obstacle; None if there is none."""
+        return first_obstacle(self.momentary, record, needs)
+
+    def obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
+        """Return the first obstacle of any kind; None if the request may be sent now."""
+        return self.standing_obstacle(record, needs) or self.momentary_obstacle(record, needs)
+
+
+def first_obstacle(
+    constraints: list[Constraint], record: UpstreamRecord, needs: Needs
+) -> Obstacle | None:
+    """Return the obstacle of the first constraint that has one."""
+    for constraint in constraints:
+        found = constraint.obstacle(record, needs)
+        if found is not None:
+            return found
+    return None
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -10,6 +10,10 @@
 from collections import Counter
 from typing import Final
 
+from gypsumpier.eligibility.eligibility import Eligibility
+from gypsumpier.eligibility.leaving import LeavingConstraint
+from gypsumpier.eligibility.needs import Needs
+from gypsumpier.eligibility.weights import WeightsConstraint
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
@@ -75,8 +79,8 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
-    ``known_candidates`` holds the candidates by service and least version until something changes
-    that they depend on.
+    ``eligibility`` holds the constraints on the choice.  ``known_candidates`` holds the candidates
+    by needs until something changes that they depend on.
     """
 
     def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
@@ -95,7 +99,12 @@
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
-        self.known_candidates: dict[tuple[str, int], list[UpstreamRecord]] = {}
+        self.eligibility = Eligibility()
+        self.eligibility.standing += [
+            LeavingConstraint(self.statements.leaving),
+            WeightsConstraint(self),
+        ]
+        self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
         fleet_state.listeners.append(self.handle_fleet_change)
@@ -253,40 +262,35 @@
         """Return how many requests may be in flight at the upstream."""
         return record.slots + max(1, int(record.slots * SPARE_SLOTS_SHARE))
 
-    def candidates(self, service: str, least_version: int = 0) -> list[UpstreamRecord]:
-        """Return the upstreams of the service that can serve, regardless of load and health.
+    def candidates(
+        self, service: str, least_version: int = 0, regions: frozenset[str] | None = None
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams of the service that no standing constraint excludes.
 
-        Engines must hold a complete model of at least that version and not be switching.  The list
-        is kept for later calls and must not be changed.
+        Load and health are not looked at.  The list is kept for later calls and must not be
+        changed.
         """
         state = (len(self.fleet_state.upstreams), self.statements.leaving.changes)
         if state != self.known_state:
             self.known_candidates.clear()
             self.known_state = state
-        key = (service, least_version)
-        found = self.known_candidates.get(key)
+        needs = Needs(service, least_version, regions)
+        found = self.known_candidates.get(needs)
         if found is None:
-            model = self.model(service)
-            found = self.known_candidates[key] = [
+            found = self.known_candidates[needs] = [
                 record
                 for record in self.fleet_state.upstreams.values()
-                if record.service == service and self.is_candidate(record, model, least_version)
+                if record.service == service
+                and self.eligibility.standing_obstacle(record, needs) is None
             ]
         return found
 
-    def is_candidate(
-        self, record: UpstreamRecord, model: ModelTraits | None, least_version: int
+    def may_still_serve(
+        self,
+        record: UpstreamRecord,
+        least_version: int,
+        regions: frozenset[str] | None = None,
     ) -> bool:
-        """Return whether the upstream can serve; ``model`` is that of its service."""
-        if record.is_leaving or self.statements.leaving.is_leaving(record):
-            return False
-        if model is None:
-            return True
-        return self.version(record, model) >= max(1, least_version) and not self.is_switching(
-            record
-        )
-
-    def may_still_serve(self, record: UpstreamRecord, least_version: int) -> bool:
         """Return whether an upstream chosen a moment ago is unchanged and still a candidate.
 
         It may have asked for a rest since then, in the answer to another request.
@@ -296,7 +300,8 @@
             return False
         if self.statements.rests.is_resting(known):
             return False
-        return self.is_candidate(known, self.model(record.service), least_version)
+        needs = Needs(record.service, least_version, regions)
+        return self.eligibility.standing_obstacle(known, needs) is None
 
     def is_switching(self, record: UpstreamRecord) -> bool:
         """Return whether the engine is switching its weights and starts no new request."""
