Keep requests from the upstreams of evacuated zones

Cause: an operator evacuates a zone by the key op/evacuate/ZONE, which no process decoded.

Change: the key is decoded to a change, its removal too. Each process keeps the evacuated zones in Evacuations. Feed messages tell processes that start meanwhile of lost evacuations. A standing constraint keeps every choice, and the check before the write to the connection, from such a zone.

--- a/gypsumpier/fleet/change.py
+++ b/gypsumpier/fleet/change.py
@@ -30,7 +30,14 @@
     version: int
 
 
-FleetChange = ConfigurationChange | UpstreamChange | VersionChange
+class EvacuationChange(NamedTuple):
+    """A zone is evacuated from now on, or no longer."""
+
+    zone: str
+    is_evacuated: bool
+
+
+FleetChange = ConfigurationChange | UpstreamChange | VersionChange | EvacuationChange
 
 
 class Batch(NamedTuple):
--- a/gypsumpier/fleet/recordtable.py
+++ b/gypsumpier/fleet/recordtable.py
@@ -10,6 +10,7 @@
 from gypsumpier.fleet.change import (
     Batch,
     ConfigurationChange,
+    EvacuationChange,
     FleetChange,
     FleetSource,
     UpstreamChange,
@@ -91,8 +92,12 @@
         return is_outdated == (later is known)
 
     def is_news_of_removed(self, record: Record, removed: RemovedRecord, is_change: bool) -> bool:
-        """Return whether the record is newer than the removal of its key."""
-        if record.era <= removed.position.era or record.value is None:
+        """Return whether the record is newer than the removal of its key.
+
+        Of an evacuation the table holds what the store says; ``Evacuations`` judges its age.
+        """
+        is_literal = isinstance(self.source.decode(record), EvacuationChange)
+        if record.era <= removed.position.era or record.value is None or is_literal:
             return record.position > removed.position
         if (
             not is_change
--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -15,6 +15,7 @@
     UNKNOWN_NEWS,
     Batch,
     ConfigurationChange,
+    EvacuationChange,
     FleetChange,
     FleetSource,
     News,
@@ -23,6 +24,7 @@
 )
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.configuration import FleetConfiguration
+from gypsumpier.fleet.evacuations import Evacuations
 from gypsumpier.fleet.position import Position
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.recordtable import RecordTable
@@ -105,6 +107,7 @@
         self.lapsed: dict[str, float] = {}
         self.versions: dict[str, list[WantedVersion]] = {}
         self.claims: dict[str, dict[int, WantedVersion]] = {}
+        self.evacuations = Evacuations()
         self.listeners: list[Callable[[], None]] = []
 
     @property
@@ -156,8 +159,7 @@
             for upstream in self.lapsed:
                 self.upstreams.pop(upstream, None)
             self.lapsed.clear()
-        for listener in self.listeners:
-            listener()
+        self.notify_listeners()
 
     def record_outage(self, lasted_s: float, ended_ago_s: float) -> None:
         """Record an outage of the store that ended ``ended_ago_s`` seconds ago."""
@@ -190,6 +192,7 @@
         previous, has_returned = self.position, bool(self.revision) and batch.era > self.era
         if has_returned:
             self.restored_at_s = boot_time_s()
+            self.evacuations.begin_era()
         changed = self.records.changes_of(batch)
         for record in changed:
             self.apply_record(record, origin, news)
@@ -198,8 +201,7 @@
         if has_returned:
             self.log_return(previous, origin)
         if changed:
-            for listener in self.listeners:
-                listener()
+            self.notify_listeners()
 
     def lacks_earlier_changes(self, batch: Batch) -> bool:
         """Return whether changes made in the batch's era before it are not known here."""
@@ -231,6 +233,10 @@
             self.apply_configuration(change.configuration, record, origin)
         elif isinstance(change, VersionChange):
             self.apply_version(change, record, origin, news)
+        elif isinstance(change, EvacuationChange):
+            is_copied = bool(self.revision) and record.era > self.era
+            proven_at_s = self.previous_proof_at_s
+            self.evacuations.apply(change, record, is_copied, proven_at_s, origin)
         else:
             self.apply_upstream(change, record, origin)
 
@@ -376,8 +382,7 @@
                     is_corrected = True
                     log_corrected_time(model, known, claim, origin)
         if has_changed:
-            for listener in self.listeners:
-                listener()
+            self.notify_listeners()
         return is_corrected
 
     def merge_claim(self, model: str, claim: WantedVersion) -> WantedVersion | None:
@@ -448,8 +453,15 @@
         """Return whether the store came back from an older copy within ``LAPSE_GRACE_S``."""
         return boot_time_s() - self.restored_at_s < LAPSE_GRACE_S
 
+    def notify_listeners(self) -> None:
+        """Call the listeners, as the state has changed."""
+        for listener in self.listeners:
+            listener()
+
     def drop_expired_lapsed(self) -> None:
-        """Remove upstreams whose records have not come back within the grace period."""
+        """Drop what a copy of the store lacks and what was not written again in time."""
+        if self.evacuations.settle(self.position, self.proven_at_s):
+            self.notify_listeners()
         now_s = boot_time_s()
         for upstream in [name for name, until_s in self.lapsed.items() if until_s <= now_s]:
             del self.lapsed[upstream]
@@ -459,8 +471,7 @@
                 upstream=upstream,
                 reason="its record did not return after the store's outage",
             )
-            for listener in self.listeners:
-                listener()
+            self.notify_listeners()
 
     def snapshot(self) -> Batch:
         """Return all known records as a snapshot, for a peer."""
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -230,10 +230,11 @@
         ]
 
     async def housekeeping(self) -> None:
-        """Close idle connections, log how many upstreams can serve, and count the entries."""
+        """Drop what has expired, log how many upstreams can serve, and count the entries."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.close_idle()
+            self.fleet_state.drop_expired_lapsed()
             self.admission.log_candidates()
             self.retries.set_entry_count(1 + len(self.mesh.peers(ENTRY)))
             self.admission.entry_count = 1 + len(self.mesh.peers(ENTRY))
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -41,6 +41,8 @@
     Evidence.AFTER_OUTAGE: "after_outage",
 }
 """Fields of a message with the ages of versions, by evidence; NAMED has them all."""
+LOST: Final = "lost_evacuations"
+"""Field of a message with the evacuations that the store has lost, see ``Evacuations``."""
 WATCHER: Final = "watcher of its zone"
 BEHIND: Final = "an announced revision is overdue"
 TAKEN_OVER: Final = "no proof for the take-over time"
@@ -213,6 +215,7 @@
             "outdated": self.fleet_state.records.outdated,
             "age_s": self.fleet_state.proof_age_s(),
             **self.age_fields(),
+            **self.lost_field(),
         }
 
     def age_fields(self) -> dict[str, VersionAges]:
@@ -240,6 +243,7 @@
             **self.age_fields(),
             "outage_ago_s": boot_time_s() - self.fleet_state.outage_ended_at_s,
             "outage_lasted_s": self.fleet_state.outage_lasted_s(),
+            **self.lost_field(),
         }
 
     def handle_feed(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
@@ -264,6 +268,7 @@
         proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
         self.fleet_state.apply(batch, proven_at_s, peer.name)
         self.merge_ages(peer, payload, delay_s)
+        self.merge_lost(peer, payload)
         self.request_newer_records(peer, payload)
 
     def batch_of(self, payload: dict[str, Any]) -> Batch:
@@ -312,6 +317,16 @@
             is_corrected |= self.fleet_state.merge_version_ages(ages, evidence, peer.name)
         return is_corrected
 
+    def lost_field(self) -> dict[str, Any]:
+        """Return the field with the evacuations that the store has lost, if there are any."""
+        lost = self.fleet_state.evacuations.lost_payload()
+        return {LOST: lost} if lost else {}
+
+    def merge_lost(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Begin the evacuations that a peer knows of and that the store has lost."""
+        if self.fleet_state.evacuations.merge_lost(payload.get(LOST, {}), peer.name):
+            self.fleet_state.notify_listeners()
+
     def record_announced(self, position: Position) -> None:
         """Record that the store has that position, if it is newer than all known ones."""
         newest = self.announced[-1][0] if self.announced else self.fleet_state.position
@@ -327,6 +342,7 @@
         """
         position = self.position_of(payload)
         self.record_announced(position)
+        self.merge_lost(peer, payload)
         self.request_newer_records(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
@@ -364,7 +380,8 @@
         Entries of other zones get the offer where the store has lost records that are known here.
         """
         is_wanted = link.peer.zone == self.mesh.own.zone or (
-            link.peer.role == ENTRY and bool(self.fleet_state.records.outdated)
+            link.peer.role == ENTRY
+            and bool(self.fleet_state.records.outdated or self.fleet_state.evacuations.lost)
         )
         if is_wanted and self.mesh.own.role == ENTRY:
             offer = self.position_payload(self.fleet_state.position)
@@ -374,6 +391,7 @@
         """Request a snapshot from a peer at a newer position; use the proof of the same one."""
         position = self.position_of(payload)
         self.merge_ages(peer, payload, delay_s)
+        self.merge_lost(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
         if position == self.fleet_state.position:
--- a/gypsumpier/platform/records.py
+++ b/gypsumpier/platform/records.py
@@ -1,4 +1,4 @@
-"""Decodes records of the platform's store: the configuration, upstreams and wanted versions.
+"""Decodes records of the platform's store: configuration, upstreams, versions, evacuations.
 
 Upstream records may be written by others and be malformed; such a record counts as no upstream.
 """
@@ -7,6 +7,7 @@
 
 from gypsumpier.fleet.change import (
     ConfigurationChange,
+    EvacuationChange,
     FleetChange,
     UpstreamChange,
     VersionChange,
@@ -31,6 +32,7 @@
 CONFIGURATION_KEY: Final = "op/config"
 VERSION_PREFIX: Final = "op/version/"
 UPSTREAM_PREFIX: Final = "servers/"
+EVACUATION_PREFIX: Final = "op/evacuate/"
 UPSTREAM_STATES: Final = ("ready", "draining")
 ROUTE_KINDS: Final = ("idempotent", "non_idempotent", "streaming")
 SECONDS_PER_MS: Final = 0.001
@@ -53,7 +55,7 @@
         """Return the change that the record makes; None if it is malformed or its key is unused.
 
         A removed configuration or wanted version is no change either.  A removed or malformed
-        upstream is a change to None.
+        upstream is a change to None.  The key of an evacuation counts whatever its value.
         """
         try:
             return decoded(record)
@@ -77,6 +79,8 @@
         upstream = key.removeprefix(UPSTREAM_PREFIX)
         found = None if value is None else upstream_record(upstream, json_value(value))
         return UpstreamChange(upstream, found)
+    if key.startswith(EVACUATION_PREFIX):
+        return EvacuationChange(key.removeprefix(EVACUATION_PREFIX), value is not None)
     if value is not None and key == CONFIGURATION_KEY:
         return ConfigurationChange(configuration(json_value(value)))
     if value is not None and key.startswith(VERSION_PREFIX):
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from gypsumpier.eligibility.eligibility import Eligibility
+from gypsumpier.eligibility.evacuated import EvacuatedConstraint
 from gypsumpier.eligibility.leaving import LeavingConstraint
 from gypsumpier.eligibility.needs import Needs
 from gypsumpier.eligibility.weights import WeightsConstraint
@@ -103,6 +104,7 @@
         self.eligibility.standing += [
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
+            EvacuatedConstraint(fleet_state.evacuations),
         ]
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
@@ -318,6 +320,7 @@
             record.service == service
             and record.run_key() not in excluded
             and not record.is_leaving
+            and record.zone not in self.fleet_state.evacuations.zones
             and self.switching_since_s.get(f"{record.host}:{record.port}", 0.0) > began_after_s
             for record in self.fleet_state.upstreams.values()
         )
