Refuse requests that only evacuated zones could serve at once, with a code of its own

Cause: a service whose upstreams are all in evacuated zones has no candidates; its new requests got no_upstream, and queued ones waited until their callers would have left.

Queued requests are refused as the evacuation begins. One that may have run, and a stream to be resumed, wait as before. An engine that switches its weights in an evacuated zone is not waited for.

--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -210,3 +210,6 @@
 ENTRY_STOPPING: Final = ResultCode(
     2072, "entry_stopping", 503, Outcome.NOT_RUN, "Send the request again on a new connection."
 )
+ZONE_EVACUATED: Final = ResultCode(
+    2074, "zone_evacuated", 503, Outcome.NOT_RUN, "Send the request again after Retry-After."
+)
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -13,10 +13,13 @@
     QUEUE_TOO_LONG,
     TIME_LIMIT_BEFORE_START,
     UPSTREAM_RESTING,
+    ZONE_EVACUATED,
 )
+from gypsumpier.eligibility.needs import Needs
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.evacuated import EVACUATED_WAIT_S, could_evacuated_serve
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
@@ -238,6 +241,7 @@
         Without any upstream it is refused at once, unless a refusal would lose its answer.
         """
         if request.is_refusable() and not self.is_upstream_expected(request.service):
+            self.check_evacuated(request)
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
@@ -283,9 +287,24 @@
             return True
         records = self.fleet_state.upstreams.values()
         return any(
-            record.service == service and self.selector.is_switching(record) for record in records
+            record.service == service
+            and record.zone not in self.fleet_state.evacuations.zones
+            and self.selector.is_switching(record)
+            for record in records
         )
 
+    def check_evacuated(self, request: GatewayRequest) -> None:
+        """Raise Refusal if only evacuated zones could serve the request.
+
+        One that may have run, and a stream that is to be resumed, wait as long as their callers do.
+        """
+        service = request.service
+        is_held = bool(request.last_event_id) or not request.is_refusable()
+        if is_held or self.is_upstream_expected(service):
+            return
+        if could_evacuated_serve(self.selector, Needs(service)):
+            raise self.refusal(request, EVACUATED_WAIT_S)
+
     def cancel_wait(self, waiting: QueuedRequest, queue: RequestQueue) -> None:
         """Remove a cancelled request from the queue, or release it if it was just admitted."""
         if waiting in queue.waiting:
@@ -305,6 +324,8 @@
         if not queue.waiting:
             return
         self.refuse_waiting(queue, self.check_rests)
+        if self.fleet_state.evacuations.zones:
+            self.refuse_waiting(queue, self.check_evacuated)
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
         for waiting in queue.ordered():
@@ -469,4 +490,6 @@
         code = QUEUE_TOO_LONG if self.selector.candidates(request.service) else NO_UPSTREAM
         waiting = len(self.queue(request.service).waiting)
         detail = f"{waiting} requests wait for {request.service}, about {wait_s:.2f} s"
+        if code is NO_UPSTREAM and could_evacuated_serve(self.selector, Needs(request.service)):
+            code, detail = ZONE_EVACUATED, f"only evacuated zones could serve {request.service}"
         return Refusal(code, 503, detail, retry_after_s)
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -154,6 +154,11 @@
     return record(f"servers/i-{number}", engine_body(number, **fields), revision)
 
 
+def evacuation_record(revision: int, zone: str = ZONE, is_evacuated: bool = True) -> Record:
+    """Return the record that begins or ends the evacuation of a zone."""
+    return record(f"op/evacuate/{zone}", {} if is_evacuated else None, revision)
+
+
 def decode_record(found: Record) -> FleetChange | None:
     """Return the change that a record makes for a process that has rejected none so far."""
     return RecordDecoder().decode(found)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -104,6 +104,7 @@
         self.eligibility.standing += [
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
+            # The last: an upstream that only it excludes could serve after the evacuation.
             EvacuatedConstraint(fleet_state.evacuations),
         ]
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
