Send everything else on a connection before pieces of weights

A freshness proof waited on a connection behind the answers with pieces: the send queue was in order of posting, and the kernel buffered megabytes that nothing could overtake. Answers to the kinds in Mesh.bulk_kinds now wait for all other messages, and a write waits once 16 KB of a socket are not in transit (TCP_NOTSENT_LOWAT).

--- a/gypsumpier/mesh/link.py
+++ b/gypsumpier/mesh/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 from typing import Any, Final, NamedTuple
 
 from gypsumpier.codes.wire import CONNECTION_CLOSED, PEER_FAILED
@@ -19,34 +20,62 @@
 class QueuedMessage(NamedTuple):
     """A message that waits to be sent since ``queued_at_s``, in monotonic seconds.
 
-    The payload of a message to many peers is packed.
+    The payload of a message to many peers is packed.  ``is_bulk`` is set for pieces of weights.
     """
 
     kind: str
     payload: dict[str, Any] | bytes
     exchange: str
     queued_at_s: float
+    is_bulk: bool
+
+
+class SendQueue(asyncio.Queue[QueuedMessage]):
+    """Messages to one peer in the order in which they were queued, those that are bulk last."""
+
+    def _init(self, maxsize: int) -> None:
+        self.urgent: deque[QueuedMessage] = deque()
+        self.bulk: deque[QueuedMessage] = deque()
+
+    def _put(self, item: QueuedMessage) -> None:
+        (self.bulk if item.is_bulk else self.urgent).append(item)
+
+    def _get(self) -> QueuedMessage:
+        return (self.urgent or self.bulk).popleft()
+
+    def qsize(self) -> int:
+        return len(self.urgent) + len(self.bulk)
+
+    def empty(self) -> bool:
+        return not self.urgent and not self.bulk
 
 
 class MeshLink:
     """Sends messages and requests to one peer.
 
-    Messages wait in a bounded queue, so that a peer that does not read blocks no sender.
+    Messages wait in a bounded queue, so that a peer that does not read blocks no sender.  Bulk
+    messages wait for all others: a freshness proof must not be late for pieces of weights.
     ``pending_requests`` holds the futures of open requests by exchange number.
     """
 
     def __init__(self, peer: Peer, connection: Connection) -> None:
         self.peer = peer
         self.connection = connection
-        self.queue: asyncio.Queue[QueuedMessage] = asyncio.Queue(SEND_QUEUE_MAX)
+        self.queue = SendQueue(SEND_QUEUE_MAX)
         self.pending_requests: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self.request_numbers = itertools.count()
 
-    def post(self, kind: str, payload: dict[str, Any] | bytes, exchange: str = "") -> None:
+    def post(
+        self,
+        kind: str,
+        payload: dict[str, Any] | bytes,
+        exchange: str = "",
+        is_bulk: bool = False,
+    ) -> None:
         """Queue a message; where the queue is full, close the connection instead."""
         try:
             queued_at_s = self.connection.clock.monotonic()
-            self.queue.put_nowait(QueuedMessage(kind, payload, exchange, queued_at_s))
+            self.queue.put_nowait(QueuedMessage(kind, payload, exchange, queued_at_s, is_bulk))
         except asyncio.QueueFull:
             self.connection.close()
 
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -73,7 +73,7 @@
     peer's name, the newest first; ``listed`` the peers by role and zone until a link changes.
     ``listeners`` and ``request_handlers`` handle messages and requests by kind; ``aged_listeners``
     handle messages that carry ages, and also get the seconds that the message spent in queues and
-    buffers.
+    buffers.  ``bulk_kinds`` are the requests whose answers are sent after all other messages.
     """
 
     def __init__(self, own: Peer, seeds: tuple[Address, ...], dialer: Dialer) -> None:
@@ -85,6 +85,7 @@
         self.listeners: dict[str, Listener] = {}
         self.aged_listeners: dict[str, AgedListener] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
+        self.bulk_kinds: set[str] = set()
         self.known: dict[Address, Peer] = {}
         self.last_seen_at_s: dict[Address, float] = {}
         self.dial_tasks: dict[Address, asyncio.Task[None]] = {}
@@ -331,7 +332,7 @@
         except (GypsumpierError, TimeoutError, *BAD_MESSAGE_ERRORS) as error:
             log_bad_message(link, frame, error)
             answer = {FAILED: repr(error)}
-        link.post(ANSWER, answer, frame.exchange)
+        link.post(ANSWER, answer, frame.exchange, frame.kind in self.bulk_kinds)
 
 
 def log_bad_message(link: MeshLink, frame: Frame, error: Exception) -> None:
--- a/gypsumpier/piece/cache.py
+++ b/gypsumpier/piece/cache.py
@@ -86,6 +86,7 @@
         self.fetch_tasks: dict[tuple[str, int, int], asyncio.Task[Any]] = {}
         self.holder_locks: dict[str, asyncio.Lock] = {}
         mesh.request_handlers[PIECE] = self.answer_piece
+        mesh.bulk_kinds.add(PIECE)
         mesh.request_handlers[PIECE_LIST] = self.answer_list
 
     async def answer_list(self, peer: Peer, payload: dict[str, Any]) -> dict[str, Any]:
--- a/gypsumpier/test/fakes_piece.py
+++ b/gypsumpier/test/fakes_piece.py
@@ -137,6 +137,7 @@
         self.own = own
         self.network = network
         self.request_handlers: dict[str, Any] = {}
+        self.bulk_kinds: set[str] = set()
         self.cut: set[str] = set()
         self.requested_peers: list[str] = []
         network[own.name] = self
--- a/gypsumpier/wire/tcp.py
+++ b/gypsumpier/wire/tcp.py
@@ -1,5 +1,6 @@
 """Streams over TCP, implemented with tornado."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Final
@@ -17,6 +18,9 @@
 from gypsumpier.wire.stream import Stream
 
 READ_BYTES: Final = 256 * 1024
+UNSENT_BYTES_MAX: Final = 16 * 1024
+"""Bytes in a socket's buffer that are not in transit, from which a write waits.  The kernel buffers
+megabytes otherwise, and what is written there can't be overtaken by something more urgent."""
 
 STREAM_BYTES: Final = Counter(
     "gypsumpier_stream_bytes",
@@ -36,6 +40,7 @@
     def __init__(self, stream: IOStream) -> None:
         self.stream = stream
         stream.set_nodelay(True)
+        stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES_MAX)
 
     async def read(self) -> bytes:
         try:
