Leave headroom at upstreams for requests with a shorter goal

Cause: in a burst of requests with 0.8 s to their first event, all places of the engines are taken by them, and requests with 0.4 s to theirs wait for a place and miss it. Routes of one service whose goals differ by half or more now have it that requests that can still wait, and late ones, take at most 0.85 of the places of an upstream while urgent ones arrive. Services whose goals differ less are served as before.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -20,6 +20,7 @@
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.evacuated import EVACUATED_WAIT_S, could_evacuated_serve
+from gypsumpier.gateway.headroom import HEADROOM_WAITS, Headroom
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
@@ -93,6 +94,7 @@
         self.first_event_estimates_s: dict[str, float] = {}
         self.queues: dict[str, RequestQueue] = {}
         self.streams = StreamWatch()
+        self.headroom = Headroom(fleet_state)
         self.logged_candidates: dict[str, tuple[int, int, int]] = {}
         self.news_dispatch: asyncio.Handle | None = None
 
@@ -107,6 +109,7 @@
         """
         if not request.attempts:
             self.queue(request.service).record_arrived()
+            self.headroom.record_arrived(request)
         return await self.enter_again(request)
 
     async def enter_again(self, request: GatewayRequest) -> UpstreamRecord:
@@ -192,7 +195,12 @@
             # The last attempt: an engine that switches before its end would cut it for good.
             records = self.last_attempt_candidates(records, tried, needed_s)
         tokens = request.head.prompt_tokens
-        record = self.selector.choose(records, tried, needed_s, is_repeat, share, tokens)
+        places_share = self.headroom.places_share(request, self.goal_start_s(request))
+        record = self.selector.choose(
+            records, tried, needed_s, is_repeat, share, tokens, places_share
+        )
+        if record is None and places_share < 1.0:
+            HEADROOM_WAITS.labels(request.service).inc()
         if record is not None:
             request.unread_tokens = request.head.prompt_tokens
             self.selector.begin(record, request.unread_tokens)
--- /dev/null
+++ b/gypsumpier/gateway/headroom.py
@@ -0,0 +1,105 @@
+"""Headroom at upstreams for requests that have less time than others of the same service.
+
+Routes of one service may have goals that differ widely.  In a burst of requests that have time, all
+places of the engines would be taken by them, and requests with a short goal, which arrive a moment
+later, would miss it while the others wait for nothing.  So a request that can still wait leaves a
+part of each upstream's places.  Once half of the time that it can wait has passed, it leaves
+nothing and takes its turn by its priority.  One that has missed its goal leaves as much again, as
+it loses little by a further wait.
+"""
+
+import time
+from typing import Final
+
+from prometheus_client import Counter
+
+from gypsumpier.fleet.configuration import FleetConfiguration
+from gypsumpier.fleet.state import FleetState
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.metrics import REGISTRY
+
+GOAL_FACTOR_MIN: Final = 1.5
+"""Ratio of the longest to the shortest goal of a service's streamed routes from which headroom is
+left: less is about the spread of the time to a first event."""
+PATIENT_PLACES_SHARE: Final = 0.85
+"""Share of an upstream's places up to which requests that can wait take them.  At 12 slots the rest
+is two places, about as many requests as arrive there between two exchanges of loads."""
+WAITED_SHARE_MAX: Final = 0.5
+"""Share of the time that a request can wait after which it leaves no headroom."""
+URGENT_RECENT_S: Final = 1.0
+"""Seconds after the last request with a short goal for which headroom is left."""
+
+HEADROOM_WAITS: Final = Counter(
+    "gypsumpier_headroom_waits",
+    "Times that a request was not admitted as it left headroom for requests with shorter goals.",
+    ["service"],
+    registry=REGISTRY,
+)
+
+
+class Headroom:
+    """Decides how many of an upstream's places a request leaves to others.
+
+    ``short_goals_s`` holds the shortest goal of the streamed routes of each service whose goals
+    differ; it belongs to the configuration ``known``.  ``urgent_at_s`` is the monotonic time at
+    which the last request with a short goal arrived, by service.
+    """
+
+    def __init__(self, fleet_state: FleetState) -> None:
+        self.fleet_state = fleet_state
+        self.known: FleetConfiguration | None = None
+        self.short_goals_s: dict[str, float] = {}
+        self.urgent_at_s: dict[str, float] = {}
+
+    def short_goal_s(self, service: str) -> float:
+        """Return the shortest goal of the service's streamed routes; 0 where none differ."""
+        configuration = self.fleet_state.configuration
+        if configuration is not self.known:
+            self.known = configuration
+            self.short_goals_s = differing_goals_s(configuration) if configuration else {}
+        return self.short_goals_s.get(service, 0.0)
+
+    def record_arrived(self, request: GatewayRequest) -> None:
+        """Record the arrival of a request."""
+        short_s = self.short_goal_s(request.service)
+        if short_s and not is_patient(request, short_s):
+            self.urgent_at_s[request.service] = time.monotonic()
+
+    def places_share(self, request: GatewayRequest, goal_start_s: float) -> float:
+        """Return the share of an upstream's places up to which the request may take one now.
+
+        It must start by ``goal_start_s``, in monotonic seconds, to be on time.  A request that may
+        have run, or of which an upstream has served a part, never waits for others.
+        """
+        short_s = self.short_goal_s(request.service)
+        if not short_s or request.attempts or request.is_moving or request.last_event_id:
+            return 1.0
+        now_s = time.monotonic()
+        if now_s - self.urgent_at_s.get(request.service, float("-inf")) > URGENT_RECENT_S:
+            return 1.0
+        if now_s > goal_start_s:
+            return PATIENT_PLACES_SHARE
+        received_at_s = request.received_at_s
+        patient_until_s = received_at_s + WAITED_SHARE_MAX * (goal_start_s - received_at_s)
+        if is_patient(request, short_s) and now_s < patient_until_s:
+            return PATIENT_PLACES_SHARE
+        return 1.0
+
+
+def is_patient(request: GatewayRequest, short_goal_s: float) -> bool:
+    """Return whether the request has much more time than the most urgent ones."""
+    return request.route.goal_s >= GOAL_FACTOR_MIN * short_goal_s
+
+
+def differing_goals_s(configuration: FleetConfiguration) -> dict[str, float]:
+    """Return the shortest goal by service where the goals of its streamed routes differ widely."""
+    goals_s: dict[str, list[float]] = {}
+    for route in configuration.routes:
+        if route.is_streamed:
+            for target in route.targets:
+                goals_s.setdefault(target.service, []).append(route.goal_s)
+    return {
+        service: min(found)
+        for service, found in goals_s.items()
+        if max(found) >= GOAL_FACTOR_MIN * min(found) > 0
+    }
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -334,6 +334,7 @@
         any_zone: bool = False,
         share: float = 1.0,
         prompt_tokens: int = 0,
+        places_share: float = 1.0,
     ) -> UpstreamRecord | None:
         """Return the upstream with capacity and the least estimated delay; None if there is none.
 
@@ -345,20 +346,21 @@
         delays: streams that were cut together must not all resume at one engine.
 
         With a ``share`` below 1, only that share of an upstream's free places is used between two
-        exchanges of loads.
+        exchanges of loads.  With a ``places_share`` below 1,
+        the rest of the places of each upstream is left to other requests.
         """
         if not any_zone:
             # Most requests find a place in the own zone; the others are then not looked at.
             local = [record for record in records if record.zone == self.zone]
             free = [
                 record
-                for record in self.with_capacity(local, excluded)
+                for record in self.with_capacity(local, excluded, places_share)
                 if self.load(record) < record.slots and not self.is_impaired(record)
             ]
             found = self.least_delayed(self.claimable(free, share, prompt_tokens), needed_s, False)
             if found is not None:
                 return found
-        free = self.with_capacity(records, excluded)
+        free = self.with_capacity(records, excluded, places_share)
         unimpaired = [record for record in free if not self.is_impaired(record)]
         free = self.claimable(unimpaired or free, share, prompt_tokens)
         local = [
@@ -369,13 +371,16 @@
         return self.least_delayed(local or free, needed_s, any_zone)
 
     def with_capacity(
-        self, records: list[UpstreamRecord], excluded: set[tuple[str, int]]
+        self,
+        records: list[UpstreamRecord],
+        excluded: set[tuple[str, int]],
+        places_share: float = 1.0,
     ) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request now, impaired ones included."""
         return [
             record
             for record in records
-            if self.load(record) < self.limit(record)
+            if self.load(record) < self.limit(record) * places_share
             and (not excluded or record.run_key() not in excluded)
             and self.is_usable(record)
             and self.unread_s(record) < UNREAD_MAX_S
