Limit requests to the regions that their route and tenant allow

Cause: a route or a tenant may list allowed_regions, and nothing kept a request from an upstream in another region.

Change: allowed_regions of routes and tenants is decoded; anything but a list of names makes the configuration malformed, as with its other fields. RegionConstraint is a standing constraint, and every path that chooses or counts upstreams asks for the regions of its request: first and later attempts, resumed streams, second attempts, the last attempt's wait for an engine that switches, rests, and the check before the request is written. The configuration in force binds as well as the admitted one. Requests in one queue that may use different regions don't block each other.

--- a/gypsumpier/eligibility/needs.py
+++ b/gypsumpier/eligibility/needs.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from gypsumpier.fleet.regions import AllowedRegions
+
 
 class Needs(NamedTuple):
     """The service of a request, the oldest version of its weights and the allowed regions.
@@ -12,4 +14,4 @@
 
     service: str
     least_version: int = 0
-    regions: frozenset[str] | None = None
+    regions: AllowedRegions = None
--- a/gypsumpier/fleet/configuration.py
+++ b/gypsumpier/fleet/configuration.py
@@ -1,7 +1,9 @@
 """A version of the configuration, and the choice of a request's route in it."""
 
+from functools import cached_property
 from typing import NamedTuple
 
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.route import Route
 from gypsumpier.fleet.service import Origin, Service
 
@@ -9,11 +11,12 @@
 class Workspace(NamedTuple):
     """The owner of API keys.  Its ``priority``, where set, overrides the route's.
 
-    Lower values are served first.
+    Lower values are served first.  Upstreams outside ``allowed_regions`` get none of its requests.
     """
 
     name: str
     priority: int | None
+    allowed_regions: AllowedRegions = None
 
 
 class CallerLimits(NamedTuple):
@@ -54,6 +57,16 @@
         routes = self.routes_by_host.get(name) or self.routes_by_host.get(without_port(name), [])
         return next((route for route in routes if path.startswith(route.prefix)), None)
 
+    def route_named(self, name: str) -> Route | None:
+        """Return the route of that name; None where there is none."""
+        return next((route for route in self.routes if route.name == name), None)
+
+    @cached_property
+    def workspaces_by_name(self) -> dict[str, Workspace]:
+        """The workspaces that have a key, by name."""
+        workspaces = (self.workspaces_by_key or {}).values()
+        return {workspace.name: workspace for workspace in workspaces}
+
     def origin(self) -> Origin | None:
         """Return the origin of weights; None where the deployment has none."""
         return next((found.origin for found in self.services.values() if found.origin), None)
--- a/gypsumpier/fleet/route.py
+++ b/gypsumpier/fleet/route.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from gypsumpier.fleet.regions import AllowedRegions
+
 
 class RouteTarget(NamedTuple):
     """A service that serves a share of a route's requests, by relative weight."""
@@ -16,7 +18,7 @@
     ``max_attempts`` limits the upstreams that one request may be sent to.  ``is_repeatable`` means
     that a request may run more than once; for a stream, that it may be resumed on another
     upstream.  ``is_public`` routes accept requests without a key.  A lower ``priority`` is served
-    first.
+    first.  Upstreams outside ``allowed_regions`` get none of the requests.
     """
 
     name: str
@@ -31,3 +33,4 @@
     priority: int
     max_attempts: int
     targets: tuple[RouteTarget, ...]
+    allowed_regions: AllowedRegions = None
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -14,10 +14,12 @@
     TIME_LIMIT_BEFORE_START,
     UPSTREAM_RESTING,
 )
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.regionrules import RegionRules
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
 from gypsumpier.gateway.streamwatch import StreamWatch
@@ -85,6 +87,7 @@
         self.fleet_state = fleet_state
         self.selector = selector
         self.least_version = least_version
+        self.region_rules = RegionRules(fleet_state)
         self.random = random.Random()
         self.entry_count = 1
         self.first_event_estimates_s: dict[str, float] = {}
@@ -118,18 +121,39 @@
     def try_enter(self, request: GatewayRequest) -> UpstreamRecord | None:
         """Admit the request without a wait, behind those that wait; return None if that fails."""
         queue = self.queue(request.service)
-        record = None if queue.waiting else self.try_admit(request)
+        awaited = self.awaited_regions(queue)
+        if not awaited:
+            record = None if awaited is None else self.try_admit(request)
+        else:
+            record = self.admit_outside(awaited, request)
         if record is not None:
             queue.record_granted()
             if queue.is_scarce():
                 queue.count_grant(request.workspace_name)
         return record
 
-    def has_other_upstream(self, service: str, tried: set[tuple[str, int]]) -> bool:
+    def candidates(self, request: GatewayRequest) -> list[UpstreamRecord]:
+        """Return the upstreams that may serve the request, whatever their load and health."""
+        version = self.least_version(request.service)
+        return self.selector.candidates(
+            request.service, version, self.region_rules.regions(request)
+        )
+
+    def awaited_regions(self, queue: RequestQueue) -> AllowedRegions:
+        """Return the regions of the upstreams whose places belong to queued requests."""
+        awaited: set[str] = set()
+        for waiting in queue.waiting:
+            regions = self.region_rules.regions(waiting.request)
+            if regions is None:
+                return None
+            awaited |= regions
+        return frozenset(awaited)
+
+    def has_other_upstream(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
         """Return whether an upstream that is not among the ``tried`` runs is usable now."""
-        records = self.selector.candidates(service, self.least_version(service))
         return any(
-            record.run_key() not in tried and self.selector.is_usable(record) for record in records
+            record.run_key() not in tried and self.selector.is_usable(record)
+            for record in self.candidates(request)
         )
 
     def has_place(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
@@ -137,9 +161,10 @@
 
         Places belong to the requests that wait for them.
         """
-        if self.queue(request.service).waiting:
+        awaited = self.awaited_regions(self.queue(request.service))
+        if awaited is None:
             return False
-        records = self.selector.candidates(request.service, self.least_version(request.service))
+        records = self.outside(self.candidates(request), awaited)
         tokens = request.head.prompt_tokens
         needed_s = self.needed_s(request)
         return self.selector.choose(records, tried, needed_s, True, 1.0, tokens) is not None
@@ -171,13 +196,26 @@
         self.selector.statements.give_back(record)
         self.leave(request, record)
 
+    def outside(
+        self, records: list[UpstreamRecord], regions: frozenset[str]
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that are in none of the regions."""
+        if not regions:
+            return records
+        return [record for record in records if self.selector.regions.region(record) not in regions]
+
     def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
         """Admit the request to an upstream with free capacity; return None if there is none.
 
         Only this ``share`` of the free capacity counts.
         """
-        version = self.least_version(request.service)
-        records = self.selector.candidates(request.service, version)
+        return self.admit_outside(frozenset(), request, share)
+
+    def admit_outside(
+        self, awaited: frozenset[str], request: GatewayRequest, share: float = 1.0
+    ) -> UpstreamRecord | None:
+        """Do the same as ``try_admit`` with the upstreams outside the ``awaited`` regions."""
+        records = self.candidates(request)
         needed_s = self.needed_s(request)
         is_repeat = request.attempts > 0 or request.is_moving
         tried = request.tried
@@ -187,7 +225,8 @@
             tried = set()
         if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
             # The last attempt: an engine that switches before its end would cut it for good.
-            records = self.last_attempt_candidates(records, tried, needed_s)
+            records = self.last_attempt_candidates(request, records, tried, needed_s)
+        records = self.outside(records, awaited)
         tokens = request.head.prompt_tokens
         record = self.selector.choose(records, tried, needed_s, is_repeat, share, tokens)
         if record is not None:
@@ -197,7 +236,11 @@
         return record
 
     def last_attempt_candidates(
-        self, records: list[UpstreamRecord], tried: set[tuple[str, int]], needed_s: float
+        self,
+        request: GatewayRequest,
+        records: list[UpstreamRecord],
+        tried: set[tuple[str, int]],
+        needed_s: float,
     ) -> list[UpstreamRecord]:
         """Return the upstreams that the last attempt waits for.
 
@@ -211,14 +254,15 @@
             if record.run_key() not in tried and self.selector.is_usable(record)
         ]
         steady = self.selector.steady(untried, needed_s)
-        service = records[0].service if records else ""
-        if steady or self.selector.is_engine_returning(service, tried):
+        regions = self.region_rules.regions(request)
+        if steady or self.selector.is_engine_returning(request.service, tried, regions):
             return steady
         return records
 
     def may_serve(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Return whether the upstream, chosen a moment ago, may still get the request."""
-        return self.selector.may_still_serve(record, self.least_version(request.service))
+        version = self.least_version(request.service)
+        return self.selector.may_still_serve(record, version, self.region_rules.regions(request))
 
     def needed_s(self, request: GatewayRequest) -> float:
         """Return the estimated processing time of the request in seconds; 0 for a plain service."""
@@ -237,7 +281,7 @@
 
         Without any upstream it is refused at once, unless a refusal would lose its answer.
         """
-        if request.is_refusable() and not self.is_upstream_expected(request.service):
+        if request.is_refusable() and not self.is_upstream_expected(request):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
@@ -258,7 +302,7 @@
         A stream that is to be resumed waits as long as its caller does: a refusal would cut it.
         So does a request that may have run: it can't be told that it has not.
         """
-        rest_s = self.rest_left_s(request.service)
+        rest_s = self.rest_left_s(request)
         if rest_s <= REST_WAIT_S:
             return
         is_held = bool(request.last_event_id) or not request.is_refusable()
@@ -269,21 +313,23 @@
         detail = f"every upstream of {request.service} rests, the first for {rest_s:.2f} s more"
         raise Refusal(UPSTREAM_RESTING, 503, detail, retry_after_s)
 
-    def rest_left_s(self, service: str) -> float:
+    def rest_left_s(self, request: GatewayRequest) -> float:
         """Return the seconds until the first upstream has rested; 0 if one does not rest."""
         rests = self.selector.statements.rests
         if not rests.known:
             return 0.0
-        records = self.selector.candidates(service, self.least_version(service))
-        return min((rests.left_s(record) for record in records), default=0.0)
+        return min((rests.left_s(record) for record in self.candidates(request)), default=0.0)
 
-    def is_upstream_expected(self, service: str) -> bool:
-        """Return whether an upstream of the service can serve now or is switching its weights."""
-        if self.selector.candidates(service):
+    def is_upstream_expected(self, request: GatewayRequest) -> bool:
+        """Return whether an upstream can serve the request now or is switching its weights."""
+        regions = self.region_rules.regions(request)
+        if self.selector.candidates(request.service, 0, regions):
             return True
-        records = self.fleet_state.upstreams.values()
         return any(
-            record.service == service and self.selector.is_switching(record) for record in records
+            record.service == request.service
+            and self.selector.regions.allows(record, regions)
+            and self.selector.is_switching(record)
+            for record in self.fleet_state.upstreams.values()
         )
 
     def cancel_wait(self, waiting: QueuedRequest, queue: RequestQueue) -> None:
@@ -307,15 +353,21 @@
         self.refuse_waiting(queue, self.check_rests)
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
+        full: set[AllowedRegions] = set()
         for waiting in queue.ordered():
             if waiting.outcome.done():
                 queue.waiting.remove(waiting)
                 continue
+            regions = self.region_rules.regions(waiting.request)
+            if regions in full:
+                continue
             record = self.try_admit(waiting.request, share)
             if record is not None:
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
-                break
+                if regions is None:
+                    break
+                full.add(regions)
         if queue.waiting:
             queue.limited = self.limited_capacity(service)
             queue.shed_excess(self.capacity_share_per_s(service))
@@ -433,7 +485,8 @@
             awaited_since_s = request.last_event_at_s or request.received_at_s
             caller_abandons_at_s = awaited_since_s + caller_timeout_s
             latest_start_s = min(latest_start_s, caller_abandons_at_s - needed_s)
-        if not self.selector.candidates(request.service):
+        regions = self.region_rules.regions(request)
+        if not self.selector.candidates(request.service, 0, regions):
             latest_start_s = min(latest_start_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
         return latest_start_s
 
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -88,7 +88,9 @@
         self.feed = FleetStateFeed(self.mesh, self.fleet_state)
         self.watcher = StoreWatcher(source, self.fleet_state, self.feed)
         schedule = SwitchSchedule(self.fleet_state, settings.bounds.version_in_force_s)
-        self.selector = UpstreamSelector(self.fleet_state, settings.zone, schedule)
+        self.selector = UpstreamSelector(
+            self.fleet_state, settings.zone, schedule, settings.regions_by_zone
+        )
         self.admission = Admission(self.fleet_state, self.selector, self.least_version)
         self.demand = DemandShares(
             self.mesh, frozenset(settings.regions_by_zone), self.admission.arrivals_per_s
@@ -174,8 +176,9 @@
         await self.status.stop()
 
     def reload(self, settings: NodeSettings) -> None:
-        """Apply changed seeds and bounds; the addresses bound at the start are kept."""
+        """Apply changed seeds, regions and bounds; the addresses bound at the start are kept."""
         self.settings = settings
+        self.selector.set_regions(settings.regions_by_zone)
         self.mesh.seeds = settings.seeds
 
     def is_ready(self) -> bool:
--- a/gypsumpier/gateway/intake.py
+++ b/gypsumpier/gateway/intake.py
@@ -75,6 +75,7 @@
             received_at_s=received_at_s,
             ends_at_s=received_at_s + min(time_limit_s, route.timeout_s),
             fingerprint=fingerprint(head, body),
+            configuration=configuration,
         )
 
     def workspace(
--- a/gypsumpier/gateway/request.py
+++ b/gypsumpier/gateway/request.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from gypsumpier.fleet.configuration import Workspace
+from gypsumpier.fleet.configuration import FleetConfiguration, Workspace
 from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.regions import AllowedRegions, common_regions
 from gypsumpier.fleet.route import Route
 from gypsumpier.quarantine.trait import traits_of
 from gypsumpier.upstream.head import CallerHead
@@ -24,6 +25,7 @@
     ``is_trial`` is set once it is sent although others like it are refused, ``is_moving`` while it
     waits for another upstream than the silent one that it was sent to.
     ``unread_tokens`` are the prompt tokens that the current upstream has yet to read.
+    It was admitted under ``configuration``.
     """
 
     head: CallerHead
@@ -45,6 +47,7 @@
     longest_gap_s: float = 0.0
     is_trial: bool = False
     is_moving: bool = False
+    configuration: FleetConfiguration | None = None
 
     @property
     def priority(self) -> int:
@@ -53,6 +56,12 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def regions(self) -> AllowedRegions:
+        """The regions that its route and its workspace, as admitted, both allow."""
+        allowed = self.workspace.allowed_regions if self.workspace else None
+        return common_regions(self.route.allowed_regions, allowed)
+
     @cached_property
     def traits(self) -> tuple[str, ...]:
         """What it may have in common with others: its fingerprint and parts of its prompt."""
--- a/gypsumpier/gateway/secondattempt.py
+++ b/gypsumpier/gateway/secondattempt.py
@@ -63,7 +63,7 @@
             request.service
         ):
             return False
-        return self.admission.has_other_upstream(request.service, self.all_tried(tried))
+        return self.admission.has_other_upstream(request, self.all_tried(tried))
 
     def all_tried(self, tried: frozenset[tuple[str, int]]) -> set[tuple[str, int]]:
         """Return the run keys of the upstreams that it does not go to, ``tried`` among them."""
--- a/gypsumpier/platform/records.py
+++ b/gypsumpier/platform/records.py
@@ -13,6 +13,7 @@
 )
 from gypsumpier.fleet.configuration import CallerLimits, FleetConfiguration, Workspace
 from gypsumpier.fleet.record import Record
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.route import Route, RouteTarget
 from gypsumpier.fleet.service import ModelTraits, Origin, Service
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord
@@ -21,6 +22,7 @@
 from gypsumpier.platform.fields import (
     FieldError,
     field,
+    is_encodable,
     json_value,
     number,
     objects,
@@ -157,13 +159,30 @@
     for tenant in objects(body, "tenants"):
         priority = tenant.get("priority")
         workspace = Workspace(
-            field(tenant, "name", str), priority if isinstance(priority, int) else None
+            field(tenant, "name", str),
+            priority if isinstance(priority, int) else None,
+            allowed_regions(tenant),
         )
         for key in field(tenant, "api_keys", list):
             workspaces_by_key[str(key)] = workspace
     return workspaces_by_key
 
 
+def allowed_regions(body: dict[str, Any]) -> AllowedRegions:
+    """Return the regions that a route or a tenant allows; none listed means any.
+
+    Raises FieldError if the value is anything but a list of names: a misread one must not allow
+    more than was meant.
+    """
+    if "allowed_regions" not in body:
+        return None
+    names = field(body, "allowed_regions", list)
+    for name in names:
+        if not isinstance(name, str) or not name or not is_encodable(name):
+            raise FieldError("allowed_regions holds something other than names")
+    return frozenset(names) or None
+
+
 def caller_limits(body: dict[str, Any]) -> CallerLimits:
     """Return the limits of callers' requests and connections."""
     return CallerLimits(
@@ -195,6 +214,7 @@
         priority=int(number(body, "priority")) if "priority" in body else 0,
         max_attempts=max(1, int(number(body, "attempts"))) if "attempts" in body else 1,
         targets=route_targets(body),
+        allowed_regions=allowed_regions(body),
     )
 
 
--- a/gypsumpier/test/test_platform_records.py
+++ b/gypsumpier/test/test_platform_records.py
@@ -9,6 +9,7 @@
 
 from gypsumpier.fleet.change import ConfigurationChange, UpstreamChange, VersionChange
 from gypsumpier.fleet.record import Record
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.upstream import LoadedLayers, whole_version
 from gypsumpier.test.builders_platform import (
     KEY,
@@ -68,6 +69,37 @@
         assert isinstance(change, ConfigurationChange)
         self.assertFalse(change.configuration.routes[0].is_repeatable)
 
+    # Guards against regions that are read as fewer limits than were meant.
+    def test_allowed_regions_of_routes_and_tenants_are_decoded(self) -> None:
+        named: dict[str, Any] = {"allowed_regions": ["bac", "nam", "bac"]}
+        found = self.decoded_regions(named, named)
+        self.assertEqual([frozenset({"bac", "nam"})] * 2, found)
+        empty: dict[str, Any] = {"allowed_regions": []}
+        self.assertEqual([None, None], self.decoded_regions(empty, empty))
+        self.assertEqual([None, None], self.decoded_regions({}, {}))
+
+    # Guards against a configuration that allows any region because a value is misread.
+    def test_malformed_regions_make_a_configuration_malformed(self) -> None:
+        for value in (None, "bac", 3, {"bac": True}, [None], [""], ["bac", 3], ["bac\ud800"]):
+            wrong: dict[str, Any] = {"allowed_regions": value}
+            with self.subTest(value=value):
+                self.assertIsNone(self.decoded_regions(wrong, {}))
+                self.assertIsNone(self.decoded_regions({}, wrong))
+
+    def decoded_regions(
+        self, of_route: dict[str, Any], of_tenant: dict[str, Any]
+    ) -> list[AllowedRegions] | None:
+        """Return the regions of a route and a tenant; None if the record is malformed."""
+        tenant = {"name": "lab", "api_keys": [KEY]} | of_tenant
+        change = decode_record(
+            configuration_record(routes=[route_body(**of_route)], tenants=[tenant])
+        )
+        if change is None:
+            return None
+        assert isinstance(change, ConfigurationChange)
+        workspaces = change.configuration.workspaces_by_key or {}
+        return [change.configuration.routes[0].allowed_regions, workspaces[KEY].allowed_regions]
+
     def test_layers_are_read_as_one_range_or_as_several(self) -> None:
         halves = [
             {"from": 0, "to": 8, "version": 2},
--- /dev/null
+++ b/gypsumpier/test/test_regions.py
@@ -0,0 +1,434 @@
+"""Tests of requests that only upstreams in some regions may serve, without a network."""
+
+import asyncio
+import unittest
+from typing import Any, Final
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumpier.fleet.state import FleetState
+from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.gateway.sender import UpstreamSender
+from gypsumpier.test.builders_gateway import request_of
+from gypsumpier.test.builders_platform import (
+    ENGINES,
+    apply_records,
+    configuration_record,
+    fleet_state_of,
+)
+from gypsumpier.test.builders_regions import (
+    OPEN_PREFIX,
+    REGIONS_BY_ZONE,
+    regional_admission,
+    regional_configuration,
+    regional_engines,
+    regional_fleet,
+)
+from gypsumpier.test.secondattemptcase import SecondAttemptCase
+from gypsumpier.upstream.enginestate import EngineState
+from gypsumpier.upstream.errors import NotRunError
+from gypsumpier.upstream.peerloads import Load
+
+FULL: Final = 17
+"""Requests in flight from which an engine of 16 slots takes no more."""
+AT_ONCE_S: Final = 0.2
+"""Seconds within which a request is refused that does not wait."""
+
+
+def fill(admission: Admission, *names: str) -> None:
+    """Fill engines up to their limit with requests of another entry; the others have none."""
+    admission.selector.record_peer_loads("other", {name: Load(FULL, 0) for name in names})
+
+
+def open_request(fleet_state: FleetState, **fields: Any) -> GatewayRequest:
+    """Return a request by a route without regions."""
+    return request_of(fleet_state, target=OPEN_PREFIX, **fields)
+
+
+def waiting_for(admission: Admission, request: GatewayRequest) -> "asyncio.Task[str]":
+    """Start to wait for the admission of a request; the result is the name of its engine."""
+
+    async def enter() -> str:
+        return (await admission.enter(request)).id
+
+    return asyncio.create_task(enter())
+
+
+async def is_waiting(*calls: "asyncio.Task[str]") -> list[bool]:
+    """Return which of the calls still wait."""
+    await asyncio.sleep(0.01)
+    return [not call.done() for call in calls]
+
+
+async def cancel_all(*calls: "asyncio.Task[str]") -> None:
+    """End the calls that still wait."""
+    for call in calls:
+        call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+
+
+class AllowedRegionsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a request at an upstream that its route or its tenant does not allow."""
+
+    async def entered(self, admission: Admission, **fields: Any) -> str:
+        """Return the engine that a new request is admitted to at once."""
+        async with asyncio.timeout(AT_ONCE_S):
+            return (await admission.enter(request_of(admission.fleet_state, **fields))).id
+
+    async def test_the_own_zone_is_passed_over_for_an_allowed_region(self) -> None:
+        for limits in ({"route": ["nam"]}, {"tenant": ["nam"]}):
+            with self.subTest(limits=limits):
+                admission = regional_admission(regional_fleet(["bac-a", "nam-a"], **limits))
+                self.assertEqual("i-2", await self.entered(admission))
+
+    async def test_both_the_route_and_the_tenant_bind(self) -> None:
+        fleet_state = regional_fleet(["bac-a", "nam-a", "sud-a"], ["bac", "nam"], ["nam", "sud"])
+        request = request_of(fleet_state)
+        self.assertEqual(frozenset({"nam"}), request.regions)
+        self.assertEqual("i-2", await self.entered(regional_admission(fleet_state)))
+
+    async def test_without_regions_any_upstream_may_serve(self) -> None:
+        fleet_state = regional_fleet(["bac-a", "nam-a"], [], [])
+        self.assertIsNone(request_of(fleet_state).regions)
+        self.assertEqual("i-1", await self.entered(regional_admission(fleet_state)))
+
+    async def test_an_empty_intersection_allows_no_upstream(self) -> None:
+        fleet_state = regional_fleet(["bac-a", "nam-a"], ["bac"], ["nam"])
+        with self.assertRaises(Refusal):
+            await self.entered(regional_admission(fleet_state))
+
+    async def test_a_zone_without_a_region_is_not_allowed_where_regions_are_named(self) -> None:
+        fleet_state = regional_fleet(["new-a", "nam-a"], ["bac", "nam"])
+        admission = regional_admission(fleet_state)
+        for _ in range(3):
+            self.assertEqual("i-2", await self.entered(admission))
+        fill(admission, "i-2")
+        self.assertEqual("i-1", (await admission.enter(open_request(fleet_state))).id)
+
+    async def test_without_any_known_region_a_limited_request_goes_nowhere(self) -> None:
+        admission = regional_admission(regional_fleet(["bac-a"], ["bac"]))
+        admission.selector.set_regions({})
+        with self.assertRaises(Refusal):
+            await self.entered(admission)
+
+    async def test_changed_settings_of_zones_hold_for_known_candidates(self) -> None:
+        admission = regional_admission(regional_fleet(["bac-a", "nam-a"], ["bac"]))
+        self.assertEqual("i-1", await self.entered(admission))
+        admission.selector.set_regions({"bac-a": "nam", "nam-a": "bac"})
+        self.assertEqual("i-2", await self.entered(admission))
+
+    async def test_an_entry_that_is_cut_off_from_the_store_keeps_to_the_regions(self) -> None:
+        fleet_state = fleet_state_of(
+            regional_configuration(["nam"], public=True),
+            *regional_engines(["bac-a", "nam-a"]),
+            proven_ago_s=600.0,
+        )
+        self.assertEqual("i-2", await self.entered(regional_admission(fleet_state)))
+
+
+class RepeatedRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against later attempts outside the regions of a request."""
+
+    def setUp(self) -> None:
+        self.fleet_state = regional_fleet(["bac-a", "bac-b", "nam-a", "sud-a"], ["bac"])
+        self.admission = regional_admission(self.fleet_state)
+        self.request = request_of(self.fleet_state)
+
+    def tried(self, *names: str) -> None:
+        """Note these engines as tried by the request."""
+        self.request.tried |= {self.fleet_state.upstreams[name].run_key() for name in names}
+
+    async def test_a_retry_stays_in_the_region(self) -> None:
+        self.tried("i-1")
+        self.assertEqual("i-2", (await self.admission.enter(self.request)).id)
+
+    async def test_a_retry_after_all_of_the_region_tries_them_again(self) -> None:
+        self.tried("i-1", "i-2")
+        self.assertIn((await self.admission.enter(self.request)).id, {"i-1", "i-2"})
+
+    async def test_a_resumed_stream_waits_for_the_region(self) -> None:
+        self.request.attempts, self.request.last_event_id = 1, "3"
+        fill(self.admission, "i-1", "i-2")
+        call = waiting_for(self.admission, self.request)
+        self.assertEqual([True], await is_waiting(call))
+        fill(self.admission, "i-1")
+        self.admission.dispatch_all()
+        self.assertEqual("i-2", await call)
+
+    async def test_the_last_attempt_does_not_wait_for_an_engine_of_another_region(self) -> None:
+        """An engine elsewhere switches its weights; it will return, but not for this request."""
+        self.request.attempts, self.request.last_event_id = 1, "3"
+        address = f"{self.fleet_state.upstreams['i-3'].host}:8701"
+        switching = EngineState(address, "run", 1, True, 0, 0, 1.0, ())
+        self.admission.selector.record_engine_state(switching)
+        selector = self.admission.selector
+        self.assertTrue(selector.is_engine_returning(ENGINES, set()))
+        self.assertFalse(selector.is_engine_returning(ENGINES, set(), frozenset({"bac"})))
+
+    async def test_a_rest_in_the_region_counts_although_others_do_not_rest(self) -> None:
+        for name in ("i-1", "i-2"):
+            self.admission.selector.statements.rests.begin_rest(
+                self.fleet_state.upstreams[name], 30.0
+            )
+        with self.assertRaises(Refusal) as raised:
+            await self.admission.enter(self.request)
+        self.assertEqual("upstream_resting", raised.exception.code.name)
+        other = await self.admission.enter(open_request(self.fleet_state))
+        self.assertIn(other.id, {"i-3", "i-4"})
+
+
+class RegionalSecondAttemptTest(SecondAttemptCase):
+    """Guards against a second attempt outside the regions of a request at a silent upstream."""
+
+    engine_count = 3
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for number, zone in enumerate(("bac-a", "nam-a", "bac-b"), 1):
+            name = f"i-{number}"
+            found = self.fleet_state.upstreams[name]
+            self.fleet_state.upstreams[name] = found._replace(zone=zone)
+        self.selector.set_regions(REGIONS_BY_ZONE)
+        self.request.route = self.request.route._replace(allowed_regions=frozenset({"bac"}))
+        self.silent = self.fleet_state.upstreams["i-1"]
+        self.other.silent.record = self.silent
+
+    async def test_it_goes_to_an_upstream_of_the_region(self) -> None:
+        with self.other:
+            self.assertTrue(await self.other.take())
+            assert self.other.attempt is not None
+            self.assertEqual("i-3", self.other.attempt.record.id)
+
+    async def test_without_another_upstream_in_the_region_there_is_none(self) -> None:
+        del self.fleet_state.upstreams["i-3"]
+        with self.other:
+            self.assertFalse(self.other.may_move())
+            self.assertFalse(await self.other.take())
+            self.assertFalse(await self.other.wait())
+
+    async def test_a_place_in_another_region_is_none(self) -> None:
+        fill(self.admission, "i-3")
+        self.assertFalse(self.admission.has_place(self.request, self.other.all_tried(frozenset())))
+        fill(self.admission)
+        self.assertTrue(self.admission.has_place(self.request, self.other.all_tried(frozenset())))
+
+
+class MixedQueueTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that keep others of the queue from places that they can't use."""
+
+    def setUp(self) -> None:
+        self.fleet_state = regional_fleet(["bac-a", "nam-a"], ["nam"])
+        self.admission = regional_admission(self.fleet_state)
+
+    async def test_a_limited_request_does_not_block_those_behind_it(self) -> None:
+        fill(self.admission, "i-1", "i-2")
+        limited = waiting_for(self.admission, request_of(self.fleet_state))
+        behind = waiting_for(self.admission, open_request(self.fleet_state))
+        self.assertEqual([True, True], await is_waiting(limited, behind))
+        fill(self.admission, "i-2")
+        self.admission.dispatch_all()
+        self.assertEqual([True, False], await is_waiting(limited, behind))
+        self.assertEqual("i-1", await behind)
+        await cancel_all(limited)
+
+    async def test_a_request_without_regions_does_not_block_limited_ones_behind_it(self) -> None:
+        """The first one takes the place that it can, and the limited one the other."""
+        fill(self.admission, "i-1", "i-2")
+        first = waiting_for(self.admission, open_request(self.fleet_state))
+        limited = waiting_for(self.admission, request_of(self.fleet_state))
+        self.assertEqual([True, True], await is_waiting(first, limited))
+        fill(self.admission)
+        self.admission.dispatch_all()
+        self.assertEqual(["i-1", "i-2"], [await first, await limited])
+
+    async def test_a_new_request_passes_a_queue_for_other_regions(self) -> None:
+        fill(self.admission, "i-2")
+        limited = waiting_for(self.admission, request_of(self.fleet_state))
+        self.assertEqual([True], await is_waiting(limited))
+        found = self.admission.try_enter(open_request(self.fleet_state))
+        self.assertEqual("i-1", found.id if found else "")
+        self.assertTrue(self.admission.has_place(open_request(self.fleet_state), set()))
+        await cancel_all(limited)
+
+    async def test_a_new_request_does_not_take_the_place_that_a_limited_one_awaits(self) -> None:
+        fill(self.admission, "i-1", "i-2")
+        limited = waiting_for(self.admission, request_of(self.fleet_state))
+        self.assertEqual([True], await is_waiting(limited))
+        fill(self.admission, "i-1")
+        self.assertIsNone(self.admission.try_enter(open_request(self.fleet_state)))
+        self.assertFalse(self.admission.has_place(open_request(self.fleet_state), set()))
+        self.admission.dispatch_all()
+        self.assertEqual("i-2", await limited)
+
+    async def test_a_new_request_waits_behind_one_that_any_place_serves(self) -> None:
+        fill(self.admission, "i-1", "i-2")
+        first = waiting_for(self.admission, open_request(self.fleet_state))
+        self.assertEqual([True], await is_waiting(first))
+        fill(self.admission, "i-1")
+        self.assertIsNone(self.admission.try_enter(request_of(self.fleet_state)))
+        self.assertFalse(self.admission.has_place(request_of(self.fleet_state), set()))
+        await cancel_all(first)
+
+
+class ChangedConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a request that is sent where only one of two configurations allows it.
+
+    It was admitted under the first and is sent under the second.
+    """
+
+    def start(self, route: list[str] | None, tenant: list[str] | None = None) -> None:
+        """Admit a request under a configuration with these regions."""
+        self.fleet_state = regional_fleet(["bac-a", "nam-a"], route, tenant)
+        self.admission = regional_admission(self.fleet_state)
+        self.request = request_of(self.fleet_state)
+
+    def change(
+        self, route: list[str] | None, tenant: list[str] | None = None, **fields: Any
+    ) -> None:
+        """Put the second configuration in force."""
+        apply_records(
+            self.fleet_state, regional_configuration(route, tenant, 2, revision=200, **fields)
+        )
+
+    def sendable(self) -> list[str]:
+        """Return the engines to which the request may be written now."""
+        sender = UpstreamSender(
+            self.admission, self.admission.selector, mock.Mock(), mock.Mock(), mock.Mock()
+        )
+        sender.crashes.refused_for_s = mock.Mock(return_value=0.0)  # type: ignore[method-assign]
+        writer = mock.Mock()
+        writer.has_caller_departed.return_value = False
+        found = []
+        for upstream in self.fleet_state.upstreams.values():
+            try:
+                sender.check_sendable(self.request, upstream, writer)
+                found.append(upstream.id)
+            except NotRunError as error:
+                self.assertTrue(error.is_recalled)
+        return found
+
+    def test_regions_that_are_named_meanwhile_bind(self) -> None:
+        for limits in ({"route": ["nam"]}, {"route": None, "tenant": ["nam"]}):
+            with self.subTest(limits=limits):
+                self.start(None)
+                self.assertEqual(["i-1", "i-2"], self.sendable())
+                self.change(**limits)
+                self.assertEqual(["i-2"], self.sendable())
+
+    def test_both_configurations_bind(self) -> None:
+        self.start(["bac"])
+        self.change(["nam"])
+        self.assertEqual([], self.sendable())
+
+    def test_regions_that_are_lifted_still_bind_those_admitted_under_them(self) -> None:
+        self.start(["nam"])
+        self.change(None)
+        self.assertEqual(["i-2"], self.sendable())
+        self.assertIsNone(request_of(self.fleet_state).regions)
+
+    def test_a_route_that_has_gone_binds_as_admitted(self) -> None:
+        self.start(["nam"])
+        apply_records(self.fleet_state, configuration_record(200, version=2, routes=[]))
+        self.assertEqual(["i-2"], self.sendable())
+
+    def test_a_route_that_has_moved_binds_by_its_name(self) -> None:
+        self.start(None)
+        self.change(["nam"], host="other.example")
+        self.assertEqual(["i-2"], self.sendable())
+
+    def test_a_configuration_that_was_replaced_meanwhile_does_not_bind(self) -> None:
+        self.start(None)
+        self.change(["nam"])
+        self.assertEqual(["i-2"], self.sendable())
+        apply_records(self.fleet_state, regional_configuration(["bac"], None, 3, revision=300))
+        self.assertEqual(["i-1"], self.sendable())
+
+    async def test_a_queued_request_is_admitted_by_the_regions_in_force(self) -> None:
+        self.start(None)
+        fill(self.admission, "i-1", "i-2")
+        call = waiting_for(self.admission, self.request)
+        self.assertEqual([True], await is_waiting(call))
+        self.change(["nam"])
+        fill(self.admission, "i-2")
+        self.admission.dispatch_all()
+        self.assertEqual([True], await is_waiting(call))
+        fill(self.admission)
+        self.admission.dispatch_all()
+        self.assertEqual("i-2", await call)
+
+
+class EveryPathTest(unittest.TestCase):
+    """Guards against any path by which a request reaches an upstream outside its regions."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(st.data())
+    def test_no_path_yields_an_upstream_outside(self, data: st.DataObject) -> None:
+        zones = data.draw(st.lists(ZONES, min_size=1, max_size=6))
+        first = data.draw(st.tuples(REGION_LISTS, REGION_LISTS))
+        fleet_state = regional_fleet(zones, *first)
+        admission = regional_admission(fleet_state)
+        request = request_of(fleet_state)
+        allowed = common(*first)
+        if data.draw(st.booleans()):
+            second = data.draw(st.tuples(REGION_LISTS, REGION_LISTS))
+            apply_records(fleet_state, regional_configuration(*second, 2, revision=200))
+            allowed = common(allowed, *second)
+        self.disturb(data, admission, request)
+        for _ in range(3):
+            found = admission.try_enter(request)
+            if found is None:
+                break
+            self.assertIn(found, allowed_upstreams(fleet_state, allowed))
+            admission.leave(request, found)
+            self.disturb(data, admission, request)
+        self.check_counts(admission, request, allowed)
+
+    def disturb(self, data: st.DataObject, admission: Admission, request: GatewayRequest) -> None:
+        """Change the load and health of upstreams, and how far the request has come."""
+        records = list(admission.fleet_state.upstreams.values())
+        chosen = data.draw(st.lists(st.sampled_from(records), max_size=4))
+        request.tried |= {found.run_key() for found in chosen}
+        full = data.draw(st.lists(st.sampled_from(records), max_size=3))
+        fill(admission, *(found.id for found in full))
+        for found in data.draw(st.lists(st.sampled_from(records), max_size=2)):
+            admission.selector.health.record_failure(found.run_key())
+        request.attempts = data.draw(st.integers(0, 2))
+        request.is_moving = data.draw(st.booleans())
+        request.last_event_id = data.draw(st.sampled_from(["", "3"]))
+
+    def check_counts(
+        self, admission: Admission, request: GatewayRequest, allowed: list[str] | None
+    ) -> None:
+        """Check that upstreams outside don't count either, and that the last check holds."""
+        fleet_state = admission.fleet_state
+        inside = allowed_upstreams(fleet_state, allowed)
+        for found in fleet_state.upstreams.values():
+            self.assertEqual(found in inside, admission.may_serve(request, found))
+        self.assertEqual(bool(inside), admission.is_upstream_expected(request))
+        if not inside:
+            self.assertFalse(admission.has_place(request, set()))
+            self.assertFalse(admission.has_other_upstream(request, set()))
+
+
+ZONES: Final = st.sampled_from([*REGIONS_BY_ZONE, "new-a"])
+REGION_LISTS: Final = st.none() | st.lists(
+    st.sampled_from(["bac", "nam", "sud", "else"]), min_size=1, max_size=3
+)
+
+
+def common(*lists: list[str] | None) -> list[str] | None:
+    """Return what is in all of the lists that are not None; None where there is no such list."""
+    named = [set(names) for names in lists if names is not None]
+    return sorted(set.intersection(*named)) if named else None
+
+
+def allowed_upstreams(fleet_state: FleetState, allowed: list[str] | None) -> list[Any]:
+    """Return the upstreams in the regions, worked out from the zones alone."""
+    records = list(fleet_state.upstreams.values())
+    if allowed is None:
+        return records
+    return [found for found in records if REGIONS_BY_ZONE.get(found.zone) in allowed]
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -13,8 +13,10 @@
 from gypsumpier.eligibility.eligibility import Eligibility
 from gypsumpier.eligibility.leaving import LeavingConstraint
 from gypsumpier.eligibility.needs import Needs
+from gypsumpier.eligibility.regions import RegionConstraint
 from gypsumpier.eligibility.weights import WeightsConstraint
 from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
@@ -79,11 +81,18 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
-    ``eligibility`` holds the constraints on the choice.  ``known_candidates`` holds the candidates
-    by needs until something changes that they depend on.
+    ``eligibility`` holds the constraints on the choice.  ``regions`` knows the regions of zones;
+    without any, requests that are limited to regions are sent nowhere.  ``known_candidates`` holds
+    the candidates by needs until something changes that they depend on.
     """
 
-    def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
+    def __init__(
+        self,
+        fleet_state: FleetState,
+        zone: str,
+        schedule: SwitchSchedule,
+        regions_by_zone: dict[str, str] | None = None,
+    ) -> None:
         self.fleet_state = fleet_state
         self.zone = zone
         self.schedule = schedule
@@ -99,8 +108,10 @@
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
+        self.regions = RegionConstraint(regions_by_zone or {})
         self.eligibility = Eligibility()
         self.eligibility.standing += [
+            self.regions,
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
         ]
@@ -114,6 +125,11 @@
         self.known_candidates.clear()
         self.forgot_at_s = float("-inf")
 
+    def set_regions(self, regions_by_zone: dict[str, str]) -> None:
+        """Replace the regions of the zones."""
+        self.regions.regions_by_zone = regions_by_zone
+        self.known_candidates.clear()
+
     def record_peer_loads(
         self,
         name: str,
@@ -263,7 +279,7 @@
         return record.slots + max(1, int(record.slots * SPARE_SLOTS_SHARE))
 
     def candidates(
-        self, service: str, least_version: int = 0, regions: frozenset[str] | None = None
+        self, service: str, least_version: int = 0, regions: AllowedRegions = None
     ) -> list[UpstreamRecord]:
         """Return the upstreams of the service that no standing constraint excludes.
 
@@ -286,10 +302,7 @@
         return found
 
     def may_still_serve(
-        self,
-        record: UpstreamRecord,
-        least_version: int,
-        regions: frozenset[str] | None = None,
+        self, record: UpstreamRecord, least_version: int, regions: AllowedRegions = None
     ) -> bool:
         """Return whether an upstream chosen a moment ago is unchanged and still a candidate.
 
@@ -308,16 +321,19 @@
         engine = self.engine(record)
         return engine is not None and engine.is_switching
 
-    def is_engine_returning(self, service: str, excluded: set[tuple[str, int]]) -> bool:
+    def is_engine_returning(
+        self, service: str, excluded: set[tuple[str, int]], regions: AllowedRegions = None
+    ) -> bool:
         """Return whether an engine is switching and will soon serve with its new weights.
 
-        Those whose run keys are in ``excluded`` don't count.
+        Those outside the regions, or whose run keys are in ``excluded``, don't count.
         """
         began_after_s = time.monotonic() - SWITCH_MAX_S
         return any(
             record.service == service
             and record.run_key() not in excluded
             and not record.is_leaving
+            and self.regions.allows(record, regions)
             and self.switching_since_s.get(f"{record.host}:{record.port}", 0.0) > began_after_s
             for record in self.fleet_state.upstreams.values()
         )
