Refuse requests at once whose regions have no upstream

Cause: a request that no upstream may serve for its regions would be refused as if the service had none, and one that was queued when the last upstream of its regions went, or when the configuration changed, would wait until its latest start.

Change: code 2074 no_upstream_in_regions, 503, not_run, with Retry-After; a queued request gets it at the next pass over its queue. Full, resting, failed and switching upstreams of the regions are waited for as before, and a request that may have run waits as before. A log line, at most one a second for a service and regions, names the known upstreams by region; a counter counts the requests.

--- a/gypsumpier/codes/request.py
+++ b/gypsumpier/codes/request.py
@@ -210,3 +210,10 @@
 ENTRY_STOPPING: Final = ResultCode(
     2072, "entry_stopping", 503, Outcome.NOT_RUN, "Send the request again on a new connection."
 )
+NO_UPSTREAM_IN_REGIONS: Final = ResultCode(
+    2074,
+    "no_upstream_in_regions",
+    503,
+    Outcome.NOT_RUN,
+    "No upstream in the regions that the route and the workspace allow. Retry after Retry-After.",
+)
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -10,6 +10,7 @@
 
 from gypsumpier.codes.request import (
     NO_UPSTREAM,
+    NO_UPSTREAM_IN_REGIONS,
     QUEUE_TOO_LONG,
     TIME_LIMIT_BEFORE_START,
     UPSTREAM_RESTING,
@@ -19,6 +20,7 @@
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.regionreport import RegionReport
 from gypsumpier.gateway.regionrules import RegionRules
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
@@ -88,6 +90,7 @@
         self.selector = selector
         self.least_version = least_version
         self.region_rules = RegionRules(fleet_state)
+        self.region_report = RegionReport(selector.regions)
         self.random = random.Random()
         self.entry_count = 1
         self.first_event_estimates_s: dict[str, float] = {}
@@ -281,6 +284,7 @@
 
         Without any upstream it is refused at once, unless a refusal would lose its answer.
         """
+        self.check_regions(request)
         if request.is_refusable() and not self.is_upstream_expected(request):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
@@ -296,6 +300,24 @@
             return result
         raise self.refusal(request, result)
 
+    def check_regions(self, request: GatewayRequest) -> None:
+        """Raise Refusal if no upstream of the request's regions can serve it.
+
+        One that may have run, such as a stream that is to be resumed, waits as long as its caller.
+        """
+        regions = self.region_rules.regions(request)
+        if regions is None or self.is_upstream_expected(request):
+            return
+        self.region_report.record(request, regions, self.fleet_state.upstreams.values())
+        if request.is_refusable():
+            raise self.refusal(request, NO_UPSTREAM_WAIT_S)
+
+    def check_waiting(self, request: GatewayRequest) -> None:
+        """Raise Refusal if a queued request need not wait any longer."""
+        if request.is_refusable():
+            self.check_regions(request)
+        self.check_rests(request)
+
     def check_rests(self, request: GatewayRequest) -> None:
         """Raise Refusal if every upstream rests, unless the request can wait for the first of them.
 
@@ -350,7 +372,7 @@
             self.record_waiting(service)
         if not queue.waiting:
             return
-        self.refuse_waiting(queue, self.check_rests)
+        self.refuse_waiting(queue, self.check_waiting)
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
         full: set[AllowedRegions] = set()
@@ -519,7 +541,12 @@
         retry_after_s = min(
             max(wait_s, NO_UPSTREAM_WAIT_S) * jitter, left_s * RETRY_AFTER_MAX_SHARE
         )
-        code = QUEUE_TOO_LONG if self.selector.candidates(request.service) else NO_UPSTREAM
+        regions = self.region_rules.regions(request)
+        if regions is not None and not self.is_upstream_expected(request):
+            detail = f"no upstream of {request.service} in {', '.join(sorted(regions)) or 'none'}"
+            return Refusal(NO_UPSTREAM_IN_REGIONS, 503, detail, retry_after_s)
+        has_upstream = bool(self.selector.candidates(request.service, 0, regions))
+        code = QUEUE_TOO_LONG if has_upstream else NO_UPSTREAM
         waiting = len(self.queue(request.service).waiting)
         detail = f"{waiting} requests wait for {request.service}, about {wait_s:.2f} s"
         return Refusal(code, 503, detail, retry_after_s)
--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -8,17 +8,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gypsumpier.codes.result import Outcome
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.gateway.admission import Admission
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.sender import UpstreamSender
+from gypsumpier.log import LOGGER
+from gypsumpier.metrics import REGISTRY
 from gypsumpier.test.builders_gateway import request_of
 from gypsumpier.test.builders_platform import (
     ENGINES,
     apply_records,
     configuration_record,
+    engine_record,
     fleet_state_of,
+    record,
 )
 from gypsumpier.test.builders_regions import (
     OPEN_PREFIX,
@@ -98,8 +103,9 @@
 
     async def test_an_empty_intersection_allows_no_upstream(self) -> None:
         fleet_state = regional_fleet(["bac-a", "nam-a"], ["bac"], ["nam"])
-        with self.assertRaises(Refusal):
+        with self.assertRaises(Refusal) as raised:
             await self.entered(regional_admission(fleet_state))
+        self.assertEqual("no_upstream_in_regions", raised.exception.code.name)
 
     async def test_a_zone_without_a_region_is_not_allowed_where_regions_are_named(self) -> None:
         fleet_state = regional_fleet(["new-a", "nam-a"], ["bac", "nam"])
@@ -130,6 +136,103 @@
         self.assertEqual("i-2", await self.entered(regional_admission(fleet_state)))
 
 
+class RegionRefusalTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that are held, or told too little, where no upstream may serve."""
+
+    def setUp(self) -> None:
+        self.fleet_state = regional_fleet(["bac-a", "sud-a"], ["nam"])
+        self.admission = regional_admission(self.fleet_state)
+        self.request = request_of(self.fleet_state)
+
+    async def refusal(self, request: GatewayRequest) -> Refusal:
+        """Return the refusal of a request, which must not be held."""
+        with self.assertRaises(Refusal) as raised:
+            async with asyncio.timeout(AT_ONCE_S):
+                await self.admission.enter(request)
+        return raised.exception
+
+    async def test_it_is_refused_at_once_by_its_own_code(self) -> None:
+        found = await self.refusal(self.request)
+        self.assertEqual((503, "no_upstream_in_regions"), (found.status, found.code.name))
+        self.assertIs(Outcome.NOT_RUN, found.code.outcome)
+        assert found.retry_after_s is not None
+        self.assertTrue(0.0 < found.retry_after_s <= self.request.left_s() / 3 + 0.01)
+
+    async def test_without_any_upstream_the_code_is_the_same(self) -> None:
+        for name in list(self.fleet_state.upstreams):
+            del self.fleet_state.upstreams[name]
+        found = await self.refusal(self.request)
+        self.assertEqual("no_upstream_in_regions", found.code.name)
+        other = await self.refusal(open_request(self.fleet_state))
+        self.assertEqual("no_upstream", other.code.name)
+
+    async def test_full_and_failed_upstreams_of_the_region_are_waited_for(self) -> None:
+        apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
+        apply_records(self.fleet_state, engine_record(4, 201, zone="nam-a"))
+        fill(self.admission, "i-3")
+        self.admission.selector.health.record_failure(self.fleet_state.upstreams["i-4"].run_key())
+        call = waiting_for(self.admission, self.request)
+        self.assertEqual([True], await is_waiting(call))
+        await cancel_all(call)
+
+    async def test_an_engine_of_the_region_that_switches_is_waited_for(self) -> None:
+        apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
+        address = f"{self.fleet_state.upstreams['i-3'].host}:8701"
+        switching = EngineState(address, "run", 1, True, 0, 0, 1.0, ())
+        self.admission.selector.record_engine_state(switching)
+        call = waiting_for(self.admission, self.request)
+        self.assertEqual([True], await is_waiting(call))
+        await cancel_all(call)
+
+    async def test_an_upstream_of_the_region_that_leaves_is_none(self) -> None:
+        apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a", state="draining"))
+        self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
+
+    async def test_a_request_that_may_have_run_is_not_refused(self) -> None:
+        for event_id in ("", "3"):
+            with self.subTest(event_id=event_id):
+                request = request_of(self.fleet_state)
+                request.attempts, request.last_event_id = 1, event_id
+                call = waiting_for(self.admission, request)
+                self.assertEqual([True], await is_waiting(call))
+                self.admission.dispatch_all()
+                self.assertEqual([True], await is_waiting(call))
+                await cancel_all(call)
+
+    async def test_a_queued_request_is_refused_once_its_region_has_no_upstream(self) -> None:
+        """The upstream goes, or the configuration in force leaves no region."""
+        gone = record("servers/i-3", None, 300)
+        for change in (gone, regional_configuration(["bac"], None, 2, revision=300)):
+            with self.subTest(key=change.key):
+                self.setUp()
+                apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
+                fill(self.admission, "i-3")
+                call = waiting_for(self.admission, self.request)
+                self.assertEqual([True], await is_waiting(call))
+                apply_records(self.fleet_state, change)
+                self.admission.dispatch_all()
+                self.assertEqual([False], await is_waiting(call))
+                found = call.exception()
+                assert isinstance(found, Refusal)
+                self.assertEqual("no_upstream_in_regions", found.code.name)
+
+    async def test_it_is_logged_with_the_regions_but_not_each_time(self) -> None:
+        before = self.counted()
+        with self.assertLogs(LOGGER, "INFO") as lines:
+            for _ in range(5):
+                await self.refusal(request_of(self.fleet_state))
+        self.assertEqual(5, self.counted() - before)
+        (fields,) = [found.fields for found in lines.records]  # type: ignore[attr-defined]
+        self.assertEqual(["nam"], fields["regions"])
+        self.assertEqual({"bac": 1, "sud": 1}, fields["known"])
+        self.assertEqual(self.request.head.request_id, fields["request"])
+
+    def counted(self) -> float:
+        """Return the value of the metric."""
+        name = "gypsumpier_requests_without_region_total"
+        return REGISTRY.get_sample_value(name, {"service": ENGINES}) or 0.0
+
+
 class RepeatedRequestTest(unittest.IsolatedAsyncioTestCase):
     """Guards against later attempts outside the regions of a request."""
 
