Decode how long upstreams stay cold, and what their services and settings allow

Cause: the records state cold_left_ms, services cold_s and cold_per_s, and the settings' bounds cold_excess and cold_slack; nothing read them. Now they are decoded into fields with defaults. A malformed field of a record or service counts as absent, as an upstream works without it; a malformed bound is reported like the others. states_cold tells a stated 0 from silence, because a new run is cold unless its record says 0.

--- a/gypsumpier/fleet/node.py
+++ b/gypsumpier/fleet/node.py
@@ -17,7 +17,8 @@
     """The service levels that the deployment promises: times in seconds, and the retry budget.
 
     Retries may be up to ``retry_share`` of the requests within ``retry_window_s``, plus
-    ``retry_slack``.
+    ``retry_slack``.  A cold upstream may get ``cold_excess`` times the requests per second that its
+    service states, plus ``cold_slack``.
     """
 
     configuration_in_force_s: float
@@ -28,6 +29,8 @@
     retry_share: float
     retry_window_s: float
     retry_slack: float
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
 
 class NodeSettings(NamedTuple):
--- a/gypsumpier/fleet/service.py
+++ b/gypsumpier/fleet/service.py
@@ -34,9 +34,15 @@
 
 
 class Service(NamedTuple):
-    """A service; ``model`` is None where it has no model, ``origin`` is set for an origin."""
+    """A service; ``model`` is None where it has no model, ``origin`` is set for an origin.
+
+    For ``cold_s`` seconds after its start an upstream tolerates ``cold_per_s`` requests per second;
+    0 means that there is no such limit.
+    """
 
     name: str
     max_connections: int
     model: ModelTraits | None = None
     origin: Origin | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
--- a/gypsumpier/fleet/upstream.py
+++ b/gypsumpier/fleet/upstream.py
@@ -17,6 +17,8 @@
 
     ``sequence`` increases with each report of a run, also with those that change no record.
     ``is_leaving`` upstreams are draining: they finish their requests and accept no new ones.
+    ``cold_left_s`` is how much longer it was cold when the record was written; ``states_cold`` is
+    set if the record says so, be it 0.
     """
 
     id: str
@@ -29,6 +31,8 @@
     started_ms: int
     layers: tuple[LoadedLayers, ...]
     sequence: int = 0
+    cold_left_s: float = 0.0
+    states_cold: bool = False
 
     def run_key(self) -> tuple[str, int]:
         """Return the key that identifies one run of one upstream."""
--- a/gypsumpier/platform/records.py
+++ b/gypsumpier/platform/records.py
@@ -102,9 +102,21 @@
         started_ms=whole(body, "born") if "born" in body else 0,
         layers=loaded_layers(body),
         sequence=sequence(body),
+        cold_left_s=optional_number(body, "cold_left_ms") * SECONDS_PER_MS,
+        states_cold=is_number(body.get("cold_left_ms")),
     )
 
 
+def is_number(value: object) -> bool:
+    """Return whether the value is a finite number of 0 or more."""
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value < 1e18
+
+
+def optional_number(body: dict[str, Any], name: str) -> float:
+    """Return a number of 0 or more; 0 where it is absent or malformed."""
+    return number(body, name) if is_number(body.get(name)) else 0.0
+
+
 def sequence(body: dict[str, Any]) -> int:
     """Return the number of the report; 0 where there is none, as an upstream works without it."""
     value = body.get("seq")
@@ -216,6 +228,8 @@
         max_connections=int(number(body, "max_conns")) if "max_conns" in body else 0,
         model=model_traits(engine) if isinstance(engine, dict) else None,
         origin=origin(body) if "origin" in body else None,
+        cold_s=optional_number(body, "cold_s"),
+        cold_per_s=optional_number(body, "cold_per_s"),
     )
 
 
--- a/gypsumpier/platform/settings.py
+++ b/gypsumpier/platform/settings.py
@@ -69,6 +69,10 @@
         self.add_problem(name, "is not a number of 0 or more")
         return 0.0
 
+    def optional_number(self, name: str, default: float) -> float:
+        """Return a number of 0 or more, or ``default`` if the field is absent."""
+        return default if self.value(name) is None else self.number(name)
+
     def address(self, name: str) -> Address:
         """Return an address; record a problem otherwise."""
         value = address(self.value(name))
@@ -142,6 +146,8 @@
         retry_share=reader.number("bounds.retry_ratio"),
         retry_window_s=reader.number("bounds.retry_window_s"),
         retry_slack=reader.number("bounds.retry_slack"),
+        cold_excess=reader.optional_number("bounds.cold_excess", 1.0),
+        cold_slack=reader.optional_number("bounds.cold_slack", 0.0),
     )
 
 
--- a/gypsumpier/test/test_platform_records.py
+++ b/gypsumpier/test/test_platform_records.py
@@ -11,14 +11,17 @@
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.upstream import LoadedLayers, whole_version
 from gypsumpier.test.builders_platform import (
+    ENGINES,
     KEY,
     LAYERS,
     MODEL,
+    PLAIN,
     configuration_body,
     configuration_record,
     decode_record,
     engine_body,
     engine_record,
+    engine_service_body,
     record,
     route_body,
 )
@@ -56,6 +59,35 @@
         assert origin is not None
         self.assertEqual(9.9e6 / 8, origin.link_bytes_per_s)
 
+    # Guards against an upstream that gets nothing, or counts as warm, for a malformed field.
+    def test_the_time_that_an_upstream_stays_cold_is_decoded(self) -> None:
+        for value, expected in (
+            (2500, (2.5, True)),
+            (0, (0.0, True)),
+            ("x", (0.0, False)),
+            (None, (0.0, False)),
+            (-1, (0.0, False)),
+            (True, (0.0, False)),
+            (float("nan"), (0.0, False)),
+        ):
+            found = decoded_engine(cold_left_ms=value).record
+            assert found is not None
+            self.assertEqual(expected, (found.cold_left_s, found.states_cold), value)
+        found = decoded_engine().record
+        assert found is not None
+        self.assertEqual((0.0, False), (found.cold_left_s, found.states_cold))
+
+    def test_the_limit_of_cold_upstreams_is_decoded(self) -> None:
+        services = [
+            engine_service_body(cold_s=3.0, cold_per_s=26.0),
+            {"name": PLAIN, "cold_s": "x", "cold_per_s": None},
+        ]
+        change = decode_record(configuration_record(services=services))
+        assert isinstance(change, ConfigurationChange)
+        engines, plain = (change.configuration.services[name] for name in (ENGINES, PLAIN))
+        self.assertEqual((3.0, 26.0), (engines.cold_s, engines.cold_per_s))
+        self.assertEqual((0.0, 0.0), (plain.cold_s, plain.cold_per_s))
+
     def test_the_longest_prefix_of_the_host_wins(self) -> None:
         routes = [route_body("a", prefix="/reports/"), route_body("b", prefix="/reports/2/")]
         change = decode_record(configuration_record(routes=routes))
--- a/gypsumpier/test/test_platform_settings.py
+++ b/gypsumpier/test/test_platform_settings.py
@@ -42,6 +42,16 @@
         self.assertEqual(125_000_000, found.link_bytes_per_s)
         self.assertEqual(Address("127.0.0.1", 8005), found.caller_address)
 
+    # Guards against settings of older platforms that are rejected, and against malformed bounds.
+    def test_bounds_of_cold_upstreams_are_optional(self) -> None:
+        found = read_body().bounds
+        self.assertEqual((1.0, 0.0), (found.cold_excess, found.cold_slack))
+        bounds = settings_body()["bounds"]
+        found = read_body(bounds=bounds | {"cold_excess": 1.5, "cold_slack": 5}).bounds
+        self.assertEqual((1.5, 5.0), (found.cold_excess, found.cold_slack))
+        with self.assertRaises(SettingsError):
+            read_body(bounds=bounds | {"cold_excess": -1})
+
     def test_unknown_fields_are_ignored(self) -> None:
         self.assertEqual(read_body(), read_body(new_field={"a": 1}))
 
