Limit the requests to cold upstreams, summed over all entries

Cause: 35 to 44 entries learn of a returning upstream at the same moment, and each would send it as much as it has slots for; a cold upstream crashes well above cold_per_s.

Change: gypsumpier/coldstart/ with the evidence for a cold upstream, the share, the permits of a sliding window and the exchange of names. An entry uses a share only while a majority of the seeds has told it within 10 s that they have known its name for 12 s: two such entries have a seed in common that counts both. The permit is checked again where the request is written, which Exchange now does before it returns; a request without one is chosen anew at no cost. Requests that no upstream will take in time are refused at once.

Measured: 21 modules of the gateway, the mesh and upstreams pass (210 tests). The scheme has no tests of its own yet; they follow.

--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -84,6 +84,8 @@
     ``proven_at_s`` is the time of the newest freshness proof.  ``lapsed`` maps upstreams that are
     kept without a record to the time at which they are removed.  ``claims`` holds, by model and
     version, what peers know of the naming of versions whose records have not arrived here yet.
+    ``upstream_listeners`` are called with each record of an upstream as it arrives, ``listeners``
+    after a batch that has changed something.
     """
 
     def __init__(self, source: FleetSource) -> None:
@@ -106,6 +108,7 @@
         self.versions: dict[str, list[WantedVersion]] = {}
         self.claims: dict[str, dict[int, WantedVersion]] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.upstream_listeners: list[Callable[[UpstreamRecord], None]] = []
 
     @property
     def position(self) -> Position:
@@ -312,6 +315,8 @@
         if found is not None:
             self.lapsed.pop(change.id, None)
             self.upstreams[change.id] = found
+            for listener in self.upstream_listeners:
+                listener(found)
             state = "leaving" if found.is_leaving else "ready"
         elif (
             known is not None
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -47,6 +47,8 @@
 REST_WAIT_S: Final = 0.1
 """Seconds that a request waits for the end of a rest; a caller that is refused takes as long to
 come back."""
+COLD_WAIT_MAX_S: Final = 3.0
+"""Longest wait in seconds that a refusal states where it is not known when an upstream is warm."""
 RETRY_AFTER_JITTER_SHARE: Final = 0.25
 """Largest share by which Retry-After is extended at random, so that refused callers don't retry
 all at once."""
@@ -168,7 +170,7 @@
 
     def give_back(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Do the same as ``leave`` for a request that was not sent to the upstream."""
-        self.selector.statements.give_back(record)
+        self.selector.give_back(record)
         self.leave(request, record)
 
     def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
@@ -240,6 +242,7 @@
         if request.is_refusable() and not self.is_upstream_expected(request.service):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
+        self.check_cold(request)
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
         waiting = queue.add(request, latest_start_s, goal_start_s)
         self.dispatch(request.service)
@@ -269,6 +272,21 @@
         detail = f"every upstream of {request.service} rests, the first for {rest_s:.2f} s more"
         raise Refusal(UPSTREAM_RESTING, 503, detail, retry_after_s)
 
+    def check_cold(self, request: GatewayRequest) -> None:
+        """Raise Refusal if no upstream will be warm enough for this entry in time.
+
+        A request that may have run, or continues a stream, is held like during a rest.
+        """
+        if not self.selector.cold.rules:
+            return
+        records = self.selector.candidates(request.service, self.least_version(request.service))
+        self.selector.cold.record_held_back(records)
+        wait_s = self.selector.cold.wait_s(records)
+        if not wait_s or bool(request.last_event_id) or not request.is_refusable():
+            return
+        if time.monotonic() + wait_s > self.latest_start_s(request):
+            raise self.refusal(request, min(wait_s, COLD_WAIT_MAX_S))
+
     def rest_left_s(self, service: str) -> float:
         """Return the seconds until the first upstream has rested; 0 if one does not rest."""
         rests = self.selector.statements.rests
@@ -354,6 +372,11 @@
             limit_per_s = self.selector.statements.limits.rate_per_s(record)
             slots_per_s = record.slots / request_s / self.entry_count
             rates.append(slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s))
+            if (
+                self.selector.cold.rules
+                and (share := self.selector.cold.cold_share(record)) is not None
+            ):
+                rates[-1] = min(rates[-1], float(share))
         return max(RATE_MIN_PER_S, sum(rates))
 
     def limited_capacity(self, service: str) -> LimitedCapacity | None:
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -8,6 +8,7 @@
 
 from tornado.netutil import bind_sockets
 
+from gypsumpier.coldstart.entrynames import EntryNames
 from gypsumpier.fleet.change import FleetSource
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address, NodeSettings
@@ -89,6 +90,9 @@
         self.watcher = StoreWatcher(source, self.fleet_state, self.feed)
         schedule = SwitchSchedule(self.fleet_state, settings.bounds.version_in_force_s)
         self.selector = UpstreamSelector(self.fleet_state, settings.zone, schedule)
+        self.selector.cold.set_bounds(settings.bounds)
+        self.entry_names = EntryNames(self.mesh, self.selector.cold.rules)
+        self.selector.cold.shares = self.entry_names.shares
         self.admission = Admission(self.fleet_state, self.selector, self.least_version)
         self.demand = DemandShares(
             self.mesh, frozenset(settings.regions_by_zone), self.admission.arrivals_per_s
@@ -136,6 +140,7 @@
             self.load_share.run(),
             self.silence_share.run(),
             self.statement_share.run(),
+            self.entry_names.run(),
             self.front.run(),
             self.housekeeping(),
         ):
@@ -164,6 +169,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
         decision("drained", in_flight=len(self.front.active))
         self.front.log_cut()
+        self.entry_names.say_goodbye()
         for task in self.tasks:
             await end_task(task)
         await self.watcher.stop()
@@ -177,6 +183,7 @@
         """Apply changed seeds and bounds; the addresses bound at the start are kept."""
         self.settings = settings
         self.mesh.seeds = settings.seeds
+        self.selector.cold.set_bounds(settings.bounds)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers.
--- a/gypsumpier/gateway/failures.py
+++ b/gypsumpier/gateway/failures.py
@@ -35,10 +35,11 @@
         """Record a failed attempt whose request has certainly not run."""
         record = attempt.record
         health, run = self.selector.health, record.run_key()
-        attempt.request.tried.add(run)
+        if not error.may_return:
+            attempt.request.tried.add(run)
         log_failure(attempt, error.reason, "not_run")
         if not error.is_refusal:
-            self.selector.statements.give_back(record)
+            self.selector.give_back(record)
         if error.is_recalled:
             return
         if error.is_refusal and not error.is_replaced:
@@ -73,6 +74,7 @@
                 self.selector.health.record_outcome(record.run_key(), failed=True)
                 if not error.is_answered:
                     self.selector.health.record_failure(record.run_key())
+                    self.selector.cold.record_failure(record)
                     probe = self.suspect_crash(request, record)
         log_failure(attempt, error.reason, "unknown")
         return probe
--- a/gypsumpier/gateway/sender.py
+++ b/gypsumpier/gateway/sender.py
@@ -91,9 +91,11 @@
             attempt.connected_at_s = time.monotonic()
             UPSTREAM_CONNECT_TIME.observe(attempt.connect_s())
             self.check_sendable(request, record, writer)
+            call = self.call(request, record)
+            self.take_permit(record)
             self.crashes.begin(request)
             request.is_sent = True
-            return self.call(request, record)
+            return call
 
         address = attempt.address()
         # An answer to the request sent before, with the same id, may arrive once more.
@@ -107,7 +109,7 @@
             raise
         except BaseException:
             # The caller has left before the request was sent; no failure is recorded.
-            self.selector.statements.give_back(record)
+            self.selector.give_back(record)
             raise
         try:
             attempt.head = await self.usable_head(attempt, attempt.exchange)
@@ -132,6 +134,7 @@
         if not is_foreign and head.upstream in ("", record.id):
             sent_at_s = attempt.connected_at_s
             self.selector.statements.record_answer(record, head.statement, sent_at_s)
+            self.selector.cold.record_answered(record, sent_at_s)
         if head.is_not_run:
             raise refusal_error(head, record)
         if is_foreign:
@@ -155,6 +158,15 @@
             reason = "the request is suspected of crashes once it is connected to"
             raise NotRunError(reason, is_refusal=False, is_recalled=True)
 
+    def take_permit(self, record: UpstreamRecord) -> None:
+        """Count the request as sent; raise NotRunError if the upstream is cold and it is too many.
+
+        This is the last step before the request is written, as the connection may have taken long.
+        """
+        if not self.selector.cold.take(record):
+            reason = "is cold and has no permit left once it is connected to"
+            raise NotRunError(reason, is_refusal=False, is_recalled=True, may_return=True)
+
     def call(self, request: GatewayRequest, record: UpstreamRecord) -> UpstreamCall:
         """Return the request in the form in which it is sent to the upstream."""
         is_late = request.age_s() > request.route.goal_s
--- a/gypsumpier/upstream/errors.py
+++ b/gypsumpier/upstream/errors.py
@@ -7,7 +7,8 @@
     ``is_refusal`` is set if the upstream itself stated so; otherwise the request was never sent.
     ``is_misdirected`` is set if the upstream does not hold what the request needs, and
     ``is_replaced`` if another upstream has its address.  ``is_recalled`` is set if this process did
-    not send it, as the upstream no longer serves such requests.
+    not send it, as the upstream no longer serves such requests.  With ``may_return`` the same
+    upstream may serve it a moment later.
     """
 
     def __init__(
@@ -17,6 +18,7 @@
         is_misdirected: bool = False,
         is_replaced: bool = False,
         is_recalled: bool = False,
+        may_return: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -24,6 +26,7 @@
         self.is_misdirected = is_misdirected
         self.is_replaced = is_replaced
         self.is_recalled = is_recalled
+        self.may_return = may_return
 
 
 class OutcomeUnknownError(Exception):
--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -11,6 +11,7 @@
     HTTPHeaders,
     HTTPInputError,
     HTTPMessageDelegate,
+    HTTPOutputError,
     RequestStartLine,
     ResponseStartLine,
 )
@@ -72,16 +73,25 @@
         self.task: asyncio.Task[None] | None = None
 
     def send(self, start: RequestStartLine, headers: HTTPHeaders, body: bytes) -> None:
-        """Start to send the request and to read the answer."""
-        self.task = asyncio.create_task(self.run(start, headers, body))
+        """Send the request and start to read the answer.
 
-    async def run(self, start: RequestStartLine, headers: HTTPHeaders, body: bytes) -> None:
-        """Send the request and read the answer to its end."""
+        The request is written before this returns: the checks that allow it hold now.
+        """
         http = UpstreamHttp(self.stream, True, PARAMETERS)
         try:
             http.write_headers(start, headers, body or None)
             http.finish()
-            await http.read_response(self)
+        except (HTTPOutputError, AssertionError, ValueError) as error:
+            self.failure = f"malformed request: {error}"
+        except StreamClosedError as error:
+            self.failure = f"connection closed: {error}"
+        self.task = asyncio.create_task(self.run(http))
+
+    async def run(self, http: UpstreamHttp) -> None:
+        """Read the answer to its end, if the request could be sent."""
+        try:
+            if not self.failure:
+                await http.read_response(self)
         except (StreamClosedError, UnsatisfiableReadError) as error:
             self.failure = self.failure or f"connection closed: {error}"
         except (HTTPInputError, AssertionError, ValueError) as error:
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -10,6 +10,8 @@
 from collections import Counter
 from typing import Final
 
+from gypsumpier.coldstart.coldstart import ColdStart
+from gypsumpier.coldstart.constraint import ColdConstraint
 from gypsumpier.eligibility.eligibility import Eligibility
 from gypsumpier.eligibility.leaving import LeavingConstraint
 from gypsumpier.eligibility.needs import Needs
@@ -79,6 +81,7 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
+    ``cold`` limits the requests to cold upstreams.
     ``eligibility`` holds the constraints on the choice.  ``known_candidates`` holds the candidates
     by needs until something changes that they depend on.
     """
@@ -99,11 +102,13 @@
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
+        self.cold = ColdStart(fleet_state, zone)
         self.eligibility = Eligibility()
         self.eligibility.standing += [
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
         ]
+        self.eligibility.momentary.append(ColdConstraint(self.cold))
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
@@ -181,6 +186,7 @@
         """Drop stale loads of other entries, and the state of upstreams that no longer exist."""
         now_s = time.monotonic()
         self.peer_loads.drop_before(now_s - PEER_LOAD_MAX_AGE_S)
+        self.cold.tick()
         if now_s - self.forgot_at_s < FORGET_INTERVAL_S:
             return
         self.forgot_at_s = now_s
@@ -188,6 +194,7 @@
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
         self.statements.retain(runs)
+        self.cold.retain(self.fleet_state.upstreams)
         ids = {record.id for record in records}
         self.claims.retain(ids)
         for unreachable in self.unreachable.values():
@@ -368,7 +375,7 @@
         self, records: list[UpstreamRecord], excluded: set[tuple[str, int]]
     ) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request now, impaired ones included."""
-        return [
+        found = [
             record
             for record in records
             if self.load(record) < self.limit(record)
@@ -377,6 +384,7 @@
             and self.unread_s(record) < UNREAD_MAX_S
             and self.statements.allows(record)
         ]
+        return self.cold.permitted(found) if self.cold.rules else found
 
     def claimable(
         self, records: list[UpstreamRecord], share: float, prompt_tokens: int
@@ -439,6 +447,7 @@
         each of its upstreams would otherwise delay requests again before failing.
         """
         self.health.record_failure(record.run_key())
+        self.cold.record_failure(record)
         if record.zone == self.zone:
             return
         unreachable = self.unreachable.setdefault(record.zone, set())
@@ -502,6 +511,12 @@
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
         self.statements.take(record)
+        self.cold.reserve(record)
+
+    def give_back(self, record: UpstreamRecord) -> None:
+        """Count a request as not sent to the upstream; ``end`` has to follow."""
+        self.statements.give_back(record)
+        self.cold.give_back(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Stop counting the prompt tokens of a request as unread, as its answer has begun."""
