--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -69,8 +69,22 @@
         return share > 0 and self.permits.window(record.id).used(time.monotonic()) < share
 
     def permitted(self, records: list[UpstreamRecord]) -> list[UpstreamRecord]:
-        """Return the upstreams that may get one more request."""
-        return [record for record in records if self.has_permit(record)]
+        """Return the upstreams that may get one more request.
+
+        Cold ones come in the order of their used permits: of several that are idle, the first one
+        is chosen.
+        """
+        now_s, found, has_cold = time.monotonic(), [], False
+        for record in records:
+            share = self.cold_share(record)
+            if share is None:
+                found.append((0, record))
+            elif share > 0 and (used := self.permits.window(record.id).used(now_s)) < share:
+                found.append((used, record))
+                has_cold = True
+        if has_cold:
+            found.sort(key=lambda item: item[0])
+        return [record for _, record in found]
 
     def reserve(self, record: UpstreamRecord) -> None:
         """Count a request for which the upstream has been chosen."""
