--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -74,6 +74,8 @@
         Cold ones come in the order of their used permits: of several that are idle, the first one
         is chosen.
         """
+        if not self.upstreams.has_cold():
+            return records
         now_s, found, has_cold = time.monotonic(), [], False
         for record in records:
             share = self.cold_share(record)
--- a/gypsumpier/coldstart/upstreams.py
+++ b/gypsumpier/coldstart/upstreams.py
@@ -144,6 +144,16 @@
         if known is None or known.until_s < until_s:
             self.periods[record.id] = ColdPeriod(Evidence.FAILURE, until_s)
 
+    def has_cold(self) -> bool:
+        """Return whether any upstream counts as cold, or did so until a moment ago."""
+        if self.periods or self.failures or self.is_stale():
+            return True
+        ended = self.ended_evacuations()
+        if not ended:
+            return False
+        longest_s = max((rule.cold_s for rule in self.rules.values()), default=0.0) + MARGIN_S
+        return max(ended.values()) + longest_s > boot_time_s()
+
     def period(self, record: UpstreamRecord, is_used_here: bool) -> ColdPeriod | None:
         """Return why and how long the upstream counts as cold; None if it does not.
 
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -243,6 +243,8 @@
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
         self.check_cold(request)
+        if self.selector.cold.rules:
+            self.selector.cold.record_held_back(self.selector.candidates(request.service))
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
         waiting = queue.add(request, latest_start_s, goal_start_s)
         self.dispatch(request.service)
@@ -277,16 +279,19 @@
 
         A request that may have run, or continues a stream, is held like during a rest.
         """
-        if not self.selector.cold.rules:
-            return
-        records = self.selector.candidates(request.service, self.least_version(request.service))
-        self.selector.cold.record_held_back(records)
-        wait_s = self.selector.cold.wait_s(records)
+        wait_s = self.cold_wait_s(request.service)
         if not wait_s or bool(request.last_event_id) or not request.is_refusable():
             return
         if time.monotonic() + wait_s > self.latest_start_s(request):
             raise self.refusal(request, min(wait_s, COLD_WAIT_MAX_S))
 
+    def cold_wait_s(self, service: str) -> float:
+        """Return the seconds until an upstream is warm enough for this entry; 0 if one is."""
+        if not self.selector.cold.rules:
+            return 0.0
+        records = self.selector.candidates(service, self.least_version(service))
+        return self.selector.cold.wait_s(records)
+
     def rest_left_s(self, service: str) -> float:
         """Return the seconds until the first upstream has rested; 0 if one does not rest."""
         rests = self.selector.statements.rests
@@ -323,6 +328,8 @@
         if not queue.waiting:
             return
         self.refuse_waiting(queue, self.check_rests)
+        if self.cold_wait_s(service):
+            self.refuse_waiting(queue, self.check_cold)
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
         for waiting in queue.ordered():
