--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -120,7 +120,7 @@
         for name in ("i-1", "i-2"):
             self.assertLessEqual(most_in_second(self.sent_s(name)), 3)
         served = sum(answer.code == 200 for answer in answers)
-        # 6 go at once.  Of the others the queue keeps few, as others that arrive would overtake them.
+        # 6 go at once.  The queue keeps few of the others, which later ones would overtake.
         self.assertGreaterEqual(served, 6)
         self.assertEqual({200, 503}, {answer.code for answer in answers})
 
