--- a/gypsumpier/coldstart/upstreams.py
+++ b/gypsumpier/coldstart/upstreams.py
@@ -45,6 +45,7 @@
     """The cold periods by the id of the upstream, in monotonic seconds.
 
     ``rules`` holds the services with a limit on cold upstreams; without one, nothing is kept.
+    ``next_end_s`` is no later than the end of the first period.
     ``runs`` holds the start times of the known runs.  ``failures`` are those of upstreams that may
     have restarted under their old records.  ``ended_evacuations`` returns the boot time at which
     the evacuation of a zone ended, by zone.
@@ -61,6 +62,7 @@
         self.failures: dict[str, Failure] = {}
         self.stalls = Stalls()
         self.ended_evacuations: Callable[[], Mapping[str, float]] = no_evacuations
+        self.next_end_s = float("inf")
         self.was_stale = False
         self.began: list[tuple[str, ColdPeriod]] = []
         fleet_state.upstream_listeners.append(self.learn)
@@ -112,6 +114,7 @@
         if known is not None and known.until_s >= period.until_s:
             return
         self.periods[upstream] = period
+        self.next_end_s = min(self.next_end_s, period.until_s)
         if known is None:
             self.began.append((upstream, period))
 
@@ -143,6 +146,7 @@
         known = self.periods.get(record.id)
         if known is None or known.until_s < until_s:
             self.periods[record.id] = ColdPeriod(Evidence.FAILURE, until_s)
+            self.next_end_s = min(self.next_end_s, until_s)
 
     def has_cold(self) -> bool:
         """Return whether any upstream counts as cold, or did so until a moment ago."""
@@ -198,9 +202,7 @@
             self.forget()
             return
         now_s = time.monotonic()
-        ended = [(name, period) for name, period in self.periods.items() if period.until_s <= now_s]
-        for name, _ in ended:
-            del self.periods[name]
+        ended = self.take_ended(now_s) if now_s >= self.next_end_s else []
         if self.began or ended:
             log_periods("upstream_cold", self.began, now_s)
             log_periods("upstream_warm", ended, now_s)
@@ -213,6 +215,16 @@
                 proof_age_s=round(self.fleet_state.proof_age_s(), 3),
             )
 
+    def take_ended(self, now_s: float) -> list[tuple[str, ColdPeriod]]:
+        """Remove the periods that have ended, and return them."""
+        periods = self.periods.items()
+        ended = [(name, period) for name, period in periods if period.until_s <= now_s]
+        for name, _ in ended:
+            del self.periods[name]
+        ends_s = (period.until_s for period in self.periods.values())
+        self.next_end_s = min(ends_s, default=float("inf"))
+        return ended
+
     def forget(self) -> None:
         """Drop everything, as no service limits its cold upstreams."""
         if self.runs:
--- a/gypsumpier/coldstart/window.py
+++ b/gypsumpier/coldstart/window.py
@@ -11,6 +11,8 @@
 class PermitWindow:
     """Requests that are chosen but not sent, and the monotonic times of those sent."""
 
+    __slots__ = ("reserved", "sent_at_s")
+
     def __init__(self) -> None:
         self.reserved = 0
         self.sent_at_s: deque[float] = deque()
