--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -8,6 +8,7 @@
 
 from tornado.netutil import bind_sockets
 
+from gypsumpier.coldstart.entrynames import EntryNames
 from gypsumpier.fleet.change import FleetSource
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address, NodeSettings
@@ -91,6 +92,9 @@
         self.selector = UpstreamSelector(
             self.fleet_state, settings.zone, schedule, settings.regions_by_zone
         )
+        self.selector.cold.set_bounds(settings.bounds)
+        self.entry_names = EntryNames(self.mesh, self.selector.cold.rules)
+        self.selector.cold.shares = self.entry_names.shares
         self.admission = Admission(self.fleet_state, self.selector, self.least_version)
         self.demand = DemandShares(
             self.mesh, frozenset(settings.regions_by_zone), self.admission.arrivals_per_s
@@ -138,6 +142,7 @@
             self.load_share.run(),
             self.silence_share.run(),
             self.statement_share.run(),
+            self.entry_names.run(),
             self.front.run(),
             self.housekeeping(),
         ):
@@ -166,6 +171,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
         decision("drained", in_flight=len(self.front.active))
         self.front.log_cut()
+        self.entry_names.say_goodbye()
         for task in self.tasks:
             await end_task(task)
         await self.watcher.stop()
@@ -180,6 +186,7 @@
         self.settings = settings
         self.selector.set_regions(settings.regions_by_zone)
         self.mesh.seeds = settings.seeds
+        self.selector.cold.set_bounds(settings.bounds)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers.
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -10,6 +10,8 @@
 from collections import Counter
 from typing import Final
 
+from gypsumpier.coldstart.coldstart import ColdStart
+from gypsumpier.coldstart.constraint import ColdConstraint
 from gypsumpier.eligibility.eligibility import Eligibility
 from gypsumpier.eligibility.evacuated import EvacuatedConstraint
 from gypsumpier.eligibility.leaving import LeavingConstraint
@@ -82,6 +84,7 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
+    ``cold`` limits the requests to cold upstreams.
     ``eligibility`` holds the constraints on the choice.  ``regions`` knows the regions of zones;
     without any, requests that are limited to regions are sent nowhere.  ``known_candidates`` holds
     the candidates by needs until something changes that they depend on.
@@ -110,6 +113,7 @@
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
         self.regions = RegionConstraint(regions_by_zone or {})
+        self.cold = ColdStart(fleet_state, zone)
         self.eligibility = Eligibility()
         self.eligibility.standing += [
             self.regions,
@@ -118,6 +122,7 @@
             # The last: an upstream that only it excludes could serve after the evacuation.
             EvacuatedConstraint(fleet_state.evacuations),
         ]
+        self.eligibility.momentary.append(ColdConstraint(self.cold))
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
@@ -200,6 +205,7 @@
         """Drop stale loads of other entries, and the state of upstreams that no longer exist."""
         now_s = time.monotonic()
         self.peer_loads.drop_before(now_s - PEER_LOAD_MAX_AGE_S)
+        self.cold.tick()
         if now_s - self.forgot_at_s < FORGET_INTERVAL_S:
             return
         self.forgot_at_s = now_s
@@ -207,6 +213,7 @@
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
         self.statements.retain(runs)
+        self.cold.retain(self.fleet_state.upstreams)
         ids = {record.id for record in records}
         self.claims.retain(ids)
         for unreachable in self.unreachable.values():
@@ -388,7 +395,7 @@
         self, records: list[UpstreamRecord], excluded: set[tuple[str, int]]
     ) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request now, impaired ones included."""
-        return [
+        found = [
             record
             for record in records
             if self.load(record) < self.limit(record)
@@ -397,6 +404,7 @@
             and self.unread_s(record) < UNREAD_MAX_S
             and self.statements.allows(record)
         ]
+        return self.cold.permitted(found) if self.cold.rules else found
 
     def claimable(
         self, records: list[UpstreamRecord], share: float, prompt_tokens: int
@@ -459,6 +467,7 @@
         each of its upstreams would otherwise delay requests again before failing.
         """
         self.health.record_failure(record.run_key())
+        self.cold.record_failure(record)
         if record.zone == self.zone:
             return
         unreachable = self.unreachable.setdefault(record.zone, set())
@@ -522,6 +531,12 @@
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
         self.statements.take(record)
+        self.cold.reserve(record)
+
+    def give_back(self, record: UpstreamRecord) -> None:
+        """Count a request as not sent to the upstream; ``end`` has to follow."""
+        self.statements.give_back(record)
+        self.cold.give_back(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Stop counting the prompt tokens of a request as unread, as its answer has begun."""
