--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -10,18 +10,22 @@
 
 from gypsumpier.codes.request import (
     NO_UPSTREAM,
+    NO_UPSTREAM_IN_REGIONS,
     QUEUE_TOO_LONG,
     TIME_LIMIT_BEFORE_START,
     UPSTREAM_RESTING,
     ZONE_EVACUATED,
 )
 from gypsumpier.eligibility.needs import Needs
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.evacuated import EVACUATED_WAIT_S, could_evacuated_serve
 from gypsumpier.gateway.headroom import HEADROOM_WAITS, Headroom
 from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.regionreport import RegionReport
+from gypsumpier.gateway.regionrules import RegionRules
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
 from gypsumpier.gateway.streamwatch import StreamWatch
@@ -51,6 +55,8 @@
 REST_WAIT_S: Final = 0.1
 """Seconds that a request waits for the end of a rest; a caller that is refused takes as long to
 come back."""
+COLD_WAIT_MAX_S: Final = 3.0
+"""Longest wait in seconds that a refusal states where it is not known when an upstream is warm."""
 RETRY_AFTER_JITTER_SHARE: Final = 0.25
 """Largest share by which Retry-After is extended at random, so that refused callers don't retry
 all at once."""
@@ -89,6 +95,8 @@
         self.fleet_state = fleet_state
         self.selector = selector
         self.least_version = least_version
+        self.region_rules = RegionRules(fleet_state)
+        self.region_report = RegionReport(selector.regions)
         self.random = random.Random()
         self.entry_count = 1
         self.first_event_estimates_s: dict[str, float] = {}
@@ -124,18 +132,39 @@
     def try_enter(self, request: GatewayRequest) -> UpstreamRecord | None:
         """Admit the request without a wait, behind those that wait; return None if that fails."""
         queue = self.queue(request.service)
-        record = None if queue.waiting else self.try_admit(request)
+        awaited = self.awaited_regions(queue)
+        if not awaited:
+            record = None if awaited is None else self.try_admit(request)
+        else:
+            record = self.admit_outside(awaited, request)
         if record is not None:
             queue.record_granted()
             if queue.is_scarce():
                 queue.count_grant(request.workspace_name)
         return record
 
-    def has_other_upstream(self, service: str, tried: set[tuple[str, int]]) -> bool:
+    def candidates(self, request: GatewayRequest) -> list[UpstreamRecord]:
+        """Return the upstreams that may serve the request, whatever their load and health."""
+        version = self.least_version(request.service)
+        return self.selector.candidates(
+            request.service, version, self.region_rules.regions(request)
+        )
+
+    def awaited_regions(self, queue: RequestQueue) -> AllowedRegions:
+        """Return the regions of the upstreams whose places belong to queued requests."""
+        awaited: set[str] = set()
+        for waiting in queue.waiting:
+            regions = self.region_rules.regions(waiting.request)
+            if regions is None:
+                return None
+            awaited |= regions
+        return frozenset(awaited)
+
+    def has_other_upstream(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
         """Return whether an upstream that is not among the ``tried`` runs is usable now."""
-        records = self.selector.candidates(service, self.least_version(service))
         return any(
-            record.run_key() not in tried and self.selector.is_usable(record) for record in records
+            record.run_key() not in tried and self.selector.is_usable(record)
+            for record in self.candidates(request)
         )
 
     def has_place(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
@@ -143,9 +172,10 @@
 
         Places belong to the requests that wait for them.
         """
-        if self.queue(request.service).waiting:
+        awaited = self.awaited_regions(self.queue(request.service))
+        if awaited is None:
             return False
-        records = self.selector.candidates(request.service, self.least_version(request.service))
+        records = self.outside(self.candidates(request), awaited)
         tokens = request.head.prompt_tokens
         needed_s = self.needed_s(request)
         return self.selector.choose(records, tried, needed_s, True, 1.0, tokens) is not None
@@ -174,16 +204,29 @@
 
     def give_back(self, request: GatewayRequest, record: UpstreamRecord) -> None:
         """Do the same as ``leave`` for a request that was not sent to the upstream."""
-        self.selector.statements.give_back(record)
+        self.selector.give_back(record)
         self.leave(request, record)
 
+    def outside(
+        self, records: list[UpstreamRecord], regions: frozenset[str]
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that are in none of the regions."""
+        if not regions:
+            return records
+        return [record for record in records if self.selector.regions.region(record) not in regions]
+
     def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
         """Admit the request to an upstream with free capacity; return None if there is none.
 
         Only this ``share`` of the free capacity counts.
         """
-        version = self.least_version(request.service)
-        records = self.selector.candidates(request.service, version)
+        return self.admit_outside(frozenset(), request, share)
+
+    def admit_outside(
+        self, awaited: frozenset[str], request: GatewayRequest, share: float = 1.0
+    ) -> UpstreamRecord | None:
+        """Do the same as ``try_admit`` with the upstreams outside the ``awaited`` regions."""
+        records = self.candidates(request)
         needed_s = self.needed_s(request)
         is_repeat = request.attempts > 0 or request.is_moving
         tried = request.tried
@@ -193,7 +236,8 @@
             tried = set()
         if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
             # The last attempt: an engine that switches before its end would cut it for good.
-            records = self.last_attempt_candidates(records, tried, needed_s)
+            records = self.last_attempt_candidates(request, records, tried, needed_s)
+        records = self.outside(records, awaited)
         tokens = request.head.prompt_tokens
         places_share = self.headroom.places_share(request, self.goal_start_s(request))
         record = self.selector.choose(
@@ -208,7 +252,11 @@
         return record
 
     def last_attempt_candidates(
-        self, records: list[UpstreamRecord], tried: set[tuple[str, int]], needed_s: float
+        self,
+        request: GatewayRequest,
+        records: list[UpstreamRecord],
+        tried: set[tuple[str, int]],
+        needed_s: float,
     ) -> list[UpstreamRecord]:
         """Return the upstreams that the last attempt waits for.
 
@@ -222,14 +270,15 @@
             if record.run_key() not in tried and self.selector.is_usable(record)
         ]
         steady = self.selector.steady(untried, needed_s)
-        service = records[0].service if records else ""
-        if steady or self.selector.is_engine_returning(service, tried):
+        regions = self.region_rules.regions(request)
+        if steady or self.selector.is_engine_returning(request.service, tried, regions):
             return steady
         return records
 
     def may_serve(self, request: GatewayRequest, record: UpstreamRecord) -> bool:
         """Return whether the upstream, chosen a moment ago, may still get the request."""
-        return self.selector.may_still_serve(record, self.least_version(request.service))
+        version = self.least_version(request.service)
+        return self.selector.may_still_serve(record, version, self.region_rules.regions(request))
 
     def needed_s(self, request: GatewayRequest) -> float:
         """Return the estimated processing time of the request in seconds; 0 for a plain service."""
@@ -248,10 +297,14 @@
 
         Without any upstream it is refused at once, unless a refusal would lose its answer.
         """
-        if request.is_refusable() and not self.is_upstream_expected(request.service):
-            self.check_evacuated(request)
+        self.check_evacuated(request)
+        self.check_regions(request)
+        if request.is_refusable() and not self.is_upstream_expected(request):
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
         self.check_rests(request)
+        self.check_cold(request)
+        if self.selector.cold.rules:
+            self.selector.cold.record_held_back(self.candidates(request))
         latest_start_s, goal_start_s = self.latest_start_s(request), self.goal_start_s(request)
         waiting = queue.add(request, latest_start_s, goal_start_s)
         self.dispatch(request.service)
@@ -264,13 +317,33 @@
             return result
         raise self.refusal(request, result)
 
+    def check_regions(self, request: GatewayRequest) -> None:
+        """Raise Refusal if no upstream of the request's regions can serve it.
+
+        One that may have run, such as a stream that is to be resumed, waits as long as its caller.
+        """
+        regions = self.region_rules.regions(request)
+        if regions is None or self.is_upstream_expected(request):
+            return
+        self.region_report.record(request, regions, self.fleet_state.upstreams.values())
+        if request.is_refusable():
+            raise self.refusal(request, NO_UPSTREAM_WAIT_S)
+
+    def check_waiting(self, request: GatewayRequest) -> None:
+        """Raise Refusal if a queued request need not wait any longer."""
+        self.check_evacuated(request)
+        if request.is_refusable():
+            self.check_regions(request)
+        self.check_rests(request)
+        self.check_cold(request)
+
     def check_rests(self, request: GatewayRequest) -> None:
         """Raise Refusal if every upstream rests, unless the request can wait for the first of them.
 
         A stream that is to be resumed waits as long as its caller does: a refusal would cut it.
         So does a request that may have run: it can't be told that it has not.
         """
-        rest_s = self.rest_left_s(request.service)
+        rest_s = self.rest_left_s(request)
         if rest_s <= REST_WAIT_S:
             return
         is_held = bool(request.last_event_id) or not request.is_refusable()
@@ -281,24 +354,37 @@
         detail = f"every upstream of {request.service} rests, the first for {rest_s:.2f} s more"
         raise Refusal(UPSTREAM_RESTING, 503, detail, retry_after_s)
 
-    def rest_left_s(self, service: str) -> float:
+    def check_cold(self, request: GatewayRequest) -> None:
+        """Raise Refusal if no upstream will be warm enough for this entry in time.
+
+        A request that may have run, or continues a stream, is held like during a rest.
+        """
+        if not self.selector.cold.rules:
+            return
+        wait_s = self.selector.cold.wait_s(self.candidates(request))
+        if not wait_s or bool(request.last_event_id) or not request.is_refusable():
+            return
+        if time.monotonic() + wait_s > self.latest_start_s(request):
+            raise self.refusal(request, min(wait_s, COLD_WAIT_MAX_S))
+
+    def rest_left_s(self, request: GatewayRequest) -> float:
         """Return the seconds until the first upstream has rested; 0 if one does not rest."""
         rests = self.selector.statements.rests
         if not rests.known:
             return 0.0
-        records = self.selector.candidates(service, self.least_version(service))
-        return min((rests.left_s(record) for record in records), default=0.0)
+        return min((rests.left_s(record) for record in self.candidates(request)), default=0.0)
 
-    def is_upstream_expected(self, service: str) -> bool:
-        """Return whether an upstream of the service can serve now or is switching its weights."""
-        if self.selector.candidates(service):
+    def is_upstream_expected(self, request: GatewayRequest) -> bool:
+        """Return whether an upstream can serve the request now or is switching its weights."""
+        regions = self.region_rules.regions(request)
+        if self.selector.candidates(request.service, 0, regions):
             return True
-        records = self.fleet_state.upstreams.values()
         return any(
-            record.service == service
+            record.service == request.service
             and record.zone not in self.fleet_state.evacuations.zones
+            and self.selector.regions.allows(record, regions)
             and self.selector.is_switching(record)
-            for record in records
+            for record in self.fleet_state.upstreams.values()
         )
 
     def check_evacuated(self, request: GatewayRequest) -> None:
@@ -306,12 +392,17 @@
 
         One that may have run, and a stream that is to be resumed, wait as long as their callers do.
         """
-        service = request.service
         is_held = bool(request.last_event_id) or not request.is_refusable()
-        if is_held or self.is_upstream_expected(service):
+        if is_held or not self.is_evacuated(request):
             return
-        if could_evacuated_serve(self.selector, Needs(service)):
-            raise self.refusal(request, EVACUATED_WAIT_S)
+        raise self.refusal(request, EVACUATED_WAIT_S)
+
+    def is_evacuated(self, request: GatewayRequest) -> bool:
+        """Return whether only evacuated zones could serve the request."""
+        if not self.fleet_state.evacuations.zones or self.is_upstream_expected(request):
+            return False
+        needs = Needs(request.service, 0, self.region_rules.regions(request))
+        return could_evacuated_serve(self.selector, needs)
 
     def cancel_wait(self, waiting: QueuedRequest, queue: RequestQueue) -> None:
         """Remove a cancelled request from the queue, or release it if it was just admitted."""
@@ -331,20 +422,24 @@
             self.record_waiting(service)
         if not queue.waiting:
             return
-        self.refuse_waiting(queue, self.check_rests)
-        if self.fleet_state.evacuations.zones:
-            self.refuse_waiting(queue, self.check_evacuated)
+        self.refuse_waiting(queue, self.check_waiting)
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
+        full: set[AllowedRegions] = set()
         for waiting in queue.ordered():
             if waiting.outcome.done():
                 queue.waiting.remove(waiting)
                 continue
+            regions = self.region_rules.regions(waiting.request)
+            if regions in full:
+                continue
             record = self.try_admit(waiting.request, share)
             if record is not None:
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
-                break
+                if regions is None:
+                    break
+                full.add(regions)
         if queue.waiting:
             queue.limited = self.limited_capacity(service)
             queue.shed_excess(self.capacity_share_per_s(service))
@@ -383,6 +478,11 @@
             limit_per_s = self.selector.statements.limits.rate_per_s(record)
             slots_per_s = record.slots / request_s / self.entry_count
             rates.append(slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s))
+            if (
+                self.selector.cold.rules
+                and (share := self.selector.cold.cold_share(record)) is not None
+            ):
+                rates[-1] = min(rates[-1], float(share))
         return max(RATE_MIN_PER_S, sum(rates))
 
     def limited_capacity(self, service: str) -> LimitedCapacity | None:
@@ -462,7 +562,8 @@
             awaited_since_s = request.last_event_at_s or request.received_at_s
             caller_abandons_at_s = awaited_since_s + caller_timeout_s
             latest_start_s = min(latest_start_s, caller_abandons_at_s - needed_s)
-        if not self.selector.candidates(request.service):
+        regions = self.region_rules.regions(request)
+        if not self.selector.candidates(request.service, 0, regions):
             latest_start_s = min(latest_start_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
         return latest_start_s
 
@@ -495,9 +596,15 @@
         retry_after_s = min(
             max(wait_s, NO_UPSTREAM_WAIT_S) * jitter, left_s * RETRY_AFTER_MAX_SHARE
         )
-        code = QUEUE_TOO_LONG if self.selector.candidates(request.service) else NO_UPSTREAM
+        if self.is_evacuated(request):
+            detail = f"only evacuated zones could serve {request.service}"
+            return Refusal(ZONE_EVACUATED, 503, detail, retry_after_s)
+        regions = self.region_rules.regions(request)
+        if regions is not None and not self.is_upstream_expected(request):
+            detail = f"no upstream of {request.service} in {', '.join(sorted(regions)) or 'none'}"
+            return Refusal(NO_UPSTREAM_IN_REGIONS, 503, detail, retry_after_s)
+        has_upstream = bool(self.selector.candidates(request.service, 0, regions))
+        code = QUEUE_TOO_LONG if has_upstream else NO_UPSTREAM
         waiting = len(self.queue(request.service).waiting)
         detail = f"{waiting} requests wait for {request.service}, about {wait_s:.2f} s"
-        if code is NO_UPSTREAM and could_evacuated_serve(self.selector, Needs(request.service)):
-            code, detail = ZONE_EVACUATED, f"only evacuated zones could serve {request.service}"
         return Refusal(code, 503, detail, retry_after_s)
--- a/gypsumpier/platform/records.py
+++ b/gypsumpier/platform/records.py
@@ -14,6 +14,7 @@
 )
 from gypsumpier.fleet.configuration import CallerLimits, FleetConfiguration, Workspace
 from gypsumpier.fleet.record import Record
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.route import Route, RouteTarget
 from gypsumpier.fleet.service import ModelTraits, Origin, Service
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord
@@ -22,6 +23,7 @@
 from gypsumpier.platform.fields import (
     FieldError,
     field,
+    is_encodable,
     json_value,
     number,
     objects,
@@ -106,9 +108,21 @@
         started_ms=whole(body, "born") if "born" in body else 0,
         layers=loaded_layers(body),
         sequence=sequence(body),
+        cold_left_s=optional_number(body, "cold_left_ms") * SECONDS_PER_MS,
+        states_cold=is_number(body.get("cold_left_ms")),
     )
 
 
+def is_number(value: object) -> bool:
+    """Return whether the value is a finite number of 0 or more."""
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value < 1e18
+
+
+def optional_number(body: dict[str, Any], name: str) -> float:
+    """Return a number of 0 or more; 0 where it is absent or malformed."""
+    return number(body, name) if is_number(body.get(name)) else 0.0
+
+
 def sequence(body: dict[str, Any]) -> int:
     """Return the number of the report; 0 where there is none, as an upstream works without it."""
     value = body.get("seq")
@@ -161,13 +175,30 @@
     for tenant in objects(body, "tenants"):
         priority = tenant.get("priority")
         workspace = Workspace(
-            field(tenant, "name", str), priority if isinstance(priority, int) else None
+            field(tenant, "name", str),
+            priority if isinstance(priority, int) else None,
+            allowed_regions(tenant),
         )
         for key in field(tenant, "api_keys", list):
             workspaces_by_key[str(key)] = workspace
     return workspaces_by_key
 
 
+def allowed_regions(body: dict[str, Any]) -> AllowedRegions:
+    """Return the regions that a route or a tenant allows; none listed means any.
+
+    Raises FieldError if the value is anything but a list of names: a misread one must not allow
+    more than was meant.
+    """
+    if "allowed_regions" not in body:
+        return None
+    names = field(body, "allowed_regions", list)
+    for name in names:
+        if not isinstance(name, str) or not name or not is_encodable(name):
+            raise FieldError("allowed_regions holds something other than names")
+    return frozenset(names) or None
+
+
 def caller_limits(body: dict[str, Any]) -> CallerLimits:
     """Return the limits of callers' requests and connections."""
     return CallerLimits(
@@ -199,6 +230,7 @@
         priority=int(number(body, "priority")) if "priority" in body else 0,
         max_attempts=max(1, int(number(body, "attempts"))) if "attempts" in body else 1,
         targets=route_targets(body),
+        allowed_regions=allowed_regions(body),
     )
 
 
@@ -220,6 +252,8 @@
         max_connections=int(number(body, "max_conns")) if "max_conns" in body else 0,
         model=model_traits(engine) if isinstance(engine, dict) else None,
         origin=origin(body) if "origin" in body else None,
+        cold_s=optional_number(body, "cold_s"),
+        cold_per_s=optional_number(body, "cold_per_s"),
     )
 
 
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -10,12 +10,16 @@
 from collections import Counter
 from typing import Final
 
+from gypsumpier.coldstart.coldstart import ColdStart
+from gypsumpier.coldstart.constraint import ColdConstraint
 from gypsumpier.eligibility.eligibility import Eligibility
 from gypsumpier.eligibility.evacuated import EvacuatedConstraint
 from gypsumpier.eligibility.leaving import LeavingConstraint
 from gypsumpier.eligibility.needs import Needs
+from gypsumpier.eligibility.regions import RegionConstraint
 from gypsumpier.eligibility.weights import WeightsConstraint
 from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
@@ -80,11 +84,19 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
-    ``eligibility`` holds the constraints on the choice.  ``known_candidates`` holds the candidates
-    by needs until something changes that they depend on.
+    ``cold`` limits the requests to cold upstreams.
+    ``eligibility`` holds the constraints on the choice.  ``regions`` knows the regions of zones;
+    without any, requests that are limited to regions are sent nowhere.  ``known_candidates`` holds
+    the candidates by needs until something changes that they depend on.
     """
 
-    def __init__(self, fleet_state: FleetState, zone: str, schedule: SwitchSchedule) -> None:
+    def __init__(
+        self,
+        fleet_state: FleetState,
+        zone: str,
+        schedule: SwitchSchedule,
+        regions_by_zone: dict[str, str] | None = None,
+    ) -> None:
         self.fleet_state = fleet_state
         self.zone = zone
         self.schedule = schedule
@@ -100,13 +112,17 @@
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
+        self.regions = RegionConstraint(regions_by_zone or {})
+        self.cold = ColdStart(fleet_state, zone)
         self.eligibility = Eligibility()
         self.eligibility.standing += [
+            self.regions,
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
             # The last: an upstream that only it excludes could serve after the evacuation.
             EvacuatedConstraint(fleet_state.evacuations),
         ]
+        self.eligibility.momentary.append(ColdConstraint(self.cold))
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
@@ -117,6 +133,11 @@
         self.known_candidates.clear()
         self.forgot_at_s = float("-inf")
 
+    def set_regions(self, regions_by_zone: dict[str, str]) -> None:
+        """Replace the regions of the zones."""
+        self.regions.regions_by_zone = regions_by_zone
+        self.known_candidates.clear()
+
     def record_peer_loads(
         self,
         name: str,
@@ -184,6 +205,7 @@
         """Drop stale loads of other entries, and the state of upstreams that no longer exist."""
         now_s = time.monotonic()
         self.peer_loads.drop_before(now_s - PEER_LOAD_MAX_AGE_S)
+        self.cold.tick()
         if now_s - self.forgot_at_s < FORGET_INTERVAL_S:
             return
         self.forgot_at_s = now_s
@@ -191,6 +213,7 @@
         runs = {record.run_key() for record in records}
         self.health.retain(runs)
         self.statements.retain(runs)
+        self.cold.retain(self.fleet_state.upstreams)
         ids = {record.id for record in records}
         self.claims.retain(ids)
         for unreachable in self.unreachable.values():
@@ -266,7 +289,7 @@
         return record.slots + max(1, int(record.slots * SPARE_SLOTS_SHARE))
 
     def candidates(
-        self, service: str, least_version: int = 0, regions: frozenset[str] | None = None
+        self, service: str, least_version: int = 0, regions: AllowedRegions = None
     ) -> list[UpstreamRecord]:
         """Return the upstreams of the service that no standing constraint excludes.
 
@@ -289,10 +312,7 @@
         return found
 
     def may_still_serve(
-        self,
-        record: UpstreamRecord,
-        least_version: int,
-        regions: frozenset[str] | None = None,
+        self, record: UpstreamRecord, least_version: int, regions: AllowedRegions = None
     ) -> bool:
         """Return whether an upstream chosen a moment ago is unchanged and still a candidate.
 
@@ -311,10 +331,12 @@
         engine = self.engine(record)
         return engine is not None and engine.is_switching
 
-    def is_engine_returning(self, service: str, excluded: set[tuple[str, int]]) -> bool:
+    def is_engine_returning(
+        self, service: str, excluded: set[tuple[str, int]], regions: AllowedRegions = None
+    ) -> bool:
         """Return whether an engine is switching and will soon serve with its new weights.
 
-        Those whose run keys are in ``excluded`` don't count.
+        Those outside the regions, or whose run keys are in ``excluded``, don't count.
         """
         began_after_s = time.monotonic() - SWITCH_MAX_S
         return any(
@@ -322,6 +344,7 @@
             and record.run_key() not in excluded
             and not record.is_leaving
             and record.zone not in self.fleet_state.evacuations.zones
+            and self.regions.allows(record, regions)
             and self.switching_since_s.get(f"{record.host}:{record.port}", 0.0) > began_after_s
             for record in self.fleet_state.upstreams.values()
         )
@@ -377,7 +400,7 @@
         places_share: float = 1.0,
     ) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request now, impaired ones included."""
-        return [
+        found = [
             record
             for record in records
             if self.load(record) < self.limit(record) * places_share
@@ -386,6 +409,7 @@
             and self.unread_s(record) < UNREAD_MAX_S
             and self.statements.allows(record)
         ]
+        return self.cold.permitted(found) if self.cold.rules else found
 
     def claimable(
         self, records: list[UpstreamRecord], share: float, prompt_tokens: int
@@ -448,6 +472,7 @@
         each of its upstreams would otherwise delay requests again before failing.
         """
         self.health.record_failure(record.run_key())
+        self.cold.record_failure(record)
         if record.zone == self.zone:
             return
         unreachable = self.unreachable.setdefault(record.zone, set())
@@ -511,6 +536,12 @@
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
         self.statements.take(record)
+        self.cold.reserve(record)
+
+    def give_back(self, record: UpstreamRecord) -> None:
+        """Count a request as not sent to the upstream; ``end`` has to follow."""
+        self.statements.give_back(record)
+        self.cold.give_back(record)
 
     def record_prompt_read(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Stop counting the prompt tokens of a request as unread, as its answer has begun."""
