Serve the routes of a workspace by their priority, and leave more headroom in a shortage

Cause: nearly all workspaces of a deployment have a priority, and the queue did not look at that of the route behind it. A fixed headroom of 0.15 is also too little in a lasting shortage: it now grows to 0.5 with the share of urgent requests that start late.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -118,7 +118,14 @@
         if not request.attempts:
             self.queue(request.service).record_arrived()
             self.headroom.record_arrived(request)
-        return await self.enter_again(request)
+        try:
+            record = await self.enter_again(request)
+        except Refusal:
+            self.headroom.record_started(request, is_on_time=False)
+            raise
+        is_on_time = time.monotonic() <= self.goal_start_s(request)
+        self.headroom.record_started(request, is_on_time)
+        return record
 
     async def enter_again(self, request: GatewayRequest) -> UpstreamRecord:
         """Do the same as ``enter`` for a request that counts as arrived already."""
--- a/gypsumpier/gateway/headroom.py
+++ b/gypsumpier/gateway/headroom.py
@@ -24,6 +24,13 @@
 PATIENT_PLACES_SHARE: Final = 0.85
 """Share of an upstream's places up to which requests that can wait take them.  At 12 slots the rest
 is two places, about as many requests as arrive there between two exchanges of loads."""
+PRESSED_PLACES_SHARE: Final = 0.5
+"""The same while most urgent requests start too late.  Requests that can wait are not starved: half
+of the places is left to them."""
+PRESSURE_MAX: Final = 0.3
+"""Share of the urgent requests that start too late from which no more places are left."""
+PRESSURE_EWMA_WEIGHT: Final = 0.1
+"""Weight of the newest urgent request in that share; an entry gets some ten in a second."""
 WAITED_SHARE_MAX: Final = 0.5
 """Share of the time that a request can wait after which it leaves no headroom."""
 URGENT_RECENT_S: Final = 1.0
@@ -42,7 +49,8 @@
 
     ``short_goals_s`` holds the shortest goal of the streamed routes of each service whose goals
     differ; it belongs to the configuration ``known``.  ``urgent_at_s`` is the monotonic time at
-    which the last request with a short goal arrived, by service.
+    which the last request with a short goal arrived, by service, ``late_shares`` the recent share
+    of those that started late or were refused.
     """
 
     def __init__(self, fleet_state: FleetState) -> None:
@@ -50,6 +58,7 @@
         self.known: FleetConfiguration | None = None
         self.short_goals_s: dict[str, float] = {}
         self.urgent_at_s: dict[str, float] = {}
+        self.late_shares: dict[str, float] = {}
 
     def short_goal_s(self, service: str) -> float:
         """Return the shortest goal of the service's streamed routes; 0 where none differ."""
@@ -65,6 +74,19 @@
         if short_s and not is_patient(request, short_s):
             self.urgent_at_s[request.service] = time.monotonic()
 
+    def record_started(self, request: GatewayRequest, is_on_time: bool) -> None:
+        """Record that a request was admitted on time, or that it was admitted late or refused."""
+        short_s = self.short_goal_s(request.service)
+        if short_s and not is_patient(request, short_s):
+            known = self.late_shares.get(request.service, 0.0)
+            newest = 0.0 if is_on_time else 1.0
+            self.late_shares[request.service] = known + PRESSURE_EWMA_WEIGHT * (newest - known)
+
+    def patient_share(self, service: str) -> float:
+        """Return the share of an upstream's places that is for requests that can wait."""
+        pressure = min(1.0, self.late_shares.get(service, 0.0) / PRESSURE_MAX)
+        return PATIENT_PLACES_SHARE - pressure * (PATIENT_PLACES_SHARE - PRESSED_PLACES_SHARE)
+
     def places_share(self, request: GatewayRequest, goal_start_s: float) -> float:
         """Return the share of an upstream's places up to which the request may take one now.
 
@@ -78,11 +100,11 @@
         if now_s - self.urgent_at_s.get(request.service, float("-inf")) > URGENT_RECENT_S:
             return 1.0
         if now_s > goal_start_s:
-            return PATIENT_PLACES_SHARE
+            return self.patient_share(request.service)
         received_at_s = request.received_at_s
         patient_until_s = received_at_s + WAITED_SHARE_MAX * (goal_start_s - received_at_s)
         if is_patient(request, short_s) and now_s < patient_until_s:
-            return PATIENT_PLACES_SHARE
+            return self.patient_share(request.service)
         return 1.0
 
 
--- a/gypsumpier/gateway/requestqueue.py
+++ b/gypsumpier/gateway/requestqueue.py
@@ -2,10 +2,10 @@
 
 The order of service: streams to be resumed and requests of silent upstreams, then requests that
 can still meet their goal, then late ones, those first that may have run; within each, by priority
-number (lowest first), then by fair share of the workspaces, then by arrival.  While a standing
-queue persists, the newest request is served first.  A request whose estimated wait is longer than
-its caller waits is refused at once, with a Retry-After; one that may have run can't be, and waits
-until its latest start.
+number of the workspace and then of the route (lowest first), then by fair share of the workspaces,
+then by arrival.  While a standing queue persists, the newest request is served first.  A request
+whose estimated wait is longer than its caller waits is refused at once, with a Retry-After; one
+that may have run can't be, and waits until its latest start.
 """
 
 import asyncio
@@ -146,13 +146,14 @@
 
         def sort_key(waiting: QueuedRequest) -> tuple[float, ...]:
             rank, priority = waiting.rank(now_s), waiting.request.priority
+            route_priority = waiting.request.route.priority
             if not (is_standing or is_scarce):
-                return rank, priority, waiting.start_tag, waiting.arrival
+                return rank, priority, route_priority, waiting.start_tag, waiting.arrival
             grants = self.recent_grants.get(waiting.request.workspace_name)
             fairness_level = grants.now(now_s) // step if grants else 0.0
             if is_scarce and rank != RANK_INTERRUPTED:
-                return RANK_ON_TIME, priority, fairness_level, waiting.arrival
-            return rank, priority, fairness_level, -waiting.arrival
+                return RANK_ON_TIME, priority, route_priority, fairness_level, waiting.arrival
+            return rank, priority, route_priority, fairness_level, -waiting.arrival
 
         return sorted(self.waiting, key=sort_key)
 
