--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -22,6 +22,7 @@
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.evacuated import EVACUATED_WAIT_S, could_evacuated_serve
+from gypsumpier.gateway.headroom import HEADROOM_WAITS, Headroom
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.regionreport import RegionReport
 from gypsumpier.gateway.regionrules import RegionRules
@@ -101,6 +102,7 @@
         self.first_event_estimates_s: dict[str, float] = {}
         self.queues: dict[str, RequestQueue] = {}
         self.streams = StreamWatch()
+        self.headroom = Headroom(fleet_state)
         self.logged_candidates: dict[str, tuple[int, int, int]] = {}
         self.news_dispatch: asyncio.Handle | None = None
 
@@ -115,7 +117,15 @@
         """
         if not request.attempts:
             self.queue(request.service).record_arrived()
-        return await self.enter_again(request)
+            self.headroom.record_arrived(request)
+        try:
+            record = await self.enter_again(request)
+        except Refusal:
+            self.headroom.record_started(request, is_on_time=False)
+            raise
+        is_on_time = time.monotonic() <= self.goal_start_s(request)
+        self.headroom.record_started(request, is_on_time)
+        return record
 
     async def enter_again(self, request: GatewayRequest) -> UpstreamRecord:
         """Do the same as ``enter`` for a request that counts as arrived already."""
@@ -236,7 +246,12 @@
             records = self.last_attempt_candidates(request, records, tried, needed_s)
         records = self.outside(records, awaited)
         tokens = request.head.prompt_tokens
-        record = self.selector.choose(records, tried, needed_s, is_repeat, share, tokens)
+        places_share = self.headroom.places_share(request, self.goal_start_s(request))
+        record = self.selector.choose(
+            records, tried, needed_s, is_repeat, share, tokens, places_share
+        )
+        if record is None and places_share < 1.0:
+            HEADROOM_WAITS.labels(request.service).inc()
         if record is not None:
             request.unread_tokens = request.head.prompt_tokens
             self.selector.begin(record, request.unread_tokens)
