--- a/gypsumpier/fleet/evacuations.py
+++ b/gypsumpier/fleet/evacuations.py
@@ -177,11 +177,11 @@
             for zone, until_s in self.lost.items()
         }
 
-    def merge_lost(self, payload: dict[str, list[Any]], source: str) -> bool:
+    def merge_lost(self, payload: dict[str, list[Any]], is_same_era: bool, source: str) -> bool:
         """Begin evacuations that the store has lost before this process heard of them.
 
-        Return whether one has begun.  Raises ValueError or TypeError where the payload is
-        malformed.
+        A peer that is in another era knows nothing of the time that is left in the own one.  Return
+        whether one has begun.  Raises ValueError or TypeError where the payload is malformed.
         """
         has_begun = False
         for zone, (era, revision, left_s) in payload.items():
@@ -190,7 +190,7 @@
             if zone in self.zones or (ended is not None and ended.position >= position):
                 continue
             # The limit keeps a malformed message from evacuating the zone for good.
-            left_s = min(REPEAT_S, max(0.0, float(left_s)))
+            left_s = min(REPEAT_S, max(0.0, float(left_s))) if is_same_era else REPEAT_S
             self.begin(str(zone), position, source, AGE_MAX_S)
             self.lost[zone] = boot_time_s() + left_s
             has_begun = True
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -324,7 +324,9 @@
 
     def merge_lost(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Begin the evacuations that a peer knows of and that the store has lost."""
-        if self.fleet_state.evacuations.merge_lost(payload.get(LOST, {}), peer.name):
+        lost = payload.get(LOST, {})
+        is_same_era = self.position_of(payload).era == self.fleet_state.era
+        if self.fleet_state.evacuations.merge_lost(lost, is_same_era, peer.name):
             self.fleet_state.notify_listeners()
 
     def record_announced(self, position: Position) -> None:
