--- a/gypsumpier/test/test_evacuated_requests.py
+++ b/gypsumpier/test/test_evacuated_requests.py
@@ -10,8 +10,12 @@
 from tornado.httpclient import HTTPResponse
 
 from gypsumpier.fleet.node import Address
-from gypsumpier.test.builders_platform import ENGINES, PLAIN, ZONE
+from gypsumpier.fleet.upstream import LoadedLayers
+from gypsumpier.mesh.mesh import SIDECAR
+from gypsumpier.mesh.peer import Peer
+from gypsumpier.test.builders_platform import ENGINES, LAYERS, MODEL, PLAIN, ZONE
 from gypsumpier.test.gatewayfleet import GatewayFleet
+from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.http import UpstreamStream
 
 OTHER_ZONE: Final = "nam-a"
@@ -123,6 +127,18 @@
                 self.fleet.store.remove(f"op/evacuate/{ZONE}")
                 await self.fleet.settle()
 
+    # Guards against weights that are drawn from the origin anew as their holders are evacuated.
+    async def test_sidecars_of_an_evacuated_zone_still_pass_pieces_on(self) -> None:
+        entry = self.fleet.entry
+        layers = (LoadedLayers(MODEL, 1, 0, LAYERS),)
+        state = EngineState(self.near_engine.address, "run", 1, False, 0, 0, 1.0, layers)
+        entry.selector.record_engine_state(state)
+        sidecar = Peer("side-1", SIDECAR, ZONE, "bac", "127.0.0.1", 0, "run")
+        with mock.patch.object(entry.mesh, "peers", lambda role, zone="": [sidecar]):
+            self.assertEqual([sidecar], entry.piece_holders(MODEL, 1))
+            await self.evacuate(ZONE)
+            self.assertEqual([sidecar], entry.piece_holders(MODEL, 1))
+
     # Guards against a promise that a request has not run, which nobody can give.
     async def test_one_that_may_have_run_is_not_told_that_it_has_not(self) -> None:
         self.near.plan = ["cut"]
--- a/gypsumpier/test/test_restored_evacuations.py
+++ b/gypsumpier/test/test_restored_evacuations.py
@@ -182,6 +182,17 @@
                 lost_until_s = started.evacuations.lost[ZONE]
                 self.assertAlmostEqual(self.now_s + REPEAT_S - 1.0, lost_until_s)
 
+    # Guards against an end before the tools could repeat the write: the peer lags behind an era.
+    def test_the_time_that_a_peer_of_an_older_era_names_does_not_count(self) -> None:
+        late = fleet_state_of(evacuation_record(20), ENGINE)
+        self.restore(late, ENGINE)
+        self.wait(late, REPEAT_S - 0.5)
+        message = self.feed_of(late).position_payload(late.position)
+        started = FleetState(DecodingSource())
+        self.restore(started, ENGINE, era=2)
+        self.feed_of(started).handle_notice(PEER, message)
+        self.assertEqual(self.now_s + REPEAT_S, started.evacuations.lost[ZONE])
+
     # Guards against an evacuation that goes round for good between processes.
     def test_a_lost_key_is_not_learned_again_after_its_end(self) -> None:
         slow = fleet_state_of(evacuation_record(20))
--- a/gypsumpier/test/zonedreaders.py
+++ b/gypsumpier/test/zonedreaders.py
@@ -46,9 +46,18 @@
 
     def put(self, key: str, body: dict[str, Any]) -> None:
         """Write a record."""
-        self.revision += 1
-        self.records[key] = record(key, body, self.revision)
-        self.events.append(self.records[key])
+        self.records[key] = record(key, body, self.revision + 1)
+        self.announce(self.records[key])
+
+    def remove(self, key: str) -> None:
+        """Remove a record."""
+        del self.records[key]
+        self.announce(record(key, None, self.revision + 1))
+
+    def announce(self, event: Record) -> None:
+        """Tell the watches of a change."""
+        self.revision = event.revision
+        self.events.append(event)
         self.changed.set()
         self.changed = asyncio.Event()
 
