Evacuate zones in the soak, and check that no request runs there past the bound

Cause: no check on real processes would notice an evacuation that is ignored.

Change: one of the planned changes evacuates a zone for 9 s, at random while a version is named. ran_in_evacuated_zone lists the runs there from 5 s after the acknowledgement to the removal.

--- a/gypsumpier/test/test_soak.py
+++ b/gypsumpier/test/test_soak.py
@@ -21,9 +21,10 @@
 from gypsumpier.test.standin.platform import Run, UpstreamStandin
 from misc.faulting.actions import Window
 from misc.soak import EXIT_BROKEN, EXIT_TOO_FEW_SERVED, MIN_SERVED, exit_status
-from misc.soaking.checks import check
+from misc.soaking.checks import EVACUATED_S, check
 from misc.soaking.connection import CUT, TIMED_OUT, Answer, CallerConnection
 from misc.soaking.deployment import EVENTS, SoakDeployment
+from misc.soaking.evacuation import ZoneEvacuation
 from misc.soaking.facts import STABLE_S, Facts
 from misc.soaking.faults import SoakFaults
 from misc.soaking.load import COMMAND, PROBE, REPORT, UPLOAD, Sent, answer_error
@@ -94,6 +95,23 @@
         faults = [Window("kill", "front-1", False, 0.0, ended_s)]
         self.assertEqual({}, violations(**facts, windows=faults))
 
+    def test_a_run_in_an_evacuated_zone_is_found_without_abrupt_faults(self) -> None:
+        sent = make_sent()
+        late, timely = EVACUATED_S + 0.5, EVACUATED_S - 0.5
+        for ago_s, upstream, expected in (
+            (late, "plain-1", {"ran_in_evacuated_zone": 1}),
+            (timely, "plain-1", {}),
+            (late, "plain-2", {}),
+        ):
+            began_s = make_run(sent).at_s - ago_s
+            evacuation = ZoneEvacuation("bac-a", frozenset({upstream}), began_s)
+            found = {"sent": [sent], "runs": [make_run(sent)]}
+            self.assertEqual(expected, violations(**found, evacuations=(evacuation,)))
+            ended = evacuation._replace(ended_at_s=make_run(sent).at_s - 0.1)
+            self.assertEqual({}, violations(**found, evacuations=(ended,)))
+            kill = Window("kill", "front-1", False, began_s, began_s + 0.1)
+            self.assertEqual({}, violations(**found, windows=[kill], evacuations=(evacuation,)))
+
     def test_a_run_on_an_old_version_is_found_without_abrupt_faults(self) -> None:
         sent = make_sent(REPORT)
         named = {1: 0.0, 2: sent.sent_at_s - BOUNDS.version_in_force_s - 0.5}
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -122,6 +122,7 @@
         partial_loads=sum(engine.partial_loads for engine in deployment.engines()),
         killed_at_stop=faults.killed_at_stop,
         waits=waits,
+        evacuations=tuple(deployment.evacuations),
     )
 
 
--- a/misc/soaking/checks.py
+++ b/misc/soaking/checks.py
@@ -9,6 +9,9 @@
 from misc.soaking.load import COMMAND, PROBE, UPLOAD
 from misc.soaking.lost import lost, unexplained_failures
 
+EVACUATED_S: Final = 5.0
+"""Seconds after the store has acknowledged an evacuation from which no request may reach the zone.
+"""
 ONCE_KINDS: Final = frozenset({COMMAND, UPLOAD})
 """Kinds of request that may run at most once."""
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
@@ -37,6 +40,7 @@
         "wrong_answers": [f"{sent.request_id}: {sent.wrong}" for sent in facts.sent if sent.wrong],
         "revoked_key_ran": revoked_key_ran(facts),
         "ran_after_drain": ran_after_drain(facts),
+        "ran_in_evacuated_zone": ran_in_evacuated_zone(facts),
         "old_version_ran": old_version_ran(facts),
         "partial_loads": ["an engine got an order without all valid pieces"] * facts.partial_loads,
         "configuration_went_back": configuration_went_back(facts),
@@ -76,6 +80,19 @@
     ]
 
 
+def ran_in_evacuated_zone(facts: Facts) -> list[str]:
+    """Return runs at upstreams of a zone that was evacuated longer ago than the bound."""
+    return [
+        f"{run.request_id} at {run.upstream} {run.at_s - found.began_at_s:.2f} s after {found.zone}"
+        " was evacuated"
+        for found in facts.evacuations
+        for run in facts.runs
+        if run.upstream in found.upstreams
+        and found.began_at_s + EVACUATED_S + MARGIN_S < run.at_s < found.ended_at_s
+        and is_free_of_abrupt_faults(facts, found.began_at_s, run.at_s)
+    ]
+
+
 def old_version_ran(facts: Facts) -> list[str]:
     """Return runs on a version of weights that was to be replaced within the bound."""
     bound_s = BOUNDS.version_in_force_s + MARGIN_S
--- a/misc/soaking/deployment.py
+++ b/misc/soaking/deployment.py
@@ -30,6 +30,7 @@
 )
 from gypsumpier.test.standin.platformengine import EngineStandin
 from misc.faulting.tcp_proxy import TcpProxy
+from misc.soaking.evacuation import ZoneEvacuation
 from misc.soaking.node import Node
 
 ZONES: Final = (ZONE, "nam-a")
@@ -79,6 +80,7 @@
         self.draining_at_s: dict[str, float] = {}
         self.named_at_s: dict[int, float] = {1: time.monotonic()}
         self.keys = [KEY] + [f"key-{number}" for number in range(SPARE_KEYS)]
+        self.evacuations: list[ZoneEvacuation] = []
         self.retired_upstreams: list[UpstreamStandin] = []
 
     @property
@@ -239,6 +241,18 @@
         self.configure()
         self.revoked_at_s[key] = time.monotonic()
 
+    def evacuate(self, zone: str) -> None:
+        """Begin the evacuation of a zone."""
+        self.store.put(f"op/evacuate/{zone}", {})
+        upstreams = frozenset(name for name in self.upstreams if self.zones[name] == zone)
+        self.evacuations.append(ZoneEvacuation(zone, upstreams, time.monotonic()))
+
+    def end_evacuation(self) -> None:
+        """End the evacuation that began last."""
+        evacuation = self.evacuations[-1]
+        self.evacuations[-1] = evacuation._replace(ended_at_s=time.monotonic())
+        self.store.remove(f"op/evacuate/{evacuation.zone}")
+
     def drain(self, name: str) -> None:
         """Mark an upstream as draining."""
         self.draining_at_s[name] = time.monotonic()
--- a/misc/soaking/facts.py
+++ b/misc/soaking/facts.py
@@ -4,6 +4,7 @@
 
 from gypsumpier.test.standin.platform import Run
 from misc.faulting.actions import Window
+from misc.soaking.evacuation import ZoneEvacuation
 from misc.soaking.load import Sent
 from misc.soaking.processorwait import ProcessorWait
 
@@ -30,6 +31,7 @@
     partial_loads: int
     killed_at_stop: int
     waits: list[ProcessorWait]
+    evacuations: tuple[ZoneEvacuation, ...] = ()
 
 
 def is_free_of_abrupt_faults(facts: Facts, from_s: float, to_s: float) -> bool:
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -10,7 +10,13 @@
 
 from gypsumpier.test.builders_odd import odd_records
 from misc.faulting.actions import Window
-from misc.soaking.deployment import EVENT_PAUSE_S, EVENTS, LONGEST_WORK_S, SoakDeployment
+from misc.soaking.deployment import (
+    EVENT_PAUSE_S,
+    EVENTS,
+    LONGEST_WORK_S,
+    ZONES,
+    SoakDeployment,
+)
 from misc.soaking.node import Node
 from misc.soaking.series import Series, end
 
@@ -20,6 +26,8 @@
 """Seconds without a fault after a planned change: its bound of 2 and a margin."""
 VERSION_CHANGE_S: Final = 9.0
 """Seconds without a fault after a new version of weights: its bound of 8 and a margin."""
+EVACUATION_S: Final = 9.0
+"""Seconds that an evacuation lasts: its bound of 5 and some in which no request may come."""
 SLOW_FROM_S: Final = 5.6
 """Seconds after the naming of a version from which requests are slow to start, while entries still
 use engines with older weights."""
@@ -156,6 +164,7 @@
             self.change_version,
             self.late_engine,
             self.late_engine,
+            self.evacuate_zone,
         ]
 
     @asynccontextmanager
@@ -379,6 +388,17 @@
             await asyncio.sleep(PLANNED_CHANGE_S + LONGEST_WORK_S)
             self.deployment.retire(name)
 
+    async def evacuate_zone(self) -> None:
+        """Evacuate a zone while its engine gets weights, for longer than the bound."""
+        zone = self.planned_rng.choice(ZONES)
+        async with self.window("evacuate_zone", zone, graceful=True):
+            self.deployment.evacuate(zone)
+            if self.planned_rng.random() < 0.5:
+                self.name()
+            await asyncio.sleep(EVACUATION_S)
+            self.deployment.end_evacuation()
+            await asyncio.sleep(PLANNED_CHANGE_S)
+
     async def change_version(self) -> None:
         self.name()
         await asyncio.sleep(VERSION_CHANGE_S)
