Move the momentary constraints on upstreams into small objects

Cause: limits, rests, silence and backoff were asked in three places of the selector, each in another combination, and none could name its reason or its end.

Change: a constraint each in gypsumpier/eligibility/, asked through Eligibility by with_capacity (all of them), is_usable (those that last: rest, silence, backoff) and may_still_serve (a rest). Each returns at once where nothing is known. The choice is the same.

--- a/gypsumpier/eligibility/eligibility.py
+++ b/gypsumpier/eligibility/eligibility.py
@@ -11,12 +11,23 @@
 
     Those in ``standing`` depend on the fleet state and on what engines and upstreams have stated;
     their result may be kept until one of these changes.  Those in ``momentary`` change with time
-    alone, or with each request.
+    alone, or with each request.  Of these, an upstream is unusable while one in ``lasting`` has an
+    obstacle; the others only space its requests out.  Those in ``recalling`` also hold for an
+    upstream that was chosen a moment ago; the others count its request already.
     """
 
     def __init__(self) -> None:
         self.standing: list[Constraint] = []
         self.momentary: list[Constraint] = []
+        self.lasting: list[Constraint] = []
+        self.recalling: list[Constraint] = []
+
+    def add_lasting(self, constraint: Constraint, is_recalling: bool = False) -> None:
+        """Add a momentary constraint that makes upstreams unusable."""
+        self.momentary.append(constraint)
+        self.lasting.append(constraint)
+        if is_recalling:
+            self.recalling.append(constraint)
 
     def standing_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
         """Return the first standing obstacle; None if there is none."""
@@ -26,6 +37,16 @@
         """Return the first momentary obstacle; None if there is none."""
         return first_obstacle(self.momentary, record, needs)
 
+    def lasting_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
+        """Return the first obstacle that makes the upstream unusable; None if there is none."""
+        return first_obstacle(self.lasting, record, needs)
+
+    def recalling_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
+        """Return the first obstacle for a request that was chosen a moment ago; None if none is."""
+        return self.standing_obstacle(record, needs) or first_obstacle(
+            self.recalling, record, needs
+        )
+
     def obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
         """Return the first obstacle of any kind; None if the request may be sent now."""
         return self.standing_obstacle(record, needs) or self.momentary_obstacle(record, needs)
--- a/gypsumpier/upstream/health.py
+++ b/gypsumpier/upstream/health.py
@@ -124,6 +124,15 @@
             return False
         return health.failures == 0 or health.probes == 0
 
+    def backoff_ends_at_s(self, run: tuple[str, int]) -> float | None:
+        """Return the monotonic time at which the backoff ends; None if that is not known.
+
+        It is not while a request probes the upstream, or while another one answers in its place.
+        """
+        health = self.health_by_run.get(run)
+        ends_at_s = health.retry_at_s if health else 0.0
+        return ends_at_s if time.monotonic() < ends_at_s < math.inf else None
+
     def is_in_backoff(self, run: tuple[str, int]) -> bool:
         """Return whether no request may be sent, as the upstream has failed a moment ago."""
         health = self.health_by_run.get(run)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -10,8 +10,10 @@
 from collections import Counter
 from typing import Final
 
+from gypsumpier.eligibility.backoff import BackoffConstraint
 from gypsumpier.eligibility.eligibility import Eligibility
 from gypsumpier.eligibility.leaving import LeavingConstraint
+from gypsumpier.eligibility.momentary import add_momentary
 from gypsumpier.eligibility.needs import Needs
 from gypsumpier.eligibility.regions import RegionConstraint
 from gypsumpier.eligibility.weights import WeightsConstraint
@@ -115,6 +117,8 @@
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
         ]
+        backoff = BackoffConstraint(self.health, self.zone_health, zone)
+        add_momentary(self.eligibility, self.statements, self.silences, backoff)
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
@@ -311,10 +315,8 @@
         known = self.fleet_state.upstreams.get(record.id)
         if known is None or known.run_key() != record.run_key():
             return False
-        if self.statements.rests.is_resting(known):
-            return False
         needs = Needs(record.service, least_version, regions)
-        return self.eligibility.standing_obstacle(known, needs) is None
+        return self.eligibility.recalling_obstacle(known, needs) is None
 
     def is_switching(self, record: UpstreamRecord) -> bool:
         """Return whether the engine is switching its weights and starts no new request."""
@@ -384,14 +386,16 @@
         self, records: list[UpstreamRecord], excluded: set[tuple[str, int]]
     ) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request now, impaired ones included."""
+        if not records:
+            return []
+        needs = Needs(records[0].service)
         return [
             record
             for record in records
             if self.load(record) < self.limit(record)
             and (not excluded or record.run_key() not in excluded)
-            and self.is_usable(record)
             and self.unread_s(record) < UNREAD_MAX_S
-            and self.statements.allows(record)
+            and self.eligibility.momentary_obstacle(record, needs) is None
         ]
 
     def claimable(
@@ -442,11 +446,7 @@
 
         Nor may it be an engine that other entries find silent.
         """
-        if self.statements.rests.is_resting(record) or self.silences.is_silent(record):
-            return False
-        if not self.health.is_usable(record.run_key()):
-            return False
-        return record.zone == self.zone or self.zone_health.is_usable((record.zone, 0))
+        return self.eligibility.lasting_obstacle(record, Needs(record.service)) is None
 
     def record_unreachable(self, record: UpstreamRecord) -> None:
         """Record that an upstream can't be connected to.
