--- a/gypsumpier/eligibility/obstacle.py
+++ b/gypsumpier/eligibility/obstacle.py
@@ -17,6 +17,8 @@
     REST = "rest"
     SILENT = "silent"
     BACKOFF = "backoff"
+    FULL = "full"
+    PROMPTS = "prompts"
 
 
 class Obstacle(NamedTuple):
