Test each place that passes on the regions of a request

Cause: replacing the regions by "any" in single places of admission, of the region rules and of the queue, or dropping a line that handles them, left test_regions green in nine of 28 cases.

Change: tests for these: engines that switch in and outside the regions, keys that change, a public route, rates of a queue, and the cost of a pass.

--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -1,6 +1,7 @@
 """Tests of requests that only upstreams in some regions may serve, without a network."""
 
 import asyncio
+import time
 import unittest
 from typing import Any, Final
 from unittest import mock
@@ -10,9 +11,10 @@
 
 from gypsumpier.codes.result import Outcome
 from gypsumpier.fleet.state import FleetState
-from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.admission import NO_UPSTREAM_WAIT_S, Admission
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.gateway.requestqueue import OVERTAKING_SHARE, RATE_WINDOW_S, RequestQueue
 from gypsumpier.gateway.sender import UpstreamSender
 from gypsumpier.log import LOGGER
 from gypsumpier.metrics import REGISTRY
@@ -177,13 +179,30 @@
 
     async def test_an_engine_of_the_region_that_switches_is_waited_for(self) -> None:
         apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
-        address = f"{self.fleet_state.upstreams['i-3'].host}:8701"
-        switching = EngineState(address, "run", 1, True, 0, 0, 1.0, ())
-        self.admission.selector.record_engine_state(switching)
+        self.switch("i-3")
         call = waiting_for(self.admission, self.request)
         self.assertEqual([True], await is_waiting(call))
         await cancel_all(call)
 
+    async def test_only_engines_of_the_region_count_while_one_of_it_switches(self) -> None:
+        """The request waits for the switch as long as one does that has no other upstream."""
+        apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
+        self.switch("i-3")
+        latest_s = self.admission.latest_start_s(self.request)
+        self.assertLessEqual(latest_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
+        self.assertEqual("no_upstream", self.admission.refusal(self.request, 1.0).code.name)
+
+    async def test_an_engine_that_switches_in_another_region_is_not_waited_for(self) -> None:
+        self.switch("i-2")
+        self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
+
+    def switch(self, name: str) -> None:
+        """Report an engine as switching its weights."""
+        address = f"{self.fleet_state.upstreams[name].host}:8701"
+        self.admission.selector.record_engine_state(
+            EngineState(address, "run", 1, True, 0, 0, 1.0, ())
+        )
+
     async def test_an_upstream_of_the_region_that_leaves_is_none(self) -> None:
         apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a", state="draining"))
         self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
@@ -271,6 +290,10 @@
         selector = self.admission.selector
         self.assertTrue(selector.is_engine_returning(ENGINES, set()))
         self.assertFalse(selector.is_engine_returning(ENGINES, set(), frozenset({"bac"})))
+        records = self.admission.candidates(self.request)
+        with mock.patch.object(selector, "steady", return_value=[]):
+            found = self.admission.last_attempt_candidates(self.request, records, set(), 1.0)
+        self.assertEqual(records, found)
 
     async def test_a_rest_in_the_region_counts_although_others_do_not_rest(self) -> None:
         for name in ("i-1", "i-2"):
@@ -348,6 +371,16 @@
         self.admission.dispatch_all()
         self.assertEqual(["i-1", "i-2"], [await first, await limited])
 
+    async def test_a_pass_over_a_full_queue_tries_each_set_of_regions_once(self) -> None:
+        """Guards against passes whose cost grows with the number of limited requests."""
+        fill(self.admission, "i-1", "i-2")
+        limited = [waiting_for(self.admission, request_of(self.fleet_state)) for _ in range(8)]
+        self.assertEqual([True] * 8, await is_waiting(*limited))
+        with mock.patch.object(self.admission, "try_admit", return_value=None) as tried:
+            self.admission.dispatch_all()
+        self.assertEqual(1, tried.call_count)
+        await cancel_all(*limited)
+
     async def test_a_new_request_passes_a_queue_for_other_regions(self) -> None:
         fill(self.admission, "i-2")
         limited = waiting_for(self.admission, request_of(self.fleet_state))
@@ -403,6 +436,25 @@
         await cancel_all(*limited, *others)
 
 
+class RegionalRatesTest(unittest.TestCase):
+    """Guards against rates of requests without regions that count what others were admitted to."""
+
+    def test_limited_requests_count_for_their_regions_alone(self) -> None:
+        queue, nam = RequestQueue(), frozenset({"nam"})
+        queue.formed_at_s = time.monotonic() - RATE_WINDOW_S
+        for _ in range(8):
+            queue.record_arrived()
+            queue.record_granted()
+        for _ in range(40):
+            queue.record_arrived(nam)
+            queue.record_granted(nam)
+        self.assertAlmostEqual(8 / RATE_WINDOW_S, queue.rate_per_s(0.0))
+        self.assertAlmostEqual(8 / RATE_WINDOW_S, queue.flow(0.0).per_s)
+        self.assertAlmostEqual((1 - OVERTAKING_SHARE) * 4.0, queue.flow(0.0).late_per_s)
+        self.assertAlmostEqual(40 / RATE_WINDOW_S, queue.flow_in(nam, 0.0).per_s)
+        self.assertAlmostEqual(48 / RATE_WINDOW_S, queue.arrivals_per_s())
+
+
 class ChangedConfigurationTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a request that is sent where only one of two configurations allows it.
 
@@ -469,6 +521,23 @@
         self.change(["nam"], host="other.example")
         self.assertEqual(["i-2"], self.sendable())
 
+    def test_a_tenant_whose_key_has_changed_binds_by_its_name(self) -> None:
+        self.start(None)
+        owner = {"name": "lab", "api_keys": ["another"], "allowed_regions": ["nam"]}
+        apply_records(self.fleet_state, configuration_record(200, version=2, tenants=[owner]))
+        self.assertEqual(["i-2"], self.sendable())
+
+    def test_the_tenant_of_a_key_that_a_public_route_ignores_does_not_bind(self) -> None:
+        self.fleet_state = fleet_state_of(
+            regional_configuration(public=True), *regional_engines(["bac-a", "nam-a"])
+        )
+        self.admission = regional_admission(self.fleet_state)
+        self.request = request_of(self.fleet_state)
+        self.change(None, ["nam"], public=True)
+        self.assertEqual(["i-1", "i-2"], self.sendable())
+        apply_records(self.fleet_state, regional_configuration(None, ["nam"], 3, revision=300))
+        self.assertEqual(["i-2"], self.sendable())
+
     def test_a_configuration_that_was_replaced_meanwhile_does_not_bind(self) -> None:
         self.start(None)
         self.change(["nam"])
