--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -12,20 +12,30 @@
 from gypsumpier.codes.result import Outcome
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.gateway.admission import NO_UPSTREAM_WAIT_S, Admission
+from gypsumpier.gateway.application import GatewayApplication
+from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import OVERTAKING_SHARE, RATE_WINDOW_S, RequestQueue
+from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.sender import UpstreamSender
+from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.log import LOGGER
 from gypsumpier.metrics import REGISTRY
+from gypsumpier.options import Options
+from gypsumpier.platform.settings import Reader, node_settings
 from gypsumpier.test.builders_gateway import request_of
 from gypsumpier.test.builders_platform import (
+    BOUNDS,
     ENGINES,
+    DecodingSource,
     apply_records,
     configuration_record,
     engine_record,
     fleet_state_of,
     record,
+    settings_body,
 )
 from gypsumpier.test.builders_regions import (
     OPEN_PREFIX,
@@ -35,10 +45,11 @@
     regional_engines,
     regional_fleet,
 )
-from gypsumpier.test.secondattemptcase import SecondAttemptCase
+from gypsumpier.test.secondattemptcase import FakeSender, SecondAttemptCase
 from gypsumpier.upstream.enginestate import EngineState
-from gypsumpier.upstream.errors import NotRunError
+from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.peerloads import Load
+from gypsumpier.upstream.replacement import Replacement
 
 FULL: Final = 17
 """Requests in flight from which an engine of 16 slots takes no more."""
@@ -343,6 +354,80 @@
         self.assertTrue(self.admission.has_place(self.request, self.other.all_tried(frozenset())))
 
 
+class FailingSender(FakeSender):
+    """Notes the engines that it sends to, each of which cuts the stream behind an event."""
+
+    def __init__(self, admission: Admission) -> None:
+        super().__init__(admission, admission.selector, mock.Mock(), mock.Mock(), mock.Mock())
+        self.engines: list[str] = []
+
+    async def begin(
+        self, attempt: Attempt, writer: AnswerWriter, replacement: Replacement, silent: str = ""
+    ) -> None:
+        self.engines.append(attempt.record.id)
+        attempt.request.last_event_id = "3"
+        raise OutcomeUnknownError("cut", is_answered=True)
+
+
+class RelayedStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a stream that leaves its regions, or is told not to have run, as it is cut."""
+
+    def relay(self, admission: Admission) -> Relay:
+        """Return the relay of an entry whose engines cut every stream."""
+        retries = RetryBudget(BOUNDS, 1)
+        parts = (mock.Mock(), retries, mock.Mock(), mock.Mock())
+        relay = Relay(admission, admission.selector, *parts)
+        relay.sender = FailingSender(admission)
+        return relay
+
+    async def cut(self, admission: Admission, relay: Relay) -> Refusal:
+        """Relay a stream until it is given up; return the refusal."""
+        request = request_of(admission.fleet_state, time_limit_s=0.4)
+        request.route = request.route._replace(max_attempts=5)
+        with self.assertRaises(Refusal) as raised:
+            await relay.run(request, mock.Mock(status=200))
+        return raised.exception
+
+    async def test_every_resumption_stays_in_the_region(self) -> None:
+        zones = ["bac-a", "bac-b", "nam-a", "sud-a", "bac-a", "bac-b", "bac-a"]
+        admission = regional_admission(regional_fleet(zones, ["bac"]))
+        relay = self.relay(admission)
+        found = await self.cut(admission, relay)
+        assert isinstance(relay.sender, FailingSender)
+        self.assertEqual(5, len(relay.sender.engines))
+        self.assertEqual({"i-1", "i-2", "i-5", "i-6", "i-7"}, set(relay.sender.engines))
+        self.assertIs(Outcome.UNKNOWN, found.code.outcome)
+
+    async def test_a_stream_whose_region_has_gone_is_not_told_that_it_has_not_run(self) -> None:
+        admission = regional_admission(regional_fleet(["bac-a", "nam-a"], ["bac"]))
+        relay = self.relay(admission)
+        begin = relay.sender.begin
+
+        async def begin_last(*args: Any) -> None:
+            apply_records(admission.fleet_state, record("servers/i-1", None, 300))
+            await begin(*args)
+
+        with mock.patch.object(relay.sender, "begin", begin_last):
+            dispatching = asyncio.create_task(admission.run())
+            found = await self.cut(admission, relay)
+            dispatching.cancel()
+        self.assertEqual("answer_lost", found.code.name)
+
+
+class RegionSettingsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an entry whose constraint does not know the zones of its settings."""
+
+    async def test_the_regions_of_the_settings_hold_from_the_start_and_after_a_reload(self) -> None:
+        own = node_settings(Reader(settings_body()))
+        application = GatewayApplication(
+            own, Options(incarnation="run-1"), DecodingSource(), mock.Mock()
+        )
+        regions = application.selector.regions
+        self.assertEqual({"bac-a": "bac", "nam-a": "nam"}, regions.regions_by_zone)
+        application.reload(own._replace(regions_by_zone={"bac-a": "bac", "sud-a": "sud"}))
+        self.assertEqual({"bac-a": "bac", "sud-a": "sud"}, regions.regions_by_zone)
+
+
 class MixedQueueTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that keep others of the queue from places that they can't use."""
 
