--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -63,6 +63,10 @@
         is_cold = share > 0 or self.upstreams.period(record, False) is not None
         return share if is_cold else None
 
+    def is_any_cold(self) -> bool:
+        """Return whether any upstream counts as cold, or did so until a moment ago."""
+        return bool(self.rules) and self.upstreams.has_cold()
+
     def has_permit(self, record: UpstreamRecord) -> bool:
         """Return whether the upstream is not cold, or one more request is within the share."""
         share = self.cold_share(record)
@@ -76,7 +80,7 @@
         Cold ones come in the order of their used permits: of several that are idle, the first one
         is chosen.
         """
-        if not self.upstreams.has_cold():
+        if not self.is_any_cold():
             return records
         now_s, found, has_cold = time.monotonic(), [], False
         for record in records:
--- a/gypsumpier/coldstart/constraint.py
+++ b/gypsumpier/coldstart/constraint.py
@@ -13,6 +13,6 @@
         self.cold = cold
 
     def obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
-        if not self.cold.rules or self.cold.has_permit(record):
+        if not self.cold.is_any_cold() or self.cold.has_permit(record):
             return None
         return Obstacle(Reason.COLD, self.cold.free_at_s(record))
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -28,27 +28,13 @@
 from gypsumpier.gateway.regionrules import RegionRules
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
+from gypsumpier.gateway.starttimes import PLAIN_SERVICE_TIME_S, StartTimes
 from gypsumpier.gateway.streamwatch import StreamWatch
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.capacity import LimitedCapacity
 from gypsumpier.upstream.selector import UpstreamSelector
 
-STREAM_TIMEOUT_MIN_S: Final = 2.0
-"""Shortest time, in seconds, after which a caller abandons a stream that has sent no event."""
-STREAM_TIMEOUT_GOAL_FACTOR: Final = 4.0
-"""Multiple of the goal for the first event that a caller waits, if that is longer."""
-STREAM_TIMEOUT_GAP_FACTOR: Final = 8.0
-"""Multiple of the goal for the gap between events that a caller waits, if that is longer."""
-FIRST_EVENT_ESTIMATE_S: Final = 0.25
-"""Initial estimate of the seconds from admission to the first event: a long prompt that an engine
-reads beside others.  Observed times replace it."""
-FIRST_EVENT_EWMA_WEIGHT: Final = 0.1
-"""Weight of the newest request in the moving average of the time to the first event."""
-FIRST_EVENT_MARGIN_FACTOR: Final = 1.3
-"""Multiple of the mean time to the first event that covers most requests."""
-PLAIN_SERVICE_TIME_S: Final = 0.1
-"""Assumed processing time, in seconds, of a request to a plain service; above the mean."""
 NO_UPSTREAM_WAIT_S: Final = 0.5
 """Longest wait, in seconds, while no upstream of the service can serve; also the shortest
 Retry-After before jitter."""
@@ -99,7 +85,7 @@
         self.region_report = RegionReport(selector.regions)
         self.random = random.Random()
         self.entry_count = 1
-        self.first_event_estimates_s: dict[str, float] = {}
+        self.times = StartTimes()
         self.queues: dict[str, RequestQueue] = {}
         self.streams = StreamWatch()
         self.headroom = Headroom(fleet_state)
@@ -108,7 +94,10 @@
 
     def queue(self, service: str) -> RequestQueue:
         """Return the request queue of a service."""
-        return self.queues.setdefault(service, RequestQueue())
+        found = self.queues.get(service)
+        if found is None:
+            found = self.queues[service] = RequestQueue(self.region_rules.regions)
+        return found
 
     async def enter(self, request: GatewayRequest) -> UpstreamRecord:
         """Return the upstream to send the request to; raise Refusal if there is none in time.
@@ -116,7 +105,8 @@
         The request counts as in flight at that upstream until ``leave``.
         """
         if not request.attempts:
-            self.queue(request.service).record_arrived()
+            regions = self.region_rules.regions(request)
+            self.queue(request.service).record_arrived(regions)
             self.headroom.record_arrived(request)
         try:
             record = await self.enter_again(request)
@@ -145,7 +135,7 @@
         else:
             record = self.admit_outside(awaited, request)
         if record is not None:
-            queue.record_granted()
+            queue.record_granted(self.region_rules.regions(request))
             if queue.is_scarce():
                 queue.count_grant(request.workspace_name)
         return record
@@ -449,7 +439,10 @@
                 full.add(regions)
         if queue.waiting:
             queue.limited = self.limited_capacity(service)
-            queue.shed_excess(self.capacity_share_per_s(service))
+            queue.shed_excess(
+                self.capacity_share_per_s(service),
+                lambda regions: self.capacity_share_per_s(service, regions),
+            )
         self.record_waiting(service)
 
     def record_waiting(self, service: str) -> None:
@@ -473,15 +466,18 @@
                     waiting.outcome.set_exception(refusal)
                 queue.waiting.remove(waiting)
 
-    def capacity_share_per_s(self, service: str) -> float:
-        """Return this entry's share of the requests per second that the upstreams can serve."""
+    def capacity_share_per_s(self, service: str, regions: AllowedRegions = None) -> float:
+        """Return this entry's share of the requests per second that the upstreams can serve.
+
+        Those outside the regions don't count.
+        """
         model = self.selector.model(service)
         request_s = PLAIN_SERVICE_TIME_S
         if model is not None:
             request_s = self.processing_s(model, model.mean_prompt_tokens, model.mean_answer_tokens)
         request_s = max(request_s, PLAIN_SERVICE_TIME_S)
         rates = []
-        for record in self.usable_candidates(service):
+        for record in self.usable_candidates(service, regions):
             limit_per_s = self.selector.statements.limits.rate_per_s(record)
             slots_per_s = record.slots / request_s / self.entry_count
             rates.append(slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s))
@@ -502,11 +498,13 @@
             [record for record in records if not rests.is_resting(record)]
         )
 
-    def usable_candidates(self, service: str) -> list[UpstreamRecord]:
-        """Return the upstreams of the service that can serve and are usable now."""
+    def usable_candidates(
+        self, service: str, regions: AllowedRegions = None
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams of the service in the regions that are usable now."""
         return [
             record
-            for record in self.selector.candidates(service)
+            for record in self.selector.candidates(service, 0, regions)
             if self.selector.is_usable(record)
         ]
 
@@ -552,23 +550,11 @@
     def latest_start_s(self, request: GatewayRequest) -> float:
         """Return the monotonic time by which the request must start; later its caller gives up.
 
-        A request that may have run is not given up sooner than its time limit requires; a caller
-        that abandons it closes its connection.
+        Without any upstream it does not wait long, unless it may have run.
         """
-        route = request.route
-        needed_s = FIRST_EVENT_ESTIMATE_S if route.is_streamed else PLAIN_SERVICE_TIME_S
-        latest_start_s = request.ends_at_s - needed_s
+        latest_start_s = self.times.latest_start_s(request)
         if not request.is_refusable():
             return latest_start_s
-        if route.is_streamed:
-            caller_timeout_s = max(
-                STREAM_TIMEOUT_MIN_S,
-                STREAM_TIMEOUT_GOAL_FACTOR * route.goal_s,
-                STREAM_TIMEOUT_GAP_FACTOR * route.event_gap_goal_s,
-            )
-            awaited_since_s = request.last_event_at_s or request.received_at_s
-            caller_abandons_at_s = awaited_since_s + caller_timeout_s
-            latest_start_s = min(latest_start_s, caller_abandons_at_s - needed_s)
         regions = self.region_rules.regions(request)
         if not self.selector.candidates(request.service, 0, regions):
             latest_start_s = min(latest_start_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
@@ -576,18 +562,11 @@
 
     def goal_start_s(self, request: GatewayRequest) -> float:
         """Return the monotonic time by which the request must be admitted to meet its goal."""
-        needed_s = PLAIN_SERVICE_TIME_S
-        if request.route.is_streamed:
-            estimate_s = self.first_event_estimates_s.get(request.service, FIRST_EVENT_ESTIMATE_S)
-            needed_s = FIRST_EVENT_MARGIN_FACTOR * estimate_s
-        return request.received_at_s + request.route.goal_s - needed_s
+        return self.times.goal_start_s(request)
 
     def record_first_event(self, service: str, took_s: float) -> None:
         """Update the service's estimate with the seconds that a request took to its first event."""
-        estimate_s = self.first_event_estimates_s.get(service, FIRST_EVENT_ESTIMATE_S)
-        self.first_event_estimates_s[service] = estimate_s + FIRST_EVENT_EWMA_WEIGHT * (
-            took_s - estimate_s
-        )
+        self.times.record_first_event(service, took_s)
 
     def refusal(self, request: GatewayRequest, wait_s: float) -> Refusal:
         """Return the refusal of a request whose estimated wait is ``wait_s`` seconds.
--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -1,6 +1,7 @@
 """Tests of requests that only upstreams in some regions may serve, without a network."""
 
 import asyncio
+import time
 import unittest
 from typing import Any, Final
 from unittest import mock
@@ -10,20 +11,31 @@
 
 from gypsumpier.codes.result import Outcome
 from gypsumpier.fleet.state import FleetState
-from gypsumpier.gateway.admission import Admission
+from gypsumpier.gateway.admission import NO_UPSTREAM_WAIT_S, Admission
+from gypsumpier.gateway.application import GatewayApplication
+from gypsumpier.gateway.attempt import Attempt
 from gypsumpier.gateway.refusal import Refusal
+from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.request import GatewayRequest
+from gypsumpier.gateway.requestqueue import OVERTAKING_SHARE, RATE_WINDOW_S, RequestQueue
+from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.sender import UpstreamSender
+from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.log import LOGGER
 from gypsumpier.metrics import REGISTRY
+from gypsumpier.options import Options
+from gypsumpier.platform.settings import Reader, node_settings
 from gypsumpier.test.builders_gateway import request_of
 from gypsumpier.test.builders_platform import (
+    BOUNDS,
     ENGINES,
+    DecodingSource,
     apply_records,
     configuration_record,
     engine_record,
     fleet_state_of,
     record,
+    settings_body,
 )
 from gypsumpier.test.builders_regions import (
     OPEN_PREFIX,
@@ -33,10 +45,11 @@
     regional_engines,
     regional_fleet,
 )
-from gypsumpier.test.secondattemptcase import SecondAttemptCase
+from gypsumpier.test.secondattemptcase import FakeSender, SecondAttemptCase
 from gypsumpier.upstream.enginestate import EngineState
-from gypsumpier.upstream.errors import NotRunError
+from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.peerloads import Load
+from gypsumpier.upstream.replacement import Replacement
 
 FULL: Final = 17
 """Requests in flight from which an engine of 16 slots takes no more."""
@@ -177,13 +190,30 @@
 
     async def test_an_engine_of_the_region_that_switches_is_waited_for(self) -> None:
         apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
-        address = f"{self.fleet_state.upstreams['i-3'].host}:8701"
-        switching = EngineState(address, "run", 1, True, 0, 0, 1.0, ())
-        self.admission.selector.record_engine_state(switching)
+        self.switch("i-3")
         call = waiting_for(self.admission, self.request)
         self.assertEqual([True], await is_waiting(call))
         await cancel_all(call)
 
+    async def test_only_engines_of_the_region_count_while_one_of_it_switches(self) -> None:
+        """The request waits for the switch as long as one does that has no other upstream."""
+        apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a"))
+        self.switch("i-3")
+        latest_s = self.admission.latest_start_s(self.request)
+        self.assertLessEqual(latest_s, time.monotonic() + NO_UPSTREAM_WAIT_S)
+        self.assertEqual("no_upstream", self.admission.refusal(self.request, 1.0).code.name)
+
+    async def test_an_engine_that_switches_in_another_region_is_not_waited_for(self) -> None:
+        self.switch("i-2")
+        self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
+
+    def switch(self, name: str) -> None:
+        """Report an engine as switching its weights."""
+        address = f"{self.fleet_state.upstreams[name].host}:8701"
+        self.admission.selector.record_engine_state(
+            EngineState(address, "run", 1, True, 0, 0, 1.0, ())
+        )
+
     async def test_an_upstream_of_the_region_that_leaves_is_none(self) -> None:
         apply_records(self.fleet_state, engine_record(3, 200, zone="nam-a", state="draining"))
         self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
@@ -271,6 +301,10 @@
         selector = self.admission.selector
         self.assertTrue(selector.is_engine_returning(ENGINES, set()))
         self.assertFalse(selector.is_engine_returning(ENGINES, set(), frozenset({"bac"})))
+        records = self.admission.candidates(self.request)
+        with mock.patch.object(selector, "steady", return_value=[]):
+            found = self.admission.last_attempt_candidates(self.request, records, set(), 1.0)
+        self.assertEqual(records, found)
 
     async def test_a_rest_in_the_region_counts_although_others_do_not_rest(self) -> None:
         for name in ("i-1", "i-2"):
@@ -320,6 +354,80 @@
         self.assertTrue(self.admission.has_place(self.request, self.other.all_tried(frozenset())))
 
 
+class FailingSender(FakeSender):
+    """Notes the engines that it sends to, each of which cuts the stream behind an event."""
+
+    def __init__(self, admission: Admission) -> None:
+        super().__init__(admission, admission.selector, mock.Mock(), mock.Mock(), mock.Mock())
+        self.engines: list[str] = []
+
+    async def begin(
+        self, attempt: Attempt, writer: AnswerWriter, replacement: Replacement, silent: str = ""
+    ) -> None:
+        self.engines.append(attempt.record.id)
+        attempt.request.last_event_id = "3"
+        raise OutcomeUnknownError("cut", is_answered=True)
+
+
+class RelayedStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a stream that leaves its regions, or is told not to have run, as it is cut."""
+
+    def relay(self, admission: Admission) -> Relay:
+        """Return the relay of an entry whose engines cut every stream."""
+        retries = RetryBudget(BOUNDS, 1)
+        parts = (mock.Mock(), retries, mock.Mock(), mock.Mock())
+        relay = Relay(admission, admission.selector, *parts)
+        relay.sender = FailingSender(admission)
+        return relay
+
+    async def cut(self, admission: Admission, relay: Relay) -> Refusal:
+        """Relay a stream until it is given up; return the refusal."""
+        request = request_of(admission.fleet_state, time_limit_s=0.4)
+        request.route = request.route._replace(max_attempts=5)
+        with self.assertRaises(Refusal) as raised:
+            await relay.run(request, mock.Mock(status=200))
+        return raised.exception
+
+    async def test_every_resumption_stays_in_the_region(self) -> None:
+        zones = ["bac-a", "bac-b", "nam-a", "sud-a", "bac-a", "bac-b", "bac-a"]
+        admission = regional_admission(regional_fleet(zones, ["bac"]))
+        relay = self.relay(admission)
+        found = await self.cut(admission, relay)
+        assert isinstance(relay.sender, FailingSender)
+        self.assertEqual(5, len(relay.sender.engines))
+        self.assertEqual({"i-1", "i-2", "i-5", "i-6", "i-7"}, set(relay.sender.engines))
+        self.assertIs(Outcome.UNKNOWN, found.code.outcome)
+
+    async def test_a_stream_whose_region_has_gone_is_not_told_that_it_has_not_run(self) -> None:
+        admission = regional_admission(regional_fleet(["bac-a", "nam-a"], ["bac"]))
+        relay = self.relay(admission)
+        begin = relay.sender.begin
+
+        async def begin_last(*args: Any) -> None:
+            apply_records(admission.fleet_state, record("servers/i-1", None, 300))
+            await begin(*args)
+
+        with mock.patch.object(relay.sender, "begin", begin_last):
+            dispatching = asyncio.create_task(admission.run())
+            found = await self.cut(admission, relay)
+            dispatching.cancel()
+        self.assertEqual("answer_lost", found.code.name)
+
+
+class RegionSettingsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an entry whose constraint does not know the zones of its settings."""
+
+    async def test_the_regions_of_the_settings_hold_from_the_start_and_after_a_reload(self) -> None:
+        own = node_settings(Reader(settings_body()))
+        application = GatewayApplication(
+            own, Options(incarnation="run-1"), DecodingSource(), mock.Mock()
+        )
+        regions = application.selector.regions
+        self.assertEqual({"bac-a": "bac", "nam-a": "nam"}, regions.regions_by_zone)
+        application.reload(own._replace(regions_by_zone={"bac-a": "bac", "sud-a": "sud"}))
+        self.assertEqual({"bac-a": "bac", "sud-a": "sud"}, regions.regions_by_zone)
+
+
 class MixedQueueTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that keep others of the queue from places that they can't use."""
 
@@ -348,6 +456,16 @@
         self.admission.dispatch_all()
         self.assertEqual(["i-1", "i-2"], [await first, await limited])
 
+    async def test_a_pass_over_a_full_queue_tries_each_set_of_regions_once(self) -> None:
+        """Guards against passes whose cost grows with the number of limited requests."""
+        fill(self.admission, "i-1", "i-2")
+        limited = [waiting_for(self.admission, request_of(self.fleet_state)) for _ in range(8)]
+        self.assertEqual([True] * 8, await is_waiting(*limited))
+        with mock.patch.object(self.admission, "try_admit", return_value=None) as tried:
+            self.admission.dispatch_all()
+        self.assertEqual(1, tried.call_count)
+        await cancel_all(*limited)
+
     async def test_a_new_request_passes_a_queue_for_other_regions(self) -> None:
         fill(self.admission, "i-2")
         limited = waiting_for(self.admission, request_of(self.fleet_state))
@@ -377,6 +495,51 @@
         await cancel_all(first)
 
 
+class RegionalWaitTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against waits that are estimated from places that the requests can't use."""
+
+    async def test_requests_beyond_what_their_region_serves_are_refused_at_once(self) -> None:
+        """The other engines admit many requests a second, which a region that is full does not."""
+        fleet_state = regional_fleet(["nam-a", *["bac-a"] * 9], ["nam"])
+        admission = regional_admission(fleet_state)
+        fill(admission, "i-1")
+        for _ in range(200):
+            admission.queue(ENGINES).record_granted()
+        calls = [waiting_for(admission, request_of(fleet_state)) for _ in range(100)]
+        still = sum(await is_waiting(*calls))
+        # 16 slots with requests of 0.8 s admit 19 a second; callers wait about two seconds.
+        self.assertTrue(30 <= still <= 50, still)
+        await cancel_all(*calls)
+
+    async def test_limited_requests_do_not_lengthen_the_wait_of_others(self) -> None:
+        fleet_state = regional_fleet(["bac-a", "nam-a"], ["nam"])
+        admission = regional_admission(fleet_state)
+        fill(admission, "i-1", "i-2")
+        limited = [waiting_for(admission, request_of(fleet_state)) for _ in range(100)]
+        others = [waiting_for(admission, open_request(fleet_state)) for _ in range(30)]
+        self.assertEqual(30, sum(await is_waiting(*others)))
+        await cancel_all(*limited, *others)
+
+
+class RegionalRatesTest(unittest.TestCase):
+    """Guards against rates of requests without regions that count what others were admitted to."""
+
+    def test_limited_requests_count_for_their_regions_alone(self) -> None:
+        queue, nam = RequestQueue(), frozenset({"nam"})
+        queue.formed_at_s = time.monotonic() - RATE_WINDOW_S
+        for _ in range(8):
+            queue.record_arrived()
+            queue.record_granted()
+        for _ in range(40):
+            queue.record_arrived(nam)
+            queue.record_granted(nam)
+        self.assertAlmostEqual(8 / RATE_WINDOW_S, queue.rate_per_s(0.0))
+        self.assertAlmostEqual(8 / RATE_WINDOW_S, queue.flow(0.0).per_s)
+        self.assertAlmostEqual((1 - OVERTAKING_SHARE) * 4.0, queue.flow(0.0).late_per_s)
+        self.assertAlmostEqual(40 / RATE_WINDOW_S, queue.flow_in(nam, 0.0).per_s)
+        self.assertAlmostEqual(48 / RATE_WINDOW_S, queue.arrivals_per_s())
+
+
 class ChangedConfigurationTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a request that is sent where only one of two configurations allows it.
 
@@ -443,6 +606,23 @@
         self.change(["nam"], host="other.example")
         self.assertEqual(["i-2"], self.sendable())
 
+    def test_a_tenant_whose_key_has_changed_binds_by_its_name(self) -> None:
+        self.start(None)
+        owner = {"name": "lab", "api_keys": ["another"], "allowed_regions": ["nam"]}
+        apply_records(self.fleet_state, configuration_record(200, version=2, tenants=[owner]))
+        self.assertEqual(["i-2"], self.sendable())
+
+    def test_the_tenant_of_a_key_that_a_public_route_ignores_does_not_bind(self) -> None:
+        self.fleet_state = fleet_state_of(
+            regional_configuration(public=True), *regional_engines(["bac-a", "nam-a"])
+        )
+        self.admission = regional_admission(self.fleet_state)
+        self.request = request_of(self.fleet_state)
+        self.change(None, ["nam"], public=True)
+        self.assertEqual(["i-1", "i-2"], self.sendable())
+        apply_records(self.fleet_state, regional_configuration(None, ["nam"], 3, revision=300))
+        self.assertEqual(["i-2"], self.sendable())
+
     def test_a_configuration_that_was_replaced_meanwhile_does_not_bind(self) -> None:
         self.start(None)
         self.change(["nam"])
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -12,9 +12,11 @@
 
 from gypsumpier.coldstart.coldstart import ColdStart
 from gypsumpier.coldstart.constraint import ColdConstraint
+from gypsumpier.eligibility.backoff import BackoffConstraint
 from gypsumpier.eligibility.eligibility import Eligibility
 from gypsumpier.eligibility.evacuated import EvacuatedConstraint
 from gypsumpier.eligibility.leaving import LeavingConstraint
+from gypsumpier.eligibility.momentary import add_momentary
 from gypsumpier.eligibility.needs import Needs
 from gypsumpier.eligibility.regions import RegionConstraint
 from gypsumpier.eligibility.weights import WeightsConstraint
@@ -122,6 +124,8 @@
             # The last: an upstream that only it excludes could serve after the evacuation.
             EvacuatedConstraint(fleet_state.evacuations),
         ]
+        backoff = BackoffConstraint(self.health, self.zone_health, zone)
+        add_momentary(self.eligibility, self.statements, self.silences, backoff)
         self.eligibility.momentary.append(ColdConstraint(self.cold))
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
@@ -321,10 +325,8 @@
         known = self.fleet_state.upstreams.get(record.id)
         if known is None or known.run_key() != record.run_key():
             return False
-        if self.statements.rests.is_resting(known):
-            return False
         needs = Needs(record.service, least_version, regions)
-        return self.eligibility.standing_obstacle(known, needs) is None
+        return self.eligibility.recalling_obstacle(known, needs) is None
 
     def is_switching(self, record: UpstreamRecord) -> bool:
         """Return whether the engine is switching its weights and starts no new request."""
@@ -400,16 +402,18 @@
         places_share: float = 1.0,
     ) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request now, impaired ones included."""
+        if not records:
+            return []
+        needs = Needs(records[0].service)
         found = [
             record
             for record in records
             if self.load(record) < self.limit(record) * places_share
             and (not excluded or record.run_key() not in excluded)
-            and self.is_usable(record)
             and self.unread_s(record) < UNREAD_MAX_S
-            and self.statements.allows(record)
+            and self.eligibility.momentary_obstacle(record, needs) is None
         ]
-        return self.cold.permitted(found) if self.cold.rules else found
+        return self.cold.permitted(found)
 
     def claimable(
         self, records: list[UpstreamRecord], share: float, prompt_tokens: int
@@ -459,11 +463,7 @@
 
         Nor may it be an engine that other entries find silent.
         """
-        if self.statements.rests.is_resting(record) or self.silences.is_silent(record):
-            return False
-        if not self.health.is_usable(record.run_key()):
-            return False
-        return record.zone == self.zone or self.zone_health.is_usable((record.zone, 0))
+        return self.eligibility.lasting_obstacle(record, Needs(record.service)) is None
 
     def record_unreachable(self, record: UpstreamRecord) -> None:
         """Record that an upstream can't be connected to.
