--- a/gypsumpier/eligibility/explanation.py
+++ b/gypsumpier/eligibility/explanation.py
@@ -97,12 +97,14 @@
 def preferred(
     selector: UpstreamSelector, free: list[UpstreamRecord], zone: str
 ) -> list[UpstreamRecord]:
-    """Return those that ``UpstreamSelector.choose`` compares: sound ones, of the zone first."""
-    sound = [record for record in free if not selector.is_impaired(record)] or free
+    """Return those that ``UpstreamSelector.choose`` compares: unimpaired, of the zone first."""
+    unimpaired = [record for record in free if not selector.is_impaired(record)] or free
     local = [
-        record for record in sound if record.zone == zone and selector.load(record) < record.slots
+        record
+        for record in unimpaired
+        if record.zone == zone and selector.load(record) < record.slots
     ]
-    return local or sound
+    return local or unimpaired
 
 
 @contextmanager
--- a/gypsumpier/eligibility/regions.py
+++ b/gypsumpier/eligibility/regions.py
@@ -23,5 +23,13 @@
         """Return whether the upstream is in one of the regions."""
         return regions is None or self.region(record) in regions
 
+    def outside(
+        self, records: list[UpstreamRecord], regions: frozenset[str]
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that are in none of the regions."""
+        if not regions:
+            return records
+        return [record for record in records if self.region(record) not in regions]
+
     def obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
         return None if self.allows(record, needs.regions) else Obstacle(Reason.REGION)
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -19,6 +19,7 @@
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.candidatelog import CandidateLog
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.gateway.regionreport import RegionReport
 from gypsumpier.gateway.regionrules import RegionRules
@@ -26,7 +27,6 @@
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
 from gypsumpier.gateway.starttimes import PLAIN_SERVICE_TIME_S, StartTimes
 from gypsumpier.gateway.streamwatch import StreamWatch
-from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.capacity import LimitedCapacity
 from gypsumpier.upstream.selector import UpstreamSelector
@@ -82,7 +82,7 @@
         self.times = StartTimes()
         self.queues: dict[str, RequestQueue] = {}
         self.streams = StreamWatch()
-        self.logged_candidates: dict[str, tuple[int, int, int]] = {}
+        self.candidate_log = CandidateLog(selector)
         self.news_dispatch: asyncio.Handle | None = None
 
     def queue(self, service: str) -> RequestQueue:
@@ -114,7 +114,7 @@
     def try_enter(self, request: GatewayRequest) -> UpstreamRecord | None:
         """Admit the request without a wait, behind those that wait; return None if that fails."""
         queue = self.queue(request.service)
-        awaited = self.awaited_regions(queue)
+        awaited = self.region_rules.all_regions(waiting.request for waiting in queue.waiting)
         if not awaited:
             record = None if awaited is None else self.try_admit(request)
         else:
@@ -132,16 +132,6 @@
             request.service, version, self.region_rules.regions(request)
         )
 
-    def awaited_regions(self, queue: RequestQueue) -> AllowedRegions:
-        """Return the regions of the upstreams whose places belong to queued requests."""
-        awaited: set[str] = set()
-        for waiting in queue.waiting:
-            regions = self.region_rules.regions(waiting.request)
-            if regions is None:
-                return None
-            awaited |= regions
-        return frozenset(awaited)
-
     def has_other_upstream(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
         """Return whether an upstream that is not among the ``tried`` runs is usable now."""
         return any(
@@ -154,10 +144,11 @@
 
         Places belong to the requests that wait for them.
         """
-        awaited = self.awaited_regions(self.queue(request.service))
+        queue = self.queue(request.service)
+        awaited = self.region_rules.all_regions(waiting.request for waiting in queue.waiting)
         if awaited is None:
             return False
-        records = self.outside(self.candidates(request), awaited)
+        records = self.selector.regions.outside(self.candidates(request), awaited)
         tokens = request.head.prompt_tokens
         needed_s = self.needed_s(request)
         return self.selector.choose(records, tried, needed_s, True, 1.0, tokens) is not None
@@ -189,14 +180,6 @@
         self.selector.statements.give_back(record)
         self.leave(request, record)
 
-    def outside(
-        self, records: list[UpstreamRecord], regions: frozenset[str]
-    ) -> list[UpstreamRecord]:
-        """Return the upstreams that are in none of the regions."""
-        if not regions:
-            return records
-        return [record for record in records if self.selector.regions.region(record) not in regions]
-
     def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
         """Admit the request to an upstream with free capacity; return None if there is none.
 
@@ -219,7 +202,7 @@
         if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
             # The last attempt: an engine that switches before its end would cut it for good.
             records = self.last_attempt_candidates(request, records, tried, needed_s)
-        records = self.outside(records, awaited)
+        records = self.selector.regions.outside(records, awaited)
         tokens = request.head.prompt_tokens
         record = self.selector.choose(records, tried, needed_s, is_repeat, share, tokens)
         if record is not None:
@@ -471,19 +454,7 @@
         """Log how many upstreams of each service can serve, if that has changed."""
         configuration = self.fleet_state.configuration
         for service in configuration.services if configuration else ():
-            version = self.least_version(service)
-            records = self.selector.candidates(service, version)
-            usable = sum(self.selector.is_usable(record) for record in records)
-            state = len(records), usable, version
-            if self.logged_candidates.get(service) != state:
-                self.logged_candidates[service] = state
-                decision(
-                    "candidates",
-                    service=service,
-                    ready=len(records),
-                    usable=usable,
-                    least_version=version,
-                )
+            self.candidate_log.record(service, self.least_version(service))
 
     def latest_start_s(self, request: GatewayRequest) -> float:
         """Return the monotonic time by which the request must start; later its caller gives up.
--- a/gypsumpier/gateway/regionrules.py
+++ b/gypsumpier/gateway/regionrules.py
@@ -1,5 +1,7 @@
 """Which regions a request may be served in, by every configuration that binds it."""
 
+from collections.abc import Iterable
+
 from gypsumpier.fleet.configuration import FleetConfiguration
 from gypsumpier.fleet.regions import AllowedRegions, common_regions
 from gypsumpier.fleet.state import FleetState
@@ -26,6 +28,16 @@
             return request.regions
         return common_regions(request.regions, self.later_regions(in_force, request))
 
+    def all_regions(self, requests: Iterable[GatewayRequest]) -> AllowedRegions:
+        """Return the regions that at least one of the requests may be served in; None for any."""
+        found: set[str] = set()
+        for request in requests:
+            regions = self.regions(request)
+            if regions is None:
+                return None
+            found |= regions
+        return frozenset(found)
+
     def later_regions(
         self, in_force: FleetConfiguration, request: GatewayRequest
     ) -> AllowedRegions:
