--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -21,6 +21,7 @@
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.gateway.candidatelog import CandidateLog
 from gypsumpier.gateway.evacuated import EVACUATED_WAIT_S, could_evacuated_serve
 from gypsumpier.gateway.headroom import HEADROOM_WAITS, Headroom
 from gypsumpier.gateway.refusal import Refusal
@@ -30,7 +31,6 @@
 from gypsumpier.gateway.requestqueue import RATE_MIN_PER_S, QueuedRequest, RequestQueue
 from gypsumpier.gateway.starttimes import PLAIN_SERVICE_TIME_S, StartTimes
 from gypsumpier.gateway.streamwatch import StreamWatch
-from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.ratelimit.capacity import LimitedCapacity
 from gypsumpier.upstream.selector import UpstreamSelector
@@ -89,7 +89,7 @@
         self.queues: dict[str, RequestQueue] = {}
         self.streams = StreamWatch()
         self.headroom = Headroom(fleet_state)
-        self.logged_candidates: dict[str, tuple[int, int, int]] = {}
+        self.candidate_log = CandidateLog(selector)
         self.news_dispatch: asyncio.Handle | None = None
 
     def queue(self, service: str) -> RequestQueue:
@@ -129,7 +129,7 @@
     def try_enter(self, request: GatewayRequest) -> UpstreamRecord | None:
         """Admit the request without a wait, behind those that wait; return None if that fails."""
         queue = self.queue(request.service)
-        awaited = self.awaited_regions(queue)
+        awaited = self.region_rules.all_regions(waiting.request for waiting in queue.waiting)
         if not awaited:
             record = None if awaited is None else self.try_admit(request)
         else:
@@ -147,16 +147,6 @@
             request.service, version, self.region_rules.regions(request)
         )
 
-    def awaited_regions(self, queue: RequestQueue) -> AllowedRegions:
-        """Return the regions of the upstreams whose places belong to queued requests."""
-        awaited: set[str] = set()
-        for waiting in queue.waiting:
-            regions = self.region_rules.regions(waiting.request)
-            if regions is None:
-                return None
-            awaited |= regions
-        return frozenset(awaited)
-
     def has_other_upstream(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
         """Return whether an upstream that is not among the ``tried`` runs is usable now."""
         return any(
@@ -169,10 +159,11 @@
 
         Places belong to the requests that wait for them.
         """
-        awaited = self.awaited_regions(self.queue(request.service))
+        queue = self.queue(request.service)
+        awaited = self.region_rules.all_regions(waiting.request for waiting in queue.waiting)
         if awaited is None:
             return False
-        records = self.outside(self.candidates(request), awaited)
+        records = self.selector.regions.outside(self.candidates(request), awaited)
         tokens = request.head.prompt_tokens
         needed_s = self.needed_s(request)
         return self.selector.choose(records, tried, needed_s, True, 1.0, tokens) is not None
@@ -204,14 +195,6 @@
         self.selector.give_back(record)
         self.leave(request, record)
 
-    def outside(
-        self, records: list[UpstreamRecord], regions: frozenset[str]
-    ) -> list[UpstreamRecord]:
-        """Return the upstreams that are in none of the regions."""
-        if not regions:
-            return records
-        return [record for record in records if self.selector.regions.region(record) not in regions]
-
     def try_admit(self, request: GatewayRequest, share: float = 1.0) -> UpstreamRecord | None:
         """Admit the request to an upstream with free capacity; return None if there is none.
 
@@ -234,7 +217,7 @@
         if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
             # The last attempt: an engine that switches before its end would cut it for good.
             records = self.last_attempt_candidates(request, records, tried, needed_s)
-        records = self.outside(records, awaited)
+        records = self.selector.regions.outside(records, awaited)
         tokens = request.head.prompt_tokens
         places_share = self.headroom.places_share(request, self.goal_start_s(request))
         record = self.selector.choose(
@@ -533,19 +516,7 @@
         """Log how many upstreams of each service can serve, if that has changed."""
         configuration = self.fleet_state.configuration
         for service in configuration.services if configuration else ():
-            version = self.least_version(service)
-            records = self.selector.candidates(service, version)
-            usable = sum(self.selector.is_usable(record) for record in records)
-            state = len(records), usable, version
-            if self.logged_candidates.get(service) != state:
-                self.logged_candidates[service] = state
-                decision(
-                    "candidates",
-                    service=service,
-                    ready=len(records),
-                    usable=usable,
-                    least_version=version,
-                )
+            self.candidate_log.record(service, self.least_version(service))
 
     def latest_start_s(self, request: GatewayRequest) -> float:
         """Return the monotonic time by which the request must start; later its caller gives up.
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -413,7 +413,7 @@
             and self.unread_s(record) < UNREAD_MAX_S
             and self.eligibility.momentary_obstacle(record, needs) is None
         ]
-        return self.cold.permitted(found)
+        return self.cold.permitted(found) if self.cold.rules else found
 
     def claimable(
         self, records: list[UpstreamRecord], share: float, prompt_tokens: int
