Test seeds that restart beside entries that were cut off, and requests that connect meanwhile

Cause: without the time for which a seed must have known a name, without the lease, and without the check when a request is written, all tests of the fleet passed.

The delay of goodbyes is the one rule that no fleet test needs: the names are dropped once a second, which hides it.

--- a/gypsumpier/test/test_cold_sharing.py
+++ b/gypsumpier/test/test_cold_sharing.py
@@ -14,6 +14,7 @@
 
 from gypsumpier.coldstart import upstreams as upstreams_module
 from gypsumpier.coldstart.seedproofs import KNOWN_MIN_S, LEASE_S
+from gypsumpier.coldstart.zoneshares import JOIN_S
 from gypsumpier.test.simulated_cold import (
     ALLOWANCE,
     COLD_S,
@@ -157,6 +158,35 @@
 
         self.keep(before=cut_and_restart, used_min=0.4)
 
+    # Guards against seeds that count only those of their side after a restart, while others still
+    # use what an earlier run told them: 8 entries with 4 requests a second and 7 with 2 are 46.
+    def test_seeds_restart_beside_entries_that_were_just_cut_off(self) -> None:
+        async def cut_and_restart(fleet: ColdFleet) -> None:
+            fleet.cut([name for zone in ZONES for name in fleet.in_zone(zone)[1::2]])
+            fleet.restart([name for name in fleet.entries if not fleet.sides[name]])
+            await asyncio.sleep(JOIN_S + 1.5)
+
+        # 7 of 15 entries go on with 2 requests a second.
+        self.keep(before=cut_and_restart, used_min=0.25)
+
+    # The same once the restarted seeds count again: what the earlier run told must have expired.
+    def test_seeds_have_restarted_beside_entries_that_were_cut_off(self) -> None:
+        async def cut_and_restart(fleet: ColdFleet) -> None:
+            fleet.cut([name for zone in ZONES for name in fleet.in_zone(zone)[1::2]])
+            fleet.restart([name for name in fleet.entries if not fleet.sides[name]])
+            await asyncio.sleep(SETTLED_S)
+
+        # 8 of 15 entries use 4 requests a second each.
+        self.keep(before=cut_and_restart, used_min=0.6)
+
+    # Guards against requests that were chosen for a warm upstream and reach it when it is cold.
+    def test_upstreams_become_cold_while_requests_connect(self) -> None:
+        async def slow(fleet: ColdFleet) -> None:
+            fleet.connect_s = lambda: random.uniform(0.0, 0.4)
+            fleet.send(BURST)
+
+        self.keep(before=slow, used_min=0.4, is_restart=False)
+
     # Guards against entries on both sides that use shares of different counts after joins on one.
     def test_many_entries_join_on_one_side_of_a_cut(self) -> None:
         async def cut_and_join(fleet: ColdFleet) -> None:
