Keep zones in proof while a large configuration and weights are on narrow links

Cause: every zone's watch is answered with the whole configuration (660 KB for 1,900 routes). The copies make each other late until they pass the timeout of the call, which counted from its beginning; each failure lets the next entry begin anew, and after 3.2 s all of them. Nobody holds a proof meanwhile, as a proof of another zone counts only at the same revision.

Change: overdue changes are requested from the process that announced them (compressed, from RecentChanges) and passed on in the zone; an entry that reads in full tells its zone, which leaves the store to it for 0.8 s at a time; the parts of an answer extend the timeout of their call by up to 2 s; an entry that resumes reading compares the revision first, and one that has read a large answer renews its proof by that; what peers know already is shared as a proof, without its records.

--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -21,6 +21,7 @@
 )
 from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.httpconnection import BoundedHttpClient
+from gypsumpier.external.patience import PatientRequest
 from gypsumpier.numericresolver import NumericResolver
 from gypsumpier.statement.statedrest import stated_rest
 
@@ -52,9 +53,9 @@
 
     def request(
         self, method: str, path: str, timeout_s: float = CALL_TIMEOUT_S, **fields: Any
-    ) -> HTTPRequest:
+    ) -> PatientRequest:
         """Return a request for tornado's client."""
-        return HTTPRequest(
+        return PatientRequest(
             self.base_url + path,
             method=method,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
--- a/gypsumpier/external/httpconnection.py
+++ b/gypsumpier/external/httpconnection.py
@@ -1,5 +1,6 @@
 """One call of tornado's HTTP client, bounded against servers that never stop to send."""
 
+import functools
 from typing import Any, Final
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -10,6 +11,7 @@
     _HTTPConnection,
 )
 
+from gypsumpier.external.patience import Patience
 from gypsumpier.upstream.http import UpstreamHttp
 
 HEAD_MAX_BYTES: Final = 64 * 1024
@@ -20,10 +22,12 @@
     """Reads the answer as the entries read those of upstreams.
 
     ``content`` is the body: a list of tiny parts, as tornado holds it, takes many times their size.
+    ``times_out_at_s`` is the end of the call in the loop's time, once its answer has extended it.
     """
 
     def __init__(self, *args: Any) -> None:
         self.content = bytearray()
+        self.times_out_at_s = 0.0
         super().__init__(*args)
 
     def _create_connection(self, stream: IOStream) -> HTTP1Connection:
@@ -41,6 +45,24 @@
             self.content += chunk
         else:
             super().data_received(chunk)
+        patience: Patience | None = getattr(self.request, "patience", None)
+        if patience is not None and self.final_callback is not None:
+            self.extend_timeout(patience)
+
+    def extend_timeout(self, patience: Patience) -> None:
+        """Extend the timeout of the call, as a further part of its answer has arrived."""
+        if len(self.content) > patience.large_bytes:
+            patience.on_progress()
+        ends_at_s = self.start_time + (self.request.request_timeout or 0.0)
+        now_s = self.io_loop.time()
+        wanted_s = min(now_s + patience.part_s, ends_at_s + patience.extension_max_s)
+        if wanted_s <= max(ends_at_s, self.times_out_at_s):
+            return
+        self.times_out_at_s = wanted_s
+        self._remove_timeout()
+        self._timeout = self.io_loop.add_timeout(
+            wanted_s, functools.partial(self._on_timeout, "during request")
+        )
 
     def finish(self) -> None:
         self.chunks = [bytes(self.content)]
--- a/gypsumpier/fleet/change.py
+++ b/gypsumpier/fleet/change.py
@@ -1,6 +1,6 @@
 """Changes of what the platform publishes, and the protocol of the source that yields them."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Final, NamedTuple, Protocol
 
@@ -73,9 +73,11 @@
     """Read-only client of what the platform publishes.
 
     Raises GypsumpierError with PLATFORM_UNREACHABLE, PLATFORM_REFUSED, PLATFORM_BAD_ANSWER or
-    HISTORY_GONE.
+    HISTORY_GONE.  ``on_progress`` is called for each part of a large answer.
     """
 
+    on_progress: Callable[[], None]
+
     async def snapshot(self) -> Batch:
         """Return all current records."""
 
--- a/gypsumpier/fleet/readergroup.py
+++ b/gypsumpier/fleet/readergroup.py
@@ -18,6 +18,14 @@
         Their connections to the store may have gone silent, which they notice late.
         """
 
+    def is_news_overdue(self) -> bool:
+        """Return whether the store is known to have changes that this process lacks."""
+
+    def share_reading(self) -> None:
+        """Tell others that a reading of the store in full goes on, so that they leave it to this
+        process for a moment.
+        """
+
     def share(self, batch: Batch) -> None:
         """Forward a batch just read from the store."""
 
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -49,6 +49,9 @@
 READERS_CHECK_S: Final = 1.0
 """Seconds between checks on the readers of the store: a change that they don't hear of is read by
 another process before the 2 s are over in which it must be in force."""
+PROOF_RENEWAL_S: Final = 1.0
+"""Age in seconds of the proof of a large answer from which the revision is read after it: the next
+watch may prove nothing for its whole wait, and the large one has waited and was long on its way."""
 IDLE_CHECK_S: Final = 0.1
 """Seconds between checks whether this process should start to read the store."""
 
@@ -85,7 +88,8 @@
     ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
     its last answer; minus infinity after a failure.  ``checked_at_s`` is when this process last
     checked on the readers of the store.  ``is_behind`` is set where a check of the store's
-    revision has shown changes that are still to be read.
+    revision has shown changes that are still to be read.  ``checks_first`` is set where the next
+    call reads the revision alone.  ``is_large`` is set while a large answer arrives.
     """
 
     def __init__(
@@ -106,7 +110,10 @@
         self.checked_at_s = float("-inf")
         self.needs_snapshot = True
         self.is_behind = False
+        self.checks_first = False
+        self.is_large = False
         self.stalls = StallMonitor()
+        source.on_progress = self.record_progress
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -142,6 +149,7 @@
         """
         self.needs_snapshot = True
         self.is_behind = False
+        self.checks_first = True
         if self.failures:
             # The store may have answered others meanwhile: these failures make no longer outage.
             decision("store_left_to_others", failures=self.failures)
@@ -152,11 +160,15 @@
         """Make one call to the store and apply its answer; raise GypsumpierError on failure.
 
         After a failure that is a read of the revision alone.  It neither waits nor depends on the
-        store's watches, so that it tells an outage from a lost connection.
+        store's watches, so that it tells an outage from a lost connection.  Before a snapshot it
+        shows whether one is needed, and after a large answer it brings a newer proof.
         """
-        if self.failures:
+        checks_first, self.checks_first = self.checks_first, False
+        is_current = self.fleet_state.revision and not self.readers.is_news_overdue()
+        if self.failures or (checks_first and is_current):
             await self.check_revision()
             return
+        self.is_large = False
         is_snapshot = self.needs_snapshot or not self.fleet_state.revision
         kind = SNAPSHOT if is_snapshot else WATCH
         await self.take_call()
@@ -165,6 +177,7 @@
         wait_s = 0.0 if self.is_behind else WATCH_WAIT_S
         with counted(kind):
             if is_snapshot:
+                self.readers.share_reading()
                 batch = await self.source.snapshot()
                 self.check_era(batch.era)
                 self.needs_snapshot = False
@@ -180,12 +193,26 @@
         if batch.records:
             self.log_news(kind, batch, sent_at_s, news)
         proven_at_s = min(boot_time_s(), sent_at_s + batch.proven_after_s)
+        is_news = batch.position > self.fleet_state.position
         self.fleet_state.apply(batch, proven_at_s, "store", news)
         is_prompt = bool(batch.records) and news.is_observed
         self.answered_at_s = max(proven_at_s, news.after_s or 0.0) if is_prompt else proven_at_s
         if batch.position == self.fleet_state.position:
             # A batch that a peer has overtaken must not be shared with the newer one's proof.
-            self.readers.share(self.fleet_state.snapshot() if is_snapshot else batch)
+            known_batch = self.unchanged() if not is_news else batch
+            is_new_snapshot = is_snapshot and is_news
+            self.readers.share(self.fleet_state.snapshot() if is_new_snapshot else known_batch)
+        self.checks_first = self.is_large and boot_time_s() - proven_at_s > PROOF_RENEWAL_S
+
+    def unchanged(self) -> Batch:
+        """Return a batch that tells that the store has nothing newer."""
+        era, revision = self.fleet_state.position
+        return Batch(revision, revision, [], False, 0.0, era)
+
+    def record_progress(self) -> None:
+        """Tell the other readers that a large answer is arriving."""
+        self.is_large = True
+        self.readers.share_reading()
 
     async def take_call(self) -> None:
         """Wait until the next reading of the store may begin, and count it."""
@@ -217,7 +244,7 @@
             decision("store_check_failed", code=error.code.number, reason=error.detail)
 
     async def check_revision(self) -> None:
-        """Read the store's position after a failure; share a proof where it is the known one.
+        """Read the store's position; share a proof where it is the known one.
 
         Where it is newer, its changes are read next: as a snapshot if only one call has failed, as
         watches may hear of nothing, or if a new era has begun.  After an outage many processes do
@@ -232,11 +259,12 @@
             self.fleet_state.record_outage(boot_time_s() - self.failing_since_s, 0.0)
         self.is_behind = position != self.fleet_state.position
         if not self.is_behind:
-            era, revision = position
-            unchanged = Batch(revision, revision, [], False, 0.0, era)
+            if not self.failures:
+                self.needs_snapshot = False
+            unchanged = self.unchanged()
             self.fleet_state.apply(unchanged, sent_at_s, "store")
             self.readers.share(unchanged)
-        elif self.failures < OUTAGE_FAILURES or position.era != self.fleet_state.era:
+        elif 0 < self.failures < OUTAGE_FAILURES or position.era != self.fleet_state.era:
             self.needs_snapshot = True
 
     def news(self, sent_at_s: float, wait_s: float) -> News:
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -4,6 +4,9 @@
 and get only the batch's position and the observed times of versions: an entry that does not receive
 the records up to that position from its own zone reads the store itself.
 
+Where a revision that another zone has announced is overdue, its entries first request the changes
+from the process that announced it: compressed, they are a tenth of what the store sends.
+
 After the store came back from an older copy, messages name the keys whose records in the store are
 outdated.  A process that has read them requests a snapshot from the sender, which knows better.
 """
@@ -15,6 +18,7 @@
 from typing import Any, Final
 
 import msgpack
+from prometheus_client import Counter
 
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
@@ -23,15 +27,23 @@
 from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState, VersionAges
 from gypsumpier.fleet.wantedversion import Evidence
 from gypsumpier.log import decision
+from gypsumpier.loginterval import LogInterval
 from gypsumpier.mesh.link import MeshLink
 from gypsumpier.mesh.mesh import ENTRY, SIDECAR, Mesh
 from gypsumpier.mesh.peer import Peer
+from gypsumpier.mesh.recentchanges import RecentChanges
+from gypsumpier.mesh.zonereads import ZoneReads
+from gypsumpier.metrics import REGISTRY
 
 FEED: Final = "feed"
 NOTICE: Final = "notice"
 FEED_ASK: Final = "feed_ask"
 FEED_OFFER: Final = "feed_offer"
 STORE_FAILED: Final = "store_failed"
+READING: Final = "reading"
+"""Message of an entry that reads the store in full, or receives a large answer of it."""
+AFTER: Final = "after"
+"""Field of a request for the changes after a position."""
 READ: Final = "read"
 """Field of a batch that its sender has read itself, as opposed to passed on."""
 NAMED: Final = "named"
@@ -55,22 +67,48 @@
 """The same for a sidecar, in seconds; longer, so that the entries of its zone take over first."""
 PROOF_GAIN_S: Final = 1.5
 """Seconds by which a proof of another zone must be fresher to be forwarded in the own zone."""
-RECORDS_DELAY_S: Final = 0.15
-"""Seconds that the records of an announced revision may take to arrive."""
-READER_STAGGER_S: Final = 0.25
+CHANGES_DELAY_S: Final = 0.1
+"""Seconds after which the records of an announced revision are requested from its announcer."""
+RECORDS_DELAY_S: Final = 0.35
+"""Seconds that the records of an announced revision may take to arrive, also on request, before
+they are read from the store."""
+READER_STAGGER_S: Final = 0.2
 """Seconds by which an entry reads overdue records later than the one before it: the time in which
 that one reads and shares them, so that one copy crosses a narrow link instead of one an entry."""
+LEFT_TO_ONE_S: Final = 1.2
+"""Seconds that a revision may be overdue, and..."""
+LEFT_TO_ONE_PROOF_S: Final = 4.0
+"""...age in seconds of the proof, up to which one reading of the store in full is awaited.  Past
+them a second one is begun, and further ones are not: each would make all of them slower."""
 STAGGERED_READERS: Final = 3
 """Entries that read one after the other; those behind them read together."""
 ANNOUNCED_MAX: Final = 256
 """Announced revisions that are kept; far more than changes can be made while one is overdue."""
 SNAPSHOT_TIMEOUT_S: Final = 0.5
 """Seconds to wait for a snapshot requested from one peer before it is requested from another."""
+CHANGES_LOG_INTERVAL_S: Final = 5.0
 COMPRESSION_LEVEL: Final = 1
 """The fastest level of zlib; it compresses a configuration's routes to about a tenth."""
 RECORDS_BYTES_MAX: Final = 64 * 1024 * 1024
 """Limit in bytes on a message's decompressed records, some hundred times a large configuration."""
 
+CHANGES_REQUESTED: Final = Counter(
+    "gypsumpier_changes_requested",
+    "Requests for overdue changes to the process that announced them.",
+    registry=REGISTRY,
+)
+CHANGES_RECEIVED: Final = Counter(
+    "gypsumpier_changes_received",
+    "Answers to such requests that brought news, by what was sent.",
+    ["content"],
+    registry=REGISTRY,
+)
+READS_LEFT: Final = Counter(
+    "gypsumpier_store_reads_left",
+    "Times that overdue records were not read, as another entry of the zone was reading them.",
+    registry=REGISTRY,
+)
+
 
 class FleetStateFeed:
     """Sends the fleet state to other processes and applies what they send.
@@ -79,6 +117,9 @@
     the monotonic times at which it learned of them.  ``has_taken_over`` is set from the take-over
     until an entry that precedes this one reads the store again.
     ``cut_off`` names the entries of the zone whose last call to the store has failed.
+    ``has_failed`` is set while the own last call to the store has failed.  ``announcer`` is the
+    process that announced the newest position, ``requested_from`` the one from which changes were
+    requested at ``changes_requested_at_s``.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
 
@@ -86,6 +127,14 @@
         self.mesh = mesh
         self.fleet_state = fleet_state
         self.announced: deque[tuple[Position, float]] = deque(maxlen=ANNOUNCED_MAX)
+        self.announcer: Peer | None = None
+        self.requested_from = ""
+        self.changes_requested_at_s = float("-inf")
+        self.changes_log = LogInterval(CHANGES_LOG_INTERVAL_S)
+        self.recent_changes = RecentChanges()
+        self.zone_reads = ZoneReads()
+        self.has_failed = False
+        self.is_left = False
         self.snapshot_requested_at_s = float("-inf")
         self.has_taken_over = False
         self.cut_off: set[str] = set()
@@ -95,6 +144,7 @@
         mesh.aged_listeners[NOTICE] = self.handle_notice
         mesh.listeners[FEED_ASK] = self.send_snapshot
         mesh.listeners[STORE_FAILED] = self.handle_store_failed
+        mesh.listeners[READING] = self.handle_reading
         mesh.aged_listeners[FEED_OFFER] = self.handle_offer
         mesh.on_peer_connected.append(self.send_offer)
 
@@ -119,10 +169,51 @@
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
         if rank < 0:
-            return WATCHER
-        if self.is_behind(rank):
-            return BEHIND
-        return TAKEN_OVER if self.has_taken_over else ""
+            return "" if self.has_failed and self.is_left_to_others() else WATCHER
+        self.request_overdue_changes(rank)
+        if not self.has_taken_over and not self.is_behind(rank) or self.is_left_to_others():
+            return ""
+        return BEHIND if self.is_behind(rank) else TAKEN_OVER
+
+    def is_left_to_others(self) -> bool:
+        """Return whether other entries of the zone read the store in full, so that this one waits.
+
+        Several copies over one narrow link make each other late, until all of them time out.
+        """
+        names = {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
+        is_late = (
+            self.behind_s() > LEFT_TO_ONE_S or self.fleet_state.proof_age_s() > LEFT_TO_ONE_PROOF_S
+        )
+        was_left, self.is_left = self.is_left, self.zone_reads.count(names) > is_late
+        READS_LEFT.inc(self.is_left and not was_left)
+        return self.is_left
+
+    def request_overdue_changes(self, rank: int) -> None:
+        """Request overdue changes from the process that announced them, at most at intervals.
+
+        The entries of a zone do so one after the other; those behind the first few rely on them.
+        """
+        delay_s = CHANGES_DELAY_S + READER_STAGGER_S * rank
+        now_s = time.monotonic()
+        if (
+            self.announcer is None
+            or rank >= STAGGERED_READERS
+            or self.behind_s() <= delay_s
+            or now_s - self.changes_requested_at_s < SNAPSHOT_TIMEOUT_S
+        ):
+            return
+        self.changes_requested_at_s, self.requested_from = now_s, self.announcer.name
+        CHANGES_REQUESTED.inc()
+        if self.changes_log.is_due(self.announcer.name):
+            decision(
+                "changes_requested",
+                peer=self.announcer.name,
+                revision=self.fleet_state.revision,
+                announced_revision=self.announced[-1][0].revision,
+                announced_s=round(self.behind_s(), 3),
+                proof_age_s=round(min(self.fleet_state.proof_age_s(), UNKNOWN_AGE_S), 3),
+            )
+        self.mesh.post(self.announcer.name, FEED_ASK, {AFTER: list(self.fleet_state.position)})
 
     def rank_behind_watchers(self) -> int:
         """Return how many entries of the zone stand between the watchers and this one.
@@ -172,12 +263,16 @@
             self.announced.popleft()
         return time.monotonic() - self.announced[0][1] if self.announced else 0.0
 
+    def is_news_overdue(self) -> bool:
+        """Return whether an announced revision is not known here."""
+        return self.behind_s() > 0.0
+
     def share(self, batch: Batch) -> None:
         """Send a batch just read from the store to the own zone, and its position to the others."""
         own = self.mesh.own
-        feed = self.feed_payload(batch, pack_records(batch.records)) | {READ: True}
-        own_zone = [*self.mesh.peers(ENTRY, own.zone), *self.mesh.peers(SIDECAR, own.zone)]
-        self.mesh.post_all(own_zone, FEED, feed)
+        self.has_failed = False
+        self.recent_changes.add(batch)
+        self.post_to_zone(self.feed_payload(batch, pack_records(batch.records)) | {READ: True})
         other_zones = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
         if not batch.records:
             # The first entry of a zone brings the proof to one that is cut off from the store.  It
@@ -187,11 +282,28 @@
             )
         self.mesh.post_all(other_zones, NOTICE, self.position_payload(batch.position))
 
+    def post_to_zone(self, feed: dict[str, Any]) -> None:
+        """Send a batch to the own zone, to its entries first."""
+        zone = self.mesh.own.zone
+        recipients = [*self.mesh.peers(ENTRY, zone), *self.mesh.peers(SIDECAR, zone)]
+        self.mesh.post_all(recipients, FEED, feed)
+
+    def share_reading(self) -> None:
+        """Tell the entries of the own zone that a reading of the store in full goes on."""
+        if self.mesh.own.role == ENTRY and self.zone_reads.is_due():
+            self.mesh.post_all(self.mesh.peers(ENTRY, self.mesh.own.zone), READING, {})
+
+    def handle_reading(self, peer: Peer, payload: dict[str, Any]) -> None:
+        """Leave the reading of the store to an entry of the zone for a moment."""
+        if peer.role == ENTRY and peer.zone == self.mesh.own.zone:
+            self.zone_reads.record(peer.name)
+
     def share_failure(self) -> None:
         """Tell the entries of the own zone that a call to the store has failed.
 
         The next one by name then reads it at once, and not only when its proof has become old.
         """
+        self.has_failed = True
         if self.mesh.own.role == ENTRY:
             zone_peers = self.mesh.peers(ENTRY, self.mesh.own.zone)
             self.mesh.post_all(zone_peers, STORE_FAILED, {})
@@ -200,6 +312,7 @@
         """Count an entry of the zone as cut off from the store until it shares what it has read."""
         if peer.role == ENTRY and peer.zone == self.mesh.own.zone:
             self.cut_off.add(peer.name)
+            self.zone_reads.end(peer.name)
 
     def position_payload(self, position: Position) -> dict[str, Any]:
         """Return the message that announces a position, with ages in seconds.
@@ -250,6 +363,7 @@
         batch = self.batch_of(payload)
         if payload.get(READ) and peer.role == ENTRY:
             self.cut_off.discard(peer.name)
+            self.zone_reads.end(peer.name)
             if peer.name < self.mesh.own.name:
                 self.has_taken_over = False
         if not batch.is_snapshot and (batch.era, batch.after) > self.fleet_state.position:
@@ -262,10 +376,22 @@
                 delay_s + max(0.0, float(payload["outage_ago_s"])),
             )
         proven_at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
+        is_news = batch.position > self.fleet_state.position
         self.fleet_state.apply(batch, proven_at_s, peer.name)
+        if is_news and batch.position == self.fleet_state.position:
+            self.recent_changes.add(batch)
+            self.forward_requested(peer, batch, payload["records"])
         self.merge_ages(peer, payload, delay_s)
         self.request_newer_records(peer, payload)
 
+    def forward_requested(self, peer: Peer, batch: Batch, records: bytes) -> None:
+        """Pass news on to the own zone that were requested from a process of another one."""
+        if peer.name != self.requested_from or peer.zone == self.mesh.own.zone:
+            return
+        self.requested_from = ""
+        CHANGES_RECEIVED.labels("snapshot" if batch.is_snapshot else "changes").inc()
+        self.post_to_zone(self.feed_payload(batch, records))
+
     def batch_of(self, payload: dict[str, Any]) -> Batch:
         """Return the batch in a message; raise ValueError or TypeError where it is malformed."""
         era, revision = self.position_of(payload)
@@ -327,6 +453,8 @@
         """
         position = self.position_of(payload)
         self.record_announced(position)
+        if position > self.fleet_state.position:
+            self.announcer = peer
         self.request_newer_records(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
         self.fleet_state.record_contact(boot_time_s() - age_s)
@@ -348,9 +476,19 @@
             self.mesh.post_all(recipients, FEED, feed)
 
     def send_snapshot(self, peer: Peer, payload: dict[str, Any]) -> None:
-        """Send the peer a snapshot of the fleet state, where there is one."""
+        """Send the peer a snapshot of the fleet state, where there is one.
+
+        A peer that names a position gets the changes after it, where all of them are known.
+        """
         if not self.fleet_state.revision:
             return
+        if AFTER in payload and not self.fleet_state.records.outdated:
+            era, revision = payload[AFTER]
+            changes = self.recent_changes.since(Position(int(era), int(revision)))
+            if changes is not None and changes.position == self.fleet_state.position:
+                feed = self.feed_payload(changes, pack_records(changes.records))
+                self.mesh.post(peer.name, FEED, feed)
+                return
         batch = self.fleet_state.snapshot()
         if self.packed_snapshot[0] != batch.records:
             self.packed_snapshot = batch.records, pack_records(batch.records)
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -8,7 +8,7 @@
 """
 
 from base64 import b64decode
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, Final
 from urllib.parse import quote
@@ -18,6 +18,7 @@
 from gypsumpier.codes.platform import HISTORY_GONE, PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.external.http import HttpCaller, json_object, raise_for_status
+from gypsumpier.external.patience import Patience
 from gypsumpier.fleet.change import Batch, FleetChange
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.position import Position
@@ -31,6 +32,13 @@
 """Timeout of a read; a healthy store answers within milliseconds."""
 WATCH_MARGIN_S: Final = 0.6
 """Seconds beyond the wait after which a watch times out."""
+PART_TIMEOUT_S: Final = 0.6
+"""Seconds for a further part of an answer that is arriving, past the timeout of its call: a large
+configuration takes long on a narrow link, and each reading that times out begins anew."""
+EXTENSION_MAX_S: Final = 2.0
+"""Seconds by which the parts of an answer may extend the timeout of their call."""
+LARGE_BYTES: Final = 32 * 1024
+"""Bytes of an answer from which others are told of its progress."""
 ANSWER_MAX_BYTES: Final = 16 * 1024 * 1024
 """Bytes of a page of items or of the answer to a watch."""
 GONE_STATUS: Final = 410
@@ -54,6 +62,7 @@
         self.decoder = RecordDecoder()
         self.era = 0
         self.bad_eras = LogInterval(BAD_ERA_LOG_INTERVAL_S)
+        self.on_progress: Callable[[], None] = ignore_progress
 
     async def snapshot(self) -> Batch:
         first: Position | None = None
@@ -108,7 +117,9 @@
 
     async def fetch(self, path: str, timeout_s: float) -> HTTPResponse:
         """Return the store's answer, whatever its status; raise GypsumpierError without one."""
-        return await self.caller.fetch(self.caller.request("GET", path, timeout_s))
+        request = self.caller.request("GET", path, timeout_s)
+        request.patience = Patience(PART_TIMEOUT_S, EXTENSION_MAX_S, LARGE_BYTES, self.on_progress)
+        return await self.caller.fetch(request)
 
     def era_of(self, response: HTTPResponse) -> int:
         """Return the era that an answer states, or else the last one that was stated."""
@@ -138,6 +149,10 @@
         self.caller.close()
 
 
+def ignore_progress() -> None:
+    """Do nothing: there is no listener yet."""
+
+
 def decode_item(item: dict[str, Any], era: int) -> Record:
     """Return an item or event as a record; a value that is no base64 is empty, so malformed."""
     value: bytes | None = None
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -1,6 +1,7 @@
 """Builders of the Rung Lab platform's settings and records, and of fleet states made from them."""
 
 import json
+from collections.abc import Callable
 from typing import Any, Final
 
 from tornado.httputil import HTTPHeaders
@@ -162,6 +163,8 @@
 class DecodingSource:
     """A fleet source that only decodes records; the test itself supplies what is read."""
 
+    on_progress: Callable[[], None]
+
     async def snapshot(self) -> Batch:
         raise NotImplementedError
 
--- a/gypsumpier/test/narrowfleet.py
+++ b/gypsumpier/test/narrowfleet.py
@@ -119,9 +119,13 @@
     """A store and an origin in the region bac, and entries and sidecars in three zones."""
 
     def __init__(
-        self, entries_per_zone: int, sidecars_per_zone: int, request_mbps: float = 0.0
+        self,
+        entries_per_zone: int,
+        sidecars_per_zone: int,
+        window_bytes: int,
+        request_mbps: float,
     ) -> None:
-        self.network = NarrowNetwork()
+        self.network = NarrowNetwork(window_bytes)
         self.network.add_host(STORE_HOST, "bac", STORE_MBPS)
         self.network.add_host(ORIGIN_HOST, "bac", ORIGIN_MBPS)
         self.store = NarrowStore(self.network)
@@ -137,7 +141,9 @@
         self.staged: dict[tuple[str, int], float] = {}
         self.request_mbps = request_mbps
         self.flows = {
-            regions: Flow([self.network.region_link(*regions)], 0.0, lambda segment: None)
+            regions: Flow(
+                [self.network.region_link(*regions)], window_bytes, 0.0, lambda segment: None
+            )
             for regions in itertools.permutations(REGIONS.values(), 2)
         }
         self.tasks: list[asyncio.Task[None]] = []
@@ -160,8 +166,7 @@
             node.start()
         await asyncio.sleep(6.0)
         self.tasks = [asyncio.create_task(work) for work in (self.report(), self.sample())]
-        if self.request_mbps:
-            self.tasks.append(asyncio.create_task(self.load_regions()))
+        self.tasks.append(asyncio.create_task(self.load_regions()))
 
     async def report(self) -> None:
         """Write the records of engines anew at intervals."""
@@ -188,6 +193,22 @@
                         self.flows[source, target].send(bytes(REQUEST_BYTES))
             await asyncio.sleep(REQUEST_BYTES * BITS_PER_BYTE / (self.request_mbps * 1e6))
 
+    def configure(self, version: int, route_count: int) -> float:
+        """Write a configuration with that many routes; return the time of its acknowledgement."""
+        for node in self.nodes:
+            node.oldest_proof_s = 0.0
+        self.store.put("op/config", large_configuration(version, route_count))
+        return asyncio.get_running_loop().time()
+
+    def partition_zone(self, zone: str) -> None:
+        """Cut the processes of a zone off from those of all others."""
+        for inner in self.nodes:
+            for outer in self.nodes:
+                if inner.mesh.own.zone == zone != outer.mesh.own.zone:
+                    self.network.partition(inner.name, outer.name)
+                    self.network.silence(inner.name, outer.name)
+                    self.network.silence(outer.name, inner.name)
+
     def distribute(self, *versions: int) -> None:
         """Let every sidecar fetch those versions at the same time."""
         for zone_rank, node in enumerate(self.sidecars):
--- a/gypsumpier/test/narrownetwork.py
+++ b/gypsumpier/test/narrownetwork.py
@@ -10,27 +10,31 @@
 from gypsumpier.test.narrowpipes import Flow, Pipe
 from gypsumpier.test.network import Link, MemoryDialer, MemoryStream, Network
 from gypsumpier.wire.stream import Stream
+from gypsumpier.wire.tcp import UNSENT_BYTES_MAX
 
 REGION_MBPS: Final = 14.0
 DELAY_S: Final = 0.002
-UNSENT_BYTES_MAX: Final = 16 * 1024
-"""Unsent bytes from which a write waits, as with the limit that ``TcpStream`` sets."""
+SHORT_WINDOW_BYTES: Final = 64 * 1024
+"""Bytes of a connection in transit with short queues: all connections get a share of a link."""
+LONG_WINDOW_BYTES: Final = 2_000_000
+"""The same with long queues: a link carries everything in the order in which it was written."""
 
 
 class NarrowNetwork(Network):
     """A network whose connections share the links of their hosts and regions.
 
-    ``unsent_max`` is the number of unsent bytes of a connection from which a write waits.
+    Each has up to ``window_bytes`` in transit, and a write waits as with ``TcpStream``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window_bytes: int = SHORT_WINDOW_BYTES) -> None:
         super().__init__()
         self.delay_s = DELAY_S
-        self.unsent_max = UNSENT_BYTES_MAX
+        self.window_bytes = window_bytes
         self.regions: dict[str, str] = {}
         self.uplinks: dict[str, Pipe] = {}
         self.downlinks: dict[str, Pipe] = {}
         self.between_regions: dict[tuple[str, str], Pipe] = {}
+        self.silent: set[tuple[str, str]] = set()
 
     def add_host(self, host: str, region: str, mbps: float) -> None:
         """Add a host with a link of that rate in each direction."""
@@ -51,7 +55,17 @@
 
     def flow(self, source: str, target: str, deliver: Callable[[bytes], None]) -> Flow:
         """Return a flow from one host to another."""
-        return Flow(self.path(source, target), self.delay_s, deliver)
+
+        def deliver_unless_silent(segment: bytes) -> None:
+            if (source, target) not in self.silent:
+                deliver(segment)
+
+        path = self.path(source, target)
+        return Flow(path, self.window_bytes, self.delay_s, deliver_unless_silent)
+
+    def silence(self, source: str, target: str) -> None:
+        """Let nothing that the one host sends reach the other."""
+        self.silent.add((source, target))
 
     def dialer(self, host: str) -> "NarrowDialer":
         return NarrowDialer(self, host)
@@ -89,7 +103,7 @@
     async def write(content: bytes) -> None:
         end.raise_if_cut("writing")
         flow.send(content)
-        while flow.unsent_bytes > network.unsent_max:
+        while flow.unsent_bytes > UNSENT_BYTES_MAX:
             await end.wait()
             end.raise_if_cut("writing")
 
--- a/gypsumpier/test/narrowpipes.py
+++ b/gypsumpier/test/narrowpipes.py
@@ -6,8 +6,6 @@
 from typing import Final
 
 SEGMENT_BYTES: Final = 4096
-WINDOW_BYTES: Final = 64 * 1024
-"""Bytes of a flow that are in transit at once; more wait at its sender."""
 BITS_PER_BYTE: Final = 8
 
 
@@ -29,13 +27,19 @@
 class Flow:
     """One direction of a connection, over several pipes in a row.
 
-    ``unsent_bytes`` wait at the sender, as bytes in the socket's buffer do.
+    At most ``window_bytes`` are in transit at once; ``unsent_bytes`` wait at the sender, as bytes
+    in a socket's buffer do.
     """
 
     def __init__(
-        self, pipes: Sequence[Pipe], delay_s: float, deliver: Callable[[bytes], None]
+        self,
+        pipes: Sequence[Pipe],
+        window_bytes: int,
+        delay_s: float,
+        deliver: Callable[[bytes], None],
     ) -> None:
         self.pipes = pipes
+        self.window_bytes = window_bytes
         self.delay_s = delay_s
         self.deliver = deliver
         self.unsent: deque[bytes] = deque()
@@ -52,7 +56,7 @@
     def fill_window(self) -> None:
         """Put segments in transit while the window has room."""
         loop = asyncio.get_running_loop()
-        while self.unsent and self.in_transit_bytes < WINDOW_BYTES:
+        while self.unsent and self.in_transit_bytes < self.window_bytes:
             segment = self.unsent.popleft()
             self.unsent_bytes -= len(segment)
             self.in_transit_bytes += len(segment)
@@ -61,6 +65,11 @@
                 arrives_at_s = pipe.carry(len(segment), arrives_at_s)
             loop.call_at(arrives_at_s + self.delay_s, self.arrive, segment)
 
+    def close(self) -> None:
+        """Drop what is unsent."""
+        self.unsent.clear()
+        self.unsent_bytes = 0
+
     def arrive(self, segment: bytes) -> None:
         """Deliver a segment that has crossed all pipes."""
         self.in_transit_bytes -= len(segment)
