Take a head whose status is none for no answer, and say so at once

Cause: the status line was only checked for three digits. 600 to 999 were relayed to callers; 000 and 099, and 101, which no request asks for, counted as interim answers, behind which the entry waited for another head until the time limit.

Change: FinalAnswer accepts 100 to 599 without 101. Any other head closes the connection and fails the exchange or call as malformed: the outcome is unknown, the caller gets 502 or the request is repeated where its route allows that, and the upstream's health notes a failure. Calls of the own interface fail with PLATFORM_BAD_ANSWER (502). An entry of the own interface refuses such a status of an agent of an older build. Metric: gypsumpier_invalid_statuses.

--- a/gypsumpier/entry/callerhandler.py
+++ b/gypsumpier/entry/callerhandler.py
@@ -14,6 +14,7 @@
 from tornado.iostream import StreamClosedError
 
 from gypsumpier.boundedbody import BoundedBody
+from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
 from gypsumpier.codes.request import (
     ANSWER_CUT,
     BAD_REQUEST,
@@ -35,6 +36,7 @@
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.log import decision
 from gypsumpier.stopschedule import STOPPING_RETRY_S, StopSchedule
+from gypsumpier.upstream.finalanswer import is_status
 from gypsumpier.wire.frame import Frame
 
 if TYPE_CHECKING:
@@ -215,7 +217,7 @@
         parts: list[bytes] = []
         async for frame in frames:
             if frame.kind == "head":
-                self.set_status(frame.payload["status"])
+                self.set_status(checked_status(frame))
                 for name, value in frame.payload["headers"].items():
                     self.set_header(name, value)
             elif frame.kind == "data":
@@ -230,6 +232,14 @@
         return self.entry.relay.run(request, document)
 
 
+def checked_status(frame: Frame) -> int:
+    """Return the status of an answer; raise PLATFORM_BAD_ANSWER if an agent has passed on none."""
+    status = frame.payload["status"]
+    if not isinstance(status, int) or not is_status(status):
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, f"status {status!r:.20} is none")
+    return status
+
+
 def check_count(frame: Frame, count: int) -> None:
     """Raise ANSWER_CUT if the number of parts differs from the final frame's count."""
     if frame.payload["count"] != count:
--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -24,6 +24,7 @@
 from gypsumpier.external.patience import PatientRequest
 from gypsumpier.numericresolver import NumericResolver
 from gypsumpier.statement.statedrest import stated_rest
+from gypsumpier.upstream.http import InvalidStatusError
 
 MAX_CLIENTS: Final = 2000
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -76,6 +77,8 @@
             ) from error
         except HTTPTimeoutError as error:
             raise timeout_error(error, self.base_url) from error
+        except InvalidStatusError as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"{self.base_url}: {error}") from error
         except (HTTPClientError, HTTPInputError, UnsatisfiableReadError, OSError) as error:
             raise GypsumpierError(PLATFORM_UNREACHABLE, f"{self.base_url}: {error}") from error
 
--- a/gypsumpier/upstream/finalanswer.py
+++ b/gypsumpier/upstream/finalanswer.py
@@ -1,4 +1,4 @@
-"""Tells interim answers from the final one."""
+"""Tells interim answers from the final one, and both from heads with a status that is none."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -12,16 +12,20 @@
     ResponseStartLine,
 )
 
+FIRST_STATUS: Final = 100
 FIRST_FINAL_STATUS: Final = 200
+LAST_STATUS: Final = 599
+SWITCHING_PROTOCOLS: Final = 101
+"""Ends the conversation in HTTP; the requests that this process sends never ask for that."""
 PARTS_BEFORE_PAUSE: Final = 256
 """Parts of a body after which other tasks run, as buffered bytes are read without a wait."""
 
 
 class FinalAnswer(HTTPMessageDelegate):
-    """Passes a final answer on, and ends the reading of an interim one behind its head.
+    """Passes a final answer on, and ends the reading of any other one behind its head.
 
-    ``has_head`` is set once a head was read, ``is_interim`` if it is that of an interim answer,
-    whose connection is then detached.
+    ``has_head`` is set once a head was read, ``is_interim`` if it is that of an interim answer, and
+    ``invalid_status`` to its status if no answer has that; the connection is then detached.
     """
 
     def __init__(self, connection: HTTP1Connection, delegate: HTTPMessageDelegate) -> None:
@@ -29,6 +33,7 @@
         self.delegate = delegate
         self.has_head = False
         self.is_interim = False
+        self.invalid_status: int | None = None
         self.part_count = 0
 
     def headers_received(
@@ -36,6 +41,10 @@
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
         self.has_head = True
+        if not is_status(start_line.code):
+            self.invalid_status = start_line.code
+            self.connection.detach()
+            return None
         if start_line.code < FIRST_FINAL_STATUS:
             self.is_interim = True
             self.connection.detach()
@@ -54,3 +63,8 @@
 
     def on_connection_close(self) -> None:
         self.delegate.on_connection_close()
+
+
+def is_status(code: int) -> bool:
+    """Return whether an answer to a request of this process may have that status."""
+    return FIRST_STATUS <= code <= LAST_STATUS and code != SWITCHING_PROTOCOLS
--- a/gypsumpier/upstream/http.py
+++ b/gypsumpier/upstream/http.py
@@ -2,16 +2,28 @@
 
 from typing import Final
 
+from prometheus_client import Counter
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPInputError, HTTPMessageDelegate
 from tornado.iostream import IOStream, StreamClosedError
 
+from gypsumpier.metrics import REGISTRY
 from gypsumpier.upstream.finalanswer import FinalAnswer
 
 READ_BYTES = 65536
 INTERIM_ANSWERS_MAX: Final = 16
 """Interim answers (1xx) that may precede an answer."""
 
+INVALID_STATUSES: Final = Counter(
+    "gypsumpier_invalid_statuses",
+    "Heads of answers, to requests or to own calls, whose three digits are no status.",
+    registry=REGISTRY,
+)
+
+
+class InvalidStatusError(HTTPInputError):
+    """The three digits of a status line are no status: the head is that of no answer."""
+
 
 class UpstreamStream(IOStream):
     """A stream that can report whether it has buffered bytes that were not read.
@@ -34,7 +46,8 @@
 
 
 class UpstreamHttp(HTTP1Connection):
-    """Skips interim answers, and delivers a body without a length as it arrives.
+    """Skips interim answers, rejects invalid statuses, and delivers a body without a length as it
+    arrives.
 
     Tornado would recurse for each interim answer and then read behind the answer until the close;
     a body without a length it would buffer until its end.
@@ -45,6 +58,11 @@
         for _ in range(INTERIM_ANSWERS_MAX + 1):
             answer = FinalAnswer(self, delegate)
             is_open = await super()._read_message(answer)
+            if answer.invalid_status is not None:
+                # Whatever follows belongs to no answer.
+                stream.close()
+                INVALID_STATUSES.inc()
+                raise InvalidStatusError(f"status {answer.invalid_status:03} is none")
             if not answer.has_head:
                 # Tornado logs a malformed head and closes the connection, but tells no one.
                 raise HTTPInputError("malformed head of an answer")
