Let one entry of a zone at a time take the place of a slow reader of the store

Cause: the entries that left the store to a reader went on together once its messages had ended, and an endless answer was read for 4 s where its call may take 2 (test_endless_answer asks for 3.5 s).

Measured: test_recent_changes, test_large_configuration, test_slow_store_answer, test_endless_answer, test_cut_calls and test_late_configuration pass.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -77,7 +77,7 @@
 that one reads and shares them, so that one copy crosses a narrow link instead of one an entry."""
 LEFT_TO_ONE_S: Final = 1.2
 """Seconds that a revision may be overdue, and..."""
-LEFT_TO_ONE_PROOF_S: Final = 4.0
+LEFT_TO_ONE_PROOF_S: Final = 3.6
 """...age in seconds of the proof, up to which one reading of the store in full is awaited.  Past
 them a second one is begun, and further ones are not: each would make all of them slower."""
 STAGGERED_READERS: Final = 3
@@ -169,22 +169,26 @@
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
         if rank < 0:
-            return "" if self.has_failed and self.is_left_to_others() else WATCHER
+            return "" if self.has_failed and self.is_left_to_others(0) else WATCHER
         self.request_overdue_changes(rank)
-        if not self.has_taken_over and not self.is_behind(rank) or self.is_left_to_others():
+        if not self.has_taken_over and not self.is_behind(rank) or self.is_left_to_others(rank):
             return ""
         return BEHIND if self.is_behind(rank) else TAKEN_OVER
 
-    def is_left_to_others(self) -> bool:
+    def is_left_to_others(self, rank: int) -> bool:
         """Return whether other entries of the zone read the store in full, so that this one waits.
 
-        Several copies over one narrow link make each other late, until all of them time out.
+        Several copies over one narrow link make each other late, until all of them time out.  The
+        entry of a higher rank waits longer, so that one of them takes the place of a reader.
         """
         names = {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
+        stagger_s = READER_STAGGER_S * min(rank, STAGGERED_READERS)
         is_late = (
-            self.behind_s() > LEFT_TO_ONE_S or self.fleet_state.proof_age_s() > LEFT_TO_ONE_PROOF_S
+            self.behind_s() > LEFT_TO_ONE_S + stagger_s
+            or self.fleet_state.proof_age_s() > LEFT_TO_ONE_PROOF_S + stagger_s
         )
-        was_left, self.is_left = self.is_left, self.zone_reads.count(names) > is_late
+        count = self.zone_reads.count(names, stagger_s)
+        was_left, self.is_left = self.is_left, count > is_late
         READS_LEFT.inc(self.is_left and not was_left)
         return self.is_left
 
--- a/gypsumpier/mesh/zonereads.py
+++ b/gypsumpier/mesh/zonereads.py
@@ -25,9 +25,12 @@
         """Record that the entry has finished, or failed."""
         self.told_at_s.pop(name, None)
 
-    def count(self, connected: set[str]) -> int:
-        """Return how many of the connected entries are reading; forget the others."""
-        oldest_s = time.monotonic() - VALID_S
+    def count(self, connected: set[str], stagger_s: float) -> int:
+        """Return how many of the connected entries are reading; forget the others.
+
+        Messages hold for ``stagger_s`` longer than ``VALID_S``.
+        """
+        oldest_s = time.monotonic() - VALID_S - stagger_s
         self.told_at_s = {
             name: at_s
             for name, at_s in self.told_at_s.items()
--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -35,7 +35,7 @@
 PART_TIMEOUT_S: Final = 0.6
 """Seconds for a further part of an answer that is arriving, past the timeout of its call: a large
 configuration takes long on a narrow link, and each reading that times out begins anew."""
-EXTENSION_MAX_S: Final = 2.0
+EXTENSION_MAX_S: Final = 1.0
 """Seconds by which the parts of an answer may extend the timeout of their call."""
 LARGE_BYTES: Final = 32 * 1024
 """Bytes of an answer from which others are told of its progress."""
