--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -21,8 +21,10 @@
 )
 from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.httpconnection import BoundedHttpClient
+from gypsumpier.external.patience import PatientRequest
 from gypsumpier.numericresolver import NumericResolver
 from gypsumpier.statement.statedrest import stated_rest
+from gypsumpier.upstream.http import InvalidStatusError
 
 MAX_CLIENTS: Final = 2000
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -52,9 +54,9 @@
 
     def request(
         self, method: str, path: str, timeout_s: float = CALL_TIMEOUT_S, **fields: Any
-    ) -> HTTPRequest:
+    ) -> PatientRequest:
         """Return a request for tornado's client."""
-        return HTTPRequest(
+        return PatientRequest(
             self.base_url + path,
             method=method,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
@@ -75,6 +77,8 @@
             ) from error
         except HTTPTimeoutError as error:
             raise timeout_error(error, self.base_url) from error
+        except InvalidStatusError as error:
+            raise GypsumpierError(PLATFORM_BAD_ANSWER, f"{self.base_url}: {error}") from error
         except (HTTPClientError, HTTPInputError, UnsatisfiableReadError, OSError) as error:
             raise GypsumpierError(PLATFORM_UNREACHABLE, f"{self.base_url}: {error}") from error
 
