Give back the retry of a second attempt that was not sent, and end failures that lapse

Cause: a second attempt without a permit had spent a retry; a failure in another zone was kept after the record of a new start was overdue, and its end was not logged; a process whose first tick came late took its start for a stall and used only its share of all upstreams until the next proof. Change: each of these, with a test.

Measured: test_cold_upstreams, test_cold_gateway and test_second_attempt pass.

--- a/gypsumpier/coldstart/stalls.py
+++ b/gypsumpier/coldstart/stalls.py
@@ -10,10 +10,13 @@
 
 
 class Stalls:
-    """The end of the last stall.  Times are those of ``boot_time_s``."""
+    """The end of the last stall.  Times are those of ``boot_time_s``.
+
+    Before the first tick there is no stall: a process that starts has read nothing yet.
+    """
 
     def __init__(self) -> None:
-        self.ticked_at_s = boot_time_s()
+        self.ticked_at_s = float("inf")
         self.ended_at_s = float("-inf")
 
     def tick(self) -> None:
--- a/gypsumpier/coldstart/upstreams.py
+++ b/gypsumpier/coldstart/upstreams.py
@@ -48,7 +48,7 @@
     ``next_end_s`` is no later than the end of the first period.
     ``runs`` holds the start times of the known runs.  ``failures`` are those of upstreams that may
     have restarted under their old records.  ``ended_evacuations`` returns the boot time at which
-    the evacuation of a zone ended, by zone.
+    the evacuation of a zone ended, by zone.  ``began`` and ``ended`` are to be logged.
     """
 
     def __init__(self, fleet_state: FleetState, zone: str) -> None:
@@ -65,6 +65,7 @@
         self.next_end_s = float("inf")
         self.was_stale = False
         self.began: list[tuple[str, ColdPeriod]] = []
+        self.ended: list[tuple[str, ColdPeriod]] = []
         fleet_state.upstream_listeners.append(self.learn)
         fleet_state.listeners.append(self.update_rules)
         self.update_rules()
@@ -104,9 +105,9 @@
         if self.runs.get(record.id) == record.started_ms:
             return
         self.runs[record.id] = record.started_ms
-        self.failures.pop(record.id, None)
         if not record.states_cold:
             self.begin(record.id, ColdPeriod(Evidence.NEW_RUN, now_s + rule.cold_s + MARGIN_S))
+        self.drop_failure(record.id)
 
     def begin(self, upstream: str, period: ColdPeriod) -> None:
         """Begin a period, or extend the one that is known."""
@@ -132,6 +133,12 @@
             self.began.append((record.id, ColdPeriod(Evidence.FAILURE, until_s)))
         self.failures[record.id] = Failure(now_s, now_s + rule.cold_s + HEARTBEATS_S)
 
+    def drop_failure(self, upstream: str) -> None:
+        """Drop a failure; the upstream is warm unless another period holds."""
+        failure = self.failures.pop(upstream, None)
+        if failure is not None and upstream not in self.periods:
+            self.ended.append((upstream, ColdPeriod(Evidence.FAILURE, time.monotonic())))
+
     def record_answered(self, record: UpstreamRecord, sent_at_s: float) -> None:
         """Record an answer to a request that was sent at that monotonic time.
 
@@ -202,11 +209,13 @@
             self.forget()
             return
         now_s = time.monotonic()
-        ended = self.take_ended(now_s) if now_s >= self.next_end_s else []
-        if self.began or ended:
+        if now_s >= self.next_end_s:
+            self.end_periods(now_s)
+        if self.began or self.ended:
             log_periods("upstream_cold", self.began, now_s)
-            log_periods("upstream_warm", ended, now_s)
+            log_periods("upstream_warm", self.ended, now_s)
             self.began.clear()
+            self.ended.clear()
             COLD_UPSTREAMS.set(len(self.periods.keys() | self.failures.keys()))
         if self.is_stale() != self.was_stale:
             self.was_stale = not self.was_stale
@@ -215,15 +224,15 @@
                 proof_age_s=round(self.fleet_state.proof_age_s(), 3),
             )
 
-    def take_ended(self, now_s: float) -> list[tuple[str, ColdPeriod]]:
-        """Remove the periods that have ended, and return them."""
+    def end_periods(self, now_s: float) -> None:
+        """Remove the periods that have ended; an upstream that has failed since stays cold."""
         periods = self.periods.items()
-        ended = [(name, period) for name, period in periods if period.until_s <= now_s]
-        for name, _ in ended:
+        for name, period in [item for item in periods if item[1].until_s <= now_s]:
             del self.periods[name]
+            if name not in self.failures:
+                self.ended.append((name, period))
         ends_s = (period.until_s for period in self.periods.values())
         self.next_end_s = min(ends_s, default=float("inf"))
-        return ended
 
     def forget(self) -> None:
         """Drop everything, as no service limits its cold upstreams."""
@@ -231,14 +240,19 @@
             for kept in (self.runs, self.periods, self.failures):
                 kept.clear()
             self.began.clear()
+            self.ended.clear()
             COLD_UPSTREAMS.set(0)
 
     def retain(self, upstreams: Mapping[str, UpstreamRecord]) -> None:
-        """Drop what is known of upstreams that no longer exist."""
+        """Drop what is known of upstreams that no longer exist, and failures that have lapsed."""
+        now_s = time.monotonic()
         for name in [name for name in self.runs if name not in upstreams]:
             del self.runs[name]
-        for name in [name for name in self.failures if name not in upstreams]:
-            del self.failures[name]
+        for name, failure in list(self.failures.items()):
+            record = upstreams.get(name)
+            is_over = record is None or record.zone != self.zone and now_s >= failure.until_s
+            if is_over:
+                self.drop_failure(name)
 
 
 def log_periods(event: str, found: list[tuple[str, ColdPeriod]], now_s: float) -> None:
--- a/gypsumpier/gateway/retries.py
+++ b/gypsumpier/gateway/retries.py
@@ -44,6 +44,12 @@
         recent(self.repeats, service, self.bounds.retry_window_s).append(time.monotonic())
         return True
 
+    def give_back(self, service: str) -> None:
+        """Give back a retry that was taken for a request that was not sent after all."""
+        times = self.repeats.get(service)
+        if times:
+            times.pop()
+
     def has_left(self, service: str) -> bool:
         """Return whether a retry is left in the budget."""
         window_s = self.bounds.retry_window_s
--- a/gypsumpier/gateway/secondattempt.py
+++ b/gypsumpier/gateway/secondattempt.py
@@ -133,6 +133,8 @@
             self.attempt = attempt
         except NotRunError as error:
             self.failures.record_not_run(attempt, error)
+            if error.may_return:
+                self.retries.give_back(self.request.service)
             if not (error.is_replaced or error.is_misdirected):
                 self.refused.add(record.run_key())
         except OutcomeUnknownError as error:
--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -21,8 +21,10 @@
     fleet_state_of,
 )
 from gypsumpier.test.gatewayfleet import GatewayFleet
+from gypsumpier.test.secondattemptcase import SecondAttemptCase
 from gypsumpier.test.simulated_cold import most_in_second
 from gypsumpier.test.simulated_entries import simulate
+from gypsumpier.upstream.errors import NotRunError
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.http import UpstreamStream
 
@@ -160,6 +162,20 @@
             self.assertEqual(0, self.cold.permits.window(name).reserved)
 
 
+class ColdSecondAttemptTest(SecondAttemptCase):
+    # Guards against a second attempt that costs a retry, or rules its upstream out, unsent.
+    async def test_a_second_attempt_without_a_permit_costs_nothing(self) -> None:
+        reason = "is cold"
+        self.sender.error = NotRunError(reason, False, is_recalled=True, may_return=True)
+        self.assertFalse(await self.other.take())
+        self.assertEqual([], list(self.retries.repeats[self.request.service]))
+        self.assertEqual({self.silent.run_key()}, self.request.tried)
+        self.assertEqual(set(), set(self.selector.health.health_by_run) - {self.silent.run_key()})
+        self.sender.error = None
+        self.other.refused.clear()
+        self.assertTrue(await self.other.take())
+
+
 class ColdAdmissionTest(unittest.TestCase):
     # Guards against requests that are held until their time limit although nothing may be sent.
     def test_a_request_is_refused_at_once_where_no_upstream_is_warm_in_time(self) -> None:
--- a/gypsumpier/test/test_cold_upstreams.py
+++ b/gypsumpier/test/test_cold_upstreams.py
@@ -227,6 +227,30 @@
         )
         self.assertEqual(38, lines[-1]["upstreams"])
 
+    # Guards against a cold time whose end is never told, and against state that is kept for good.
+    def test_failures_that_lapse_are_logged_and_dropped(self) -> None:
+        self.write(2, zone="nam-a", cold_left_ms=0)
+        with self.assertLogs(LOGGER) as logged:
+            self.cold.record_failure(self.record(1))
+            self.cold.record_failure(self.record(2))
+            self.pass_time(COLD_S + HEARTBEATS_S + 0.1)
+            self.cold.retain(self.state.upstreams)
+            self.write(1, born=9999, cold_left_ms=0)
+            self.pass_time(0.1)
+        lines = [record_fields(record) for record in logged.records]
+        found = [(line["event"], line["upstream"]) for line in lines if "evidence" in line]
+        self.assertEqual({("upstream_cold", "i-1"), ("upstream_cold", "i-2")}, set(found[:2]))
+        self.assertEqual({("upstream_warm", "i-1"), ("upstream_warm", "i-2")}, set(found[2:]))
+        self.assertEqual({}, self.cold.upstreams.failures)
+        self.assertFalse(self.cold.upstreams.has_cold())
+
+    # Guards against a process that takes its start for a stall and sends next to nothing.
+    def test_a_late_first_tick_is_no_stall(self) -> None:
+        cold = ColdStart(self.state, ZONE)
+        self.now_s += STALL_MIN_S + 0.1
+        cold.tick()
+        self.assertFalse(cold.upstreams.is_stale())
+
     # Guards against state of upstreams that no longer exist.
     def test_gone_upstreams_are_dropped(self) -> None:
         self.cold.record_failure(self.record())
