Count the entries once for a choice among many cold upstreams

Cause: each cold upstream of the own zone asked for the seeds' messages again. Change: the count is kept for 0.01 s, far less than any entry waits before it uses a share.

Measured: a choice among 240 engines that are all cold takes 0.118 ms (median of three) in place of 0.181 ms; among 60, 0.037 in place of 0.056.

--- a/gypsumpier/coldstart/zoneshares.py
+++ b/gypsumpier/coldstart/zoneshares.py
@@ -12,6 +12,9 @@
 JOIN_S: Final = 2.0
 """Seconds from its start in which an entry uses no share: what an earlier process of the same name
 sent in its last second counts against the same share."""
+COUNT_KEPT_S: Final = 0.01
+"""Seconds for which a count of entries is used again: a choice asks for each cold upstream.  An
+entry that is not counted yet uses no share for far longer."""
 
 
 class SeedSource(Protocol):
@@ -36,14 +39,24 @@
         self.has_left = False
         self.chosen: dict[tuple[tuple[str, int], float], bool] = {}
         self.chosen_among = 0
+        self.counted: int | None = None
+        self.counted_at_s = float("-inf")
 
     def entry_count(self) -> int | None:
         """Return how many entries may use a share, this one among them.
 
         None while this entry must not use any.
         """
-        own, running_s = self.mesh.own, boot_time_s() - self.started_at_s
-        if self.has_left or running_s < JOIN_S:
+        now_s = boot_time_s()
+        if now_s - self.counted_at_s >= COUNT_KEPT_S:
+            self.counted = self.counted_now(now_s)
+            self.counted_at_s = now_s
+        return None if self.has_left else self.counted
+
+    def counted_now(self, now_s: float) -> int | None:
+        """Return the same without the use of an earlier count."""
+        own, running_s = self.mesh.own, now_s - self.started_at_s
+        if running_s < JOIN_S:
             return None
         address = Address(own.host, own.port)
         counted = self.proofs.counted_by(self.mesh.seeds, address, running_s)
