--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -18,7 +18,7 @@
 from typing import Any, Final
 
 import msgpack
-from prometheus_client import Counter
+from prometheus_client import Counter, Gauge
 
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.clock import boot_time_s
@@ -92,6 +92,11 @@
 RECORDS_BYTES_MAX: Final = 64 * 1024 * 1024
 """Limit in bytes on a message's decompressed records, some hundred times a large configuration."""
 
+PROOF_AGE: Final = Gauge(
+    "gypsumpier_proof_age_seconds",
+    "Age of the proof that nothing newer than the known state exists; 1,000,000 without one.",
+    registry=REGISTRY,
+)
 CHANGES_REQUESTED: Final = Counter(
     "gypsumpier_changes_requested",
     "Requests for overdue changes to the process that announced them.",
@@ -147,6 +152,7 @@
         mesh.listeners[READING] = self.handle_reading
         mesh.aged_listeners[FEED_OFFER] = self.handle_offer
         mesh.on_peer_connected.append(self.send_offer)
+        PROOF_AGE.set_function(lambda: min(fleet_state.proof_age_s(), UNKNOWN_AGE_S))
 
     def should_read_store(self) -> bool:
         """Return whether this process should read the store; log where the reason changes."""
--- a/gypsumpier/test/narrowfleet.py
+++ b/gypsumpier/test/narrowfleet.py
@@ -147,6 +147,7 @@
             for regions in itertools.permutations(REGIONS.values(), 2)
         }
         self.tasks: list[asyncio.Task[None]] = []
+        self.report_task: asyncio.Task[None] | None = None
 
     @property
     def nodes(self) -> list[NarrowNode]:
@@ -165,7 +166,8 @@
         for node in self.sidecars:
             node.start()
         await asyncio.sleep(6.0)
-        self.tasks = [asyncio.create_task(work) for work in (self.report(), self.sample())]
+        self.report_task = asyncio.create_task(self.report())
+        self.tasks = [self.report_task, asyncio.create_task(self.sample())]
         self.tasks.append(asyncio.create_task(self.load_regions()))
 
     async def report(self) -> None:
@@ -177,6 +179,10 @@
                 await asyncio.sleep(HEARTBEAT_S / len(self.sidecars))
                 self.store.put(f"servers/i-{number}", engine_body(number, seq=sequence))
 
+    async def stop_reports(self) -> None:
+        """Let engines write their records no more."""
+        await end_task(self.report_task)
+
     async def sample(self) -> None:
         """Sample the ages of proofs."""
         while True:
@@ -247,9 +253,10 @@
     """Return a configuration with that many routes; their names and prefixes have random parts."""
     routes = []
     for number in range(route_count):
-        part = hashlib.blake2b(f"{number}".encode(), digest_size=4).hexdigest()
+        digest = hashlib.blake2b(f"{number}".encode(), digest_size=12).hexdigest()
+        name, host, prefix = digest[:8], digest[8:16], digest[16:]
         routes.append(
-            route_body(f"reports-{part}", host=f"{part}.lab.example", prefix=f"/reports/{part}/")
+            route_body(f"reports-{name}", host=f"{host}.lab.example", prefix=f"/reports/{prefix}/")
         )
     services = configuration_body()["services"]
     services[0] = engine_service_body(PIECES)
--- a/gypsumpier/test/test_large_configuration.py
+++ b/gypsumpier/test/test_large_configuration.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from typing import Final
 
+from gypsumpier.fleet.watcher import WATCH_WAIT_S
 from gypsumpier.test.narrowfleet import REGIONS, NarrowFleet, NarrowNode
 from gypsumpier.test.narrownetwork import LONG_WINDOW_BYTES, SHORT_WINDOW_BYTES
 from gypsumpier.test.narrowstore import STORE_HOST
@@ -30,6 +31,11 @@
 """Bytes of an answer of the store that has the whole configuration."""
 LARGE_ANSWERS_MAX: Final = 2
 """Such answers to a zone: that of its watcher, and one more where that is late."""
+FEW_ENTRIES: Final = 6
+FEW_SIDECARS: Final = 4
+"""Entries and sidecars of a zone where the load is run several times."""
+PHASES_S: Final = (0.0, 0.75, 1.5)
+"""Seconds after the begin of a watch, of the 2 s that it waits."""
 STALLED_AFTER_S: Final = 0.2
 """Seconds after the writing at which the answer to a watcher is under way."""
 
@@ -83,6 +89,29 @@
         self.assert_few_large_answers(fleet, written_at_s)
         await fleet.stop()
 
+    def test_entries_stay_in_proof_whenever_in_a_watch_it_is_written(self) -> None:
+        """Guards against a watch that has waited and leaves too little time for its answer.
+
+        Its proof is that of the moment at which it was sent, and nothing else changes in the store.
+        """
+        for window_bytes in (SHORT_WINDOW_BYTES, LONG_WINDOW_BYTES):
+            for phase_s in PHASES_S:
+                with self.subTest(window_bytes=window_bytes, phase_s=phase_s):
+                    run_at_virtual_time(self.check_phase(window_bytes, phase_s))
+
+    async def check_phase(self, window_bytes: int, phase_s: float) -> None:
+        """Write the configuration at that time beside nothing else that changes."""
+        fleet = NarrowFleet(FEW_ENTRIES, FEW_SIDECARS, window_bytes, REQUEST_MBPS)
+        await fleet.start()
+        await fleet.stop_reports()
+        fleet.distribute(2, 3)
+        await asyncio.sleep(2 * WATCH_WAIT_S + phase_s)
+        written_at_s = fleet.configure(2, ROUTES)
+        await asyncio.sleep(WATCHED_S)
+        self.assert_in_proof(fleet.nodes, written_at_s)
+        self.assert_few_large_answers(fleet, written_at_s)
+        await fleet.stop()
+
     def test_a_watcher_that_is_killed_as_its_answer_arrives_delays_nothing(self) -> None:
         """Guards against entries that wait for a reading in full that has ended."""
         run_at_virtual_time(self.check_killed_watchers())
