Serve urgent requests behind one that leaves headroom for them

A pass over the queue ended at the first request that found no place. A patient request of the same or a better priority, which leaves the last places of an engine, thereby kept urgent requests, and late ones that may have run, from just these places.

The pass now goes on behind such a request with those that may take more places and are not patient themselves. The new test, one place left at an engine and a patient request first in the queue, timed out before in both cases and passes.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -219,7 +219,7 @@
             records = self.last_attempt_candidates(request, records, tried, needed_s)
         records = self.selector.regions.outside(records, awaited)
         tokens = request.head.prompt_tokens
-        places_share = self.headroom.places_share(request, self.goal_start_s(request))
+        places_share = self.places_share(request)
         record = self.selector.choose(
             records, tried, needed_s, is_repeat, share, tokens, places_share
         )
@@ -231,6 +231,10 @@
             self.streams.begin(request, record.run_key())
         return record
 
+    def places_share(self, request: GatewayRequest) -> float:
+        """Return the share of an upstream's places up to which the request may take one now."""
+        return self.headroom.places_share(request, self.goal_start_s(request))
+
     def last_attempt_candidates(
         self,
         request: GatewayRequest,
@@ -405,21 +409,24 @@
         self.refuse_waiting(queue, self.check_waiting)
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
-        full: set[AllowedRegions] = set()
+        # The largest share of places with which a request for these regions has found none.
+        full: dict[AllowedRegions, float] = {}
         for waiting in queue.ordered():
             if waiting.outcome.done():
                 queue.waiting.remove(waiting)
                 continue
             regions = self.region_rules.regions(waiting.request)
-            if regions in full:
+            places_share = self.places_share(waiting.request)
+            full_share = max(full.get(regions, 0.0), full.get(None, 0.0))
+            if full_share and not self.headroom.may_pass(waiting.request, places_share, full_share):
                 continue
             record = self.try_admit(waiting.request, share)
             if record is not None:
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
-                if regions is None:
+                if regions is None and places_share >= 1.0:
                     break
-                full.add(regions)
+                full[regions] = places_share
         if queue.waiting:
             queue.limited = self.limited_capacity(service)
             queue.shed_excess(
--- a/gypsumpier/gateway/headroom.py
+++ b/gypsumpier/gateway/headroom.py
@@ -94,7 +94,7 @@
         have run, or of which an upstream has served a part, never waits for others.
         """
         short_s = self.short_goal_s(request.service)
-        if not short_s or request.attempts or request.is_moving or request.last_event_id:
+        if not short_s or is_repeat(request):
             return 1.0
         now_s = time.monotonic()
         if now_s - self.urgent_at_s.get(request.service, float("-inf")) > URGENT_RECENT_S:
@@ -107,6 +107,23 @@
             return self.patient_share(request.service)
         return 1.0
 
+    def may_pass(self, request: GatewayRequest, places_share: float, full_share: float) -> bool:
+        """Return whether the request may take a place that one before it in the queue leaves.
+
+        That one has found none up to ``full_share``.  Patient requests don't pass each other: a
+        standing queue is served newest first, and older ones would take the places that it leaves.
+        """
+        if places_share <= full_share:
+            return False
+        if is_repeat(request):
+            return True
+        return not is_patient(request, self.short_goal_s(request.service))
+
+
+def is_repeat(request: GatewayRequest) -> bool:
+    """Return whether the request may have run, or an upstream has served a part of it."""
+    return bool(request.attempts or request.is_moving or request.last_event_id)
+
 
 def is_patient(request: GatewayRequest, short_goal_s: float) -> bool:
     """Return whether the request has much more time than the most urgent ones."""
--- a/gypsumpier/test/contest.py
+++ b/gypsumpier/test/contest.py
@@ -50,8 +50,8 @@
         route_body(
             kind.name,
             prefix=f"/{kind.name}/",
-            priority=kind.priority,
-            **{"goal_ms": 1000 * kind.goal_s} | (digest_fields if kind is DIGEST else {}),
+            **{"goal_ms": 1000 * kind.goal_s, "priority": kind.priority}
+            | (digest_fields if kind is DIGEST else {}),
         )
         for kind in KINDS
     ]
--- a/gypsumpier/test/test_contested_room.py
+++ b/gypsumpier/test/test_contested_room.py
@@ -6,6 +6,7 @@
 than the engines can serve.  All requests are of a workspace with a priority of its own.
 """
 
+import asyncio
 import unittest
 from statistics import mean
 from typing import Any, Final
@@ -13,15 +14,16 @@
 
 from gypsumpier.gateway import headroom
 from gypsumpier.gateway.requestqueue import RequestQueue
-from gypsumpier.test.builders_gateway import request_of
+from gypsumpier.test.builders_gateway import admission_of, request_of
 from gypsumpier.test.builders_platform import (
     ENGINES,
     apply_records,
     configuration_record,
     route_body,
 )
-from gypsumpier.test.contest import DIGEST, DRAFT, SUMMARY, Contest, Kind, contested_state
+from gypsumpier.test.contest import DIGEST, DRAFT, SLOTS, SUMMARY, Contest, Kind, contested_state
 from gypsumpier.test.simulated_entries import simulate
+from gypsumpier.upstream.peerloads import Load
 
 ENGINE_COUNT: Final = 17
 ENGINES_LEFT: Final = 12
@@ -143,6 +145,27 @@
 
 
 class QueueOrderTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against requests that wait behind one that leaves the last places to them: an urgent
+    # one, and a late one that may have run.
+    async def test_a_request_that_leaves_places_blocks_nobody_who_may_take_them(self) -> None:
+        state = contested_state(1, priority=0)
+        repeat = request_of(state, age_s=0.9, target=PATIENT)
+        repeat.attempts = 1
+        for request in (request_of(state, target=URGENT), repeat):
+            with self.subTest(attempts=request.attempts):
+                admission = admission_of(state)
+                admission.headroom.record_arrived(request_of(state, target=URGENT))
+                admission.selector.record_peer_loads("other", {"i-1": Load(SLOTS, 0)})
+                first = asyncio.create_task(admission.enter(request_of(state, target=PATIENT)))
+                await asyncio.sleep(0.01)
+                self.assertFalse(first.done())
+                async with asyncio.timeout(0.1):
+                    record = await admission.enter(request)
+                self.assertEqual("i-1", record.id)
+                self.assertFalse(first.done())
+                first.cancel()
+                await asyncio.gather(first, return_exceptions=True)
+
     async def test_routes_of_one_workspace_are_served_by_their_priority(self) -> None:
         """Guards against a workspace's priority that makes all of its routes alike.
 
