Ask a warm upstream again where only cold ones without a share are left

A request that a warm upstream had refused once was kept from it while any other candidate was untried, also where that one was cold and this entry has no share of its allowance: it waited up to the cold time beside free places. A last attempt waited for such an upstream in the same way.

Both now treat it like an upstream that rests. The two new tests waited for ever in virtual time before; now the requests are admitted at once.

--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -67,6 +67,10 @@
         """Return whether any upstream counts as cold, or did so until a moment ago."""
         return bool(self.rules) and self.upstreams.has_cold()
 
+    def lacks_share(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream is cold and this entry has no share of its allowance."""
+        return self.is_any_cold() and self.cold_share(record) == 0
+
     def has_permit(self, record: UpstreamRecord) -> bool:
         """Return whether the upstream is not cold, or one more request is within the share."""
         share = self.cold_share(record)
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -210,8 +210,9 @@
         needed_s = self.needed_s(request)
         is_repeat = request.attempts > 0 or request.is_moving
         tried = request.tried
-        rests = self.selector.statements.rests
-        if all(record.run_key() in tried or rests.is_resting(record) for record in records):
+        if tried and all(
+            record.run_key() in tried or self.is_unavailable(record) for record in records
+        ):
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
         if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
@@ -235,6 +236,11 @@
         """Return the share of an upstream's places up to which the request may take one now."""
         return self.headroom.places_share(request, self.goal_start_s(request))
 
+    def is_unavailable(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream rests, or is cold while this entry has no share of it."""
+        rests, cold = self.selector.statements.rests, self.selector.cold
+        return rests.is_resting(record) or cold.lacks_share(record)
+
     def last_attempt_candidates(
         self,
         request: GatewayRequest,
@@ -251,7 +257,9 @@
         untried = [
             record
             for record in records
-            if record.run_key() not in tried and self.selector.is_usable(record)
+            if record.run_key() not in tried
+            and self.selector.is_usable(record)
+            and not self.is_unavailable(record)
         ]
         steady = self.selector.steady(untried, needed_s)
         regions = self.region_rules.regions(request)
--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -8,6 +8,8 @@
 from unittest import mock
 
 from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.state import FleetState
+from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.gateway.refusal import Refusal
 from gypsumpier.test.builders_gateway import admission_of, engines_in, request_of, selector_of
 from gypsumpier.test.builders_platform import (
@@ -19,6 +21,7 @@
     engine_record,
     engine_service_body,
     fleet_state_of,
+    route_body,
 )
 from gypsumpier.test.gatewayfleet import GatewayFleet
 from gypsumpier.test.simulated_cold import most_in_second
@@ -218,6 +221,41 @@
 
         simulate(scenario())
 
+    def two_engines(self, **fields: Any) -> FleetState:
+        """Return a state with a warm engine, and one that this entry has no share of."""
+        return fleet_state_of(
+            configuration_record(services=[engine_service_body(**COLD)], **fields),
+            engine_record(1, 2, cold_left_ms=0),
+            engine_record(2, 3, zone="nam-a", cold_left_ms=2000),
+        )
+
+    # Guards against a wait for a cold upstream beside a warm one that has refused the request once.
+    def test_the_warm_upstream_is_asked_again_where_no_other_may_be_used(self) -> None:
+        async def scenario() -> None:
+            state = self.two_engines()
+            admission, request = admission_of(state), request_of(state)
+            request.tried.add(state.upstreams["i-1"].run_key())
+            record = await admission.enter(request)
+            self.assertEqual(("i-1", 0.0), (record.id, request.age_s()))
+
+        simulate(scenario())
+
+    # Guards against the same wait of a last attempt, for an engine that does not switch weights.
+    def test_the_last_attempt_does_not_wait_for_a_cold_upstream(self) -> None:
+        async def scenario() -> None:
+            state = self.two_engines(routes=[route_body(resumable=True, attempts=2)])
+            admission, request = admission_of(state), request_of(state)
+            request.attempts = 1
+
+            def switches(record: UpstreamRecord, needed_s: float) -> bool:
+                return record.id == "i-1"
+
+            with mock.patch.object(admission.selector, "switches_within", switches):
+                record = await admission.enter(request)
+            self.assertEqual(("i-1", 0.0), (record.id, request.age_s()))
+
+        simulate(scenario())
+
     # Guards against a queue that is far too long, as cold upstreams count with all their slots.
     def test_a_cold_upstream_counts_with_its_share(self) -> None:
         service = engine_service_body(**COLD)
