Give permits back while no service limits its cold upstreams

A request that was chosen under a limit, and sent or given back after a configuration had lifted it, stayed reserved for good. Once the limit was set again, the upstream had one place less while cold, until the entry restarted.

Reserved permits are given back whatever the configuration says by then.

--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -104,9 +104,8 @@
             self.permits.reserve(record.id)
 
     def give_back(self, record: UpstreamRecord) -> None:
-        """Stop counting a chosen request that was not sent."""
-        if record.service in self.rules:
-            self.permits.give_back(record.id)
+        """Stop counting a chosen request that was not sent, also where the limit was lifted."""
+        self.permits.give_back(record.id)
 
     def take(self, record: UpstreamRecord) -> bool:
         """Count a reserved request as sent now; return False if it must not be sent.
@@ -114,6 +113,7 @@
         The upstream may have become cold, or the share smaller, since it was chosen.
         """
         if record.service not in self.rules:
+            self.permits.give_back(record.id)
             return True
         now_s = time.monotonic()
         window, share = self.permits.window(record.id), self.cold_share(record)
--- a/gypsumpier/coldstart/permits.py
+++ b/gypsumpier/coldstart/permits.py
@@ -26,7 +26,9 @@
 
     def give_back(self, upstream: str) -> None:
         """Stop counting a request that is not sent after all."""
-        self.window(upstream).give_back()
+        known = self.windows.get(upstream)
+        if known is not None:
+            known.give_back()
 
     def drop_idle(self, now_s: float) -> None:
         """Drop the windows that count nothing."""
--- a/gypsumpier/test/test_cold_upstreams.py
+++ b/gypsumpier/test/test_cold_upstreams.py
@@ -9,6 +9,7 @@
 from gypsumpier.coldstart.evidence import Evidence
 from gypsumpier.coldstart.stalls import STALL_MIN_S
 from gypsumpier.coldstart.upstreams import FRESH_S, HEARTBEATS_S, MARGIN_S
+from gypsumpier.coldstart.window import WINDOW_S
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.upstream import UpstreamRecord
 from gypsumpier.log import LOGGER, record_fields
@@ -199,6 +200,19 @@
         self.pass_time(1.1)
         self.assertTrue(self.cold.has_permit(self.record()))
 
+    # Guards against permits that are lost with requests that connect while the limit is lifted.
+    def test_a_limit_that_is_lifted_for_a_while_costs_no_permit(self) -> None:
+        for _ in range(SHARE):
+            self.cold.reserve(self.record())
+        apply_records(self.state, configuration_record(50, version=2))
+        self.cold.give_back(self.record())
+        self.assertTrue(self.cold.take(self.record()))
+        service = engine_service_body(cold_s=COLD_S, cold_per_s=26.0)
+        apply_records(self.state, configuration_record(51, version=3, services=[service]))
+        self.write(cold_left_ms=60_000)
+        self.pass_time(WINDOW_S + 0.05)
+        self.assertEqual(0, self.cold.permits.window("i-1").used(self.now_s))
+
     # Guards against a wait, or a refusal, that names a wrong end.
     def test_the_wait_is_known(self) -> None:
         self.write(2, zone="nam-a", cold_left_ms=2000)
