Name the regions in a refusal where evacuated zones lie outside them

An engine that switches its weights in an evacuated zone counted as one that could serve after the evacuation, also outside the regions of the request, which was then refused as zone_evacuated: the end of the evacuation would not help.

Only zones of allowed regions count. The new test got zone_evacuated before and gets no_upstream_in_regions now.

--- a/gypsumpier/gateway/evacuated.py
+++ b/gypsumpier/gateway/evacuated.py
@@ -23,6 +23,7 @@
     return any(
         record.service == needs.service
         and record.zone in zones
+        and selector.regions.allows(record, needs.regions)
         and (is_only_evacuated(selector, record, needs) or selector.is_switching(record))
         for record in selector.fleet_state.upstreams.values()
     )
--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -33,6 +33,7 @@
     apply_records,
     configuration_record,
     engine_record,
+    evacuation_record,
     fleet_state_of,
     record,
     settings_body,
@@ -207,6 +208,12 @@
         self.switch("i-2")
         self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
 
+    # Guards against a refusal that promises the end of an evacuation which changes nothing.
+    async def test_an_engine_that_switches_in_an_evacuated_zone_of_another_region(self) -> None:
+        self.switch("i-2")
+        apply_records(self.fleet_state, evacuation_record(200, "sud-a"))
+        self.assertEqual("no_upstream_in_regions", (await self.refusal(self.request)).code.name)
+
     def switch(self, name: str) -> None:
         """Report an engine as switching its weights."""
         address = f"{self.fleet_state.upstreams[name].host}:8701"
