Ask once in a pass over the queue for the wait for a warm upstream

Each queued request had the cold state of all its candidates looked up in each pass, which follows each end of a request and each news of other entries.

A pass keeps the wait by needs.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from prometheus_client import Counter, Gauge, Histogram
@@ -142,10 +143,12 @@
 
     def candidates(self, request: GatewayRequest) -> list[UpstreamRecord]:
         """Return the upstreams that may serve the request, whatever their load and health."""
+        return self.selector.candidates(*self.needs(request))
+
+    def needs(self, request: GatewayRequest) -> Needs:
+        """Return what the request requires of its upstream now."""
         version = self.least_version(request.service)
-        return self.selector.candidates(
-            request.service, version, self.region_rules.regions(request)
-        )
+        return Needs(request.service, version, self.region_rules.regions(request))
 
     def has_other_upstream(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
         """Return whether an upstream that is not among the ``tried`` runs is usable now."""
@@ -321,13 +324,16 @@
         if request.is_refusable():
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
 
-    def check_waiting(self, request: GatewayRequest) -> None:
-        """Raise Refusal if a queued request need not wait any longer."""
+    def check_waiting(self, cold_waits_s: dict[Needs, float], request: GatewayRequest) -> None:
+        """Raise Refusal if a queued request need not wait any longer.
+
+        ``cold_waits_s`` keeps the wait for a warm upstream within one pass over a queue.
+        """
         self.check_evacuated(request)
         if request.is_refusable():
             self.check_regions(request)
         self.check_rests(request)
-        self.check_cold(request)
+        self.check_cold(request, cold_waits_s)
 
     def check_rests(self, request: GatewayRequest) -> None:
         """Raise Refusal if every upstream rests, unless the request can wait for the first of them.
@@ -346,14 +352,20 @@
         detail = f"every upstream of {request.service} rests, the first for {rest_s:.2f} s more"
         raise Refusal(UPSTREAM_RESTING, 503, detail, retry_after_s)
 
-    def check_cold(self, request: GatewayRequest) -> None:
+    def check_cold(
+        self, request: GatewayRequest, waits_s: dict[Needs, float] | None = None
+    ) -> None:
         """Raise Refusal if no upstream will be warm enough for this entry in time.
 
-        A request that may have run, or continues a stream, is held like during a rest.
+        A request that may have run, or continues a stream, is held like during a rest.  ``waits_s``
+        holds the waits that are known, and gets those that are not.
         """
         if not self.selector.cold.rules:
             return
-        wait_s = self.selector.cold.wait_s(self.candidates(request))
+        needs, known = self.needs(request), {} if waits_s is None else waits_s
+        wait_s = known.get(needs)
+        if wait_s is None:
+            wait_s = known[needs] = self.selector.cold.wait_s(self.selector.candidates(*needs))
         if not wait_s or bool(request.last_event_id) or not request.is_refusable():
             return
         if time.monotonic() + wait_s > self.latest_start_s(request):
@@ -414,7 +426,7 @@
             self.record_waiting(service)
         if not queue.waiting:
             return
-        self.refuse_waiting(queue, self.check_waiting)
+        self.refuse_waiting(queue, partial(self.check_waiting, {}))
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
         # The largest share of places with which a request for these regions has found none.
--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -282,6 +282,27 @@
         self.assertEqual(2, names.count("i-2"))
         self.assertEqual(4, names.count("i-1"))
 
+    # Guards against work per pass that grows with the queue times the upstreams.
+    def test_a_pass_over_the_queue_asks_once_for_the_wait_for_a_warm_upstream(self) -> None:
+        async def scenario() -> None:
+            service = engine_service_body(**COLD)
+            state = fleet_state_of(
+                configuration_record(services=[service]),
+                *(engine_record(number, 1 + number, cold_left_ms=1000) for number in (1, 2, 3)),
+            )
+            admission = admission_of(state)
+            calls = [asyncio.ensure_future(admission.enter(request_of(state))) for _ in range(9)]
+            await asyncio.sleep(0.01)
+            cold = admission.selector.cold
+            with mock.patch.object(cold, "wait_s", wraps=cold.wait_s) as wait_s:
+                admission.dispatch_all()
+            self.assertEqual(1, wait_s.call_count)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+        simulate(scenario())
+
     # Guards against costs in deployments whose services don't limit cold upstreams.
     def test_nothing_is_asked_or_counted_without_a_limit(self) -> None:
         state = engines_in((ZONE,), 3)
