Ask once for each upstream whether it is cold

A choice asked the constraint for each upstream, which also computes when an obstacle ends, and then asked again for the list of those left.

The selector leaves this constraint to the question for the whole list.

--- a/gypsumpier/eligibility/eligibility.py
+++ b/gypsumpier/eligibility/eligibility.py
@@ -13,12 +13,14 @@
     their result may be kept until one of these changes.  Those in ``momentary`` change with time
     alone, or with each request.  Of these, an upstream is unusable while one in ``lasting`` has an
     obstacle; the others only space its requests out.  Those in ``recalling`` also hold for an
-    upstream that was chosen a moment ago; the others count its request already.
+    upstream that was chosen a moment ago; the others count its request already.  Those in
+    ``listed`` are momentary as well; the selector applies them to a list of upstreams at once.
     """
 
     def __init__(self) -> None:
         self.standing: list[Constraint] = []
         self.momentary: list[Constraint] = []
+        self.listed: list[Constraint] = []
         self.lasting: list[Constraint] = []
         self.recalling: list[Constraint] = []
 
@@ -35,6 +37,10 @@
 
     def momentary_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
         """Return the first momentary obstacle; None if there is none."""
+        return self.unlisted_obstacle(record, needs) or first_obstacle(self.listed, record, needs)
+
+    def unlisted_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
+        """Return the first momentary obstacle but for those that are looked for in lists."""
         return first_obstacle(self.momentary, record, needs)
 
     def lasting_obstacle(self, record: UpstreamRecord, needs: Needs) -> Obstacle | None:
--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -303,6 +303,19 @@
 
         simulate(scenario())
 
+    # Guards against asking twice whether an upstream is cold.
+    def test_a_choice_asks_once_for_each_upstream(self) -> None:
+        state = fleet_state_of(
+            configuration_record(services=[engine_service_body(**COLD)]),
+            *(engine_record(number, 1 + number, cold_left_ms=0) for number in (1, 2, 3)),
+            engine_record(4, 5, zone="nam-a"),
+        )
+        admission = admission_of(state)
+        cold = admission.selector.cold
+        with mock.patch.object(cold, "cold_share", wraps=cold.cold_share) as cold_share:
+            self.assertIsNotNone(admission.try_admit(request_of(state)))
+        self.assertEqual(3, cold_share.call_count)
+
     # Guards against costs in deployments whose services don't limit cold upstreams.
     def test_nothing_is_asked_or_counted_without_a_limit(self) -> None:
         state = engines_in((ZONE,), 3)
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -126,7 +126,7 @@
         ]
         backoff = BackoffConstraint(self.health, self.zone_health, zone)
         add_momentary(self.eligibility, self.statements, self.silences, backoff)
-        self.eligibility.momentary.append(ColdConstraint(self.cold))
+        self.eligibility.listed.append(ColdConstraint(self.cold))
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
@@ -411,8 +411,9 @@
             if self.load(record) < self.limit(record) * places_share
             and (not excluded or record.run_key() not in excluded)
             and self.unread_s(record) < UNREAD_MAX_S
-            and self.eligibility.momentary_obstacle(record, needs) is None
+            and self.eligibility.unlisted_obstacle(record, needs) is None
         ]
+        # The constraint in ``listed``, asked once for all of them.
         return self.cold.permitted(found) if self.cold.rules else found
 
     def claimable(
