--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from prometheus_client import Counter, Gauge, Histogram
@@ -142,10 +143,12 @@
 
     def candidates(self, request: GatewayRequest) -> list[UpstreamRecord]:
         """Return the upstreams that may serve the request, whatever their load and health."""
+        return self.selector.candidates(*self.needs(request))
+
+    def needs(self, request: GatewayRequest) -> Needs:
+        """Return what the request requires of its upstream now."""
         version = self.least_version(request.service)
-        return self.selector.candidates(
-            request.service, version, self.region_rules.regions(request)
-        )
+        return Needs(request.service, version, self.region_rules.regions(request))
 
     def has_other_upstream(self, request: GatewayRequest, tried: set[tuple[str, int]]) -> bool:
         """Return whether an upstream that is not among the ``tried`` runs is usable now."""
@@ -210,8 +213,9 @@
         needed_s = self.needed_s(request)
         is_repeat = request.attempts > 0 or request.is_moving
         tried = request.tried
-        rests = self.selector.statements.rests
-        if all(record.run_key() in tried or rests.is_resting(record) for record in records):
+        if tried and all(
+            record.run_key() in tried or self.is_unavailable(record) for record in records
+        ):
             # No untried upstream is left; one that was full a moment ago may have capacity now.
             tried = set()
         if is_repeat and not request.may_repeat(tries=2 + request.is_moving):
@@ -219,7 +223,7 @@
             records = self.last_attempt_candidates(request, records, tried, needed_s)
         records = self.selector.regions.outside(records, awaited)
         tokens = request.head.prompt_tokens
-        places_share = self.headroom.places_share(request, self.goal_start_s(request))
+        places_share = self.places_share(request)
         record = self.selector.choose(
             records, tried, needed_s, is_repeat, share, tokens, places_share
         )
@@ -231,6 +235,15 @@
             self.streams.begin(request, record.run_key())
         return record
 
+    def places_share(self, request: GatewayRequest) -> float:
+        """Return the share of an upstream's places up to which the request may take one now."""
+        return self.headroom.places_share(request, self.goal_start_s(request))
+
+    def is_unavailable(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream rests, or is cold while this entry has no share of it."""
+        rests, cold = self.selector.statements.rests, self.selector.cold
+        return rests.is_resting(record) or cold.lacks_share(record)
+
     def last_attempt_candidates(
         self,
         request: GatewayRequest,
@@ -247,7 +260,9 @@
         untried = [
             record
             for record in records
-            if record.run_key() not in tried and self.selector.is_usable(record)
+            if record.run_key() not in tried
+            and self.selector.is_usable(record)
+            and not self.is_unavailable(record)
         ]
         steady = self.selector.steady(untried, needed_s)
         regions = self.region_rules.regions(request)
@@ -309,13 +324,16 @@
         if request.is_refusable():
             raise self.refusal(request, NO_UPSTREAM_WAIT_S)
 
-    def check_waiting(self, request: GatewayRequest) -> None:
-        """Raise Refusal if a queued request need not wait any longer."""
+    def check_waiting(self, cold_waits_s: dict[Needs, float], request: GatewayRequest) -> None:
+        """Raise Refusal if a queued request need not wait any longer.
+
+        ``cold_waits_s`` keeps the wait for a warm upstream within one pass over a queue.
+        """
         self.check_evacuated(request)
         if request.is_refusable():
             self.check_regions(request)
         self.check_rests(request)
-        self.check_cold(request)
+        self.check_cold(request, cold_waits_s)
 
     def check_rests(self, request: GatewayRequest) -> None:
         """Raise Refusal if every upstream rests, unless the request can wait for the first of them.
@@ -334,14 +352,20 @@
         detail = f"every upstream of {request.service} rests, the first for {rest_s:.2f} s more"
         raise Refusal(UPSTREAM_RESTING, 503, detail, retry_after_s)
 
-    def check_cold(self, request: GatewayRequest) -> None:
+    def check_cold(
+        self, request: GatewayRequest, waits_s: dict[Needs, float] | None = None
+    ) -> None:
         """Raise Refusal if no upstream will be warm enough for this entry in time.
 
-        A request that may have run, or continues a stream, is held like during a rest.
+        A request that may have run, or continues a stream, is held like during a rest.  ``waits_s``
+        holds the waits that are known, and gets those that are not.
         """
         if not self.selector.cold.rules:
             return
-        wait_s = self.selector.cold.wait_s(self.candidates(request))
+        needs, known = self.needs(request), {} if waits_s is None else waits_s
+        wait_s = known.get(needs)
+        if wait_s is None:
+            wait_s = known[needs] = self.selector.cold.wait_s(self.selector.candidates(*needs))
         if not wait_s or bool(request.last_event_id) or not request.is_refusable():
             return
         if time.monotonic() + wait_s > self.latest_start_s(request):
@@ -402,24 +426,27 @@
             self.record_waiting(service)
         if not queue.waiting:
             return
-        self.refuse_waiting(queue, self.check_waiting)
+        self.refuse_waiting(queue, partial(self.check_waiting, {}))
         share = self.selector.waiting_share(service)
         queue.limited = self.limited_capacity(service)
-        full: set[AllowedRegions] = set()
+        # The largest share of places with which a request for these regions has found none.
+        full: dict[AllowedRegions, float] = {}
         for waiting in queue.ordered():
             if waiting.outcome.done():
                 queue.waiting.remove(waiting)
                 continue
             regions = self.region_rules.regions(waiting.request)
-            if regions in full:
+            places_share = self.places_share(waiting.request)
+            full_share = max(full.get(regions, 0.0), full.get(None, 0.0))
+            if full_share and not self.headroom.may_pass(waiting.request, places_share, full_share):
                 continue
             record = self.try_admit(waiting.request, share)
             if record is not None:
                 queue.grant(waiting, record)
             elif not waiting.request.tried:
-                if regions is None:
+                if regions is None and places_share >= 1.0:
                     break
-                full.add(regions)
+                full[regions] = places_share
         if queue.waiting:
             queue.limited = self.limited_capacity(service)
             queue.shed_excess(
