Keep evacuations that a peer names as lost over a return and beside a held key

A process that heard of a lost evacuation before it had read the store read the copy of the next era first and took the time for a repetition as over. One that doubted a key which was written again at the revision of the known write heard that a peer had lost it, and let it end as lost although the store held the key.

Change: the time counts anew with each era, also with the first; a doubted key is not taken for a lost one. Each case has a test that fails without its fix.

--- a/gypsumpier/client/trace.py
+++ b/gypsumpier/client/trace.py
@@ -18,6 +18,8 @@
         "dependency_lost",
         "dependency_regained",
         "drain",
+        "evacuation_begins",
+        "evacuation_ends",
         "started",
         "stopping",
         "version_time_corrected",
--- a/gypsumpier/fleet/evacuations.py
+++ b/gypsumpier/fleet/evacuations.py
@@ -187,7 +187,8 @@
         for zone, (era, revision, left_s) in payload.items():
             position = Position(int(era), int(revision))
             ended = self.ended.get(zone)
-            if zone in self.zones or (ended is not None and ended.position >= position):
+            is_held = zone in self.zones or zone in self.doubted
+            if is_held or (ended is not None and ended.position >= position):
                 continue
             # The limit keeps a malformed message from evacuating the zone for good.
             left_s = min(REPEAT_S, max(0.0, float(left_s))) if is_same_era else REPEAT_S
--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -192,6 +192,7 @@
         previous, has_returned = self.position, bool(self.revision) and batch.era > self.era
         if has_returned:
             self.restored_at_s = boot_time_s()
+        if batch.era > self.era:
             self.evacuations.begin_era()
         changed = self.records.changes_of(batch)
         for record in changed:
--- a/gypsumpier/test/test_restored_evacuations.py
+++ b/gypsumpier/test/test_restored_evacuations.py
@@ -193,6 +193,34 @@
         self.feed_of(started).handle_notice(PEER, message)
         self.assertEqual(self.now_s + REPEAT_S, started.evacuations.lost[ZONE])
 
+    # Guards against the same for a process that has not read the store yet: it returns once more.
+    def test_the_time_counts_anew_from_the_first_reading(self) -> None:
+        late = fleet_state_of(evacuation_record(20), ENGINE)
+        self.restore(late, ENGINE)
+        message = self.feed_of(late).position_payload(late.position)
+        started = FleetState(DecodingSource())
+        self.feed_of(started).handle_notice(PEER, message)
+        self.wait(started, REPEAT_S - 0.5, proves=False)
+        self.restore(started, ENGINE, era=2)
+        self.wait(started, REPEAT_S - 0.5)
+        self.assert_evacuated(started)
+        self.wait(started, 0.6)
+        self.assert_evacuated(started, False)
+
+    # Guards against an end although the store holds the key: a peer that read an earlier copy names
+    # it as lost after the key was written again at the revision of the known write.
+    def test_a_doubted_key_is_not_taken_for_a_lost_one(self) -> None:
+        peer = fleet_state_of(ENGINE)
+        self.restore(peer, ENGINE, evacuation_record(5), era=1)
+        self.restore(peer, ENGINE, era=2)
+        fleet_state = fleet_state_of(evacuation_record(5), ENGINE)
+        apply_records(fleet_state, ENDED)
+        self.restore(fleet_state, ENGINE, evacuation_record(5), era=2)
+        message = self.feed_of(peer).position_payload(peer.position)
+        self.feed_of(fleet_state).handle_notice(PEER, message)
+        self.wait(fleet_state, REPEAT_S + 0.1)
+        self.assert_evacuated(fleet_state)
+
     # Guards against an evacuation that goes round for good between processes.
     def test_a_lost_key_is_not_learned_again_after_its_end(self) -> None:
         slow = fleet_state_of(evacuation_record(20))
