--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -78,7 +78,7 @@
 
 
 class FleetState:
-    """Configuration, upstreams and wanted versions.  Times are those of ``boot_time_s``.
+    """Configuration, upstreams, versions and evacuations.  Times are those of ``boot_time_s``.
 
     ``era`` and ``revision`` are the position in the store's history up to which the state is known.
     ``has_heard_entries`` is set once an entry has told its position.
