--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -78,7 +78,7 @@
 
 
 class FleetState:
-    """Configuration, upstreams and wanted versions.  Times are those of ``boot_time_s``.
+    """Configuration, upstreams, versions and evacuations.  Times are those of ``boot_time_s``.
 
     ``era`` and ``revision`` are the position in the store's history up to which the state is known.
     ``has_heard_entries`` is set once an entry has told its position.
@@ -195,6 +195,7 @@
         previous, has_returned = self.position, bool(self.revision) and batch.era > self.era
         if has_returned:
             self.restored_at_s = boot_time_s()
+        if batch.era > self.era:
             self.evacuations.begin_era()
         changed = self.records.changes_of(batch)
         for record in changed:
