--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -74,6 +74,12 @@
             return True
         return share > 0 and self.permits.window(record.id).used(time.monotonic()) < share
 
+    def used_permits(self, record: UpstreamRecord) -> int:
+        """Return the permits in use at the upstream; 0 if it is not cold."""
+        if not self.is_any_cold() or self.cold_share(record) is None:
+            return 0
+        return self.permits.window(record.id).used(time.monotonic())
+
     def permitted(self, records: list[UpstreamRecord]) -> list[UpstreamRecord]:
         """Return the upstreams that may get one more request.
 
--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -16,6 +16,7 @@
     UPSTREAM_RESTING,
     ZONE_EVACUATED,
 )
+from gypsumpier.codes.result import ResultCode
 from gypsumpier.eligibility.needs import Needs
 from gypsumpier.fleet.regions import AllowedRegions
 from gypsumpier.fleet.service import ModelTraits
@@ -553,15 +554,19 @@
         retry_after_s = min(
             max(wait_s, NO_UPSTREAM_WAIT_S) * jitter, left_s * RETRY_AFTER_MAX_SHARE
         )
+        code, detail = self.refusal_cause(request, wait_s)
+        return Refusal(code, 503, detail, retry_after_s)
+
+    def refusal_cause(self, request: GatewayRequest, wait_s: float) -> tuple[ResultCode, str]:
+        """Return the code and the detail of that refusal."""
         if self.is_evacuated(request):
-            detail = f"only evacuated zones could serve {request.service}"
-            return Refusal(ZONE_EVACUATED, 503, detail, retry_after_s)
+            return ZONE_EVACUATED, f"only evacuated zones could serve {request.service}"
         regions = self.region_rules.regions(request)
         if regions is not None and not self.is_upstream_expected(request):
             detail = f"no upstream of {request.service} in {', '.join(sorted(regions)) or 'none'}"
-            return Refusal(NO_UPSTREAM_IN_REGIONS, 503, detail, retry_after_s)
+            return NO_UPSTREAM_IN_REGIONS, detail
         has_upstream = bool(self.selector.candidates(request.service, 0, regions))
         code = QUEUE_TOO_LONG if has_upstream else NO_UPSTREAM
-        waiting = len(self.queue(request.service).waiting)
-        detail = f"{waiting} requests wait for {request.service}, about {wait_s:.2f} s"
-        return Refusal(code, 503, detail, retry_after_s)
+        queue = self.queues.get(request.service)
+        waiting = len(queue.waiting) if queue else 0
+        return code, f"{waiting} requests wait for {request.service}, about {wait_s:.2f} s"
