Serve where a request would go at the address of an entry's metrics

Cause: operators could only read what has happened to requests, not what would happen to one now, and why each other upstream is passed over. Code 8106 administration_busy. The status server reads no body above 16 KiB.

--- a/gypsumpier/administration/handler.py
+++ b/gypsumpier/administration/handler.py
@@ -5,9 +5,8 @@
 
 from tornado.web import HTTPError, RequestHandler
 
+from gypsumpier.administration.errorview import error_view
 from gypsumpier.administration.state import ProcessState
-from gypsumpier.administration.view import ErrorView
-from gypsumpier.codes.result import ResultCode
 from gypsumpier.codes.setting import (
     ADMINISTRATION_FAILED,
     ADMINISTRATION_METHOD_REFUSED,
@@ -79,14 +78,3 @@
 
     def prepare(self) -> None:
         raise HTTPError(404)
-
-
-def error_view(code: ResultCode, detail: str) -> ErrorView:
-    """Return the view of an error."""
-    return ErrorView(
-        code=code.number,
-        name=code.name,
-        detail=detail,
-        outcome=code.outcome.value,
-        advice=code.advice,
-    )
--- a/gypsumpier/codes/setting.py
+++ b/gypsumpier/codes/setting.py
@@ -40,6 +40,9 @@
 ADMINISTRATION_FAILED: Final = ResultCode(
     8105, "administration_failed", 500, Outcome.UNKNOWN, "Read the process's log."
 )
+ADMINISTRATION_BUSY: Final = ResultCode(
+    8106, "administration_busy", 429, Outcome.NOT_RUN, "Ask again after a second."
+)
 ADMINISTRATION_UNREACHABLE: Final = ResultCode(
     8201, "administration_unreachable", 503, Outcome.NOT_RUN, "Check the URL and the process."
 )
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -17,6 +17,8 @@
 from gypsumpier.fleet.watcher import StoreWatcher
 from gypsumpier.gateway.admission import Admission
 from gypsumpier.gateway.crashes import CrashTracker
+from gypsumpier.gateway.destination import Destinations
+from gypsumpier.gateway.destinationpage import DestinationPage
 from gypsumpier.gateway.front import Front
 from gypsumpier.gateway.frontserver import FrontServer
 from gypsumpier.gateway.intake import Intake
@@ -121,6 +123,10 @@
         self.server = FrontServer(self.front)
         self.piece_cache = PieceCache(self.mesh, self.fleet_state, dial_origin, self.piece_holders)
         self.status = StatusServer(self.is_ready)
+        destinations = Destinations(
+            self.intake, self.admission, self.crashes, lambda: self.front.stop_schedule
+        )
+        self.destination_page = DestinationPage(destinations.explain)
         self.fleet_state.listeners.append(self.piece_cache.prefetch_new_versions)
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -131,7 +137,8 @@
         self.listener.add_sockets(bind(settings.stream_address))
         if settings.readiness_address is not None:
             self.status.listen_readiness(settings.readiness_address)
-        self.status.listen_metrics(metrics_address(settings, self.options))
+        metrics = metrics_address(settings, self.options)
+        self.status.listen_metrics(metrics, self.destination_page)
         if settings.caller_address is not None:
             self.server.add_sockets(bind(settings.caller_address))
         self.mesh.start()
--- a/gypsumpier/gateway/status.py
+++ b/gypsumpier/gateway/status.py
@@ -8,11 +8,14 @@
 from tornado.netutil import bind_sockets
 
 from gypsumpier.fleet.node import Address, NodeSettings
+from gypsumpier.gateway.destinationpage import PATH, DestinationPage
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.options import Options
 
 READY = 200
 NOT_READY = 503
+BODY_MAX = 16_384
+"""Bytes of a body that is read; no request for a status needs one."""
 
 
 class StatusServer:
@@ -21,18 +24,20 @@
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self.is_ready = is_ready
         self.servers: list[HTTPServer] = []
+        self.destinations: DestinationPage | None = None
 
     def listen_readiness(self, address: Address) -> None:
         """Serve readiness: status 200 while ready, else 503, on every path."""
         self.listen(address, self.answer_readiness)
 
-    def listen_metrics(self, address: Address) -> None:
-        """Serve the metrics of the process."""
-        self.listen(address, answer_metrics)
+    def listen_metrics(self, address: Address, destinations: DestinationPage | None = None) -> None:
+        """Serve the metrics of the process; of an entry, also where a request would go."""
+        self.destinations = destinations
+        self.listen(address, self.answer_administration)
 
     def listen(self, address: Address, answer: Callable[[HTTPServerRequest], None]) -> None:
         """Serve requests to an address with ``answer``; raise OSError if it can't be bound."""
-        server = HTTPServer(answer)
+        server = HTTPServer(answer, max_body_size=BODY_MAX)
         server.add_sockets(bind_sockets(address.port, address.host))
         self.servers.append(server)
 
@@ -40,8 +45,17 @@
         """Answer whether the process is ready to serve callers."""
         respond(request, READY if self.is_ready() else NOT_READY, b"", "text/plain")
 
+    def answer_administration(self, request: HTTPServerRequest) -> None:
+        """Answer the question where a request would go on its path, metrics on all others."""
+        if self.destinations is not None and request.path == PATH:
+            self.destinations.answer(request)
+        else:
+            answer_metrics(request)
+
     async def stop(self) -> None:
         """Close the listening sockets and all connections."""
+        if self.destinations is not None:
+            self.destinations.stop()
         for server in self.servers:
             server.stop()
             await server.close_all_connections()
