--- a/gypsumpier/client/command.py
+++ b/gypsumpier/client/command.py
@@ -8,7 +8,8 @@
 
 from gypsumpier.client import page
 from gypsumpier.client.context import EXIT_USAGE, Context, print_answers, run
-from gypsumpier.client.reader import Reader
+from gypsumpier.client.destination import destination_page
+from gypsumpier.client.reader import Query, Reader
 from gypsumpier.client.trace import trace_request
 from gypsumpier.client.validate import validate_locally, validate_remotely
 from gypsumpier.client.watch import watch_fleet
@@ -102,6 +103,39 @@
     return run(print_page(context, "/v1/decisions", page.decisions_page, query))
 
 
+@gypsumpier.command()
+@click.argument("host", required=False)
+@click.argument("path", required=False)
+@click.option("--route", metavar="NAME", help="Name of the route, instead of HOST and PATH.")
+@click.option("--workspace", metavar="NAME", help="Name of the caller's workspace, not its key.")
+@click.option("--zone", metavar="ZONE", help="Zone to be preferred instead of the entry's own.")
+@click.option(
+    "--part",
+    "parts",
+    multiple=True,
+    metavar="ID",
+    help="Id of a part of the prompt, as callers state it; may be given several times.",
+)
+@click.option("--prompt-tokens", type=click.IntRange(0), metavar="N", help="Tokens of the prompt.")
+@click.option("--answer-tokens", type=click.IntRange(0), metavar="N", help="Tokens of the answer.")
+@click.pass_obj
+def destination(
+    context: Context, /, host: str | None, path: str | None, parts: tuple[str, ...], **given: object
+) -> int:
+    """Show where a request to HOST and PATH would go now, and why, without sending it.
+
+    Asks entries on the Rung Lab platform, at the address that serves their metrics.  Lists each
+    upstream that would be passed over, with the reason and its end if that is known, and the age
+    of what the entry believes.
+    """
+    named: dict[str, object] = {"host": host, "path": path, **given}
+    query = [(name, str(value)) for name, value in named.items() if value is not None]
+    if (host is None) == (given["route"] is None) or (host is None) != (path is None):
+        raise GypsumpierError(ARGUMENTS_INVALID, "give either HOST and PATH, or --route")
+    query += [("part", part) for part in parts]
+    return run(print_page(context, "/v1/destination", destination_page, query))
+
+
 @gypsumpier.command()
 @click.argument("request", metavar="ID")
 @click.argument("files", nargs=-1, required=True, metavar="FILE...")
@@ -147,7 +181,7 @@
 
 
 async def print_page(
-    context: Context, path: str, shape: page.Page, query: dict[str, str] | None = None
+    context: Context, path: str, shape: page.Page, query: Query | None = None
 ) -> int:
     """Read one path from every process and print the answers; return the exit status."""
     require_urls(context)
--- a/gypsumpier/client/reader.py
+++ b/gypsumpier/client/reader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -15,6 +15,9 @@
 )
 from gypsumpier.errors import GypsumpierError
 
+Query = Mapping[str, str] | Sequence[tuple[str, str]]
+"""The arguments of a call; a sequence may hold a name more than once."""
+
 
 class Reader:
     """Reads from every process whose administration URL was given."""
@@ -23,7 +26,7 @@
         self.urls = [url.rstrip("/") for url in urls]
         self.timeout_s = timeout_s
 
-    async def read(self, path: str, query: dict[str, str] | None = None) -> list[Answer]:
+    async def read(self, path: str, query: Query | None = None) -> list[Answer]:
         """Return the answer of each process to a GET, in the order of the URLs."""
         target = f"{path}?{urlencode(query)}" if query else path
         client = AsyncHTTPClient(force_instance=True, max_clients=len(self.urls))
