Keep the freshness proof young enough for upstreams not to count as cold

A watch that ends with a change proves the state as of its start, and the next one proves nothing before it ends. With watches of 2 s a proof thus became up to 4 s old although the store answered, and from 3 s on every upstream of a service with cold_per_s counts as cold: an entry whose upstreams are in other zones refused all requests for that time.

Where a service has cold_per_s, a watch ends by the time at which the proof is 2.75 s old.

--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -29,6 +29,11 @@
 WATCH_WAIT_S: Final = 2.0
 """Seconds that a watch call waits for a change.  After a lost answer there is time for a second
 call within the 5 s in which the revocation of a key must take effect."""
+WATCH_WAIT_MIN_S: Final = 0.25
+"""The shortest wait of a watch that is to renew the freshness proof."""
+PROOF_AGE_MAX_S: Final = 2.75
+"""Age in seconds of the freshness proof by which a watch ends where a service limits its cold
+upstreams: from 3 s on (``coldstart.upstreams.FRESH_S``) they all count as cold."""
 BACKOFF_LIMIT_S: Final = 0.5
 """Longest wait in seconds between attempts; a key's revocation must arrive within seconds."""
 RETRY_AFTER_MAX_S: Final = 1.0
@@ -162,7 +167,7 @@
         await self.take_call()
         known = self.fleet_state.position
         sent_at_s = boot_time_s()
-        wait_s = 0.0 if self.is_behind else WATCH_WAIT_S
+        wait_s = 0.0 if self.is_behind else self.watch_wait_s()
         with counted(kind):
             if is_snapshot:
                 batch = await self.source.snapshot()
@@ -187,6 +192,19 @@
             # A batch that a peer has overtaken must not be shared with the newer one's proof.
             self.readers.share(self.fleet_state.snapshot() if is_snapshot else batch)
 
+    def watch_wait_s(self) -> float:
+        """Return the seconds for which the next watch waits for a change.
+
+        A watch that ends with a change proves the state as of its start only, and the next one
+        proves nothing before it ends: two of full length would leave a proof of twice that age.
+        """
+        configuration = self.fleet_state.configuration
+        services = configuration.services.values() if configuration else ()
+        if not any(service.cold_per_s > 0 for service in services):
+            return WATCH_WAIT_S
+        left_s = PROOF_AGE_MAX_S - self.fleet_state.proof_age_s()
+        return min(WATCH_WAIT_S, max(WATCH_WAIT_MIN_S, left_s))
+
     async def take_call(self) -> None:
         """Wait until the next reading of the store may begin, and count it."""
         while wait_s := self.calls.wait_s(time.monotonic()):
