Let more than one request wait for the end of a cold time

Where every upstream was cold and the entry had no share of them, the estimated capacity was the least that is assumed, one request in two seconds. Of the requests that may wait, as an upstream is warm in time, all but one were refused as the queue seemed too long.

Such upstreams now count with what they serve once they are warm; check_cold refuses what can't wait for that. In the new test, an upstream that is cold for 0.3 s more, five of five requests are served; before all but the first were refused.

--- a/gypsumpier/gateway/admission.py
+++ b/gypsumpier/gateway/admission.py
@@ -479,24 +479,27 @@
     def capacity_share_per_s(self, service: str, regions: AllowedRegions = None) -> float:
         """Return this entry's share of the requests per second that the upstreams can serve.
 
-        Those outside the regions don't count.
+        Those outside the regions don't count.  Cold ones count with their shares; where this entry
+        has none, requests that ``check_cold`` lets wait are served once the upstreams are warm.
         """
         model = self.selector.model(service)
         request_s = PLAIN_SERVICE_TIME_S
         if model is not None:
             request_s = self.processing_s(model, model.mean_prompt_tokens, model.mean_answer_tokens)
         request_s = max(request_s, PLAIN_SERVICE_TIME_S)
-        rates = []
+        per_s = warm_per_s = 0.0
         for record in self.usable_candidates(service, regions):
             limit_per_s = self.selector.statements.limits.rate_per_s(record)
             slots_per_s = record.slots / request_s / self.entry_count
-            rates.append(slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s))
+            rate = slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s)
+            warm_per_s += rate
             if (
                 self.selector.cold.rules
                 and (share := self.selector.cold.cold_share(record)) is not None
             ):
-                rates[-1] = min(rates[-1], float(share))
-        return max(RATE_MIN_PER_S, sum(rates))
+                rate = min(rate, float(share))
+            per_s += rate
+        return max(RATE_MIN_PER_S, per_s or warm_per_s)
 
     def limited_capacity(self, service: str) -> LimitedCapacity | None:
         """Return what the limits of all upstreams together allow; None where one has no limit."""
--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -256,6 +256,22 @@
 
         simulate(scenario())
 
+    # Guards against a queue of one request while an upstream will be warm for many in a moment.
+    def test_several_requests_wait_for_the_end_of_a_cold_time(self) -> None:
+        async def scenario() -> None:
+            state = fleet_state_of(
+                configuration_record(services=[engine_service_body(**COLD)]),
+                engine_record(1, 2, cold_left_ms=300),
+            )
+            admission = admission_of(state)
+            running = asyncio.ensure_future(admission.run())
+            requests = [request_of(state, prompt_tokens=10) for _ in range(5)]
+            calls = [asyncio.ensure_future(admission.enter(request)) for request in requests]
+            self.assertEqual(["i-1"] * 5, [(await call).id for call in calls])
+            running.cancel()
+
+        simulate(scenario())
+
     # Guards against a queue that is far too long, as cold upstreams count with all their slots.
     def test_a_cold_upstream_counts_with_its_share(self) -> None:
         service = engine_service_body(**COLD)
