--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -76,10 +76,11 @@
 """Seconds by which an entry reads overdue records later than the one before it: the time in which
 that one reads and shares them, so that one copy crosses a narrow link instead of one an entry."""
 LEFT_TO_ONE_S: Final = 1.2
-"""Seconds that a revision may be overdue, and..."""
+"""Seconds since the announcement of an unknown revision up to which one reading of the store in
+full is awaited.  Later a second one is begun; a third would make all of them slower."""
 LEFT_TO_ONE_PROOF_S: Final = 3.6
-"""...age in seconds of the proof, up to which one reading of the store in full is awaited.  Past
-them a second one is begun, and further ones are not: each would make all of them slower."""
+"""Age in seconds of the proof up to which the same holds; with the stagger of the last entry, a
+reading begun then can end before requests are refused."""
 STAGGERED_READERS: Final = 3
 """Entries that read one after the other; those behind them read together."""
 ANNOUNCED_MAX: Final = 256
@@ -87,6 +88,7 @@
 SNAPSHOT_TIMEOUT_S: Final = 0.5
 """Seconds to wait for a snapshot requested from one peer before it is requested from another."""
 CHANGES_LOG_INTERVAL_S: Final = 5.0
+"""Seconds between two log lines about requests to one process."""
 COMPRESSION_LEVEL: Final = 1
 """The fastest level of zlib; it compresses a configuration's routes to about a tenth."""
 RECORDS_BYTES_MAX: Final = 64 * 1024 * 1024
