Test the requests for overdue changes at exact times

The sum of ten steps of 0.05 s lands on the edge of the third entry's delay of 0.5 s, where the rounding of the monotonic time decides: on one machine that entry was counted, on another not. The test now looks at each of the three delays 0.01 s before and after it, at the repetition, and at the entries that never request.

--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -112,10 +112,20 @@
 
     def test_a_few_entries_request_the_changes_one_after_the_other(self) -> None:
         """Guards against a copy of the changes for each entry over the narrow link."""
-        for _ in range(10):
-            self.pass_time(0.05)
+        began_at_s = self.now_s
+        for rank in range(module.STAGGERED_READERS):
+            delay_s = module.CHANGES_DELAY_S + rank * module.READER_STAGGER_S
+            for late_s, count in ((-0.01, rank), (0.01, rank + 1)):
+                self.now_s = began_at_s + delay_s + late_s
+                self.pass_time(0.0)
+                requesters = [feed for feed in self.feeds if self.posted(feed, FEED_ASK)]
+                self.assertEqual(self.feeds[1 : 1 + count], requesters)
+        self.now_s = began_at_s + module.CHANGES_DELAY_S + module.SNAPSHOT_TIMEOUT_S
+        self.pass_time(0.0)
         requests = [len(self.posted(feed, FEED_ASK)) for feed in self.feeds]
-        self.assertEqual([0, 1, 1, 0, 0], requests)
+        self.assertEqual([0, 1, 1, 1, 0], requests)
+        self.pass_time(2 * module.READER_STAGGER_S)
+        self.assertEqual([], self.posted(self.feeds[-1], FEED_ASK))
 
     def test_requested_changes_are_passed_on_to_the_zone(self) -> None:
         """Guards against a zone of which only one entry learns of the changes."""
