Send the newest record of each key whatever the order of a batch

A batch may name a key twice, in any order: the record table sorts what it applies. The changes for a peer took the last record in the order of the batch, so that the peer could get an older one together with the proof of the newer position. They now take the one of the highest revision. Test: revision 7 before 6 of one key gave [6], and gives [7] now.

--- a/gypsumpier/mesh/recentchanges.py
+++ b/gypsumpier/mesh/recentchanges.py
@@ -50,7 +50,8 @@
         newest: dict[str, Record] = {}
         for batch in self.batches:
             for record in batch.records:
-                if record.revision > position.revision:
+                known = newest.get(record.key, record)
+                if record.revision > position.revision and record.revision >= known.revision:
                     newest[record.key] = record
         records = sorted(newest.values(), key=lambda found: found.revision)
         era, revision = self.ended_at
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -72,6 +72,11 @@
         self.assertIsNone(self.since(5))
         self.assertEqual([5 + 2 * BATCHES_MAX], self.since(5 + BATCHES_MAX))
 
+    def test_the_newest_record_of_a_key_is_sent_whatever_the_order(self) -> None:
+        """Guards against an older record under the proof of a newer one."""
+        self.changes.add(batch_of(5, engine_record(1, 7), engine_record(1, 6)))
+        self.assertEqual([7], self.since(5))
+
 
 class OverdueChangesTest(unittest.TestCase):
     """The entries of a zone without a delivering watcher, and an announcement of revision 6."""
