Count keys and removals in the memory for recent changes

Only the bytes of values were counted, and a removal has none: 512 batches of removals with long keys were kept whatever their size. Test: 400 batches with eight removals each kept 13,107,200 bytes of keys under the limit of 4,194,304, and stay below it now.

--- a/gypsumpier/mesh/recentchanges.py
+++ b/gypsumpier/mesh/recentchanges.py
@@ -8,8 +8,10 @@
 from gypsumpier.fleet.record import Record
 
 BATCHES_MAX: Final = 512
-VALUE_BYTES_MAX: Final = 4 * 1024 * 1024
-"""Bytes of the values that are kept, some eight times a large configuration."""
+BYTES_MAX: Final = 4 * 1024 * 1024
+"""Bytes of the records that are kept, some eight times a large configuration."""
+RECORD_BYTES: Final = 256
+"""Bytes that a record takes beside its key and its value; a removal has no value."""
 
 
 class RecentChanges:
@@ -19,7 +21,7 @@
         self.batches: deque[Batch] = deque()
         self.began_at = Position(0, 0)
         self.ended_at = Position(0, 0)
-        self.value_bytes = 0
+        self.kept_bytes = 0
 
     def add(self, batch: Batch) -> None:
         """Add a batch that has been applied; begin anew where it does not follow on the others."""
@@ -31,16 +33,16 @@
         if batch.revision > self.ended_at.revision:
             self.ended_at = batch.position
             self.batches.append(batch)
-            self.value_bytes += value_bytes(batch)
-            while len(self.batches) > BATCHES_MAX or self.value_bytes > VALUE_BYTES_MAX:
+            self.kept_bytes += record_bytes(batch)
+            while len(self.batches) > BATCHES_MAX or self.kept_bytes > BYTES_MAX:
                 dropped = self.batches.popleft()
-                self.value_bytes -= value_bytes(dropped)
+                self.kept_bytes -= record_bytes(dropped)
                 self.began_at = dropped.position
 
     def begin(self, position: Position) -> None:
         """Forget all batches, and let the next one follow on that position."""
         self.batches.clear()
-        self.value_bytes = 0
+        self.kept_bytes = 0
         self.began_at = self.ended_at = position
 
     def since(self, position: Position) -> Batch | None:
@@ -58,6 +60,8 @@
         return Batch(position.revision, revision, records, False, 0.0, era)
 
 
-def value_bytes(batch: Batch) -> int:
-    """Return the bytes of the values in a batch."""
-    return sum(len(record.value or b"") for record in batch.records)
+def record_bytes(batch: Batch) -> int:
+    """Return the bytes that the records of a batch take, about."""
+    return sum(
+        RECORD_BYTES + len(record.key) + len(record.value or b"") for record in batch.records
+    )
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -11,7 +11,7 @@
 from gypsumpier.mesh import feed as module
 from gypsumpier.mesh.feed import FEED, FEED_ASK, READING, STORE_FAILED, FleetStateFeed
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.mesh.recentchanges import BATCHES_MAX, RecentChanges
+from gypsumpier.mesh.recentchanges import BATCHES_MAX, BYTES_MAX, RecentChanges
 from gypsumpier.mesh.zonereads import VALID_S
 from gypsumpier.test.builders_platform import configuration_record, engine_record, fleet_state_of
 from gypsumpier.test.fakes_mesh import RecordingMesh
@@ -77,6 +77,17 @@
         self.changes.add(batch_of(5, engine_record(1, 7), engine_record(1, 6)))
         self.assertEqual([7], self.since(5))
 
+    def test_the_memory_for_removals_is_bounded(self) -> None:
+        """Guards against removals without end, which have no value but long keys."""
+        key_bytes = BYTES_MAX // 1024
+        for revision in range(6, 6 + 400):
+            removals = [Record(f"{number:0{key_bytes}}", None, revision) for number in range(8)]
+            self.changes.add(batch_of(revision - 1, *removals))
+        kept = [record for batch in self.changes.batches for record in batch.records]
+        self.assertLessEqual(sum(len(record.key) for record in kept), BYTES_MAX)
+        self.assertIsNone(self.since(5))
+        self.assertEqual([], self.since(405))
+
 
 class OverdueChangesTest(unittest.TestCase):
     """The entries of a zone without a delivering watcher, and an announcement of revision 6."""
