Request overdue changes from the announcer of the newest position

A notice of an older position that came last replaced the announcer, although an entry that lags can't send the changes of the newest one; they were then read from the store in full. A notice now makes its sender the announcer only if no newer position was announced. Test: after notices of 7 and then 6 the request went to the sender of 6, and goes to that of 7 now.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -467,10 +467,14 @@
 
     def record_announced(self, position: Position) -> None:
         """Record that the store has that position, if it is newer than all known ones."""
-        newest = self.announced[-1][0] if self.announced else self.fleet_state.position
-        if position > max(newest, self.fleet_state.position):
+        if position > self.newest_announced():
             self.announced.append((position, time.monotonic()))
 
+    def newest_announced(self) -> Position:
+        """Return the newest position that the store is known to have."""
+        newest = self.announced[-1][0] if self.announced else self.fleet_state.position
+        return max(newest, self.fleet_state.position)
+
     def handle_notice(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Handle another zone's position: record a newer one, use the proof of the same one.
 
@@ -481,7 +485,7 @@
         position = self.position_of(payload)
         self.record_announced(position)
         self.merge_lost(peer, payload)
-        if position > self.fleet_state.position:
+        if position >= self.newest_announced() and position > self.fleet_state.position:
             self.announcer = peer
         self.request_newer_records(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -143,6 +143,16 @@
         self.pass_time(2 * module.READER_STAGGER_S)
         self.assertEqual([], self.posted(self.feeds[-1], FEED_ASK))
 
+    def test_the_announcer_of_the_newest_position_is_asked(self) -> None:
+        """Guards against a request to one that lacks the changes, as its older notice came last."""
+        other = entry_peer("front-cad-a-1", "cad-a")
+        requester = self.feeds[1]
+        requester.handle_notice(ANNOUNCER, {"revision": 7, "age_s": 0.0})
+        requester.handle_notice(other, {"revision": 6, "age_s": 0.0})
+        self.pass_time(module.CHANGES_DELAY_S + 0.01)
+        recipients = [name for name, _ in self.posted(requester, FEED_ASK)]
+        self.assertEqual([ANNOUNCER.name], recipients)
+
     def test_requested_changes_are_passed_on_to_the_zone(self) -> None:
         """Guards against a zone of which only one entry learns of the changes."""
         sender = self.feed_of(ANNOUNCER.name, [ANNOUNCER, *(f.mesh.own for f in self.feeds)])
