--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -510,13 +510,17 @@
     def send_snapshot(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Send the peer a snapshot of the fleet state, where there is one.
 
-        A peer that names a position gets the changes after it, where all of them are known.
+        A peer that names a position gets the changes after it, where all of them are known, and
+        nothing where its position is the newer one.
         """
         if not self.fleet_state.revision:
             return
         if AFTER in payload and not self.fleet_state.records.outdated:
             era, revision = payload[AFTER]
-            changes = self.recent_changes.since(Position(int(era), int(revision)))
+            known = Position(int(era), int(revision))
+            if known > self.fleet_state.position:
+                return
+            changes = self.recent_changes.since(known)
             if changes is not None and changes.position == self.fleet_state.position:
                 feed = self.feed_payload(changes, pack_records(changes.records))
                 self.mesh.post(peer.name, FEED, feed)
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -153,6 +153,14 @@
         recipients = [name for name, _ in self.posted(requester, FEED_ASK)]
         self.assertEqual([ANNOUNCER.name], recipients)
 
+    def test_a_process_without_newer_changes_sends_no_snapshot(self) -> None:
+        """Guards against a configuration over a narrow link that its receiver drops as older."""
+        sender = self.feed_of(ANNOUNCER.name, [ANNOUNCER, *(f.mesh.own for f in self.feeds)])
+        sender.send_snapshot(self.feeds[1].mesh.own, {"after": [0, 6]})
+        self.assertEqual([], self.posted(sender, FEED))
+        sender.send_snapshot(self.feeds[1].mesh.own, {"after": [0, 4]})
+        self.assertEqual([True], [feed["whole"] for _, feed in self.posted(sender, FEED)])
+
     def test_requested_changes_are_passed_on_to_the_zone(self) -> None:
         """Guards against a zone of which only one entry learns of the changes."""
         sender = self.feed_of(ANNOUNCER.name, [ANNOUNCER, *(f.mesh.own for f in self.feeds)])
