Tell of a reading that follows an ended one at once

Messages of a reading are at least 0.15 s apart, also where the reading before it has just failed or ended. The others then held the entry for one that does not read, and read the store in full beside it. The end of a reading now ends the interval. Test: after a failure, and after a batch that was shared, the next reading was told to none of four entries, and is told to all now.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -283,6 +283,7 @@
         """Send a batch just read from the store to the own zone, and its position to the others."""
         own = self.mesh.own
         self.has_failed = False
+        self.zone_reads.end_own()
         self.recent_changes.add(batch)
         self.post_to_zone(self.feed_payload(batch, pack_records(batch.records)) | {READ: True})
         other_zones = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
@@ -316,6 +317,7 @@
         The next one by name then reads it at once, and not only when its proof has become old.
         """
         self.has_failed = True
+        self.zone_reads.end_own()
         if self.mesh.own.role == ENTRY:
             zone_peers = self.mesh.peers(ENTRY, self.mesh.own.zone)
             self.mesh.post_all(zone_peers, STORE_FAILED, {})
--- a/gypsumpier/mesh/zonereads.py
+++ b/gypsumpier/mesh/zonereads.py
@@ -25,6 +25,10 @@
         """Record that the entry has finished, or failed."""
         self.told_at_s.pop(name, None)
 
+    def end_own(self) -> None:
+        """Record that the own reading has ended, so that the next one is told of at once."""
+        self.own_told_at_s = float("-inf")
+
     def count(self, connected: set[str], stagger_s: float) -> int:
         """Return how many of the connected entries are reading; forget the others.
 
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -12,7 +12,7 @@
 from gypsumpier.mesh.feed import FEED, FEED_ASK, READING, STORE_FAILED, FleetStateFeed
 from gypsumpier.mesh.peer import Peer
 from gypsumpier.mesh.recentchanges import BATCHES_MAX, BYTES_MAX, RecentChanges
-from gypsumpier.mesh.zonereads import VALID_S
+from gypsumpier.mesh.zonereads import INTERVAL_S, VALID_S
 from gypsumpier.test.builders_platform import configuration_record, engine_record, fleet_state_of
 from gypsumpier.test.fakes_mesh import RecordingMesh
 from gypsumpier.test.fakes_piece import entry_peer
@@ -190,6 +190,16 @@
         wanting = self.pass_time(late_s - module.RECORDS_DELAY_S)
         self.assertEqual([ZONE_NAMES[1]], wanting)
 
+    def test_a_reading_that_follows_a_failed_one_at_once_is_told(self) -> None:
+        """Guards against entries that all read, as they heard of the failure last."""
+        for end in (self.feeds[1].share_failure, lambda: self.feeds[1].share(batch_of(5))):
+            self.feeds[1].share_reading()
+            end()
+            told = len(self.posted(self.feeds[1], READING))
+            self.feeds[1].share_reading()
+            self.assertEqual(told + len(ZONE_NAMES) - 1, len(self.posted(self.feeds[1], READING)))
+            self.now_s += INTERVAL_S
+
     def test_a_reading_that_ends_or_goes_silent_is_replaced(self) -> None:
         """Guards against a change past its time for the failure of the one that reads it."""
         self.pass_time(module.RECORDS_DELAY_S + 0.01)
