--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -285,6 +285,7 @@
         """Send a batch just read from the store to the own zone, and its position to the others."""
         own = self.mesh.own
         self.has_failed = False
+        self.zone_reads.end_own()
         self.recent_changes.add(batch)
         self.post_to_zone(self.feed_payload(batch, pack_records(batch.records)) | {READ: True})
         other_zones = [peer for peer in self.mesh.peers(ENTRY) if peer.zone != own.zone]
@@ -318,6 +319,7 @@
         The next one by name then reads it at once, and not only when its proof has become old.
         """
         self.has_failed = True
+        self.zone_reads.end_own()
         if self.mesh.own.role == ENTRY:
             zone_peers = self.mesh.peers(ENTRY, self.mesh.own.zone)
             self.mesh.post_all(zone_peers, STORE_FAILED, {})
@@ -469,10 +471,14 @@
 
     def record_announced(self, position: Position) -> None:
         """Record that the store has that position, if it is newer than all known ones."""
-        newest = self.announced[-1][0] if self.announced else self.fleet_state.position
-        if position > max(newest, self.fleet_state.position):
+        if position > self.newest_announced():
             self.announced.append((position, time.monotonic()))
 
+    def newest_announced(self) -> Position:
+        """Return the newest position that the store is known to have."""
+        newest = self.announced[-1][0] if self.announced else self.fleet_state.position
+        return max(newest, self.fleet_state.position)
+
     def handle_notice(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Handle another zone's position: record a newer one, use the proof of the same one.
 
@@ -483,7 +489,7 @@
         position = self.position_of(payload)
         self.record_announced(position)
         self.merge_lost(peer, payload)
-        if position > self.fleet_state.position:
+        if position >= self.newest_announced() and position > self.fleet_state.position:
             self.announcer = peer
         self.request_newer_records(peer, payload)
         age_s = delay_s + max(0.0, float(payload["age_s"]))
@@ -508,13 +514,17 @@
     def send_snapshot(self, peer: Peer, payload: dict[str, Any]) -> None:
         """Send the peer a snapshot of the fleet state, where there is one.
 
-        A peer that names a position gets the changes after it, where all of them are known.
+        A peer that names a position gets the changes after it, where all of them are known, and
+        nothing where its position is the newer one.
         """
         if not self.fleet_state.revision:
             return
         if AFTER in payload and not self.fleet_state.records.outdated:
             era, revision = payload[AFTER]
-            changes = self.recent_changes.since(Position(int(era), int(revision)))
+            known = Position(int(era), int(revision))
+            if known > self.fleet_state.position:
+                return
+            changes = self.recent_changes.since(known)
             if changes is not None and changes.position == self.fleet_state.position:
                 feed = self.feed_payload(changes, pack_records(changes.records))
                 self.mesh.post(peer.name, FEED, feed)
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -11,8 +11,8 @@
 from gypsumpier.mesh import feed as module
 from gypsumpier.mesh.feed import FEED, FEED_ASK, READING, STORE_FAILED, FleetStateFeed
 from gypsumpier.mesh.peer import Peer
-from gypsumpier.mesh.recentchanges import BATCHES_MAX, RecentChanges
-from gypsumpier.mesh.zonereads import VALID_S
+from gypsumpier.mesh.recentchanges import BATCHES_MAX, BYTES_MAX, RecentChanges
+from gypsumpier.mesh.zonereads import INTERVAL_S, VALID_S
 from gypsumpier.test.builders_platform import configuration_record, engine_record, fleet_state_of
 from gypsumpier.test.fakes_mesh import RecordingMesh
 from gypsumpier.test.fakes_piece import entry_peer
@@ -72,6 +72,22 @@
         self.assertIsNone(self.since(5))
         self.assertEqual([5 + 2 * BATCHES_MAX], self.since(5 + BATCHES_MAX))
 
+    def test_the_newest_record_of_a_key_is_sent_whatever_the_order(self) -> None:
+        """Guards against an older record under the proof of a newer one."""
+        self.changes.add(batch_of(5, engine_record(1, 7), engine_record(1, 6)))
+        self.assertEqual([7], self.since(5))
+
+    def test_the_memory_for_removals_is_bounded(self) -> None:
+        """Guards against removals without end, which have no value but long keys."""
+        key_bytes = BYTES_MAX // 1024
+        for revision in range(6, 6 + 400):
+            removals = [Record(f"{number:0{key_bytes}}", None, revision) for number in range(8)]
+            self.changes.add(batch_of(revision - 1, *removals))
+        kept = [record for batch in self.changes.batches for record in batch.records]
+        self.assertLessEqual(sum(len(record.key) for record in kept), BYTES_MAX)
+        self.assertIsNone(self.since(5))
+        self.assertEqual([], self.since(405))
+
 
 class OverdueChangesTest(unittest.TestCase):
     """The entries of a zone without a delivering watcher, and an announcement of revision 6."""
@@ -112,10 +128,38 @@
 
     def test_a_few_entries_request_the_changes_one_after_the_other(self) -> None:
         """Guards against a copy of the changes for each entry over the narrow link."""
-        for _ in range(9):
-            self.pass_time(0.05)
+        began_at_s = self.now_s
+        for rank in range(module.STAGGERED_READERS):
+            delay_s = module.CHANGES_DELAY_S + rank * module.READER_STAGGER_S
+            for late_s, count in ((-0.01, rank), (0.01, rank + 1)):
+                self.now_s = began_at_s + delay_s + late_s
+                self.pass_time(0.0)
+                requesters = [feed for feed in self.feeds if self.posted(feed, FEED_ASK)]
+                self.assertEqual(self.feeds[1 : 1 + count], requesters)
+        self.now_s = began_at_s + module.CHANGES_DELAY_S + module.SNAPSHOT_TIMEOUT_S
+        self.pass_time(0.0)
         requests = [len(self.posted(feed, FEED_ASK)) for feed in self.feeds]
-        self.assertEqual([0, 1, 1, 0, 0], requests)
+        self.assertEqual([0, 1, 1, 1, 0], requests)
+        self.pass_time(2 * module.READER_STAGGER_S)
+        self.assertEqual([], self.posted(self.feeds[-1], FEED_ASK))
+
+    def test_the_announcer_of_the_newest_position_is_asked(self) -> None:
+        """Guards against a request to one that lacks the changes, as its older notice came last."""
+        other = entry_peer("front-cad-a-1", "cad-a")
+        requester = self.feeds[1]
+        requester.handle_notice(ANNOUNCER, {"revision": 7, "age_s": 0.0})
+        requester.handle_notice(other, {"revision": 6, "age_s": 0.0})
+        self.pass_time(module.CHANGES_DELAY_S + 0.01)
+        recipients = [name for name, _ in self.posted(requester, FEED_ASK)]
+        self.assertEqual([ANNOUNCER.name], recipients)
+
+    def test_a_process_without_newer_changes_sends_no_snapshot(self) -> None:
+        """Guards against a configuration over a narrow link that its receiver drops as older."""
+        sender = self.feed_of(ANNOUNCER.name, [ANNOUNCER, *(f.mesh.own for f in self.feeds)])
+        sender.send_snapshot(self.feeds[1].mesh.own, {"after": [0, 6]})
+        self.assertEqual([], self.posted(sender, FEED))
+        sender.send_snapshot(self.feeds[1].mesh.own, {"after": [0, 4]})
+        self.assertEqual([True], [feed["whole"] for _, feed in self.posted(sender, FEED)])
 
     def test_requested_changes_are_passed_on_to_the_zone(self) -> None:
         """Guards against a zone of which only one entry learns of the changes."""
@@ -146,6 +190,16 @@
         wanting = self.pass_time(late_s - module.RECORDS_DELAY_S)
         self.assertEqual([ZONE_NAMES[1]], wanting)
 
+    def test_a_reading_that_follows_a_failed_one_at_once_is_told(self) -> None:
+        """Guards against entries that all read, as they heard of the failure last."""
+        for end in (self.feeds[1].share_failure, lambda: self.feeds[1].share(batch_of(5))):
+            self.feeds[1].share_reading()
+            end()
+            told = len(self.posted(self.feeds[1], READING))
+            self.feeds[1].share_reading()
+            self.assertEqual(told + len(ZONE_NAMES) - 1, len(self.posted(self.feeds[1], READING)))
+            self.now_s += INTERVAL_S
+
     def test_a_reading_that_ends_or_goes_silent_is_replaced(self) -> None:
         """Guards against a change past its time for the failure of the one that reads it."""
         self.pass_time(module.RECORDS_DELAY_S + 0.01)
