--- a/gypsumpier/test/simulated_engine.py
+++ b/gypsumpier/test/simulated_engine.py
@@ -16,6 +16,8 @@
 class SimulatedEngine:
     """Reads prompts one after another, then answers; requests beyond its slots wait in it.
 
+    Its work takes ``slowness`` times as long as usual.  An answer has ``events`` events at equal
+    distances; each other answer under way makes them longer by the share ``crowding``.
     ``sent_at_s`` holds when requests were sent to it, ``most`` is the most that it had at once, and
     ``unanswered_most_s`` the longest time from a request's arrival until its prompt was read.
     """
@@ -26,11 +28,20 @@
         self.slots = asyncio.Semaphore(record.slots)
         self.in_flight = self.most = self.refused = 0
         self.sent_at_s: list[float] = []
+        self.slowness = 1.0
+        self.crowding = 0.0
+        self.events = 1
+        self.answering = 0
         self.read_until_s = 0.0
         self.unanswered_most_s = 0.0
 
-    async def run(self, tokens: int, on_read: Callable[[], None]) -> None:
-        """Run a request; call ``on_read`` once its prompt is read.  One too many is refused."""
+    async def run(
+        self, tokens: int, on_read: Callable[[], None], on_event: Callable[[], None] | None = None
+    ) -> None:
+        """Run a request; call ``on_read`` once its prompt is read.  One too many is refused.
+
+        ``on_event`` is called for each event of the answer.
+        """
         sent_at_s = time.monotonic()
         self.sent_at_s.append(sent_at_s)
         if self.in_flight >= self.record.slots + QUEUE_MAX:
@@ -40,9 +51,21 @@
         self.most = max(self.most, self.in_flight)
         async with self.slots:
             now_s = time.monotonic()
-            self.read_until_s = max(now_s, self.read_until_s) + tokens / self.tokens_per_s
+            self.read_until_s = max(now_s, self.read_until_s) + (
+                tokens / self.tokens_per_s * self.slowness
+            )
             await asyncio.sleep(self.read_until_s - now_s)
             self.unanswered_most_s = max(self.unanswered_most_s, self.read_until_s - sent_at_s)
             on_read()
-            await asyncio.sleep(ANSWER_S)
+            await self.answer(on_event)
         self.in_flight -= 1
+
+    async def answer(self, on_event: Callable[[], None] | None) -> None:
+        """Send the events of an answer."""
+        self.answering += 1
+        for _ in range(self.events):
+            stretch = self.slowness * (1.0 + self.crowding * (self.answering - 1))
+            await asyncio.sleep(ANSWER_S / self.events * stretch)
+            if on_event is not None:
+                on_event()
+        self.answering -= 1
--- a/gypsumpier/test/simulated_entries.py
+++ b/gypsumpier/test/simulated_entries.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any, Final
 from unittest import mock
 
@@ -71,9 +71,11 @@
         address = f"{record.host}:{record.port}"
         return EngineState(address, "run", self.sequence, is_switching, 0, 0, 1.0, layers)
 
-    def set_switching(self, is_switching: bool) -> None:
-        """Let all engines drain or return; entries of other zones learn of it later."""
-        for engine in self.engines.values():
+    def set_switching(
+        self, is_switching: bool, engines: Iterable[SimulatedEngine] | None = None
+    ) -> None:
+        """Let engines drain or return, by default all; entries of other zones learn of it later."""
+        for engine in self.engines.values() if engines is None else engines:
             state = self.engine_state(engine.record, is_switching)
             for entry in self.entries:
                 is_local = entry.selector.zone == engine.record.zone
