Take a share of the places that many entries see free

Cause: a request that arrives at an entry without a queue took any place that it saw free. All entries of a zone see the same place in the same report: at 1.0 of the room, 54 in 100 requests to other zones and 19 in 100 to the own one made an engine exceed its limit. Change: where more than four others report loads, an entry expects as many requests of others as their reports have risen by lately, for the longest age of a report, and claims its share of the places. Claims in the own zone hold for 0.05 s. Upstreams are drawn before claims are looked at. No message changes. Smaller deployments choose as before.

--- a/gypsumpier/gateway/loadshare.py
+++ b/gypsumpier/gateway/loadshare.py
@@ -222,7 +222,7 @@
         }
         found = payload.get("waiting", {}).items()
         waiting = {str(service): max(0, int(count)) for service, count in found}
-        self.selector.record_peer_loads(zone or peer.name, loads, waiting, age_s)
+        self.selector.record_peer_loads(zone or peer.name, loads, waiting, age_s, zone)
         if demand:
             self.demand.record(peer, zone, demand)
 
--- a/gypsumpier/upstream/claims.py
+++ b/gypsumpier/upstream/claims.py
@@ -10,6 +10,9 @@
 
 CLAIM_PERIOD_S: Final = 0.12
 """Seconds for which a claim holds: the interval at which loads are sent to other zones."""
+ZONE_CLAIM_PERIOD_S: Final = 0.05
+"""Seconds for which a claim on an upstream of the own zone holds where many entries choose: about
+the interval at which entries of a zone tell each other their loads, 20 to 54 ms."""
 
 
 class Claim(NamedTuple):
@@ -31,17 +34,25 @@
         self.claims: dict[str, Claim] = {}
         self.remainder = random.random()
 
-    def most(self, upstream: str, in_flight: int, free: int, share: float) -> int:
+    def most(
+        self,
+        upstream: str,
+        in_flight: int,
+        free: int,
+        share: float,
+        period_s: float = CLAIM_PERIOD_S,
+    ) -> int:
         """Return how many requests of this entry may be in flight at the upstream.
 
         ``in_flight`` of them are now, and ``free`` places are seen free.  A new claim is the
-        ``share`` of these; a place that an own request leaves may be used again at once.
+        ``share`` of these and holds for ``period_s`` seconds; a place that an own request leaves
+        may be used again at once.
         """
         now_s = time.monotonic()
         claim = self.claims.get(upstream)
         if claim is None or now_s >= claim.ends_s:
             claimed, self.remainder = divmod(free * share + self.remainder, 1.0)
-            claim = Claim(in_flight + int(claimed), now_s + CLAIM_PERIOD_S)
+            claim = Claim(in_flight + int(claimed), now_s + period_s)
             self.claims[upstream] = claim
         return claim.most
 
--- a/gypsumpier/upstream/peerloads.py
+++ b/gypsumpier/upstream/peerloads.py
@@ -50,12 +50,15 @@
 
     def record(
         self, reporter: str, loads: dict[str, Load], waiting: dict[str, int], age_s: float = 0.0
-    ) -> None:
-        """Replace what an entry or a zone has reported ``age_s`` seconds ago, if that is newer."""
+    ) -> bool:
+        """Replace what an entry or a zone has reported ``age_s`` seconds ago, if that is newer.
+
+        Returns whether it is.
+        """
         at_s = time.monotonic() - age_s
         known = self.reports.get(reporter)
         if known is not None and known.at_s > at_s:
-            return
+            return False
         self.drop(reporter)
         self.reports[reporter] = PeerLoad(loads, at_s, waiting)
         for upstream, load in loads.items():
@@ -65,6 +68,7 @@
                 reported[reporter] = Unread(load.unread_tokens, at_s)
         for service, count in waiting.items():
             add(self.waiting, service, count)
+        return True
 
     def drop(self, reporter: str) -> None:
         """Drop what an entry or a zone has reported."""
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Iterator
 from typing import Final
 
 from gypsumpier.eligibility.eligibility import Eligibility
@@ -21,7 +22,8 @@
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.limits import WholeShare
 from gypsumpier.statement.statements import UpstreamStatements
-from gypsumpier.upstream.claims import Claims
+from gypsumpier.upstream.arrivals import SeenArrivals
+from gypsumpier.upstream.claims import CLAIM_PERIOD_S, ZONE_CLAIM_PERIOD_S, Claims
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 from gypsumpier.upstream.peerloads import NO_LOAD, Load, PeerLoads
@@ -96,6 +98,7 @@
         self.peer_loads = PeerLoads()
         self.silences = Silences(self.health, self.own_loads, self.peer_loads)
         self.claims = Claims()
+        self.arrivals = SeenArrivals()
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
@@ -104,15 +107,19 @@
             LeavingConstraint(self.statements.leaving),
             WeightsConstraint(self),
         ]
+        self.services: dict[str, str] = {}
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
         fleet_state.listeners.append(self.handle_fleet_change)
+        self.handle_fleet_change()
 
     def handle_fleet_change(self) -> None:
         """Work the candidates out anew, and drop the state of upstreams that no longer exist."""
         self.known_candidates.clear()
         self.forgot_at_s = float("-inf")
+        upstreams = self.fleet_state.upstreams.values()
+        self.services = {record.id: record.service for record in upstreams}
 
     def record_peer_loads(
         self,
@@ -120,9 +127,12 @@
         loads: dict[str, Load],
         waiting: dict[str, int] | None = None,
         age_s: float = 0.0,
+        zone: str = "",
     ) -> None:
-        """Replace what another entry, or another zone as a sum, has reported ``age_s`` ago."""
-        self.peer_loads.record(name, loads, waiting or {}, age_s)
+        """Replace what another entry, or another ``zone`` as a sum, has reported ``age_s`` ago."""
+        before = self.peer_loads.reports.get(name)
+        if self.peer_loads.record(name, loads, waiting or {}, age_s) and before is not None:
+            self.arrivals.record(zone or self.zone, before.loads, loads, self.services)
 
     def load_age_s(self, name: str) -> float:
         """Return the seconds since another entry's newest report; infinite without one."""
@@ -190,6 +200,7 @@
         self.statements.retain(runs)
         ids = {record.id for record in records}
         self.claims.retain(ids)
+        self.arrivals.retain(set(self.services.values()))
         for unreachable in self.unreachable.values():
             unreachable &= ids
         addresses = {f"{record.host}:{record.port}" for record in records}
@@ -341,8 +352,10 @@
         delays: streams that were cut together must not all resume at one engine.
 
         With a ``share`` below 1, only that share of an upstream's free places is used between two
-        exchanges of loads.
+        exchanges of loads.  Where many entries choose, a first choice uses no more than its share
+        among those whose requests will have come since their reports.
         """
+        is_many = not any_zone and len(self.peer_loads.reports) > FEW_REPORTERS
         if not any_zone:
             # Most requests find a place in the own zone; the others are then not looked at.
             local = [record for record in records if record.zone == self.zone]
@@ -351,11 +364,18 @@
                 for record in self.with_capacity(local, excluded)
                 if self.load(record) < record.slots and not self.is_impaired(record)
             ]
-            found = self.least_delayed(self.claimable(free, share, prompt_tokens), needed_s, False)
+            if is_many:
+                free = self.drawn_claimable(free, share, prompt_tokens, needed_s)
+            else:
+                free = self.claimable(free, share, prompt_tokens)
+            found = self.least_delayed(free, needed_s, False)
             if found is not None:
                 return found
         free = self.with_capacity(records, excluded)
         unimpaired = [record for record in free if not self.is_impaired(record)]
+        if is_many:
+            free = self.drawn_claimable(unimpaired or free, share, prompt_tokens, needed_s)
+            return self.least_delayed(free, needed_s, False)
         free = self.claimable(unimpaired or free, share, prompt_tokens)
         local = [
             record
@@ -389,17 +409,7 @@
     def least_delayed(
         self, records: list[UpstreamRecord], needed_s: float, is_jittered: bool
     ) -> UpstreamRecord | None:
-        """Return the upstream with the least estimated delay; None if there is none.
-
-        Where many entries choose, a few drawn at random are compared: they know each other's loads
-        late, and would all send to the one that was the least loaded a moment ago.  Some are drawn
-        from those that don't switch weights within ``needed_s`` seconds.
-        """
-        is_contended = len(self.peer_loads.reports) > FEW_REPORTERS
-        if is_contended and not is_jittered and len(records) > UPSTREAMS_COMPARED:
-            steady = self.steady(records, needed_s)
-            is_any_switching = len(steady) < len(records)
-            records = [*drawn(records), *(drawn(steady) if is_any_switching else [])]
+        """Return the upstream with the least estimated delay; None if there is none."""
 
         def cost_s(record: UpstreamRecord) -> float:
             switches = self.switches_within(record, needed_s)
@@ -408,6 +418,42 @@
 
         return min(records, key=cost_s, default=None)
 
+    def drawn_claimable(
+        self, records: list[UpstreamRecord], share: float, prompt_tokens: int, needed_s: float
+    ) -> list[UpstreamRecord]:
+        """Return a few upstreams drawn at random that are within this entry's share.
+
+        Many entries know each other's loads late, and would all send to the one that was the least
+        loaded a moment ago.  If one of those drawn switches weights within ``needed_s`` seconds,
+        as many are drawn from those that don't.
+        """
+        shares: dict[str, float] = {}
+        drawn: list[UpstreamRecord] = []
+        steady = 0
+        for record in shuffled(records):
+            is_steady = not self.switches_within(record, needed_s)
+            if len(drawn) >= UPSTREAMS_COMPARED and not is_steady:
+                continue
+            if record.zone not in shares:
+                shares[record.zone] = self.contended_share(record, share)
+            if self.may_claim(record, shares[record.zone], prompt_tokens):
+                drawn.append(record)
+                steady += is_steady
+            if len(drawn) >= UPSTREAMS_COMPARED and steady in (len(drawn), UPSTREAMS_COMPARED):
+                break
+        return drawn
+
+    def contended_share(self, record: UpstreamRecord, share: float) -> float:
+        """Return this entry's share of the free places in the zone of the upstream.
+
+        The others are those requests that wait elsewhere, or that others will have sent since
+        their last reports, whichever are more: the former are part of the latter for a while.
+        """
+        own = max(1, self.own_waiting.get(record.service, 0))
+        expected = self.arrivals.expected(record.service, self.zone, record.zone)
+        others = max(self.peer_loads.waiting.get(record.service, 0), expected)
+        return min(share, own / (own + others))
+
     def may_claim(self, record: UpstreamRecord, share: float, prompt_tokens: int) -> bool:
         """Return whether one more request is within this entry's share of the free places.
 
@@ -419,7 +465,9 @@
             tokens_per_s = self.prompt_tokens_per_s(record)
             places = min(places, math.ceil(unread_s * tokens_per_s / prompt_tokens))
         own = self.own_loads.get(record.id, NO_LOAD).in_flight
-        return own < self.claims.most(record.id, own, places, share)
+        is_near = record.zone == self.zone and len(self.peer_loads.reports) > FEW_REPORTERS
+        period_s = ZONE_CLAIM_PERIOD_S if is_near else CLAIM_PERIOD_S
+        return own < self.claims.most(record.id, own, places, share, period_s)
 
     def is_usable(self, record: UpstreamRecord) -> bool:
         """Return whether neither a rest nor a backoff, its own or its zone's, holds.
@@ -523,6 +571,10 @@
             self.own_loads.pop(record.id, None)
 
 
-def drawn(records: list[UpstreamRecord]) -> list[UpstreamRecord]:
-    """Return a few of the upstreams, drawn at random."""
-    return random.sample(records, min(UPSTREAMS_COMPARED, len(records)))
+def shuffled(records: list[UpstreamRecord]) -> Iterator[UpstreamRecord]:
+    """Yield the upstreams in random order."""
+    left = list(records)
+    while left:
+        number = int(random.random() * len(left))
+        left[number], left[-1] = left[-1], left[number]
+        yield left.pop()
