Draw upstreams before claiming places, and show shares at work

Change: the better of two drawn is claimed, and a live claim is looked up before places are counted. Arrivals leave places to those that others will have sent, not to those that wait. Metrics of the rises between reports, of shared choices and of requests beyond the slots; one line in 10 s for a service when no place is within the share.

--- a/gypsumpier/upstream/arrivals.py
+++ b/gypsumpier/upstream/arrivals.py
@@ -53,8 +53,11 @@
         before: Mapping[str, Load],
         after: Mapping[str, Load],
         services: Mapping[str, str],
-    ) -> None:
-        """Count the rises from one report to the next; ``services`` are those of upstreams."""
+    ) -> int:
+        """Count the rises from one report to the next, and return their sum.
+
+        ``services`` holds the service of each upstream.
+        """
         risen: dict[str, int] = {}
         for upstream, load in after.items():
             rise = load.in_flight - before.get(upstream, NO_LOAD).in_flight
@@ -65,12 +68,15 @@
         for service, count in risen.items():
             known = self.counts.get((zone, service), NO_COUNT)
             self.counts[zone, service] = RecentCount(known.at(now_s) + count, now_s)
+        return sum(risen.values())
 
     def expected(self, service: str, own_zone: str, zone: str) -> float:
         """Return how many requests others will have sent to the zone's upstreams unseen.
 
         Those are requests of the own zone's entries and, for another zone, of its entries too.
         """
+        if not self.counts:
+            return 0.0
         now_s = time.monotonic()
         here = self.counts.get((own_zone, service), NO_COUNT).at(now_s)
         expected = here * REPORT_AGE_S / RATE_DECAY_S
--- a/gypsumpier/upstream/claims.py
+++ b/gypsumpier/upstream/claims.py
@@ -56,6 +56,13 @@
             self.claims[upstream] = claim
         return claim.most
 
+    def is_claimed(self, upstream: str, in_flight: int) -> bool | None:
+        """Return whether a claim that holds allows one more request; None if none holds."""
+        claim = self.claims.get(upstream)
+        if claim is None or time.monotonic() >= claim.ends_s:
+            return None
+        return in_flight < claim.most
+
     def retain(self, upstreams: set[str]) -> None:
         """Drop the claims on upstreams that no longer exist."""
         self.claims = {name: claim for name, claim in self.claims.items() if name in upstreams}
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -8,7 +8,6 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Iterator
 from typing import Final
 
 from gypsumpier.eligibility.eligibility import Eligibility
@@ -19,9 +18,12 @@
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
+from gypsumpier.log import decision
+from gypsumpier.loginterval import LogInterval
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.limits import WholeShare
 from gypsumpier.statement.statements import UpstreamStatements
+from gypsumpier.upstream import sharemetrics
 from gypsumpier.upstream.arrivals import SeenArrivals
 from gypsumpier.upstream.claims import CLAIM_PERIOD_S, ZONE_CLAIM_PERIOD_S, Claims
 from gypsumpier.upstream.enginestate import EngineState
@@ -69,6 +71,9 @@
 ZONE_SILENCE_S: Final = 0.35
 """Seconds without an answer from another zone after which a silent upstream counts against all of
 it: the shortest silence after which a request is given up."""
+SHARE_LOG_INTERVAL_S: Final = 10.0
+"""Seconds between two lines on choices without a place within the share, for each service: under
+lasting overload most choices are such."""
 FORGET_INTERVAL_S: Final = 1.0
 """Seconds between two times at which the state of upstreams that no longer exist is dropped."""
 
@@ -99,6 +104,7 @@
         self.silences = Silences(self.health, self.own_loads, self.peer_loads)
         self.claims = Claims()
         self.arrivals = SeenArrivals()
+        self.share_lines = LogInterval(SHARE_LOG_INTERVAL_S)
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
@@ -132,7 +138,8 @@
         """Replace what another entry, or another ``zone`` as a sum, has reported ``age_s`` ago."""
         before = self.peer_loads.reports.get(name)
         if self.peer_loads.record(name, loads, waiting or {}, age_s) and before is not None:
-            self.arrivals.record(zone or self.zone, before.loads, loads, self.services)
+            seen = self.arrivals.record(zone or self.zone, before.loads, loads, self.services)
+            (sharemetrics.ZONE_RISE if zone else sharemetrics.ENTRY_RISE).observe(seen)
 
     def load_age_s(self, name: str) -> float:
         """Return the seconds since another entry's newest report; infinite without one."""
@@ -365,17 +372,16 @@
                 if self.load(record) < record.slots and not self.is_impaired(record)
             ]
             if is_many:
-                free = self.drawn_claimable(free, share, prompt_tokens, needed_s)
+                found = self.first_claimed(free, share, prompt_tokens, needed_s)
             else:
                 free = self.claimable(free, share, prompt_tokens)
-            found = self.least_delayed(free, needed_s, False)
+                found = self.least_delayed(free, needed_s, False)
             if found is not None:
                 return found
         free = self.with_capacity(records, excluded)
         unimpaired = [record for record in free if not self.is_impaired(record)]
         if is_many:
-            free = self.drawn_claimable(unimpaired or free, share, prompt_tokens, needed_s)
-            return self.least_delayed(free, needed_s, False)
+            return self.first_claimed(unimpaired or free, share, prompt_tokens, needed_s)
         free = self.claimable(unimpaired or free, share, prompt_tokens)
         local = [
             record
@@ -418,53 +424,75 @@
 
         return min(records, key=cost_s, default=None)
 
-    def drawn_claimable(
+    def first_claimed(
         self, records: list[UpstreamRecord], share: float, prompt_tokens: int, needed_s: float
-    ) -> list[UpstreamRecord]:
-        """Return a few upstreams drawn at random that are within this entry's share.
+    ) -> UpstreamRecord | None:
+        """Return the better of two upstreams drawn at random that is within this entry's share.
 
         Many entries know each other's loads late, and would all send to the one that was the least
         loaded a moment ago.  If one of those drawn switches weights within ``needed_s`` seconds,
-        as many are drawn from those that don't.
+        two are also drawn from those that don't.  While none is within the share, others are drawn.
         """
         shares: dict[str, float] = {}
-        drawn: list[UpstreamRecord] = []
-        steady = 0
-        for record in shuffled(records):
-            is_steady = not self.switches_within(record, needed_s)
-            if len(drawn) >= UPSTREAMS_COMPARED and not is_steady:
-                continue
+        left = list(records)
+        while left:
+            is_any_left = len(left) > UPSTREAMS_COMPARED
+            compared = drawn(left)
+            if is_any_left and len(self.steady(compared, needed_s)) < len(compared):
+                compared += drawn(self.steady(left, needed_s))
+            record = self.least_delayed(compared, needed_s, False)
+            assert record is not None
             if record.zone not in shares:
                 shares[record.zone] = self.contended_share(record, share)
+            if shares[record.zone] >= 1.0:
+                return record
             if self.may_claim(record, shares[record.zone], prompt_tokens):
-                drawn.append(record)
-                steady += is_steady
-            if len(drawn) >= UPSTREAMS_COMPARED and steady in (len(drawn), UPSTREAMS_COMPARED):
-                break
-        return drawn
+                sharemetrics.CLAIMED.inc()
+                return record
+            left.remove(record)
+        if records:
+            self.record_not_claimed(records, shares)
+        return None
+
+    def record_not_claimed(self, records: list[UpstreamRecord], shares: dict[str, float]) -> None:
+        """Count a choice for which no place was within the share, and log it at intervals."""
+        sharemetrics.NOT_CLAIMED.inc()
+        service = records[0].service
+        if self.share_lines.is_due(service):
+            decision(
+                "no place within the share",
+                service=service,
+                upstreams=len(records),
+                largest_share=round(max(shares.values()), 4),
+                waiting_elsewhere=self.peer_loads.waiting.get(service, 0),
+            )
 
     def contended_share(self, record: UpstreamRecord, share: float) -> float:
         """Return this entry's share of the free places in the zone of the upstream.
 
-        The others are those requests that wait elsewhere, or that others will have sent since
-        their last reports, whichever are more: the former are part of the latter for a while.
+        It has to leave places to the requests that others will have sent since their last reports.
+        ``share`` is its share by the requests that are known to wait.
         """
-        own = max(1, self.own_waiting.get(record.service, 0))
         expected = self.arrivals.expected(record.service, self.zone, record.zone)
-        others = max(self.peer_loads.waiting.get(record.service, 0), expected)
-        return min(share, own / (own + others))
+        if not expected:
+            return share
+        own = self.own_waiting.get(record.service, 0) or 1
+        return min(share, own / (own + expected))
 
     def may_claim(self, record: UpstreamRecord, share: float, prompt_tokens: int) -> bool:
         """Return whether one more request is within this entry's share of the free places.
 
         There are only as many places as prompts of that size can be read soon.
         """
+        own = self.own_loads.get(record.id, NO_LOAD).in_flight
+        is_claimed = self.claims.is_claimed(record.id, own)
+        if is_claimed is not None:
+            return is_claimed
         places = self.limit(record) - self.load(record)
         if prompt_tokens:
             unread_s = UNREAD_MAX_S - self.unread_s(record)
             tokens_per_s = self.prompt_tokens_per_s(record)
             places = min(places, math.ceil(unread_s * tokens_per_s / prompt_tokens))
-        own = self.own_loads.get(record.id, NO_LOAD).in_flight
         is_near = record.zone == self.zone and len(self.peer_loads.reports) > FEW_REPORTERS
         period_s = ZONE_CLAIM_PERIOD_S if is_near else CLAIM_PERIOD_S
         return own < self.claims.most(record.id, own, places, share, period_s)
@@ -547,6 +575,8 @@
 
     def begin(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Count a request that is sent to the upstream."""
+        if self.load(record) >= record.slots:
+            sharemetrics.BEYOND_SLOTS.inc()
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
         self.statements.take(record)
@@ -571,10 +601,8 @@
             self.own_loads.pop(record.id, None)
 
 
-def shuffled(records: list[UpstreamRecord]) -> Iterator[UpstreamRecord]:
-    """Yield the upstreams in random order."""
-    left = list(records)
-    while left:
-        number = int(random.random() * len(left))
-        left[number], left[-1] = left[-1], left[number]
-        yield left.pop()
+def drawn(records: list[UpstreamRecord]) -> list[UpstreamRecord]:
+    """Return a few of the upstreams, drawn at random."""
+    if len(records) <= UPSTREAMS_COMPARED:
+        return list(records)
+    return random.sample(records, UPSTREAMS_COMPARED)
