--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -460,7 +460,7 @@
         service = records[0].service
         if self.share_lines.is_due(service):
             decision(
-                "no place within the share",
+                "no_place_within_share",
                 service=service,
                 upstreams=len(records),
                 largest_share=round(max(shares.values()), 4),
