--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -25,10 +25,14 @@
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
+from gypsumpier.log import decision
+from gypsumpier.loginterval import LogInterval
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.limits import WholeShare
 from gypsumpier.statement.statements import UpstreamStatements
-from gypsumpier.upstream.claims import Claims
+from gypsumpier.upstream import sharemetrics
+from gypsumpier.upstream.arrivals import SeenArrivals
+from gypsumpier.upstream.claims import CLAIM_PERIOD_S, ZONE_CLAIM_PERIOD_S, Claims
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 from gypsumpier.upstream.peerloads import NO_LOAD, Load, PeerLoads
@@ -74,6 +78,9 @@
 ZONE_SILENCE_S: Final = 0.35
 """Seconds without an answer from another zone after which a silent upstream counts against all of
 it: the shortest silence after which a request is given up."""
+SHARE_LOG_INTERVAL_S: Final = 10.0
+"""Seconds between two lines on choices without a place within the share, for each service: under
+lasting overload most choices are such."""
 FORGET_INTERVAL_S: Final = 1.0
 """Seconds between two times at which the state of upstreams that no longer exist is dropped."""
 
@@ -111,6 +118,8 @@
         self.peer_loads = PeerLoads()
         self.silences = Silences(self.health, self.own_loads, self.peer_loads)
         self.claims = Claims()
+        self.arrivals = SeenArrivals()
+        self.share_lines = LogInterval(SHARE_LOG_INTERVAL_S)
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
@@ -127,15 +136,19 @@
         backoff = BackoffConstraint(self.health, self.zone_health, zone)
         add_momentary(self.eligibility, self.statements, self.silences, backoff)
         self.eligibility.listed.append(ColdConstraint(self.cold))
+        self.services: dict[str, str] = {}
         self.known_candidates: dict[Needs, list[UpstreamRecord]] = {}
         self.known_state = (0, 0)
         self.forgot_at_s = float("-inf")
         fleet_state.listeners.append(self.handle_fleet_change)
+        self.handle_fleet_change()
 
     def handle_fleet_change(self) -> None:
         """Work the candidates out anew, and drop the state of upstreams that no longer exist."""
         self.known_candidates.clear()
         self.forgot_at_s = float("-inf")
+        upstreams = self.fleet_state.upstreams.values()
+        self.services = {record.id: record.service for record in upstreams}
 
     def set_regions(self, regions_by_zone: dict[str, str]) -> None:
         """Replace the regions of the zones."""
@@ -148,9 +161,13 @@
         loads: dict[str, Load],
         waiting: dict[str, int] | None = None,
         age_s: float = 0.0,
+        zone: str = "",
     ) -> None:
-        """Replace what another entry, or another zone as a sum, has reported ``age_s`` ago."""
-        self.peer_loads.record(name, loads, waiting or {}, age_s)
+        """Replace what another entry, or another ``zone`` as a sum, has reported ``age_s`` ago."""
+        before = self.peer_loads.reports.get(name)
+        if self.peer_loads.record(name, loads, waiting or {}, age_s) and before is not None:
+            seen = self.arrivals.record(zone or self.zone, before.loads, loads, self.services)
+            (sharemetrics.ZONE_RISE if zone else sharemetrics.ENTRY_RISE).observe(seen)
 
     def load_age_s(self, name: str) -> float:
         """Return the seconds since another entry's newest report; infinite without one."""
@@ -220,6 +237,7 @@
         self.cold.retain(self.fleet_state.upstreams)
         ids = {record.id for record in records}
         self.claims.retain(ids)
+        self.arrivals.retain(set(self.services.values()))
         for unreachable in self.unreachable.values():
             unreachable &= ids
         addresses = {f"{record.host}:{record.port}" for record in records}
@@ -371,9 +389,11 @@
         delays: streams that were cut together must not all resume at one engine.
 
         With a ``share`` below 1, only that share of an upstream's free places is used between two
-        exchanges of loads.  With a ``places_share`` below 1,
-        the rest of the places of each upstream is left to other requests.
+        exchanges of loads.  Where many entries choose, a first choice uses no more than its share
+        among those whose requests will have come since their reports.  With a ``places_share``
+        below 1, the rest of the places of each upstream is left to other requests.
         """
+        is_many = not any_zone and len(self.peer_loads.reports) > FEW_REPORTERS
         if not any_zone:
             # Most requests find a place in the own zone; the others are then not looked at.
             local = [record for record in records if record.zone == self.zone]
@@ -382,11 +402,17 @@
                 for record in self.with_capacity(local, excluded, places_share)
                 if self.load(record) < record.slots and not self.is_impaired(record)
             ]
-            found = self.least_delayed(self.claimable(free, share, prompt_tokens), needed_s, False)
+            if is_many:
+                found = self.first_claimed(free, share, prompt_tokens, needed_s)
+            else:
+                free = self.claimable(free, share, prompt_tokens)
+                found = self.least_delayed(free, needed_s, False)
             if found is not None:
                 return found
         free = self.with_capacity(records, excluded, places_share)
         unimpaired = [record for record in free if not self.is_impaired(record)]
+        if is_many:
+            return self.first_claimed(unimpaired or free, share, prompt_tokens, needed_s)
         free = self.claimable(unimpaired or free, share, prompt_tokens)
         local = [
             record
@@ -427,17 +453,7 @@
     def least_delayed(
         self, records: list[UpstreamRecord], needed_s: float, is_jittered: bool
     ) -> UpstreamRecord | None:
-        """Return the upstream with the least estimated delay; None if there is none.
-
-        Where many entries choose, a few drawn at random are compared: they know each other's loads
-        late, and would all send to the one that was the least loaded a moment ago.  Some are drawn
-        from those that don't switch weights within ``needed_s`` seconds.
-        """
-        is_contended = len(self.peer_loads.reports) > FEW_REPORTERS
-        if is_contended and not is_jittered and len(records) > UPSTREAMS_COMPARED:
-            steady = self.steady(records, needed_s)
-            is_any_switching = len(steady) < len(records)
-            records = [*drawn(records), *(drawn(steady) if is_any_switching else [])]
+        """Return the upstream with the least estimated delay; None if there is none."""
 
         def cost_s(record: UpstreamRecord) -> float:
             switches = self.switches_within(record, needed_s)
@@ -446,18 +462,78 @@
 
         return min(records, key=cost_s, default=None)
 
+    def first_claimed(
+        self, records: list[UpstreamRecord], share: float, prompt_tokens: int, needed_s: float
+    ) -> UpstreamRecord | None:
+        """Return the better of two upstreams drawn at random that is within this entry's share.
+
+        Many entries know each other's loads late, and would all send to the one that was the least
+        loaded a moment ago.  If one of those drawn switches weights within ``needed_s`` seconds,
+        two are also drawn from those that don't.  While none is within the share, others are drawn.
+        """
+        shares: dict[str, float] = {}
+        left = list(records)
+        while left:
+            is_any_left = len(left) > UPSTREAMS_COMPARED
+            compared = drawn(left)
+            if is_any_left and len(self.steady(compared, needed_s)) < len(compared):
+                compared += drawn(self.steady(left, needed_s))
+            record = self.least_delayed(compared, needed_s, False)
+            assert record is not None
+            if record.zone not in shares:
+                shares[record.zone] = self.contended_share(record, share)
+            if shares[record.zone] >= 1.0:
+                return record
+            if self.may_claim(record, shares[record.zone], prompt_tokens):
+                sharemetrics.CLAIMED.inc()
+                return record
+            left.remove(record)
+        if records:
+            self.record_not_claimed(records, shares)
+        return None
+
+    def record_not_claimed(self, records: list[UpstreamRecord], shares: dict[str, float]) -> None:
+        """Count a choice for which no place was within the share, and log it at intervals."""
+        sharemetrics.NOT_CLAIMED.inc()
+        service = records[0].service
+        if self.share_lines.is_due(service):
+            decision(
+                "no_place_within_share",
+                service=service,
+                upstreams=len(records),
+                largest_share=round(max(shares.values()), 4),
+                waiting_elsewhere=self.peer_loads.waiting.get(service, 0),
+            )
+
+    def contended_share(self, record: UpstreamRecord, share: float) -> float:
+        """Return this entry's share of the free places in the zone of the upstream.
+
+        It has to leave places to the requests that others will have sent since their last reports.
+        ``share`` is its share by the requests that are known to wait.
+        """
+        expected = self.arrivals.expected(record.service, self.zone, record.zone)
+        if not expected:
+            return share
+        own = self.own_waiting.get(record.service, 0) or 1
+        return min(share, own / (own + expected))
+
     def may_claim(self, record: UpstreamRecord, share: float, prompt_tokens: int) -> bool:
         """Return whether one more request is within this entry's share of the free places.
 
         There are only as many places as prompts of that size can be read soon.
         """
+        own = self.own_loads.get(record.id, NO_LOAD).in_flight
+        is_claimed = self.claims.is_claimed(record.id, own)
+        if is_claimed is not None:
+            return is_claimed
         places = self.limit(record) - self.load(record)
         if prompt_tokens:
             unread_s = UNREAD_MAX_S - self.unread_s(record)
             tokens_per_s = self.prompt_tokens_per_s(record)
             places = min(places, math.ceil(unread_s * tokens_per_s / prompt_tokens))
-        own = self.own_loads.get(record.id, NO_LOAD).in_flight
-        return own < self.claims.most(record.id, own, places, share)
+        is_near = record.zone == self.zone and len(self.peer_loads.reports) > FEW_REPORTERS
+        period_s = ZONE_CLAIM_PERIOD_S if is_near else CLAIM_PERIOD_S
+        return own < self.claims.most(record.id, own, places, share, period_s)
 
     def is_usable(self, record: UpstreamRecord) -> bool:
         """Return whether neither a rest nor a backoff, its own or its zone's, holds.
@@ -534,6 +610,8 @@
 
     def begin(self, record: UpstreamRecord, prompt_tokens: int) -> None:
         """Count a request that is sent to the upstream."""
+        if self.load(record) >= record.slots:
+            sharemetrics.BEYOND_SLOTS.inc()
         self.add(record, 1, prompt_tokens)
         self.health.begin(record.run_key())
         self.statements.take(record)
@@ -566,4 +644,6 @@
 
 def drawn(records: list[UpstreamRecord]) -> list[UpstreamRecord]:
     """Return a few of the upstreams, drawn at random."""
-    return random.sample(records, min(UPSTREAMS_COMPARED, len(records)))
+    if len(records) <= UPSTREAMS_COMPARED:
+        return list(records)
+    return random.sample(records, UPSTREAMS_COMPARED)
