Estimate when the freshness proof comes that follows a stall

After a process did not run for 0.5 s, upstreams count as cold until the next proof, whose time was taken as unknown: an entry without a share refused all queued and new requests at once, although the proof follows in a moment.

It is now expected as soon after as the last one followed the one before, while that is at most 3 s old; what counts as cold is unchanged.

--- a/gypsumpier/coldstart/upstreams.py
+++ b/gypsumpier/coldstart/upstreams.py
@@ -166,7 +166,7 @@
             return None
         now_s = time.monotonic()
         if self.is_stale():
-            return ColdPeriod(Evidence.STALE, float("inf"))
+            return ColdPeriod(Evidence.STALE, now_s + self.proof_in_s())
         period = self.periods.get(record.id)
         if period is not None and now_s < period.until_s:
             return period
@@ -192,6 +192,16 @@
             return True
         return proven_at_s < self.stalls.last_ended_at_s()
 
+    def proof_in_s(self) -> float:
+        """Return the estimated seconds until the next freshness proof; infinite if it is overdue.
+
+        After a stall it follows the last one about as soon as that followed the one before.
+        """
+        state = self.fleet_state
+        if state.proof_age_s() > FRESH_S:
+            return float("inf")
+        return min(FRESH_S, max(0.0, state.proven_at_s - state.previous_proof_at_s))
+
     def tick(self) -> None:
         """Drop the periods that have ended, log what has begun and ended since the last tick."""
         self.stalls.tick()
--- a/gypsumpier/test/test_cold_gateway.py
+++ b/gypsumpier/test/test_cold_gateway.py
@@ -7,6 +7,9 @@
 from typing import Any, Final
 from unittest import mock
 
+from gypsumpier.coldstart.stalls import STALL_MIN_S
+from gypsumpier.coldstart.upstreams import FRESH_S
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
@@ -204,6 +207,35 @@
 
         simulate(scenario())
 
+    # Guards against refusing everything after a stall of the process, until the next proof.
+    def test_a_request_waits_for_the_proof_that_follows_a_stall(self) -> None:
+        async def scenario() -> None:
+            service = engine_service_body(**COLD)
+            engine = {"zone": "nam-a", "cold_left_ms": 0}
+            state = fleet_state_of(
+                configuration_record(services=[service]), engine_record(1, 2, **engine)
+            )
+            admission = admission_of(state)
+            running = asyncio.ensure_future(admission.run())
+            for revision in (3, 4):
+                await asyncio.sleep(0.2)
+                apply_records(state, engine_record(1, revision, **engine))
+            await asyncio.sleep(0.01)
+            admission.selector.cold.upstreams.stalls.ticked_at_s -= STALL_MIN_S
+            calls = [asyncio.ensure_future(admission.enter(request_of(state))) for _ in range(3)]
+            await asyncio.sleep(0.3)
+            self.assertEqual([False] * 3, [call.done() for call in calls])
+            state.record_proof(boot_time_s())
+            async with asyncio.timeout(0.1):
+                self.assertEqual(["i-1"] * 3, [(await call).id for call in calls])
+            # Without any further proof, as in an outage of the store, requests are not held.
+            await asyncio.sleep(FRESH_S + 0.1)
+            with self.assertRaises(Refusal):
+                await admission.enter(request_of(state))
+            running.cancel()
+
+        simulate(scenario())
+
     # Guards against requests that are refused although an upstream is warm in a moment.
     def test_a_request_waits_for_the_end_of_a_cold_time(self) -> None:
         async def scenario() -> None:
