Drop an unused zone, and say what the headroom metric counts

ColdUpstreams kept the entry's zone without any use. The metric of requests that leave headroom also counts those that no share of the places would have admitted, as its description now says.

--- a/gypsumpier/coldstart/upstreams.py
+++ b/gypsumpier/coldstart/upstreams.py
@@ -46,9 +46,8 @@
     the evacuation of a zone ended, by zone.
     """
 
-    def __init__(self, fleet_state: FleetState, zone: str) -> None:
+    def __init__(self, fleet_state: FleetState) -> None:
         self.fleet_state = fleet_state
-        self.zone = zone
         self.bounds: Bounds | None = None
         self.configuration: FleetConfiguration | None = None
         self.rules: dict[str, ColdRule] = {}
--- a/gypsumpier/gateway/headroom.py
+++ b/gypsumpier/gateway/headroom.py
@@ -38,7 +38,8 @@
 
 HEADROOM_WAITS: Final = Counter(
     "gypsumpier_headroom_waits",
-    "Times that a request was not admitted as it left headroom for requests with shorter goals.",
+    "Times that a request that leaves headroom for shorter goals was not admitted, also where all "
+    "places were taken.",
     ["service"],
     registry=REGISTRY,
 )
