Compare loads with a share of the places only where one is left

Each upstream's limit was multiplied by the share of a request that leaves headroom, also in deployments without any.

The share is applied to the upstreams that are left where it is below 1.

--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -408,11 +408,15 @@
         found = [
             record
             for record in records
-            if self.load(record) < self.limit(record) * places_share
+            if self.load(record) < self.limit(record)
             and (not excluded or record.run_key() not in excluded)
             and self.unread_s(record) < UNREAD_MAX_S
             and self.eligibility.unlisted_obstacle(record, needs) is None
         ]
+        if places_share < 1.0:
+            found = [
+                record for record in found if self.load(record) < self.limit(record) * places_share
+            ]
         # The constraint in ``listed``, asked once for all of them.
         return self.cold.permitted(found) if self.cold.rules else found
 
