Go on watching the store beside a reading in full by another entry

An entry that has taken over for a frozen watcher stopped its watch whenever another entry, such as one that starts, told of a reading in full. An entry now leaves the store to others only until it has shared a first batch, and again after a failure.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -124,9 +124,10 @@
     the monotonic times at which it learned of them.  ``has_taken_over`` is set from the take-over
     until an entry that precedes this one reads the store again.
     ``cut_off`` names the entries of the zone whose last call to the store has failed.
-    ``has_failed`` is set while the own last call to the store has failed.  ``announcer`` is the
-    process that announced the newest position, ``requested_from`` the one from which changes were
-    requested at ``changes_requested_at_s``.
+    ``has_failed`` is set while the own last call to the store has failed, ``is_delivering`` from
+    the first shared batch until this process stops reading or fails.  ``announcer`` is the process
+    that announced the newest position, ``requested_from`` the one from which changes were requested
+    at ``changes_requested_at_s``.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
 
@@ -141,6 +142,7 @@
         self.recent_changes = RecentChanges()
         self.zone_reads = ZoneReads()
         self.has_failed = False
+        self.is_delivering = False
         self.is_left = False
         self.snapshot_requested_at_s = float("-inf")
         self.has_taken_over = False
@@ -159,6 +161,7 @@
     def should_read_store(self) -> bool:
         """Return whether this process should read the store; log where the reason changes."""
         reason = self.reason_to_read()
+        self.is_delivering &= bool(reason)
         if reason != self.reading_reason:
             self.reading_reason = reason
             self.log_reason()
@@ -179,7 +182,10 @@
         if rank < 0:
             return "" if self.has_failed and self.is_left_to_others(0) else WATCHER
         self.request_overdue_changes(rank)
-        if not self.has_taken_over and not self.is_behind(rank) or self.is_left_to_others(rank):
+        if not self.has_taken_over and not self.is_behind(rank):
+            return ""
+        # One that delivers changes has its watch open, which is no further reading in full.
+        if not self.is_delivering and self.is_left_to_others(rank):
             return ""
         return BEHIND if self.is_behind(rank) else TAKEN_OVER
 
@@ -283,6 +289,7 @@
         """Send a batch just read from the store to the own zone, and its position to the others."""
         own = self.mesh.own
         self.has_failed = False
+        self.is_delivering = True
         self.zone_reads.end_own()
         self.recent_changes.add(batch)
         self.post_to_zone(self.feed_payload(batch, pack_records(batch.records)) | {READ: True})
@@ -317,6 +324,7 @@
         The next one by name then reads it at once, and not only when its proof has become old.
         """
         self.has_failed = True
+        self.is_delivering = False
         self.zone_reads.end_own()
         if self.mesh.own.role == ENTRY:
             zone_peers = self.mesh.peers(ENTRY, self.mesh.own.zone)
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from gypsumpier.fleet.change import Batch
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.position import Position
 from gypsumpier.fleet.record import Record
 from gypsumpier.mesh import feed as module
@@ -200,6 +201,18 @@
             self.assertEqual(told + len(ZONE_NAMES) - 1, len(self.posted(self.feeds[1], READING)))
             self.now_s += INTERVAL_S
 
+    def test_an_entry_that_delivers_changes_goes_on_beside_a_reading(self) -> None:
+        """Guards against a zone without a reader where a watcher is silent and an entry starts."""
+        reader = self.feeds[1]
+        reader.has_taken_over = True
+        self.assertTrue(reader.should_read_store())
+        reader.fleet_state.apply(batch_of(5, engine_record(1, 6)), boot_time_s(), "store")
+        reader.share(batch_of(5, engine_record(1, 6)))
+        reader.handle_reading(self.feeds[2].mesh.own, {})
+        self.assertTrue(reader.should_read_store())
+        reader.share_failure()
+        self.assertFalse(reader.should_read_store())
+
     def test_a_reading_that_ends_or_goes_silent_is_replaced(self) -> None:
         """Guards against a change past its time for the failure of the one that reads it."""
         self.pass_time(module.RECORDS_DELAY_S + 0.01)
