--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -126,9 +126,10 @@
     the monotonic times at which it learned of them.  ``has_taken_over`` is set from the take-over
     until an entry that precedes this one reads the store again.
     ``cut_off`` names the entries of the zone whose last call to the store has failed.
-    ``has_failed`` is set while the own last call to the store has failed.  ``announcer`` is the
-    process that announced the newest position, ``requested_from`` the one from which changes were
-    requested at ``changes_requested_at_s``.
+    ``has_failed`` is set while the own last call to the store has failed, ``is_delivering`` from
+    the first shared batch until this process stops reading or fails.  ``announcer`` is the process
+    that announced the newest position, ``requested_from`` the one from which changes were requested
+    at ``changes_requested_at_s``.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
 
@@ -143,6 +144,7 @@
         self.recent_changes = RecentChanges()
         self.zone_reads = ZoneReads()
         self.has_failed = False
+        self.is_delivering = False
         self.is_left = False
         self.snapshot_requested_at_s = float("-inf")
         self.has_taken_over = False
@@ -161,6 +163,7 @@
     def should_read_store(self) -> bool:
         """Return whether this process should read the store; log where the reason changes."""
         reason = self.reason_to_read()
+        self.is_delivering &= bool(reason)
         if reason != self.reading_reason:
             self.reading_reason = reason
             self.log_reason()
@@ -178,10 +181,17 @@
         rank = self.rank_behind_watchers()
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
+        if rank < 0 and not self.has_failed:
+            return WATCHER
         if rank < 0:
-            return "" if self.has_failed and self.is_left_to_others(0) else WATCHER
+            # Where no entry of the zone reaches the store, all of them count as its watchers.
+            self.request_overdue_changes(self.preceding_count(self.zone_names()))
+            return "" if self.is_left_to_others(0) else WATCHER
         self.request_overdue_changes(rank)
-        if not self.has_taken_over and not self.is_behind(rank) or self.is_left_to_others(rank):
+        if not self.has_taken_over and not self.is_behind(rank):
+            return ""
+        # One that delivers changes has its watch open, which is no further reading in full.
+        if not self.is_delivering and self.is_left_to_others(rank):
             return ""
         return BEHIND if self.is_behind(rank) else TAKEN_OVER
 
@@ -191,13 +201,12 @@
         Several copies over one narrow link make each other late, until all of them time out.  The
         entry of a higher rank waits longer, so that one of them takes the place of a reader.
         """
-        names = {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
         stagger_s = READER_STAGGER_S * min(rank, STAGGERED_READERS)
         is_late = (
             self.behind_s() > LEFT_TO_ONE_S + stagger_s
             or self.fleet_state.proof_age_s() > LEFT_TO_ONE_PROOF_S + stagger_s
         )
-        count = self.zone_reads.count(names, stagger_s)
+        count = self.zone_reads.count(self.zone_names(), stagger_s)
         was_left, self.is_left = self.is_left, count > is_late
         READS_LEFT.inc(self.is_left and not was_left)
         return self.is_left
@@ -234,12 +243,18 @@
 
         Negative for a watcher.  Entries that are cut off from the store don't count.
         """
-        own = self.mesh.own
-        names = {peer.name for peer in self.mesh.peers(ENTRY, own.zone)}
+        names = self.zone_names()
         self.cut_off &= names
-        preceding = sum(name < own.name for name in names - self.cut_off)
         watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_IN_SINGLE_ZONE
-        return preceding - watchers
+        return self.preceding_count(names - self.cut_off) - watchers
+
+    def preceding_count(self, names: set[str]) -> int:
+        """Return how many of the names precede that of this entry."""
+        return sum(name < self.mesh.own.name for name in names)
+
+    def zone_names(self) -> set[str]:
+        """Return the names of the other entries of the zone."""
+        return {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
 
     def should_check_revision(self) -> bool:
         """Return whether this entry is the first behind the watchers of its zone."""
@@ -285,6 +300,7 @@
         """Send a batch just read from the store to the own zone, and its position to the others."""
         own = self.mesh.own
         self.has_failed = False
+        self.is_delivering = True
         self.zone_reads.end_own()
         self.recent_changes.add(batch)
         self.post_to_zone(self.feed_payload(batch, pack_records(batch.records)) | {READ: True})
@@ -319,6 +335,7 @@
         The next one by name then reads it at once, and not only when its proof has become old.
         """
         self.has_failed = True
+        self.is_delivering = False
         self.zone_reads.end_own()
         if self.mesh.own.role == ENTRY:
             zone_peers = self.mesh.peers(ENTRY, self.mesh.own.zone)
