--- a/gypsumpier/coldstart/coldstart.py
+++ b/gypsumpier/coldstart/coldstart.py
@@ -39,7 +39,7 @@
 
     def __init__(self, fleet_state: FleetState, zone: str) -> None:
         self.zone = zone
-        self.upstreams = ColdUpstreams(fleet_state)
+        self.upstreams = ColdUpstreams(fleet_state, zone)
         self.rules: dict[str, ColdRule] = self.upstreams.rules
         self.permits = Permits()
         self.shares: ColdShares = NoShares()
--- a/gypsumpier/coldstart/upstreams.py
+++ b/gypsumpier/coldstart/upstreams.py
@@ -46,8 +46,9 @@
     the evacuation of a zone ended, by zone.  ``began`` and ``ended`` are to be logged.
     """
 
-    def __init__(self, fleet_state: FleetState) -> None:
+    def __init__(self, fleet_state: FleetState, zone: str) -> None:
         self.fleet_state = fleet_state
+        self.zone = zone
         self.bounds: Bounds | None = None
         self.configuration: FleetConfiguration | None = None
         self.rules: dict[str, ColdRule] = {}
