Request overdue changes also as a watcher that does not reach the store

Once every entry of a zone has failed to reach the store, each counts the others as cut off and so itself as a watcher, and watchers requested nothing: the zone heard of positions, but got no records any more. A watcher whose last call has failed now requests overdue changes from their announcer, staggered by its place among all entries of the zone.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -179,8 +179,12 @@
         rank = self.rank_behind_watchers()
         if self.fleet_state.proof_age_s() > TAKEOVER_S:
             self.has_taken_over = True
+        if rank < 0 and not self.has_failed:
+            return WATCHER
         if rank < 0:
-            return "" if self.has_failed and self.is_left_to_others(0) else WATCHER
+            # Where no entry of the zone reaches the store, all of them count as its watchers.
+            self.request_overdue_changes(self.preceding_count(self.zone_names()))
+            return "" if self.is_left_to_others(0) else WATCHER
         self.request_overdue_changes(rank)
         if not self.has_taken_over and not self.is_behind(rank):
             return ""
@@ -195,13 +199,12 @@
         Several copies over one narrow link make each other late, until all of them time out.  The
         entry of a higher rank waits longer, so that one of them takes the place of a reader.
         """
-        names = {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
         stagger_s = READER_STAGGER_S * min(rank, STAGGERED_READERS)
         is_late = (
             self.behind_s() > LEFT_TO_ONE_S + stagger_s
             or self.fleet_state.proof_age_s() > LEFT_TO_ONE_PROOF_S + stagger_s
         )
-        count = self.zone_reads.count(names, stagger_s)
+        count = self.zone_reads.count(self.zone_names(), stagger_s)
         was_left, self.is_left = self.is_left, count > is_late
         READS_LEFT.inc(self.is_left and not was_left)
         return self.is_left
@@ -238,12 +241,18 @@
 
         Negative for a watcher.  Entries that are cut off from the store don't count.
         """
-        own = self.mesh.own
-        names = {peer.name for peer in self.mesh.peers(ENTRY, own.zone)}
+        names = self.zone_names()
         self.cut_off &= names
-        preceding = sum(name < own.name for name in names - self.cut_off)
         watchers = WATCHERS_PER_ZONE if self.has_other_zones() else WATCHERS_IN_SINGLE_ZONE
-        return preceding - watchers
+        return self.preceding_count(names - self.cut_off) - watchers
+
+    def preceding_count(self, names: set[str]) -> int:
+        """Return how many of the names precede that of this entry."""
+        return sum(name < self.mesh.own.name for name in names)
+
+    def zone_names(self) -> set[str]:
+        """Return the names of the other entries of the zone."""
+        return {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
 
     def should_check_revision(self) -> bool:
         """Return whether this entry is the first behind the watchers of its zone."""
--- a/gypsumpier/test/test_large_configuration.py
+++ b/gypsumpier/test/test_large_configuration.py
@@ -160,6 +160,28 @@
         self.assert_few_large_answers(fleet, written_at_s)
         await fleet.stop()
 
+    def test_a_zone_that_does_not_reach_the_store_gets_each_change(self) -> None:
+        """Guards against a zone that gets proofs from others, but no records after the first."""
+        run_at_virtual_time(self.check_zone_without_store())
+
+    async def check_zone_without_store(self) -> None:
+        """Write several configurations while no entry of one zone has answers of the store."""
+        fleet = NarrowFleet(FEW_ENTRIES, FEW_SIDECARS, SHORT_WINDOW_BYTES, REQUEST_MBPS)
+        await fleet.start()
+        for node in fleet.nodes:
+            if node.mesh.own.zone == "nam-a":
+                fleet.network.silence(STORE_HOST, node.name)
+        await asyncio.sleep(WATCHED_S)
+        for version in (2, 3, 4):
+            written_at_s = fleet.configure(version, ROUTES)
+            await asyncio.sleep(IN_FORCE_S)
+            for node in fleet.nodes:
+                with self.subTest(node.name, version=version):
+                    self.assertLess(node.oldest_proof_s, PROOF_MAX_S)
+                    late_s = node.in_force_at_s.get(version, float("inf")) - written_at_s
+                    self.assertLessEqual(late_s, IN_FORCE_S)
+        await fleet.stop()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/test/test_recent_changes.py
+++ b/gypsumpier/test/test_recent_changes.py
@@ -144,6 +144,23 @@
         self.pass_time(2 * module.READER_STAGGER_S)
         self.assertEqual([], self.posted(self.feeds[-1], FEED_ASK))
 
+    def test_a_zone_that_does_not_reach_the_store_requests_the_changes(self) -> None:
+        """Guards against changes that never arrive where all entries count as watchers."""
+        for failed in self.feeds:
+            failed.share_failure()
+            for feed in self.feeds:
+                feed.handle_store_failed(failed.mesh.own, {})
+        self.now_s += module.CHANGES_DELAY_S + 0.01
+        for feed in self.feeds:
+            self.assertTrue(feed.should_read_store())
+        requesters = [feed for feed in self.feeds if self.posted(feed, FEED_ASK)]
+        self.assertEqual(self.feeds[:1], requesters)
+        self.now_s += module.STAGGERED_READERS * module.READER_STAGGER_S
+        for feed in self.feeds:
+            feed.should_read_store()
+        requesters = [feed for feed in self.feeds if self.posted(feed, FEED_ASK)]
+        self.assertEqual(self.feeds[: module.STAGGERED_READERS], requesters)
+
     def test_the_announcer_of_the_newest_position_is_asked(self) -> None:
         """Guards against a request to one that lacks the changes, as its older notice came last."""
         other = entry_peer("front-cad-a-1", "cad-a")
