--- a/misc/runtests.py
+++ b/misc/runtests.py
@@ -18,7 +18,7 @@
 
 KNOWN_RED_PATH: Final = Path("KNOWN-RED.txt")
 TESTS_PATH: Final = Path("gypsumpier/test")
-MODULES_AT_ONCE: Final = 2
+MODULES_AT_ONCE: Final = 3
 """Modules that run at the same time; tests that measure time need a processor of their own."""
 
 
