Keep the simulated engine to what the cases of even load need

Cause: it called back for each event of an answer, which only trials of an engine's pace used. Change: an answer has parts that follow the engine's pace, and no callback.

--- a/gypsumpier/test/even_load.py
+++ b/gypsumpier/test/even_load.py
@@ -18,8 +18,8 @@
 """Requests a second that the engines answer while all slots are taken, measured under overload."""
 PROMPTS: Final = (1330, 1330, 1330, 827, 827, 647, 647, 647)
 """Prompt tokens of the deployment's streams, about as often as they come."""
-EVENTS: Final = 16
-"""Events of an answer; an engine of the deployment sends one each 50 ms."""
+PARTS: Final = 16
+"""Parts of an answer, of 50 ms each, that follow an engine's pace as it changes."""
 CROWDING: Final = 0.025
 """Share by which each other answer under way lengthens an answer: 1.28 times at full slots."""
 SLOWNESS: Final = 2.5
@@ -90,7 +90,7 @@
         self.fleet = SimulatedEntries(engines_in(ZONES, ENGINES, slots=SLOTS), entry_count, ZONES)
         self.engines: list[SimulatedEngine] = list(self.fleet.engines.values())
         for engine in self.engines:
-            engine.crowding, engine.events = CROWDING, EVENTS
+            engine.crowding, engine.parts = CROWDING, PARTS
         self.imbalances: list[float] = []
         self.beyond_slots = 0
         self.uneven = 0
--- a/gypsumpier/test/simulated_engine.py
+++ b/gypsumpier/test/simulated_engine.py
@@ -16,8 +16,8 @@
 class SimulatedEngine:
     """Reads prompts one after another, then answers; requests beyond its slots wait in it.
 
-    Its work takes ``slowness`` times as long as usual.  An answer has ``events`` events at equal
-    distances; each other answer under way makes them longer by the share ``crowding``.
+    Its work takes ``slowness`` times as long as usual.  An answer has ``parts`` of equal
+    length; each other answer under way makes them longer by the share ``crowding``.
     ``sent_at_s`` holds when requests were sent to it, ``most`` is the most that it had at once, and
     ``unanswered_most_s`` the longest time from a request's arrival until its prompt was read.
     """
@@ -30,18 +30,13 @@
         self.sent_at_s: list[float] = []
         self.slowness = 1.0
         self.crowding = 0.0
-        self.events = 1
+        self.parts = 1
         self.answering = 0
         self.read_until_s = 0.0
         self.unanswered_most_s = 0.0
 
-    async def run(
-        self, tokens: int, on_read: Callable[[], None], on_event: Callable[[], None] | None = None
-    ) -> None:
-        """Run a request; call ``on_read`` once its prompt is read.  One too many is refused.
-
-        ``on_event`` is called for each event of the answer.
-        """
+    async def run(self, tokens: int, on_read: Callable[[], None]) -> None:
+        """Run a request; call ``on_read`` once its prompt is read.  One too many is refused."""
         sent_at_s = time.monotonic()
         self.sent_at_s.append(sent_at_s)
         if self.in_flight >= self.record.slots + QUEUE_MAX:
@@ -57,15 +52,13 @@
             await asyncio.sleep(self.read_until_s - now_s)
             self.unanswered_most_s = max(self.unanswered_most_s, self.read_until_s - sent_at_s)
             on_read()
-            await self.answer(on_event)
+            await self.answer()
         self.in_flight -= 1
 
-    async def answer(self, on_event: Callable[[], None] | None) -> None:
-        """Send the events of an answer."""
+    async def answer(self) -> None:
+        """Take the time of an answer, at the pace that holds during each of its parts."""
         self.answering += 1
-        for _ in range(self.events):
+        for _ in range(self.parts):
             stretch = self.slowness * (1.0 + self.crowding * (self.answering - 1))
-            await asyncio.sleep(ANSWER_S / self.events * stretch)
-            if on_event is not None:
-                on_event()
+            await asyncio.sleep(ANSWER_S / self.parts * stretch)
         self.answering -= 1
