Switch shares of places on by a setting

Cause: a choice takes 20 to 30 in 100 more processor time where the reports of others rise, the 99th percentile is higher in some cases at full load, and nobody has asked for it on most deployments. The setting share_places, off by default, decides; without it entries draw and choose as before.

--- a/gypsumpier/options.py
+++ b/gypsumpier/options.py
@@ -61,6 +61,7 @@
     ask_timeout_s: float = 4.0
     quarantine_s: float = 300.0
     prefix_affinity: bool = True
+    share_places: bool = False
 
     weight_memory_bytes: int = 64 * 1024 * 1024
     link_bytes_per_s: int = 125_000_000
--- a/gypsumpier/settinghelp.py
+++ b/gypsumpier/settinghelp.py
@@ -54,6 +54,7 @@
     "answer_memory_bytes": "Memory for kept answers of keys.",
     "run_timeout_s": "Seconds that an upstream gets for a request that may not run again.",
     "prefix_affinity": "Send prompts with one beginning to one upstream; else choose by load only.",
+    "share_places": "Take only a share of the places that many entries of the platform see free.",
     "quarantine_s": "Seconds of the first refusal of a request that two crashes name.",
     "ask_timeout_s": "Seconds that an entry tries to ask after an attempt on a lost connection.",
     "weight_memory_bytes": "Bytes of weights that an agent holds for its peers.",
--- a/gypsumpier/test/even_load.py
+++ b/gypsumpier/test/even_load.py
@@ -88,6 +88,8 @@
         self.disturbances = random.Random(seed)
         self.seconds = seconds
         self.fleet = SimulatedEntries(engines_in(ZONES, ENGINES, slots=SLOTS), entry_count, ZONES)
+        for entry in self.fleet.entries:
+            entry.selector.shares_places = True
         self.engines: list[SimulatedEngine] = list(self.fleet.engines.values())
         for engine in self.engines:
             engine.crowding, engine.parts = CROWDING, PARTS
--- a/gypsumpier/test/test_even_load.py
+++ b/gypsumpier/test/test_even_load.py
@@ -81,6 +81,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.selector = selector_of(engines_in(ZONES, 6, slots=12), ZONES[0])
+        self.selector.shares_places = True
         self.record = next(one for one in self.selector.candidates(SERVICE) if one.zone == ZONES[0])
 
     def report(self, name: str, in_flight: int, age_s: float = 0.0, zone: str = "") -> None:
@@ -165,9 +166,10 @@
 
 
 class SmallDeploymentTest(unittest.TestCase):
-    def choices(self, reporter_count: int) -> int:
+    def choices(self, reporter_count: int, shares_places: bool = True) -> int:
         """Return how often shares are worked out in some choices beside so many reporters."""
         selector = selector_of(engines_in(ZONES[:1], 4, slots=12), ZONES[0])
+        selector.shares_places = shares_places
         for number in range(reporter_count):
             selector.record_peer_loads(f"front-{number}", {})
             selector.record_peer_loads(f"front-{number}", {"i-1": Load(3, 0)})
@@ -191,6 +193,10 @@
     def test_many_entries_take_shares(self) -> None:
         self.assertGreater(self.choices(FEW_REPORTERS + 1), 0)
 
+    # Guards against a change, and its processor time, where a deployment did not ask for it.
+    def test_without_the_setting_entries_choose_as_before(self) -> None:
+        self.assertEqual(0, self.choices(FEW_REPORTERS + 1, shares_places=False))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -93,7 +93,8 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
-    ``cold`` limits the requests to cold upstreams.
+    ``cold`` limits the requests to cold upstreams.  With ``shares_places``, first choices take no
+    more than a share of the places that many entries see free; ``arrivals`` tells the share.
     ``eligibility`` holds the constraints on the choice.  ``regions`` knows the regions of zones;
     without any, requests that are limited to regions are sent nowhere.  ``known_candidates`` holds
     the candidates by needs until something changes that they depend on.
@@ -119,6 +120,7 @@
         self.silences = Silences(self.health, self.own_loads, self.peer_loads)
         self.claims = Claims()
         self.arrivals = SeenArrivals()
+        self.shares_places = False
         self.share_lines = LogInterval(SHARE_LOG_INTERVAL_S)
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
@@ -165,10 +167,18 @@
     ) -> None:
         """Replace what another entry, or another ``zone`` as a sum, has reported ``age_s`` ago."""
         before = self.peer_loads.reports.get(name)
-        if self.peer_loads.record(name, loads, waiting or {}, age_s) and before is not None:
+        is_news = self.peer_loads.record(name, loads, waiting or {}, age_s)
+        if self.shares_places and is_news and before is not None:
             seen = self.arrivals.record(zone or self.zone, before.loads, loads, self.services)
             (sharemetrics.ZONE_RISE if zone else sharemetrics.ENTRY_RISE).observe(seen)
 
+    def are_places_shared(self) -> bool:
+        """Return whether first choices take no more than a share of the free places.
+
+        Few others seldom choose at the same moment.
+        """
+        return self.shares_places and len(self.peer_loads.reports) > FEW_REPORTERS
+
     def load_age_s(self, name: str) -> float:
         """Return the seconds since another entry's newest report; infinite without one."""
         report = self.peer_loads.reports.get(name)
@@ -393,7 +403,7 @@
         among those whose requests will have come since their reports.  With a ``places_share``
         below 1, the rest of the places of each upstream is left to other requests.
         """
-        is_many = not any_zone and len(self.peer_loads.reports) > FEW_REPORTERS
+        is_shared = not any_zone and self.are_places_shared()
         if not any_zone:
             # Most requests find a place in the own zone; the others are then not looked at.
             local = [record for record in records if record.zone == self.zone]
@@ -402,7 +412,7 @@
                 for record in self.with_capacity(local, excluded, places_share)
                 if self.load(record) < record.slots and not self.is_impaired(record)
             ]
-            if is_many:
+            if is_shared:
                 found = self.first_claimed(free, share, prompt_tokens, needed_s)
             else:
                 free = self.claimable(free, share, prompt_tokens)
@@ -411,7 +421,7 @@
                 return found
         free = self.with_capacity(records, excluded, places_share)
         unimpaired = [record for record in free if not self.is_impaired(record)]
-        if is_many:
+        if is_shared:
             return self.first_claimed(unimpaired or free, share, prompt_tokens, needed_s)
         free = self.claimable(unimpaired or free, share, prompt_tokens)
         local = [
@@ -457,7 +467,18 @@
     def least_delayed(
         self, records: list[UpstreamRecord], needed_s: float, is_jittered: bool
     ) -> UpstreamRecord | None:
-        """Return the upstream with the least estimated delay; None if there is none."""
+        """Return the upstream with the least estimated delay; None if there is none.
+
+        Where many entries choose, a few drawn at random are compared: they know each other's loads
+        late, and would all send to the one that was the least loaded a moment ago.  Some are drawn
+        from those that don't switch weights within ``needed_s`` seconds.  With shares of places,
+        ``first_claimed`` has drawn them.
+        """
+        is_contended = not self.shares_places and len(self.peer_loads.reports) > FEW_REPORTERS
+        if is_contended and not is_jittered and len(records) > UPSTREAMS_COMPARED:
+            steady = self.steady(records, needed_s)
+            is_any_switching = len(steady) < len(records)
+            records = [*drawn(records), *(drawn(steady) if is_any_switching else [])]
 
         def cost_s(record: UpstreamRecord) -> float:
             switches = self.switches_within(record, needed_s)
@@ -535,7 +556,7 @@
             unread_s = UNREAD_MAX_S - self.unread_s(record)
             tokens_per_s = self.prompt_tokens_per_s(record)
             places = min(places, math.ceil(unread_s * tokens_per_s / prompt_tokens))
-        is_near = record.zone == self.zone and len(self.peer_loads.reports) > FEW_REPORTERS
+        is_near = record.zone == self.zone and self.are_places_shared()
         period_s = ZONE_CLAIM_PERIOD_S if is_near else CLAIM_PERIOD_S
         return own < self.claims.most(record.id, own, places, share, period_s)
 
