--- a/gypsumpier/test/simulated_engine.py
+++ b/gypsumpier/test/simulated_engine.py
@@ -16,6 +16,8 @@
 class SimulatedEngine:
     """Reads prompts one after another, then answers; requests beyond its slots wait in it.
 
+    Its work takes ``slowness`` times as long as usual.  An answer has ``parts`` of equal
+    length; each other answer under way makes them longer by the share ``crowding``.
     ``sent_at_s`` holds when requests were sent to it, ``most`` is the most that it had at once, and
     ``unanswered_most_s`` the longest time from a request's arrival until its prompt was read.
     """
@@ -26,6 +28,10 @@
         self.slots = asyncio.Semaphore(record.slots)
         self.in_flight = self.most = self.refused = 0
         self.sent_at_s: list[float] = []
+        self.slowness = 1.0
+        self.crowding = 0.0
+        self.parts = 1
+        self.answering = 0
         self.read_until_s = 0.0
         self.unanswered_most_s = 0.0
 
@@ -40,9 +46,19 @@
         self.most = max(self.most, self.in_flight)
         async with self.slots:
             now_s = time.monotonic()
-            self.read_until_s = max(now_s, self.read_until_s) + tokens / self.tokens_per_s
+            self.read_until_s = max(now_s, self.read_until_s) + (
+                tokens / self.tokens_per_s * self.slowness
+            )
             await asyncio.sleep(self.read_until_s - now_s)
             self.unanswered_most_s = max(self.unanswered_most_s, self.read_until_s - sent_at_s)
             on_read()
-            await asyncio.sleep(ANSWER_S)
+            await self.answer()
         self.in_flight -= 1
+
+    async def answer(self) -> None:
+        """Take the time of an answer, at the pace that holds during each of its parts."""
+        self.answering += 1
+        for _ in range(self.parts):
+            stretch = self.slowness * (1.0 + self.crowding * (self.answering - 1))
+            await asyncio.sleep(ANSWER_S / self.parts * stretch)
+        self.answering -= 1
