Move the shares of places out of the selector

The share that an entry takes of the places that many see free now stands in placeshares; no change of behaviour.

--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -94,7 +94,7 @@
         self.selector = UpstreamSelector(
             self.fleet_state, settings.zone, schedule, settings.regions_by_zone
         )
-        self.selector.shares_places = options.share_places
+        self.selector.place_shares.is_enabled = options.share_places
         self.selector.cold.set_bounds(settings.bounds)
         self.entry_names = EntryNames(self.mesh, self.selector.cold.rules)
         self.selector.cold.shares = self.entry_names.shares
--- a/gypsumpier/gateway/destination.py
+++ b/gypsumpier/gateway/destination.py
@@ -47,7 +47,7 @@
 from gypsumpier.quarantine.trait import PART_PREFIX
 from gypsumpier.stopschedule import StopSchedule
 from gypsumpier.upstream.head import CallerHead
-from gypsumpier.upstream.selector import FEW_REPORTERS, UPSTREAMS_COMPARED
+from gypsumpier.upstream.selector import UPSTREAMS_COMPARED
 
 UPSTREAMS_AT_ONCE: Final = 128
 """Upstreams that are judged before callers get their turn; 12,000 at once would hold callers up."""
@@ -199,7 +199,7 @@
                 refusal = self.waiting_refusal(request)
                 if refusal is None:
                     wait, refusal = self.wait(request, assessments)
-        is_contended = len(self.selector.peer_loads.reports) > FEW_REPORTERS
+        is_contended = self.selector.place_shares.are_many()
         is_drawn = is_contended and len(compared) > UPSTREAMS_COMPARED
         await asyncio.sleep(0)
         shown = shown_first(assessments, chosen)
--- a/gypsumpier/test/even_load.py
+++ b/gypsumpier/test/even_load.py
@@ -89,7 +89,7 @@
         self.seconds = seconds
         self.fleet = SimulatedEntries(engines_in(ZONES, ENGINES, slots=SLOTS), entry_count, ZONES)
         for entry in self.fleet.entries:
-            entry.selector.shares_places = True
+            entry.selector.place_shares.is_enabled = True
         self.engines: list[SimulatedEngine] = list(self.fleet.engines.values())
         for engine in self.engines:
             engine.crowding, engine.parts = CROWDING, PARTS
--- a/gypsumpier/test/test_even_load.py
+++ b/gypsumpier/test/test_even_load.py
@@ -12,7 +12,8 @@
 from gypsumpier.upstream import selector as selector_module
 from gypsumpier.upstream.arrivals import RATE_DECAY_S, REPORT_AGE_S, ZONE_REPORT_AGE_S, SeenArrivals
 from gypsumpier.upstream.peerloads import Load
-from gypsumpier.upstream.selector import FEW_REPORTERS, UpstreamSelector
+from gypsumpier.upstream.placeshares import FEW_REPORTERS
+from gypsumpier.upstream.selector import UpstreamSelector
 
 SEEDS: Final = (1, 2)
 SECONDS: Final = 2.0
@@ -81,7 +82,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.selector = selector_of(engines_in(ZONES, 6, slots=12), ZONES[0])
-        self.selector.shares_places = True
+        self.selector.place_shares.is_enabled = True
         self.record = next(one for one in self.selector.candidates(SERVICE) if one.zone == ZONES[0])
 
     def report(self, name: str, in_flight: int, age_s: float = 0.0, zone: str = "") -> None:
@@ -124,11 +125,11 @@
         for in_flight in (0, 9):
             self.selector.record_peer_loads("front-bac-a-2", {"gone": Load(in_flight, 0)})
         self.assertEqual(1.0, self.share())
-        self.assertEqual({}, self.selector.arrivals.counts)
+        self.assertEqual({}, self.selector.place_shares.arrivals.counts)
 
     # Guards against a distant zone's loads, known late, being taken for those of now.
     def test_more_is_expected_of_a_zone_whose_loads_are_older(self) -> None:
-        seen = self.selector.arrivals
+        seen = self.selector.place_shares.arrivals
         services = {self.record.id: SERVICE}
         seen.record(ZONES[1], {}, {self.record.id: Load(5, 0)}, services)
         self.assertEqual(0.0, seen.expected(SERVICE, ZONES[0], ZONES[0]))
@@ -169,7 +170,7 @@
     def choices(self, reporter_count: int, shares_places: bool = True) -> int:
         """Return how often shares are worked out in some choices beside so many reporters."""
         selector = selector_of(engines_in(ZONES[:1], 4, slots=12), ZONES[0])
-        selector.shares_places = shares_places
+        selector.place_shares.is_enabled = shares_places
         for number in range(reporter_count):
             selector.record_peer_loads(f"front-{number}", {})
             selector.record_peer_loads(f"front-{number}", {"i-1": Load(3, 0)})
--- a/gypsumpier/upstream/selector.py
+++ b/gypsumpier/upstream/selector.py
@@ -25,17 +25,15 @@
 from gypsumpier.fleet.service import ModelTraits
 from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.upstream import LoadedLayers, UpstreamRecord, whole_version
-from gypsumpier.log import decision
-from gypsumpier.loginterval import LogInterval
 from gypsumpier.piece.turns import SwitchSchedule
 from gypsumpier.ratelimit.limits import WholeShare
 from gypsumpier.statement.statements import UpstreamStatements
 from gypsumpier.upstream import sharemetrics
-from gypsumpier.upstream.arrivals import SeenArrivals
 from gypsumpier.upstream.claims import CLAIM_PERIOD_S, ZONE_CLAIM_PERIOD_S, Claims
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.health import HealthTracker
 from gypsumpier.upstream.peerloads import NO_LOAD, Load, PeerLoads
+from gypsumpier.upstream.placeshares import PlaceShares
 from gypsumpier.upstream.silences import Silences
 
 PEER_LOAD_MAX_AGE_S: Final = 2.0
@@ -57,9 +55,6 @@
 """Random delay, in seconds, added to each upstream's cost when many requests select at once."""
 UPSTREAMS_COMPARED: Final = 2
 """Upstreams drawn at random of which the less loaded one gets a request."""
-FEW_REPORTERS: Final = 4
-"""Other entries and zones that report loads, up to which all upstreams are compared: so few seldom
-choose at the same moment."""
 SWITCH_COST_S: Final = 0.08
 """Extra delay, in seconds, that a request accepts to avoid being cut by a weight switch, which
 makes one of its events late in about half of the cases."""
@@ -78,9 +73,6 @@
 ZONE_SILENCE_S: Final = 0.35
 """Seconds without an answer from another zone after which a silent upstream counts against all of
 it: the shortest silence after which a request is given up."""
-SHARE_LOG_INTERVAL_S: Final = 10.0
-"""Seconds between two lines on choices without a place within the share, for each service: under
-lasting overload most choices are such."""
 FORGET_INTERVAL_S: Final = 1.0
 """Seconds between two times at which the state of upstreams that no longer exist is dropped."""
 
@@ -93,8 +85,8 @@
     the ids of its upstreams that could not be connected to since then.
     ``switching_since_s`` holds the monotonic time at which an engine, by its address, was first
     reported as switching.  ``statements`` are what upstreams have stated in their answers.
-    ``cold`` limits the requests to cold upstreams.  With ``shares_places``, first choices take no
-    more than a share of the places that many entries see free; ``arrivals`` tells the share.
+    ``cold`` limits the requests to cold upstreams.  ``place_shares`` tells how many of the
+    places that many entries see free a first choice may take.
     ``eligibility`` holds the constraints on the choice.  ``regions`` knows the regions of zones;
     without any, requests that are limited to regions are sent nowhere.  ``known_candidates`` holds
     the candidates by needs until something changes that they depend on.
@@ -119,9 +111,7 @@
         self.peer_loads = PeerLoads()
         self.silences = Silences(self.health, self.own_loads, self.peer_loads)
         self.claims = Claims()
-        self.arrivals = SeenArrivals()
-        self.shares_places = False
-        self.share_lines = LogInterval(SHARE_LOG_INTERVAL_S)
+        self.place_shares = PlaceShares(zone, self.peer_loads)
         self.engines: dict[str, EngineState] = {}
         self.switching_since_s: dict[str, float] = {}
         self.statements = UpstreamStatements(WholeShare())
@@ -168,16 +158,8 @@
         """Replace what another entry, or another ``zone`` as a sum, has reported ``age_s`` ago."""
         before = self.peer_loads.reports.get(name)
         is_news = self.peer_loads.record(name, loads, waiting or {}, age_s)
-        if self.shares_places and is_news and before is not None:
-            seen = self.arrivals.record(zone or self.zone, before.loads, loads, self.services)
-            (sharemetrics.ZONE_RISE if zone else sharemetrics.ENTRY_RISE).observe(seen)
-
-    def are_places_shared(self) -> bool:
-        """Return whether first choices take no more than a share of the free places.
-
-        Few others seldom choose at the same moment.
-        """
-        return self.shares_places and len(self.peer_loads.reports) > FEW_REPORTERS
+        if self.place_shares.is_enabled and is_news and before is not None:
+            self.place_shares.record_report(zone, before.loads, loads, self.services)
 
     def load_age_s(self, name: str) -> float:
         """Return the seconds since another entry's newest report; infinite without one."""
@@ -247,7 +229,7 @@
         self.cold.retain(self.fleet_state.upstreams)
         ids = {record.id for record in records}
         self.claims.retain(ids)
-        self.arrivals.retain(set(self.services.values()))
+        self.place_shares.arrivals.retain(set(self.services.values()))
         for unreachable in self.unreachable.values():
             unreachable &= ids
         addresses = {f"{record.host}:{record.port}" for record in records}
@@ -403,7 +385,7 @@
         among those whose requests will have come since their reports.  With a ``places_share``
         below 1, the rest of the places of each upstream is left to other requests.
         """
-        is_shared = not any_zone and self.are_places_shared()
+        is_shared = not any_zone and self.place_shares.is_active()
         if not any_zone:
             # Most requests find a place in the own zone; the others are then not looked at.
             local = [record for record in records if record.zone == self.zone]
@@ -474,7 +456,7 @@
         from those that don't switch weights within ``needed_s`` seconds.  With shares of places,
         ``first_claimed`` has drawn them.
         """
-        is_contended = not self.shares_places and len(self.peer_loads.reports) > FEW_REPORTERS
+        is_contended = not self.place_shares.is_enabled and self.place_shares.are_many()
         if is_contended and not is_jittered and len(records) > UPSTREAMS_COMPARED:
             steady = self.steady(records, needed_s)
             is_any_switching = len(steady) < len(records)
@@ -514,33 +496,13 @@
                 return record
             left.remove(record)
         if records:
-            self.record_not_claimed(records, shares)
+            self.place_shares.record_not_claimed(records, shares)
         return None
 
-    def record_not_claimed(self, records: list[UpstreamRecord], shares: dict[str, float]) -> None:
-        """Count a choice for which no place was within the share, and log it at intervals."""
-        sharemetrics.NOT_CLAIMED.inc()
-        service = records[0].service
-        if self.share_lines.is_due(service):
-            decision(
-                "no_place_within_share",
-                service=service,
-                upstreams=len(records),
-                largest_share=round(max(shares.values()), 4),
-                waiting_elsewhere=self.peer_loads.waiting.get(service, 0),
-            )
-
     def contended_share(self, record: UpstreamRecord, share: float) -> float:
-        """Return this entry's share of the free places in the zone of the upstream.
-
-        It has to leave places to the requests that others will have sent since their last reports.
-        ``share`` is its share by the requests that are known to wait.
-        """
-        expected = self.arrivals.expected(record.service, self.zone, record.zone)
-        if not expected:
-            return share
-        own = self.own_waiting.get(record.service, 0) or 1
-        return min(share, own / (own + expected))
+        """Return this entry's share of the free places in the zone of the upstream."""
+        own_waiting = self.own_waiting.get(record.service, 0) or 1
+        return self.place_shares.contended(record, share, own_waiting)
 
     def may_claim(self, record: UpstreamRecord, share: float, prompt_tokens: int) -> bool:
         """Return whether one more request is within this entry's share of the free places.
@@ -556,7 +518,7 @@
             unread_s = UNREAD_MAX_S - self.unread_s(record)
             tokens_per_s = self.prompt_tokens_per_s(record)
             places = min(places, math.ceil(unread_s * tokens_per_s / prompt_tokens))
-        is_near = record.zone == self.zone and self.are_places_shared()
+        is_near = record.zone == self.zone and self.place_shares.is_active()
         period_s = ZONE_CLAIM_PERIOD_S if is_near else CLAIM_PERIOD_S
         return own < self.claims.most(record.id, own, places, share, period_s)
 
