--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,14 +12,15 @@
 QUIET_S = 3.0
 TROUBLE_S = 6.5
 FAILED_SHARE = 0.45
-COMMANDS_PER_S = 16.0
+COMMANDS_PER_S = 24.0
+WORKERS = 8
 REFUSALS = (408, 421, 429, 503)
 
 
 async def case(record: Record, directory: Path) -> int:
-    """Send commands while one of three workers fails a share of those that it has run."""
+    """Send commands while one of eight workers fails a share of those that it has run."""
     rng = random.Random(6)
-    lab = Lab(record, directory)
+    lab = Lab(record, directory, workers=WORKERS)
     try:
         await lab.start()
         answers: list[tuple[str, Message | None]] = []
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -27,6 +27,7 @@
 SERVICE = "table-ops"
 KEYS = ("key-of-lab-one", "key-of-lab-two")
 HEAD_MAX_BYTES = 64 * 1024
+REPORT = b'{"stage":"plain","models":[],"busy":false,"seq":0,"queued":0,"active":0,"born":1700000000000}'
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "stable_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
     "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000,
@@ -260,6 +261,9 @@
         """Run the requests on one connection, one after the other."""
         while (request := await read_message(reader)) is not None:
             echo = {"X-Request-Id": request.request_id}
+            if request.target == b"/gypsumpier/report":
+                writer.write(answer(200, "OK", {**echo, "Content-Type": "application/json"}, REPORT))
+                continue
             expected = request.headers.get("x-expect-instance", self.name)
             if expected != self.name:
                 writer.write(answer(421, "Misdirected Request", {**echo, "X-Not-Executed": "1"}, b""))
@@ -279,10 +283,15 @@
 
 
 class Entry:
-    """One front machine with the entry of the deploy file."""
+    """One machine with a role of the deploy file: a front machine with its entry, or a worker's
+    machine with its agent.
+    """
 
-    def __init__(self, name: str, zone: str, host: str, directory: Path) -> None:
+    def __init__(
+        self, name: str, zone: str, host: str, directory: Path, role: str = "entry"
+    ) -> None:
         self.name = name
+        self.role = role
         self.zone = zone
         self.host = host
         self.path = directory / f"{name}.json"
@@ -305,7 +314,7 @@
     async def start(self) -> None:
         """Start the process with the command of the deploy file."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        command = deploy["roles"]["entry"]["run"].split()
+        command = deploy["roles"][self.role]["run"].split()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment |= {
             "GYPSUMPIER_NODE_FILE": str(self.path),
@@ -378,7 +387,14 @@
 class Lab:
     """The store, the workers and the entries of one small deployment."""
 
-    def __init__(self, record: Record, directory: Path, entries: int = 3, workers: int = 3) -> None:
+    def __init__(
+        self,
+        record: Record,
+        directory: Path,
+        entries: int = 3,
+        workers: int = 3,
+        has_agents: bool = False,
+    ) -> None:
         self.record = record
         self.directory = directory
         self.network = f"127.{random.randrange(20, 240)}"
@@ -388,7 +404,12 @@
             Entry(f"front-{ZONES[n % 3]}-{n}", ZONES[n % 3], f"{self.network}.1.{n + 1}", directory)
             for n in range(entries)
         ]
+        self.agents = [
+            Entry(f"side-{worker.zone}-{n}", worker.zone, f"{self.network}.2.{n + 1}", directory, "agent")
+            for n, worker in enumerate(self.workers if has_agents else [])
+        ]
         self.doors: dict[str, StoreDoor] = {}
+        self.stale_seeds: set[str] = set()
         self.version = 0
         self.keys = list(KEYS)
         self.route_fields: dict[str, Any] = {}
@@ -429,9 +450,21 @@
             store = await door.server.listen(f"{self.network}.4.{number + 1}")
             listen = {"front": f"{entry.host}:{free_port(entry.host)}",
                       "ready": f"{entry.host}:{free_port(entry.host)}", "control": seeds[number]}
-            entry.settings = settings(entry, listen, seeds[:3], store)
+            known = [seeds[n] for n, found in enumerate(self.entries) if found.name not in self.stale_seeds]
+            if entry.name in self.stale_seeds:
+                known = [f"{self.network}.9.{n + 1}:{free_port(f'{self.network}.9.{n + 1}')}" for n in range(3)]
+            entry.settings = settings(entry, listen, known[:3], store)
             entry.write_settings()
             await entry.start()
+        for number, (agent, worker) in enumerate(zip(self.agents, self.workers, strict=False)):
+            door = self.doors[agent.name] = StoreDoor(self.store)
+            store = await door.server.listen(f"{self.network}.5.{number + 1}")
+            agent.settings = settings(agent, {}, seeds[:3], store) | {
+                "role": "agent", "machine_class": "side", "serves": ["side"],
+                "app": worker.address, "service": SERVICE,
+            }  # fmt: skip
+            agent.write_settings()
+            await agent.start()
         try:
             async with asyncio.timeout(30.0):
                 for entry in self.entries:
@@ -445,7 +478,7 @@
 
     async def stop(self) -> None:
         """End everything that was started."""
-        for entry in self.entries:
+        for entry in [*self.entries, *self.agents]:
             await entry.end()
         for server in [door.server for door in self.doors.values()]:
             server.close()
