Call no request refused that an upstream may have run

Cause: whether a request may be sent again went by the upstream's statement (X-Not-Executed, or 421), but what its caller is told went by the status alone, which was relayed unchanged. An answer of 408, 429 or 503 without the statement was taken for one that may have run, and relayed as a refusal.

Evidence: in the log of a traced run the command has one route line, no second attempt, and ends with status=503 outcome=answered, so neither a refusal of the entry's own nor a repeat had part in it; the upstream's record shows the run before the answer.

Change: such an answer is a failure whose outcome is unknown. It is repeated where the route allows that, else the caller gets 502 as soon as the head has arrived. Refusals with a statement are as before.

--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -163,7 +163,14 @@
         writer: AnswerWriter,
         other: SecondAttempt,
     ) -> None:
-        """Relay an answer once it is complete; a server error is retried elsewhere if allowed."""
+        """Relay an answer once it is complete; a server error is retried elsewhere if allowed.
+
+        A refusal that does not state that the request has not run is never relayed: by its status
+        the caller would be told just that.
+        """
+        if head.is_unstated_refusal:
+            reason = f"status {head.status} does not state that the request has not run"
+            raise OutcomeUnknownError(reason, is_answered=True)
         body = await exchange.whole_body(ANSWER_MAX_BYTES)
         if writer.status:
             # The caller already has the head of the stream that was to be resumed.
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from gypsumpier.codes.refusalstatus import REFUSAL_STATUSES
 from gypsumpier.statement.statement import Statement
 
 OK: Final = 200
@@ -86,6 +87,14 @@
         """Whether the status is a success (2xx)."""
         return 200 <= self.status < 300
 
+    @property
+    def is_unstated_refusal(self) -> bool:
+        """Whether the status is that of a refusal, but nothing states that the request has not run.
+
+        Faulty upstreams also answer so what they have run.
+        """
+        return self.status in REFUSAL_STATUSES and not self.is_not_run
+
     @property
     def is_stream(self) -> bool:
         """Whether it begins a series of events, or the rest of one that was asked for."""
