Don't repeat a request whose success states that it has not run

A command could run twice: an upstream that answered it with 200 and the statement that it had not run was taken for one that had refused it, and the command was sent to another upstream.

Change: such an answer contradicts itself, so the outcome is unknown.

--- a/gypsumpier/gateway/sender.py
+++ b/gypsumpier/gateway/sender.py
@@ -135,6 +135,8 @@
             sent_at_s = attempt.connected_at_s
             self.selector.statements.record_answer(record, head.statement, sent_at_s)
             self.selector.cold.record_answered(record, sent_at_s)
+        if head.is_not_run and head.is_success:
+            raise OutcomeUnknownError("a success that states that the request has not run")
         if head.is_not_run:
             raise refusal_error(head, record)
         if is_foreign:
--- a/gypsumpier/test/test_unstated_refusals.py
+++ b/gypsumpier/test/test_unstated_refusals.py
@@ -151,6 +151,12 @@
         await self.check_unknown("/commands/x")
         await stopping
 
+    # Guards against a refused command that is sent on although the same answer says that it ran.
+    async def test_a_success_that_states_that_the_command_has_not_run(self) -> None:
+        self.answer(answer_of(200, OWN + NOT_RUN + LENGTH))
+        await self.check_unknown("/commands/x")
+        self.assertEqual([], self.other.run_ids)
+
 
 class StatedRefusalTest(UnstatedCase):
     # Guards against an unknown outcome for a command that certainly has not run.
