Take no status of an own upstream for the statement that nothing has run

On the own interface callers were told that their requests had not run, or got a status that says so, although an upstream had run them: 503 and *not run* for a chat to which its engine answered 429 or 503 after the run (the entry had sent it to another engine before, also where it may not be repeated); 408, 421, 429 or 503 for a call of a plain service that answers so after the run; 503 for a chat whose engine ended as it ran it.

The agent went by the status of an engine's answer, the entry passed on that of a service, and the code of a lost connection has status 503. An upstream had no way to state that it has not run a request; a service that refused one was told as *done*.

Change: Gypsumpier-Outcome: not_run in an answer of an upstream states it; the caller then gets 503 with a time to return, and a key may run later. 408, 421, 429 and 503 without it are a failure with an unknown outcome (502). The stand-ins state it where they refuse before they act. Logs of failed runs of keys have the detail of the error.

--- a/gypsumpier/agent/home.py
+++ b/gypsumpier/agent/home.py
@@ -218,7 +218,7 @@
         self, key_id: KeyId, request_fingerprint: str, error: GypsumpierError
     ) -> None:
         """Record the key as refused if the failed run certainly never began."""
-        decision("run_failed", key_workspace=key_id.workspace, reason=error.code.name)
+        decision("run_failed", key_workspace=key_id.workspace, reason=error)
         if error.code.outcome is Outcome.NOT_RUN:
             self.ledger.refuse(
                 key_id, request_fingerprint, self.clock.monotonic() + REFUSAL_MARGIN_S
--- a/gypsumpier/agent/upstream.py
+++ b/gypsumpier/agent/upstream.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 from typing import Any, Final, NamedTuple, Protocol
 
+from tornado.httputil import HTTPHeaders
+
 from gypsumpier.agent.generation import generate
 from gypsumpier.agent.order import AttemptOrder
 from gypsumpier.codes.request import (
@@ -14,6 +16,7 @@
 from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.engine import Completion, Engine, LiveModel
 from gypsumpier.external.service import Service, ServiceCall
+from gypsumpier.external.statedoutcome import check_run
 
 RETRY_AFTER_S: Final = 1.0
 
@@ -123,6 +126,7 @@
             answer = await self.service.call(call, order.remaining_s)
         except NotSentError as error:
             raise GypsumpierError(UPSTREAM_UNREACHABLE, error.detail, RETRY_AFTER_S) from error
+        check_run(answer.status, HTTPHeaders(answer.headers))
         yield Part("head", {"status": answer.status, "headers": answer.headers})
         yield Part("data", {"content": answer.body})
         yield Part("end", {"count": 1})
--- a/gypsumpier/entry/answer.py
+++ b/gypsumpier/entry/answer.py
@@ -5,6 +5,7 @@
 from typing import TypedDict
 
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.statedoutcome import OUTCOME_HEADER
 
 
 class ErrorDetail(TypedDict):
@@ -38,7 +39,7 @@
     headers = {
         "Content-Type": "application/json",
         "Gypsumpier-Code": str(error.code.number),
-        "Gypsumpier-Outcome": error.code.outcome.value,
+        OUTCOME_HEADER: error.code.outcome.value,
     }
     if error.retry_after_s is not None:
         headers["Retry-After"] = str(math.ceil(error.retry_after_s))
--- a/gypsumpier/entry/callerhandler.py
+++ b/gypsumpier/entry/callerhandler.py
@@ -15,6 +15,7 @@
 
 from gypsumpier.boundedbody import BoundedBody
 from gypsumpier.codes.platform import PLATFORM_BAD_ANSWER
+from gypsumpier.codes.refusalstatus import REFUSAL_STATUSES
 from gypsumpier.codes.request import (
     ANSWER_CUT,
     BAD_REQUEST,
@@ -26,7 +27,9 @@
     OUTCOME_UNKNOWN,
     OUTCOME_UNKNOWN_WITHOUT_KEY,
     UNKNOWN_PATH,
+    UPSTREAM_FAILED,
 )
+from gypsumpier.codes.result import Outcome
 from gypsumpier.document.service import ServiceDocument
 from gypsumpier.entry.answer import error_body, error_headers
 from gypsumpier.entry.intake import KEY_HEADER
@@ -34,6 +37,7 @@
 from gypsumpier.entry.request import CallerRequest
 from gypsumpier.entry.timelimit import TimeLimit
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.external.statedoutcome import OUTCOME_HEADER
 from gypsumpier.log import decision
 from gypsumpier.stopschedule import STOPPING_RETRY_S, StopSchedule
 from gypsumpier.upstream.finalanswer import is_status
@@ -224,7 +228,7 @@
                 parts.append(frame.payload["content"])
             elif frame.kind == "end":
                 check_count(frame, len(parts))
-        self.set_header("Gypsumpier-Outcome", "done")
+        self.set_header(OUTCOME_HEADER, Outcome.DONE.value)
         self.write(b"".join(parts))
 
     def frames(self, request: CallerRequest, document: ServiceDocument) -> AsyncIterator[Frame]:
@@ -233,10 +237,17 @@
 
 
 def checked_status(frame: Frame) -> int:
-    """Return the status of an answer; raise PLATFORM_BAD_ANSWER if an agent has passed on none."""
+    """Return the status of an answer that an agent has passed on.
+
+    Raises PLATFORM_BAD_ANSWER if it is none, and UPSTREAM_FAILED for that of a refusal, which an
+    agent of an older build has not checked: what the upstream has run is not to look refused.
+    """
     status = frame.payload["status"]
     if not isinstance(status, int) or not is_status(status):
         raise GypsumpierError(PLATFORM_BAD_ANSWER, f"status {status!r:.20} is none")
+    if status in REFUSAL_STATUSES:
+        detail = f"status {status} does not state that the request has not run"
+        raise GypsumpierError(UPSTREAM_FAILED, detail)
     return status
 
 
--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from gypsumpier.codes import request as codes
+from gypsumpier.codes.refusalstatus import REFUSAL_STATUSES
 from gypsumpier.codes.result import Outcome
 from gypsumpier.entry.delivery import Delivery, LostAttemptError
 from gypsumpier.entry.link import Link
@@ -44,7 +45,11 @@
         self.request.progress.may_have_run = self.may_have_run
 
     def caller_error(self) -> GypsumpierError:
-        """Return the error for the caller, never *not run* after an attempt that may have run."""
+        """Return the error for the caller, never *not run* after an attempt that may have run.
+
+        The same holds for the status: that of a refusal is kept for requests that have not run,
+        and for keys, under which a copy can be sent again without a second run.
+        """
         last = self.last
         if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
             return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
@@ -54,4 +59,10 @@
         without_key = not self.request.idempotent and not self.request.key
         if without_key and last.code.outcome is Outcome.UNKNOWN:
             return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
+        if last.code.http_status not in REFUSAL_STATUSES or self.request.has_home():
+            return last
+        if last.code.outcome is Outcome.UNKNOWN:
+            return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
+        if last.retry_after_s is None:
+            return GypsumpierError(last.code, last.detail, RETRY_AFTER_S)
         return last
--- a/gypsumpier/external/engine_http.py
+++ b/gypsumpier/external/engine_http.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
@@ -26,6 +26,7 @@
 )
 from gypsumpier.external.http import HttpCaller, json_object, raise_for_status, was_answered
 from gypsumpier.external.lines import LineQueue
+from gypsumpier.external.statedoutcome import check_run
 from gypsumpier.external.statementreader import (
     LeavingListener,
     StatementListener,
@@ -75,12 +76,12 @@
 
     async def complete(self, completion: Completion) -> AsyncIterator[EngineEvent]:
         body = json.dumps(completion._asdict())
-        async for event in self.events("POST", "/completions", body=body):
+        async for event in self.events("POST", "/completions", raise_incomplete_run, body=body):
             yield event
 
     async def resume(self, stream_id: str, next_position: int) -> AsyncIterator[EngineEvent]:
         path = f"/streams/{quote(stream_id, safe='')}?next_position={next_position}"
-        async for event in self.events("GET", path):
+        async for event in self.events("GET", path, raise_incomplete_stream):
             yield event
 
     async def cancel(self, stream_id: str) -> None:
@@ -100,7 +101,13 @@
         """Close the client."""
         self.caller.close()
 
-    async def events(self, method: str, path: str, **fields: Any) -> AsyncIterator[EngineEvent]:
+    async def events(
+        self,
+        method: str,
+        path: str,
+        raise_incomplete: Callable[[HTTPResponse], None],
+        **fields: Any,
+    ) -> AsyncIterator[EngineEvent]:
         """Yield the events of one streamed answer; raise GypsumpierError if it is cut off."""
         lines = LineQueue()
         statement = StatementReader(self.on_statement, time.monotonic())
@@ -125,7 +132,7 @@
                 yield event
                 if event.finish_reason is not None:
                     return
-            raise_incomplete_stream(await fetch)
+            raise_incomplete(await fetch)
         finally:
             lines.stop()
             fetch.add_done_callback(discard_result)
@@ -137,6 +144,16 @@
     raise GypsumpierError(PLATFORM_BAD_ANSWER, "the stream ended without a final event")
 
 
+def raise_incomplete_run(response: HTTPResponse) -> None:
+    """Do the same for the stream that a run was to answer with.
+
+    The code is PLATFORM_REFUSED only if the engine has certainly not run the request.
+    """
+    if was_answered(response):
+        check_run(response.code, response.headers)
+    raise_incomplete_stream(response)
+
+
 def discard_result(fetch: "asyncio.Future[HTTPResponse]") -> None:
     """Retrieve the exception of an abandoned fetch, so that asyncio does not log it."""
     if not fetch.cancelled():
--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -22,8 +22,8 @@
 from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.httpconnection import BoundedHttpClient
 from gypsumpier.external.patience import PatientRequest
+from gypsumpier.external.statedoutcome import retry_after_s, states_not_run
 from gypsumpier.numericresolver import NumericResolver
-from gypsumpier.statement.statedrest import stated_rest
 from gypsumpier.upstream.http import MalformedHeadError
 
 MAX_CLIENTS: Final = 2000
@@ -32,8 +32,6 @@
 CALL_TIMEOUT_S: Final = 10.0
 REFUSED_STATUSES: Final = frozenset({404, 409, 429, 503})
 FENCED_STATUS: Final = 412
-RETRY_AFTER_MAX_S: Final = 30.0
-"""Longest time in seconds for which a service of the platform is not called as it asks for that."""
 UNANSWERED_STATUS: Final = 599
 """Status by which the simple client reports a connection that failed or closed early."""
 UNSENT_TIMEOUT_PHASES: Final = ("while connecting", "in request queue")
@@ -122,18 +120,11 @@
     detail = f"status {response.code}"
     if response.code == FENCED_STATUS:
         raise GypsumpierError(ORDER_FENCED, detail)
-    if response.code in REFUSED_STATUSES:
-        raise GypsumpierError(PLATFORM_REFUSED, detail, retry_after_s(response))
+    if response.code in REFUSED_STATUSES or states_not_run(response.headers):
+        raise GypsumpierError(PLATFORM_REFUSED, detail, retry_after_s(response.headers))
     raise GypsumpierError(PLATFORM_BAD_ANSWER, detail)
 
 
-def retry_after_s(response: HTTPResponse) -> float | None:
-    """Return the seconds of the Retry-After header, bounded; None if absent or no time."""
-    text = response.headers.get("Retry-After")
-    rest = stated_rest(text)
-    return None if text is None or rest.unreadable else min(rest.seconds, RETRY_AFTER_MAX_S)
-
-
 def json_object(body: bytes) -> dict[str, Any]:
     """Return the body as a JSON object; raise GypsumpierError if it is not one."""
     try:
--- a/gypsumpier/test/standin/server.py
+++ b/gypsumpier/test/standin/server.py
@@ -43,10 +43,11 @@
             self.refuse(503)
 
     def refuse(self, status: int, **fields: object) -> None:
-        """Answer with an error and end the call."""
+        """Answer with an error and end the call, which has had no effect."""
         self.set_status(status)
         if status in (429, 503):
             self.set_header("Retry-After", str(RETRY_AFTER_S))
+            self.set_header("Gypsumpier-Outcome", "not_run")
         self.finish(fields)
         raise Finish
 
