Don't take an engine's 429 or 503 to an order for a refusal

On the own interface an order to load or unload that the engine answered with 429 or 503 counted as one that never takes effect: the transfer was reset and the memory counted as free while the engine might carry it out.

Change: such an order may take effect, like one without an answer, unless the answer has Gypsumpier-Outcome: not_run. 404, 409 and 412 are refusals by the engine's protocol, and any status is one with that header.

--- a/gypsumpier/external/engine_http.py
+++ b/gypsumpier/external/engine_http.py
@@ -26,7 +26,7 @@
 )
 from gypsumpier.external.http import HttpCaller, json_object, raise_for_status, was_answered
 from gypsumpier.external.lines import LineQueue
-from gypsumpier.external.statedoutcome import check_run
+from gypsumpier.external.statedoutcome import check_run, is_unstated_refusal
 from gypsumpier.external.statementreader import (
     LeavingListener,
     StatementListener,
@@ -69,10 +69,10 @@
         await self.caller.call("PUT", f"/stage?{query}", body=content)
 
     async def load(self, order: LoadOrder) -> None:
-        await self.caller.call("POST", "/load", body=json.dumps(order._asdict()))
+        await self.order("/load", order)
 
     async def unload(self, order: LoadOrder) -> None:
-        await self.caller.call("POST", "/unload", body=json.dumps(order._asdict()))
+        await self.order("/unload", order)
 
     async def complete(self, completion: Completion) -> AsyncIterator[EngineEvent]:
         body = json.dumps(completion._asdict())
@@ -101,6 +101,11 @@
         """Close the client."""
         self.caller.close()
 
+    async def order(self, path: str, order: LoadOrder) -> None:
+        """Give an order to load or unload; raise GypsumpierError unless it is accepted."""
+        request = self.caller.request("POST", path, body=json.dumps(order._asdict()))
+        raise_for_order(await self.caller.fetch(request))
+
     async def events(
         self,
         method: str,
@@ -154,6 +159,17 @@
     raise_incomplete_stream(response)
 
 
+def raise_for_order(response: HTTPResponse) -> None:
+    """Raise GypsumpierError unless the engine has accepted the order.
+
+    The code is PLATFORM_REFUSED or ORDER_FENCED only if it never will.
+    """
+    if was_answered(response) and is_unstated_refusal(response.code, response.headers):
+        detail = f"status {response.code} does not state that the order has no effect"
+        raise GypsumpierError(PLATFORM_BAD_ANSWER, detail)
+    raise_for_status(response)
+
+
 def discard_result(fetch: "asyncio.Future[HTTPResponse]") -> None:
     """Retrieve the exception of an abandoned fetch, so that asyncio does not log it."""
     if not fetch.cancelled():
--- a/gypsumpier/test/test_unstated_own_refusals.py
+++ b/gypsumpier/test/test_unstated_own_refusals.py
@@ -12,7 +12,7 @@
 
 from gypsumpier.agent.home import REFUSAL_MARGIN_S
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream
-from gypsumpier.codes.platform import PLATFORM_REFUSED
+from gypsumpier.codes.platform import ORDER_FENCED, PLATFORM_BAD_ANSWER, PLATFORM_REFUSED
 from gypsumpier.codes.request import (
     KEY_OUTCOME_UNKNOWN,
     KEY_REFUSED,
@@ -23,7 +23,7 @@
 from gypsumpier.codes.result import ResultCode
 from gypsumpier.entry.callerhandler import CallerHandler
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.external.engine import EngineStatus, LiveModel
+from gypsumpier.external.engine import EngineStatus, LiveModel, LoadOrder
 from gypsumpier.external.engine_http import HttpEngine
 from gypsumpier.external.service_http import HttpService
 from gypsumpier.test.builders import MODEL, SERVICE, model_document
@@ -31,6 +31,7 @@
 from gypsumpier.test.slowcaller import Received, SlowCaller
 from gypsumpier.test.standin.scripted import ScriptedServer
 from gypsumpier.test.test_own_stop_answers import COMMAND, head_of
+from gypsumpier.weight.order import may_take_effect
 from gypsumpier.wire.frame import Frame
 
 REFUSALS: Final = (408, 421, 429, 503)
@@ -52,6 +53,7 @@
     "no outcome": (LENGTH + "Gypsumpier-Outcome:\r\n", BODY),
 }
 EVENT: Final = '{"position": 0, "text": "", "finish_reason": "stop", "version": "v1"}\n'
+ORDER: Final = LoadOrder(MODEL, "v1", "digest", 1)
 
 
 class HealthyService(HttpService):
@@ -268,6 +270,38 @@
         self.assertEqual(200, (await self.chat()).status)
 
 
+class EngineOrderTest(RefusingCase):
+    async def failure(self, content: bytes) -> GypsumpierError:
+        """Return the error of an order that is answered so."""
+        self.server.content = content
+        engine = HttpEngine(f"http://{self.server.address}")
+        self.addCleanup(engine.close)
+        with self.assertRaises(GypsumpierError) as loaded:
+            await engine.load(ORDER)
+        with self.assertRaises(GypsumpierError) as unloaded:
+            await engine.unload(ORDER)
+        self.assertEqual(loaded.exception.code, unloaded.exception.code)
+        return loaded.exception
+
+    # Guards against a load that is taken for refused while the engine carries it out.
+    async def test_an_order_with_the_status_of_a_refusal_may_take_effect(self) -> None:
+        for status in REFUSALS:
+            with self.subTest(status):
+                error = await self.failure(answer_of(status))
+                self.assertEqual(PLATFORM_BAD_ANSWER, error.code)
+                self.assertTrue(may_take_effect(error))
+
+    # Guards against waiting for an order that the engine has refused.
+    async def test_an_order_that_was_refused_takes_no_effect(self) -> None:
+        refusals = [answer_of(status, LENGTH + NOT_RUN) for status in (*REFUSALS, 500)]
+        for refusal in (*refusals, answer_of(404), answer_of(409)):
+            with self.subTest(refusal):
+                error = await self.failure(refusal)
+                self.assertEqual(PLATFORM_REFUSED, error.code)
+                self.assertFalse(may_take_effect(error))
+        self.assertEqual(ORDER_FENCED, (await self.failure(answer_of(412))).code)
+
+
 class OlderAgentTest(unittest.IsolatedAsyncioTestCase):
     # Guards against the status of a refusal that an agent of an older build has passed on.
     async def test_an_entry_does_not_answer_with_the_status_of_a_refusal(self) -> None:
