Revert "Believe that an order is refused only where the engine says so"

With the change an engine that answers each order for a version with 500 keeps that version on the stage for ever, and the next one waits.

That an engine accepts an order after it has answered it with an error is shown by no page; one that accepts it before takes the pieces at that moment, so that they are whole. The window is listed in docs/design/staging.md.

--- a/gypsumpier/piece/engine.py
+++ b/gypsumpier/piece/engine.py
@@ -42,7 +42,7 @@
 
 
 class OrderRefusedError(GypsumpierError):
-    """The engine has refused the order, and will not accept it later."""
+    """The engine answered the order with an error, and will not accept it later."""
 
 
 class PieceList(NamedTuple):
--- a/gypsumpier/platform/engine.py
+++ b/gypsumpier/platform/engine.py
@@ -22,8 +22,6 @@
 were seen to accept orders up to 11 s after they were sent."""
 NOT_FOUND_STATUS: Final = 404
 CONFLICT_STATUS: Final = 409
-ORDER_REFUSED_STATUSES: Final = frozenset({400, 412, 421})
-"""Statuses by which an engine refuses an order; other errors don't tell what becomes of it."""
 
 
 class PlatformEngine:
@@ -85,12 +83,9 @@
         )
         if answer.status == CONFLICT_STATUS:
             return False
-        if 200 <= answer.status < 300:
-            return True
-        if answer.is_not_run or answer.status in ORDER_REFUSED_STATUSES:
+        if not 200 <= answer.status < 300:
             raise OrderRefusedError(PLATFORM_REFUSED, f"status {answer.status}")
-        detail = f"status {answer.status} does not state that the order has no effect"
-        raise GypsumpierError(PLATFORM_BAD_ANSWER, detail)
+        return True
 
     def close(self) -> None:
         self.caller.close()
--- a/gypsumpier/test/standin/platformengine.py
+++ b/gypsumpier/test/standin/platformengine.py
@@ -33,8 +33,7 @@
 
     The next ``late_orders`` orders and ``late_writes`` pieces to stage are carried out as
     ``late_calls`` says, also after the caller has closed, and get no answer.  They outlive a crash:
-    they are on their way.  Late orders are answered at once with ``late_order_status``, unless that
-    is 0.  ``on_read`` is called before the answer with a staged piece.
+    they are on their way.  ``on_read`` is called before the answer with a staged piece.
     """
 
     def __init__(
@@ -58,7 +57,6 @@
         self.loads: list[int] = []
         self.received_orders: list[dict[str, Any]] = []
         self.late_orders = 0
-        self.late_order_status = 0
         self.late_writes = 0
         self.late_calls = LateCalls()
         self.on_change: Callable[[], None] = lambda: None
@@ -189,13 +187,9 @@
         await asyncio.sleep(state.order_s)
         if state.late_orders > 0:
             state.late_orders -= 1
-            if state.late_order_status:
-                self.set_status(state.late_order_status)
-                await self.finish({})
             await state.late_calls.wait()
             state.accept(order)
-            if not state.late_order_status:
-                self.end_unanswered()
+            self.end_unanswered()
             return
         self.set_status(state.accept(order))
         self.finish({})
--- a/gypsumpier/test/test_lost_answers.py
+++ b/gypsumpier/test/test_lost_answers.py
@@ -25,7 +25,7 @@
 class RefusedOrderTest(LateOrderCase):
     # Guards against an order that is sent while a write of another version is under way.
     async def test_a_write_of_an_older_version_is_under_way_after_a_refused_order(self) -> None:
-        refusals = [421]
+        refusals = [503]
         accept = self.engine.accept
         self.engine.order_s = 0.2
 
--- a/gypsumpier/upstream/caller.py
+++ b/gypsumpier/upstream/caller.py
@@ -24,14 +24,10 @@
 
 
 class CallAnswer(NamedTuple):
-    """The status and the complete body of an answer.
-
-    ``is_not_run`` is the upstream's statement that the call had no effect and never will.
-    """
+    """The status and the complete body of an answer."""
 
     status: int
     body: bytes
-    is_not_run: bool = False
 
     def require_success(self) -> bytes:
         """Return the body if the status is 2xx; raise GypsumpierError otherwise."""
@@ -87,8 +83,7 @@
                 self.address, True, make_call, NoReplacement(), is_new
             ) as exchange:
                 head = await exchange.answer(call_id, is_echo_required=False)
-                content = await exchange.whole_body(ANSWER_MAX_BYTES)
-                return CallAnswer(head.status, content, head.is_not_run)
+                return CallAnswer(head.status, await exchange.whole_body(ANSWER_MAX_BYTES))
 
         try:
             async with asyncio.timeout(timeout_s):
