--- a/gypsumpier/test/standin/platform.py
+++ b/gypsumpier/test/standin/platform.py
@@ -22,6 +22,8 @@
 EVENT_PAUSE_S: Final = 0.01
 GONE: Final = 410
 WORK_PREFIX: Final = "/jobs/"
+FAILURES: Final = {"error": 500, "408": 408, "429": 429, "503": 503}
+"""Statuses with which a request that has run is answered, by the item of the plan."""
 
 
 class StoreCopy(NamedTuple):
@@ -208,13 +210,14 @@
 class UpstreamStandin:
     """An upstream that handles each request as the next item of ``plan`` says, else as ``ok``.
 
-    Plans: ``ok``, ``full`` (refused, not run), ``wrong`` (421), ``error`` (500), ``cut`` (the
-    connection breaks after ``cut_after`` events), ``mute`` (never answers), ``crossed`` (the answer
-    to another request), ``extra`` (bytes after the answer), ``unsealed`` (no X-Server-Seal header),
-    ``queued`` (starts to run after ``queued_s`` seconds, if its connection is still open),
-    ``again`` (runs, after the last refusal on its connection was written once more), ``text`` (the
-    text of an error, as a success, in answer to the resumption of a stream), ``head`` (the
-    connection breaks in the head of the answer).  A request to ``/jobs/S`` runs for S seconds.
+    Plans: ``ok``, ``full`` (refused, not run), ``wrong`` (421), ``error`` (500), ``408``, ``429``
+    and ``503`` (runs, and is answered with the status of a refusal), ``cut`` (the connection breaks
+    after ``cut_after`` events), ``mute`` (never answers), ``crossed`` (the answer to another
+    request), ``extra`` (bytes after the answer), ``unsealed`` (no X-Server-Seal header), ``queued``
+    (starts to run after ``queued_s`` seconds, if its connection is still open), ``again`` (runs,
+    after the last refusal on its connection was written once more), ``text`` (the text of an error,
+    as a success, in answer to the resumption of a stream), ``head`` (the connection breaks in the
+    head of the answer).  A request to ``/jobs/S`` runs for S seconds.
 
     ``run_ids`` holds the requests that started to run, and ``closed_ids`` those whose connection
     closed before the end.  Events have ids if ``has_event_ids``.  ``limit`` is the limit that its
@@ -319,8 +322,8 @@
     async def answer(self, action: str, request_id: str) -> None:
         """Answer a request that runs as the plan says."""
         state: UpstreamStandin = self.state
-        if action == "error":
-            self.set_status(500)
+        if action in FAILURES:
+            self.set_status(FAILURES[action])
             self.finish(b"failed")
             return
         if action == "text" and "Last-Event-Id" in self.request.headers:
--- a/misc/soaking/faults.py
+++ b/misc/soaking/faults.py
@@ -50,7 +50,7 @@
 DELAY_S: Final = 0.15
 ANSWER_FAULTS: Final = (
     *("full", "wrong", "error", "cut", "crossed", "extra", "mute", "unsealed"),
-    *("again", "text", "head"),
+    *("again", "text", "head", "408", "429", "503"),
 )
 ODD_ENTRIES_MAX: Final = 8
 """Keys among which odd entries of another writer are left."""
