--- a/gypsumpier/test/standin/cuthead.py
+++ b/gypsumpier/test/standin/cuthead.py
@@ -16,7 +16,8 @@
 
     The whole answer is sent, and the connection kept, while ``cut_at`` is None.  The connection is
     closed, or reset with ``is_reset``, ``pause_s`` seconds after these bytes.  ``kept_requests``
-    counts the requests that came on a connection with an earlier answer.
+    counts the requests that came on a connection with an earlier answer.  An answer begins
+    ``delay_s`` seconds after its request.
     """
 
     def __init__(self, content: bytes) -> None:
@@ -24,6 +25,7 @@
         self.content = content
         self.cut_at: int | None = None
         self.is_reset = False
+        self.delay_s = 0.0
         self.kept_requests = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -34,6 +36,7 @@
                 request_id = await self.read_request(reader)
                 self.requests += 1
                 self.kept_requests += bool(answers)
+                await asyncio.sleep(self.delay_s)
                 writer.write(self.answer(request_id)[: self.cut_at])
                 await writer.drain()
                 if self.cut_at is not None:
--- a/gypsumpier/test/test_unstated_refusals.py
+++ b/gypsumpier/test/test_unstated_refusals.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from gypsumpier.codes.request import ANSWER_LOST, EVERY_TRY_REFUSED
+from gypsumpier.gateway.sender import PLAIN_SILENCE_S
 from gypsumpier.platform.headers import EVENT_STREAM
 from gypsumpier.test.builders_platform import (
     ENGINES,
@@ -272,6 +273,21 @@
                 self.assertEqual((200, whole), (found.code, found.body.decode()))
                 self.assertEqual(1, self.server.requests - before)
 
+    # Guards against the refusal of a silent upstream while a second attempt runs elsewhere.
+    async def test_a_silent_upstream_that_answers_with_a_refusal(self) -> None:
+        self.fleet.write_record("slow", PLAIN, zone="nam-a")
+        self.fleet.store.put("servers/cut", plain_body(2, address=self.server.address))
+        await self.fleet.settle()
+        for status in STATUSES:
+            with self.subTest(status):
+                self.answer(answer_of(status))
+                self.server.delay_s = (PLAIN_SILENCE_S + SLOW_S) / 2
+                before, request_id = self.server.requests, self.next_id()
+                found = await self.fleet.call(f"/jobs/{SLOW_S}", request_id)
+                whole = f"answer to {request_id} by slow"
+                self.assertEqual((200, whole), (found.code, found.body.decode()))
+                self.assertEqual(1, self.server.requests - before)
+
 
 class StreamTest(UnstatedCase):
     service = ENGINES
