Give platform_unreachable a status that promises nothing

The cause is the code's own status: 503, although its outcome is unknown. It is 502 now, so that the replacement is gone, and a test goes through all codes: those with the status of a refusal have the outcome "not run", but for the five of keys.

Retry-After is read in a module of its own, in place of two constants of one header.

--- a/gypsumpier/codes/platform.py
+++ b/gypsumpier/codes/platform.py
@@ -5,7 +5,7 @@
 from gypsumpier.codes.result import Outcome, ResultCode
 
 PLATFORM_UNREACHABLE: Final = ResultCode(
-    6001, "platform_unreachable", 503, Outcome.UNKNOWN, "The last accepted state stays in use."
+    6001, "platform_unreachable", 502, Outcome.UNKNOWN, "The last accepted state stays in use."
 )
 PLATFORM_REFUSED: Final = ResultCode(
     6002, "platform_refused", 503, Outcome.NOT_RUN, "Asked again after the stated time."
--- a/gypsumpier/entry/failure.py
+++ b/gypsumpier/entry/failure.py
@@ -47,8 +47,7 @@
     def caller_error(self) -> GypsumpierError:
         """Return the error for the caller, never *not run* after an attempt that may have run.
 
-        The same holds for the status: that of a refusal is kept for requests that have not run,
-        and for keys, under which a copy can be sent again without a second run.
+        A refusal has a time to return.
         """
         last = self.last
         if self.may_have_run and last.code.outcome is Outcome.NOT_RUN:
@@ -59,10 +58,7 @@
         without_key = not self.request.idempotent and not self.request.key
         if without_key and last.code.outcome is Outcome.UNKNOWN:
             return GypsumpierError(codes.OUTCOME_UNKNOWN_WITHOUT_KEY, last.detail)
-        if last.code.http_status not in REFUSAL_STATUSES or self.request.has_home():
-            return last
-        if last.code.outcome is Outcome.UNKNOWN:
-            return GypsumpierError(codes.OUTCOME_UNKNOWN, last.detail, last.retry_after_s)
-        if last.retry_after_s is None:
+        is_refusal = last.code.outcome is Outcome.NOT_RUN
+        if is_refusal and last.code.http_status in REFUSAL_STATUSES and last.retry_after_s is None:
             return GypsumpierError(last.code, last.detail, RETRY_AFTER_S)
         return last
--- a/gypsumpier/external/http.py
+++ b/gypsumpier/external/http.py
@@ -22,7 +22,8 @@
 from gypsumpier.errors import GypsumpierError, NotSentError
 from gypsumpier.external.httpconnection import BoundedHttpClient
 from gypsumpier.external.patience import PatientRequest
-from gypsumpier.external.statedoutcome import retry_after_s, states_not_run
+from gypsumpier.external.retryafter import retry_after_s
+from gypsumpier.external.statedoutcome import states_not_run
 from gypsumpier.numericresolver import NumericResolver
 from gypsumpier.upstream.http import MalformedHeadError
 
--- a/gypsumpier/external/statedoutcome.py
+++ b/gypsumpier/external/statedoutcome.py
@@ -13,12 +13,9 @@
 from gypsumpier.codes.request import UPSTREAM_FAILED
 from gypsumpier.codes.result import Outcome
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.statement.statedrest import stated_rest
+from gypsumpier.external.retryafter import retry_after_s
 
 OUTCOME_HEADER: Final = "Gypsumpier-Outcome"
-RETRY_AFTER_HEADER: Final = "Retry-After"
-RETRY_AFTER_MAX_S: Final = 30.0
-"""Longest time in seconds for which a service of the platform is not called as it asks for that."""
 
 
 def states_not_run(headers: HTTPHeaders) -> bool:
@@ -46,10 +43,3 @@
         detail = f"status {status} with the statement that the request has not run"
         raise GypsumpierError(UPSTREAM_FAILED, detail)
     raise GypsumpierError(PLATFORM_REFUSED, f"status {status}", retry_after_s(headers))
-
-
-def retry_after_s(headers: HTTPHeaders) -> float | None:
-    """Return the seconds of the Retry-After header, bounded; None if absent or no time."""
-    text = headers.get(RETRY_AFTER_HEADER)
-    rest = stated_rest(text)
-    return None if text is None or rest.unreadable else min(rest.seconds, RETRY_AFTER_MAX_S)
--- a/gypsumpier/test/test_pages.py
+++ b/gypsumpier/test/test_pages.py
@@ -6,7 +6,15 @@
 from collections import Counter
 
 from gypsumpier import codes
-from gypsumpier.codes.result import ResultCode
+from gypsumpier.codes.refusalstatus import REFUSAL_STATUSES
+from gypsumpier.codes.request import (
+    COPY_REFUSED,
+    HOME_RECOVERING,
+    HOME_UNREACHABLE,
+    KEYS_FULL,
+    NOT_HOME,
+)
+from gypsumpier.codes.result import Outcome, ResultCode
 from misc.pages import rendered_pages
 
 AREAS = {
@@ -20,6 +28,9 @@
 }
 
 
+CODES_OF_KEYS = {HOME_UNREACHABLE, HOME_RECOVERING, NOT_HOME, KEYS_FULL, COPY_REFUSED}
+
+
 def codes_by_module() -> dict[str, list[ResultCode]]:
     """Return the codes that each module defines."""
     names = [module.name for module in pkgutil.iter_modules(codes.__path__)]
@@ -50,6 +61,15 @@
                 with self.subTest(code=code.name):
                     self.assertIn(code.number, AREAS[name])
 
+    # Guards against the status of a refusal for a request that may have run.
+    def test_the_statuses_of_refusals_are_for_requests_that_have_not_run(self) -> None:
+        for found in codes_by_module().values():
+            for code in found:
+                # Under a key a copy can be sent again without a second run.
+                if code.http_status in REFUSAL_STATUSES and code not in CODES_OF_KEYS:
+                    with self.subTest(code=code.name):
+                        self.assertIs(Outcome.NOT_RUN, code.outcome)
+
     def test_each_code_can_be_shown_to_a_caller(self) -> None:
         for found in codes_by_module().values():
             for code in found:
