--- a/gypsumpier/test/ownfleet.py
+++ b/gypsumpier/test/ownfleet.py
@@ -12,7 +12,7 @@
 
 from gypsumpier.agent.application import AgentApplication
 from gypsumpier.agent.order import AttemptOrder
-from gypsumpier.agent.upstream import Part
+from gypsumpier.agent.upstream import Part, Upstream
 from gypsumpier.entry.application import EntryApplication
 from gypsumpier.external.configuration import DocumentRevision
 from gypsumpier.external.membership import Member
@@ -68,6 +68,7 @@
         self.upstream = HeldUpstream(service == SERVICE)
         self.agent.upstream.upstream = self.upstream
         self.port = 0
+        self.others: list[AgentApplication] = []
 
     def options(self, role: str, name: str) -> Options:
         """Return the options of one process."""
@@ -93,15 +94,37 @@
             self.member(self.agent.options, agent_port),
             self.member(self.entry.options, 1),
         ]
-        body = json.dumps(self.document).encode()
         for application in (self.entry, self.agent):
-            assert application.documents.offer(DocumentRevision(self.service, 1, body), "test")
-            for member in members:
-                application.members.put(member)
-            application.members.notify()
+            self.tell(application, members)
         await self.agent.monitor.start()
         await self.entry.links.start()
-        while not any(link.is_usable() for link in self.entry.links.links.values()):
+        await self.until_usable(1)
+
+    async def add_agent(self, upstream: Upstream) -> None:
+        """Start another agent, beside that upstream, and wait until the entry may use it."""
+        name = f"{self.service}/{ZONE}/{1 + len(self.others)}"
+        agent = AgentApplication(self.options("agent", name))
+        agent.upstream.upstream = upstream
+        self.others.append(agent)
+        member = self.member(agent.options, self.listen(agent.server))
+        self.tell(agent, [member, self.member(self.entry.options, 1)])
+        self.entry.members.put(member)
+        self.entry.members.notify()
+        await agent.monitor.start()
+        await self.until_usable(1 + len(self.others))
+
+    def tell(self, application: AgentApplication | EntryApplication, members: list[Member]) -> None:
+        """Put the document and members into the tables of a process."""
+        body = json.dumps(self.document).encode()
+        assert application.documents.offer(DocumentRevision(self.service, 1, body), "test")
+        for member in members:
+            application.members.put(member)
+        application.members.notify()
+
+    async def until_usable(self, count: int) -> None:
+        """Wait until the entry may send requests to so many agents."""
+        links = self.entry.links.links
+        while sum(link.is_usable() for link in links.values()) < count:
             await asyncio.sleep(POLL_S)
 
     def listen(self, server: Any) -> int:
@@ -131,10 +154,11 @@
         self.entry.server.stop()
         await self.entry.server.close_all_connections()
         await self.entry.links.stop()
-        await self.agent.monitor.stop()
-        self.agent.server.stop()
-        for connection in list(self.agent.listener.connections):
-            connection.close()
+        for agent in (self.agent, *self.others):
+            await agent.monitor.stop()
+            agent.server.stop()
+            for connection in list(agent.listener.connections):
+                connection.close()
 
     def run_count(self) -> int:
         """Return how many requests have begun to run."""
--- a/gypsumpier/test/test_unstated_own_refusals.py
+++ b/gypsumpier/test/test_unstated_own_refusals.py
@@ -235,7 +235,7 @@
                         received = await self.chat(stream)
                         self.assertEqual(unknown(UPSTREAM_FAILED), told(received))
 
-    # Guards against a chat that may not be repeated and is sent to the engine again.
+    # Guards against a chat that may not be repeated and runs at two engines.
     async def test_a_chat_that_may_not_be_repeated_is_sent_once(self) -> None:
         once = [{"prefix": "/", "methods": ["POST"], "idempotent": False, "priority": 1}]
         with mock.patch(
@@ -243,12 +243,14 @@
             lambda **fields: model_document(routes=once, **fields),
         ):
             await self.start(SERVICE)
+        await self.fleet.add_agent(EngineUpstream(LiveEngine(f"http://{self.server.address}")))
         for status in REFUSALS:
             with self.subTest(status):
                 self.server.content = answer_of(status)
                 before = self.server.requests
-                self.assertEqual(unknown(OUTCOME_UNKNOWN_WITHOUT_KEY), told(await self.chat()))
+                received = await self.chat()
                 self.assertEqual(1, self.server.requests - before)
+                self.assertEqual(unknown(OUTCOME_UNKNOWN_WITHOUT_KEY), told(received))
 
     # Guards against the status of a refusal for a chat whose engine ends as it runs it.
     async def test_a_chat_without_an_answer_is_not_called_refused(self) -> None:
@@ -256,6 +258,21 @@
         self.server.content = b""
         self.assertEqual(unknown(PLATFORM_UNREACHABLE), told(await self.chat()))
 
+    # Guards against a chat that may be repeated and gets the failure of the first engine.
+    async def test_a_chat_that_may_be_repeated_comes_from_another_engine(self) -> None:
+        await self.start(SERVICE)
+        other = ScriptedServer(answer_of(200, "", EVENT), closes=True)
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        await self.fleet.add_agent(EngineUpstream(LiveEngine(f"http://{other.address}")))
+        for status in REFUSALS:
+            with self.subTest(status):
+                self.server.content = answer_of(status)
+                before = self.server.requests
+                # Both engines get the first one of a chat by chance.
+                while self.server.requests == before:
+                    self.assertEqual(200, (await self.chat()).status)
+
     # Guards against a chat that certainly has not run and is told as unknown.
     async def test_a_chat_that_was_refused_is_called_refused(self) -> None:
         await self.start(SERVICE)
