Test that commands which every upstream refuses are told when to return

Guards the other side of: with all retries and with none left, a command that was refused with a statement gets 503, outcome "not run", and Retry-After. No product code is changed.

--- a/gypsumpier/test/test_unstated_refusals.py
+++ b/gypsumpier/test/test_unstated_refusals.py
@@ -160,6 +160,14 @@
 
 
 class StatedRefusalTest(UnstatedCase):
+    async def check_refused(self) -> int:
+        """Assert that a command is told as not run, with a time to return; return the code."""
+        found = await self.fleet.call("/commands/x", self.next_id())
+        told = json.loads(found.body)
+        self.assertEqual((503, "not_run"), (found.code, told["outcome"]))
+        self.assertGreater(float(found.headers["Retry-After"]), 0.0)
+        return int(told["code"])
+
     # Guards against an unknown outcome for a command that certainly has not run.
     async def test_a_command_that_every_upstream_refuses_is_called_refused(self) -> None:
         for status in REFUSALS:
@@ -167,16 +175,18 @@
                 refusal = answer_of(status, OWN + NOT_RUN + LENGTH)
                 other = await self.replace_other(refusal)
                 self.answer(refusal)
-                retries = self.fleet.entry.retries
-                retries.bounds = retries.bounds._replace(retry_share=0.0, retry_slack=0.0)
-                found = await self.fleet.call("/commands/x", self.next_id())
-                self.assertEqual(503, found.code)
-                told = json.loads(found.body)
-                self.assertEqual(
-                    (EVERY_TRY_REFUSED.number, "not_run"), (told["code"], told["outcome"])
-                )
-                self.assertGreater(float(found.headers["Retry-After"]), 0.0)
-                self.assertEqual(0, other.requests)
+                await self.check_refused()
+                self.assertGreaterEqual(other.requests, 1)
+
+    # Guards against the same where no retry is left.
+    async def test_a_refused_command_without_a_retry_is_called_refused(self) -> None:
+        retries = self.fleet.entry.retries
+        retries.bounds = retries.bounds._replace(retry_share=0.0, retry_slack=0.0)
+        for status in REFUSALS:
+            with self.subTest(status):
+                self.answer(answer_of(status, OWN + NOT_RUN + LENGTH))
+                self.assertEqual(EVERY_TRY_REFUSED.number, await self.check_refused())
+                self.assertEqual([], self.other.run_ids)
 
     # Guards against a command that is not sent to another upstream, as its refusal was not read.
     async def test_a_refused_command_is_answered_by_another_upstream(self) -> None:
