Test refusals of bursts in virtual time

The cause is the test's own clock: each caller's goal for the first event passes 0.04 s after its arrival (0.08 s to queue the 100 requests were measured on the machine that showed it), the first requests of the burst became late while the last were queued, and late requests are refused sooner.

Both now run in virtual time, which stands still while requests are queued. Bounds and assertions are unchanged.

--- a/gypsumpier/test/test_admission.py
+++ b/gypsumpier/test/test_admission.py
@@ -21,6 +21,7 @@
     engine_record,
     fleet_state_of,
 )
+from gypsumpier.test.virtualtime import run_at_virtual_time
 from gypsumpier.upstream.peerloads import Load
 
 FULL = 17
@@ -61,12 +62,16 @@
         admission.dispatch_all()
         self.assertEqual("i-1", (await waiting).id)
 
-    async def test_a_burst_is_refused_at_once_where_its_wait_is_known_to_be_too_long(self) -> None:
+    def test_a_burst_is_refused_at_once_where_its_wait_is_known_to_be_too_long(self) -> None:
         """Guards against queueing requests that can't be served before their callers leave.
 
         Many times the capacity arrives at once.  The excess is refused immediately, with a
         Retry-After that grows with the queue; the other requests stay queued.
         """
+        run_at_virtual_time(self.check_burst())
+
+    async def check_burst(self) -> None:
+        """Queue many times the capacity at once."""
         fleet_state = engines(1)
         admission = admission_of(fleet_state)
         fill(admission)
--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -47,6 +47,7 @@
     regional_fleet,
 )
 from gypsumpier.test.secondattemptcase import FakeSender, SecondAttemptCase
+from gypsumpier.test.virtualtime import run_at_virtual_time
 from gypsumpier.upstream.enginestate import EngineState
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.peerloads import Load
@@ -502,11 +503,18 @@
         await cancel_all(first)
 
 
-class RegionalWaitTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against waits that are estimated from places that the requests can't use."""
+class RegionalWaitTest(unittest.TestCase):
+    """Guards against waits that are estimated from places that the requests can't use.
 
-    async def test_requests_beyond_what_their_region_serves_are_refused_at_once(self) -> None:
+    In virtual time no request becomes late while the others of its burst are queued.
+    """
+
+    def test_requests_beyond_what_their_region_serves_are_refused_at_once(self) -> None:
         """The other engines admit many requests a second, which a region that is full does not."""
+        run_at_virtual_time(self.check_region_beyond_capacity())
+
+    async def check_region_beyond_capacity(self) -> None:
+        """Queue a burst for a full region beside engines that admit requests of others."""
         fleet_state = regional_fleet(["nam-a", *["bac-a"] * 9], ["nam"])
         admission = regional_admission(fleet_state)
         fill(admission, "i-1")
@@ -518,7 +526,11 @@
         self.assertTrue(30 <= still <= 50, still)
         await cancel_all(*calls)
 
-    async def test_limited_requests_do_not_lengthen_the_wait_of_others(self) -> None:
+    def test_limited_requests_do_not_lengthen_the_wait_of_others(self) -> None:
+        run_at_virtual_time(self.check_wait_of_others())
+
+    async def check_wait_of_others(self) -> None:
+        """Queue requests without regions behind more limited ones than their region serves."""
         fleet_state = regional_fleet(["bac-a", "nam-a"], ["nam"])
         admission = regional_admission(fleet_state)
         fill(admission, "i-1", "i-2")
