Share the set-up of tests beside a slow upstream

test_invalid_status and test_unstated_refusals each placed an upstream that answers as scripted in another zone, beside a slow one, with the same lines. Both now call CutCase.replace_other_by_slow, and CutCase.answer for answers that keep their connection. An attribute that nothing read is gone, and the docstring of raise_incomplete_run says by itself what is raised.

--- a/gypsumpier/external/engine_http.py
+++ b/gypsumpier/external/engine_http.py
@@ -150,7 +150,7 @@
 
 
 def raise_incomplete_run(response: HTTPResponse) -> None:
-    """Do the same for the stream that a run was to answer with.
+    """Raise GypsumpierError for a run whose stream ended without a final event, or never began.
 
     The code is PLATFORM_REFUSED only if the engine has certainly not run the request.
     """
--- a/gypsumpier/test/test_cut_heads.py
+++ b/gypsumpier/test/test_cut_heads.py
@@ -23,6 +23,8 @@
 """Seconds before a reset, in which the entry can read what was sent before."""
 ROUTE_TIMEOUT_MS: Final = 6000
 """Milliseconds for a request that is sent twice, so that a busy machine ends none."""
+SLOW_S: Final = 0.7
+"""Seconds that a slow upstream takes: twice the silence after which a second one is tried."""
 PAUSE_S: Final = 0.02
 ENDS: Final = ((False, 0.0), (True, 0.0), (False, PAUSE_S), (True, PAUSE_S))
 """How connections end: whether by a reset, and after how many seconds."""
@@ -139,6 +141,26 @@
         await self.fleet.start()
         self.number = 0
 
+    def answer(self, content: bytes) -> None:
+        """Let ``cut`` send the whole content and keep its connections open."""
+        self.cut(content, 0)
+        self.server.cut_at = None
+
+    async def replace_other_by_slow(self) -> None:
+        """Put ``cut`` in the other zone, beside a slow upstream in this one.
+
+        The routes are replaced by one to ``/jobs/``, whose requests may be repeated.
+        """
+        self.fleet.store.remove("servers/other")
+        jobs = command_route_body(
+            name="jobs", prefix="/jobs/", kind="idempotent", attempts=2, timeout_ms=ROUTE_TIMEOUT_MS
+        )
+        self.fleet.configure(version=2, routes=[jobs])
+        self.fleet.add("slow", PLAIN)
+        address = self.server.address
+        self.fleet.store.put("servers/cut", plain_body(2, address=address, zone="nam-a"))
+        await self.fleet.settle()
+
     def next_id(self) -> str:
         """Return a new request id of as many bytes as its place in a scripted answer has."""
         self.number += 1
@@ -194,8 +216,7 @@
         answer = PLAIN_ANSWERS["the length last"]
         for at in answer.offsets():
             with self.subTest(at=at):
-                self.cut(answer.content, 0)
-                self.server.cut_at = None
+                self.answer(answer.content)
                 found = await self.fleet.call("/commands/x", self.next_id())
                 self.assertEqual((200, BODY), (found.code, found.body.decode()))
                 kept = self.server.kept_requests
--- a/gypsumpier/test/test_invalid_status.py
+++ b/gypsumpier/test/test_invalid_status.py
@@ -13,9 +13,7 @@
 from gypsumpier.test.builders_platform import (
     ENGINES,
     PLAIN,
-    command_route_body,
     engine_body,
-    plain_body,
 )
 from gypsumpier.test.invalidstatuses import STATUSES, answer_with
 from gypsumpier.test.standin.scripted import ScriptedServer
@@ -26,7 +24,7 @@
     LENGTH,
     OWN,
     RELAYED,
-    ROUTE_TIMEOUT_MS,
+    SLOW_S,
     STREAM,
     CutCase,
 )
@@ -38,8 +36,6 @@
 """Seconds in which the caller hears of it: a part of the time limit and of the silence of 0.35 s
 after which a repeatable request is sent elsewhere anyway."""
 CALL_TIMEOUT_S: Final = 5.0
-SLOW_S: Final = 0.7
-"""Seconds that a slow upstream takes: twice the silence after which a second one is tried."""
 PLAIN_HEADS: Final = {
     "a length": (OWN + LENGTH, BODY),
     "no length": (OWN, BODY),
@@ -52,11 +48,6 @@
 class InvalidStatusCase(CutCase):
     """The upstream ``cut`` gives answers with invalid statuses and keeps its connections open."""
 
-    def answer(self, content: bytes) -> None:
-        """Let the upstream answer so, and keep the connection."""
-        self.cut(content, 0)
-        self.server.cut_at = None
-
     def failures(self) -> int:
         """Return the failures in a row that the health of the upstream ``cut`` has."""
         tracker = self.fleet.entry.selector.health
@@ -188,16 +179,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.fleet.store.remove("servers/other")
-        jobs = command_route_body(
-            name="jobs", prefix="/jobs/", kind="idempotent", attempts=2, timeout_ms=ROUTE_TIMEOUT_MS
-        )
-        self.fleet.configure(version=2, routes=[jobs])
-        self.fleet.add("slow", PLAIN)
-        self.fleet.store.put(
-            "servers/cut", plain_body(2, address=self.server.address, zone="nam-a")
-        )
-        await self.fleet.settle()
+        await self.replace_other_by_slow()
 
     # Guards against a second attempt that ends the first one by an answer that is none, or relays
     # it: the first upstream was only slow.
--- a/gypsumpier/test/test_unstated_refusals.py
+++ b/gypsumpier/test/test_unstated_refusals.py
@@ -16,7 +16,6 @@
 from gypsumpier.test.builders_platform import (
     ENGINES,
     PLAIN,
-    command_route_body,
     engine_body,
     plain_body,
     route_body,
@@ -29,7 +28,7 @@
     INTERIM,
     LENGTH,
     OWN,
-    ROUTE_TIMEOUT_MS,
+    SLOW_S,
     STREAM,
     CutCase,
     chunks,
@@ -40,8 +39,6 @@
 REFUSALS: Final = (408, 421, 429, 503)
 AT_ONCE_S: Final = 0.3
 """Seconds in which the caller hears of it: a part of its time limit."""
-SLOW_S: Final = 0.7
-"""Seconds that a slow upstream takes: twice the silence after which a second one is tried."""
 NOT_RUN: Final = "X-Not-Executed: 1\r\n"
 FORMS: Final = {
     "a length": (OWN + LENGTH, BODY),
@@ -68,9 +65,8 @@
     """The upstream ``cut`` answers as scripted and keeps its connections open."""
 
     def answer(self, content: bytes) -> None:
-        """Let the upstream answer so, and keep the connection."""
-        self.cut(content, 0)
-        self.server.cut_at = None
+        """Do the same, and forget the rests that earlier answers asked for."""
+        super().answer(content)
         self.fleet.entry.selector.statements.rests.known.clear()
 
     async def check_unknown(self, path: str, runs_max: int = 1) -> None:
@@ -261,16 +257,7 @@
 class SilentUpstreamTest(UnstatedCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.fleet.store.remove("servers/other")
-        jobs = command_route_body(
-            name="jobs", prefix="/jobs/", kind="idempotent", attempts=2, timeout_ms=ROUTE_TIMEOUT_MS
-        )
-        self.fleet.configure(version=2, routes=[jobs])
-        self.slow = self.fleet.add("slow", PLAIN)
-        self.fleet.store.put(
-            "servers/cut", plain_body(2, address=self.server.address, zone="nam-a")
-        )
-        await self.fleet.settle()
+        await self.replace_other_by_slow()
 
     # Guards against the refusal of a second attempt that ends the first one, which goes on.
     async def test_a_second_attempt_that_gets_a_refusal(self) -> None:
