Don't take a denial in X-Not-Executed for a refusal

Callers' commands ran twice where an upstream had run them and answered with 'X-Not-Executed: false'.

Cause: the header counted as the statement by its name alone, whatever its value.

--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -21,6 +21,9 @@
 LAST_EVENT_ID: Final = "Last-Event-Id"
 SEAL: Final = "X-Server-Seal"
 NOT_RUN: Final = "X-Not-Executed"
+NOT_RUN_DENIALS: Final = frozenset({"0", "?0", "false", "no"})
+"""Values of that header, in lower case, by which an upstream denies that it has not run a request.
+Every other value states it."""
 INSTANCE: Final = "X-Instance-Id"
 REQUEST_LIMIT: Final = "Server-Limit"
 """Requests a second that the answering upstream takes from all entries together."""
@@ -56,6 +59,9 @@
     )
 )  # fmt: skip
 
+REFUSAL_HEADERS: Final = frozenset({NOT_RUN.lower()})
+"""Headers that no forwarded answer has: callers may take the name alone for the statement."""
+
 
 def caller_head(start: RequestStartLine, headers: HTTPHeaders) -> CallerHead:
     """Return the head of a caller's request; malformed fields get their defaults."""
@@ -107,7 +113,7 @@
         reason=start.reason,
         request_id=headers.get(REQUEST_ID, ""),
         seal=headers.get(SEAL, ""),
-        is_not_run=NOT_RUN in headers or start.code == MISDIRECTED_STATUS,
+        is_not_run=states_not_run(start.code, headers),
         is_encoded="Content-Encoding" in headers,
         closes="close" in headers.get("Connection", "").lower(),
         idle_s=keep_alive_timeout_s(headers),
@@ -120,10 +126,18 @@
             headers.get(RETRY_AFTER),
             headers.get(UPSTREAM_LEAVING),
         ),
-        forwarded_headers=forwardable_headers(headers, frozenset()),
+        forwarded_headers=forwardable_headers(headers, REFUSAL_HEADERS),
     )
 
 
+def states_not_run(status: int, headers: HTTPHeaders) -> bool:
+    """Return whether an answer states that the request has not run and does not deny it as well."""
+    values = headers.get(NOT_RUN, "").split(",")
+    if any(value.strip().lower() in NOT_RUN_DENIALS for value in values):
+        return False
+    return NOT_RUN in headers or status == MISDIRECTED_STATUS
+
+
 def refusal_headers(request_id: str, body_bytes: int, retry_after_s: float | None) -> HTTPHeaders:
     """Return the headers of an entry's own answer; Retry-After may have fractions of a second."""
     headers = HTTPHeaders({"Content-Type": "application/json", REQUEST_ID: request_id})
--- a/gypsumpier/test/test_unstated_refusals.py
+++ b/gypsumpier/test/test_unstated_refusals.py
@@ -40,6 +40,8 @@
 AT_ONCE_S: Final = 0.3
 """Seconds in which the caller hears of it: a part of its time limit."""
 NOT_RUN: Final = "X-Not-Executed: 1\r\n"
+DENIALS: Final = ("0", "?0", "false", "False", "no")
+"""Values by which an upstream states that it may have run the request."""
 FORMS: Final = {
     "a length": (OWN + LENGTH, BODY),
     "chunks": (OWN + CHUNKED, chunks(BODY)),
@@ -52,6 +54,8 @@
     "chunks that do not end": (OWN + CHUNKED, chunks(BODY).removesuffix("0\r\n\r\n")),
     "neither a length nor an end": (OWN, BODY),
     "another header that says so": (OWN + LENGTH + "X-Executed: 0\r\n", BODY),
+    "a denial": (OWN + LENGTH + "X-Not-Executed: false\r\n", BODY),
+    "a denial after a statement": (OWN + LENGTH + NOT_RUN + "X-Not-Executed: 0\r\n", BODY),
 }
 """Heads and bodies of answers."""
 
@@ -154,6 +158,24 @@
         await self.check_unknown("/commands/x")
         self.assertEqual([], self.other.run_ids)
 
+    # Guards against a command that has run and whose misdirection is denied by the same answer.
+    async def test_a_misdirected_command_whose_answer_denies_it(self) -> None:
+        self.answer(answer_of(421, f"{OWN}{LENGTH}X-Not-Executed: 0\r\n"))
+        await self.check_unknown("/commands/x")
+        self.assertEqual([], self.other.run_ids)
+
+    # Guards against an answer that denies being a refusal and is taken for one, or passed on with
+    # the header that callers take for the statement.
+    async def test_an_answer_that_denies_that_the_command_has_not_run(self) -> None:
+        for status in (200, 400, 500):
+            for value in DENIALS:
+                with self.subTest(value, status=status):
+                    self.answer(answer_of(status, f"{OWN}{LENGTH}X-Not-Executed: {value}\r\n"))
+                    found = await self.fleet.call("/commands/x", self.next_id())
+                    self.assertEqual((status, BODY), (found.code, found.body.decode()))
+                    self.assertNotIn("X-Not-Executed", found.headers)
+                    self.assertEqual([], self.other.run_ids)
+
 
 class StatedRefusalTest(UnstatedCase):
     async def check_refused(self) -> int:
@@ -174,6 +196,16 @@
                 await self.check_refused()
                 self.assertGreaterEqual(other.requests, 1)
 
+    # Guards against a statement that counts only with one value: the pages name none.
+    async def test_any_value_but_a_denial_states_a_refusal(self) -> None:
+        for value in ("1", "true", "yes", "", "i-1"):
+            with self.subTest(value):
+                refusal = answer_of(503, f"{OWN}{LENGTH}X-Not-Executed: {value}\r\n")
+                other = await self.replace_other(refusal)
+                self.answer(refusal)
+                await self.check_refused()
+                self.assertGreaterEqual(other.requests, 1)
+
     # Guards against the same where no retry is left.
     async def test_a_refused_command_without_a_retry_is_called_refused(self) -> None:
         retries = self.fleet.entry.retries
