--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -9,6 +9,8 @@
 import itertools
 import json
 import os
+import random
+import resource
 import signal
 import socket
 import sys
@@ -433,9 +435,14 @@
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                stdout=log, stderr=log, preexec_fn=self.limit_descriptors,
             )  # fmt: skip
 
+    def limit_descriptors(self) -> None:
+        """Apply the limit of the settings, as the platform does."""
+        most = int(self.settings["limits"]["max_fds"])
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
     def is_running(self) -> bool:
         return self.process is not None and self.process.returncode is None
 
@@ -472,11 +479,13 @@
         self.store = Store()
         self.servers: list[Server] = []
         self.processes: list[Process] = []
+        # The processes of all runs have one port in common, so that each run has its own addresses.
+        self.network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         self.addresses = itertools.count(11)
         self.version = 0
 
     def new_host(self) -> str:
-        return f"127.0.7.{next(self.addresses)}"
+        return f"{self.network}.{next(self.addresses)}"
 
     async def add_server(self, server: Server, **fields: object) -> Server:
         await server.http.start()
