--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import itertools
 import json
 import os
@@ -32,6 +33,7 @@
 LAYERS = 16
 MB = 1024 * 1024
 ZONES = {"bac-a": "bac", "trung-a": "trung", "nam-a": "nam"}
+PR_SET_PDEATHSIG = 1
 RULE_BROKEN, RULE_HELD, NOT_RUN = 1, 0, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -435,13 +437,14 @@
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log, preexec_fn=self.limit_descriptors,
+                stdout=log, stderr=log, preexec_fn=self.prepare,
             )  # fmt: skip
 
-    def limit_descriptors(self) -> None:
-        """Apply the limit of the settings, as the platform does."""
+    def prepare(self) -> None:
+        """Apply the limit of the settings, as the platform does; end with the case."""
         most = int(self.settings["limits"]["max_fds"])
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+        ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
     def is_running(self) -> bool:
         return self.process is not None and self.process.returncode is None
