--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -405,7 +405,7 @@
         if len(named) >= VERSIONS_KEPT and is_covered(claim, named):
             return None
         unknown = WantedVersion(claim.version, float("-inf"), Evidence.UNKNOWN)
-        known = next((wanted for wanted in named if wanted.version == claim.version), None)
+        known = self.wanted_version(model, claim.version)
         if known is not None and self.ends_before_outage(known, claim):
             return None
         better = (known or unknown).better_of(claim)
@@ -438,6 +438,11 @@
         is_outage = known.evidence is Evidence.AFTER_OUTAGE and claim.evidence is Evidence.PROVEN
         return is_outage and claim.earliest_named_at_s <= self.outage_began_at_s
 
+    def wanted_version(self, model: str, version: int) -> WantedVersion | None:
+        """Return what is known of a version's naming; None where it is not among the kept ones."""
+        named = self.versions.get(model, [])
+        return next((wanted for wanted in named if wanted.version == version), None)
+
     def due_version(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before ``before_s``; 0 where there is none."""
         named = self.versions.get(model, [])
--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -27,6 +27,7 @@
 from gypsumpier.gateway.relay import Relay
 from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.silenceshare import SilenceShare
+from gypsumpier.gateway.startmargins import StartMargins
 from gypsumpier.gateway.status import StatusServer, metrics_address
 from gypsumpier.log import decision
 from gypsumpier.mesh.feed import FleetStateFeed
@@ -116,8 +117,17 @@
         self.crashes = CrashTracker(self.mesh)
         self.starts = PendingStarts(self.selector, self.due_version)
         self.intake = Intake(settings, self.fleet_state)
+        self.start_margins = StartMargins(
+            self.fleet_state, self.selector, settings.bounds.version_in_force_s
+        )
         self.relay = Relay(
-            self.admission, self.selector, self.pool, self.retries, self.crashes, self.starts
+            self.admission,
+            self.selector,
+            self.pool,
+            self.retries,
+            self.crashes,
+            self.starts,
+            self.start_margins,
         )
         self.crashes.on_refused.append(self.stop_refused)
         self.front = Front(self.intake, self.relay)
@@ -254,6 +264,7 @@
             self.pool.close_idle()
             self.fleet_state.drop_expired_lapsed()
             self.admission.log_candidates()
+            self.start_margins.log_passed_limits()
             self.retries.set_entry_count(1 + len(self.mesh.peers(ENTRY)))
             self.admission.entry_count = 1 + len(self.mesh.peers(ENTRY))
             self.crashes.update_rank()
--- a/gypsumpier/gateway/relay.py
+++ b/gypsumpier/gateway/relay.py
@@ -23,6 +23,7 @@
 from gypsumpier.gateway.retries import RetryBudget
 from gypsumpier.gateway.secondattempt import SecondAttempt
 from gypsumpier.gateway.sender import UpstreamSender
+from gypsumpier.gateway.startmargins import StartMargins
 from gypsumpier.gateway.writer import AnswerWriter
 from gypsumpier.upstream.errors import NotRunError, OutcomeUnknownError
 from gypsumpier.upstream.exchange import Exchange
@@ -51,11 +52,13 @@
         retries: RetryBudget,
         crashes: CrashTracker,
         starts: PendingStarts,
+        start_margins: StartMargins,
     ) -> None:
         self.admission = admission
         self.selector = selector
         self.retries = retries
         self.crashes = crashes
+        self.start_margins = start_margins
         self.sender = UpstreamSender(admission, selector, pool, crashes, starts)
         self.failures = FailureRecorder(selector, pool, crashes)
 
@@ -208,9 +211,8 @@
                 continue
             if not writer.status:
                 writer.begin(head, None)
-            if not request.first_event_at_s:
-                took_s = time.monotonic() - attempt.began_at_s
-                self.admission.record_first_event(request.service, took_s)
+            if not has_events:
+                self.record_start(attempt, head)
             has_events = True
             request.record_event()
             self.selector.record_heard(attempt.record)
@@ -226,6 +228,14 @@
             writer.begin(head, None)
         writer.finish()
 
+    def record_start(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Record that the upstream has begun to write the answer of an attempt."""
+        request = attempt.request
+        if not request.first_event_at_s:
+            took_s = time.monotonic() - attempt.began_at_s
+            self.admission.record_first_event(request.service, took_s)
+        self.start_margins.record(request, attempt.record, head.weights_version)
+
 
 def resumption_error(head: AnswerHead) -> OutcomeUnknownError:
     """Return the error for an answer that can't continue a stream."""
--- a/gypsumpier/platform/headers.py
+++ b/gypsumpier/platform/headers.py
@@ -25,6 +25,8 @@
 """Values of that header, in lower case, by which an upstream denies that it has not run a request.
 Every other value states it."""
 INSTANCE: Final = "X-Instance-Id"
+WEIGHTS_VERSION: Final = "X-Weight-Versions"
+"""Version of the weights on which an engine has started the request that it answers."""
 REQUEST_LIMIT: Final = "Server-Limit"
 """Requests a second that the answering upstream takes from all entries together."""
 RETRY_AFTER: Final = "Retry-After"
@@ -127,6 +129,7 @@
             headers.get(UPSTREAM_LEAVING),
         ),
         forwarded_headers=forwardable_headers(headers, REFUSAL_HEADERS),
+        weights_version=whole_number(headers.get(WEIGHTS_VERSION, "")),
     )
 
 
--- a/gypsumpier/test/test_random_moves.py
+++ b/gypsumpier/test/test_random_moves.py
@@ -97,7 +97,13 @@
         self.starts = PendingStarts(self.selector, lambda service: 0)
         crashes = mock.Mock(refused_for_s=lambda request: 0.0)
         self.relay = Relay(
-            self.admission, self.selector, self.pool, self.retries, crashes, self.starts
+            self.admission,
+            self.selector,
+            self.pool,
+            self.retries,
+            crashes,
+            self.starts,
+            mock.Mock(),
         )
         self.taken: Counter[str] = Counter()
         self.calls: list[Call] = []
--- a/gypsumpier/test/test_regions.py
+++ b/gypsumpier/test/test_regions.py
@@ -383,7 +383,7 @@
     def relay(self, admission: Admission) -> Relay:
         """Return the relay of an entry whose engines cut every stream."""
         retries = RetryBudget(BOUNDS, 1)
-        parts = (mock.Mock(), retries, mock.Mock(), mock.Mock())
+        parts = (mock.Mock(), retries, mock.Mock(), mock.Mock(), mock.Mock())
         relay = Relay(admission, admission.selector, *parts)
         relay.sender = FailingSender(admission)
         return relay
--- a/gypsumpier/test/test_stalled_answer.py
+++ b/gypsumpier/test/test_stalled_answer.py
@@ -118,8 +118,8 @@
     async def relay_stream(self) -> None:
         """Relay the answer as a stream."""
         self.writer.write = mock.AsyncMock()
-        pool, crashes, starts = mock.Mock(), mock.Mock(), mock.Mock()
-        relay = Relay(self.admission, self.selector, pool, self.retries, crashes, starts)
+        pool, crashes, starts, margins = mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock()
+        relay = Relay(self.admission, self.selector, pool, self.retries, crashes, starts, margins)
         assert self.exchange.head is not None
         await relay.relay_stream(self.other.silent, self.exchange, self.exchange.head, self.writer)
 
--- a/gypsumpier/upstream/head.py
+++ b/gypsumpier/upstream/head.py
@@ -65,7 +65,8 @@
     if the connection is closed after the answer.  ``idle_s`` is how many seconds the upstream keeps
     the idle connection; None if not stated.  ``is_event_stream`` is set if its body is a series of
     events, ``is_framed`` if the body's end is told from that of the connection.  ``statement`` is
-    what the answer says of the upstream itself.
+    what the answer says of the upstream itself.  ``weights_version`` is that of the weights on
+    which the request has started; 0 if not stated.
     """
 
     status: int
@@ -81,6 +82,7 @@
     is_framed: bool
     statement: Statement
     forwarded_headers: HTTPHeaders
+    weights_version: int = 0
 
     @property
     def is_success(self) -> bool:
--- /dev/null
+++ b/misc/version_margins.py
@@ -0,0 +1,83 @@
+"""Tells from the output of a bench run with logs how near requests came to starting too late.
+
+For each named version: the smallest time left before its limit when a request started on older
+weights, counted from the naming that the bench tells, and the largest error of what processes
+believed of that time (positive: they believed it younger than it is).
+"""
+
+import json
+import re
+import sys
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+LOG_LINE: Final = re.compile(r"^\s*(-?\d+\.\d+) (\S+) (\{.*\})$")
+NAMING: Final = re.compile(r"^- version (\d+), named at (\d+\.\d+) s")
+
+
+class LoggedEvent(NamedTuple):
+    """A log line of a process, ``node``, at ``at_s`` of the bench's time."""
+
+    at_s: float
+    node: str
+    fields: dict[str, Any]
+
+
+def events_of(lines: list[str], name: str) -> list[LoggedEvent]:
+    """Return the logged events of that name."""
+    found = []
+    for line in lines:
+        match = LOG_LINE.match(line)
+        if match is None or f'"{name}"' not in line:
+            continue
+        fields = json.loads(match[3])
+        if fields["event"] == name:
+            found.append(LoggedEvent(float(match[1]), match[2], fields))
+    return found
+
+
+def main() -> int:
+    """Print a line for each version of each file; return the exit status."""
+    smallest: list[tuple[float, str]] = []
+    for path in sys.argv[1:]:
+        lines = Path(path).read_text(errors="replace").splitlines()
+        named_at_s = {
+            int(match[1]): float(match[2]) for line in lines if (match := NAMING.match(line))
+        }
+        for version, at_s in named_at_s.items():
+            starts = [
+                (at_s + event.fields["in_force_s"] - (event.at_s - event.fields["ago_s"]), event)
+                for event in events_of(lines, "older_weights_last_start")
+                if event.fields["version"] == version
+            ]
+            errors = [
+                (event.at_s - event.fields["named_ago_s"] - at_s, event)
+                for event in events_of(lines, "version_wanted")
+                if event.fields["version"] == version
+            ]
+            text = f"{path}: version {version} named at {at_s:.3f} s"
+            if starts:
+                left_s, event = min(starts, key=lambda found: found[0])
+                text += (
+                    f", last start on older weights {left_s:.3f} s before the limit, {event.node}"
+                )
+                text += f", request {event.fields['request']} at {event.fields['upstream']}"
+                smallest.append((left_s, text))
+            if errors:
+                latest, earliest = max(errors, key=first), min(errors, key=first)
+                text += f"; believed from {earliest[0]:+.3f} s ({earliest[1].node}"
+                text += f", {earliest[1].fields['evidence']}) to {latest[0]:+.3f} s"
+                text += f" ({latest[1].node}, {latest[1].fields['evidence']})"
+            print(text)
+    if smallest:
+        print(f"smallest: {min(smallest)[1]}")
+    return 0
+
+
+def first(found: tuple[float, LoggedEvent]) -> float:
+    """Return the figure of a pair."""
+    return found[0]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
