Count the limit of a version from a time before its naming, never from a receipt

Cause: the answer of a watch that had waited counted as the moment of the naming, less 0.1 s. What holds an answer up can't be seen from one call: the store, the way, a connection that opens late. Where no other process had heard of it sooner, every process believed the version younger by as much.

Change: one mechanism in place of the judgement of answers. Each answer of the store dates its position by the sending of the call (PositionTimes); what is recorded at a later position was recorded after that. The reader of a zone reads the position each 0.5 s while its watch waits. Stalls, waits and prompt answers no longer matter, so that watcher.news and change.News are gone. Of two such times the later one holds; a peer's claim later than the own learning of the version is ignored. A process that connects to one of another zone learns the times of recent versions at once.

The harness of test_naming_times reads the position as a running process does. Three tests of test_version_times built a reader that claimed to know that the store lacked the version 2 s after its naming; they now build what really is known, with the same assertions.

--- a/gypsumpier/fleet/change.py
+++ b/gypsumpier/fleet/change.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
-from typing import Final, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 from gypsumpier.fleet.configuration import FleetConfiguration
 from gypsumpier.fleet.position import Position
@@ -62,20 +62,6 @@
         return Position(self.era, self.revision)
 
 
-class News(NamedTuple):
-    """When the changes of a batch were made, as the reader of the store knows.
-
-    None of them was made before ``after_s``; None where nothing is known of that.  ``is_observed``
-    is set if they were made about then.
-    """
-
-    after_s: float | None
-    is_observed: bool
-
-
-UNKNOWN_NEWS: Final = News(None, False)
-
-
 class FleetSource(Protocol):
     """Read-only client of what the platform publishes.
 
--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -12,13 +12,11 @@
 from prometheus_client import Gauge
 
 from gypsumpier.fleet.change import (
-    UNKNOWN_NEWS,
     Batch,
     ConfigurationChange,
     EvacuationChange,
     FleetChange,
     FleetSource,
-    News,
     UpstreamChange,
     VersionChange,
 )
@@ -26,6 +24,7 @@
 from gypsumpier.fleet.configuration import FleetConfiguration
 from gypsumpier.fleet.evacuations import Evacuations
 from gypsumpier.fleet.position import Position
+from gypsumpier.fleet.positiontimes import PositionTimes
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.recordtable import RecordTable
 from gypsumpier.fleet.upstream import UpstreamRecord
@@ -100,6 +99,7 @@
         self.restored_at_s = float("-inf")
         self.proven_at_s = float("-inf")
         self.previous_proof_at_s = float("-inf")
+        self.position_times = PositionTimes()
         self.contacts_at_s: deque[float] = deque(maxlen=CONTACTS_KEPT)
         self.outage_began_at_s = float("-inf")
         self.outage_ended_at_s = float("-inf")
@@ -133,9 +133,14 @@
 
     def record_proof(self, at_s: float) -> None:
         """Record that the store had nothing newer than ``revision`` at that time."""
-        self.record_contact(at_s)
+        self.record_position(self.position, at_s)
         self.proven_at_s = max(self.proven_at_s, at_s)
 
+    def record_position(self, position: Position, at_s: float) -> None:
+        """Record that the store had nothing newer than ``position`` at that time."""
+        self.record_contact(at_s)
+        self.position_times.record(position, at_s)
+
     def record_contact(self, at_s: float) -> None:
         """Record that the store answered some process at that time.
 
@@ -180,18 +185,17 @@
         batch: Batch,
         proven_at_s: float,
         origin: str,
-        news: News = UNKNOWN_NEWS,
     ) -> None:
         """Apply a batch that continues from the known revision; older records are ignored.
 
         ``proven_at_s`` is the time of the batch's freshness proof.  ``origin`` names the source of
-        the batch in the log.  ``news`` is what the reader of the store knows of the time at
-        which the changes were made.
+        the batch in the log.
         """
         if batch.position < self.position or self.lacks_earlier_changes(batch):
             return
         self.previous_proof_at_s = self.proven_at_s
-        self.record_proof(proven_at_s)
+        self.record_position(batch.position, proven_at_s)
+        self.proven_at_s = max(self.proven_at_s, proven_at_s)
         previous, has_returned = self.position, bool(self.revision) and batch.era > self.era
         if has_returned:
             self.restored_at_s = boot_time_s()
@@ -199,8 +203,9 @@
             self.evacuations.begin_era()
         changed = self.records.changes_of(batch)
         for record in changed:
-            self.apply_record(record, origin, news)
+            self.apply_record(record, origin)
         self.era, self.revision = batch.position
+        self.position_times.forget_before(self.position)
         STORE_ERA.set(self.era)
         if has_returned:
             self.log_return(previous, origin)
@@ -224,19 +229,19 @@
             source=origin,
         )
 
-    def apply_record(self, record: Record, origin: str, news: News) -> None:
+    def apply_record(self, record: Record, origin: str) -> None:
         """Store or remove one record and apply the change that it contains."""
         self.records.apply(record)
         change = self.source.decode(record)
         if change is not None:
-            self.apply_change(change, record, origin, news)
+            self.apply_change(change, record, origin)
 
-    def apply_change(self, change: FleetChange, record: Record, origin: str, news: News) -> None:
+    def apply_change(self, change: FleetChange, record: Record, origin: str) -> None:
         """Apply and log the decoded change of a record."""
         if isinstance(change, ConfigurationChange):
             self.apply_configuration(change.configuration, record, origin)
         elif isinstance(change, VersionChange):
-            self.apply_version(change, record, origin, news)
+            self.apply_version(change, record, origin)
         elif isinstance(change, EvacuationChange):
             is_copied = bool(self.revision) and record.era > self.era
             proven_at_s = self.previous_proof_at_s
@@ -267,13 +272,13 @@
             source=origin,
         )
 
-    def apply_version(self, change: VersionChange, record: Record, origin: str, news: News) -> None:
+    def apply_version(self, change: VersionChange, record: Record, origin: str) -> None:
         """Record a newly named version of a model; an older version is ignored."""
         named = self.versions.get(change.model, [])
         if named and change.version <= named[-1].version:
             return
         now_s = boot_time_s()
-        wanted = self.estimate(change.version, news)
+        wanted = self.estimate(change.version, record.position)
         if wanted.evidence is not Evidence.UNKNOWN:
             wanted = wanted._replace(learned_at_s=now_s)
         self.versions[change.model] = self.bounded([*named, wanted])
@@ -292,18 +297,16 @@
             source=origin,
         )
 
-    def estimate(self, version: int, news: News) -> WantedVersion:
-        """Return the estimate of the time at which a version that was just read was named."""
-        unknown_s = float("-inf")
-        proven_at_s = max(self.previous_proof_at_s, news.after_s or unknown_s)
+    def estimate(self, version: int, position: Position) -> WantedVersion:
+        """Return the estimate of the time at which a version recorded at ``position`` was named."""
+        proven_at_s = self.position_times.last_before(position)
         wanted = WantedVersion(version, proven_at_s, Evidence.PROVEN, proven_at_s=proven_at_s)
-        if news.is_observed:
-            return wanted._replace(evidence=Evidence.OBSERVED)
         if self.is_after_outage() and proven_at_s < self.outage_ended_at_s:
             return wanted._replace(
                 earliest_named_at_s=self.outage_ended_at_s, evidence=Evidence.AFTER_OUTAGE
             )
-        return wanted if proven_at_s > unknown_s else wanted._replace(evidence=Evidence.UNKNOWN)
+        is_known = proven_at_s > float("-inf")
+        return wanted if is_known else wanted._replace(evidence=Evidence.UNKNOWN)
 
     def set_version_metrics(self, change: VersionChange) -> None:
         """Set the metrics of the newest version of a model."""
@@ -406,7 +409,9 @@
             return None
         unknown = WantedVersion(claim.version, float("-inf"), Evidence.UNKNOWN)
         known = self.wanted_version(model, claim.version)
-        if known is not None and self.ends_before_outage(known, claim):
+        if known is not None and (
+            self.ends_before_outage(known, claim) or is_refuted(known, claim)
+        ):
             return None
         better = (known or unknown).better_of(claim)
         if better == known:
@@ -490,6 +495,15 @@
         return Batch(0, self.revision, records, True, 0.0, self.era, dict(self.records.outdated))
 
 
+def is_refuted(known: WantedVersion, claim: WantedVersion) -> bool:
+    """Return whether this process had learned of the version before the claimed time of its naming.
+
+    Where the age in a message lacks some of the time that the message took, its claim is late.
+    """
+    is_learned = known.learned_at_s > float("-inf")
+    return is_learned and claim.earliest_named_at_s > known.learned_at_s
+
+
 def log_corrected_time(
     model: str, known: WantedVersion, better: WantedVersion, origin: str
 ) -> None:
--- a/gypsumpier/fleet/wantedversion.py
+++ b/gypsumpier/fleet/wantedversion.py
@@ -8,9 +8,9 @@
 class Evidence(IntEnum):
     """What an estimate of the time of a naming rests on; more reliable evidence is greater.
 
-    OBSERVED: a process in continuous contact with the store heard of it at that time.  The delay of
-    the news is small, but not zero.
-    PROVEN: a lower bound, the last proof that the version had not been named.
+    PROVEN: a lower bound, the last time at which the store is known not to have had the version.
+    OBSERVED: the time at which a process of an older build heard of it.  It may be late by as long
+    as the news was held up.
     AFTER_OUTAGE: the end of an outage of the store, in which the version was named.  The time of an
     outage does not count towards the time limit for a version.
     UNKNOWN: minus infinity, as the process had no proof before it learned of the version.
@@ -18,8 +18,8 @@
 
     UNKNOWN = 0
     AFTER_OUTAGE = 1
-    PROVEN = 2
-    OBSERVED = 3
+    OBSERVED = 2
+    PROVEN = 3
 
 
 class WantedVersion(NamedTuple):
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -16,7 +16,7 @@
 from gypsumpier.backoff import Backoff
 from gypsumpier.codes.platform import HISTORY_GONE, PLATFORM_BAD_ANSWER
 from gypsumpier.errors import GypsumpierError
-from gypsumpier.fleet.change import Batch, FleetSource, News
+from gypsumpier.fleet.change import Batch, FleetSource
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.readergroup import ReaderGroup
 from gypsumpier.fleet.stall import StallMonitor
@@ -38,11 +38,11 @@
 """Longest wait in seconds between attempts; a key's revocation must arrive within seconds."""
 RETRY_AFTER_MAX_S: Final = 1.0
 """Longest time in seconds that the store is left alone as it asks for that, before this wait."""
-PROMPT_ANSWER_S: Final = 0.25
-"""Seconds within which a watch that finds a change made before it is answered; a later answer tells
-of a change that was made as it was sent."""
-NEWS_DELAY_S: Final = 0.1
-"""Seconds that the answer of a watch takes from the change until it is read."""
+POSITION_INTERVAL_S: Final = 0.5
+"""Seconds between two readings of the store's position.  A version counts from the last one before
+its naming, so that engines lose up to this time for their switch."""
+POSITION_POLL_S: Final = 0.05
+"""Seconds between two checks whether the position should be read."""
 CALLS_PER_S: Final = 25.0
 CALLS_BURST: Final = 25.0
 """Readings of the store that one process begins in a second at most, and at once after a pause.  A
@@ -90,11 +90,11 @@
     ``calls`` limits the readings of the store.  ``history_losses`` counts the watches without an
     answered one in between for which the store lacked the history.
     ``failures`` counts the calls in a row that have failed, the first of them at
-    ``failing_since_s``.  ``answered_at_s`` is the earliest time at which the store can have made
-    its last answer; minus infinity after a failure.  ``checked_at_s`` is when this process last
-    checked on the readers of the store.  ``is_behind`` is set where a check of the store's
-    revision has shown changes that are still to be read.  ``checks_first`` is set where the next
-    call reads the revision alone.  ``is_large`` is set while a large answer arrives.
+    ``failing_since_s``.  ``is_watching`` is set while a watch waits for a change.
+    ``checked_at_s`` is when this process last checked on the readers of the store.  ``is_behind``
+    is set where a check of the store's revision has shown changes that are still to be read.
+    ``checks_first`` is set where the next call reads the revision alone.  ``is_large`` is set while
+    a large answer arrives.
     """
 
     def __init__(
@@ -111,7 +111,7 @@
         self.history_losses = 0
         self.failures = 0
         self.failing_since_s = 0.0
-        self.answered_at_s = float("-inf")
+        self.is_watching = False
         self.checked_at_s = float("-inf")
         self.needs_snapshot = True
         self.is_behind = False
@@ -122,8 +122,9 @@
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
-        """Start the reading task and the monitor of stalls."""
-        self.tasks = [asyncio.create_task(work) for work in (self.run(), self.stalls.run())]
+        """Start the reading tasks and the monitor of stalls."""
+        works = (self.run(), self.run_position_readings(), self.stalls.run())
+        self.tasks = [asyncio.create_task(work) for work in works]
 
     async def stop(self) -> None:
         """Stop the tasks and release the client."""
@@ -187,21 +188,18 @@
                 self.check_era(batch.era)
                 self.needs_snapshot = False
             else:
-                batch = await self.source.watch(known.revision, wait_s)
+                batch = await self.watch(known.revision, wait_s)
                 self.check_era(batch.era)
                 if batch.era != known.era:
                     # Its changes follow the revision ``known`` of another history.
                     raise GypsumpierError(HISTORY_GONE, f"era {known.era} of the store has ended")
                 self.history_losses = 0
         self.is_behind = False
-        news = News(None, False) if is_snapshot else self.news(sent_at_s, wait_s)
         if batch.records:
-            self.log_news(kind, batch, sent_at_s, news)
+            self.log_news(kind, batch, sent_at_s)
         proven_at_s = min(boot_time_s(), sent_at_s + batch.proven_after_s)
         is_news = batch.position > self.fleet_state.position
-        self.fleet_state.apply(batch, proven_at_s, "store", news)
-        is_prompt = bool(batch.records) and news.is_observed
-        self.answered_at_s = max(proven_at_s, news.after_s or 0.0) if is_prompt else proven_at_s
+        self.fleet_state.apply(batch, proven_at_s, "store")
         if batch.position == self.fleet_state.position:
             # A batch that a peer has overtaken must not be shared with the newer one's proof.
             known_batch = self.unchanged() if not is_news else batch
@@ -209,6 +207,43 @@
             self.readers.share(self.fleet_state.snapshot() if is_new_snapshot else known_batch)
         self.checks_first = self.is_large and boot_time_s() - proven_at_s > PROOF_RENEWAL_S
 
+    async def watch(self, revision: int, wait_s: float) -> Batch:
+        """Return the changes after ``revision``; wait up to ``wait_s`` seconds for the first."""
+        self.is_watching = True
+        try:
+            return await self.source.watch(revision, wait_s)
+        finally:
+            self.is_watching = False
+
+    async def run_position_readings(self) -> None:
+        """Read the store's position at intervals while a watch waits, until cancelled."""
+        while True:
+            await asyncio.sleep(POSITION_POLL_S)
+            if self.is_position_due():
+                await self.read_position()
+
+    def is_position_due(self) -> bool:
+        """Return whether a watch waits and the newest reading of the position has become old."""
+        known_at_s = self.fleet_state.position_times.newest_s()
+        return self.is_watching and boot_time_s() - known_at_s >= POSITION_INTERVAL_S
+
+    async def read_position(self) -> None:
+        """Record the store's position, from which later changes are dated.
+
+        The answer of a watch tells nothing of the time of a change: it may have waited in the
+        store, on its way, or in this process.  A failure is left to the watch to notice.
+        """
+        await self.take_call()
+        sent_at_s = boot_time_s()
+        try:
+            with counted(REVISION):
+                position = await self.source.current_position()
+                self.check_era(position.era)
+        except GypsumpierError as error:
+            decision("store_position_unread", code=error.code.number, reason=error.detail)
+            return
+        self.fleet_state.record_position(position, sent_at_s)
+
     def unchanged(self) -> Batch:
         """Return a batch that tells that the store has nothing newer."""
         era, revision = self.fleet_state.position
@@ -285,24 +320,10 @@
         elif 0 < self.failures < OUTAGE_FAILURES or position.era != self.fleet_state.era:
             self.needs_snapshot = True
 
-    def news(self, sent_at_s: float, wait_s: float) -> News:
-        """Return what the answer of a watch, just read, tells of when its changes were made.
-
-        A watch that is answered while it waits tells of a change that was made just before, unless
-        the answer came after the end of the wait or this process has stalled meanwhile.
-        """
-        now_s = boot_time_s()
-        waited_s = now_s - sent_at_s
-        if not PROMPT_ANSWER_S <= waited_s <= wait_s + PROMPT_ANSWER_S:
-            return News(self.answered_at_s, False)
-        running_since_s = self.stalls.running_since_s()
-        after_s = max(self.answered_at_s, running_since_s - NEWS_DELAY_S)
-        return News(after_s, running_since_s >= now_s)
-
-    def log_news(self, kind: str, batch: Batch, sent_at_s: float, news: News) -> None:
+    def log_news(self, kind: str, batch: Batch, sent_at_s: float) -> None:
         """Log how changes were read, which shows whether their news may have been late."""
         now_s = boot_time_s()
-        after_s = news.after_s if news.after_s is not None else float("-inf")
+        after_s = self.fleet_state.position_times.last_before(batch.position)
         decision(
             "store_news",
             kind=kind,
@@ -312,7 +333,6 @@
             proof_gap_s=round(min(self.fleet_state.proof_age_s(), UNKNOWN_AGE_S), 3),
             stalled_s=round(now_s - self.stalls.running_since_s(), 3),
             changed_ago_s=round(min(now_s - after_s, UNKNOWN_AGE_S), 3),
-            observed=news.is_observed,
         )
 
     def record_success(self) -> None:
@@ -328,7 +348,6 @@
         Where the store no longer has the history, the next call reads a snapshot: at once, unless
         a snapshot has not helped before.
         """
-        self.answered_at_s = float("-inf")
         self.needs_snapshot |= self.is_behind
         if error.code is HISTORY_GONE:
             self.needs_snapshot = True
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -89,6 +89,8 @@
 """Announced revisions that are kept; far more than changes can be made while one is overdue."""
 SNAPSHOT_TIMEOUT_S: Final = 0.5
 """Seconds to wait for a snapshot requested from one peer before it is requested from another."""
+RECENT_VERSION_S: Final = 60.0
+"""Seconds after its naming in which the time of a version matters; its limit is some ten."""
 CHANGES_LOG_INTERVAL_S: Final = 5.0
 """Seconds between two log lines about requests to one process."""
 COMPRESSION_LEVEL: Final = 1
@@ -556,7 +558,9 @@
 
         Only a peer at an older position requests the snapshot.  When many connections break at
         once, sending every peer a snapshot would congest the links so much that more of them break.
-        Entries of other zones get the offer where the store has lost records that are known here.
+        Entries of other zones get the offer where the store has lost records that are known here,
+        and otherwise a notice where a version was named lately: one that has just started to read
+        the store for its zone finds the version there, but not the time of its naming.
         """
         is_wanted = link.peer.zone == self.mesh.own.zone or (
             link.peer.role == ENTRY
@@ -565,6 +569,17 @@
         if is_wanted and self.mesh.own.role == ENTRY:
             offer = self.position_payload(self.fleet_state.position)
             self.mesh.post(link.peer.name, FEED_OFFER, offer)
+        elif self.mesh.own.role == link.peer.role == ENTRY and self.has_recent_version():
+            notice = self.position_payload(self.fleet_state.position)
+            self.mesh.post(link.peer.name, NOTICE, notice)
+
+    def has_recent_version(self) -> bool:
+        """Return whether a version was named within the last ``RECENT_VERSION_S`` seconds."""
+        return any(
+            age_s < RECENT_VERSION_S
+            for found in self.fleet_state.version_ages().values()
+            for _, age_s in found
+        )
 
     def handle_offer(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
         """Request a snapshot from a peer at a newer position; use the proof of the same one."""
--- a/gypsumpier/test/builders_platform.py
+++ b/gypsumpier/test/builders_platform.py
@@ -6,7 +6,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from gypsumpier.fleet.change import Batch, FleetChange, News
+from gypsumpier.fleet.change import Batch, FleetChange
 from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Bounds
 from gypsumpier.fleet.position import Position
@@ -202,16 +202,17 @@
     fleet_state: FleetState,
     *records: Record,
     proven_ago_s: float = 0.0,
-    observed_at_s: float | None = None,
+    absent_at_s: float | None = None,
 ) -> None:
     """Apply further records, with a freshness proof that is ``proven_ago_s`` seconds old.
 
-    ``observed_at_s`` is the time at which a watch that was waiting heard of them.
+    ``absent_at_s`` is a time at which the store is known not to have had them.
     """
     revision = max(found.revision for found in records)
     batch = Batch(fleet_state.revision, revision, list(records), False, 0.0)
-    news = News(observed_at_s, observed_at_s is not None)
-    fleet_state.apply(batch, boot_time_s() - proven_ago_s, "test", news)
+    if absent_at_s is not None:
+        fleet_state.record_position(fleet_state.position, absent_at_s)
+    fleet_state.apply(batch, boot_time_s() - proven_ago_s, "test")
 
 
 def caller_head_of(**fields: Any) -> CallerHead:
--- a/gypsumpier/test/storereaders.py
+++ b/gypsumpier/test/storereaders.py
@@ -102,10 +102,11 @@
 
 
 class StoreReadersCase(unittest.IsolatedAsyncioTestCase):
-    """Two entries of one zone and one of another; a version is named at ``NAMED_S``."""
+    """Two entries of one zone and one of another; a version is named at ``named_s``."""
 
     def setUp(self) -> None:
         self.now_s = START_S
+        self.named_s = NAMED_S
         for module in (state, feed, watcher, stall, builders_platform):
             patch = mock.patch.object(module, "boot_time_s", lambda: self.now_s)
             patch.start()
--- a/gypsumpier/test/test_limit_sharing.py
+++ b/gypsumpier/test/test_limit_sharing.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from gypsumpier.fleet.change import UNKNOWN_NEWS
 from gypsumpier.test.builders_gateway import engines_in
 from gypsumpier.test.builders_platform import configuration_record
 from gypsumpier.test.limitcheck import (
@@ -210,7 +209,7 @@
                 {"name": name, "api_keys": [f"key-of-{name}"]} for name in ("large", "small")
             ]
             record = configuration_record(50, version=2, tenants=tenants)
-            state.apply_record(record, "test", UNKNOWN_NEWS)
+            state.apply_record(record, "test")
             fleet = LimitedFleet(state, 7, ZONES)
             fleet.state_limit("2")
             large = asyncio.ensure_future(fleet.load(20.0, 50.0, {}, key="key-of-large"))
--- a/gypsumpier/test/test_naming_times.py
+++ b/gypsumpier/test/test_naming_times.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import unittest
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 from unittest import mock
 
 from gypsumpier.codes.platform import PLATFORM_REFUSED
 from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.change import Batch
+from gypsumpier.fleet.position import Position
 from gypsumpier.fleet.record import Record
 from gypsumpier.fleet.watcher import OUTAGE_FAILURES, WATCH_WAIT_S
 from gypsumpier.mesh.feed import AGE_FIELDS, NAMED, pack_records
@@ -35,9 +36,19 @@
 
 
 class EventfulSource(ScriptedSource):
-    """Runs ``during`` while a call is in progress; answers empty watches as the store does."""
+    """Runs ``during`` while a call is in progress; answers empty watches as the store does.
+
+    ``is_position_read`` is set while the store's position is read beside a watch.
+    """
 
     snapshot_revision = 0
+    is_position_read = False
+
+    async def current_position(self) -> Position:
+        if not self.is_position_read:
+            return await super().current_position()
+        is_named = self.test.now_s >= START_S + self.test.named_s
+        return Position(0, REVISION if is_named else REVISION - 1)
 
     def during(self) -> None:
         """Do nothing; tests replace this."""
@@ -70,9 +81,19 @@
         """Let the reader's process run, with its ticks, until then."""
         while self.now_s + TICK_S < START_S + seconds:
             self.now_s += TICK_S
-            reader.watcher.stalls.tick()
+            self.tick(reader)
         self.at(seconds)
+        self.tick(reader)
+
+    def tick(self, reader: Reader) -> None:
+        """Do what the reader's process does at intervals."""
         reader.watcher.stalls.tick()
+        if reader.watcher.is_position_due():
+            source = self.sources[self.readers.index(reader)]
+            source.is_position_read = True
+            with mock.patch.object(reader.watcher, "take_call", mock.AsyncMock()):
+                complete(reader.watcher.read_position())
+            source.is_position_read = False
 
     async def call_until(
         self, reader: Reader, seconds: float, records: list[Record] | None
@@ -96,7 +117,6 @@
     async def contact_until(self, reader: Reader, seconds: float) -> None:
         """Make a watch that waits until then in vain, as a process that was in contact before."""
         self.at(seconds - WATCH_WAIT_S - 0.004)
-        reader.watcher.answered_at_s = self.now_s
         reader.watcher.stalls.ticked_at_s = self.now_s
         await self.call_until(reader, seconds, [])
 
@@ -107,6 +127,15 @@
         self.assertGreaterEqual(reader.believed_named_at_s(), named_s - EARLY_MAX_S)
 
 
+def complete(work: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine that waits for nothing."""
+    try:
+        work.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("it waits")
+
+
 class LateAnswerTest(NamingTimesCase):
     async def test_the_answer_of_a_watch_that_is_late_on_its_way(self) -> None:
         """Guards against an observed time that is late: the way holds the answer up for 1.5 s."""
@@ -139,6 +168,7 @@
         reader = self.readers[0]
         await self.contact_until(reader, 0.0)
         sent_s = self.now_s - START_S
+        self.named_s = sent_s + WATCH_WAIT_S + 0.05
         await self.call_until(reader, sent_s + WATCH_WAIT_S + 0.58, [])
         await self.call_until(reader, self.now_s - START_S + 0.02, self.news)
         self.assert_not_late(reader, sent_s + WATCH_WAIT_S + 0.05)
--- a/gypsumpier/test/test_start_margins.py
+++ b/gypsumpier/test/test_start_margins.py
@@ -38,7 +38,7 @@
     def name(self, version: int) -> None:
         """Let a version be named now."""
         news = record(VERSION_KEY, {"model": MODEL, "version": version}, 10 + version)
-        apply_records(self.fleet_state, news, observed_at_s=self.now_s)
+        apply_records(self.fleet_state, news, absent_at_s=self.now_s)
 
     def start(self, version: int, after_s: float) -> None:
         """Let a request start on a version ``after_s`` seconds later."""
--- a/gypsumpier/test/test_version_times.py
+++ b/gypsumpier/test/test_version_times.py
@@ -62,7 +62,7 @@
         """The news of a version was 2 s on its way, which is too short for a gap of proofs."""
         peer, own = self.peer_that_saw_it(), Process(OWN)
         self.at(3.0)
-        own.read_version()
+        own.find_version()
         own.feed.handle_feed(peer.own, peer.feed_message())
         self.assertAlmostEqual(1.0, own.named_at_s())
 
@@ -81,7 +81,7 @@
         """A schedule that was computed from the late time must not stay in use."""
         peer, own = self.peer_that_saw_it(), Process(OWN)
         self.at(3.0)
-        own.read_version()
+        own.find_version()
         schedules = [SwitchSchedule(one.state, BOUNDS.version_in_force_s) for one in (own, peer)]
         address = "127.0.0.1:8701"
         self.assertIsNotNone(schedules[0].turn(ENGINES, address))
@@ -91,6 +91,16 @@
         assert turns[0] is not None and turns[1] is not None
         self.assertAlmostEqual(turns[0].at_s, turns[1].at_s)
 
+    def test_a_time_later_than_that_of_learning_is_not_believed(self) -> None:
+        """Guards against an age that lacks the time its message took: the latest bound wins."""
+        own = Process(OWN)
+        self.at(1.0)
+        own.read_version()
+        self.at(6.0)
+        notice = own.notice() | {"proven": {MODEL: [[2, 0.5]]}}
+        own.feed.handle_notice(FAR_PEER, notice)
+        self.assertAlmostEqual(1.0, own.named_at_s())
+
     def test_a_message_of_an_older_build_does_not_replace_an_observed_time(self) -> None:
         """Older builds keep the later of two times, so theirs may be too late."""
         peer, own = self.peer_that_saw_it(), Process(OWN)
@@ -290,7 +300,7 @@
         self.at(2.0)
         own.feed.handle_notice(peer.own, peer.notice())
         for version in (2, 3):
-            own.find_version(version)
+            own.find_version(version, proven_ago_s=1.0)
         self.assertAlmostEqual(1.0, own.named_at_s(2))
         self.assertAlmostEqual(1.5, own.named_at_s(3))
 
--- a/gypsumpier/test/versionprocess.py
+++ b/gypsumpier/test/versionprocess.py
@@ -51,9 +51,9 @@
         self.feed = FleetStateFeed(self.mesh, self.state)  # type: ignore[arg-type]
 
     def read_version(self, version: int = 2) -> None:
-        """Apply the record of a version as a watch that was waiting has just read it."""
+        """Apply the record of a version that the store did not have a moment ago."""
         now_s = self.state.proven_at_s + self.state.proof_age_s()
-        apply_records(self.state, version_record(version), observed_at_s=now_s)
+        apply_records(self.state, version_record(version), absent_at_s=now_s)
 
     def share_version(self, version: int = 2) -> dict[str, Any]:
         """Return the message with which this process passes a version on that it has just read."""
@@ -62,9 +62,12 @@
         self.feed.share(Batch(START_REVISION, self.state.revision, news, False, 0.0))
         return next(payload for _, kind, payload in self.mesh.posted if kind == FEED)
 
-    def find_version(self, version: int = 2) -> None:
-        """Apply the record of a version as found in the store, named at an unknown time."""
-        apply_records(self.state, version_record(version))
+    def find_version(self, version: int = 2, proven_ago_s: float = 0.0) -> None:
+        """Apply the record of a version as found in the store, named at an unknown time.
+
+        The call that found it was sent ``proven_ago_s`` seconds ago.
+        """
+        apply_records(self.state, version_record(version), proven_ago_s=proven_ago_s)
 
     def return_from_cut(self, version: int = 2) -> None:
         """Read a version with the first answer of the store after calls that failed."""
