Let ages between processes grow by the longest time that their message may have taken

What callers see: answers from replaced weights, or requests served under a revoked key, where a process reads proofs and ages over a connection all of whose messages were late.

Cause: the time that a message took was measured against the fastest message of its connection. Where a connection opens to a machine that stands still, or over a way that is slow from the start, no message is fast, and each age lacks the whole delay. As of two bounds on a naming the later one holds, one such age would move other processes too.

Change: each end also keeps the largest difference between the clocks that is possible, from a frame that answers one of its own: the answer to the first frame, and a heartbeat that confirms that answer. Where the bounds are over 0.05 s apart and in use, a heartbeat asks for another answer, less often each time. Proofs, notices and offers count the longest time; deadlines and orders of two statements go on to count the shortest, as before. Older builds ignore the two new fields, and their messages count as before.

--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -159,6 +159,7 @@
         mesh.listeners[STORE_FAILED] = self.handle_store_failed
         mesh.listeners[READING] = self.handle_reading
         mesh.aged_listeners[FEED_OFFER] = self.handle_offer
+        mesh.proof_kinds |= {FEED, NOTICE, FEED_OFFER}
         mesh.on_peer_connected.append(self.send_offer)
         PROOF_AGE.set_function(lambda: min(fleet_state.proof_age_s(), UNKNOWN_AGE_S))
 
--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -73,7 +73,9 @@
     peer's name, the newest first; ``listed`` the peers by role and zone until a link changes.
     ``listeners`` and ``request_handlers`` handle messages and requests by kind; ``aged_listeners``
     handle messages that carry ages, and also get the seconds that the message spent in queues and
-    buffers.  ``bulk_kinds`` are the requests whose answers are sent after all other messages.
+    buffers; of the ``proof_kinds`` the longest time that it may have taken, as a proof must not
+    seem fresher than it is.  ``bulk_kinds`` are the requests whose answers are sent after all other
+    messages.
     """
 
     def __init__(self, own: Peer, seeds: tuple[Address, ...], dialer: Dialer) -> None:
@@ -85,6 +87,7 @@
         self.listeners: dict[str, Listener] = {}
         self.aged_listeners: dict[str, AgedListener] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
+        self.proof_kinds: set[str] = set()
         self.bulk_kinds: set[str] = set()
         self.known: dict[Address, Peer] = {}
         self.last_seen_at_s: dict[Address, float] = {}
@@ -217,6 +220,8 @@
                     return
                 peer = peer_from(frame, frame.payload.get("peer"))
                 self.record_known_peers(frame, peer, address)
+                if first == WELCOME:
+                    await connection.confirm_first(frame)
                 if first == HELLO:
                     # Older builds do not say whether they want the list.
                     wants_known = bool(frame.payload.get("wants_known", True))
@@ -322,7 +327,9 @@
         if frame.kind in self.listeners:
             self.listeners[frame.kind](link.peer, frame.payload)
             return
-        delay_s = link.connection.buffered_s(frame)
+        is_proof = frame.kind in self.proof_kinds
+        connection = link.connection
+        delay_s = connection.longest_transit_s(frame) if is_proof else connection.buffered_s(frame)
         self.aged_listeners[frame.kind](link.peer, frame.payload, delay_s)
 
     async def answer(self, link: MeshLink, frame: Frame) -> None:
--- a/gypsumpier/test/fakes_mesh.py
+++ b/gypsumpier/test/fakes_mesh.py
@@ -13,6 +13,7 @@
         self.others = others
         self.listeners: dict[str, Any] = {}
         self.aged_listeners: dict[str, Any] = {}
+        self.proof_kinds: set[str] = set()
         self.on_peer_connected: list[Any] = []
         self.posted: list[tuple[str, str, dict[str, Any]]] = []
 
--- a/gypsumpier/test/test_feed_delay.py
+++ b/gypsumpier/test/test_feed_delay.py
@@ -30,6 +30,8 @@
 VERSION_AGE_S = 2.0
 REVISION = 7
 SUSPENDED_S = 5.0
+EXACT_AGAIN_S = 2.0
+"""Seconds within which the ages of a connection are exact once its messages are no longer late."""
 
 
 class Node:
@@ -126,5 +128,67 @@
         self.assertGreaterEqual(self.receiver.version_age_s(), expected_s - TOLERANCE_S)
 
 
+class LateConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Every message of a connection is late from its opening on, until ``hasten``."""
+
+    async def asyncSetUp(self) -> None:
+        self.network = Network()
+        self.network.delay_s = DELAY_S
+        self.sender = Node(self.network, "front-1", 0.0)
+        self.sender.fleet_state.merge_version_ages({MODEL: [[3, VERSION_AGE_S]]})
+        self.receiver = Node(self.network, "front-2", STALE_S)
+
+    async def asyncTearDown(self) -> None:
+        await self.receiver.mesh.stop()
+        await self.sender.mesh.stop()
+        await asyncio.gather(*self.network.tasks)
+
+    async def connect(self, dialler: Node, other: Node) -> None:
+        """Let one of the nodes dial the other."""
+        dialler.mesh.seeds = (Address(other.mesh.own.host, 1),)
+        dialler.mesh.start()
+        await wait_until(lambda: bool(self.sender.mesh.links and self.receiver.mesh.links))
+
+    async def excess_age_s(self) -> float:
+        """Share a proof of this moment; return by how much older the receiver believes it."""
+        # The offer of the new connection must not be taken for it.
+        await asyncio.sleep(2 * DELAY_S)
+        state = self.receiver.fleet_state
+        state.proven_at_s = boot_time_s() - STALE_S
+        proof_s = boot_time_s()
+        self.sender.prove()
+        await wait_until(lambda: state.proof_age_s() < STALE_S - 1.0)
+        return proof_s - state.proven_at_s
+
+    async def test_a_proof_is_no_fresher_where_every_message_was_late(self) -> None:
+        """Guards against a revoked key in use: it opens to a machine that is stopped."""
+        await self.connect(self.receiver, self.sender)
+        self.assertGreaterEqual(await self.excess_age_s(), -TOLERANCE_S)
+
+    async def test_nor_on_a_connection_that_the_sender_opened(self) -> None:
+        """Guards against the same at the accepting end, which sends no first message."""
+        await self.connect(self.sender, self.receiver)
+        self.assertGreaterEqual(await self.excess_age_s(), -TOLERANCE_S)
+
+    async def test_a_version_is_named_no_later_where_every_message_was_late(self) -> None:
+        """Guards against old weights in use, for the same reason."""
+        await self.connect(self.receiver, self.sender)
+        await self.excess_age_s()
+        expected_s = self.sender.version_age_s()
+        self.assertGreaterEqual(self.receiver.version_age_s(), expected_s - TOLERANCE_S)
+
+    async def test_ages_are_exact_again_once_messages_are_prompt(self) -> None:
+        """Guards against proofs that seem old for good as the first messages were late."""
+        await self.connect(self.receiver, self.sender)
+        await self.excess_age_s()
+        for link in self.network.links:
+            link.delay_s = 0.0
+        deadline_s = boot_time_s() + EXACT_AGAIN_S
+        while boot_time_s() < deadline_s:
+            self.sender.prove()
+            await asyncio.sleep(0.2)
+        self.assertLessEqual(self.receiver.fleet_state.proof_age_s(), 0.2 + 2 * TOLERANCE_S)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/wire/connection.py
+++ b/gypsumpier/wire/connection.py
@@ -14,6 +14,11 @@
 The receiver keeps the smallest difference seen between its own clock and the sender's.  The amount
 by which a frame's difference exceeds it is the time that the frame spent in buffers.  That time
 counts against a deadline that was sent as remaining time.
+
+Where all frames were late, that time is too short.  So each end also keeps the largest difference
+that is possible: a frame that answers one of its own left the peer after that.  The age of a proof
+grows by the longest time that its frame may have taken.  As long as the two differences are far
+apart, an end that needs them asks for an answer.
 """
 
 import asyncio
@@ -37,6 +42,17 @@
 INTERVAL_MAX_S: Final = 300.0
 CLOCK_DRIFT_MAX: Final = 500e-6
 """Largest drift between two clocks, in seconds per second of elapsed time."""
+UNCERTAINTY_MAX_S: Final = 0.05
+"""Seconds by which the two bounds on a clock's difference may be apart before the peer is asked."""
+ASK_INTERVAL_S: Final = 0.5
+"""Seconds from such a question to the next one; twice as long each time, as the way may be slow."""
+ASK_DOUBLINGS_MAX: Final = 6
+USED_S: Final = 10.0
+"""Seconds for which the bounds stay in use after a frame that needed them."""
+ASKS: Final = "asks"
+"""Field of a heartbeat that asks for an answer at once."""
+ECHO: Final = "echo_s"
+"""Field of a heartbeat with the ``sent_at_s`` of the frame that it answers."""
 
 
 class Connection:
@@ -44,7 +60,9 @@
 
     ``heartbeat_s`` and ``silence_s`` apply while an exchange is in flight; without a ``pace`` they
     always apply.  ``answering`` and ``waiting`` count the exchanges in flight that this end answers
-    and those whose answer it waits for.
+    and those whose answer it waits for.  ``smallest_clock_difference_s`` and
+    ``least_clock_difference_s`` are bounds, from above and from below, on what the peer's clock
+    lacks of the own one; None until they are known.
     """
 
     def __init__(
@@ -72,6 +90,13 @@
         self.peer_pace_s = heartbeat_s
         self.smallest_clock_difference_s: float | None = None
         self.difference_recorded_at_s = self.received_at_s
+        self.least_clock_difference_s: float | None = None
+        self.least_recorded_at_s = self.received_at_s
+        self.first_sent_at_s: float | None = None
+        self.asked_at_s = float("-inf")
+        self.asked_count = 0
+        self.bounds_used_at_s = float("-inf")
+        self.answer_task: asyncio.Task[None] | None = None
         self.close_reason = CONNECTION_CLOSED
         if pace is not None:
             self.use_pace(pace)
@@ -99,6 +124,8 @@
         if self.closed:
             raise GypsumpierError(self.close_reason, "connection is closed")
         self.sent_at_s = self.clock.monotonic()
+        if self.first_sent_at_s is None:
+            self.first_sent_at_s = self.sent_at_s
         began_at_s = self.sent_at_s if queued_at_s is None else queued_at_s
         packed = payload if isinstance(payload, bytes) else pack_payload(payload)
         await self.stream.write(encode_packed(kind, exchange, sequence, began_at_s, packed))
@@ -114,6 +141,7 @@
                     self.record_clock_difference(frame)
                     if frame.kind == HEARTBEAT:
                         self.record_announced_intervals(frame)
+                        self.handle_question(frame)
                     else:
                         yield frame
         finally:
@@ -143,6 +171,59 @@
             return 0.0
         return max(0.0, self.received_at_s - frame.sent_at_s - self.smallest_clock_difference_s)
 
+    def longest_transit_s(self, frame: Frame) -> float:
+        """Return the seconds that the frame took at most from its queueing to its receipt.
+
+        Of a peer of an older build, which answers no questions, only ``buffered_s`` is known.
+        """
+        self.bounds_used_at_s = self.received_at_s
+        if self.least_clock_difference_s is None:
+            return self.buffered_s(frame)
+        drift_s = (self.received_at_s - self.least_recorded_at_s) * CLOCK_DRIFT_MAX
+        least_s = self.least_clock_difference_s - drift_s
+        return max(0.0, self.received_at_s - frame.sent_at_s - least_s)
+
+    async def confirm_first(self, frame: Frame) -> None:
+        """Handle the peer's answer to the first frame of this end, and confirm it at once.
+
+        Raises GypsumpierError as ``send`` does.
+        """
+        if self.first_sent_at_s is not None:
+            self.record_answer(self.first_sent_at_s, frame)
+        await self.send(HEARTBEAT, self.intervals() | {ECHO: frame.sent_at_s})
+
+    def record_answer(self, own_sent_at_s: float, frame: Frame) -> None:
+        """Record that the peer sent the frame after one that this end sent at ``own_sent_at_s``."""
+        difference_s = own_sent_at_s - frame.sent_at_s
+        if self.least_clock_difference_s is not None:
+            drift_s = (self.received_at_s - self.least_recorded_at_s) * CLOCK_DRIFT_MAX
+            difference_s = max(difference_s, self.least_clock_difference_s - drift_s)
+        self.least_clock_difference_s = difference_s
+        self.least_recorded_at_s = self.received_at_s
+
+    def handle_question(self, frame: Frame) -> None:
+        """Use the answer in a heartbeat, and answer a question in it.
+
+        The answer is sent by a task, so that reading goes on while the connection is full.
+        """
+        echoed_s = frame.payload.get(ECHO)
+        if isinstance(echoed_s, int | float) and echoed_s <= self.received_at_s:
+            self.record_answer(float(echoed_s), frame)
+        if frame.payload.get(ASKS) and (self.answer_task is None or self.answer_task.done()):
+            self.answer_task = asyncio.create_task(self.send_heartbeat({ECHO: frame.sent_at_s}))
+
+    def is_question_due(self, now_s: float) -> bool:
+        """Return whether the peer is to be asked, as the bounds on its clock are too far apart."""
+        smallest_s, least_s = self.smallest_clock_difference_s, self.least_clock_difference_s
+        if smallest_s is None or least_s is None or now_s - self.bounds_used_at_s > USED_S:
+            return False
+        drift_s = (now_s - self.least_recorded_at_s) * CLOCK_DRIFT_MAX
+        if smallest_s - least_s + drift_s <= UNCERTAINTY_MAX_S:
+            self.asked_count = 0
+            return False
+        wait_s = ASK_INTERVAL_S * 2.0 ** min(self.asked_count - 1, ASK_DOUBLINGS_MAX)
+        return now_s - self.asked_at_s >= wait_s
+
     def is_peer_alive(self) -> bool:
         """Return whether something was received within ALIVE_INTERVALS of the peer's intervals."""
         silent_s = self.clock.monotonic() - self.received_at_s
@@ -157,7 +238,11 @@
                 self.close_reason = CONNECTION_SILENT
                 self.close()
                 return
-            if now_s - self.sent_at_s >= self.interval_s():
+            if self.is_question_due(now_s):
+                self.asked_at_s = now_s
+                self.asked_count += 1
+                await self.send_heartbeat({ASKS: True})
+            elif now_s - self.sent_at_s >= self.interval_s():
                 await self.send_heartbeat()
 
     def close(self) -> None:
@@ -205,17 +290,25 @@
             return self.silence_s
         return max(self.silence_s, MISSED_INTERVALS * self.peer_interval_s)
 
-    async def send_heartbeat(self) -> None:
+    def intervals(self) -> dict[str, Any]:
+        """Return the fields of a heartbeat that announce the intervals."""
+        return {"interval_s": self.wanted_interval_s(), "pace_s": self.own_pace_s()}
+
+    async def send_heartbeat(self, fields: dict[str, Any] | None = None) -> None:
         """Send a heartbeat, for at most ``heartbeat_s``; close the connection where that fails.
 
-        The time limit keeps a full send window from delaying the check for silence.
+        The time limit keeps a full send window from delaying the check for silence.  ``fields`` ask
+        the peer or answer it.
         """
         wanted_s, pace_s = self.wanted_interval_s(), self.own_pace_s()
         try:
-            payload = {"interval_s": wanted_s, "pace_s": pace_s}
+            payload = self.intervals() | (fields or {})
             # Most heartbeats are on idle connections, where the announced values have not changed;
-            # those are sent empty.
-            if (wanted_s, pace_s) == (self.announced_interval_s, self.announced_pace_s):
+            # those are sent empty.  Older builds require the intervals in all others.
+            if not fields and (wanted_s, pace_s) == (
+                self.announced_interval_s,
+                self.announced_pace_s,
+            ):
                 payload = {}
             async with asyncio.timeout(self.heartbeat_s):
                 await self.send(HEARTBEAT, payload)
