--- /dev/null
+++ b/gypsumpier/test/test_believed_times.py
@@ -0,0 +1,53 @@
+"""Sequences in which the time that a version counts from is after its naming."""
+
+import unittest
+from typing import Final
+
+from gypsumpier.fleet.position import Position
+from gypsumpier.fleet.watcher import WATCH_WAIT_S
+from gypsumpier.test.builders_platform import MODEL, configuration_record, record
+from gypsumpier.test.storereaders import NAMED_S, REVISION, START_S, VERSION_KEY
+from gypsumpier.test.test_naming_times import LATE_MAX_S, EventfulSource, NamingTimesCase
+
+SILENT_S: Final = WATCH_WAIT_S + 0.6
+"""Seconds after which a watch that gets no answer has failed."""
+
+
+class NamedSource(EventfulSource):
+    """A store whose position beside a watch rises at each of ``namings_s``, from the start."""
+
+    namings_s: tuple[float, ...] = (NAMED_S,)
+
+    async def current_position(self) -> Position:
+        if not self.is_position_read:
+            return await super().current_position()
+        made = sum(self.test.now_s >= START_S + named_s for named_s in self.namings_s)
+        return Position(0, REVISION - 1 + made)
+
+
+class BelievedTimesCase(NamingTimesCase):
+    """A reader beside whose watches the position of the store is read."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader = self.readers[0]
+        self.source = self.sources[0] = NamedSource(self)
+        self.reader.source = self.reader.watcher.source = self.source
+
+
+class OverwrittenVersionTest(BelievedTimesCase):
+    async def test_a_version_that_a_snapshot_no_longer_shows_keeps_its_limit(self) -> None:
+        """Guards against the limit of a later version: watches were silent as both were named."""
+        self.source.namings_s = (NAMED_S, 2.4)
+        third = record(VERSION_KEY, {"model": MODEL, "version": 3}, REVISION + 1)
+        self.source.snapshot_revision = REVISION + 1
+        await self.contact_until(self.reader, 0.0)
+        await self.call_until(self.reader, SILENT_S, None)
+        for records in ([third], [configuration_record(), third]):
+            await self.reader.call(0.004, records)
+        due = self.reader.state.due_version(MODEL, START_S + NAMED_S + LATE_MAX_S)
+        self.assertGreaterEqual(due, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
