--- a/gypsumpier/test/test_believed_times.py
+++ b/gypsumpier/test/test_believed_times.py
@@ -3,9 +3,16 @@
 import unittest
 from typing import Final
 
+from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.position import Position
+from gypsumpier.fleet.state import FleetState
 from gypsumpier.fleet.watcher import WATCH_WAIT_S
-from gypsumpier.test.builders_platform import MODEL, configuration_record, record
+from gypsumpier.test.builders_platform import (
+    MODEL,
+    DecodingSource,
+    configuration_record,
+    record,
+)
 from gypsumpier.test.storereaders import NAMED_S, REVISION, START_S, VERSION_KEY
 from gypsumpier.test.test_naming_times import LATE_MAX_S, EventfulSource, NamingTimesCase
 
@@ -48,6 +55,14 @@
         due = self.reader.state.due_version(MODEL, START_S + NAMED_S + LATE_MAX_S)
         self.assertGreaterEqual(due, 2)
 
+    async def test_a_process_that_starts_may_find_a_version_that_replaced_another(self) -> None:
+        """Guards against the limit of the later one: it was named between the snapshot's pages."""
+        state = FleetState(DecodingSource())
+        third = record(VERSION_KEY, {"model": MODEL, "version": 3}, REVISION + 1)
+        pages = Batch(0, REVISION, [configuration_record(), third], True, 0.0)
+        state.apply(pages, self.now_s, "store")
+        self.assertEqual(3, state.due_version(MODEL, self.now_s - 1.0))
+
 
 if __name__ == "__main__":
     unittest.main()
