--- a/gypsumpier/test/test_believed_times.py
+++ b/gypsumpier/test/test_believed_times.py
@@ -13,7 +13,13 @@
     configuration_record,
     record,
 )
-from gypsumpier.test.storereaders import NAMED_S, REVISION, START_S, VERSION_KEY
+from gypsumpier.test.storereaders import (
+    NAMED_S,
+    REVISION,
+    START_S,
+    VERSION_BODY,
+    VERSION_KEY,
+)
 from gypsumpier.test.test_naming_times import LATE_MAX_S, EventfulSource, NamingTimesCase
 
 SILENT_S: Final = WATCH_WAIT_S + 0.6
@@ -64,5 +70,15 @@
         self.assertEqual(3, state.due_version(MODEL, self.now_s - 1.0))
 
 
+class EndedEraTest(BelievedTimesCase):
+    async def test_a_position_of_an_ended_era_does_not_date_what_the_copy_holds(self) -> None:
+        """Guards against a reading of the old history that was made after the naming."""
+        await self.contact_until(self.reader, 0.0)
+        await self.call_until(self.reader, SILENT_S, None)
+        copy = [record(VERSION_KEY, VERSION_BODY, REVISION)._replace(era=1)]
+        self.reader.state.apply(Batch(0, REVISION, copy, True, 0.0, 1), self.now_s, "store")
+        self.assert_not_late(self.reader)
+
+
 if __name__ == "__main__":
     unittest.main()
