--- a/gypsumpier/test/test_believed_times.py
+++ b/gypsumpier/test/test_believed_times.py
@@ -80,5 +80,14 @@
         self.assert_not_late(self.reader)
 
 
+class RefutedProofTest(BelievedTimesCase):
+    async def test_an_empty_watch_proves_nothing_that_a_position_has_refuted(self) -> None:
+        """Guards against the end of a watch that hears of nothing: a reading showed the change."""
+        await self.contact_until(self.reader, 0.0)
+        await self.call_until(self.reader, WATCH_WAIT_S, [])
+        await self.reader.call(0.004, self.news)
+        self.assert_not_late(self.reader)
+
+
 if __name__ == "__main__":
     unittest.main()
