--- a/gypsumpier/test/test_believed_times.py
+++ b/gypsumpier/test/test_believed_times.py
@@ -11,6 +11,7 @@
     MODEL,
     DecodingSource,
     configuration_record,
+    engine_record,
     record,
 )
 from gypsumpier.test.storereaders import (
@@ -89,5 +90,16 @@
         self.assert_not_late(self.reader)
 
 
+class OutageTest(BelievedTimesCase):
+    async def test_the_end_of_an_outage_is_not_the_receipt_of_the_first_answer(self) -> None:
+        """Guards against a version named while that answer was on its way for 0.5 s."""
+        named_s = 4.05
+        await self.fail_calls(self.reader, 1.0)
+        self.at(4.0)
+        await self.reader.call(0.5, [engine_record(2, REVISION - 1)])
+        await self.reader.call(0.02, self.news)
+        self.assert_not_late(self.reader, named_s)
+
+
 if __name__ == "__main__":
     unittest.main()
