--- a/gypsumpier/test/test_believed_times.py
+++ b/gypsumpier/test/test_believed_times.py
@@ -1,8 +1,12 @@
 """Sequences in which the time that a version counts from is after its naming."""
 
+import asyncio
 import unittest
 from typing import Final
+from unittest import mock
 
+from gypsumpier.codes.platform import PLATFORM_REFUSED
+from gypsumpier.errors import GypsumpierError
 from gypsumpier.fleet.change import Batch
 from gypsumpier.fleet.position import Position
 from gypsumpier.fleet.state import FleetState
@@ -100,6 +104,17 @@
         await self.reader.call(0.02, self.news)
         self.assert_not_late(self.reader, named_s)
 
+    async def test_a_store_that_refuses_calls_over_its_rate_is_not_away(self) -> None:
+        """Guards against an outage of three answers with status 429: the store did answer."""
+        refused = GypsumpierError(PLATFORM_REFUSED, "429 Too Many Requests")
+        with mock.patch.object(asyncio, "sleep", mock.AsyncMock()):
+            for refused_s in (0.9, 1.5, 2.0):
+                self.at(refused_s)
+                await self.reader.watcher.handle_failure(refused)
+        self.at(2.5)
+        await self.read_after_failure(self.reader, self.news)
+        self.assert_not_late(self.reader)
+
 
 if __name__ == "__main__":
     unittest.main()
