Count no watch as waited in vain that was answered by an event

Callers would get answers from replaced weights, or under a revoked key: a proof of the receipt where the answer was long on its way. Cause: the end of the wait counted as proven where no record was left, also if events had come whose keys can't be used. test_watch_proofs failed before with a proof of 2.0 s instead of 0; passes.

--- a/gypsumpier/platform/store.py
+++ b/gypsumpier/platform/store.py
@@ -105,7 +105,7 @@
             current = whole(body, "current_rev")
             records = self.decode_items(events, era)
             # An empty answer means that the store waited for the full time without a newer change.
-            return Batch(revision, current, records, False, 0.0 if records else wait_s, era)
+            return Batch(revision, current, records, False, 0.0 if events else wait_s, era)
 
     async def current_position(self) -> Position:
         path = f"/gypsumpier/kv-range?prefix={quote(NO_KEYS_PREFIX, safe='')}"
