--- a/gypsumpier/mesh/mesh.py
+++ b/gypsumpier/mesh/mesh.py
@@ -330,6 +330,8 @@
         is_proof = frame.kind in self.proof_kinds
         connection = link.connection
         delay_s = connection.longest_transit_s(frame) if is_proof else connection.buffered_s(frame)
+        # What was read together is handled one after the other.
+        delay_s += max(0.0, self.clock.monotonic() - connection.received_at_s)
         self.aged_listeners[frame.kind](link.peer, frame.payload, delay_s)
 
     async def answer(self, link: MeshLink, frame: Frame) -> None:
