End an outage of the store with the sending of the first answered call

A version that was named while that answer was on its way counted from its receipt: 0.45 s late in test_believed_times, which fails before and passes now.

--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -309,7 +309,9 @@
             position = await self.source.current_position()
             self.check_era(position.era)
         if self.failures >= OUTAGE_FAILURES:
-            self.fleet_state.record_outage(boot_time_s() - self.failing_since_s, 0.0)
+            # The store was back when it received the call, which was not before its sending.
+            lasted_s = sent_at_s - self.failing_since_s
+            self.fleet_state.record_outage(lasted_s, boot_time_s() - sent_at_s)
         self.is_behind = position != self.fleet_state.position
         if not self.is_behind:
             if not self.failures:
