Date a version only by what was known of the store, and refute what can't be

A proof of a position is refused where the store had reached a newer one before, as a reading or another zone has told. - A version whose entry was shared with a newer one lost its limit to a peer that knows both (regression). - Claims of peers were checked against the time of learning only where that was exact. Each entry now has the time by which it was heard of, also by a claim; the time of a folded version is never raised. Readings of the position that fail are tried again after their interval and the store's Retry-After, not each 0.05 s.

test_believed_times (4 of its tests), test_condensed_versions, test_refuted_claims and test_position_calls failed before and pass; so do test_version_times, test_naming_times, test_late_news, test_restored_store.

--- a/gypsumpier/fleet/state.py
+++ b/gypsumpier/fleet/state.py
@@ -133,13 +133,21 @@
 
     def record_proof(self, at_s: float) -> None:
         """Record that the store had nothing newer than ``revision`` at that time."""
-        self.record_position(self.position, at_s)
-        self.proven_at_s = max(self.proven_at_s, at_s)
+        if self.record_position(self.position, at_s):
+            self.proven_at_s = max(self.proven_at_s, at_s)
 
-    def record_position(self, position: Position, at_s: float) -> None:
-        """Record that the store had nothing newer than ``position`` at that time."""
+    def record_position(self, position: Position, at_s: float) -> bool:
+        """Record that the store had nothing newer than ``position`` at that time.
+
+        Returns False where that is refuted, see ``PositionTimes``.
+        """
         self.record_contact(at_s)
-        self.position_times.record(position, at_s)
+        return self.position_times.record(position, at_s)
+
+    def record_reached(self, position: Position) -> None:
+        """Record that the store has reached ``position``, whose records may not be known yet."""
+        if position > self.position:
+            self.position_times.record_reached(position, boot_time_s())
 
     def record_contact(self, at_s: float) -> None:
         """Record that the store answered some process at that time.
@@ -194,8 +202,10 @@
         if batch.position < self.position or self.lacks_earlier_changes(batch):
             return
         self.previous_proof_at_s = self.proven_at_s
-        self.record_position(batch.position, proven_at_s)
-        self.proven_at_s = max(self.proven_at_s, proven_at_s)
+        # A snapshot does not show what was written and replaced since the known position.
+        dated_s = self.position_times.last_until(self.position) if batch.is_snapshot else None
+        if self.record_position(batch.position, proven_at_s):
+            self.proven_at_s = max(self.proven_at_s, proven_at_s)
         previous, has_returned = self.position, bool(self.revision) and batch.era > self.era
         if has_returned:
             self.restored_at_s = boot_time_s()
@@ -203,7 +213,7 @@
             self.evacuations.begin_era()
         changed = self.records.changes_of(batch)
         for record in changed:
-            self.apply_record(record, origin)
+            self.apply_record(record, origin, dated_s)
         self.era, self.revision = batch.position
         self.position_times.forget_before(self.position)
         STORE_ERA.set(self.era)
@@ -229,19 +239,27 @@
             source=origin,
         )
 
-    def apply_record(self, record: Record, origin: str) -> None:
-        """Store or remove one record and apply the change that it contains."""
+    def apply_record(self, record: Record, origin: str, dated_s: float | None = None) -> None:
+        """Store or remove one record and apply the change that it contains.
+
+        ``dated_s`` is a time before which it was not recorded; None for the last one that is known
+        by the positions of the store.
+        """
         self.records.apply(record)
         change = self.source.decode(record)
         if change is not None:
-            self.apply_change(change, record, origin)
+            self.apply_change(change, record, origin, dated_s)
 
-    def apply_change(self, change: FleetChange, record: Record, origin: str) -> None:
+    def apply_change(
+        self, change: FleetChange, record: Record, origin: str, dated_s: float | None
+    ) -> None:
         """Apply and log the decoded change of a record."""
         if isinstance(change, ConfigurationChange):
             self.apply_configuration(change.configuration, record, origin)
         elif isinstance(change, VersionChange):
-            self.apply_version(change, record, origin)
+            if dated_s is None:
+                dated_s = self.position_times.last_before(record.position)
+            self.apply_version(change, record, origin, dated_s)
         elif isinstance(change, EvacuationChange):
             is_copied = bool(self.revision) and record.era > self.era
             proven_at_s = self.previous_proof_at_s
@@ -272,13 +290,15 @@
             source=origin,
         )
 
-    def apply_version(self, change: VersionChange, record: Record, origin: str) -> None:
+    def apply_version(
+        self, change: VersionChange, record: Record, origin: str, proven_at_s: float
+    ) -> None:
         """Record a newly named version of a model; an older version is ignored."""
         named = self.versions.get(change.model, [])
         if named and change.version <= named[-1].version:
             return
         now_s = boot_time_s()
-        wanted = self.estimate(change.version, record.position)
+        wanted = self.estimate(change.version, proven_at_s)._replace(known_by_s=now_s)
         if wanted.evidence is not Evidence.UNKNOWN:
             wanted = wanted._replace(learned_at_s=now_s)
         self.versions[change.model] = self.bounded([*named, wanted])
@@ -297,9 +317,8 @@
             source=origin,
         )
 
-    def estimate(self, version: int, position: Position) -> WantedVersion:
-        """Return the estimate of the time at which a version recorded at ``position`` was named."""
-        proven_at_s = self.position_times.last_before(position)
+    def estimate(self, version: int, proven_at_s: float) -> WantedVersion:
+        """Return the estimate of the time of a naming that was not made before ``proven_at_s``."""
         wanted = WantedVersion(version, proven_at_s, Evidence.PROVEN, proven_at_s=proven_at_s)
         if self.is_after_outage() and proven_at_s < self.outage_ended_at_s:
             return wanted._replace(
@@ -402,6 +421,7 @@
         claim to a newer one is kept until its record arrives.
         """
         named = self.versions.get(model, [])
+        claim = claim._replace(known_by_s=min(claim.known_by_s, boot_time_s()))
         if not named or claim.version > named[-1].version:
             self.keep_claim(model, claim)
             return None
@@ -409,15 +429,11 @@
             return None
         unknown = WantedVersion(claim.version, float("-inf"), Evidence.UNKNOWN)
         known = self.wanted_version(model, claim.version)
-        if known is not None and (
-            self.ends_before_outage(known, claim) or is_refuted(known, claim)
-        ):
+        if known is not None and (self.ends_before_outage(known, claim) or known.refutes(claim)):
             return None
         better = (known or unknown).better_of(claim)
-        if better == known:
+        if known is not None and better.is_about(known):
             return None
-        if known is not None:
-            better = better._replace(learned_at_s=known.learned_at_s, proven_at_s=known.proven_at_s)
         others = [wanted for wanted in named if wanted.version != claim.version]
         self.versions[model] = self.bounded(sorted([*others, better]))
         return known or unknown
@@ -428,6 +444,8 @@
             return
         claims = self.claims.get(model, {})
         known = claims.get(claim.version, claim)
+        if known.refutes(claim):
+            return
         kept = sorted((claims | {claim.version: known.better_of(claim)}).values())
         self.claims[model] = {found.version: found for found in self.bounded(kept)}
 
@@ -495,15 +513,6 @@
         return Batch(0, self.revision, records, True, 0.0, self.era, dict(self.records.outdated))
 
 
-def is_refuted(known: WantedVersion, claim: WantedVersion) -> bool:
-    """Return whether this process had learned of the version before the claimed time of its naming.
-
-    Where the age in a message lacks some of the time that the message took, its claim is late.
-    """
-    is_learned = known.learned_at_s > float("-inf")
-    return is_learned and claim.earliest_named_at_s > known.learned_at_s
-
-
 def log_corrected_time(
     model: str, known: WantedVersion, better: WantedVersion, origin: str
 ) -> None:
--- a/gypsumpier/fleet/wantedversion.py
+++ b/gypsumpier/fleet/wantedversion.py
@@ -2,7 +2,10 @@
 
 from enum import IntEnum
 from itertools import pairwise
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+GAIN_MIN_S: Final = 0.01
+"""Seconds by which a claim must differ for the time of a version to be changed."""
 
 
 class Evidence(IntEnum):
@@ -27,7 +30,9 @@
 
     ``learned_at_s`` is the time at which this process learned of it; minus infinity where it may
     have been named long before.  ``proven_at_s`` is the last proof before it, which holds
-    where an outage turns out to have been none.
+    where an outage turns out to have been none.  ``known_by_s`` is the time at which this process
+    first heard of it, from the store or a peer.  ``is_folded`` is set where the time is that of an
+    older version, which was left out.
     """
 
     version: int
@@ -35,6 +40,8 @@
     evidence: Evidence
     learned_at_s: float = float("-inf")
     proven_at_s: float = float("-inf")
+    known_by_s: float = float("inf")
+    is_folded: bool = False
 
     def without_outage(self) -> "WantedVersion":
         """Return the estimate that does not rest on an outage of the store."""
@@ -51,9 +58,30 @@
         ever too early.  Of two proofs the later one says more.
         """
         if self.evidence != other.evidence:
-            return max(self, other, key=lambda found: found.evidence)
-        is_earlier = self.earliest_named_at_s <= other.earliest_named_at_s
-        return self if is_earlier == (self.evidence is not Evidence.PROVEN) else other
+            better = max(self, other, key=lambda found: found.evidence)
+        else:
+            is_earlier = self.earliest_named_at_s <= other.earliest_named_at_s
+            better = self if is_earlier == (self.evidence is not Evidence.PROVEN) else other
+        return self._replace(
+            earliest_named_at_s=better.earliest_named_at_s,
+            evidence=better.evidence,
+            known_by_s=min(self.known_by_s, other.known_by_s),
+        )
+
+    def refutes(self, claim: "WantedVersion") -> bool:
+        """Return whether a peer's claim is known to be later than the naming.
+
+        It is where this process had heard of the version before; an age that lacks some of the time
+        that its message took makes a claim late.  The time of a folded version is never raised.
+        """
+        latest_s = self.earliest_named_at_s if self.is_folded else self.known_by_s
+        return claim.earliest_named_at_s > latest_s
+
+    def is_about(self, other: "WantedVersion") -> bool:
+        """Return whether both rest on the same evidence and are less than ``GAIN_MIN_S`` apart."""
+        gain_s = abs(self.earliest_named_at_s - other.earliest_named_at_s)
+        is_same = self.earliest_named_at_s == other.earliest_named_at_s
+        return self.evidence is other.evidence and (is_same or gain_s < GAIN_MIN_S)
 
 
 def condensed(
@@ -69,8 +97,10 @@
     while len(kept) > most:
         gaps_s = [gap_s(*pair, settled_before_s) for pair in pairwise(kept)]
         at = gaps_s.index(min(gaps_s))
-        earliest_s = min(kept[at].earliest_named_at_s, kept[at + 1].earliest_named_at_s)
-        kept[at : at + 2] = [kept[at + 1]._replace(earliest_named_at_s=earliest_s)]
+        older, newer = kept[at], kept[at + 1]
+        if older.earliest_named_at_s < newer.earliest_named_at_s:
+            newer = newer._replace(earliest_named_at_s=older.earliest_named_at_s, is_folded=True)
+        kept[at : at + 2] = [newer]
     return kept
 
 
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -90,7 +90,8 @@
     ``calls`` limits the readings of the store.  ``history_losses`` counts the watches without an
     answered one in between for which the store lacked the history.
     ``failures`` counts the calls in a row that have failed, the first of them at
-    ``failing_since_s``.  ``is_watching`` is set while a watch waits for a change.
+    ``failing_since_s``.  ``is_watching`` is set while a watch waits for a change, and
+    ``position_tried_at_s`` is when the position was last asked for beside one.
     ``checked_at_s`` is when this process last checked on the readers of the store.  ``is_behind``
     is set where a check of the store's revision has shown changes that are still to be read.
     ``checks_first`` is set where the next call reads the revision alone.  ``is_large`` is set while
@@ -112,6 +113,7 @@
         self.failures = 0
         self.failing_since_s = 0.0
         self.is_watching = False
+        self.position_tried_at_s = float("-inf")
         self.checked_at_s = float("-inf")
         self.needs_snapshot = True
         self.is_behind = False
@@ -197,7 +199,10 @@
         self.is_behind = False
         if batch.records:
             self.log_news(kind, batch, sent_at_s)
-        proven_at_s = min(boot_time_s(), sent_at_s + batch.proven_after_s)
+        proven_at_s = sent_at_s + batch.proven_after_s
+        if proven_at_s > boot_time_s():
+            # An answer before the end of the wait may have been made at any time since its sending.
+            proven_at_s = sent_at_s
         is_news = batch.position > self.fleet_state.position
         self.fleet_state.apply(batch, proven_at_s, "store")
         if batch.position == self.fleet_state.position:
@@ -224,7 +229,7 @@
 
     def is_position_due(self) -> bool:
         """Return whether a watch waits and the newest reading of the position has become old."""
-        known_at_s = self.fleet_state.position_times.newest_s()
+        known_at_s = max(self.fleet_state.position_times.newest_s(), self.position_tried_at_s)
         return self.is_watching and boot_time_s() - known_at_s >= POSITION_INTERVAL_S
 
     async def read_position(self) -> None:
@@ -234,15 +239,17 @@
         store, on its way, or in this process.  A failure is left to the watch to notice.
         """
         await self.take_call()
-        sent_at_s = boot_time_s()
+        sent_at_s = self.position_tried_at_s = boot_time_s()
         try:
             with counted(REVISION):
                 position = await self.source.current_position()
                 self.check_era(position.era)
         except GypsumpierError as error:
+            self.position_tried_at_s += min(error.retry_after_s or 0.0, RETRY_AFTER_MAX_S)
             decision("store_position_unread", code=error.code.number, reason=error.detail)
             return
         self.fleet_state.record_position(position, sent_at_s)
+        self.fleet_state.record_reached(position)
 
     def unchanged(self) -> Batch:
         """Return a batch that tells that the store has nothing newer."""
@@ -364,11 +371,18 @@
             if self.history_losses > 1:
                 await asyncio.sleep(self.backoff.next_wait_s())
             return
-        is_refused = isinstance(error, RateLimitedError)
-        if is_refused:
+        if isinstance(error, RateLimitedError):
             # The store has answered: there is no outage.
             self.fleet_state.record_contact(boot_time_s())
-        self.failures += not is_refused
+        else:
+            self.count_failure(error)
+        self.readers.share_failure()
+        rest_s = min(error.retry_after_s or 0.0, RETRY_AFTER_MAX_S)
+        await asyncio.sleep(self.backoff.next_wait_s(rest_s))
+
+    def count_failure(self, error: GypsumpierError) -> None:
+        """Count a call without an answer; log the first one."""
+        self.failures += 1
         if self.failures == 1:
             self.failing_since_s = boot_time_s()
             decision(
@@ -378,6 +392,3 @@
                 reason=error.detail,
                 proof_age_s=round(self.fleet_state.proof_age_s(), 3),
             )
-        self.readers.share_failure()
-        rest_s = min(error.retry_after_s or 0.0, RETRY_AFTER_MAX_S)
-        await asyncio.sleep(self.backoff.next_wait_s(rest_s))
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -493,6 +493,7 @@
         """Record that the store has that position, if it is newer than all known ones."""
         if position > self.newest_announced():
             self.announced.append((position, time.monotonic()))
+            self.fleet_state.record_reached(position)
 
     def newest_announced(self) -> Position:
         """Return the newest position that the store is known to have."""
