Log what was believed of a naming as a version's limit passes

Corrections of less than 0.25 s are not logged, so that a belief that drifts was seen nowhere. A changed limit in the settings reaches the record of the last starts.

--- a/gypsumpier/gateway/application.py
+++ b/gypsumpier/gateway/application.py
@@ -205,6 +205,7 @@
         self.selector.set_regions(settings.regions_by_zone)
         self.mesh.seeds = settings.seeds
         self.selector.cold.set_bounds(settings.bounds)
+        self.start_margins.in_force_s = settings.bounds.version_in_force_s
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers.
--- a/gypsumpier/gateway/startmargins.py
+++ b/gypsumpier/gateway/startmargins.py
@@ -9,8 +9,9 @@
 from prometheus_client import Gauge
 
 from gypsumpier.fleet.clock import boot_time_s
-from gypsumpier.fleet.state import FleetState
+from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState
 from gypsumpier.fleet.upstream import UpstreamRecord
+from gypsumpier.fleet.wantedversion import WantedVersion
 from gypsumpier.gateway.request import GatewayRequest
 from gypsumpier.log import decision
 from gypsumpier.metrics import REGISTRY
@@ -41,7 +42,8 @@
     """Records the last starts on older weights, and logs them as the limit of a version passes.
 
     ``in_force_s`` is the time limit in seconds for a version.  ``last_starts`` holds the last start
-    on older weights for each model and version whose limit has not passed.
+    on older weights for each model and version whose limit has not passed.  ``passed`` holds the
+    newest version of each model whose limit was logged.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.in_force_s = in_force_s
         self.last_starts: dict[tuple[str, int], LastStart] = {}
         self.smallest_s: dict[str, float] = {}
+        self.passed: dict[str, int] = {}
 
     def record(self, request: GatewayRequest, record: UpstreamRecord, version: int) -> None:
         """Record that an upstream has started the request on that version of the weights."""
@@ -64,9 +67,27 @@
                 if wanted.version > version and wanted.earliest_named_at_s > float("-inf"):
                     self.last_starts[model, wanted.version] = start
 
+    def log_limit(self, model: str, wanted: WantedVersion) -> None:
+        """Log once what was believed of the time of a naming as the version's limit passes."""
+        if wanted.version <= self.passed.get(model, 0):
+            return
+        self.passed[model] = wanted.version
+        named_ago_s = boot_time_s() - wanted.earliest_named_at_s
+        decision(
+            "version_limit_passed",
+            model=model,
+            version=wanted.version,
+            named_ago_s=round(min(named_ago_s, UNKNOWN_AGE_S), 3),
+            evidence=wanted.evidence.name.lower(),
+        )
+
     def log_passed_limits(self) -> None:
-        """Log the last start on older weights for each version whose limit has passed."""
+        """Log each version whose limit has passed, and the last start on older weights."""
         now_s = boot_time_s()
+        for model, named in self.fleet_state.versions.items():
+            for found in named:
+                if found.earliest_named_at_s + self.in_force_s <= now_s:
+                    self.log_limit(model, found)
         for (model, version), start in list(self.last_starts.items()):
             wanted = self.fleet_state.wanted_version(model, version)
             limit_s = wanted.earliest_named_at_s + self.in_force_s if wanted else now_s
--- a/gypsumpier/test/test_start_margins.py
+++ b/gypsumpier/test/test_start_margins.py
@@ -49,7 +49,14 @@
         """Return version, held version and time left of what is logged after all limits."""
         self.now_s += 2 * IN_FORCE_S
         self.margins.log_passed_limits()
-        return [(line["version"], line["held_version"], line["left_s"]) for line in self.decided]
+        return [
+            (line["version"], line["held_version"], line["left_s"])
+            for line in self.logged("older_weights_last_start")
+        ]
+
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        """Return the lines of an event that were logged so far."""
+        return [line for line in self.decided if line["event"] == event]
 
     def test_the_last_start_on_older_weights_is_logged_once_the_limit_has_passed(self) -> None:
         """Guards against days that seem clean and were so by milliseconds."""
@@ -62,7 +69,7 @@
         self.assertEqual([(2, 1, 0.5)], self.pass_limits())
         self.assertEqual({MODEL: 0.5}, self.margins.smallest_s)
         self.margins.log_passed_limits()
-        self.assertEqual(1, len(self.decided))
+        self.assertEqual(1, len(self.logged("older_weights_last_start")))
 
     def test_a_start_past_the_limit_has_a_negative_time_left(self) -> None:
         """Guards against a late start that is not told, as its version has been reported."""
@@ -72,9 +79,19 @@
         self.margins.log_passed_limits()
         self.start(1, 0.5)
         self.margins.log_passed_limits()
-        self.assertEqual([1.0, -1.0], [line["left_s"] for line in self.decided])
+        lines = self.logged("older_weights_last_start")
+        self.assertEqual([1.0, -1.0], [line["left_s"] for line in lines])
         self.assertEqual({MODEL: -1.0}, self.margins.smallest_s)
 
+    def test_what_was_believed_of_a_naming_is_logged_once_as_the_limit_passes(self) -> None:
+        """Guards against corrections too small to be logged that add up unseen."""
+        self.name(2)
+        self.fleet_state.merge_version_ages({MODEL: [[2, 3.0]]})
+        for _ in range(2):
+            self.pass_limits()
+        lines = self.logged("version_limit_passed")
+        self.assertEqual([(2, 2 * IN_FORCE_S)], [(x["version"], x["named_ago_s"]) for x in lines])
+
     def test_each_version_has_its_own_limit(self) -> None:
         """Guards against a second naming that hides the first one."""
         self.name(2)
