--- a/misc/version_margins.py
+++ b/misc/version_margins.py
@@ -27,10 +27,15 @@
     """Return the logged events of that name."""
     found = []
     for line in lines:
-        match = LOG_LINE.match(line)
-        if match is None or f'"{name}"' not in line:
+        match = LOG_LINE.match(line) if f'"event": "{name}"' in line else None
+        if match is None:
+            continue
+        try:
+            fields = json.loads(match[3])
+        except json.JSONDecodeError as error:
+            # Lines of two processes may be mixed up.
+            print(f"not read: {error}: {line}", file=sys.stderr)
             continue
-        fields = json.loads(match[3])
         if fields["event"] == name:
             found.append(LoggedEvent(float(match[1]), match[2], fields))
     return found
