--- a/misc/version_margins.py
+++ b/misc/version_margins.py
@@ -12,9 +12,14 @@
 from typing import Any, Final, NamedTuple
 
 LOG_LINE: Final = re.compile(r"^\s*(-?\d+\.\d+) (\S+) (\{.*\})$")
+STATED_TIME: Final = re.compile(r'"time": "\d+-\d+-\d+ (\d+):(\d+):(\d+),(\d+)"')
 NAMING: Final = re.compile(r"^- version (\d+), named at (\d+\.\d+) s")
 
 
+CLOCK_WINDOW_S: Final = 3.0
+"""Seconds around a log line within which the process's time of day is taken to run evenly."""
+
+
 class LoggedEvent(NamedTuple):
     """A log line of a process, ``node``, at ``at_s`` of the bench's time."""
 
@@ -23,22 +28,57 @@
     fields: dict[str, Any]
 
 
-def events_of(lines: list[str], name: str) -> list[LoggedEvent]:
-    """Return the logged events of that name."""
-    found = []
-    for line in lines:
-        match = LOG_LINE.match(line) if f'"event": "{name}"' in line else None
-        if match is None:
-            continue
-        try:
-            fields = json.loads(match[3])
-        except json.JSONDecodeError as error:
-            # Lines of two processes may be mixed up.
-            print(f"not read: {error}: {line}", file=sys.stderr)
-            continue
-        if fields["event"] == name:
-            found.append(LoggedEvent(float(match[1]), match[2], fields))
-    return found
+class LogTimes:
+    """The bench's times of the log lines of each process.
+
+    A line is printed late where the log is written in batches.  The time of day that it states is
+    exact, up to a difference: the smallest one of the lines around it.
+    """
+
+    def __init__(self, lines: list[str]) -> None:
+        self.lines = lines
+        self.printed: dict[str, list[tuple[float, float]]] = {}
+        for line in lines:
+            match = LOG_LINE.match(line)
+            stated = STATED_TIME.search(line)
+            if match is not None and stated is not None:
+                pair = float(match[1]), time_of_day_s(stated)
+                self.printed.setdefault(match[2], []).append(pair)
+
+    def at_s(self, node: str, printed_s: float, stated_s: float) -> float:
+        """Return the time at which a line was logged."""
+        near = [
+            printed - stated
+            for printed, stated in self.printed[node]
+            if abs(printed - printed_s) < CLOCK_WINDOW_S
+        ]
+        return min(printed_s, stated_s + min(near))
+
+    def events(self, name: str) -> list[LoggedEvent]:
+        """Return the logged events of that name."""
+        found = []
+        for line in self.lines:
+            match = LOG_LINE.match(line) if f'"event": "{name}"' in line else None
+            if match is None:
+                continue
+            try:
+                fields = json.loads(match[3])
+            except json.JSONDecodeError as error:
+                # Lines of two processes may be mixed up.
+                print(f"not read: {error}: {line}", file=sys.stderr)
+                continue
+            at_s = float(match[1])
+            stated = STATED_TIME.search(line)
+            if stated is not None:
+                at_s = self.at_s(match[2], at_s, time_of_day_s(stated))
+            found.append(LoggedEvent(at_s, match[2], fields))
+        return found
+
+
+def time_of_day_s(stated: re.Match[str]) -> float:
+    """Return the stated time of day in seconds."""
+    hours, minutes, seconds, millis = (int(part) for part in stated.groups())
+    return 3600.0 * hours + 60.0 * minutes + seconds + millis / 1000
 
 
 def main() -> int:
@@ -46,19 +86,20 @@
     smallest: list[tuple[float, str]] = []
     for path in sys.argv[1:]:
         lines = Path(path).read_text(errors="replace").splitlines()
+        times = LogTimes(lines)
         named_at_s = {
             int(match[1]): float(match[2]) for line in lines if (match := NAMING.match(line))
         }
         for version, at_s in named_at_s.items():
             starts = [
                 (at_s + event.fields["in_force_s"] - (event.at_s - event.fields["ago_s"]), event)
-                for event in events_of(lines, "older_weights_last_start")
+                for event in times.events("older_weights_last_start")
                 if event.fields["version"] == version
             ]
             errors = [
                 (event.at_s - event.fields["named_ago_s"] - at_s, event)
                 for name in ("version_wanted", "version_time_corrected", "version_limit_passed")
-                for event in events_of(lines, name)
+                for event in times.events(name)
                 if event.fields["version"] == version
             ]
             text = f"{path}: version {version} named at {at_s:.3f} s"
