Count the time that a file list was on its way as part of its age

What callers saw: an agent that had read the newest file list of a version took an older one from a peer for the newer, dropped its transfer and loaded the replaced content under the version's name. An agent that does not read lists itself kept the older one until its peer connected again, as lists are sent only when they change.

Cause: a list's age was computed when it was posted, and the receiver subtracted it from the time of receipt. The time in the sender's outbox, behind chunks on a slow link, and the time on the way made the list as much younger; "the list that was read last takes precedence" then compared a receipt with a reading.

Change: a message in the outbox keeps the time at which it was posted, as messages of the mesh do, so that the connection counts its wait; the receiver adds the delay to the list's age. No message has another form.

--- a/gypsumpier/weight/catalogue.py
+++ b/gypsumpier/weight/catalogue.py
@@ -169,15 +169,15 @@
         if key in self.known:
             peer.post(self.files_message(key))
 
-    def on_files(self, peer: Peer, message: Files) -> None:
-        """Store a list sent by a peer.
+    def on_files(self, peer: Peer, message: Files, delay_s: float) -> None:
+        """Store a list sent by a peer, whose age grew by ``delay_s`` seconds on the way.
 
         Raises GypsumpierError with BAD_FRAME or BAD_MANIFEST where it is malformed.
         """
         key = (message.model, message.version)
         if key not in self.followed:
             return
-        read_at_s = self.clock.monotonic() - message.age_s
+        read_at_s = self.clock.monotonic() - message.age_s - delay_s
         try:
             files = [WeightFile._make([*fields[:4], tuple(fields[4])]) for fields in message.files]
             self.update(key, files, read_at_s)
--- a/gypsumpier/weight/dispatcher.py
+++ b/gypsumpier/weight/dispatcher.py
@@ -36,8 +36,8 @@
         self.standings = standings
         self.fetches = fetches
 
-    async def dispatch(self, peer: Peer, message: Message) -> None:
-        """Dispatch one message; ignore a second hello."""
+    async def dispatch(self, peer: Peer, message: Message, delay_s: float) -> None:
+        """Dispatch one message that took ``delay_s`` seconds; ignore a second hello."""
         match message:
             case Content():
                 await self.handle_content(peer, message)
@@ -55,7 +55,7 @@
             case AskFiles():
                 self.catalogue.on_ask(peer, message)
             case Files():
-                self.catalogue.on_files(peer, message)
+                self.catalogue.on_files(peer, message, delay_s)
             case Standing():
                 self.standings.on_standing(peer, message)
             case _:
--- a/gypsumpier/weight/message.py
+++ b/gypsumpier/weight/message.py
@@ -80,7 +80,7 @@
 
 
 class Files(NamedTuple):
-    """A published file list, read ``age_s`` seconds before it was sent."""
+    """A published file list, read ``age_s`` seconds before it was posted."""
 
     model: str
     version: str
--- a/gypsumpier/weight/peer.py
+++ b/gypsumpier/weight/peer.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from typing import Final
+from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
@@ -25,6 +25,13 @@
 """Weight of the newest response time in the moving average."""
 
 
+class PostedMessage(NamedTuple):
+    """A message that waits to be sent since ``posted_at_s``, in monotonic seconds."""
+
+    message: Message
+    posted_at_s: float
+
+
 class Peer:
     """A connected agent, from the start of its connection.
 
@@ -38,7 +45,7 @@
         self.dialled = dialled
         self.hello: Hello | None = None
         self.holds: dict[str, set[int]] = {}
-        self.outbox: deque[Message] = deque()
+        self.outbox: deque[PostedMessage] = deque()
         self.posted = asyncio.Event()
         self.queue: deque[Want] = deque()
         self.queued = asyncio.Event()
@@ -67,21 +74,24 @@
         if len(self.outbox) >= MAX_OUTBOX_MESSAGES:
             self.connection.close()
             return
-        self.outbox.append(message)
+        self.outbox.append(PostedMessage(message, self.clock.monotonic()))
         self.posted.set()
 
     async def send_posted(self) -> None:
         """Send the posted messages in order until the connection closes."""
         while not self.connection.closed:
             while self.outbox:
-                await self.send(self.outbox.popleft())
+                await self.send(*self.outbox.popleft())
             self.posted.clear()
             await self.posted.wait()
 
-    async def send(self, message: Message) -> None:
-        """Send a message; close the connection where that fails."""
+    async def send(self, message: Message, posted_at_s: float | None = None) -> None:
+        """Send a message; close the connection where that fails.
+
+        The peer counts the time since ``posted_at_s`` as time on the way.
+        """
         try:
-            await self.connection.send(kind_of(message), message._asdict())
+            await self.connection.send(kind_of(message), message._asdict(), queued_at_s=posted_at_s)
         except GypsumpierError:
             self.connection.close()
 
--- a/gypsumpier/weight/swarm.py
+++ b/gypsumpier/weight/swarm.py
@@ -182,7 +182,7 @@
         async for frame in peer.connection.frames():
             message = parse(frame)
             if peer.hello is not None:
-                await self.dispatcher.dispatch(peer, message)
+                await self.dispatcher.dispatch(peer, message, peer.connection.buffered_s(frame))
             elif not isinstance(message, Hello) or not self.accept_hello(peer, message):
                 return
 
