Count an agent's uptime from the dial, so that a late welcome makes no process younger

What callers saw: a command with a key that ran twice, at the home that had been replaced and at its successor. Where the replaced process was gone, the other side: an entry that took it for the youngest refused all keys of that home (503, home_unreachable) until a still younger process started.

Cause: an entry sends keys to the youngest process in a slot, and took the receipt of the welcome, less the uptime in it, for the start of the process. A welcome that was late, on its way or in the buffers of an entry that stood still, made the older process seem the younger one, by as much as it was late and without a bound.

Evidence: test_a_replaced_home_whose_welcome_is_late_gets_no_keys failed before: runs of one key "[0, 1] != [1, 1]", with a welcome 2.5 s late and a successor that started after 1.25 s.

Change: the uptime counts from the dial. The result is never later than the start of the process, so that a replaced one can't seem younger than it is. It is earlier by the time to connect and to send the welcome, which matters where two processes of a slot start within that time (a dial takes 1 s at most, dial_timeout_s).

--- a/gypsumpier/entry/link.py
+++ b/gypsumpier/entry/link.py
@@ -44,9 +44,10 @@
 
     ``open_connection`` is the open connection, and ``connection`` is the same one once the agent
     has identified itself.  Until ``refuses_until_s`` the agent refuses requests, as its upstream
-    takes no more; ``refusal`` says why.  ``on_welcome`` is called when it has done so,
-    ``on_suspects`` with the requests that it reports after a crash, ``on_key_frame`` with each
-    frame of KEY_KINDS.
+    takes no more; ``refusal`` says why.  ``started_at_s`` is when the agent's process started, or
+    earlier by at most the time from the dial at ``dialled_at_s`` to the sending of its welcome.
+    ``on_welcome`` is called when the agent has identified itself, ``on_suspects`` with the requests
+    that it reports after a crash, ``on_key_frame`` with each frame of KEY_KINDS.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self.reported_in_flight = 0
         self.reported_at_s = 0.0
         self.incarnation = ""
+        self.dialled_at_s = 0.0
         self.started_at_s = 0.0
         self.refusal = GypsumpierError(NO_LIVE_UPSTREAM, member.name)
         self.refuses_until_s = 0.0
@@ -116,6 +118,7 @@
     async def serve_one_connection(self) -> None:
         """Connect, and handle frames until the connection closes."""
         member = self.member
+        self.dialled_at_s = self.clock.monotonic()
         stream = await self.dialer.dial(member.host, member.port, self.options.dial_timeout_s)
         connection = Connection(
             stream, self.clock, self.options.heartbeat_s, self.options.silence_s, self.pace
@@ -178,9 +181,13 @@
             await self.send_frame("closed", {})
 
     def handle_welcome(self, payload: dict[str, Any]) -> None:
-        """Record which process answers on this connection; requests may be sent from now on."""
+        """Record which process answers on this connection; requests may be sent from now on.
+
+        Its uptime counts from the dial: a welcome that is late must not make it seem younger than
+        the process that has replaced it.
+        """
         self.incarnation = payload["incarnation"]
-        self.started_at_s = self.clock.monotonic() - payload["uptime_s"]
+        self.started_at_s = self.dialled_at_s - payload["uptime_s"]
         # An agent of an earlier build refuses requests with a field that it doesn't know.
         self.takes_parts = payload.get("takes_parts") is True
         self.connection = self.open_connection
--- a/gypsumpier/test/test_request_keys.py
+++ b/gypsumpier/test/test_request_keys.py
@@ -23,12 +23,15 @@
     outcome,
     plain_call,
 )
-from gypsumpier.test.network import Link
+from gypsumpier.test.network import Link, MemoryDialer, Network
 from gypsumpier.test.virtual import run
 from gypsumpier.wire.connection import Connection
 from gypsumpier.wire.frame import Frame
+from gypsumpier.wire.stream import Stream
 
 IMMEDIATE_S = 0.2
+LATE_S = 2.5
+"""Seconds by which a welcome is late; less than the silence after which a connection is closed."""
 
 
 async def queried_outcome(entry: EntryParts, key: str) -> str:
@@ -40,6 +43,20 @@
     return "".join(frame.payload["content"].decode() for frame in frames if frame.kind == "data")
 
 
+class LateDialer(MemoryDialer):
+    """Dials from ``host``; what is sent on links to ``late_host`` takes ``LATE_S``."""
+
+    def __init__(self, network: Network, host: str, late_host: str) -> None:
+        super().__init__(network, host)
+        self.late_host = late_host
+
+    async def dial(self, host: str, port: int, timeout_s: float) -> Stream:
+        stream = await super().dial(host, port, timeout_s)
+        if host == self.late_host:
+            self.network.between(self.host, host)[-1].delay_s = LATE_S
+        return stream
+
+
 def two_slots(world: World) -> ServiceDocument:
     """Return the plain service's document with two slots."""
     document = world.documents.document("table-ops")
@@ -245,6 +262,28 @@
 
         run(scenario())
 
+    def test_a_replaced_home_whose_welcome_is_late_gets_no_keys(self) -> None:
+        """Guards against a second run: the older process seems to be the younger one."""
+
+        async def scenario() -> None:
+            world = World()
+            agent, other = world.agent(), await world.entry()
+            member = world.member(f"entry/{ZONE}/1", "one", "entry", "")
+            entry = EntryParts(world, member)
+            entry.links.dialer = LateDialer(world.network, member.host, agent.member.host)
+            world.members.put(member)
+            world.members.notify()
+            await entry.links.start()
+            await asyncio.sleep(LATE_S / 2)
+            successor = world.agent(incarnation="two")
+            await asyncio.sleep(SETTLE_TIME_S)
+            answers = [await outcome(world, one, plain_call(world, "k")) for one in (other, entry)]
+            self.assertEqual(["go", "go"], answers)
+            runs = [parts.upstream.runs["k"] for parts in (agent, successor)]
+            self.assertEqual([0, 1], runs)
+
+        run(scenario())
+
     def test_a_key_queued_while_a_document_moves_its_home_runs_at_the_new_home(self) -> None:
         """Guards against choosing a home by the document that was in force when a request came."""
 
