Count the freshness of an agent's standing from when it was made, not from its receipt

What callers saw: fewer engines than max_unavailable allows for while weights are replaced. An agent that was dead, or had lost its engine, counted as serving, so that another one took its engine out of service too.

Cause: a standing was fresh for 25 s from its receipt. Agents repeat what they know to one that starts or connects, and there the 25 s began anew; an agent whose own copy had become stale took it back from such a one. A standing was so believed for 25 s more with each repetition, without an end.

Evidence: test_a_standing_does_not_become_fresh_again_by_being_passed_on failed before: "True is not false", is_fresh of an agent that had been dead for 30 s, at one that had started 10 s before.

Change: a standing is passed on with the time at which it was made, in the place of the time at which it was posted; the connection tells the receiver how long ago that was. One that isn't fresh itself is ignored.

--- a/gypsumpier/test/test_weight_late_messages.py
+++ b/gypsumpier/test/test_weight_late_messages.py
@@ -8,12 +8,15 @@
 from gypsumpier.test.virtual import virtual
 from gypsumpier.weight.catalogue import Catalogue
 from gypsumpier.weight.peer import Peer
+from gypsumpier.weight.standings import FRESH_S
 
 SIZE: Final = 8 * CHUNK_BYTES
 KEY: Final = (MODEL, "v1")
 DELAY_S: Final = 2.0
 """Seconds by which a message is late; less than the silence after which a connection is closed."""
 NEVER_S: Final = 1e6
+REPEATED_BEFORE_S: Final = 5.0
+"""Seconds before a standing becomes stale at which another agent starts and is sent it."""
 
 
 async def fleet_with_weights(count: int) -> Fleet:
@@ -79,5 +82,24 @@
         await fleet.stop()
 
 
+class RepeatedStandingTest(unittest.TestCase):
+    @virtual
+    async def test_a_standing_does_not_become_fresh_again_by_being_passed_on(self) -> None:
+        """Guards against more engines out of service than allowed: a dead agent seems to serve."""
+        fleet = await fleet_with_weights(3)
+        dead, old, new = fleet.agents
+        await dead.kill()
+        await asyncio.sleep(FRESH_S - REPEATED_BEFORE_S)
+        await new.replace()
+        await fleet.wait_live("v1")
+        await asyncio.sleep(2 * REPEATED_BEFORE_S)
+        for agent in (old, new):
+            standings = agent.rollout.swarm.standings
+            with self.subTest(agent.options.name):
+                self.assertFalse(standings.is_fresh(dead.options.name))
+                self.assertFalse(standings.may_leave_service("other", max_unavailable=1))
+        await fleet.stop()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/weight/dispatcher.py
+++ b/gypsumpier/weight/dispatcher.py
@@ -57,7 +57,7 @@
             case Files():
                 self.catalogue.on_files(peer, message, delay_s)
             case Standing():
-                self.standings.on_standing(peer, message)
+                self.standings.on_standing(peer, message, delay_s)
             case _:
                 return
 
--- a/gypsumpier/weight/peer.py
+++ b/gypsumpier/weight/peer.py
@@ -26,10 +26,10 @@
 
 
 class PostedMessage(NamedTuple):
-    """A message that waits to be sent since ``posted_at_s``, in monotonic seconds."""
+    """A message that was made at ``made_at_s``, in monotonic seconds, and waits to be sent."""
 
     message: Message
-    posted_at_s: float
+    made_at_s: float
 
 
 class Peer:
@@ -69,12 +69,17 @@
         """Whether chunks may be requested from the peer now."""
         return not self.connection.closed and self.avoid_until_s <= self.clock.monotonic()
 
-    def post(self, message: Message) -> None:
-        """Queue a short message for sending; close the connection where the outbox is full."""
+    def post(self, message: Message, made_at_s: float | None = None) -> None:
+        """Queue a short message for sending; close the connection where the outbox is full.
+
+        The peer counts the time since ``made_at_s``, in monotonic seconds, as time on the way.  The
+        default is now.
+        """
         if len(self.outbox) >= MAX_OUTBOX_MESSAGES:
             self.connection.close()
             return
-        self.outbox.append(PostedMessage(message, self.clock.monotonic()))
+        now_s = self.clock.monotonic()
+        self.outbox.append(PostedMessage(message, now_s if made_at_s is None else made_at_s))
         self.posted.set()
 
     async def send_posted(self) -> None:
@@ -85,13 +90,13 @@
             self.posted.clear()
             await self.posted.wait()
 
-    async def send(self, message: Message, posted_at_s: float | None = None) -> None:
+    async def send(self, message: Message, made_at_s: float | None = None) -> None:
         """Send a message; close the connection where that fails.
 
-        The peer counts the time since ``posted_at_s`` as time on the way.
+        The peer counts the time since ``made_at_s`` as time on the way.
         """
         try:
-            await self.connection.send(kind_of(message), message._asdict(), queued_at_s=posted_at_s)
+            await self.connection.send(kind_of(message), message._asdict(), queued_at_s=made_at_s)
         except GypsumpierError:
             self.connection.close()
 
--- a/gypsumpier/weight/standings.py
+++ b/gypsumpier/weight/standings.py
@@ -2,8 +2,9 @@
 
 A standing is the status that an agent reports of its engine.  An agent sends it to the peers of
 its zone when it changes and at an interval; they forward a standing that is new to them, so it
-also reaches agents that aren't neighbours.  The standings serve one purpose: an agent that has to
-take its engine out of service waits for its turn in its zone.
+also reaches agents that aren't neighbours.  The time since it was made counts as time on the way.
+The standings serve one purpose: an agent that has to take its engine out of service waits for its
+turn in its zone.
 """
 
 from typing import Final
@@ -18,11 +19,11 @@
 POST_INTERVAL_S: Final = 10.0
 CHECK_INTERVAL_S: Final = 0.25
 FRESH_S: Final = 25.0
-"""A standing received longer ago than this is stale and isn't used."""
+"""A standing made longer ago than this is stale and isn't used."""
 
 
 class Standings:
-    """The newest standing of each agent of the zone."""
+    """The newest standing of each agent of the zone, and when it was made, in monotonic seconds."""
 
     def __init__(self, context: RolloutContext, peers: Peers) -> None:
         self.context = context
@@ -30,7 +31,7 @@
         self.options = context.options
         self.peers = peers
         self.known: dict[str, Standing] = {}
-        self.received_at_s: dict[str, float] = {}
+        self.made_at_s: dict[str, float] = {}
         self.out = False
         self.sequence = int(context.clock.wall() * 1000)
         self.posted_at_s = float("-inf")
@@ -54,13 +55,13 @@
             self.options.name, self.options.incarnation, self.sequence, live, self.out
         )
         self.known[standing.name] = standing
-        self.forward(standing, None)
+        self.forward(standing, self.posted_at_s, None)
 
-    def forward(self, standing: Standing, source: Peer | None) -> None:
-        """Send a standing to the peers of the zone other than ``source``."""
+    def forward(self, standing: Standing, made_at_s: float, source: Peer | None) -> None:
+        """Send a standing made at that time to the peers of the zone other than ``source``."""
         for peer in self.peers.by_name.values():
             if peer is not source and self.is_in_zone(peer):
-                peer.post(standing)
+                peer.post(standing, made_at_s)
 
     def is_in_zone(self, peer: Peer) -> bool:
         """Return whether the peer is in this agent's zone."""
@@ -70,25 +71,31 @@
         """Send this agent's own and all fresh standings to a new peer of the zone."""
         if self.is_in_zone(peer):
             for name, standing in self.known.items():
-                if name == self.options.name or self.is_fresh(name):
+                if name == self.options.name:
                     peer.post(standing)
+                elif self.is_fresh(name):
+                    peer.post(standing, self.made_at_s[name])
 
-    def on_standing(self, peer: Peer, standing: Standing) -> None:
-        """Store and forward a standing that is newer or replaces one that isn't fresh."""
-        if standing.name == self.options.name:
+    def on_standing(self, peer: Peer, standing: Standing, delay_s: float) -> None:
+        """Store and forward a standing that is newer or replaces one that isn't fresh.
+
+        It was made ``delay_s`` seconds ago; one that isn't fresh itself is ignored.
+        """
+        if standing.name == self.options.name or delay_s >= FRESH_S:
             return
         known = self.known.get(standing.name)
         is_newer = known is None or standing.sequence > known.sequence
         if not is_newer and self.is_fresh(standing.name):
             return
         self.known[standing.name] = standing
-        self.received_at_s[standing.name] = self.clock.monotonic()
-        self.forward(standing, peer)
+        made_at_s = self.clock.monotonic() - delay_s
+        self.made_at_s[standing.name] = made_at_s
+        self.forward(standing, made_at_s, peer)
 
     def is_fresh(self, name: str) -> bool:
-        """Return whether the agent's standing was received less than FRESH_S ago."""
-        received_at_s = self.received_at_s.get(name, float("-inf"))
-        return self.clock.monotonic() - received_at_s < FRESH_S
+        """Return whether the agent's standing was made less than FRESH_S ago."""
+        made_at_s = self.made_at_s.get(name, float("-inf"))
+        return self.clock.monotonic() - made_at_s < FRESH_S
 
     def may_leave_service(self, digest: str, max_unavailable: int) -> bool:
         """Return whether this agent may take its engine out of service to load that digest.
