Date the end of an upstream's limit by the sending of the request, not by the reading of its answer

What callers saw: refusals and slow answers of an upstream in need, as all entries sent to it without a limit for as long as the next answer took: one entry that had stood still told them of an end that was older than the limit.

Cause: an answer without a limit lifted it as of the time at which the answer was read. An entry that stood still reads it late, and its news was then newer than the limit that the upstream had stated meanwhile, by up to the length of the standstill. Entries that had not stood still believed it.

Evidence: test_an_answer_that_is_read_late_does_not_lift_a_newer_limit_of_others failed before: "2.0 != None".

Change: the end counts as of the sending of the request. A limit that was stated after that holds, also where it is heard of later. A limit that is raised still counts from the reading: judged by its sending, overlapping requests would delay each change by one answer.

--- a/gypsumpier/ratelimit/limits.py
+++ b/gypsumpier/ratelimit/limits.py
@@ -96,7 +96,8 @@
         """Record what an answer states; its request was sent at ``sent_at_s``.
 
         An answer without a limit lifts it only if its request was sent after the limit was stated:
-        it may have overtaken the answer that did.  A value that is no rate changes nothing.
+        it may have overtaken the answer that did.  It counts as of the sending, as it may have been
+        read long after it was given.  A value that is no rate changes nothing.
         """
         run = record.run_key()
         if stated.unreadable:
@@ -106,7 +107,8 @@
         if stated.per_s is None and (known is None or sent_at_s <= known.at_s):
             return
         before = known.per_s if known else None
-        news = LimitNews(run, stated.per_s, time.monotonic())
+        at_s = sent_at_s if stated.per_s is None else time.monotonic()
+        news = LimitNews(run, stated.per_s, at_s)
         self.record_news(news, "answer")
         if stated.per_s != before:
             for listener in self.listeners:
--- a/gypsumpier/test/test_known_limits.py
+++ b/gypsumpier/test/test_known_limits.py
@@ -110,6 +110,17 @@
         self.news(2.0, age_s=0.9)
         self.assertIsNone(self.known_per_s())
 
+    def test_an_answer_that_is_read_late_does_not_lift_a_newer_limit_of_others(self) -> None:
+        """Guards against a rush of all entries: one that stood still tells them an old end."""
+        self.news(2.0, age_s=0.0)
+        self.now_s += 3.0
+        told: list[LimitNews] = []
+        self.limits.listeners.append(told.append)
+        self.answer(NOT_STATED, sent_ago_s=2.0)
+        self.news(2.0, age_s=1.0)
+        self.assertEqual(2.0, self.known_per_s())
+        self.assertEqual([self.now_s - 2.0], [news.at_s for news in told])
+
     def test_an_entry_that_connects_gets_all_limits_and_sidecars_get_none(self) -> None:
         """Guards against a restarted entry that does not know what the others know."""
         self.answer(StatedLimit(2.0))
