Let entries and agents of the own interface measure ages on a clock that counts suspensions

What callers saw: after the machine of a process was suspended, its agent ordered a load or unload by a document that had been replaced meanwhile; a command with a key that a home had refused as "not run" ran nevertheless, as the copy that a suspended entry sent later seemed to have come after the refusal. What followed on a connection that outlived a short suspension counted as late by its length, so that its time limits were cut by as much.

Cause: ages were differences of CLOCK_MONOTONIC, which stands still while a machine is suspended. The decider then sees no pause, a decision is as young as before, and an entry's request as well. The platform's side has BootClock for the same reason since its messages have ages.

Evidence: test_suspension, all three tests, failed before: "GypsumpierError not raised" for a decision and an order after 60 s of suspension, and a request's age without these 60 s.

Change: the applications use BootClock. StopSchedule compared its times, which an entry takes from its clock, with time.monotonic; it now gets the time from its caller. Timers of the event loop are durations and stay.

Measured: test_suspension, test_planned_stop, test_stop_answers, test_own_stop_answers, test_departed_own_callers, test_own_rests, test_own_limits, test_caller and test_administration pass, at a load of 22.

--- a/gypsumpier/agent/application.py
+++ b/gypsumpier/agent/application.py
@@ -13,7 +13,6 @@
 from gypsumpier.agent.monitor import Monitor
 from gypsumpier.agent.statedupstream import OwnUpstream, StatedUpstream
 from gypsumpier.agent.upstream import EngineUpstream, ServiceUpstream, Upstream
-from gypsumpier.clock import SystemClock
 from gypsumpier.document.reader import DocumentReader
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.external.configuration_http import HttpConfiguration
@@ -21,6 +20,7 @@
 from gypsumpier.external.membership_http import HttpMembership
 from gypsumpier.external.service_http import HttpService
 from gypsumpier.external.store_http import HttpStore
+from gypsumpier.fleet.clock import BootClock
 from gypsumpier.log import decision
 from gypsumpier.member.poller import MemberPoller
 from gypsumpier.member.table import MemberTable
@@ -37,7 +37,7 @@
 
     def __init__(self, options: Options) -> None:
         self.options = options
-        self.clock = SystemClock()
+        self.clock = BootClock()
         self.random = Random()
         self.documents = DocumentTable(self.clock)
         self.members = MemberTable(options, self.clock)
--- a/gypsumpier/entry/application.py
+++ b/gypsumpier/entry/application.py
@@ -6,7 +6,6 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from gypsumpier.clock import SystemClock
 from gypsumpier.document.reader import DocumentReader
 from gypsumpier.document.table import DocumentTable
 from gypsumpier.entry.caller import (
@@ -21,6 +20,7 @@
 from gypsumpier.entry.relay import Relay
 from gypsumpier.external.configuration_http import HttpConfiguration
 from gypsumpier.external.membership_http import HttpMembership
+from gypsumpier.fleet.clock import BootClock
 from gypsumpier.log import decision
 from gypsumpier.member.poller import MemberPoller
 from gypsumpier.member.table import MemberTable
@@ -42,7 +42,7 @@
 
     def __init__(self, options: Options) -> None:
         self.options = options
-        self.clock = SystemClock()
+        self.clock = BootClock()
         self.random = Random()
         self.documents = DocumentTable(self.clock)
         self.members = MemberTable(options, self.clock)
--- a/gypsumpier/entry/callerhandler.py
+++ b/gypsumpier/entry/callerhandler.py
@@ -177,7 +177,8 @@
     def check_stop(self, left_s: float) -> None:
         """Raise GypsumpierError if the request might outlast the stop of the entry."""
         schedule = self.entry.stop_schedule
-        if schedule and not schedule.admits(self.entry.clock.monotonic() + left_s):
+        now_s = self.entry.clock.monotonic()
+        if schedule and not schedule.admits(now_s + left_s, now_s):
             raise self.stop_refusal("the entry stops")
 
     def stop_refusal(self, detail: str) -> GypsumpierError:
--- a/gypsumpier/gateway/destination.py
+++ b/gypsumpier/gateway/destination.py
@@ -157,7 +157,7 @@
             age_s = self.fleet_state.proof_age_s()
             return refusal_view(STALE_CONFIGURATION, f"the proof is {age_s:.1f} s old")
         schedule = self.stop_schedule()
-        if schedule is not None and not schedule.admits(request.ends_at_s):
+        if schedule is not None and not schedule.admits(request.ends_at_s, time.monotonic()):
             return refusal_view(ENTRY_STOPPING, "the entry stops")
         refused_s = self.crashes.refused_for_s(request)
         if refused_s <= 0:
--- a/gypsumpier/gateway/front.py
+++ b/gypsumpier/gateway/front.py
@@ -215,7 +215,7 @@
         schedule = self.front.stop_schedule
         if schedule is None:
             return
-        if not schedule.admits(request.ends_at_s):
+        if not schedule.admits(request.ends_at_s, time.monotonic()):
             raise Refusal(ENTRY_STOPPING, 503, "the entry stops", STOPPING_RETRY_S)
         self.answer_by(schedule.answers_by_s)
 
