Do not take an upstream for silent that answered while the entry itself stood still

What callers saw: after an entry had stood still for longer than the silence after which another upstream is asked (0.35 s for plain requests, 1 s for streams), a second run of requests that had been answered, and 503 or a wait of half a second and more for new ones: each upstream in use counted as failed and went into backoff, and the repeats were paid for from the retry budget of the service.

Cause: the silence was counted from what the process had read. After a standstill its timers are due together with the answers in its buffers, and the timers were handled first.

Change: a wait that ends late by STALL_MIN_S (0.25 s) or more shows that the process stood still; the upstream counts as silent only if it still is after the next look, 0.2 s later.

--- a/gypsumpier/upstream/exchange.py
+++ b/gypsumpier/upstream/exchange.py
@@ -17,6 +17,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from gypsumpier.fleet.stall import STALL_MIN_S
 from gypsumpier.platform.headers import answer_head
 from gypsumpier.upstream.answerbuffers import AnswerBuffers
 from gypsumpier.upstream.errors import OutcomeUnknownError
@@ -153,14 +154,20 @@
         self.drained.set()
 
     async def wait_for_progress(self) -> None:
-        """Wait for progress of the answer; raise OutcomeUnknownError if it is replaced instead."""
+        """Wait for progress of the answer; raise OutcomeUnknownError if it is replaced instead.
+
+        A wait that ends late shows that this process stood still.  What has arrived meanwhile is
+        not read yet, so that nothing is known of a silence.
+        """
         wait_s = self.silence_s
         while not self.progress.is_set():
+            ends_at_s = time.monotonic() + wait_s
             try:
                 async with asyncio.timeout(wait_s):
                     await self.progress.wait()
             except TimeoutError:
-                if await self.is_replaced():
+                is_stalled = time.monotonic() - ends_at_s >= STALL_MIN_S
+                if not is_stalled and await self.is_replaced():
                     reason = f"silent for {self.silence_s:g} s"
                     raise OutcomeUnknownError(reason, is_silent=True) from None
                 wait_s = LOOK_AGAIN_S
