Add a failing test: a proof in the first messages of a connection seems fresher than it is

What callers saw, by the code: a key that was taken away is accepted beyond key_revoked_s by an entry that stood still between its dial and the answer, until news arrives over another connection; with no news, for 0.9 of that time.

Cause: the time that a message spent in buffers is measured against the fastest one of its connection. A process that stands still as it connects reads the welcome, the offer and what follows together; the welcome counts as on time, and the offer's proof with it. The error is the length of the standstill, at most that of the silence after which the peer closes the connection plus what waits behind it.

A dialler knows a bound: nothing that it reads was sent before its hello.

--- a/gypsumpier/test/test_feed_delay.py
+++ b/gypsumpier/test/test_feed_delay.py
@@ -126,5 +126,20 @@
         self.assertGreaterEqual(self.receiver.version_age_s(), expected_s - TOLERANCE_S)
 
 
+class FirstMessagesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_proof_in_the_first_messages_of_a_connection_is_no_fresher(self) -> None:
+        """Guards against a revoked key in use: an entry stands still as it connects."""
+        network = Network()
+        network.delay_s = DELAY_S
+        sender, receiver = Node(network, "front-1", 0.0), Node(network, "front-2", STALE_S)
+        receiver.mesh.start()
+        await wait_until(lambda: receiver.fleet_state.proof_age_s() < STALE_S - 1.0)
+        late_s = receiver.fleet_state.proven_at_s - sender.fleet_state.proven_at_s
+        await receiver.mesh.stop()
+        await sender.mesh.stop()
+        await asyncio.gather(*network.tasks)
+        self.assertLess(late_s, TOLERANCE_S)
+
+
 if __name__ == "__main__":
     unittest.main()
