Do not take an upstream for unreachable that accepted while the entry itself stood still

What callers saw: after an entry had stood still for longer than the timeout of a connection (0.4 s), requests that were just connecting were sent elsewhere, or refused; their upstreams went into backoff, and another zone as a whole where two of its upstreams were among them (up to 4 s). The check whether an upstream has crashed fails the same way, and a request may then be suspected of the crash.

Cause: the timeout counts what the process has noticed. After a standstill the timer and the connection, made by the kernel meanwhile, are due together, and the timer won.

Evidence: test_an_upstream_that_accepts_during_a_stall_is_connected_to failed before: "NotRunError: cannot connect: TimeoutError()".

Change: a wait that ends late by STALL_MIN_S (0.25 s) or more is followed by another one of 0.05 s.

--- a/gypsumpier/test/test_own_stall.py
+++ b/gypsumpier/test/test_own_stall.py
@@ -9,8 +9,10 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from gypsumpier.fleet.node import Address
 from gypsumpier.upstream.exchange import Exchange
 from gypsumpier.upstream.http import UpstreamStream
+from gypsumpier.upstream.pool import CONNECT_TIMEOUT_S, UpstreamPool
 
 SILENCE_S: Final = 0.3
 STALL_S: Final = 0.6
@@ -73,5 +75,20 @@
         await waiting
 
 
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_upstream_that_accepts_during_a_stall_is_connected_to(self) -> None:
+        """Guards against a backoff of upstreams, or of whole zones, as an entry goes on."""
+        pool = UpstreamPool()
+        self.addCleanup(pool.close)
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            connecting = asyncio.create_task(
+                pool.connect(Address("127.0.0.1", listening.getsockname()[1]))
+            )
+            await asyncio.sleep(0)
+            time.sleep(CONNECT_TIMEOUT_S + STALL_S)
+            stream = await connecting
+        stream.close()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -17,6 +17,7 @@
 from tornado.iostream import StreamClosedError
 
 from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.stall import STALL_MIN_S
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.upstream.answerbuffers import AnswerBuffers
 from gypsumpier.upstream.errors import NotRunError
@@ -26,6 +27,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.4
 """Timeout of a new connection, which takes a round trip and about a millisecond of work."""
+STALL_CHECK_S: Final = 0.05
+"""Seconds to wait for a connection once more where this process stood still meanwhile."""
 IDLE_TIMEOUT_S: Final = 2.0
 """Seconds that an idle connection is kept if the upstream announces no idle time."""
 IDLE_MARGIN_S: Final = 1.0
@@ -155,8 +158,7 @@
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
         stream = UpstreamStream(raw)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await stream.connect((address.host, address.port))
+            await wait_for_connection(stream.connect((address.host, address.port)))
         except (OSError, StreamClosedError, TimeoutError) as error:
             stream.close()
             raise NotRunError(f"cannot connect: {error!r}", is_refusal=False) from error
@@ -205,3 +207,19 @@
             for connection in connections:
                 connection.stream.close()
         self.idle.clear()
+
+
+async def wait_for_connection(connected: "asyncio.Future[UpstreamStream]") -> None:
+    """Wait until a connection is made; raise TimeoutError where it is not in time.
+
+    A wait that ends late shows that this process stood still, so that the connection may have been
+    made meanwhile.
+    """
+    wait_s = CONNECT_TIMEOUT_S
+    while not connected.done():
+        ends_at_s = time.monotonic() + wait_s
+        await asyncio.wait({connected}, timeout=wait_s)
+        if not connected.done() and time.monotonic() - ends_at_s < STALL_MIN_S:
+            raise TimeoutError
+        wait_s = STALL_CHECK_S
+    connected.result()
