Count the idle time of connections to upstreams on a clock that counts suspensions

What callers saw: 502 for commands, outcome unknown, after the entry's machine was suspended: they were sent on kept connections that the upstream had closed meanwhile.

Cause: the idle time was a difference of CLOCK_MONOTONIC, which stands still in a suspension, so that the limits for idle connections (0.3 s for what must not run twice, else what the upstream announces) did not end. The close may be unread as the entry goes on.

Change: the times of idle connections are those of boot_time_s.

--- a/gypsumpier/test/test_suspension.py
+++ b/gypsumpier/test/test_suspension.py
@@ -1,5 +1,6 @@
-"""Tests of processes of the product's own interface on a machine that was suspended."""
+"""Tests of processes on a machine that was suspended."""
 
+import socket
 import time
 import unittest
 from typing import Final
@@ -9,10 +10,13 @@
 from gypsumpier.codes.weight import DECISION_TOO_OLD
 from gypsumpier.entry.application import EntryApplication
 from gypsumpier.errors import GypsumpierError
+from gypsumpier.fleet.node import Address
 from gypsumpier.options import Options
 from gypsumpier.settings import build
 from gypsumpier.test.builders_frame import ENTRY_TEXTS
 from gypsumpier.test.fakes_weight import FakeDocuments, FakeEngine, FakeMembers
+from gypsumpier.upstream.http import UpstreamStream
+from gypsumpier.upstream.pool import IDLE_TIMEOUT_S, UpstreamPool
 from gypsumpier.weight.decider import Decider
 from gypsumpier.weight.order import Orders
 
@@ -55,6 +59,17 @@
         self.suspend()
         self.assertGreaterEqual(clock.monotonic() - received_at_s, SUSPENDED_S)
 
+    async def test_a_connection_that_was_idle_during_a_suspension_is_not_used(self) -> None:
+        """Guards against commands with an unknown outcome: the upstream has closed it meanwhile."""
+        pool, address = UpstreamPool(), Address("127.0.0.1", 1)
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        exchange = mock.Mock(stream=UpstreamStream(ours))
+        exchange.head.closes, exchange.head.idle_s = False, None
+        pool.release(address, exchange)
+        self.suspend()
+        self.assertIsNone(pool.take_idle(address, IDLE_TIMEOUT_S))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -16,6 +16,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import StreamClosedError
 
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address
 from gypsumpier.fleet.stall import STALL_MIN_S
 from gypsumpier.metrics import REGISTRY
@@ -63,7 +64,8 @@
 class IdleConnection(NamedTuple):
     """An idle connection, since when it is idle and until when it may be used.
 
-    Times are monotonic seconds.
+    Times are those of ``boot_time_s``: the upstream's idle timeout goes on while this machine is
+    suspended.
     """
 
     stream: UpstreamStream
@@ -129,7 +131,7 @@
     def take_idle(self, address: Address, idle_max_s: float) -> UpstreamStream | None:
         """Return the idle connection that was used last; None if none is usable."""
         connections = self.idle.get(address, [])
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         while connections:
             connection = connections[-1]
             is_dirty = connection.stream.closed() or connection.stream.has_unread_bytes()
@@ -178,7 +180,7 @@
         if head is None or not is_clean or head.closes:
             exchange.abandon()
             return
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         kept_s = IDLE_TIMEOUT_S if head.idle_s is None else head.idle_s - IDLE_MARGIN_S
         if kept_s <= 0:
             stream.close()
@@ -190,7 +192,7 @@
 
     def close_idle(self) -> None:
         """Close connections that are idle for too long, have unread bytes or are closed."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         for address, connections in list(self.idle.items()):
             for connection in connections:
                 if now_s >= connection.until_s or connection.stream.has_unread_bytes():
