--- a/gypsumpier/upstream/pool.py
+++ b/gypsumpier/upstream/pool.py
@@ -16,7 +16,9 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import StreamClosedError
 
+from gypsumpier.fleet.clock import boot_time_s
 from gypsumpier.fleet.node import Address
+from gypsumpier.fleet.stall import STALL_MIN_S
 from gypsumpier.metrics import REGISTRY
 from gypsumpier.upstream.answerbuffers import AnswerBuffers
 from gypsumpier.upstream.errors import NotRunError
@@ -26,6 +28,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.4
 """Timeout of a new connection, which takes a round trip and about a millisecond of work."""
+STALL_CHECK_S: Final = 0.05
+"""Seconds to wait for a connection once more where this process stood still meanwhile."""
 IDLE_TIMEOUT_S: Final = 2.0
 """Seconds that an idle connection is kept if the upstream announces no idle time."""
 IDLE_MARGIN_S: Final = 1.0
@@ -60,7 +64,8 @@
 class IdleConnection(NamedTuple):
     """An idle connection, since when it is idle and until when it may be used.
 
-    Times are monotonic seconds.
+    Times are those of ``boot_time_s``: the upstream's idle timeout goes on while this machine is
+    suspended.
     """
 
     stream: UpstreamStream
@@ -126,7 +131,7 @@
     def take_idle(self, address: Address, idle_max_s: float) -> UpstreamStream | None:
         """Return the idle connection that was used last; None if none is usable."""
         connections = self.idle.get(address, [])
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         while connections:
             connection = connections[-1]
             is_dirty = connection.stream.closed() or connection.stream.has_unread_bytes()
@@ -155,8 +160,7 @@
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
         stream = UpstreamStream(raw)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await stream.connect((address.host, address.port))
+            await wait_for_connection(stream.connect((address.host, address.port)))
         except (OSError, StreamClosedError, TimeoutError) as error:
             stream.close()
             raise NotRunError(f"cannot connect: {error!r}", is_refusal=False) from error
@@ -176,7 +180,7 @@
         if head is None or not is_clean or head.closes:
             exchange.abandon()
             return
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         kept_s = IDLE_TIMEOUT_S if head.idle_s is None else head.idle_s - IDLE_MARGIN_S
         if kept_s <= 0:
             stream.close()
@@ -188,7 +192,7 @@
 
     def close_idle(self) -> None:
         """Close connections that are idle for too long, have unread bytes or are closed."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         for address, connections in list(self.idle.items()):
             for connection in connections:
                 if now_s >= connection.until_s or connection.stream.has_unread_bytes():
@@ -205,3 +209,19 @@
             for connection in connections:
                 connection.stream.close()
         self.idle.clear()
+
+
+async def wait_for_connection(connected: "asyncio.Future[UpstreamStream]") -> None:
+    """Wait until a connection is made; raise TimeoutError where it is not in time.
+
+    A wait that ends late shows that this process stood still, so that the connection may have been
+    made meanwhile.
+    """
+    wait_s = CONNECT_TIMEOUT_S
+    while not connected.done():
+        ends_at_s = time.monotonic() + wait_s
+        await asyncio.wait({connected}, timeout=wait_s)
+        if not connected.done() and time.monotonic() - ends_at_s < STALL_MIN_S:
+            raise TimeoutError
+        wait_s = STALL_CHECK_S
+    connected.result()
--- a/gypsumpier/weight/peer.py
+++ b/gypsumpier/weight/peer.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from typing import Final
+from typing import Final, NamedTuple
 
 from gypsumpier.clock import Clock
 from gypsumpier.errors import GypsumpierError
@@ -25,6 +25,13 @@
 """Weight of the newest response time in the moving average."""
 
 
+class PostedMessage(NamedTuple):
+    """A message that was made at ``made_at_s``, in monotonic seconds, and waits to be sent."""
+
+    message: Message
+    made_at_s: float
+
+
 class Peer:
     """A connected agent, from the start of its connection.
 
@@ -38,7 +45,7 @@
         self.dialled = dialled
         self.hello: Hello | None = None
         self.holds: dict[str, set[int]] = {}
-        self.outbox: deque[Message] = deque()
+        self.outbox: deque[PostedMessage] = deque()
         self.posted = asyncio.Event()
         self.queue: deque[Want] = deque()
         self.queued = asyncio.Event()
@@ -62,26 +69,34 @@
         """Whether chunks may be requested from the peer now."""
         return not self.connection.closed and self.avoid_until_s <= self.clock.monotonic()
 
-    def post(self, message: Message) -> None:
-        """Queue a short message for sending; close the connection where the outbox is full."""
+    def post(self, message: Message, made_at_s: float | None = None) -> None:
+        """Queue a short message for sending; close the connection where the outbox is full.
+
+        The peer counts the time since ``made_at_s``, in monotonic seconds, as time on the way.  The
+        default is now.
+        """
         if len(self.outbox) >= MAX_OUTBOX_MESSAGES:
             self.connection.close()
             return
-        self.outbox.append(message)
+        now_s = self.clock.monotonic()
+        self.outbox.append(PostedMessage(message, now_s if made_at_s is None else made_at_s))
         self.posted.set()
 
     async def send_posted(self) -> None:
         """Send the posted messages in order until the connection closes."""
         while not self.connection.closed:
             while self.outbox:
-                await self.send(self.outbox.popleft())
+                await self.send(*self.outbox.popleft())
             self.posted.clear()
             await self.posted.wait()
 
-    async def send(self, message: Message) -> None:
-        """Send a message; close the connection where that fails."""
+    async def send(self, message: Message, made_at_s: float | None = None) -> None:
+        """Send a message; close the connection where that fails.
+
+        The peer counts the time since ``made_at_s`` as time on the way.
+        """
         try:
-            await self.connection.send(kind_of(message), message._asdict())
+            await self.connection.send(kind_of(message), message._asdict(), queued_at_s=made_at_s)
         except GypsumpierError:
             self.connection.close()
 
