Read the store's position once for several zones, and not beside a check

What the first entry behind the watchers reads each second dates the position as well, and so does a reading of another zone. They are sent to the watcher of the zone and to those of the next three; a watcher reads only where the newest one is 0.4 to 0.5 s old, and the check rests while the watcher tells what it reads. A newer position is announced by it, so that a watch that hears of nothing is noticed sooner.

--- a/gypsumpier/fleet/readergroup.py
+++ b/gypsumpier/fleet/readergroup.py
@@ -29,6 +29,9 @@
     def share(self, batch: Batch) -> None:
         """Forward a batch just read from the store."""
 
+    def share_position(self, position: Position, at_s: float) -> None:
+        """Tell others that the store had nothing newer than ``position`` at that boot time."""
+
     def share_failure(self) -> None:
         """Tell others that a call to the store has failed."""
 
--- a/gypsumpier/fleet/watcher.py
+++ b/gypsumpier/fleet/watcher.py
@@ -18,6 +18,7 @@
 from gypsumpier.errors import GypsumpierError, RateLimitedError
 from gypsumpier.fleet.change import Batch, FleetSource
 from gypsumpier.fleet.clock import boot_time_s
+from gypsumpier.fleet.position import Position
 from gypsumpier.fleet.readergroup import ReaderGroup
 from gypsumpier.fleet.stall import StallMonitor
 from gypsumpier.fleet.state import UNKNOWN_AGE_S, FleetState
@@ -38,9 +39,12 @@
 """Longest wait in seconds between attempts; a key's revocation must arrive within seconds."""
 RETRY_AFTER_MAX_S: Final = 1.0
 """Longest time in seconds that the store is left alone as it asks for that, before this wait."""
-POSITION_INTERVAL_S: Final = 0.5
-"""Seconds between two readings of the store's position.  A version counts from the last one before
-its naming, so that engines lose up to this time for their switch."""
+POSITION_INTERVAL_S: Final = 0.4
+"""Age in seconds of the newest known time of a position from which a process that watches the store
+reads the position.  A version counts from the last time before its naming, so that engines lose up
+to this for their switch."""
+POSITION_JITTER_S: Final = 0.1
+"""Seconds by which readings are spread at random, so that the first one serves other zones too."""
 POSITION_POLL_S: Final = 0.05
 """Seconds between two checks whether the position should be read."""
 CALLS_PER_S: Final = 25.0
@@ -91,7 +95,8 @@
     answered one in between for which the store lacked the history.
     ``failures`` counts the calls in a row that have failed, the first of them at
     ``failing_since_s``.  ``is_watching`` is set while a watch waits for a change, and
-    ``position_tried_at_s`` is when the position was last asked for beside one.
+    ``position_tried_at_s`` is when the position was last asked for beside one, which is due again
+    after ``position_interval_s``.
     ``checked_at_s`` is when this process last checked on the readers of the store.  ``is_behind``
     is set where a check of the store's revision has shown changes that are still to be read.
     ``checks_first`` is set where the next call reads the revision alone.  ``is_large`` is set while
@@ -114,6 +119,7 @@
         self.failing_since_s = 0.0
         self.is_watching = False
         self.position_tried_at_s = float("-inf")
+        self.position_interval_s = POSITION_INTERVAL_S
         self.checked_at_s = float("-inf")
         self.needs_snapshot = True
         self.is_behind = False
@@ -230,7 +236,7 @@
     def is_position_due(self) -> bool:
         """Return whether a watch waits and the newest reading of the position has become old."""
         known_at_s = max(self.fleet_state.position_times.newest_s(), self.position_tried_at_s)
-        return self.is_watching and boot_time_s() - known_at_s >= POSITION_INTERVAL_S
+        return self.is_watching and boot_time_s() - known_at_s >= self.position_interval_s
 
     async def read_position(self) -> None:
         """Record the store's position, from which later changes are dated.
@@ -240,6 +246,7 @@
         """
         await self.take_call()
         sent_at_s = self.position_tried_at_s = boot_time_s()
+        self.position_interval_s = POSITION_INTERVAL_S + random.uniform(0.0, POSITION_JITTER_S)
         try:
             with counted(REVISION):
                 position = await self.source.current_position()
@@ -248,8 +255,13 @@
             self.position_tried_at_s += min(error.retry_after_s or 0.0, RETRY_AFTER_MAX_S)
             decision("store_position_unread", code=error.code.number, reason=error.detail)
             return
+        self.record_position(position, sent_at_s)
+
+    def record_position(self, position: Position, sent_at_s: float) -> None:
+        """Record and share the position that a call sent at that time has returned."""
         self.fleet_state.record_position(position, sent_at_s)
         self.fleet_state.record_reached(position)
+        self.readers.share_position(position, sent_at_s)
 
     def unchanged(self) -> Batch:
         """Return a batch that tells that the store has nothing newer."""
@@ -299,7 +311,9 @@
         self.checked_at_s = now_s
         try:
             with counted(REVISION):
-                self.readers.record_announced(await self.source.current_position())
+                position = await self.source.current_position()
+            self.readers.record_announced(position)
+            self.record_position(position, now_s)
         except GypsumpierError as error:
             decision("store_check_failed", code=error.code.number, reason=error.detail)
 
--- a/gypsumpier/mesh/feed.py
+++ b/gypsumpier/mesh/feed.py
@@ -40,6 +40,8 @@
 FEED_ASK: Final = "feed_ask"
 FEED_OFFER: Final = "feed_offer"
 STORE_FAILED: Final = "store_failed"
+POSITION: Final = "position"
+"""Message with a position of the store that an entry has just read."""
 READING: Final = "reading"
 """Message of an entry that reads the store in full, or receives a large answer of it."""
 AFTER: Final = "after"
@@ -89,6 +91,11 @@
 """Announced revisions that are kept; far more than changes can be made while one is overdue."""
 SNAPSHOT_TIMEOUT_S: Final = 0.5
 """Seconds to wait for a snapshot requested from one peer before it is requested from another."""
+POSITION_ZONES_MAX: Final = 3
+"""Other zones that are sent the positions read in one: the next ones by name, in a circle."""
+POSITION_HEARD_S: Final = 1.0
+"""Seconds for which the position that an entry of the zone has read takes the place of a check on
+the watchers; the same as between two checks."""
 RECENT_VERSION_S: Final = 60.0
 """Seconds after its naming in which the time of a version matters; its limit is some ten."""
 CHANGES_LOG_INTERVAL_S: Final = 5.0
@@ -132,6 +139,7 @@
     the first shared batch until this process stops reading or fails.  ``announcer`` is the process
     that announced the newest position, ``requested_from`` the one from which changes were requested
     at ``changes_requested_at_s``.
+    ``zone_position_at_s`` is the boot time at which an entry of the zone last told a position.
     ``reading_reason`` is the last logged reason to read the store; empty while others do.
     """
 
@@ -149,6 +157,7 @@
         self.is_delivering = False
         self.is_left = False
         self.snapshot_requested_at_s = float("-inf")
+        self.zone_position_at_s = float("-inf")
         self.has_taken_over = False
         self.cut_off: set[str] = set()
         self.reading_reason = ""
@@ -159,7 +168,8 @@
         mesh.listeners[STORE_FAILED] = self.handle_store_failed
         mesh.listeners[READING] = self.handle_reading
         mesh.aged_listeners[FEED_OFFER] = self.handle_offer
-        mesh.proof_kinds |= {FEED, NOTICE, FEED_OFFER}
+        mesh.aged_listeners[POSITION] = self.handle_position
+        mesh.proof_kinds |= {FEED, NOTICE, FEED_OFFER, POSITION}
         mesh.on_peer_connected.append(self.send_offer)
         PROOF_AGE.set_function(lambda: min(fleet_state.proof_age_s(), UNKNOWN_AGE_S))
 
@@ -260,7 +270,12 @@
         return {peer.name for peer in self.mesh.peers(ENTRY, self.mesh.own.zone)}
 
     def should_check_revision(self) -> bool:
-        """Return whether this entry is the first behind the watchers of its zone."""
+        """Return whether this entry is the first behind the watchers of its zone.
+
+        It need not check while they tell it the positions that they read.
+        """
+        if boot_time_s() - self.zone_position_at_s < POSITION_HEARD_S:
+            return False
         return self.mesh.own.role == ENTRY and self.rank_behind_watchers() == 0
 
     def log_reason(self) -> None:
@@ -322,6 +337,36 @@
         recipients = [*self.mesh.peers(ENTRY, zone), *self.mesh.peers(SIDECAR, zone)]
         self.mesh.post_all(recipients, FEED, feed)
 
+    def share_position(self, position: Position, at_s: float) -> None:
+        """Send a position to the watchers of the own zone and of the next ones.
+
+        What they read later is dated by it, so that few readings serve many zones.
+        """
+        own = self.mesh.own
+        firsts = {peer.zone: peer for peer in sorted(self.mesh.peers(ENTRY), reverse=True)}
+        zones = sorted(zone for zone in firsts if zone != own.zone)
+        later = [zone for zone in zones if zone > own.zone]
+        circle = [*later, *zones[: len(zones) - len(later)]][:POSITION_ZONES_MAX]
+        recipients = [firsts[zone] for zone in (own.zone, *circle) if zone in firsts]
+        payload = {
+            "era": position.era,
+            "revision": position.revision,
+            "age_s": boot_time_s() - at_s,
+        }
+        self.mesh.post_all(recipients, POSITION, payload)
+
+    def handle_position(self, peer: Peer, payload: dict[str, Any], delay_s: float = 0.0) -> None:
+        """Record the position that another entry has read, and a proof where it is the own one."""
+        position = self.position_of(payload)
+        at_s = boot_time_s() - delay_s - max(0.0, float(payload["age_s"]))
+        self.record_announced(position)
+        if peer.zone == self.mesh.own.zone:
+            self.zone_position_at_s = boot_time_s()
+        if position == self.fleet_state.position:
+            self.fleet_state.record_proof(at_s)
+        else:
+            self.fleet_state.record_position(position, at_s)
+
     def share_reading(self) -> None:
         """Tell the entries of the own zone that a reading of the store in full goes on."""
         if self.mesh.own.role == ENTRY and self.zone_reads.is_due():
